--- /dev/null
+++ b/src/cli/base.ts
@@ -0,0 +1,120 @@
+/**
+ * What the operator commands share.
+ */
+import { readFileSync } from "node:fs";
+import { Command, Option, UsageError } from "clipanion";
+import * as E from "fp-ts/Either";
+import type * as t from "io-ts";
+import { type DecodeError, decodeText } from "../core/decode";
+import { Exit, type ExitCode } from "./exit";
+import { type Fleet, readFleet } from "./fleet";
+import { CommandError, type Published, Publisher } from "./publisher";
+
+const MS_PER_SECOND = 1000;
+const WAIT_STEP_MS = 200;
+
+/** A command that prints for people or, with --json, for programs. */
+export abstract class BaseCommand extends Command {
+  json = Option.Boolean("--json", false, { description: "Print JSON" });
+
+  abstract run(): Promise<ExitCode>;
+
+  override async execute(): Promise<ExitCode> {
+    return this.run();
+  }
+
+  /** Prints a result: the value as JSON, or the text. */
+  protected print(value: unknown, text: string): void {
+    this.context.stdout.write(`${this.json ? JSON.stringify(value) : text}\n`);
+  }
+
+  protected fail(error: CommandError): ExitCode {
+    const body = { error: error.message, exit: error.exit };
+    if (this.json) this.context.stdout.write(`${JSON.stringify(body)}\n`);
+    else this.context.stderr.write(`${error.message}\n`);
+    return error.exit;
+  }
+
+  /** Reads and checks a JSON file. */
+  protected readFile<A>(codec: t.Type<A>, path: string): E.Either<CommandError, A> {
+    const text = E.tryCatch(
+      () => readFileSync(path, "utf8"),
+      (error) => new CommandError(Exit.invalid, `${path}: ${(error as Error).message}`),
+    );
+    if (E.isLeft(text)) return text;
+    const toCommandError = (error: DecodeError) => new CommandError(Exit.invalid, error.message);
+    return E.mapLeft(toCommandError)(decodeText(codec, text.right, path));
+  }
+}
+
+/** A command that works on the platform's log. */
+export abstract class LogCommand extends BaseCommand {
+  log = Option.String("--log", {
+    env: "GORSEFOLD_LOG",
+    required: true,
+    description: "URL of the platform's log (or GORSEFOLD_LOG)",
+  });
+
+  /** Runs with a publisher that is closed afterwards. */
+  protected async withPublisher(
+    work: (publisher: Publisher) => Promise<E.Either<CommandError, ExitCode>>,
+  ): Promise<ExitCode> {
+    const publisher = new Publisher(this.log);
+    const result = await work(publisher);
+    await publisher.close();
+    return E.isLeft(result) ? this.fail(result.left) : result.right;
+  }
+}
+
+/** A command that changes the configuration. */
+export abstract class ChangeCommand extends LogCommand {
+  list = Option.String("--list", {
+    env: "GORSEFOLD_LIST",
+    description: "URL of the platform's list (or GORSEFOLD_LIST), for --wait",
+  });
+  wait = Option.String("--wait", {
+    description: "Seconds to wait until the change is in force on every listed instance",
+  });
+
+  /** Prints what was published and, where asked to, waits until it is in force. */
+  protected async finish(
+    published: E.Either<CommandError, Published>,
+    more: Readonly<Record<string, unknown>> = {},
+    text = "",
+  ): Promise<E.Either<CommandError, ExitCode>> {
+    if (E.isLeft(published)) return published;
+    const { version, changes } = published.right;
+    const behind = await this.waitInForce(version);
+    this.print(
+      { version, changes, ...more, ...(behind === undefined ? {} : { behind }) },
+      [
+        changes === 0 ? `nothing to change; version ${version}` : `accepted as version ${version}`,
+        ...(text === "" ? [] : [text]),
+        ...(behind === undefined || behind.length === 0
+          ? []
+          : [`not yet in force on: ${behind.join(", ")}`]),
+      ].join("\n"),
+    );
+    return E.right(behind === undefined || behind.length === 0 ? Exit.done : Exit.pending);
+  }
+
+  private async waitInForce(version: number): Promise<readonly string[] | undefined> {
+    if (this.wait === undefined) return undefined;
+    if (this.list === undefined) throw new UsageError("--wait needs --list");
+    const deadline = performance.now() + Number(this.wait) * MS_PER_SECOND;
+    for (;;) {
+      const fleet = await readFleet(this.list);
+      const behind = E.isLeft(fleet)
+        ? ["(the list cannot be read)"]
+        : listBehind(fleet.right, version);
+      if (behind.length === 0 || performance.now() >= deadline) return behind;
+      await new Promise((resolve) => setTimeout(resolve, WAIT_STEP_MS));
+    }
+  }
+}
+
+function listBehind(fleet: Fleet, version: number): readonly string[] {
+  return fleet.instances
+    .filter((instance) => (instance.status?.configVersion ?? -1) < version)
+    .map((instance) => instance.name);
+}
--- /dev/null
+++ b/src/cli/config.ts
@@ -0,0 +1,132 @@
+/**
+ * `gorsefold config check|publish|show|diff`.
+ */
+import { Command, Option } from "clipanion";
+import * as E from "fp-ts/Either";
+import { type Configuration, createEmptyConfiguration, documentCodec } from "../core/config";
+import { type Change, computeChanges } from "../core/fold";
+import { checkReferences } from "../core/references";
+import { BaseCommand, ChangeCommand, LogCommand } from "./base";
+import { Exit, type ExitCode } from "./exit";
+import { CommandError } from "./publisher";
+
+/** Checks a file without publishing it. */
+export class ConfigCheckCommand extends BaseCommand {
+  static override paths = [["config", "check"]];
+  static override usage = Command.Usage({
+    category: "Configuration",
+    description: "Check a configuration file",
+    examples: [["Check a file", "$0 config check examples/cooperative.json"]],
+  });
+
+  file = Option.String();
+
+  async run(): Promise<ExitCode> {
+    const checked = readDocument(this.readFile(documentCodec, this.file), this.file);
+    if (E.isLeft(checked)) return this.fail(checked.left);
+    const counts = Object.entries(checked.right).map(
+      ([kind, objects]) => `${Object.keys(objects).length} ${kind}`,
+    );
+    this.print({ ok: true, file: this.file }, `${this.file}: ok (${counts.join(", ")})`);
+    return Exit.done;
+  }
+}
+
+/** Publishes a file. */
+export class ConfigPublishCommand extends ChangeCommand {
+  static override paths = [["config", "publish"]];
+  static override usage = Command.Usage({
+    category: "Configuration",
+    description: "Publish a configuration file",
+    details:
+      "Publishes what differs from the configuration in force. Where another operator's change comes first, nothing is published and the exit code is 3. Keys stay as they are unless the file has some.",
+    examples: [
+      [
+        "Publish and wait until it is in force",
+        "$0 config publish examples/cooperative.json --wait 10",
+      ],
+    ],
+  });
+
+  file = Option.String();
+
+  run(): Promise<ExitCode> {
+    return this.withPublisher(async (publisher) => {
+      const document = readDocument(this.readFile(documentCodec, this.file), this.file);
+      if (E.isLeft(document)) return document;
+      const state = await publisher.read();
+      if (E.isLeft(state)) return state;
+      const changes = computeChanges(state.right.configuration, document.right);
+      return this.finish(await publisher.publish(state.right, changes));
+    });
+  }
+}
+
+/** Shows the configuration in force. */
+export class ConfigShowCommand extends LogCommand {
+  static override paths = [["config", "show"]];
+  static override usage = Command.Usage({
+    category: "Configuration",
+    description: "Show the configuration in force",
+    examples: [["Show it with its version", "$0 config show --json"]],
+  });
+
+  run(): Promise<ExitCode> {
+    return this.withPublisher(async (publisher) => {
+      const state = await publisher.read();
+      if (E.isLeft(state)) return state;
+      const { version, configuration } = state.right;
+      this.print(
+        { version, configuration },
+        `version ${version}\n${JSON.stringify(configuration, null, 2)}`,
+      );
+      return E.right(Exit.done);
+    });
+  }
+}
+
+/** Shows what a file would change. */
+export class ConfigDiffCommand extends LogCommand {
+  static override paths = [["config", "diff"]];
+  static override usage = Command.Usage({
+    category: "Configuration",
+    description: "Show what publishing a file would change",
+    examples: [["Compare a file", "$0 config diff examples/cooperative.json"]],
+  });
+
+  file = Option.String();
+
+  run(): Promise<ExitCode> {
+    return this.withPublisher(async (publisher) => {
+      const document = readDocument(this.readFile(documentCodec, this.file), this.file);
+      if (E.isLeft(document)) return document;
+      const state = await publisher.read();
+      if (E.isLeft(state)) return state;
+      const changes = computeChanges(state.right.configuration, document.right);
+      const { version, configuration } = state.right;
+      const lines = changes.map((change) => printChange(configuration, change));
+      this.print(
+        { version, changes },
+        lines.length === 0 ? `no difference to version ${version}` : lines.join("\n"),
+      );
+      return E.right(Exit.done);
+    });
+  }
+}
+
+/** A file without keys leaves the keys alone, so its references are checked without them. */
+function readDocument(
+  file: E.Either<CommandError, Partial<Configuration>>,
+  path: string,
+): E.Either<CommandError, Partial<Configuration>> {
+  if (E.isLeft(file)) return file;
+  const checked = checkReferences({ ...createEmptyConfiguration(), ...file.right }, path);
+  return E.isLeft(checked) ? E.left(new CommandError(Exit.invalid, checked.left.message)) : file;
+}
+
+function printChange(before: Configuration, change: Change): string {
+  const known = before[change.kind][change.name];
+  if (change.value === undefined) return `- ${change.kind}.${change.name}`;
+  const sign = known === undefined ? "+" : "~";
+  return `${sign} ${change.kind}.${change.name}: ${JSON.stringify(change.value)}`;
+}
--- /dev/null
+++ b/src/cli/fleet.ts
@@ -0,0 +1,61 @@
+/**
+ * Reads the status of all listed instances.
+ */
+import * as E from "fp-ts/Either";
+import type { InstanceStatus } from "../entry/operator";
+import { GrpcPeerLink } from "../peer/link";
+import { HttpInstanceList, type ListEntry } from "../platform/list";
+import { Exit } from "./exit";
+import { CommandError } from "./publisher";
+
+const STATUS_MS = 1500;
+
+/** One listed instance; without a status where it does not answer. */
+export interface FleetInstance {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly state: string;
+  readonly status: InstanceStatus | undefined;
+}
+
+/** All that is listed. */
+export interface Fleet {
+  readonly instances: readonly FleetInstance[];
+  readonly endpoints: readonly ListEntry[];
+}
+
+/**
+ * Reads the list, and asks each listed instance for its status.
+ *
+ * @param listUrl - URL of the platform's list
+ * @example
+ * await readFleet("http://127.0.0.1:7400");
+ */
+export async function readFleet(listUrl: string): Promise<E.Either<CommandError, Fleet>> {
+  const list = new HttpInstanceList(listUrl);
+  const entries = await list.read()();
+  await list.close();
+  if (E.isLeft(entries)) {
+    return E.left(
+      new CommandError(Exit.unreachable, `the list cannot be read: ${entries.left.message}`),
+    );
+  }
+  const link = new GrpcPeerLink();
+  const instances = await Promise.all(
+    entries.right
+      .filter((entry) => entry.kind === "instance")
+      .map((entry) => readInstance(link, entry)),
+  );
+  link.close();
+  return E.right({
+    instances,
+    endpoints: entries.right.filter((entry) => entry.kind === "endpoint"),
+  });
+}
+
+async function readInstance(link: GrpcPeerLink, entry: ListEntry): Promise<FleetInstance> {
+  const { name, dataCentre, state, address } = entry;
+  const reply = await link.readStatus(address, STATUS_MS)();
+  const status = E.isRight(reply) ? (JSON.parse(reply.right.json) as InstanceStatus) : undefined;
+  return { name, dataCentre, state, status };
+}
--- /dev/null
+++ b/src/cli/key.ts
@@ -0,0 +1,116 @@
+/**
+ * `gorsefold key create|withdraw|list`. A key is shown once, when it is made; only its hash is
+ * published.
+ */
+import { randomBytes } from "node:crypto";
+import { Command, Option } from "clipanion";
+import * as E from "fp-ts/Either";
+import type { Configuration } from "../core/config";
+import { hashKey } from "../core/ids";
+import { ChangeCommand, LogCommand } from "./base";
+import { Exit, type ExitCode } from "./exit";
+import { CommandError } from "./publisher";
+
+const KEY_BYTES = 24;
+const LEAST_HASH_DIGITS = 8;
+
+/** Creates a key. */
+export class KeyCreateCommand extends ChangeCommand {
+  static override paths = [["key", "create"]];
+  static override usage = Command.Usage({
+    category: "Keys",
+    description: "Create a key of a workspace, and show it once",
+    examples: [["Create a key", "$0 key create bahla-fort"]],
+  });
+
+  workspace = Option.String();
+  note = Option.String("--note", { description: "A note that is published with the hash" });
+
+  run(): Promise<ExitCode> {
+    const key = `gf_${randomBytes(KEY_BYTES).toString("base64url")}`;
+    const name = hashKey(key);
+    const value = {
+      workspace: this.workspace,
+      ...(this.note === undefined ? {} : { note: this.note }),
+    };
+    return this.withPublisher(async (publisher) => {
+      const published = await publisher.change(() => E.right([{ kind: "keys", name, value }]));
+      return this.finish(published, { key, hash: name }, `key ${key}`);
+    });
+  }
+}
+
+/** Withdraws a key. */
+export class KeyWithdrawCommand extends ChangeCommand {
+  static override paths = [["key", "withdraw"]];
+  static override usage = Command.Usage({
+    category: "Keys",
+    description: "Withdraw a key, named by itself or by the beginning of its hash",
+    details: "Work that runs for the key ends as it would; with --cut it is cut off.",
+    examples: [
+      ["Withdraw by hash", "$0 key withdraw 3f2a9c01"],
+      ["Withdraw and cut off what runs", "$0 key withdraw 3f2a9c01 --cut --wait 10"],
+    ],
+  });
+
+  key = Option.String();
+  cut = Option.Boolean("--cut", false, { description: "Cut off work that runs for the key" });
+
+  run(): Promise<ExitCode> {
+    return this.withPublisher(async (publisher) => {
+      const published = await publisher.change((configuration) => {
+        const name = findKey(configuration, this.key);
+        if (E.isLeft(name)) return name;
+        const known = configuration.keys[name.right];
+        const value = { ...known, withdrawn: true, ...(this.cut ? { cut: true } : {}) };
+        return E.right([{ kind: "keys" as const, name: name.right, value }]);
+      });
+      return this.finish(published);
+    });
+  }
+}
+
+/** Lists keys by their hashes. */
+export class KeyListCommand extends LogCommand {
+  static override paths = [["key", "list"]];
+  static override usage = Command.Usage({
+    category: "Keys",
+    description: "List keys by their hashes",
+    examples: [["List them", "$0 key list"]],
+  });
+
+  run(): Promise<ExitCode> {
+    return this.withPublisher(async (publisher) => {
+      const state = await publisher.read();
+      if (E.isLeft(state)) return state;
+      const keys = Object.entries(state.right.configuration.keys).map(([hash, key]) => ({
+        hash,
+        ...key,
+      }));
+      const lines = keys.map(
+        (key) =>
+          `${key.hash.slice(0, 12)}  ${key.workspace}${key.withdrawn === true ? "  withdrawn" : ""}`,
+      );
+      this.print(keys, lines.join("\n"));
+      return E.right(Exit.done);
+    });
+  }
+}
+
+function findKey(configuration: Configuration, text: string): E.Either<CommandError, string> {
+  const hash = hashKey(text);
+  if (Object.hasOwn(configuration.keys, hash)) return E.right(hash);
+  const isPrefix = /^[0-9a-f]+$/.test(text) && text.length >= LEAST_HASH_DIGITS;
+  const matches = isPrefix
+    ? Object.keys(configuration.keys).filter((name) => name.startsWith(text))
+    : [];
+  const [match] = matches;
+  if (matches.length === 1 && match !== undefined) return E.right(match);
+  const found = matches.length === 0 ? "no key" : `${matches.length} keys`;
+  return E.left(
+    new CommandError(
+      Exit.invalid,
+      `${found} found; give the key, or ${LEAST_HASH_DIGITS} or more digits of its hash`,
+    ),
+  );
+}
--- /dev/null
+++ b/src/cli/status.ts
@@ -0,0 +1,43 @@
+/**
+ * `gorsefold status`.
+ */
+import { Command, Option } from "clipanion";
+import * as E from "fp-ts/Either";
+import { BaseCommand } from "./base";
+import { Exit, type ExitCode } from "./exit";
+import { type FleetInstance, readFleet } from "./fleet";
+
+/** Shows the status of all listed instances. */
+export class StatusCommand extends BaseCommand {
+  static override paths = [["status"]];
+  static override usage = Command.Usage({
+    description: "Show the status of the fleet",
+    examples: [["Show it", "$0 status --list http://127.0.0.1:7400"]],
+  });
+
+  list = Option.String("--list", {
+    env: "GORSEFOLD_LIST",
+    required: true,
+    description: "URL of the platform's list (or GORSEFOLD_LIST)",
+  });
+
+  async run(): Promise<ExitCode> {
+    const fleet = await readFleet(this.list);
+    if (E.isLeft(fleet)) return this.fail(fleet.left);
+    const { instances, endpoints } = fleet.right;
+    const lines = [
+      ...instances.map(printInstance),
+      ...endpoints.map((entry) => `${entry.name}  ${entry.dataCentre}  endpoint  ${entry.state}`),
+    ];
+    this.print(fleet.right, lines.join("\n"));
+    return Exit.done;
+  }
+}
+
+function printInstance(instance: FleetInstance): string {
+  const { name, dataCentre, state, status } = instance;
+  if (status === undefined) return `${name}  ${dataCentre}  ${state}  no answer`;
+  const ready = status.isDraining ? "draining" : status.isReady ? "ready" : "not ready";
+  const duties = status.duties.length === 0 ? "" : `  ${status.duties.join(", ")}`;
+  return `${name}  ${dataCentre}  ${ready}  version ${status.configVersion}  ${status.requests} requests${duties}`;
+}
--- /dev/null
+++ b/src/control/appender.ts
@@ -0,0 +1,64 @@
+/**
+ * Appends records many at a time, so that the log's few hundred appends a second carry more than
+ * that many records. Whether a record arrived is learnt by reading the stream, never from the
+ * answer of the append.
+ */
+import * as E from "fp-ts/Either";
+import type { Appendable, Log, Stream } from "../platform/log";
+import { LogFault } from "../platform/log";
+
+/** Records that go into one append. */
+const MAX_BATCH = 200;
+
+/** How an append ended, as far as its answer tells. */
+export const AppendResult = {
+  sent: "sent",
+  /** The log cannot have the record. */
+  refused: "refused",
+  /** The log may have the record. */
+  unknown: "unknown",
+} as const;
+export type AppendResult = (typeof AppendResult)[keyof typeof AppendResult];
+
+interface Pending {
+  readonly record: Appendable;
+  readonly resolve: (result: AppendResult) => void;
+}
+
+/** Appends to one stream. */
+export class Appender {
+  private pending: Pending[] = [];
+  private isSending = false;
+
+  constructor(
+    private readonly log: Log,
+    private readonly stream: Stream,
+  ) {}
+
+  /** Appends a record with the next batch. */
+  append(record: Appendable): Promise<AppendResult> {
+    return new Promise((resolve) => {
+      this.pending.push({ record, resolve });
+      void this.send();
+    });
+  }
+
+  private async send(): Promise<void> {
+    if (this.isSending) return;
+    this.isSending = true;
+    while (this.pending.length > 0) {
+      const batch = this.pending.splice(0, MAX_BATCH);
+      const result = await this.log.append(
+        this.stream,
+        batch.map((item) => item.record),
+      )();
+      const outcome = E.isRight(result)
+        ? AppendResult.sent
+        : result.left.fault === LogFault.refused
+          ? AppendResult.refused
+          : AppendResult.unknown;
+      for (const item of batch) item.resolve(outcome);
+    }
+    this.isSending = false;
+  }
+}
--- /dev/null
+++ b/src/control/charger.ts
@@ -0,0 +1,136 @@
+/**
+ * Charges requests at the holder of the own data centre, or of another one where that cannot be
+ * reached.
+ */
+import * as E from "fp-ts/Either";
+import type { Board } from "../board/board";
+import type { Clock, Moment } from "../core/clock";
+import { remainingMs } from "../core/clock";
+import { Duty, findAssignment } from "../core/duties";
+import { readInstance } from "../core/ids";
+import { createNotRun, Reason, type Refusal } from "../core/outcome";
+import type { ChargeReply, ChargeRequest, SettleRequest } from "../peer/gen/peer";
+import type { PeerLink } from "../peer/link";
+import { type Holder, NOT_THE_HOLDER } from "./holder";
+import { findAddress, type Self } from "./membership";
+
+const CHARGE_CALL_MS = 1500;
+const SETTLE_CALL_MS = 1000;
+/** How long a holder that did not answer is passed over. */
+const PAUSE_MS = 1000;
+const NO_HOLDER_RETRY_MS = 1000;
+
+/** A request that has been charged. */
+export interface Charge {
+  readonly id: string;
+  readonly workspace: string;
+  readonly tokens: number;
+  readonly holder: string;
+}
+
+/** Charges requests and gives back what they did not use. */
+export class Charger {
+  private readonly paused = new Map<string, Moment>();
+
+  constructor(
+    private readonly board: Board,
+    private readonly self: Self,
+    private readonly holder: Holder,
+    private readonly link: PeerLink,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Checks whether the holder of the own data centre is known and can be asked. */
+  isReachable(): boolean {
+    const holder = findAssignment(this.board.duties.read(), Duty.holder, this.self.dataCentre);
+    if (holder === undefined) return false;
+    return (
+      holder.incarnation === this.self.incarnation ||
+      this.findAddressOf(holder.incarnation) !== undefined
+    );
+  }
+
+  /**
+   * Charges a request before anything is sent for it.
+   *
+   * @param tokens - the prompt and the longest answer
+   * @returns the charge, or a refusal that says when to come back
+   */
+  async charge(id: string, workspace: string, tokens: number): Promise<E.Either<Refusal, Charge>> {
+    const burst = this.board.config.read().configuration.workspaces[workspace]?.burst ?? 0;
+    if (tokens > burst) {
+      const message = `the request counts ${tokens} tokens, and the burst is ${burst}`;
+      return E.left(createNotRun(413, Reason.largerThanBurst, message));
+    }
+    const deadline = this.clock.now() + CHARGE_CALL_MS;
+    let retryAfterMs: number | undefined;
+    for (const holder of this.listHolders()) {
+      const left = remainingMs(deadline, this.clock.now());
+      if (left === 0) break;
+      const reply = await this.ask(
+        holder,
+        { chargeId: id, workspace, tokens, remainingMs: left },
+        left,
+      );
+      if (E.isLeft(reply)) {
+        this.paused.set(holder, this.clock.now() + PAUSE_MS);
+        this.giveBack({ id, workspace, tokens, holder }, tokens);
+        continue;
+      }
+      if (reply.right.granted) return E.right({ id, workspace, tokens, holder });
+      if (reply.right.reason === NOT_THE_HOLDER) continue;
+      retryAfterMs = reply.right.retryAfterMs;
+      break;
+    }
+    if (retryAfterMs !== undefined) {
+      return E.left(
+        createNotRun(429, Reason.overRate, "the workspace is over its rate", retryAfterMs),
+      );
+    }
+    const message = "no holder of the workspace's rate can be reached";
+    return E.left(createNotRun(503, Reason.notReady, message, NO_HOLDER_RETRY_MS));
+  }
+
+  /**
+   * Closes a charge.
+   *
+   * @param unused - tokens charged and not used; below zero where more were used
+   */
+  giveBack(charge: Charge, unused: number): void {
+    const { id, workspace, holder } = charge;
+    const request: SettleRequest = { chargeId: id, workspace, spent: false, closed: true, unused };
+    if (holder === this.self.incarnation) {
+      this.holder.settle(request);
+      return;
+    }
+    const address = this.findAddressOf(holder);
+    if (address !== undefined) void this.link.settle(address, request, SETTLE_CALL_MS)();
+  }
+
+  private async ask(
+    holder: string,
+    request: ChargeRequest,
+    timeoutMs: number,
+  ): Promise<E.Either<Error, ChargeReply>> {
+    if (holder === this.self.incarnation) return E.right(await this.holder.charge(request));
+    const address = this.findAddressOf(holder);
+    if (address === undefined)
+      return E.right({ granted: false, retryAfterMs: 0, reason: NOT_THE_HOLDER });
+    return this.link.charge(address, request, Math.min(timeoutMs, CHARGE_CALL_MS / 2))();
+  }
+
+  private findAddressOf(holder: string): string | undefined {
+    return findAddress(this.board, readInstance(holder));
+  }
+
+  /** The own data centre's holder first; those that did not answer lately are left out. */
+  private listHolders(): readonly string[] {
+    const now = this.clock.now();
+    const holders = [...this.board.duties.read().values()].filter(
+      (item) => item.duty === Duty.holder && (this.paused.get(item.incarnation) ?? 0) <= now,
+    );
+    const near = holders.filter((item) => item.dataCentre === this.self.dataCentre);
+    const far = holders.filter((item) => item.dataCentre !== this.self.dataCentre);
+    return [...near, ...far].map((item) => item.incarnation);
+  }
+}
--- /dev/null
+++ b/src/control/claimer.ts
@@ -0,0 +1,163 @@
+/**
+ * Claims calls that may run once: of all instances that want to run one, the one whose claim stands
+ * first in the log may, and it alone.
+ */
+import type { Board } from "../board/board";
+import type { Claims, ClaimState, RecordedAnswer } from "../core/claims";
+import type { Clock, Moment } from "../core/clock";
+import { type IdSource, readInstance, readOwner } from "../core/ids";
+import type { Log, LogPage } from "../platform/log";
+import { Stream } from "../platform/log";
+import { Appender, AppendResult } from "./appender";
+import { isGone } from "./lister";
+import { type StreamHandler, StreamReader } from "./reader";
+
+/** How long a claim may take to be read back. */
+const CLAIM_MS = 3000;
+const CHECK_MS = 50;
+/** How long a repeated call waits for the outcome of the one that runs. */
+const OUTCOME_MS = 2000;
+/** Answers larger than this are not kept; the claim then says that the call was answered. */
+const MAX_KEPT_BODY_BYTES = 64 * 1024;
+
+/** How a claim ended. */
+export const ClaimResult = {
+  /** This instance may run the call, once. */
+  won: "won",
+  /** Another claim came first. */
+  lost: "lost",
+  /** It cannot be told; nothing was sent. */
+  unavailable: "unavailable",
+} as const;
+export type ClaimResult = (typeof ClaimResult)[keyof typeof ClaimResult];
+
+/** A claim and what is known of it. */
+export interface ClaimOutcome {
+  readonly result: ClaimResult;
+  readonly claimId: string;
+  /** The claim that counts, where it is known. */
+  readonly state: ClaimState | undefined;
+}
+
+/** Makes claims and records what became of them. */
+export class Claimer implements StreamHandler {
+  next = 0;
+  private isCaughtUp = false;
+  private readonly reader: StreamReader;
+  private readonly appender: Appender;
+  private readonly claims: Claims;
+
+  constructor(
+    private readonly board: Board,
+    log: Log,
+    private readonly clock: Clock,
+    private readonly ids: IdSource,
+  ) {
+    this.claims = board.claims;
+    this.reader = new StreamReader(log, Stream.claims, this, clock);
+    this.appender = new Appender(log, Stream.claims);
+  }
+
+  start(): void {
+    this.reader.start();
+  }
+
+  close(): void {
+    this.reader.close();
+  }
+
+  onPage(page: LogPage): void {
+    for (const { offset, record } of page.records) {
+      if (offset < this.next) continue;
+      this.next = offset + 1;
+      this.claims.fold(record);
+    }
+    this.next = Math.max(this.next, page.earliest);
+    if (this.next >= page.end) this.isCaughtUp = true;
+  }
+
+  /** Finds what is known of a name without claiming it. */
+  find(name: string): ClaimState | undefined {
+    return this.claims.find(name);
+  }
+
+  /**
+   * Claims a name.
+   *
+   * @param name - hash of workspace, route and idempotency key
+   * @param digest - hash of the request
+   * @returns won only once the log shows this claim first
+   */
+  async claim(name: string, digest: string): Promise<ClaimOutcome> {
+    const claimId = this.ids.next();
+    const known = this.claims.find(name);
+    if (known !== undefined) return this.loseClaim(name, claimId, known);
+    const unavailable = { result: ClaimResult.unavailable, claimId, state: undefined };
+    if (!this.isCaughtUp) return unavailable;
+    const appended = await this.appender.append({ id: claimId, claim: name, digest } as {
+      id: string;
+    });
+    if (appended === AppendResult.refused) return unavailable;
+    const state = await this.waitFor(name, this.clock.now() + CLAIM_MS);
+    if (state === undefined) {
+      this.release(name, claimId);
+      return unavailable;
+    }
+    if (state.claimId !== claimId) return this.loseClaim(name, claimId, state);
+    return { result: ClaimResult.won, claimId, state };
+  }
+
+  /** The outcome may be on its way; waiting for it spares the caller another try. */
+  private async loseClaim(name: string, claimId: string, first: ClaimState): Promise<ClaimOutcome> {
+    const deadline = this.clock.now() + OUTCOME_MS;
+    let state: ClaimState | undefined = first;
+    while (state?.answer === undefined && this.clock.now() < deadline && !this.isOwnerGone(first)) {
+      await pause(CHECK_MS);
+      state = this.claims.find(name);
+    }
+    return { result: ClaimResult.lost, claimId, state: state ?? first };
+  }
+
+  private isOwnerGone(state: ClaimState): boolean {
+    const owner = readOwner(state.claimId);
+    return isGone(this.board, readInstance(owner), owner);
+  }
+
+  /** Records the answer of a call that was claimed; repeated until the log has it. */
+  async record(name: string, claimId: string, answer: RecordedAnswer): Promise<void> {
+    const isKept = Buffer.byteLength(answer.body) <= MAX_KEPT_BODY_BYTES;
+    const body = isKept ? answer.body : "";
+    const record = {
+      id: this.ids.next(),
+      outcomeOf: name,
+      claimId,
+      status: answer.status,
+      body,
+      type: answer.type,
+    };
+    for (let attempt = 0; attempt < 3; attempt += 1) {
+      const result = await this.appender.append(record);
+      if (result === AppendResult.sent) return;
+      await pause(CHECK_MS * 4);
+    }
+  }
+
+  /** Gives up a claim for which nothing was sent. */
+  release(name: string, claimId: string): void {
+    const record = { id: this.ids.next(), released: name, claimId };
+    void this.appender.append(record);
+  }
+
+  private async waitFor(name: string, deadline: Moment): Promise<ClaimState | undefined> {
+    for (;;) {
+      const state = this.claims.find(name);
+      if (state !== undefined || this.clock.now() >= deadline) return state;
+      await this.reader.readNow();
+      if (this.claims.find(name) === undefined) await pause(CHECK_MS);
+    }
+  }
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/src/control/keeper.ts
@@ -0,0 +1,346 @@
+/**
+ * Keeps the books of pools: queues requests fairly, and grants each a prefill and a decode engine
+ * when both have room, so that no prefill runs without a slot for its result.
+ */
+import type { Board } from "../board/board";
+import type { Clock, Moment } from "../core/clock";
+import { remainingMs } from "../core/clock";
+import { FairQueue, FifoQueue, type RequestQueue } from "../core/fairqueue";
+import type { Logger } from "../core/log";
+import { type Metrics, Metric } from "../core/metrics";
+import { Reason } from "../core/outcome";
+import {
+  DEFAULT_COSTS,
+  type Placement,
+  type PlacementPolicy,
+  ReservingPolicy,
+  RoundRobinPolicy,
+} from "../core/placement";
+import { listPools, type Pool } from "../core/pools";
+import type { EndpointReport } from "../endpoint/engine";
+import { Fault } from "../endpoint/engine";
+import type { BookReply, BookRequest, Done, Grant, Refusal, Want } from "../peer/gen/peer";
+import { Book, hasCandidates, type WaitingRequest } from "./book";
+import { UNREACHABLE_MS } from "./prober";
+
+const TICK_MS = 25;
+/** How long a pool counts as kept after it was last asked for. */
+const KEPT_MS = 5000;
+/** How long an engine that said that it is full is passed over. */
+const FULL_MS = 150;
+/** How long a grant stays in the book when nobody ends it. */
+const GRANT_MS = 120_000;
+/** Requests whose caller has seen tokens go before all others. */
+const RESUMED_CLASS = "(resumed)";
+const RESUMED_WEIGHT = 1_000_000;
+const LEAST_RETRY_MS = 250;
+const MOST_RETRY_MS = 10_000;
+
+/** The stages that an instance reports of a granted request. */
+export const Stage = { decoding: "decoding", ended: "ended", crashed: "crashed" } as const;
+export type Stage = (typeof Stage)[keyof typeof Stage];
+
+/** Faults after which an engine is passed over for a while. */
+const SHUN_FAULTS: ReadonlySet<string> = new Set([
+  Fault.unreachable,
+  Fault.down,
+  Fault.silent,
+  Fault.draining,
+]);
+
+/** How requests are queued and placed. */
+export interface KeeperPolicy {
+  createQueue(): RequestQueue<WaitingRequest>;
+  createPlacement(): PlacementPolicy;
+}
+
+/** The policy that is measured against the baseline. */
+export const RESERVING: KeeperPolicy = {
+  createQueue: () => new FairQueue(),
+  createPlacement: () => new ReservingPolicy(DEFAULT_COSTS),
+};
+
+/** First come, first served, round robin, no reservation. */
+export const BASELINE: KeeperPolicy = {
+  createQueue: () => new FifoQueue(),
+  createPlacement: () => new RoundRobinPolicy(),
+};
+
+interface KeptPool {
+  readonly name: string;
+  readonly queue: RequestQueue<WaitingRequest>;
+  readonly book: Book;
+  readonly placement: PlacementPolicy;
+  lastAskedAt: Moment;
+}
+
+/** Who asked, and how to answer. */
+export interface KeeperSession {
+  readonly name: string;
+  send(reply: BookReply): void;
+}
+
+/** Keeps the books that instances ask it for. */
+export class Keeper {
+  private readonly pools = new Map<string, KeptPool>();
+  private readonly poolOf = new Map<string, string>();
+  private readonly sessions = new Map<string, KeeperSession>();
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly board: Board,
+    private readonly clock: Clock,
+    private readonly policy: KeeperPolicy,
+    private readonly logger: Logger,
+    private readonly metrics: Metrics,
+    /** Asked for fresh reports when a pool is first kept. */
+    private readonly onNewPool: () => void,
+  ) {}
+
+  start(): void {
+    this.timer = setInterval(() => {
+      this.tick();
+    }, TICK_MS);
+  }
+
+  close(): void {
+    clearInterval(this.timer);
+  }
+
+  /** Lists the pools whose book is kept here. */
+  listKept(): ReadonlySet<string> {
+    return new Set(this.pools.keys());
+  }
+
+  openSession(session: KeeperSession): void {
+    this.sessions.set(session.name, session);
+  }
+
+  /** Forgets what a session asked for; the engines' reports still show what runs. */
+  closeSession(name: string): void {
+    this.sessions.delete(name);
+    for (const pool of this.pools.values()) {
+      for (const [id, poolName] of this.poolOf) {
+        if (poolName !== pool.name || pool.queue.remove(id)?.session !== name) continue;
+        this.poolOf.delete(id);
+      }
+      pool.book.endSession(name);
+    }
+  }
+
+  /** Takes what an instance asks or reports. */
+  onRequest(session: string, request: BookRequest): void {
+    for (const done of request.done) this.takeDone(done);
+    for (const want of request.wants) this.takeWant(session, want);
+    for (const pool of this.pools.values()) this.schedule(pool);
+  }
+
+  /** Takes a report of an engine. */
+  onReport(report: EndpointReport): void {
+    for (const pool of this.pools.values()) {
+      pool.book.noteEvicted(report.name, report.evicted);
+      this.schedule(pool);
+    }
+  }
+
+  private takeWant(session: string, want: Want): void {
+    const now = this.clock.now();
+    const pool = listPools(this.board.config.read().configuration).get(want.pool);
+    if (pool === undefined || !hasCandidates(this.board, pool, want)) {
+      this.refuse(session, want, Reason.noEndpoint, LEAST_RETRY_MS);
+      return;
+    }
+    const kept = this.findPool(want.pool, now);
+    // The request brings its own history, so that a new keeper knows it too.
+    for (const process of want.crashes) this.board.suspects.suspect(want.fingerprint, process, now);
+    if (this.board.suspects.findBan(want.fingerprint, now) !== undefined) {
+      this.refuse(session, want, Reason.poison, 0);
+      return;
+    }
+    this.poolOf.set(want.id, want.pool);
+    kept.queue.push(createWaiting(session, want, this.readWeight(want), now));
+  }
+
+  private takeDone(done: Done): void {
+    const now = this.clock.now();
+    const pool = this.pools.get(this.poolOf.get(done.id) ?? "");
+    if (pool === undefined) return;
+    if (done.stage === Stage.decoding) {
+      pool.book.noteDecoding(done.id, now);
+      return;
+    }
+    if (done.stage === Stage.crashed) this.takeCrash(pool, done, now);
+    if (done.fault === Fault.full) pool.book.noteFull(done.engine, now + FULL_MS);
+    if (SHUN_FAULTS.has(done.fault)) {
+      this.board.unreachable.set(done.engine, { deadline: now + UNREACHABLE_MS });
+    }
+    const grant = pool.book.end(done.id, now);
+    if (done.fault === "" && grant !== undefined) this.board.suspects.clear(grant.want.fingerprint);
+    pool.queue.remove(done.id);
+    this.poolOf.delete(done.id);
+  }
+
+  /** All that ran on the crashed engine is suspect; the first report of a crash counts. */
+  private takeCrash(pool: KeptPool, done: Done, now: Moment): void {
+    const grant = pool.book.find(done.id);
+    if (grant === undefined) return;
+    const process = grant.prefill === done.engine ? grant.prefillProcess : grant.decodeProcess;
+    const fingerprints = pool.book.listRunning(done.engine).map((item) => item.want.fingerprint);
+    this.board.suspects.noteCrash(process, fingerprints, now);
+    this.board.unreachable.set(done.engine, { deadline: now + UNREACHABLE_MS });
+    this.logger.warn("crash", { endpoint: done.engine, suspects: fingerprints.length });
+  }
+
+  private tick(): void {
+    const now = this.clock.now();
+    let waiting = 0;
+    for (const pool of this.pools.values()) {
+      for (const item of pool.queue.removeLapsed(now)) {
+        this.poolOf.delete(item.id);
+        this.refuse(item.session, item.want, Reason.overloaded, this.estimateRetry(pool));
+      }
+      pool.book.prune(now);
+      this.schedule(pool);
+      waiting += pool.queue.size;
+      const isIdle = pool.queue.size === 0 && pool.book.size === 0;
+      if (isIdle && now - pool.lastAskedAt > KEPT_MS) this.pools.delete(pool.name);
+    }
+    this.board.suspects.prune(now);
+    this.metrics.gauge(Metric.queueLength, waiting);
+  }
+
+  private schedule(kept: KeptPool): void {
+    const pool = listPools(this.board.config.read().configuration).get(kept.name);
+    if (pool === undefined) return;
+    const now = this.clock.now();
+    while (this.grantOne(kept, pool, now));
+  }
+
+  private grantOne(kept: KeptPool, pool: Pool, now: Moment): boolean {
+    for (const item of kept.queue.listHeads(now)) {
+      if (!this.sessions.has(item.session)) {
+        kept.queue.remove(item.id);
+        return true;
+      }
+      if (this.board.suspects.findBan(item.want.fingerprint, now) !== undefined) {
+        kept.queue.remove(item.id);
+        this.refuse(item.session, item.want, Reason.poison, 0);
+        return true;
+      }
+      const placement = kept.placement.choose(
+        kept.book.createRequest(item, now),
+        kept.book.listViews(pool.prefills, item, now),
+        kept.book.listViews(pool.decodes, item, now),
+      );
+      if (placement === undefined) continue;
+      kept.queue.take(item.id);
+      this.grant(kept, item, placement, now);
+      return true;
+    }
+    return false;
+  }
+
+  private grant(kept: KeptPool, item: WaitingRequest, placement: Placement, now: Moment): void {
+    const { want, session } = item;
+    const { prefill, decode, candidates, reason } = placement;
+    const prefillProcess = this.readProcess(prefill);
+    const decodeProcess = this.readProcess(decode);
+    kept.book.open({
+      want,
+      session,
+      prefill,
+      decode,
+      prefillProcess,
+      decodeProcess,
+      grantedAt: now,
+      deadline: now + GRANT_MS,
+      decodingSince: undefined,
+    });
+    const grant: Grant = {
+      id: want.id,
+      prefill,
+      decode,
+      candidates,
+      reason,
+      prefillProcess,
+      decodeProcess,
+    };
+    this.metrics.timing(Metric.queueMs, now - item.arrivedAt, { class: want.class });
+    this.logger.info("placement", {
+      request: want.id,
+      workspace: want.workspace,
+      class: want.class,
+      pool: kept.name,
+      candidates,
+      chosen: `${prefill}, ${decode}`,
+      reason,
+      waitedMs: Math.round(now - item.arrivedAt),
+    });
+    this.sessions.get(session)?.send({ grants: [grant], refusals: [] });
+  }
+
+  private refuse(session: string, want: Want, reason: Reason, retryAfterMs: number): void {
+    const refusal: Refusal = { id: want.id, reason, retryAfterMs };
+    this.logger.info("placement", {
+      request: want.id,
+      workspace: want.workspace,
+      class: want.class,
+      pool: want.pool,
+      candidates: 0,
+      chosen: "none",
+      reason,
+    });
+    this.sessions.get(session)?.send({ grants: [], refusals: [refusal] });
+  }
+
+  private findPool(name: string, now: Moment): KeptPool {
+    const known = this.pools.get(name);
+    if (known !== undefined) {
+      known.lastAskedAt = now;
+      return known;
+    }
+    const pool: KeptPool = {
+      name,
+      queue: this.policy.createQueue(),
+      book: new Book(this.board),
+      placement: this.policy.createPlacement(),
+      lastAskedAt: now,
+    };
+    this.pools.set(name, pool);
+    this.onNewPool();
+    return pool;
+  }
+
+  private readProcess(engine: string): string {
+    return `${engine}@${this.board.endpoints.get(engine)?.incarnation ?? ""}`;
+  }
+
+  private readWeight(want: Want): number {
+    return this.board.config.read().configuration.classes[want.class]?.weight ?? 1;
+  }
+
+  /** When the queue as it stands may have been worked off. */
+  private estimateRetry(pool: KeptPool): number {
+    const estimate = LEAST_RETRY_MS * (1 + pool.queue.size / 4);
+    return Math.round(Math.min(MOST_RETRY_MS, estimate) * (1 + Math.random() / 2));
+  }
+}
+
+/** What is left of a target after the work itself is how long a request may wait. */
+function createWaiting(session: string, want: Want, weight: number, now: Moment): WaitingRequest {
+  const workMs =
+    want.promptTokens / DEFAULT_COSTS.prefillTokensPerMs +
+    want.promptTokens / DEFAULT_COSTS.transferTokensPerMs;
+  return {
+    id: want.id,
+    workspace: want.workspace,
+    priorityClass: want.resumed ? RESUMED_CLASS : want.class,
+    weight: want.resumed ? RESUMED_WEIGHT : weight,
+    cost: want.promptTokens + want.outputTokens,
+    targetDeadline: now + remainingMs(want.firstTokenMs, workMs),
+    deadline: now + remainingMs(want.patienceMs, workMs),
+    want,
+    arrivedAt: now,
+    session,
+  };
+}
--- /dev/null
+++ b/src/control/ledger.ts
@@ -0,0 +1,88 @@
+/**
+ * The ledger of holds: what this instance holds on engines, each until the engine acknowledges that
+ * it is released. A release is repeated, over new connections, until then.
+ */
+import * as E from "fp-ts/Either";
+import type { Clock, Moment } from "../core/clock";
+import { type Metrics, Metric } from "../core/metrics";
+import type { EngineClient } from "../endpoint/engine";
+
+const RETRY_MS = 250;
+const MAX_BATCH = 200;
+
+interface Entry {
+  readonly url: string;
+  /** When the engine releases the hold by itself. */
+  readonly deadline: Moment;
+  isReleasing: boolean;
+}
+
+/** Holds of this instance. */
+export class Ledger {
+  private readonly entries = new Map<string, Entry>();
+  private readonly sending = new Set<string>();
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly engines: EngineClient,
+    private readonly clock: Clock,
+    private readonly metrics: Metrics,
+  ) {}
+
+  start(): void {
+    this.timer = setInterval(() => {
+      this.sendAll();
+    }, RETRY_MS);
+  }
+
+  close(): void {
+    clearInterval(this.timer);
+  }
+
+  /** Counts holds that are not known to be released. */
+  get size(): number {
+    return this.entries.size;
+  }
+
+  /** Notes a hold before the engine is asked for it. */
+  open(hold: string, url: string, deadline: Moment): void {
+    this.entries.set(hold, { url, deadline, isReleasing: false });
+  }
+
+  /** Notes that the engine has said that the hold is over. */
+  settle(hold: string): void {
+    this.entries.delete(hold);
+  }
+
+  /** Releases a hold, however often that takes. */
+  release(hold: string): void {
+    const entry = this.entries.get(hold);
+    if (entry === undefined) return;
+    entry.isReleasing = true;
+    void this.send(entry.url);
+  }
+
+  private sendAll(): void {
+    const now = this.clock.now();
+    this.metrics.gauge(Metric.holdsOpen, this.entries.size);
+    const urls = new Set<string>();
+    for (const [hold, entry] of this.entries) {
+      if (entry.deadline <= now) this.entries.delete(hold);
+      else if (entry.isReleasing) urls.add(entry.url);
+    }
+    for (const url of urls) void this.send(url);
+  }
+
+  private async send(url: string): Promise<void> {
+    if (this.sending.has(url)) return;
+    this.sending.add(url);
+    const holds = [...this.entries]
+      .filter(([, entry]) => entry.url === url && entry.isReleasing)
+      .map(([hold]) => hold)
+      .slice(0, MAX_BATCH);
+    const result = await this.engines.release(url, holds)();
+    this.sending.delete(url);
+    if (E.isLeft(result)) return;
+    for (const hold of holds) this.entries.delete(hold);
+  }
+}
--- /dev/null
+++ b/src/control/lister.ts
@@ -0,0 +1,74 @@
+/**
+ * Reads the platform's list onto the blackboard.
+ */
+import * as E from "fp-ts/Either";
+import type { Board } from "../board/board";
+import type { Clock, Moment } from "../core/clock";
+import type { InstanceList } from "../platform/list";
+
+const READ_MS = 500;
+
+/** Reads the list again and again. */
+export class Lister {
+  private timer: NodeJS.Timeout | undefined;
+  private isReading = false;
+
+  constructor(
+    private readonly board: Board,
+    private readonly list: InstanceList,
+    private readonly clock: Clock,
+  ) {}
+
+  start(): void {
+    this.timer = setInterval(() => void this.read(), READ_MS);
+    void this.read();
+  }
+
+  close(): void {
+    clearInterval(this.timer);
+  }
+
+  private async read(): Promise<void> {
+    if (this.isReading) return;
+    this.isReading = true;
+    const startedAt = this.clock.now();
+    const entries = await this.list.read()();
+    this.isReading = false;
+    if (E.isLeft(entries)) return;
+    this.board.list.write(entries.right);
+    this.board.listSeenAt.write(startedAt);
+  }
+}
+
+/**
+ * Checks whether the list says that an endpoint leaves, or it said so itself, or a peer did.
+ *
+ * @example
+ * isLeaving(board, "decode-1", clock.now());
+ */
+export function isLeaving(board: Board, endpoint: string, now: Moment): boolean {
+  if ((board.leaving.get(endpoint) ?? 0) > now) return true;
+  return board.list
+    .read()
+    .some(
+      (entry) => entry.kind === "endpoint" && entry.name === endpoint && entry.state === "leaving",
+    );
+}
+
+/**
+ * Checks whether a run of an instance is gone: its name is no longer listed, or the instance runs
+ * under another incarnation. An instance that is only slow is still listed.
+ *
+ * @param instance - the name of the instance
+ * @param incarnation - the run in question
+ * @example
+ * isGone(board, "nizwa-1", "nizwa-1/5f0c");
+ */
+export function isGone(board: Board, instance: string, incarnation: string): boolean {
+  const known = board.members.get(instance);
+  if (known !== undefined && known.incarnation !== incarnation) return true;
+  const list = board.list.read();
+  return (
+    list.length > 0 && !list.some((entry) => entry.kind === "instance" && entry.name === instance)
+  );
+}
--- /dev/null
+++ b/src/control/membership.ts
@@ -0,0 +1,214 @@
+/**
+ * Hears of other instances: heartbeats to all in the own data centre, and from one relay of each
+ * data centre to one of every other. Heartbeats carry how far the control stream was read; who is
+ * behind pulls.
+ */
+import * as E from "fp-ts/Either";
+import type { Board, MemberView } from "../board/board";
+import type { Clock, Moment } from "../core/clock";
+import { remainingMs } from "../core/clock";
+import { chooseMember } from "../core/rendezvous";
+import type { HeartbeatMessage } from "../peer/gen/peer";
+import type { PeerLink } from "../peer/link";
+import type { ListEntry } from "../platform/list";
+import type { ControlReader } from "./control";
+
+const HEARTBEAT_MS = 300;
+/** A member that was not heard of for this long counts as not reachable. */
+const MEMBER_MS = 1200;
+/** How long a member of another data centre stays known: its news come by relay. */
+const FAR_MEMBER_MS = 2400;
+const PULL_MS = 2000;
+
+/** Who this process is. */
+export interface Self {
+  readonly instance: string;
+  readonly incarnation: string;
+  readonly dataCentre: string;
+}
+
+/** Sends and answers heartbeats. */
+export class Membership {
+  private timer: NodeJS.Timeout | undefined;
+  private isPulling = false;
+
+  constructor(
+    private readonly board: Board,
+    private readonly self: Self,
+    private readonly link: PeerLink,
+    private readonly control: ControlReader,
+    private readonly clock: Clock,
+  ) {}
+
+  start(): void {
+    this.timer = setInterval(() => {
+      this.beat();
+    }, HEARTBEAT_MS);
+    this.beat();
+  }
+
+  close(): void {
+    clearInterval(this.timer);
+  }
+
+  /** Answers a heartbeat with one of our own. */
+  onHeartbeat(message: HeartbeatMessage): HeartbeatMessage {
+    this.takeMessage(message, this.clock.now());
+    return this.createMessage();
+  }
+
+  private beat(): void {
+    for (const entry of this.listTargets()) void this.sendTo(entry);
+  }
+
+  private async sendTo(entry: ListEntry): Promise<void> {
+    const sentAt = this.clock.now();
+    const result = await this.link.heartbeat(entry.address, this.createMessage(), MEMBER_MS)();
+    if (E.isLeft(result)) return;
+    this.takeMessage(result.right, sentAt);
+    if (result.right.controlNext > this.control.next) void this.pullFrom(entry.address);
+  }
+
+  private listTargets(): readonly ListEntry[] {
+    const others = this.board.list
+      .read()
+      .filter((entry) => entry.kind === "instance" && entry.name !== this.self.instance);
+    const near = others.filter((entry) => entry.dataCentre === this.self.dataCentre);
+    if (!this.isRelay()) return near;
+    const far = groupByDataCentre(
+      others.filter((entry) => entry.dataCentre !== this.self.dataCentre),
+    );
+    return [...near, ...[...far.values()].flatMap((entries) => this.chooseFar(entries))];
+  }
+
+  /** One reachable member of a data centre; each of them in turn where none is known to be. */
+  private chooseFar(entries: readonly ListEntry[]): readonly ListEntry[] {
+    const now = this.clock.now();
+    const reachable = entries.filter(
+      (entry) => (this.board.members.get(entry.name)?.deadline ?? 0) > now,
+    );
+    if (reachable.length === 0) return entries;
+    const chosen = chooseMember(
+      "relay",
+      reachable.map((entry) => entry.name),
+    );
+    return reachable.filter((entry) => entry.name === chosen);
+  }
+
+  private isRelay(): boolean {
+    const now = this.clock.now();
+    const near = [...this.board.members.values()]
+      .filter((member) => member.dataCentre === this.self.dataCentre && member.deadline > now)
+      .map((member) => member.instance);
+    return chooseMember("relay", [...near, this.self.instance]) === this.self.instance;
+  }
+
+  private createMessage(): HeartbeatMessage {
+    const now = this.clock.now();
+    const seenAt = this.board.controlSeenAt.read();
+    return {
+      from: { ...this.self },
+      members: [...this.board.members.values()]
+        .filter(
+          (member) =>
+            member.dataCentre === this.self.dataCentre &&
+            member.deadline > now &&
+            !member.isDraining,
+        )
+        .map(({ instance, incarnation, dataCentre }) => ({ instance, incarnation, dataCentre })),
+      controlNext: this.control.next,
+      controlAgeMs: Number.isFinite(seenAt) ? Math.ceil(now - seenAt) : -1,
+      leavingEndpoints: [...this.board.leaving]
+        .filter(([, deadline]) => deadline > now)
+        .map(([name, deadline]) => ({ name, remainingMs: remainingMs(deadline, now) })),
+      bans: this.board.suspects
+        .listBans(now)
+        .map((ban) => ({ name: ban.fingerprint, remainingMs: remainingMs(ban.deadline, now) })),
+      draining: this.board.draining.read(),
+    };
+  }
+
+  private takeMessage(message: HeartbeatMessage, at: Moment): void {
+    const { from } = message;
+    if (from === undefined || from.instance === this.self.instance) return;
+    const now = this.clock.now();
+    this.noteMember({ ...from, deadline: now + MEMBER_MS, isDraining: message.draining });
+    for (const member of message.members) {
+      if (member.dataCentre === this.self.dataCentre) continue;
+      this.noteMember({ ...member, deadline: now + FAR_MEMBER_MS, isDraining: false });
+    }
+    for (const leaving of message.leavingEndpoints) {
+      const deadline = Math.max(
+        now + leaving.remainingMs,
+        this.board.leaving.get(leaving.name) ?? 0,
+      );
+      this.board.leaving.set(leaving.name, deadline);
+    }
+    for (const ban of message.bans) this.board.suspects.ban(ban.name, now + ban.remainingMs);
+    if (message.controlAgeMs >= 0 && message.controlNext <= this.control.next) {
+      this.control.noteSeen(at - message.controlAgeMs);
+    }
+  }
+
+  /** What a member says of itself goes before what a relay says of it. */
+  private noteMember(view: MemberView): void {
+    const known = this.board.members.get(view.instance);
+    const isOlder =
+      known !== undefined &&
+      known.incarnation === view.incarnation &&
+      known.deadline > view.deadline;
+    if (!isOlder) this.board.members.set(view.instance, view);
+  }
+
+  private async pullFrom(address: string): Promise<void> {
+    if (this.isPulling) return;
+    this.isPulling = true;
+    const from = this.control.next;
+    const reply = await this.link.pull(address, { from }, PULL_MS)();
+    this.isPulling = false;
+    if (E.isRight(reply)) this.control.takePull(reply.right, from);
+  }
+}
+
+/**
+ * Lists the instances that can be reached now, this one included.
+ *
+ * @param dataCentres - only members of these; all where it is left out
+ * @example
+ * listReachable(board, self, clock.now());
+ */
+export function listReachable(
+  board: Board,
+  self: Self,
+  now: Moment,
+  dataCentres?: ReadonlySet<string>,
+): readonly string[] {
+  const others = [...board.members.values()].filter(
+    (member) =>
+      member.deadline > now &&
+      !member.isDraining &&
+      (dataCentres === undefined || dataCentres.has(member.dataCentre)),
+  );
+  const names = others.map((member) => member.instance);
+  const isIn = dataCentres === undefined || dataCentres.has(self.dataCentre);
+  return isIn && !board.draining.read() ? [...names, self.instance] : names;
+}
+
+/**
+ * Finds the address of an instance in the platform's list.
+ *
+ * @example
+ * findAddress(board, "nizwa-1"); // "127.0.0.1:7001"
+ */
+export function findAddress(board: Board, instance: string): string | undefined {
+  return board.list.read().find((entry) => entry.kind === "instance" && entry.name === instance)
+    ?.address;
+}
+
+function groupByDataCentre(entries: readonly ListEntry[]): ReadonlyMap<string, ListEntry[]> {
+  const groups = new Map<string, ListEntry[]>();
+  for (const entry of entries) {
+    groups.set(entry.dataCentre, [...(groups.get(entry.dataCentre) ?? []), entry]);
+  }
+  return groups;
+}
--- /dev/null
+++ b/src/control/prober.ts
@@ -0,0 +1,107 @@
+/**
+ * Reads the reports of the endpoints that this instance keeps the book of or looks after.
+ */
+import * as E from "fp-ts/Either";
+import type { Board } from "../board/board";
+import type { Clock, Moment } from "../core/clock";
+import { Role } from "../core/config";
+import { type EndpointReport, type EngineClient, Fault } from "../endpoint/engine";
+import { isWatcher } from "./election";
+import type { Self } from "./membership";
+
+const PROBE_MS = 250;
+/** How long an endpoint that did not answer is passed over. */
+export const UNREACHABLE_MS = 1000;
+/** How long a word that an endpoint leaves holds without being said again. */
+const LEAVING_MS = 5000;
+
+/** Faults that come with an answer. */
+const ANSWERED: ReadonlySet<Fault> = new Set([Fault.lost, Fault.refused]);
+
+/** Hears of reports. */
+export type ReportListener = (report: EndpointReport) => void;
+
+/** Reads reports again and again. */
+export class Prober {
+  private timer: NodeJS.Timeout | undefined;
+  private readonly running = new Set<string>();
+  private readonly listeners: ReportListener[] = [];
+
+  constructor(
+    private readonly board: Board,
+    private readonly self: Self,
+    private readonly engines: EngineClient,
+    private readonly clock: Clock,
+    /** Tells which pools this instance keeps the book of. */
+    private readonly listKept: () => ReadonlySet<string>,
+  ) {}
+
+  start(): void {
+    this.timer = setInterval(() => {
+      this.probe();
+    }, PROBE_MS);
+  }
+
+  close(): void {
+    clearInterval(this.timer);
+  }
+
+  /** Calls `listener` with every report that comes. */
+  onReport(listener: ReportListener): void {
+    this.listeners.push(listener);
+  }
+
+  /** Reads the reports of all watched endpoints now. */
+  probe(): void {
+    const now = this.clock.now();
+    const kept = this.listKept();
+    const { endpoints } = this.board.config.read().configuration;
+    for (const [name, endpoint] of Object.entries(endpoints)) {
+      const poolName = endpoint.pool ?? endpoint.models?.[0] ?? "";
+      const isKept = endpoint.role !== Role.service && kept.has(poolName);
+      if (isKept || isWatcher(this.board, this.self, name, endpoint.dataCentre, now)) {
+        void this.read(name, endpoint.url);
+      }
+    }
+    for (const name of this.board.endpoints.keys()) {
+      if (!Object.hasOwn(endpoints, name)) this.board.endpoints.delete(name);
+    }
+  }
+
+  private async read(name: string, url: string): Promise<void> {
+    if (this.running.has(name)) return;
+    this.running.add(name);
+    const askedAt = this.clock.now();
+    const report = await this.engines.report(url)();
+    this.running.delete(name);
+    if (E.isLeft(report)) {
+      // A plain service may have no reports; that it answers is enough.
+      if (ANSWERED.has(report.left.fault)) return;
+      this.board.unreachable.set(name, { deadline: this.clock.now() + UNREACHABLE_MS });
+      return;
+    }
+    this.takeReport({ ...report.right, name }, askedAt);
+  }
+
+  private takeReport(report: EndpointReport, askedAt: Moment): void {
+    const { name } = report;
+    const known = this.board.endpoints.get(name);
+    this.board.unreachable.delete(name);
+    if (known !== undefined && known.incarnation !== report.incarnation)
+      this.board.leaving.delete(name);
+    if (report.draining) this.board.leaving.set(name, this.clock.now() + LEAVING_MS);
+    this.board.endpoints.set(name, {
+      name,
+      incarnation: report.incarnation,
+      role: report.role,
+      models: report.models,
+      slots: report.slots,
+      holds: report.holds,
+      queuedTokens: report.queuedTokens,
+      isDraining: report.draining,
+      fence: report.fence,
+      reportedAt: askedAt,
+    });
+    for (const listener of this.listeners) listener(report);
+  }
+}
--- /dev/null
+++ b/src/control/reader.ts
@@ -0,0 +1,83 @@
+/**
+ * Follows a stream of the log from its first kept record on, for as long as the process runs.
+ */
+import * as E from "fp-ts/Either";
+import type { Clock, Moment } from "../core/clock";
+import type { Log, LogPage, Stream } from "../platform/log";
+
+const POLL_MS = 4000;
+const LEAST_BACKOFF_MS = 50;
+const MOST_BACKOFF_MS = 1000;
+
+/** What is done with what is read. */
+export interface StreamHandler {
+  /** The offset to read from. */
+  readonly next: number;
+  /** Takes a page; `startedAt` is when the call that brought it began. */
+  onPage(page: LogPage, startedAt: Moment): void;
+}
+
+/** Follows one stream. */
+export class StreamReader {
+  private isClosed = false;
+  private backoffMs = LEAST_BACKOFF_MS;
+  private wake: (() => void) | undefined;
+  /** Calls that failed in a row. */
+  failures = 0;
+
+  constructor(
+    private readonly log: Log,
+    private readonly stream: Stream,
+    private readonly handler: StreamHandler,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Starts to follow. */
+  start(): void {
+    void this.run();
+  }
+
+  /** Reads what is there now, beside the long poll. */
+  async readNow(): Promise<boolean> {
+    const startedAt = this.clock.now();
+    const page = await this.log.read(this.stream, this.handler.next, 0)();
+    if (E.isLeft(page)) return false;
+    this.handler.onPage(page.right, startedAt);
+    return true;
+  }
+
+  close(): void {
+    this.isClosed = true;
+    this.wake?.();
+  }
+
+  private async run(): Promise<void> {
+    let waitMs = 0;
+    while (!this.isClosed) {
+      const startedAt = this.clock.now();
+      const page = await this.log.read(this.stream, this.handler.next, waitMs)();
+      if (this.isClosed) return;
+      if (E.isLeft(page)) {
+        this.failures += 1;
+        await this.pause();
+        continue;
+      }
+      this.failures = 0;
+      this.backoffMs = LEAST_BACKOFF_MS;
+      this.handler.onPage(page.right, startedAt);
+      waitMs = this.handler.next >= page.right.end ? POLL_MS : 0;
+    }
+  }
+
+  private pause(): Promise<void> {
+    const jittered = this.backoffMs * (0.5 + Math.random() / 2);
+    this.backoffMs = Math.min(MOST_BACKOFF_MS, this.backoffMs * 2);
+    return new Promise((resolve) => {
+      const timer = setTimeout(resolve, jittered);
+      this.wake = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+  }
+}
--- /dev/null
+++ b/src/core/claims.ts
@@ -0,0 +1,107 @@
+/**
+ * Folds the stream of claims: of all instances that want to run one non-repeatable call, the one
+ * whose claim stands first in the log may.
+ */
+import * as E from "fp-ts/Either";
+import * as t from "io-ts";
+import { createClosed, decodeValue } from "./decode";
+
+/** A wish to run a call. */
+const claimCodec = createClosed(
+  "claim record",
+  {
+    id: t.string,
+    claim: t.string,
+    /** Hash of the request, so that a key used for another request is noticed. */
+    digest: t.string,
+  },
+  {},
+);
+
+/** The answer of a claimed call. */
+const outcomeCodec = createClosed(
+  "outcome record",
+  {
+    id: t.string,
+    outcomeOf: t.string,
+    claimId: t.string,
+    status: t.number,
+    body: t.string,
+    type: t.string,
+  },
+  {},
+);
+
+/** A claim given up before anything was sent. */
+const releaseCodec = createClosed(
+  "claim release",
+  { id: t.string, released: t.string, claimId: t.string },
+  {},
+);
+
+const claimRecordCodec = t.union([claimCodec, outcomeCodec, releaseCodec]);
+export type ClaimRecord = t.TypeOf<typeof claimRecordCodec>;
+
+/** The recorded answer of a call. */
+export interface RecordedAnswer {
+  readonly status: number;
+  readonly body: string;
+  readonly type: string;
+}
+
+/** The claim that counts for a call. */
+export interface ClaimState {
+  /** Identifier of the claim record that came first. */
+  readonly claimId: string;
+  readonly digest: string;
+  readonly answer: RecordedAnswer | undefined;
+}
+
+/** Claims by their name: a hash of workspace, route and idempotency key. */
+export class Claims {
+  private readonly states = new Map<string, ClaimState>();
+  /** Claims that were given up before they came into the log. */
+  private readonly releasedEarly = new Set<string>();
+
+  /** Finds the claim that counts under a name. */
+  find(name: string): ClaimState | undefined {
+    return this.states.get(name);
+  }
+
+  /** Counts the names. */
+  get size(): number {
+    return this.states.size;
+  }
+
+  /**
+   * Folds one record of the stream, in offset order.
+   *
+   * @param record - the record as it stands in the log; one that cannot be read does not count
+   */
+  fold(record: unknown): void {
+    const decoded = decodeValue(claimRecordCodec, record, "claims");
+    if (E.isLeft(decoded)) return;
+    const value = decoded.right;
+    if ("claim" in value) this.foldClaim(value.claim, value.id, value.digest);
+    else if ("outcomeOf" in value) this.foldAnswer(value.outcomeOf, value.claimId, value);
+    else this.foldRelease(value.released, value.claimId);
+  }
+
+  private foldClaim(name: string, claimId: string, digest: string): void {
+    if (this.states.has(name) || this.releasedEarly.delete(claimId)) return;
+    this.states.set(name, { claimId, digest, answer: undefined });
+  }
+
+  private foldAnswer(name: string, claimId: string, answer: RecordedAnswer): void {
+    const state = this.states.get(name);
+    if (state?.claimId !== claimId || state.answer !== undefined) return;
+    const { status, body, type } = answer;
+    this.states.set(name, { ...state, answer: { status, body, type } });
+  }
+
+  private foldRelease(name: string, claimId: string): void {
+    const state = this.states.get(name);
+    if (state?.claimId !== claimId) this.releasedEarly.add(claimId);
+    else if (state.answer === undefined) this.states.delete(name);
+  }
+}
--- /dev/null
+++ b/src/core/control.ts
@@ -0,0 +1,161 @@
+/**
+ * Folds the control stream, which carries configuration, duties and snapshots of both.
+ *
+ * A reader that starts at offset 0 needs no snapshot. One that starts later, because the log has
+ * forgotten what was before, waits for a snapshot that reaches back to where it started, and then
+ * folds what it read after the state that the snapshot shows: so a snapshot never hides a record.
+ */
+import * as E from "fp-ts/Either";
+import * as t from "io-ts";
+import { type Configuration, createEmptyConfiguration, documentCodec } from "./config";
+import { createClosed } from "./decode";
+import type { Assignment, Duties } from "./duties";
+import { foldDuty } from "./duties";
+import { type ConfigState, createConfigState, foldRecord } from "./fold";
+
+const assignmentCodec = t.type({
+  duty: t.keyof({ holder: null, controller: null }),
+  dataCentre: t.string,
+  incarnation: t.string,
+  offset: t.number,
+  since: t.number,
+  epoch: t.number,
+  leaseMs: t.number,
+  recordId: t.string,
+});
+
+/** The folded stream as one record, appended before the log forgets the records behind it. */
+export const snapshotCodec = createClosed(
+  "snapshot record",
+  {
+    id: t.string,
+    /** Offset of the last record that the state contains. */
+    foldedTo: t.number,
+    version: t.number,
+    lastId: t.string,
+    document: documentCodec,
+    workspacesFirstSeen: t.record(t.string, t.number),
+    dataCentresFirstSeen: t.record(t.string, t.number),
+    assignments: t.array(assignmentCodec),
+  },
+  {},
+);
+export type Snapshot = t.TypeOf<typeof snapshotCodec>;
+
+/** A record with its offset. */
+export interface PlacedRecord {
+  readonly offset: number;
+  readonly record: unknown;
+}
+
+/** The fold of the control stream. */
+export class ControlFold {
+  private config: ConfigState = createConfigState();
+  private assignments: Duties = new Map();
+  private nextOffset = 0;
+  /** Offset of the first record read, while the state from before it is still missing. */
+  private missingBefore: number | undefined;
+  private unplaced: PlacedRecord[] = [];
+  private snapshotOffset = -1;
+
+  /** The folded configuration. */
+  get state(): ConfigState {
+    return this.config;
+  }
+
+  /** The folded duties. */
+  get duties(): Duties {
+    return this.assignments;
+  }
+
+  /** The offset to read from next. */
+  get next(): number {
+    return this.nextOffset;
+  }
+
+  /** True while the state from before the first record read is missing. */
+  get isIncomplete(): boolean {
+    return this.missingBefore !== undefined;
+  }
+
+  /** Offset of the last snapshot seen, or -1. */
+  get lastSnapshot(): number {
+    return this.snapshotOffset;
+  }
+
+  /**
+   * Notes that the log keeps records only from an offset on.
+   *
+   * @param earliest - the lowest offset that is still kept
+   */
+  skipTo(earliest: number): void {
+    if (earliest <= this.nextOffset) return;
+    this.missingBefore = earliest;
+    this.unplaced = [];
+    this.nextOffset = earliest;
+  }
+
+  /** Folds one record; one that was folded before, or that leaves a gap, does not count. */
+  fold(placed: PlacedRecord): void {
+    if (placed.offset < this.nextOffset) return;
+    this.nextOffset = placed.offset + 1;
+    const isSnapshot = snapshotCodec.is(placed.record);
+    if (isSnapshot) this.snapshotOffset = placed.offset;
+    if (this.missingBefore === undefined) {
+      if (!isSnapshot) this.foldOne(placed);
+      return;
+    }
+    this.unplaced.push(placed);
+    if (snapshotCodec.is(placed.record)) this.restore(placed.record);
+  }
+
+  /**
+   * Takes the state of a snapshot, from the log or from a peer, if it closes the gap.
+   *
+   * @returns whether the state was taken
+   */
+  restore(snapshot: Snapshot): boolean {
+    const hasGap = snapshot.foldedTo + 1 < (this.missingBefore ?? 0);
+    const isNewer = this.missingBefore !== undefined || snapshot.foldedTo >= this.nextOffset;
+    if (hasGap || !isNewer) return false;
+    this.config = {
+      version: snapshot.version,
+      lastId: snapshot.lastId,
+      configuration: { ...createEmptyConfiguration(), ...snapshot.document } as Configuration,
+      workspacesFirstSeen: snapshot.workspacesFirstSeen,
+      dataCentresFirstSeen: snapshot.dataCentresFirstSeen,
+    };
+    this.assignments = new Map(
+      snapshot.assignments.map((item: Assignment) => [`${item.duty}/${item.dataCentre}`, item]),
+    );
+    this.missingBefore = undefined;
+    this.nextOffset = Math.max(this.nextOffset, snapshot.foldedTo + 1);
+    const later = this.unplaced.filter((placed) => placed.offset > snapshot.foldedTo);
+    this.unplaced = [];
+    for (const placed of later) this.foldOne(placed);
+    return true;
+  }
+
+  /** Creates the record of the present state. */
+  createSnapshot(id: string): Snapshot {
+    return {
+      id,
+      foldedTo: this.nextOffset - 1,
+      version: this.config.version,
+      lastId: this.config.lastId,
+      document: this.config.configuration,
+      workspacesFirstSeen: { ...this.config.workspacesFirstSeen },
+      dataCentresFirstSeen: { ...this.config.dataCentresFirstSeen },
+      assignments: [...this.assignments.values()],
+    };
+  }
+
+  private foldOne({ offset, record }: PlacedRecord): void {
+    if (typeof record === "object" && record !== null && "duty" in record) {
+      this.assignments = foldDuty(this.assignments, offset, record);
+      return;
+    }
+    const folded = foldRecord(this.config, offset, record);
+    if (E.isRight(folded)) this.config = folded.right;
+  }
+}
--- /dev/null
+++ b/src/core/decode.ts
@@ -0,0 +1,133 @@
+/**
+ * Checked JSON: closed io-ts codecs, and errors that name the file, the path, what was found and
+ * what is allowed.
+ */
+import * as E from "fp-ts/Either";
+import { pipe } from "fp-ts/function";
+import * as t from "io-ts";
+
+const FOUND_CHARACTERS = 60;
+
+/** One or more faults of a JSON document. */
+export class DecodeError extends Error {
+  override readonly name = "DecodeError";
+
+  constructor(
+    readonly source: string,
+    readonly faults: readonly string[],
+  ) {
+    super(faults.map((fault) => `${source}: ${fault}`).join("\n"));
+  }
+}
+
+/**
+ * Creates a codec of an object whose members are all named; any other member is an error.
+ *
+ * @param name - the name used in error messages
+ * @example
+ * createClosed("listen", { host: t.string }, { port: t.number });
+ */
+export function createClosed<R extends t.Props, O extends t.Props>(
+  name: string,
+  required: R,
+  optional: O,
+): t.Type<t.TypeOf<t.TypeC<R>> & t.TypeOf<t.PartialC<O>>> {
+  type Value = t.TypeOf<t.TypeC<R>> & t.TypeOf<t.PartialC<O>>;
+  const inner = t.intersection([t.type(required), t.partial(optional)], name);
+  const known = [...Object.keys(required), ...Object.keys(optional)];
+  return new t.Type<Value>(
+    name,
+    (value): value is Value => inner.is(value),
+    (value, context) => {
+      const extra = findUnknownMembers(value, known);
+      if (extra.length === 0) return inner.validate(value, context) as t.Validation<Value>;
+      const message = `unknown member ${extra.map(quoteText).join(", ")}; allowed: ${known.join(", ")}`;
+      return t.failure(value, context, message);
+    },
+    t.identity,
+  ) as t.Type<Value>;
+}
+
+/**
+ * Creates a codec of a number within bounds.
+ *
+ * @example
+ * createRange("port", 1, 65535);
+ */
+export function createRange(name: string, least: number, most: number): t.Type<number> {
+  const allowed = `${name}: a number from ${least} to ${most}`;
+  return new t.Type<number>(
+    allowed,
+    (value): value is number => typeof value === "number" && value >= least && value <= most,
+    (value, context) =>
+      typeof value === "number" && value >= least && value <= most
+        ? t.success(value)
+        : t.failure(value, context, `allowed: ${allowed}`),
+    t.identity,
+  );
+}
+
+/**
+ * Decodes a parsed JSON value.
+ *
+ * @param codec - what is allowed
+ * @param value - what was found
+ * @param source - the file or stream it came from, for the error
+ * @returns the typed value, or every fault found
+ * @example
+ * decodeValue(settingsCodec, JSON.parse(text), "settings.json");
+ */
+export function decodeValue<A>(
+  codec: t.Type<A>,
+  value: unknown,
+  source: string,
+): E.Either<DecodeError, A> {
+  return pipe(
+    codec.decode(value),
+    E.mapLeft((errors) => new DecodeError(source, [...new Set(errors.map(printFault))])),
+  );
+}
+
+/**
+ * Parses and decodes JSON text.
+ *
+ * @example
+ * decodeText(settingsCodec, "{}", "settings.json");
+ */
+export function decodeText<A>(
+  codec: t.Type<A>,
+  text: string,
+  source: string,
+): E.Either<DecodeError, A> {
+  return pipe(
+    E.tryCatch(
+      () => JSON.parse(text) as unknown,
+      (error) => new DecodeError(source, [`not JSON: ${(error as Error).message}`]),
+    ),
+    E.chain((value) => decodeValue(codec, value, source)),
+  );
+}
+
+function findUnknownMembers(value: unknown, known: readonly string[]): string[] {
+  if (typeof value !== "object" || value === null || Array.isArray(value)) return [];
+  return Object.keys(value).filter((member) => !known.includes(member));
+}
+
+function printFault(error: t.ValidationError): string {
+  const steps = error.context
+    .filter((entry, index) => index > 0 && !isIntersectionStep(error.context, index, entry.key))
+    .map((entry) => entry.key);
+  const allowed = error.context.at(-1)?.type.name ?? "another value";
+  const found = (JSON.stringify(error.value) ?? "nothing").slice(0, FOUND_CHARACTERS);
+  const path = steps.length === 0 ? "the document" : steps.join(".");
+  return `at ${path}: found ${found}; ${error.message ?? `allowed: ${allowed}`}`;
+}
+
+function isIntersectionStep(context: t.Context, index: number, key: string): boolean {
+  const parent = context[index - 1]?.type as { _tag?: string } | undefined;
+  return parent?._tag === "IntersectionType" && /^\d+$/.test(key);
+}
+
+function quoteText(text: string): string {
+  return `"${text}"`;
+}
--- /dev/null
+++ b/src/core/fairqueue.ts
@@ -0,0 +1,139 @@
+/**
+ * A queue that is fair by tokens across workspaces and weighted by priority class: start-time fair
+ * queueing, in two bands. Requests that can still meet their target go before those that cannot.
+ */
+import type { Moment } from "./clock";
+
+/** What the queue has to know of a request. */
+export interface Waiting {
+  readonly id: string;
+  readonly workspace: string;
+  readonly priorityClass: string;
+  /** The weight of its class. */
+  readonly weight: number;
+  /** What it costs, in tokens. */
+  readonly cost: number;
+  /** Until when it has to start to meet its target. */
+  readonly targetDeadline: Moment;
+  /** Until when it has to start at all. */
+  readonly deadline: Moment;
+}
+
+interface Flow<W extends Waiting> {
+  readonly waiting: W[];
+  /** Virtual time at which the next request of the flow starts. */
+  start: number;
+}
+
+/** The order in which requests leave the queue. */
+export interface RequestQueue<W extends Waiting> {
+  readonly size: number;
+  push(item: W): void;
+  /** Lists the next request of each flow, best first. */
+  listHeads(now: Moment): readonly W[];
+  /** Takes a request out because it starts now. */
+  take(id: string): W | undefined;
+  /** Takes a request out because it is gone. */
+  remove(id: string): W | undefined;
+  /** Takes out all requests that can no longer start in time. */
+  removeLapsed(now: Moment): readonly W[];
+}
+
+/** Fair by tokens, weighted by class. */
+export class FairQueue<W extends Waiting> implements RequestQueue<W> {
+  private readonly flows = new Map<string, Flow<W>>();
+  private readonly flowOf = new Map<string, string>();
+  private virtualTime = 0;
+
+  get size(): number {
+    return this.flowOf.size;
+  }
+
+  push(item: W): void {
+    const name = `${item.priorityClass}\0${item.workspace}`;
+    let flow = this.flows.get(name);
+    if (flow === undefined) {
+      flow = { waiting: [], start: this.virtualTime };
+      this.flows.set(name, flow);
+    }
+    if (flow.waiting.length === 0) flow.start = Math.max(flow.start, this.virtualTime);
+    flow.waiting.push(item);
+    this.flowOf.set(item.id, name);
+  }
+
+  listHeads(now: Moment): readonly W[] {
+    const heads: { item: W; start: number; isLate: boolean }[] = [];
+    for (const flow of this.flows.values()) {
+      const onTime = flow.waiting.find((item) => item.targetDeadline > now);
+      const item = onTime ?? flow.waiting[0];
+      if (item === undefined) continue;
+      heads.push({ item, start: flow.start, isLate: onTime === undefined });
+    }
+    heads.sort((a, b) => Number(a.isLate) - Number(b.isLate) || a.start - b.start);
+    return heads.map((head) => head.item);
+  }
+
+  take(id: string): W | undefined {
+    const name = this.flowOf.get(id);
+    const item = this.remove(id);
+    const flow = name === undefined ? undefined : this.flows.get(name);
+    if (item === undefined || flow === undefined) return item;
+    this.virtualTime = Math.max(this.virtualTime, flow.start);
+    flow.start += item.cost / item.weight;
+    return item;
+  }
+
+  remove(id: string): W | undefined {
+    const name = this.flowOf.get(id);
+    const flow = name === undefined ? undefined : this.flows.get(name);
+    if (flow === undefined) return undefined;
+    this.flowOf.delete(id);
+    const index = flow.waiting.findIndex((item) => item.id === id);
+    return flow.waiting.splice(index, 1)[0];
+  }
+
+  removeLapsed(now: Moment): readonly W[] {
+    const lapsed: W[] = [];
+    for (const [name, flow] of this.flows) {
+      const gone = flow.waiting.filter((item) => item.deadline <= now);
+      for (const item of gone) this.remove(item.id);
+      lapsed.push(...gone);
+      if (flow.waiting.length === 0 && flow.start <= this.virtualTime) this.flows.delete(name);
+    }
+    return lapsed;
+  }
+}
+
+/** First come, first served: the baseline. */
+export class FifoQueue<W extends Waiting> implements RequestQueue<W> {
+  private readonly items = new Map<string, W>();
+
+  get size(): number {
+    return this.items.size;
+  }
+
+  push(item: W): void {
+    this.items.set(item.id, item);
+  }
+
+  listHeads(): readonly W[] {
+    const first = this.items.values().next().value;
+    return first === undefined ? [] : [first];
+  }
+
+  take(id: string): W | undefined {
+    return this.remove(id);
+  }
+
+  remove(id: string): W | undefined {
+    const item = this.items.get(id);
+    this.items.delete(id);
+    return item;
+  }
+
+  removeLapsed(now: Moment): readonly W[] {
+    const lapsed = [...this.items.values()].filter((item) => item.deadline <= now);
+    for (const item of lapsed) this.items.delete(item.id);
+    return lapsed;
+  }
+}
--- /dev/null
+++ b/src/core/ids.ts
@@ -0,0 +1,76 @@
+/**
+ * Identifiers and hashes.
+ */
+import { createHash, randomBytes } from "node:crypto";
+
+const INCARNATION_BYTES = 6;
+const FINGERPRINT_HEX_CHARACTERS = 32;
+
+/**
+ * Creates the name of one run of an instance's process.
+ *
+ * @example
+ * createIncarnation("nizwa-1"); // "nizwa-1/5f0c2a9b71d3"
+ */
+export function createIncarnation(instance: string): string {
+  return `${instance}/${randomBytes(INCARNATION_BYTES).toString("hex")}`;
+}
+
+/** Creates identifiers that never repeat: an incarnation and a counter. */
+export class IdSource {
+  private count = 0;
+
+  constructor(private readonly incarnation: string) {}
+
+  /** Creates the next identifier. */
+  next(): string {
+    this.count += 1;
+    return `${this.incarnation}:${this.count.toString(36)}`;
+  }
+}
+
+/**
+ * Reads the incarnation that created an identifier.
+ *
+ * @example
+ * readOwner("nizwa-1/5f0c:2b"); // "nizwa-1/5f0c"
+ */
+export function readOwner(id: string): string {
+  return id.slice(0, id.lastIndexOf(":"));
+}
+
+/**
+ * Reads the instance that an incarnation is a run of.
+ *
+ * @example
+ * readInstance("nizwa-1/5f0c"); // "nizwa-1"
+ */
+export function readInstance(incarnation: string): string {
+  return incarnation.slice(0, incarnation.lastIndexOf("/"));
+}
+
+/**
+ * Hashes a caller's key; only the hash is ever published or kept.
+ *
+ * @example
+ * hashKey("gf_abc"); // 64 hexadecimal digits
+ */
+export function hashKey(key: string): string {
+  return createHash("sha256").update(key).digest("hex");
+}
+
+/**
+ * Computes the fingerprint by which copies of one request are recognised.
+ *
+ * @param parts - what makes two requests the same, in a fixed order
+ * @example
+ * computeFingerprint("drafter", "prompt text");
+ */
+export function computeFingerprint(...parts: readonly string[]): string {
+  const hash = createHash("sha256");
+  for (const part of parts) {
+    hash.update(`${part.length}:`);
+    hash.update(part);
+  }
+  return hash.digest("hex").slice(0, FINGERPRINT_HEX_CHARACTERS);
+}
--- /dev/null
+++ b/src/core/metrics.ts
@@ -0,0 +1,63 @@
+/**
+ * Metrics over StatsD.
+ */
+import { StatsD } from "hot-shots";
+import type { Address } from "./settings";
+
+/** The metrics that an instance sends; docs/OPERATIONS.md gives their units. */
+export const Metric = {
+  request: "request",
+  firstTokenMs: "first_token_ms",
+  queueMs: "queue_ms",
+  attempt: "attempt",
+  resumed: "resumed",
+  wastedPrefill: "wasted_prefill",
+  refusal: "refusal",
+  holdsOpen: "holds_open",
+  queueLength: "queue_length",
+  eventLoopDelayMs: "event_loop_delay_p99_ms",
+  configVersion: "config_version",
+  configAgeMs: "config_age_ms",
+  claim: "claim",
+  borrowed: "borrowed_tokens",
+} as const;
+export type Metric = (typeof Metric)[keyof typeof Metric];
+
+/** Where metrics go. */
+export interface Metrics {
+  count(metric: Metric, by?: number, tags?: Readonly<Record<string, string>>): void;
+  gauge(metric: Metric, value: number): void;
+  timing(metric: Metric, ms: number, tags?: Readonly<Record<string, string>>): void;
+  close(): void;
+}
+
+/**
+ * Creates the metrics of an instance.
+ *
+ * @param address - where StatsD listens; without it nothing is sent
+ * @example
+ * createMetrics("nizwa-1", { host: "127.0.0.1", port: 8125 }).count(Metric.request);
+ */
+export function createMetrics(instance: string, address: Address | undefined): Metrics {
+  const client = new StatsD({
+    prefix: "gorsefold.",
+    globalTags: { instance },
+    mock: address === undefined,
+    ...(address === undefined ? {} : { host: address.host, port: address.port }),
+    errorHandler: () => undefined,
+  });
+  return {
+    count: (metric, by = 1, tags = {}) => {
+      client.increment(metric, by, tags);
+    },
+    gauge: (metric, value) => {
+      client.gauge(metric, value);
+    },
+    timing: (metric, ms, tags = {}) => {
+      client.timing(metric, ms, tags);
+    },
+    close: () => {
+      client.close(() => undefined);
+    },
+  };
+}
--- /dev/null
+++ b/src/core/pools.ts
@@ -0,0 +1,70 @@
+/**
+ * Groups the engines of a configuration into pools, each with one keeper at a time.
+ */
+import { type Configuration, type Endpoint, Role } from "./config";
+
+/** An endpoint with its name. */
+export interface NamedEndpoint extends Endpoint {
+  readonly name: string;
+}
+
+/** A group of engines that one keeper places work on. */
+export interface Pool {
+  readonly name: string;
+  readonly models: ReadonlySet<string>;
+  readonly dataCentres: ReadonlySet<string>;
+  readonly prefills: readonly NamedEndpoint[];
+  readonly decodes: readonly NamedEndpoint[];
+}
+
+const indexes = new WeakMap<Configuration, ReadonlyMap<string, Pool>>();
+
+/**
+ * Lists the pools of a configuration by name; worked out once for each configuration.
+ *
+ * @example
+ * listPools(configuration).get("drafter")?.decodes.length;
+ */
+export function listPools(configuration: Configuration): ReadonlyMap<string, Pool> {
+  const known = indexes.get(configuration);
+  if (known !== undefined) return known;
+  const pools = new Map<string, Pool>();
+  for (const [name, endpoint] of Object.entries(configuration.endpoints)) {
+    if (endpoint.role === Role.service) continue;
+    const poolName = readPoolName(endpoint);
+    pools.set(poolName, addToPool(pools.get(poolName), poolName, { ...endpoint, name }));
+  }
+  indexes.set(configuration, pools);
+  return pools;
+}
+
+/**
+ * Lists the pools that serve a model, those with engines in a data centre first.
+ *
+ * @example
+ * listPoolsOf(configuration, "drafter", "nizwa");
+ */
+export function listPoolsOf(
+  configuration: Configuration,
+  model: string,
+  dataCentre: string,
+): readonly Pool[] {
+  const serving = [...listPools(configuration).values()].filter((pool) => pool.models.has(model));
+  const near = serving.filter((pool) => pool.dataCentres.has(dataCentre));
+  return [...near, ...serving.filter((pool) => !pool.dataCentres.has(dataCentre))];
+}
+
+function readPoolName(endpoint: Endpoint): string {
+  return endpoint.pool ?? endpoint.models?.[0] ?? "";
+}
+
+function addToPool(pool: Pool | undefined, name: string, endpoint: NamedEndpoint): Pool {
+  const isPrefill = endpoint.role === Role.prefill;
+  return {
+    name,
+    models: new Set([...(pool?.models ?? []), ...(endpoint.models ?? [])]),
+    dataCentres: new Set([...(pool?.dataCentres ?? []), endpoint.dataCentre]),
+    prefills: [...(pool?.prefills ?? []), ...(isPrefill ? [endpoint] : [])],
+    decodes: [...(pool?.decodes ?? []), ...(isPrefill ? [] : [endpoint])],
+  };
+}
--- /dev/null
+++ b/src/endpoint/service.ts
@@ -0,0 +1,93 @@
+/**
+ * A plain service: one call, sent at most once.
+ */
+import * as E from "fp-ts/Either";
+import type * as TE from "fp-ts/TaskEither";
+import { Client } from "undici";
+import { checkUnsent } from "../platform/http";
+
+const CONNECT_MS = 1000;
+const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+
+/** A call to a plain service. */
+export interface ServiceCall {
+  readonly attempt: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Buffer;
+  readonly timeoutMs: number;
+  readonly signal: AbortSignal;
+}
+
+/** A whole answer of a plain service. */
+export interface ServiceAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Buffer;
+}
+
+/** A call that got no whole answer. */
+export class ServiceError extends Error {
+  override readonly name = "ServiceError";
+
+  constructor(
+    message: string,
+    /** False only where no byte of the call can have left. */
+    readonly isSent: boolean,
+  ) {
+    super(message);
+  }
+}
+
+/** All plain services, by their URL. */
+export interface ServiceClient {
+  call(url: string, call: ServiceCall): TE.TaskEither<ServiceError, ServiceAnswer>;
+}
+
+/**
+ * Plain services over HTTP. Every call has a connection of its own: on a kept one, a close by the
+ * other side could not be told from a call that arrived.
+ */
+export class HttpServiceClient implements ServiceClient {
+  call(url: string, call: ServiceCall): TE.TaskEither<ServiceError, ServiceAnswer> {
+    return async () => {
+      const client = new Client(new URL(url).origin, {
+        connect: { timeout: CONNECT_MS },
+        pipelining: 1,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+        maxResponseSize: MAX_ANSWER_BYTES,
+      });
+      try {
+        return await sendCall(client, call);
+      } catch (error) {
+        return E.left(new ServiceError((error as Error).message, !checkUnsent(error)));
+      } finally {
+        await client.destroy();
+      }
+    };
+  }
+}
+
+async function sendCall(
+  client: Client,
+  call: ServiceCall,
+): Promise<E.Either<ServiceError, ServiceAnswer>> {
+  const response = await client.request({
+    path: call.path,
+    method: call.method as "POST",
+    headers: { ...call.headers, "x-attempt-id": call.attempt },
+    body: call.body.length === 0 ? null : call.body,
+    signal: AbortSignal.any([AbortSignal.timeout(call.timeoutMs), call.signal]),
+    reset: true,
+  });
+  if (response.headers["x-attempt-id"] !== call.attempt) {
+    return E.left(new ServiceError("the answer belongs to another attempt", true));
+  }
+  const body = Buffer.from(await response.body.arrayBuffer());
+  const headers = Object.fromEntries(
+    Object.entries(response.headers).map(([name, value]) => [name, String(value)]),
+  );
+  return E.right({ status: response.statusCode, headers, body });
+}
--- /dev/null
+++ b/src/entry/completion.ts
@@ -0,0 +1,114 @@
+/**
+ * A completion request, as the router takes it from a caller.
+ */
+import * as E from "fp-ts/Either";
+import { pipe } from "fp-ts/function";
+import * as t from "io-ts";
+import type { Configuration, PriorityClass } from "../core/config";
+import { decodeText } from "../core/decode";
+import { computeFingerprint } from "../core/ids";
+import { createNotRun, Reason, type Refusal } from "../core/outcome";
+import { type Block, computeBlocks, countTokens } from "../core/tokens";
+
+const DEFAULT_MAX_TOKENS = 256;
+const MOST_MAX_TOKENS = 32_768;
+
+const messageCodec = t.type({ role: t.string, content: t.string });
+
+const bodyCodec = t.intersection([
+  t.type({ model: t.string }),
+  t.partial({
+    prompt: t.string,
+    messages: t.array(messageCodec),
+    max_tokens: t.number,
+    stream: t.boolean,
+  }),
+]);
+
+/** A completion request that can be run. */
+export interface Completion {
+  readonly model: string;
+  readonly prompt: string;
+  readonly maxTokens: number;
+  readonly isStream: boolean;
+  readonly isChat: boolean;
+  readonly promptTokens: number;
+  readonly blocks: readonly Block[];
+  readonly fingerprint: string;
+}
+
+/** A priority class with its name. */
+export interface NamedClass extends PriorityClass {
+  readonly name: string;
+}
+
+/**
+ * Parses the body of a completion request.
+ *
+ * @returns the request, or what is wrong with the body
+ * @example
+ * parseCompletion('{"model":"drafter","prompt":"a"}', configuration);
+ */
+export function parseCompletion(
+  text: string,
+  configuration: Configuration,
+): E.Either<Refusal, Completion> {
+  return pipe(
+    decodeText(bodyCodec, text, "body"),
+    E.mapLeft((error) => createNotRun(400, Reason.badRequest, error.message)),
+    E.chain((body) => {
+      const isChat = body.messages !== undefined;
+      const prompt = body.messages === undefined ? body.prompt : printMessages(body.messages);
+      if (prompt === undefined || prompt === "") {
+        return E.left(
+          createNotRun(400, Reason.badRequest, 'body: at prompt: allowed: "prompt" or "messages"'),
+        );
+      }
+      const maxTokens = body.max_tokens ?? DEFAULT_MAX_TOKENS;
+      if (!Number.isInteger(maxTokens) || maxTokens < 1 || maxTokens > MOST_MAX_TOKENS) {
+        const message = `body: at max_tokens: allowed: a whole number from 1 to ${MOST_MAX_TOKENS}`;
+        return E.left(createNotRun(400, Reason.badRequest, message));
+      }
+      if (!Object.hasOwn(configuration.models, body.model)) {
+        const message = `the model "${body.model.slice(0, 60)}" is not known`;
+        return E.left(createNotRun(404, Reason.unknownModel, message));
+      }
+      return E.right({
+        model: body.model,
+        prompt,
+        maxTokens,
+        isStream: body.stream === true,
+        isChat,
+        promptTokens: countTokens(prompt),
+        blocks: computeBlocks(prompt),
+        fingerprint: computeFingerprint(body.model, prompt),
+      });
+    }),
+  );
+}
+
+/**
+ * Chooses the priority class of a request: the one asked for, or the workspace's first.
+ *
+ * @param asked - value of the X-Priority-Class header
+ * @example
+ * chooseClass(configuration, "large-town", undefined);
+ */
+export function chooseClass(
+  configuration: Configuration,
+  workspace: string,
+  asked: string | undefined,
+): E.Either<Refusal, NamedClass> {
+  const allowed = configuration.workspaces[workspace]?.classes ?? [];
+  const name = asked ?? allowed[0] ?? "";
+  const found = configuration.classes[name];
+  if (found === undefined || !allowed.includes(name)) {
+    const message = `the priority class "${name.slice(0, 60)}" is not one of the workspace's: ${allowed.join(", ")}`;
+    return E.left(createNotRun(400, Reason.unknownClass, message));
+  }
+  return E.right({ ...found, name });
+}
+
+function printMessages(messages: readonly t.TypeOf<typeof messageCodec>[]): string {
+  return messages.map(({ role, content }) => `${role}: ${content}`).join("\n");
+}
--- /dev/null
+++ b/src/entry/plain.ts
@@ -0,0 +1,350 @@
+/**
+ * Calls to plain services. A call on a non-repeatable route is sent at most once; with an
+ * Idempotency-Key it is claimed in the log before it is sent.
+ */
+import type { IncomingHttpHeaders } from "node:http";
+import * as E from "fp-ts/Either";
+import type { Board } from "../board/board";
+import { type Claimer, ClaimResult } from "../control/claimer";
+import { isLeaving } from "../control/lister";
+import { UNREACHABLE_MS } from "../control/prober";
+import type { RetryBudget } from "../core/budget";
+import type { RecordedAnswer } from "../core/claims";
+import type { Clock, Moment } from "../core/clock";
+import { remainingMs } from "../core/clock";
+import { type Route, Role } from "../core/config";
+import { computeFingerprint, type IdSource } from "../core/ids";
+import { checkSelector, type Selector } from "../core/labels";
+import type { Logger } from "../core/log";
+import { Metric, type Metrics } from "../core/metrics";
+import { createNotRun, createUnknown, Reason, type Refusal } from "../core/outcome";
+import type { NamedEndpoint } from "../core/pools";
+import type { ServiceAnswer, ServiceClient, ServiceError } from "../endpoint/service";
+import { type Caller, checkCaller } from "./caller";
+
+const MAX_ATTEMPTS = 4;
+/** How long a repeatable call may take before it is sent elsewhere. */
+const ATTEMPT_MS = 2500;
+const RETRY_AFTER_MS = 1000;
+const CLAIM_RETRY_MS = 2000;
+const CRASHES_TO_BAN = 2;
+const BAN_MS = 60_000;
+
+/** Headers that are passed on to a service; all others stay here. */
+export const FORWARDED_HEADERS = [
+  "accept",
+  "accept-language",
+  "content-type",
+  "idempotency-key",
+  "traceparent",
+] as const;
+
+/** A plain call that has passed all checks. */
+export interface PlainRequest {
+  readonly id: string;
+  readonly caller: Caller;
+  readonly routeName: string;
+  readonly route: Route;
+  readonly method: string;
+  /** Path and query. */
+  readonly path: string;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: Buffer;
+  readonly deadline: Moment;
+  readonly signal: AbortSignal;
+}
+
+/** The answer of a service, or the recorded one of an earlier call. */
+export interface PlainAnswer extends ServiceAnswer {
+  readonly isReplayed: boolean;
+}
+
+/** What the calls of an instance share. */
+export interface PlainParts {
+  readonly board: Board;
+  readonly clock: Clock;
+  readonly ids: IdSource;
+  readonly dataCentre: string;
+  readonly claimer: Claimer;
+  readonly services: ServiceClient;
+  readonly budget: RetryBudget;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+/** Routes plain calls. */
+export class PlainRouter {
+  private readonly inFlight = new Map<string, number>();
+  /** Calls that ran through a crash go one at a time. */
+  private suspects: Promise<unknown> = Promise.resolve();
+
+  constructor(private readonly parts: PlainParts) {}
+
+  /** Runs a call to its final answer. */
+  async run(request: PlainRequest): Promise<E.Either<Refusal, PlainAnswer>> {
+    const key = readIdempotencyKey(request.headers);
+    if (request.route.repeatable !== false) return this.runRepeatable(request);
+    if (key !== undefined) return this.runClaimed(request, key);
+    if (request.route.idempotencyKeyNeeded === true) {
+      const message = "the route needs an Idempotency-Key";
+      return E.left(createNotRun(400, Reason.idempotencyKeyNeeded, message));
+    }
+    return this.runOnce(request);
+  }
+
+  private async runClaimed(
+    request: PlainRequest,
+    key: string,
+  ): Promise<E.Either<Refusal, PlainAnswer>> {
+    const { claimer, metrics } = this.parts;
+    const name = computeFingerprint(request.caller.workspace, request.routeName, key);
+    const digest = computeFingerprint(
+      request.method,
+      request.path,
+      request.body.toString("latin1"),
+    );
+    const claim = await claimer.claim(name, digest);
+    metrics.count(Metric.claim, 1, { result: claim.result });
+    if (claim.result === ClaimResult.unavailable) {
+      const message = "the claim of the call cannot be recorded now";
+      return E.left(createNotRun(503, Reason.claimUnavailable, message, CLAIM_RETRY_MS));
+    }
+    if (claim.result === ClaimResult.lost) return this.answerFromClaim(claim.state, digest);
+    const answer = await this.runOnce(request);
+    if (E.isRight(answer)) {
+      void claimer.record(name, claim.claimId, createRecorded(answer.right));
+    } else if (answer.left.ran === "not run") claimer.release(name, claim.claimId);
+    return answer;
+  }
+
+  private answerFromClaim(
+    state: { readonly digest: string; readonly answer: RecordedAnswer | undefined } | undefined,
+    digest: string,
+  ): E.Either<Refusal, PlainAnswer> {
+    if (state !== undefined && state.digest !== digest) {
+      const message = "the Idempotency-Key was used for another call";
+      return E.left(createNotRun(422, Reason.claimReused, message));
+    }
+    if (state?.answer === undefined) {
+      const message = "a call with this Idempotency-Key was begun, and its outcome is not recorded";
+      const refusal = createUnknown(Reason.claimedElsewhere, message, CLAIM_RETRY_MS);
+      return E.left(refusal);
+    }
+    const { status, body, type } = state.answer;
+    return E.right({
+      status,
+      headers: { "content-type": type },
+      body: Buffer.from(body),
+      isReplayed: true,
+    });
+  }
+
+  /** Sends to another endpoint only while no byte can have reached one. */
+  private async runOnce(request: PlainRequest): Promise<E.Either<Refusal, PlainAnswer>> {
+    const excluded = new Set<string>();
+    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
+      const chosen = this.choose(request, excluded);
+      if (E.isLeft(chosen)) return chosen;
+      const left = remainingMs(request.deadline, this.parts.clock.now());
+      const answer = await this.send(request, chosen.right, left);
+      if (E.isRight(answer)) return E.right({ ...answer.right, isReplayed: false });
+      if (answer.left.isSent) {
+        const message = "the call was sent, and no whole answer came";
+        return E.left(createUnknown(Reason.outcomeUnknown, message));
+      }
+      excluded.add(chosen.right.name);
+    }
+    return E.left(
+      createNotRun(503, Reason.noEndpoint, "no endpoint can be reached", RETRY_AFTER_MS),
+    );
+  }
+
+  private async runRepeatable(request: PlainRequest): Promise<E.Either<Refusal, PlainAnswer>> {
+    const { board, budget, clock } = this.parts;
+    const fingerprint = computeFingerprint(
+      request.method,
+      request.path,
+      request.body.toString("latin1"),
+    );
+    const excluded = new Set<string>();
+    let wasSent = false;
+    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
+      if (board.suspects.findBan(fingerprint, clock.now()) !== undefined)
+        return createPoison(wasSent);
+      if (attempt > 0 && !budget.withdraw()) break;
+      const chosen = this.choose(request, excluded);
+      if (E.isLeft(chosen))
+        return wasSent
+          ? E.left(createUnknown(Reason.noEndpoint, chosen.left.message, RETRY_AFTER_MS))
+          : chosen;
+      const answer = await this.sendRepeatable(request, chosen.right, fingerprint);
+      if (E.isRight(answer)) return E.right({ ...answer.right, isReplayed: false });
+      wasSent = wasSent || answer.left.isSent;
+      excluded.add(chosen.right.name);
+      if (clock.now() >= request.deadline || request.signal.aborted) break;
+    }
+    const message = "no endpoint answered";
+    return E.left(
+      wasSent
+        ? createUnknown(Reason.outcomeUnknown, message, RETRY_AFTER_MS)
+        : createNotRun(503, Reason.noEndpoint, message, RETRY_AFTER_MS),
+    );
+  }
+
+  private async sendRepeatable(
+    request: PlainRequest,
+    endpoint: NamedEndpoint,
+    fingerprint: string,
+  ): Promise<E.Either<ServiceError, ServiceAnswer>> {
+    const { board, clock } = this.parts;
+    const left = Math.min(ATTEMPT_MS, remainingMs(request.deadline, clock.now()));
+    const send = () => this.send(request, endpoint, left);
+    const answer = await (board.suspects.isSuspect(fingerprint, clock.now())
+      ? this.sendAlone(send)
+      : send());
+    if (E.isRight(answer)) board.suspects.clear(fingerprint);
+    else if (answer.left.isSent) await this.checkCrash(endpoint, fingerprint);
+    return answer;
+  }
+
+  private sendAlone<A>(send: () => Promise<A>): Promise<A> {
+    const result = this.suspects.then(send);
+    this.suspects = result.catch(() => undefined);
+    return result;
+  }
+
+  /** Nothing listens where a call was running: the call may have crashed it. */
+  private async checkCrash(endpoint: NamedEndpoint, fingerprint: string): Promise<void> {
+    const { board, clock, services } = this.parts;
+    const probe = await services.call(endpoint.url, {
+      attempt: "probe",
+      method: "GET",
+      path: "/livez",
+      headers: {},
+      body: Buffer.alloc(0),
+      timeoutMs: 500,
+      signal: AbortSignal.timeout(500),
+    })();
+    if (E.isRight(probe) || probe.left.isSent) return;
+    const now = clock.now();
+    board.suspects.suspect(fingerprint, `${endpoint.name}@${now.toFixed(0)}`, now);
+    if (board.suspects.countCrashes(fingerprint) >= CRASHES_TO_BAN)
+      board.suspects.ban(fingerprint, now + BAN_MS);
+  }
+
+  private async send(
+    request: PlainRequest,
+    endpoint: NamedEndpoint,
+    timeoutMs: number,
+  ): Promise<E.Either<ServiceError, ServiceAnswer>> {
+    const { services, ids, clock, board } = this.parts;
+    this.inFlight.set(endpoint.name, (this.inFlight.get(endpoint.name) ?? 0) + 1);
+    const answer = await services.call(endpoint.url, {
+      attempt: ids.next(),
+      method: request.method,
+      path: request.path,
+      headers: chooseHeaders(request.headers),
+      body: request.body,
+      timeoutMs,
+      signal: request.signal,
+    })();
+    this.inFlight.set(endpoint.name, (this.inFlight.get(endpoint.name) ?? 1) - 1);
+    if (E.isLeft(answer))
+      board.unreachable.set(endpoint.name, { deadline: clock.now() + UNREACHABLE_MS });
+    return answer;
+  }
+
+  /** The key is checked in the turn of the sending, and again for each attempt. */
+  private choose(
+    request: PlainRequest,
+    excluded: ReadonlySet<string>,
+  ): E.Either<Refusal, NamedEndpoint> {
+    const { board, clock, logger } = this.parts;
+    const now = clock.now();
+    const refusal = checkCaller(board, request.caller, now);
+    if (refusal !== undefined) return E.left(refusal);
+    const allowed = this.listAllowed(request);
+    const usable = allowed.filter(
+      (endpoint) => !excluded.has(endpoint.name) && !isLeaving(board, endpoint.name, now),
+    );
+    const reachable = usable.filter(
+      (endpoint) => (board.unreachable.get(endpoint.name)?.deadline ?? 0) <= now,
+    );
+    const chosen = this.chooseLeastLoaded(reachable.length > 0 ? reachable : usable);
+    logger.info("route", {
+      request: request.id,
+      workspace: request.caller.workspace,
+      class: "",
+      route: request.routeName,
+      candidates: usable.length,
+      chosen: chosen?.name ?? "none",
+      reason: chosen === undefined ? "no endpoint left" : "fewest in flight, own data centre first",
+    });
+    if (chosen === undefined) {
+      return E.left(
+        createNotRun(503, Reason.noEndpoint, "no endpoint may run the call", RETRY_AFTER_MS),
+      );
+    }
+    return E.right(chosen);
+  }
+
+  private listAllowed(request: PlainRequest): readonly NamedEndpoint[] {
+    const { endpoints, selectors, workspaces } = this.parts.board.config.read().configuration;
+    const names = [request.route.selector, workspaces[request.caller.workspace]?.selector];
+    const wanted: readonly Selector[] = names.flatMap((name) =>
+      name === undefined ? [] : [selectors[name] ?? {}],
+    );
+    return Object.entries(endpoints)
+      .filter(
+        ([, endpoint]) =>
+          endpoint.role === Role.service && endpoint.service === request.route.service,
+      )
+      .filter(([, endpoint]) =>
+        wanted.every((selector) => checkSelector(selector, endpoint.labels ?? {})),
+      )
+      .map(([name, endpoint]) => ({ ...endpoint, name }));
+  }
+
+  private chooseLeastLoaded(endpoints: readonly NamedEndpoint[]): NamedEndpoint | undefined {
+    const near = endpoints.filter((endpoint) => endpoint.dataCentre === this.parts.dataCentre);
+    const among = near.length > 0 ? near : endpoints;
+    const least = Math.min(...among.map((endpoint) => this.inFlight.get(endpoint.name) ?? 0));
+    const best = among.filter((endpoint) => (this.inFlight.get(endpoint.name) ?? 0) === least);
+    return best[Math.floor(Math.random() * best.length)];
+  }
+}
+
+/**
+ * Chooses the headers that are passed on to a service.
+ *
+ * @example
+ * chooseHeaders({ accept: "text/plain", cookie: "a=b" }); // { accept: "text/plain" }
+ */
+export function chooseHeaders(headers: IncomingHttpHeaders): Readonly<Record<string, string>> {
+  const chosen: Record<string, string> = {};
+  for (const name of FORWARDED_HEADERS) {
+    const value = headers[name];
+    if (typeof value === "string") chosen[name] = value;
+  }
+  return chosen;
+}
+
+function readIdempotencyKey(headers: IncomingHttpHeaders): string | undefined {
+  const value = headers["idempotency-key"];
+  return typeof value === "string" && value !== "" ? value : undefined;
+}
+
+function createPoison(wasSent: boolean): E.Either<Refusal, never> {
+  const message = "the request crashes the endpoints that run it";
+  return E.left(
+    wasSent ? createUnknown(Reason.poison, message) : createNotRun(422, Reason.poison, message),
+  );
+}
+
+function createRecorded(answer: PlainAnswer): RecordedAnswer {
+  return {
+    status: answer.status,
+    body: answer.body.toString("utf8"),
+    type: answer.headers["content-type"] ?? "application/octet-stream",
+  };
+}
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,35 @@
+/**
+ * The command line.
+ */
+import { Builtins, Cli } from "clipanion";
+import {
+  ConfigCheckCommand,
+  ConfigDiffCommand,
+  ConfigPublishCommand,
+  ConfigShowCommand,
+} from "./cli/config";
+import { KeyCreateCommand, KeyListCommand, KeyWithdrawCommand } from "./cli/key";
+import { createObjectCommands, LabelRemoveCommand, LabelSetCommand } from "./cli/object";
+import { ServeCommand } from "./cli/serve";
+import { StatusCommand } from "./cli/status";
+import { version } from "../package.json";
+
+const cli = new Cli({ binaryLabel: "gorsefold", binaryName: "gorsefold", binaryVersion: version });
+const commands = [
+  Builtins.HelpCommand,
+  Builtins.VersionCommand,
+  ServeCommand,
+  ConfigCheckCommand,
+  ConfigPublishCommand,
+  ConfigShowCommand,
+  ConfigDiffCommand,
+  KeyCreateCommand,
+  KeyWithdrawCommand,
+  KeyListCommand,
+  LabelSetCommand,
+  LabelRemoveCommand,
+  StatusCommand,
+  ...createObjectCommands(),
+];
+for (const command of commands) cli.register(command);
+void cli.runExit(process.argv.slice(2));
--- /dev/null
+++ b/src/node.ts
@@ -0,0 +1,341 @@
+/**
+ * An entry instance: all its parts put together, started and shut down.
+ */
+import { monitorEventLoopDelay } from "node:perf_hooks";
+import { type Board, createBoard } from "./board/board";
+import { Booking } from "./control/booking";
+import { Charger } from "./control/charger";
+import { Claimer } from "./control/claimer";
+import { ControlReader } from "./control/control";
+import { Controller } from "./control/controller";
+import { Holder } from "./control/holder";
+import { BASELINE, Keeper, RESERVING } from "./control/keeper";
+import { Ledger } from "./control/ledger";
+import { Lister } from "./control/lister";
+import { findAddress, listReachable, Membership, type Self } from "./control/membership";
+import { Officer } from "./control/officer";
+import { Prober } from "./control/prober";
+import { Sweeper } from "./control/sweeper";
+import { RetryBudget } from "./core/budget";
+import { type Clock, MonotonicClock } from "./core/clock";
+import { createIncarnation, IdSource } from "./core/ids";
+import { createLogger, type Logger } from "./core/log";
+import { createMetrics, Metric, type Metrics } from "./core/metrics";
+import { chooseMember } from "./core/rendezvous";
+import { DEFAULT_SETTINGS, type Settings } from "./core/settings";
+import { HttpEngineClient } from "./endpoint/engine";
+import { HttpServiceClient } from "./endpoint/service";
+import { OperatorServer, type InstanceStatus } from "./entry/operator";
+import { PlainRouter } from "./entry/plain";
+import { CallerServer } from "./entry/server";
+import { GrpcPeerLink } from "./peer/link";
+import { type BookSession, listenPeers, type PeerHandler, type PeerServer } from "./peer/server";
+import { HttpInstanceList } from "./platform/list";
+import { HttpLog } from "./platform/log";
+
+const KEEPER_HEARTBEAT_MS = 300;
+const METRICS_MS = 5000;
+const HAND_OVER_MS = 1000;
+/** How long an open loan may keep its lender from handing over. */
+const LOANS_END_MS = 1600;
+const PEERS_CLOSE_MS = 300;
+const LEDGER_CLOSE_MS = 5000;
+/** How long a new instance waits to hear of the holder of its data centre. */
+const HOLDER_WAIT_MS = 8000;
+const NANOSECONDS_PER_MS = 1e6;
+
+/** A running instance. */
+export interface Instance {
+  /** Shuts down without cutting a request. */
+  close(): Promise<void>;
+}
+
+/**
+ * Creates and starts an instance.
+ *
+ * @param settings - checked settings
+ * @returns the instance, once all its ports listen; rejects where one cannot be had
+ * @example
+ * const instance = await createInstance(settings);
+ * process.on("SIGTERM", () => void instance.close());
+ */
+export async function createInstance(settings: Settings): Promise<Instance> {
+  const instance = new EntryInstance(settings);
+  await instance.start();
+  return instance;
+}
+
+class EntryInstance implements Instance, PeerHandler {
+  private readonly board: Board = createBoard();
+  private readonly clock: Clock = new MonotonicClock();
+  private readonly self: Self;
+  private readonly logger: Logger;
+  private readonly metrics: Metrics;
+  private readonly ids: IdSource;
+  private readonly log: HttpLog;
+  private readonly list: HttpInstanceList;
+  private readonly link = new GrpcPeerLink();
+  private readonly engines = new HttpEngineClient();
+  private readonly lister: Lister;
+  private readonly control: ControlReader;
+  private readonly membership: Membership;
+  private readonly prober: Prober;
+  private readonly keeper: Keeper;
+  private readonly booking: Booking;
+  private readonly ledger: Ledger;
+  private readonly sweeper: Sweeper;
+  private readonly holder: Holder;
+  private readonly charger: Charger;
+  private readonly officer: Officer;
+  private readonly controller: Controller;
+  private readonly claimer: Claimer;
+  private readonly callers: CallerServer;
+  private readonly operator: OperatorServer;
+  private readonly loopDelay = monitorEventLoopDelay({ resolution: 10 });
+  private peers: PeerServer | undefined;
+  private sessions = 0;
+  private isReady = false;
+  private startedAt = 0;
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly settings: Settings) {
+    const { instance, dataCentre, platform } = settings;
+    const { board, clock, link, engines } = this;
+    const self = { instance, incarnation: createIncarnation(instance), dataCentre };
+    const logger = createLogger(instance, settings.logLevel ?? DEFAULT_SETTINGS.logLevel);
+    const metrics = createMetrics(instance, settings.metrics);
+    const ids = new IdSource(self.incarnation);
+    const log = new HttpLog(platform.log);
+    this.self = self;
+    this.logger = logger;
+    this.metrics = metrics;
+    this.ids = ids;
+    this.log = log;
+    this.list = new HttpInstanceList(platform.list);
+    this.lister = new Lister(board, this.list, clock);
+    this.control = new ControlReader(board, log, clock, ids, logger, () => this.isSnapshotDuty());
+    this.membership = new Membership(board, self, link, this.control, clock);
+    const policy = settings.policy === "baseline" ? BASELINE : RESERVING;
+    this.keeper = new Keeper(board, clock, policy, logger, metrics, () => {
+      this.prober.probe();
+    });
+    this.prober = new Prober(board, self, engines, clock, () => this.keeper.listKept());
+    this.prober.onReport((report) => {
+      this.keeper.onReport(report);
+    });
+    this.booking = new Booking(board, self, this.keeper, link, clock);
+    this.ledger = new Ledger(engines, clock, metrics);
+    this.sweeper = new Sweeper(board, self, engines, clock, logger);
+    this.holder = new Holder(board, self, link, clock);
+    this.charger = new Charger(board, self, this.holder, link, clock);
+    this.officer = new Officer(board, self, log, clock, ids, logger);
+    this.controller = new Controller(board, self, this.officer, engines, clock, logger);
+    this.claimer = new Claimer(board, log, clock, ids);
+    const budget = new RetryBudget();
+    const shared = { board, clock, ids, dataCentre, budget, logger, metrics };
+    const plain = new PlainRouter({
+      ...shared,
+      claimer: this.claimer,
+      services: new HttpServiceClient(),
+    });
+    this.callers = new CallerServer(
+      { ...shared, booking: this.booking, charger: this.charger, ledger: this.ledger, engines },
+      plain,
+      {
+        maxBodyBytes: settings.maxBodyBytes ?? DEFAULT_SETTINGS.maxBodyBytes,
+        headersTimeoutMs: settings.headersTimeoutMs ?? DEFAULT_SETTINGS.headersTimeoutMs,
+      },
+      () => this.checkReady(),
+    );
+    this.operator = new OperatorServer(() => this.readStatus());
+  }
+
+  async start(): Promise<void> {
+    this.loopDelay.enable();
+    this.startedAt = this.clock.now();
+    this.peers = await listenPeers(this.settings.peers, this);
+    await this.operator.listen(this.settings.operator);
+    await this.callers.listen(this.settings.callers);
+    for (const part of this.listParts()) part.start();
+    this.timer = setInterval(() => {
+      this.sendMetrics();
+    }, METRICS_MS);
+    const { incarnation, dataCentre } = this.self;
+    this.logger.info("started", { incarnation, dataCentre });
+  }
+
+  /**
+   * Shuts down: not ready first, serving while the balancer notices; then nothing new, all requests
+   * finished, duties handed over, releases acknowledged.
+   */
+  async close(): Promise<void> {
+    if (this.board.draining.read()) return;
+    this.board.draining.write(true);
+    this.logger.info("draining", { requests: this.callers.size });
+    await pause(this.settings.drainNoticeMs ?? DEFAULT_SETTINGS.drainNoticeMs);
+    await this.callers.close();
+    await this.handOver();
+    await this.waitForReleases();
+    for (const part of this.listParts()) part.close();
+    clearInterval(this.timer);
+    await this.peers?.close(PEERS_CLOSE_MS);
+    this.link.close();
+    await Promise.all([
+      this.operator.close(),
+      this.engines.close(),
+      this.log.close(),
+      this.list.close(),
+    ]);
+    this.loopDelay.disable();
+    this.metrics.close();
+    this.logger.info("stopped", { holds: this.ledger.size });
+  }
+
+  onHeartbeat(
+    message: Parameters<PeerHandler["onHeartbeat"]>[0],
+  ): ReturnType<PeerHandler["onHeartbeat"]> {
+    return this.membership.onHeartbeat(message);
+  }
+
+  onPull(request: Parameters<PeerHandler["onPull"]>[0]): ReturnType<PeerHandler["onPull"]> {
+    return this.control.answerPull(request);
+  }
+
+  onCharge(request: Parameters<PeerHandler["onCharge"]>[0]): ReturnType<PeerHandler["onCharge"]> {
+    return this.holder.charge(request);
+  }
+
+  onLend(request: Parameters<PeerHandler["onLend"]>[0]): ReturnType<PeerHandler["onLend"]> {
+    return { tokens: this.holder.lend(request.loanId, request.workspace, request.tokens) };
+  }
+
+  onSettle(request: Parameters<PeerHandler["onSettle"]>[0]): void {
+    this.holder.settle(request);
+  }
+
+  onHandOver(
+    request: Parameters<PeerHandler["onHandOver"]>[0],
+  ): ReturnType<PeerHandler["onHandOver"]> {
+    return { taken: this.holder.takeOver(request) };
+  }
+
+  onStatus(): ReturnType<PeerHandler["onStatus"]> {
+    return { json: JSON.stringify(this.readStatus()) };
+  }
+
+  /** A session of the book hears something now and then, so that a silent keeper is noticed. */
+  onBook(session: BookSession): void {
+    this.sessions += 1;
+    const name = `session-${this.sessions}`;
+    this.keeper.openSession({ name, send: (reply) => session.write(reply) });
+    const timer = setInterval(
+      () => session.write({ grants: [], refusals: [] }),
+      KEEPER_HEARTBEAT_MS,
+    );
+    const close = () => {
+      clearInterval(timer);
+      this.keeper.closeSession(name);
+    };
+    session.on("data", (request: Parameters<Keeper["onRequest"]>[1]) => {
+      this.keeper.onRequest(name, request);
+    });
+    session.on("end", () => {
+      close();
+      session.end();
+    });
+    session.on("cancelled", close);
+    session.on("error", close);
+  }
+
+  private listParts(): readonly { start(): void; close(): void }[] {
+    return [
+      this.lister,
+      this.control,
+      this.membership,
+      this.prober,
+      this.keeper,
+      this.booking,
+      this.ledger,
+      this.sweeper,
+      this.officer,
+      this.controller,
+      this.claimer,
+    ];
+  }
+
+  /** Once ready, an instance stays so: what it then loses it goes on without. */
+  private checkReady(): boolean {
+    if (this.isReady || !this.control.isComplete) return this.isReady;
+    const isLate = this.clock.now() - this.startedAt > HOLDER_WAIT_MS;
+    this.isReady = isLate || this.charger.isReachable();
+    return this.isReady;
+  }
+
+  private isSnapshotDuty(): boolean {
+    const members = listReachable(this.board, this.self, this.clock.now());
+    return chooseMember("snapshot", members) === this.self.instance;
+  }
+
+  /** The tokens go by message, the right to them by the log; a message that is lost loses tokens. */
+  private async handOver(): Promise<void> {
+    const now = this.clock.now();
+    const others = listReachable(this.board, this.self, now, new Set([this.self.dataCentre]));
+    const successor = chooseMember("holder", others);
+    const member = this.board.members.get(successor ?? "");
+    const address = findAddress(this.board, successor ?? "");
+    if (member === undefined || address === undefined) return;
+    const { dataCentre, incarnation } = this.self;
+    if (this.holder.isHolding) await pause(LOANS_END_MS);
+    const levels = this.holder.stop();
+    await this.link.handOver(
+      address,
+      { dataCentre, from: incarnation, levels: [...levels] },
+      HAND_OVER_MS,
+    )();
+    await this.officer.handOver(member.incarnation);
+  }
+
+  private async waitForReleases(): Promise<void> {
+    const end = this.clock.now() + LEDGER_CLOSE_MS;
+    while (this.ledger.size > 0 && this.clock.now() < end) await pause(50);
+  }
+
+  private sendMetrics(): void {
+    const now = this.clock.now();
+    this.metrics.gauge(Metric.eventLoopDelayMs, this.readLoopDelay());
+    this.metrics.gauge(Metric.configVersion, this.board.config.read().version);
+    const age = now - this.board.controlSeenAt.read();
+    if (Number.isFinite(age)) this.metrics.gauge(Metric.configAgeMs, Math.round(age));
+    this.holder.prune();
+    this.loopDelay.reset();
+  }
+
+  private readLoopDelay(): number {
+    return Math.round((this.loopDelay.percentile(99) / NANOSECONDS_PER_MS) * 100) / 100;
+  }
+
+  private readStatus(): InstanceStatus {
+    const now = this.clock.now();
+    const age = now - this.board.controlSeenAt.read();
+    return {
+      ...this.self,
+      isReady: this.checkReady(),
+      isDraining: this.board.draining.read(),
+      configVersion: this.board.config.read().version,
+      configAgeMs: Number.isFinite(age) ? Math.round(age) : null,
+      requests: this.callers.size,
+      holds: this.ledger.size,
+      members: [...listReachable(this.board, this.self, now)].sort(),
+      endpoints: [...this.board.endpoints.keys()].sort(),
+      duties: [...this.board.duties.read().values()]
+        .filter((item) => item.incarnation === this.self.incarnation)
+        .map((item) => `${item.duty} of ${item.dataCentre}`),
+      keptPools: [...this.keeper.listKept()].sort(),
+      eventLoopDelayP99Ms: this.readLoopDelay(),
+    };
+  }
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/src/platform/list.ts
@@ -0,0 +1,57 @@
+/**
+ * The platform's list of live and leaving instances and endpoints. It lags.
+ */
+import * as E from "fp-ts/Either";
+import type * as TE from "fp-ts/TaskEither";
+import * as t from "io-ts";
+import { decodeValue } from "../core/decode";
+import { createSender, type Sender } from "./http";
+
+const CALL_MS = 2000;
+
+const entryCodec = t.type({
+  name: t.string,
+  kind: t.keyof({ instance: null, endpoint: null }),
+  dataCentre: t.string,
+  /** Host and port for peers; empty for an endpoint. */
+  address: t.string,
+  state: t.keyof({ live: null, leaving: null }),
+});
+
+/** One machine that the platform lists; one that is gone is not listed. */
+export type ListEntry = t.TypeOf<typeof entryCodec>;
+
+const listCodec = t.type({ entries: t.array(entryCodec) });
+
+/** A failed look at the list. */
+export class ListError extends Error {
+  override readonly name = "ListError";
+}
+
+/** The platform's list. */
+export interface InstanceList {
+  read(): TE.TaskEither<ListError, readonly ListEntry[]>;
+  close(): Promise<void>;
+}
+
+/** The platform's list over HTTP. */
+export class HttpInstanceList implements InstanceList {
+  private readonly sender: Sender = createSender();
+
+  constructor(private readonly url: string) {}
+
+  read(): TE.TaskEither<ListError, readonly ListEntry[]> {
+    return async () => {
+      const url = `${this.url}/entries`;
+      const result = await this.sender.sendJson({ method: "GET", url, timeoutMs: CALL_MS })();
+      if (E.isLeft(result)) return E.left(new ListError(result.left.message));
+      const decoded = decodeValue(listCodec, result.right.body, "instance list");
+      if (E.isLeft(decoded)) return E.left(new ListError(decoded.left.message));
+      return E.right(decoded.right.entries);
+    };
+  }
+
+  close(): Promise<void> {
+    return this.sender.close();
+  }
+}
--- /dev/null
+++ b/src/platform/log.ts
@@ -0,0 +1,118 @@
+/**
+ * The platform's append-only log service: streams of JSON records with offsets.
+ */
+import * as E from "fp-ts/Either";
+import * as TE from "fp-ts/TaskEither";
+import * as t from "io-ts";
+import { decodeValue } from "../core/decode";
+import { createSender, type Sender } from "./http";
+
+/** How long an append or a short read may take, in milliseconds. */
+const CALL_MS = 2000;
+/** How much longer than its wait a long poll may take, in milliseconds. */
+const POLL_SLACK_MS = 1000;
+
+/** The streams that the system reads and writes. */
+export const Stream = {
+  /** Configuration and duties: one order for both. */
+  control: "control",
+  /** Claims on calls that may run once. */
+  claims: "claims",
+} as const;
+export type Stream = (typeof Stream)[keyof typeof Stream];
+
+/** How a call to the log failed. */
+export const LogFault = {
+  /** The log said no, or cannot have seen the call. */
+  refused: "refused",
+  /** The call may have taken effect. */
+  unknown: "unknown",
+} as const;
+export type LogFault = (typeof LogFault)[keyof typeof LogFault];
+
+/** A failed call to the log. */
+export class LogError extends Error {
+  override readonly name = "LogError";
+
+  constructor(
+    readonly fault: LogFault,
+    message: string,
+  ) {
+    super(message);
+  }
+}
+
+const pageCodec = t.type({
+  records: t.array(t.type({ offset: t.number, record: t.unknown })),
+  /** The offset to read from next. */
+  next: t.number,
+  /** The lowest offset that is still kept. */
+  earliest: t.number,
+  /** The offset that the next append gets. */
+  end: t.number,
+});
+
+/** Records of a stream, in offset order. */
+export type LogPage = t.TypeOf<typeof pageCodec>;
+
+/** A record to append; its identifier makes a repeated append harmless. */
+export interface Appendable {
+  readonly id: string;
+}
+
+/** The log service. */
+export interface Log {
+  /** Appends records in one call; a failure may still have taken effect. */
+  append(stream: Stream, records: readonly Appendable[]): TE.TaskEither<LogError, void>;
+  /** Reads records from an offset on, waiting up to `waitMs` for the first one. */
+  read(stream: Stream, from: number, waitMs: number): TE.TaskEither<LogError, LogPage>;
+  /** Closes all connections. */
+  close(): Promise<void>;
+}
+
+/** The log service over HTTP. */
+export class HttpLog implements Log {
+  private readonly sender: Sender;
+
+  constructor(private readonly url: string) {
+    this.sender = createSender();
+  }
+
+  append(stream: Stream, records: readonly Appendable[]): TE.TaskEither<LogError, void> {
+    return async () => {
+      const result = await this.sender.sendJson({
+        method: "POST",
+        url: `${this.url}/streams/${stream}/records`,
+        body: { records },
+        timeoutMs: CALL_MS,
+      })();
+      if (E.isLeft(result)) {
+        const fault = result.left.isSent ? LogFault.unknown : LogFault.refused;
+        return E.left(new LogError(fault, result.left.message));
+      }
+      if (result.right.status === 200) return E.right(undefined);
+      return E.left(new LogError(LogFault.unknown, `the log answered ${result.right.status}`));
+    };
+  }
+
+  read(stream: Stream, from: number, waitMs: number): TE.TaskEither<LogError, LogPage> {
+    return async () => {
+      const result = await this.sender.sendJson({
+        method: "GET",
+        url: `${this.url}/streams/${stream}/records?from=${from}&wait=${waitMs}`,
+        timeoutMs: waitMs === 0 ? CALL_MS : waitMs + POLL_SLACK_MS,
+      })();
+      if (E.isLeft(result)) return E.left(new LogError(LogFault.unknown, result.left.message));
+      if (result.right.status !== 200) {
+        return E.left(new LogError(LogFault.refused, `the log answered ${result.right.status}`));
+      }
+      const page = decodeValue(pageCodec, result.right.body, "log");
+      if (E.isLeft(page)) return E.left(new LogError(LogFault.refused, page.left.message));
+      return page;
+    };
+  }
+
+  close(): Promise<void> {
+    return this.sender.close();
+  }
+}
--- /dev/null
+++ b/test/harness/callers.ts
@@ -0,0 +1,157 @@
+/**
+ * Callers that note what they saw.
+ */
+import { request } from "undici";
+import { computeAnswer } from "../standin/model";
+import { readMachineClock } from "../standin/http";
+import { MODEL } from "./fleet";
+
+/** What a caller saw of one request. */
+export interface Seen {
+  readonly status: number;
+  /** The whole text, or the body. */
+  readonly text: string;
+  readonly isWhole: boolean;
+  /** The outcome header, or the one of an error event. */
+  readonly outcome: string;
+  readonly reason: string;
+  readonly retryAfterMs: number | undefined;
+  readonly requestId: string;
+  readonly replayed: boolean;
+  readonly startedAt: number;
+  readonly firstAt: number | undefined;
+  readonly endedAt: number;
+}
+
+/** A drafting request. */
+export interface Draft {
+  readonly url: string;
+  readonly key?: string;
+  readonly prompt: string;
+  readonly maxTokens: number;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly signal?: AbortSignal;
+}
+
+/** Sends a streaming completion and checks its answer against what the engines must generate. */
+export async function draft(call: Draft): Promise<Seen> {
+  const startedAt = readMachineClock();
+  const body = JSON.stringify({
+    model: MODEL,
+    prompt: call.prompt,
+    max_tokens: call.maxTokens,
+    stream: true,
+  });
+  const headers = {
+    "content-type": "application/json",
+    ...createKeyHeader(call.key),
+    ...call.headers,
+  };
+  let firstAt: number | undefined;
+  let received = "";
+  let status = 0;
+  let answerHeaders: Record<string, unknown> = {};
+  try {
+    const answer = await request(`${call.url}/v1/completions`, {
+      method: "POST",
+      headers,
+      body,
+      ...(call.signal === undefined ? {} : { signal: call.signal }),
+    });
+    status = answer.statusCode;
+    answerHeaders = answer.headers;
+    for await (const chunk of answer.body) {
+      received += String(chunk);
+      if (firstAt === undefined && received.includes('"text":"w')) firstAt = readMachineClock();
+    }
+  } catch {
+    received += "\n";
+  }
+  const isDone = received.endsWith("data: [DONE]\n\n");
+  const text = isDone || status === 200 ? readText(received) : received;
+  const isWhole = isDone && text === computeAnswer(call.prompt, call.maxTokens);
+  return createSeen(status, text, isWhole, answerHeaders, received, startedAt, firstAt);
+}
+
+/** A plain call. */
+export interface Call {
+  readonly url: string;
+  readonly path: string;
+  readonly method?: string;
+  readonly key?: string;
+  readonly body?: unknown;
+  readonly headers?: Readonly<Record<string, string>>;
+}
+
+/** Sends a plain call. */
+export async function callService(call: Call): Promise<Seen> {
+  const startedAt = readMachineClock();
+  try {
+    const answer = await request(`${call.url}${call.path}`, {
+      method: (call.method ?? "POST") as "POST",
+      headers: {
+        "content-type": "application/json",
+        ...createKeyHeader(call.key),
+        ...call.headers,
+      },
+      ...(call.body === undefined ? {} : { body: JSON.stringify(call.body) }),
+    });
+    const text = await answer.body.text();
+    return createSeen(
+      answer.statusCode,
+      text,
+      answer.statusCode === 200,
+      answer.headers,
+      text,
+      startedAt,
+      undefined,
+    );
+  } catch (error) {
+    return createSeen(0, (error as Error).message, false, {}, "", startedAt, undefined);
+  }
+}
+
+function createKeyHeader(key: string | undefined): Record<string, string> {
+  return key === undefined ? {} : { authorization: `Bearer ${key}` };
+}
+
+function readText(received: string): string {
+  return received
+    .split("\n")
+    .filter((line) => line.startsWith("data: {") && line.includes('"text"'))
+    .map(
+      (line) =>
+        (JSON.parse(line.slice(6)) as { choices: { text: string }[] }).choices[0]?.text ?? "",
+    )
+    .join("");
+}
+
+function createSeen(
+  status: number,
+  text: string,
+  isWhole: boolean,
+  headers: Record<string, unknown>,
+  received: string,
+  startedAt: number,
+  firstAt: number | undefined,
+): Seen {
+  const error = /\{"error":.*\}\}/.exec(received)?.[0];
+  const details =
+    error === undefined
+      ? undefined
+      : (JSON.parse(error) as { error: { type: string; outcome: string; retry_after_ms?: number } })
+          .error;
+  return {
+    status,
+    text,
+    isWhole,
+    outcome: details?.outcome ?? String(headers["x-gorsefold-outcome"] ?? "none"),
+    reason: details?.type ?? "",
+    retryAfterMs: details?.retry_after_ms,
+    requestId: String(headers["x-request-id"] ?? ""),
+    replayed: headers["x-gorsefold-replayed"] === "true",
+    startedAt,
+    firstAt,
+    endedAt: readMachineClock(),
+  };
+}
--- /dev/null
+++ b/test/harness/fleet.ts
@@ -0,0 +1,449 @@
+/**
+ * A fleet on one machine: entry instances, engines, a service and the platform, each a process.
+ */
+import { existsSync, readFileSync, writeFileSync } from "node:fs";
+import type { Configuration, Endpoint } from "../../src/core/config";
+import { hashKey } from "../../src/core/ids";
+import { type HistoryEvent, pause } from "../standin/http";
+import { findPorts, type Running, Workplace } from "./process";
+import { Proxy } from "./proxy";
+
+/** One entry instance to be started. */
+export interface InstancePlan {
+  readonly name: string;
+  readonly dataCentre: string;
+}
+
+/** One engine to be started. */
+export interface EnginePlan {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly role: "prefill" | "decode";
+  readonly labels?: Readonly<Record<string, string>>;
+  readonly options?: Readonly<Record<string, unknown>>;
+}
+
+/** A fleet to be started. */
+export interface FleetPlan {
+  readonly instances: readonly InstancePlan[];
+  readonly engines: readonly EnginePlan[];
+  readonly services: readonly string[];
+  readonly configuration?: Partial<Configuration>;
+  readonly settings?: Readonly<Record<string, unknown>>;
+  readonly retention?: number;
+}
+
+const READY_MS = 15_000;
+const STEP_MS = 50;
+export const MODEL = "drafter";
+
+/** Keys of the test workspaces, by workspace. */
+export const KEYS = { large: "gf_large", small: "gf_small", other: "gf_other" } as const;
+
+const ENGINE_OPTIONS = {
+  models: [MODEL],
+  stepMs: 10,
+  prefillTokensPerMs: 20,
+  transferTokensPerMs: 200,
+  exportMs: 800,
+  reportLagMs: 300,
+  checksFence: true,
+  cacheTokens: 50_000,
+};
+
+/** A running fleet. */
+export class Fleet {
+  readonly workplace = new Workplace();
+  readonly processes = new Map<string, Running>();
+  /** Proxies before endpoints by their name, before the log by data centre ("log:DC"), and before peers ("peer:DC>NAME"). */
+  readonly proxies = new Map<string, Proxy>();
+  readonly callerPorts = new Map<string, number>();
+  private readonly operatorPorts = new Map<string, number>();
+  private readonly starts = new Map<string, () => Running>();
+  private readonly entries = new Map<string, Record<string, unknown>>();
+  private platformPort = 0;
+  private readonly historyFile = this.workplace.path("history.jsonl");
+
+  constructor(private readonly plan: FleetPlan) {}
+
+  /** Starts everything, and waits until every instance is ready. */
+  async start(): Promise<void> {
+    const [platformPort = 0] = await findPorts(1);
+    this.platformPort = platformPort;
+    this.startProcess("platform", () =>
+      this.workplace.start("platform", "platform", [
+        String(platformPort),
+        String(this.plan.retention ?? 100_000),
+      ]),
+    );
+    const endpoints = await this.startEndpoints();
+    await this.waitFor(async () => (await this.askPlatform("GET", "/entries")) !== undefined);
+    await this.append(this.createRecord(endpoints));
+    await this.startInstances();
+    await this.putList();
+    await this.waitReady();
+  }
+
+  /** Ends everything. */
+  async close(): Promise<void> {
+    for (const running of this.processes.values()) {
+      running.signal("SIGCONT");
+      await running.kill();
+    }
+    for (const proxy of this.proxies.values()) proxy.close();
+  }
+
+  /** Kills a process; an instance or endpoint leaves the platform's list with its lag. */
+  async kill(name: string): Promise<void> {
+    await this.processes.get(name)?.kill();
+    if (this.entries.get(name)?.kind !== "instance") return;
+    await this.setListed(name, false);
+  }
+
+  /** Starts a process again under its old name. */
+  async restart(name: string): Promise<void> {
+    const start = this.starts.get(name);
+    if (start === undefined) return;
+    this.processes.set(name, start());
+    if (this.entries.get(name)?.kind === "instance") await this.setListed(name, true);
+  }
+
+  signal(name: string, signal: NodeJS.Signals): void {
+    this.processes.get(name)?.signal(signal);
+  }
+
+  async setListed(name: string, isListed: boolean, state = "live"): Promise<void> {
+    const entry = this.entries.get(name);
+    if (entry === undefined) return;
+    this.entries.set(name, { ...entry, isListed, state });
+    await this.putList();
+  }
+
+  /** Sets faults of the platform. */
+  async setFaults(faults: Readonly<Record<string, unknown>>): Promise<void> {
+    await this.askPlatform("PUT", "/faults", faults);
+  }
+
+  /** Cuts a data centre off: from the platform and from the instances elsewhere. */
+  setCut(dataCentre: string, isCut: boolean): void {
+    for (const [name, proxy] of this.proxies) {
+      const isPeer =
+        name.startsWith("peer:") &&
+        name
+          .split(/[:>]/)
+          .some((part) => part === dataCentre || this.findDataCentre(part) === dataCentre);
+      const isInner =
+        isPeer &&
+        name.startsWith(`peer:${dataCentre}>`) &&
+        this.findDataCentre(name.split(">")[1] ?? "") === dataCentre;
+      if ((name === `log:${dataCentre}` || isPeer) && !isInner) {
+        if (isCut) proxy.block();
+        else proxy.unblock();
+      }
+    }
+  }
+
+  /** Publishes one object, as the command line would. */
+  async put(kind: string, name: string, value: unknown): Promise<number> {
+    for (;;) {
+      const version = await this.readVersion();
+      const id = `test-${Math.random()}`;
+      await this.append({
+        id,
+        basedOn: version,
+        changes: [{ kind, name, ...(value === undefined ? {} : { value }) }],
+      });
+      const status = await this.waitForVersion(version);
+      if (status !== undefined) return status;
+    }
+  }
+
+  /** URL of an instance for callers. */
+  url(name: string): string {
+    return `http://127.0.0.1:${this.callerPorts.get(name) ?? 0}`;
+  }
+
+  get logUrl(): string {
+    return `http://127.0.0.1:${this.platformPort}`;
+  }
+
+  /** Reads the status of an instance. */
+  async readStatus(name: string): Promise<Record<string, unknown> | undefined> {
+    const url = `http://127.0.0.1:${this.operatorPorts.get(name) ?? 0}/status`;
+    const answer = await fetch(url, { signal: AbortSignal.timeout(1000) }).catch(() => undefined);
+    return answer === undefined ? undefined : ((await answer.json()) as Record<string, unknown>);
+  }
+
+  /** Reads what the stand-ins saw. */
+  readHistory(): readonly HistoryEvent[] {
+    if (!existsSync(this.historyFile)) return [];
+    return readFileSync(this.historyFile, "utf8")
+      .split("\n")
+      .filter((line) => line !== "")
+      .map((line) => JSON.parse(line) as HistoryEvent);
+  }
+
+  /** Reads the holds that engines have now. */
+  async readHolds(): Promise<readonly string[]> {
+    const found: string[] = [];
+    for (const engine of this.plan.engines) {
+      const port = (this.entries.get(engine.name)?.port ?? 0) as number;
+      if (this.processes.get(engine.name)?.isRunning !== true) continue;
+      const answer = await fetch(`http://127.0.0.1:${port}/holds`, {
+        signal: AbortSignal.timeout(1000),
+      }).catch(() => undefined);
+      if (answer !== undefined) found.push(...((await answer.json()) as { holds: string[] }).holds);
+    }
+    return found;
+  }
+
+  /** Waits until a condition holds; false where it does not in time. */
+  async waitFor(check: () => Promise<boolean> | boolean, mostMs = READY_MS): Promise<boolean> {
+    const end = performance.now() + mostMs;
+    while (performance.now() < end) {
+      if (await check()) return true;
+      await pause(STEP_MS);
+    }
+    return false;
+  }
+
+  /** Waits until instances are ready: all, or those named. */
+  async waitReady(names = this.plan.instances.map((item) => item.name)): Promise<void> {
+    const isReady = await this.waitFor(async () => {
+      const statuses = await Promise.all(names.map((name) => this.readStatus(name)));
+      const duties = statuses.flatMap((status) => (status?.duties ?? []) as string[]);
+      const isSeen = statuses.every(
+        (status) => ((status?.members ?? []) as string[]).length > 0 || names.length === 1,
+      );
+      const needed = new Set(names.map((name) => this.findDataCentre(name))).size;
+      const isHeld =
+        names.length < this.plan.instances.length ||
+        duties.filter((duty) => duty.startsWith("holder")).length >= needed;
+      return statuses.every((status) => status?.isReady === true) && isHeld && isSeen;
+    });
+    if (!isReady) throw new Error(`the fleet does not get ready; see ${this.workplace.folder}`);
+  }
+
+  private findDataCentre(name: string): string | undefined {
+    return this.entries.get(name)?.dataCentre as string | undefined;
+  }
+
+  private startProcess(name: string, start: () => Running): void {
+    this.starts.set(name, start);
+    this.processes.set(name, start());
+  }
+
+  private async startEndpoints(): Promise<Record<string, Endpoint>> {
+    const endpoints: Record<string, Endpoint> = {};
+    for (const plan of this.plan.engines) {
+      const [port = 0, proxyPort = 0] = await findPorts(2);
+      const slots = plan.role === "decode" ? 20 : 2;
+      const options = {
+        ...ENGINE_OPTIONS,
+        slots,
+        ...plan.options,
+        name: plan.name,
+        port,
+        role: plan.role,
+        historyFile: this.historyFile,
+      };
+      this.startProcess(plan.name, () =>
+        this.workplace.start(plan.name, "engine", [JSON.stringify(options)]),
+      );
+      await this.openProxy(plan.name, port, proxyPort);
+      this.entries.set(plan.name, {
+        name: plan.name,
+        kind: "endpoint",
+        dataCentre: plan.dataCentre,
+        address: "",
+        state: "live",
+        isListed: true,
+        port,
+      });
+      const { dataCentre, role } = plan;
+      endpoints[plan.name] = {
+        url: `http://127.0.0.1:${proxyPort}`,
+        dataCentre,
+        role,
+        models: [MODEL],
+        checksFence: true,
+        ...(plan.labels === undefined ? {} : { labels: plan.labels }),
+      };
+    }
+    const dataCentre = this.plan.instances[0]?.dataCentre ?? "";
+    for (const name of this.plan.services) {
+      const [port = 0, proxyPort = 0] = await findPorts(2);
+      this.startProcess(name, () =>
+        this.workplace.start(name, "service", [name, String(port), this.historyFile]),
+      );
+      await this.openProxy(name, port, proxyPort);
+      this.entries.set(name, {
+        name,
+        kind: "endpoint",
+        dataCentre,
+        address: "",
+        state: "live",
+        isListed: true,
+        port,
+      });
+      endpoints[name] = {
+        url: `http://127.0.0.1:${proxyPort}`,
+        dataCentre,
+        role: "service",
+        service: "sheets",
+      };
+    }
+    return endpoints;
+  }
+
+  private async openProxy(name: string, target: number, port: number): Promise<void> {
+    const proxy = new Proxy(target);
+    await proxy.listen(port);
+    this.proxies.set(name, proxy);
+  }
+
+  private async startInstances(): Promise<void> {
+    const dataCentres = [...new Set(this.plan.instances.map((item) => item.dataCentre))];
+    const logPorts = new Map<string, number>();
+    for (const dataCentre of dataCentres) {
+      const [port = 0] = await findPorts(1);
+      await this.openProxy(`log:${dataCentre}`, this.platformPort, port);
+      logPorts.set(dataCentre, port);
+    }
+    for (const { name, dataCentre } of this.plan.instances) {
+      const [callers = 0, peers = 0, operator = 0, ...proxyPorts] = await findPorts(
+        3 + dataCentres.length,
+      );
+      const addressFrom: Record<string, string> = {};
+      for (const [index, viewer] of dataCentres.entries()) {
+        const port = proxyPorts[index] ?? 0;
+        await this.openProxy(`peer:${viewer}>${name}`, peers, port);
+        addressFrom[viewer] = `127.0.0.1:${port}`;
+      }
+      this.entries.set(name, {
+        name,
+        kind: "instance",
+        dataCentre,
+        address: `127.0.0.1:${peers}`,
+        addressFrom,
+        state: "live",
+        isListed: true,
+      });
+      const log = `http://127.0.0.1:${logPorts.get(dataCentre) ?? 0}`;
+      const listen = (port: number) => ({ host: "127.0.0.1", port });
+      const settings = {
+        instance: name,
+        dataCentre,
+        callers: listen(callers),
+        peers: listen(peers),
+        operator: listen(operator),
+        platform: { log, list: `${log}/${dataCentre}` },
+        drainNoticeMs: 300,
+        ...this.plan.settings,
+      };
+      const file = this.workplace.path(`${name}.json`);
+      writeFileSync(file, JSON.stringify(settings));
+      this.callerPorts.set(name, callers);
+      this.operatorPorts.set(name, operator);
+      this.startProcess(name, () =>
+        this.workplace.start(name, "main", ["serve", "--settings", file]),
+      );
+    }
+  }
+
+  private createRecord(endpoints: Record<string, Endpoint>): unknown {
+    const dataCentres = Object.fromEntries(
+      this.plan.instances.map((item) => [item.dataCentre, {}]),
+    );
+    const workspace = { rate: 100_000, burst: 400_000, classes: ["usual", "urgent"] };
+    const keys = Object.fromEntries(
+      Object.entries(KEYS).map(([name, key]) => [hashKey(key), { workspace: name }]),
+    );
+    const document = {
+      workspaces: { large: workspace, small: workspace, other: workspace },
+      classes: {
+        usual: { weight: 1, firstTokenMs: 1100, betweenTokensMs: 60, patienceMs: 8000 },
+        urgent: { weight: 4, firstTokenMs: 1100, betweenTokensMs: 60, patienceMs: 8000 },
+      },
+      routes: {
+        drafting: { path: "/v1/completions", kind: "completion" },
+        chat: { path: "/v1/chat/completions", kind: "completion" },
+        issues: { path: "/sheets/issues", kind: "service", service: "sheets", repeatable: false },
+        sheets: { path: "/sheets", kind: "service", service: "sheets" },
+        notices: { path: "/notices", kind: "service", service: "sheets", open: true },
+      },
+      models: { [MODEL]: {} },
+      endpoints,
+      selectors: {},
+      keys,
+      dataCentres,
+      ...this.plan.configuration,
+    };
+    const changes = Object.entries(document).flatMap(([kind, objects]) =>
+      Object.entries(objects as Record<string, unknown>).map(([name, value]) => ({
+        kind,
+        name,
+        value,
+      })),
+    );
+    return { id: "first", basedOn: -1, changes };
+  }
+
+  private async append(record: unknown): Promise<void> {
+    await this.askPlatform("POST", "/streams/control/records", { records: [record] });
+  }
+
+  private async readVersion(): Promise<number> {
+    const statuses = await Promise.all(
+      this.plan.instances.map((item) => this.readStatus(item.name)),
+    );
+    return Math.max(...statuses.map((status) => Number(status?.configVersion ?? -1)));
+  }
+
+  private async waitForVersion(before: number): Promise<number | undefined> {
+    const isNewer = await this.waitFor(async () => (await this.readVersion()) > before, 3000);
+    return isNewer ? this.readVersion() : undefined;
+  }
+
+  private async putList(): Promise<void> {
+    const entries = [...this.entries.values()]
+      .filter((entry) => entry.isListed)
+      .map((entry) => ({ ...entry, isListed: undefined, port: undefined }));
+    await this.askPlatform("PUT", "/entries", { entries });
+  }
+
+  private async askPlatform(method: string, path: string, body?: unknown): Promise<unknown> {
+    const answer = await fetch(`${this.logUrl}${path}`, {
+      method,
+      ...(body === undefined ? {} : { body: JSON.stringify(body) }),
+      signal: AbortSignal.timeout(3000),
+    }).catch(() => undefined);
+    return answer?.json();
+  }
+}
+
+/** Starts a fleet. */
+export async function startFleet(plan: FleetPlan): Promise<Fleet> {
+  const fleet = new Fleet(plan);
+  await fleet.start().catch(async (error: unknown) => {
+    await fleet.close();
+    throw error;
+  });
+  return fleet;
+}
+
+/** The usual small fleet: three instances in two data centres, two prefill and two decode engines. */
+export const SMALL_FLEET: FleetPlan = {
+  instances: [
+    { name: "nizwa-1", dataCentre: "nizwa" },
+    { name: "nizwa-2", dataCentre: "nizwa" },
+    { name: "bahla-1", dataCentre: "bahla" },
+  ],
+  engines: [
+    { name: "prefill-1", dataCentre: "nizwa", role: "prefill" },
+    { name: "prefill-2", dataCentre: "bahla", role: "prefill" },
+    { name: "decode-1", dataCentre: "nizwa", role: "decode" },
+    { name: "decode-2", dataCentre: "bahla", role: "decode" },
+  ],
+  services: ["sheets-1", "sheets-2"],
+};
--- /dev/null
+++ b/test/harness/process.ts
@@ -0,0 +1,105 @@
+/**
+ * Starts processes of the product and of the stand-ins, from bundles made once a run.
+ */
+import { type ChildProcess, spawn } from "node:child_process";
+import { createWriteStream, mkdtempSync } from "node:fs";
+import { createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { buildSync } from "esbuild";
+
+/** What can be started. */
+export type Program = "main" | "platform" | "engine" | "service";
+
+const root = join(__dirname, "../..");
+
+/** A folder for one run: bundles, settings, logs and history. */
+export class Workplace {
+  readonly folder = mkdtempSync(join(tmpdir(), "gorsefold-"));
+
+  constructor() {
+    buildSync({
+      entryPoints: {
+        main: join(root, "src/main.ts"),
+        platform: join(root, "test/standin/platform.ts"),
+        engine: join(root, "test/standin/engine.ts"),
+        service: join(root, "test/standin/service.ts"),
+      },
+      bundle: true,
+      platform: "node",
+      target: "node20",
+      outdir: this.folder,
+      external: ["unix-dgram"],
+      logLevel: "error",
+    });
+  }
+
+  /** Names a file of the run. */
+  path(name: string): string {
+    return join(this.folder, name);
+  }
+
+  /** Starts a program; its output goes to a file. */
+  start(name: string, program: Program, args: readonly string[]): Running {
+    return new Running(
+      name,
+      [process.execPath, this.path(`${program}.js`), ...args],
+      this.path(`${name}.log`),
+    );
+  }
+}
+
+/** A started process. */
+export class Running {
+  private readonly child: ChildProcess;
+  readonly exited: Promise<number | null>;
+
+  constructor(
+    readonly name: string,
+    [command = "", ...args]: readonly string[],
+    logFile: string,
+  ) {
+    const output = createWriteStream(logFile, { flags: "a" });
+    this.child = spawn(command, args, { stdio: ["ignore", "pipe", "pipe"] });
+    this.child.stdout?.pipe(output);
+    this.child.stderr?.pipe(output, { end: false });
+    this.exited = new Promise((resolve) => {
+      this.child.on("exit", (code) => {
+        resolve(code);
+      });
+    });
+  }
+
+  get isRunning(): boolean {
+    return this.child.exitCode === null && this.child.signalCode === null;
+  }
+
+  /** Sends a signal; a stopped process is let go on where it has to end. */
+  signal(signal: NodeJS.Signals): void {
+    if (this.isRunning) this.child.kill(signal);
+  }
+
+  async kill(): Promise<void> {
+    this.signal("SIGKILL");
+    await this.exited;
+  }
+}
+
+/** Finds ports that are free now. */
+export async function findPorts(count: number): Promise<readonly number[]> {
+  const servers = await Promise.all(
+    Array.from(
+      { length: count },
+      () =>
+        new Promise<ReturnType<typeof createServer>>((resolve) => {
+          const server = createServer();
+          server.listen(0, "127.0.0.1", () => {
+            resolve(server);
+          });
+        }),
+    ),
+  );
+  const ports = servers.map((server) => (server.address() as { port: number }).port);
+  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
+  return ports;
+}
--- /dev/null
+++ b/test/path.spec.ts
@@ -0,0 +1,91 @@
+/**
+ * The whole path: callers to engines and back, in separate processes.
+ */
+import assert from "node:assert/strict";
+import { after, before, describe, it } from "node:test";
+import { callService, draft } from "./harness/callers";
+import { type Fleet, KEYS, MODEL, SMALL_FLEET, startFleet } from "./harness/fleet";
+
+describe("the whole path", () => {
+  let fleet: Fleet;
+  before(async () => {
+    fleet = await startFleet(SMALL_FLEET);
+  });
+  after(() => fleet.close());
+
+  it("answers completions whole at every instance", async () => {
+    const seen = await Promise.all(
+      ["nizwa-1", "nizwa-2", "bahla-1"].flatMap((name) =>
+        Array.from({ length: 5 }, (_, index) =>
+          draft({
+            url: fleet.url(name),
+            key: KEYS.large,
+            prompt: `survey ${name} ${index} `.repeat(50),
+            maxTokens: 20,
+          }),
+        ),
+      ),
+    );
+    assert.deepEqual(
+      seen.map((item) => [item.status, item.isWhole]),
+      seen.map(() => [200, true]),
+    );
+    assert.equal(
+      await fleet.waitFor(async () => (await fleet.readHolds()).length === 0, 3000),
+      true,
+    );
+  });
+
+  it("answers a plain call, and replays it by its idempotency key at another instance", async () => {
+    const call = {
+      path: "/sheets/issues",
+      key: KEYS.small,
+      body: { issue: "sarooj-1" },
+      headers: { "idempotency-key": "k1" },
+    };
+    const first = await callService({ url: fleet.url("nizwa-1"), ...call });
+    const again = await callService({ url: fleet.url("bahla-1"), ...call });
+    assert.deepEqual(
+      [first.status, first.replayed, again.status, again.replayed],
+      [200, false, 200, true],
+    );
+    assert.equal(again.text, first.text);
+    assert.equal(
+      fleet.readHistory().filter((event) => event.kind === "run" && event.issue === "sarooj-1")
+        .length,
+      1,
+    );
+  });
+
+  it("refuses bad input as not run, and at no engine's cost", async () => {
+    const url = fleet.url("nizwa-2");
+    const before = fleet.readHistory().length;
+    const post = (body: string, headers: Record<string, string>) =>
+      fetch(`${url}/v1/completions`, {
+        method: "POST",
+        headers: { "content-type": "application/json", ...headers },
+        body,
+      });
+    const good = JSON.stringify({ model: MODEL, prompt: "a", max_tokens: 2 });
+    const key = { authorization: `Bearer ${KEYS.large}` };
+    const answers = await Promise.all([
+      post(good, {}),
+      post(good, { authorization: "Bearer gf_nobody" }),
+      post("{", key),
+      post(JSON.stringify({ model: "none", prompt: "a" }), key),
+      post(good, { ...key, "x-priority-class": "none" }),
+      post(JSON.stringify({ model: MODEL, prompt: `a ${KEYS.large}` }), key),
+      fetch(`${url}/nowhere`, { headers: key }),
+    ]);
+    assert.deepEqual(
+      answers.map((answer) => answer.status),
+      [401, 401, 400, 404, 400, 400, 404],
+    );
+    for (const answer of answers) {
+      const { error } = (await answer.json()) as { error: { outcome: string } };
+      assert.equal(error.outcome, "not run");
+      assert.equal(answer.headers.get("x-gorsefold-outcome"), "not run");
+    }
+    assert.equal(fleet.readHistory().length, before);
+  });
+});
--- /dev/null
+++ b/test/standin/platform.ts
@@ -0,0 +1,148 @@
+/**
+ * Stand-in for the platform: the append-only log and the list of instances and endpoints. Faults
+ * are set by PUT /faults. Arguments: port, retention (records a stream keeps).
+ */
+import { answerJson, type JsonRequest, pause, serveJson } from "./http";
+
+interface StoredRecord {
+  readonly offset: number;
+  readonly record: unknown;
+}
+
+interface LogStream {
+  records: StoredRecord[];
+  end: number;
+  waiting: (() => void)[];
+}
+
+/** Faults of the platform. */
+interface Faults {
+  /** The log answers 503. */
+  down: boolean;
+  /** The log answers nothing at all. */
+  silent: boolean;
+  /** Each call to the log takes this much longer, in milliseconds. */
+  slowMs: number;
+  /** Appends take effect, and their answer is a broken connection. */
+  loseAnswers: boolean;
+  /** How far the list lags, in milliseconds. */
+  listLagMs: number;
+}
+
+interface Entry {
+  readonly name: string;
+  readonly kind: string;
+  readonly dataCentre: string;
+  readonly address: string;
+  /** Other addresses by the data centre that looks. */
+  readonly addressFrom?: Readonly<Record<string, string>>;
+  readonly state: string;
+}
+
+const APPENDS_PER_SECOND = 400;
+const PAGE_RECORDS = 1000;
+
+const [portText = "0", retentionText = "100000"] = process.argv.slice(2);
+const retention = Number(retentionText);
+const streams = new Map<string, LogStream>();
+const faults: Faults = {
+  down: false,
+  silent: false,
+  slowMs: 0,
+  loseAnswers: false,
+  listLagMs: 500,
+};
+let shown: readonly Entry[] = [];
+let appendTurn = 0;
+
+serveJson(Number(portText), async (request, response) => {
+  if (request.path === "/faults") {
+    Object.assign(faults, request.body);
+    answerJson(response, 200, faults);
+    return;
+  }
+  if (request.path === "/entries" || request.path.endsWith("/entries")) {
+    handleList(request, (body) => {
+      answerJson(response, 200, body);
+    });
+    return;
+  }
+  if (faults.silent) return;
+  if (faults.slowMs > 0) await pause(faults.slowMs);
+  if (faults.down) {
+    answerJson(response, 503, { error: "down" });
+    return;
+  }
+  const stream = findStream(request.path.split("/")[2] ?? "");
+  if (request.method === "POST") {
+    await waitTurn();
+    append(stream, request.body.records as unknown[]);
+    if (faults.loseAnswers) response.destroy();
+    else answerJson(response, 200, { end: stream.end });
+    return;
+  }
+  const from = Number(request.query.get("from") ?? 0);
+  if (from >= stream.end) await waitForRecord(stream, Number(request.query.get("wait") ?? 0));
+  const page = stream.records.filter((item) => item.offset >= from).slice(0, PAGE_RECORDS);
+  const next = (page.at(-1)?.offset ?? from - 1) + 1;
+  answerJson(response, 200, {
+    records: page,
+    next,
+    earliest: stream.records[0]?.offset ?? stream.end,
+    end: stream.end,
+  });
+});
+
+function handleList(request: JsonRequest, answer: (body: unknown) => void): void {
+  if (request.method === "PUT") {
+    const entries = request.body.entries as Entry[];
+    setTimeout(() => {
+      shown = entries;
+    }, faults.listLagMs);
+    answer({});
+    return;
+  }
+  const viewer = request.path.split("/")[1] ?? "";
+  const entries = shown.map(({ addressFrom, ...entry }) => ({
+    ...entry,
+    address: addressFrom?.[viewer] ?? entry.address,
+  }));
+  answer({ entries });
+}
+
+function findStream(name: string): LogStream {
+  const known = streams.get(name);
+  if (known !== undefined) return known;
+  const stream: LogStream = { records: [], end: 0, waiting: [] };
+  streams.set(name, stream);
+  return stream;
+}
+
+/** The log takes a limited number of appends a second. */
+async function waitTurn(): Promise<void> {
+  const now = performance.now();
+  appendTurn = Math.max(now, appendTurn) + 1000 / APPENDS_PER_SECOND;
+  if (appendTurn - now > 5) await pause(appendTurn - now);
+}
+
+function append(stream: LogStream, records: readonly unknown[]): void {
+  for (const record of records) {
+    stream.records.push({ offset: stream.end, record });
+    stream.end += 1;
+  }
+  stream.records = stream.records.slice(-retention);
+  const { waiting } = stream;
+  stream.waiting = [];
+  for (const wake of waiting) wake();
+}
+
+function waitForRecord(stream: LogStream, waitMs: number): Promise<void> {
+  if (waitMs === 0) return Promise.resolve();
+  return new Promise((resolve) => {
+    const timer = setTimeout(resolve, waitMs);
+    stream.waiting.push(() => {
+      clearTimeout(timer);
+      resolve();
+    });
+  });
+}
