Name a crashing request by its second crash, behind a middle box too

Cause: test/poison.spec.ts (a request that crashes each engine that runs it, 18 neighbours) saw 4 to 13 crashes. (1) Behind a proxy a dead engine accepts and resets, so it was not told from a cut; (2) a suspect in prefill did not keep others off its decode engine; (3) the likeliest culprit waited behind all resumed neighbours; (4) a non-relay instance never heard of members of other data centres, so each kept a book of its own for pools across data centres. Ruled out: stale reports (incarnations in the log lines matched); the ports of the harness did collide once (two engines on one port), which is mended too.

--- a/src/control/book.ts
+++ b/src/control/book.ts
@@ -18,7 +18,7 @@
 /** How long a prime suspect keeps others away; what has run for less when an engine crashes is one. */
 const PROBATION_MS = 1000;
 /** How long a prime suspect waits for an engine without any suspect. */
-const PRIME_WAIT_MS = 1500;
+const PRIME_WAIT_MS = 4000;
 /** Crashes after which a suspect runs beside no other at all. */
 const CRASHES_TO_ISOLATE = 2;
 const MAX_CACHED_BLOCKS = 50_000;
@@ -178,21 +178,30 @@
   private isKeptFrom(engine: string, item: WaitingRequest, now: Moment): boolean {
     const { suspects } = this.board;
     const { fingerprint } = item.want;
-    const others = this.listRunning(engine).filter((grant) =>
+    const others = this.listBound(engine).filter((grant) =>
       suspects.isSuspect(grant.want.fingerprint, now),
     );
     const isWaiting = suspects.isPrime(fingerprint) && now - item.arrivedAt < PRIME_WAIT_MS;
     if (isWaiting || suspects.countCrashes(fingerprint) >= CRASHES_TO_ISOLATE) {
       return others.length > 0;
     }
-    return others.some((grant) => this.isKeptApart(grant, now));
+    return others.some((grant) => this.isKeptApart(grant, engine, now));
   }
 
-  private isKeptApart(grant: Granted, now: Moment): boolean {
+  private isKeptApart(grant: Granted, engine: string, now: Moment): boolean {
     const { suspects } = this.board;
     const { fingerprint } = grant.want;
     if (suspects.countCrashes(fingerprint) >= CRASHES_TO_ISOLATE) return true;
-    return suspects.isPrime(fingerprint) && now - readStart(grant) < PROBATION_MS;
+    const start = grant.decode === engine ? grant.decodingSince : grant.grantedAt;
+    return suspects.isPrime(fingerprint) && now - (start ?? now) < PROBATION_MS;
+  }
+
+  /** Lists the requests that run on an engine, or will when their prefill is done. */
+  private listBound(engine: string): readonly Granted[] {
+    return [...this.granted.values()].filter(
+      (grant) =>
+        grant.decode === engine || (grant.prefill === engine && grant.decodingSince === undefined),
+    );
   }
 
   private countCached(engine: string, want: Want): number {
--- a/src/control/keeper.ts
+++ b/src/control/keeper.ts
@@ -32,7 +32,10 @@
 const GRANT_MS = 120_000;
 /** Requests whose caller has seen tokens go before all others. */
 const RESUMED_CLASS = "(resumed)";
-const RESUMED_WEIGHT = 1_000_000;
+const RESUMED_WEIGHT = 1e6;
+/** What ran into a crash before its first token is the likeliest culprit: the sooner it is known the better. */
+const SUSPECT_CLASS = "(suspect)";
+const SUSPECT_WEIGHT = 1e9;
 const LEAST_RETRY_MS = 250;
 const MOST_RETRY_MS = 10_000;
 
@@ -207,9 +210,9 @@
     const process = grant.prefill === done.engine ? grant.prefillProcess : grant.decodeProcess;
     const running = pool.book.listCrashed(done.engine, now);
     const isConfirmed = done.stage === Stage.crashed;
-    this.board.suspects.noteCrash(process, running, now, isConfirmed);
+    const isNew = this.board.suspects.noteCrash(process, running, now, isConfirmed);
     this.board.unreachable.set(done.engine, { deadline: now + UNREACHABLE_MS });
-    this.logger.warn("crash", { endpoint: done.engine, suspects: running.length });
+    if (isNew) this.logger.warn("crash", { process, isConfirmed, running: running.length });
   }
 
   private tick(): void {
@@ -355,8 +358,7 @@
   return {
     id: want.id,
     workspace: want.workspace,
-    priorityClass: want.resumed ? RESUMED_CLASS : want.class,
-    weight: want.resumed ? RESUMED_WEIGHT : weight,
+    ...chooseFlow(want, weight),
     cost: want.promptTokens + want.outputTokens,
     targetDeadline: now + remainingMs(want.firstTokenMs, workMs),
     deadline: now + remainingMs(want.patienceMs, workMs),
@@ -365,3 +367,9 @@
     session,
   };
 }
+
+function chooseFlow(want: Want, weight: number): Pick<WaitingRequest, "priorityClass" | "weight"> {
+  if (want.resumed) return { priorityClass: RESUMED_CLASS, weight: RESUMED_WEIGHT };
+  if (want.crashes.length > 0) return { priorityClass: SUSPECT_CLASS, weight: SUSPECT_WEIGHT };
+  return { priorityClass: want.class, weight };
+}
--- a/src/control/membership.ts
+++ b/src/control/membership.ts
@@ -8,7 +8,7 @@
 import type { Clock, Moment } from "../core/clock";
 import { remainingMs } from "../core/clock";
 import { chooseMember } from "../core/rendezvous";
-import type { HeartbeatMessage } from "../peer/gen/peer";
+import type { HeartbeatMessage, Member } from "../peer/gen/peer";
 import type { PeerLink } from "../peer/link";
 import type { ListEntry } from "../platform/list";
 import type { ControlReader } from "./control";
@@ -16,8 +16,8 @@
 const HEARTBEAT_MS = 300;
 /** A member that was not heard of for this long counts as not reachable. */
 const MEMBER_MS = 1200;
-/** How long a member of another data centre stays known: its news come by relay. */
-const FAR_MEMBER_MS = 2400;
+/** The same for one that was heard of through a relay, which leaves it out when it is gone. */
+const RELAYED_MEMBER_MS = 900;
 const PULL_MS = 2000;
 
 /** Who this process is. */
@@ -54,7 +54,7 @@
   /** Answers a heartbeat with one of our own. */
   onHeartbeat(message: HeartbeatMessage): HeartbeatMessage {
     this.takeMessage(message, this.clock.now());
-    return this.createMessage();
+    return this.createMessage(message.from?.dataCentre ?? this.self.dataCentre);
   }
 
   private beat(): void {
@@ -63,7 +63,11 @@
 
   private async sendTo(entry: ListEntry): Promise<void> {
     const sentAt = this.clock.now();
-    const result = await this.link.heartbeat(entry.address, this.createMessage(), MEMBER_MS)();
+    const result = await this.link.heartbeat(
+      entry.address,
+      this.createMessage(entry.dataCentre),
+      MEMBER_MS,
+    )();
     if (E.isLeft(result)) return;
     this.takeMessage(result.right, sentAt);
     if (result.right.controlNext > this.control.next) void this.pullFrom(entry.address);
@@ -103,19 +107,25 @@
     return chooseMember("relay", [...near, this.self.instance]) === this.self.instance;
   }
 
-  private createMessage(): HeartbeatMessage {
+  /**
+   * Lists the members that the receiver cannot hear itself: to another data centre those of this
+   * one, and from the relay to its own data centre those of all others.
+   */
+  private listMembers(receiver: string, now: Moment): Member[] {
+    const isFar = receiver !== this.self.dataCentre;
+    if (!isFar && !this.isRelay()) return [];
+    return [...this.board.members.values()]
+      .filter((member) => member.deadline > now && !member.isDraining)
+      .filter((member) => (member.dataCentre === this.self.dataCentre) === isFar)
+      .map(({ instance, incarnation, dataCentre }) => ({ instance, incarnation, dataCentre }));
+  }
+
+  private createMessage(receiver: string): HeartbeatMessage {
     const now = this.clock.now();
     const seenAt = this.board.controlSeenAt.read();
     return {
       from: { ...this.self },
-      members: [...this.board.members.values()]
-        .filter(
-          (member) =>
-            member.dataCentre === this.self.dataCentre &&
-            member.deadline > now &&
-            !member.isDraining,
-        )
-        .map(({ instance, incarnation, dataCentre }) => ({ instance, incarnation, dataCentre })),
+      members: this.listMembers(receiver, now),
       controlNext: this.control.next,
       controlAgeMs: Number.isFinite(seenAt) ? Math.ceil(now - seenAt) : -1,
       leavingEndpoints: [...this.board.leaving]
@@ -135,7 +145,7 @@
     this.noteMember({ ...from, deadline: now + MEMBER_MS, isDraining: message.draining });
     for (const member of message.members) {
       if (member.dataCentre === this.self.dataCentre) continue;
-      this.noteMember({ ...member, deadline: now + FAR_MEMBER_MS, isDraining: false });
+      this.noteMember({ ...member, deadline: now + RELAYED_MEMBER_MS, isDraining: false });
     }
     for (const leaving of message.leavingEndpoints) {
       const deadline = Math.max(
--- a/src/core/suspects.ts
+++ b/src/core/suspects.ts
@@ -58,19 +58,26 @@
    * @param process - which process crashed: its endpoint and its incarnation
    * @param running - all requests that ran there
    * @param isConfirmed - false where only connections broke
+   * @returns whether it was not known yet
    */
-  noteCrash(process: string, running: readonly Running[], now: Moment, isConfirmed = true): void {
-    if (this.noted.has(process)) return;
+  noteCrash(
+    process: string,
+    running: readonly Running[],
+    now: Moment,
+    isConfirmed = true,
+  ): boolean {
+    if (this.noted.has(process)) return false;
     this.noted.set(process, { deadline: now + SUSPECT_MS, isConfirmed });
     const suspected = running
       .map((item) => item.fingerprint)
       .filter((fingerprint) => this.isSuspect(fingerprint, now));
     for (const { fingerprint, isNew } of running) this.suspect(fingerprint, process, now, isNew);
     const [culprit] = suspected;
-    if (suspected.length !== 1 || culprit === undefined) return;
-    if (this.countCrashes(culprit) < CRASHES_TO_BAN) return;
+    if (suspected.length !== 1 || culprit === undefined) return true;
+    if (this.countCrashes(culprit) < CRASHES_TO_BAN) return true;
     this.culprits.add(culprit);
     this.banConfirmed(now);
+    return true;
   }
 
   /** Lists the processes that are said to have crashed. */
--- a/src/peer/gen/peer.ts
+++ b/src/peer/gen/peer.ts
@@ -41,7 +41,7 @@
   from:
     | Member
     | undefined;
-  /** Members of the sender's data centre that it hears itself. */
+  /** Members that the receiver cannot hear itself. */
   members: Member[];
   /** Offset from which the sender would read the control stream next. */
   controlNext: number;
--- a/test/config.spec.ts
+++ b/test/config.spec.ts
@@ -4,7 +4,8 @@
  */
 import assert from "node:assert/strict";
 import { after, before, describe, it } from "node:test";
-import { spawnSync } from "node:child_process";
+import { spawn, spawnSync } from "node:child_process";
+import { writeFileSync } from "node:fs";
 import { draft } from "./harness/callers";
 import { type Fleet, KEYS, SMALL_FLEET, startFleet } from "./harness/fleet";
 import { pause } from "./standin/http";
@@ -96,28 +97,18 @@
 
   it("has one winner of operators who race, told so by the command line, and the same everywhere", async () => {
     const main = fleet.workplace.path("main.js");
-    const run = (args: readonly string[]) =>
-      spawnSync(process.execPath, [main, ...args], {
-        env: { ...process.env, GORSEFOLD_LOG: fleet.logUrl, GORSEFOLD_LIST: fleet.logUrl },
-        encoding: "utf8",
-      });
-    const shown = JSON.parse(run(["config", "show", "--json"]).stdout) as {
+    const run = (args: readonly string[]) => runCommand(fleet, [main, ...args]);
+    const shown = JSON.parse((await run(["config", "show", "--json"])).stdout) as {
       configuration: Record<string, unknown>;
     };
     const document: Record<string, unknown> = { ...shown.configuration, keys: undefined };
-    const { writeFileSync } = await import("node:fs");
-    const { spawn } = await import("node:child_process");
     const exits = await Promise.all(
-      ["a", "b", "c", "d"].map((who) => {
+      ["a", "b", "c", "d"].map(async (who) => {
         const file = fleet.workplace.path(`race-${who}.json`);
         const selectors = { ...(document.selectors as object), race: { who: [who] } };
         writeFileSync(file, JSON.stringify({ ...document, selectors }));
-        const child = spawn(
-          process.execPath,
-          [main, "config", "publish", file, "--log", fleet.logUrl],
-          { stdio: "ignore" },
-        );
-        return new Promise<number | null>((resolve) => child.on("exit", resolve));
+        const { status } = await run(["config", "publish", file]);
+        return status;
       }),
     );
     assert.ok(exits.filter((code) => code === 0).length >= 1);
@@ -125,7 +116,7 @@
       exits.every((code) => code === 0 || code === 3),
       `exit codes ${exits.join(", ")}`,
     );
-    const key = run(["key", "create", "small", "--json", "--wait", "5"]);
+    const key = await run(["key", "create", "small", "--json", "--wait", "5"]);
     assert.equal(key.status, 0, `${key.stderr}${key.stdout}`);
     const made = JSON.parse(key.stdout) as { key: string; behind: string[] };
     assert.deepEqual(made.behind, []);
@@ -136,7 +127,7 @@
       maxTokens: 3,
     });
     assert.equal(seen.isWhole, true);
-    assert.equal(run(["key", "withdraw", made.key, "--wait", "5"]).status, 0);
+    assert.equal((await run(["key", "withdraw", made.key, "--wait", "5"])).status, 0);
     const refused = await draft({
       url: fleet.url("nizwa-2"),
       key: made.key,
@@ -144,7 +135,7 @@
       maxTokens: 3,
     });
     assert.equal(refused.reason, "key_withdrawn");
-    assert.match(run(["status"]).stdout, /nizwa-1 {2}nizwa {2}ready {2}version/);
+    assert.match((await run(["status"])).stdout, /nizwa-1 {2}nizwa {2}ready {2}version/);
   });
 
   it("is not published where it is not allowed, or where the log cannot be reached", () => {
@@ -176,3 +167,23 @@
   const page = (await answer.json()) as { records: { record: object }[] };
   return page.records.filter((item) => "foldedTo" in item.record).length;
 }
+
+interface Ended {
+  readonly status: number | null;
+  readonly stdout: string;
+  readonly stderr: string;
+}
+
+/** Runs a command without holding up the proxies, which live in this process. */
+function runCommand(fleet: Fleet, args: readonly string[]): Promise<Ended> {
+  const env = { ...process.env, GORSEFOLD_LOG: fleet.logUrl, GORSEFOLD_LIST: fleet.logUrl };
+  const child = spawn(process.execPath, args, { env, stdio: ["ignore", "pipe", "pipe"] });
+  const output = { stdout: "", stderr: "" };
+  child.stdout.on("data", (chunk: Buffer) => (output.stdout += String(chunk)));
+  child.stderr.on("data", (chunk: Buffer) => (output.stderr += String(chunk)));
+  return new Promise((resolve) => {
+    child.on("close", (status) => {
+      resolve({ status, ...output });
+    });
+  });
+}
--- a/test/harness/fleet.ts
+++ b/test/harness/fleet.ts
@@ -212,16 +212,21 @@
     const isReady = await this.waitFor(async () => {
       const statuses = await Promise.all(names.map((name) => this.readStatus(name)));
       const duties = statuses.flatMap((status) => (status?.duties ?? []) as string[]);
-      const isSeen = statuses.every(
-        (status) => ((status?.members ?? []) as string[]).length > 0 || names.length === 1,
-      );
+      const isSeen = statuses.every((status) => {
+        const members = (status?.members ?? []) as string[];
+        return names.every((name) => members.includes(name));
+      });
       const needed = new Set(names.map((name) => this.findDataCentre(name))).size;
       const isHeld =
         names.length < this.plan.instances.length ||
         duties.filter((duty) => duty.startsWith("holder")).length >= needed;
       return statuses.every((status) => status?.isReady === true) && isHeld && isSeen;
     });
-    if (!isReady) throw new Error(`the fleet does not get ready; see ${this.workplace.folder}`);
+    if (isReady) return;
+    const statuses = await Promise.all(names.map((name) => this.readStatus(name)));
+    throw new Error(
+      `the fleet does not get ready: ${JSON.stringify(statuses)}; see ${this.workplace.folder}`,
+    );
   }
 
   private findDataCentre(name: string): string | undefined {
--- a/test/harness/process.ts
+++ b/test/harness/process.ts
@@ -85,21 +85,34 @@
   }
 }
 
-/** Finds ports that are free now. */
+/** Ports below those that the system hands out by itself, in a range of this process's own. */
+const FIRST_PORT = 10_000;
+const PORTS_PER_PROCESS = 200;
+const RANGES = 100;
+let taken = 0;
+
+/** Finds ports that are free; none is named twice. */
 export async function findPorts(count: number): Promise<readonly number[]> {
-  const servers = await Promise.all(
-    Array.from(
-      { length: count },
-      () =>
-        new Promise<ReturnType<typeof createServer>>((resolve) => {
-          const server = createServer();
-          server.listen(0, "127.0.0.1", () => {
-            resolve(server);
-          });
-        }),
-    ),
-  );
-  const ports = servers.map((server) => (server.address() as { port: number }).port);
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
+  const ports: number[] = [];
+  while (ports.length < count) {
+    const port =
+      FIRST_PORT + (process.pid % RANGES) * PORTS_PER_PROCESS + (taken % PORTS_PER_PROCESS);
+    taken += 1;
+    if (await isFree(port)) ports.push(port);
+  }
   return ports;
 }
+
+function isFree(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.on("error", () => {
+      resolve(false);
+    });
+    server.listen(port, "127.0.0.1", () => {
+      server.close(() => {
+        resolve(true);
+      });
+    });
+  });
+}
