Demonstrate the whole path from the built binary; let the controller see all it controls

Cause: the demo was missing. Writing it and running the whole suite showed two faults. (1) In test/leaving.spec.ts 'orders bring an endpoint into its configured state' failed in 1 of 2 runs: a controller that neither kept the pool's book nor looked after the endpoint had no report of it, and gave no order.

--- a/src/control/prober.ts
+++ b/src/control/prober.ts
@@ -1,5 +1,5 @@
 /**
- * Reads the reports of the endpoints that this instance keeps the book of or looks after.
+ * Reads the reports of the endpoints that this instance keeps the book of, controls or looks after.
  */
 import * as E from "fp-ts/Either";
 import type { Board } from "../board/board";
@@ -34,6 +34,8 @@
     private readonly clock: Clock,
     /** Tells which pools this instance keeps the book of. */
     private readonly listKept: () => ReadonlySet<string>,
+    /** Tells whether this instance controls the endpoints of its data centre. */
+    private readonly isController: () => boolean,
   ) {}
 
   start(): void {
@@ -55,11 +57,17 @@
   probe(): void {
     const now = this.clock.now();
     const kept = this.listKept();
+    const isController = this.isController();
     const { endpoints } = this.board.config.read().configuration;
     for (const [name, endpoint] of Object.entries(endpoints)) {
       const poolName = endpoint.pool ?? endpoint.models?.[0] ?? "";
       const isKept = endpoint.role !== Role.service && kept.has(poolName);
-      if (isKept || isWatcher(this.board, this.self, name, endpoint.dataCentre, now)) {
+      const isControlled = isController && endpoint.dataCentre === this.self.dataCentre;
+      if (
+        isKept ||
+        isControlled ||
+        isWatcher(this.board, this.self, name, endpoint.dataCentre, now)
+      ) {
         void this.read(name, endpoint.url);
       }
     }
--- a/src/node.ts
+++ b/src/node.ts
@@ -119,7 +119,14 @@
     this.keeper = new Keeper(board, clock, policy, logger, metrics, () => {
       this.prober.probe();
     });
-    this.prober = new Prober(board, self, engines, clock, () => this.keeper.listKept());
+    this.prober = new Prober(
+      board,
+      self,
+      engines,
+      clock,
+      () => this.keeper.listKept(),
+      () => this.officer.readFence() !== undefined,
+    );
     this.prober.onReport((report) => {
       this.keeper.onReport(report);
     });
--- a/test/config.spec.ts
+++ b/test/config.spec.ts
@@ -4,10 +4,11 @@
  */
 import assert from "node:assert/strict";
 import { after, before, describe, it } from "node:test";
-import { spawn, spawnSync } from "node:child_process";
+import { spawnSync } from "node:child_process";
 import { writeFileSync } from "node:fs";
 import { draft } from "./harness/callers";
-import { type Fleet, KEYS, SMALL_FLEET, startFleet } from "./harness/fleet";
+import { type Fleet, startFleet } from "./harness/fleet";
+import { KEYS, SMALL_FLEET } from "./harness/plan";
 import { pause } from "./standin/http";
 
 const SECONDS_MS = 4000;
@@ -96,8 +97,7 @@
   });
 
   it("has one winner of operators who race, told so by the command line, and the same everywhere", async () => {
-    const main = fleet.workplace.path("main.js");
-    const run = (args: readonly string[]) => runCommand(fleet, [main, ...args]);
+    const run = (args: readonly string[]) => fleet.command(args);
     const shown = JSON.parse((await run(["config", "show", "--json"])).stdout) as {
       configuration: Record<string, unknown>;
     };
@@ -167,23 +167,3 @@
   const page = (await answer.json()) as { records: { record: object }[] };
   return page.records.filter((item) => "foldedTo" in item.record).length;
 }
-
-interface Ended {
-  readonly status: number | null;
-  readonly stdout: string;
-  readonly stderr: string;
-}
-
-/** Runs a command without holding up the proxies, which live in this process. */
-function runCommand(fleet: Fleet, args: readonly string[]): Promise<Ended> {
-  const env = { ...process.env, GORSEFOLD_LOG: fleet.logUrl, GORSEFOLD_LIST: fleet.logUrl };
-  const child = spawn(process.execPath, args, { env, stdio: ["ignore", "pipe", "pipe"] });
-  const output = { stdout: "", stderr: "" };
-  child.stdout.on("data", (chunk: Buffer) => (output.stdout += String(chunk)));
-  child.stderr.on("data", (chunk: Buffer) => (output.stderr += String(chunk)));
-  return new Promise((resolve) => {
-    child.on("close", (status) => {
-      resolve({ status, ...output });
-    });
-  });
-}
--- a/test/harness/callers.ts
+++ b/test/harness/callers.ts
@@ -4,7 +4,7 @@
 import { request } from "undici";
 import { computeAnswer } from "../standin/model";
 import { readMachineClock } from "../standin/http";
-import { MODEL } from "./fleet";
+import { MODEL } from "./plan";
 
 /** What a caller saw of one request. */
 export interface Seen {
--- a/test/harness/fleet.ts
+++ b/test/harness/fleet.ts
@@ -1,56 +1,23 @@
 /**
  * A fleet on one machine: entry instances, engines, a service and the platform, each a process.
  */
+import { spawn } from "node:child_process";
 import { existsSync, readFileSync, writeFileSync } from "node:fs";
-import type { Configuration, Endpoint } from "../../src/core/config";
-import { hashKey } from "../../src/core/ids";
+import type { Endpoint } from "../../src/core/config";
 import { type HistoryEvent, pause } from "../standin/http";
-import { findPorts, type Running, Workplace } from "./process";
+import { createRecord, ENGINE_OPTIONS, type FleetPlan, MODEL } from "./plan";
+import { findPorts, Running, Workplace } from "./process";
 import { Proxy } from "./proxy";
 
-/** One entry instance to be started. */
-export interface InstancePlan {
-  readonly name: string;
-  readonly dataCentre: string;
-}
-
-/** One engine to be started. */
-export interface EnginePlan {
-  readonly name: string;
-  readonly dataCentre: string;
-  readonly role: "prefill" | "decode";
-  readonly labels?: Readonly<Record<string, string>>;
-  readonly options?: Readonly<Record<string, unknown>>;
-}
-
-/** A fleet to be started. */
-export interface FleetPlan {
-  readonly instances: readonly InstancePlan[];
-  readonly engines: readonly EnginePlan[];
-  readonly services: readonly string[];
-  readonly configuration?: Partial<Configuration>;
-  readonly settings?: Readonly<Record<string, unknown>>;
-  readonly retention?: number;
+/** A command that has ended. */
+export interface Ended {
+  readonly status: number | null;
+  readonly stdout: string;
+  readonly stderr: string;
 }
 
 const READY_MS = 15_000;
 const STEP_MS = 50;
-export const MODEL = "drafter";
-
-/** Keys of the test workspaces, by workspace. */
-export const KEYS = { large: "gf_large", small: "gf_small", other: "gf_other" } as const;
-
-const ENGINE_OPTIONS = {
-  models: [MODEL],
-  stepMs: 10,
-  prefillTokensPerMs: 20,
-  transferTokensPerMs: 200,
-  exportMs: 800,
-  reportLagMs: 300,
-  checksFence: true,
-  cacheTokens: 50_000,
-};
-
 /** A running fleet. */
 export class Fleet {
   readonly workplace = new Workplace();
@@ -78,7 +45,7 @@
     );
     const endpoints = await this.startEndpoints();
     await this.waitFor(async () => (await this.askPlatform("GET", "/entries")) !== undefined);
-    await this.append(this.createRecord(endpoints));
+    await this.append(createRecord(this.plan, endpoints));
     await this.startInstances();
     await this.putList();
     await this.waitReady();
@@ -167,6 +134,26 @@
     return `http://127.0.0.1:${this.platformPort}`;
   }
 
+  /** Runs an operator's command, without holding up the proxies, which live in this process. */
+  command(args: readonly string[]): Promise<Ended> {
+    const [command = "", ...rest] = [...this.program, ...args];
+    const env = { ...process.env, GORSEFOLD_LOG: this.logUrl, GORSEFOLD_LIST: this.logUrl };
+    const child = spawn(command, rest, { env, stdio: ["ignore", "pipe", "pipe"] });
+    const output = { stdout: "", stderr: "" };
+    child.stdout.on("data", (chunk: Buffer) => (output.stdout += String(chunk)));
+    child.stderr.on("data", (chunk: Buffer) => (output.stderr += String(chunk)));
+    return new Promise((resolve) => {
+      child.on("close", (status) => {
+        resolve({ status, ...output });
+      });
+    });
+  }
+
+  private get program(): readonly string[] {
+    if (this.plan.binary !== undefined) return [this.plan.binary];
+    return [process.execPath, this.workplace.path("main.js")];
+  }
+
   /** Reads the status of an instance. */
   async readStatus(name: string): Promise<Record<string, unknown> | undefined> {
     const url = `http://127.0.0.1:${this.operatorPorts.get(name) ?? 0}/status`;
@@ -350,50 +337,18 @@
       writeFileSync(file, JSON.stringify(settings));
       this.callerPorts.set(name, callers);
       this.operatorPorts.set(name, operator);
-      this.startProcess(name, () =>
-        this.workplace.start(name, "main", ["serve", "--settings", file]),
+      this.startProcess(
+        name,
+        () =>
+          new Running(
+            name,
+            [...this.program, "serve", "--settings", file],
+            this.workplace.path(`${name}.log`),
+          ),
       );
     }
   }
 
-  private createRecord(endpoints: Record<string, Endpoint>): unknown {
-    const dataCentres = Object.fromEntries(
-      this.plan.instances.map((item) => [item.dataCentre, {}]),
-    );
-    const workspace = { rate: 100_000, burst: 400_000, classes: ["usual", "urgent"] };
-    const keys = Object.fromEntries(
-      Object.entries(KEYS).map(([name, key]) => [hashKey(key), { workspace: name }]),
-    );
-    const document = {
-      workspaces: { large: workspace, small: workspace, other: workspace },
-      classes: {
-        usual: { weight: 1, firstTokenMs: 1100, betweenTokensMs: 60, patienceMs: 8000 },
-        urgent: { weight: 4, firstTokenMs: 1100, betweenTokensMs: 60, patienceMs: 8000 },
-      },
-      routes: {
-        drafting: { path: "/v1/completions", kind: "completion" },
-        chat: { path: "/v1/chat/completions", kind: "completion" },
-        issues: { path: "/sheets/issues", kind: "service", service: "sheets", repeatable: false },
-        sheets: { path: "/sheets", kind: "service", service: "sheets" },
-        notices: { path: "/notices", kind: "service", service: "sheets", open: true },
-      },
-      models: { [MODEL]: {} },
-      endpoints,
-      selectors: {},
-      keys,
-      dataCentres,
-      ...this.plan.configuration,
-    };
-    const changes = Object.entries(document).flatMap(([kind, objects]) =>
-      Object.entries(objects as Record<string, unknown>).map(([name, value]) => ({
-        kind,
-        name,
-        value,
-      })),
-    );
-    return { id: "first", basedOn: -1, changes };
-  }
-
   private async append(record: unknown): Promise<void> {
     await this.askPlatform("POST", "/streams/control/records", { records: [record] });
   }
@@ -436,19 +391,3 @@
   });
   return fleet;
 }
-
-/** The usual small fleet: three instances in two data centres, two prefill and two decode engines. */
-export const SMALL_FLEET: FleetPlan = {
-  instances: [
-    { name: "nizwa-1", dataCentre: "nizwa" },
-    { name: "nizwa-2", dataCentre: "nizwa" },
-    { name: "bahla-1", dataCentre: "bahla" },
-  ],
-  engines: [
-    { name: "prefill-1", dataCentre: "nizwa", role: "prefill" },
-    { name: "prefill-2", dataCentre: "bahla", role: "prefill" },
-    { name: "decode-1", dataCentre: "nizwa", role: "decode" },
-    { name: "decode-2", dataCentre: "bahla", role: "decode" },
-  ],
-  services: ["sheets-1", "sheets-2"],
-};
--- a/test/keys.spec.ts
+++ b/test/keys.spec.ts
@@ -7,7 +7,8 @@
 import { Agent, request } from "undici";
 import { hashKey } from "../src/core/ids";
 import { callService, draft } from "./harness/callers";
-import { type Fleet, KEYS, MODEL, SMALL_FLEET, startFleet } from "./harness/fleet";
+import { type Fleet, startFleet } from "./harness/fleet";
+import { KEYS, MODEL, SMALL_FLEET } from "./harness/plan";
 import { pause } from "./standin/http";
 
 const SECONDS_MS = 3000;
--- a/test/leaving.spec.ts
+++ b/test/leaving.spec.ts
@@ -5,7 +5,8 @@
 import assert from "node:assert/strict";
 import { after, before, describe, it } from "node:test";
 import { draft, type Seen } from "./harness/callers";
-import { type Fleet, KEYS, SMALL_FLEET, startFleet } from "./harness/fleet";
+import { type Fleet, startFleet } from "./harness/fleet";
+import { KEYS, SMALL_FLEET } from "./harness/plan";
 import { pause, readMachineClock } from "./standin/http";
 
 const FEW_SECONDS_MS = 3000;
--- a/test/once.spec.ts
+++ b/test/once.spec.ts
@@ -5,7 +5,8 @@
 import assert from "node:assert/strict";
 import { after, before, describe, it } from "node:test";
 import { callService, type Seen } from "./harness/callers";
-import { type Fleet, KEYS, SMALL_FLEET, startFleet } from "./harness/fleet";
+import { type Fleet, startFleet } from "./harness/fleet";
+import { KEYS, SMALL_FLEET } from "./harness/plan";
 import { pause } from "./standin/http";
 
 describe("a call that may run once", () => {
--- a/test/path.spec.ts
+++ b/test/path.spec.ts
@@ -4,7 +4,8 @@
 import assert from "node:assert/strict";
 import { after, before, describe, it } from "node:test";
 import { callService, draft } from "./harness/callers";
-import { type Fleet, KEYS, MODEL, SMALL_FLEET, startFleet } from "./harness/fleet";
+import { type Fleet, startFleet } from "./harness/fleet";
+import { KEYS, MODEL, SMALL_FLEET } from "./harness/plan";
 
 describe("the whole path", () => {
   let fleet: Fleet;
