Work out once who looks after what, and pass on only members that can matter

Relays passed on the members of every data centre, 42 bytes each, three times a second. Ruled out: a cheaper hash alone, which leaves the product of nodes and runners. Change: the endpoints that an instance looks after are worked out when the configuration or the reachable instances change; a relay passes on only members of data centres that share a pool.

--- /dev/null
+++ b/measure/slopes.ts
@@ -0,0 +1,364 @@
+/**
+ * Measures the slopes that docs/CAPACITY.md is worked out from: bytes, microseconds and memory for
+ * each member, load report, claim, configuration record, decision, charge and so on, at four sizes
+ * or more, with the least-squares fit and its residual.
+ *
+ * Usage: npm run measure:slopes
+ */
+import { mkdirSync, writeFileSync } from "node:fs";
+import { createBoard } from "../src/board/board";
+import { Bucket } from "../src/core/bucket";
+import { Claims } from "../src/core/claims";
+import { ControlFold } from "../src/core/control";
+import { FairQueue, type Waiting } from "../src/core/fairqueue";
+import { type EngineView, ReservingPolicy } from "../src/core/placement";
+import { chooseMember } from "../src/core/rendezvous";
+import {
+  BookReply,
+  BookRequest,
+  ChargeReply,
+  ChargeRequest,
+  HeartbeatMessage,
+  LendReply,
+  LendRequest,
+  SettleRequest,
+} from "../src/peer/gen/peer";
+import { measureBytes, measureMemory, measureMicros, range } from "./fit";
+
+const member = (index: number) => ({
+  instance: `dc-${index % 18}-${index}`,
+  incarnation: `dc-${index % 18}-${index}/5f0c2a9b71d3`,
+  dataCentre: `dc-${index % 18}`,
+});
+const want = (index: number) => ({
+  id: `dc-1-4/5f0c2a9b71d3:${index}`,
+  workspace: `workspace-${index % 8300}`,
+  class: "clause",
+  model: "drafter",
+  route: "drafting",
+  pool: "drafter",
+  promptTokens: 1200,
+  outputTokens: 256,
+  firstTokenMs: 1100,
+  patienceMs: 8000,
+  blocks: [1, 2, 3, 4].map((part) => index * 1e6 + part),
+  fingerprint: "0123456789abcdef0123456789abcdef",
+  dataCentre: "dc-1",
+  exclude: [],
+  resumed: false,
+  crashes: [],
+});
+const view = (index: number): EngineView => ({
+  name: `e${index}`,
+  dataCentre: "dc-1",
+  slots: 20,
+  used: index % 20,
+  ahead: 0,
+  transfers: 0,
+  cached: 0,
+  hasSuspect: false,
+});
+
+void run();
+
+async function run(): Promise<void> {
+  const slopes = [
+    measureBytes(
+      "heartbeat, by members passed on",
+      [0, 8, 32, 128, 512],
+      (size) =>
+        HeartbeatMessage.encode({
+          from: member(0),
+          members: range(size).map(member),
+          controlNext: 1e6,
+          controlAgeMs: 300,
+          leavingEndpoints: [],
+          bans: [],
+          draining: false,
+        }).finish().length,
+    ),
+    measureBytes("book: one exchange, by requests in it", [1, 4, 16, 64], (size) => {
+      const done = range(size).flatMap((index) =>
+        ["decoding", "ended"].map((stage) => ({
+          id: want(index).id,
+          stage,
+          fault: "",
+          engine: "runner-17",
+        })),
+      );
+      const grants = range(size).map((index) => ({
+        id: want(index).id,
+        prefill: "runner-1",
+        decode: "runner-17",
+        candidates: 40,
+        reason: "lowest cost 12.5 ms; cached 0 tokens",
+        prefillProcess: "runner-1@0123456789ab",
+        decodeProcess: "runner-17@0123456789ab",
+        lateReserve: false,
+      }));
+      return (
+        BookRequest.encode({ wants: range(size).map(want), done }).finish().length +
+        BookReply.encode({ grants, refusals: [] }).finish().length
+      );
+    }),
+    measureBytes(
+      "charge and settle, by requests",
+      [1, 4, 16, 64],
+      (size) =>
+        size *
+        (ChargeRequest.encode({
+          chargeId: want(1).id,
+          workspace: "workspace-17",
+          tokens: 1456,
+          remainingMs: 1500,
+        }).finish().length +
+          ChargeReply.encode({ granted: true, retryAfterMs: 0, reason: "" }).finish().length +
+          SettleRequest.encode({
+            chargeId: want(1).id,
+            workspace: "workspace-17",
+            spent: false,
+            closed: true,
+            unused: 100,
+          }).finish().length),
+    ),
+    measureBytes(
+      "loan: asked, spent, settled, by loans",
+      [1, 4, 16, 64],
+      (size) =>
+        size *
+        (LendRequest.encode({
+          loanId: `${want(1).id}@dc-1`,
+          workspace: "workspace-17",
+          tokens: 1456,
+        }).finish().length +
+          LendReply.encode({ tokens: 1456 }).finish().length +
+          2 *
+            SettleRequest.encode({
+              chargeId: `${want(1).id}@dc-1`,
+              workspace: "workspace-17",
+              spent: true,
+              closed: true,
+              unused: 100,
+            }).finish().length),
+    ),
+    measureBytes(
+      "claim and outcome records, by claims",
+      [1, 10, 100, 1000],
+      (size) =>
+        JSON.stringify(
+          range(size).flatMap((index) => [
+            { id: want(index).id, claim: want(index).fingerprint, digest: want(index).fingerprint },
+            {
+              id: want(index).id,
+              outcomeOf: want(index).fingerprint,
+              claimId: want(index).id,
+              status: 200,
+              body: '{"sheet":"4711","sacks":3}',
+              type: "application/json",
+            },
+          ]),
+        ).length,
+    ),
+    measureBytes(
+      "configuration records, by changes",
+      [1, 10, 100, 1000],
+      (size) => JSON.stringify(range(size).map(createRecord)).length,
+    ),
+    measureBytes(
+      "snapshot, by workspaces",
+      [100, 1000, 4000, 8300],
+      (size) => JSON.stringify(foldWorkspaces(size).createSnapshot("s")).length,
+    ),
+    measureMicros(
+      "heartbeat encoded and decoded, by members passed on",
+      [0, 8, 32, 128, 512],
+      (size) => {
+        const message = {
+          from: member(0),
+          members: range(size).map(member),
+          controlNext: 1e6,
+          controlAgeMs: 300,
+          leavingEndpoints: [],
+          bans: [],
+          draining: false,
+        };
+        return () => void HeartbeatMessage.decode(HeartbeatMessage.encode(message).finish());
+      },
+    ),
+    measureMicros("book exchange encoded and decoded, by requests", [1, 4, 16, 64], (size) => {
+      const message = { wants: range(size).map(want), done: [] };
+      return () => void BookRequest.decode(BookRequest.encode(message).finish());
+    }),
+    measureMicros("placement decision, by pairs of engines", [8, 64, 400, 1600], (size) => {
+      const side = Math.round(Math.sqrt(size));
+      const views = range(side).map(view);
+      const policy = new ReservingPolicy();
+      return () =>
+        void policy.choose(
+          { promptTokens: 1200, isSuspect: false, dataCentre: "dc-1" },
+          views,
+          views,
+        );
+    }),
+    measureMicros("queue: push and take, by waiting workspaces", [10, 50, 200, 800], (size) => {
+      const queue = new FairQueue<Waiting>();
+      const push = (index: number) => {
+        queue.push({
+          id: `w${index}`,
+          workspace: `workspace-${index % size}`,
+          priorityClass: "clause",
+          weight: 1,
+          cost: 1200,
+          targetDeadline: 1e9,
+          deadline: 1e9,
+        });
+      };
+      range(size).forEach(push);
+      let next = size;
+      return () => {
+        push((next += 1));
+        queue.take(queue.listHeads(0)[0]?.id ?? "");
+      };
+    }),
+    measureMicros(
+      "charge and settle, by charges outstanding of the workspace",
+      [1, 50, 200, 800],
+      (size) => {
+        const bucket = new Bucket({ rate: 1e6, burst: 1e9 }, 0, 1e9);
+        for (const index of range(size)) bucket.charge(`c${index}`, 10, 1e12, 0);
+        let now = 0;
+        return () => {
+          now += 1;
+          bucket.charge("x", 10, 1e12, now);
+          bucket.settle("x", 5, now);
+        };
+      },
+    ),
+    measureMicros("configuration record folded, by workspaces", [100, 1000, 4000, 8300], (size) => {
+      const fold = foldWorkspaces(size);
+      return () => {
+        const { version } = fold.state;
+        fold.fold({
+          offset: fold.next,
+          record: {
+            id: "x",
+            basedOn: version,
+            changes: [{ kind: "selectors", name: "s", value: { a: [String(version)] } }],
+          },
+        });
+      };
+    }),
+    measureMicros("claim folded, by claims known", [100, 1000, 10_000, 50_000], (size) => {
+      const claims = foldClaims(size);
+      let next = size;
+      return () => {
+        claims.fold({ id: `c${(next += 1)}`, claim: `n${next}`, digest: "d" });
+      };
+    }),
+    measureMicros("rendezvous choice, by members", [8, 32, 128, 590], (size) => {
+      const names = range(size).map((index) => `dc-1-${index}`);
+      return () => void chooseMember("drafter", names);
+    }),
+    measureMemory("workspace in the configuration", [1000, 2000, 4000, 8300], foldWorkspaces),
+    measureMemory("claim with its answer", [5000, 10_000, 20_000, 40_000], foldClaims),
+    measureMemory("bucket", [1000, 2000, 4000, 8300], (size) =>
+      range(size).map((index) => [index, new Bucket({ rate: 1, burst: 1000 }, 0, 0)]),
+    ),
+    measureMemory("charge outstanding", [1000, 2000, 4000, 8000], (size) => {
+      const bucket = new Bucket({ rate: 1e6, burst: 1e9 }, 0, 1e9);
+      for (const index of range(size)) bucket.charge(want(index).id, 10, 1e12, 0);
+      return bucket;
+    }),
+    measureMemory("member, list entry and endpoint report", [100, 200, 400, 800], (size) => {
+      const board = createBoard();
+      for (const index of range(size)) {
+        board.members.set(member(index).instance, {
+          ...member(index),
+          deadline: index,
+          isDraining: false,
+        });
+        board.endpoints.set(`runner-${index}`, {
+          name: `runner-${index}`,
+          incarnation: "0123456789ab",
+          role: "decode",
+          models: ["drafter"],
+          slots: 20,
+          holds: range(20).map((hold) => `${want(index).id}-${hold}`),
+          queuedTokens: 0,
+          isDraining: false,
+          fence: 1,
+          reportedAt: index,
+        });
+      }
+      return board;
+    }),
+    measureMemory("request waiting in a book", [1000, 2000, 4000, 8000], (size) =>
+      range(size).map((index) => JSON.parse(JSON.stringify(want(index))) as unknown),
+    ),
+  ];
+  console.table(
+    slopes.map(({ what, unit, slope, base, residual }) => ({ what, unit, slope, base, residual })),
+  );
+  mkdirSync("measure/out", { recursive: true });
+  writeFileSync(
+    "measure/out/slopes.json",
+    JSON.stringify({ command: "npm run measure:slopes", slopes }, null, 2),
+  );
+  await Promise.resolve();
+}
+
+function createRecord(index: number): unknown {
+  return {
+    id: "6b0d2f7e-2a53-4b1e-9d0b-0f6a4c6b1c11",
+    basedOn: index - 1,
+    changes: [createWorkspaceChange(index)],
+  };
+}
+
+function createWorkspaceChange(index: number): unknown {
+  return {
+    kind: "workspaces",
+    name: `workspace-${index}`,
+    value: { rate: 2000, burst: 24_000, classes: ["clause", "schedule"] },
+  };
+}
+
+function foldWorkspaces(size: number): ControlFold {
+  const fold = new ControlFold();
+  const weights = ["clause", "schedule"].map((name) => ({
+    kind: "classes",
+    name,
+    value: { weight: 1, firstTokenMs: 1100, betweenTokensMs: 60, patienceMs: 8000 },
+  }));
+  const keys = range(size).map((index) => ({
+    kind: "keys",
+    name: String(index).padStart(64, "0"),
+    value: { workspace: `workspace-${index}` },
+  }));
+  fold.fold({
+    offset: 0,
+    record: {
+      id: "a",
+      basedOn: -1,
+      changes: [...weights, ...range(size).map(createWorkspaceChange), ...keys],
+    },
+  });
+  return fold;
+}
+
+function foldClaims(size: number): Claims {
+  const claims = new Claims();
+  for (const index of range(size)) {
+    const claim = `${index}`.padStart(32, "0");
+    claims.fold({ id: want(index).id, claim, digest: claim });
+    claims.fold({
+      id: `o${index}`,
+      outcomeOf: claim,
+      claimId: want(index).id,
+      status: 200,
+      body: `{"sheet":"${index}","sacks":3}`,
+      type: "application/json",
+    });
+  }
+  return claims;
+}
--- a/src/control/election.ts
+++ b/src/control/election.ts
@@ -31,20 +31,41 @@
 }
 
 /**
- * Checks whether this instance looks after an endpoint of its data centre: reads its reports,
- * notices that it leaves, and releases what the dead held there.
- *
- * @example
- * isWatcher(board, self, "decode-1", "nizwa", clock.now());
+ * The endpoints that this instance looks after: reads their reports, notices that they leave, and
+ * releases what the dead held there. Worked out anew only when the configuration or the reachable
+ * instances change.
  */
-export function isWatcher(
-  board: Board,
-  self: Self,
-  endpoint: string,
-  dataCentre: string,
-  now: Moment,
-): boolean {
-  const near = listReachable(board, self, now, new Set([dataCentre]));
-  const all = near.length > 0 ? near : listReachable(board, self, now);
-  return chooseMember(endpoint, all) === self.instance;
+export class Watchlist {
+  private basis = "";
+  private names: ReadonlySet<string> = new Set();
+
+  constructor(
+    private readonly board: Board,
+    private readonly self: Self,
+  ) {}
+
+  /** Lists the names of the endpoints. */
+  list(now: Moment): ReadonlySet<string> {
+    const { version, configuration } = this.board.config.read();
+    const reachable = [...listReachable(this.board, this.self, now)].sort();
+    const basis = `${version} ${reachable.join(" ")}`;
+    if (basis === this.basis) return this.names;
+    this.basis = basis;
+    const near = new Map<string, readonly string[]>();
+    const watched = Object.entries(configuration.endpoints).filter(([name, { dataCentre }]) => {
+      const members = near.get(dataCentre) ?? this.listNear(dataCentre, reachable, now);
+      near.set(dataCentre, members);
+      return (
+        members.includes(this.self.instance) && chooseMember(name, members) === this.self.instance
+      );
+    });
+    this.names = new Set(watched.map(([name]) => name));
+    return this.names;
+  }
+
+  /** The instances of a data centre, or all where none of them can be reached. */
+  private listNear(dataCentre: string, all: readonly string[], now: Moment): readonly string[] {
+    const near = listReachable(this.board, this.self, now, new Set([dataCentre]));
+    return near.length > 0 ? near : all;
+  }
 }
--- a/src/control/membership.ts
+++ b/src/control/membership.ts
@@ -7,6 +7,7 @@
 import type { Board, MemberView } from "../board/board";
 import type { Clock, Moment } from "../core/clock";
 import { remainingMs } from "../core/clock";
+import { listSharing } from "../core/pools";
 import { chooseMember } from "../core/rendezvous";
 import type { HeartbeatMessage, Member } from "../peer/gen/peer";
 import type { PeerLink } from "../peer/link";
@@ -109,14 +110,17 @@
 
   /**
    * Lists the members that the receiver cannot hear itself: to another data centre those of this
-   * one, and from the relay to its own data centre those of all others.
+   * one, and from the relay to its own data centre those of all that share a pool with it.
    */
   private listMembers(receiver: string, now: Moment): Member[] {
     const isFar = receiver !== this.self.dataCentre;
     if (!isFar && !this.isRelay()) return [];
+    const { configuration } = this.board.config.read();
+    const sharing = isFar ? undefined : listSharing(configuration, this.self.dataCentre);
     return [...this.board.members.values()]
       .filter((member) => member.deadline > now && !member.isDraining)
       .filter((member) => (member.dataCentre === this.self.dataCentre) === isFar)
+      .filter((member) => sharing?.has(member.dataCentre) !== false)
       .map(({ instance, incarnation, dataCentre }) => ({ instance, incarnation, dataCentre }));
   }
 
--- a/src/control/prober.ts
+++ b/src/control/prober.ts
@@ -6,7 +6,7 @@
 import type { Clock, Moment } from "../core/clock";
 import { Role } from "../core/config";
 import { type EndpointReport, type EngineClient, Fault } from "../endpoint/engine";
-import { isWatcher } from "./election";
+import type { Watchlist } from "./election";
 import type { Self } from "./membership";
 
 const PROBE_MS = 250;
@@ -32,6 +32,7 @@
     private readonly self: Self,
     private readonly engines: EngineClient,
     private readonly clock: Clock,
+    private readonly watchlist: Watchlist,
     /** Tells which pools this instance keeps the book of. */
     private readonly listKept: () => ReadonlySet<string>,
     /** Tells whether this instance controls the endpoints of its data centre. */
@@ -58,16 +59,13 @@
     const now = this.clock.now();
     const kept = this.listKept();
     const isController = this.isController();
+    const watched = this.watchlist.list(now);
     const { endpoints } = this.board.config.read().configuration;
     for (const [name, endpoint] of Object.entries(endpoints)) {
       const poolName = endpoint.pool ?? endpoint.models?.[0] ?? "";
       const isKept = endpoint.role !== Role.service && kept.has(poolName);
       const isControlled = isController && endpoint.dataCentre === this.self.dataCentre;
-      if (
-        isKept ||
-        isControlled ||
-        isWatcher(this.board, this.self, name, endpoint.dataCentre, now)
-      ) {
+      if (isKept || isControlled || watched.has(name)) {
         void this.read(name, endpoint.url);
       }
     }
--- a/src/control/sweeper.ts
+++ b/src/control/sweeper.ts
@@ -7,7 +7,7 @@
 import { readInstance, readOwner } from "../core/ids";
 import type { Logger } from "../core/log";
 import type { EngineClient } from "../endpoint/engine";
-import { isWatcher } from "./election";
+import type { Watchlist } from "./election";
 import { isGone } from "./lister";
 import type { Self } from "./membership";
 
@@ -22,6 +22,7 @@
     private readonly self: Self,
     private readonly engines: EngineClient,
     private readonly clock: Clock,
+    private readonly watchlist: Watchlist,
     private readonly logger: Logger,
   ) {}
 
@@ -36,14 +37,12 @@
   }
 
   private sweep(): void {
-    const now = this.clock.now();
-    for (const [name, endpoint] of Object.entries(
-      this.board.config.read().configuration.endpoints,
-    )) {
-      if (!isWatcher(this.board, this.self, name, endpoint.dataCentre, now)) continue;
-      const holds = (this.board.endpoints.get(name)?.holds ?? []).filter((hold) =>
-        this.isOrphan(hold),
-      );
+    const { endpoints } = this.board.config.read().configuration;
+    for (const name of this.watchlist.list(this.clock.now())) {
+      const endpoint = endpoints[name];
+      if (endpoint === undefined) continue;
+      const held = this.board.endpoints.get(name)?.holds ?? [];
+      const holds = held.filter((hold) => this.isOrphan(hold));
       if (holds.length === 0) continue;
       this.logger.info("sweep", { endpoint: name, holds });
       void this.engines.release(endpoint.url, holds)();
--- a/src/core/pools.ts
+++ b/src/core/pools.ts
@@ -54,6 +54,24 @@
   return [...near, ...serving.filter((pool) => !pool.dataCentres.has(dataCentre))];
 }
 
+/**
+ * Lists the data centres that share a pool with one: only their instances can be its keepers.
+ *
+ * @returns the data centres; undefined where it has no engines and uses the pools of all
+ * @example
+ * listSharing(configuration, "nizwa"); // Set { "nizwa", "bahla" }
+ */
+export function listSharing(
+  configuration: Configuration,
+  dataCentre: string,
+): ReadonlySet<string> | undefined {
+  const shared = [...listPools(configuration).values()].filter((pool) =>
+    pool.dataCentres.has(dataCentre),
+  );
+  if (shared.length === 0) return undefined;
+  return new Set(shared.flatMap((pool) => [...pool.dataCentres]));
+}
+
 function readPoolName(endpoint: Endpoint): string {
   return endpoint.pool ?? endpoint.models?.[0] ?? "";
 }
--- a/src/node.ts
+++ b/src/node.ts
@@ -8,6 +8,7 @@
 import { Claimer } from "./control/claimer";
 import { ControlReader } from "./control/control";
 import { Controller } from "./control/controller";
+import { Watchlist } from "./control/election";
 import { Holder } from "./control/holder";
 import { BASELINE, Keeper, RESERVING } from "./control/keeper";
 import { Ledger } from "./control/ledger";
@@ -115,6 +116,7 @@
     this.lister = new Lister(board, this.list, clock);
     this.control = new ControlReader(board, log, clock, ids, logger, () => this.isSnapshotDuty());
     this.membership = new Membership(board, self, link, this.control, clock);
+    const watchlist = new Watchlist(board, self);
     const policy = settings.policy === "baseline" ? BASELINE : RESERVING;
     this.keeper = new Keeper(board, clock, policy, logger, metrics, () => {
       this.prober.probe();
@@ -124,6 +126,7 @@
       self,
       engines,
       clock,
+      watchlist,
       () => this.keeper.listKept(),
       () => this.officer.readFence() !== undefined,
     );
@@ -132,7 +135,7 @@
     });
     this.booking = new Booking(board, self, this.keeper, link, clock);
     this.ledger = new Ledger(engines, clock, metrics);
-    this.sweeper = new Sweeper(board, self, engines, clock, logger);
+    this.sweeper = new Sweeper(board, self, engines, clock, watchlist, logger);
     this.holder = new Holder(board, self, link, clock);
     this.charger = new Charger(board, self, this.holder, link, clock);
     this.officer = new Officer(board, self, log, clock, ids, logger);
