--- a/measure/slopes.ts
+++ b/measure/slopes.ts
@@ -7,6 +7,7 @@
  */
 import { mkdirSync, writeFileSync } from "node:fs";
 import { createBoard } from "../src/board/board";
+import { Book } from "../src/control/book";
 import { Bucket } from "../src/core/bucket";
 import { Claims } from "../src/core/claims";
 import { ControlFold } from "../src/core/control";
@@ -200,6 +201,11 @@
           views,
         );
     }),
+    measureMicros(
+      "book: views of all engines for one decision, by engines",
+      [4, 8, 16, 32, 56],
+      prepareViews,
+    ),
     measureMicros("queue: push and take, by waiting workspaces", [10, 50, 200, 800], (size) => {
       const queue = new FairQueue<Waiting>();
       const push = (index: number) => {
@@ -307,6 +313,45 @@
   await Promise.resolve();
 }
 
+/** A book whose decode engines run twelve requests each. */
+function prepareViews(engines: number): () => void {
+  const board = createBoard();
+  const names = range(engines).map((index) => `runner-${index}`);
+  const decodes = names.map((name) => ({
+    name,
+    url: "",
+    dataCentre: "dc-1",
+    role: "decode" as const,
+    models: ["drafter"],
+  }));
+  const book = new Book(board);
+  for (const name of names) {
+    const report = { name, incarnation: "1", role: "decode", models: ["drafter"], slots: 20 };
+    const state = { holds: [], queuedTokens: 0, isDraining: false, fence: 0, reportedAt: 0 };
+    board.endpoints.set(name, { ...report, ...state });
+    for (const index of range(12)) {
+      const places = { prefill: "p", decode: name, prefillProcess: "", decodeProcess: "" };
+      const times = { grantedAt: 0, deadline: 1e9, decodingSince: 0 };
+      book.open({
+        want: { ...want(index), id: `${name}-${index}` },
+        session: "s",
+        ...places,
+        ...times,
+      });
+    }
+  }
+  const waiting = { id: "x", workspace: "w", priorityClass: "c", weight: 1, cost: 1 };
+  const item = {
+    ...waiting,
+    targetDeadline: 1,
+    deadline: 1,
+    want: want(0),
+    arrivedAt: 0,
+    session: "s",
+  };
+  return () => void book.listViews(decodes, item, 1);
+}
+
 function createRecord(index: number): unknown {
   return {
     id: "6b0d2f7e-2a53-4b1e-9d0b-0f6a4c6b1c11",
--- a/src/control/book.ts
+++ b/src/control/book.ts
@@ -48,6 +48,8 @@
 /** What runs on a pool's engines. */
 export class Book {
   private readonly granted = new Map<string, Granted>();
+  /** The same grants by the engines that they are on. */
+  private readonly byEngine = new Map<string, Set<Granted>>();
   private readonly ended = new Map<string, Moment>();
   private readonly fullUntil = new Map<string, Moment>();
   private readonly cachedOn = new Map<number, Set<string>>();
@@ -61,6 +63,9 @@
 
   open(grant: Granted): void {
     this.granted.set(grant.want.id, grant);
+    for (const engine of [grant.prefill, grant.decode]) {
+      this.byEngine.set(engine, this.listOn(engine).add(grant));
+    }
     for (const hash of grant.want.blocks) this.noteCached(hash, grant.prefill);
   }
 
@@ -74,14 +79,14 @@
   end(id: string, now: Moment): Granted | undefined {
     const grant = this.granted.get(id);
     if (grant === undefined) return undefined;
-    this.granted.delete(id);
+    this.forget(grant);
     this.ended.set(id, now + REPORT_LAG_MS);
     return grant;
   }
 
   /** Ends what came over a session that is gone; the engines' reports still count it. */
   endSession(session: string): void {
-    for (const [id, grant] of this.granted) if (grant.session === session) this.granted.delete(id);
+    for (const grant of this.granted.values()) if (grant.session === session) this.forget(grant);
   }
 
   /** Passes an engine over that refused for want of room. */
@@ -108,7 +113,7 @@
 
   /** Forgets what has lapsed. */
   prune(now: Moment): void {
-    for (const [id, grant] of this.granted) if (grant.deadline <= now) this.granted.delete(id);
+    for (const grant of this.granted.values()) if (grant.deadline <= now) this.forget(grant);
     for (const [id, deadline] of this.ended) if (deadline <= now) this.ended.delete(id);
   }
 
@@ -143,7 +148,7 @@
       (this.fullUntil.get(engine.name) ?? 0) > now;
     if (report === undefined || isPassedOver) return [];
     if (report.role !== engine.role || !report.models.includes(want.model)) return [];
-    const own = [...this.granted.values()];
+    const own = [...this.listOn(engine.name)];
     const onPrefill = own.filter(
       (grant) => grant.prefill === engine.name && grant.decodingSince === undefined,
     );
@@ -169,7 +174,7 @@
   }
 
   private listRunning(engine: string): readonly Granted[] {
-    return [...this.granted.values()].filter((grant) =>
+    return [...this.listOn(engine)].filter((grant) =>
       grant.decodingSince === undefined ? grant.prefill === engine : grant.decode === engine,
     );
   }
@@ -198,12 +203,21 @@
 
   /** Lists the requests that run on an engine, or will when their prefill is done. */
   private listBound(engine: string): readonly Granted[] {
-    return [...this.granted.values()].filter(
+    return [...this.listOn(engine)].filter(
       (grant) =>
         grant.decode === engine || (grant.prefill === engine && grant.decodingSince === undefined),
     );
   }
 
+  private listOn(engine: string): Set<Granted> {
+    return this.byEngine.get(engine) ?? new Set();
+  }
+
+  private forget(grant: Granted): void {
+    this.granted.delete(grant.want.id);
+    for (const engine of [grant.prefill, grant.decode]) this.byEngine.get(engine)?.delete(grant);
+  }
+
   private countCached(engine: string, want: Want): number {
     for (let position = want.blocks.length - 1; position >= 0; position -= 1) {
       const hash = want.blocks[position] ?? 0;
--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -20,6 +20,8 @@
 const COMPLETION_DEADLINE_MS = 120_000;
 const SERVICE_DEADLINE_MS = 10_000;
 const NOT_READY_RETRY_MS = 1000;
+/** How often connections are looked at for headers that come too slowly. */
+const CHECK_MS = 500;
 
 /** Limits on what a caller may send. */
 export interface CallerLimits {
@@ -56,9 +58,12 @@
     private readonly limits: CallerLimits,
     private readonly isReady: () => boolean,
   ) {
-    this.server = createServer({ requestTimeout: 0, keepAlive: true }, (request, response) => {
-      this.accept(request, response);
-    });
+    this.server = createServer(
+      { requestTimeout: 0, connectionsCheckingInterval: CHECK_MS },
+      (request, response) => {
+        this.accept(request, response);
+      },
+    );
     this.server.headersTimeout = limits.headersTimeoutMs;
     this.server.on("clientError", (error: Error & { code?: string }, socket: Socket) => {
       answerBadConnection(error, socket);
--- /dev/null
+++ b/test/pairs.spec.ts
@@ -0,0 +1,255 @@
+/**
+ * Faults in pairs, from a seeded schedule, under traffic; the promises are checked over the merged
+ * history of callers and stand-ins. The seed is printed; GORSEFOLD_SEED sets another one.
+ */
+import assert from "node:assert/strict";
+import { after, before, describe, it } from "node:test";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { hashKey } from "../src/core/ids";
+import { callService, draft, type Seen } from "./harness/callers";
+import { type Fleet, startFleet } from "./harness/fleet";
+import { KEYS, SMALL_FLEET } from "./harness/plan";
+import { pause, readMachineClock } from "./standin/http";
+
+const SEED = Number(process.env.GORSEFOLD_SEED ?? 20_261_203);
+const PAIRS = 6;
+const TRAFFIC_MS = 6000;
+const HOLDS_GONE_MS = 10_000;
+const NAMES = ["nizwa-1", "nizwa-2", "bahla-1"] as const;
+const ENGINES = ["prefill-1", "prefill-2", "decode-1", "decode-2"] as const;
+
+/** A fault: what it does, and what ends it. */
+interface Fault {
+  readonly name: string;
+  /** The instance that is killed, whose callers may see broken streams. */
+  readonly kills?: string;
+  begin(fleet: Fleet): Promise<void> | void;
+  end(fleet: Fleet): Promise<void> | void;
+}
+
+function createFaults(pick: (most: number) => number): readonly Fault[] {
+  const instance = NAMES[pick(NAMES.length)] ?? "nizwa-1";
+  const engine = ENGINES[pick(ENGINES.length)] ?? "decode-1";
+  const nothing = () => undefined;
+  return [
+    {
+      name: `kill ${instance}`,
+      kills: instance,
+      begin: (fleet) => fleet.kill(instance),
+      end: (fleet) => fleet.restart(instance),
+    },
+    {
+      name: `kill ${engine}`,
+      begin: (fleet) => fleet.kill(engine),
+      end: (fleet) => fleet.restart(engine),
+    },
+    {
+      name: `pause ${instance}`,
+      begin: (fleet) => {
+        fleet.signal(instance, "SIGSTOP");
+      },
+      end: (fleet) => {
+        fleet.signal(instance, "SIGCONT");
+      },
+    },
+    {
+      name: `pause ${engine}`,
+      begin: (fleet) => {
+        fleet.signal(engine, "SIGSTOP");
+      },
+      end: (fleet) => {
+        fleet.signal(engine, "SIGCONT");
+      },
+    },
+    {
+      name: `cut ${engine}`,
+      begin: (fleet) => {
+        fleet.proxies.get(engine)?.cut();
+      },
+      end: nothing,
+    },
+    {
+      name: `silence ${engine}`,
+      begin: (fleet) => {
+        fleet.proxies.get(engine)?.freeze();
+      },
+      end: nothing,
+    },
+    {
+      name: "log down",
+      begin: (fleet) => fleet.setFaults({ down: true }),
+      end: (fleet) => fleet.setFaults({ down: false }),
+    },
+    {
+      name: "log loses answers",
+      begin: (fleet) => fleet.setFaults({ loseAnswers: true }),
+      end: (fleet) => fleet.setFaults({ loseAnswers: false }),
+    },
+    {
+      name: "log slow",
+      begin: (fleet) => fleet.setFaults({ slowMs: 1500 }),
+      end: (fleet) => fleet.setFaults({ slowMs: 0 }),
+    },
+    {
+      name: "bahla cut off",
+      begin: (fleet) => {
+        fleet.setCut("bahla", true);
+      },
+      end: (fleet) => {
+        fleet.setCut("bahla", false);
+      },
+    },
+    {
+      name: "key withdrawn",
+      begin: async (fleet) =>
+        void (await fleet.put("keys", hashKey(KEYS.other), {
+          workspace: "other",
+          withdrawn: true,
+        })),
+      end: async (fleet) =>
+        void (await fleet.put("keys", hashKey(KEYS.other), { workspace: "other" })),
+    },
+  ];
+}
+
+interface Sent {
+  readonly name: string;
+  readonly at: string;
+  readonly isCancelled: boolean;
+  readonly seen: Seen;
+}
+
+describe(`pairs of faults, seed ${SEED}`, () => {
+  const random = xoroshiro128plus(SEED);
+  const pick = (most: number) => uniformInt(random, 0, most - 1);
+  let fleet: Fleet;
+  let turn = 0;
+  before(async () => {
+    fleet = await startFleet(SMALL_FLEET);
+  });
+  after(() => fleet.close());
+
+  const sendDraft = async (index: number, sent: Sent[]): Promise<void> => {
+    const at = NAMES[index % 3] ?? "nizwa-1";
+    const abort = new AbortController();
+    const isCancelled = index % 7 === 3;
+    const timer = isCancelled
+      ? setTimeout(
+          () => {
+            abort.abort();
+          },
+          50 + ((index * 37) % 400),
+        )
+      : undefined;
+    const key = index % 5 === 0 ? KEYS.other : KEYS.large;
+    const name = `${turn}-draft-${index}`;
+    const seen = await draft({
+      url: fleet.url(at),
+      key,
+      prompt: `${name} `.repeat(30),
+      maxTokens: 40,
+      signal: abort.signal,
+    });
+    clearTimeout(timer);
+    sent.push({ name, at, isCancelled, seen });
+  };
+  const sendIssue = async (index: number, sent: Sent[]): Promise<void> => {
+    const name = `${turn}-issue-${index}`;
+    for (let attempt = 0; attempt < 2; attempt += 1) {
+      const at = NAMES[(index + attempt) % 3] ?? "nizwa-1";
+      const seen = await callService({
+        url: fleet.url(at),
+        path: "/sheets/issues",
+        key: KEYS.small,
+        body: { issue: name },
+        headers: { "idempotency-key": name },
+      });
+      sent.push({ name, at, isCancelled: false, seen });
+      if (seen.status === 200) return;
+    }
+  };
+  const sendTraffic = async (): Promise<{ drafts: Sent[]; issues: Sent[] }> => {
+    const drafts: Sent[] = [];
+    const issues: Sent[] = [];
+    const calls: Promise<void>[] = [];
+    const end = readMachineClock() + TRAFFIC_MS;
+    for (let index = 0; readMachineClock() < end; index += 1) {
+      calls.push(sendDraft(index, drafts));
+      if (index % 2 === 0) calls.push(sendIssue(index, issues));
+      await pause(50);
+    }
+    await Promise.all(calls);
+    return { drafts, issues };
+  };
+
+  for (let pair = 0; pair < PAIRS; pair += 1) {
+    const faults = createFaults(pick);
+    const first = faults[pick(faults.length)];
+    const second = createFaults(pick)[pick(faults.length)];
+    if (first === undefined || second === undefined) continue;
+    it(`${first.name}, and ${second.name}`, async () => {
+      turn += 1;
+      const traffic = sendTraffic();
+      await pause(1000);
+      await first.begin(fleet);
+      await pause(500);
+      await second.begin(fleet);
+      await pause(2000);
+      await first.end(fleet);
+      await second.end(fleet);
+      const { drafts, issues } = await traffic;
+      const killed = new Set([first.kills, second.kills]);
+      const cut = drafts.filter(
+        (item) =>
+          item.seen.status === 200 &&
+          !item.seen.isWhole &&
+          !item.isCancelled &&
+          item.seen.reason === "" &&
+          !killed.has(item.at),
+      );
+      assert.deepEqual(
+        cut.map((item) => item.name),
+        [],
+        "a stream was cut with no word",
+      );
+      checkIssues(fleet, issues);
+      const isClear = await fleet.waitFor(
+        async () => (await fleet.readHolds()).length === 0,
+        HOLDS_GONE_MS,
+      );
+      assert.ok(isClear, `holds are left: ${(await fleet.readHolds()).join(", ")}`);
+      assert.equal(fleet.readHistory().filter((event) => event.kind === "leak").length, 0);
+      await fleet.waitReady();
+      const late = await Promise.all(
+        NAMES.map((name) =>
+          draft({ url: fleet.url(name), key: KEYS.large, prompt: `after ${turn}`, maxTokens: 5 }),
+        ),
+      );
+      assert.deepEqual(
+        late.map((seen) => seen.isWhole),
+        [true, true, true],
+        JSON.stringify(late.map((seen) => seen.reason)),
+      );
+    });
+  }
+});
+
+function checkIssues(fleet: Fleet, issues: readonly Sent[]): void {
+  const runs = new Map<unknown, number>();
+  for (const event of fleet.readHistory()) {
+    if (event.kind === "run") runs.set(event.issue, (runs.get(event.issue) ?? 0) + 1);
+  }
+  for (const name of new Set(issues.map((item) => item.name))) {
+    const seen = issues.filter((item) => item.name === name).map((item) => item.seen);
+    const count = runs.get(name) ?? 0;
+    assert.ok(count <= 1, `${name} ran ${count} times`);
+    if (seen.some((answer) => answer.status === 200))
+      assert.equal(count, 1, `${name} was answered and did not run`);
+    if (count === 1)
+      assert.ok(
+        seen.some((answer) => answer.outcome !== "not run"),
+        `${name} ran, and all were told that it did not`,
+      );
+  }
+}
--- a/test/path.spec.ts
+++ b/test/path.spec.ts
@@ -2,6 +2,7 @@
  * The whole path: callers to engines and back, in separate processes.
  */
 import assert from "node:assert/strict";
+import { connect } from "node:net";
 import { after, before, describe, it } from "node:test";
 import { callService, draft } from "./harness/callers";
 import { type Fleet, startFleet } from "./harness/fleet";
@@ -10,7 +11,8 @@
 describe("the whole path", () => {
   let fleet: Fleet;
   before(async () => {
-    fleet = await startFleet(SMALL_FLEET);
+    const settings = { headersTimeoutMs: 1000, maxBodyBytes: 4096 };
+    fleet = await startFleet({ ...SMALL_FLEET, settings });
   });
   after(() => fleet.close());
 
@@ -89,4 +91,29 @@
     }
     assert.equal(fleet.readHistory().length, before);
   });
+
+  it("refuses a body that is too large, and headers that come too slowly", async () => {
+    const headers = { authorization: `Bearer ${KEYS.large}` };
+    const url = `${fleet.url("nizwa-1")}/v1/completions`;
+    const large = await fetch(url, { method: "POST", headers, body: "x".repeat(5000) });
+    const { error } = (await large.json()) as { error: { type: string; outcome: string } };
+    assert.deepEqual([large.status, error.type, error.outcome], [413, "body_too_large", "not run"]);
+    const answer = await sendSlowly(fleet.callerPorts.get("nizwa-1") ?? 0);
+    assert.match(answer, /^HTTP\/1\.1 408 /);
+    assert.match(answer, /"outcome":"not run"/);
+  });
 });
+
+/** Sends the beginning of a request, and reads what comes back. */
+function sendSlowly(port: number): Promise<string> {
+  return new Promise((resolve) => {
+    const socket = connect(port, "127.0.0.1", () => {
+      socket.write("POST /v1/completions HTTP/1.1\r\nhost: a\r\nx-slow: ");
+    });
+    let received = "";
+    socket.on("data", (chunk: Buffer) => (received += String(chunk)));
+    socket.on("close", () => {
+      resolve(received);
+    });
+  });
+}
