--- a/src/control/charger.ts
+++ b/src/control/charger.ts
@@ -5,7 +5,7 @@
 import * as E from "fp-ts/Either";
 import type { Board } from "../board/board";
 import type { Clock, Moment } from "../core/clock";
-import { remainingMs } from "../core/clock";
+import { computeLeftMs } from "../core/clock";
 import { Duty, findAssignment } from "../core/duties";
 import { readInstance } from "../core/ids";
 import { createNotRun, Reason, type Refusal } from "../core/outcome";
@@ -69,7 +69,7 @@
     const deadline = this.clock.now() + CHARGE_CALL_MS;
     let retryAfterMs: number | undefined;
     for (const holder of this.listHolders()) {
-      const left = remainingMs(deadline, this.clock.now());
+      const left = computeLeftMs(deadline, this.clock.now());
       if (left === 0) break;
       const reply = await this.ask(
         holder,
--- a/src/control/keeper.ts
+++ b/src/control/keeper.ts
@@ -4,7 +4,7 @@
  */
 import type { Board } from "../board/board";
 import type { Clock, Moment } from "../core/clock";
-import { remainingMs } from "../core/clock";
+import { computeLeftMs } from "../core/clock";
 import { FairQueue, FifoQueue, type RequestQueue } from "../core/fairqueue";
 import type { Logger } from "../core/log";
 import { type Metrics, Metric } from "../core/metrics";
@@ -364,8 +364,8 @@
     workspace: want.workspace,
     ...chooseFlow(want, weight),
     cost: want.promptTokens + want.outputTokens,
-    targetDeadline: now + remainingMs(want.firstTokenMs, workMs),
-    deadline: now + remainingMs(want.patienceMs, workMs),
+    targetDeadline: now + computeLeftMs(want.firstTokenMs, workMs),
+    deadline: now + computeLeftMs(want.patienceMs, workMs),
     want,
     arrivedAt: now,
     session,
--- a/src/control/membership.ts
+++ b/src/control/membership.ts
@@ -6,7 +6,7 @@
 import * as E from "fp-ts/Either";
 import type { Board, MemberView } from "../board/board";
 import type { Clock, Moment } from "../core/clock";
-import { remainingMs } from "../core/clock";
+import { computeLeftMs } from "../core/clock";
 import { listSharing } from "../core/pools";
 import { chooseMember } from "../core/rendezvous";
 import type { HeartbeatMessage, Member } from "../peer/gen/peer";
@@ -134,10 +134,10 @@
       controlAgeMs: Number.isFinite(seenAt) ? Math.ceil(now - seenAt) : -1,
       leavingEndpoints: [...this.board.leaving]
         .filter(([, deadline]) => deadline > now)
-        .map(([name, deadline]) => ({ name, remainingMs: remainingMs(deadline, now) })),
+        .map(([name, deadline]) => ({ name, remainingMs: computeLeftMs(deadline, now) })),
       bans: this.board.suspects
         .listBans(now)
-        .map((ban) => ({ name: ban.fingerprint, remainingMs: remainingMs(ban.deadline, now) })),
+        .map((ban) => ({ name: ban.fingerprint, remainingMs: computeLeftMs(ban.deadline, now) })),
       draining: this.board.draining.read(),
     };
   }
--- a/src/core/clock.ts
+++ b/src/core/clock.ts
@@ -39,8 +39,8 @@
  * @param now - the present moment
  * @returns milliseconds left, never below zero, rounded down
  * @example
- * remainingMs(1500, 1000); // 500
+ * computeLeftMs(1500, 1000); // 500
  */
-export function remainingMs(deadline: Moment, now: Moment): number {
+export function computeLeftMs(deadline: Moment, now: Moment): number {
   return Math.max(0, Math.floor(deadline - now));
 }
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -5,7 +5,7 @@
 import * as E from "fp-ts/Either";
 import { Stage } from "../control/keeper";
 import type { Moment } from "../core/clock";
-import { remainingMs } from "../core/clock";
+import { computeLeftMs } from "../core/clock";
 import { readOwner } from "../core/ids";
 import { Metric } from "../core/metrics";
 import { EngineError, Fault, type PrefillResult } from "../endpoint/engine";
@@ -127,7 +127,7 @@
     const { id } = this.grant;
     const deadline = this.request.deadline + HOLD_MARGIN_MS;
     ledger.open(id, url, deadline);
-    const ttlMs = remainingMs(deadline, clock.now());
+    const ttlMs = computeLeftMs(deadline, clock.now());
     const result = await engines.reserve(url, { hold: id, owner: readOwner(id), ttlMs })();
     if (this.request.signal.aborted) return new EngineError(Fault.cancelled, "given up");
     return E.isLeft(result) ? result.left : undefined;
@@ -136,7 +136,7 @@
   private async prefill(url: string): Promise<E.Either<EngineError, PrefillResult>> {
     const { completion, priorityClass, deadline, signal } = this.request;
     const { progress } = this;
-    const left = remainingMs(deadline, this.parts.clock.now());
+    const left = computeLeftMs(deadline, this.parts.clock.now());
     const result = await this.parts.engines.prefill(url, {
       attempt: this.grant.id,
       model: completion.model,
--- a/src/entry/caller.ts
+++ b/src/entry/caller.ts
@@ -108,9 +108,9 @@
  *
  * @param parts - path, forwarded headers and body
  * @example
- * containsKey("gf_abc", ["/sheets?key=gf_abc"]); // true
+ * hasKey("gf_abc", ["/sheets?key=gf_abc"]); // true
  */
-export function containsKey(key: string | undefined, parts: readonly string[]): boolean {
+export function hasKey(key: string | undefined, parts: readonly string[]): boolean {
   if (key === undefined) return false;
   return parts.some((part) => part.includes(key) || decodePart(part).includes(key));
 }
--- a/src/entry/plain.ts
+++ b/src/entry/plain.ts
@@ -11,7 +11,7 @@
 import type { RetryBudget } from "../core/budget";
 import type { RecordedAnswer } from "../core/claims";
 import type { Clock, Moment } from "../core/clock";
-import { remainingMs } from "../core/clock";
+import { computeLeftMs } from "../core/clock";
 import { type Route, Role } from "../core/config";
 import { computeFingerprint, type IdSource } from "../core/ids";
 import { checkSelector, type Selector } from "../core/labels";
@@ -145,7 +145,7 @@
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
       const chosen = this.choose(request, excluded);
       if (E.isLeft(chosen)) return chosen;
-      const left = remainingMs(request.deadline, this.parts.clock.now());
+      const left = computeLeftMs(request.deadline, this.parts.clock.now());
       const answer = await this.send(request, chosen.right, left);
       if (E.isRight(answer)) return E.right({ ...answer.right, isReplayed: false });
       if (answer.left.isSent) {
@@ -197,7 +197,7 @@
     fingerprint: string,
   ): Promise<E.Either<ServiceError, ServiceAnswer>> {
     const { board, clock } = this.parts;
-    const left = Math.min(ATTEMPT_MS, remainingMs(request.deadline, clock.now()));
+    const left = Math.min(ATTEMPT_MS, computeLeftMs(request.deadline, clock.now()));
     const send = () => this.send(request, endpoint, left);
     const answer = await (board.suspects.isSuspect(fingerprint, clock.now())
       ? this.sendAlone(send)
--- a/src/entry/runner.ts
+++ b/src/entry/runner.ts
@@ -9,7 +9,7 @@
 import type { Ledger } from "../control/ledger";
 import type { RetryBudget } from "../core/budget";
 import type { Clock, Moment } from "../core/clock";
-import { remainingMs } from "../core/clock";
+import { computeLeftMs } from "../core/clock";
 import type { IdSource } from "../core/ids";
 import type { Logger } from "../core/log";
 import { Metric, type Metrics } from "../core/metrics";
@@ -98,7 +98,7 @@
     const unlisten = board.config.onWrite(() => {
       if (isCut(board, this.request.caller)) this.cancel(Reason.keyWithdrawn);
     });
-    const left = remainingMs(this.request.deadline, clock.now());
+    const left = computeLeftMs(this.request.deadline, clock.now());
     const timer = setTimeout(() => {
       this.cancel(Reason.deadline);
     }, left);
@@ -268,9 +268,9 @@
     const now = parts.clock.now();
     const done = progress.texts.length;
     const isResumed = done > 0;
-    const left = remainingMs(request.deadline, now);
-    const targetMs = remainingMs(arrivedAt + priorityClass.firstTokenMs, now);
-    const patienceMs = remainingMs(arrivedAt + priorityClass.patienceMs, now);
+    const left = computeLeftMs(request.deadline, now);
+    const targetMs = computeLeftMs(arrivedAt + priorityClass.firstTokenMs, now);
+    const patienceMs = computeLeftMs(arrivedAt + priorityClass.patienceMs, now);
     return {
       id: parts.ids.next(),
       workspace: request.caller.workspace,
--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -11,7 +11,7 @@
 import { countTokens } from "../core/tokens";
 import { Metric } from "../core/metrics";
 import { AnswerHeader, writeRefusal } from "./answer";
-import { type Caller, containsKey, identifyCaller, readKey } from "./caller";
+import { type Caller, hasKey, identifyCaller, readKey } from "./caller";
 import { chooseClass, parseCompletion } from "./completion";
 import { chooseHeaders, type PlainAnswer, type PlainRouter } from "./plain";
 import { CompletionRun, type RunnerParts } from "./runner";
@@ -177,7 +177,7 @@
       ...Object.values(chooseHeaders(request.headers)),
       body.toString("latin1"),
     ];
-    if (!containsKey(key, parts)) return undefined;
+    if (!hasKey(key, parts)) return undefined;
     return createNotRun(
       400,
       Reason.keyInRequest,
