Hold every order to a lease of the log, and say what was seen to fail first

Cause: npm run prove gave orders under made-up fencing numbers, and test/leaving.spec.ts passed when they happened to rise. Change: the test also holds each number against the controller's records in the log. Before: not noticed. After: noticed (node scripts/prove.mjs orders); test/leaving.spec.ts 4 of 4.

--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -165,10 +165,10 @@
     pattern: "told to stop|^leaving",
   },
   {
-    name: "orders: one controller at a time",
+    name: "orders: only under a lease of the log",
     file: "src/control/officer.ts",
     find: "return this.clock.now() < end ? present.offset : undefined;",
-    replace: "return Math.floor(Math.random() * 100);",
+    replace: "return 7.5;",
     test: "leaving",
     pattern: "fencing numbers|^leaving",
   },
--- a/test/leaving.spec.ts
+++ b/test/leaving.spec.ts
@@ -129,6 +129,11 @@
       fences,
       [...fences].sort((a, b) => a - b),
     );
+    const leases = await listLeases(fleet, "nizwa");
+    assert.ok(
+      fences.every((fence) => leases.has(fence)),
+      "an order came under no lease",
+    );
     assert.notEqual(await findDuty(fleet, "controller of nizwa"), controller);
   });
 });
@@ -144,6 +149,18 @@
   return found?.value ?? {};
 }
 
+/** Offsets of the records that gave somebody the controller's lease of a data centre. */
+async function listLeases(fleet: Fleet, dataCentre: string): Promise<ReadonlySet<number>> {
+  const answer = await fetch(`${fleet.logUrl}/streams/control/records?from=0`);
+  const page = (await answer.json()) as {
+    records: { offset: number; record: { duty?: string; dataCentre?: string } }[];
+  };
+  const leases = page.records.filter(
+    ({ record }) => record.duty === "controller" && record.dataCentre === dataCentre,
+  );
+  return new Set(leases.map((item) => item.offset));
+}
+
 async function findDuty(fleet: Fleet, duty: string): Promise<string> {
   let found = "";
   await fleet.waitFor(async () => {
