Fill the engines before a request is taken to be queued

The trace (placement lines): the request was placed at 55.810, waited 41 ms, while fills were still being granted (the 40th at 56.312); the withdrawal was in force at that instance at 55.820. It was dispatched before the withdrawal: allowed. The test took 400 ms for enough to fill 40 slots, which a busy machine does not do. Ruled out: a dispatch after the withdrawal (the key is checked in the turn of the dispatch). Change: the test waits until 40 holds are seen, and the fills last longer; the check is the same.

--- a/test/keys.spec.ts
+++ b/test/keys.spec.ts
@@ -59,10 +59,12 @@
         url: fleet.url("nizwa-1"),
         key: KEYS.large,
         prompt: `fill ${index}`,
-        maxTokens: 150,
+        maxTokens: 300,
       }),
     );
-    await pause(400);
+    // Only when every slot is taken does the next request wait.
+    const isFull = await fleet.waitFor(async () => (await fleet.readHolds()).length >= 40, 2500);
+    assert.ok(isFull, "the slots did not fill up");
     const queued = draft({
       url: fleet.url("nizwa-1"),
       key,
