Give each test process ports of its own

Two spec files ran side by side with process ids alike modulo 100, so the same range; while nizwa-2 was dead, the other took its port. Ruled out: a fault of the restart (the log ends with the bind error). Change: a process locks its range by listening on its first port.

--- a/test/harness/process.ts
+++ b/test/harness/process.ts
@@ -85,24 +85,48 @@
   }
 }
 
-/** Ports below those that the system hands out by itself, in a range of this process's own. */
+/** Ports below those that the system hands out by itself, in ranges of which a process has one. */
 const FIRST_PORT = 10_000;
-const PORTS_PER_PROCESS = 200;
+const PORTS_PER_RANGE = 200;
 const RANGES = 100;
+let range: Promise<number> | undefined;
 let taken = 0;
 
-/** Finds ports that are free; none is named twice. */
+/** Finds ports that are free; none is named twice, and no other process of the tests gets them. */
 export async function findPorts(count: number): Promise<readonly number[]> {
+  range ??= lockRange();
+  const first = await range;
   const ports: number[] = [];
   while (ports.length < count) {
-    const port =
-      FIRST_PORT + (process.pid % RANGES) * PORTS_PER_PROCESS + (taken % PORTS_PER_PROCESS);
+    const port = first + 1 + (taken % (PORTS_PER_RANGE - 1));
     taken += 1;
     if (await isFree(port)) ports.push(port);
   }
   return ports;
 }
 
+/** Takes a range for as long as this process lives, by listening on its first port. */
+async function lockRange(): Promise<number> {
+  for (let attempt = 0; attempt < RANGES; attempt += 1) {
+    const first = FIRST_PORT + ((process.pid + attempt) % RANGES) * PORTS_PER_RANGE;
+    if (await listenForever(first)) return first;
+  }
+  throw new Error("no range of ports is free");
+}
+
+function listenForever(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.unref();
+    server.on("error", () => {
+      resolve(false);
+    });
+    server.listen(port, "127.0.0.1", () => {
+      resolve(true);
+    });
+  });
+}
+
 function isFree(port: number): Promise<boolean> {
   return new Promise((resolve) => {
     const server = createServer();
