--- a/src/control/charger.ts
+++ b/src/control/charger.ts
@@ -136,9 +136,10 @@
   /** The own data centre's holder first; those that did not answer lately are left out. */
   private listHolders(): readonly string[] {
     const now = this.clock.now();
-    const holders = [...this.board.duties.read().values()].filter(
-      (item) => item.duty === Duty.holder && (this.paused.get(item.incarnation) ?? 0) <= now,
-    );
+    const all = [...this.board.duties.read().values()].filter((item) => item.duty === Duty.holder);
+    const answering = all.filter((item) => (this.paused.get(item.incarnation) ?? 0) <= now);
+    // After a pause of this process none may have answered in time: then all are asked again.
+    const holders = answering.length > 0 ? answering : all;
     const near = holders.filter((item) => item.dataCentre === this.self.dataCentre);
     const far = holders.filter((item) => item.dataCentre !== this.self.dataCentre);
     return [...near, ...far].map((item) => item.incarnation);
