--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,7 +2,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-  { ignores: ["dist/", "node_modules/", "src/peer/gen/", "measure/out/"] },
+  { ignores: ["dist/", "target/", "node_modules/", "src/peer/gen/", "measure/out/"] },
   js.configs.recommended,
   ...tseslint.configs.strict,
   ...tseslint.configs.stylistic,
--- /dev/null
+++ b/scripts/build-platform.mjs
@@ -0,0 +1,14 @@
+// Builds target/instance.js: what the platform runs, without the operators' commands.
+import { build } from "esbuild";
+
+await build({
+  entryPoints: { instance: "platform/main.ts" },
+  bundle: true,
+  minify: true,
+  sourcemap: false,
+  platform: "node",
+  target: "node20",
+  format: "cjs",
+  outdir: "target",
+  logLevel: "warning",
+});
--- a/src/board/board.ts
+++ b/src/board/board.ts
@@ -7,7 +7,7 @@
 import type { Duties } from "../core/duties";
 import { type ConfigState, createConfigState } from "../core/fold";
 import { Suspects } from "../core/suspects";
-import type { ListEntry } from "../platform/list";
+import type { ListEntry } from "../store/list";
 
 /** Another run of an instance that was heard of lately. */
 export interface MemberView {
--- a/src/cli/fleet.ts
+++ b/src/cli/fleet.ts
@@ -4,7 +4,7 @@
 import * as E from "fp-ts/Either";
 import type { InstanceStatus } from "../entry/operator";
 import { GrpcPeerLink } from "../peer/link";
-import { HttpInstanceList, type ListEntry } from "../platform/list";
+import { HttpInstanceList, type ListEntry } from "../store/list";
 import { Exit } from "./exit";
 import { CommandError } from "./publisher";
 
--- a/src/cli/publisher.ts
+++ b/src/cli/publisher.ts
@@ -7,7 +7,7 @@
 import type { Configuration } from "../core/config";
 import { ControlFold } from "../core/control";
 import { applyChanges, type Change, type ConfigRecord, type ConfigState } from "../core/fold";
-import { HttpLog, type Log, Stream } from "../platform/log";
+import { HttpLog, type Log, Stream } from "../store/log";
 import { Exit, type ExitCode } from "./exit";
 
 const APPEND_ATTEMPTS = 4;
--- a/src/control/appender.ts
+++ b/src/control/appender.ts
@@ -4,8 +4,8 @@
  * answer of the append.
  */
 import * as E from "fp-ts/Either";
-import type { Appendable, Log, Stream } from "../platform/log";
-import { LogFault } from "../platform/log";
+import type { Appendable, Log, Stream } from "../store/log";
+import { LogFault } from "../store/log";
 
 /** Records that go into one append. */
 const MAX_BATCH = 200;
--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -8,8 +8,8 @@
 import type { IdSource } from "../core/ids";
 import type { Logger } from "../core/log";
 import type { PullReply, PullRequest } from "../peer/gen/peer";
-import type { Log, LogPage } from "../platform/log";
-import { Stream } from "../platform/log";
+import type { Log, LogPage } from "../store/log";
+import { Stream } from "../store/log";
 import { Appender } from "./appender";
 import { type StreamHandler, StreamReader } from "./reader";
 
--- a/src/control/lister.ts
+++ b/src/control/lister.ts
@@ -4,7 +4,7 @@
 import * as E from "fp-ts/Either";
 import type { Board } from "../board/board";
 import type { Clock, Moment } from "../core/clock";
-import type { InstanceList } from "../platform/list";
+import type { InstanceList } from "../store/list";
 
 const READ_MS = 500;
 
--- a/src/control/membership.ts
+++ b/src/control/membership.ts
@@ -11,7 +11,7 @@
 import { chooseMember } from "../core/rendezvous";
 import type { HeartbeatMessage, Member } from "../peer/gen/peer";
 import type { PeerLink } from "../peer/link";
-import type { ListEntry } from "../platform/list";
+import type { ListEntry } from "../store/list";
 import type { ControlReader } from "./control";
 
 const HEARTBEAT_MS = 300;
--- a/src/control/reader.ts
+++ b/src/control/reader.ts
@@ -3,7 +3,7 @@
  */
 import * as E from "fp-ts/Either";
 import type { Clock, Moment } from "../core/clock";
-import type { Log, LogPage, Stream } from "../platform/log";
+import type { Log, LogPage, Stream } from "../store/log";
 
 const POLL_MS = 4000;
 const LEAST_BACKOFF_MS = 50;
--- a/src/core/log.ts
+++ b/src/core/log.ts
@@ -2,6 +2,9 @@
  * Structured log lines. No line ever holds a key or a prompt.
  */
 import { Logger as TsLogger } from "tslog";
+import { AsyncLineWriter, type LineWriter } from "./lines";
+
+const STANDARD_OUTPUT = 1;
 
 /** Members of one line. */
 export type LogFields = Readonly<Record<string, unknown>>;
@@ -26,7 +29,11 @@
  * @example
  * createLogger("nizwa-1", "info").info("ready", { version: 7 });
  */
-export function createLogger(instance: string, level: LogLevel): Logger {
+export function createLogger(
+  instance: string,
+  level: LogLevel,
+  lines: LineWriter = new AsyncLineWriter(STANDARD_OUTPUT),
+): Logger {
   const logger = new TsLogger<LogFields>({
     type: "hidden",
     minLevel: LEVELS[level],
@@ -35,7 +42,7 @@
   logger.attachTransport((line) => {
     const { _meta: meta, ...fields } = line;
     const head = { time: meta?.date.toISOString(), level: meta?.logLevelName, instance };
-    process.stdout.write(`${JSON.stringify({ ...head, ...fields })}\n`);
+    lines.write(JSON.stringify({ ...head, ...fields }));
   });
   const write = (name: LogLevel) => (event: string, fields: LogFields) => {
     logger[name]({ event, ...fields });
--- a/src/endpoint/engine.ts
+++ b/src/endpoint/engine.ts
@@ -7,7 +7,7 @@
 import * as t from "io-ts";
 import type { Block } from "../core/tokens";
 import { decodeValue } from "../core/decode";
-import { createSender, type JsonAnswer, type Sender, type SendError } from "../platform/http";
+import { createSender, type JsonAnswer, type Sender, type SendError } from "../store/http";
 import { openTokenStream, type TokenStream, type TokenStreamListener } from "./stream";
 
 /** How long a short call to an engine may take, in milliseconds. */
--- a/src/endpoint/service.ts
+++ b/src/endpoint/service.ts
@@ -4,7 +4,7 @@
 import * as E from "fp-ts/Either";
 import type * as TE from "fp-ts/TaskEither";
 import { Client } from "undici";
-import { checkUnsent } from "../platform/http";
+import { checkUnsent } from "../store/http";
 
 const CONNECT_MS = 1000;
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
--- a/src/endpoint/stream.ts
+++ b/src/endpoint/stream.ts
@@ -3,8 +3,8 @@
  */
 import { createParser, type EventSourceMessage } from "eventsource-parser";
 import type { Dispatcher } from "undici";
-import type { Sender } from "../platform/http";
-import { checkDown, checkUnsent } from "../platform/http";
+import type { Sender } from "../store/http";
+import { checkDown, checkUnsent } from "../store/http";
 import { type DecodeRequest, EngineError, Fault, readFault } from "./engine";
 
 /** An engine sends something at least every few hundred milliseconds, a heartbeat if no token. */
--- /dev/null
+++ b/src/fleet/beacon.ts
@@ -0,0 +1,105 @@
+/**
+ * What an instance tells its peers several times a second, and what it makes of theirs: load,
+ * usage, crashes, and how new the configuration and the list of endpoints are that they know.
+ */
+import type { Logger } from "../core/log";
+import type { Clock, Moment } from "../core/clock";
+import type { Beat, FetchReply, FetchRequest } from "../peer/gen/fleet";
+import type { Roster, Self } from "./roster";
+
+/** How often an instance speaks to each peer, in milliseconds. */
+const BEAT_MS = 500;
+/** How long a peer may take to answer, in milliseconds. */
+const CALL_MS = 800;
+const FETCH_MS = 1000;
+
+/** Calls to peers, by their address. */
+export interface FleetLink {
+  /** Exchanges beats; undefined where no answer came in time. */
+  exchange(address: string, beat: Beat, timeoutMs: number): Promise<Beat | undefined>;
+  fetch(address: string, request: FetchRequest, timeoutMs: number): Promise<FetchReply | undefined>;
+  close(): void;
+}
+
+/** What the instance behind a beacon knows and has under way. */
+export interface BeaconHost {
+  /** Completes a beat with what is under way. */
+  describe(): Omit<Beat, keyof Self>;
+  /** Takes the beat of a peer. */
+  takeBeat(beat: Beat, now: Moment): void;
+  /** Checks whether a peer knows something that this instance should fetch from it. */
+  shouldFetch(beat: Beat): boolean;
+  createFetchRequest(): FetchRequest;
+  takeFetched(reply: FetchReply, from: string): void;
+}
+
+/** Speaks to all peers. */
+export class Beacon {
+  private timer: NodeJS.Timeout | undefined;
+  private readonly open = new Set<string>();
+  private isFetching = false;
+
+  constructor(
+    private readonly self: Self,
+    private readonly roster: Roster,
+    private readonly link: FleetLink,
+    private readonly host: BeaconHost,
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+  ) {}
+
+  start(): void {
+    this.timer = setInterval(() => {
+      this.speak();
+    }, BEAT_MS);
+    this.speak();
+  }
+
+  close(): void {
+    clearInterval(this.timer);
+  }
+
+  /** Speaks to all peers now. */
+  speak(): void {
+    const beat = this.createBeat();
+    for (const address of this.roster.listAddresses()) void this.exchange(address, beat);
+  }
+
+  /** Answers the beat of a peer with one of our own. */
+  onBeat(beat: Beat): Beat {
+    this.take(beat);
+    return this.createBeat();
+  }
+
+  private async exchange(address: string, beat: Beat): Promise<void> {
+    if (this.open.has(address)) return;
+    this.open.add(address);
+    const answer = await this.link.exchange(address, beat, CALL_MS);
+    this.open.delete(address);
+    if (answer !== undefined) this.take(answer);
+    else if (this.roster.noteSilence(address, this.clock.now())) {
+      this.logger.warn("peer lost", { address });
+    }
+  }
+
+  private take(beat: Beat): void {
+    if (beat.instance === this.self.instance) return;
+    const now = this.clock.now();
+    const isNew = this.roster.noteBeat(beat, now);
+    if (isNew) this.logger.info("peer found", { peer: beat.instance, address: beat.address });
+    this.host.takeBeat(beat, now);
+    if (this.host.shouldFetch(beat)) void this.fetch(beat.address);
+  }
+
+  private async fetch(address: string): Promise<void> {
+    if (this.isFetching) return;
+    this.isFetching = true;
+    const reply = await this.link.fetch(address, this.host.createFetchRequest(), FETCH_MS);
+    this.isFetching = false;
+    if (reply !== undefined) this.host.takeFetched(reply, address);
+  }
+
+  private createBeat(): Beat {
+    return { ...this.self, ...this.host.describe() };
+  }
+}
--- /dev/null
+++ b/src/fleet/directory.ts
@@ -0,0 +1,197 @@
+/**
+ * The endpoints as the store lists them, and what this instance knows beyond the list.
+ */
+import type { Moment } from "../core/clock";
+import type { FeedPage, FeedRecord } from "./store";
+
+/** The stages that an engine can be in. */
+export const EngineStage = { prefill: "prefill", decode: "decode" } as const;
+export type EngineStage = (typeof EngineStage)[keyof typeof EngineStage];
+
+/** An endpoint as it describes itself. */
+export interface EndpointEntry {
+  readonly id: string;
+  readonly service: string;
+  /** IP number and port. */
+  readonly address: string;
+  readonly dataCentre: string;
+  readonly slots: number;
+  /** True where it has said that it will leave. */
+  readonly isLeaving: boolean;
+  /** Absent for an endpoint of a plain service. */
+  readonly stage: EngineStage | undefined;
+  /** When its process started, in milliseconds of its own wall clock; tells restarts apart. */
+  readonly bornAt: number;
+  /** Counts what this process has said; an entry that was said earlier is out of date. */
+  readonly sequence: number;
+}
+
+/** Decodes the entry of an endpoint; undefined where it names no endpoint to use. */
+export type EndpointDecoder = (id: string, value: Buffer) => EndpointEntry | undefined;
+
+/**
+ * How long an entry that lapsed while the store was away may still come back, in milliseconds; from
+ * the platform's promise of about two seconds.
+ */
+export const RETURN_MS = 2200;
+
+interface Listed {
+  readonly record: FeedRecord;
+  readonly entry: EndpointEntry | undefined;
+  /** Set while the entry lapsed around an outage of the store: until then it may come back. */
+  readonly doubtDeadline: Moment | undefined;
+  /** The newest thing that an endpoint of this id said. */
+  readonly last: EndpointEntry | undefined;
+}
+
+/** A change of the directory, for the log. */
+export interface DirectoryChange {
+  readonly endpoint: string;
+  readonly change:
+    "added" | "changed" | "leaving" | "in doubt" | "gone" | "unreadable" | "out of date";
+  readonly offset: number;
+}
+
+/** The directory of endpoints. */
+export class Directory {
+  private readonly listed = new Map<string, Listed>();
+  private nextOffset = 0;
+  private outageEnd: Moment = Number.NEGATIVE_INFINITY;
+  private view: readonly EndpointEntry[] | undefined;
+
+  constructor(private readonly decode: EndpointDecoder) {}
+
+  /** The offset up to which the list is known. */
+  get next(): number {
+    return this.nextOffset;
+  }
+
+  /** Notes that the store answers again after it was away. */
+  noteReturn(now: Moment): void {
+    this.outageEnd = now;
+  }
+
+  /** Takes records that follow what is known. */
+  apply(page: FeedPage, now: Moment): readonly DirectoryChange[] {
+    const changes: DirectoryChange[] = [];
+    for (const record of page.records) {
+      const change = this.applyRecord(record, now);
+      if (change !== undefined) changes.push(change);
+    }
+    this.nextOffset = Math.max(this.nextOffset, page.next);
+    return changes;
+  }
+
+  /** Takes the whole list: what it does not have is gone. */
+  applyWhole(page: FeedPage, now: Moment): readonly DirectoryChange[] {
+    const kept = new Set(page.records.map((record) => record.key));
+    const changes: DirectoryChange[] = [];
+    for (const [id, { record, entry }] of this.listed) {
+      if (kept.has(id) || entry === undefined || record.offset >= page.next) continue;
+      const gone = { key: id, value: undefined, offset: page.next - 1 };
+      const change = this.applyRecord(gone, now);
+      if (change !== undefined) changes.push(change);
+    }
+    return [...changes, ...this.apply(page, now)];
+  }
+
+  /** Lists the records, for a peer that cannot read the store. */
+  listRecords(): readonly FeedRecord[] {
+    return [...this.listed.values()].map(({ record }) => record);
+  }
+
+  /** Lists endpoints that are not leaving; those that may be gone come only with `now` in doubt. */
+  listUsable(now: Moment): readonly EndpointEntry[] {
+    if (this.view !== undefined) return this.view;
+    let hasDoubt = false;
+    const usable: EndpointEntry[] = [];
+    for (const [id, listed] of this.listed) {
+      if (listed.entry === undefined || listed.entry.isLeaving) continue;
+      if (listed.doubtDeadline !== undefined) {
+        hasDoubt = true;
+        if (listed.doubtDeadline <= now) {
+          this.listed.set(id, { ...listed, entry: undefined, doubtDeadline: undefined });
+          continue;
+        }
+      }
+      usable.push(listed.entry);
+    }
+    if (!hasDoubt) this.view = usable;
+    return usable;
+  }
+
+  /** Finds an endpoint, leaving or not. */
+  find(id: string): EndpointEntry | undefined {
+    return this.listed.get(id)?.entry;
+  }
+
+  /** Checks whether an endpoint is listed and not leaving. */
+  isUsable(id: string): boolean {
+    const entry = this.listed.get(id)?.entry;
+    return entry !== undefined && !entry.isLeaving;
+  }
+
+  /** Checks whether an entry lapsed around an outage of the store. */
+  isInDoubt(id: string): boolean {
+    return this.listed.get(id)?.doubtDeadline !== undefined;
+  }
+
+  private applyRecord(record: FeedRecord, now: Moment): DirectoryChange | undefined {
+    const before = this.listed.get(record.key);
+    if (before !== undefined && before.record.offset >= record.offset) return undefined;
+    this.view = undefined;
+    const { offset } = record;
+    if (record.value === undefined) return this.drop(record, before, now);
+    const entry = this.decode(record.key, record.value);
+    if (entry === undefined) return { endpoint: record.key, change: "unreadable", offset };
+    const last = before?.last;
+    if (last !== undefined && isOutOfDate(entry, last)) {
+      return { endpoint: record.key, change: "out of date", offset };
+    }
+    const isLeaving = entry.isLeaving || (last?.bornAt === entry.bornAt && last.isLeaving);
+    const taken = { ...entry, isLeaving };
+    this.listed.set(record.key, { record, entry: taken, doubtDeadline: undefined, last: taken });
+    return compareEntries(before?.entry, taken, offset);
+  }
+
+  private drop(
+    record: FeedRecord,
+    before: Listed | undefined,
+    now: Moment,
+  ): DirectoryChange | undefined {
+    const entry = before?.entry;
+    const last = before?.last;
+    const mayReturn = entry !== undefined && !entry.isLeaving && now < this.outageEnd + RETURN_MS;
+    if (mayReturn) {
+      const doubtDeadline = this.outageEnd + RETURN_MS;
+      this.listed.set(record.key, { record, entry, doubtDeadline, last });
+      return { endpoint: record.key, change: "in doubt", offset: record.offset };
+    }
+    this.listed.set(record.key, { record, entry: undefined, doubtDeadline: undefined, last });
+    if (entry === undefined) return undefined;
+    return { endpoint: record.key, change: "gone", offset: record.offset };
+  }
+}
+
+/** A process counts on; one that started later counts anew. */
+function isOutOfDate(entry: EndpointEntry, last: EndpointEntry): boolean {
+  if (entry.bornAt !== last.bornAt) return entry.bornAt < last.bornAt;
+  return entry.sequence <= last.sequence;
+}
+
+function compareEntries(
+  before: EndpointEntry | undefined,
+  after: EndpointEntry,
+  offset: number,
+): DirectoryChange | undefined {
+  const endpoint = after.id;
+  if (before === undefined) return { endpoint, change: "added", offset };
+  if (after.isLeaving && !before.isLeaving) return { endpoint, change: "leaving", offset };
+  const isSame =
+    before.address === after.address &&
+    before.service === after.service &&
+    before.stage === after.stage &&
+    before.bornAt === after.bornAt &&
+    before.isLeaving === after.isLeaving;
+  return isSame ? undefined : { endpoint, change: "changed", offset };
+}
--- /dev/null
+++ b/src/fleet/link.ts
@@ -0,0 +1,131 @@
+/**
+ * Calls between the instances of a fleet, by gRPC.
+ */
+import {
+  type ClientUnaryCall,
+  credentials,
+  type sendUnaryData,
+  Server,
+  ServerCredentials,
+  type ServiceError,
+  type ServerUnaryCall,
+} from "@grpc/grpc-js";
+import {
+  type Beat,
+  type FetchReply,
+  type FetchRequest,
+  FleetClient,
+  FleetService,
+} from "../peer/gen/fleet";
+import { CHANNEL_OPTIONS } from "../peer/link";
+import type { FleetLink } from "./beacon";
+
+const CLOSE_MS = 200;
+
+type Done<R> = (error: ServiceError | null, reply: R) => void;
+
+/** Answers peers. */
+export interface FleetHandler {
+  onBeat(beat: Beat): Beat;
+  onFetch(request: FetchRequest): FetchReply;
+}
+
+/** A listening server for peers. */
+export interface FleetServer {
+  close(): Promise<void>;
+}
+
+/** Peers over gRPC, a channel for each address. */
+export class GrpcFleetLink implements FleetLink {
+  private readonly clients = new Map<string, FleetClient>();
+
+  exchange(address: string, beat: Beat, timeoutMs: number): Promise<Beat | undefined> {
+    return this.call(address, timeoutMs, (client, done) => client.exchange(beat, done));
+  }
+
+  fetch(
+    address: string,
+    request: FetchRequest,
+    timeoutMs: number,
+  ): Promise<FetchReply | undefined> {
+    return this.call(address, timeoutMs, (client, done) => client.fetch(request, done));
+  }
+
+  close(): void {
+    for (const client of this.clients.values()) client.close();
+    this.clients.clear();
+  }
+
+  /**
+   * Calls end by a timer and not by the library's deadline, which follows the wall clock. A channel
+   * whose call failed is replaced: its connection may have gone silent.
+   */
+  private call<R>(
+    address: string,
+    timeoutMs: number,
+    begin: (client: FleetClient, done: Done<R>) => ClientUnaryCall,
+  ): Promise<R | undefined> {
+    return new Promise((resolve) => {
+      const client = this.findClient(address);
+      const call = begin(client, (error, reply) => {
+        clearTimeout(timer);
+        if (error !== null && this.clients.get(address) === client) {
+          this.clients.delete(address);
+          client.close();
+        }
+        resolve(error === null ? reply : undefined);
+      });
+      const timer = setTimeout(() => {
+        call.cancel();
+      }, timeoutMs);
+    });
+  }
+
+  private findClient(address: string): FleetClient {
+    const known = this.clients.get(address);
+    if (known !== undefined) return known;
+    const client = new FleetClient(address, credentials.createInsecure(), CHANNEL_OPTIONS);
+    this.clients.set(address, client);
+    return client;
+  }
+}
+
+/**
+ * Listens for peers.
+ *
+ * @param address - IP number and port
+ * @returns the server, once it listens; rejects where the address cannot be had
+ * @example
+ * const server = await listenFleet("127.0.0.1:7500", handler);
+ */
+export async function listenFleet(address: string, handler: FleetHandler): Promise<FleetServer> {
+  const server = new Server(CHANNEL_OPTIONS);
+  server.addService(FleetService, {
+    exchange: (call: ServerUnaryCall<Beat, Beat>, done: sendUnaryData<Beat>) => {
+      done(null, handler.onBeat(call.request));
+    },
+    fetch: (call: ServerUnaryCall<FetchRequest, FetchReply>, done: sendUnaryData<FetchReply>) => {
+      done(null, handler.onFetch(call.request));
+    },
+  });
+  await new Promise<void>((resolve, reject) => {
+    server.bindAsync(address, ServerCredentials.createInsecure(), (error) => {
+      if (error === null) resolve();
+      else reject(error);
+    });
+  });
+  return { close: () => closeServer(server) };
+}
+
+function closeServer(server: Server): Promise<void> {
+  return new Promise((resolve) => {
+    const timer = setTimeout(() => {
+      server.forceShutdown();
+      resolve();
+    }, CLOSE_MS);
+    server.tryShutdown(() => {
+      clearTimeout(timer);
+      resolve();
+    });
+  });
+}
--- /dev/null
+++ b/src/fleet/roster.ts
@@ -0,0 +1,111 @@
+/**
+ * The instances of the fleet: from the store at the start, and from each other's beats ever after.
+ */
+import * as E from "fp-ts/Either";
+import * as t from "io-ts";
+import type { Moment } from "../core/clock";
+import { decodeText } from "../core/decode";
+import type { Logger } from "../core/log";
+import type { Beat } from "../peer/gen/fleet";
+import type { FeedRecord } from "./store";
+
+/** How long an instance counts as live after its last beat, in milliseconds; three beats. */
+const LIVE_MS = 1800;
+/** How long a silent address is still spoken to, in milliseconds; longer than most cuts. */
+const FORGET_MS = 45_000;
+
+/** Who an instance is. */
+export interface Self {
+  readonly instance: string;
+  readonly incarnation: string;
+  /** Where its peers connect. */
+  readonly address: string;
+  readonly dataCentre: string;
+}
+
+const memberCodec = t.type({ address: t.string, incarnation: t.string, dataCentre: t.string });
+
+interface Member {
+  readonly instance: string;
+  heardAt: Moment;
+  isLeaving: boolean;
+  isLost: boolean;
+}
+
+interface Address {
+  /** When it was first known or last answered. */
+  aliveAt: Moment;
+  readonly instance: string | undefined;
+}
+
+/** The other instances. */
+export class Roster {
+  private readonly members = new Map<string, Member>();
+  private readonly addresses = new Map<string, Address>();
+
+  constructor(
+    private readonly self: Self,
+    private readonly logger: Logger,
+  ) {}
+
+  /** Adds an address at which an instance may be. */
+  addAddress(address: string, instance: string | undefined, now: Moment): void {
+    if (address === this.self.address || this.addresses.has(address)) return;
+    this.addresses.set(address, { aliveAt: now, instance });
+  }
+
+  /** Takes the members that the store has. */
+  takeRecords(records: readonly FeedRecord[], now: Moment): void {
+    for (const { key, value, offset } of records) {
+      if (value === undefined || key === this.self.instance) continue;
+      const member = decodeText(memberCodec, value.toString("utf8"), `member ${key}`);
+      if (E.isLeft(member)) {
+        this.logger.warn("member unreadable", { member: key, offset, error: member.left.message });
+      } else this.addAddress(member.right.address, key, now);
+    }
+  }
+
+  /** Encodes the record of this instance. */
+  encodeSelf(): Buffer {
+    const { address, incarnation, dataCentre } = this.self;
+    return Buffer.from(JSON.stringify({ address, incarnation, dataCentre }));
+  }
+
+  /** Notes a beat; true where the instance was not live before. */
+  noteBeat(beat: Beat, now: Moment): boolean {
+    this.addresses.set(beat.address, { aliveAt: now, instance: beat.instance });
+    const member = this.members.get(beat.instance);
+    const isLive = member !== undefined && now - member.heardAt <= LIVE_MS && !member.isLost;
+    this.members.set(beat.instance, {
+      instance: beat.instance,
+      heardAt: now,
+      isLeaving: beat.leaving,
+      isLost: false,
+    });
+    return !isLive;
+  }
+
+  /** Notes that an address did not answer; true where an instance there counts as lost from now. */
+  noteSilence(address: string, now: Moment): boolean {
+    const known = this.addresses.get(address);
+    if (known === undefined) return false;
+    if (now - known.aliveAt > FORGET_MS) this.addresses.delete(address);
+    const member = this.members.get(known.instance ?? "");
+    if (member === undefined || member.isLost || now - member.heardAt <= LIVE_MS) return false;
+    member.isLost = true;
+    return true;
+  }
+
+  /** Lists the addresses of all peers that may live. */
+  listAddresses(): readonly string[] {
+    return [...this.addresses.keys()];
+  }
+
+  /** Lists the instances that live and stay, this one with them. */
+  listLive(now: Moment): readonly string[] {
+    const live = [...this.members.values()]
+      .filter((member) => now - member.heardAt <= LIVE_MS && !member.isLeaving)
+      .map((member) => member.instance);
+    return [...live, this.self.instance];
+  }
+}
--- /dev/null
+++ b/src/fleet/watcher.ts
@@ -0,0 +1,172 @@
+/**
+ * Reads the configuration and the list of endpoints from the store, for as long as the instance
+ * runs; and takes both from peers where the store does not answer.
+ */
+import * as E from "fp-ts/Either";
+import type { Clock, Moment } from "../core/clock";
+import type { DecodeError } from "../core/decode";
+import type { Logger } from "../core/log";
+import { Counter, type Meter } from "../forward/meter";
+import { Catalog, type FleetConfig } from "./catalog";
+import type { Directory } from "./directory";
+import { type Feed, type FeedPage, type FeedRecord, type Store, StoreFault } from "./store";
+
+/** The key under which the configuration is published. */
+const CONFIG_KEY = "config";
+/** How long a read waits for a new configuration, in milliseconds; also finds silent connections. */
+const CONFIG_WAIT_MS = 1000;
+/** How long to wait after a failed call, in milliseconds. */
+const PAUSE_MS = 200;
+
+/** Decodes a published configuration. */
+export type ConfigDecoder = (value: Buffer) => E.Either<DecodeError, FleetConfig>;
+
+/** When the parts of the store were last heard. */
+interface FeedState {
+  next: number | undefined;
+  heardAt: Moment;
+  isAway: boolean;
+}
+
+/** Follows the store. */
+export class Watcher {
+  private catalog: Catalog | undefined;
+  private configValue: Buffer | undefined;
+  private readonly config: FeedState = { next: undefined, heardAt: 0, isAway: false };
+  private readonly endpoints: FeedState = { next: undefined, heardAt: 0, isAway: false };
+  private isClosed = false;
+
+  /**
+   * @param endpointsMs - how often the list of endpoints is read, in milliseconds
+   */
+  constructor(
+    private readonly store: Store,
+    private readonly directory: Directory,
+    private readonly decodeConfig: ConfigDecoder,
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+    private readonly meter: Meter,
+    private readonly endpointsMs: number,
+  ) {}
+
+  start(): void {
+    void this.follow("configuration", this.store.configuration, this.config, CONFIG_WAIT_MS, 0);
+    void this.follow("endpoints", this.store.endpoints, this.endpoints, 0, this.endpointsMs);
+  }
+
+  close(): void {
+    this.isClosed = true;
+  }
+
+  /** The configuration in force; undefined while none is known. */
+  readCatalog(): Catalog | undefined {
+    return this.catalog;
+  }
+
+  /** The published bytes of the configuration in force, for a peer. */
+  readConfigValue(): Buffer | undefined {
+    return this.configValue;
+  }
+
+  /** True once both parts are known. */
+  isComplete(): boolean {
+    return this.catalog !== undefined && this.directory.next > 0;
+  }
+
+  /** How long ago the store was heard on endpoints, in milliseconds. */
+  computeEndpointsAgeMs(): number {
+    return this.clock.now() - this.endpoints.heardAt;
+  }
+
+  /** How long ago the store was heard on the configuration, in milliseconds. */
+  computeConfigAgeMs(): number {
+    return this.clock.now() - this.config.heardAt;
+  }
+
+  /** Takes a configuration from the store or a peer; an older one never replaces a newer. */
+  takeConfig(value: Buffer, source: string): void {
+    const decoded = this.decodeConfig(value);
+    if (E.isLeft(decoded)) {
+      this.logger.warn("configuration unreadable", { source, error: decoded.left.message });
+      return;
+    }
+    const { version } = decoded.right;
+    const before = this.catalog?.config.version;
+    if (before !== undefined && version <= before) return;
+    this.catalog = new Catalog(decoded.right);
+    this.configValue = value;
+    const routes = decoded.right.routes.length;
+    this.logger.info("configuration", { version, before: before ?? 0, source, routes });
+  }
+
+  /** Takes records of endpoints from the store or a peer. */
+  takeEndpoints(page: FeedPage, isWhole: boolean, source: string): void {
+    const now = this.clock.now();
+    const { directory } = this;
+    const changes = isWhole ? directory.applyWhole(page, now) : directory.apply(page, now);
+    for (const change of changes) this.logger.info("endpoint", { ...change, source });
+  }
+
+  private async follow(
+    name: "configuration" | "endpoints",
+    feed: Feed,
+    state: FeedState,
+    waitMs: number,
+    pauseMs: number,
+  ): Promise<void> {
+    while (!this.isClosed) {
+      const isWhole = state.next === undefined;
+      const result = await this.readOnce(feed, state.next, waitMs);
+      if (this.isClosed) return;
+      if (E.isRight(result)) {
+        this.noteHeard(name, state);
+        state.next = result.right.next;
+        this.takePage(name, result.right, isWhole);
+        await pause(pauseMs);
+        continue;
+      }
+      if (result.left.fault === StoreFault.trimmed) {
+        state.next = undefined;
+        this.logger.info("history trimmed", { feed: name });
+        continue;
+      }
+      this.noteFailed(name, state, result.left.message);
+      await pause(PAUSE_MS);
+    }
+  }
+
+  private readOnce(feed: Feed, next: number | undefined, waitMs: number) {
+    this.meter.count(Counter.storeCalls);
+    return next === undefined ? feed.readNewest()() : feed.read(next, waitMs)();
+  }
+
+  private takePage(name: "configuration" | "endpoints", page: FeedPage, isWhole: boolean): void {
+    if (name === "endpoints") this.takeEndpoints(page, isWhole, "store");
+    else for (const record of page.records) this.takeConfigRecord(record);
+  }
+
+  private takeConfigRecord(record: FeedRecord): void {
+    if (record.key === CONFIG_KEY && record.value !== undefined) {
+      this.takeConfig(record.value, `store offset ${record.offset}`);
+    }
+  }
+
+  private noteHeard(name: string, state: FeedState): void {
+    state.heardAt = this.clock.now();
+    if (!state.isAway) return;
+    state.isAway = false;
+    if (name === "endpoints") this.directory.noteReturn(state.heardAt);
+    this.logger.info("store regained", { feed: name });
+  }
+
+  private noteFailed(name: string, state: FeedState, error: string): void {
+    this.meter.count(Counter.storeFailures);
+    if (state.isAway) return;
+    state.isAway = true;
+    this.logger.warn("store lost", { feed: name, error });
+  }
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/src/forward/admission.ts
@@ -0,0 +1,131 @@
+/**
+ * Checks a request against the configuration, the keys and the rates, before anything is sent.
+ */
+import * as E from "fp-ts/Either";
+import type { Moment } from "../core/clock";
+import { computeFingerprint } from "../core/ids";
+import type { Logger } from "../core/log";
+import { createNotRun, Reason, type Refusal } from "../core/outcome";
+import {
+  type Catalog,
+  chooseService,
+  CostUnit,
+  type FleetRoute,
+  type FleetWorkspace,
+} from "../fleet/catalog";
+import type { CrashBook } from "./crashes";
+import type { ForwardRequest, RequestHead } from "./exchange";
+import type { Quotas } from "./quota";
+
+/** When a caller may come back to an instance that has no configuration, in milliseconds. */
+const NOT_READY_MS = 300;
+/** The age from which a configuration may lack what others know, in milliseconds. */
+const STALE_MS = 2500;
+
+/** What admission looks at. */
+export interface AdmissionParts {
+  readonly readCatalog: () => Catalog | undefined;
+  /** How long ago the newest configuration was confirmed, in milliseconds. */
+  readonly computeConfigAgeMs: () => number;
+  readonly quotas: Quotas;
+  readonly crashes: CrashBook;
+  readonly logger: Logger;
+  /** Gives numbers from 0 up to 1. */
+  readonly draw: () => number;
+}
+
+/** Admits requests. */
+export class Admission {
+  constructor(private readonly parts: AdmissionParts) {}
+
+  /** Admits a request, or says why not; a request that is not admitted reaches no endpoint. */
+  admit(head: RequestHead, body: Buffer, now: Moment): E.Either<Refusal, ForwardRequest> {
+    const catalog = this.parts.readCatalog();
+    if (catalog === undefined) return E.left(createNotReady("no configuration is known yet"));
+    const route = catalog.findRoute(head.host, head.path);
+    if (route === undefined) return E.left(this.createUnknown(404, Reason.unknownRoute));
+    const workspace = this.findWorkspace(catalog, route, head.key);
+    if (E.isLeft(workspace)) return workspace;
+    const service = chooseService(route.services, this.parts.draw());
+    if (service === undefined) return E.left(createNotReady("the route has no service"));
+    const fingerprint = computeFingerprint(
+      head.method,
+      head.target,
+      head.key ?? "",
+      body.toString("latin1"),
+    );
+    if (this.parts.crashes.isBanned(fingerprint, now)) return E.left(createPoison());
+    const refusal = this.charge(head, workspace.right, now);
+    if (refusal !== undefined) return E.left(refusal);
+    return E.right({
+      head,
+      body,
+      route,
+      service,
+      workspace: workspace.right,
+      priority: workspace.right?.priority ?? route.priority,
+      fingerprint,
+    });
+  }
+
+  private findWorkspace(
+    catalog: Catalog,
+    route: FleetRoute,
+    key: string | undefined,
+  ): E.Either<Refusal, FleetWorkspace | undefined> {
+    const workspace = key === undefined ? undefined : catalog.findWorkspace(key);
+    if (workspace !== undefined || route.isOpen) return E.right(workspace);
+    const reason = key === undefined ? Reason.keyMissing : Reason.keyUnknown;
+    return E.left(this.createUnknown(401, reason));
+  }
+
+  /** An instance that may be behind cannot say that a route or key does not exist. */
+  private createUnknown(status: number, reason: Reason): Refusal {
+    if (this.parts.computeConfigAgeMs() > STALE_MS) {
+      return createNotReady("the configuration may be out of date");
+    }
+    const message = status === 404 ? "no route matches" : "the key is not known";
+    return createNotRun(status, reason, message);
+  }
+
+  private charge(
+    head: RequestHead,
+    workspace: FleetWorkspace | undefined,
+    now: Moment,
+  ): Refusal | undefined {
+    if (workspace === undefined) return undefined;
+    const cost = computeCost(head, workspace);
+    const decision = this.parts.quotas.admit(workspace.name, workspace.limit, cost, now);
+    if (decision.isAdmitted) return undefined;
+    this.parts.logger.info("over rate", {
+      request: head.id,
+      workspace: workspace.name,
+      cost,
+      used: Math.round(decision.used),
+      allowed: Math.round(decision.allowed),
+    });
+    const message = "the workspace is over its rate";
+    return createNotRun(429, Reason.overRate, message, decision.retryAfterMs);
+  }
+}
+
+/**
+ * Computes what a request costs its workspace.
+ *
+ * @example
+ * computeCost(head, workspace); // tokens, or 1
+ */
+export function computeCost(head: RequestHead, workspace: FleetWorkspace): number {
+  if (workspace.unit === CostUnit.requests) return 1;
+  if (head.size === undefined) return workspace.plainCost;
+  return head.size.promptTokens + head.size.maxOutputTokens;
+}
+
+function createNotReady(message: string): Refusal {
+  return createNotRun(503, Reason.notReady, message, NOT_READY_MS);
+}
+
+function createPoison(): Refusal {
+  const message = "the request crashes the endpoints that run it";
+  return createNotRun(503, Reason.poison, message);
+}
--- /dev/null
+++ b/src/forward/context.ts
@@ -0,0 +1,53 @@
+/**
+ * What the runs of requests share within an instance.
+ */
+import type { Clock, Moment } from "../core/clock";
+import type { Logger } from "../core/log";
+import type { Directory } from "../fleet/directory";
+import type { EndpointClient } from "./connections";
+import type { CrashBook } from "./crashes";
+import type { EndpointCodec, ForwardRequest } from "./exchange";
+import type { HealthBook } from "./health";
+import type { Meter } from "./meter";
+import type { RetryAllowance } from "./retries";
+
+/** What the runs of requests share. */
+export interface ForwardContext {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly meter: Meter;
+  readonly directory: Directory;
+  readonly health: HealthBook;
+  readonly client: EndpointClient;
+  readonly codec: EndpointCodec;
+  readonly retries: RetryAllowance;
+  readonly crashes: CrashBook;
+  readonly dataCentre: string;
+  /** Gives numbers from 0 up to 1. */
+  readonly draw: () => number;
+}
+
+/** The moments of a request. */
+export interface RequestTimes {
+  readonly arrivedAt: Moment;
+  /** When an answer is no longer on time. */
+  readonly target: Moment;
+  /** When the request gets its final answer at the latest. */
+  readonly deadline: Moment;
+}
+
+/**
+ * Computes the moments of a request from its route and its caller's patience.
+ *
+ * @example
+ * computeTimes(request, clock.now()).deadline;
+ */
+export function computeTimes(request: ForwardRequest, arrivedAt: Moment): RequestTimes {
+  const { route, head } = request;
+  const wholeMs = Math.min(route.timeoutMs, head.patienceMs ?? route.timeoutMs);
+  return {
+    arrivedAt,
+    target: arrivedAt + Math.min(route.targetMs, wholeMs),
+    deadline: arrivedAt + wholeMs,
+  };
+}
--- /dev/null
+++ b/src/forward/desk.ts
@@ -0,0 +1,161 @@
+/**
+ * Where generations wait for memory at a decode engine. The engine itself has the last word: its
+ * memory is reserved before a prompt is read, so that no prompt is read in vain.
+ */
+import * as E from "fp-ts/Either";
+import type { Moment } from "../core/clock";
+import type { EngineLimits } from "../fleet/catalog";
+import type { EndpointEntry } from "../fleet/directory";
+import type { ForwardContext } from "./context";
+import { chooseDecode, type EngineBook, type EngineView } from "./engines";
+import { type Waiter, WaitQueue } from "./waitqueue";
+
+/** How often waiting generations are looked at, in milliseconds. */
+const PUMP_MS = 20;
+/** How long an engine may take to answer a reservation, in milliseconds. */
+const HOLD_CALL_MS = 500;
+
+/** Memory reserved at a decode engine. */
+export interface Reservation {
+  readonly endpoint: EndpointEntry;
+  readonly hold: string;
+  readonly needTokens: number;
+}
+
+/** A generation that waits for memory. */
+export interface DeskRequest extends Waiter {
+  readonly service: string;
+  readonly limits: EngineLimits;
+  readonly needTokens: number;
+  /** Engines that it must not go to. */
+  readonly excluded: ReadonlySet<string>;
+  readonly caller: AbortSignal;
+}
+
+interface Ticket extends DeskRequest {
+  readonly resolve: (reservation: Reservation | undefined) => void;
+}
+
+/** Hands out memory at decode engines. */
+export class Desk {
+  private readonly queue = new WaitQueue<Ticket>();
+  private readonly asking = new Set<string>();
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly context: ForwardContext,
+    private readonly book: EngineBook,
+  ) {}
+
+  /** Generations that wait. */
+  get size(): number {
+    return this.queue.size;
+  }
+
+  /**
+   * Reserves memory.
+   *
+   * @returns undefined where none was had by the request's give-up time, or its caller left
+   */
+  reserve(request: DeskRequest): Promise<Reservation | undefined> {
+    return new Promise((resolve) => {
+      const ticket: Ticket = { ...request, resolve };
+      this.queue.push(ticket);
+      request.caller.addEventListener(
+        "abort",
+        () => {
+          if (this.queue.remove(ticket.id)) resolve(undefined);
+        },
+        { once: true },
+      );
+      this.pump();
+    });
+  }
+
+  /** Looks whether a waiting generation can go. */
+  pump(): void {
+    const now = this.context.clock.now();
+    for (const ticket of this.queue.takeLapsed(now)) ticket.resolve(undefined);
+    for (const ticket of this.queue.list(now)) {
+      const view = this.choose(ticket, now);
+      if (view === undefined) break;
+      this.queue.remove(ticket.id);
+      void this.ask(ticket, view.endpoint);
+    }
+    this.schedule();
+  }
+
+  /** Lists the engines of a service. */
+  listViews(service: string, now: Moment): readonly EngineView[] {
+    const { directory } = this.context;
+    return directory
+      .listUsable(now)
+      .filter((endpoint) => endpoint.service === service && endpoint.stage !== undefined)
+      .map((endpoint) => this.book.view(endpoint, directory.isInDoubt(endpoint.id), now));
+  }
+
+  /** Ends all waits. */
+  close(): void {
+    clearTimeout(this.timer);
+    this.timer = undefined;
+  }
+
+  private choose(ticket: Ticket, now: Moment): EngineView | undefined {
+    const views = this.listViews(ticket.service, now).filter(
+      (view) => !this.asking.has(view.endpoint.id),
+    );
+    return chooseDecode(views, ticket.limits, ticket.needTokens, ticket.excluded);
+  }
+
+  /** One question at a time to an engine, so that its answer counts for the next. */
+  private async ask(ticket: Ticket, endpoint: EndpointEntry): Promise<void> {
+    const { client, codec, clock, logger } = this.context;
+    const { id } = endpoint;
+    this.asking.add(id);
+    this.book.add(id, ticket.needTokens, 0, 1);
+    const call = codec.createHoldCall(ticket.needTokens, ticket.limits.holdMs);
+    const answer = await client.call(endpoint.address, call, HOLD_CALL_MS);
+    this.asking.delete(id);
+    const hold = E.isRight(answer)
+      ? codec.readHold(answer.right.status, answer.right.body)
+      : undefined;
+    const now = clock.now();
+    if (hold !== undefined && !ticket.caller.aborted) {
+      this.book.noteSound(id);
+      ticket.resolve({ endpoint, hold, needTokens: ticket.needTokens });
+      this.pump();
+      return;
+    }
+    this.book.add(id, -ticket.needTokens, 0, -1);
+    if (hold !== undefined) this.drop({ endpoint, hold, needTokens: 0 });
+    else if (E.isLeft(answer)) this.book.noteBroken(id, now);
+    else this.book.noteFull(id, now);
+    logger.debug("no room", {
+      request: ticket.id,
+      endpoint: id,
+      answer: E.isRight(answer) ? answer.right.status : answer.left.message,
+    });
+    if (ticket.caller.aborted) ticket.resolve(undefined);
+    else this.queue.push(ticket);
+    this.pump();
+  }
+
+  /** Gives memory back that is not used. */
+  drop(reservation: Reservation): void {
+    const { client, codec, logger } = this.context;
+    const { endpoint, hold } = reservation;
+    const call = codec.createDropHoldCall(hold);
+    void client.call(endpoint.address, call, HOLD_CALL_MS).then((answer) => {
+      if (E.isRight(answer)) return;
+      logger.warn("hold not released", { endpoint: endpoint.id, error: answer.left.message });
+    });
+  }
+
+  private schedule(): void {
+    if (this.timer !== undefined || this.queue.size === 0) return;
+    this.timer = setTimeout(() => {
+      this.timer = undefined;
+      this.pump();
+    }, PUMP_MS);
+  }
+}
--- /dev/null
+++ b/src/forward/engines.ts
@@ -0,0 +1,179 @@
+/**
+ * How full the engines of the fleet are, as far as this instance knows: what it has under way itself
+ * and what its peers said they have; and the choice of engines by that.
+ */
+import type { Moment } from "../core/clock";
+import type { EngineLimits } from "../fleet/catalog";
+import { type EndpointEntry, EngineStage } from "../fleet/directory";
+
+/** Work under way at an engine, in tokens. */
+export interface EngineWork {
+  readonly engine: string;
+  /** Memory that generations take or have reserved. */
+  readonly heldTokens: number;
+  /** Prompt tokens that are still to be read. */
+  readonly promptTokens: number;
+  readonly requests: number;
+}
+
+/** How long the word of a silent peer on its work counts, in milliseconds. */
+const PEER_WORK_MS = 3000;
+/** How long an engine that had no room is passed over, in milliseconds. */
+const NO_ROOM_MS = 60;
+/** How long an engine that could not be reached or broke is passed over, in milliseconds. */
+const SHUN_MS = 1500;
+
+interface OwnWork {
+  heldTokens: number;
+  promptTokens: number;
+  requests: number;
+}
+
+interface PeerWork {
+  readonly works: ReadonlyMap<string, EngineWork>;
+  readonly heardAt: Moment;
+}
+
+/** An engine as a choice sees it. */
+export interface EngineView {
+  readonly endpoint: EndpointEntry;
+  readonly heldTokens: number;
+  readonly promptTokens: number;
+  readonly requests: number;
+  /** True while it had no room just now. */
+  readonly isFull: boolean;
+  /** True while it could not be reached, broke, or may be gone. */
+  readonly isShunned: boolean;
+}
+
+/** The work of all engines. */
+export class EngineBook {
+  private readonly own = new Map<string, OwnWork>();
+  private readonly peers = new Map<string, PeerWork>();
+  private readonly fullDeadlines = new Map<string, Moment>();
+  private readonly shunDeadlines = new Map<string, Moment>();
+
+  /** Adds work of this instance; negative amounts take it away. */
+  add(engine: string, heldTokens: number, promptTokens: number, requests: number): void {
+    const work = this.own.get(engine) ?? { heldTokens: 0, promptTokens: 0, requests: 0 };
+    work.heldTokens += heldTokens;
+    work.promptTokens += promptTokens;
+    work.requests += requests;
+    if (work.requests <= 0 && work.heldTokens <= 0 && work.promptTokens <= 0) {
+      this.own.delete(engine);
+    } else this.own.set(engine, work);
+  }
+
+  /** Takes what a peer has under way. */
+  take(peer: string, works: readonly EngineWork[], now: Moment): void {
+    this.peers.set(peer, {
+      works: new Map(works.map((work) => [work.engine, work])),
+      heardAt: now,
+    });
+  }
+
+  /** Lists the work of this instance, for its peers. */
+  listOwn(): readonly EngineWork[] {
+    return [...this.own].map(([engine, work]) => ({ engine, ...work }));
+  }
+
+  /** Passes an engine over that had no room. */
+  noteFull(engine: string, now: Moment): void {
+    this.fullDeadlines.set(engine, now + NO_ROOM_MS);
+  }
+
+  /** Passes an engine over that could not be reached or broke. */
+  noteBroken(engine: string, now: Moment): void {
+    this.shunDeadlines.set(engine, now + SHUN_MS);
+  }
+
+  /** Takes an engine back that answered. */
+  noteSound(engine: string): void {
+    this.shunDeadlines.delete(engine);
+  }
+
+  /** Views an engine. */
+  view(endpoint: EndpointEntry, isInDoubt: boolean, now: Moment): EngineView {
+    const { id } = endpoint;
+    const sum = { heldTokens: 0, promptTokens: 0, requests: 0 };
+    addWork(sum, this.own.get(id));
+    for (const [peer, { works, heardAt }] of this.peers) {
+      if (now - heardAt > PEER_WORK_MS) this.peers.delete(peer);
+      else addWork(sum, works.get(id));
+    }
+    return {
+      endpoint,
+      ...sum,
+      isFull: (this.fullDeadlines.get(id) ?? 0) > now,
+      isShunned: isInDoubt || (this.shunDeadlines.get(id) ?? 0) > now,
+    };
+  }
+}
+
+/**
+ * Chooses the decode engine with the most free memory that has room for a generation.
+ *
+ * @param needTokens - memory that it takes
+ * @returns undefined while none has room
+ * @example
+ * chooseDecode(views, limits, 3400, new Set());
+ */
+export function chooseDecode(
+  views: readonly EngineView[],
+  limits: EngineLimits,
+  needTokens: number,
+  excluded: ReadonlySet<string>,
+): EngineView | undefined {
+  const able = views.filter(
+    (view) =>
+      view.endpoint.stage === EngineStage.decode &&
+      !view.isFull &&
+      !excluded.has(view.endpoint.id) &&
+      view.requests < limits.slots &&
+      (view.heldTokens === 0 || view.heldTokens + needTokens <= limits.capacityTokens),
+  );
+  return findLeast(preferSound(able), (view) => view.heldTokens);
+}
+
+/**
+ * Chooses the prefill engine with the least to read.
+ *
+ * @returns undefined where no prefill engine can be had
+ * @example
+ * choosePrefill(views, new Set());
+ */
+export function choosePrefill(
+  views: readonly EngineView[],
+  excluded: ReadonlySet<string>,
+): EngineView | undefined {
+  const able = views.filter(
+    (view) =>
+      view.endpoint.stage === EngineStage.prefill &&
+      !view.isShunned &&
+      !excluded.has(view.endpoint.id),
+  );
+  return findLeast(able, (view) => view.promptTokens);
+}
+
+function preferSound(views: readonly EngineView[]): readonly EngineView[] {
+  const sound = views.filter((view) => !view.isShunned);
+  return sound.length > 0 ? sound : views;
+}
+
+function findLeast(
+  views: readonly EngineView[],
+  compute: (view: EngineView) => number,
+): EngineView | undefined {
+  let least: EngineView | undefined;
+  for (const view of views) {
+    if (least === undefined || compute(view) < compute(least)) least = view;
+  }
+  return least;
+}
+
+function addWork(sum: OwnWork, work: OwnWork | EngineWork | undefined): void {
+  if (work === undefined) return;
+  sum.heldTokens += work.heldTokens;
+  sum.promptTokens += work.promptTokens;
+  sum.requests += work.requests;
+}
--- /dev/null
+++ b/src/forward/health.ts
@@ -0,0 +1,162 @@
+/**
+ * What this instance has seen of each endpoint: load, failures, silence.
+ */
+import type { Moment } from "../core/clock";
+import type { EndpointLoad } from "./exchange";
+
+/** How long an endpoint that could not be reached is passed over, in milliseconds. */
+const UNREACHABLE_MS = 1500;
+/** How long an endpoint that was full is passed over where another is left, in milliseconds. */
+const FULL_MS = 150;
+/** The share that one outcome has in the running failure rate. */
+const FAILURE_WEIGHT = 0.15;
+/** The share that one answer has in the running latency. */
+const LATENCY_WEIGHT = 0.1;
+/** How fast a failure rate fades while nothing is sent, as a half-life in milliseconds. */
+const FADE_MS = 4000;
+/** How long the load that an endpoint told counts, in milliseconds. */
+const LOAD_MS = 1500;
+/** A call that takes this many times as long as usual counts as a silence. */
+const SILENT_FACTOR = 6;
+/** A call younger than this is never a silence, in milliseconds. */
+const LEAST_SILENCE_MS = 700;
+/** Latency that is taken before anything was measured, in milliseconds. */
+const FIRST_LATENCY_MS = 100;
+
+interface Health {
+  failureRate: number;
+  failureAt: Moment;
+  latencyMs: number;
+  unreachableDeadline: Moment;
+  fullDeadline: Moment;
+  told: EndpointLoad | undefined;
+  toldAt: Moment;
+  sentSinceTold: number;
+  readonly starts: Set<{ readonly startedAt: Moment }>;
+}
+
+/** A call under way at an endpoint. */
+export interface OpenCall {
+  /** Notes how it ended; only the first note counts. */
+  end(outcome: CallOutcome, now: Moment): void;
+}
+
+/** How a call to an endpoint ended. */
+export const CallOutcome = {
+  success: "success",
+  /** The endpoint failed it, or answered nothing that can be used. */
+  failure: "failure",
+  /** The endpoint had no room. */
+  full: "full",
+  /** No connection could be had. */
+  unreachable: "unreachable",
+  /** Nobody waits for it any more. */
+  abandoned: "abandoned",
+} as const;
+export type CallOutcome = (typeof CallOutcome)[keyof typeof CallOutcome];
+
+/** How an endpoint looks from here. */
+export interface HealthView {
+  /** Requests there, as far as is known. */
+  readonly load: number;
+  /** From 0 to 1. */
+  readonly failureRate: number;
+  readonly isUnreachable: boolean;
+  readonly isFull: boolean;
+  /** True where a call waits far longer than usual. */
+  readonly isSilent: boolean;
+}
+
+/** The health of all endpoints, by their id. */
+export class HealthBook {
+  private readonly known = new Map<string, Health>();
+
+  /** Notes that a call begins. */
+  begin(id: string, now: Moment): OpenCall {
+    const health = this.find(id);
+    const start = { startedAt: now };
+    health.starts.add(start);
+    health.sentSinceTold += 1;
+    return {
+      end: (outcome, endedAt) => {
+        if (!health.starts.delete(start)) return;
+        recordOutcome(health, outcome, endedAt, endedAt - start.startedAt);
+      },
+    };
+  }
+
+  /** Notes the load that an endpoint told. */
+  noteLoad(id: string, load: EndpointLoad, now: Moment): void {
+    const health = this.find(id);
+    health.told = load;
+    health.toldAt = now;
+    health.sentSinceTold = 0;
+  }
+
+  /** Reads how an endpoint looks. */
+  view(id: string, now: Moment): HealthView {
+    const health = this.known.get(id);
+    if (health === undefined) {
+      return { load: 0, failureRate: 0, isUnreachable: false, isFull: false, isSilent: false };
+    }
+    const told = health.told;
+    const isFresh = told !== undefined && now - health.toldAt < LOAD_MS;
+    const toldLoad = isFresh ? told.running + told.waiting + health.sentSinceTold : 0;
+    const limit = Math.max(LEAST_SILENCE_MS, health.latencyMs * SILENT_FACTOR);
+    return {
+      load: Math.max(health.starts.size, toldLoad),
+      failureRate: readFailureRate(health, now),
+      isUnreachable: health.unreachableDeadline > now,
+      isFull: health.fullDeadline > now,
+      isSilent: [...health.starts].some((start) => now - start.startedAt > limit),
+    };
+  }
+
+  /** Reads how long an answer usually takes, in milliseconds. */
+  readLatencyMs(id: string): number {
+    return this.known.get(id)?.latencyMs ?? FIRST_LATENCY_MS;
+  }
+
+  /** Forgets endpoints that are no longer listed. */
+  prune(isListed: (id: string) => boolean): void {
+    for (const id of this.known.keys()) if (!isListed(id)) this.known.delete(id);
+  }
+
+  private find(id: string): Health {
+    const known = this.known.get(id);
+    if (known !== undefined) return known;
+    const health: Health = {
+      failureRate: 0,
+      failureAt: 0,
+      latencyMs: FIRST_LATENCY_MS,
+      unreachableDeadline: 0,
+      fullDeadline: 0,
+      told: undefined,
+      toldAt: 0,
+      sentSinceTold: 0,
+      starts: new Set(),
+    };
+    this.known.set(id, health);
+    return health;
+  }
+}
+
+function recordOutcome(health: Health, outcome: CallOutcome, now: Moment, tookMs: number): void {
+  if (outcome === CallOutcome.abandoned) return;
+  if (outcome === CallOutcome.full) {
+    health.fullDeadline = now + FULL_MS;
+    return;
+  }
+  if (outcome === CallOutcome.unreachable) health.unreachableDeadline = now + UNREACHABLE_MS;
+  const isFailure = outcome !== CallOutcome.success;
+  const rate = readFailureRate(health, now);
+  health.failureRate = rate + ((isFailure ? 1 : 0) - rate) * FAILURE_WEIGHT;
+  health.failureAt = now;
+  if (isFailure) return;
+  health.unreachableDeadline = 0;
+  health.latencyMs += (tookMs - health.latencyMs) * LATENCY_WEIGHT;
+}
+
+function readFailureRate(health: Health, now: Moment): number {
+  return health.failureRate * 2 ** (-(now - health.failureAt) / FADE_MS);
+}
--- /dev/null
+++ b/src/forward/instance.ts
@@ -0,0 +1,375 @@
+/**
+ * A forwarding instance: all its parts put together, started and shut down.
+ */
+import { createServer, type Server } from "node:http";
+import * as E from "fp-ts/Either";
+import { type Clock, MonotonicClock } from "../core/clock";
+import { createIncarnation } from "../core/ids";
+import { AsyncLineWriter } from "../core/lines";
+import { createLogger, type Logger } from "../core/log";
+import { Beacon, type BeaconHost } from "../fleet/beacon";
+import { Directory, type EndpointDecoder } from "../fleet/directory";
+import { type FleetHandler, type FleetServer, GrpcFleetLink, listenFleet } from "../fleet/link";
+import { Roster, type Self } from "../fleet/roster";
+import type { Store } from "../fleet/store";
+import { type ConfigDecoder, Watcher } from "../fleet/watcher";
+import type { Beat, FetchReply, FetchRequest } from "../peer/gen/fleet";
+import { Admission } from "./admission";
+import { HttpEndpointClient } from "./connections";
+import { computeTimes, type ForwardContext } from "./context";
+import { CrashBook } from "./crashes";
+import { Desk } from "./desk";
+import { EngineBook } from "./engines";
+import type { CallerCodec, EndpointCodec } from "./exchange";
+import { HealthBook } from "./health";
+import { Counter, Meter } from "./meter";
+import { PlainRun } from "./plain";
+import { Quotas, SlidingSum } from "./quota";
+import { RetryAllowance } from "./retries";
+import { type CallerAnswer, type CallerRequest, ForwardServer } from "./server";
+import type { ForwardSettings, ListenAddress } from "./settings";
+import { StreamRun } from "./stream";
+
+const STANDARD_OUTPUT = 1;
+/** The part of the time to drain after which the list of endpoints is read again. */
+const LIST_SHARE = 0.3;
+/** How long callers may still come by kept connections after a signal to stop, in milliseconds. */
+const NOTICE_MS = 2600;
+/** How much sooner than the platform kills it a stopping instance ends, in milliseconds. */
+const GRACE_MARGIN_MS = 700;
+const MAINTENANCE_MS = 1000;
+/** The window over which arriving prompts are counted, in milliseconds. */
+const ARRIVAL_WINDOW_MS = 1000;
+/** How often the members are read again from the store, in milliseconds. */
+const MEMBERS_MS = 10_000;
+/** How long to wait before joining is tried again, in milliseconds. */
+const JOIN_RETRY_MS = 400;
+/** The part of an endpoint's connections that the fleet uses, so that none is ever refused. */
+const CONNECTION_SHARE = 0.85;
+const LEAST_CONNECTIONS = 4;
+/** How old the list of endpoints must be before a peer's is asked for, in milliseconds. */
+const LIST_STALE_MS = 1500;
+
+/** What an adapter brings. */
+export interface Adapter {
+  readonly store: Store;
+  readonly callerCodec: CallerCodec;
+  readonly endpointCodec: EndpointCodec;
+  readonly decodeConfig: ConfigDecoder;
+  readonly decodeEndpoint: EndpointDecoder;
+}
+
+/** A forwarding instance. */
+export class ForwardInstance implements BeaconHost, FleetHandler {
+  private readonly clock: Clock = new MonotonicClock();
+  private readonly meter = new Meter();
+  private readonly logger: Logger;
+  private readonly self: Self;
+  private readonly directory: Directory;
+  private readonly roster: Roster;
+  private readonly link = new GrpcFleetLink();
+  private readonly watcher: Watcher;
+  private readonly beacon: Beacon;
+  private readonly quotas: Quotas;
+  private readonly crashes = new CrashBook();
+  private readonly book = new EngineBook();
+  private readonly arriving = new SlidingSum(ARRIVAL_WINDOW_MS);
+  private readonly context: ForwardContext;
+  private readonly desk: Desk;
+  private readonly admission: Admission;
+  private readonly callers: ForwardServer;
+  private readonly ready: Server;
+  private readonly metrics: Server;
+  private peers: FleetServer | undefined;
+  private timers: NodeJS.Timeout[] = [];
+  private isStopping = false;
+  private isClosed = false;
+  private configVersion = -1;
+
+  constructor(
+    private readonly settings: ForwardSettings,
+    private readonly adapter: Adapter,
+  ) {
+    const { instance, dataCentre, peers } = settings;
+    const { clock, meter } = this;
+    const lines = new AsyncLineWriter(STANDARD_OUTPUT);
+    const address = `${peers.host}:${peers.port}`;
+    this.logger = createLogger(instance, settings.logLevel, lines);
+    this.self = { instance, incarnation: createIncarnation(instance), address, dataCentre };
+    this.directory = new Directory(adapter.decodeEndpoint);
+    this.roster = new Roster(this.self, this.logger);
+    this.watcher = new Watcher(
+      adapter.store,
+      this.directory,
+      adapter.decodeConfig,
+      clock,
+      this.logger,
+      meter,
+      settings.drainMs * LIST_SHARE,
+    );
+    this.beacon = new Beacon(this.self, this.roster, this.link, this, clock, this.logger);
+    this.quotas = new Quotas(settings.quotaWindowMs);
+    const draw = Math.random;
+    this.context = {
+      clock,
+      logger: this.logger,
+      meter,
+      directory: this.directory,
+      health: new HealthBook(),
+      client: new HttpEndpointClient(adapter.endpointCodec, clock, (service) =>
+        this.countConnections(service),
+      ),
+      codec: adapter.endpointCodec,
+      retries: new RetryAllowance(settings.retryLimit, () => this.countLive()),
+      crashes: this.crashes,
+      dataCentre,
+      draw,
+    };
+    this.desk = new Desk(this.context, this.book);
+    this.admission = new Admission({
+      readCatalog: () => this.watcher.readCatalog(),
+      computeConfigAgeMs: () => this.watcher.computeConfigAgeMs(),
+      quotas: this.quotas,
+      crashes: this.crashes,
+      logger: this.logger,
+      draw,
+    });
+    this.callers = new ForwardServer(
+      adapter.callerCodec,
+      (request) => this.serve(request),
+      clock,
+      this.logger,
+      meter,
+    );
+    this.ready = createServer((_request, response) => {
+      response.statusCode = this.isReady() ? 200 : 503;
+      response.end();
+    });
+    this.metrics = createServer((_request, response) => {
+      response.setHeader("content-type", "text/plain");
+      response.end(meter.print());
+    });
+    meter.addGauge("gorsefold_open_requests", () => this.callers.size);
+    meter.addGauge("gorsefold_waiting_generations", () => this.desk.size);
+    meter.addGauge("gorsefold_config_version", () => this.configVersion);
+    meter.addGauge("gorsefold_live_instances", () => this.countLive());
+    meter.addGauge(Counter.droppedLines, () => lines.dropped);
+  }
+
+  /** Starts all parts; rejects where an address cannot be had. */
+  async start(): Promise<void> {
+    const { settings } = this;
+    const { incarnation, dataCentre } = this.self;
+    this.logger.info("started", { incarnation, dataCentre });
+    this.watcher.start();
+    const now = this.clock.now();
+    for (const address of settings.knownPeers) this.roster.addAddress(address, undefined, now);
+    await Promise.all([
+      this.callers.listen(settings.callers.host, settings.callers.port),
+      listenAt(this.ready, settings.ready),
+      settings.metrics === undefined ? undefined : listenAt(this.metrics, settings.metrics),
+      this.listenPeers(),
+    ]);
+    this.beacon.start();
+    void this.join();
+    this.timers.push(
+      setInterval(() => {
+        this.maintain();
+      }, MAINTENANCE_MS),
+      setInterval(() => {
+        void this.readMembers();
+      }, MEMBERS_MS),
+    );
+  }
+
+  /** Shuts down: not ready at once, serving while the balancer notices, no request cut. */
+  async close(): Promise<void> {
+    if (this.isStopping) return;
+    const stopAt = this.clock.now() + this.settings.graceMs - GRACE_MARGIN_MS;
+    this.isStopping = true;
+    this.logger.info("stopping", { requests: this.callers.size });
+    this.callers.beginClose();
+    this.beacon.speak();
+    await pause(NOTICE_MS);
+    this.callers.closeIdle();
+    while (this.callers.size > 0 && this.clock.now() < stopAt) await pause(20);
+    this.isClosed = true;
+    this.logger.info("stopped", { requests: this.callers.size });
+    this.callers.close();
+    this.ready.close();
+    this.ready.closeAllConnections();
+    this.metrics.close();
+    this.metrics.closeAllConnections();
+    for (const timer of this.timers) clearInterval(timer);
+    this.watcher.close();
+    this.beacon.close();
+    this.desk.close();
+    this.link.close();
+    await Promise.all([
+      this.peers?.close(),
+      this.context.client.close(),
+      this.adapter.store.close(),
+    ]);
+  }
+
+  describe(): Omit<Beat, keyof Self> {
+    const now = this.clock.now();
+    return {
+      configVersion: this.watcher.readCatalog()?.config.version ?? -1,
+      endpointsNext: this.directory.next,
+      leaving: this.isStopping,
+      usages: [...this.quotas.listOwn(now)],
+      works: this.book.listOwn().map((work) => ({
+        ...work,
+        heldTokens: Math.max(0, work.heldTokens),
+        promptTokens: Math.max(0, work.promptTokens),
+        requests: Math.max(0, work.requests),
+      })),
+      crashes: [...this.crashes.list(now)],
+      arrivingTokens: Math.round(this.arriving.read(now)),
+      waiting: this.desk.size,
+    };
+  }
+
+  takeBeat(beat: Beat, now: number): void {
+    this.quotas.take(beat.instance, beat.usages, now);
+    this.book.take(beat.instance, beat.works, now);
+    for (const crash of beat.crashes) this.crashes.note(crash, now);
+    this.desk.pump();
+  }
+
+  shouldFetch(beat: Beat): boolean {
+    const version = this.watcher.readCatalog()?.config.version ?? -1;
+    if (beat.configVersion > version) return true;
+    const isStale = this.watcher.computeEndpointsAgeMs() > LIST_STALE_MS;
+    return isStale && beat.endpointsNext > this.directory.next;
+  }
+
+  createFetchRequest(): FetchRequest {
+    const configVersion = this.watcher.readCatalog()?.config.version ?? -1;
+    return { configVersion, endpointsNext: this.directory.next };
+  }
+
+  takeFetched(reply: FetchReply, from: string): void {
+    const source = `peer ${from}`;
+    if (reply.config !== undefined) this.watcher.takeConfig(Buffer.from(reply.config), source);
+    if (reply.endpointsNext <= this.directory.next) return;
+    const records = reply.endpoints.map(({ key, value, offset }) => ({
+      key,
+      value: value === undefined ? undefined : Buffer.from(value),
+      offset,
+    }));
+    this.watcher.takeEndpoints({ records, next: reply.endpointsNext }, false, source);
+    this.applyLimits();
+  }
+
+  onBeat(beat: Beat): Beat {
+    return this.beacon.onBeat(beat);
+  }
+
+  onFetch(request: FetchRequest): FetchReply {
+    const version = this.watcher.readCatalog()?.config.version ?? -1;
+    const value = version > request.configVersion ? this.watcher.readConfigValue() : undefined;
+    const isNewer = this.directory.next > request.endpointsNext;
+    const endpoints = isNewer ? this.directory.listRecords() : [];
+    return {
+      ...(value === undefined ? {} : { config: value }),
+      endpoints: endpoints.map((record) => ({
+        key: record.key,
+        value: record.value,
+        offset: record.offset,
+      })),
+      endpointsNext: this.directory.next,
+    };
+  }
+
+  private async serve(request: CallerRequest): Promise<CallerAnswer> {
+    this.applyLimits();
+    const { head, body, arrivedAt, caller, sink } = request;
+    const admitted = this.admission.admit(head, body, arrivedAt);
+    if (E.isLeft(admitted)) return admitted;
+    const forward = admitted.right;
+    const { route, service, workspace } = forward;
+    this.logger.info("request", {
+      request: head.id,
+      route: route.name,
+      service,
+      workspace: workspace?.name ?? "",
+      config: this.configVersion,
+      configAgeMs: Math.round(this.watcher.computeConfigAgeMs()),
+    });
+    this.context.retries.noteRequest(service, arrivedAt);
+    const times = computeTimes(forward, arrivedAt);
+    const engine = this.watcher.readCatalog()?.findService(service)?.engine;
+    if (engine === undefined || !route.isStream) {
+      return new PlainRun(this.context, forward, times, caller).run();
+    }
+    this.arriving.add(head.size?.promptTokens ?? 0, arrivedAt);
+    const { context, desk, book } = this;
+    const run = new StreamRun({ context, desk, book }, forward, engine, times, caller, sink);
+    return run.run();
+  }
+
+  private isReady(): boolean {
+    return !this.isStopping && this.watcher.isComplete();
+  }
+
+  private applyLimits(): void {
+    const config = this.watcher.readCatalog()?.config;
+    if (config === undefined || config.version === this.configVersion) return;
+    this.configVersion = config.version;
+    this.callers.setLimits(config.limits);
+  }
+
+  private maintain(): void {
+    this.applyLimits();
+    this.context.health.prune((id) => this.directory.find(id) !== undefined);
+  }
+
+  private countLive(): number {
+    return this.roster.listLive(this.clock.now()).length;
+  }
+
+  private countConnections(service: string): number {
+    const most = this.watcher.readCatalog()?.findService(service)?.maxConnections;
+    if (most === undefined) return 0;
+    const share = Math.floor((most * CONNECTION_SHARE) / this.countLive());
+    return Math.max(LEAST_CONNECTIONS, share);
+  }
+
+  private async listenPeers(): Promise<void> {
+    this.peers = await listenFleet(this.self.address, this);
+  }
+
+  /** Adds this instance to the members in the store, and finds the others. */
+  private async join(): Promise<void> {
+    while (!this.isClosed) {
+      this.meter.count(Counter.storeCalls);
+      const { members } = this.adapter.store;
+      const joined = await members.append(this.self.instance, this.roster.encodeSelf())();
+      if (E.isRight(joined)) break;
+      this.logger.warn("not joined", { error: joined.left.message });
+      await pause(JOIN_RETRY_MS);
+    }
+    await this.readMembers();
+    this.beacon.speak();
+  }
+
+  private async readMembers(): Promise<void> {
+    this.meter.count(Counter.storeCalls);
+    const page = await this.adapter.store.members.readNewest()();
+    if (E.isRight(page)) this.roster.takeRecords(page.right.records, this.clock.now());
+    else this.logger.warn("members not read", { error: page.left.message });
+  }
+}
+
+function listenAt(server: Server, address: ListenAddress): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(address, resolve);
+  });
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/src/forward/plain.ts
@@ -0,0 +1,260 @@
+/**
+ * Runs a request at a plain service: whole, at most once where it may not be repeated.
+ */
+import type { Readable } from "node:stream";
+import * as E from "fp-ts/Either";
+import { computeLeftMs, type Moment } from "../core/clock";
+import { createNotRun, createUnknown, Ran, Reason, Refusal } from "../core/outcome";
+import { Repeat } from "../fleet/catalog";
+import type { EndpointEntry } from "../fleet/directory";
+import { AbortCause, Watch } from "./abort";
+import type { OpenAnswer, SendFailure } from "./connections";
+import type { ForwardContext, RequestTimes } from "./context";
+import { type AnswerHead, type ForwardRequest, Task, Verdict } from "./exchange";
+import { CallOutcome } from "./health";
+import { confirmCrash } from "./probe";
+import { pickEndpoint } from "./pick";
+
+/** The most sends of one request, those that were not run included. */
+const MAX_SENDS = 4;
+/** How long after the deadline an answer that is on its way is still awaited, in milliseconds. */
+const DEADLINE_GRACE_MS = 120;
+/** The share of the target after which a request that may be repeated is sent elsewhere. */
+const REPEAT_SHARE = 0.75;
+/** The same, as a multiple of the endpoint's usual latency. */
+const REPEAT_FACTOR = 4;
+/** When a caller that found no room may come back, in milliseconds. */
+const RETRY_AFTER_MS = 250;
+/** The least time in which a send can still come to something, in milliseconds. */
+const LEAST_LEFT_MS = 5;
+
+/** A whole answer of an endpoint. */
+export interface WholeAnswer {
+  readonly head: AnswerHead;
+  readonly body: Buffer;
+}
+
+/** How one send ended. */
+const SendEnd = {
+  answered: "answered",
+  notRun: "not run",
+  /** The endpoint may have run it, and no whole answer came. */
+  unknown: "unknown",
+  callerGone: "caller gone",
+} as const;
+type SendEnd = (typeof SendEnd)[keyof typeof SendEnd];
+
+interface SendResult {
+  readonly end: SendEnd;
+  readonly answer: WholeAnswer | undefined;
+  readonly message: string;
+}
+
+/** The run of one request. */
+export class PlainRun {
+  private readonly tried = new Set<string>();
+  /** Sends after which the request may have run. */
+  private runs = 0;
+  private failed: WholeAnswer | undefined;
+  private message = "no endpoint of the service is listed";
+
+  constructor(
+    private readonly context: ForwardContext,
+    private readonly request: ForwardRequest,
+    private readonly times: RequestTimes,
+    private readonly caller: AbortSignal,
+  ) {}
+
+  /** Runs to the final answer. */
+  async run(): Promise<E.Either<Refusal, WholeAnswer>> {
+    for (let sends = 0; sends < MAX_SENDS; sends += 1) {
+      const endpoint = this.choose(sends);
+      if (endpoint === undefined) break;
+      const result = await this.sendOnce(endpoint);
+      if (result.end === SendEnd.callerGone) return E.left(createCancelled());
+      this.message = result.message;
+      if (result.end !== SendEnd.notRun) this.runs += 1;
+      if (result.answer !== undefined && !this.shouldRepeat(result.answer)) {
+        return E.right(result.answer);
+      }
+      this.failed = result.answer ?? this.failed;
+      if (result.end === SendEnd.unknown && !this.isRepeatable()) break;
+    }
+    return this.createFinal();
+  }
+
+  private choose(sends: number): EndpointEntry | undefined {
+    const { clock, retries, crashes, logger } = this.context;
+    const { service, fingerprint, head } = this.request;
+    const now = clock.now();
+    if (computeLeftMs(this.times.deadline, now) < LEAST_LEFT_MS) return undefined;
+    if (crashes.isBanned(fingerprint, now)) {
+      this.message = "the request crashes the endpoints that run it";
+      return undefined;
+    }
+    const candidates = listCandidates(this.context, service, now);
+    const pick = pickEndpoint(candidates, this.context.dataCentre, this.tried, this.context.draw);
+    if (pick === undefined) return undefined;
+    if (sends > 0 && !retries.take(service, now)) {
+      this.message = `${this.message}; no retry is left in the budget`;
+      return undefined;
+    }
+    logger.info("place", {
+      request: head.id,
+      send: sends + 1,
+      endpoint: pick.endpoint.id,
+      cost: Math.round(pick.cost * 100) / 100,
+      candidates: pick.candidates,
+      listOffset: this.context.directory.next,
+    });
+    return pick.endpoint;
+  }
+
+  private async sendOnce(endpoint: EndpointEntry): Promise<SendResult> {
+    const { clock, health, client } = this.context;
+    const { deadline } = this.times;
+    this.tried.add(endpoint.id);
+    const call = health.begin(endpoint.id, clock.now());
+    const watch = new Watch(clock, this.computeSendDeadline(endpoint.id), this.caller);
+    const send = {
+      request: this.request,
+      endpoint,
+      task: Task.run,
+      leftMs: computeLeftMs(deadline, clock.now()),
+      source: undefined,
+      hold: undefined,
+      lastEventId: undefined,
+      urgency: undefined,
+    };
+    const opened = await client.send(send, watch.signal);
+    const result = E.isLeft(opened)
+      ? await this.explainFailure(opened.left, endpoint, watch)
+      : await this.readWhole(opened.right, endpoint, watch);
+    watch.close();
+    const isGone = watch.cause === AbortCause.callerGone;
+    call.end(isGone ? CallOutcome.abandoned : nameOutcome(result, opened), clock.now());
+    return isGone ? { ...result, end: SendEnd.callerGone } : result;
+  }
+
+  private async readWhole(
+    answer: OpenAnswer,
+    endpoint: EndpointEntry,
+    watch: Watch,
+  ): Promise<SendResult> {
+    const { head, body } = answer;
+    if (head.load !== undefined) {
+      this.context.health.noteLoad(endpoint.id, head.load, this.context.clock.now());
+    }
+    const whole = await readBody(body);
+    if (head.verdict === Verdict.notRun || head.verdict === Verdict.misdirected) {
+      return {
+        end: SendEnd.notRun,
+        answer: undefined,
+        message: `the endpoint has ${head.verdict}`,
+      };
+    }
+    if (E.isLeft(whole)) {
+      await this.noteBreak(endpoint, watch);
+      return { end: SendEnd.unknown, answer: undefined, message: whole.left.message };
+    }
+    if (head.verdict === Verdict.foreign) {
+      this.context.client.reset(endpoint.address);
+      const message = "the answer is not one to this request";
+      return { end: SendEnd.unknown, answer: undefined, message };
+    }
+    return { end: SendEnd.answered, answer: { head, body: whole.right }, message: "answered" };
+  }
+
+  private async explainFailure(
+    failure: SendFailure,
+    endpoint: EndpointEntry,
+    watch: Watch,
+  ): Promise<SendResult> {
+    const { message, isSent } = failure;
+    if (!isSent) return { end: SendEnd.notRun, answer: undefined, message };
+    if (watch.cause === AbortCause.timeUp) this.context.client.reset(endpoint.address);
+    await this.noteBreak(endpoint, watch);
+    return { end: SendEnd.unknown, answer: undefined, message };
+  }
+
+  private async noteBreak(endpoint: EndpointEntry, watch: Watch): Promise<void> {
+    if (watch.cause !== undefined) return;
+    await confirmCrash(this.context, this.request, endpoint);
+  }
+
+  /** A request that may be repeated does not wait to the end for a silent endpoint. */
+  private computeSendDeadline(id: string): Moment {
+    const { deadline, target, arrivedAt } = this.times;
+    const last = deadline + DEADLINE_GRACE_MS;
+    const isLast = this.runs + 1 >= this.request.route.maxAttempts;
+    if (!this.isRepeatable() || isLast) return last;
+    const usualMs = this.context.health.readLatencyMs(id) * REPEAT_FACTOR;
+    const patienceMs = Math.max((target - arrivedAt) * REPEAT_SHARE, usualMs);
+    return Math.min(last, this.context.clock.now() + patienceMs);
+  }
+
+  private isRepeatable(): boolean {
+    return this.request.route.repeat !== Repeat.once;
+  }
+
+  private shouldRepeat(answer: WholeAnswer): boolean {
+    if (answer.head.status < 500 || !this.isRepeatable()) return false;
+    return this.runs < this.request.route.maxAttempts;
+  }
+
+  private createFinal(): E.Either<Refusal, WholeAnswer> {
+    if (this.failed !== undefined) return E.right(this.failed);
+    const isLate = this.context.clock.now() >= this.times.deadline;
+    if (this.runs === 0) {
+      const reason = isLate ? Reason.deadline : Reason.noEndpoint;
+      return E.left(createNotRun(503, reason, this.message, RETRY_AFTER_MS));
+    }
+    if (isLate) return E.left(new Refusal(504, Reason.deadline, Ran.unknown, this.message));
+    return E.left(createUnknown(Reason.outcomeUnknown, this.message));
+  }
+}
+
+/**
+ * Lists the endpoints of a service that are not leaving, with what is known of them.
+ *
+ * @example
+ * listCandidates(context, "job-sheets", clock.now());
+ */
+export function listCandidates(context: ForwardContext, service: string, now: Moment) {
+  const { directory, health } = context;
+  return directory
+    .listUsable(now)
+    .filter((endpoint) => endpoint.service === service)
+    .map((endpoint) => ({
+      endpoint,
+      health: health.view(endpoint.id, now),
+      isInDoubt: directory.isInDoubt(endpoint.id),
+    }));
+}
+
+/**
+ * Reads a body to its end.
+ *
+ * @returns the bytes, or the error that cut it short
+ */
+export async function readBody(body: Readable): Promise<E.Either<Error, Buffer>> {
+  const chunks: Buffer[] = [];
+  try {
+    for await (const chunk of body) chunks.push(chunk as Buffer);
+    return E.right(Buffer.concat(chunks));
+  } catch (error) {
+    return E.left(error as Error);
+  }
+}
+
+/** Creates the final answer of a request whose caller has left. */
+export function createCancelled(): Refusal {
+  return new Refusal(499, Reason.cancelled, Ran.unknown, "the caller has left");
+}
+
+function nameOutcome(result: SendResult, opened: E.Either<SendFailure, OpenAnswer>): CallOutcome {
+  if (E.isLeft(opened) && !opened.left.isSent) return CallOutcome.unreachable;
+  if (result.end === SendEnd.notRun) return CallOutcome.full;
+  const isSuccess = result.answer !== undefined && result.answer.head.status < 500;
+  return isSuccess ? CallOutcome.success : CallOutcome.failure;
+}
--- /dev/null
+++ b/src/forward/retries.ts
@@ -0,0 +1,58 @@
+/**
+ * A budget for repeated sends, for each service: a share of the requests of a sliding window and a
+ * fixed part of the fleet's slack. Each instance keeps to its own part, so that all keep to the whole.
+ */
+import type { Moment } from "../core/clock";
+import { SlidingSum } from "./quota";
+
+/** The fleet's bound on repeated sends. */
+export interface RetryLimit {
+  /** Repeats for each request. */
+  readonly ratio: number;
+  /** Repeats that are free in each window, over all instances. */
+  readonly slack: number;
+  readonly windowMs: number;
+}
+
+/** The part of the bound that is used, so that windows that overlap keep to it as well. */
+const USED_SHARE = 0.7;
+
+interface ServiceCount {
+  readonly requests: SlidingSum;
+  readonly repeats: SlidingSum;
+}
+
+/** The repeats that this instance may still make. */
+export class RetryAllowance {
+  private readonly counts = new Map<string, ServiceCount>();
+
+  constructor(
+    private readonly limit: RetryLimit,
+    private readonly countInstances: () => number,
+  ) {}
+
+  /** Notes a request for a service. */
+  noteRequest(service: string, now: Moment): void {
+    this.find(service).requests.add(1, now);
+  }
+
+  /** Takes a repeat for a service; false where there is none left. */
+  take(service: string, now: Moment): boolean {
+    const { requests, repeats } = this.find(service);
+    const { ratio, slack } = this.limit;
+    const share = slack / Math.max(1, this.countInstances());
+    const allowed = (requests.read(now) * ratio + share) * USED_SHARE;
+    if (repeats.read(now) + 1 > allowed) return false;
+    repeats.add(1, now);
+    return true;
+  }
+
+  private find(service: string): ServiceCount {
+    const known = this.counts.get(service);
+    if (known !== undefined) return known;
+    const { windowMs } = this.limit;
+    const count = { requests: new SlidingSum(windowMs), repeats: new SlidingSum(windowMs) };
+    this.counts.set(service, count);
+    return count;
+  }
+}
--- /dev/null
+++ b/src/forward/server.ts
@@ -0,0 +1,252 @@
+/**
+ * The side of a forwarding instance that callers see: reads requests, checks them, has them run and
+ * gives each its one final answer.
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import * as E from "fp-ts/Either";
+import type { CallerLimits } from "../fleet/catalog";
+import type { Clock, Moment } from "../core/clock";
+import type { Logger } from "../core/log";
+import { createNotRun, Reason, type Refusal } from "../core/outcome";
+import type { CallerCodec, RequestHead } from "./exchange";
+import { Counter, type Meter, Timing } from "./meter";
+import type { WholeAnswer } from "./plain";
+import type { StreamSink } from "./stream";
+
+/** Limits that hold until a configuration is known. */
+const FIRST_LIMITS: CallerLimits = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 4 * 1024 * 1024,
+  headersTimeoutMs: 3000,
+  idleTimeoutMs: 15_000,
+};
+/** The largest head that the parser takes, in bytes; the configured limit may be smaller. */
+const PARSER_HEAD_BYTES = 65_536;
+/** How often connections are looked at for heads that come too slowly, in milliseconds. */
+const CHECK_MS = 500;
+
+/** A whole request of a caller. */
+export interface CallerRequest {
+  readonly head: RequestHead;
+  readonly body: Buffer;
+  readonly arrivedAt: Moment;
+  /** Ends when the caller leaves. */
+  readonly caller: AbortSignal;
+  readonly sink: StreamSink;
+}
+
+/** The answer to a request; undefined where it went out through the sink. */
+export type CallerAnswer = E.Either<Refusal, WholeAnswer> | undefined;
+
+/** Serves whole requests. */
+export type CallerHandler = (request: CallerRequest) => Promise<CallerAnswer>;
+
+/** Listens for callers. */
+export class ForwardServer {
+  private readonly server: Server;
+  private readonly sockets = new Set<Socket>();
+  private limits = FIRST_LIMITS;
+  private open = 0;
+  private isClosing = false;
+
+  constructor(
+    private readonly codec: CallerCodec,
+    private readonly handler: CallerHandler,
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+    private readonly meter: Meter,
+  ) {
+    this.server = createServer(
+      {
+        maxHeaderSize: PARSER_HEAD_BYTES,
+        connectionsCheckingInterval: CHECK_MS,
+        requestTimeout: 0,
+        noDelay: true,
+      },
+      (request, response) => {
+        void this.onRequest(request, response);
+      },
+    );
+    this.server.on("connection", (socket) => {
+      this.sockets.add(socket);
+      socket.once("close", () => this.sockets.delete(socket));
+    });
+    this.server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
+      this.answerBadConnection(error, socket as Socket);
+    });
+    this.setLimits(FIRST_LIMITS);
+  }
+
+  /** Requests that have no final answer yet. */
+  get size(): number {
+    return this.open;
+  }
+
+  /** Starts to listen; rejects where the address cannot be had. */
+  listen(host: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.once("error", reject);
+      this.server.listen({ host, port, backlog: 1024 }, resolve);
+    });
+  }
+
+  /** Changes the limits on callers. */
+  setLimits(limits: CallerLimits): void {
+    this.limits = limits;
+    this.server.keepAliveTimeout = limits.idleTimeoutMs;
+    this.server.headersTimeout = limits.headersTimeoutMs;
+  }
+
+  /** From now on each answer is the last on its connection. */
+  beginClose(): void {
+    this.isClosing = true;
+  }
+
+  /** Closes connections without a request under way, and takes no new ones. */
+  closeIdle(): void {
+    this.server.close();
+    this.server.closeIdleConnections();
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private async onRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const arrivedAt = this.clock.now();
+    const gone = new AbortController();
+    const onGone = () => {
+      if (!response.writableFinished) gone.abort();
+    };
+    response.once("close", onGone);
+    request.once("aborted", onGone);
+    request.socket.once("end", onGone);
+    this.open += 1;
+    this.meter.count(Counter.requests);
+    await this.answer(request, response, arrivedAt, gone.signal);
+    this.open -= 1;
+    request.socket.off("end", onGone);
+    this.meter.record(Timing.answer, this.clock.now() - arrivedAt);
+  }
+
+  private async answer(
+    request: IncomingMessage,
+    response: ServerResponse,
+    arrivedAt: Moment,
+    caller: AbortSignal,
+  ): Promise<void> {
+    const head = this.readHead(request);
+    if (E.isLeft(head)) {
+      this.refuse(request, response, undefined, head.left);
+      return;
+    }
+    const body = await readLimited(request, this.limits.maxBodyBytes);
+    if (caller.aborted || body === undefined) return;
+    if (body === "too large") {
+      const message = `the body is larger than ${this.limits.maxBodyBytes} bytes`;
+      const refusal = createNotRun(413, Reason.bodyTooLarge, message);
+      this.refuse(request, response, head.right.id, refusal);
+      return;
+    }
+    const sink = this.createSink(response);
+    const result = await this.handler({ head: head.right, body, arrivedAt, caller, sink });
+    if (result === undefined) return;
+    if (E.isLeft(result)) this.refuse(request, response, head.right.id, result.left);
+    else this.sendWhole(response, result.right);
+  }
+
+  private readHead(request: IncomingMessage): E.Either<Refusal, RequestHead> {
+    const bytes = request.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
+    if (bytes > this.limits.maxHeaderBytes) {
+      const message = `the head is larger than ${this.limits.maxHeaderBytes} bytes`;
+      return E.left(createNotRun(431, Reason.badRequest, message));
+    }
+    return this.codec.readHead(request);
+  }
+
+  private sendWhole(response: ServerResponse, answer: WholeAnswer): void {
+    if (response.destroyed) return;
+    const headers = [...answer.head.headers, "content-length", String(answer.body.length)];
+    this.writeHead(response, answer.head.status, headers);
+    response.end(answer.body);
+  }
+
+  private refuse(
+    request: IncomingMessage,
+    response: ServerResponse,
+    id: string | undefined,
+    refusal: Refusal,
+  ): void {
+    const { status, reason, ran, message } = refusal;
+    this.meter.count(Counter.refusals, { reason });
+    const retryAfterMs = refusal.retryAfterMs ?? 0;
+    this.logger.info("refused", { request: id ?? "", status, reason, ran, message, retryAfterMs });
+    if (response.destroyed) return;
+    const body = Buffer.from(JSON.stringify({ error: { type: reason, message, outcome: ran } }));
+    const headers = [...this.codec.listRefusalHeaders(id, refusal)];
+    headers.push("content-type", "application/json", "content-length", String(body.length));
+    if (!request.complete) headers.push("connection", "close");
+    this.writeHead(response, status, headers);
+    response.end(body);
+  }
+
+  private writeHead(response: ServerResponse, status: number, headers: readonly string[]): void {
+    response.sendDate = false;
+    if (this.isClosing) response.shouldKeepAlive = false;
+    response.writeHead(status, [...headers]);
+  }
+
+  private createSink(response: ServerResponse): StreamSink {
+    return {
+      begin: (status, headers) => {
+        if (response.destroyed) return;
+        this.writeHead(response, status, headers);
+        response.flushHeaders();
+      },
+      write: (bytes) => {
+        if (!response.destroyed) response.write(bytes);
+      },
+      end: () => {
+        response.end();
+      },
+      cut: () => {
+        response.destroy();
+      },
+    };
+  }
+
+  /** What never became a request gets an answer too, where the connection still takes one. */
+  private answerBadConnection(error: NodeJS.ErrnoException, socket: Socket): void {
+    if (error.code === "ECONNRESET" || !socket.writable) {
+      socket.destroy();
+      return;
+    }
+    const isSlow = error.code === "ERR_HTTP_REQUEST_TIMEOUT";
+    this.logger.info("bad connection", { code: error.code ?? "", message: error.message });
+    const status = isSlow ? "408 Request Timeout" : "400 Bad Request";
+    socket.end(`HTTP/1.1 ${status}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`);
+  }
+}
+
+/** Reads a body; undefined where it never came whole. */
+async function readLimited(
+  request: IncomingMessage,
+  maxBytes: number,
+): Promise<Buffer | "too large" | undefined> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  try {
+    for await (const chunk of request.iterator({ destroyOnReturn: false })) {
+      size += (chunk as Buffer).length;
+      if (size > maxBytes) return "too large";
+      chunks.push(chunk as Buffer);
+    }
+  } catch {
+    // The caller broke off; its response is closed, and nothing was run.
+    return undefined;
+  }
+  return Buffer.concat(chunks);
+}
--- a/src/node.ts
+++ b/src/node.ts
@@ -31,8 +31,8 @@
 import { CallerServer } from "./entry/server";
 import { GrpcPeerLink } from "./peer/link";
 import { type BookSession, listenPeers, type PeerHandler, type PeerServer } from "./peer/server";
-import { HttpInstanceList } from "./platform/list";
-import { HttpLog } from "./platform/log";
+import { HttpInstanceList } from "./store/list";
+import { HttpLog } from "./store/log";
 
 const KEEPER_HEARTBEAT_MS = 300;
 const METRICS_MS = 5000;
