--- a/scripts/build-platform.mjs
+++ b/scripts/build-platform.mjs
@@ -4,7 +4,7 @@
 await build({
   entryPoints: { instance: "platform/main.ts" },
   bundle: true,
-  minify: true,
+  minify: false,
   sourcemap: false,
   platform: "node",
   target: "node20",
--- a/src/fleet/store.ts
+++ b/src/fleet/store.ts
@@ -24,6 +24,8 @@
   constructor(
     readonly fault: StoreFault,
     message: string,
+    /** For trimmed records: the lowest offset that is still kept. */
+    readonly first?: number,
   ) {
     super(message);
   }
--- a/src/forward/connections.ts
+++ b/src/forward/connections.ts
@@ -1,25 +1,16 @@
 /**
- * Kept connections to endpoints, by undici. Nothing is ever sent twice here. A connection that goes
- * silent or brings an answer to nothing is given up, and with it those beside it.
+ * Sends to endpoints over kept connections. Nothing is ever sent twice here. A connection that
+ * failed, or whose answer was not read to its end, is closed and never used again.
  */
 import type { Readable } from "node:stream";
 import * as E from "fp-ts/Either";
-import { Pool } from "undici";
-import type { Clock, Moment } from "../core/clock";
+import type { Clock } from "../core/clock";
 import { checkDown, checkUnsent } from "../store/http";
+import { Connection } from "./connection";
 import type { AnswerHead, EndpointCodec, OwnCall, Send } from "./exchange";
 
-/** How long a connection may take to stand, in milliseconds; far more than a round trip. */
-const CONNECT_MS = 400;
-/** How long a connection stays open unused where the endpoint names no time, in milliseconds. */
-const IDLE_MS = 400;
-/** How much sooner than the endpoint would a connection is closed, in milliseconds. */
-const IDLE_MARGIN_MS = 700;
-/** How long a pool without calls is kept, in milliseconds. */
-const UNUSED_MS = 10_000;
-const SWEEP_MS = 5000;
-/** The largest answer that is read whole, in bytes. */
-const MAX_BODY_BYTES = 16 * 1024 * 1024;
+/** How often connections that were closed by the other end are forgotten, in milliseconds. */
+const SWEEP_MS = 2000;
 
 /** A send that got no answer. */
 export class SendFailure extends Error {
@@ -31,8 +22,6 @@
     readonly isSent: boolean,
     /** True where nothing listens at the other end. */
     readonly isDown: boolean,
-    /** True where the router itself ended the send. */
-    readonly isAborted: boolean,
   ) {
     super(message);
   }
@@ -42,6 +31,8 @@
 export interface OpenAnswer {
   readonly head: AnswerHead;
   readonly body: Readable;
+  /** True where the connection failed, so that a body that seems to have ended is not whole. */
+  readonly isBroken: () => boolean;
 }
 
 /** A whole answer to a call of the router's own. */
@@ -60,19 +51,19 @@
     call: OwnCall,
     timeoutMs: number,
   ): Promise<E.Either<SendFailure, CallAnswer>>;
-  /** Gives up the unused connections to an address. */
+  /** Closes the unused connections to an address. */
   reset(address: string): void;
   close(): Promise<void>;
 }
 
-interface KeptPool {
-  readonly pool: Pool;
-  usedAt: Moment;
+interface Lane {
+  readonly idle: Connection[];
+  readonly busy: Set<Connection>;
 }
 
 /** Endpoints over HTTP. */
 export class HttpEndpointClient implements EndpointClient {
-  private readonly pools = new Map<string, KeptPool>();
+  private readonly lanes = new Map<string, Lane>();
   private readonly timer: NodeJS.Timeout;
 
   /**
@@ -91,9 +82,13 @@
 
   async send(send: Send, signal: AbortSignal): Promise<E.Either<SendFailure, OpenAnswer>> {
     const { head, body } = send.request;
-    const pool = this.findPool(send.endpoint.address, send.endpoint.service);
+    const { address, service } = send.endpoint;
+    const connection = this.take(address, this.countConnections(service));
+    if (connection === undefined) {
+      return E.left(new SendFailure("all connections to the endpoint are in use", false, false));
+    }
     try {
-      const response = await pool.request({
+      const response = await connection.client.request({
         method: head.method as "POST",
         path: head.target,
         headers: this.codec.listHeaders(send),
@@ -101,11 +96,14 @@
         signal,
         responseHeaders: "raw",
       });
+      this.giveBackAfter(address, connection, response.body);
       const headers = response.headers as unknown as readonly string[];
       const answer = this.codec.readAnswer(send, response.statusCode, headers);
-      return E.right({ head: answer, body: response.body });
+      const isBroken = () => connection.isBroken;
+      return E.right({ head: answer, body: response.body, isBroken });
     } catch (error) {
-      return E.left(createFailure(error, signal));
+      this.discard(address, connection);
+      return E.left(createFailure(error));
     }
   }
 
@@ -114,66 +112,105 @@
     call: OwnCall,
     timeoutMs: number,
   ): Promise<E.Either<SendFailure, CallAnswer>> {
-    const signal = AbortSignal.timeout(timeoutMs);
+    const connection = this.take(address, Number.POSITIVE_INFINITY);
+    if (connection === undefined) return E.left(new SendFailure("no connection", false, false));
     try {
-      const response = await this.findPool(address, undefined).request({
+      const response = await connection.client.request({
         method: call.method,
         path: call.path,
         headers: [...call.headers],
         body: call.body ?? null,
-        signal,
+        signal: AbortSignal.timeout(timeoutMs),
       });
       const body = Buffer.from(await response.body.arrayBuffer());
+      this.giveBack(address, connection);
       return E.right({ status: response.statusCode, body });
     } catch (error) {
-      return E.left(createFailure(error, signal));
+      this.discard(address, connection);
+      return E.left(createFailure(error));
     }
   }
 
   reset(address: string): void {
-    const kept = this.pools.get(address);
-    if (kept === undefined) return;
-    this.pools.delete(address);
-    void kept.pool.close().catch(() => undefined);
+    const lane = this.lanes.get(address);
+    if (lane === undefined) return;
+    for (const connection of lane.idle.splice(0)) connection.close();
   }
 
-  async close(): Promise<void> {
+  close(): Promise<void> {
     clearInterval(this.timer);
-    const closing = [...this.pools.values()].map(({ pool }) => pool.destroy());
-    this.pools.clear();
-    await Promise.all(closing);
+    for (const { idle, busy } of this.lanes.values()) {
+      for (const connection of [...idle, ...busy]) connection.close();
+    }
+    this.lanes.clear();
+    return Promise.resolve();
   }
 
-  private findPool(address: string, service: string | undefined): Pool {
-    const now = this.clock.now();
-    const known = this.pools.get(address);
-    if (known !== undefined) {
-      known.usedAt = now;
-      return known.pool;
+  /** The connection that was used last is the likeliest to be alive. */
+  private take(address: string, most: number): Connection | undefined {
+    const lane = this.findLane(address);
+    for (;;) {
+      const connection = lane.idle.pop();
+      if (connection === undefined) break;
+      if (connection.isAlive) {
+        lane.busy.add(connection);
+        return connection;
+      }
+      connection.close();
     }
-    const connections = service === undefined ? 0 : this.countConnections(service);
-    const pool = new Pool(`http://${address}`, {
-      connect: { timeout: CONNECT_MS },
-      connections: connections > 0 ? connections : null,
-      pipelining: 1,
-      keepAliveTimeout: IDLE_MS,
-      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      maxResponseSize: MAX_BODY_BYTES,
+    if (lane.busy.size >= most) return undefined;
+    const connection = new Connection(address);
+    lane.busy.add(connection);
+    return connection;
+  }
+
+  private giveBackAfter(address: string, connection: Connection, body: Readable): void {
+    // Whoever reads the body handles its errors; one that is dropped unread has no reader.
+    body.on("error", () => undefined);
+    body.once("end", () => {
+      this.giveBack(address, connection);
+    });
+    body.once("close", () => {
+      if (!body.readableEnded) this.discard(address, connection);
     });
-    this.pools.set(address, { pool, usedAt: now });
-    return pool;
+  }
+
+  private giveBack(address: string, connection: Connection): void {
+    const lane = this.findLane(address);
+    if (!lane.busy.delete(connection)) return;
+    if (!connection.isAlive) {
+      connection.close();
+      return;
+    }
+    connection.idleSince = this.clock.now();
+    lane.idle.push(connection);
+  }
+
+  private discard(address: string, connection: Connection): void {
+    this.findLane(address).busy.delete(connection);
+    connection.close();
+  }
+
+  private findLane(address: string): Lane {
+    const known = this.lanes.get(address);
+    if (known !== undefined) return known;
+    const lane: Lane = { idle: [], busy: new Set() };
+    this.lanes.set(address, lane);
+    return lane;
   }
 
   private sweep(): void {
-    const limit = this.clock.now() - UNUSED_MS;
-    for (const [address, { usedAt }] of this.pools) if (usedAt < limit) this.reset(address);
+    for (const [address, { idle, busy }] of this.lanes) {
+      const alive = idle.filter((connection) => connection.isAlive);
+      for (const connection of idle) if (!connection.isAlive) connection.close();
+      idle.splice(0, idle.length, ...alive);
+      if (idle.length === 0 && busy.size === 0) this.lanes.delete(address);
+    }
   }
 }
 
-function createFailure(error: unknown, signal: AbortSignal): SendFailure {
+function createFailure(error: unknown): SendFailure {
   const { code, message } = error as { code?: string; message?: string };
   const text = [code, message].filter((part) => part !== undefined && part !== "").join(" ");
-  return new SendFailure(text, !checkUnsent(error), checkDown(error), signal.aborted);
+  return new SendFailure(text, !checkUnsent(error), checkDown(error));
 }
--- a/src/forward/engines.ts
+++ b/src/forward/engines.ts
@@ -23,6 +23,12 @@
 /** How long an engine that could not be reached or broke is passed over, in milliseconds. */
 const SHUN_MS = 1500;
 
+/**
+ * Prompt tokens that may wait at a prefill engine before a decode engine reads a prompt itself: what
+ * a prefill engine reads while a decode engine, at half the speed, reads a usual prompt.
+ */
+const MAX_TOKENS_AHEAD = 12_000;
+
 interface OwnWork {
   heldTokens: number;
   promptTokens: number;
@@ -138,7 +144,7 @@
 /**
  * Chooses the prefill engine with the least to read.
  *
- * @returns undefined where no prefill engine can be had
+ * @returns undefined where none can be had, or the decode engine reads the prompt sooner
  * @example
  * choosePrefill(views, new Set());
  */
@@ -152,7 +158,8 @@
       !view.isShunned &&
       !excluded.has(view.endpoint.id),
   );
-  return findLeast(able, (view) => view.promptTokens);
+  const least = findLeast(able, (view) => view.promptTokens);
+  return least !== undefined && least.promptTokens <= MAX_TOKENS_AHEAD ? least : undefined;
 }
 
 function preferSound(views: readonly EngineView[]): readonly EngineView[] {
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -3,7 +3,7 @@
  */
 import { createServer, type Server } from "node:http";
 import * as E from "fp-ts/Either";
-import { type Clock, MonotonicClock } from "../core/clock";
+import { type Clock, type Moment, MonotonicClock } from "../core/clock";
 import { createIncarnation } from "../core/ids";
 import { AsyncLineWriter } from "../core/lines";
 import { createLogger, type Logger } from "../core/log";
@@ -25,6 +25,9 @@
 import { Counter, Meter } from "./meter";
 import { PlainRun } from "./plain";
 import { Quotas, SlidingSum } from "./quota";
+import { OrderRights } from "../fleet/orders";
+import type { StageWork } from "./stages";
+import { Steering } from "./steering";
 import { RetryAllowance } from "./retries";
 import { type CallerAnswer, type CallerRequest, ForwardServer } from "./server";
 import type { ForwardSettings, ListenAddress } from "./settings";
@@ -50,6 +53,16 @@
 /** How old the list of endpoints must be before a peer's is asked for, in milliseconds. */
 const LIST_STALE_MS = 1500;
 
+/** How long the word of a peer on what arrives there counts, in milliseconds. */
+const ARRIVALS_MS = 2000;
+
+/** What arrives at a peer. */
+interface Arrivals {
+  readonly arrivingTokens: number;
+  readonly waiting: number;
+  readonly heardAt: Moment;
+}
+
 /** What an adapter brings. */
 export interface Adapter {
   readonly store: Store;
@@ -76,6 +89,8 @@
   private readonly arriving = new SlidingSum(ARRIVAL_WINDOW_MS);
   private readonly context: ForwardContext;
   private readonly desk: Desk;
+  private readonly steering: Steering;
+  private readonly peerArrivals = new Map<string, Arrivals>();
   private readonly admission: Admission;
   private readonly callers: ForwardServer;
   private readonly ready: Server;
@@ -126,6 +141,23 @@
       draw,
     };
     this.desk = new Desk(this.context, this.book);
+    this.steering = new Steering({
+      instance,
+      rights: new OrderRights(
+        this.self.incarnation,
+        adapter.store.orders,
+        settings.orderLeaseMs,
+        clock,
+        this.logger,
+      ),
+      client: this.context.client,
+      codec: adapter.endpointCodec,
+      clock,
+      logger: this.logger,
+      listLive: () => this.roster.listLive(clock.now()),
+      listServices: () => this.watcher.readCatalog()?.config.services ?? [],
+      readWork: (service) => this.readWork(service),
+    });
     this.admission = new Admission({
       readCatalog: () => this.watcher.readCatalog(),
       computeConfigAgeMs: () => this.watcher.computeConfigAgeMs(),
@@ -171,6 +203,7 @@
       this.listenPeers(),
     ]);
     this.beacon.start();
+    this.steering.start();
     void this.join();
     this.timers.push(
       setInterval(() => {
@@ -203,6 +236,7 @@
     for (const timer of this.timers) clearInterval(timer);
     this.watcher.close();
     this.beacon.close();
+    this.steering.close();
     this.desk.close();
     this.link.close();
     await Promise.all([
@@ -234,6 +268,8 @@
   takeBeat(beat: Beat, now: number): void {
     this.quotas.take(beat.instance, beat.usages, now);
     this.book.take(beat.instance, beat.works, now);
+    const { arrivingTokens, waiting } = beat;
+    this.peerArrivals.set(beat.instance, { arrivingTokens, waiting, heardAt: now });
     for (const crash of beat.crashes) this.crashes.note(crash, now);
     this.desk.pump();
   }
@@ -310,6 +346,27 @@
     return run.run();
   }
 
+  private readWork(service: string): StageWork {
+    const now = this.clock.now();
+    const views = this.desk.listViews(service, now);
+    let promptTokensPerSecond = this.arriving.read(now);
+    let generationsWaiting = this.desk.size;
+    for (const [peer, arrivals] of this.peerArrivals) {
+      if (now - arrivals.heardAt > ARRIVALS_MS) {
+        this.peerArrivals.delete(peer);
+        continue;
+      }
+      promptTokensPerSecond += arrivals.arrivingTokens;
+      generationsWaiting += arrivals.waiting;
+    }
+    return {
+      engines: views.map((view) => view.endpoint),
+      promptTokensPerSecond,
+      promptTokensWaiting: views.reduce((sum, view) => sum + view.promptTokens, 0),
+      generationsWaiting,
+    };
+  }
+
   private isReady(): boolean {
     return !this.isStopping && this.watcher.isComplete();
   }
--- a/src/forward/plain.ts
+++ b/src/forward/plain.ts
@@ -141,11 +141,11 @@
     endpoint: EndpointEntry,
     watch: Watch,
   ): Promise<SendResult> {
-    const { head, body } = answer;
+    const { head } = answer;
     if (head.load !== undefined) {
       this.context.health.noteLoad(endpoint.id, head.load, this.context.clock.now());
     }
-    const whole = await readBody(body);
+    const whole = await readWholeBody(answer);
     if (head.verdict === Verdict.notRun || head.verdict === Verdict.misdirected) {
       return {
         end: SendEnd.notRun,
@@ -247,6 +247,14 @@
   }
 }
 
+/**
+ * Reads the body of an answer to its end; one whose connection failed is not whole.
+ */
+export async function readWholeBody(answer: OpenAnswer): Promise<E.Either<Error, Buffer>> {
+  const body = await readBody(answer.body);
+  return answer.isBroken() ? E.left(new Error("the connection broke within the answer")) : body;
+}
+
 /** Creates the final answer of a request whose caller has left. */
 export function createCancelled(): Refusal {
   return new Refusal(499, Reason.cancelled, Ran.unknown, "the caller has left");
--- /dev/null
+++ b/src/forward/steering.ts
@@ -0,0 +1,107 @@
+/**
+ * Has engines change their stage where the work asks for it. One instance sees to it at a time; the
+ * store's log decides who, where two think so.
+ */
+import * as E from "fp-ts/Either";
+import type { Clock, Moment } from "../core/clock";
+import type { Logger } from "../core/log";
+import { chooseMember } from "../core/rendezvous";
+import type { FleetService } from "../fleet/catalog";
+import type { OrderRights } from "../fleet/orders";
+import type { EndpointClient } from "./connections";
+import type { EndpointCodec } from "./exchange";
+import { OrderResult } from "./exchange";
+import { chooseStageChange, type StageChange, type StageWork } from "./stages";
+
+/** How often the stages are looked at, in milliseconds. */
+const LOOK_MS = 500;
+/** How long the same change must be called for before it is ordered, in milliseconds. */
+const STEADY_MS = 1000;
+/** The pause after an order, in milliseconds, beyond the time that the engine is away. */
+const SETTLE_MS = 2000;
+/** How long an order may take, in milliseconds. */
+const ORDER_MS = 700;
+
+/** What steering looks at. */
+export interface SteeringParts {
+  readonly instance: string;
+  readonly rights: OrderRights;
+  readonly client: EndpointClient;
+  readonly codec: EndpointCodec;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Lists the instances that live, this one with them. */
+  readonly listLive: () => readonly string[];
+  readonly listServices: () => readonly FleetService[];
+  readonly readWork: (service: string) => StageWork;
+}
+
+/** Steers the stages of engines. */
+export class Steering {
+  private timer: NodeJS.Timeout | undefined;
+  private readonly wantedSince = new Map<string, Moment>();
+  private nextOrderAt: Moment = 0;
+  private isBusy = false;
+
+  constructor(private readonly parts: SteeringParts) {}
+
+  start(): void {
+    this.timer = setInterval(() => {
+      void this.look();
+    }, LOOK_MS);
+  }
+
+  close(): void {
+    clearInterval(this.timer);
+  }
+
+  private async look(): Promise<void> {
+    const { instance, listLive, listServices, clock } = this.parts;
+    if (this.isBusy || chooseMember("stages", [...listLive()].sort()) !== instance) {
+      this.wantedSince.clear();
+      return;
+    }
+    if (clock.now() < this.nextOrderAt) return;
+    this.isBusy = true;
+    for (const service of listServices()) {
+      if (service.engine !== undefined) await this.steer(service, service.engine.stageChangeMs);
+    }
+    this.isBusy = false;
+  }
+
+  private async steer(service: FleetService, stageChangeMs: number): Promise<void> {
+    const { clock } = this.parts;
+    const change = chooseStageChange(this.parts.readWork(service.name));
+    if (change === undefined) {
+      this.wantedSince.delete(service.name);
+      return;
+    }
+    const now = clock.now();
+    const since = this.wantedSince.get(service.name) ?? now;
+    this.wantedSince.set(service.name, since);
+    if (now - since < STEADY_MS) return;
+    this.wantedSince.delete(service.name);
+    if (await this.order(change)) this.nextOrderAt = clock.now() + stageChangeMs + SETTLE_MS;
+  }
+
+  /** True where an order went out, whatever came of it. */
+  private async order(change: StageChange): Promise<boolean> {
+    const { rights, client, codec, logger, instance } = this.parts;
+    const { engine, stage, reason } = change;
+    const right = await rights.win({ engine: engine.id, stage });
+    if (right === undefined) return false;
+    if (!right.isFresh()) {
+      logger.warn("order dropped", { engine: engine.id, stage, fence: right.fence });
+      return false;
+    }
+    const { fence } = right;
+    const call = codec.createStageCall(engine, { stage, holder: instance, fence });
+    const answer = await client.call(engine.address, call, ORDER_MS);
+    const result = E.isRight(answer)
+      ? codec.readOrderResult(answer.right.status)
+      : OrderResult.refused;
+    const error = E.isLeft(answer) ? answer.left.message : "";
+    logger.info("order", { engine: engine.id, stage, fence, reason, result, error });
+    return true;
+  }
+}
--- a/src/forward/stream.ts
+++ b/src/forward/stream.ts
@@ -15,7 +15,7 @@
 import { EventCutter } from "./events";
 import { type CacheSource, type ForwardRequest, type Send, Task, Verdict } from "./exchange";
 import { Timing } from "./meter";
-import { createCancelled, readBody, type WholeAnswer } from "./plain";
+import { createCancelled, readBody, readWholeBody, type WholeAnswer } from "./plain";
 import { confirmCrash } from "./probe";
 
 /** The most engines that one generation is tried at, those that did not run it included. */
@@ -83,6 +83,7 @@
   private readonly excluded = new Set<string>();
   private lastEventId: string | undefined;
   private hasBegun = false;
+  private firstEventAt = 0;
   private runs = 0;
   private sends = 0;
   private message = "no engine has room";
@@ -168,7 +169,9 @@
     const { context, book, desk } = this.parts;
     const { endpoint, needTokens } = reservation;
     const watch = new Watch(context.clock, this.times.deadline + DEADLINE_GRACE_MS, this.caller);
+    const reservedAt = context.clock.now();
     const source = await this.prefill(watch, endpoint);
+    const prefilledAt = context.clock.now();
     let result = nameAbort(watch);
     if (result === undefined) {
       result = await this.decode(reservation, source, watch);
@@ -186,6 +189,11 @@
       end: result.end,
       message: result.message,
       lastEvent: this.lastEventId ?? "",
+      waitedMs: Math.round(reservedAt - this.times.arrivedAt),
+      prefillMs: Math.round(prefilledAt - reservedAt),
+      firstMs: Math.round(this.firstEventAt - prefilledAt),
+      wholeMs: Math.round(context.clock.now() - prefilledAt),
+      needTokens,
     });
     return result;
   }
@@ -294,7 +302,7 @@
 
   private async readFailure(answer: OpenAnswer): Promise<TryResult> {
     const message = `the engine answered ${answer.head.status}`;
-    const whole = await readBody(answer.body);
+    const whole = await readWholeBody(answer);
     if (E.isLeft(whole)) return { end: TryEnd.broken, message: whole.left.message };
     return { end: TryEnd.failed, message, answer: { head: answer.head, body: whole.right } };
   }
@@ -306,7 +314,9 @@
     const { body } = answer;
     return new Promise((resolve) => {
       let timer: NodeJS.Timeout | undefined;
+      let isFinished = false;
       const finish = (result: TryResult) => {
+        isFinished = true;
         clearTimeout(timer);
         watch.signal.removeEventListener("abort", onAbort);
         body.destroy();
@@ -334,11 +344,8 @@
         this.passOn(answer, cutter.push(bytes));
         waitForEvent(SILENCE_MS);
       });
-      body.on("end", () => {
-        this.endStream(answer, cutter);
-        finish({ end: TryEnd.complete, message: "complete" });
-      });
-      body.on("error", (error: Error) => {
+      const onBreak = (message: string) => {
+        if (isFinished) return;
         const aborted = nameAbort(watch);
         if (aborted !== undefined) {
           finish(aborted);
@@ -346,8 +353,19 @@
         }
         book.noteBroken(endpoint.id, context.clock.now());
         void confirmCrash(context, this.request, endpoint).then(() => {
-          finish({ end: TryEnd.broken, message: error.message });
+          finish({ end: TryEnd.broken, message });
         });
+      };
+      body.on("end", () => {
+        if (answer.isBroken()) {
+          onBreak("the connection broke within the stream");
+          return;
+        }
+        this.endStream(answer, cutter);
+        finish({ end: TryEnd.complete, message: "complete" });
+      });
+      body.on("error", (error: Error) => {
+        onBreak(error.message);
       });
     });
   }
@@ -364,6 +382,7 @@
   private begin(answer: OpenAnswer): void {
     if (this.hasBegun) return;
     this.hasBegun = true;
+    this.firstEventAt = this.parts.context.clock.now();
     const { clock, meter } = this.parts.context;
     meter.record(Timing.firstEvent, clock.now() - this.times.arrivedAt);
     this.sink.begin(answer.head.status, answer.head.headers);
