--- a/src/forward/desk.ts
+++ b/src/forward/desk.ts
@@ -94,7 +94,12 @@
       .map((endpoint) => this.book.view(endpoint, directory.isInDoubt(endpoint.id), now));
   }
 
-  /** Ends all waits. */
+  /** Ends all waits: the instance stops, and others have as much room. */
+  stop(): void {
+    for (const ticket of this.queue.takeAll()) ticket.resolve(undefined);
+  }
+
+  /** Stops looking. */
   close(): void {
     clearTimeout(this.timer);
     this.timer = undefined;
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -7,6 +7,7 @@
 import { createIncarnation } from "../core/ids";
 import { AsyncLineWriter } from "../core/lines";
 import { createLogger, type Logger } from "../core/log";
+import { createNotRun, Reason } from "../core/outcome";
 import { Beacon, type BeaconHost } from "../fleet/beacon";
 import { Directory, type EndpointDecoder } from "../fleet/directory";
 import { type FleetHandler, type FleetServer, GrpcFleetLink, listenFleet } from "../fleet/link";
@@ -53,6 +54,8 @@
 /** How old the list of endpoints must be before a peer's is asked for, in milliseconds. */
 const LIST_STALE_MS = 1500;
 
+/** When a caller may come back, to another instance, in milliseconds. */
+const STOPPING_RETRY_MS = 50;
 /** How long the word of a peer on what arrives there counts, in milliseconds. */
 const ARRIVALS_MS = 2000;
 
@@ -98,6 +101,8 @@
   private peers: FleetServer | undefined;
   private timers: NodeJS.Timeout[] = [];
   private isStopping = false;
+  /** True once what still comes is better off at another instance. */
+  private isRefusing = false;
   private isClosed = false;
   private configVersion = -1;
 
@@ -224,6 +229,8 @@
     this.callers.beginClose();
     this.beacon.speak();
     await pause(NOTICE_MS);
+    this.isRefusing = true;
+    this.desk.stop();
     this.callers.closeIdle();
     while (this.callers.size > 0 && this.clock.now() < stopAt) await pause(20);
     this.isClosed = true;
@@ -322,6 +329,10 @@
   private async serve(request: CallerRequest): Promise<CallerAnswer> {
     this.applyLimits();
     const { head, body, arrivedAt, caller, sink } = request;
+    if (this.isRefusing) {
+      const message = "the instance is stopping";
+      return E.left(createNotRun(503, Reason.notReady, message, STOPPING_RETRY_MS));
+    }
     const admitted = this.admission.admit(head, body, arrivedAt);
     if (E.isLeft(admitted)) return admitted;
     const forward = admitted.right;
--- a/src/forward/retries.ts
+++ b/src/forward/retries.ts
@@ -47,6 +47,11 @@
     return true;
   }
 
+  /** Counts a repeat that was made already, also beyond the budget. */
+  spend(service: string, now: Moment): void {
+    this.find(service).repeats.add(1, now);
+  }
+
   private find(service: string): ServiceCount {
     const known = this.counts.get(service);
     if (known !== undefined) return known;
--- a/src/forward/server.ts
+++ b/src/forward/server.ts
@@ -128,6 +128,8 @@
     this.meter.count(Counter.requests);
     await this.answer(request, response, arrivedAt, gone.signal);
     this.open -= 1;
+    // The head of a stream may have gone out before the instance began to close.
+    if (this.isClosing) response.once("finish", () => request.socket.end());
     request.socket.off("end", onGone);
     this.meter.record(Timing.answer, this.clock.now() - arrivedAt);
   }
--- a/src/forward/stream.ts
+++ b/src/forward/stream.ts
@@ -85,7 +85,9 @@
   private hasBegun = false;
   private firstEventAt = 0;
   private runs = 0;
-  private sends = 0;
+  /** Sends that reached an engine, without the first prefill that one accepted. */
+  private arrivals = 0;
+  private hasPrefilled = false;
   private message = "no engine has room";
 
   constructor(
@@ -201,21 +203,34 @@
   /** Has the prompt read; undefined where no prefill engine did, so that the decode engine has to. */
   private async prefill(watch: Watch, decode: EndpointEntry): Promise<CacheSource | undefined> {
     const { context, desk, book } = this.parts;
-    const excluded = new Set([decode.id]);
-    for (let sends = 0; sends < 2; sends += 1) {
-      if (watch.cause !== undefined) return undefined;
-      const now = context.clock.now();
-      const view = choosePrefill(desk.listViews(this.request.service, now), excluded);
-      if (view === undefined) return undefined;
-      if (sends > 0 && !context.retries.take(this.request.service, now)) return undefined;
-      excluded.add(view.endpoint.id);
-      const promptTokens = this.request.head.size?.promptTokens ?? 0;
-      book.add(view.endpoint.id, 0, promptTokens, 1);
-      const source = await this.prefillAt(view.endpoint, watch);
-      book.add(view.endpoint.id, 0, -promptTokens, -1);
-      if (source !== undefined) return source;
-    }
-    return undefined;
+    const now = context.clock.now();
+    const views = desk.listViews(this.request.service, now);
+    const view = choosePrefill(views, new Set([decode.id]));
+    if (view === undefined) return undefined;
+    // Only the first prefill that an engine accepts is free.
+    if (this.hasPrefilled && !this.takeArrival()) return undefined;
+    const promptTokens = this.request.head.size?.promptTokens ?? 0;
+    book.add(view.endpoint.id, 0, promptTokens, 1);
+    const source = await this.prefillAt(view.endpoint, watch);
+    book.add(view.endpoint.id, 0, -promptTokens, -1);
+    if (source === undefined && !this.hasPrefilled) this.spendArrival();
+    this.hasPrefilled = this.hasPrefilled || source !== undefined;
+    return source;
+  }
+
+  /** Counts a send; false where it would be a repeat and the budget has none left. */
+  private takeArrival(): boolean {
+    const { retries, clock } = this.parts.context;
+    const isFirst = this.arrivals === 0;
+    if (!isFirst && !retries.take(this.request.service, clock.now())) return false;
+    this.arrivals += 1;
+    return true;
+  }
+
+  private spendArrival(): void {
+    const { retries, clock } = this.parts.context;
+    if (this.arrivals > 0) retries.spend(this.request.service, clock.now());
+    this.arrivals += 1;
   }
 
   private async prefillAt(endpoint: EndpointEntry, watch: Watch): Promise<CacheSource | undefined> {
@@ -234,10 +249,8 @@
       book.noteSound(endpoint.id);
       return { address: endpoint.address, handle: prefilled.handle };
     }
-    if (E.isLeft(body) && watch.cause === undefined) {
-      book.noteBroken(endpoint.id, clock.now());
-      client.reset(endpoint.address);
-    }
+    if (watch.cause === undefined) book.noteBroken(endpoint.id, clock.now());
+    if (E.isLeft(body)) client.reset(endpoint.address);
     logger.info("prefill failed", {
       request: this.request.head.id,
       engine: endpoint.id,
@@ -254,13 +267,11 @@
   ): Promise<TryResult> {
     const { context } = this.parts;
     const { endpoint, hold } = reservation;
-    const now = context.clock.now();
-    if (this.sends > 0 && !context.retries.take(this.request.service, now)) {
+    if (!this.takeArrival()) {
       this.parts.desk.drop(reservation);
       this.releaseSource(source);
       return { end: TryEnd.timeUp, message: `${this.message}; no retry is left in the budget` };
     }
-    this.sends += 1;
     const silence = new Watch(context.clock, this.computeFirstDeadline(), watch.signal);
     const send = this.createSend(endpoint, Task.run, source, hold);
     const opened = await context.client.send(send, silence.signal);
--- a/src/forward/waitqueue.ts
+++ b/src/forward/waitqueue.ts
@@ -40,6 +40,13 @@
     return lapsed;
   }
 
+  /** Takes out all. */
+  takeAll(): readonly W[] {
+    const all = [...this.waiters.values()];
+    this.waiters.clear();
+    return all;
+  }
+
   /** Lists all, best first. */
   list(now: Moment): readonly W[] {
     return [...this.waiters.values()].sort((a, b) => compareWaiters(a, b, now));
