--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -55,6 +55,8 @@
 /** The directory of endpoints. */
 export class Directory {
   private readonly listed = new Map<string, Listed>();
+  /** By endpoint: the entry that proved wrong, by its sequence. */
+  private readonly misdirected = new Map<string, number>();
   private nextOffset = 0;
   private outageEnd: Moment = Number.NEGATIVE_INFINITY;
   private view: readonly EndpointEntry[] | undefined;
@@ -95,6 +97,15 @@
     return [...changes, ...this.apply(page, now)];
   }
 
+  /**
+   * Notes that another endpoint answers where this one should be, or that its stage is another: its
+   * entry counts for nothing until there is a newer one.
+   */
+  noteMisdirected(endpoint: EndpointEntry): void {
+    this.misdirected.set(endpoint.id, endpoint.sequence);
+    this.view = undefined;
+  }
+
   /** Lists the records, for a peer that cannot read the store. */
   listRecords(): readonly FeedRecord[] {
     return [...this.listed.values()].map(({ record }) => record);
@@ -107,6 +118,7 @@
     const usable: EndpointEntry[] = [];
     for (const [id, listed] of this.listed) {
       if (listed.entry === undefined || listed.entry.isLeaving) continue;
+      if (this.misdirected.get(id) === listed.entry.sequence) continue;
       if (listed.doubtDeadline !== undefined) {
         hasDoubt = true;
         if (listed.doubtDeadline <= now) {
--- a/src/forward/desk.ts
+++ b/src/forward/desk.ts
@@ -118,7 +118,7 @@
     const { id } = endpoint;
     this.asking.add(id);
     this.book.add(id, ticket.needTokens, 0, 1);
-    const call = codec.createHoldCall(ticket.needTokens, ticket.limits.holdMs);
+    const call = codec.createHoldCall(endpoint, ticket.needTokens, ticket.limits.holdMs);
     const answer = await client.call(endpoint.address, call, HOLD_CALL_MS);
     this.asking.delete(id);
     const hold = E.isRight(answer)
@@ -126,7 +126,6 @@
       : undefined;
     const now = clock.now();
     if (hold !== undefined && !ticket.caller.aborted) {
-      this.book.noteSound(id);
       ticket.resolve({ endpoint, hold, needTokens: ticket.needTokens });
       this.pump();
       return;
@@ -134,7 +133,9 @@
     this.book.add(id, -ticket.needTokens, 0, -1);
     if (hold !== undefined) this.drop({ endpoint, hold, needTokens: 0 });
     else if (E.isLeft(answer)) this.book.noteBroken(id, now);
-    else this.book.noteFull(id, now);
+    else if (codec.isMisdirected(answer.right.status)) {
+      this.context.directory.noteMisdirected(endpoint);
+    } else this.book.noteFull(id, now);
     logger.debug("no room", {
       request: ticket.id,
       endpoint: id,
--- a/src/forward/engines.ts
+++ b/src/forward/engines.ts
@@ -20,6 +20,10 @@
 const PEER_WORK_MS = 3000;
 /** How long an engine that had no room is passed over, in milliseconds. */
 const NO_ROOM_MS = 60;
+/** How long an engine that gave memory and then refused the request is passed over, milliseconds. */
+const REFUSED_MS = 400;
+/** The longest, for one that refuses again and again, in milliseconds. */
+const MAX_REFUSED_MS = 3200;
 /** How long an engine that could not be reached or broke is passed over, in milliseconds. */
 const SHUN_MS = 1500;
 
@@ -35,6 +39,12 @@
   requests: number;
 }
 
+/** An engine that takes nothing for a while. */
+export interface EngineAbsence {
+  readonly engine: string;
+  readonly deadline: Moment;
+}
+
 interface PeerWork {
   readonly works: ReadonlyMap<string, EngineWork>;
   readonly heardAt: Moment;
@@ -58,6 +68,9 @@
   private readonly peers = new Map<string, PeerWork>();
   private readonly fullDeadlines = new Map<string, Moment>();
   private readonly shunDeadlines = new Map<string, Moment>();
+  private readonly refusals = new Map<string, number>();
+  private readonly absences = new Map<string, Moment>();
+  private readonly ordered = new Map<string, Moment>();
 
   /** Adds work of this instance; negative amounts take it away. */
   add(engine: string, heldTokens: number, promptTokens: number, requests: number): void {
@@ -93,9 +106,39 @@
     this.shunDeadlines.set(engine, now + SHUN_MS);
   }
 
-  /** Takes an engine back that answered. */
+  /** Passes an engine over that refused a request that it had given memory. */
+  noteRefused(engine: string, now: Moment): void {
+    const refusals = (this.refusals.get(engine) ?? 0) + 1;
+    this.refusals.set(engine, refusals);
+    const ms = Math.min(MAX_REFUSED_MS, REFUSED_MS * 2 ** (refusals - 1));
+    this.fullDeadlines.set(engine, now + ms);
+  }
+
+  /** Notes that an engine takes nothing until a deadline, since it changes its stage. */
+  noteAbsent(engine: string, deadline: Moment): void {
+    this.absences.set(engine, Math.max(deadline, this.absences.get(engine) ?? 0));
+  }
+
+  /** Notes an order of this instance, for as long as its engine takes nothing. */
+  noteOrdered(engine: string, deadline: Moment): void {
+    this.ordered.set(engine, deadline);
+    this.noteAbsent(engine, deadline);
+  }
+
+  /** Lists the engines that have an order of this instance, with the deadline of each. */
+  listOrdered(now: Moment): readonly EngineAbsence[] {
+    const absences: EngineAbsence[] = [];
+    for (const [engine, deadline] of this.ordered) {
+      if (deadline <= now) this.ordered.delete(engine);
+      else absences.push({ engine, deadline });
+    }
+    return absences;
+  }
+
+  /** Takes an engine back that serves. */
   noteSound(engine: string): void {
     this.shunDeadlines.delete(engine);
+    this.refusals.delete(engine);
   }
 
   /** Views an engine. */
@@ -110,7 +153,7 @@
     return {
       endpoint,
       ...sum,
-      isFull: (this.fullDeadlines.get(id) ?? 0) > now,
+      isFull: (this.fullDeadlines.get(id) ?? 0) > now || (this.absences.get(id) ?? 0) > now,
       isShunned: isInDoubt || (this.shunDeadlines.get(id) ?? 0) > now,
     };
   }
@@ -156,6 +199,7 @@
     (view) =>
       view.endpoint.stage === EngineStage.prefill &&
       !view.isShunned &&
+      !view.isFull &&
       !excluded.has(view.endpoint.id),
   );
   const least = findLeast(able, (view) => view.promptTokens);
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -157,7 +157,9 @@
   /** Reads the head of an answer to a send. */
   readAnswer(send: Send, status: number, headers: readonly string[]): AnswerHead;
   readPrefilled(body: Buffer): Prefilled | undefined;
-  createHoldCall(tokens: number, ttlMs: number): OwnCall;
+  createHoldCall(endpoint: EndpointEntry, tokens: number, ttlMs: number): OwnCall;
+  /** Tells of an answer to a call of the router's own whether another endpoint gave it. */
+  isMisdirected(status: number): boolean;
   readHold(status: number, body: Buffer): string | undefined;
   createDropHoldCall(hold: string): OwnCall;
   createDropHandleCall(handle: string): OwnCall;
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -3,7 +3,7 @@
  */
 import { createServer, type Server } from "node:http";
 import * as E from "fp-ts/Either";
-import { type Clock, type Moment, MonotonicClock } from "../core/clock";
+import { type Clock, computeLeftMs, type Moment, MonotonicClock } from "../core/clock";
 import { createIncarnation } from "../core/ids";
 import { AsyncLineWriter } from "../core/lines";
 import { createLogger, type Logger } from "../core/log";
@@ -162,6 +162,10 @@
       listLive: () => this.roster.listLive(clock.now()),
       listServices: () => this.watcher.readCatalog()?.config.services ?? [],
       readWork: (service) => this.readWork(service),
+      onOrder: (engine, deadline) => {
+        this.book.noteOrdered(engine, deadline);
+        this.beacon.speak();
+      },
     });
     this.admission = new Admission({
       readCatalog: () => this.watcher.readCatalog(),
@@ -269,6 +273,10 @@
       crashes: [...this.crashes.list(now)],
       arrivingTokens: Math.round(this.arriving.read(now)),
       waiting: this.desk.size,
+      absences: this.book.listOrdered(now).map(({ engine, deadline }) => ({
+        engine,
+        remainingMs: computeLeftMs(deadline, now),
+      })),
     };
   }
 
@@ -277,6 +285,9 @@
     this.book.take(beat.instance, beat.works, now);
     const { arrivingTokens, waiting } = beat;
     this.peerArrivals.set(beat.instance, { arrivingTokens, waiting, heardAt: now });
+    for (const { engine, remainingMs } of beat.absences) {
+      this.book.noteAbsent(engine, now + remainingMs);
+    }
     for (const crash of beat.crashes) this.crashes.note(crash, now);
     this.desk.pump();
   }
--- a/src/forward/plain.ts
+++ b/src/forward/plain.ts
@@ -146,6 +146,7 @@
       this.context.health.noteLoad(endpoint.id, head.load, this.context.clock.now());
     }
     const whole = await readWholeBody(answer);
+    if (head.verdict === Verdict.misdirected) this.context.directory.noteMisdirected(endpoint);
     if (head.verdict === Verdict.notRun || head.verdict === Verdict.misdirected) {
       return {
         end: SendEnd.notRun,
--- a/src/forward/steering.ts
+++ b/src/forward/steering.ts
@@ -15,8 +15,11 @@
 
 /** How often the stages are looked at, in milliseconds. */
 const LOOK_MS = 500;
-/** How long the same change must be called for before it is ordered, in milliseconds. */
-const STEADY_MS = 1000;
+/**
+ * How long the same change must be called for before it is ordered, in milliseconds. Engines that
+ * only seem lost, behind a cut, come back within some seconds.
+ */
+const STEADY_MS = { decode: 1500, prefill: 10_000 } as const;
 /** The pause after an order, in milliseconds, beyond the time that the engine is away. */
 const SETTLE_MS = 2000;
 /** How long an order may take, in milliseconds. */
@@ -34,6 +37,8 @@
   readonly listLive: () => readonly string[];
   readonly listServices: () => readonly FleetService[];
   readonly readWork: (service: string) => StageWork;
+  /** Hears of an order, and until when its engine takes nothing. */
+  readonly onOrder: (engine: string, deadline: Moment) => void;
 }
 
 /** Steers the stages of engines. */
@@ -79,9 +84,12 @@
     const now = clock.now();
     const since = this.wantedSince.get(service.name) ?? now;
     this.wantedSince.set(service.name, since);
-    if (now - since < STEADY_MS) return;
+    if (now - since < STEADY_MS[change.stage]) return;
     this.wantedSince.delete(service.name);
-    if (await this.order(change)) this.nextOrderAt = clock.now() + stageChangeMs + SETTLE_MS;
+    if (await this.order(change)) {
+      this.nextOrderAt = clock.now() + stageChangeMs + SETTLE_MS;
+      this.parts.onOrder(change.engine.id, clock.now() + stageChangeMs);
+    }
   }
 
   /** True where an order went out, whatever came of it. */
--- a/src/forward/stream.ts
+++ b/src/forward/stream.ts
@@ -26,8 +26,10 @@
 const RESUME_WAIT_MS = 2000;
 /** The share of the longest output that memory is reserved for; most outputs are far shorter. */
 const OUTPUT_SHARE = 0.25;
-/** How long a prefill may take, in milliseconds; several prompts may be before it. */
-const PREFILL_MS = 2500;
+/** How long a prefill may take, in milliseconds; some prompts may be before it. */
+const PREFILL_MS = 900;
+/** The share of the time that a read prompt is kept in which it is offered to another engine. */
+const KEEP_SHARE = 0.7;
 /** How long a stream that may be resumed may be silent before it goes on elsewhere, milliseconds. */
 const SILENCE_MS = 1200;
 /** How long its first event may take, in milliseconds. */
@@ -49,6 +51,12 @@
   cut(): void;
 }
 
+/** A read prompt that waits for another decode engine. */
+interface KeptSource {
+  readonly source: CacheSource;
+  readonly deadline: Moment;
+}
+
 /** How a try at an engine ended. */
 const TryEnd = {
   complete: "complete",
@@ -84,6 +92,8 @@
   private lastEventId: string | undefined;
   private hasBegun = false;
   private firstEventAt = 0;
+  private kept: KeptSource | undefined;
+  private prefilledAt: Moment = 0;
   private runs = 0;
   /** Sends that reached an engine, without the first prefill that one accepted. */
   private arrivals = 0;
@@ -172,7 +182,7 @@
     const { endpoint, needTokens } = reservation;
     const watch = new Watch(context.clock, this.times.deadline + DEADLINE_GRACE_MS, this.caller);
     const reservedAt = context.clock.now();
-    const source = await this.prefill(watch, endpoint);
+    const source = this.takeKept() ?? (await this.prefill(watch, endpoint));
     const prefilledAt = context.clock.now();
     let result = nameAbort(watch);
     if (result === undefined) {
@@ -200,6 +210,21 @@
     return result;
   }
 
+  private keep(source: CacheSource | undefined): void {
+    if (source === undefined) return;
+    this.kept = { source, deadline: this.prefilledAt + this.limits.handleMs * KEEP_SHARE };
+  }
+
+  /** The prompt that an engine read for an earlier try, where no engine has taken it since. */
+  private takeKept(): CacheSource | undefined {
+    const { kept } = this;
+    this.kept = undefined;
+    if (kept === undefined) return undefined;
+    if (this.parts.context.clock.now() < kept.deadline) return kept.source;
+    this.releaseSource(kept.source);
+    return undefined;
+  }
+
   /** Has the prompt read; undefined where no prefill engine did, so that the decode engine has to. */
   private async prefill(watch: Watch, decode: EndpointEntry): Promise<CacheSource | undefined> {
     const { context, desk, book } = this.parts;
@@ -245,6 +270,7 @@
     const isAnswered = E.isRight(opened) && opened.right.head.status === 200 && E.isRight(body);
     const prefilled = isAnswered ? codec.readPrefilled(body.right) : undefined;
     if (prefilled !== undefined) {
+      this.prefilledAt = clock.now();
       meter.record(Timing.prefill, clock.now() - startedAt);
       book.noteSound(endpoint.id);
       return { address: endpoint.address, handle: prefilled.handle };
@@ -276,14 +302,18 @@
     const send = this.createSend(endpoint, Task.run, source, hold);
     const opened = await context.client.send(send, silence.signal);
     silence.close();
-    if (E.isRight(opened)) return this.readAnswer(opened.right, endpoint, watch);
+    if (E.isRight(opened)) {
+      const result = await this.readAnswer(opened.right, endpoint, watch);
+      if (result.end === TryEnd.notRun) this.keep(source);
+      return result;
+    }
     const { isSent, message } = opened.left;
     const aborted = nameAbort(watch);
     if (aborted !== undefined) return aborted;
     this.parts.book.noteBroken(endpoint.id, context.clock.now());
     context.client.reset(endpoint.address);
     if (!isSent) {
-      this.releaseSource(source);
+      this.keep(source);
       return { end: TryEnd.notRun, message };
     }
     await confirmCrash(context, this.request, endpoint);
@@ -299,7 +329,8 @@
     const { book, context } = this.parts;
     if (head.verdict === Verdict.notRun || head.verdict === Verdict.misdirected) {
       await readBody(answer.body);
-      book.noteFull(endpoint.id, context.clock.now());
+      if (head.verdict === Verdict.misdirected) context.directory.noteMisdirected(endpoint);
+      else book.noteRefused(endpoint.id, context.clock.now());
       return { end: TryEnd.notRun, message: `the engine answered ${head.status}` };
     }
     if (head.verdict === Verdict.foreign) {
@@ -350,6 +381,7 @@
         onAbort();
         return;
       }
+      book.noteSound(endpoint.id);
       waitForEvent(this.hasBegun ? SILENCE_MS : FIRST_EVENT_MS);
       body.on("data", (bytes: Buffer) => {
         this.passOn(answer, cutter.push(bytes));
--- a/src/peer/gen/fleet.ts
+++ b/src/peer/gen/fleet.ts
@@ -39,6 +39,13 @@
   arrivingTokens: number;
   /** Generations that wait for an engine. */
   waiting: number;
+  /** Engines that change their stage on an order, and take nothing meanwhile. */
+  absences: Absence[];
+}
+
+export interface Absence {
+  engine: string;
+  remainingMs: number;
 }
 
 export interface WorkspaceUsage {
@@ -91,6 +98,7 @@
     crashes: [],
     arrivingTokens: 0,
     waiting: 0,
+    absences: [],
   };
 }
 
@@ -132,6 +140,9 @@
     if (message.waiting !== 0) {
       writer.uint32(96).uint32(message.waiting);
     }
+    for (const v of message.absences) {
+      Absence.encode(v!, writer.uint32(106).fork()).join();
+    }
     return writer;
   },
 
@@ -244,6 +255,14 @@
             message.waiting = reader.uint32();
             continue;
           }
+          case 13: {
+            if (tag !== 106) {
+              break;
+            }
+
+            message.absences.push(Absence.decode(reader, reader.uint32()));
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -286,6 +305,9 @@
         ? globalThis.Number(object.arriving_tokens)
         : 0,
       waiting: isSet(object.waiting) ? globalThis.Number(object.waiting) : 0,
+      absences: globalThis.Array.isArray(object?.absences)
+        ? object.absences.map((e: any) => Absence.fromJSON(e))
+        : [],
     };
   },
 
@@ -327,6 +349,9 @@
     if (message.waiting !== 0) {
       obj.waiting = Math.round(message.waiting);
     }
+    if (message.absences?.length) {
+      obj.absences = message.absences.map((e) => Absence.toJSON(e));
+    }
     return obj;
   },
 
@@ -347,6 +372,96 @@
     message.crashes = object.crashes?.map((e) => Crash.fromPartial(e)) || [];
     message.arrivingTokens = object.arrivingTokens ?? 0;
     message.waiting = object.waiting ?? 0;
+    message.absences = object.absences?.map((e) => Absence.fromPartial(e)) || [];
+    return message;
+  },
+};
+
+function createBaseAbsence(): Absence {
+  return { engine: "", remainingMs: 0 };
+}
+
+export const Absence: MessageFns<Absence> = {
+  encode(message: Absence, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.engine !== "") {
+      writer.uint32(10).string(message.engine);
+    }
+    if (message.remainingMs !== 0) {
+      writer.uint32(16).uint32(message.remainingMs);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): Absence {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseAbsence();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.engine = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.remainingMs = reader.uint32();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): Absence {
+    return {
+      engine: isSet(object.engine) ? globalThis.String(object.engine) : "",
+      remainingMs: isSet(object.remainingMs)
+        ? globalThis.Number(object.remainingMs)
+        : isSet(object.remaining_ms)
+        ? globalThis.Number(object.remaining_ms)
+        : 0,
+    };
+  },
+
+  toJSON(message: Absence): unknown {
+    const obj: any = {};
+    if (message.engine !== "") {
+      obj.engine = message.engine;
+    }
+    if (message.remainingMs !== 0) {
+      obj.remainingMs = Math.round(message.remainingMs);
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<Absence>, I>>(base?: I): Absence {
+    return Absence.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<Absence>, I>>(object: I): Absence {
+    const message = createBaseAbsence();
+    message.engine = object.engine ?? "";
+    message.remainingMs = object.remainingMs ?? 0;
     return message;
   },
 };
