--- a/src/fleet/roster.ts
+++ b/src/fleet/roster.ts
@@ -11,6 +11,8 @@
 
 /** How long an instance counts as live after its last beat, in milliseconds; three beats. */
 const LIVE_MS = 1800;
+/** How long a silent instance may still be serving behind a cut, in milliseconds. */
+const KNOWN_MS = 15_000;
 /** How long a silent address is still spoken to, in milliseconds; longer than most cuts. */
 const FORGET_MS = 45_000;
 
@@ -101,6 +103,15 @@
     return [...this.addresses.keys()];
   }
 
+  /** Reads the share of the instances known of late that is heard, this one with them. */
+  readHeardShare(now: Moment): number {
+    const known = [...this.members.values()].filter(
+      (member) => !member.isLeaving && now - member.heardAt <= KNOWN_MS,
+    );
+    const heard = known.filter((member) => now - member.heardAt <= LIVE_MS);
+    return (heard.length + 1) / (known.length + 1);
+  }
+
   /** Lists the instances that live and stay, this one with them. */
   listLive(now: Moment): readonly string[] {
     const live = [...this.members.values()]
--- a/src/forward/admission.ts
+++ b/src/forward/admission.ts
@@ -101,8 +101,7 @@
       request: head.id,
       workspace: workspace.name,
       cost,
-      used: Math.round(decision.used),
-      allowed: Math.round(decision.allowed),
+      left: Math.round(decision.left),
     });
     const message = "the workspace is over its rate";
     return createNotRun(429, Reason.overRate, message, decision.retryAfterMs);
--- a/src/forward/connection.ts
+++ b/src/forward/connection.ts
@@ -7,7 +7,7 @@
 import type { Moment } from "../core/clock";
 
 /** How long a connection may take to stand, in milliseconds; far more than a round trip. */
-const CONNECT_MS = 400;
+const CONNECT_MS = 250;
 /** How long a connection stays open unused where the endpoint names no time, in milliseconds. */
 const IDLE_MS = 400;
 /** The longest that a connection stays open unused, in milliseconds: an old one may be silent. */
--- a/src/forward/context.ts
+++ b/src/forward/context.ts
@@ -3,7 +3,7 @@
  */
 import type { Clock, Moment } from "../core/clock";
 import type { Logger } from "../core/log";
-import type { Directory } from "../fleet/directory";
+import type { Directory, EndpointEntry } from "../fleet/directory";
 import type { EndpointClient } from "./connections";
 import type { CrashBook } from "./crashes";
 import type { EndpointCodec, ForwardRequest } from "./exchange";
@@ -27,6 +27,21 @@
   readonly draw: () => number;
 }
 
+/**
+ * Gives up the unused connections to all endpoints beside one that went silent: behind a cut of
+ * their data centre they are as dead, and only a new connection shows it before a request is sent.
+ *
+ * @example
+ * resetBeside(context, endpoint);
+ */
+export function resetBeside(context: ForwardContext, endpoint: EndpointEntry): void {
+  const { directory, client, clock } = context;
+  client.reset(endpoint.address);
+  for (const other of directory.listUsable(clock.now())) {
+    if (other.dataCentre === endpoint.dataCentre) client.reset(other.address);
+  }
+}
+
 /** The moments of a request. */
 export interface RequestTimes {
   readonly arrivedAt: Moment;
--- a/src/forward/health.ts
+++ b/src/forward/health.ts
@@ -4,8 +4,10 @@
 import type { Moment } from "../core/clock";
 import type { EndpointLoad } from "./exchange";
 
-/** How long an endpoint that could not be reached is passed over, in milliseconds. */
+/** How long an endpoint that could not be reached is passed over at first, in milliseconds. */
 const UNREACHABLE_MS = 1500;
+/** The longest, for one that cannot be reached again and again, in milliseconds. */
+const MAX_UNREACHABLE_MS = 6000;
 /** How long an endpoint that was full is passed over where another is left, in milliseconds. */
 const FULL_MS = 150;
 /** The share that one outcome has in the running failure rate. */
@@ -17,9 +19,9 @@
 /** How long the load that an endpoint told counts, in milliseconds. */
 const LOAD_MS = 1500;
 /** A call that takes this many times as long as usual counts as a silence. */
-const SILENT_FACTOR = 6;
+const SILENT_FACTOR = 5;
 /** A call younger than this is never a silence, in milliseconds. */
-const LEAST_SILENCE_MS = 700;
+const LEAST_SILENCE_MS = 450;
 /** Latency that is taken before anything was measured, in milliseconds. */
 const FIRST_LATENCY_MS = 100;
 
@@ -28,6 +30,8 @@
   failureAt: Moment;
   latencyMs: number;
   unreachableDeadline: Moment;
+  /** How often in a row it could not be reached. */
+  unreached: number;
   fullDeadline: Moment;
   told: EndpointLoad | undefined;
   toldAt: Moment;
@@ -130,6 +134,7 @@
       failureAt: 0,
       latencyMs: FIRST_LATENCY_MS,
       unreachableDeadline: 0,
+      unreached: 0,
       fullDeadline: 0,
       told: undefined,
       toldAt: 0,
@@ -147,13 +152,18 @@
     health.fullDeadline = now + FULL_MS;
     return;
   }
-  if (outcome === CallOutcome.unreachable) health.unreachableDeadline = now + UNREACHABLE_MS;
+  if (outcome === CallOutcome.unreachable) {
+    const ms = Math.min(MAX_UNREACHABLE_MS, UNREACHABLE_MS * 2 ** health.unreached);
+    health.unreachableDeadline = now + ms;
+    health.unreached += 1;
+  }
   const isFailure = outcome !== CallOutcome.success;
   const rate = readFailureRate(health, now);
   health.failureRate = rate + ((isFailure ? 1 : 0) - rate) * FAILURE_WEIGHT;
   health.failureAt = now;
   if (isFailure) return;
   health.unreachableDeadline = 0;
+  health.unreached = 0;
   health.latencyMs += (tookMs - health.latencyMs) * LATENCY_WEIGHT;
 }
 
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -25,7 +25,8 @@
 import { HealthBook } from "./health";
 import { Counter, Meter } from "./meter";
 import { PlainRun } from "./plain";
-import { Quotas, SlidingSum } from "./quota";
+import { Quotas } from "./quota";
+import { SlidingSum } from "./window";
 import { OrderRights } from "../fleet/orders";
 import type { StageWork } from "./stages";
 import { Steering } from "./steering";
@@ -128,7 +129,7 @@
       settings.drainMs * LIST_SHARE,
     );
     this.beacon = new Beacon(this.self, this.roster, this.link, this, clock, this.logger);
-    this.quotas = new Quotas(settings.quotaWindowMs);
+    this.quotas = new Quotas(() => this.roster.readHeardShare(clock.now()));
     const draw = Math.random;
     this.context = {
       clock,
@@ -263,7 +264,7 @@
       configVersion: this.watcher.readCatalog()?.config.version ?? -1,
       endpointsNext: this.directory.next,
       leaving: this.isStopping,
-      usages: [...this.quotas.listOwn(now)],
+      usages: [...this.quotas.listOwn()],
       works: this.book.listOwn().map((work) => ({
         ...work,
         heldTokens: Math.max(0, work.heldTokens),
@@ -281,7 +282,7 @@
   }
 
   takeBeat(beat: Beat, now: number): void {
-    this.quotas.take(beat.instance, beat.usages, now);
+    this.quotas.take(beat.instance, beat.incarnation, beat.usages);
     this.book.take(beat.instance, beat.works, now);
     const { arrivingTokens, waiting } = beat;
     this.peerArrivals.set(beat.instance, { arrivingTokens, waiting, heardAt: now });
--- a/src/forward/plain.ts
+++ b/src/forward/plain.ts
@@ -9,7 +9,7 @@
 import type { EndpointEntry } from "../fleet/directory";
 import { AbortCause, Watch } from "./abort";
 import type { OpenAnswer, SendFailure } from "./connections";
-import type { ForwardContext, RequestTimes } from "./context";
+import { type ForwardContext, type RequestTimes, resetBeside } from "./context";
 import { type AnswerHead, type ForwardRequest, Task, Verdict } from "./exchange";
 import { CallOutcome } from "./health";
 import { confirmCrash } from "./probe";
@@ -172,8 +172,9 @@
     watch: Watch,
   ): Promise<SendResult> {
     const { message, isSent } = failure;
+    const isSilent = watch.cause === AbortCause.timeUp || (!isSent && !failure.isDown);
+    if (isSilent) resetBeside(this.context, endpoint);
     if (!isSent) return { end: SendEnd.notRun, answer: undefined, message };
-    if (watch.cause === AbortCause.timeUp) this.context.client.reset(endpoint.address);
     await this.noteBreak(endpoint, watch);
     return { end: SendEnd.unknown, answer: undefined, message };
   }
--- a/src/forward/retries.ts
+++ b/src/forward/retries.ts
@@ -3,7 +3,7 @@
  * fixed part of the fleet's slack. Each instance keeps to its own part, so that all keep to the whole.
  */
 import type { Moment } from "../core/clock";
-import { SlidingSum } from "./quota";
+import { SlidingSum } from "./window";
 
 /** The fleet's bound on repeated sends. */
 export interface RetryLimit {
--- a/src/forward/settings.ts
+++ b/src/forward/settings.ts
@@ -25,8 +25,6 @@
   /** Peers that are known before the store is asked, by address. */
   readonly knownPeers: readonly string[];
   readonly logLevel: LogLevel;
-  /** The window over which rates are counted, in milliseconds. */
-  readonly quotaWindowMs: number;
   readonly retryLimit: RetryLimit;
   /** How soon a leaving endpoint must get nothing more, in milliseconds. */
   readonly drainMs: number;
--- a/src/forward/stream.ts
+++ b/src/forward/stream.ts
@@ -9,7 +9,7 @@
 import type { EndpointEntry } from "../fleet/directory";
 import { AbortCause, Watch } from "./abort";
 import type { OpenAnswer } from "./connections";
-import type { ForwardContext, RequestTimes } from "./context";
+import { type ForwardContext, type RequestTimes, resetBeside } from "./context";
 import type { Desk, Reservation } from "./desk";
 import { choosePrefill, type EngineBook } from "./engines";
 import { EventCutter } from "./events";
@@ -276,7 +276,7 @@
       return { address: endpoint.address, handle: prefilled.handle };
     }
     if (watch.cause === undefined) book.noteBroken(endpoint.id, clock.now());
-    if (E.isLeft(body)) client.reset(endpoint.address);
+    if (E.isLeft(body)) resetBeside(context, endpoint);
     logger.info("prefill failed", {
       request: this.request.head.id,
       engine: endpoint.id,
@@ -311,7 +311,7 @@
     const aborted = nameAbort(watch);
     if (aborted !== undefined) return aborted;
     this.parts.book.noteBroken(endpoint.id, context.clock.now());
-    context.client.reset(endpoint.address);
+    resetBeside(context, endpoint);
     if (!isSent) {
       this.keep(source);
       return { end: TryEnd.notRun, message };
@@ -335,7 +335,7 @@
     }
     if (head.verdict === Verdict.foreign) {
       answer.body.destroy();
-      context.client.reset(endpoint.address);
+      resetBeside(context, endpoint);
       return { end: TryEnd.broken, message: "the answer is not one to this request" };
     }
     if (head.status >= 300) return this.readFailure(answer);
@@ -372,7 +372,7 @@
         clearTimeout(timer);
         timer = setTimeout(() => {
           book.noteBroken(endpoint.id, context.clock.now());
-          context.client.reset(endpoint.address);
+          resetBeside(context, endpoint);
           finish({ end: TryEnd.silent, message: `no event for ${ms} ms` });
         }, ms);
       };
--- /dev/null
+++ b/src/forward/window.ts
@@ -0,0 +1,44 @@
+/**
+ * Sums over a sliding window.
+ */
+import type { Moment } from "../core/clock";
+
+/** Steps that a window is cut into; what is older than a window lapses a step at a time. */
+const STEPS = 16;
+
+/** Cost admitted within a sliding window. */
+export class SlidingSum {
+  private readonly sums = new Float64Array(STEPS);
+  private step = 0;
+  private total = 0;
+
+  constructor(private readonly windowMs: number) {}
+
+  add(cost: number, now: Moment): void {
+    this.advance(now);
+    const index = this.step % STEPS;
+    this.sums[index] = (this.sums[index] ?? 0) + cost;
+    this.total += cost;
+  }
+
+  read(now: Moment): number {
+    this.advance(now);
+    return this.total;
+  }
+
+  private advance(now: Moment): void {
+    const step = Math.floor((now * STEPS) / this.windowMs);
+    if (step - this.step >= STEPS) {
+      this.sums.fill(0);
+      this.total = 0;
+      this.step = step;
+      return;
+    }
+    while (this.step < step) {
+      this.step += 1;
+      const index = this.step % STEPS;
+      this.total -= this.sums[index] ?? 0;
+      this.sums[index] = 0;
+    }
+  }
+}
--- a/src/peer/gen/fleet.ts
+++ b/src/peer/gen/fleet.ts
@@ -50,6 +50,7 @@
 
 export interface WorkspaceUsage {
   workspace: string;
+  /** Since the sender started. */
   cost: number;
 }
 
@@ -476,7 +477,7 @@
       writer.uint32(10).string(message.workspace);
     }
     if (message.cost !== 0) {
-      writer.uint32(16).uint32(message.cost);
+      writer.uint32(17).double(message.cost);
     }
     return writer;
   },
@@ -503,11 +504,11 @@
             continue;
           }
           case 2: {
-            if (tag !== 16) {
+            if (tag !== 17) {
               break;
             }
 
-            message.cost = reader.uint32();
+            message.cost = reader.double();
             continue;
           }
         }
@@ -535,7 +536,7 @@
       obj.workspace = message.workspace;
     }
     if (message.cost !== 0) {
-      obj.cost = Math.round(message.cost);
+      obj.cost = floatToJson(message.cost);
     }
     return obj;
   },
@@ -1154,6 +1155,10 @@
   }
 }
 
+function floatToJson(value: number | null | undefined): number | string | null | undefined {
+  return typeof value === "number" && !globalThis.Number.isFinite(value) ? globalThis.String(value) : value;
+}
+
 type Builtin = Date | Function | Uint8Array | string | number | boolean | undefined;
 
 export type DeepPartial<T> = T extends Builtin ? T
