--- a/src/forward/admission.ts
+++ b/src/forward/admission.ts
@@ -55,8 +55,8 @@
       body.toString("latin1"),
     );
     if (this.parts.crashes.isBanned(fingerprint, now)) return E.left(createPoison());
-    const refusal = this.charge(head, workspace.right, now);
-    if (refusal !== undefined) return E.left(refusal);
+    const isOverRate = this.charge(head, workspace.right, now);
+    if (E.isLeft(isOverRate)) return isOverRate;
     return E.right({
       head,
       body,
@@ -64,6 +64,7 @@
       service,
       workspace: workspace.right,
       priority: workspace.right?.priority ?? route.priority,
+      isOverRate: isOverRate.right,
       fingerprint,
     });
   }
@@ -88,15 +89,16 @@
     return createNotRun(status, reason, message);
   }
 
+  /** Charges the request, and tells whether its workspace is beyond its rate. */
   private charge(
     head: RequestHead,
     workspace: FleetWorkspace | undefined,
     now: Moment,
-  ): Refusal | undefined {
-    if (workspace === undefined) return undefined;
+  ): E.Either<Refusal, boolean> {
+    if (workspace === undefined) return E.right(false);
     const cost = computeCost(head, workspace);
     const decision = this.parts.quotas.admit(workspace.name, workspace.limit, cost, now);
-    if (decision.isAdmitted) return undefined;
+    if (decision.isAdmitted) return E.right(decision.isOver);
     this.parts.logger.info("over rate", {
       request: head.id,
       workspace: workspace.name,
@@ -104,7 +106,7 @@
       left: Math.round(decision.left),
     });
     const message = "the workspace is over its rate";
-    return createNotRun(429, Reason.overRate, message, decision.retryAfterMs);
+    return E.left(createNotRun(429, Reason.overRate, message, decision.retryAfterMs));
   }
 }
 
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -47,6 +47,8 @@
   readonly workspace: FleetWorkspace | undefined;
   /** Rank; 0 is the most urgent. */
   readonly priority: number;
+  /** True where its workspace is beyond its rate: others go first. */
+  readonly isOverRate: boolean;
   /** By which copies of the request are recognised. */
   readonly fingerprint: string;
 }
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -129,7 +129,9 @@
       settings.drainMs * LIST_SHARE,
     );
     this.beacon = new Beacon(this.self, this.roster, this.link, this, clock, this.logger);
-    this.quotas = new Quotas(() => this.roster.readHeardShare(clock.now()));
+    this.quotas = new Quotas(settings.quotaTolerance, () =>
+      this.roster.readHeardShare(clock.now()),
+    );
     const draw = Math.random;
     this.context = {
       clock,
--- a/src/forward/quota.ts
+++ b/src/forward/quota.ts
@@ -9,6 +9,18 @@
 /** How far above its share of the rate an instance goes that does not hear all its peers. */
 const SHARE_MARGIN = 1.3;
 
+/** How far the fleet may go beyond rates while its instances' counts are under way to each other. */
+export interface QuotaTolerance {
+  /** A share of what a workspace may use within a window. */
+  readonly ratio: number;
+  /** Beyond that, in units of cost in each window. */
+  readonly slack: number;
+  readonly windowMs: number;
+}
+
+/** The part of the tolerance that is given out; the rest is for counts that come late. */
+const TOLERANCE_SHARE = 0.6;
+
 /** What one instance has admitted for a workspace since it started. */
 export interface Usage {
   readonly workspace: string;
@@ -28,6 +40,8 @@
 /** How a request stands against the rate of its workspace. */
 export interface QuotaDecision {
   readonly isAdmitted: boolean;
+  /** True where it goes beyond the rate, within the tolerance: it has to stand behind the others. */
+  readonly isOver: boolean;
   /** What was left for the workspace before the request. */
   readonly left: number;
   /** When to come back, in milliseconds from now, for one that is not admitted. */
@@ -43,7 +57,10 @@
   /**
    * @param readHeardShare - the share of the fleet's instances that is heard, this one with them
    */
-  constructor(private readonly readHeardShare: () => number) {}
+  constructor(
+    private readonly tolerance: QuotaTolerance,
+    private readonly readHeardShare: () => number,
+  ) {}
 
   /**
    * Admits a request and counts it, or refuses it.
@@ -52,18 +69,26 @@
    */
   admit(workspace: string, limit: RateLimit | undefined, cost: number, now: Moment): QuotaDecision {
     if (limit === undefined) {
-      return { isAdmitted: true, left: Number.POSITIVE_INFINITY, retryAfterMs: 0 };
+      const left = Number.POSITIVE_INFINITY;
+      return { isAdmitted: true, isOver: false, left, retryAfterMs: 0 };
     }
     const rate = limit.perSecond * Math.min(1, this.readHeardShare() * SHARE_MARGIN);
     const level = this.refill(workspace, rate, limit.burst, now);
     const left = level.tokens;
-    if (cost <= left) {
+    const floor = -this.computeTolerance(limit);
+    if (left - cost >= floor) {
       level.tokens -= cost;
       this.own.set(workspace, (this.own.get(workspace) ?? 0) + cost);
-      return { isAdmitted: true, left, retryAfterMs: 0 };
+      return { isAdmitted: true, isOver: left < cost, left, retryAfterMs: 0 };
     }
-    const retryAfterMs = rate > 0 ? ((cost - left) * 1000) / rate : 0;
-    return { isAdmitted: false, left, retryAfterMs };
+    const retryAfterMs = rate > 0 ? ((cost + floor - left) * 1000) / rate : 0;
+    return { isAdmitted: false, isOver: true, left, retryAfterMs };
+  }
+
+  private computeTolerance(limit: RateLimit): number {
+    const { ratio, slack, windowMs } = this.tolerance;
+    const whole = (limit.perSecond * windowMs) / 1000 + limit.burst;
+    return (whole * ratio + slack) * TOLERANCE_SHARE;
   }
 
   /** Takes the counts of a peer; what it admitted before it was first heard is past. */
--- a/src/forward/settings.ts
+++ b/src/forward/settings.ts
@@ -2,6 +2,7 @@
  * What a forwarding instance has to be told at its start.
  */
 import type { LogLevel } from "../core/log";
+import type { QuotaTolerance } from "./quota";
 import type { RetryLimit } from "./retries";
 
 /** An IP number and a port. */
@@ -25,6 +26,7 @@
   /** Peers that are known before the store is asked, by address. */
   readonly knownPeers: readonly string[];
   readonly logLevel: LogLevel;
+  readonly quotaTolerance: QuotaTolerance;
   readonly retryLimit: RetryLimit;
   /** How soon a leaving endpoint must get nothing more, in milliseconds. */
   readonly drainMs: number;
--- a/src/forward/stream.ts
+++ b/src/forward/stream.ts
@@ -148,7 +148,7 @@
 
   private reserve(): Promise<Reservation | undefined> {
     const { clock, meter } = this.parts.context;
-    const { head, service, priority } = this.request;
+    const { head, service, priority, isOverRate } = this.request;
     const { arrivedAt, target, deadline } = this.times;
     const now = clock.now();
     const patience = this.runs > 0 ? now + RESUME_WAIT_MS : this.computeGiveUp();
@@ -157,6 +157,7 @@
     const reservation = this.parts.desk.reserve({
       id: head.id,
       priority,
+      isOverRate,
       arrivedAt,
       target,
       giveUpAt: Math.min(patience, deadline),
--- a/src/forward/waitqueue.ts
+++ b/src/forward/waitqueue.ts
@@ -1,6 +1,6 @@
 /**
  * The order in which waiting generations go: those that can still be on time before those that
- * cannot, the more urgent first, and among equals the one that came first.
+ * cannot, those of workspaces within their rates before those beyond, the more urgent first, and among equals the one that came first.
  */
 import type { Moment } from "../core/clock";
 
@@ -9,6 +9,8 @@
   readonly id: string;
   /** Rank; 0 is the most urgent. */
   readonly priority: number;
+  /** True where its workspace is beyond its rate. */
+  readonly isOverRate: boolean;
   readonly arrivedAt: Moment;
   /** When it can no longer be on time. */
   readonly target: Moment;
@@ -55,5 +57,6 @@
 
 function compareWaiters(a: Waiter, b: Waiter, now: Moment): number {
   const late = Number(a.target <= now) - Number(b.target <= now);
-  return late || a.priority - b.priority || a.arrivedAt - b.arrivedAt;
+  const over = Number(a.isOverRate) - Number(b.isOverRate);
+  return late || over || a.priority - b.priority || a.arrivedAt - b.arrivedAt;
 }
