--- a/src/forward/desk.ts
+++ b/src/forward/desk.ts
@@ -27,8 +27,6 @@
   readonly service: string;
   readonly limits: EngineLimits;
   readonly needTokens: number;
-  /** Engines that it must not go to. */
-  readonly excluded: ReadonlySet<string>;
   readonly caller: AbortSignal;
 }
 
@@ -109,7 +107,7 @@
     const views = this.listViews(ticket.service, now).filter(
       (view) => !this.asking.has(view.endpoint.id),
     );
-    return chooseDecode(views, ticket.limits, ticket.needTokens, ticket.excluded);
+    return chooseDecode(views, ticket.limits, ticket.needTokens);
   }
 
   /** One question at a time to an engine, so that its answer counts for the next. */
--- a/src/forward/engines.ts
+++ b/src/forward/engines.ts
@@ -165,19 +165,17 @@
  * @param needTokens - memory that it takes
  * @returns undefined while none has room
  * @example
- * chooseDecode(views, limits, 3400, new Set());
+ * chooseDecode(views, limits, 3400);
  */
 export function chooseDecode(
   views: readonly EngineView[],
   limits: EngineLimits,
   needTokens: number,
-  excluded: ReadonlySet<string>,
 ): EngineView | undefined {
   const able = views.filter(
     (view) =>
       view.endpoint.stage === EngineStage.decode &&
       !view.isFull &&
-      !excluded.has(view.endpoint.id) &&
       view.requests < limits.slots &&
       (view.heldTokens === 0 || view.heldTokens + needTokens <= limits.capacityTokens),
   );
--- a/src/forward/events.ts
+++ b/src/forward/events.ts
@@ -36,13 +36,6 @@
     this.rest = rest;
     return events;
   }
-
-  /** Takes what is left when the stream ends: the last event may lack its blank line. */
-  takeRest(): Buffer {
-    const { rest } = this;
-    this.rest = Buffer.alloc(0);
-    return rest;
-  }
 }
 
 /** An event ends with a blank line; lines end with a line feed, with or without a carriage return. */
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -3,12 +3,12 @@
  */
 import { createServer, type Server } from "node:http";
 import * as E from "fp-ts/Either";
-import { type Clock, computeLeftMs, type Moment, MonotonicClock } from "../core/clock";
+import { type Clock, MonotonicClock } from "../core/clock";
 import { createIncarnation } from "../core/ids";
 import { AsyncLineWriter } from "../core/lines";
 import { createLogger, type Logger } from "../core/log";
 import { createNotRun, Reason } from "../core/outcome";
-import { Beacon, type BeaconHost } from "../fleet/beacon";
+import { Beacon } from "../fleet/beacon";
 import { Directory, type EndpointDecoder } from "../fleet/directory";
 import { type FleetHandler, type FleetServer, GrpcFleetLink, listenFleet } from "../fleet/link";
 import { Roster, type Self } from "../fleet/roster";
@@ -25,10 +25,9 @@
 import { HealthBook } from "./health";
 import { Counter, Meter } from "./meter";
 import { PlainRun } from "./plain";
+import { PeerView } from "./peerview";
 import { Quotas } from "./quota";
-import { SlidingSum } from "./window";
 import { OrderRights } from "../fleet/orders";
-import type { StageWork } from "./stages";
 import { Steering } from "./steering";
 import { RetryAllowance } from "./retries";
 import { type CallerAnswer, type CallerRequest, ForwardServer } from "./server";
@@ -43,8 +42,6 @@
 /** How much sooner than the platform kills it a stopping instance ends, in milliseconds. */
 const GRACE_MARGIN_MS = 700;
 const MAINTENANCE_MS = 1000;
-/** The window over which arriving prompts are counted, in milliseconds. */
-const ARRIVAL_WINDOW_MS = 1000;
 /** How often the members are read again from the store, in milliseconds. */
 const MEMBERS_MS = 10_000;
 /** How long to wait before joining is tried again, in milliseconds. */
@@ -52,21 +49,9 @@
 /** The part of an endpoint's connections that the fleet uses, so that none is ever refused. */
 const CONNECTION_SHARE = 0.85;
 const LEAST_CONNECTIONS = 4;
-/** How old the list of endpoints must be before a peer's is asked for, in milliseconds. */
-const LIST_STALE_MS = 1500;
 
 /** When a caller may come back, to another instance, in milliseconds. */
 const STOPPING_RETRY_MS = 50;
-/** How long the word of a peer on what arrives there counts, in milliseconds. */
-const ARRIVALS_MS = 2000;
-
-/** What arrives at a peer. */
-interface Arrivals {
-  readonly arrivingTokens: number;
-  readonly waiting: number;
-  readonly heardAt: Moment;
-}
-
 /** What an adapter brings. */
 export interface Adapter {
   readonly store: Store;
@@ -77,7 +62,7 @@
 }
 
 /** A forwarding instance. */
-export class ForwardInstance implements BeaconHost, FleetHandler {
+export class ForwardInstance implements FleetHandler {
   private readonly clock: Clock = new MonotonicClock();
   private readonly meter = new Meter();
   private readonly logger: Logger;
@@ -90,11 +75,10 @@
   private readonly quotas: Quotas;
   private readonly crashes = new CrashBook();
   private readonly book = new EngineBook();
-  private readonly arriving = new SlidingSum(ARRIVAL_WINDOW_MS);
   private readonly context: ForwardContext;
   private readonly desk: Desk;
   private readonly steering: Steering;
-  private readonly peerArrivals = new Map<string, Arrivals>();
+  private readonly view: PeerView;
   private readonly admission: Admission;
   private readonly callers: ForwardServer;
   private readonly ready: Server;
@@ -128,7 +112,6 @@
       meter,
       settings.drainMs * LIST_SHARE,
     );
-    this.beacon = new Beacon(this.self, this.roster, this.link, this, clock, this.logger);
     this.quotas = new Quotas(settings.quotaTolerance, () =>
       this.roster.readHeardShare(clock.now()),
     );
@@ -149,6 +132,17 @@
       draw,
     };
     this.desk = new Desk(this.context, this.book);
+    this.view = new PeerView({
+      clock,
+      directory: this.directory,
+      watcher: this.watcher,
+      quotas: this.quotas,
+      crashes: this.crashes,
+      book: this.book,
+      desk: this.desk,
+      isLeaving: () => this.isStopping,
+    });
+    this.beacon = new Beacon(this.self, this.roster, this.link, this.view, clock, this.logger);
     this.steering = new Steering({
       instance,
       rights: new OrderRights(
@@ -164,7 +158,7 @@
       logger: this.logger,
       listLive: () => this.roster.listLive(clock.now()),
       listServices: () => this.watcher.readCatalog()?.config.services ?? [],
-      readWork: (service) => this.readWork(service),
+      readWork: (service) => this.view.readWork(service),
       onOrder: (engine, deadline) => {
         this.book.noteOrdered(engine, deadline);
         this.beacon.speak();
@@ -260,84 +254,12 @@
     ]);
   }
 
-  describe(): Omit<Beat, keyof Self> {
-    const now = this.clock.now();
-    return {
-      configVersion: this.watcher.readCatalog()?.config.version ?? -1,
-      endpointsNext: this.directory.next,
-      leaving: this.isStopping,
-      usages: [...this.quotas.listOwn()],
-      works: this.book.listOwn().map((work) => ({
-        ...work,
-        heldTokens: Math.max(0, work.heldTokens),
-        promptTokens: Math.max(0, work.promptTokens),
-        requests: Math.max(0, work.requests),
-      })),
-      crashes: [...this.crashes.list(now)],
-      arrivingTokens: Math.round(this.arriving.read(now)),
-      waiting: this.desk.size,
-      absences: this.book.listOrdered(now).map(({ engine, deadline }) => ({
-        engine,
-        remainingMs: computeLeftMs(deadline, now),
-      })),
-    };
-  }
-
-  takeBeat(beat: Beat, now: number): void {
-    this.quotas.take(beat.instance, beat.incarnation, beat.usages);
-    this.book.take(beat.instance, beat.works, now);
-    const { arrivingTokens, waiting } = beat;
-    this.peerArrivals.set(beat.instance, { arrivingTokens, waiting, heardAt: now });
-    for (const { engine, remainingMs } of beat.absences) {
-      this.book.noteAbsent(engine, now + remainingMs);
-    }
-    for (const crash of beat.crashes) this.crashes.note(crash, now);
-    this.desk.pump();
-  }
-
-  shouldFetch(beat: Beat): boolean {
-    const version = this.watcher.readCatalog()?.config.version ?? -1;
-    if (beat.configVersion > version) return true;
-    const isStale = this.watcher.computeEndpointsAgeMs() > LIST_STALE_MS;
-    return isStale && beat.endpointsNext > this.directory.next;
-  }
-
-  createFetchRequest(): FetchRequest {
-    const configVersion = this.watcher.readCatalog()?.config.version ?? -1;
-    return { configVersion, endpointsNext: this.directory.next };
-  }
-
-  takeFetched(reply: FetchReply, from: string): void {
-    const source = `peer ${from}`;
-    if (reply.config !== undefined) this.watcher.takeConfig(Buffer.from(reply.config), source);
-    if (reply.endpointsNext <= this.directory.next) return;
-    const records = reply.endpoints.map(({ key, value, offset }) => ({
-      key,
-      value: value === undefined ? undefined : Buffer.from(value),
-      offset,
-    }));
-    this.watcher.takeEndpoints({ records, next: reply.endpointsNext }, false, source);
-    this.applyLimits();
-  }
-
   onBeat(beat: Beat): Beat {
     return this.beacon.onBeat(beat);
   }
 
   onFetch(request: FetchRequest): FetchReply {
-    const version = this.watcher.readCatalog()?.config.version ?? -1;
-    const value = version > request.configVersion ? this.watcher.readConfigValue() : undefined;
-    const isNewer = this.directory.next > request.endpointsNext;
-    const endpoints = isNewer ? this.directory.listRecords() : [];
-    return {
-      ...(value === undefined ? {} : { config: value }),
-      endpoints: endpoints.map((record) => ({
-        key: record.key,
-        value: record.value,
-        offset: record.offset,
-      })),
-      endpointsNext: this.directory.next,
-    };
+    return this.view.answerFetch(request);
   }
 
   private async serve(request: CallerRequest): Promise<CallerAnswer> {
@@ -365,33 +287,12 @@
     if (engine === undefined || !route.isStream) {
       return new PlainRun(this.context, forward, times, caller).run();
     }
-    this.arriving.add(head.size?.promptTokens ?? 0, arrivedAt);
+    this.view.noteArrival(head.size?.promptTokens ?? 0, arrivedAt);
     const { context, desk, book } = this;
     const run = new StreamRun({ context, desk, book }, forward, engine, times, caller, sink);
     return run.run();
   }
 
-  private readWork(service: string): StageWork {
-    const now = this.clock.now();
-    const views = this.desk.listViews(service, now);
-    let promptTokensPerSecond = this.arriving.read(now);
-    let generationsWaiting = this.desk.size;
-    for (const [peer, arrivals] of this.peerArrivals) {
-      if (now - arrivals.heardAt > ARRIVALS_MS) {
-        this.peerArrivals.delete(peer);
-        continue;
-      }
-      promptTokensPerSecond += arrivals.arrivingTokens;
-      generationsWaiting += arrivals.waiting;
-    }
-    return {
-      engines: views.map((view) => view.endpoint),
-      promptTokensPerSecond,
-      promptTokensWaiting: views.reduce((sum, view) => sum + view.promptTokens, 0),
-      generationsWaiting,
-    };
-  }
-
   private isReady(): boolean {
     return !this.isStopping && this.watcher.isComplete();
   }
--- a/src/forward/stages.ts
+++ b/src/forward/stages.ts
@@ -10,10 +10,6 @@
   readonly engines: readonly EndpointEntry[];
   /** Prompt tokens that came in within a second, over all instances, on average. */
   readonly promptTokensPerSecond: number;
-  /** Prompt tokens that are still to be read, over all engines. */
-  readonly promptTokensWaiting: number;
-  /** Generations that wait for memory at a decode engine, over all instances. */
-  readonly generationsWaiting: number;
 }
 
 /** A change of an engine's stage. */
@@ -51,7 +47,7 @@
  *
  * @returns undefined where the stages are as they should be
  * @example
- * chooseStageChange({ engines, promptTokensPerSecond: 25_000, ... });
+ * chooseStageChange({ engines, promptTokensPerSecond: 25_000 });
  */
 export function chooseStageChange(work: StageWork): StageChange | undefined {
   const { engines, promptTokensPerSecond } = work;
--- a/src/forward/stream.ts
+++ b/src/forward/stream.ts
@@ -8,15 +8,18 @@
 import { type EngineLimits, Repeat } from "../fleet/catalog";
 import type { EndpointEntry } from "../fleet/directory";
 import { AbortCause, Watch } from "./abort";
-import type { OpenAnswer } from "./connections";
+import type { OpenAnswer, SendFailure } from "./connections";
 import { type ForwardContext, type RequestTimes, resetBeside } from "./context";
 import type { Desk, Reservation } from "./desk";
-import { choosePrefill, type EngineBook } from "./engines";
-import { EventCutter } from "./events";
-import { type CacheSource, type ForwardRequest, type Send, Task, Verdict } from "./exchange";
+import type { EngineBook } from "./engines";
+import type { StreamEvent } from "./events";
+import { type CacheSource, type ForwardRequest, Task, Verdict } from "./exchange";
 import { Timing } from "./meter";
 import { createCancelled, readBody, readWholeBody, type WholeAnswer } from "./plain";
+import { Prefiller } from "./prefill";
 import { confirmCrash } from "./probe";
+import { RelayEnd, relayEvents } from "./relay";
+import { SendCount } from "./sendcount";
 
 /** The most engines that one generation is tried at, those that did not run it included. */
 const MAX_TRIES = 5;
@@ -26,10 +29,6 @@
 const RESUME_WAIT_MS = 2000;
 /** The share of the longest output that memory is reserved for; most outputs are far shorter. */
 const OUTPUT_SHARE = 0.25;
-/** How long a prefill may take, in milliseconds; some prompts may be before it. */
-const PREFILL_MS = 900;
-/** The share of the time that a read prompt is kept in which it is offered to another engine. */
-const KEEP_SHARE = 0.7;
 /** How long a stream that may be resumed may be silent before it goes on elsewhere, milliseconds. */
 const SILENCE_MS = 1200;
 /** How long its first event may take, in milliseconds. */
@@ -38,7 +37,6 @@
 const DEADLINE_GRACE_MS = 120;
 /** When a caller that found no room may come back, in milliseconds. */
 const RETRY_AFTER_MS = 1500;
-const RELEASE_CALL_MS = 500;
 
 /** Takes a stream on its way to the caller. */
 export interface StreamSink {
@@ -51,12 +49,6 @@
   cut(): void;
 }
 
-/** A read prompt that waits for another decode engine. */
-interface KeptSource {
-  readonly source: CacheSource;
-  readonly deadline: Moment;
-}
-
 /** How a try at an engine ended. */
 const TryEnd = {
   complete: "complete",
@@ -64,12 +56,13 @@
   notRun: "not run",
   /** The engine answered with a failure. */
   failed: "failed",
-  /** The stream broke off or never came. */
+  /** The stream broke off, went silent or never came. */
   broken: "broken",
-  /** Nothing came for too long. */
-  silent: "silent",
   callerGone: "caller gone",
+  /** The deadline passed while an engine had it. */
   timeUp: "time up",
+  /** Nothing was sent: the deadline has passed, or the budget has no repeat left. */
+  unsent: "unsent",
 } as const;
 type TryEnd = (typeof TryEnd)[keyof typeof TryEnd];
 
@@ -88,16 +81,11 @@
 
 /** The run of one generation. */
 export class StreamRun {
-  private readonly excluded = new Set<string>();
+  private readonly sends: SendCount;
+  private readonly prompt: Prefiller;
   private lastEventId: string | undefined;
-  private hasBegun = false;
-  private firstEventAt = 0;
-  private kept: KeptSource | undefined;
-  private prefilledAt: Moment = 0;
+  private firstEventAt: Moment | undefined;
   private runs = 0;
-  /** Sends that reached an engine, without the first prefill that one accepted. */
-  private arrivals = 0;
-  private hasPrefilled = false;
   private message = "no engine has room";
 
   constructor(
@@ -108,7 +96,13 @@
     private readonly caller: AbortSignal,
     private readonly sink: StreamSink,
   ) {
-    this.lastEventId = request.head.lastEventId;
+    const { context, desk, book } = parts;
+    const { service, head } = request;
+    const listViews = (now: Moment) => desk.listViews(service, now);
+    this.lastEventId = head.lastEventId;
+    this.sends = new SendCount(context.retries, service, context.clock);
+    const prefillParts = { context, book, listViews };
+    this.prompt = new Prefiller(prefillParts, request, limits, times, this.sends);
   }
 
   /**
@@ -117,26 +111,37 @@
    * @returns the answer that is still to be given; undefined where the sink has had it
    */
   async run(): Promise<E.Either<Refusal, WholeAnswer> | undefined> {
+    const answer = await this.runTries();
+    this.prompt.close();
+    if (answer === undefined || this.firstEventAt === undefined) return answer;
+    // After events went out only a break can tell the caller that there are no more.
+    this.sink.cut();
+    return undefined;
+  }
+
+  private async runTries(): Promise<E.Either<Refusal, WholeAnswer> | undefined> {
     let failed: WholeAnswer | undefined;
     for (let tries = 0; tries < MAX_TRIES; tries += 1) {
       const reservation = await this.reserve();
-      if (this.caller.aborted) return this.finish(E.left(createCancelled()));
+      if (this.caller.aborted) return E.left(createCancelled());
       if (reservation === undefined) break;
       const result = await this.tryAt(reservation);
       this.message = result.message;
       if (result.end === TryEnd.complete) return undefined;
-      if (result.end === TryEnd.callerGone) return this.finish(E.left(createCancelled()));
-      if (result.end !== TryEnd.notRun) this.runs += 1;
+      if (result.end === TryEnd.callerGone) return E.left(createCancelled());
+      const hasRun = result.end !== TryEnd.notRun && result.end !== TryEnd.unsent;
+      if (hasRun) this.runs += 1;
       failed = result.answer ?? failed;
       if (!this.mayGoOn(result.end)) break;
     }
-    return this.finish(failed === undefined ? E.left(this.createRefusal()) : E.right(failed));
+    return failed === undefined ? E.left(this.createRefusal()) : E.right(failed);
   }
 
   private mayGoOn(end: TryEnd): boolean {
     const { clock, crashes } = this.parts.context;
     const now = clock.now();
-    if (end === TryEnd.timeUp || now >= this.times.deadline) return false;
+    if (end === TryEnd.timeUp || end === TryEnd.unsent) return false;
+    if (now >= this.times.deadline) return false;
     if (crashes.isBanned(this.request.fingerprint, now)) return false;
     if (end === TryEnd.notRun) return true;
     return this.isResumable() && this.runs < this.request.route.maxAttempts;
@@ -146,178 +151,119 @@
     return this.request.route.repeat !== Repeat.once;
   }
 
-  private reserve(): Promise<Reservation | undefined> {
+  private async reserve(): Promise<Reservation | undefined> {
     const { clock, meter } = this.parts.context;
     const { head, service, priority, isOverRate } = this.request;
     const { arrivedAt, target, deadline } = this.times;
-    const now = clock.now();
-    const patience = this.runs > 0 ? now + RESUME_WAIT_MS : this.computeGiveUp();
-    const size = head.size ?? { promptTokens: 0, maxOutputTokens: 0, expectedOutputTokens: 0 };
-    const needTokens = Math.ceil(size.promptTokens + size.maxOutputTokens * OUTPUT_SHARE);
-    const reservation = this.parts.desk.reserve({
+    const startedAt = clock.now();
+    const isFirst = this.runs === 0;
+    const patience = arrivedAt + (target - arrivedAt) * WAIT_SHARE;
+    const giveUpAt = Math.min(deadline, isFirst ? patience : startedAt + RESUME_WAIT_MS);
+    const reservation = await this.parts.desk.reserve({
       id: head.id,
       priority,
       isOverRate,
       arrivedAt,
       target,
-      giveUpAt: Math.min(patience, deadline),
+      giveUpAt,
       service,
       limits: this.limits,
-      needTokens,
-      excluded: this.excluded,
+      needTokens: this.computeNeed(),
       caller: this.caller,
     });
-    return reservation.then((result) => {
-      meter.record(Timing.queue, clock.now() - now);
-      return result;
-    });
+    meter.record(Timing.queue, clock.now() - startedAt);
+    return reservation;
   }
 
-  private computeGiveUp(): Moment {
-    const { arrivedAt, target } = this.times;
-    return arrivedAt + (target - arrivedAt) * WAIT_SHARE;
+  private computeNeed(): number {
+    const { size } = this.request.head;
+    if (size === undefined) return 0;
+    return Math.ceil(size.promptTokens + size.maxOutputTokens * OUTPUT_SHARE);
   }
 
   private async tryAt(reservation: Reservation): Promise<TryResult> {
     const { context, book, desk } = this.parts;
+    const { clock, logger } = context;
     const { endpoint, needTokens } = reservation;
-    const watch = new Watch(context.clock, this.times.deadline + DEADLINE_GRACE_MS, this.caller);
-    const reservedAt = context.clock.now();
-    const source = this.takeKept() ?? (await this.prefill(watch, endpoint));
-    const prefilledAt = context.clock.now();
-    let result = nameAbort(watch);
-    if (result === undefined) {
-      result = await this.decode(reservation, source, watch);
-    } else {
-      desk.drop(reservation);
-      this.releaseSource(source);
-    }
+    const startedAt = clock.now();
+    const watch = new Watch(clock, this.times.deadline + DEADLINE_GRACE_MS, this.caller);
+    const source = await this.prompt.read(watch, endpoint);
+    const prefilledAt = clock.now();
+    const result = await this.decode(reservation, source, watch);
     watch.close();
     book.add(endpoint.id, -needTokens, 0, -1);
     desk.pump();
-    context.logger.info("try", {
+    logger.info("try", {
       request: this.request.head.id,
       engine: endpoint.id,
       prefill: source?.address ?? "none",
       end: result.end,
       message: result.message,
       lastEvent: this.lastEventId ?? "",
-      waitedMs: Math.round(reservedAt - this.times.arrivedAt),
-      prefillMs: Math.round(prefilledAt - reservedAt),
-      firstMs: Math.round(this.firstEventAt - prefilledAt),
-      wholeMs: Math.round(context.clock.now() - prefilledAt),
       needTokens,
+      waitedMs: Math.round(startedAt - this.times.arrivedAt),
+      prefillMs: Math.round(prefilledAt - startedAt),
+      firstMs: Math.round((this.firstEventAt ?? prefilledAt) - prefilledAt),
+      decodeMs: Math.round(clock.now() - prefilledAt),
     });
     return result;
   }
 
-  private keep(source: CacheSource | undefined): void {
-    if (source === undefined) return;
-    this.kept = { source, deadline: this.prefilledAt + this.limits.handleMs * KEEP_SHARE };
-  }
-
-  /** The prompt that an engine read for an earlier try, where no engine has taken it since. */
-  private takeKept(): CacheSource | undefined {
-    const { kept } = this;
-    this.kept = undefined;
-    if (kept === undefined) return undefined;
-    if (this.parts.context.clock.now() < kept.deadline) return kept.source;
-    this.releaseSource(kept.source);
-    return undefined;
-  }
-
-  /** Has the prompt read; undefined where no prefill engine did, so that the decode engine has to. */
-  private async prefill(watch: Watch, decode: EndpointEntry): Promise<CacheSource | undefined> {
-    const { context, desk, book } = this.parts;
-    const now = context.clock.now();
-    const views = desk.listViews(this.request.service, now);
-    const view = choosePrefill(views, new Set([decode.id]));
-    if (view === undefined) return undefined;
-    // Only the first prefill that an engine accepts is free.
-    if (this.hasPrefilled && !this.takeArrival()) return undefined;
-    const promptTokens = this.request.head.size?.promptTokens ?? 0;
-    book.add(view.endpoint.id, 0, promptTokens, 1);
-    const source = await this.prefillAt(view.endpoint, watch);
-    book.add(view.endpoint.id, 0, -promptTokens, -1);
-    if (source === undefined && !this.hasPrefilled) this.spendArrival();
-    this.hasPrefilled = this.hasPrefilled || source !== undefined;
-    return source;
-  }
-
-  /** Counts a send; false where it would be a repeat and the budget has none left. */
-  private takeArrival(): boolean {
-    const { retries, clock } = this.parts.context;
-    const isFirst = this.arrivals === 0;
-    if (!isFirst && !retries.take(this.request.service, clock.now())) return false;
-    this.arrivals += 1;
-    return true;
-  }
-
-  private spendArrival(): void {
-    const { retries, clock } = this.parts.context;
-    if (this.arrivals > 0) retries.spend(this.request.service, clock.now());
-    this.arrivals += 1;
-  }
-
-  private async prefillAt(endpoint: EndpointEntry, watch: Watch): Promise<CacheSource | undefined> {
-    const { context, book } = this.parts;
-    const { clock, client, codec, meter, logger } = context;
-    const startedAt = clock.now();
-    const timeout = new Watch(clock, startedAt + PREFILL_MS, watch.signal);
-    const send = this.createSend(endpoint, Task.prefill, undefined, undefined);
-    const opened = await client.send(send, timeout.signal);
-    const body = E.isRight(opened) ? await readBody(opened.right.body) : opened;
-    timeout.close();
-    const isAnswered = E.isRight(opened) && opened.right.head.status === 200 && E.isRight(body);
-    const prefilled = isAnswered ? codec.readPrefilled(body.right) : undefined;
-    if (prefilled !== undefined) {
-      this.prefilledAt = clock.now();
-      meter.record(Timing.prefill, clock.now() - startedAt);
-      book.noteSound(endpoint.id);
-      return { address: endpoint.address, handle: prefilled.handle };
-    }
-    if (watch.cause === undefined) book.noteBroken(endpoint.id, clock.now());
-    if (E.isLeft(body)) resetBeside(context, endpoint);
-    logger.info("prefill failed", {
-      request: this.request.head.id,
-      engine: endpoint.id,
-      status: E.isRight(opened) ? opened.right.head.status : 0,
-      error: E.isLeft(body) ? body.left.message : "",
-    });
-    return undefined;
-  }
-
   private async decode(
     reservation: Reservation,
     source: CacheSource | undefined,
     watch: Watch,
   ): Promise<TryResult> {
-    const { context } = this.parts;
-    const { endpoint, hold } = reservation;
-    if (!this.takeArrival()) {
-      this.parts.desk.drop(reservation);
-      this.releaseSource(source);
-      return { end: TryEnd.timeUp, message: `${this.message}; no retry is left in the budget` };
+    const { context, desk } = this.parts;
+    const stopped = nameAbortUnsent(watch) ?? this.checkBudget();
+    if (stopped !== undefined) {
+      desk.drop(reservation);
+      this.prompt.release(source);
+      return stopped;
     }
+    const { endpoint, hold } = reservation;
     const silence = new Watch(context.clock, this.computeFirstDeadline(), watch.signal);
-    const send = this.createSend(endpoint, Task.run, source, hold);
-    const opened = await context.client.send(send, silence.signal);
+    const leftMs = computeLeftMs(this.times.deadline, context.clock.now());
+    const { request, lastEventId } = this;
+    const send = { request, endpoint, task: Task.run, leftMs, source, hold, lastEventId };
+    const opened = await context.client.send({ ...send, urgency: undefined }, silence.signal);
     silence.close();
-    if (E.isRight(opened)) {
-      const result = await this.readAnswer(opened.right, endpoint, watch);
-      if (result.end === TryEnd.notRun) this.keep(source);
-      return result;
-    }
-    const { isSent, message } = opened.left;
+    const result = E.isRight(opened)
+      ? await this.readAnswer(opened.right, endpoint, watch)
+      : await this.explainFailure(opened.left, endpoint, watch);
+    if (result.end === TryEnd.notRun) this.prompt.keep(source);
+    return result;
+  }
+
+  private checkBudget(): TryResult | undefined {
+    if (this.sends.take()) return undefined;
+    return { end: TryEnd.unsent, message: `${this.message}; no retry is left in the budget` };
+  }
+
+  private async explainFailure(
+    failure: SendFailure,
+    endpoint: EndpointEntry,
+    watch: Watch,
+  ): Promise<TryResult> {
     const aborted = nameAbort(watch);
     if (aborted !== undefined) return aborted;
-    this.parts.book.noteBroken(endpoint.id, context.clock.now());
-    resetBeside(context, endpoint);
+    const { isSent, message } = failure;
     if (!isSent) {
-      this.keep(source);
+      this.noteBroken(endpoint);
       return { end: TryEnd.notRun, message };
     }
-    await confirmCrash(context, this.request, endpoint);
+    return this.noteBreak(endpoint, message);
+  }
+
+  private noteBroken(endpoint: EndpointEntry): void {
+    const { context, book } = this.parts;
+    book.noteBroken(endpoint.id, context.clock.now());
+    resetBeside(context, endpoint);
+  }
+
+  private async noteBreak(endpoint: EndpointEntry, message: string): Promise<TryResult> {
+    this.noteBroken(endpoint);
+    await confirmCrash(this.parts.context, this.request, endpoint);
     return { end: TryEnd.broken, message };
   }
 
@@ -340,7 +286,8 @@
       return { end: TryEnd.broken, message: "the answer is not one to this request" };
     }
     if (head.status >= 300) return this.readFailure(answer);
-    return this.pump(answer, endpoint, watch);
+    book.noteSound(endpoint.id);
+    return this.relay(answer, endpoint, watch);
   }
 
   private async readFailure(answer: OpenAnswer): Promise<TryResult> {
@@ -350,133 +297,56 @@
     return { end: TryEnd.failed, message, answer: { head: answer.head, body: whole.right } };
   }
 
-  /** Passes whole events on until the stream ends, breaks or goes silent. */
-  private pump(answer: OpenAnswer, endpoint: EndpointEntry, watch: Watch): Promise<TryResult> {
-    const { context, book } = this.parts;
-    const cutter = new EventCutter();
-    const { body } = answer;
-    return new Promise((resolve) => {
-      let timer: NodeJS.Timeout | undefined;
-      let isFinished = false;
-      const finish = (result: TryResult) => {
-        isFinished = true;
-        clearTimeout(timer);
-        watch.signal.removeEventListener("abort", onAbort);
-        body.destroy();
-        resolve(result);
-      };
-      const onAbort = () => {
-        finish(nameAbort(watch) ?? { end: TryEnd.timeUp, message: "ended" });
-      };
-      const waitForEvent = (ms: number) => {
-        if (!this.isResumable()) return;
-        clearTimeout(timer);
-        timer = setTimeout(() => {
-          book.noteBroken(endpoint.id, context.clock.now());
-          resetBeside(context, endpoint);
-          finish({ end: TryEnd.silent, message: `no event for ${ms} ms` });
-        }, ms);
-      };
-      watch.signal.addEventListener("abort", onAbort, { once: true });
-      if (watch.signal.aborted) {
-        onAbort();
-        return;
-      }
-      book.noteSound(endpoint.id);
-      waitForEvent(this.hasBegun ? SILENCE_MS : FIRST_EVENT_MS);
-      body.on("data", (bytes: Buffer) => {
-        this.passOn(answer, cutter.push(bytes));
-        waitForEvent(SILENCE_MS);
-      });
-      const onBreak = (message: string) => {
-        if (isFinished) return;
-        const aborted = nameAbort(watch);
-        if (aborted !== undefined) {
-          finish(aborted);
-          return;
-        }
-        book.noteBroken(endpoint.id, context.clock.now());
-        void confirmCrash(context, this.request, endpoint).then(() => {
-          finish({ end: TryEnd.broken, message });
-        });
-      };
-      body.on("end", () => {
-        if (answer.isBroken()) {
-          onBreak("the connection broke within the stream");
-          return;
-        }
-        this.endStream(answer, cutter);
-        finish({ end: TryEnd.complete, message: "complete" });
-      });
-      body.on("error", (error: Error) => {
-        onBreak(error.message);
-      });
+  private async relay(
+    answer: OpenAnswer,
+    endpoint: EndpointEntry,
+    watch: Watch,
+  ): Promise<TryResult> {
+    const hasBegun = this.firstEventAt !== undefined;
+    const { end, message } = await relayEvents({
+      answer,
+      watch,
+      firstMs: this.isResumable() ? (hasBegun ? SILENCE_MS : FIRST_EVENT_MS) : undefined,
+      silenceMs: this.isResumable() ? SILENCE_MS : undefined,
+      onEvents: (events) => {
+        this.passOn(answer, events);
+      },
     });
+    if (end === RelayEnd.complete) {
+      this.passOn(answer, []);
+      this.parts.context.crashes.clear(this.request.fingerprint);
+      this.sink.end();
+      return { end: TryEnd.complete, message };
+    }
+    const aborted = nameAbort(watch);
+    if (aborted !== undefined) return aborted;
+    if (end === RelayEnd.broken) return this.noteBreak(endpoint, message);
+    this.noteBroken(endpoint);
+    return { end: TryEnd.broken, message };
   }
 
-  private passOn(answer: OpenAnswer, events: ReturnType<EventCutter["push"]>): void {
-    const [first] = events;
-    if (first === undefined) return;
+  private passOn(answer: OpenAnswer, events: readonly StreamEvent[]): void {
     this.begin(answer);
-    for (const event of events) this.lastEventId = event.id ?? this.lastEventId;
-    const bytes = events.length === 1 ? first.bytes : Buffer.concat(events.map((e) => e.bytes));
-    this.sink.write(bytes);
+    for (const event of events) {
+      this.lastEventId = event.id ?? this.lastEventId;
+      this.sink.write(event.bytes);
+    }
   }
 
+  /** The head is that of the first engine, also where another one goes on. */
   private begin(answer: OpenAnswer): void {
-    if (this.hasBegun) return;
-    this.hasBegun = true;
-    this.firstEventAt = this.parts.context.clock.now();
+    if (this.firstEventAt !== undefined) return;
     const { clock, meter } = this.parts.context;
-    meter.record(Timing.firstEvent, clock.now() - this.times.arrivedAt);
+    this.firstEventAt = clock.now();
+    meter.record(Timing.firstEvent, this.firstEventAt - this.times.arrivedAt);
     this.sink.begin(answer.head.status, answer.head.headers);
   }
 
-  private endStream(answer: OpenAnswer, cutter: EventCutter): void {
-    this.begin(answer);
-    const rest = cutter.takeRest();
-    if (rest.length > 0) this.sink.write(rest);
-    this.parts.context.crashes.clear(this.request.fingerprint);
-    this.sink.end();
-  }
-
-  private createSend(
-    endpoint: EndpointEntry,
-    task: Task,
-    source: CacheSource | undefined,
-    hold: string | undefined,
-  ): Send {
-    const leftMs = computeLeftMs(this.times.deadline, this.parts.context.clock.now());
-    const lastEventId = task === Task.run ? this.lastEventId : undefined;
-    const { request } = this;
-    return { request, endpoint, task, leftMs, source, hold, lastEventId, urgency: undefined };
-  }
-
   private computeFirstDeadline(): Moment | undefined {
     if (!this.isResumable()) return undefined;
     return this.parts.context.clock.now() + FIRST_EVENT_MS;
   }
 
-  /** A prompt that was read and is not taken would keep its memory until it lapses. */
-  private releaseSource(source: CacheSource | undefined): void {
-    if (source === undefined) return;
-    const { client, codec, logger } = this.parts.context;
-    const call = codec.createDropHandleCall(source.handle);
-    void client.call(source.address, call, RELEASE_CALL_MS).then((answer) => {
-      if (E.isRight(answer)) return;
-      logger.warn("prompt not released", { ...source, error: answer.left.message });
-    });
-  }
-
-  /** After events went out only a break can tell the caller that there are no more. */
-  private finish(
-    answer: E.Either<Refusal, WholeAnswer>,
-  ): E.Either<Refusal, WholeAnswer> | undefined {
-    if (!this.hasBegun) return answer;
-    this.sink.cut();
-    return undefined;
-  }
-
   private createRefusal(): Refusal {
     const isLate = this.parts.context.clock.now() >= this.times.deadline;
     if (this.runs === 0) {
@@ -488,6 +358,11 @@
   }
 }
 
+function nameAbortUnsent(watch: Watch): TryResult | undefined {
+  const aborted = nameAbort(watch);
+  return aborted?.end === TryEnd.timeUp ? { ...aborted, end: TryEnd.unsent } : aborted;
+}
+
 function nameAbort(watch: Watch): TryResult | undefined {
   if (watch.cause === AbortCause.callerGone) {
     return { end: TryEnd.callerGone, message: "the caller has left" };
