--- a/src/forward/connection.ts
+++ b/src/forward/connection.ts
@@ -46,7 +46,7 @@
   }
 
   /**
-   * True where the socket failed. The client takes an answer without a length as whole also when
+   * True where the operating system reported a failure of the socket. The client takes an answer without a length as whole also when
    * the connection was reset; this tells the two apart.
    */
   get isBroken(): boolean {
@@ -66,8 +66,9 @@
 
   private watch(socket: Socket): void {
     this.socket = socket;
-    socket.prependOnceListener("error", () => {
-      this.hasError = true;
+    socket.prependOnceListener("error", (error: NodeJS.ErrnoException) => {
+      // The client ends a socket that it has no more use for by an error of its own.
+      if (error.errno !== undefined) this.hasError = true;
     });
   }
 }
--- a/src/forward/server.ts
+++ b/src/forward/server.ts
@@ -129,7 +129,7 @@
     await this.answer(request, response, arrivedAt, gone.signal);
     this.open -= 1;
     // The head of a stream may have gone out before the instance began to close.
-    if (this.isClosing) response.once("finish", () => request.socket.end());
+    if (this.isClosing) endAfter(request.socket, response);
     request.socket.off("end", onGone);
     this.meter.record(Timing.answer, this.clock.now() - arrivedAt);
   }
@@ -233,6 +233,12 @@
   }
 }
 
+/** Ends a connection once its answer has gone out. */
+function endAfter(socket: Socket, response: ServerResponse): void {
+  if (response.writableFinished) socket.end();
+  else response.once("finish", () => socket.end());
+}
+
 /** Reads a body; undefined where it never came whole. */
 async function readLimited(
   request: IncomingMessage,
