--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -112,8 +112,10 @@
       meter,
       settings.drainMs * LIST_SHARE,
     );
-    this.quotas = new Quotas(settings.quotaTolerance, () =>
-      this.roster.readHeardShare(clock.now()),
+    this.quotas = new Quotas(
+      settings.quotaTolerance,
+      () => this.roster.readHeardShare(clock.now()),
+      () => this.countLive(),
     );
     const draw = Math.random;
     this.context = {
--- a/src/forward/quota.ts
+++ b/src/forward/quota.ts
@@ -5,6 +5,10 @@
  */
 import type { Moment } from "../core/clock";
 import type { RateLimit } from "../fleet/catalog";
+import { SlidingSum } from "./window";
+
+/** How late the counts of peers come at most, in milliseconds; a little more than a beat. */
+const LAG_MS = 640;
 
 /** How far above its share of the rate an instance goes that does not hear all its peers. */
 const SHARE_MARGIN = 1.3;
@@ -35,6 +39,8 @@
 interface Level {
   tokens: number;
   at: Moment;
+  /** What this instance admitted of late, which its peers do not know yet. */
+  readonly recent: SlidingSum;
 }
 
 /** How a request stands against the rate of its workspace. */
@@ -60,6 +66,7 @@
   constructor(
     private readonly tolerance: QuotaTolerance,
     private readonly readHeardShare: () => number,
+    private readonly countInstances: () => number,
   ) {}
 
   /**
@@ -74,10 +81,13 @@
     }
     const rate = limit.perSecond * Math.min(1, this.readHeardShare() * SHARE_MARGIN);
     const level = this.refill(workspace, rate, limit.burst, now);
+    // The peers are taken to have admitted as much of late as this instance, unheard yet.
+    const unheard = level.recent.read(now) * (this.countInstances() - 1);
     const left = level.tokens;
-    const floor = -this.computeTolerance(limit);
+    const floor = unheard - this.computeTolerance(limit);
     if (left - cost >= floor) {
       level.tokens -= cost;
+      level.recent.add(cost, now);
       this.own.set(workspace, (this.own.get(workspace) ?? 0) + cost);
       return { isAdmitted: true, isOver: left < cost, left, retryAfterMs: 0 };
     }
@@ -112,7 +122,7 @@
   private refill(workspace: string, rate: number, burst: number, now: Moment): Level {
     const level = this.levels.get(workspace);
     if (level === undefined) {
-      const full = { tokens: burst, at: now };
+      const full = { tokens: burst, at: now, recent: new SlidingSum(LAG_MS) };
       this.levels.set(workspace, full);
       return full;
     }
--- a/src/forward/stream.ts
+++ b/src/forward/stream.ts
@@ -25,6 +25,8 @@
 const MAX_TRIES = 5;
 /** The share of the time to the target that a generation waits for memory. */
 const WAIT_SHARE = 0.75;
+/** How long it usually takes from memory to the first event, in milliseconds. */
+const FIRST_EVENT_USUAL_MS = 300;
 /** How long a generation that had begun waits for memory to go on, in milliseconds. */
 const RESUME_WAIT_MS = 2000;
 /** The share of the longest output that memory is reserved for; most outputs are far shorter. */
@@ -164,7 +166,7 @@
       priority,
       isOverRate,
       arrivedAt,
-      target,
+      startBy: target - FIRST_EVENT_USUAL_MS,
       giveUpAt,
       service,
       limits: this.limits,
--- a/src/forward/waitqueue.ts
+++ b/src/forward/waitqueue.ts
@@ -12,8 +12,8 @@
   /** True where its workspace is beyond its rate. */
   readonly isOverRate: boolean;
   readonly arrivedAt: Moment;
-  /** When it can no longer be on time. */
-  readonly target: Moment;
+  /** Until when it has to start to be on time. */
+  readonly startBy: Moment;
   /** Until when it waits. */
   readonly giveUpAt: Moment;
 }
@@ -56,7 +56,7 @@
 }
 
 function compareWaiters(a: Waiter, b: Waiter, now: Moment): number {
-  const late = Number(a.target <= now) - Number(b.target <= now);
+  const late = Number(a.startBy <= now) - Number(b.startBy <= now);
   const over = Number(a.isOverRate) - Number(b.isOverRate);
   return late || over || a.priority - b.priority || a.arrivedAt - b.arrivedAt;
 }
--- /dev/null
+++ b/test/admission.spec.ts
@@ -0,0 +1,269 @@
+/**
+ * Rates and retry budgets of a fleet whose instances only hear of each other late, and the order in
+ * which waiting generations go.
+ */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import fc from "fast-check";
+import { ManualClock } from "../src/core/clock";
+import { CrashBook } from "../src/forward/crashes";
+import { CallOutcome, HealthBook } from "../src/forward/health";
+import { pickEndpoint } from "../src/forward/pick";
+import { Quotas } from "../src/forward/quota";
+import { RetryAllowance } from "../src/forward/retries";
+import { SendCount } from "../src/forward/sendcount";
+import { type Waiter, WaitQueue } from "../src/forward/waitqueue";
+import { SlidingSum } from "../src/forward/window";
+import { createEntry } from "./harness/forward";
+
+const WINDOW_MS = 8000;
+const LIMIT = { perSecond: 1000, burst: 1000 };
+const TOLERANCE = { ratio: 0.1, slack: 4000, windowMs: WINDOW_MS };
+
+describe("a sliding sum", () => {
+  it("never forgets what is within the window, nor keeps what is long past", () => {
+    const step = fc.record({ waitMs: fc.nat(900), cost: fc.nat(100) });
+    fc.assert(
+      fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
+        const sum = new SlidingSum(WINDOW_MS);
+        const past: { at: number; cost: number }[] = [];
+        let now = 0;
+        for (const { waitMs, cost } of steps) {
+          now += waitMs;
+          sum.add(cost, now);
+          past.push({ at: now, cost });
+          const count = (span: number) =>
+            past.filter((item) => item.at > now - span).reduce((all, item) => all + item.cost, 0);
+          const found = sum.read(now);
+          assert.ok(found >= count(WINDOW_MS * (15 / 16)) - 1e-6);
+          assert.ok(found <= count(WINDOW_MS * (17 / 16)) + 1e-6);
+        }
+      }),
+    );
+  });
+});
+
+describe("rates", () => {
+  const createQuotas = (readShare: () => number, instances: number) =>
+    new Quotas(TOLERANCE, readShare, () => instances);
+
+  /** Plays a fleet under a caller that always asks, and finds the most within any window. */
+  function play(instances: number, isCut: boolean, askMs: number): number {
+    let heard = 1;
+    const fleet = Array.from({ length: instances }, () => createQuotas(() => heard, instances));
+    const admitted: { at: number; cost: number }[] = [];
+    for (let now = 0; now < 30_000; now += askMs) {
+      const at = (now / askMs) % instances;
+      const cost = 100;
+      if (fleet[at]?.admit("w", LIMIT, cost, now).isAdmitted) admitted.push({ at: now, cost });
+      if (isCut && now > 10_000) heard = 1 / instances;
+      else if (now % 500 < askMs) exchange(fleet);
+    }
+    return Math.max(...admitted.map((first) => sumFrom(admitted, first.at)));
+  }
+
+  function exchange(fleet: readonly Quotas[]): void {
+    const lists = fleet.map((quotas) => quotas.listOwn());
+    for (const [to, quotas] of fleet.entries()) {
+      for (const [from, list] of lists.entries()) {
+        if (from !== to) quotas.take(`n${from}`, `n${from}/1`, list);
+      }
+    }
+  }
+
+  function sumFrom(admitted: readonly { at: number; cost: number }[], from: number): number {
+    return admitted
+      .filter((item) => item.at >= from && item.at < from + WINDOW_MS)
+      .reduce((sum, item) => sum + item.cost, 0);
+  }
+
+  const BOUND =
+    ((LIMIT.perSecond * WINDOW_MS) / 1000 + LIMIT.burst) * (1 + TOLERANCE.ratio) + TOLERANCE.slack;
+
+  it("hold over the whole fleet, with counts half a second late", () => {
+    const most = play(8, false, 10);
+    assert.ok(most <= BOUND, `${most} of ${BOUND}`);
+    assert.ok(most >= LIMIT.perSecond * 8, "the rate itself is given");
+  });
+
+  it("hold while no instance hears another", () => {
+    const most = play(8, true, 10);
+    assert.ok(most <= BOUND, `${most} of ${BOUND}`);
+  });
+
+  it("let through all that is within the rate", () => {
+    const quotas = createQuotas(() => 1, 1);
+    for (let now = 0; now < 20_000; now += 100) {
+      const { isAdmitted, isOver } = quotas.admit("w", LIMIT, 99, now);
+      assert.deepEqual([isAdmitted, isOver], [true, false]);
+    }
+  });
+
+  it("mark what is beyond the rate, and say when to come back", () => {
+    const quotas = createQuotas(() => 1, 1);
+    assert.equal(quotas.admit("w", LIMIT, 1000, 0).isOver, false);
+    assert.equal(quotas.admit("w", LIMIT, 1000, 0).isOver, true);
+    let decision = quotas.admit("w", LIMIT, 1000, 0);
+    while (decision.isAdmitted) decision = quotas.admit("w", LIMIT, 1000, 0);
+    assert.ok(decision.retryAfterMs > 0);
+    assert.ok(quotas.admit("w", LIMIT, 1000, decision.retryAfterMs + 1).isAdmitted);
+  });
+
+  it("follow a limit that was lowered", () => {
+    const quotas = new Quotas(
+      { ...TOLERANCE, slack: 0, ratio: 0 },
+      () => 1,
+      () => 1,
+    );
+    assert.ok(quotas.admit("w", LIMIT, 1, 0).isAdmitted);
+    assert.equal(quotas.admit("w", { perSecond: 10, burst: 10 }, 500, 1).isAdmitted, false);
+  });
+});
+
+describe("the retry budget", () => {
+  const LIMIT_OF_RETRIES = { ratio: 0.2, slack: 56, windowMs: 10_000 };
+
+  it("holds over all instances in any window", () => {
+    const step = fc.record({
+      at: fc.nat(7),
+      waitMs: fc.nat(40),
+      isRepeat: fc.boolean(),
+    });
+    fc.assert(
+      fc.property(fc.array(step, { minLength: 200, maxLength: 1500 }), (steps) => {
+        const fleet = Array.from(
+          { length: 8 },
+          () => new RetryAllowance(LIMIT_OF_RETRIES, () => 8),
+        );
+        const requests: number[] = [];
+        const repeats: number[] = [];
+        let now = 0;
+        for (const { at, waitMs, isRepeat } of steps) {
+          now += waitMs;
+          const allowance = fleet[at];
+          assert.ok(allowance);
+          if (!isRepeat) {
+            allowance.noteRequest("s", now);
+            requests.push(now);
+          } else if (allowance.take("s", now)) repeats.push(now);
+        }
+        for (const from of repeats) {
+          const within = repeats.filter((moment) => moment >= from && moment < from + 10_000);
+          const asked = requests.filter(
+            (moment) => moment > from - 10_000 && moment < from + 10_000,
+          );
+          assert.ok(within.length <= asked.length * 0.2 + 56);
+        }
+      }),
+      { numRuns: 30 },
+    );
+  });
+
+  it("counts a rejected prefill, and not the first that was accepted", () => {
+    const clock = new ManualClock(1000);
+    const allowance = new RetryAllowance({ ratio: 0, slack: 10 / 7, windowMs: 10_000 }, () => 1);
+    const rejected = new SendCount(allowance, "s", clock);
+    rejected.spend();
+    assert.equal(rejected.take(), true, "the decode is the one repeat that the budget has");
+    const next = new SendCount(allowance, "s", clock);
+    assert.equal(next.take(), true, "the first send is free");
+    assert.equal(next.take(), false);
+  });
+});
+
+describe("the waiting queue", () => {
+  const create = (id: string, more: Partial<Waiter> = {}): Waiter => ({
+    id,
+    priority: 1,
+    isOverRate: false,
+    arrivedAt: 0,
+    startBy: 600,
+    giveUpAt: 675,
+    ...more,
+  });
+  const list = (waiters: readonly Waiter[], now: number) => {
+    const queue = new WaitQueue<Waiter>();
+    for (const waiter of waiters) queue.push(waiter);
+    return queue.list(now).map((waiter) => waiter.id);
+  };
+
+  it("puts first what can still be on time, then rates, then rank, then age", () => {
+    const waiters = [
+      create("late", { startBy: 10, priority: 0 }),
+      create("over", { isOverRate: true, priority: 0 }),
+      create("low", { priority: 2 }),
+      create("new", { arrivedAt: 5 }),
+      create("old"),
+    ];
+    assert.deepEqual(list(waiters, 50), ["old", "new", "low", "over", "late"]);
+  });
+
+  it("lets go what has waited long enough", () => {
+    const queue = new WaitQueue<Waiter>();
+    queue.push(create("a"));
+    queue.push(create("b", { giveUpAt: 100 }));
+    assert.deepEqual(
+      queue.takeLapsed(100).map((waiter) => waiter.id),
+      ["b"],
+    );
+    assert.equal(queue.size, 1);
+  });
+});
+
+describe("the choice of an endpoint", () => {
+  const draw = () => 0;
+  const candidates = (health: HealthBook, now: number) =>
+    ["a", "b"].map((id) => ({
+      endpoint: createEntry(id, `${id}:1`),
+      health: health.view(id, now),
+      isInDoubt: false,
+    }));
+
+  it("avoids one that fails, one that hangs and one that cannot be reached, and comes back", () => {
+    const pick = (health: HealthBook, now: number) =>
+      pickEndpoint(candidates(health, now), "nizwa", new Set(), draw)?.endpoint.id;
+    const failing = new HealthBook();
+    for (let turn = 0; turn < 5; turn += 1) failing.begin("a", 0).end(CallOutcome.failure, 10);
+    assert.equal(pick(failing, 20), "b");
+    assert.ok(failing.view("a", 60_000).failureRate < 0.001, "what failed long ago is forgotten");
+    const hanging = new HealthBook();
+    hanging.begin("a", 0);
+    assert.equal(pick(hanging, 1000), "b");
+    const away = new HealthBook();
+    away.begin("a", 0).end(CallOutcome.unreachable, 250);
+    assert.equal(pick(away, 300), "b");
+    assert.equal(away.view("a", 2000).isUnreachable, false);
+  });
+
+  it("passes over one for longer each time that it cannot be reached", () => {
+    const health = new HealthBook();
+    health.begin("a", 0).end(CallOutcome.unreachable, 0);
+    health.begin("a", 1600).end(CallOutcome.unreachable, 1600);
+    assert.equal(health.view("a", 1600 + 2500).isUnreachable, true);
+    health.begin("a", 5000).end(CallOutcome.success, 5010);
+    assert.equal(health.view("a", 5020).isUnreachable, false);
+  });
+
+  it("gives nothing where all have had the request", () => {
+    const health = new HealthBook();
+    assert.equal(
+      pickEndpoint(candidates(health, 0), "nizwa", new Set(["a", "b"]), draw),
+      undefined,
+    );
+  });
+});
+
+describe("requests that crash endpoints", () => {
+  it("are refused after the second process, and heard of by peers", () => {
+    const here = new CrashBook();
+    const there = new CrashBook();
+    here.note({ fingerprint: "f", process: "a@1" }, 0);
+    here.note({ fingerprint: "f", process: "a@1" }, 10);
+    assert.equal(here.isBanned("f", 20), false, "one crash, seen twice");
+    there.note({ fingerprint: "f", process: "b@1" }, 30);
+    for (const crash of there.list(40)) here.note(crash, 40);
+    assert.equal(here.isBanned("f", 50), true);
+    assert.equal(here.isBanned("g", 50), false);
+    assert.equal(here.isBanned("f", 70_000), false);
+  });
+});
--- /dev/null
+++ b/test/fleet.spec.ts
@@ -0,0 +1,298 @@
+/**
+ * What instances know of the fleet: the configuration, the list of endpoints, each other, and who may
+ * give orders.
+ */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import fc from "fast-check";
+import { ManualClock } from "../src/core/clock";
+import { SILENT_LOGGER } from "../src/core/log";
+import { Catalog, chooseService } from "../src/fleet/catalog";
+import { Directory, type EndpointEntry, RETURN_MS } from "../src/fleet/directory";
+import { OrderRights } from "../src/fleet/orders";
+import { Roster } from "../src/fleet/roster";
+import type { Beat } from "../src/peer/gen/fleet";
+import { createConfig, createEntry, MemoryOrders, testCodecs } from "./harness/forward";
+
+function createDirectory(): Directory {
+  return new Directory(testCodecs.decodeEndpoint);
+}
+
+let offset = 0;
+function put(directory: Directory, entry: EndpointEntry, now: number): void {
+  offset += 1;
+  const value = Buffer.from(JSON.stringify(entry));
+  directory.apply({ records: [{ key: entry.id, value, offset }], next: offset + 1 }, now);
+}
+
+function drop(directory: Directory, id: string, now: number): void {
+  offset += 1;
+  directory.apply({ records: [{ key: id, value: undefined, offset }], next: offset + 1 }, now);
+}
+
+function listIds(directory: Directory, now: number): readonly string[] {
+  return directory
+    .listUsable(now)
+    .map((entry) => entry.id)
+    .sort();
+}
+
+describe("the configuration", () => {
+  it("gives a path to the route of its host with the longest prefix", () => {
+    const base = createConfig(1);
+    const [first] = base.routes;
+    assert.ok(first);
+    const routes = ["/a/", "/a/b/", "/c/"].map((pathPrefix) => ({
+      ...first,
+      name: pathPrefix,
+      pathPrefix,
+    }));
+    const catalog = new Catalog({ ...base, routes });
+    assert.equal(catalog.findRoute("TEST", "/a/b/1")?.name, "/a/b/");
+    assert.equal(catalog.findRoute("test", "/a/x")?.name, "/a/");
+    assert.equal(catalog.findRoute("test", "/a"), undefined);
+    assert.equal(catalog.findRoute("other", "/a/x"), undefined);
+  });
+
+  it("splits requests by weight", () => {
+    const services = [
+      { service: "a", weight: 90 },
+      { service: "b", weight: 10 },
+    ];
+    fc.assert(
+      fc.property(fc.double({ min: 0, max: 0.9999, noNaN: true }), (point) => {
+        assert.equal(chooseService(services, point), point < 0.9 ? "a" : "b");
+      }),
+    );
+    assert.equal(chooseService([], 0.5), undefined);
+  });
+
+  it("finds a workspace by each of its keys and by no other text", () => {
+    const catalog = new Catalog(createConfig(1));
+    assert.equal(catalog.findWorkspace("k1")?.name, "walls");
+    assert.equal(catalog.findWorkspace("k"), undefined);
+    assert.equal(catalog.findWorkspace(""), undefined);
+  });
+});
+
+describe("the list of endpoints", () => {
+  it("gives nothing to an endpoint that is leaving or gone", () => {
+    const directory = createDirectory();
+    put(directory, createEntry("a", "x:1"), 0);
+    put(directory, createEntry("b", "x:2"), 0);
+    put(directory, createEntry("a", "x:1", { isLeaving: true, sequence: 2 }), 1);
+    assert.deepEqual(listIds(directory, 2), ["b"]);
+    drop(directory, "b", 3);
+    assert.deepEqual(listIds(directory, 4), []);
+  });
+
+  it("does not let an entry that was said earlier undo a later one", () => {
+    const directory = createDirectory();
+    put(directory, createEntry("a", "x:1", { isLeaving: true, sequence: 7 }), 0);
+    put(directory, createEntry("a", "x:1", { sequence: 6 }), 1);
+    assert.deepEqual(listIds(directory, 2), []);
+    put(directory, createEntry("a", "x:1", { sequence: 8 }), 3);
+    assert.deepEqual(listIds(directory, 4), [], "one that leaves does not come back");
+    put(directory, createEntry("a", "x:1", { sequence: 1, bornAt: 2 }), 5);
+    assert.deepEqual(listIds(directory, 6), ["a"], "a new process of the same id does");
+  });
+
+  it("does not take back an entry that was dropped, from a late writer", () => {
+    const directory = createDirectory();
+    put(directory, createEntry("a", "x:1", { sequence: 4 }), 0);
+    drop(directory, "a", 1);
+    put(directory, createEntry("a", "x:1", { sequence: 3 }), 2);
+    assert.deepEqual(listIds(directory, 3), []);
+  });
+
+  it("passes over entries that cannot be read", () => {
+    const directory = createDirectory();
+    put(directory, createEntry("a", "x:1"), 0);
+    offset += 1;
+    const garbage = { key: "a", value: Buffer.from("{"), offset };
+    const changes = directory.apply({ records: [garbage], next: offset + 1 }, 1);
+    assert.deepEqual(
+      changes.map((change) => change.change),
+      ["unreadable"],
+    );
+    assert.deepEqual(listIds(directory, 2), ["a"]);
+  });
+
+  it("waits for entries that lapsed around an outage to come back, and then lets them go", () => {
+    const directory = createDirectory();
+    put(directory, createEntry("a", "x:1"), 0);
+    put(directory, createEntry("b", "x:2"), 0);
+    directory.noteReturn(1000);
+    drop(directory, "a", 1001);
+    drop(directory, "b", 1001);
+    assert.deepEqual(listIds(directory, 1100), ["a", "b"]);
+    assert.ok(directory.isInDoubt("a"));
+    put(directory, createEntry("b", "x:2", { sequence: 2 }), 2000);
+    assert.deepEqual(listIds(directory, 1000 + RETURN_MS + 1), ["b"]);
+  });
+
+  it("passes over an endpoint that another one answered for, until it is heard of again", () => {
+    const directory = createDirectory();
+    const entry = createEntry("a", "x:1");
+    put(directory, entry, 0);
+    directory.noteMisdirected(entry);
+    assert.deepEqual(listIds(directory, 1), []);
+    put(directory, createEntry("a", "x:1", { sequence: 2 }), 2);
+    assert.deepEqual(listIds(directory, 3), ["a"]);
+  });
+
+  it("drops what a whole list does not have", () => {
+    const directory = createDirectory();
+    put(directory, createEntry("a", "x:1"), 0);
+    offset += 5;
+    const value = Buffer.from(JSON.stringify(createEntry("b", "x:2")));
+    directory.applyWhole({ records: [{ key: "b", value, offset }], next: offset + 1 }, 1);
+    assert.deepEqual(listIds(directory, 2), ["b"]);
+  });
+
+  it("comes to the same list whatever the order in which records arrive", () => {
+    const record = fc.record({
+      id: fc.constantFrom("a", "b"),
+      isDrop: fc.boolean(),
+      isLeaving: fc.boolean(),
+    });
+    fc.assert(
+      fc.property(
+        fc.array(record, { maxLength: 8 }),
+        fc.infiniteStream(fc.nat()),
+        (steps, keys) => {
+          const records = steps.map((step, index) => ({
+            key: step.id,
+            value: step.isDrop
+              ? undefined
+              : Buffer.from(
+                  JSON.stringify(
+                    createEntry(step.id, "x:1", { sequence: index + 1, isLeaving: step.isLeaving }),
+                  ),
+                ),
+            offset: index,
+          }));
+          const inOrder = createDirectory();
+          inOrder.apply({ records, next: records.length }, 0);
+          const newest = new Map(records.map((item) => [item.key, item]));
+          const late = createDirectory();
+          const shuffled = [...newest.values()]
+            .map((item) => ({ item, order: keys.next().value ?? 0 }))
+            .sort((a, b) => a.order - b.order)
+            .map(({ item }) => item);
+          late.apply({ records: shuffled, next: records.length }, 0);
+          for (const id of listIds(inOrder, 1)) assert.ok(listIds(late, 1).includes(id));
+        },
+      ),
+    );
+  });
+});
+
+describe("the right to give an order", () => {
+  const LEASE_MS = 3000;
+
+  it("goes to one instance at a time, with rising numbers", async () => {
+    const log = new MemoryOrders();
+    const clock = new ManualClock(100_000);
+    const create = (name: string) => new OrderRights(name, log, LEASE_MS, clock, SILENT_LOGGER);
+    const first = create("a");
+    const second = create("b");
+    const subject = { engine: "e", stage: "decode" };
+    const right = await first.win(subject);
+    assert.ok(right);
+    assert.ok(right.fence > 0);
+    assert.equal(await second.win(subject), undefined, "the other one waits out the lease");
+    clock.advance(1000);
+    assert.ok(((await first.win(subject))?.fence ?? 0) > right.fence);
+    assert.equal(await second.win(subject), undefined, "and the next one, once it has seen it");
+    clock.advance(LEASE_MS + 2600);
+    const later = await second.win(subject);
+    assert.ok(later && later.fence > right.fence);
+    assert.equal(await first.win(subject), undefined);
+  });
+
+  it("never lets two take turns within a lease, whatever the schedule", async () => {
+    const step = fc.record({ who: fc.nat(2), waitMs: fc.nat(4000) });
+    await fc.assert(
+      fc.asyncProperty(fc.array(step, { maxLength: 25 }), async (steps) => {
+        const log = new MemoryOrders();
+        const clock = new ManualClock(0);
+        clock.advance(10_000);
+        const rights = ["a", "b", "c"].map(
+          (name) => new OrderRights(name, log, LEASE_MS, clock, SILENT_LOGGER),
+        );
+        let last: { who: number; at: number; fence: number } | undefined;
+        for (const { who, waitMs } of steps) {
+          clock.advance(waitMs);
+          const right = await rights[who]?.win({ engine: "e", stage: "decode" });
+          if (right === undefined) continue;
+          const at = clock.now();
+          if (last !== undefined && last.who !== who) assert.ok(at - last.at >= LEASE_MS);
+          if (last !== undefined) assert.ok(right.fence > last.fence);
+          last = { who, at, fence: right.fence };
+        }
+      }),
+    );
+  });
+
+  it("is stale once the append has taken long", async () => {
+    const clock = new ManualClock(50_000);
+    const rights = new OrderRights("a", new MemoryOrders(), LEASE_MS, clock, SILENT_LOGGER);
+    const right = await rights.win({ engine: "e", stage: "decode" });
+    assert.ok(right);
+    assert.ok(right.isFresh());
+    clock.advance(500);
+    assert.equal(right.isFresh(), false);
+  });
+
+  it("is not had without the store", async () => {
+    const log = new MemoryOrders();
+    log.isDown = true;
+    const rights = new OrderRights("a", log, LEASE_MS, new ManualClock(50_000), SILENT_LOGGER);
+    assert.equal(await rights.win({ engine: "e", stage: "decode" }), undefined);
+  });
+});
+
+describe("the instances", () => {
+  const self = { instance: "n1", incarnation: "n1/1", address: "a:1", dataCentre: "nizwa" };
+  const createBeat = (instance: string): Beat => ({
+    instance,
+    incarnation: `${instance}/1`,
+    address: `${instance}:1`,
+    dataCentre: "nizwa",
+    configVersion: 1,
+    endpointsNext: 1,
+    leaving: false,
+    usages: [],
+    works: [],
+    crashes: [],
+    arrivingTokens: 0,
+    waiting: 0,
+    absences: [],
+  });
+
+  it("live while they are heard, and are missed for a while after", () => {
+    const roster = new Roster(self, SILENT_LOGGER);
+    assert.equal(roster.noteBeat(createBeat("n2"), 0), true);
+    assert.equal(roster.noteBeat(createBeat("n2"), 500), false);
+    assert.deepEqual([...roster.listLive(1000)].sort(), ["n1", "n2"]);
+    assert.equal(roster.readHeardShare(1000), 1);
+    assert.deepEqual(roster.listLive(5000), ["n1"]);
+    assert.equal(roster.readHeardShare(5000), 0.5);
+    assert.equal(roster.readHeardShare(30_000), 1);
+  });
+
+  it("pass over member records that cannot be read", () => {
+    const roster = new Roster(self, SILENT_LOGGER);
+    const good = Buffer.from('{"address":"b:1","incarnation":"n2/1","dataCentre":"bahla"}');
+    roster.takeRecords(
+      [
+        { key: "n2", value: good, offset: 0 },
+        { key: "n3", value: Buffer.from("?"), offset: 1 },
+        { key: "n4", value: undefined, offset: 2 },
+      ],
+      0,
+    );
+    assert.deepEqual(roster.listAddresses(), ["b:1"]);
+  });
+});
--- /dev/null
+++ b/test/play.spec.ts
@@ -0,0 +1,254 @@
+/**
+ * Plays loads against the decisions on queueing, placing and stages, in virtual time, and checks what
+ * callers get. The engines' figures are those of the sheets: a decode engine holds some twelve usual
+ * generations, a prefill engine reads ten prompts a second.
+ */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import type { EngineLimits } from "../src/fleet/catalog";
+import { EngineStage } from "../src/fleet/directory";
+import { chooseDecode, choosePrefill, EngineBook } from "../src/forward/engines";
+import { chooseStageChange, computePrefillEngines } from "../src/forward/stages";
+import { type Waiter, WaitQueue } from "../src/forward/waitqueue";
+import { createEntry } from "./harness/forward";
+
+const LIMITS: EngineLimits = {
+  slots: 64,
+  capacityTokens: 40_000,
+  handleMs: 500,
+  holdMs: 2000,
+  stageChangeMs: 6000,
+};
+const STEP_MS = 10;
+const PROMPT_TOKENS = 3200;
+const PREFILL_MS = 100;
+/** How long a decode engine takes over a prompt that it has to read itself. */
+const SELF_PREFILL_MS = 200;
+const MEAN_DECODE_MS = 3400;
+
+/** Spreads the lengths of answers evenly between a few events and twice the mean. */
+function computeDecodeMs(id: string): number {
+  return ((Number(id.slice(1)) * 733) % (2 * MEAN_DECODE_MS - 400)) + 400;
+}
+
+const TARGET_MS = 900;
+const PATIENCE_MS = 675;
+/** What the waiting queue counts for the way from memory to the first event. */
+const USUAL_MS = 300;
+
+interface Generation extends Waiter {
+  readonly workspace: string;
+}
+
+interface Played {
+  readonly onTime: number;
+  readonly refused: number;
+  readonly asked: number;
+}
+
+interface Load {
+  /** Generations a second at a moment. */
+  readonly rate: (ms: number) => number;
+  readonly lengthMs: number;
+  /** Names the workspace of the next generation, and whether that is beyond its rate. */
+  readonly next?: (index: number, ms: number) => { workspace: string; isOverRate: boolean };
+}
+
+/** Plays a load on engines of which some only read prompts; counts answers by workspace. */
+function play(prefills: number, decodes: number, load: Load): ReadonlyMap<string, Played> {
+  const engines = [
+    ...Array.from({ length: prefills }, (_, index) =>
+      createEntry(`p${index}`, `p${index}:1`, { stage: EngineStage.prefill }),
+    ),
+    ...Array.from({ length: decodes }, (_, index) =>
+      createEntry(`d${index}`, `d${index}:1`, { stage: EngineStage.decode }),
+    ),
+  ];
+  const book = new EngineBook();
+  const queue = new WaitQueue<Generation>();
+  const ends: { at: number; end: () => void }[] = [];
+  const freeAt = new Map<string, number>();
+  const played = new Map<string, { onTime: number; refused: number; asked: number }>();
+  const count = (workspace: string) => {
+    const known = played.get(workspace) ?? { onTime: 0, refused: 0, asked: 0 };
+    played.set(workspace, known);
+    return known;
+  };
+  const start = (generation: Generation, now: number): boolean => {
+    const views = engines.map((engine) => book.view(engine, false, now));
+    const need = PROMPT_TOKENS + 100;
+    const decode = chooseDecode(views, LIMITS, need);
+    if (decode === undefined) return false;
+    book.add(decode.endpoint.id, need, 0, 1);
+    const prefill = choosePrefill(views, new Set());
+    let firstAt = now + SELF_PREFILL_MS;
+    if (prefill !== undefined) {
+      const { id } = prefill.endpoint;
+      firstAt = Math.max(now, freeAt.get(id) ?? 0) + PREFILL_MS;
+      freeAt.set(id, firstAt);
+      book.add(id, 0, PROMPT_TOKENS, 1);
+      ends.push({
+        at: firstAt,
+        end: () => {
+          book.add(id, 0, -PROMPT_TOKENS, -1);
+        },
+      });
+    }
+    if (firstAt <= generation.arrivedAt + TARGET_MS) count(generation.workspace).onTime += 1;
+    ends.push({
+      at: firstAt + computeDecodeMs(generation.id),
+      end: () => {
+        book.add(decode.endpoint.id, -need, 0, -1);
+      },
+    });
+    return true;
+  };
+  let owed = 0;
+  let index = 0;
+  for (let now = 0; now < load.lengthMs; now += STEP_MS) {
+    for (const { end } of takeDue(ends, now)) end();
+    owed += (load.rate(now) * STEP_MS) / 1000;
+    for (; owed >= 1; owed -= 1) {
+      const { workspace, isOverRate } = load.next?.(index, now) ?? {
+        workspace: "w",
+        isOverRate: false,
+      };
+      index += 1;
+      count(workspace).asked += 1;
+      queue.push({
+        id: `g${index}`,
+        workspace,
+        isOverRate,
+        priority: 1,
+        arrivedAt: now,
+        startBy: now + TARGET_MS - USUAL_MS,
+        giveUpAt: now + PATIENCE_MS,
+      });
+    }
+    for (const lapsed of queue.takeLapsed(now)) count(lapsed.workspace).refused += 1;
+    for (const generation of queue.list(now)) {
+      if (!start(generation, now)) break;
+      queue.remove(generation.id);
+    }
+  }
+  return played;
+}
+
+function takeDue(ends: { at: number; end: () => void }[], now: number) {
+  const due = ends.filter((item) => item.at <= now);
+  const rest = ends.filter((item) => item.at > now);
+  ends.splice(0, ends.length, ...rest);
+  return due;
+}
+
+function computeShare(played: Played | undefined): number {
+  assert.ok(played);
+  return played.onTime / played.asked;
+}
+
+describe("the mix of stages", () => {
+  const bursts: Load = {
+    lengthMs: 34_000,
+    rate: (ms) => (ms % 10_000 > 6000 ? 22 : 12),
+  };
+
+  it("serves more callers on time than the mix that the engines start with", () => {
+    const wanted = computePrefillEngines(6, 9 * PROMPT_TOKENS);
+    const steered = computeShare(play(wanted, 6 - wanted, bursts).get("w"));
+    const given = computeShare(play(2, 4, bursts).get("w"));
+    assert.ok(steered > given, `${steered} against ${given}`);
+    assert.ok(steered >= 0.8, `${steered}`);
+  });
+
+  it("comes about one change at a time, and then stays", () => {
+    const engines = ["a", "b", "c", "d", "e", "f"].map((id, index) =>
+      createEntry(id, `${id}:1`, {
+        stage: index < 2 ? EngineStage.prefill : EngineStage.decode,
+      }),
+    );
+    const change = chooseStageChange({ engines, promptTokensPerSecond: 25_000 });
+    assert.equal(change?.engine.id, "b");
+    assert.equal(change.stage, EngineStage.decode);
+    const changed = engines.map((engine) =>
+      engine.id === "b" ? { ...engine, stage: EngineStage.decode } : engine,
+    );
+    assert.equal(chooseStageChange({ engines: changed, promptTokensPerSecond: 40_000 }), undefined);
+    assert.equal(chooseStageChange({ engines: changed, promptTokensPerSecond: 0 }), undefined);
+  });
+
+  it("leaves few engines to decode, since these can read prompts as well", () => {
+    assert.equal(computePrefillEngines(2, 100_000), 0);
+    assert.equal(computePrefillEngines(60, 700_000), 15);
+  });
+});
+
+describe("a workspace that asks far beyond its rate", () => {
+  it("does not crowd out one that keeps within its own", () => {
+    const flood = (isMarked: boolean): Load => ({
+      lengthMs: 20_000,
+      rate: () => 30,
+      next: (index) =>
+        index % 6 === 0
+          ? { workspace: "small", isOverRate: false }
+          : { workspace: "large", isOverRate: isMarked },
+    });
+    const fair = play(1, 5, flood(true));
+    const plain = play(1, 5, flood(false));
+    const [small, crowded, large] = [fair.get("small"), plain.get("small"), fair.get("large")];
+    assert.ok(computeShare(small) >= 0.95, `${computeShare(small)}`);
+    assert.ok(computeShare(crowded) < 0.7, `without the mark ${computeShare(crowded)}`);
+    assert.ok(computeShare(large) > 0.2, `what is left goes to it: ${computeShare(large)}`);
+  });
+});
+
+describe("a generation that cannot be served in time", () => {
+  it("is refused long before its caller gives up", () => {
+    const overload: Load = { lengthMs: 10_000, rate: () => 60 };
+    const played = play(1, 5, overload).get("w");
+    assert.ok(played && played.refused > 0);
+    assert.ok(PATIENCE_MS < TARGET_MS);
+  });
+});
+
+describe("the choice of a decode engine", () => {
+  it("never goes beyond an engine's memory, but for one generation that is alone there", () => {
+    const book = new EngineBook();
+    const engine = createEntry("d", "d:1", { stage: EngineStage.decode });
+    book.add("d", 39_000, 0, 10);
+    const views = () => [book.view(engine, false, 0)];
+    assert.equal(chooseDecode(views(), LIMITS, 1001), undefined);
+    assert.ok(chooseDecode(views(), LIMITS, 1000));
+    book.add("d", -39_000, 0, -10);
+    assert.ok(chooseDecode(views(), LIMITS, 50_000));
+  });
+
+  it("counts what peers have there, and forgets a peer that is silent", () => {
+    const book = new EngineBook();
+    const engine = createEntry("d", "d:1", { stage: EngineStage.decode });
+    const work = { engine: "d", heldTokens: 39_000, promptTokens: 0, requests: 10 };
+    book.take("n2", [work], 0);
+    assert.equal(chooseDecode([book.view(engine, false, 100)], LIMITS, 3000), undefined);
+    assert.ok(chooseDecode([book.view(engine, false, 10_000)], LIMITS, 3000));
+  });
+
+  it("passes over an engine that gave memory and refused, for longer each time", () => {
+    const book = new EngineBook();
+    const engine = createEntry("d", "d:1", { stage: EngineStage.decode });
+    book.noteRefused("d", 0);
+    assert.equal(book.view(engine, false, 300).isFull, true);
+    assert.equal(book.view(engine, false, 500).isFull, false);
+    book.noteRefused("d", 500);
+    assert.equal(book.view(engine, false, 1100).isFull, true);
+    book.noteSound("d");
+    book.noteRefused("d", 2000);
+    assert.equal(book.view(engine, false, 2500).isFull, false);
+  });
+
+  it("lets a decode engine read the prompt where the prefill engines are far behind", () => {
+    const book = new EngineBook();
+    const engine = createEntry("p", "p:1", { stage: EngineStage.prefill });
+    assert.ok(choosePrefill([book.view(engine, false, 0)], new Set()));
+    book.add("p", 0, 20_000, 6);
+    assert.equal(choosePrefill([book.view(engine, false, 0)], new Set()), undefined);
+  });
+});
