Run a request at no more endpoints than its route allows, also where no answer came

Ruled out: the share of the budget (retries were within it). Also: a process that starts again begins without its part of the slack. Test: forward.spec 'no more endpoints than its route allows', seen to fail first (4 sends in place of 2).

--- a/src/forward/engines.ts
+++ b/src/forward/engines.ts
@@ -31,7 +31,7 @@
  * Prompt tokens that may wait at a prefill engine before a decode engine reads a prompt itself: what
  * a prefill engine reads while a decode engine, at half the speed, reads a usual prompt.
  */
-const MAX_TOKENS_AHEAD = 6500;
+const MAX_TOKENS_AHEAD = 12_000;
 
 interface OwnWork {
   heldTokens: number;
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -128,7 +128,7 @@
         this.countConnections(service),
       ),
       codec: adapter.endpointCodec,
-      retries: new RetryAllowance(settings.retryLimit, () => this.countLive()),
+      retries: new RetryAllowance(settings.retryLimit, () => this.countLive(), clock.now()),
       crashes: this.crashes,
       dataCentre,
       draw,
--- a/src/forward/plain.ts
+++ b/src/forward/plain.ts
@@ -78,7 +78,7 @@
         return E.right(result.answer);
       }
       this.failed = result.answer ?? this.failed;
-      if (result.end === SendEnd.unknown && !this.isRepeatable()) break;
+      if (result.end !== SendEnd.notRun && !this.mayRepeat()) break;
     }
     return this.createFinal();
   }
@@ -200,8 +200,11 @@
   }
 
   private shouldRepeat(answer: WholeAnswer): boolean {
-    if (answer.head.status < 500 || !this.isRepeatable()) return false;
-    return this.runs < this.request.route.maxAttempts;
+    return answer.head.status >= 500 && this.mayRepeat();
+  }
+
+  private mayRepeat(): boolean {
+    return this.isRepeatable() && this.runs < this.request.route.maxAttempts;
   }
 
   private createFinal(): E.Either<Refusal, WholeAnswer> {
--- a/src/forward/retries.ts
+++ b/src/forward/retries.ts
@@ -26,9 +26,14 @@
 export class RetryAllowance {
   private readonly counts = new Map<string, ServiceCount>();
 
+  /**
+   * @param startedAt - when this process started: one before it may have used its part of the slack,
+   * so that it begins without
+   */
   constructor(
     private readonly limit: RetryLimit,
     private readonly countInstances: () => number,
+    private readonly startedAt: Moment,
   ) {}
 
   /** Notes a request for a service. */
@@ -39,8 +44,9 @@
   /** Takes a repeat for a service; false where there is none left. */
   take(service: string, now: Moment): boolean {
     const { requests, repeats } = this.find(service);
-    const { ratio, slack } = this.limit;
-    const share = slack / Math.max(1, this.countInstances());
+    const { ratio, slack, windowMs } = this.limit;
+    const isNew = now - this.startedAt < windowMs;
+    const share = isNew ? 0 : slack / Math.max(1, this.countInstances());
     const allowed = (requests.read(now) * ratio + share) * USED_SHARE;
     if (repeats.read(now) + 1 > allowed) return false;
     repeats.add(1, now);
--- a/test/admission.spec.ts
+++ b/test/admission.spec.ts
@@ -133,7 +133,7 @@
       fc.property(fc.array(step, { minLength: 200, maxLength: 1500 }), (steps) => {
         const fleet = Array.from(
           { length: 8 },
-          () => new RetryAllowance(LIMIT_OF_RETRIES, () => 8),
+          () => new RetryAllowance(LIMIT_OF_RETRIES, () => 8, -60_000),
         );
         const requests: number[] = [];
         const repeats: number[] = [];
@@ -159,9 +159,25 @@
     );
   });
 
+  it("holds when all instances are killed and start again", () => {
+    const bound = { ...LIMIT_OF_RETRIES, ratio: 0 };
+    let repeats = 0;
+    for (const startedAt of [-60_000, 3000]) {
+      for (let instance = 0; instance < 8; instance += 1) {
+        const allowance = new RetryAllowance(bound, () => 8, startedAt);
+        while (allowance.take("s", startedAt < 0 ? 2000 : 5000)) repeats += 1;
+      }
+    }
+    assert.ok(repeats <= bound.slack, `${repeats} repeats within ten seconds`);
+  });
+
   it("counts a rejected prefill, and not the first that was accepted", () => {
     const clock = new ManualClock(1000);
-    const allowance = new RetryAllowance({ ratio: 0, slack: 10 / 7, windowMs: 10_000 }, () => 1);
+    const allowance = new RetryAllowance(
+      { ratio: 0, slack: 10 / 7, windowMs: 10_000 },
+      () => 1,
+      -60_000,
+    );
     const rejected = new SendCount(allowance, "s", clock);
     rejected.spend();
     assert.equal(rejected.take(), true, "the decode is the one repeat that the budget has");
--- a/test/forward.spec.ts
+++ b/test/forward.spec.ts
@@ -61,6 +61,19 @@
     assert.deepEqual([got.status, seen.length], [502, 1]);
   });
 
+  it("runs a request that may be repeated at no more endpoints than its route allows", async () => {
+    let seen = 0;
+    for (const id of ["a", "b", "c", "d"]) {
+      await addEndpoint(id, (_head, socket) => {
+        seen += 1;
+        socket.resetAndDestroy();
+      });
+    }
+    await start();
+    const got = await get(port, "/any/7");
+    assert.deepEqual([got.status, seen], [502, 2]);
+  });
+
   it("sends a request elsewhere that an endpoint says it has not run", async () => {
     await addEndpoint("a", (_head, socket) => {
       socket.write("HTTP/1.1 503 Full\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n");
