--- a/src/forward/retries.ts
+++ b/src/forward/retries.ts
@@ -17,6 +17,9 @@
 /** The part of the bound that is used, so that windows that overlap keep to it as well. */
 const USED_SHARE = 0.7;
 
+/** The part of its slack that a new process has, since one before it may have used its own. */
+const NEW_SHARE = 0.4;
+
 interface ServiceCount {
   readonly requests: SlidingSum;
   readonly repeats: SlidingSum;
@@ -27,8 +30,7 @@
   private readonly counts = new Map<string, ServiceCount>();
 
   /**
-   * @param startedAt - when this process started: one before it may have used its part of the slack,
-   * so that it begins without
+   * @param startedAt - when this process started
    */
   constructor(
     private readonly limit: RetryLimit,
@@ -46,7 +48,7 @@
     const { requests, repeats } = this.find(service);
     const { ratio, slack, windowMs } = this.limit;
     const isNew = now - this.startedAt < windowMs;
-    const share = isNew ? 0 : slack / Math.max(1, this.countInstances());
+    const share = (slack / Math.max(1, this.countInstances())) * (isNew ? NEW_SHARE : 1);
     const allowed = (requests.read(now) * ratio + share) * USED_SHARE;
     if (repeats.read(now) + 1 > allowed) return false;
     repeats.add(1, now);
