--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -35,6 +35,9 @@
  */
 export const RETURN_MS = 2200;
 
+/** Stands for no record. */
+const NO_OFFSET = -1;
+
 interface Listed {
   readonly record: FeedRecord;
   readonly entry: EndpointEntry | undefined;
@@ -58,6 +61,7 @@
   /** By endpoint: the entry that proved wrong, by its sequence. */
   private readonly misdirected = new Map<string, number>();
   private nextOffset = 0;
+  private changedOffset = NO_OFFSET;
   private outageEnd: Moment = Number.NEGATIVE_INFINITY;
   private view: readonly EndpointEntry[] | undefined;
 
@@ -68,6 +72,11 @@
     return this.nextOffset;
   }
 
+  /** The offset of the newest record that changed more than a count. */
+  get lastChange(): number {
+    return this.changedOffset;
+  }
+
   /** Notes that the store answers again after it was away. */
   noteReturn(now: Moment): void {
     this.outageEnd = now;
@@ -78,7 +87,9 @@
     const changes: DirectoryChange[] = [];
     for (const record of page.records) {
       const change = this.applyRecord(record, now);
-      if (change !== undefined) changes.push(change);
+      if (change === undefined) continue;
+      changes.push(change);
+      this.changedOffset = Math.max(this.changedOffset, record.offset);
     }
     this.nextOffset = Math.max(this.nextOffset, page.next);
     return changes;
--- a/src/fleet/watcher.ts
+++ b/src/fleet/watcher.ts
@@ -13,8 +13,14 @@
 
 /** The key under which the configuration is published. */
 const CONFIG_KEY = "config";
-/** How long a read waits for a new configuration, in milliseconds; also finds silent connections. */
-const CONFIG_WAIT_MS = 1000;
+/**
+ * How long a read waits for a new configuration, in milliseconds: at least, and up to how much more by
+ * chance, so that the reads of the fleet do not end together after a change. A read that gets no
+ * answer finds a silent connection.
+ */
+const CONFIG_WAIT_MS = { least: 1200, spread: 1600 } as const;
+/** By how much the pause between reads varies, as a share. */
+const PAUSE_SPREAD = 0.2;
 /** How long to wait after a failed call, in milliseconds. */
 const PAUSE_MS = 200;
 
@@ -50,8 +56,8 @@
   ) {}
 
   start(): void {
-    void this.follow("configuration", this.store.configuration, this.config, CONFIG_WAIT_MS, 0);
-    void this.follow("endpoints", this.store.endpoints, this.endpoints, 0, this.endpointsMs);
+    void this.follow("configuration", this.store.configuration, this.config, true, 0);
+    void this.follow("endpoints", this.store.endpoints, this.endpoints, false, this.endpointsMs);
   }
 
   close(): void {
@@ -111,18 +117,19 @@
     name: "configuration" | "endpoints",
     feed: Feed,
     state: FeedState,
-    waitMs: number,
+    isWaiting: boolean,
     pauseMs: number,
   ): Promise<void> {
     while (!this.isClosed) {
       const isWhole = state.next === undefined;
-      const result = await this.readOnce(feed, state.next, waitMs);
+      const waitMs = isWaiting ? CONFIG_WAIT_MS.least + Math.random() * CONFIG_WAIT_MS.spread : 0;
+      const result = await this.readOnce(feed, state.next, Math.round(waitMs));
       if (this.isClosed) return;
       if (E.isRight(result)) {
         this.noteHeard(name, state);
         state.next = result.right.next;
         this.takePage(name, result.right, isWhole);
-        await pause(pauseMs);
+        await pause(pauseMs * (1 - Math.random() * PAUSE_SPREAD));
         continue;
       }
       if (result.left.fault === StoreFault.trimmed) {
--- a/src/forward/admission.ts
+++ b/src/forward/admission.ts
@@ -20,7 +20,7 @@
 /** When a caller may come back to an instance that has no configuration, in milliseconds. */
 const NOT_READY_MS = 300;
 /** The age from which a configuration may lack what others know, in milliseconds. */
-const STALE_MS = 2500;
+const STALE_MS = 4000;
 
 /** What admission looks at. */
 export interface AdmissionParts {
--- a/src/forward/connection.ts
+++ b/src/forward/connection.ts
@@ -3,8 +3,9 @@
  * answer which socket brought it and how that socket ended.
  */
 import type { Socket } from "node:net";
-import { buildConnector, Client } from "undici";
+import { Client } from "undici";
 import type { Moment } from "../core/clock";
+import { createConnector } from "../store/connector";
 
 /** How long a connection may take to stand, in milliseconds; far more than a round trip. */
 const CONNECT_MS = 250;
@@ -26,15 +27,10 @@
   private hasError = false;
 
   constructor(address: string) {
-    const connector = buildConnector({ timeout: CONNECT_MS });
     this.client = new Client(`http://${address}`, {
-      connect: (options, callback) => {
-        connector(options, (...result) => {
-          const [error, socket] = result;
-          if (error === null && socket !== null) this.watch(socket);
-          callback(...result);
-        });
-      },
+      connect: createConnector(CONNECT_MS, (socket) => {
+        this.watch(socket);
+      }),
       pipelining: 1,
       keepAliveTimeout: IDLE_MS,
       keepAliveMaxTimeout: MAX_IDLE_MS,
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -35,15 +35,18 @@
 import { StreamRun } from "./stream";
 
 const STANDARD_OUTPUT = 1;
-/** The part of the time to drain after which the list of endpoints is read again. */
-const LIST_SHARE = 0.3;
+/**
+ * The part of the time to drain after which the list of endpoints is read again. Peers, which read at
+ * other moments, tell each other of changes sooner.
+ */
+const LIST_SHARE = 0.55;
 /** How long callers may still come by kept connections after a signal to stop, in milliseconds. */
 const NOTICE_MS = 2600;
 /** How much sooner than the platform kills it a stopping instance ends, in milliseconds. */
 const GRACE_MARGIN_MS = 700;
 const MAINTENANCE_MS = 1000;
 /** How often the members are read again from the store, in milliseconds. */
-const MEMBERS_MS = 10_000;
+const MEMBERS_MS = 20_000;
 /** How long to wait before joining is tried again, in milliseconds. */
 const JOIN_RETRY_MS = 400;
 /** The part of an endpoint's connections that the fleet uses, so that none is ever refused. */
--- a/src/forward/peerview.ts
+++ b/src/forward/peerview.ts
@@ -19,7 +19,7 @@
 /** How long the word of a peer on what arrives there counts, in milliseconds. */
 const ARRIVALS_MS = 2000;
 /** How old the list of endpoints must be before a peer's is asked for, in milliseconds. */
-const LIST_STALE_MS = 1500;
+const LIST_STALE_MS = 2000;
 /** The version that stands for no configuration. */
 const NO_VERSION = -1;
 
@@ -60,6 +60,7 @@
     return {
       configVersion: this.readVersion(),
       endpointsNext: directory.next,
+      endpointsChange: directory.lastChange,
       leaving: isLeaving(),
       usages: [...quotas.listOwn()],
       works: [...book.listOwn()],
@@ -87,9 +88,10 @@
   }
 
   shouldFetch(beat: Beat): boolean {
-    if (beat.configVersion > this.readVersion()) return true;
+    const { next } = this.parts.directory;
+    if (beat.configVersion > this.readVersion() || beat.endpointsChange >= next) return true;
     const isStale = this.parts.watcher.computeEndpointsAgeMs() > LIST_STALE_MS;
-    return isStale && beat.endpointsNext > this.parts.directory.next;
+    return isStale && beat.endpointsNext > next;
   }
 
   createFetchRequest(): FetchRequest {
--- a/src/peer/gen/fleet.ts
+++ b/src/peer/gen/fleet.ts
@@ -41,6 +41,8 @@
   waiting: number;
   /** Engines that change their stage on an order, and take nothing meanwhile. */
   absences: Absence[];
+  /** Offset of the newest record that changed the list of endpoints. */
+  endpointsChange: number;
 }
 
 export interface Absence {
@@ -100,6 +102,7 @@
     arrivingTokens: 0,
     waiting: 0,
     absences: [],
+    endpointsChange: 0,
   };
 }
 
@@ -144,6 +147,9 @@
     for (const v of message.absences) {
       Absence.encode(v!, writer.uint32(106).fork()).join();
     }
+    if (message.endpointsChange !== 0) {
+      writer.uint32(112).int64(message.endpointsChange);
+    }
     return writer;
   },
 
@@ -264,6 +270,14 @@
             message.absences.push(Absence.decode(reader, reader.uint32()));
             continue;
           }
+          case 14: {
+            if (tag !== 112) {
+              break;
+            }
+
+            message.endpointsChange = longToNumber(reader.int64());
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -309,6 +323,11 @@
       absences: globalThis.Array.isArray(object?.absences)
         ? object.absences.map((e: any) => Absence.fromJSON(e))
         : [],
+      endpointsChange: isSet(object.endpointsChange)
+        ? globalThis.Number(object.endpointsChange)
+        : isSet(object.endpoints_change)
+        ? globalThis.Number(object.endpoints_change)
+        : 0,
     };
   },
 
@@ -353,6 +372,9 @@
     if (message.absences?.length) {
       obj.absences = message.absences.map((e) => Absence.toJSON(e));
     }
+    if (message.endpointsChange !== 0) {
+      obj.endpointsChange = Math.round(message.endpointsChange);
+    }
     return obj;
   },
 
@@ -374,6 +396,7 @@
     message.arrivingTokens = object.arrivingTokens ?? 0;
     message.waiting = object.waiting ?? 0;
     message.absences = object.absences?.map((e) => Absence.fromPartial(e)) || [];
+    message.endpointsChange = object.endpointsChange ?? 0;
     return message;
   },
 };
--- /dev/null
+++ b/test/connector.spec.ts
@@ -0,0 +1,53 @@
+/**
+ * Connections that do not stand in time.
+ */
+import assert from "node:assert/strict";
+import { createServer, type AddressInfo, Socket } from "node:net";
+import { describe, it } from "node:test";
+import { Client } from "undici";
+import { createConnector } from "../src/store/connector";
+import { checkDown, checkUnsent } from "../src/store/http";
+
+describe("a connector", () => {
+  it("gives up to the millisecond, and proves that nothing was sent", async () => {
+    const open = () => new Socket();
+    const client = new Client("http://127.0.0.1:9", {
+      connect: createConnector(100, undefined, open),
+    });
+    const startedAt = performance.now();
+    const error: unknown = await client
+      .request({ path: "/", method: "GET" })
+      .then(() => undefined)
+      .catch((reason: unknown) => reason);
+    const tookMs = performance.now() - startedAt;
+    assert.ok(checkUnsent(error));
+    assert.ok(!checkDown(error));
+    assert.ok(tookMs >= 95 && tookMs < 250, `${tookMs} ms`);
+    await client.destroy();
+  });
+
+  it("says that nothing listens where the machine says so", async () => {
+    const client = new Client("http://127.0.0.1:1", { connect: createConnector(500) });
+    const error: unknown = await client
+      .request({ path: "/", method: "GET" })
+      .then(() => undefined)
+      .catch((reason: unknown) => reason);
+    assert.ok(checkDown(error) && checkUnsent(error));
+    await client.destroy();
+  });
+
+  it("hands over sockets that stand", async () => {
+    const server = createServer((socket) => {
+      socket.end("HTTP/1.1 200 OK\r\ncontent-length: 2\r\nconnection: close\r\n\r\nok");
+    });
+    await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    let heard = 0;
+    const connect = createConnector(500, () => (heard += 1));
+    const client = new Client(`http://127.0.0.1:${port}`, { connect });
+    const { body } = await client.request({ path: "/", method: "GET" });
+    assert.deepEqual([await body.text(), heard], ["ok", 1]);
+    await client.destroy();
+    server.close();
+  });
+});
--- a/test/fleet.spec.ts
+++ b/test/fleet.spec.ts
@@ -262,6 +262,7 @@
     dataCentre: "nizwa",
     configVersion: 1,
     endpointsNext: 1,
+    endpointsChange: 0,
     leaving: false,
     usages: [],
     works: [],
