Pass an answer without a length on without one

Ruled out: a reset taken for an end (the trace shows 'end', then the client's own close). Change: such an answer goes to the caller as it came, ended by its connection; a stream whose head is framed is not ended by one that is not. Test: forward.spec 'takes an answer without a length', which now checks that no length is made up.

--- a/src/forward/connections.ts
+++ b/src/forward/connections.ts
@@ -12,6 +12,10 @@
 /** How often connections that were closed by the other end are forgotten, in milliseconds. */
 const SWEEP_MS = 2000;
 
+const FRAMING_HEADERS: ReadonlySet<string> = new Set(["content-length", "transfer-encoding"]);
+const NO_CONTENT = 204;
+const NOT_MODIFIED = 304;
+
 /** A send that got no answer. */
 export class SendFailure extends Error {
   override readonly name = "SendFailure";
@@ -31,6 +35,8 @@
 export interface OpenAnswer {
   readonly head: AnswerHead;
   readonly body: Readable;
+  /** True where the answer says how long it is; one that does not ends with its connection. */
+  readonly isFramed: boolean;
   /** True where the connection failed, so that a body that seems to have ended is not whole. */
   readonly isBroken: () => boolean;
 }
@@ -100,7 +106,12 @@
       const headers = response.headers as unknown as readonly string[];
       const answer = this.codec.readAnswer(send, response.statusCode, headers);
       const isBroken = () => connection.isBroken;
-      return E.right({ head: answer, body: response.body, isBroken });
+      return E.right({
+        head: answer,
+        body: response.body,
+        isFramed: hasFraming(response.statusCode, headers),
+        isBroken,
+      });
     } catch (error) {
       this.discard(address, connection);
       return E.left(createFailure(error));
@@ -209,6 +220,12 @@
   }
 }
 
+/** A length, chunks, or a status that has no body. */
+function hasFraming(status: number, headers: readonly string[]): boolean {
+  if (status === NO_CONTENT || status === NOT_MODIFIED) return true;
+  return headers.some((text, index) => index % 2 === 0 && FRAMING_HEADERS.has(text.toLowerCase()));
+}
+
 function createFailure(error: unknown): SendFailure {
   const { code, message } = error as { code?: string; message?: string };
   const text = [code, message].filter((part) => part !== undefined && part !== "").join(" ");
--- a/src/forward/plain.ts
+++ b/src/forward/plain.ts
@@ -32,6 +32,8 @@
 export interface WholeAnswer {
   readonly head: AnswerHead;
   readonly body: Buffer;
+  /** False where only the end of its connection says that it is whole, which may be wrong. */
+  readonly isFramed: boolean;
 }
 
 /** How one send ended. */
@@ -141,7 +143,7 @@
     endpoint: EndpointEntry,
     watch: Watch,
   ): Promise<SendResult> {
-    const { head } = answer;
+    const { head, isFramed } = answer;
     if (head.load !== undefined) {
       this.context.health.noteLoad(endpoint.id, head.load, this.context.clock.now());
     }
@@ -163,7 +165,11 @@
       const message = "the answer is not one to this request";
       return { end: SendEnd.unknown, answer: undefined, message };
     }
-    return { end: SendEnd.answered, answer: { head, body: whole.right }, message: "answered" };
+    return {
+      end: SendEnd.answered,
+      answer: { head, body: whole.right, isFramed },
+      message: "answered",
+    };
   }
 
   private async explainFailure(
--- a/src/forward/server.ts
+++ b/src/forward/server.ts
@@ -171,9 +171,10 @@
 
   private sendWhole(response: ServerResponse, answer: WholeAnswer): void {
     if (response.destroyed) return;
-    const headers = [...answer.head.headers, "content-length", String(answer.body.length)];
-    this.writeHead(response, answer.head.status, headers);
-    response.end(answer.body);
+    const { head, body, isFramed } = answer;
+    const length = isFramed ? ["content-length", String(body.length)] : [];
+    this.writeHead(response, head.status, [...head.headers, ...length], isFramed);
+    response.end(body);
   }
 
   private refuse(
@@ -195,17 +196,24 @@
     response.end(body);
   }
 
-  private writeHead(response: ServerResponse, status: number, headers: readonly string[]): void {
+  /** An answer that is not framed ends with its connection, as it came from its endpoint. */
+  private writeHead(
+    response: ServerResponse,
+    status: number,
+    headers: readonly string[],
+    isFramed = true,
+  ): void {
     response.sendDate = false;
-    if (this.isClosing) response.shouldKeepAlive = false;
+    response.useChunkedEncodingByDefault = isFramed;
+    if (this.isClosing || !isFramed) response.shouldKeepAlive = false;
     response.writeHead(status, [...headers]);
   }
 
   private createSink(response: ServerResponse): StreamSink {
     return {
-      begin: (status, headers) => {
+      begin: (status, headers, isFramed) => {
         if (response.destroyed) return;
-        this.writeHead(response, status, headers);
+        this.writeHead(response, status, headers, isFramed);
         response.flushHeaders();
       },
       write: (bytes) => {
--- a/src/forward/stream.ts
+++ b/src/forward/stream.ts
@@ -42,8 +42,12 @@
 
 /** Takes a stream on its way to the caller. */
 export interface StreamSink {
-  /** Sends the head of the answer. */
-  begin(status: number, headers: readonly string[]): void;
+  /**
+   * Sends the head of the answer.
+   *
+   * @param isFramed - false where only the end of the connection shall say that it is whole
+   */
+  begin(status: number, headers: readonly string[], isFramed: boolean): void;
   write(bytes: Buffer): void;
   /** Ends the answer as complete. */
   end(): void;
@@ -87,6 +91,8 @@
   private readonly prompt: Prefiller;
   private lastEventId: string | undefined;
   private firstEventAt: Moment | undefined;
+  /** Whether the answer to the caller says where it ends. */
+  private isFramed = true;
   private runs = 0;
   private message = "no engine has room";
 
@@ -296,7 +302,8 @@
     const message = `the engine answered ${answer.head.status}`;
     const whole = await readWholeBody(answer);
     if (E.isLeft(whole)) return { end: TryEnd.broken, message: whole.left.message };
-    return { end: TryEnd.failed, message, answer: { head: answer.head, body: whole.right } };
+    const { head, isFramed } = answer;
+    return { end: TryEnd.failed, message, answer: { head, body: whole.right, isFramed } };
   }
 
   private async relay(
@@ -314,7 +321,7 @@
         this.passOn(answer, events);
       },
     });
-    if (end === RelayEnd.complete) {
+    if (end === RelayEnd.complete && this.mayEndWith(answer)) {
       this.passOn(answer, []);
       this.parts.context.crashes.clear(this.request.fingerprint);
       this.sink.end();
@@ -322,11 +329,17 @@
     }
     const aborted = nameAbort(watch);
     if (aborted !== undefined) return aborted;
-    if (end === RelayEnd.broken) return this.noteBreak(endpoint, message);
+    if (end !== RelayEnd.silent) return this.noteBreak(endpoint, message);
     this.noteBroken(endpoint);
     return { end: TryEnd.broken, message };
   }
 
+  /** An answer that may have ended early must not end one that says where it ends. */
+  private mayEndWith(answer: OpenAnswer): boolean {
+    const hasBegun = this.firstEventAt !== undefined;
+    return answer.isFramed || !hasBegun || !this.isFramed;
+  }
+
   private passOn(answer: OpenAnswer, events: readonly StreamEvent[]): void {
     this.begin(answer);
     for (const event of events) {
@@ -341,7 +354,8 @@
     const { clock, meter } = this.parts.context;
     this.firstEventAt = clock.now();
     meter.record(Timing.firstEvent, this.firstEventAt - this.times.arrivedAt);
-    this.sink.begin(answer.head.status, answer.head.headers);
+    this.isFramed = answer.isFramed;
+    this.sink.begin(answer.head.status, answer.head.headers, answer.isFramed);
   }
 
   private computeFirstDeadline(): Moment | undefined {
--- a/test/forward.spec.ts
+++ b/test/forward.spec.ts
@@ -46,6 +46,10 @@
     await start();
     const got = await get(port, "/once/7");
     assert.deepEqual([got.status, got.body], [200, "all of it"]);
+    const { headers } = got;
+    assert.equal(headers["content-length"], undefined, "it may be cut short: no length is made up");
+    assert.equal(headers["transfer-encoding"], undefined);
+    assert.equal(headers.connection, "close");
   });
 
   it("sends a request that may run once to no second endpoint after it was read", async () => {
