--- a/src/forward/steering.ts
+++ b/src/forward/steering.ts
@@ -60,7 +60,8 @@
     clearInterval(this.timer);
   }
 
-  private async look(): Promise<void> {
+  /** Looks once whether a change is called for, and orders it where it is this instance's to do. */
+  async look(): Promise<void> {
     const { instance, listLive, listServices, clock } = this.parts;
     if (this.isBusy || chooseMember("stages", [...listLive()].sort()) !== instance) {
       this.wantedSince.clear();
--- /dev/null
+++ b/test/steering.spec.ts
@@ -0,0 +1,100 @@
+/**
+ * Changing the stages of engines: by one instance at a time, never on a whim.
+ */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import * as E from "fp-ts/Either";
+import { ManualClock } from "../src/core/clock";
+import { SILENT_LOGGER } from "../src/core/log";
+import { chooseMember } from "../src/core/rendezvous";
+import { EngineStage } from "../src/fleet/directory";
+import { OrderRights } from "../src/fleet/orders";
+import type { EndpointClient } from "../src/forward/connections";
+import { Steering } from "../src/forward/steering";
+import { createConfig, createEntry, MemoryOrders, pause, testCodecs } from "./harness/forward";
+
+const NAMES = ["n1", "n2", "n3"];
+
+interface Sent {
+  readonly from: string;
+  readonly address: string;
+  readonly fence: number;
+}
+
+function createSteering(
+  name: string,
+  clock: ManualClock,
+  log: MemoryOrders,
+  sent: Sent[],
+  live: readonly string[],
+): Steering {
+  const call: EndpointClient["call"] = (address, order) => {
+    const { fence } = JSON.parse(order.body?.toString() ?? "{}") as { fence: number };
+    sent.push({ from: name, address, fence });
+    return Promise.resolve(E.right({ status: 202, body: Buffer.alloc(0) }));
+  };
+  const engines = ["a", "b", "c", "d", "e", "f"].map((id, index) =>
+    createEntry(id, `${id}:1`, {
+      service: "models",
+      stage: index < 2 ? EngineStage.prefill : EngineStage.decode,
+    }),
+  );
+  return new Steering({
+    instance: name,
+    rights: new OrderRights(name, log, 3000, clock, SILENT_LOGGER),
+    client: { call } as unknown as EndpointClient,
+    codec: testCodecs.endpointCodec,
+    clock,
+    logger: SILENT_LOGGER,
+    listLive: () => live,
+    listServices: () => createConfig(1).services,
+    readWork: () => ({ engines, promptTokensPerSecond: 20_000 }),
+    onOrder: () => undefined,
+  });
+}
+
+/** Looks often, while virtual time goes on by 500 ms a look. */
+async function run(steerings: readonly Steering[], clock: ManualClock, looks: number) {
+  for (let look = 0; look < looks; look += 1) {
+    clock.advance(500);
+    await Promise.all(steerings.map((steering) => steering.look()));
+    await pause(0);
+  }
+}
+
+describe("the stages of engines", () => {
+  it("are changed by one instance, once it has been called for steadily", async () => {
+    const clock = new ManualClock(60_000);
+    const log = new MemoryOrders();
+    const sent: Sent[] = [];
+    const fleet = NAMES.map((name) => createSteering(name, clock, log, sent, NAMES));
+    await run(fleet, clock, 2);
+    assert.equal(sent.length, 0, "not at first sight");
+    await run(fleet, clock, 4);
+    assert.deepEqual(
+      sent.map((order) => [order.from, order.address]),
+      [[chooseMember("stages", NAMES), "b:1"]],
+    );
+    await run(fleet, clock, 4);
+    assert.equal(sent.length, 1, "and not again while the engine is away");
+  });
+
+  it("are changed by one instance at a time where two think that it is theirs", async () => {
+    const clock = new ManualClock(60_000);
+    const log = new MemoryOrders();
+    const sent: Sent[] = [];
+    const fleet = ["n1", "n2"].map((name) => createSteering(name, clock, log, sent, [name]));
+    await run(fleet, clock, 8);
+    assert.equal(sent.length, 1);
+    assert.ok((sent[0]?.fence ?? 0) > 0);
+  });
+
+  it("stay as they are while the store is away", async () => {
+    const clock = new ManualClock(60_000);
+    const log = new MemoryOrders();
+    log.isDown = true;
+    const sent: Sent[] = [];
+    await run([createSteering("n1", clock, log, sent, ["n1"])], clock, 20);
+    assert.equal(sent.length, 0);
+  });
+});
