--- a/src/forward/desk.ts
+++ b/src/forward/desk.ts
@@ -27,6 +27,8 @@
   readonly service: string;
   readonly limits: EngineLimits;
   readonly needTokens: number;
+  /** An engine that has the prompt in its cache. */
+  readonly preferred: string | undefined;
   readonly caller: AbortSignal;
 }
 
@@ -107,7 +109,11 @@
     const views = this.listViews(ticket.service, now).filter(
       (view) => !this.asking.has(view.endpoint.id),
     );
-    return chooseDecode(views, ticket.limits, ticket.needTokens);
+    const preferred = views.filter((view) => view.endpoint.id === ticket.preferred);
+    return (
+      chooseDecode(preferred, ticket.limits, ticket.needTokens) ??
+      chooseDecode(views, ticket.limits, ticket.needTokens)
+    );
   }
 
   /** One question at a time to an engine, so that its answer counts for the next. */
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -29,6 +29,7 @@
 import { Quotas } from "./quota";
 import { OrderRights } from "../fleet/orders";
 import { Steering } from "./steering";
+import { ReturnBook } from "./returns";
 import { RetryAllowance } from "./retries";
 import { type CallerAnswer, type CallerRequest, ForwardServer } from "./server";
 import type { ForwardSettings, ListenAddress } from "./settings";
@@ -77,6 +78,7 @@
   private readonly beacon: Beacon;
   private readonly quotas: Quotas;
   private readonly crashes = new CrashBook();
+  private readonly returns = new ReturnBook();
   private readonly book = new EngineBook();
   private readonly context: ForwardContext;
   private readonly desk: Desk;
@@ -143,6 +145,7 @@
       watcher: this.watcher,
       quotas: this.quotas,
       crashes: this.crashes,
+      returns: this.returns,
       book: this.book,
       desk: this.desk,
       isLeaving: () => this.isStopping,
@@ -305,8 +308,15 @@
       return new PlainRun(this.context, forward, times, caller).run();
     }
     this.view.noteArrival(head.size?.promptTokens ?? 0, arrivedAt);
-    const { context, desk, book } = this;
-    const run = new StreamRun({ context, desk, book }, forward, engine, times, caller, sink);
+    const { context, desk, book, returns } = this;
+    const run = new StreamRun(
+      { context, desk, book, returns },
+      forward,
+      engine,
+      times,
+      caller,
+      sink,
+    );
     return run.run();
   }
 
--- a/src/forward/peerview.ts
+++ b/src/forward/peerview.ts
@@ -11,6 +11,7 @@
 import type { Desk } from "./desk";
 import type { EngineBook } from "./engines";
 import type { Quotas } from "./quota";
+import type { ReturnBook } from "./returns";
 import type { StageWork } from "./stages";
 import { SlidingSum } from "./window";
 
@@ -37,6 +38,7 @@
   readonly watcher: Watcher;
   readonly quotas: Quotas;
   readonly crashes: CrashBook;
+  readonly returns: ReturnBook;
   readonly book: EngineBook;
   readonly desk: Desk;
   readonly isLeaving: () => boolean;
@@ -67,6 +69,7 @@
       crashes: [...crashes.list(now)],
       arrivingTokens: Math.round(this.arriving.read(now)),
       waiting: desk.size,
+      refused: [...this.parts.returns.listOwn(now)],
       absences: book.listOrdered(now).map(({ engine, deadline }) => ({
         engine,
         remainingMs: computeLeftMs(deadline, now),
@@ -83,6 +86,7 @@
     for (const { engine, remainingMs } of beat.absences) {
       book.noteAbsent(engine, now + remainingMs);
     }
+    this.parts.returns.take(beat.refused, now);
     for (const crash of beat.crashes) crashes.note(crash, now);
     desk.pump();
   }
--- a/src/forward/plain.ts
+++ b/src/forward/plain.ts
@@ -12,7 +12,7 @@
 import { type ForwardContext, type RequestTimes, resetBeside } from "./context";
 import { type AnswerHead, type ForwardRequest, Task, Verdict } from "./exchange";
 import { CallOutcome } from "./health";
-import { confirmCrash } from "./probe";
+import { probeEndpoint } from "./probe";
 import { pickEndpoint } from "./pick";
 
 /** The most sends of one request, those that were not run included. */
@@ -187,7 +187,7 @@
 
   private async noteBreak(endpoint: EndpointEntry, watch: Watch): Promise<void> {
     if (watch.cause !== undefined) return;
-    await confirmCrash(this.context, this.request, endpoint);
+    await probeEndpoint(this.context, this.request, endpoint);
   }
 
   /** A request that may be repeated does not wait to the end for a silent endpoint. */
--- a/src/forward/probe.ts
+++ b/src/forward/probe.ts
@@ -1,5 +1,5 @@
 /**
- * Finds out whether an endpoint crashed when a connection to it broke.
+ * Finds out what became of an endpoint when a connection to it broke.
  */
 import { connect } from "node:net";
 import type { EndpointEntry } from "../fleet/directory";
@@ -7,7 +7,18 @@
 import type { ForwardRequest } from "./exchange";
 
 /** How long a connection may take to stand before the endpoint counts as cut off, in milliseconds. */
-const PROBE_MS = 400;
+const PROBE_MS = 250;
+
+/** What a new connection tells of an endpoint. */
+export const EndpointState = {
+  /** It takes connections. */
+  up: "up",
+  /** Its machine answers that nothing listens. */
+  down: "down",
+  /** Nothing comes back. */
+  silent: "silent",
+} as const;
+export type EndpointState = (typeof EndpointState)[keyof typeof EndpointState];
 
 /** Names the process of an endpoint: one that started again is another. */
 export function nameProcess(endpoint: EndpointEntry): string {
@@ -15,41 +26,44 @@
 }
 
 /**
- * Notes a crash where nothing listens any more at an endpoint that broke off a request.
+ * Finds the state of an endpoint that broke off a request; where it is down, the request is noted as
+ * one that may have crashed it.
  *
  * @example
- * await confirmCrash(context, request, endpoint);
+ * await probeEndpoint(context, request, endpoint); // "up"
  */
-export async function confirmCrash(
+export async function probeEndpoint(
   context: ForwardContext,
   request: ForwardRequest,
   endpoint: EndpointEntry,
-): Promise<void> {
-  if (!(await isDown(endpoint.address))) return;
+): Promise<EndpointState> {
+  const state = await findState(endpoint.address);
+  if (state !== EndpointState.down) return state;
   const { crashes, clock, logger } = context;
   const { fingerprint, head } = request;
   const process = nameProcess(endpoint);
-  if (!crashes.note({ fingerprint, process }, clock.now())) return;
-  logger.warn("crash", { request: head.id, endpoint: endpoint.id, process, fingerprint });
+  if (crashes.note({ fingerprint, process }, clock.now())) {
+    logger.warn("crash", { request: head.id, endpoint: endpoint.id, process, fingerprint });
+  }
+  return state;
 }
 
-/** True where the machine answers that nothing listens; a cut machine answers nothing. */
-function isDown(address: string): Promise<boolean> {
+function findState(address: string): Promise<EndpointState> {
   const [host = "", port = ""] = address.split(":");
   return new Promise((resolve) => {
     const socket = connect({ host, port: Number(port), timeout: PROBE_MS });
-    const finish = (down: boolean) => {
+    const finish = (state: EndpointState) => {
       socket.destroy();
-      resolve(down);
+      resolve(state);
     };
     socket.once("connect", () => {
-      finish(false);
+      finish(EndpointState.up);
     });
     socket.once("timeout", () => {
-      finish(false);
+      finish(EndpointState.silent);
     });
     socket.once("error", (error: NodeJS.ErrnoException) => {
-      finish(error.code === "ECONNREFUSED");
+      finish(error.code === "ECONNREFUSED" ? EndpointState.down : EndpointState.silent);
     });
   });
 }
--- a/src/forward/stream.ts
+++ b/src/forward/stream.ts
@@ -17,8 +17,9 @@
 import { Timing } from "./meter";
 import { createCancelled, readBody, readWholeBody, type WholeAnswer } from "./plain";
 import { Prefiller } from "./prefill";
-import { confirmCrash } from "./probe";
+import { EndpointState, probeEndpoint } from "./probe";
 import { RelayEnd, relayEvents } from "./relay";
+import type { ReturnBook } from "./returns";
 import { SendCount } from "./sendcount";
 
 /** The most engines that one generation is tried at, those that did not run it included. */
@@ -27,6 +28,8 @@
 const WAIT_SHARE = 0.75;
 /** How long it usually takes from memory to the first event, in milliseconds. */
 const FIRST_EVENT_USUAL_MS = 300;
+/** How long one waits that came back after a refusal, and is late already, in milliseconds. */
+const RETURNED_WAIT_MS = 4000;
 /** How long a generation that had begun waits for memory to go on, in milliseconds. */
 const RESUME_WAIT_MS = 2000;
 /** The share of the longest output that memory is reserved for; most outputs are far shorter. */
@@ -83,6 +86,7 @@
   readonly context: ForwardContext;
   readonly desk: Desk;
   readonly book: EngineBook;
+  readonly returns: ReturnBook;
 }
 
 /** The run of one generation. */
@@ -91,6 +95,8 @@
   private readonly prompt: Prefiller;
   private lastEventId: string | undefined;
   private firstEventAt: Moment | undefined;
+  /** The engine whose connection broke and which lives: it still has the prompt in its cache. */
+  private preferred: string | undefined;
   /** Whether the answer to the caller says where it ends. */
   private isFramed = true;
   private runs = 0;
@@ -164,25 +170,31 @@
     const { head, service, priority, isOverRate } = this.request;
     const { arrivedAt, target, deadline } = this.times;
     const startedAt = clock.now();
-    const isFirst = this.runs === 0;
-    const patience = arrivedAt + (target - arrivedAt) * WAIT_SHARE;
-    const giveUpAt = Math.min(deadline, isFirst ? patience : startedAt + RESUME_WAIT_MS);
+    const isReturned = this.parts.returns.isReturned(this.request.fingerprint, arrivedAt);
     const reservation = await this.parts.desk.reserve({
       id: head.id,
       priority,
       isOverRate,
       arrivedAt,
-      startBy: target - FIRST_EVENT_USUAL_MS,
-      giveUpAt,
+      startBy: isReturned ? arrivedAt : target - FIRST_EVENT_USUAL_MS,
+      giveUpAt: Math.min(deadline, this.computeGiveUp(startedAt, isReturned)),
       service,
       limits: this.limits,
       needTokens: this.computeNeed(),
+      preferred: this.preferred,
       caller: this.caller,
     });
     meter.record(Timing.queue, clock.now() - startedAt);
     return reservation;
   }
 
+  private computeGiveUp(startedAt: Moment, isReturned: boolean): Moment {
+    if (this.runs > 0) return startedAt + RESUME_WAIT_MS;
+    const { arrivedAt, target } = this.times;
+    if (isReturned) return arrivedAt + RETURNED_WAIT_MS;
+    return arrivedAt + (target - arrivedAt) * WAIT_SHARE;
+  }
+
   private computeNeed(): number {
     const { size } = this.request.head;
     if (size === undefined) return 0;
@@ -195,7 +207,8 @@
     const { endpoint, needTokens } = reservation;
     const startedAt = clock.now();
     const watch = new Watch(clock, this.times.deadline + DEADLINE_GRACE_MS, this.caller);
-    const source = await this.prompt.read(watch, endpoint);
+    const isCached = endpoint.id === this.preferred;
+    const source = isCached ? undefined : await this.prompt.read(watch, endpoint);
     const prefilledAt = clock.now();
     const result = await this.decode(reservation, source, watch);
     watch.close();
@@ -270,8 +283,11 @@
   }
 
   private async noteBreak(endpoint: EndpointEntry, message: string): Promise<TryResult> {
-    this.noteBroken(endpoint);
-    await confirmCrash(this.parts.context, this.request, endpoint);
+    const { context } = this.parts;
+    resetBeside(context, endpoint);
+    const state = await probeEndpoint(context, this.request, endpoint);
+    if (state === EndpointState.up) this.preferred = endpoint.id;
+    else this.noteBroken(endpoint);
     return { end: TryEnd.broken, message };
   }
 
@@ -366,6 +382,7 @@
   private createRefusal(): Refusal {
     const isLate = this.parts.context.clock.now() >= this.times.deadline;
     if (this.runs === 0) {
+      this.parts.returns.noteRefused(this.request.fingerprint, this.parts.context.clock.now());
       const reason = isLate ? Reason.deadline : Reason.overloaded;
       return createNotRun(503, reason, this.message, RETRY_AFTER_MS);
     }
--- a/src/peer/gen/fleet.ts
+++ b/src/peer/gen/fleet.ts
@@ -43,6 +43,8 @@
   absences: Absence[];
   /** Offset of the newest record that changed the list of endpoints. */
   endpointsChange: number;
+  /** Generations that the sender refused of late, by the beginning of their fingerprints. */
+  refused: string[];
 }
 
 export interface Absence {
@@ -103,6 +105,7 @@
     waiting: 0,
     absences: [],
     endpointsChange: 0,
+    refused: [],
   };
 }
 
@@ -150,6 +153,9 @@
     if (message.endpointsChange !== 0) {
       writer.uint32(112).int64(message.endpointsChange);
     }
+    for (const v of message.refused) {
+      writer.uint32(122).string(v!);
+    }
     return writer;
   },
 
@@ -278,6 +284,14 @@
             message.endpointsChange = longToNumber(reader.int64());
             continue;
           }
+          case 15: {
+            if (tag !== 122) {
+              break;
+            }
+
+            message.refused.push(reader.string());
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -328,6 +342,9 @@
         : isSet(object.endpoints_change)
         ? globalThis.Number(object.endpoints_change)
         : 0,
+      refused: globalThis.Array.isArray(object?.refused)
+        ? object.refused.map((e: any) => globalThis.String(e))
+        : [],
     };
   },
 
@@ -375,6 +392,9 @@
     if (message.endpointsChange !== 0) {
       obj.endpointsChange = Math.round(message.endpointsChange);
     }
+    if (message.refused?.length) {
+      obj.refused = message.refused;
+    }
     return obj;
   },
 
@@ -397,6 +417,7 @@
     message.waiting = object.waiting ?? 0;
     message.absences = object.absences?.map((e) => Absence.fromPartial(e)) || [];
     message.endpointsChange = object.endpointsChange ?? 0;
+    message.refused = object.refused?.map((e) => e) || [];
     return message;
   },
 };
--- a/test/admission.spec.ts
+++ b/test/admission.spec.ts
@@ -11,6 +11,7 @@
 import { pickEndpoint } from "../src/forward/pick";
 import { Quotas } from "../src/forward/quota";
 import { RetryAllowance } from "../src/forward/retries";
+import { ReturnBook } from "../src/forward/returns";
 import { SendCount } from "../src/forward/sendcount";
 import { type Waiter, WaitQueue } from "../src/forward/waitqueue";
 import { SlidingSum } from "../src/forward/window";
@@ -283,3 +284,17 @@
     assert.equal(here.isBanned("f", 70_000), false);
   });
 });
+
+describe("generations that come back", () => {
+  it("are recognised at every instance that heard of the refusal, for a while", () => {
+    const here = new ReturnBook();
+    const there = new ReturnBook();
+    here.noteRefused("0123456789abcdef", 0);
+    there.take(here.listOwn(500), 510);
+    assert.equal(there.isReturned("0123456789abcdef", 2000), true);
+    assert.equal(there.isReturned("fedcba9876543210", 2000), false);
+    assert.equal(there.isReturned("0123456789abcdef", 20_000), false);
+    assert.deepEqual(here.listOwn(3000), [], "peers have heard of it by then");
+    assert.deepEqual(there.listOwn(600), [], "and do not tell it on");
+  });
+});
--- a/test/fleet.spec.ts
+++ b/test/fleet.spec.ts
@@ -263,6 +263,7 @@
     configVersion: 1,
     endpointsNext: 1,
     endpointsChange: 0,
+    refused: [],
     leaving: false,
     usages: [],
     works: [],
