--- a/src/forward/returns.ts
+++ b/src/forward/returns.ts
@@ -1,6 +1,6 @@
 /**
  * Recognises generations that come back after a refusal, at whichever instance: they are late
- * already, so that they stand behind those that can still be on time, and are given longer.
+ * already, so that they stand behind those that can still be on time.
  */
 import type { Moment } from "../core/clock";
 
--- a/src/forward/stream.ts
+++ b/src/forward/stream.ts
@@ -28,8 +28,6 @@
 const WAIT_SHARE = 0.75;
 /** How long it usually takes from memory to the first event, in milliseconds. */
 const FIRST_EVENT_USUAL_MS = 300;
-/** How long one waits that came back after a refusal, and is late already, in milliseconds. */
-const RETURNED_WAIT_MS = 4000;
 /** How long a generation that had begun waits for memory to go on, in milliseconds. */
 const RESUME_WAIT_MS = 2000;
 /** The share of the longest output that memory is reserved for; most outputs are far shorter. */
@@ -177,7 +175,7 @@
       isOverRate,
       arrivedAt,
       startBy: isReturned ? arrivedAt : target - FIRST_EVENT_USUAL_MS,
-      giveUpAt: Math.min(deadline, this.computeGiveUp(startedAt, isReturned)),
+      giveUpAt: Math.min(deadline, this.computeGiveUp(startedAt)),
       service,
       limits: this.limits,
       needTokens: this.computeNeed(),
@@ -188,10 +186,9 @@
     return reservation;
   }
 
-  private computeGiveUp(startedAt: Moment, isReturned: boolean): Moment {
+  private computeGiveUp(startedAt: Moment): Moment {
     if (this.runs > 0) return startedAt + RESUME_WAIT_MS;
     const { arrivedAt, target } = this.times;
-    if (isReturned) return arrivedAt + RETURNED_WAIT_MS;
     return arrivedAt + (target - arrivedAt) * WAIT_SHARE;
   }
 
