--- a/src/cli/publisher.ts
+++ b/src/cli/publisher.ts
@@ -2,6 +2,7 @@
  * Publishes changes of the configuration through the platform's log, and finds out what became of
  * them by reading the log back.
  */
+import { pause } from "../core/clock";
 import { randomUUID } from "node:crypto";
 import * as E from "fp-ts/Either";
 import type { Configuration } from "../core/config";
@@ -138,7 +139,3 @@
     }
   }
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/src/control/claimer.ts
+++ b/src/control/claimer.ts
@@ -4,7 +4,7 @@
  */
 import type { Board } from "../board/board";
 import type { Claims, ClaimState, RecordedAnswer } from "../core/claims";
-import type { Clock, Moment } from "../core/clock";
+import { type Clock, type Moment, pause } from "../core/clock";
 import { type IdSource, readInstance, readOwner } from "../core/ids";
 import type { Log, LogPage } from "../store/log";
 import { Stream } from "../store/log";
@@ -157,7 +157,3 @@
     }
   }
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/src/core/clock.ts
+++ b/src/core/clock.ts
@@ -44,3 +44,14 @@
 export function computeLeftMs(deadline: Moment, now: Moment): number {
   return Math.max(0, Math.floor(deadline - now));
 }
+
+/**
+ * Waits.
+ *
+ * @param ms - how long, in milliseconds
+ * @example
+ * await pause(50);
+ */
+export function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- a/src/entry/runner.ts
+++ b/src/entry/runner.ts
@@ -8,7 +8,7 @@
 import type { Charge, Charger } from "../control/charger";
 import type { Ledger } from "../control/ledger";
 import type { RetryBudget } from "../core/budget";
-import type { Clock, Moment } from "../core/clock";
+import { type Clock, type Moment, pause } from "../core/clock";
 import { computeLeftMs } from "../core/clock";
 import type { IdSource } from "../core/ids";
 import type { Logger } from "../core/log";
@@ -327,7 +327,3 @@
 function computeBackoffMs(count: number): number {
   return LEAST_BACKOFF_MS * 2 ** Math.min(count, MOST_BACKOFF_STEPS) * Math.random();
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/src/fleet/watcher.ts
+++ b/src/fleet/watcher.ts
@@ -3,7 +3,7 @@
  * runs; and takes both from peers where the store does not answer.
  */
 import * as E from "fp-ts/Either";
-import type { Clock, Moment } from "../core/clock";
+import { type Clock, type Moment, pause } from "../core/clock";
 import type { DecodeError } from "../core/decode";
 import type { Logger } from "../core/log";
 import { Counter, type Meter } from "../forward/meter";
@@ -173,7 +173,3 @@
     this.logger.warn("store lost", { feed: name, error });
   }
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -3,7 +3,7 @@
  */
 import { createServer, type Server } from "node:http";
 import * as E from "fp-ts/Either";
-import { type Clock, MonotonicClock } from "../core/clock";
+import { type Clock, MonotonicClock, pause } from "../core/clock";
 import { createIncarnation } from "../core/ids";
 import { BoundedLineWriter, createByteWriter } from "../core/lines";
 import { createLogger, type Logger } from "../core/log";
@@ -379,7 +379,3 @@
     server.listen(address, resolve);
   });
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/src/node.ts
+++ b/src/node.ts
@@ -18,7 +18,7 @@
 import { Prober } from "./control/prober";
 import { Sweeper } from "./control/sweeper";
 import { RetryBudget } from "./core/budget";
-import { type Clock, MonotonicClock } from "./core/clock";
+import { type Clock, MonotonicClock, pause } from "./core/clock";
 import { createIncarnation, IdSource } from "./core/ids";
 import { createLogger, type Logger } from "./core/log";
 import { createMetrics, Metric, type Metrics } from "./core/metrics";
@@ -345,7 +345,3 @@
     };
   }
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
