Ready without the log only by the newest peer that can be reached

Cause: an instance that started while the log was away was ready as soon as any peer had given it a configuration. Ruled out: the log itself (down in that test), a lost pull (the instance took 9 a beat later). Change: without the log, an instance is ready once every listed peer has answered its first heartbeat or missed its deadline, and all that the newest live one knows was taken. A peer that dies in between is not waited for.

--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -225,6 +225,28 @@
     test: "forward",
     pattern: "belongs to another",
   },
+  {
+    name: "forwarding: no denial by who may be behind",
+    file: "src/fleet/watcher.ts",
+    find: "heardAt: Number.NEGATIVE_INFINITY",
+    replace: "heardAt: 0",
+    test: "forward",
+    pattern: "comes from a peer",
+  },
+  {
+    name: "configuration: ready by the newest peer",
+    file: "src/control/membership.ts",
+    find: "live.every((member) => member.next <= this.control.next)",
+    replace: "live.length >= 0",
+    test: "membership",
+  },
+  {
+    name: "configuration: ready after all peers were heard",
+    file: "src/control/membership.ts",
+    find: "return this.isRoundOver && ",
+    replace: "return ",
+    test: "membership",
+  },
   {
     name: "forwarding: no older configuration",
     file: "src/fleet/watcher.ts",
@@ -283,7 +305,7 @@
   },
   {
     name: "forwarding: a new process has a part of its slack",
-    file: "src/forward/retries.ts",
+    file: "src/core/retries.ts",
     find: "(isNew ? NEW_SHARE : 1)",
     replace: "1",
     test: "admission",
@@ -291,7 +313,7 @@
   },
   {
     name: "forwarding: work within the rate goes first",
-    file: "src/forward/waitqueue.ts",
+    file: "src/core/urgentqueue.ts",
     find: "return late || over ||",
     replace: "return late ||",
     test: "play",
--- a/src/control/book.ts
+++ b/src/control/book.ts
@@ -187,7 +187,7 @@
       suspects.isSuspect(grant.want.fingerprint, now),
     );
     const isWaiting = suspects.isPrime(fingerprint) && now - item.arrivedAt < PRIME_WAIT_MS;
-    if (isWaiting || suspects.countCrashes(fingerprint) >= CRASHES_TO_ISOLATE) {
+    if (isWaiting || suspects.countCrashes(fingerprint, now) >= CRASHES_TO_ISOLATE) {
       return others.length > 0;
     }
     return others.some((grant) => this.isKeptApart(grant, engine, now));
@@ -196,7 +196,7 @@
   private isKeptApart(grant: Granted, engine: string, now: Moment): boolean {
     const { suspects } = this.board;
     const { fingerprint } = grant.want;
-    if (suspects.countCrashes(fingerprint) >= CRASHES_TO_ISOLATE) return true;
+    if (suspects.countCrashes(fingerprint, now) >= CRASHES_TO_ISOLATE) return true;
     const start = grant.decode === engine ? grant.decodingSince : grant.grantedAt;
     return suspects.isPrime(fingerprint) && now - (start ?? now) < PROBATION_MS;
   }
--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -24,6 +24,7 @@
   private readonly fold = new ControlFold();
   private kept: PlacedRecord[] = [];
   private earliest = 0;
+  private hasReadLog = false;
   private readonly reader: StreamReader;
   private readonly appender: Appender;
   private timer: NodeJS.Timeout | undefined;
@@ -50,6 +51,11 @@
     return !this.fold.isIncomplete && this.board.config.read().version >= 0;
   }
 
+  /** True once the log itself was read to its end; what peers give may be behind it. */
+  get isFromLog(): boolean {
+    return this.hasReadLog;
+  }
+
   start(): void {
     this.reader.start();
     this.timer = setInterval(() => {
@@ -71,7 +77,9 @@
     this.earliest = page.earliest;
     this.fold.skipTo(page.earliest);
     this.takeRecords(page.records);
-    if (this.fold.next >= page.end && !this.fold.isIncomplete) this.noteSeen(startedAt);
+    if (this.fold.next < page.end || this.fold.isIncomplete) return;
+    this.hasReadLog = true;
+    this.noteSeen(startedAt);
   }
 
   /** Answers a peer that is behind. */
--- a/src/control/keeper.ts
+++ b/src/control/keeper.ts
@@ -5,7 +5,8 @@
 import type { Board } from "../board/board";
 import type { Clock, Moment } from "../core/clock";
 import { computeLeftMs } from "../core/clock";
-import { FairQueue, FifoQueue, type RequestQueue } from "../core/fairqueue";
+import { FairQueue } from "../core/fairqueue";
+import { FifoQueue, type RequestQueue } from "../core/queue";
 import type { Logger } from "../core/log";
 import { type Metrics, Metric } from "../core/metrics";
 import { Reason } from "../core/outcome";
@@ -159,10 +160,11 @@
   /** A report tells whether the process that was said to have crashed still runs. */
   private checkCrashes(report: EndpointReport): void {
     const { suspects } = this.board;
+    const now = this.clock.now();
     for (const process of suspects.listCrashed()) {
       if (!process.startsWith(`${report.name}@`)) continue;
-      if (process === `${report.name}@${report.incarnation}`) suspects.retract(process);
-      else suspects.confirm(process, this.clock.now());
+      if (process === `${report.name}@${report.incarnation}`) suspects.retract(process, now);
+      else suspects.confirm(process, now);
     }
   }
 
--- a/src/control/membership.ts
+++ b/src/control/membership.ts
@@ -28,16 +28,30 @@
   readonly dataCentre: string;
 }
 
+/** What heartbeats have to know of the control stream. */
+export type ControlView = Pick<ControlReader, "next" | "noteSeen" | "takePull">;
+
+interface Progress {
+  /** The offset that the member reads next. */
+  readonly next: number;
+  /** Until when the member counts as reachable. */
+  readonly deadline: Moment;
+}
+
 /** Sends and answers heartbeats. */
 export class Membership {
   private timer: NodeJS.Timeout | undefined;
   private isPulling = false;
+  /** How far each member has read the control stream, as it said itself. */
+  private readonly progress = new Map<string, Progress>();
+  private isRoundBegun = false;
+  private isRoundOver = false;
 
   constructor(
     private readonly board: Board,
     private readonly self: Self,
-    private readonly link: PeerLink,
-    private readonly control: ControlReader,
+    private readonly link: Pick<PeerLink, "heartbeat" | "pull">,
+    private readonly control: ControlView,
     private readonly clock: Clock,
   ) {}
 
@@ -52,6 +66,16 @@
     clearInterval(this.timer);
   }
 
+  /**
+   * True once every member that can be reached was heard, and all that the newest of them knows was
+   * taken: a member may itself be behind.
+   */
+  get isCaughtUp(): boolean {
+    const now = this.clock.now();
+    const live = [...this.progress.values()].filter((member) => member.deadline > now);
+    return this.isRoundOver && live.every((member) => member.next <= this.control.next);
+  }
+
   /** Answers a heartbeat with one of our own. */
   onHeartbeat(message: HeartbeatMessage): HeartbeatMessage {
     this.takeMessage(message, this.clock.now());
@@ -59,7 +83,12 @@
   }
 
   private beat(): void {
-    for (const entry of this.listTargets()) void this.sendTo(entry);
+    const answers = this.listTargets().map((entry) => this.sendTo(entry));
+    if (answers.length === 0 || this.isRoundBegun) return;
+    this.isRoundBegun = true;
+    void Promise.all(answers).then(() => {
+      this.isRoundOver = true;
+    });
   }
 
   private async sendTo(entry: ListEntry): Promise<void> {
@@ -146,7 +175,9 @@
     const { from } = message;
     if (from === undefined || from.instance === this.self.instance) return;
     const now = this.clock.now();
-    this.noteMember({ ...from, deadline: now + MEMBER_MS, isDraining: message.draining });
+    const deadline = now + MEMBER_MS;
+    this.progress.set(from.instance, { next: message.controlNext, deadline });
+    this.noteMember({ ...from, deadline, isDraining: message.draining });
     for (const member of message.members) {
       if (member.dataCentre === this.self.dataCentre) continue;
       this.noteMember({ ...member, deadline: now + RELAYED_MEMBER_MS, isDraining: false });
--- a/src/node.ts
+++ b/src/node.ts
@@ -17,12 +17,12 @@
 import { Officer } from "./control/officer";
 import { Prober } from "./control/prober";
 import { Sweeper } from "./control/sweeper";
-import { RetryBudget } from "./core/budget";
 import { type Clock, MonotonicClock, pause } from "./core/clock";
 import { createIncarnation, IdSource } from "./core/ids";
 import { createLogger, type Logger } from "./core/log";
 import { createMetrics, Metric, type Metrics } from "./core/metrics";
 import { chooseMember } from "./core/rendezvous";
+import { RetryAllowance, type RetryLimit } from "./core/retries";
 import { DEFAULT_SETTINGS, type Settings } from "./core/settings";
 import { HttpEngineClient } from "./endpoint/engine";
 import { HttpServiceClient } from "./endpoint/service";
@@ -43,6 +43,8 @@
 const LEDGER_CLOSE_MS = 5000;
 /** How long a new instance waits to hear of the holder of its data centre. */
 const HOLDER_WAIT_MS = 8000;
+/** Retries of a route at this instance: a quarter of its requests, and a hundred for a quiet one. */
+const RETRY_LIMIT: RetryLimit = { ratio: 0.25, slack: 100, windowMs: 10_000 };
 const NANOSECONDS_PER_MS = 1e6;
 
 /** A running instance. */
@@ -141,8 +143,8 @@
     this.officer = new Officer(board, self, log, clock, ids, logger);
     this.controller = new Controller(board, self, this.officer, engines, clock, logger);
     this.claimer = new Claimer(board, log, clock, ids);
-    const budget = new RetryBudget();
-    const shared = { board, clock, ids, dataCentre, budget, logger, metrics };
+    const retries = new RetryAllowance(RETRY_LIMIT, () => 1, clock.now());
+    const shared = { board, clock, ids, dataCentre, retries, logger, metrics };
     const plain = new PlainRouter({
       ...shared,
       claimer: this.claimer,
@@ -276,6 +278,7 @@
   /** Once ready, an instance stays so: what it then loses it goes on without. */
   private checkReady(): boolean {
     if (this.isReady || !this.control.isComplete) return this.isReady;
+    if (!this.control.isFromLog && !this.membership.isCaughtUp) return false;
     const isLate = this.clock.now() - this.startedAt > HOLDER_WAIT_MS;
     this.isReady = isLate || this.charger.isReachable();
     return this.isReady;
--- /dev/null
+++ b/test/membership.spec.ts
@@ -0,0 +1,128 @@
+/**
+ * An instance that starts while the log is away: it goes by its peers, and by the newest of them.
+ */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import * as TE from "fp-ts/TaskEither";
+import { createBoard } from "../src/board/board";
+import { type ControlView, Membership } from "../src/control/membership";
+import { ManualClock, pause } from "../src/core/clock";
+import type { HeartbeatMessage, PullReply } from "../src/peer/gen/peer";
+import { PeerError } from "../src/peer/link";
+
+const SELF = { instance: "nizwa-2", incarnation: "nizwa-2/2", dataCentre: "nizwa" };
+const STALE = { instance: "bahla-1", incarnation: "bahla-1/1", dataCentre: "bahla" };
+const NEWEST = { instance: "nizwa-1", incarnation: "nizwa-1/1", dataCentre: "nizwa" };
+type Peer = typeof SELF;
+
+function createMessage(from: Peer, controlNext: number): HeartbeatMessage {
+  return {
+    from,
+    members: [],
+    controlNext,
+    controlAgeMs: -1,
+    leavingEndpoints: [],
+    bans: [],
+    draining: false,
+  };
+}
+
+/** Peers that answer when the test says so. */
+class HeldPeers {
+  private readonly answers = new Map<string, (message: HeartbeatMessage | undefined) => void>();
+  private readonly pulls = new Map<string, (reply: PullReply) => void>();
+
+  heartbeat(address: string): TE.TaskEither<PeerError, HeartbeatMessage> {
+    return TE.tryCatch(
+      () =>
+        new Promise((resolve, reject) => {
+          this.answers.set(address, (message) => {
+            if (message === undefined) reject(new PeerError("no answer"));
+            else resolve(message);
+          });
+        }),
+      (error) => (error instanceof PeerError ? error : new PeerError(String(error))),
+    );
+  }
+
+  pull(address: string): TE.TaskEither<PeerError, PullReply> {
+    return TE.fromTask(
+      () =>
+        new Promise((resolve) => {
+          this.pulls.set(address, resolve);
+        }),
+    );
+  }
+
+  async answer(peer: Peer, controlNext: number | undefined): Promise<void> {
+    const message = controlNext === undefined ? undefined : createMessage(peer, controlNext);
+    this.answers.get(peer.instance)?.(message);
+    await pause(1);
+  }
+
+  async answerPull(peer: Peer, next: number): Promise<void> {
+    this.pulls.get(peer.instance)?.({ snapshotJson: "", records: [], next });
+    await pause(1);
+  }
+}
+
+function createStarting(peers: HeldPeers) {
+  const board = createBoard();
+  const clock = new ManualClock(1000);
+  const control: ControlView & { next: number } = {
+    next: 0,
+    noteSeen: () => undefined,
+    takePull(reply) {
+      this.next = reply.next;
+    },
+  };
+  board.list.write(
+    [STALE, NEWEST].map(({ instance, dataCentre }) => ({
+      kind: "instance" as const,
+      state: "live" as const,
+      name: instance,
+      dataCentre,
+      address: instance,
+    })),
+  );
+  return { membership: new Membership(board, SELF, peers, control, clock), clock };
+}
+
+describe("an instance that starts without the log", () => {
+  it("is behind until every peer was heard and the newest was followed", async () => {
+    const peers = new HeldPeers();
+    const { membership } = createStarting(peers);
+    membership.start();
+    await peers.answer(STALE, 7);
+    await peers.answerPull(STALE, 7);
+    assert.equal(membership.isCaughtUp, false, "the newest peer was not heard yet");
+    await peers.answer(NEWEST, 9);
+    assert.equal(membership.isCaughtUp, false, "the newest peer was not followed yet");
+    await peers.answerPull(NEWEST, 9);
+    membership.close();
+    assert.equal(membership.isCaughtUp, true);
+  });
+
+  it("does not wait for a peer that cannot be reached", async () => {
+    const peers = new HeldPeers();
+    const { membership } = createStarting(peers);
+    membership.start();
+    await peers.answer(STALE, 7);
+    await peers.answerPull(STALE, 7);
+    await peers.answer(NEWEST, undefined);
+    membership.close();
+    assert.equal(membership.isCaughtUp, true);
+  });
+
+  it("does not wait for what only a peer knew that has gone since", async () => {
+    const peers = new HeldPeers();
+    const { membership, clock } = createStarting(peers);
+    membership.start();
+    await peers.answer(NEWEST, 9);
+    await peers.answer(STALE, 0);
+    assert.equal(membership.isCaughtUp, false);
+    clock.advance(5000);
+    membership.close();
+    assert.equal(membership.isCaughtUp, true);
+  });
+});
