Explain a request from the logs of all instances; a line a decision; Prometheus metrics

Cause: five kinds of lines did not say what a request waited for, which engine gave memory, why it was sent once more or how it ended; nothing put the lines of several instances together; the metrics had no labels. Change: src/explain with the commands 'explain' (the life of a request, with the changes of belief beside it) and 'causes' (refusals and failures of a span by cause), both from files or standard input. Lines queued, reserved, prefill, decode, retry, send failed, answered, cancelled. Before: the kind bound was counted into the routine bound and shut out rare lines; test/lines.spec.ts failed. After: test/lines 7 of 7, test/explain 10 of 10, forward, generation, admission, steering, fleet 60 of 60.

--- a/src/core/lines.ts
+++ b/src/core/lines.ts
@@ -1,19 +1,34 @@
 /**
- * Writes lines to a file descriptor without ever blocking, and never more than a bounded number a
- * second: what is beyond, or what a slow reader does not take, is dropped and counted.
+ * Writes lines to a file descriptor without ever blocking, and never more than a bounded number of
+ * each kind a second: what is beyond, or what a slow reader does not take, is dropped and counted. Lines
+ * that explain a failure are dropped last.
  */
 import { write } from "node:fs";
 import { type Clock, type Moment, MonotonicClock } from "./clock";
 
 /** Bytes that may wait to be written. */
 const MAX_WAITING_BYTES = 512 * 1024;
-/** Lines that are written in a second; some five for each request at a hundred requests a second. */
-const MAX_LINES_PER_SECOND = 500;
+/** The part of them that routine lines may take; the rest is kept for those that explain. */
+const ROUTINE_BYTES = MAX_WAITING_BYTES / 2;
+/** Lines of one kind in a second; an instance takes some hundred requests a second at most. */
+const MAX_KIND_PER_SECOND = 150;
+/** Routine lines of all kinds in a second: five for each of these requests. */
+const MAX_ROUTINE_PER_SECOND = 500;
 const SECOND_MS = 1000;
 
+/** One line. */
+export interface Line {
+  /** The line without its end. */
+  readonly text: string;
+  /** What kind of event it tells of. */
+  readonly kind: string;
+  /** True where it explains a failed or refused request, or a change of what the process believes. */
+  readonly isExplaining: boolean;
+}
+
 /** Takes lines. */
 export interface LineWriter {
-  write(line: string): void;
+  write(line: Line): void;
   /** Lines that were dropped so far. */
   readonly dropped: number;
 }
@@ -40,11 +55,14 @@
 export class BoundedLineWriter implements LineWriter {
   private waiting: string[] = [];
   private waitingBytes = 0;
-  private isWriting = false;
+  /** Bytes of the write under way. */
+  private writingBytes = 0;
   private droppedLines = 0;
-  private reportedLines = 0;
   private secondEnd: Moment = 0;
-  private linesInSecond = 0;
+  private routineInSecond = 0;
+  private readonly kindInSecond = new Map<string, number>();
+  /** By kind: what was dropped since the last report. */
+  private readonly unreported = new Map<string, number>();
 
   constructor(
     private readonly writeBytes: ByteWriter,
@@ -55,15 +73,25 @@
     return this.droppedLines;
   }
 
-  write(line: string): void {
+  write(line: Line): void {
     this.turnSecond();
-    this.linesInSecond += 1;
-    const isOver = this.linesInSecond > MAX_LINES_PER_SECOND;
-    if (isOver || this.waitingBytes + line.length > MAX_WAITING_BYTES) {
-      this.droppedLines += 1;
-      return;
-    }
-    this.push(line);
+    if (this.hasRoom(line)) this.push(line.text);
+    else this.drop(line.kind);
+  }
+
+  private hasRoom(line: Line): boolean {
+    const ofKind = (this.kindInSecond.get(line.kind) ?? 0) + 1;
+    this.kindInSecond.set(line.kind, ofKind);
+    if (ofKind > MAX_KIND_PER_SECOND) return false;
+    if (!line.isExplaining) this.routineInSecond += 1;
+    if (!line.isExplaining && this.routineInSecond > MAX_ROUTINE_PER_SECOND) return false;
+    const most = line.isExplaining ? MAX_WAITING_BYTES : ROUTINE_BYTES;
+    return this.waitingBytes + this.writingBytes + line.text.length <= most;
+  }
+
+  private drop(kind: string): void {
+    this.droppedLines += 1;
+    this.unreported.set(kind, (this.unreported.get(kind) ?? 0) + 1);
   }
 
   /** The first line of a second says what was dropped before. */
@@ -71,35 +99,39 @@
     const now = this.clock.now();
     if (now < this.secondEnd) return;
     this.secondEnd = now + SECOND_MS;
-    this.linesInSecond = 0;
-    const count = this.droppedLines - this.reportedLines;
-    if (count === 0) return;
-    this.reportedLines = this.droppedLines;
-    this.push(JSON.stringify({ level: "WARN", event: "lines dropped", count }));
+    this.routineInSecond = 0;
+    this.kindInSecond.clear();
+    if (this.unreported.size === 0) return;
+    const kinds = Object.fromEntries(this.unreported);
+    const count = [...this.unreported.values()].reduce((sum, dropped) => sum + dropped, 0);
+    const report = JSON.stringify({ level: "WARN", event: "lines dropped", count, kinds });
+    if (this.waitingBytes + this.writingBytes + report.length > MAX_WAITING_BYTES) return;
+    this.unreported.clear();
+    this.push(report);
   }
 
-  private push(line: string): void {
-    this.waiting.push(line);
-    this.waitingBytes += line.length;
-    if (!this.isWriting) this.flush();
+  private push(text: string): void {
+    this.waiting.push(text);
+    this.waitingBytes += text.length;
+    if (this.writingBytes === 0) this.flush();
   }
 
   private flush(): void {
     const bytes = Buffer.from(`${this.waiting.join("\n")}\n`);
     this.waiting = [];
     this.waitingBytes = 0;
-    this.isWriting = true;
+    this.writingBytes = bytes.length;
     this.writeAll(bytes);
   }
 
   private writeAll(bytes: Buffer): void {
     this.writeBytes(bytes, (error, written) => {
-      if (error !== null) this.droppedLines += 1;
+      if (error !== null) this.drop("write failed");
       else if (written < bytes.length) {
         this.writeAll(bytes.subarray(written));
         return;
       }
-      this.isWriting = false;
+      this.writingBytes = 0;
       if (this.waiting.length > 0) this.flush();
     });
   }
--- a/src/core/log.ts
+++ b/src/core/log.ts
@@ -1,15 +1,22 @@
 /**
  * Structured log lines. No line ever holds a key or a prompt.
  */
-import { Logger as TsLogger } from "tslog";
+import { type DestinationStream, pino } from "pino";
 import { BoundedLineWriter, createByteWriter, type LineWriter } from "./lines";
 
 const STANDARD_OUTPUT = 1;
+/** Makes pino leave the level and message of a line on its destination. */
+const METADATA = Symbol.for("pino.metadata");
+/** Pino's number of the level of warnings. */
+const WARN_LEVEL = 40;
 
 /** Members of one line. */
 export type LogFields = Readonly<Record<string, unknown>>;
 
-/** Writes structured lines. */
+/**
+ * Writes structured lines. What explains a refused or failed request, or a change of what the process
+ * believes, is a warning: these are dropped last.
+ */
 export interface Logger {
   debug(event: string, fields: LogFields): void;
   info(event: string, fields: LogFields): void;
@@ -17,10 +24,8 @@
   error(event: string, fields: LogFields): void;
 }
 
-const LEVELS = { debug: 2, info: 3, warn: 4, error: 5 } as const;
-
 /** A level below which lines are left out. */
-export type LogLevel = keyof typeof LEVELS;
+export type LogLevel = "debug" | "info" | "warn" | "error";
 
 /**
  * Creates a logger that writes JSON lines to standard output.
@@ -34,22 +39,37 @@
   level: LogLevel,
   lines: LineWriter = new BoundedLineWriter(createByteWriter(STANDARD_OUTPUT)),
 ): Logger {
-  const logger = new TsLogger<LogFields>({
-    type: "hidden",
-    minLevel: LEVELS[level],
-    hideLogPositionForProduction: true,
-  });
-  logger.attachTransport((line) => {
-    const { _meta: meta, ...fields } = line;
-    const head = { time: meta?.date.toISOString(), level: meta?.logLevelName, instance };
-    lines.write(JSON.stringify({ ...head, ...fields }));
-  });
+  const logger = pino(
+    {
+      level,
+      base: { instance },
+      messageKey: "event",
+      timestamp: () => `,"time":"${new Date().toISOString()}"`,
+      formatters: { level: (label) => ({ level: label.toUpperCase() }) },
+    },
+    new LineStream(lines),
+  );
   const write = (name: LogLevel) => (event: string, fields: LogFields) => {
-    logger[name]({ event, ...fields });
+    logger[name](fields, event);
   };
   return { debug: write("debug"), info: write("info"), warn: write("warn"), error: write("error") };
 }
 
+/** Passes pino's lines on with their kind. */
+class LineStream implements DestinationStream {
+  readonly [METADATA] = true;
+  /** Set by pino before each line. */
+  lastLevel = 0;
+  lastMsg = "";
+
+  constructor(private readonly lines: LineWriter) {}
+
+  write(line: string): void {
+    const isExplaining = this.lastLevel >= WARN_LEVEL;
+    this.lines.write({ text: line.trimEnd(), kind: this.lastMsg, isExplaining });
+  }
+}
+
 /** Writes nothing. */
 export const SILENT_LOGGER: Logger = {
   debug: () => undefined,
--- a/src/fleet/watcher.ts
+++ b/src/fleet/watcher.ts
@@ -6,7 +6,7 @@
 import { type Clock, type Moment, pause } from "../core/clock";
 import type { DecodeError } from "../core/decode";
 import type { Logger } from "../core/log";
-import { Counter, type Meter } from "../forward/meter";
+import type { Meter } from "../forward/meter";
 import { Catalog, type FleetConfig } from "./catalog";
 import type { Directory } from "./directory";
 import { type Feed, type FeedPage, type FeedRecord, type Store, StoreFault } from "./store";
@@ -147,7 +147,7 @@
   }
 
   private readOnce(feed: Feed, next: number | undefined, waitMs: number) {
-    this.meter.count(Counter.storeCalls);
+    this.meter.storeCalls.inc();
     return next === undefined ? feed.readNewest()() : feed.read(next, waitMs)();
   }
 
@@ -171,7 +171,7 @@
   }
 
   private noteFailed(name: string, state: FeedState, error: string): void {
-    this.meter.count(Counter.storeFailures);
+    this.meter.storeFailures.inc();
     if (state.isAway) return;
     state.isAway = true;
     this.logger.warn("store lost", { feed: name, error });
--- a/src/forward/admission.ts
+++ b/src/forward/admission.ts
@@ -99,7 +99,7 @@
     const cost = computeCost(head, workspace);
     const decision = this.parts.quotas.admit(workspace.name, workspace.limit, cost, now);
     if (decision.isAdmitted) return E.right(decision.isOver);
-    this.parts.logger.info("over rate", {
+    this.parts.logger.warn("over rate", {
       request: head.id,
       workspace: workspace.name,
       cost,
--- a/src/forward/desk.ts
+++ b/src/forward/desk.ts
@@ -133,6 +133,13 @@
       : undefined;
     const now = clock.now();
     if (hold !== undefined && !ticket.caller.aborted) {
+      logger.info("reserved", {
+        request: ticket.id,
+        engine: id,
+        needTokens: ticket.needTokens,
+        waitedMs: Math.round(now - ticket.arrivedAt),
+        waiting: this.queue.size,
+      });
       ticket.resolve({ endpoint, hold, needTokens: ticket.needTokens });
       this.pump();
       return;
--- /dev/null
+++ b/src/forward/dispatch.ts
@@ -0,0 +1,121 @@
+/**
+ * Takes a request from admission to its final answer, and says how it ended.
+ */
+import * as E from "fp-ts/Either";
+import type { Moment } from "../core/clock";
+import { Ran, Reason } from "../core/outcome";
+import type { Watcher } from "../fleet/watcher";
+import type { Admission } from "./admission";
+import { computeTimes, type ForwardContext, type RequestTimes } from "./context";
+import type { Desk } from "./desk";
+import type { EngineBook } from "./engines";
+import type { ForwardRequest } from "./exchange";
+import { Outcome } from "./meter";
+import type { PeerView } from "./peerview";
+import { PlainRun } from "./plain";
+import type { ReturnBook } from "./returns";
+import type { CallerAnswer, CallerRequest } from "./server";
+import { StreamRun } from "./stream";
+
+/** The status of a stream that went out. */
+const STREAM_STATUS = 200;
+/** The least status of an answer that says that the endpoint failed. */
+const FAILED_STATUS = 500;
+
+/** What requests are run with. */
+export interface DispatchParts {
+  readonly context: ForwardContext;
+  readonly admission: Admission;
+  readonly desk: Desk;
+  readonly book: EngineBook;
+  readonly returns: ReturnBook;
+  readonly view: PeerView;
+  readonly watcher: Watcher;
+}
+
+/** How a request ended. */
+interface RequestEnd {
+  readonly answer: CallerAnswer;
+  /** True where a stream was broken off. */
+  readonly isCut: boolean;
+  readonly isCallerGone: boolean;
+}
+
+/** Runs requests. */
+export class Dispatcher {
+  constructor(private readonly parts: DispatchParts) {}
+
+  /** Runs a request to its final answer. */
+  async run(request: CallerRequest): Promise<CallerAnswer> {
+    const { head, body, arrivedAt } = request;
+    const { admission, context } = this.parts;
+    const admitted = admission.admit(head, body, arrivedAt);
+    if (E.isLeft(admitted)) return admitted;
+    const forward = admitted.right;
+    const times = computeTimes(forward, arrivedAt);
+    this.noteAdmitted(forward, times);
+    context.retries.noteRequest(forward.service, arrivedAt);
+    const end = await this.runAdmitted(forward, times, request);
+    this.noteEnd(forward, end, arrivedAt);
+    return end.answer;
+  }
+
+  private async runAdmitted(
+    forward: ForwardRequest,
+    times: RequestTimes,
+    { head, arrivedAt, caller, sink }: CallerRequest,
+  ): Promise<RequestEnd> {
+    const { context, desk, book, returns, view, watcher } = this.parts;
+    const engine = watcher.readCatalog()?.findService(forward.service)?.engine;
+    if (engine === undefined || !forward.route.isStream) {
+      const answer = await new PlainRun(context, forward, times, caller).run();
+      return { answer, isCut: false, isCallerGone: caller.aborted };
+    }
+    view.noteArrival(head.size?.promptTokens ?? 0, arrivedAt);
+    const parts = { context, desk, book, returns };
+    const run = new StreamRun(parts, forward, engine, times, caller, sink);
+    const answer = await run.run();
+    return { answer, isCut: run.isCut, isCallerGone: caller.aborted };
+  }
+
+  private noteAdmitted(forward: ForwardRequest, times: RequestTimes): void {
+    const { context, watcher } = this.parts;
+    const { head, route, service, workspace, priority, isOverRate } = forward;
+    context.logger.info("request", {
+      request: head.id,
+      route: route.name,
+      service,
+      workspace: workspace?.name ?? "",
+      priority,
+      isOverRate,
+      leftMs: Math.round(times.deadline - times.arrivedAt),
+      config: watcher.readCatalog()?.config.version,
+      configAgeMs: Math.round(watcher.computeConfigAgeMs()),
+    });
+  }
+
+  /** What the router answers of its own has a line where it is sent. */
+  private noteEnd(forward: ForwardRequest, end: RequestEnd, arrivedAt: Moment): void {
+    const { context } = this.parts;
+    const { head, route, priority } = forward;
+    const { answer } = end;
+    const ms = context.clock.now() - arrivedAt;
+    const outcome = nameOutcome(end);
+    context.meter.noteRequest(route.name, priority, outcome, ms);
+    if (answer !== undefined && E.isLeft(answer)) return;
+    const status = answer?.right.head.status ?? STREAM_STATUS;
+    const fields = { request: head.id, route: route.name, status, outcome, ms: Math.round(ms) };
+    if (outcome === Outcome.failed) context.logger.warn("answered", fields);
+    else context.logger.info(outcome === Outcome.cancelled ? "cancelled" : "answered", fields);
+  }
+}
+
+function nameOutcome({ answer, isCut, isCallerGone }: RequestEnd): Outcome {
+  if (isCut) return isCallerGone ? Outcome.cancelled : Outcome.failed;
+  if (answer === undefined) return Outcome.answered;
+  if (E.isRight(answer)) {
+    return answer.right.head.status < FAILED_STATUS ? Outcome.answered : Outcome.failed;
+  }
+  if (answer.left.reason === Reason.cancelled) return Outcome.cancelled;
+  return answer.left.ran === Ran.no ? Outcome.refused : Outcome.failed;
+}
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -5,7 +5,7 @@
 import * as E from "fp-ts/Either";
 import { type Clock, MonotonicClock, pause } from "../core/clock";
 import { createIncarnation } from "../core/ids";
-import { BoundedLineWriter, createByteWriter } from "../core/lines";
+import { BoundedLineWriter, createByteWriter, type LineWriter } from "../core/lines";
 import { createLogger, type Logger } from "../core/log";
 import { createNotRun, Reason } from "../core/outcome";
 import { Beacon } from "../fleet/beacon";
@@ -17,14 +17,14 @@
 import type { Beat, FetchReply, FetchRequest } from "../peer/gen/fleet";
 import { Admission } from "./admission";
 import { HttpEndpointClient } from "./connections";
-import { computeTimes, type ForwardContext } from "./context";
+import type { ForwardContext } from "./context";
 import { CrashBook } from "../core/crashes";
 import { Desk } from "./desk";
+import { Dispatcher } from "./dispatch";
 import { EngineBook } from "./engines";
 import type { CallerCodec, EndpointCodec } from "./exchange";
 import { HealthBook } from "./health";
-import { Counter, Meter } from "./meter";
-import { PlainRun } from "./plain";
+import { Meter } from "./meter";
 import { PeerView } from "./peerview";
 import { Quotas } from "./quota";
 import { OrderRights } from "../fleet/orders";
@@ -33,7 +33,6 @@
 import { RetryAllowance } from "../core/retries";
 import { type CallerAnswer, type CallerRequest, ForwardServer } from "./server";
 import type { ForwardSettings, ListenAddress } from "./settings";
-import { StreamRun } from "./stream";
 
 const STANDARD_OUTPUT = 1;
 /**
@@ -84,7 +83,7 @@
   private readonly desk: Desk;
   private readonly steering: Steering;
   private readonly view: PeerView;
-  private readonly admission: Admission;
+  private readonly dispatcher: Dispatcher;
   private readonly callers: ForwardServer;
   private readonly ready: Server;
   private readonly metrics: Server;
@@ -172,7 +171,7 @@
         this.beacon.speak();
       },
     });
-    this.admission = new Admission({
+    const admission = new Admission({
       readCatalog: () => this.watcher.readCatalog(),
       computeConfigAgeMs: () => this.watcher.computeConfigAgeMs(),
       quotas: this.quotas,
@@ -180,6 +179,15 @@
       logger: this.logger,
       draw,
     });
+    this.dispatcher = new Dispatcher({
+      context: this.context,
+      admission,
+      desk: this.desk,
+      book: this.book,
+      returns: this.returns,
+      view: this.view,
+      watcher: this.watcher,
+    });
     this.callers = new ForwardServer(
       adapter.callerCodec,
       (request) => this.serve(request),
@@ -193,13 +201,9 @@
     });
     this.metrics = createServer((_request, response) => {
       response.setHeader("content-type", "text/plain");
-      response.end(meter.print());
+      void meter.print().then((text) => response.end(text));
     });
-    meter.addGauge("gorsefold_open_requests", () => this.callers.size);
-    meter.addGauge("gorsefold_waiting_generations", () => this.desk.size);
-    meter.addGauge("gorsefold_config_version", () => this.configVersion);
-    meter.addGauge("gorsefold_live_instances", () => this.countLive());
-    meter.addGauge(Counter.droppedLines, () => lines.dropped);
+    this.addGauges(lines);
   }
 
   /** Starts all parts; rejects where an address cannot be had. */
@@ -282,42 +286,11 @@
     return this.view.answerFetch(request);
   }
 
-  private async serve(request: CallerRequest): Promise<CallerAnswer> {
+  private serve(request: CallerRequest): Promise<CallerAnswer> {
     this.applyLimits();
-    const { head, body, arrivedAt, caller, sink } = request;
-    if (this.isRefusing) {
-      const message = "the instance is stopping";
-      return E.left(createNotRun(503, Reason.notReady, message, STOPPING_RETRY_MS));
-    }
-    const admitted = this.admission.admit(head, body, arrivedAt);
-    if (E.isLeft(admitted)) return admitted;
-    const forward = admitted.right;
-    const { route, service, workspace } = forward;
-    this.logger.info("request", {
-      request: head.id,
-      route: route.name,
-      service,
-      workspace: workspace?.name ?? "",
-      config: this.configVersion,
-      configAgeMs: Math.round(this.watcher.computeConfigAgeMs()),
-    });
-    this.context.retries.noteRequest(service, arrivedAt);
-    const times = computeTimes(forward, arrivedAt);
-    const engine = this.watcher.readCatalog()?.findService(service)?.engine;
-    if (engine === undefined || !route.isStream) {
-      return new PlainRun(this.context, forward, times, caller).run();
-    }
-    this.view.noteArrival(head.size?.promptTokens ?? 0, arrivedAt);
-    const { context, desk, book, returns } = this;
-    const run = new StreamRun(
-      { context, desk, book, returns },
-      forward,
-      engine,
-      times,
-      caller,
-      sink,
-    );
-    return run.run();
+    if (!this.isRefusing) return this.dispatcher.run(request);
+    const message = "the instance is stopping";
+    return Promise.resolve(E.left(createNotRun(503, Reason.notReady, message, STOPPING_RETRY_MS)));
   }
 
   private isReady(): boolean {
@@ -333,7 +306,28 @@
 
   private maintain(): void {
     this.applyLimits();
-    this.context.health.prune((id) => this.directory.find(id) !== undefined);
+    const isListed = (id: string) => this.directory.find(id) !== undefined;
+    this.context.health.prune(isListed);
+    this.meter.prune(isListed);
+  }
+
+  private addGauges(lines: LineWriter): void {
+    const { meter } = this;
+    meter.addGauge("gorsefold_open_requests", "Requests without a final answer", () => {
+      return this.callers.size;
+    });
+    meter.addGauge("gorsefold_waiting_generations", "Generations that wait for memory", () => {
+      return this.desk.size;
+    });
+    meter.addGauge("gorsefold_config_version", "Version of the configuration in force", () => {
+      return this.configVersion;
+    });
+    meter.addGauge("gorsefold_live_instances", "Instances that are heard, this one too", () => {
+      return this.countLive();
+    });
+    meter.addGauge("gorsefold_dropped_log_lines", "Log lines left out since the start", () => {
+      return lines.dropped;
+    });
   }
 
   private countLive(): number {
@@ -354,7 +348,7 @@
   /** Adds this instance to the members in the store, and finds the others. */
   private async join(): Promise<void> {
     while (!this.isClosed) {
-      this.meter.count(Counter.storeCalls);
+      this.meter.storeCalls.inc();
       const { members } = this.adapter.store;
       const joined = await members.append(this.self.instance, this.roster.encodeSelf())();
       if (E.isRight(joined)) break;
@@ -366,7 +360,7 @@
   }
 
   private async readMembers(): Promise<void> {
-    this.meter.count(Counter.storeCalls);
+    this.meter.storeCalls.inc();
     const page = await this.adapter.store.members.readNewest()();
     if (E.isRight(page)) this.roster.takeRecords(page.right.records, this.clock.now());
     else this.logger.warn("members not read", { error: page.left.message });
--- a/src/forward/meter.ts
+++ b/src/forward/meter.ts
@@ -1,76 +1,151 @@
 /**
- * Counters and latency histograms of an instance, served as text.
+ * Counters and latency histograms of an instance, in the text format that Prometheus reads.
  */
-import { build, type Histogram } from "hdr-histogram-js";
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
-/** Counters. */
-export const Counter = {
-  requests: "gorsefold_requests_total",
-  refusals: "gorsefold_refusals_total",
-  sends: "gorsefold_sends_total",
-  repeats: "gorsefold_repeats_total",
-  storeCalls: "gorsefold_store_calls_total",
-  storeFailures: "gorsefold_store_failures_total",
-  droppedLines: "gorsefold_dropped_log_lines_total",
-} as const;
-export type Counter = (typeof Counter)[keyof typeof Counter];
+const MS_PER_SECOND = 1000;
+/** Upper ends of latency buckets, in seconds: from a lookup to the longest stream. */
+const BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 20];
 
-/** Histograms, in milliseconds. */
-export const Timing = {
-  answer: "gorsefold_answer_ms",
-  firstEvent: "gorsefold_first_event_ms",
-  queue: "gorsefold_queue_ms",
-  prefill: "gorsefold_prefill_ms",
+/** How a request ended. */
+export const Outcome = {
+  /** Answered by an endpoint, whole. */
+  answered: "answered",
+  /** Not run. */
+  refused: "refused",
+  /** Broke off, or ended without it being known whether it ran. */
+  failed: "failed",
+  cancelled: "cancelled",
 } as const;
-export type Timing = (typeof Timing)[keyof typeof Timing];
-
-const HIGHEST_MS = 120_000;
-const QUANTILES = [50, 90, 99] as const;
+export type Outcome = (typeof Outcome)[keyof typeof Outcome];
 
 /** Counts and times. */
 export class Meter {
-  private readonly counters = new Map<string, number>();
-  private readonly histograms = new Map<Timing, Histogram>();
-  private readonly gauges = new Map<string, () => number>();
+  private readonly registry = new Registry();
+  private readonly registers = [this.registry];
+  /** By endpoint: the labels under which it stands. */
+  private readonly endpoints = new Map<string, Map<string, SendLabels>>();
 
-  /** Adds to a counter. */
-  count(counter: Counter, labels: Readonly<Record<string, string>> = {}, by = 1): void {
-    const name = printName(counter, labels);
-    this.counters.set(name, (this.counters.get(name) ?? 0) + by);
+  /** Refusals and failures that are the router's own. */
+  readonly refusals = new Counter({
+    name: "gorsefold_refusals_total",
+    help: "Final answers of the router's own, by reason",
+    labelNames: ["reason"] as const,
+    registers: this.registers,
+  });
+  readonly repeats = new Counter({
+    name: "gorsefold_repeats_total",
+    help: "Requests that were sent once more, by service",
+    labelNames: ["service"] as const,
+    registers: this.registers,
+  });
+  readonly storeCalls = new Counter({
+    name: "gorsefold_store_calls_total",
+    help: "Calls to the store",
+    registers: this.registers,
+  });
+  readonly storeFailures = new Counter({
+    name: "gorsefold_store_failures_total",
+    help: "Calls to the store that failed",
+    registers: this.registers,
+  });
+  private readonly requests = new Histogram({
+    name: "gorsefold_request_duration_seconds",
+    help: "From a request's arrival to the end of its answer",
+    labelNames: ["route", "priority", "outcome"] as const,
+    buckets: BUCKETS_S,
+    registers: this.registers,
+  });
+  private readonly sends = new Histogram({
+    name: "gorsefold_send_duration_seconds",
+    help: "From a send to an endpoint to the end of its answer",
+    labelNames: ["service", "endpoint", "outcome"] as const,
+    buckets: BUCKETS_S,
+    registers: this.registers,
+  });
+  private readonly firstEvents = new Histogram({
+    name: "gorsefold_first_event_seconds",
+    help: "From a generation's arrival to its first event",
+    labelNames: ["route", "priority"] as const,
+    buckets: BUCKETS_S,
+    registers: this.registers,
+  });
+  private readonly waits = new Histogram({
+    name: "gorsefold_queue_wait_seconds",
+    help: "Time that generations wait for memory at an engine",
+    labelNames: ["service"] as const,
+    buckets: BUCKETS_S,
+    registers: this.registers,
+  });
+  private readonly prefills = new Histogram({
+    name: "gorsefold_prefill_seconds",
+    help: "Time that engines take to read a prompt, its wait there included",
+    labelNames: ["service"] as const,
+    buckets: BUCKETS_S,
+    registers: this.registers,
+  });
+
+  /** Notes the end of a request. */
+  noteRequest(route: string, priority: number, outcome: Outcome, ms: number): void {
+    this.requests.observe({ route, priority, outcome }, ms / MS_PER_SECOND);
   }
 
-  /** Records a time in milliseconds. */
-  record(timing: Timing, ms: number): void {
-    let histogram = this.histograms.get(timing);
-    if (histogram === undefined) {
-      histogram = build({ highestTrackableValue: HIGHEST_MS, numberOfSignificantValueDigits: 2 });
-      this.histograms.set(timing, histogram);
+  /** Notes the end of a send to an endpoint. */
+  noteSend(labels: SendLabels, ms: number): void {
+    this.sends.observe({ ...labels }, ms / MS_PER_SECOND);
+    let known = this.endpoints.get(labels.endpoint);
+    if (known === undefined) {
+      known = new Map();
+      this.endpoints.set(labels.endpoint, known);
     }
-    histogram.recordValue(Math.min(HIGHEST_MS, Math.max(0, Math.round(ms))));
+    known.set(`${labels.service}\n${labels.outcome}`, labels);
+  }
+
+  /** Notes the first event of a generation. */
+  noteFirstEvent(route: string, priority: number, ms: number): void {
+    this.firstEvents.observe({ route, priority }, ms / MS_PER_SECOND);
+  }
+
+  /** Notes how long a generation waited for memory. */
+  noteWait(service: string, ms: number): void {
+    this.waits.observe({ service }, ms / MS_PER_SECOND);
+  }
+
+  /** Notes how long an engine took to read a prompt. */
+  notePrefill(service: string, ms: number): void {
+    this.prefills.observe({ service }, ms / MS_PER_SECOND);
   }
 
   /** Adds a value that is read when the metrics are. */
-  addGauge(name: string, read: () => number): void {
-    this.gauges.set(name, read);
+  addGauge(name: string, help: string, read: () => number): void {
+    const gauge = new Gauge({
+      name,
+      help,
+      registers: this.registers,
+      collect: () => {
+        gauge.set(read());
+      },
+    });
   }
 
-  /** Prints all in the text format that scrapers read. */
-  print(): string {
-    const lines: string[] = [];
-    for (const [name, value] of this.counters) lines.push(`${name} ${value}`);
-    for (const [name, read] of this.gauges) lines.push(`${name} ${read()}`);
-    for (const [timing, histogram] of this.histograms) {
-      for (const quantile of QUANTILES) {
-        const value = histogram.getValueAtPercentile(quantile);
-        lines.push(`${timing}{quantile="${quantile / 100}"} ${value}`);
-      }
-      lines.push(`${timing}_count ${histogram.totalCount}`);
+  /** Drops the series of endpoints that are gone, so that there is a bounded number. */
+  prune(isListed: (endpoint: string) => boolean): void {
+    for (const [endpoint, known] of this.endpoints) {
+      if (isListed(endpoint)) continue;
+      for (const labels of known.values()) this.sends.remove({ ...labels });
+      this.endpoints.delete(endpoint);
     }
-    return `${lines.join("\n")}\n`;
+  }
+
+  /** Prints all in the text format that scrapers read. */
+  print(): Promise<string> {
+    return this.registry.metrics();
   }
 }
 
-function printName(counter: Counter, labels: Readonly<Record<string, string>>): string {
-  const pairs = Object.entries(labels).map(([name, value]) => `${name}="${value}"`);
-  return pairs.length === 0 ? counter : `${counter}{${pairs.join(",")}}`;
+/** What a send is counted under. */
+export interface SendLabels {
+  readonly service: string;
+  readonly endpoint: string;
+  readonly outcome: string;
 }
--- a/src/forward/plain.ts
+++ b/src/forward/plain.ts
@@ -101,6 +101,7 @@
       this.message = `${this.message}; no retry is left in the budget`;
       return undefined;
     }
+    if (this.runs > 0) this.context.meter.repeats.inc({ service });
     logger.info("place", {
       request: head.id,
       send: sends + 1,
@@ -116,7 +117,8 @@
     const { clock, health, client } = this.context;
     const { deadline } = this.times;
     this.tried.add(endpoint.id);
-    const call = health.begin(endpoint.id, clock.now());
+    const startedAt = clock.now();
+    const call = health.begin(endpoint.id, startedAt);
     const watch = new Watch(clock, this.computeSendDeadline(endpoint.id), this.caller);
     const send = {
       request: this.request,
@@ -134,10 +136,27 @@
       : await this.readWhole(opened.right, endpoint, watch);
     watch.close();
     const isGone = watch.cause === AbortCause.callerGone;
+    this.noteSend(endpoint, isGone ? SendEnd.callerGone : result.end, result.message, startedAt);
     call.end(isGone ? CallOutcome.abandoned : nameOutcome(result, opened), clock.now());
     return isGone ? { ...result, end: SendEnd.callerGone } : result;
   }
 
+  private noteSend(
+    endpoint: EndpointEntry,
+    end: SendEnd,
+    message: string,
+    startedAt: Moment,
+  ): void {
+    const { clock, meter, logger } = this.context;
+    const { service, head } = this.request;
+    const ms = clock.now() - startedAt;
+    meter.noteSend({ service, endpoint: endpoint.id, outcome: end }, ms);
+    if (end === SendEnd.answered) return;
+    const fields = { request: head.id, endpoint: endpoint.id, end, message, ms: Math.round(ms) };
+    if (end === SendEnd.callerGone) logger.info("send failed", fields);
+    else logger.warn("send failed", fields);
+  }
+
   private async readWhole(
     answer: OpenAnswer,
     endpoint: EndpointEntry,
--- a/src/forward/prefill.ts
+++ b/src/forward/prefill.ts
@@ -10,7 +10,6 @@
 import { type ForwardContext, type RequestTimes, resetBeside } from "./context";
 import { choosePrefill, type EngineBook, type EngineView } from "./engines";
 import { type CacheSource, type ForwardRequest, Task } from "./exchange";
-import { Timing } from "./meter";
 import { readBody } from "./plain";
 import type { SendCount } from "./sendcount";
 
@@ -53,6 +52,12 @@
     const { id } = view.endpoint;
     const promptTokens = this.request.head.size?.promptTokens ?? 0;
     book.add(id, 0, promptTokens, 1);
+    context.logger.info("prefill", {
+      request: this.request.head.id,
+      engine: id,
+      promptTokens,
+      tokensAhead: view.promptTokens,
+    });
     const source = await this.prefillAt(view.endpoint, watch);
     book.add(id, 0, -promptTokens, -1);
     if (source === undefined && !this.hasRead) this.sends.spend();
@@ -114,13 +119,13 @@
     const prefilled = isRead ? codec.readPrefilled(body.right) : undefined;
     if (prefilled !== undefined) {
       this.readAt = clock.now();
-      meter.record(Timing.prefill, this.readAt - startedAt);
+      meter.notePrefill(this.request.service, this.readAt - startedAt);
       book.noteSound(endpoint.id);
       return { address: endpoint.address, handle: prefilled.handle };
     }
     if (watch.cause === undefined) book.noteBroken(endpoint.id, clock.now());
     if (E.isLeft(body)) resetBeside(context, endpoint);
-    logger.info("prefill failed", {
+    logger.warn("prefill failed", {
       request: this.request.head.id,
       engine: endpoint.id,
       status: E.isRight(opened) ? opened.right.head.status : 0,
--- a/src/forward/server.ts
+++ b/src/forward/server.ts
@@ -10,7 +10,7 @@
 import type { Logger } from "../core/log";
 import { createNotRun, Reason, type Refusal } from "../core/outcome";
 import type { CallerCodec, RequestHead } from "./exchange";
-import { Counter, type Meter, Timing } from "./meter";
+import type { Meter } from "./meter";
 import type { WholeAnswer } from "./plain";
 import type { StreamSink } from "./stream";
 
@@ -125,13 +125,11 @@
     request.once("aborted", onGone);
     request.socket.once("end", onGone);
     this.open += 1;
-    this.meter.count(Counter.requests);
     await this.answer(request, response, arrivedAt, gone.signal);
     this.open -= 1;
     // The head of a stream may have gone out before the instance began to close.
     if (this.isClosing) endAfter(request.socket, response);
     request.socket.off("end", onGone);
-    this.meter.record(Timing.answer, this.clock.now() - arrivedAt);
   }
 
   private async answer(
@@ -184,9 +182,11 @@
     refusal: Refusal,
   ): void {
     const { status, reason, ran, message } = refusal;
-    this.meter.count(Counter.refusals, { reason });
+    this.meter.refusals.inc({ reason });
     const retryAfterMs = refusal.retryAfterMs ?? 0;
-    this.logger.info("refused", { request: id ?? "", status, reason, ran, message, retryAfterMs });
+    const fields = { request: id ?? "", status, reason, ran, message, retryAfterMs };
+    if (reason === Reason.cancelled) this.logger.info("cancelled", fields);
+    else this.logger.warn("refused", fields);
     if (response.destroyed) return;
     const body = Buffer.from(JSON.stringify({ error: { type: reason, message, outcome: ran } }));
     const headers = [...this.codec.listRefusalHeaders(id, refusal)];
--- a/src/forward/stream.ts
+++ b/src/forward/stream.ts
@@ -14,7 +14,6 @@
 import type { EngineBook } from "./engines";
 import type { StreamEvent } from "./events";
 import { type CacheSource, type ForwardRequest, Task, Verdict } from "./exchange";
-import { Timing } from "./meter";
 import { createCancelled, readBody, readWholeBody, type WholeAnswer } from "./plain";
 import { Prefiller } from "./prefill";
 import { EndpointState, probeEndpoint } from "./probe";
@@ -98,6 +97,8 @@
   /** Whether the answer to the caller says where it ends. */
   private isFramed = true;
   private runs = 0;
+  /** True once a stream was broken off towards its caller. */
+  isCut = false;
   private message = "no engine has room";
 
   constructor(
@@ -127,6 +128,7 @@
     this.prompt.close();
     if (answer === undefined || this.firstEventAt === undefined) return answer;
     // After events went out only a break can tell the caller that there are no more.
+    this.isCut = true;
     this.sink.cut();
     return undefined;
   }
@@ -145,10 +147,25 @@
       if (hasRun) this.runs += 1;
       failed = result.answer ?? failed;
       if (!this.mayGoOn(result.end)) break;
+      this.noteRetry(result);
     }
     return failed === undefined ? E.left(this.createRefusal()) : E.right(failed);
   }
 
+  private noteRetry({ end, message }: TryResult): void {
+    const { context } = this.parts;
+    const { head, service } = this.request;
+    if (end !== TryEnd.notRun) context.meter.repeats.inc({ service });
+    context.logger.info("retry", {
+      request: head.id,
+      after: end,
+      message,
+      runs: this.runs,
+      lastEvent: this.lastEventId ?? "",
+      leftMs: computeLeftMs(this.times.deadline, context.clock.now()),
+    });
+  }
+
   private mayGoOn(end: TryEnd): boolean {
     const { clock, crashes } = this.parts.context;
     const now = clock.now();
@@ -164,11 +181,20 @@
   }
 
   private async reserve(): Promise<Reservation | undefined> {
-    const { clock, meter } = this.parts.context;
+    const { clock, meter, logger, directory } = this.parts.context;
     const { head, service, priority, isOverRate } = this.request;
     const { arrivedAt, target, deadline } = this.times;
     const startedAt = clock.now();
     const isReturned = this.parts.returns.isReturned(this.request.fingerprint, arrivedAt);
+    logger.info("queued", {
+      request: head.id,
+      needTokens: this.computeNeed(),
+      waiting: this.parts.desk.size,
+      isReturned,
+      isOverRate,
+      engines: this.parts.desk.listViews(service, startedAt).length,
+      listOffset: directory.next,
+    });
     const reservation = await this.parts.desk.reserve({
       id: head.id,
       priority,
@@ -182,7 +208,7 @@
       preferred: this.preferred,
       caller: this.caller,
     });
-    meter.record(Timing.queue, clock.now() - startedAt);
+    meter.noteWait(service, clock.now() - startedAt);
     return reservation;
   }
 
@@ -211,19 +237,24 @@
     watch.close();
     book.add(endpoint.id, -needTokens, 0, -1);
     desk.pump();
-    logger.info("try", {
+    const outcome = result.end;
+    const ms = clock.now() - prefilledAt;
+    context.meter.noteSend({ service: this.request.service, endpoint: endpoint.id, outcome }, ms);
+    const fields = {
       request: this.request.head.id,
       engine: endpoint.id,
       prefill: source?.address ?? "none",
-      end: result.end,
+      end: outcome,
       message: result.message,
       lastEvent: this.lastEventId ?? "",
       needTokens,
       waitedMs: Math.round(startedAt - this.times.arrivedAt),
       prefillMs: Math.round(prefilledAt - startedAt),
       firstMs: Math.round((this.firstEventAt ?? prefilledAt) - prefilledAt),
-      decodeMs: Math.round(clock.now() - prefilledAt),
-    });
+      decodeMs: Math.round(ms),
+    };
+    if (outcome === TryEnd.complete) logger.info("try", fields);
+    else logger.warn("try", fields);
     return result;
   }
 
@@ -244,6 +275,14 @@
     const leftMs = computeLeftMs(this.times.deadline, context.clock.now());
     const { request, lastEventId } = this;
     const send = { request, endpoint, task: Task.run, leftMs, source, hold, lastEventId };
+    context.logger.info("decode", {
+      request: request.head.id,
+      engine: endpoint.id,
+      source: source?.address ?? "none",
+      run: this.runs + 1,
+      lastEvent: lastEventId ?? "",
+      leftMs,
+    });
     const opened = await context.client.send({ ...send, urgency: undefined }, silence.signal);
     silence.close();
     const result = E.isRight(opened)
@@ -366,7 +405,8 @@
     if (this.firstEventAt !== undefined) return;
     const { clock, meter } = this.parts.context;
     this.firstEventAt = clock.now();
-    meter.record(Timing.firstEvent, this.firstEventAt - this.times.arrivedAt);
+    const { route, priority } = this.request;
+    meter.noteFirstEvent(route.name, priority, this.firstEventAt - this.times.arrivedAt);
     this.isFramed = answer.isFramed;
     this.sink.begin(answer.head.status, answer.head.headers, answer.isFramed);
   }
--- a/src/main.ts
+++ b/src/main.ts
@@ -8,6 +8,7 @@
   ConfigPublishCommand,
   ConfigShowCommand,
 } from "./cli/config";
+import { CausesCommand, ExplainCommand } from "./cli/explain";
 import { KeyCreateCommand, KeyListCommand, KeyWithdrawCommand } from "./cli/key";
 import { createObjectCommands, LabelRemoveCommand, LabelSetCommand } from "./cli/object";
 import { ServeCommand } from "./cli/serve";
@@ -29,6 +30,8 @@
   LabelSetCommand,
   LabelRemoveCommand,
   StatusCommand,
+  ExplainCommand,
+  CausesCommand,
   ...createObjectCommands(),
 ];
 for (const command of commands) cli.register(command);
--- /dev/null
+++ b/test/explain.spec.ts
@@ -0,0 +1,123 @@
+/**
+ * From a request's identifier to its cause, on lines that were recorded on a played day.
+ */
+import assert from "node:assert/strict";
+import { spawnSync } from "node:child_process";
+import { readFileSync } from "node:fs";
+import { describe, it } from "node:test";
+import { type CauseCount, CauseCounter, Ending } from "../src/explain/cause";
+import { parseLine } from "../src/explain/line";
+import { findTrail } from "../src/explain/trail";
+import { printTrail } from "../src/explain/print";
+
+const RECORDED = "test/recorded/busy-day.log";
+const REFUSED = "cac4cee57ff25781";
+const BROKEN = "57137d524d395bcc";
+const UNKNOWN = "d01dc9a75beae909";
+
+const lines = readFileSync(RECORDED, "utf8")
+  .split("\n")
+  .map(parseLine)
+  .filter((line) => line !== undefined);
+
+function run(args: readonly string[], input = "") {
+  const command = ["--import", "tsx", "src/main.ts", ...args];
+  return spawnSync(process.execPath, command, { encoding: "utf8", input });
+}
+
+function count(from?: number, to?: number): readonly CauseCount[] {
+  const counter = new CauseCounter(from, to);
+  for (const line of lines) counter.add(line);
+  return counter.list();
+}
+
+describe("the lines of a request", () => {
+  it("stand in order, with the lost store beside a refusal", () => {
+    const trail = findTrail(lines, REFUSED);
+    assert.deepEqual(
+      trail?.lines.map((line) => line.event),
+      ["request", "queued", "refused"],
+    );
+    assert.ok(trail.beside.some((line) => line.event === "store lost"));
+    assert.ok(trail.beside.every((line) => line.instance === trail.lines[0]?.instance));
+  });
+
+  it("tell of a stream each try, and with what it went on", () => {
+    const trail = findTrail(lines, BROKEN);
+    const tried = trail?.lines.find((line) => line.event === "try");
+    assert.ok(tried?.fields.some(({ name, value }) => name === "lastEvent" && value === "87"));
+    assert.equal(trail?.lines.at(-1)?.event, "answered");
+    assert.equal(trail?.lines.at(-1)?.isWarning, true);
+  });
+
+  it("are printed with the time since the first, whatever the order of the files", () => {
+    const trail = findTrail([...lines].reverse(), UNKNOWN);
+    assert.ok(trail);
+    const text = printTrail(trail);
+    assert.match(text, /\+0 ms .*request/);
+    assert.match(text, /\+8 ms .*send failed .*ECONNRESET/);
+  });
+
+  it("are not found for a request that nobody had", () => {
+    assert.equal(findTrail(lines, "0000000000000000"), undefined);
+  });
+});
+
+describe("causes", () => {
+  it("are counted with what the last step before the end said", () => {
+    const found = count();
+    const refused = found.find((item) => item.reason === "overloaded");
+    assert.deepEqual([refused?.ending, refused?.count], [Ending.refused, 1]);
+    const reset = found.find((item) => item.example === UNKNOWN);
+    assert.equal(reset?.cause, "send failed: unknown: ECONNRESET read ECONNRESET");
+    assert.ok(found.some((item) => item.ending === Ending.cancelled));
+    const all = found.reduce((sum, item) => sum + item.count, 0);
+    assert.equal(all, 6, "a request that was answered is not among them");
+  });
+
+  it("are those of the span that was asked for", () => {
+    const at = findTrail(lines, UNKNOWN)?.lines.at(-1)?.at ?? 0;
+    assert.deepEqual(
+      count(at, at + 1).map((item) => item.example),
+      [UNKNOWN],
+    );
+  });
+});
+
+describe("what is not a line of an instance", () => {
+  it("is passed over", () => {
+    for (const text of ["", "plain text", "{", "{}", '{"event":1,"level":"INFO"}', "[1]"]) {
+      assert.equal(parseLine(text), undefined, text);
+    }
+  });
+
+  it("may stand before the line, as collectors put it there", () => {
+    const text = '{"level":"INFO","time":"2026-01-18T03:21:01.616Z","event":"stopped"}';
+    assert.equal(parseLine(`12.5 nizwa-1 ${text}`)?.event, "stopped");
+  });
+});
+
+describe("the commands", () => {
+  it("explain a request from files and from standard input, and say so where there is none", () => {
+    const fromFile = run(["explain", UNKNOWN, RECORDED]);
+    assert.equal(fromFile.status, 0, fromFile.stderr);
+    const fromInput = run(["explain", UNKNOWN], readFileSync(RECORDED, "utf8"));
+    assert.equal(fromInput.stdout, fromFile.stdout);
+    const json = run(["explain", UNKNOWN, RECORDED, "--json"]);
+    assert.equal((JSON.parse(json.stdout) as { request: string }).request, UNKNOWN);
+    const none = run(["explain", "0000000000000000", RECORDED]);
+    assert.deepEqual(
+      [none.status, none.stderr.trim()],
+      [2, "no line names request 0000000000000000"],
+    );
+  });
+
+  it("count causes, as a table and as JSON; a wrong time or file is said", () => {
+    const table = run(["causes", RECORDED]);
+    assert.match(table.stdout, /^count +ending/);
+    const json = run(["causes", "--json", RECORDED]);
+    assert.equal((JSON.parse(json.stdout) as unknown[]).length, count().length);
+    assert.equal(run(["causes", "--from", "yesterday", RECORDED]).status, 1);
+    assert.equal(run(["causes", "no-such-file.log"]).status, 2);
+  });
+});
--- a/test/lines.spec.ts
+++ b/test/lines.spec.ts
@@ -1,36 +1,79 @@
 /**
- * Log lines: never blocking, bounded, and honest on what was left out.
+ * Log lines: never blocking, bounded, honest on what was left out, and what explains a failure last.
  */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { ManualClock } from "../src/core/clock";
-import { BoundedLineWriter } from "../src/core/lines";
+import { BoundedLineWriter, type Line } from "../src/core/lines";
+import { createLogger } from "../src/core/log";
+
+const START_MS = 10_000;
+const SECOND_MS = 1001;
+
+/** A reader that takes all at once. */
+function createRead() {
+  const clock = new ManualClock(START_MS);
+  const read = { text: "" };
+  const lines = new BoundedLineWriter((bytes, done) => {
+    read.text += bytes.toString();
+    done(null, bytes.length);
+  }, clock);
+  const list = () => read.text.trimEnd().split("\n");
+  return { clock, lines, list };
+}
+
+const routine = (kind: string, text = "{}"): Line => ({ text, kind, isExplaining: false });
+const explaining = (kind: string, text = "{}"): Line => ({ text, kind, isExplaining: true });
 
 describe("log lines", () => {
   it("are bounded a second, and the next one says how many were dropped", () => {
-    let text = "";
-    const clock = new ManualClock(10_000);
-    const lines = new BoundedLineWriter((bytes, done) => {
-      text += bytes.toString();
-      done(null, bytes.length);
-    }, clock);
-    for (let count = 0; count < 2000; count += 1) lines.write("{}");
-    assert.equal(text.trimEnd().split("\n").length, 500);
+    const { clock, lines, list } = createRead();
+    for (let count = 0; count < 2000; count += 1) lines.write(routine(`kind-${count % 20}`));
+    assert.equal(list().length, 500);
     assert.equal(lines.dropped, 1500);
-    clock.advance(1001);
-    lines.write('{"after":1}');
-    const [report, next] = text.trimEnd().split("\n").slice(-2);
+    clock.advance(SECOND_MS);
+    lines.write(routine("last", '{"after":1}'));
+    const [report, next] = list().slice(-2);
     assert.match(report ?? "", /"count":1500/);
     assert.equal(next, '{"after":1}');
   });
 
+  it("of one kind leave room for the others, and are counted by kind", () => {
+    const { clock, lines, list } = createRead();
+    for (let count = 0; count < 1000; count += 1) lines.write(routine("noisy"));
+    lines.write(routine("rare", '{"rare":1}'));
+    assert.equal(list().length, 151);
+    assert.equal(list().at(-1), '{"rare":1}');
+    clock.advance(SECOND_MS);
+    lines.write(routine("rare"));
+    assert.match(list().at(-2) ?? "", /"kinds":\{"noisy":850\}/);
+  });
+
+  it("that explain a failure are written while routine ones are dropped", () => {
+    const { lines, list } = createRead();
+    for (let count = 0; count < 2000; count += 1) lines.write(routine(`kind-${count % 20}`));
+    lines.write(explaining("refused", '{"refused":1}'));
+    assert.equal(list().at(-1), '{"refused":1}');
+  });
+
+  it("that explain a failure still have room before a reader that takes nothing", () => {
+    const clock = new ManualClock(START_MS);
+    const lines = new BoundedLineWriter(() => undefined, clock);
+    const text = "x".repeat(10_000);
+    for (let count = 0; count < 100; count += 1) lines.write(routine("routine", text));
+    const before = lines.dropped;
+    assert.ok(before > 0);
+    for (let count = 0; count < 20; count += 1) lines.write(explaining("refused", text));
+    assert.equal(lines.dropped, before);
+  });
+
   it("do not wait for a reader that takes nothing, and keep bounded memory", () => {
-    const clock = new ManualClock(10_000);
+    const clock = new ManualClock(START_MS);
     const lines = new BoundedLineWriter(() => undefined, clock);
-    const line = "x".repeat(10_000);
+    const text = "x".repeat(10_000);
     for (let second = 0; second < 10; second += 1) {
-      for (let count = 0; count < 100; count += 1) lines.write(line);
-      clock.advance(1001);
+      for (let count = 0; count < 100; count += 1) lines.write(explaining("refused", text));
+      clock.advance(SECOND_MS);
     }
     assert.ok(lines.dropped > 900);
   });
@@ -41,8 +84,28 @@
       text += bytes.subarray(0, 3).toString();
       done(null, Math.min(3, bytes.length));
     });
-    lines.write("one line");
-    lines.write("another");
+    lines.write(routine("a", "one line"));
+    lines.write(routine("b", "another"));
     assert.equal(text, "one line\nanother\n");
   });
+
+  it("of the logger are JSON with time, level, instance and event; a warning explains", () => {
+    const written: Line[] = [];
+    const lines = { dropped: 0, write: (line: Line) => written.push(line) };
+    const logger = createLogger("nizwa-1", "info", lines);
+    logger.debug("left out", {});
+    logger.info("request", { request: "r1", config: 7 });
+    logger.warn("refused", { request: "r1", status: 503 });
+    assert.deepEqual(
+      written.map((line) => [line.kind, line.isExplaining]),
+      [
+        ["request", false],
+        ["refused", true],
+      ],
+    );
+    const { time, ...first } = JSON.parse(written[0]?.text ?? "") as Record<string, unknown>;
+    assert.ok(!Number.isNaN(Date.parse(String(time))));
+    const expected = { level: "INFO", instance: "nizwa-1", request: "r1", config: 7 };
+    assert.deepEqual(first, { ...expected, event: "request" });
+  });
 });
