Let an address belong to the endpoint that was started there last

Cause: after two engines crashed and came back under new names, the list still had the old names for 1.3 s; they answer 421 there. Ruled out: the hold, which the new process grants whatever name was meant. Change: Directory passes over an entry whose address has one that was started later. Before: test/fleet.spec 'belongs to the endpoint that was started last' fails; after: 18 of 18.

--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -126,10 +126,12 @@
   listUsable(now: Moment): readonly EndpointEntry[] {
     if (this.view !== undefined) return this.view;
     let hasDoubt = false;
+    const newestBorn = this.findNewestBorn();
     const usable: EndpointEntry[] = [];
     for (const [id, listed] of this.listed) {
       if (listed.entry === undefined || listed.entry.isLeaving) continue;
       if (this.misdirected.get(id) === listed.entry.sequence) continue;
+      if ((newestBorn.get(listed.entry.address) ?? 0) > listed.entry.bornAt) continue;
       if (listed.doubtDeadline !== undefined) {
         hasDoubt = true;
         if (listed.doubtDeadline <= now) {
@@ -159,6 +161,16 @@
     return this.listed.get(id)?.doubtDeadline !== undefined;
   }
 
+  /** By address: when the last process was started there; the ones before it are gone. */
+  private findNewestBorn(): ReadonlyMap<string, number> {
+    const newest = new Map<string, number>();
+    for (const { entry } of this.listed.values()) {
+      if (entry === undefined) continue;
+      newest.set(entry.address, Math.max(entry.bornAt, newest.get(entry.address) ?? 0));
+    }
+    return newest;
+  }
+
   private applyRecord(record: FeedRecord, now: Moment): DirectoryChange | undefined {
     const before = this.listed.get(record.key);
     if (before !== undefined && before.record.offset >= record.offset) return undefined;
--- a/test/fleet.spec.ts
+++ b/test/fleet.spec.ts
@@ -37,6 +37,20 @@
     .sort();
 }
 
+describe("an address that is used again", () => {
+  it("belongs to the endpoint that was started last, also while the one before it is listed", () => {
+    const directory = createDirectory();
+    put(directory, createEntry("old", "a:1", { bornAt: 100 }), 0);
+    put(directory, createEntry("beside", "b:1", { bornAt: 100 }), 0);
+    put(directory, createEntry("new", "a:1", { bornAt: 200 }), 10);
+    assert.deepEqual(listIds(directory, 20), ["beside", "new"]);
+    put(directory, createEntry("old", "a:1", { bornAt: 100, sequence: 2 }), 30);
+    assert.deepEqual(listIds(directory, 40), ["beside", "new"]);
+    drop(directory, "new", 50);
+    assert.deepEqual(listIds(directory, 60), ["beside", "old"]);
+  });
+});
+
 describe("the configuration", () => {
   it("gives a path to the route of its host with the longest prefix", () => {
     const base = createConfig(1);
