--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -93,6 +93,8 @@
   /** True once what still comes is better off at another instance. */
   private isRefusing = false;
   private isClosed = false;
+  /** True once it was asked and ready. */
+  private wasReady = false;
   private configVersion = -1;
 
   constructor(
@@ -294,7 +296,14 @@
   }
 
   private isReady(): boolean {
-    return !this.isStopping && this.watcher.isComplete();
+    const isReady = !this.isStopping && this.watcher.isComplete();
+    if (isReady && !this.wasReady) {
+      this.wasReady = true;
+      const config = this.watcher.readCatalog()?.config.version;
+      const sinceStartMs = Math.round(this.clock.now());
+      this.logger.info("ready", { config, listOffset: this.directory.next, sinceStartMs });
+    }
+    return isReady;
   }
 
   private applyLimits(): void {
--- /dev/null
+++ b/test/meter.spec.ts
@@ -0,0 +1,35 @@
+/**
+ * Metrics: the text that scrapers read, and that series of endpoints that are gone do not pile up.
+ */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { Meter, Outcome } from "../src/forward/meter";
+
+describe("metrics", () => {
+  it("count requests and sends with their labels, in seconds", async () => {
+    const meter = new Meter();
+    meter.noteRequest("sheets", 2, Outcome.answered, 120);
+    meter.noteSend({ service: "app", endpoint: "a-1", outcome: "answered" }, 80);
+    meter.refusals.inc({ reason: "overloaded" });
+    meter.addGauge("gorsefold_live_instances", "Instances", () => 8);
+    const text = await meter.print();
+    const labels = 'route="sheets",priority="2",outcome="answered"';
+    assert.ok(text.includes(`gorsefold_request_duration_seconds_sum{${labels}} 0.12`));
+    assert.ok(text.includes('le="0.25",route="sheets"'));
+    assert.ok(text.includes('gorsefold_refusals_total{reason="overloaded"} 1'));
+    assert.ok(text.includes("gorsefold_live_instances 8"));
+    assert.match(text, /gorsefold_send_duration_seconds_count\{.*endpoint="a-1".*\} 1/);
+  });
+
+  it("forget endpoints that are no longer listed, and no others", async () => {
+    const meter = new Meter();
+    for (let index = 0; index < 200; index += 1) {
+      meter.noteSend({ service: "app", endpoint: `a-${index}`, outcome: "answered" }, 1);
+      meter.noteSend({ service: "app", endpoint: `a-${index}`, outcome: "not run" }, 1);
+    }
+    meter.prune((endpoint) => endpoint === "a-7");
+    const text = await meter.print();
+    assert.equal([...text.matchAll(/send_duration_seconds_count\{/g)].length, 2);
+    assert.ok(text.includes('endpoint="a-7"'));
+  });
+});
