--- a/test/explain.spec.ts
+++ b/test/explain.spec.ts
@@ -10,7 +10,7 @@
 import { findTrail } from "../src/explain/trail";
 import { printTrail } from "../src/explain/print";
 
-const RECORDED = "test/recorded/busy-day.log";
+const RECORDED = "test/recorded/busy-day.txt";
 const REFUSED = "cac4cee57ff25781";
 const BROKEN = "57137d524d395bcc";
 const UNKNOWN = "d01dc9a75beae909";
