--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -93,8 +93,7 @@
   /** True once what still comes is better off at another instance. */
   private isRefusing = false;
   private isClosed = false;
-  /** True once it was asked and ready. */
-  private wasReady = false;
+  private hasSaidReady = false;
   private configVersion = -1;
 
   constructor(
@@ -198,7 +197,9 @@
       meter,
     );
     this.ready = createServer((_request, response) => {
-      response.statusCode = this.isReady() ? 200 : 503;
+      const isReady = this.isReady();
+      if (isReady) this.noteReady();
+      response.statusCode = isReady ? 200 : 503;
       response.end();
     });
     this.metrics = createServer((_request, response) => {
@@ -296,14 +297,18 @@
   }
 
   private isReady(): boolean {
-    const isReady = !this.isStopping && this.watcher.isComplete();
-    if (isReady && !this.wasReady) {
-      this.wasReady = true;
-      const config = this.watcher.readCatalog()?.config.version;
-      const sinceStartMs = Math.round(this.clock.now());
-      this.logger.info("ready", { config, listOffset: this.directory.next, sinceStartMs });
-    }
-    return isReady;
+    return !this.isStopping && this.watcher.isComplete();
+  }
+
+  /** Says once that the instance is ready, when the platform first hears it. */
+  private noteReady(): void {
+    if (this.hasSaidReady) return;
+    this.hasSaidReady = true;
+    this.logger.info("ready", {
+      config: this.watcher.readCatalog()?.config.version,
+      listOffset: this.directory.next,
+      sinceStartMs: Math.round(this.clock.now()),
+    });
   }
 
   private applyLimits(): void {
@@ -322,19 +327,19 @@
 
   private addGauges(lines: LineWriter): void {
     const { meter } = this;
-    meter.addGauge("gorsefold_open_requests", "Requests without a final answer", () => {
+    meter.addGauge("open_requests", "Requests without a final answer", () => {
       return this.callers.size;
     });
-    meter.addGauge("gorsefold_waiting_generations", "Generations that wait for memory", () => {
+    meter.addGauge("waiting_generations", "Generations that wait for memory", () => {
       return this.desk.size;
     });
-    meter.addGauge("gorsefold_config_version", "Version of the configuration in force", () => {
+    meter.addGauge("config_version", "Version of the configuration in force", () => {
       return this.configVersion;
     });
-    meter.addGauge("gorsefold_live_instances", "Instances that are heard, this one too", () => {
+    meter.addGauge("live_instances", "Instances that are heard, this one too", () => {
       return this.countLive();
     });
-    meter.addGauge("gorsefold_dropped_log_lines", "Log lines left out since the start", () => {
+    meter.addGauge("dropped_log_lines", "Log lines left out since the start", () => {
       return lines.dropped;
     });
   }
--- a/src/forward/meter.ts
+++ b/src/forward/meter.ts
@@ -4,6 +4,7 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
 const MS_PER_SECOND = 1000;
+const PREFIX = "gorsefold_";
 /** Upper ends of latency buckets, in seconds: from a lookup to the longest stream. */
 const BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 20];
 
@@ -26,64 +27,38 @@
   /** By endpoint: the labels under which it stands. */
   private readonly endpoints = new Map<string, Map<string, SendLabels>>();
 
-  /** Refusals and failures that are the router's own. */
-  readonly refusals = new Counter({
-    name: "gorsefold_refusals_total",
-    help: "Final answers of the router's own, by reason",
-    labelNames: ["reason"] as const,
-    registers: this.registers,
-  });
-  readonly repeats = new Counter({
-    name: "gorsefold_repeats_total",
-    help: "Requests that were sent once more, by service",
-    labelNames: ["service"] as const,
-    registers: this.registers,
-  });
-  readonly storeCalls = new Counter({
-    name: "gorsefold_store_calls_total",
-    help: "Calls to the store",
-    registers: this.registers,
-  });
-  readonly storeFailures = new Counter({
-    name: "gorsefold_store_failures_total",
-    help: "Calls to the store that failed",
-    registers: this.registers,
-  });
-  private readonly requests = new Histogram({
-    name: "gorsefold_request_duration_seconds",
-    help: "From a request's arrival to the end of its answer",
-    labelNames: ["route", "priority", "outcome"] as const,
-    buckets: BUCKETS_S,
-    registers: this.registers,
-  });
-  private readonly sends = new Histogram({
-    name: "gorsefold_send_duration_seconds",
-    help: "From a send to an endpoint to the end of its answer",
-    labelNames: ["service", "endpoint", "outcome"] as const,
-    buckets: BUCKETS_S,
-    registers: this.registers,
-  });
-  private readonly firstEvents = new Histogram({
-    name: "gorsefold_first_event_seconds",
-    help: "From a generation's arrival to its first event",
-    labelNames: ["route", "priority"] as const,
-    buckets: BUCKETS_S,
-    registers: this.registers,
-  });
-  private readonly waits = new Histogram({
-    name: "gorsefold_queue_wait_seconds",
-    help: "Time that generations wait for memory at an engine",
-    labelNames: ["service"] as const,
-    buckets: BUCKETS_S,
-    registers: this.registers,
-  });
-  private readonly prefills = new Histogram({
-    name: "gorsefold_prefill_seconds",
-    help: "Time that engines take to read a prompt, its wait there included",
-    labelNames: ["service"] as const,
-    buckets: BUCKETS_S,
-    registers: this.registers,
-  });
+  /** Final answers of the router's own. */
+  readonly refusals = this.createCounter("refusals_total", "Answers of the router's own", [
+    "reason",
+  ]);
+  readonly repeats = this.createCounter("repeats_total", "Requests sent once more", ["service"]);
+  readonly storeCalls = this.createCounter("store_calls_total", "Calls to the store", []);
+  readonly storeFailures = this.createCounter("store_failures_total", "Failed calls to it", []);
+  private readonly requests = this.createHistogram(
+    "request_duration_seconds",
+    "From a request's arrival to the end of its answer",
+    ["route", "priority", "outcome"],
+  );
+  private readonly sends = this.createHistogram(
+    "send_duration_seconds",
+    "From a send to an endpoint to the end of its answer",
+    ["service", "endpoint", "outcome"],
+  );
+  private readonly firstEvents = this.createHistogram(
+    "first_event_seconds",
+    "From a generation's arrival to its first event",
+    ["route", "priority"],
+  );
+  private readonly waits = this.createHistogram(
+    "queue_wait_seconds",
+    "How long generations wait for memory at an engine",
+    ["service"],
+  );
+  private readonly prefills = this.createHistogram(
+    "prefill_seconds",
+    "How long engines take to read a prompt, its wait there included",
+    ["service"],
+  );
 
   /** Notes the end of a request. */
   noteRequest(route: string, priority: number, outcome: Outcome, ms: number): void {
@@ -119,7 +94,7 @@
   /** Adds a value that is read when the metrics are. */
   addGauge(name: string, help: string, read: () => number): void {
     const gauge = new Gauge({
-      name,
+      name: `${PREFIX}${name}`,
       help,
       registers: this.registers,
       collect: () => {
@@ -137,6 +112,20 @@
     }
   }
 
+  private createCounter<L extends string>(name: string, help: string, labelNames: readonly L[]) {
+    return new Counter({ name: `${PREFIX}${name}`, help, labelNames, registers: this.registers });
+  }
+
+  private createHistogram<L extends string>(name: string, help: string, labelNames: readonly L[]) {
+    return new Histogram({
+      name: `${PREFIX}${name}`,
+      help,
+      labelNames,
+      buckets: BUCKETS_S,
+      registers: this.registers,
+    });
+  }
+
   /** Prints all in the text format that scrapers read. */
   print(): Promise<string> {
     return this.registry.metrics();
--- a/src/forward/server.ts
+++ b/src/forward/server.ts
@@ -12,7 +12,7 @@
 import type { CallerCodec, RequestHead } from "./exchange";
 import type { Meter } from "./meter";
 import type { WholeAnswer } from "./plain";
-import type { StreamSink } from "./stream";
+import type { StreamSink } from "./decode";
 
 /** Limits that hold until a configuration is known. */
 const FIRST_LIMITS: CallerLimits = {
--- a/src/forward/stream.ts
+++ b/src/forward/stream.ts
@@ -5,68 +5,23 @@
 import * as E from "fp-ts/Either";
 import { computeLeftMs, type Moment } from "../core/clock";
 import { createNotRun, createUnknown, Ran, Reason, Refusal } from "../core/outcome";
-import { type EngineLimits, Repeat } from "../fleet/catalog";
-import type { EndpointEntry } from "../fleet/directory";
-import { AbortCause, Watch } from "./abort";
-import type { OpenAnswer, SendFailure } from "./connections";
-import { type ForwardContext, type RequestTimes, resetBeside } from "./context";
+import type { EngineLimits } from "../fleet/catalog";
+import { Watch } from "./abort";
+import type { ForwardContext, RequestTimes } from "./context";
+import { Decoder, nameAbort, type StreamSink, TryEnd, type TryResult } from "./decode";
 import type { Desk, Reservation } from "./desk";
 import type { EngineBook } from "./engines";
-import type { StreamEvent } from "./events";
-import { type CacheSource, type ForwardRequest, Task, Verdict } from "./exchange";
-import { createCancelled, readBody, readWholeBody, type WholeAnswer } from "./plain";
+import type { CacheSource, ForwardRequest } from "./exchange";
 import { computeNeed, computeRetryAfter, computeWait } from "./overload";
+import { createCancelled, type WholeAnswer } from "./plain";
 import { Prefiller } from "./prefill";
-import { EndpointState, probeEndpoint } from "./probe";
-import { RelayEnd, relayEvents } from "./relay";
 import type { ReturnBook } from "./returns";
 import { SendCount } from "./sendcount";
 
 /** The most engines that one generation is tried at, those that did not run it included. */
 const MAX_TRIES = 5;
-/** How long a stream that may be resumed may be silent before it goes on elsewhere, milliseconds. */
-const SILENCE_MS = 1200;
-/** How long its first event may take, in milliseconds. */
-const FIRST_EVENT_MS = 2500;
 /** How long after the deadline a stream is cut off, in milliseconds. */
 const DEADLINE_GRACE_MS = 120;
-/** Takes a stream on its way to the caller. */
-export interface StreamSink {
-  /**
-   * Sends the head of the answer.
-   *
-   * @param isFramed - false where only the end of the connection shall say that it is whole
-   */
-  begin(status: number, headers: readonly string[], isFramed: boolean): void;
-  write(bytes: Buffer): void;
-  /** Ends the answer as complete. */
-  end(): void;
-  /** Breaks the answer off, so that it cannot look complete. */
-  cut(): void;
-}
-
-/** How a try at an engine ended. */
-const TryEnd = {
-  complete: "complete",
-  /** The engine has not run it. */
-  notRun: "not run",
-  /** The engine answered with a failure. */
-  failed: "failed",
-  /** The stream broke off, went silent or never came. */
-  broken: "broken",
-  callerGone: "caller gone",
-  /** The deadline passed while an engine had it. */
-  timeUp: "time up",
-  /** Nothing was sent: the deadline has passed, or the budget has no repeat left. */
-  unsent: "unsent",
-} as const;
-type TryEnd = (typeof TryEnd)[keyof typeof TryEnd];
-
-interface TryResult {
-  readonly end: TryEnd;
-  readonly message: string;
-  readonly answer?: WholeAnswer;
-}
 
 /** What generations share within an instance. */
 export interface StreamParts {
@@ -80,12 +35,7 @@
 export class StreamRun {
   private readonly sends: SendCount;
   private readonly prompt: Prefiller;
-  private lastEventId: string | undefined;
-  private firstEventAt: Moment | undefined;
-  /** The engine whose connection broke and which lives: it still has the prompt in its cache. */
-  private preferred: string | undefined;
-  /** Whether the answer to the caller says where it ends. */
-  private isFramed = true;
+  private readonly decoder: Decoder;
   private runs = 0;
   /** True once a stream was broken off towards its caller. */
   isCut = false;
@@ -103,10 +53,10 @@
     const { context, desk, book } = parts;
     const { service, head } = request;
     const listViews = (now: Moment) => desk.listViews(service, now);
-    this.lastEventId = head.lastEventId;
     this.needTokens = head.size === undefined ? 0 : computeNeed(head.size);
     this.sends = new SendCount(context.retries, service, context.clock);
     const prefillParts = { context, book, listViews };
+    this.decoder = new Decoder(parts, request, times, sink);
     this.prompt = new Prefiller(prefillParts, request, limits, times, this.sends);
   }
 
@@ -118,7 +68,7 @@
   async run(): Promise<E.Either<Refusal, WholeAnswer> | undefined> {
     const answer = await this.runTries();
     this.prompt.close();
-    if (answer === undefined || this.firstEventAt === undefined) return answer;
+    if (answer === undefined || this.decoder.firstEventAt === undefined) return answer;
     // After events went out only a break can tell the caller that there are no more.
     this.isCut = true;
     this.sink.cut();
@@ -153,7 +103,7 @@
       after: end,
       message,
       runs: this.runs,
-      lastEvent: this.lastEventId ?? "",
+      lastEvent: this.decoder.lastEventId ?? "",
       leftMs: computeLeftMs(this.times.deadline, context.clock.now()),
     });
   }
@@ -165,11 +115,7 @@
     if (now >= this.times.deadline) return false;
     if (crashes.isBanned(this.request.fingerprint, now)) return false;
     if (end === TryEnd.notRun) return true;
-    return this.isResumable() && this.runs < this.request.route.maxAttempts;
-  }
-
-  private isResumable(): boolean {
-    return this.request.route.repeat !== Repeat.once;
+    return this.decoder.isResumable && this.runs < this.request.route.maxAttempts;
   }
 
   private async reserve(): Promise<Reservation | undefined> {
@@ -199,7 +145,7 @@
       service,
       limits: this.limits,
       needTokens: this.needTokens,
-      preferred: this.preferred,
+      preferred: this.decoder.preferred,
       caller: this.caller,
     });
     meter.noteWait(service, clock.now() - startedAt);
@@ -212,7 +158,7 @@
     const { endpoint, needTokens } = reservation;
     const startedAt = clock.now();
     const watch = new Watch(clock, this.times.deadline + DEADLINE_GRACE_MS, this.caller);
-    const isCached = endpoint.id === this.preferred;
+    const isCached = endpoint.id === this.decoder.preferred;
     const source = isCached ? undefined : await this.prompt.read(watch, endpoint);
     const prefilledAt = clock.now();
     const result = await this.decode(reservation, source, watch);
@@ -228,11 +174,11 @@
       prefill: source?.address ?? "none",
       end: outcome,
       message: result.message,
-      lastEvent: this.lastEventId ?? "",
+      lastEvent: this.decoder.lastEventId ?? "",
       needTokens,
       waitedMs: Math.round(startedAt - this.times.arrivedAt),
       prefillMs: Math.round(prefilledAt - startedAt),
-      firstMs: Math.round((this.firstEventAt ?? prefilledAt) - prefilledAt),
+      firstMs: Math.round((this.decoder.firstEventAt ?? prefilledAt) - prefilledAt),
       decodeMs: Math.round(ms),
     };
     if (outcome === TryEnd.complete) logger.info("try", fields);
@@ -245,31 +191,14 @@
     source: CacheSource | undefined,
     watch: Watch,
   ): Promise<TryResult> {
-    const { context, desk } = this.parts;
+    const { desk } = this.parts;
     const stopped = nameAbortUnsent(watch) ?? this.checkBudget();
     if (stopped !== undefined) {
       desk.drop(reservation);
       this.prompt.release(source);
       return stopped;
     }
-    const { endpoint, hold } = reservation;
-    const silence = new Watch(context.clock, this.computeFirstDeadline(), watch.signal);
-    const leftMs = computeLeftMs(this.times.deadline, context.clock.now());
-    const { request, lastEventId } = this;
-    const send = { request, endpoint, task: Task.run, leftMs, source, hold, lastEventId };
-    context.logger.info("decode", {
-      request: request.head.id,
-      engine: endpoint.id,
-      source: source?.address ?? "none",
-      run: this.runs + 1,
-      lastEvent: lastEventId ?? "",
-      leftMs,
-    });
-    const opened = await context.client.send({ ...send, urgency: undefined }, silence.signal);
-    silence.close();
-    const result = E.isRight(opened)
-      ? await this.readAnswer(opened.right, endpoint, watch)
-      : await this.explainFailure(opened.left, endpoint, watch);
+    const result = await this.decoder.run(reservation, source, this.runs + 1, watch);
     if (result.end === TryEnd.notRun) this.prompt.keep(source);
     return result;
   }
@@ -279,125 +208,6 @@
     return { end: TryEnd.unsent, message: `${this.message}; no retry is left in the budget` };
   }
 
-  private async explainFailure(
-    failure: SendFailure,
-    endpoint: EndpointEntry,
-    watch: Watch,
-  ): Promise<TryResult> {
-    const aborted = nameAbort(watch);
-    if (aborted !== undefined) return aborted;
-    const { isSent, message } = failure;
-    if (!isSent) {
-      this.noteBroken(endpoint);
-      return { end: TryEnd.notRun, message };
-    }
-    return this.noteBreak(endpoint, message);
-  }
-
-  private noteBroken(endpoint: EndpointEntry): void {
-    const { context, book } = this.parts;
-    book.noteBroken(endpoint.id, context.clock.now());
-    resetBeside(context, endpoint);
-  }
-
-  private async noteBreak(endpoint: EndpointEntry, message: string): Promise<TryResult> {
-    const { context } = this.parts;
-    resetBeside(context, endpoint);
-    const state = await probeEndpoint(context, this.request, endpoint);
-    if (state === EndpointState.up) this.preferred = endpoint.id;
-    else this.noteBroken(endpoint);
-    return { end: TryEnd.broken, message };
-  }
-
-  private async readAnswer(
-    answer: OpenAnswer,
-    endpoint: EndpointEntry,
-    watch: Watch,
-  ): Promise<TryResult> {
-    const { head } = answer;
-    const { book, context } = this.parts;
-    if (head.verdict === Verdict.notRun || head.verdict === Verdict.misdirected) {
-      await readBody(answer.body);
-      if (head.verdict === Verdict.misdirected) context.directory.noteMisdirected(endpoint);
-      else book.noteRefused(endpoint.id, context.clock.now());
-      return { end: TryEnd.notRun, message: `the engine answered ${head.status}` };
-    }
-    if (head.verdict === Verdict.foreign) {
-      answer.body.destroy();
-      resetBeside(context, endpoint);
-      return { end: TryEnd.broken, message: "the answer is not one to this request" };
-    }
-    if (head.status >= 300) return this.readFailure(answer);
-    book.noteSound(endpoint.id);
-    return this.relay(answer, endpoint, watch);
-  }
-
-  private async readFailure(answer: OpenAnswer): Promise<TryResult> {
-    const message = `the engine answered ${answer.head.status}`;
-    const whole = await readWholeBody(answer);
-    if (E.isLeft(whole)) return { end: TryEnd.broken, message: whole.left.message };
-    const { head, isFramed } = answer;
-    return { end: TryEnd.failed, message, answer: { head, body: whole.right, isFramed } };
-  }
-
-  private async relay(
-    answer: OpenAnswer,
-    endpoint: EndpointEntry,
-    watch: Watch,
-  ): Promise<TryResult> {
-    const hasBegun = this.firstEventAt !== undefined;
-    const { end, message } = await relayEvents({
-      answer,
-      watch,
-      firstMs: this.isResumable() ? (hasBegun ? SILENCE_MS : FIRST_EVENT_MS) : undefined,
-      silenceMs: this.isResumable() ? SILENCE_MS : undefined,
-      onEvents: (events) => {
-        this.passOn(answer, events);
-      },
-    });
-    if (end === RelayEnd.complete && this.mayEndWith(answer)) {
-      this.passOn(answer, []);
-      this.parts.context.crashes.clear(this.request.fingerprint);
-      this.sink.end();
-      return { end: TryEnd.complete, message };
-    }
-    const aborted = nameAbort(watch);
-    if (aborted !== undefined) return aborted;
-    if (end !== RelayEnd.silent) return this.noteBreak(endpoint, message);
-    this.noteBroken(endpoint);
-    return { end: TryEnd.broken, message };
-  }
-
-  /** An answer that may have ended early must not end one that says where it ends. */
-  private mayEndWith(answer: OpenAnswer): boolean {
-    const hasBegun = this.firstEventAt !== undefined;
-    return answer.isFramed || !hasBegun || !this.isFramed;
-  }
-
-  private passOn(answer: OpenAnswer, events: readonly StreamEvent[]): void {
-    this.begin(answer);
-    for (const event of events) {
-      this.lastEventId = event.id ?? this.lastEventId;
-      this.sink.write(event.bytes);
-    }
-  }
-
-  /** The head is that of the first engine, also where another one goes on. */
-  private begin(answer: OpenAnswer): void {
-    if (this.firstEventAt !== undefined) return;
-    const { clock, meter } = this.parts.context;
-    this.firstEventAt = clock.now();
-    const { route, priority } = this.request;
-    meter.noteFirstEvent(route.name, priority, this.firstEventAt - this.times.arrivedAt);
-    this.isFramed = answer.isFramed;
-    this.sink.begin(answer.head.status, answer.head.headers, answer.isFramed);
-  }
-
-  private computeFirstDeadline(): Moment | undefined {
-    if (!this.isResumable()) return undefined;
-    return this.parts.context.clock.now() + FIRST_EVENT_MS;
-  }
-
   private createRefusal(): Refusal {
     const { clock, draw } = this.parts.context;
     const now = clock.now();
@@ -417,13 +227,3 @@
   const aborted = nameAbort(watch);
   return aborted?.end === TryEnd.timeUp ? { ...aborted, end: TryEnd.unsent } : aborted;
 }
-
-function nameAbort(watch: Watch): TryResult | undefined {
-  if (watch.cause === AbortCause.callerGone) {
-    return { end: TryEnd.callerGone, message: "the caller has left" };
-  }
-  if (watch.cause === AbortCause.timeUp) {
-    return { end: TryEnd.timeUp, message: "the deadline has passed" };
-  }
-  return undefined;
-}
--- a/test/fleet.spec.ts
+++ b/test/fleet.spec.ts
@@ -12,7 +12,8 @@
 import { OrderRights } from "../src/fleet/orders";
 import { Roster } from "../src/fleet/roster";
 import type { Beat } from "../src/peer/gen/fleet";
-import { createConfig, createEntry, MemoryOrders, testCodecs } from "./harness/forward";
+import { createConfig, createEntry, testCodecs } from "./harness/forward";
+import { MemoryOrders } from "./harness/memory";
 
 function createDirectory(): Directory {
   return new Directory(testCodecs.decodeEndpoint);
--- a/test/forward.spec.ts
+++ b/test/forward.spec.ts
@@ -5,15 +5,10 @@
 import { request as httpRequest } from "node:http";
 import { describe, it } from "node:test";
 import { addEndpoint, get, port, prepareEach, readyPort, start, store } from "./harness/fixture";
-import {
-  createConfig,
-  createEntry,
-  MemoryStore,
-  pause,
-  startInstance,
-  waitUntil,
-  writeAnswer,
-} from "./harness/forward";
+import { createConfig, createEntry, startInstance, waitUntil } from "./harness/forward";
+import { MemoryStore } from "./harness/memory";
+import { pause } from "../src/core/clock";
+import { writeAnswer } from "./harness/raw";
 
 prepareEach();
 
--- a/test/generation.spec.ts
+++ b/test/generation.spec.ts
@@ -7,7 +7,9 @@
 import { describe, it } from "node:test";
 import { EngineStage } from "../src/fleet/directory";
 import { addEndpoint, get, instance, port, prepareEach, readyPort, start } from "./harness/fixture";
-import { pause, type RawEndpoint, waitUntil, writeAnswer } from "./harness/forward";
+import { pause } from "../src/core/clock";
+import { type RawEndpoint, writeAnswer } from "./harness/raw";
+import { waitUntil } from "./harness/forward";
 
 prepareEach();
 
--- a/test/harness/fixture.ts
+++ b/test/harness/fixture.ts
@@ -4,14 +4,9 @@
 import { type Agent, request as httpRequest } from "node:http";
 import { after, afterEach, beforeEach } from "node:test";
 import type { ForwardInstance } from "../../src/forward/instance";
-import {
-  createConfig,
-  createEntry,
-  MemoryStore,
-  RawEndpoint,
-  startInstance,
-  waitUntil,
-} from "./forward";
+import { createConfig, createEntry, startInstance, waitUntil } from "./forward";
+import { MemoryStore } from "./memory";
+import { RawEndpoint } from "./raw";
 
 /** An answer as its caller got it. */
 export interface Got {
--- a/test/harness/forward.ts
+++ b/test/harness/forward.ts
@@ -1,30 +1,14 @@
 /**
- * A forwarding instance in this process, with an adapter for tests: a store in memory, and plain
- * header names of the tests' own.
+ * A forwarding instance in this process, with an adapter for tests that has plain header names of its own.
  */
-import {
-  createServer as createNetServer,
-  type AddressInfo,
-  type Server,
-  type Socket,
-} from "node:net";
 import type { IncomingMessage } from "node:http";
 import * as E from "fp-ts/Either";
+import { pause } from "../../src/core/clock";
 import { DecodeError } from "../../src/core/decode";
 import { createNotRun, Reason, type Refusal } from "../../src/core/outcome";
 import type { FleetConfig } from "../../src/fleet/catalog";
 import { CostUnit, Repeat } from "../../src/fleet/catalog";
 import type { EndpointEntry } from "../../src/fleet/directory";
-import {
-  type Feed,
-  type FeedRecord,
-  type OrderLog,
-  type OrderRecord,
-  type OwnFeed,
-  type Store,
-  StoreError,
-  StoreFault,
-} from "../../src/fleet/store";
 import {
   type AnswerHead,
   type CallerCodec,
@@ -37,83 +21,9 @@
   Verdict,
 } from "../../src/forward/exchange";
 import { ForwardInstance } from "../../src/forward/instance";
+import { MemoryStore } from "./memory";
 import type { ForwardSettings } from "../../src/forward/settings";
 
-/** A feed in memory, of which the newest of each key can be read. */
-export class MemoryFeed implements OwnFeed {
-  readonly records: FeedRecord[] = [];
-  isDown = false;
-
-  put(key: string, value: Buffer | undefined): void {
-    this.records.push({ key, value, offset: this.records.length });
-  }
-
-  append: OwnFeed["append"] = (key, value) => () => {
-    if (this.isDown) return Promise.resolve(E.left(createDown()));
-    this.put(key, value);
-    return Promise.resolve(E.right(undefined));
-  };
-
-  readNewest: Feed["readNewest"] = () => () => {
-    if (this.isDown) return Promise.resolve(E.left(createDown()));
-    const newest = new Map(this.records.map((record) => [record.key, record]));
-    const records = [...newest.values()].filter((record) => record.value !== undefined);
-    return Promise.resolve(E.right({ records, next: this.records.length }));
-  };
-
-  read: Feed["read"] = (from, waitMs) => async () => {
-    if (this.records.length <= from) await pause(Math.min(waitMs, 20));
-    if (this.isDown) return E.left(createDown());
-    return E.right({ records: this.records.slice(from), next: this.records.length });
-  };
-}
-
-/** A log in memory that takes records only at its end. */
-export class MemoryOrders implements OrderLog {
-  readonly records: OrderRecord[] = [];
-  isDown = false;
-
-  read: OrderLog["read"] = (from) => () =>
-    Promise.resolve(
-      this.isDown
-        ? E.left(createDown())
-        : E.right({ records: this.records.slice(from), end: this.records.length }),
-    );
-
-  appendAt: OrderLog["appendAt"] = (end, value) => () => {
-    if (this.isDown) return Promise.resolve(E.left(createDown()));
-    if (end !== this.records.length) {
-      return Promise.resolve(E.left(new StoreError(StoreFault.moved, "moved")));
-    }
-    this.records.push({ value, offset: end });
-    return Promise.resolve(E.right(end));
-  };
-}
-
-/** A store in memory. */
-export class MemoryStore implements Store {
-  readonly configuration = new MemoryFeed();
-  readonly endpoints = new MemoryFeed();
-  readonly members = new MemoryFeed();
-  readonly orders = new MemoryOrders();
-
-  reset(): void {
-    // Nothing to connect to.
-  }
-
-  close(): Promise<void> {
-    return Promise.resolve();
-  }
-
-  publish(config: FleetConfig): void {
-    this.configuration.put("config", Buffer.from(JSON.stringify(config)));
-  }
-
-  list(entry: EndpointEntry): void {
-    this.endpoints.put(entry.id, Buffer.from(JSON.stringify(entry)));
-  }
-}
-
 class TestCallerCodec implements CallerCodec {
   readHead(request: IncomingMessage): E.Either<Refusal, RequestHead> {
     const { headers, method = "", url = "" } = request;
@@ -260,53 +170,6 @@
   }
 }
 
-/** An endpoint that speaks in raw bytes, as `answer` says. */
-export class RawEndpoint {
-  readonly requests: string[] = [];
-  readonly sockets = new Set<Socket>();
-  private readonly server: Server;
-
-  constructor(private readonly answer: (head: string, socket: Socket) => void) {
-    this.server = createNetServer((socket) => {
-      this.sockets.add(socket);
-      socket.on("close", () => this.sockets.delete(socket));
-      socket.on("error", () => undefined);
-      let text = "";
-      socket.on("data", (bytes) => {
-        text += bytes.toString("latin1");
-        for (;;) {
-          const end = text.indexOf("\r\n\r\n");
-          if (end < 0) return;
-          const head = text.slice(0, end);
-          const length = Number(/content-length: (\d+)/i.exec(head)?.[1] ?? "0");
-          if (text.length < end + 4 + length) return;
-          text = text.slice(end + 4 + length);
-          this.requests.push(head);
-          this.answer(head, socket);
-        }
-      });
-    });
-  }
-
-  async listen(): Promise<string> {
-    await new Promise<void>((resolve) => this.server.listen(0, "127.0.0.1", resolve));
-    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
-  }
-
-  close(): void {
-    for (const socket of this.sockets) socket.destroy();
-    this.server.close();
-  }
-}
-
-/** Writes a whole answer. */
-export function writeAnswer(socket: Socket, head: string, body: string, status = "200 OK") {
-  const id = /x-id: (\S+)/i.exec(head)?.[1] ?? "";
-  socket.write(
-    `HTTP/1.1 ${status}\r\nx-id: ${id}\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
-  );
-}
-
 /** An entry for the list of endpoints. */
 export function createEntry(
   id: string,
@@ -394,15 +257,6 @@
   };
 }
 
-function createDown(): StoreError {
-  return new StoreError(StoreFault.refused, "down");
-}
-
 function readText(value: string | string[] | undefined): string | undefined {
   return typeof value === "string" && value !== "" ? value : undefined;
 }
-
-/** Waits. */
-export function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- /dev/null
+++ b/test/harness/memory.ts
@@ -0,0 +1,96 @@
+/**
+ * The store in memory: feeds, orders and members that go down when a test says so.
+ */
+import * as E from "fp-ts/Either";
+import { pause } from "../../src/core/clock";
+import type { FleetConfig } from "../../src/fleet/catalog";
+import type { EndpointEntry } from "../../src/fleet/directory";
+import {
+  type Feed,
+  type FeedRecord,
+  type OrderLog,
+  type OrderRecord,
+  type OwnFeed,
+  type Store,
+  StoreError,
+  StoreFault,
+} from "../../src/fleet/store";
+
+/** A feed in memory, of which the newest of each key can be read. */
+export class MemoryFeed implements OwnFeed {
+  readonly records: FeedRecord[] = [];
+  isDown = false;
+
+  put(key: string, value: Buffer | undefined): void {
+    this.records.push({ key, value, offset: this.records.length });
+  }
+
+  append: OwnFeed["append"] = (key, value) => () => {
+    if (this.isDown) return Promise.resolve(E.left(createDown()));
+    this.put(key, value);
+    return Promise.resolve(E.right(undefined));
+  };
+
+  readNewest: Feed["readNewest"] = () => () => {
+    if (this.isDown) return Promise.resolve(E.left(createDown()));
+    const newest = new Map(this.records.map((record) => [record.key, record]));
+    const records = [...newest.values()].filter((record) => record.value !== undefined);
+    return Promise.resolve(E.right({ records, next: this.records.length }));
+  };
+
+  read: Feed["read"] = (from, waitMs) => async () => {
+    if (this.records.length <= from) await pause(Math.min(waitMs, 20));
+    if (this.isDown) return E.left(createDown());
+    return E.right({ records: this.records.slice(from), next: this.records.length });
+  };
+}
+
+/** A log in memory that takes records only at its end. */
+export class MemoryOrders implements OrderLog {
+  readonly records: OrderRecord[] = [];
+  isDown = false;
+
+  read: OrderLog["read"] = (from) => () =>
+    Promise.resolve(
+      this.isDown
+        ? E.left(createDown())
+        : E.right({ records: this.records.slice(from), end: this.records.length }),
+    );
+
+  appendAt: OrderLog["appendAt"] = (end, value) => () => {
+    if (this.isDown) return Promise.resolve(E.left(createDown()));
+    if (end !== this.records.length) {
+      return Promise.resolve(E.left(new StoreError(StoreFault.moved, "moved")));
+    }
+    this.records.push({ value, offset: end });
+    return Promise.resolve(E.right(end));
+  };
+}
+
+/** A store in memory. */
+export class MemoryStore implements Store {
+  readonly configuration = new MemoryFeed();
+  readonly endpoints = new MemoryFeed();
+  readonly members = new MemoryFeed();
+  readonly orders = new MemoryOrders();
+
+  reset(): void {
+    // Nothing to connect to.
+  }
+
+  close(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  publish(config: FleetConfig): void {
+    this.configuration.put("config", Buffer.from(JSON.stringify(config)));
+  }
+
+  list(entry: EndpointEntry): void {
+    this.endpoints.put(entry.id, Buffer.from(JSON.stringify(entry)));
+  }
+}
+
+function createDown(): StoreError {
+  return new StoreError(StoreFault.refused, "down");
+}
--- /dev/null
+++ b/test/harness/raw.ts
@@ -0,0 +1,56 @@
+/**
+ * Endpoints that speak in raw bytes, so that they can misbehave on the wire.
+ */
+import {
+  createServer as createNetServer,
+  type AddressInfo,
+  type Server,
+  type Socket,
+} from "node:net";
+
+/** An endpoint that speaks in raw bytes, as `answer` says. */
+export class RawEndpoint {
+  readonly requests: string[] = [];
+  readonly sockets = new Set<Socket>();
+  private readonly server: Server;
+
+  constructor(private readonly answer: (head: string, socket: Socket) => void) {
+    this.server = createNetServer((socket) => {
+      this.sockets.add(socket);
+      socket.on("close", () => this.sockets.delete(socket));
+      socket.on("error", () => undefined);
+      let text = "";
+      socket.on("data", (bytes) => {
+        text += bytes.toString("latin1");
+        for (;;) {
+          const end = text.indexOf("\r\n\r\n");
+          if (end < 0) return;
+          const head = text.slice(0, end);
+          const length = Number(/content-length: (\d+)/i.exec(head)?.[1] ?? "0");
+          if (text.length < end + 4 + length) return;
+          text = text.slice(end + 4 + length);
+          this.requests.push(head);
+          this.answer(head, socket);
+        }
+      });
+    });
+  }
+
+  async listen(): Promise<string> {
+    await new Promise<void>((resolve) => this.server.listen(0, "127.0.0.1", resolve));
+    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  close(): void {
+    for (const socket of this.sockets) socket.destroy();
+    this.server.close();
+  }
+}
+
+/** Writes a whole answer. */
+export function writeAnswer(socket: Socket, head: string, body: string, status = "200 OK") {
+  const id = /x-id: (\S+)/i.exec(head)?.[1] ?? "";
+  socket.write(
+    `HTTP/1.1 ${status}\r\nx-id: ${id}\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
+  );
+}
--- a/test/meter.spec.ts
+++ b/test/meter.spec.ts
@@ -11,7 +11,7 @@
     meter.noteRequest("sheets", 2, Outcome.answered, 120);
     meter.noteSend({ service: "app", endpoint: "a-1", outcome: "answered" }, 80);
     meter.refusals.inc({ reason: "overloaded" });
-    meter.addGauge("gorsefold_live_instances", "Instances", () => 8);
+    meter.addGauge("live_instances", "Instances", () => 8);
     const text = await meter.print();
     const labels = 'route="sheets",priority="2",outcome="answered"';
     assert.ok(text.includes(`gorsefold_request_duration_seconds_sum{${labels}} 0.12`));
--- a/test/standin/http.ts
+++ b/test/standin/http.ts
@@ -2,6 +2,7 @@
  * What the stand-ins share: a JSON server, and a history that outlives a killed process.
  */
 import { appendFileSync } from "node:fs";
+export { pause } from "../../src/core/clock";
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 
 /** One thing that a process saw, at a moment of the machine's monotonic clock in milliseconds. */
@@ -80,8 +81,3 @@
   response.writeHead(status, { "content-type": "application/json", ...headers });
   response.end(JSON.stringify(body));
 }
-
-/** Waits. */
-export function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/test/steering.spec.ts
+++ b/test/steering.spec.ts
@@ -11,7 +11,9 @@
 import { OrderRights } from "../src/fleet/orders";
 import type { EndpointClient } from "../src/forward/connections";
 import { Steering } from "../src/forward/steering";
-import { createConfig, createEntry, MemoryOrders, pause, testCodecs } from "./harness/forward";
+import { createConfig, createEntry, testCodecs } from "./harness/forward";
+import { MemoryOrders } from "./harness/memory";
+import { pause } from "../src/core/clock";
 
 const NAMES = ["n1", "n2", "n3"];
 
