--- a/deploy/mix.mjs
+++ b/deploy/mix.mjs
@@ -1,5 +1,5 @@
-// Writes deploy/days/kind-*.toml (each kind of trouble by itself: early, late, twice, beside a cut or a
-// store that is away) and deploy/days/mix-*.toml (every two kinds within the same seconds of some day).
+// Writes deploy/days/kind-*.toml (each kind of trouble by itself, early and late, twice, beside a cut
+// and a store that is away) and deploy/days/mix-*.toml (every two kinds within the same seconds of some day).
 // The variants of a kind take turns. Run it again after a change: node deploy/mix.mjs
 import { readdirSync, rmSync, writeFileSync } from "node:fs";
 import { dirname, join } from "node:path";
@@ -9,6 +9,10 @@
 const LENGTH_S = 36;
 /** Kinds that meet within the same seconds of a mixed day. */
 const KINDS_A_DAY = 5;
+/** When a kind comes in its own days, in seconds, and how much sooner what stands beside it. */
+const EARLY_S = 3;
+const LATE_S = 24;
+const COMPANION_LEAD_S = 1.5;
 /** Moments at which the troubles of a mixed day begin, in seconds; each day shifts them. */
 const STARTS_S = [5, 6.5, 8, 9.5, 11];
 
@@ -134,6 +138,10 @@
   { kind: "hup", isPlanned: true, variants: ["share = 0.5, gap_s = 1.0"] },
 ];
 
+/** Kinds that came later: their days follow those of the others, which stay as they were played. */
+const ADDED_KINDS = [{ kind: "big_config", isPlanned: true, variants: ["count = 350"] }];
+const ALL_KINDS = [...KINDS, ...ADDED_KINDS];
+
 const COMPANIONS = [
   'kind = "zone_cut", zone = "@z0", for_s = 5.0',
   'kind = "platform_down", for_s = 5.0, how = "silent"',
@@ -168,41 +176,62 @@
   );
 }
 
-/** Early, and late in the day beside the store away or a cut: twice in all. */
-function writeKindDay(item, index) {
-  const own = [writeEntry(item, 3), writeEntry(item, 24)];
-  const beside = COMPANIONS[index % COMPANIONS.length];
-  const entries = [...own, { isPlanned: false, line: `{ at = 22.5, ${beside} }` }];
-  writeDay(
-    `kind-${item.kind.replaceAll("_", "-")}`,
-    `${item.kind}: early by itself, late beside another.`,
-    entries,
-  );
+/** Early by itself, and late beside a companion. */
+function writeEarlyDay(item, index) {
+  writeDay(nameDay(item), `${item.kind}: early by itself, late beside another.`, [
+    writeEntry(item, EARLY_S),
+    writeEntry(item, LATE_S),
+    writeCompanion(index, LATE_S - COMPANION_LEAD_S),
+  ]);
+}
+
+/** Early beside the other companion, and late by itself. */
+function writeLateDay(item, index) {
+  writeDay(`${nameDay(item)}-late`, `${item.kind}: early beside another, late by itself.`, [
+    writeEntry(item, EARLY_S),
+    writeEntry(item, LATE_S),
+    writeCompanion(index + 1, EARLY_S - COMPANION_LEAD_S),
+  ]);
+}
+
+function nameDay({ kind }) {
+  return `kind-${kind.replaceAll("_", "-")}`;
+}
+
+function writeCompanion(index, atS) {
+  const companion = COMPANIONS[index % COMPANIONS.length];
+  return { isPlanned: false, line: `{ at = ${atS.toFixed(1)}, ${companion} }` };
 }
 
 function nameTwo(a, b) {
   return [a, b].sort((x, y) => x - y).join(" ");
 }
 
-/** Sets of kinds that between them hold every two kinds, chosen greedily. */
-function chooseMixes() {
-  const missing = new Set();
-  for (let a = 0; a < KINDS.length; a += 1) {
-    for (let b = a + 1; b < KINDS.length; b += 1) missing.add(nameTwo(a, b));
+/** Lists every two of the first `count` kinds of which the second is at least the `from`-th. */
+function listPairs(from, count) {
+  const pairs = [];
+  for (let a = 0; a < count; a += 1) {
+    for (let b = Math.max(a + 1, from); b < count; b += 1) pairs.push(nameTwo(a, b));
   }
+  return pairs;
+}
+
+/** Sets of the first `count` kinds that between them hold all pairs, chosen greedily. */
+function chooseMixes(pairs, count) {
+  const missing = new Set(pairs);
   const mixes = [];
   while (missing.size > 0) {
     const [first] = missing;
     const mix = first.split(" ").map(Number);
-    while (mix.length < KINDS_A_DAY) mix.push(chooseNext(mix, missing));
+    while (mix.length < KINDS_A_DAY) mix.push(chooseNext(mix, missing, count));
     for (const a of mix) for (const b of mix) missing.delete(nameTwo(a, b));
     mixes.push(mix);
   }
   return mixes;
 }
 
-function chooseNext(mix, missing) {
-  const scores = KINDS.map((_, index) =>
+function chooseNext(mix, missing, count) {
+  const scores = Array.from({ length: count }, (_, index) =>
     mix.includes(index) ? -1 : mix.filter((other) => missing.has(nameTwo(index, other))).length,
   );
   return scores.indexOf(Math.max(...scores));
@@ -210,8 +239,8 @@
 
 function writeMixDay(mix, index) {
   const shiftS = (index % 4) * 6;
-  const entries = mix.map((kind, place) => writeEntry(KINDS[kind], STARTS_S[place] + shiftS));
-  const names = mix.map((kind) => KINDS[kind].kind).join(", ");
+  const entries = mix.map((kind, place) => writeEntry(ALL_KINDS[kind], STARTS_S[place] + shiftS));
+  const names = mix.map((kind) => ALL_KINDS[kind].kind).join(", ");
   writeDay(
     `mix-${String(index + 1).padStart(2, "0")}`,
     `Within the same seconds: ${names}.`,
@@ -222,7 +251,12 @@
 for (const file of readdirSync(DAYS)) {
   if (/^(kind|mix)-/.test(file)) rmSync(join(DAYS, file));
 }
-KINDS.forEach(writeKindDay);
-const mixes = chooseMixes();
+KINDS.forEach(writeEarlyDay);
+const mixes = [
+  ...chooseMixes(listPairs(0, KINDS.length), KINDS.length),
+  ...chooseMixes(listPairs(KINDS.length, ALL_KINDS.length), ALL_KINDS.length),
+];
 mixes.forEach(writeMixDay);
-console.log(`${KINDS.length} kinds, ${mixes.length} mixes`);
+ADDED_KINDS.forEach(writeEarlyDay);
+ALL_KINDS.forEach(writeLateDay);
+console.log(`${ALL_KINDS.length} kinds, ${mixes.length} mixes`);
