--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -262,6 +262,15 @@
     test: "fleet",
     pattern: "used again|started last",
   },
+  {
+    name: "forwarding: lines never block",
+    file: "src/core/lines.ts",
+    find: "write(descriptor, bytes, done);",
+    replace:
+      'done(null, (require("node:fs") as typeof import("node:fs")).writeSync(descriptor, bytes));',
+    test: "lines",
+    pattern: "stands still",
+  },
   {
     name: "forwarding: no older configuration",
     file: "src/fleet/watcher.ts",
--- /dev/null
+++ b/src/fleet/joiner.ts
@@ -0,0 +1,64 @@
+/**
+ * Makes an instance known to the others by the store, and the others to it.
+ */
+import * as E from "fp-ts/Either";
+import { type Clock, pause } from "../core/clock";
+import type { Logger } from "../core/log";
+import type { Meter } from "../forward/meter";
+import type { Roster, Self } from "./roster";
+import type { OwnFeed } from "./store";
+
+/** How often the members are read again from the store, in milliseconds; beats tell the rest. */
+const MEMBERS_MS = 20_000;
+/** How long to wait before joining is tried again, in milliseconds. */
+const JOIN_RETRY_MS = 400;
+
+/** Joins the fleet, and reads its members now and then. */
+export class Joiner {
+  private timer: NodeJS.Timeout | undefined;
+  private isClosed = false;
+
+  /**
+   * @param onJoined - is told once this instance is in the store and the others are known
+   */
+  constructor(
+    private readonly self: Self,
+    private readonly roster: Roster,
+    private readonly members: OwnFeed,
+    private readonly clock: Clock,
+    private readonly meter: Meter,
+    private readonly logger: Logger,
+    private readonly onJoined: () => void,
+  ) {}
+
+  start(): void {
+    void this.join();
+    this.timer = setInterval(() => {
+      void this.readMembers();
+    }, MEMBERS_MS);
+  }
+
+  close(): void {
+    this.isClosed = true;
+    clearInterval(this.timer);
+  }
+
+  private async join(): Promise<void> {
+    while (!this.isClosed) {
+      this.meter.storeCalls.inc();
+      const joined = await this.members.append(this.self.instance, this.roster.encodeSelf())();
+      if (E.isRight(joined)) break;
+      this.logger.warn("not joined", { error: joined.left.message });
+      await pause(JOIN_RETRY_MS);
+    }
+    await this.readMembers();
+    this.onJoined();
+  }
+
+  private async readMembers(): Promise<void> {
+    this.meter.storeCalls.inc();
+    const page = await this.members.readNewest()();
+    if (E.isRight(page)) this.roster.takeRecords(page.right.records, this.clock.now());
+    else this.logger.warn("members not read", { error: page.left.message });
+  }
+}
--- a/src/forward/engines.ts
+++ b/src/forward/engines.ts
@@ -72,6 +72,13 @@
   private readonly absences = new Map<string, Moment>();
   private readonly ordered = new Map<string, Moment>();
 
+  /**
+   * @param onBroken - hears of an engine that is passed over from now on
+   */
+  constructor(
+    private readonly onBroken: (engine: string, forMs: number) => void = () => undefined,
+  ) {}
+
   /** Adds work of this instance; negative amounts take it away. */
   add(engine: string, heldTokens: number, promptTokens: number, requests: number): void {
     const work = this.own.get(engine) ?? { heldTokens: 0, promptTokens: 0, requests: 0 };
@@ -103,6 +110,7 @@
 
   /** Passes an engine over that could not be reached or broke. */
   noteBroken(engine: string, now: Moment): void {
+    if ((this.shunDeadlines.get(engine) ?? 0) <= now) this.onBroken(engine, SHUN_MS);
     this.shunDeadlines.set(engine, now + SHUN_MS);
   }
 
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -10,6 +10,7 @@
 import { createNotRun, Reason } from "../core/outcome";
 import { Beacon } from "../fleet/beacon";
 import { Directory, type EndpointDecoder } from "../fleet/directory";
+import { Joiner } from "../fleet/joiner";
 import { type FleetHandler, type FleetServer, GrpcFleetLink, listenFleet } from "../fleet/link";
 import { Roster, type Self } from "../fleet/roster";
 import type { Store } from "../fleet/store";
@@ -45,10 +46,6 @@
 /** How much sooner than the platform kills it a stopping instance ends, in milliseconds. */
 const GRACE_MARGIN_MS = 700;
 const MAINTENANCE_MS = 1000;
-/** How often the members are read again from the store, in milliseconds. */
-const MEMBERS_MS = 20_000;
-/** How long to wait before joining is tried again, in milliseconds. */
-const JOIN_RETRY_MS = 400;
 /** The part of an endpoint's connections that the fleet uses, so that none is ever refused. */
 const CONNECTION_SHARE = 0.85;
 const LEAST_CONNECTIONS = 4;
@@ -75,10 +72,13 @@
   private readonly link = new GrpcFleetLink();
   private readonly watcher: Watcher;
   private readonly beacon: Beacon;
+  private readonly joiner: Joiner;
   private readonly quotas: Quotas;
   private readonly crashes = new CrashBook();
   private readonly returns = new ReturnBook();
-  private readonly book = new EngineBook();
+  private readonly book = new EngineBook((engine, forMs) => {
+    this.logger.warn("engine passed over", { engine, forMs });
+  });
   private readonly context: ForwardContext;
   private readonly desk: Desk;
   private readonly steering: Steering;
@@ -92,8 +92,9 @@
   private isStopping = false;
   /** True once what still comes is better off at another instance. */
   private isRefusing = false;
-  private isClosed = false;
   private hasSaidReady = false;
+  /** Instances by which shares of rates and retries were last computed. */
+  private sharedBy = 0;
   private configVersion = -1;
 
   constructor(
@@ -151,6 +152,17 @@
       isLeaving: () => this.isStopping,
     });
     this.beacon = new Beacon(this.self, this.roster, this.link, this.view, clock, this.logger);
+    this.joiner = new Joiner(
+      this.self,
+      this.roster,
+      adapter.store.members,
+      clock,
+      meter,
+      this.logger,
+      () => {
+        this.beacon.speak();
+      },
+    );
     this.steering = new Steering({
       instance,
       rights: new OrderRights(
@@ -225,14 +237,11 @@
     ]);
     this.beacon.start();
     this.steering.start();
-    void this.join();
+    this.joiner.start();
     this.timers.push(
       setInterval(() => {
         this.maintain();
       }, MAINTENANCE_MS),
-      setInterval(() => {
-        void this.readMembers();
-      }, MEMBERS_MS),
     );
   }
 
@@ -261,7 +270,6 @@
     this.desk.stop();
     this.callers.closeIdle();
     while (this.callers.size > 0 && this.clock.now() < stopAt) await pause(20);
-    this.isClosed = true;
     this.logger.info("stopped", { requests: this.callers.size });
     this.callers.close();
     this.ready.close();
@@ -271,6 +279,7 @@
     for (const timer of this.timers) clearInterval(timer);
     this.watcher.close();
     this.beacon.close();
+    this.joiner.close();
     this.steering.close();
     this.desk.close();
     this.link.close();
@@ -320,6 +329,7 @@
 
   private maintain(): void {
     this.applyLimits();
+    this.noteShares();
     const isListed = (id: string) => this.directory.find(id) !== undefined;
     this.context.health.prune(isListed);
     this.meter.prune(isListed);
@@ -344,6 +354,15 @@
     });
   }
 
+  /** Shares follow who is heard at each moment; a line says what they are computed from. */
+  private noteShares(): void {
+    const live = this.countLive();
+    if (live === this.sharedBy) return;
+    const heardShare = Math.round(this.roster.readHeardShare(this.clock.now()) * 100) / 100;
+    this.logger.info("shares", { live, before: this.sharedBy, heardShare });
+    this.sharedBy = live;
+  }
+
   private countLive(): number {
     return this.roster.listLive(this.clock.now()).length;
   }
@@ -358,27 +377,6 @@
   private async listenPeers(): Promise<void> {
     this.peers = await listenFleet(this.self.address, this);
   }
-
-  /** Adds this instance to the members in the store, and finds the others. */
-  private async join(): Promise<void> {
-    while (!this.isClosed) {
-      this.meter.storeCalls.inc();
-      const { members } = this.adapter.store;
-      const joined = await members.append(this.self.instance, this.roster.encodeSelf())();
-      if (E.isRight(joined)) break;
-      this.logger.warn("not joined", { error: joined.left.message });
-      await pause(JOIN_RETRY_MS);
-    }
-    await this.readMembers();
-    this.beacon.speak();
-  }
-
-  private async readMembers(): Promise<void> {
-    this.meter.storeCalls.inc();
-    const page = await this.adapter.store.members.readNewest()();
-    if (E.isRight(page)) this.roster.takeRecords(page.right.records, this.clock.now());
-    else this.logger.warn("members not read", { error: page.left.message });
-  }
 }
 
 function listenAt(server: Server, address: ListenAddress): Promise<void> {
--- a/src/forward/plain.ts
+++ b/src/forward/plain.ts
@@ -136,8 +136,13 @@
       : await this.readWhole(opened.right, endpoint, watch);
     watch.close();
     const isGone = watch.cause === AbortCause.callerGone;
+    const outcome = isGone ? CallOutcome.abandoned : nameOutcome(result, opened);
     this.noteSend(endpoint, isGone ? SendEnd.callerGone : result.end, result.message, startedAt);
-    call.end(isGone ? CallOutcome.abandoned : nameOutcome(result, opened), clock.now());
+    call.end(outcome, clock.now());
+    if (outcome === CallOutcome.unreachable) {
+      const { isUnreachable } = health.view(endpoint.id, clock.now());
+      this.context.logger.warn("endpoint unreachable", { endpoint: endpoint.id, isUnreachable });
+    }
     return isGone ? { ...result, end: SendEnd.callerGone } : result;
   }
 
--- a/test/lines.spec.ts
+++ b/test/lines.spec.ts
@@ -2,6 +2,8 @@
  * Log lines: never blocking, bounded, honest on what was left out, and what explains a failure last.
  */
 import assert from "node:assert/strict";
+import { fork } from "node:child_process";
+import { once } from "node:events";
 import { describe, it } from "node:test";
 import { ManualClock } from "../src/core/clock";
 import { BoundedLineWriter, type Line } from "../src/core/lines";
@@ -108,4 +110,23 @@
     const expected = { level: "INFO", instance: "nizwa-1", request: "r1", config: 7 };
     assert.deepEqual(first, { ...expected, event: "request" });
   });
+
+  it("cost no request where the process that reads them stands still", async () => {
+    const child = fork("test/standin/chatty.ts", {
+      execArgv: ["--import", "tsx"],
+      stdio: ["ignore", "pipe", "inherit", "ipc"],
+    });
+    const [port] = (await once(child, "message")) as [number];
+    const times: number[] = [];
+    for (let count = 0; count < 40; count += 1) {
+      const startedAt = performance.now();
+      const answer = await fetch(`http://127.0.0.1:${port}/`, {
+        signal: AbortSignal.timeout(5000),
+      });
+      assert.equal(await answer.text(), "done");
+      times.push(performance.now() - startedAt);
+    }
+    child.kill("SIGKILL");
+    assert.ok(Math.max(...times) < 1000, `${Math.round(Math.max(...times))} ms`);
+  });
 });
