--- a/src/cli/config.ts
+++ b/src/cli/config.ts
@@ -4,11 +4,11 @@
 import { Command, Option } from "clipanion";
 import * as E from "fp-ts/Either";
 import { type Configuration, createEmptyConfiguration, documentCodec } from "../core/config";
-import { type Change, computeChanges } from "../core/fold";
+import { type Change, computeChanges, type ConfigState } from "../core/fold";
 import { checkReferences } from "../core/references";
 import { BaseCommand, ChangeCommand, LogCommand } from "./base";
 import { Exit, type ExitCode } from "./exit";
-import { CommandError } from "./publisher";
+import { CommandError, type Publisher } from "./publisher";
 
 /** Checks a file without publishing it. */
 export class ConfigCheckCommand extends BaseCommand {
@@ -52,12 +52,14 @@
 
   run(): Promise<ExitCode> {
     return this.withPublisher(async (publisher) => {
-      const document = readDocument(this.readFile(documentCodec, this.file), this.file);
-      if (E.isLeft(document)) return document;
-      const state = await publisher.read();
-      if (E.isLeft(state)) return state;
-      const changes = computeChanges(state.right.configuration, document.right);
-      return this.finish(await publisher.publish(state.right, changes));
+      const compared = await compareDocument(
+        publisher,
+        this.readFile(documentCodec, this.file),
+        this.file,
+      );
+      if (E.isLeft(compared)) return compared;
+      const { state, changes } = compared.right;
+      return this.finish(await publisher.publish(state, changes));
     });
   }
 }
@@ -98,12 +100,14 @@
 
   run(): Promise<ExitCode> {
     return this.withPublisher(async (publisher) => {
-      const document = readDocument(this.readFile(documentCodec, this.file), this.file);
-      if (E.isLeft(document)) return document;
-      const state = await publisher.read();
-      if (E.isLeft(state)) return state;
-      const changes = computeChanges(state.right.configuration, document.right);
-      const { version, configuration } = state.right;
+      const compared = await compareDocument(
+        publisher,
+        this.readFile(documentCodec, this.file),
+        this.file,
+      );
+      if (E.isLeft(compared)) return compared;
+      const { state, changes } = compared.right;
+      const { version, configuration } = state;
       const lines = changes.map((change) => printChange(configuration, change));
       this.print(
         { version, changes },
@@ -114,6 +118,25 @@
   }
 }
 
+/** What a file would change of the configuration in force. */
+interface Comparison {
+  readonly state: ConfigState;
+  readonly changes: readonly Change[];
+}
+
+async function compareDocument(
+  publisher: Publisher,
+  file: E.Either<CommandError, Partial<Configuration>>,
+  path: string,
+): Promise<E.Either<CommandError, Comparison>> {
+  const document = readDocument(file, path);
+  if (E.isLeft(document)) return document;
+  const state = await publisher.read();
+  if (E.isLeft(state)) return state;
+  const changes = computeChanges(state.right.configuration, document.right);
+  return E.right({ state: state.right, changes });
+}
+
 /** A file without keys leaves the keys alone, so its references are checked without them. */
 function readDocument(
   file: E.Either<CommandError, Partial<Configuration>>,
