Hold back everything that an endpoint does not want, at one choke point

An endpoint that leaves says so in all its responses, and one that refuses with 503 and Retry-After wants nothing from this instance for so long. Nothing in the code read either: after a refusal an endpoint was avoided for 60 to 150 ms only, and leaving was known from the list alone.

EndpointGate holds pauses by endpoint id and passes leaving on to the directory; HttpEndpointClient asks it before each send and call and tells it of the headers of each response. Requests, retries, resumes, prefills, holds, releases, probes and stage orders all go through it. A release is a request like any other: it waits for the end of the pause, and is dropped if the engine frees the memory before (Releaser, which replaces two copies of the same code). Cancelling closes a connection and reaches nobody, so it is not held.

If all endpoints of a service ask for a pause, callers are refused at once with the least of the times, those that wait in the queue too.

DepartureTracker remembers processes that left, also after their entry was removed, so that no older record brings them back; heartbeats carry those that peers cannot learn from the store. A process that starts anew under the same id is another one.

SendFailure has a kind in place of two flags. "All connections are in use" was taken for an unreachable endpoint before: it closed the idle connections of its data centre and avoided it for 1.5 s.

--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -3,6 +3,7 @@
  * such as misdirected requests and outages of the store.
  */
 import type { Moment } from "../core/clock";
+import { type Departure, DepartureTracker } from "./departures";
 import type { FeedPage, FeedRecord } from "./store";
 
 /** The stages of an engine. */
@@ -67,6 +68,7 @@
   private readonly listed = new Map<string, ListedEndpoint>();
   /** By endpoint: the sequence number of the entry that proved wrong. */
   private readonly misdirected = new Map<string, number>();
+  private readonly departures = new DepartureTracker();
   private nextOffset = 0;
   private changedOffset = NO_OFFSET;
   private outageEndedAt: Moment = Number.NEGATIVE_INFINITY;
@@ -127,6 +129,39 @@
     this.usableCache = undefined;
   }
 
+  /**
+   * Marks an endpoint's process as leaving, as its own response says; the list may say so later or
+   * not at all.
+   *
+   * @returns false if it was known already
+   */
+  markLeaving(endpoint: EndpointEntry, now: Moment): boolean {
+    return this.recordLeaving(createDeparture(endpoint, true), true, now);
+  }
+
+  /** Applies what a peer knows of endpoints that left. */
+  applyDepartures(departures: readonly Departure[], now: Moment): readonly string[] {
+    const isNew = (departure: Departure) =>
+      departure.isLeaving
+        ? this.recordLeaving(departure, false, now)
+        : this.departures.record(departure, false, now);
+    return departures.filter(isNew).map(({ endpoint }) => endpoint);
+  }
+
+  /** Lists the departures that peers may not know. */
+  listAnnouncedDepartures(now: Moment): readonly Departure[] {
+    return this.departures.listAnnounced(now);
+  }
+
+  /** Checks whether this process of an endpoint is leaving or was removed. */
+  hasLeft(endpoint: EndpointEntry): boolean {
+    const departure = this.departures.find(endpoint.id);
+    return (
+      departure?.processStartedAt === endpoint.processStartedAt &&
+      (departure.isLeaving || departure.sequence >= endpoint.sequence)
+    );
+  }
+
   /** Lists the newest record of each endpoint, for a peer that cannot read the store. */
   listRecords(): readonly FeedRecord[] {
     return [...this.listed.values()].map(({ record }) => record);
@@ -195,14 +230,18 @@
     if (record.value === undefined) return this.applyRemoval(record, before, now);
     const entry = this.decode(record.key, record.value);
     if (entry === undefined) return { endpoint: record.key, change: "unreadable", offset };
-    const latestEntry = before?.latestEntry;
-    if (latestEntry !== undefined && isOutOfDate(entry, latestEntry)) {
+    const departure = this.departures.find(record.key);
+    const latestKnown = [before?.latestEntry, departure].filter((known) => known !== undefined);
+    if (latestKnown.some((known) => isOutOfDate(entry, known))) {
       return { endpoint: record.key, change: "out of date", offset };
     }
     const isLeaving =
       entry.isLeaving ||
-      (latestEntry?.processStartedAt === entry.processStartedAt && latestEntry.isLeaving);
+      latestKnown.some(
+        (known) => known.processStartedAt === entry.processStartedAt && known.isLeaving,
+      );
     const accepted = { ...entry, isLeaving };
+    if (isLeaving) this.departures.record(createDeparture(accepted, true), false, now);
     this.listed.set(record.key, {
       record,
       entry: accepted,
@@ -233,15 +272,39 @@
       latestEntry,
     });
     if (entry === undefined) return undefined;
+    this.departures.record(createDeparture(entry, entry.isLeaving), false, now);
     return { endpoint: record.key, change: "gone", offset: record.offset };
   }
+
+  private recordLeaving(departure: Departure, isAnnounced: boolean, now: Moment): boolean {
+    if (!this.departures.record(departure, isAnnounced, now)) return false;
+    const listed = this.listed.get(departure.endpoint);
+    const entry = listed?.entry;
+    if (listed === undefined || entry?.processStartedAt !== departure.processStartedAt) return true;
+    const leavingEntry = { ...entry, isLeaving: true };
+    this.listed.set(departure.endpoint, {
+      ...listed,
+      entry: leavingEntry,
+      latestEntry: leavingEntry,
+    });
+    this.usableCache = undefined;
+    return true;
+  }
+}
+
+function createDeparture(endpoint: EndpointEntry, isLeaving: boolean): Departure {
+  const { id, processStartedAt, sequence } = endpoint;
+  return { endpoint: id, processStartedAt, sequence, isLeaving };
 }
 
 /**
  * Checks whether an entry is older than the latest known one. Sequence numbers grow within one
  * process; a process that started later begins anew.
  */
-function isOutOfDate(entry: EndpointEntry, last: EndpointEntry): boolean {
+function isOutOfDate(
+  entry: EndpointEntry,
+  last: Pick<EndpointEntry, "processStartedAt" | "sequence">,
+): boolean {
   if (entry.processStartedAt !== last.processStartedAt)
     return entry.processStartedAt < last.processStartedAt;
   return entry.sequence <= last.sequence;
--- a/src/forward/client.ts
+++ b/src/forward/client.ts
@@ -8,6 +8,7 @@
 import type { Clock } from "../core/clock";
 import { isConnectionRefused, isConnectError } from "../store/http";
 import { Connection } from "./connection";
+import type { EndpointGate, EndpointTarget } from "./gate";
 import type { ResponseHead, EndpointCodec, EndpointCall, EndpointRequest } from "./messages";
 
 /**
@@ -19,19 +20,41 @@
 const NO_CONTENT = 204;
 const NOT_MODIFIED = 304;
 
+/** Why a send or call got no response. */
+export const SendFailureKind = {
+  /** Held back by the gate: the endpoint asked for a pause, or is leaving. */
+  held: "held",
+  /** All connections that this instance may open to the endpoint are in use. */
+  busy: "busy",
+  /** Nothing listens at the address (connection refused). */
+  down: "down",
+  /** No connection could be opened. */
+  unreachable: "unreachable",
+  /** The request may have been sent. */
+  broken: "broken",
+} as const;
+export type SendFailureKind = (typeof SendFailureKind)[keyof typeof SendFailureKind];
+
 /** A send or call that got no response. */
 export class SendFailure extends Error {
   override readonly name = "SendFailure";
 
   constructor(
+    readonly kind: SendFailureKind,
     message: string,
-    /** False only if no byte of the request can have left. */
-    readonly isSent: boolean,
-    /** True if nothing listens at the address (connection refused). */
-    readonly isDown: boolean,
   ) {
     super(message);
   }
+
+  /** False only if no byte of the request can have left. */
+  get isSent(): boolean {
+    return this.kind === SendFailureKind.broken;
+  }
+
+  /** True if the failure says nothing about the endpoint's health. */
+  get isLocal(): boolean {
+    return this.kind === SendFailureKind.held || this.kind === SendFailureKind.busy;
+  }
 }
 
 /** A response whose body is still to be read. */
@@ -61,7 +84,7 @@
   send(send: EndpointRequest, signal: AbortSignal): Promise<E.Either<SendFailure, OpenResponse>>;
   /** Makes a call for the router itself, and reads the whole response. */
   call(
-    address: string,
+    target: EndpointTarget,
     call: EndpointCall,
     timeoutMs: number,
   ): Promise<E.Either<SendFailure, CallResponse>>;
@@ -86,6 +109,7 @@
    */
   constructor(
     private readonly codec: EndpointCodec,
+    private readonly gate: EndpointGate,
     private readonly clock: Clock,
     private readonly computeMaxConnections: (service: string) => number,
   ) {
@@ -101,9 +125,11 @@
   ): Promise<E.Either<SendFailure, OpenResponse>> {
     const { head, body } = send.request;
     const { address, service } = send.endpoint;
-    const connection = this.acquire(address, this.computeMaxConnections(service));
+    if (!this.gate.isOpenForRequest(send.endpoint)) return E.left(createHeldFailure());
+    const connection = this.acquireUpTo(address, this.computeMaxConnections(service));
     if (connection === undefined) {
-      return E.left(new SendFailure("all connections to the endpoint are in use", false, false));
+      const message = "all connections to the endpoint are in use";
+      return E.left(new SendFailure(SendFailureKind.busy, message));
     }
     try {
       const response = await connection.client.request({
@@ -116,6 +142,7 @@
       });
       this.releaseAfter(address, connection, response.body);
       const headers = response.headers as unknown as readonly string[];
+      this.gate.onNotice(send.endpoint, this.codec.readNotice(response.statusCode, headers));
       const responseHead = this.codec.readResponseHead(send, response.statusCode, headers);
       const isBroken = () => connection.isBroken;
       return E.right({
@@ -131,12 +158,13 @@
   }
 
   async call(
-    address: string,
+    target: EndpointTarget,
     call: EndpointCall,
     timeoutMs: number,
   ): Promise<E.Either<SendFailure, CallResponse>> {
-    const connection = this.acquire(address, Number.POSITIVE_INFINITY);
-    if (connection === undefined) return E.left(new SendFailure("no connection", false, false));
+    const { address } = target;
+    if (this.gate.isPaused(target.id)) return E.left(createHeldFailure());
+    const connection = this.acquire(address) ?? this.open(address);
     try {
       const response = await connection.client.request({
         method: call.method,
@@ -144,7 +172,10 @@
         headers: [...call.headers],
         body: call.body ?? null,
         signal: AbortSignal.timeout(timeoutMs),
+        responseHeaders: "raw",
       });
+      const headers = response.headers as unknown as readonly string[];
+      this.gate.onNotice(target, this.codec.readNotice(response.statusCode, headers));
       const body = Buffer.from(await response.body.arrayBuffer());
       this.release(address, connection);
       return E.right({ status: response.statusCode, body });
@@ -173,7 +204,12 @@
    * Takes the idle connection that was used last, as it is the likeliest to be alive, or opens one;
    * returns undefined if the maximum is in use.
    */
-  private acquire(address: string, maxConnections: number): Connection | undefined {
+  private acquireUpTo(address: string, maxConnections: number): Connection | undefined {
+    const isFull = this.getOrCreatePool(address).busy.size >= maxConnections;
+    return this.acquire(address) ?? (isFull ? undefined : this.open(address));
+  }
+
+  private acquire(address: string): Connection | undefined {
     const pool = this.getOrCreatePool(address);
     for (;;) {
       const connection = pool.idle.pop();
@@ -184,9 +220,12 @@
       }
       connection.close();
     }
-    if (pool.busy.size >= maxConnections) return undefined;
+    return undefined;
+  }
+
+  private open(address: string): Connection {
     const connection = new Connection(address);
-    pool.busy.add(connection);
+    this.getOrCreatePool(address).busy.add(connection);
     return connection;
   }
 
@@ -245,5 +284,15 @@
 function createFailure(error: unknown): SendFailure {
   const { code, message } = error as { code?: string; message?: string };
   const text = [code, message].filter((part) => part !== undefined && part !== "").join(" ");
-  return new SendFailure(text, !isConnectError(error), isConnectionRefused(error));
+  return new SendFailure(classifyError(error), text);
+}
+
+function classifyError(error: unknown): SendFailureKind {
+  if (isConnectionRefused(error)) return SendFailureKind.down;
+  return isConnectError(error) ? SendFailureKind.unreachable : SendFailureKind.broken;
+}
+
+function createHeldFailure(): SendFailure {
+  const message = "the endpoint asked for a pause or is leaving";
+  return new SendFailure(SendFailureKind.held, message);
 }
--- a/src/forward/context.ts
+++ b/src/forward/context.ts
@@ -5,6 +5,8 @@
 import type { Logger } from "../core/log";
 import type { EndpointDirectory, EndpointEntry } from "../fleet/directory";
 import type { EndpointClient } from "./client";
+import type { EndpointGate } from "./gate";
+import type { Releaser } from "./releaser";
 import type { CrashTracker } from "../core/crashes";
 import type { EndpointCodec, ForwardRequest } from "./messages";
 import type { HealthTracker } from "./health";
@@ -18,7 +20,9 @@
   readonly meter: Meter;
   readonly directory: EndpointDirectory;
   readonly health: HealthTracker;
+  readonly gate: EndpointGate;
   readonly client: EndpointClient;
+  readonly releaser: Releaser;
   readonly codec: EndpointCodec;
   readonly retries: RetryBudget;
   readonly crashes: CrashTracker;
--- a/src/forward/decode.ts
+++ b/src/forward/decode.ts
@@ -159,9 +159,9 @@
   ): Promise<TryResult> {
     const aborted = createAbortResult(deadlineSignal);
     if (aborted !== undefined) return aborted;
-    const { isSent, message } = failure;
+    const { isSent, isLocal, message } = failure;
     if (!isSent) {
-      this.markEngineUnavailable(endpoint);
+      if (!isLocal) this.markEngineUnavailable(endpoint);
       return { end: TryEnd.notRun, message };
     }
     return this.handleBreak(endpoint, message);
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -24,6 +24,8 @@
 import { Admission } from "./admission";
 import { HttpEndpointClient } from "./client";
 import type { ForwardContext } from "./context";
+import { EndpointGate } from "./gate";
+import { Releaser } from "./releaser";
 import { CrashTracker } from "../core/crashes";
 import { ReservationQueue } from "./reservations";
 import { Dispatcher } from "./dispatch";
@@ -138,15 +140,19 @@
       () => this.countLive(),
     );
     const random = Math.random;
+    const gate = new EndpointGate(this.directory, clock, this.logger);
+    const client = new HttpEndpointClient(adapter.endpointCodec, gate, clock, (service) =>
+      this.computeMaxConnections(service),
+    );
     this.context = {
       clock,
       logger: this.logger,
       meter,
       directory: this.directory,
       health: new HealthTracker(),
-      client: new HttpEndpointClient(adapter.endpointCodec, clock, (service) =>
-        this.computeMaxConnections(service),
-      ),
+      gate,
+      client,
+      releaser: new Releaser(client, gate, clock, this.logger),
       codec: adapter.endpointCodec,
       retries: new RetryBudget(settings.retryLimit, () => this.countLive(), clock.now()),
       crashes: this.crashes,
@@ -156,6 +162,7 @@
     this.reservations = new ReservationQueue(this.context, this.engineLoad);
     this.peerState = new PeerState({
       clock,
+      logger: this.logger,
       directory: this.directory,
       watcher: this.watcher,
       quotas: this.quotas,
@@ -193,7 +200,8 @@
         clock,
         this.logger,
       ),
-      client: this.context.client,
+      client,
+      gate,
       codec: adapter.endpointCodec,
       clock,
       logger: this.logger,
@@ -310,6 +318,7 @@
     this.joiner.close();
     this.rebalancer.close();
     this.reservations.close();
+    this.context.releaser.close();
     this.transport.close();
     await Promise.all([
       this.peerServer?.close(),
--- a/src/forward/messages.ts
+++ b/src/forward/messages.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingMessage } from "node:http";
 import type * as E from "fp-ts/Either";
+import type { Moment } from "../core/clock";
 import type { FleetRoute, FleetWorkspace } from "../fleet/config";
 import type { EndpointEntry } from "../fleet/directory";
 import type { Refusal } from "../core/outcome";
@@ -92,8 +93,12 @@
 
 /** The KV cache of a prompt at the engine that read it. */
 export interface CacheSource {
+  /** Id of the engine. */
+  readonly engine: string;
   readonly address: string;
   readonly handle: string;
+  /** When the engine drops the KV cache by itself. */
+  readonly expiresAt: Moment;
 }
 
 /** How a response head relates to the request that was sent. */
@@ -125,6 +130,16 @@
   readonly load: EndpointLoad | undefined;
 }
 
+/** What an endpoint says about itself in a response, besides the response to the request. */
+export interface EndpointNotice {
+  /**
+   * How long the endpoint wants no requests from this instance, in milliseconds; undefined if it
+   * does not ask for a pause.
+   */
+  readonly pauseMs: number | undefined;
+  readonly isLeaving: boolean;
+}
+
 /** A prompt that a prefill engine has read, with the handle of its KV cache. */
 export interface PrefilledPrompt {
   readonly handle: string;
@@ -161,6 +176,8 @@
   listHeaders(send: EndpointRequest): string[];
   /** Decodes the head of a response to a request. */
   readResponseHead(send: EndpointRequest, status: number, headers: readonly string[]): ResponseHead;
+  /** Decodes what the headers of any response, also to a router call, say about the endpoint. */
+  readNotice(status: number, headers: readonly string[]): EndpointNotice;
   readPrefilledPrompt(body: Buffer): PrefilledPrompt | undefined;
   createReserveHoldCall(endpoint: EndpointEntry, tokens: number, ttlMs: number): EndpointCall;
   /**
--- a/src/forward/peerstate.ts
+++ b/src/forward/peerstate.ts
@@ -2,6 +2,7 @@
  * Creates the contents of heartbeats to peers, and applies those received from them.
  */
 import { type Clock, computeRemainingMs, type Moment } from "../core/clock";
+import type { Logger } from "../core/log";
 import type { HeartbeatHost } from "../fleet/heartbeat";
 import type { EndpointDirectory } from "../fleet/directory";
 import type { MemberIdentity } from "../fleet/members";
@@ -37,6 +38,7 @@
 /** Dependencies of the peer state. */
 export interface PeerStateParts {
   readonly clock: Clock;
+  readonly logger: Logger;
   readonly directory: EndpointDirectory;
   readonly watcher: StoreWatcher;
   readonly quotas: Quotas;
@@ -76,6 +78,12 @@
       arrivingTokens: Math.round(this.arrivedTokens.read(now)),
       waiting: reservations.size,
       refused: [...this.parts.refusals.listLocalRefusals(now)],
+      departures: directory.listAnnouncedDepartures(now).map((departure) => ({
+        endpoint: departure.endpoint,
+        processStartedAt: departure.processStartedAt,
+        sequence: departure.sequence,
+        leaving: departure.isLeaving,
+      })),
       absences: engineLoad.listOrderAbsences(now).map(({ engine, deadline }) => ({
         engine,
         remainingMs: computeRemainingMs(deadline, now),
@@ -93,6 +101,7 @@
       engineLoad.markAbsent(engine, now + remainingMs);
     }
     this.parts.refusals.mergePeerRefusals(beat.refused, now);
+    this.applyDepartures(beat, now);
     for (const crash of beat.crashes) crashes.recordCrash(crash, now);
     reservations.dispatchWaiting();
   }
@@ -153,6 +162,17 @@
     return { engines, promptTokensPerSecond };
   }
 
+  private applyDepartures({ instance, departures }: Beat, now: Moment): void {
+    const { directory, logger } = this.parts;
+    const learned = directory.applyDepartures(
+      departures.map(({ leaving, ...departure }) => ({ ...departure, isLeaving: leaving })),
+      now,
+    );
+    for (const endpoint of learned) {
+      logger.info("endpoint leaving", { endpoint, source: `peer ${instance}` });
+    }
+  }
+
   private readConfigVersion(): number {
     return this.parts.watcher.readConfigIndex()?.config.version ?? NO_VERSION;
   }
--- a/src/forward/prefill.ts
+++ b/src/forward/prefill.ts
@@ -17,7 +17,6 @@
 const PREFILL_TIMEOUT_MS = 900;
 /** The share of a handle's time to live within which it is offered to another engine. */
 const HANDLE_REUSE_SHARE = 0.7;
-const RELEASE_TIMEOUT_MS = 500;
 
 /** Dependencies of a prefiller. */
 export interface PrefillParts {
@@ -81,12 +80,10 @@
    */
   release(source: CacheSource | undefined): void {
     if (source === undefined) return;
-    const { client, codec, logger } = this.parts.context;
-    const call = codec.createReleaseHandleCall(source.handle);
-    void client.call(source.address, call, RELEASE_TIMEOUT_MS).then((response) => {
-      if (E.isRight(response)) return;
-      logger.warn("prompt not released", { ...source, error: response.left.message });
-    });
+    const { releaser, codec } = this.parts.context;
+    const { engine, address, handle, expiresAt } = source;
+    const call = codec.createReleaseHandleCall(handle);
+    releaser.release({ target: { id: engine, address }, call, expiresAt });
   }
 
   /** Releases the kept cache source. */
@@ -136,10 +133,14 @@
       this.prefilledAt = clock.now();
       meter.recordPrefill(this.request.service, this.prefilledAt - startedAt);
       engineLoad.markAvailable(endpoint.id);
-      return { address: endpoint.address, handle: prefilled.handle };
+      const expiresAt = this.prefilledAt + this.limits.handleTtlMs;
+      const { id, address } = endpoint;
+      return { engine: id, address, handle: prefilled.handle, expiresAt };
     }
-    if (deadlineSignal.cause === undefined) engineLoad.markUnavailable(endpoint.id, clock.now());
-    if (E.isLeft(body)) resetDataCentreConnections(context, endpoint);
+    const isHeld = E.isLeft(opened) && opened.left.isLocal;
+    if (deadlineSignal.cause === undefined && !isHeld)
+      engineLoad.markUnavailable(endpoint.id, clock.now());
+    if (E.isLeft(body) && !isHeld) resetDataCentreConnections(context, endpoint);
     logger.warn("prefill failed", {
       request: this.request.head.id,
       engine: endpoint.id,
--- a/src/forward/probe.ts
+++ b/src/forward/probe.ts
@@ -27,7 +27,7 @@
 
 /**
  * Probes an endpoint whose connection broke during a request; if it is down, the request is
- * recorded as one that may have crashed it.
+ * recorded as one that may have crashed it. An endpoint that asked for a pause is not probed.
  *
  * @example
  * await probeEndpoint(context, request, endpoint); // "up"
@@ -37,6 +37,7 @@
   request: ForwardRequest,
   endpoint: EndpointEntry,
 ): Promise<EndpointState> {
+  if (context.gate.isPaused(endpoint.id)) return EndpointState.silent;
   const state = await probeAddress(endpoint.address);
   if (state !== EndpointState.down) return state;
   const { crashes, clock, logger } = context;
--- a/src/forward/rebalancer.ts
+++ b/src/forward/rebalancer.ts
@@ -10,6 +10,7 @@
 import type { FleetService } from "../fleet/config";
 import type { OrderLeases } from "../fleet/orders";
 import type { EndpointClient } from "./client";
+import type { EndpointGate } from "./gate";
 import type { EndpointCodec } from "./messages";
 import { OrderResult } from "./messages";
 import { chooseStageChange, type StageChange, type StageLoad } from "./stages";
@@ -34,6 +35,7 @@
   readonly instance: string;
   readonly leases: OrderLeases;
   readonly client: EndpointClient;
+  readonly gate: EndpointGate;
   readonly codec: EndpointCodec;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -99,8 +101,9 @@
 
   /** Sends an order under a lease; returns true if it was sent, whatever its result. */
   private async sendOrder(change: StageChange): Promise<boolean> {
-    const { leases, client, codec, logger, instance } = this.parts;
+    const { leases, client, gate, codec, logger, instance } = this.parts;
     const { engine, stage, reason } = change;
+    if (gate.isPaused(engine.id)) return false;
     const lease = await leases.acquire({ engine: engine.id, stage });
     if (lease === undefined) return false;
     if (!lease.isFresh()) {
@@ -109,7 +112,7 @@
     }
     const { fence } = lease;
     const call = codec.createStageCall(engine, { stage, holder: instance, fence });
-    const response = await client.call(engine.address, call, ORDER_TIMEOUT_MS);
+    const response = await client.call(engine, call, ORDER_TIMEOUT_MS);
     const result = E.isRight(response)
       ? codec.readOrderResult(response.right.status)
       : OrderResult.refused;
--- a/src/forward/reservations.ts
+++ b/src/forward/reservations.ts
@@ -5,7 +5,7 @@
 import * as E from "fp-ts/Either";
 import type { Moment } from "../core/clock";
 import type { EngineLimits } from "../fleet/config";
-import type { EndpointEntry } from "../fleet/directory";
+import { type EndpointEntry, EngineStage } from "../fleet/directory";
 import type { ForwardContext } from "./context";
 import { chooseDecode, type EngineLoadTracker, type EngineView } from "./engines";
 import { limitCapacity } from "./overload";
@@ -13,7 +13,7 @@
 
 /** How often the queue is checked for generations that can be dispatched, in milliseconds. */
 const DISPATCH_INTERVAL_MS = 20;
-/** Timeout for reserving or releasing a hold at an engine, in milliseconds. */
+/** Timeout for reserving a hold at an engine, in milliseconds. */
 const HOLD_CALL_TIMEOUT_MS = 500;
 
 /** A hold at a decode engine, which reserves memory for a generation. */
@@ -21,6 +21,8 @@
   readonly endpoint: EndpointEntry;
   readonly hold: string;
   readonly needTokens: number;
+  /** When the engine drops the hold by itself. */
+  readonly expiresAt: Moment;
 }
 
 /** A generation that needs memory. */
@@ -79,6 +81,11 @@
     const now = this.context.clock.now();
     for (const waitingRequest of this.queue.removeExpired(now)) waitingRequest.resolve(undefined);
     for (const waitingRequest of this.queue.listHeads(now)) {
+      if (this.computePauseMs(waitingRequest.service, now) !== undefined) {
+        this.queue.remove(waitingRequest.id);
+        waitingRequest.resolve(undefined);
+        continue;
+      }
       const view = this.chooseEngine(waitingRequest, now);
       if (view === undefined) break;
       this.queue.dequeue(waitingRequest.id);
@@ -89,11 +96,26 @@
 
   /** Lists the usable engines of a service, with their load. */
   listViews(service: string, now: Moment): readonly EngineView[] {
-    const { directory } = this.context;
+    const { directory, gate } = this.context;
     return directory
       .listUsable(now)
       .filter((endpoint) => endpoint.service === service && endpoint.stage !== undefined)
-      .map((endpoint) => this.engineLoad.readView(endpoint, directory.isInDoubt(endpoint.id), now));
+      .map((endpoint) => {
+        const view = this.engineLoad.readView(endpoint, directory.isInDoubt(endpoint.id), now);
+        return gate.isPaused(endpoint.id) ? { ...view, isFull: true } : view;
+      });
+  }
+
+  /**
+   * Computes how long all decode engines of a service want no requests.
+   *
+   * @returns milliseconds; undefined if one takes requests, or there is none
+   */
+  computePauseMs(service: string, now: Moment): number | undefined {
+    const decodes = this.context.directory
+      .listUsable(now)
+      .filter((endpoint) => endpoint.service === service && endpoint.stage === EngineStage.decode);
+    return this.context.gate.computeSharedPauseMs(decodes);
   }
 
   /**
@@ -132,22 +154,24 @@
     waitingRequest: WaitingRequest,
     endpoint: EndpointEntry,
   ): Promise<void> {
-    const { client, codec, clock, logger } = this.context;
+    const { client, codec, clock, logger, directory } = this.context;
     const { id } = endpoint;
     this.enginesInCall.add(id);
+    const expiresAt = clock.now() + waitingRequest.limits.holdTtlMs;
     this.engineLoad.addLocalWork(id, waitingRequest.needTokens, 0, 1);
     const call = codec.createReserveHoldCall(
       endpoint,
       waitingRequest.needTokens,
       waitingRequest.limits.holdTtlMs,
     );
-    const response = await client.call(endpoint.address, call, HOLD_CALL_TIMEOUT_MS);
+    const response = await client.call(endpoint, call, HOLD_CALL_TIMEOUT_MS);
     this.enginesInCall.delete(id);
     const hold = E.isRight(response)
       ? codec.readHold(response.right.status, response.right.body)
       : undefined;
     const now = clock.now();
-    if (hold !== undefined && !waitingRequest.caller.aborted) {
+    const isUsable = !waitingRequest.caller.aborted && !directory.hasLeft(endpoint);
+    if (hold !== undefined && isUsable) {
       logger.info("reserved", {
         request: waitingRequest.id,
         engine: id,
@@ -155,14 +179,15 @@
         waitedMs: Math.round(now - waitingRequest.arrivedAt),
         waiting: this.queue.size,
       });
-      waitingRequest.resolve({ endpoint, hold, needTokens: waitingRequest.needTokens });
+      waitingRequest.resolve({ endpoint, hold, needTokens: waitingRequest.needTokens, expiresAt });
       this.dispatchWaiting();
       return;
     }
     this.engineLoad.addLocalWork(id, -waitingRequest.needTokens, 0, -1);
-    if (hold !== undefined) this.release({ endpoint, hold, needTokens: 0 });
-    else if (E.isLeft(response)) this.engineLoad.markUnavailable(id, now);
-    else if (codec.isMisdirected(response.right.status)) {
+    if (hold !== undefined) this.release({ endpoint, hold, needTokens: 0, expiresAt });
+    else if (E.isLeft(response)) {
+      if (!response.left.isLocal) this.engineLoad.markUnavailable(id, now);
+    } else if (codec.isMisdirected(response.right.status)) {
       this.context.directory.markMisdirected(endpoint);
     } else this.engineLoad.markFull(id, now);
     logger.debug("no room", {
@@ -177,13 +202,9 @@
 
   /** Releases the hold of a reservation that is not used. */
   release(reservation: Reservation): void {
-    const { client, codec, logger } = this.context;
-    const { endpoint, hold } = reservation;
-    const call = codec.createReleaseHoldCall(hold);
-    void client.call(endpoint.address, call, HOLD_CALL_TIMEOUT_MS).then((response) => {
-      if (E.isRight(response)) return;
-      logger.warn("hold not released", { endpoint: endpoint.id, error: response.left.message });
-    });
+    const { releaser, codec } = this.context;
+    const { endpoint, hold, expiresAt } = reservation;
+    releaser.release({ target: endpoint, call: codec.createReleaseHoldCall(hold), expiresAt });
   }
 
   private scheduleDispatch(): void {
--- a/src/forward/service.ts
+++ b/src/forward/service.ts
@@ -15,7 +15,7 @@
 import { RetryMode } from "../fleet/config";
 import type { EndpointEntry } from "../fleet/directory";
 import { AbortCause, DeadlineSignal } from "./abort";
-import type { OpenResponse, SendFailure } from "./client";
+import { type OpenResponse, type SendFailure, SendFailureKind } from "./client";
 import { type ForwardContext, type RequestTimes, resetDataCentreConnections } from "./context";
 import { type ResponseHead, type ForwardRequest, SendTask, Verdict } from "./messages";
 import { CallOutcome } from "./health";
@@ -232,8 +232,9 @@
     endpoint: EndpointEntry,
     deadlineSignal: DeadlineSignal,
   ): Promise<SendResult> {
-    const { message, isSent } = failure;
-    const hasNoReply = deadlineSignal.cause === AbortCause.timeUp || (!isSent && !failure.isDown);
+    const { message, isSent, kind } = failure;
+    const hasNoReply =
+      deadlineSignal.cause === AbortCause.timeUp || kind === SendFailureKind.unreachable;
     if (hasNoReply) resetDataCentreConnections(this.context, endpoint);
     if (!isSent) return { end: SendEnd.notRun, response: undefined, message };
     await this.probeAfterBreak(endpoint, deadlineSignal);
@@ -277,12 +278,22 @@
     return this.isRetryable() && this.runs < this.request.route.maxAttempts;
   }
 
+  /** Computes how long all endpoints of the service want no requests; undefined if one takes some. */
+  private computePauseMs(): number | undefined {
+    const { directory, gate, clock } = this.context;
+    const endpoints = directory
+      .listUsable(clock.now())
+      .filter((endpoint) => endpoint.service === this.request.service);
+    return gate.computeSharedPauseMs(endpoints);
+  }
+
   private createFinalResult(): E.Either<Refusal, BufferedResponse> {
     if (this.failedResponse !== undefined) return E.right(this.failedResponse);
     const isLate = this.context.clock.now() >= this.times.deadline;
     if (this.runs === 0) {
       const reason = isLate ? Reason.deadline : Reason.noEndpoint;
-      return E.left(createNotRunRefusal(503, reason, this.message, RETRY_AFTER_MS));
+      const retryAfterMs = this.computePauseMs() ?? RETRY_AFTER_MS;
+      return E.left(createNotRunRefusal(503, reason, this.message, retryAfterMs));
     }
     if (isLate)
       return E.left(new Refusal(504, Reason.deadline, ExecutionStatus.unknown, this.message));
@@ -291,17 +302,17 @@
 }
 
 /**
- * Lists the usable endpoints of a service, which excludes leaving ones, with their health and
- * whether they may be gone.
+ * Lists the usable endpoints of a service, which excludes leaving and paused ones, with their
+ * health and whether they may be gone.
  *
  * @example
  * listCandidates(context, "job-sheets", clock.now());
  */
 export function listCandidates(context: ForwardContext, service: string, now: Moment) {
-  const { directory, health } = context;
+  const { directory, health, gate } = context;
   return directory
     .listUsable(now)
-    .filter((endpoint) => endpoint.service === service)
+    .filter((endpoint) => endpoint.service === service && !gate.isPaused(endpoint.id))
     .map((endpoint) => ({
       endpoint,
       health: health.readView(endpoint.id, now),
@@ -342,6 +353,7 @@
   result: SendResult,
   opened: E.Either<SendFailure, OpenResponse>,
 ): CallOutcome {
+  if (E.isLeft(opened) && opened.left.isLocal) return CallOutcome.abandoned;
   if (E.isLeft(opened) && !opened.left.isSent) return CallOutcome.unreachable;
   if (result.end === SendEnd.notRun) return CallOutcome.full;
   const isSuccess = result.response !== undefined && result.response.head.status < 500;
--- a/src/forward/stream.ts
+++ b/src/forward/stream.ts
@@ -227,7 +227,9 @@
     if (this.runs === 0) {
       this.parts.refusals.recordRefusal(this.request.fingerprint, now);
       const reason = isLate ? Reason.deadline : Reason.overloaded;
-      const retryAfterMs = computeRetryAfterMs(this.times.deadline, now, random);
+      const retryAfterMs =
+        this.parts.reservations.computePauseMs(this.request.service, now) ??
+        computeRetryAfterMs(this.times.deadline, now, random);
       return createNotRunRefusal(503, reason, this.message, retryAfterMs);
     }
     if (isLate) return new Refusal(504, Reason.deadline, ExecutionStatus.unknown, this.message);
--- a/src/peer/gen/fleet.ts
+++ b/src/peer/gen/fleet.ts
@@ -45,6 +45,18 @@
   endpointsChange: number;
   /** Generations that the sender refused of late, by the beginning of their fingerprints. */
   refused: string[];
+  /** Endpoints that left or are leaving, where peers may not learn it from the store. */
+  departures: Departure[];
+}
+
+export interface Departure {
+  endpoint: string;
+  /** Milliseconds of the endpoint's wall clock. */
+  processStartedAt: number;
+  /** Of the newest entry that is known. */
+  sequence: number;
+  /** Else its entry was only removed. */
+  leaving: boolean;
 }
 
 export interface Absence {
@@ -106,6 +118,7 @@
     absences: [],
     endpointsChange: 0,
     refused: [],
+    departures: [],
   };
 }
 
@@ -156,6 +169,9 @@
     for (const v of message.refused) {
       writer.uint32(122).string(v!);
     }
+    for (const v of message.departures) {
+      Departure.encode(v!, writer.uint32(130).fork()).join();
+    }
     return writer;
   },
 
@@ -292,6 +308,14 @@
             message.refused.push(reader.string());
             continue;
           }
+          case 16: {
+            if (tag !== 130) {
+              break;
+            }
+
+            message.departures.push(Departure.decode(reader, reader.uint32()));
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -345,6 +369,9 @@
       refused: globalThis.Array.isArray(object?.refused)
         ? object.refused.map((e: any) => globalThis.String(e))
         : [],
+      departures: globalThis.Array.isArray(object?.departures)
+        ? object.departures.map((e: any) => Departure.fromJSON(e))
+        : [],
     };
   },
 
@@ -395,6 +422,9 @@
     if (message.refused?.length) {
       obj.refused = message.refused;
     }
+    if (message.departures?.length) {
+      obj.departures = message.departures.map((e) => Departure.toJSON(e));
+    }
     return obj;
   },
 
@@ -418,6 +448,128 @@
     message.absences = object.absences?.map((e) => Absence.fromPartial(e)) || [];
     message.endpointsChange = object.endpointsChange ?? 0;
     message.refused = object.refused?.map((e) => e) || [];
+    message.departures = object.departures?.map((e) => Departure.fromPartial(e)) || [];
+    return message;
+  },
+};
+
+function createBaseDeparture(): Departure {
+  return { endpoint: "", processStartedAt: 0, sequence: 0, leaving: false };
+}
+
+export const Departure: MessageFns<Departure> = {
+  encode(message: Departure, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.endpoint !== "") {
+      writer.uint32(10).string(message.endpoint);
+    }
+    if (message.processStartedAt !== 0) {
+      writer.uint32(16).int64(message.processStartedAt);
+    }
+    if (message.sequence !== 0) {
+      writer.uint32(24).int64(message.sequence);
+    }
+    if (message.leaving !== false) {
+      writer.uint32(32).bool(message.leaving);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): Departure {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseDeparture();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.endpoint = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.processStartedAt = longToNumber(reader.int64());
+            continue;
+          }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.sequence = longToNumber(reader.int64());
+            continue;
+          }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.leaving = reader.bool();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): Departure {
+    return {
+      endpoint: isSet(object.endpoint) ? globalThis.String(object.endpoint) : "",
+      processStartedAt: isSet(object.processStartedAt)
+        ? globalThis.Number(object.processStartedAt)
+        : isSet(object.process_started_at)
+        ? globalThis.Number(object.process_started_at)
+        : 0,
+      sequence: isSet(object.sequence) ? globalThis.Number(object.sequence) : 0,
+      leaving: isSet(object.leaving) ? globalThis.Boolean(object.leaving) : false,
+    };
+  },
+
+  toJSON(message: Departure): unknown {
+    const obj: any = {};
+    if (message.endpoint !== "") {
+      obj.endpoint = message.endpoint;
+    }
+    if (message.processStartedAt !== 0) {
+      obj.processStartedAt = Math.round(message.processStartedAt);
+    }
+    if (message.sequence !== 0) {
+      obj.sequence = Math.round(message.sequence);
+    }
+    if (message.leaving !== false) {
+      obj.leaving = message.leaving;
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<Departure>, I>>(base?: I): Departure {
+    return Departure.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<Departure>, I>>(object: I): Departure {
+    const message = createBaseDeparture();
+    message.endpoint = object.endpoint ?? "";
+    message.processStartedAt = object.processStartedAt ?? 0;
+    message.sequence = object.sequence ?? 0;
+    message.leaving = object.leaving ?? false;
     return message;
   },
 };
--- a/test/fleet.spec.ts
+++ b/test/fleet.spec.ts
@@ -288,6 +288,7 @@
     endpointsNext: 1,
     endpointsChange: 0,
     refused: [],
+    departures: [],
     leaving: false,
     usages: [],
     works: [],
--- a/test/harness/forward.ts
+++ b/test/harness/forward.ts
@@ -13,6 +13,7 @@
   type ResponseHead,
   type CallerCodec,
   type EndpointCodec,
+  type EndpointNotice,
   OrderResult,
   type EndpointCall,
   type RequestHead,
@@ -76,6 +77,15 @@
     return { status, headers: ["x-id", send.request.head.id], verdict, load: undefined };
   }
 
+  readNotice(status: number, headers: readonly string[]): EndpointNotice {
+    const text = headers.join("\n").toLowerCase();
+    const pauseMs = /x-pause-ms\n(\d+)/.exec(text)?.[1];
+    return {
+      pauseMs: status === 503 && pauseMs !== undefined ? Number(pauseMs) : undefined,
+      isLeaving: text.includes("x-leaving\n1"),
+    };
+  }
+
   readPrefilledPrompt(body: Buffer) {
     return { handle: body.toString(), promptTokens: 0 };
   }
--- a/test/steering.spec.ts
+++ b/test/steering.spec.ts
@@ -8,8 +8,9 @@
 import { ManualClock } from "../src/core/clock";
 import { SILENT_LOGGER } from "../src/core/log";
 import { chooseByRendezvousHash } from "../src/core/rendezvous";
-import { EngineStage } from "../src/fleet/directory";
+import { EndpointDirectory, EngineStage } from "../src/fleet/directory";
 import { OrderLeases } from "../src/fleet/orders";
+import { EndpointGate } from "../src/forward/gate";
 import type { EndpointClient } from "../src/forward/client";
 import { StageRebalancer } from "../src/forward/rebalancer";
 import { createConfig, createEntry, testCodecs } from "./harness/forward";
@@ -31,7 +32,7 @@
   sent: SentOrder[],
   live: readonly string[],
 ): StageRebalancer {
-  const call: EndpointClient["call"] = (address, order) => {
+  const call: EndpointClient["call"] = ({ address }, order) => {
     const { fence } = JSON.parse(order.body?.toString() ?? "{}") as { fence: number };
     sent.push({ from: name, address, fence });
     return Promise.resolve(E.right({ status: 202, body: Buffer.alloc(0) }));
@@ -46,6 +47,7 @@
     instance: name,
     leases: new OrderLeases(name, log, 3000, clock, SILENT_LOGGER),
     client: { call } as unknown as EndpointClient,
+    gate: new EndpointGate(new EndpointDirectory(testCodecs.decodeEndpoint), clock, SILENT_LOGGER),
     codec: testCodecs.endpointCodec,
     clock,
     logger: SILENT_LOGGER,
