Survive a store that comes back from a copy some seconds old

Cause of what would go wrong, by reading: offsets were compared as plain numbers, so a list record of the new era counted as old and a read from an offset that is gone began nowhere; an order lease followed from an offset alone, so a fencing token could be given out twice; membership was written once per process.

Positions are (era, offset) now and compare by era first (fleet/position). The store client notices a later era in any response, tells its listeners before the result is used, and voids each call that began in another era, also one that arrives late. Feeds start anew; the configuration and entries never go back, since versions and sequence numbers decide. Entries that the copy lacks are kept in doubt as after an outage. Endpoints that left are remembered and announced to peers for 12 s, for those that start in that moment and read the copy. Leases are void, the next one waits as after a record of another instance, and so does a process that has just started; tokens are era x 2^32 + offset + 1. Membership is written again, with jitter.

Ruled out: keeping the era out of the wire between instances. A data centre that is cut off hears of the new list from peers, so heartbeats, fetches and records carry it (0 from a build before this one).

Also mended: the joiner went on after close.

--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -4,6 +4,7 @@
  */
 import type { Moment } from "../core/clock";
 import { type Departure, DepartureTracker } from "./departures";
+import { chooseLater, isAfter, LOG_START, type LogPosition } from "./position";
 import type { FeedPage, FeedRecord } from "./store";
 
 /** The stages of an engine. */
@@ -43,8 +44,8 @@
  */
 export const OUTAGE_GRACE_MS = 2200;
 
-/** Offset that stands for no record. */
-const NO_OFFSET = -1;
+/** A position before that of any record. */
+const NO_POSITION: LogPosition = { ...LOG_START, offset: -1 };
 
 interface ListedEndpoint {
   readonly record: FeedRecord;
@@ -63,30 +64,33 @@
   readonly offset: number;
 }
 
+/** What changed in an entry; undefined where only its sequence number did. */
+type EntryChange = DirectoryChange["change"] | undefined;
+
 /** The directory of endpoints. */
 export class EndpointDirectory {
   private readonly listed = new Map<string, ListedEndpoint>();
   /** By endpoint: the sequence number of the entry that proved wrong. */
   private readonly misdirected = new Map<string, number>();
   private readonly departures = new DepartureTracker();
-  private nextOffset = 0;
-  private changedOffset = NO_OFFSET;
+  private nextPosition = LOG_START;
+  private changedPosition = NO_POSITION;
   private outageEndedAt: Moment = Number.NEGATIVE_INFINITY;
   private usableCache: readonly EndpointEntry[] | undefined;
 
   constructor(private readonly decode: EndpointDecoder) {}
 
-  /** The offset to read from next. */
-  get next(): number {
-    return this.nextOffset;
+  /** The position up to which the list is known. */
+  get next(): LogPosition {
+    return this.nextPosition;
   }
 
   /**
-   * The offset of the newest record that changed more than a sequence number; -1 where there is
-   * none.
+   * The position of the newest record that changed more than a sequence number; before the start of
+   * the log where there is none.
    */
-  get lastChangeOffset(): number {
-    return this.changedOffset;
+  get lastChange(): LogPosition {
+    return this.changedPosition;
   }
 
   /** Records that the store responds again after an outage. */
@@ -94,30 +98,40 @@
     this.outageEndedAt = now;
   }
 
+  /**
+   * Records that the store was restored from an earlier copy. Endpoints that the copy lacks may
+   * write their entries again; those that left since may stand in it again, which instances that
+   * start now cannot tell, so they are announced to peers.
+   */
+  recordStoreRestore(now: Moment): void {
+    this.outageEndedAt = now;
+    this.departures.announceAll(now);
+  }
+
   /** Applies records that follow those already applied; returns the changes. */
   apply(page: FeedPage, now: Moment): readonly DirectoryChange[] {
     const changes: DirectoryChange[] = [];
     for (const record of page.records) {
       const change = this.applyRecord(record, now);
       if (change === undefined) continue;
-      changes.push(change);
-      this.changedOffset = Math.max(this.changedOffset, record.offset);
+      changes.push({ endpoint: record.key, change, offset: record.position.offset });
+      this.changedPosition = chooseLater(record.position, this.changedPosition);
     }
-    this.nextOffset = Math.max(this.nextOffset, page.next);
+    this.nextPosition = chooseLater(page.next, this.nextPosition);
     return changes;
   }
 
   /** Applies a snapshot of the whole list: endpoints that it does not contain are removed. */
   applySnapshot(page: FeedPage, now: Moment): readonly DirectoryChange[] {
     const listedIds = new Set(page.records.map((record) => record.key));
-    const changes: DirectoryChange[] = [];
+    const lastPosition = { era: page.next.era, offset: page.next.offset - 1 };
+    const removals: FeedRecord[] = [];
     for (const [id, { record, entry }] of this.listed) {
-      if (listedIds.has(id) || entry === undefined || record.offset >= page.next) continue;
-      const removal = { key: id, value: undefined, offset: page.next - 1 };
-      const change = this.applyRecord(removal, now);
-      if (change !== undefined) changes.push(change);
+      if (listedIds.has(id) || entry === undefined || isAfter(record.position, lastPosition))
+        continue;
+      removals.push({ key: id, value: undefined, position: lastPosition });
     }
-    return [...changes, ...this.apply(page, now)];
+    return this.apply({ records: [...removals, ...page.records], next: page.next }, now);
   }
 
   /**
@@ -136,16 +150,14 @@
    * @returns false if it was known already
    */
   markLeaving(endpoint: EndpointEntry, now: Moment): boolean {
-    return this.recordLeaving(createDeparture(endpoint, true), true, now);
+    return this.recordDeparture(createDeparture(endpoint, true), true, now);
   }
 
-  /** Applies what a peer knows of endpoints that left. */
+  /** Applies what a peer knows of endpoints that left; returns those that it did not know. */
   applyDepartures(departures: readonly Departure[], now: Moment): readonly string[] {
-    const isNew = (departure: Departure) =>
-      departure.isLeaving
-        ? this.recordLeaving(departure, false, now)
-        : this.departures.record(departure, false, now);
-    return departures.filter(isNew).map(({ endpoint }) => endpoint);
+    return departures
+      .filter((departure) => this.recordDeparture(departure, false, now))
+      .map(({ endpoint }) => endpoint);
   }
 
   /** Lists the departures that peers may not know. */
@@ -222,18 +234,17 @@
     return newest;
   }
 
-  private applyRecord(record: FeedRecord, now: Moment): DirectoryChange | undefined {
+  private applyRecord(record: FeedRecord, now: Moment): EntryChange {
     const before = this.listed.get(record.key);
-    if (before !== undefined && before.record.offset >= record.offset) return undefined;
+    if (before !== undefined && !isAfter(record.position, before.record.position)) return undefined;
     this.usableCache = undefined;
-    const { offset } = record;
     if (record.value === undefined) return this.applyRemoval(record, before, now);
     const entry = this.decode(record.key, record.value);
-    if (entry === undefined) return { endpoint: record.key, change: "unreadable", offset };
+    if (entry === undefined) return "unreadable";
     const departure = this.departures.find(record.key);
     const latestKnown = [before?.latestEntry, departure].filter((known) => known !== undefined);
     if (latestKnown.some((known) => isOutOfDate(entry, known))) {
-      return { endpoint: record.key, change: "out of date", offset };
+      return "out of date";
     }
     const isLeaving =
       entry.isLeaving ||
@@ -248,14 +259,14 @@
       doubtDeadline: undefined,
       latestEntry: accepted,
     });
-    return compareEntries(before?.entry, accepted, offset);
+    return compareEntries(before?.entry, accepted);
   }
 
   private applyRemoval(
     record: FeedRecord,
     before: ListedEndpoint | undefined,
     now: Moment,
-  ): DirectoryChange | undefined {
+  ): EntryChange {
     const entry = before?.entry;
     const latestEntry = before?.latestEntry;
     const mayReturn =
@@ -263,7 +274,7 @@
     if (mayReturn) {
       const doubtDeadline = this.outageEndedAt + OUTAGE_GRACE_MS;
       this.listed.set(record.key, { record, entry, doubtDeadline, latestEntry });
-      return { endpoint: record.key, change: "in doubt", offset: record.offset };
+      return "in doubt";
     }
     this.listed.set(record.key, {
       record,
@@ -273,21 +284,23 @@
     });
     if (entry === undefined) return undefined;
     this.departures.record(createDeparture(entry, entry.isLeaving), false, now);
-    return { endpoint: record.key, change: "gone", offset: record.offset };
+    return "gone";
   }
 
-  private recordLeaving(departure: Departure, isAnnounced: boolean, now: Moment): boolean {
+  /** Records a departure that the list did not say, and applies it to the listed entry. */
+  private recordDeparture(departure: Departure, isAnnounced: boolean, now: Moment): boolean {
     if (!this.departures.record(departure, isAnnounced, now)) return false;
-    const listed = this.listed.get(departure.endpoint);
+    const { endpoint, processStartedAt, sequence, isLeaving } = departure;
+    const listed = this.listed.get(endpoint);
     const entry = listed?.entry;
-    if (listed === undefined || entry?.processStartedAt !== departure.processStartedAt) return true;
-    const leavingEntry = { ...entry, isLeaving: true };
-    this.listed.set(departure.endpoint, {
-      ...listed,
-      entry: leavingEntry,
-      latestEntry: leavingEntry,
-    });
+    if (listed === undefined || entry?.processStartedAt !== processStartedAt) return true;
     this.usableCache = undefined;
+    if (isLeaving) {
+      const leavingEntry = { ...entry, isLeaving: true };
+      this.listed.set(endpoint, { ...listed, entry: leavingEntry, latestEntry: leavingEntry });
+    } else if (entry.sequence <= sequence) {
+      this.listed.set(endpoint, { ...listed, entry: undefined, doubtDeadline: undefined });
+    }
     return true;
   }
 }
@@ -310,19 +323,14 @@
   return entry.sequence <= last.sequence;
 }
 
-function compareEntries(
-  before: EndpointEntry | undefined,
-  after: EndpointEntry,
-  offset: number,
-): DirectoryChange | undefined {
-  const endpoint = after.id;
-  if (before === undefined) return { endpoint, change: "added", offset };
-  if (after.isLeaving && !before.isLeaving) return { endpoint, change: "leaving", offset };
+function compareEntries(before: EndpointEntry | undefined, after: EndpointEntry): EntryChange {
+  if (before === undefined) return "added";
+  if (after.isLeaving && !before.isLeaving) return "leaving";
   const isSame =
     before.address === after.address &&
     before.service === after.service &&
     before.stage === after.stage &&
     before.processStartedAt === after.processStartedAt &&
     before.isLeaving === after.isLeaving;
-  return isSame ? undefined : { endpoint, change: "changed", offset };
+  return isSame ? undefined : "changed";
 }
--- a/src/fleet/joiner.ts
+++ b/src/fleet/joiner.ts
@@ -15,11 +15,18 @@
 const MEMBERS_REFRESH_MS = 20_000;
 /** Delay before a failed attempt to join is retried, in milliseconds. */
 const JOIN_RETRY_DELAY_MS = 400;
+/**
+ * Maximum random delay before an instance joins again after the store was restored, in
+ * milliseconds, so that not the whole fleet writes at once.
+ */
+const REJOIN_JITTER_MS = 600;
 
 /** Joins the fleet, and refreshes the list of members periodically. */
 export class Joiner {
   private timer: NodeJS.Timeout | undefined;
   private isClosed = false;
+  private hasJoined = false;
+  private isJoining = false;
 
   /**
    * @param onJoined - called once this instance is in the store and the members have been read
@@ -46,17 +53,29 @@
     clearInterval(this.timer);
   }
 
+  /** Writes this instance's record again: a restored store may have lost it. */
+  onStoreRestored(): void {
+    this.hasJoined = false;
+    setTimeout(() => void this.join(), Math.random() * REJOIN_JITTER_MS).unref();
+  }
+
   private async join(): Promise<void> {
-    while (!this.isClosed) {
+    if (this.isJoining) return;
+    this.isJoining = true;
+    while (!this.isClosed && !this.hasJoined) {
+      this.hasJoined = true;
       this.meter.storeCalls.inc();
       const joined = await this.membersFeed.append(
         this.self.instance,
         this.memberList.encodeSelf(),
       )();
-      if (E.isRight(joined)) break;
+      if (E.isRight(joined)) continue;
+      this.hasJoined = false;
       this.logger.warn("not joined", { error: joined.left.message });
       await pause(JOIN_RETRY_DELAY_MS);
     }
+    this.isJoining = false;
+    if (this.isClosed) return;
     await this.readMembers();
     this.onJoined();
   }
--- a/src/fleet/members.ts
+++ b/src/fleet/members.ts
@@ -67,11 +67,15 @@
 
   /** Adds the addresses of the members listed in the store. */
   addRecords(records: readonly FeedRecord[], now: Moment): void {
-    for (const { key, value, offset } of records) {
+    for (const { key, value, position } of records) {
       if (value === undefined || key === this.self.instance) continue;
       const member = decodeText(memberCodec, value.toString("utf8"), `member ${key}`);
       if (E.isLeft(member)) {
-        this.logger.warn("member unreadable", { member: key, offset, error: member.left.message });
+        this.logger.warn("member unreadable", {
+          member: key,
+          offset: position.offset,
+          error: member.left.message,
+        });
       } else this.addAddress(member.right.address, key, now);
     }
   }
--- a/src/fleet/orders.ts
+++ b/src/fleet/orders.ts
@@ -1,9 +1,13 @@
 /**
  * Leases for sending orders to engines. Before each order an instance appends a record at the end
- * of a log in the store; the order's fencing token is the record's offset plus one. After a record
- * of another instance, it first waits until that lease has expired, counted from when it first saw
- * the record. So two instances never alternate at an engine, even if engines do not check fencing
- * tokens.
+ * of a log in the store; the order's fencing token follows from the record's position. After a
+ * record of another instance, it first waits until that lease has expired, counted from when it
+ * first saw the record. So two instances never alternate at an engine, even if engines do not check
+ * fencing tokens.
+ *
+ * A store that was restored from an earlier copy may have lost the newest records, and gives out
+ * their offsets again. So an instance that learns of it, and one that has just started, waits as
+ * after a record of another instance; and tokens of a later era are higher than all earlier ones.
  */
 import * as E from "fp-ts/Either";
 import * as t from "io-ts";
@@ -11,6 +15,7 @@
 import type { Clock, Moment } from "../core/clock";
 import { decodeText } from "../core/codec";
 import type { Logger } from "../core/log";
+import type { LogPosition } from "./position";
 import { type OrderLog, type OrderRecord, StoreFault } from "./store";
 
 /** Maximum time that an append may take for its order to be still sent, in milliseconds. */
@@ -18,6 +23,8 @@
 /** How long an order may still be in flight after its lease has expired, in milliseconds. */
 const ORDER_MARGIN_MS = 2500;
 const MS_PER_SECOND = 1000;
+/** Fencing tokens of one era; the log never has as many records. */
+const FENCES_PER_ERA = 2 ** 32;
 
 const recordCodec = t.type({ holder: t.string, engine: t.string, stage: t.string });
 
@@ -38,8 +45,11 @@
 /** Acquires leases for orders. */
 export class OrderLeases {
   private nextOffset = 0;
-  private otherHolderSeenAt: Moment = Number.NEGATIVE_INFINITY;
+  private otherHolderSeenAt: Moment;
+  /** How often the store was restored; a lease from before a restore is void. */
+  private restores = 0;
 
+  /** @param startedAt - when this process started */
   constructor(
     /** The incarnation: a restarted process is another holder. */
     private readonly holder: string,
@@ -47,7 +57,17 @@
     private readonly leaseMs: number,
     private readonly clock: Clock,
     private readonly logger: Logger,
-  ) {}
+    startedAt: Moment,
+  ) {
+    this.otherHolderSeenAt = startedAt;
+  }
+
+  /** Voids leases and offsets from before the store was restored from an earlier copy. */
+  onStoreRestored(): void {
+    this.restores += 1;
+    this.nextOffset = 0;
+    this.otherHolderSeenAt = this.clock.now();
+  }
 
   /**
    * Acquires the lease for one order; undefined where another instance had a lease recently, or
@@ -59,16 +79,17 @@
     if (sinceOtherMs < this.leaseMs + ORDER_MARGIN_MS) return undefined;
     const startedAt = this.clock.now();
     const uptimeAtStart = uptime();
+    const restoresAtStart = this.restores;
     const value = Buffer.from(JSON.stringify({ holder: this.holder, ...subject }));
     const appended = await this.log.appendAt(this.nextOffset, value)();
     if (E.isLeft(appended)) {
       this.logger.info("order not won", { ...subject, error: appended.left.message });
       return undefined;
     }
-    this.nextOffset = appended.right + 1;
-    // A fencing token is never zero, since some engines treat zero as a missing token.
-    const fence = appended.right + 1;
+    this.nextOffset = appended.right.offset + 1;
+    const fence = computeFence(appended.right);
     const isFresh = () => {
+      if (this.restores !== restoresAtStart) return false;
       const monotonicMs = this.clock.now() - startedAt;
       // The monotonic clock stops while the machine is suspended; uptime does not.
       const uptimeMs = (uptime() - uptimeAtStart) * MS_PER_SECOND;
@@ -100,3 +121,14 @@
     this.otherHolderSeenAt = this.clock.now();
   }
 }
+
+/**
+ * Computes the fencing token of an order from the position of its record. It is never zero, since
+ * some engines treat zero as a missing token.
+ *
+ * @example
+ * computeFence({ era: 0, offset: 6 }); // 7
+ */
+export function computeFence({ era, offset }: LogPosition): number {
+  return era * FENCES_PER_ERA + offset + 1;
+}
--- a/src/fleet/store.ts
+++ b/src/fleet/store.ts
@@ -3,6 +3,7 @@
  * record is appended only at its expected end.
  */
 import type * as TE from "fp-ts/TaskEither";
+import type { LogPosition } from "./position";
 
 /** How a call to the store failed. */
 export const StoreFault = {
@@ -14,6 +15,11 @@
   trimmed: "trimmed",
   /** The log no longer ends at the expected offset. */
   moved: "moved",
+  /**
+   * The store was restored from an earlier copy since the call began, so its result means nothing;
+   * the store may have carried the call out before or after.
+   */
+  restored: "restored",
 } as const;
 export type StoreFault = (typeof StoreFault)[keyof typeof StoreFault];
 
@@ -36,21 +42,21 @@
   readonly key: string;
   /** Undefined where the key was removed. */
   readonly value: Buffer | undefined;
-  readonly offset: number;
+  readonly position: LogPosition;
 }
 
 /** Records of a feed, and the offset to read from next. */
 export interface FeedPage {
   readonly records: readonly FeedRecord[];
-  /** The offset to read from next. */
-  readonly next: number;
+  /** The position to read from next. */
+  readonly next: LogPosition;
 }
 
 /** A feed of keyed records that keeps the newest record of each key. */
 export interface Feed {
   /** Reads the newest record of each key. */
   readNewest(): TE.TaskEither<StoreError, FeedPage>;
-  /** Reads records from an offset on, waiting up to `waitMs` milliseconds for the first. */
+  /** Reads records from an offset of the current era on, waiting up to `waitMs` milliseconds for the first. */
   read(from: number, waitMs: number): TE.TaskEither<StoreError, FeedPage>;
 }
 
@@ -75,8 +81,8 @@
 /** A log that appends a record only if the log still ends at the expected offset. */
 export interface OrderLog {
   read(from: number): TE.TaskEither<StoreError, OrderPage>;
-  /** Appends one record at offset `end`; returns the record's offset. */
-  appendAt(end: number, value: Buffer): TE.TaskEither<StoreError, number>;
+  /** Appends one record at offset `end`; returns the record's position. */
+  appendAt(end: number, value: Buffer): TE.TaskEither<StoreError, LogPosition>;
 }
 
 /** The store that all instances share. */
@@ -85,6 +91,12 @@
   readonly endpoints: Feed;
   readonly members: WritableFeed;
   readonly orders: OrderLog;
+  /**
+   * Calls a listener each time that a response shows a later era than the one before: the store was
+   * restored from an earlier copy. Offsets of the earlier era are of no use from then on, and what
+   * this instance wrote may be gone.
+   */
+  onRestored(listener: (era: number) => void): void;
   /** Makes later calls use new connections. */
   reset(): void;
   close(): Promise<void>;
--- a/src/fleet/watcher.ts
+++ b/src/fleet/watcher.ts
@@ -60,6 +60,9 @@
   ) {}
 
   start(): void {
+    this.store.onRestored((era) => {
+      this.onStoreRestored(era);
+    });
     void this.followFeed("configuration", this.store.configuration, this.configState, true, 0);
     void this.followFeed(
       "endpoints",
@@ -86,7 +89,7 @@
 
   /** True once both the configuration and the endpoint list are known. */
   isComplete(): boolean {
-    return this.configIndex !== undefined && this.directory.next > 0;
+    return this.configIndex !== undefined && this.directory.next.offset > 0;
   }
 
   /**
@@ -143,7 +146,7 @@
       if (this.isClosed) return;
       if (E.isRight(result)) {
         this.recordSuccess(name, state);
-        state.nextOffset = result.right.next;
+        state.nextOffset = result.right.next.offset;
         this.applyPage(name, result.right, isSnapshot);
         await pause(pauseMs * (1 - Math.random() * POLL_JITTER));
         continue;
@@ -153,11 +156,23 @@
         this.logger.info("history trimmed", { feed: name });
         continue;
       }
+      if (result.left.fault === StoreFault.restored) continue;
       this.recordFailure(name, state, result.left.message);
       await pause(RETRY_DELAY_MS);
     }
   }
 
+  /**
+   * Starts both feeds anew, as offsets of the earlier era are of no use. What is known stays: an
+   * older configuration never replaces a newer one, and older entries are out of date.
+   */
+  private onStoreRestored(era: number): void {
+    this.configState.nextOffset = undefined;
+    this.endpointsState.nextOffset = undefined;
+    this.directory.recordStoreRestore(this.clock.now());
+    this.logger.warn("store restored", { era });
+  }
+
   private readOnce(feed: Feed, next: number | undefined, waitMs: number) {
     this.meter.storeCalls.inc();
     return next === undefined ? feed.readNewest()() : feed.read(next, waitMs)();
@@ -174,7 +189,7 @@
 
   private applyConfigRecord(record: FeedRecord): void {
     if (record.key === CONFIG_KEY && record.value !== undefined) {
-      this.applyConfig(record.value, `store offset ${record.offset}`);
+      this.applyConfig(record.value, `store offset ${record.position.offset}`);
     }
   }
 
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -191,15 +191,21 @@
         this.heartbeats.sendHeartbeats();
       },
     );
+    const leases = new OrderLeases(
+      this.self.incarnation,
+      adapter.store.orders,
+      settings.orderLeaseMs,
+      clock,
+      this.logger,
+      clock.now(),
+    );
+    adapter.store.onRestored(() => {
+      leases.onStoreRestored();
+      this.joiner.onStoreRestored();
+    });
     this.rebalancer = new StageRebalancer({
       instance,
-      leases: new OrderLeases(
-        this.self.incarnation,
-        adapter.store.orders,
-        settings.orderLeaseMs,
-        clock,
-        this.logger,
-      ),
+      leases,
       client,
       gate,
       codec: adapter.endpointCodec,
@@ -354,7 +360,7 @@
     this.hasLoggedReady = true;
     this.logger.info("ready", {
       config: this.watcher.readConfigIndex()?.config.version,
-      listOffset: this.directory.next,
+      listOffset: this.directory.next.offset,
       sinceStartMs: Math.round(this.clock.now()),
     });
   }
--- a/src/forward/peerstate.ts
+++ b/src/forward/peerstate.ts
@@ -5,9 +5,11 @@
 import type { Logger } from "../core/log";
 import type { HeartbeatHost } from "../fleet/heartbeat";
 import type { EndpointDirectory } from "../fleet/directory";
+import { isAfter } from "../fleet/position";
+import type { FeedRecord } from "../fleet/store";
 import type { MemberIdentity } from "../fleet/members";
 import type { StoreWatcher } from "../fleet/watcher";
-import type { Beat, FetchReply, FetchRequest } from "../peer/gen/fleet";
+import type { Beat, FetchReply, FetchRequest, Record as PeerRecord } from "../peer/gen/fleet";
 import type { CrashTracker } from "../core/crashes";
 import type { ReservationQueue } from "./reservations";
 import type { EngineLoadTracker } from "./engines";
@@ -25,6 +27,8 @@
  * milliseconds.
  */
 const LIST_STALE_MS = 2000;
+/** The offset of the last change if there was none. */
+const NO_OFFSET = -1;
 /** The version if no configuration is known. */
 const NO_VERSION = -1;
 
@@ -69,8 +73,9 @@
     const now = clock.now();
     return {
       configVersion: this.readConfigVersion(),
-      endpointsNext: directory.next,
-      endpointsChange: directory.lastChangeOffset,
+      endpointsNext: directory.next.offset,
+      endpointsEra: directory.next.era,
+      endpointsChange: this.readLastChangeOffset(),
       leaving: isLeaving(),
       usages: [...quotas.listLocalUsage()],
       works: [...engineLoad.listLocalWork()],
@@ -108,26 +113,34 @@
 
   shouldFetch(beat: Beat): boolean {
     const { next } = this.parts.directory;
-    if (beat.configVersion > this.readConfigVersion() || beat.endpointsChange >= next) return true;
+    if (beat.configVersion > this.readConfigVersion()) return true;
+    const era = beat.endpointsEra;
+    if (!isAfter(next, { era, offset: beat.endpointsChange })) return true;
     const isStale = this.parts.watcher.computeEndpointsAgeMs() > LIST_STALE_MS;
-    return isStale && beat.endpointsNext > next;
+    return isStale && isAfter({ era, offset: beat.endpointsNext }, next);
   }
 
   createFetchRequest(): FetchRequest {
-    return { configVersion: this.readConfigVersion(), endpointsNext: this.parts.directory.next };
+    const { era, offset } = this.parts.directory.next;
+    return {
+      configVersion: this.readConfigVersion(),
+      endpointsNext: offset,
+      endpointsEra: era,
+    };
   }
 
   handleFetchReply(reply: FetchReply, from: string): void {
     const { watcher, directory } = this.parts;
     const source = `peer ${from}`;
     if (reply.config !== undefined) watcher.applyConfig(Buffer.from(reply.config), source);
-    if (reply.endpointsNext <= directory.next) return;
-    const records = reply.endpoints.map(({ key, value, offset }) => ({
+    const next = { era: reply.endpointsEra, offset: reply.endpointsNext };
+    if (!isAfter(next, directory.next)) return;
+    const records = reply.endpoints.map(({ key, value, offset, era }) => ({
       key,
       value: value === undefined ? undefined : Buffer.from(value),
-      offset,
+      position: { era, offset },
     }));
-    watcher.applyEndpoints({ records, next: reply.endpointsNext }, false, source);
+    watcher.applyEndpoints({ records, next }, false, source);
   }
 
   /**
@@ -138,11 +151,14 @@
     const { watcher, directory } = this.parts;
     const isConfigNewer = this.readConfigVersion() > request.configVersion;
     const value = isConfigNewer ? watcher.readConfigValue() : undefined;
-    const isListNewer = directory.next > request.endpointsNext;
+    const { next } = directory;
+    const requested = { era: request.endpointsEra, offset: request.endpointsNext };
+    const isListNewer = isAfter(next, requested);
     return {
       ...(value === undefined ? {} : { config: value }),
-      endpoints: isListNewer ? [...directory.listRecords()] : [],
-      endpointsNext: directory.next,
+      endpoints: isListNewer ? directory.listRecords().map(encodeRecord) : [],
+      endpointsNext: next.offset,
+      endpointsEra: next.era,
     };
   }
 
@@ -162,6 +178,12 @@
     return { engines, promptTokensPerSecond };
   }
 
+  /** The offset of the last change within the era of the list; -1 where there is none in it. */
+  private readLastChangeOffset(): number {
+    const { next, lastChange } = this.parts.directory;
+    return lastChange.era === next.era ? lastChange.offset : NO_OFFSET;
+  }
+
   private applyDepartures({ instance, departures }: Beat, now: Moment): void {
     const { directory, logger } = this.parts;
     const learned = directory.applyDepartures(
@@ -177,3 +199,7 @@
     return this.parts.watcher.readConfigIndex()?.config.version ?? NO_VERSION;
   }
 }
+
+function encodeRecord({ key, value, position }: FeedRecord): PeerRecord {
+  return { key, value, offset: position.offset, era: position.era };
+}
--- a/src/forward/service.ts
+++ b/src/forward/service.ts
@@ -130,7 +130,7 @@
       endpoint: choice.endpoint.id,
       cost: Math.round(choice.cost * 100) / 100,
       candidates: choice.candidates,
-      listOffset: this.context.directory.next,
+      listOffset: this.context.directory.next.offset,
     });
     return choice.endpoint;
   }
--- a/src/forward/stream.ts
+++ b/src/forward/stream.ts
@@ -141,7 +141,7 @@
       isReturned,
       isOverRate,
       engines: this.parts.reservations.listViews(service, startedAt).length,
-      listOffset: directory.next,
+      listOffset: directory.next.offset,
     });
     const reservation = await this.parts.reservations.reserve({
       id: head.id,
--- a/src/peer/gen/fleet.ts
+++ b/src/peer/gen/fleet.ts
@@ -47,6 +47,8 @@
   refused: string[];
   /** Endpoints that left or are leaving, where peers may not learn it from the store. */
   departures: Departure[];
+  /** Era of the store that both offsets of the list belong to. */
+  endpointsEra: number;
 }
 
 export interface Departure {
@@ -85,6 +87,7 @@
 export interface FetchRequest {
   configVersion: number;
   endpointsNext: number;
+  endpointsEra: number;
 }
 
 export interface Record {
@@ -92,6 +95,7 @@
   /** Absent where the key was dropped. */
   value?: Uint8Array | undefined;
   offset: number;
+  era: number;
 }
 
 export interface FetchReply {
@@ -99,6 +103,7 @@
   config?: Uint8Array | undefined;
   endpoints: Record[];
   endpointsNext: number;
+  endpointsEra: number;
 }
 
 function createBaseBeat(): Beat {
@@ -119,6 +124,7 @@
     endpointsChange: 0,
     refused: [],
     departures: [],
+    endpointsEra: 0,
   };
 }
 
@@ -172,6 +178,9 @@
     for (const v of message.departures) {
       Departure.encode(v!, writer.uint32(130).fork()).join();
     }
+    if (message.endpointsEra !== 0) {
+      writer.uint32(136).int64(message.endpointsEra);
+    }
     return writer;
   },
 
@@ -316,6 +325,14 @@
             message.departures.push(Departure.decode(reader, reader.uint32()));
             continue;
           }
+          case 17: {
+            if (tag !== 136) {
+              break;
+            }
+
+            message.endpointsEra = longToNumber(reader.int64());
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -372,6 +389,11 @@
       departures: globalThis.Array.isArray(object?.departures)
         ? object.departures.map((e: any) => Departure.fromJSON(e))
         : [],
+      endpointsEra: isSet(object.endpointsEra)
+        ? globalThis.Number(object.endpointsEra)
+        : isSet(object.endpoints_era)
+        ? globalThis.Number(object.endpoints_era)
+        : 0,
     };
   },
 
@@ -425,6 +447,9 @@
     if (message.departures?.length) {
       obj.departures = message.departures.map((e) => Departure.toJSON(e));
     }
+    if (message.endpointsEra !== 0) {
+      obj.endpointsEra = Math.round(message.endpointsEra);
+    }
     return obj;
   },
 
@@ -449,6 +474,7 @@
     message.endpointsChange = object.endpointsChange ?? 0;
     message.refused = object.refused?.map((e) => e) || [];
     message.departures = object.departures?.map((e) => Departure.fromPartial(e)) || [];
+    message.endpointsEra = object.endpointsEra ?? 0;
     return message;
   },
 };
@@ -959,7 +985,7 @@
 };
 
 function createBaseFetchRequest(): FetchRequest {
-  return { configVersion: 0, endpointsNext: 0 };
+  return { configVersion: 0, endpointsNext: 0, endpointsEra: 0 };
 }
 
 export const FetchRequest: MessageFns<FetchRequest> = {
@@ -970,6 +996,9 @@
     if (message.endpointsNext !== 0) {
       writer.uint32(16).int64(message.endpointsNext);
     }
+    if (message.endpointsEra !== 0) {
+      writer.uint32(24).int64(message.endpointsEra);
+    }
     return writer;
   },
 
@@ -1002,6 +1031,14 @@
             message.endpointsNext = longToNumber(reader.int64());
             continue;
           }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.endpointsEra = longToNumber(reader.int64());
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -1026,6 +1063,11 @@
         : isSet(object.endpoints_next)
         ? globalThis.Number(object.endpoints_next)
         : 0,
+      endpointsEra: isSet(object.endpointsEra)
+        ? globalThis.Number(object.endpointsEra)
+        : isSet(object.endpoints_era)
+        ? globalThis.Number(object.endpoints_era)
+        : 0,
     };
   },
 
@@ -1037,6 +1079,9 @@
     if (message.endpointsNext !== 0) {
       obj.endpointsNext = Math.round(message.endpointsNext);
     }
+    if (message.endpointsEra !== 0) {
+      obj.endpointsEra = Math.round(message.endpointsEra);
+    }
     return obj;
   },
 
@@ -1047,12 +1092,13 @@
     const message = createBaseFetchRequest();
     message.configVersion = object.configVersion ?? 0;
     message.endpointsNext = object.endpointsNext ?? 0;
+    message.endpointsEra = object.endpointsEra ?? 0;
     return message;
   },
 };
 
 function createBaseRecord(): Record {
-  return { key: "", value: undefined, offset: 0 };
+  return { key: "", value: undefined, offset: 0, era: 0 };
 }
 
 export const Record: MessageFns<Record> = {
@@ -1066,6 +1112,9 @@
     if (message.offset !== 0) {
       writer.uint32(24).int64(message.offset);
     }
+    if (message.era !== 0) {
+      writer.uint32(32).int64(message.era);
+    }
     return writer;
   },
 
@@ -1106,6 +1155,14 @@
             message.offset = longToNumber(reader.int64());
             continue;
           }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.era = longToNumber(reader.int64());
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -1123,6 +1180,7 @@
       key: isSet(object.key) ? globalThis.String(object.key) : "",
       value: isSet(object.value) ? bytesFromBase64(object.value) : undefined,
       offset: isSet(object.offset) ? globalThis.Number(object.offset) : 0,
+      era: isSet(object.era) ? globalThis.Number(object.era) : 0,
     };
   },
 
@@ -1137,6 +1195,9 @@
     if (message.offset !== 0) {
       obj.offset = Math.round(message.offset);
     }
+    if (message.era !== 0) {
+      obj.era = Math.round(message.era);
+    }
     return obj;
   },
 
@@ -1148,12 +1209,13 @@
     message.key = object.key ?? "";
     message.value = object.value ?? undefined;
     message.offset = object.offset ?? 0;
+    message.era = object.era ?? 0;
     return message;
   },
 };
 
 function createBaseFetchReply(): FetchReply {
-  return { config: undefined, endpoints: [], endpointsNext: 0 };
+  return { config: undefined, endpoints: [], endpointsNext: 0, endpointsEra: 0 };
 }
 
 export const FetchReply: MessageFns<FetchReply> = {
@@ -1167,6 +1229,9 @@
     if (message.endpointsNext !== 0) {
       writer.uint32(24).int64(message.endpointsNext);
     }
+    if (message.endpointsEra !== 0) {
+      writer.uint32(32).int64(message.endpointsEra);
+    }
     return writer;
   },
 
@@ -1207,6 +1272,14 @@
             message.endpointsNext = longToNumber(reader.int64());
             continue;
           }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.endpointsEra = longToNumber(reader.int64());
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -1230,6 +1303,11 @@
         : isSet(object.endpoints_next)
         ? globalThis.Number(object.endpoints_next)
         : 0,
+      endpointsEra: isSet(object.endpointsEra)
+        ? globalThis.Number(object.endpointsEra)
+        : isSet(object.endpoints_era)
+        ? globalThis.Number(object.endpoints_era)
+        : 0,
     };
   },
 
@@ -1244,6 +1322,9 @@
     if (message.endpointsNext !== 0) {
       obj.endpointsNext = Math.round(message.endpointsNext);
     }
+    if (message.endpointsEra !== 0) {
+      obj.endpointsEra = Math.round(message.endpointsEra);
+    }
     return obj;
   },
 
@@ -1255,6 +1336,7 @@
     message.config = object.config ?? undefined;
     message.endpoints = object.endpoints?.map((e) => Record.fromPartial(e)) || [];
     message.endpointsNext = object.endpointsNext ?? 0;
+    message.endpointsEra = object.endpointsEra ?? 0;
     return message;
   },
 };
--- a/test/fleet.spec.ts
+++ b/test/fleet.spec.ts
@@ -20,16 +20,24 @@
   return new EndpointDirectory(testCodecs.decodeEndpoint);
 }
 
+const at = (recordOffset: number) => ({ era: 0, offset: recordOffset });
+
 let offset = 0;
 function putEntry(directory: EndpointDirectory, entry: EndpointEntry, now: number): void {
   offset += 1;
   const value = Buffer.from(JSON.stringify(entry));
-  directory.apply({ records: [{ key: entry.id, value, offset }], next: offset + 1 }, now);
+  directory.apply(
+    { records: [{ key: entry.id, value, position: at(offset) }], next: at(offset + 1) },
+    now,
+  );
 }
 
 function dropEntry(directory: EndpointDirectory, id: string, now: number): void {
   offset += 1;
-  directory.apply({ records: [{ key: id, value: undefined, offset }], next: offset + 1 }, now);
+  directory.apply(
+    { records: [{ key: id, value: undefined, position: at(offset) }], next: at(offset + 1) },
+    now,
+  );
 }
 
 function listIds(directory: EndpointDirectory, now: number): readonly string[] {
@@ -125,8 +133,8 @@
     const directory = createDirectory();
     putEntry(directory, createEntry("a", "x:1"), 0);
     offset += 1;
-    const garbage = { key: "a", value: Buffer.from("{"), offset };
-    const changes = directory.apply({ records: [garbage], next: offset + 1 }, 1);
+    const garbage = { key: "a", value: Buffer.from("{"), position: at(offset) };
+    const changes = directory.apply({ records: [garbage], next: at(offset + 1) }, 1);
     assert.deepEqual(
       changes.map((change) => change.change),
       ["unreadable"],
@@ -162,7 +170,10 @@
     putEntry(directory, createEntry("a", "x:1"), 0);
     offset += 5;
     const value = Buffer.from(JSON.stringify(createEntry("b", "x:2")));
-    directory.applySnapshot({ records: [{ key: "b", value, offset }], next: offset + 1 }, 1);
+    directory.applySnapshot(
+      { records: [{ key: "b", value, position: at(offset) }], next: at(offset + 1) },
+      1,
+    );
     assert.deepEqual(listIds(directory, 2), ["b"]);
   });
 
@@ -186,17 +197,17 @@
                     createEntry(step.id, "x:1", { sequence: index + 1, isLeaving: step.isLeaving }),
                   ),
                 ),
-            offset: index,
+            position: at(index),
           }));
           const inOrder = createDirectory();
-          inOrder.apply({ records, next: records.length }, 0);
+          inOrder.apply({ records, next: at(records.length) }, 0);
           const newest = new Map(records.map((item) => [item.key, item]));
           const late = createDirectory();
           const shuffled = [...newest.values()]
             .map((item) => ({ item, order: keys.next().value ?? 0 }))
             .sort((a, b) => a.order - b.order)
             .map(({ item }) => item);
-          late.apply({ records: shuffled, next: records.length }, 0);
+          late.apply({ records: shuffled, next: at(records.length) }, 0);
           for (const id of listIds(inOrder, 1)) assert.ok(listIds(late, 1).includes(id));
         },
       ),
@@ -210,7 +221,7 @@
   it("is held by one instance at a time, with increasing fencing tokens", async () => {
     const log = new MemoryOrders();
     const clock = new ManualClock(100_000);
-    const create = (name: string) => new OrderLeases(name, log, LEASE_MS, clock, SILENT_LOGGER);
+    const create = (name: string) => new OrderLeases(name, log, LEASE_MS, clock, SILENT_LOGGER, 0);
     const first = create("a");
     const second = create("b");
     const subject = { engine: "e", stage: "decode" };
@@ -243,7 +254,7 @@
         const clock = new ManualClock(0);
         clock.advance(10_000);
         const orderLeases = ["a", "b", "c"].map(
-          (name) => new OrderLeases(name, log, LEASE_MS, clock, SILENT_LOGGER),
+          (name) => new OrderLeases(name, log, LEASE_MS, clock, SILENT_LOGGER, 0),
         );
         let last: { who: number; at: number; fence: number } | undefined;
         for (const { who, waitMs } of steps) {
@@ -261,7 +272,7 @@
 
   it("is stale 500 ms after its append began", async () => {
     const clock = new ManualClock(50_000);
-    const leases = new OrderLeases("a", new MemoryOrders(), LEASE_MS, clock, SILENT_LOGGER);
+    const leases = new OrderLeases("a", new MemoryOrders(), LEASE_MS, clock, SILENT_LOGGER, 0);
     const lease = await leases.acquire({ engine: "e", stage: "decode" });
     assert.ok(lease);
     assert.ok(lease.isFresh());
@@ -272,7 +283,7 @@
   it("cannot be acquired while the store is unavailable", async () => {
     const log = new MemoryOrders();
     log.isDown = true;
-    const leases = new OrderLeases("a", log, LEASE_MS, new ManualClock(50_000), SILENT_LOGGER);
+    const leases = new OrderLeases("a", log, LEASE_MS, new ManualClock(50_000), SILENT_LOGGER, 0);
     assert.equal(await leases.acquire({ engine: "e", stage: "decode" }), undefined);
   });
 });
@@ -286,6 +297,7 @@
     dataCentre: "nizwa",
     configVersion: 1,
     endpointsNext: 1,
+    endpointsEra: 0,
     endpointsChange: 0,
     refused: [],
     departures: [],
@@ -314,9 +326,9 @@
     const validValue = Buffer.from('{"address":"b:1","incarnation":"n2/1","dataCentre":"bahla"}');
     members.addRecords(
       [
-        { key: "n2", value: validValue, offset: 0 },
-        { key: "n3", value: Buffer.from("?"), offset: 1 },
-        { key: "n4", value: undefined, offset: 2 },
+        { key: "n2", value: validValue, position: at(0) },
+        { key: "n3", value: Buffer.from("?"), position: at(1) },
+        { key: "n4", value: undefined, position: at(2) },
       ],
       0,
     );
--- a/test/harness/memory.ts
+++ b/test/harness/memory.ts
@@ -5,6 +5,7 @@
 import { pause } from "../../src/core/clock";
 import type { FleetConfig } from "../../src/fleet/config";
 import type { EndpointEntry } from "../../src/fleet/directory";
+import { FIRST_ERA, type LogPosition } from "../../src/fleet/position";
 import {
   type Feed,
   type FeedRecord,
@@ -18,11 +19,26 @@
 
 /** In-memory feed; reads all records from an offset, or the newest record of each key. */
 export class MemoryFeed implements WritableFeed {
-  readonly records: FeedRecord[] = [];
+  records: FeedRecord[] = [];
   isDown = false;
+  era = FIRST_ERA;
+
+  get next(): LogPosition {
+    return { era: this.era, offset: this.records.length };
+  }
 
   put(key: string, value: Buffer | undefined): void {
-    this.records.push({ key, value, offset: this.records.length });
+    this.records.push({ key, value, position: this.next });
+  }
+
+  /** Drops the records from an offset on, and begins a new era. */
+  restore(end: number): void {
+    this.era += 1;
+    const kept = this.records.slice(0, end);
+    this.records = kept.map((record) => ({
+      ...record,
+      position: { ...record.position, era: this.era },
+    }));
   }
 
   append: WritableFeed["append"] = (key, value) => () => {
@@ -35,20 +51,28 @@
     if (this.isDown) return Promise.resolve(E.left(createUnavailableError()));
     const newest = new Map(this.records.map((record) => [record.key, record]));
     const records = [...newest.values()].filter((record) => record.value !== undefined);
-    return Promise.resolve(E.right({ records, next: this.records.length }));
+    return Promise.resolve(E.right({ records, next: this.next }));
   };
 
   read: Feed["read"] = (from, waitMs) => async () => {
     if (this.records.length <= from) await pause(Math.min(waitMs, 20));
     if (this.isDown) return E.left(createUnavailableError());
-    return E.right({ records: this.records.slice(from), next: this.records.length });
+    if (from > this.records.length) return E.left(new StoreError(StoreFault.trimmed, "no offset"));
+    return E.right({ records: this.records.slice(from), next: this.next });
   };
 }
 
 /** In-memory order log; accepts a record only at its current end. */
 export class MemoryOrders implements OrderLog {
-  readonly records: OrderRecord[] = [];
+  records: OrderRecord[] = [];
   isDown = false;
+  era = FIRST_ERA;
+
+  /** Drops the records from an offset on, and begins a new era. */
+  restore(end: number): void {
+    this.era += 1;
+    this.records = this.records.slice(0, end);
+  }
 
   read: OrderLog["read"] = (from) => () =>
     Promise.resolve(
@@ -63,7 +87,7 @@
       return Promise.resolve(E.left(new StoreError(StoreFault.moved, "moved")));
     }
     this.records.push({ value, offset: end });
-    return Promise.resolve(E.right(end));
+    return Promise.resolve(E.right({ era: this.era, offset: end }));
   };
 }
 
@@ -74,6 +98,21 @@
   readonly members = new MemoryFeed();
   readonly orders = new MemoryOrders();
 
+  private readonly restoreListeners: ((era: number) => void)[] = [];
+
+  onRestored(listener: (era: number) => void): void {
+    this.restoreListeners.push(listener);
+  }
+
+  /** Goes back to a copy that lacks the newest records of each feed. */
+  restore(lost: { configuration?: number; endpoints?: number; members?: number }): void {
+    for (const name of ["configuration", "endpoints", "members"] as const) {
+      this[name].restore(this[name].records.length - (lost[name] ?? 0));
+    }
+    this.orders.restore(this.orders.records.length);
+    for (const listener of this.restoreListeners) listener(this.orders.era);
+  }
+
   reset(): void {
     // There is no connection to reset.
   }
--- a/test/steering.spec.ts
+++ b/test/steering.spec.ts
@@ -45,7 +45,7 @@
   );
   return new StageRebalancer({
     instance: name,
-    leases: new OrderLeases(name, log, 3000, clock, SILENT_LOGGER),
+    leases: new OrderLeases(name, log, 3000, clock, SILENT_LOGGER, 0),
     client: { call } as unknown as EndpointClient,
     gate: new EndpointGate(new EndpointDirectory(testCodecs.decodeEndpoint), clock, SILENT_LOGGER),
     codec: testCodecs.endpointCodec,
