Give each workspace one account for the fleet, in place of guesses

Besides, a bucket that refills at the rate alone refuses what the rule allows in each window.

Each workspace has an owner among the live instances (rendezvous hashing) that decides exactly; the others ask it, one call at a time for an account with all requests that wait (charges.ts). Counts only rise, so what the owner granted and what heartbeats report later is charged once. Above a high mark an instance admits without asking. While the owner is silent it goes on within its share; instances that are missing reduce refill and capacity to the share of those that are heard; a new process begins with a small part. The tolerance of a window is divided among those cases, and the largest part raises the refill.

Ruled out on the way, each by the history test: a high mark without the own request (200 instances: 272,009 of 190,800 in a window), an overdraft right after a restart of the whole fleet, full refill on both sides of a cut until the other is taken for lost, and a new process that forgets after 2.5 s whom it has not heard.

--- a/src/fleet/config.ts
+++ b/src/fleet/config.ts
@@ -110,6 +110,7 @@
 export class FleetConfigIndex {
   private readonly routesByHost = new Map<string, FleetRoute[]>();
   private readonly workspacesByKeyHash = new Map<string, FleetWorkspace>();
+  private readonly workspacesByName = new Map<string, FleetWorkspace>();
   private readonly servicesByName = new Map<string, FleetService>();
 
   constructor(readonly config: FleetConfig) {
@@ -118,6 +119,7 @@
       routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
     }
     for (const workspace of config.workspaces) {
+      this.workspacesByName.set(workspace.name, workspace);
       for (const key of workspace.keys) this.workspacesByKeyHash.set(hashKeyText(key), workspace);
     }
     for (const service of config.services) this.servicesByName.set(service.name, service);
@@ -140,6 +142,11 @@
     return this.workspacesByKeyHash.get(hashKeyText(key));
   }
 
+  /** Finds a workspace by name. */
+  findWorkspaceByName(name: string): FleetWorkspace | undefined {
+    return this.workspacesByName.get(name);
+  }
+
   /** Finds a service by name. */
   findService(name: string): FleetService | undefined {
     return this.servicesByName.get(name);
--- a/src/fleet/members.ts
+++ b/src/fleet/members.ts
@@ -14,6 +14,11 @@
  * more than three heartbeat intervals.
  */
 const LIVENESS_TIMEOUT_MS = 1800;
+/**
+ * How long an instance may be silent before it counts as missing, in milliseconds; a little more
+ * than two heartbeat intervals. It is still live for a while, as it may only be slow.
+ */
+const SUSPICION_TIMEOUT_MS = 1100;
 /**
  * How long an instance without heartbeats may still be serving behind a network partition, in
  * milliseconds.
@@ -36,8 +41,20 @@
 
 const memberCodec = t.type({ address: t.string, incarnation: t.string, dataCentre: t.string });
 
+/** The number of instances, as one of them sees it. */
+export interface FleetSize {
+  /** Instances that are heard, including this one. */
+  readonly heard: number;
+  /**
+   * Instances that may be running without being heard: those that were heard recently and did not
+   * say that they leave, and for as long after the start those that are known and were never heard.
+   */
+  readonly missing: number;
+}
+
 interface Member {
   readonly instance: string;
+  readonly address: string;
   lastHeartbeatAt: Moment;
   isLeaving: boolean;
   isLost: boolean;
@@ -47,6 +64,7 @@
   /** When the address was added, or a heartbeat last arrived from it. */
   lastAliveAt: Moment;
   readonly instance: string | undefined;
+  readonly isHeard: boolean;
 }
 
 /** The other instances and their addresses. */
@@ -57,12 +75,13 @@
   constructor(
     private readonly self: MemberIdentity,
     private readonly logger: Logger,
+    private readonly startedAt: Moment,
   ) {}
 
   /** Adds an address at which an instance may run; ignores its own and known ones. */
   addAddress(address: string, instance: string | undefined, now: Moment): void {
     if (address === this.self.address || this.addresses.has(address)) return;
-    this.addresses.set(address, { lastAliveAt: now, instance });
+    this.addresses.set(address, { lastAliveAt: now, instance, isHeard: false });
   }
 
   /** Adds the addresses of the members listed in the store. */
@@ -88,12 +107,17 @@
 
   /** Records a heartbeat; returns whether the instance was not live before. */
   recordBeat(beat: Beat, now: Moment): boolean {
-    this.addresses.set(beat.address, { lastAliveAt: now, instance: beat.instance });
+    this.addresses.set(beat.address, {
+      lastAliveAt: now,
+      instance: beat.instance,
+      isHeard: true,
+    });
     const member = this.members.get(beat.instance);
     const isLive =
       member !== undefined && now - member.lastHeartbeatAt <= LIVENESS_TIMEOUT_MS && !member.isLost;
     this.members.set(beat.instance, {
       instance: beat.instance,
+      address: beat.address,
       lastHeartbeatAt: now,
       isLeaving: beat.leaving,
       isLost: false,
@@ -125,15 +149,25 @@
     return [...this.addresses.keys()];
   }
 
-  /**
-   * Computes the ratio of live instances to recently known ones, this instance included in both.
-   */
-  computeLiveRatio(now: Moment): number {
-    const known = [...this.members.values()].filter(
-      (member) => !member.isLeaving && now - member.lastHeartbeatAt <= KNOWN_TTL_MS,
-    );
-    const live = known.filter((member) => now - member.lastHeartbeatAt <= LIVENESS_TIMEOUT_MS);
-    return (live.length + 1) / (known.length + 1);
+  /** Counts the instances that are heard, this one included, and those that may be running unheard. */
+  readFleetSize(now: Moment): FleetSize {
+    let heard = 1;
+    let missing = 0;
+    for (const { isLeaving, lastHeartbeatAt } of this.members.values()) {
+      if (isLeaving) continue;
+      const silentMs = now - lastHeartbeatAt;
+      if (silentMs <= SUSPICION_TIMEOUT_MS) heard += 1;
+      else if (silentMs <= KNOWN_TTL_MS) missing += 1;
+    }
+    if (now - this.startedAt <= KNOWN_TTL_MS) {
+      for (const { isHeard } of this.addresses.values()) if (!isHeard) missing += 1;
+    }
+    return { heard, missing };
+  }
+
+  /** Finds the address of an instance that was heard. */
+  findAddress(instance: string): string | undefined {
+    return this.members.get(instance)?.address;
   }
 
   /** Lists the instances that are live and not leaving, this one included. */
--- a/src/fleet/transport.ts
+++ b/src/fleet/transport.ts
@@ -12,6 +12,8 @@
 } from "@grpc/grpc-js";
 import {
   type Beat,
+  type ChargeReply,
+  type ChargeRequest,
   type FetchReply,
   type FetchRequest,
   FleetClient,
@@ -28,6 +30,7 @@
 export interface FleetHandler {
   onBeat(beat: Beat): Beat;
   onFetch(request: FetchRequest): FetchReply;
+  onCharge(request: ChargeRequest): ChargeReply;
 }
 
 /** A server that listens for peers. */
@@ -51,6 +54,15 @@
     return this.call(address, timeoutMs, (client, done) => client.fetch(request, done));
   }
 
+  /** Asks an instance to decide on requests; undefined where it does not answer in time. */
+  charge(
+    address: string,
+    request: ChargeRequest,
+    timeoutMs: number,
+  ): Promise<ChargeReply | undefined> {
+    return this.call(address, timeoutMs, (client, done) => client.charge(request, done));
+  }
+
   close(): void {
     for (const client of this.clients.values()) client.close();
     this.clients.clear();
@@ -111,6 +123,12 @@
     fetch: (call: ServerUnaryCall<FetchRequest, FetchReply>, done: sendUnaryData<FetchReply>) => {
       done(null, handler.onFetch(call.request));
     },
+    charge: (
+      call: ServerUnaryCall<ChargeRequest, ChargeReply>,
+      done: sendUnaryData<ChargeReply>,
+    ) => {
+      done(null, handler.onCharge(call.request));
+    },
   });
   await new Promise<void>((resolve, reject) => {
     server.bindAsync(address, ServerCredentials.createInsecure(), (error) => {
--- a/src/forward/admission.ts
+++ b/src/forward/admission.ts
@@ -16,7 +16,7 @@
 } from "../fleet/config";
 import type { CrashTracker } from "../core/crashes";
 import type { ForwardRequest, RequestHead } from "./messages";
-import type { Quotas } from "./quota";
+import type { QuotaCharger } from "./charges";
 
 /** Retry delay for callers of an instance that isn't ready, in milliseconds. */
 const NOT_READY_RETRY_AFTER_MS = 300;
@@ -28,7 +28,7 @@
   readonly readConfigIndex: () => FleetConfigIndex | undefined;
   /** Computes the time since the newest configuration was last confirmed, in milliseconds. */
   readonly computeConfigAgeMs: () => number;
-  readonly quotas: Quotas;
+  readonly charger: QuotaCharger;
   readonly crashes: CrashTracker;
   readonly logger: Logger;
   /** Returns a random number in [0, 1). */
@@ -40,7 +40,11 @@
   constructor(private readonly parts: AdmissionParts) {}
 
   /** Admits a request, or returns the refusal; a refused request reaches no endpoint. */
-  admit(head: RequestHead, body: Buffer, now: Moment): E.Either<Refusal, ForwardRequest> {
+  async admit(
+    head: RequestHead,
+    body: Buffer,
+    now: Moment,
+  ): Promise<E.Either<Refusal, ForwardRequest>> {
     const configIndex = this.parts.readConfigIndex();
     if (configIndex === undefined)
       return E.left(createNotReadyRefusal("no configuration is known yet"));
@@ -57,7 +61,7 @@
       body.toString("latin1"),
     );
     if (this.parts.crashes.isBanned(fingerprint, now)) return E.left(createPoisonRefusal());
-    const isOverRate = this.charge(head, workspace.right, now);
+    const isOverRate = await this.charge(head, workspace.right);
     if (E.isLeft(isOverRate)) return isOverRate;
     return E.right({
       head,
@@ -95,14 +99,13 @@
   }
 
   /** Charges the request to its workspace; returns true if the workspace is over its rate. */
-  private charge(
+  private async charge(
     head: RequestHead,
     workspace: FleetWorkspace | undefined,
-    now: Moment,
-  ): E.Either<Refusal, boolean> {
+  ): Promise<E.Either<Refusal, boolean>> {
     if (workspace === undefined) return E.right(false);
     const cost = computeCost(head, workspace);
-    const decision = this.parts.quotas.admit(workspace.name, workspace.limit, cost, now);
+    const decision = await this.parts.charger.admit(workspace.name, workspace.limit, cost);
     if (decision.isAdmitted) return E.right(decision.isOverRate);
     this.parts.logger.warn("over rate", {
       request: head.id,
--- /dev/null
+++ b/src/forward/chargepeer.ts
@@ -0,0 +1,64 @@
+/**
+ * Carries charges between instances over gRPC.
+ */
+import type { Moment } from "../core/clock";
+import type { RateLimit } from "../fleet/config";
+import type { MemberIdentity, MemberList } from "../fleet/members";
+import type { GrpcFleetTransport } from "../fleet/transport";
+import type { ChargeReply, ChargeRequest } from "../peer/gen/fleet";
+import type { Charge, ChargeTransport } from "./charges";
+import type { QuotaDecision, Quotas } from "./quota";
+
+/** Sends charges to the owners of accounts. */
+export class PeerChargeTransport implements ChargeTransport {
+  constructor(
+    private readonly self: MemberIdentity,
+    private readonly members: MemberList,
+    private readonly transport: GrpcFleetTransport,
+  ) {}
+
+  async charge(
+    owner: string,
+    { workspace, totalCost, costs }: Charge,
+    timeoutMs: number,
+  ): Promise<readonly QuotaDecision[] | undefined> {
+    const address = this.members.findAddress(owner);
+    if (address === undefined) return undefined;
+    const { instance, incarnation } = this.self;
+    const request = { instance, incarnation, workspace, totalCost, costs: [...costs] };
+    const reply = await this.transport.charge(address, request, timeoutMs);
+    return reply?.decisions.map(({ admitted, overRate, left, retryAfterMs }) => ({
+      isAdmitted: admitted,
+      isOverRate: overRate,
+      left,
+      retryAfterMs,
+    }));
+  }
+}
+
+/**
+ * Decides on a peer's charge as the owner of the account.
+ *
+ * @param limit - the limit of the workspace; undefined if it is not known here or has none, which
+ *   leaves the decision to the peer
+ * @example
+ * answerCharge(quotas, request, limit, clock.now()).decisions;
+ */
+export function answerCharge(
+  quotas: Quotas,
+  { instance, incarnation, workspace, totalCost, costs }: ChargeRequest,
+  limit: RateLimit | undefined,
+  now: Moment,
+): ChargeReply {
+  if (limit === undefined) return { decisions: [] };
+  const peer = { instance, incarnation, totalCost };
+  const decisions = quotas.admitForPeer(peer, workspace, limit, costs, now);
+  return {
+    decisions: decisions.map(({ isAdmitted, isOverRate, left, retryAfterMs }) => ({
+      admitted: isAdmitted,
+      overRate: isOverRate,
+      left,
+      retryAfterMs,
+    })),
+  };
+}
--- /dev/null
+++ b/src/forward/charges.ts
@@ -0,0 +1,187 @@
+/**
+ * Charges requests to the accounts of their workspaces over the whole fleet. The owner of an
+ * account is chosen by rendezvous hashing among the live instances, by each instance for itself.
+ * Requests for one account that arrive while a call to its owner is under way go out together in
+ * the next call, so that a busy instance makes one call at a time for an account.
+ */
+import type { Clock, Moment } from "../core/clock";
+import type { Logger } from "../core/log";
+import { chooseByRendezvousHash } from "../core/rendezvous";
+import type { RateLimit } from "../fleet/config";
+import { type QuotaDecision, type Quotas, UNLIMITED } from "./quota";
+
+/** How long an owner may take to answer, in milliseconds; far more than a round trip. */
+const CHARGE_TIMEOUT_MS = 200;
+/**
+ * How long an owner that did not answer is not asked, in milliseconds; until about then the
+ * instance is either heard again or taken for lost.
+ */
+const SILENT_OWNER_MS = 1000;
+/** How long a chosen owner is kept, in milliseconds, as choosing costs a hash for each instance. */
+const OWNER_TTL_MS = 200;
+/** Maximum number of requests in one call, which bounds its size. */
+const MAX_BATCH = 256;
+
+/** A charge of one or more requests to an account. */
+export interface Charge {
+  readonly workspace: string;
+  /** Cost that the asking instance has admitted for the workspace since it started. */
+  readonly totalCost: number;
+  /** Costs of the requests, in their order. */
+  readonly costs: readonly number[];
+}
+
+/** Calls to the owners of accounts. */
+export interface ChargeTransport {
+  /**
+   * Asks an instance to decide on a charge as the owner of the account.
+   *
+   * @returns a decision for each request, or undefined if there was no answer in time
+   */
+  charge(
+    owner: string,
+    charge: Charge,
+    timeoutMs: number,
+  ): Promise<readonly QuotaDecision[] | undefined>;
+}
+
+interface WaitingRequest {
+  readonly limit: RateLimit;
+  readonly cost: number;
+  readonly resolve: (decision: QuotaDecision) => void;
+}
+
+interface Owner {
+  readonly instance: string;
+  readonly expiresAt: Moment;
+}
+
+/** Dependencies of the charger. */
+export interface ChargerParts {
+  readonly instance: string;
+  readonly quotas: Quotas;
+  readonly transport: ChargeTransport;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Lists the live instances, including this one. */
+  readonly listLive: () => readonly string[];
+}
+
+/** Decides on the requests of this instance by the rates of their workspaces. */
+export class QuotaCharger {
+  private readonly owners = new Map<string, Owner>();
+  /** By workspace: the requests that wait for the call under way to end. */
+  private readonly waiting = new Map<string, WaitingRequest[]>();
+  private readonly silentOwners = new Map<string, Moment>();
+
+  constructor(private readonly parts: ChargerParts) {}
+
+  /**
+   * Admits a request and counts it, or refuses it.
+   *
+   * @param limit - undefined if the workspace has none
+   */
+  async admit(
+    workspace: string,
+    limit: RateLimit | undefined,
+    cost: number,
+  ): Promise<QuotaDecision> {
+    if (limit === undefined) return UNLIMITED;
+    const { instance, quotas, clock } = this.parts;
+    const now = clock.now();
+    const owner = this.chooseOwner(workspace, now);
+    if (owner === instance) return quotas.admitAsOwner(workspace, limit, cost, now);
+    const unasked = quotas.admitUnasked(workspace, limit, cost, now);
+    if (unasked !== undefined) return unasked;
+    if (this.isSilent(owner, now)) return quotas.admitByShare(workspace, limit, cost, now);
+    return this.askOwner(workspace, limit, cost);
+  }
+
+  private askOwner(workspace: string, limit: RateLimit, cost: number): Promise<QuotaDecision> {
+    return new Promise((resolve) => {
+      const request = { limit, cost, resolve };
+      const waiting = this.waiting.get(workspace);
+      if (waiting !== undefined) {
+        waiting.push(request);
+        return;
+      }
+      this.waiting.set(workspace, []);
+      void this.sendBatches(workspace, [request]);
+    });
+  }
+
+  private async sendBatches(workspace: string, first: readonly WaitingRequest[]): Promise<void> {
+    let batch = first;
+    while (batch.length > 0) {
+      await this.sendBatch(workspace, batch);
+      batch = this.waiting.get(workspace)?.splice(0, MAX_BATCH) ?? [];
+    }
+    this.waiting.delete(workspace);
+  }
+
+  private async sendBatch(workspace: string, batch: readonly WaitingRequest[]): Promise<void> {
+    const { quotas, transport, clock, instance } = this.parts;
+    const owner = this.chooseOwner(workspace, clock.now());
+    const totalCost = quotas.readLocalCost(workspace);
+    const costs = batch.map(({ cost }) => cost);
+    const charge = { workspace, totalCost, costs };
+    const isAsked = owner !== instance && !this.isSilent(owner, clock.now());
+    const decisions = isAsked
+      ? await transport.charge(owner, charge, CHARGE_TIMEOUT_MS)
+      : undefined;
+    if (isAsked && decisions === undefined) this.recordSilence(owner, workspace);
+    for (const [index, request] of batch.entries()) {
+      const decision = decisions?.[index];
+      request.resolve(
+        decision === undefined
+          ? this.decideAlone(workspace, request, owner)
+          : this.applyDecision(workspace, request, decision),
+      );
+    }
+  }
+
+  private applyDecision(
+    workspace: string,
+    { limit, cost }: WaitingRequest,
+    decision: QuotaDecision,
+  ): QuotaDecision {
+    const { quotas, clock } = this.parts;
+    if (decision.isAdmitted) quotas.recordGrant(workspace, limit, cost, clock.now());
+    return decision;
+  }
+
+  private decideAlone(
+    workspace: string,
+    { limit, cost }: WaitingRequest,
+    owner: string,
+  ): QuotaDecision {
+    const { quotas, clock, instance } = this.parts;
+    const now = clock.now();
+    return owner === instance
+      ? quotas.admitAsOwner(workspace, limit, cost, now)
+      : quotas.admitByShare(workspace, limit, cost, now);
+  }
+
+  private chooseOwner(workspace: string, now: Moment): string {
+    const known = this.owners.get(workspace);
+    if (known !== undefined && known.expiresAt > now) return known.instance;
+    const { instance: self, listLive } = this.parts;
+    const instance = chooseByRendezvousHash(workspace, [...listLive()].sort()) ?? self;
+    this.owners.set(workspace, { instance, expiresAt: now + OWNER_TTL_MS });
+    return instance;
+  }
+
+  private recordSilence(owner: string, workspace: string): void {
+    const { clock, logger } = this.parts;
+    this.silentOwners.set(owner, clock.now() + SILENT_OWNER_MS);
+    logger.warn("rate owner silent", { owner, workspace });
+  }
+
+  private isSilent(owner: string, now: Moment): boolean {
+    const deadline = this.silentOwners.get(owner);
+    if (deadline === undefined) return false;
+    if (deadline > now) return true;
+    this.silentOwners.delete(owner);
+    return false;
+  }
+}
--- a/src/forward/dispatch.ts
+++ b/src/forward/dispatch.ts
@@ -49,7 +49,7 @@
   async run(request: CallerRequest): Promise<CallerResponse> {
     const { head, body, arrivedAt } = request;
     const { admission, context } = this.parts;
-    const admitted = admission.admit(head, body, arrivedAt);
+    const admitted = await admission.admit(head, body, arrivedAt);
     if (E.isLeft(admitted)) return admitted;
     const forwardRequest = admitted.right;
     const times = computeTimes(forwardRequest, arrivedAt);
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -20,7 +20,7 @@
 import { MemberList, type MemberIdentity } from "../fleet/members";
 import type { Store } from "../fleet/store";
 import { type ConfigDecoder, StoreWatcher } from "../fleet/watcher";
-import type { Beat, FetchReply, FetchRequest } from "../peer/gen/fleet";
+import type { Beat, ChargeReply, ChargeRequest, FetchReply, FetchRequest } from "../peer/gen/fleet";
 import { Admission } from "./admission";
 import { HttpEndpointClient } from "./client";
 import type { ForwardContext } from "./context";
@@ -34,6 +34,8 @@
 import { HealthTracker } from "./health";
 import { Meter } from "./meter";
 import { PeerState } from "./peerstate";
+import { QuotaCharger } from "./charges";
+import { answerCharge, PeerChargeTransport } from "./chargepeer";
 import { Quotas } from "./quota";
 import { OrderLeases } from "../fleet/orders";
 import { StageRebalancer } from "./rebalancer";
@@ -124,7 +126,7 @@
     this.logger = createLogger(instance, settings.logLevel, lines);
     this.self = { instance, incarnation: createIncarnation(instance), address, dataCentre };
     this.directory = new EndpointDirectory(adapter.decodeEndpoint);
-    this.members = new MemberList(this.self, this.logger);
+    this.members = new MemberList(this.self, this.logger, clock.now());
     this.watcher = new StoreWatcher(
       adapter.store,
       this.directory,
@@ -136,9 +138,17 @@
     );
     this.quotas = new Quotas(
       settings.quotaTolerance,
-      () => this.members.computeLiveRatio(clock.now()),
-      () => this.countLive(),
+      () => this.members.readFleetSize(clock.now()),
+      clock.now(),
     );
+    const charger = new QuotaCharger({
+      instance,
+      quotas: this.quotas,
+      transport: new PeerChargeTransport(this.self, this.members, this.transport),
+      clock,
+      logger: this.logger,
+      listLive: () => this.members.listLive(clock.now()),
+    });
     const random = Math.random;
     const gate = new EndpointGate(this.directory, clock, this.logger);
     const client = new HttpEndpointClient(adapter.endpointCodec, gate, clock, (service) =>
@@ -222,7 +232,7 @@
     const admission = new Admission({
       readConfigIndex: () => this.watcher.readConfigIndex(),
       computeConfigAgeMs: () => this.watcher.computeConfigAgeMs(),
-      quotas: this.quotas,
+      charger,
       crashes: this.crashes,
       logger: this.logger,
       random,
@@ -341,6 +351,12 @@
     return this.peerState.answerFetch(request);
   }
 
+  onCharge(request: ChargeRequest): ChargeReply {
+    const { workspace: name } = request;
+    const limit = this.watcher.readConfigIndex()?.findWorkspaceByName(name)?.limit;
+    return answerCharge(this.quotas, request, limit, this.clock.now());
+  }
+
   private serve(request: CallerRequest): Promise<CallerResponse> {
     this.applyCallerLimits();
     if (!this.isRefusing) return this.dispatcher.run(request);
@@ -406,7 +422,8 @@
   private logShares(): void {
     const live = this.countLive();
     if (live === this.loggedLiveCount) return;
-    const heardShare = Math.round(this.members.computeLiveRatio(this.clock.now()) * 100) / 100;
+    const { heard, missing } = this.members.readFleetSize(this.clock.now());
+    const heardShare = Math.round((heard / (heard + missing)) * 100) / 100;
     this.logger.info("shares", { live, before: this.loggedLiveCount, heardShare });
     this.loggedLiveCount = live;
   }
--- a/src/peer/gen/fleet.ts
+++ b/src/peer/gen/fleet.ts
@@ -106,6 +106,30 @@
   endpointsEra: number;
 }
 
+export interface ChargeRequest {
+  /** The asking instance. */
+  instance: string;
+  incarnation: string;
+  workspace: string;
+  /** Admitted by the asking instance for the workspace since it started. */
+  totalCost: number;
+  /** Costs of the requests, in their order. */
+  costs: number[];
+}
+
+export interface ChargeReply {
+  /** One for each request; none where the workspace is not known here. */
+  decisions: ChargeDecision[];
+}
+
+export interface ChargeDecision {
+  admitted: boolean;
+  overRate: boolean;
+  /** Level of the account before the request. */
+  left: number;
+  retryAfterMs: number;
+}
+
 function createBaseBeat(): Beat {
   return {
     instance: "",
@@ -1341,6 +1365,353 @@
   },
 };
 
+function createBaseChargeRequest(): ChargeRequest {
+  return { instance: "", incarnation: "", workspace: "", totalCost: 0, costs: [] };
+}
+
+export const ChargeRequest: MessageFns<ChargeRequest> = {
+  encode(message: ChargeRequest, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.instance !== "") {
+      writer.uint32(10).string(message.instance);
+    }
+    if (message.incarnation !== "") {
+      writer.uint32(18).string(message.incarnation);
+    }
+    if (message.workspace !== "") {
+      writer.uint32(26).string(message.workspace);
+    }
+    if (message.totalCost !== 0) {
+      writer.uint32(33).double(message.totalCost);
+    }
+    if (message.costs.length !== 0) {
+      writer.uint32(42).fork();
+      for (const v of message.costs) {
+        writer.double(v);
+      }
+      writer.join();
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): ChargeRequest {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseChargeRequest();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.instance = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 18) {
+              break;
+            }
+
+            message.incarnation = reader.string();
+            continue;
+          }
+          case 3: {
+            if (tag !== 26) {
+              break;
+            }
+
+            message.workspace = reader.string();
+            continue;
+          }
+          case 4: {
+            if (tag !== 33) {
+              break;
+            }
+
+            message.totalCost = reader.double();
+            continue;
+          }
+          case 5: {
+            if (tag === 41) {
+              message.costs.push(reader.double());
+
+              continue;
+            }
+
+            if (tag === 42) {
+              const end2 = reader.uint32() + reader.pos;
+              while (reader.pos < end2) {
+                message.costs.push(reader.double());
+              }
+
+              continue;
+            }
+
+            break;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): ChargeRequest {
+    return {
+      instance: isSet(object.instance) ? globalThis.String(object.instance) : "",
+      incarnation: isSet(object.incarnation) ? globalThis.String(object.incarnation) : "",
+      workspace: isSet(object.workspace) ? globalThis.String(object.workspace) : "",
+      totalCost: isSet(object.totalCost)
+        ? globalThis.Number(object.totalCost)
+        : isSet(object.total_cost)
+        ? globalThis.Number(object.total_cost)
+        : 0,
+      costs: globalThis.Array.isArray(object?.costs) ? object.costs.map((e: any) => globalThis.Number(e)) : [],
+    };
+  },
+
+  toJSON(message: ChargeRequest): unknown {
+    const obj: any = {};
+    if (message.instance !== "") {
+      obj.instance = message.instance;
+    }
+    if (message.incarnation !== "") {
+      obj.incarnation = message.incarnation;
+    }
+    if (message.workspace !== "") {
+      obj.workspace = message.workspace;
+    }
+    if (message.totalCost !== 0) {
+      obj.totalCost = floatToJson(message.totalCost);
+    }
+    if (message.costs?.length) {
+      obj.costs = message.costs.map((e) => floatToJson(e));
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<ChargeRequest>, I>>(base?: I): ChargeRequest {
+    return ChargeRequest.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<ChargeRequest>, I>>(object: I): ChargeRequest {
+    const message = createBaseChargeRequest();
+    message.instance = object.instance ?? "";
+    message.incarnation = object.incarnation ?? "";
+    message.workspace = object.workspace ?? "";
+    message.totalCost = object.totalCost ?? 0;
+    message.costs = object.costs?.map((e) => e) || [];
+    return message;
+  },
+};
+
+function createBaseChargeReply(): ChargeReply {
+  return { decisions: [] };
+}
+
+export const ChargeReply: MessageFns<ChargeReply> = {
+  encode(message: ChargeReply, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    for (const v of message.decisions) {
+      ChargeDecision.encode(v!, writer.uint32(10).fork()).join();
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): ChargeReply {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseChargeReply();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.decisions.push(ChargeDecision.decode(reader, reader.uint32()));
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): ChargeReply {
+    return {
+      decisions: globalThis.Array.isArray(object?.decisions)
+        ? object.decisions.map((e: any) => ChargeDecision.fromJSON(e))
+        : [],
+    };
+  },
+
+  toJSON(message: ChargeReply): unknown {
+    const obj: any = {};
+    if (message.decisions?.length) {
+      obj.decisions = message.decisions.map((e) => ChargeDecision.toJSON(e));
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<ChargeReply>, I>>(base?: I): ChargeReply {
+    return ChargeReply.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<ChargeReply>, I>>(object: I): ChargeReply {
+    const message = createBaseChargeReply();
+    message.decisions = object.decisions?.map((e) => ChargeDecision.fromPartial(e)) || [];
+    return message;
+  },
+};
+
+function createBaseChargeDecision(): ChargeDecision {
+  return { admitted: false, overRate: false, left: 0, retryAfterMs: 0 };
+}
+
+export const ChargeDecision: MessageFns<ChargeDecision> = {
+  encode(message: ChargeDecision, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.admitted !== false) {
+      writer.uint32(8).bool(message.admitted);
+    }
+    if (message.overRate !== false) {
+      writer.uint32(16).bool(message.overRate);
+    }
+    if (message.left !== 0) {
+      writer.uint32(25).double(message.left);
+    }
+    if (message.retryAfterMs !== 0) {
+      writer.uint32(33).double(message.retryAfterMs);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): ChargeDecision {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseChargeDecision();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 8) {
+              break;
+            }
+
+            message.admitted = reader.bool();
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.overRate = reader.bool();
+            continue;
+          }
+          case 3: {
+            if (tag !== 25) {
+              break;
+            }
+
+            message.left = reader.double();
+            continue;
+          }
+          case 4: {
+            if (tag !== 33) {
+              break;
+            }
+
+            message.retryAfterMs = reader.double();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): ChargeDecision {
+    return {
+      admitted: isSet(object.admitted) ? globalThis.Boolean(object.admitted) : false,
+      overRate: isSet(object.overRate)
+        ? globalThis.Boolean(object.overRate)
+        : isSet(object.over_rate)
+        ? globalThis.Boolean(object.over_rate)
+        : false,
+      left: isSet(object.left) ? globalThis.Number(object.left) : 0,
+      retryAfterMs: isSet(object.retryAfterMs)
+        ? globalThis.Number(object.retryAfterMs)
+        : isSet(object.retry_after_ms)
+        ? globalThis.Number(object.retry_after_ms)
+        : 0,
+    };
+  },
+
+  toJSON(message: ChargeDecision): unknown {
+    const obj: any = {};
+    if (message.admitted !== false) {
+      obj.admitted = message.admitted;
+    }
+    if (message.overRate !== false) {
+      obj.overRate = message.overRate;
+    }
+    if (message.left !== 0) {
+      obj.left = floatToJson(message.left);
+    }
+    if (message.retryAfterMs !== 0) {
+      obj.retryAfterMs = floatToJson(message.retryAfterMs);
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<ChargeDecision>, I>>(base?: I): ChargeDecision {
+    return ChargeDecision.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<ChargeDecision>, I>>(object: I): ChargeDecision {
+    const message = createBaseChargeDecision();
+    message.admitted = object.admitted ?? false;
+    message.overRate = object.overRate ?? false;
+    message.left = object.left ?? 0;
+    message.retryAfterMs = object.retryAfterMs ?? 0;
+    return message;
+  },
+};
+
 /** Fleet is what instances that forward requests tell each other. */
 export type FleetService = typeof FleetService;
 export const FleetService = {
@@ -1364,6 +1735,16 @@
     responseSerialize: (value: FetchReply): Buffer => Buffer.from(FetchReply.encode(value).finish()),
     responseDeserialize: (value: Buffer): FetchReply => FetchReply.decode(value),
   },
+  /** Decides on requests by the rate of their workspace, as the owner of its account. */
+  charge: {
+    path: "/gorsefold.fleet.Fleet/Charge" as const,
+    requestStream: false as const,
+    responseStream: false as const,
+    requestSerialize: (value: ChargeRequest): Buffer => Buffer.from(ChargeRequest.encode(value).finish()),
+    requestDeserialize: (value: Buffer): ChargeRequest => ChargeRequest.decode(value),
+    responseSerialize: (value: ChargeReply): Buffer => Buffer.from(ChargeReply.encode(value).finish()),
+    responseDeserialize: (value: Buffer): ChargeReply => ChargeReply.decode(value),
+  },
 } as const;
 
 export interface FleetServer extends UntypedServiceImplementation {
@@ -1371,6 +1752,8 @@
   exchange: handleUnaryCall<Beat, Beat>;
   /** Hands over what the store would, to an instance that the store does not answer. */
   fetch: handleUnaryCall<FetchRequest, FetchReply>;
+  /** Decides on requests by the rate of their workspace, as the owner of its account. */
+  charge: handleUnaryCall<ChargeRequest, ChargeReply>;
 }
 
 export interface FleetClient extends Client {
@@ -1400,6 +1783,22 @@
     options: Partial<CallOptions>,
     callback: (error: ServiceError | null, response: FetchReply) => void,
   ): ClientUnaryCall;
+  /** Decides on requests by the rate of their workspace, as the owner of its account. */
+  charge(
+    request: ChargeRequest,
+    callback: (error: ServiceError | null, response: ChargeReply) => void,
+  ): ClientUnaryCall;
+  charge(
+    request: ChargeRequest,
+    metadata: Metadata,
+    callback: (error: ServiceError | null, response: ChargeReply) => void,
+  ): ClientUnaryCall;
+  charge(
+    request: ChargeRequest,
+    metadata: Metadata,
+    options: Partial<CallOptions>,
+    callback: (error: ServiceError | null, response: ChargeReply) => void,
+  ): ClientUnaryCall;
 }
 
 export const FleetClient = makeGenericClientConstructor(FleetService, "gorsefold.fleet.Fleet") as unknown as {
