Read the store by two instances for the fleet, and confirm copies by peers

Two instances, in different data centres, are chosen by each for itself among those that it hears (readers.ts); what they read goes out in heartbeats at once. Heartbeats say how old the sender's copies are at most. A copy that holds all that a peer's holds is as fresh as that one (freshness.ts); one that is not confirmed within 55 to 70% of config-apply-ms or drain-ms is read by the instance itself, whatever the reason: readers killed, frozen, cut off from peers or from the store, or views that differ. An instance whose last call failed is no candidate. Peers pass on when the store came back from an outage, so that entries which lapsed in it stay in doubt everywhere. Entries that proved wrong are ignored for 3 s at most, as a new sequence number alone is no longer passed on.

--- a/src/core/rendezvous.ts
+++ b/src/core/rendezvous.ts
@@ -27,6 +27,19 @@
   return best;
 }
 
+/**
+ * Ranks members for a name: the first one is responsible, the next ones take over in this order.
+ *
+ * @example
+ * rankByRendezvousHash("readers", ["nizwa-1", "nizwa-2"])[0];
+ */
+export function rankByRendezvousHash(name: string, members: readonly string[]): readonly string[] {
+  return members
+    .map((member) => ({ member, weight: computeWeight(name, member) }))
+    .sort((a, b) => b.weight - a.weight)
+    .map(({ member }) => member);
+}
+
 function computeWeight(name: string, member: string): number {
   return createHash("sha1").update(name).update("\0").update(member).digest().readUIntBE(0, 6);
 }
--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -47,6 +47,14 @@
 /** A position before that of any record. */
 const NO_POSITION: LogPosition = { ...LOG_START, offset: -1 };
 
+/** How long an entry that proved wrong is ignored without a newer one, in milliseconds. */
+const MISDIRECTED_MS = 3000;
+
+interface MisdirectedEntry {
+  readonly sequence: number;
+  readonly deadline: Moment;
+}
+
 interface ListedEndpoint {
   readonly record: FeedRecord;
   readonly entry: EndpointEntry | undefined;
@@ -70,8 +78,8 @@
 /** The directory of endpoints. */
 export class EndpointDirectory {
   private readonly listed = new Map<string, ListedEndpoint>();
-  /** By endpoint: the sequence number of the entry that proved wrong. */
-  private readonly misdirected = new Map<string, number>();
+  /** By endpoint: the entry that proved wrong. */
+  private readonly misdirected = new Map<string, MisdirectedEntry>();
   private readonly departures = new DepartureTracker();
   private nextPosition = LOG_START;
   private changedPosition = NO_POSITION;
@@ -94,8 +102,13 @@
   }
 
   /** Records that the store responds again after an outage. */
-  recordStoreRecovery(now: Moment): void {
-    this.outageEndedAt = now;
+  recordStoreRecovery(at: Moment): void {
+    this.outageEndedAt = Math.max(this.outageEndedAt, at);
+  }
+
+  /** Computes the time since the last outage of the store ended, in milliseconds; infinite if none. */
+  computeSinceOutageMs(now: Moment): number {
+    return now - this.outageEndedAt;
   }
 
   /**
@@ -136,13 +149,23 @@
 
   /**
    * Marks an endpoint's entry as wrong, since another endpoint responds at its address or its
-   * stage differs. The entry is ignored until a newer one arrives.
+   * stage differs. The entry is ignored until a newer one arrives, or for a while: peers do not pass
+   * on entries in which only the sequence number is new.
    */
-  markMisdirected(endpoint: EndpointEntry): void {
-    this.misdirected.set(endpoint.id, endpoint.sequence);
+  markMisdirected(endpoint: EndpointEntry, now: Moment): void {
+    const deadline = now + MISDIRECTED_MS;
+    this.misdirected.set(endpoint.id, { sequence: endpoint.sequence, deadline });
     this.usableCache = undefined;
   }
 
+  /**
+   * Advances the position up to which the list is known, since a peer that knows it that far knows
+   * no further change.
+   */
+  advance(next: LogPosition): void {
+    this.nextPosition = chooseLater(next, this.nextPosition);
+  }
+
   /**
    * Marks an endpoint's process as leaving, as its own response says; the list may say so later or
    * not at all.
@@ -185,15 +208,18 @@
    */
   listUsable(now: Moment): readonly EndpointEntry[] {
     if (this.usableCache !== undefined) return this.usableCache;
-    let hasDoubt = false;
+    let canExpire = false;
     const newestStarts = this.findNewestStarts();
     const usable: EndpointEntry[] = [];
     for (const [id, listed] of this.listed) {
       if (listed.entry === undefined || listed.entry.isLeaving) continue;
-      if (this.misdirected.get(id) === listed.entry.sequence) continue;
+      if (this.isMisdirected(listed.entry, now)) {
+        canExpire = true;
+        continue;
+      }
       if ((newestStarts.get(listed.entry.address) ?? 0) > listed.entry.processStartedAt) continue;
       if (listed.doubtDeadline !== undefined) {
-        hasDoubt = true;
+        canExpire = true;
         if (listed.doubtDeadline <= now) {
           this.listed.set(id, { ...listed, entry: undefined, doubtDeadline: undefined });
           continue;
@@ -201,7 +227,7 @@
       }
       usable.push(listed.entry);
     }
-    if (!hasDoubt) this.usableCache = usable;
+    if (!canExpire) this.usableCache = usable;
     return usable;
   }
 
@@ -221,6 +247,11 @@
     return this.listed.get(id)?.doubtDeadline !== undefined;
   }
 
+  private isMisdirected({ id, sequence }: EndpointEntry, now: Moment): boolean {
+    const known = this.misdirected.get(id);
+    return known?.sequence === sequence && known.deadline > now;
+  }
+
   /**
    * By address: when the newest process started there. Earlier processes at the address no longer
    * exist.
--- a/src/fleet/heartbeat.ts
+++ b/src/fleet/heartbeat.ts
@@ -25,8 +25,12 @@
 export interface HeartbeatHost {
   /** Creates the content of a heartbeat: the current state and work in progress. */
   createBeatContent(): Omit<Beat, keyof MemberIdentity>;
-  /** Processes a peer's heartbeat. */
-  handleBeat(beat: Beat, now: Moment): void;
+  /**
+   * Processes a peer's heartbeat.
+   *
+   * @param sentAt - a moment at which, or before which, the peer sent it
+   */
+  handleBeat(beat: Beat, now: Moment, sentAt: Moment): void;
   /** Checks whether a peer has state that this instance should fetch from it. */
   shouldFetch(beat: Beat): boolean;
   createFetchRequest(): FetchRequest;
@@ -67,27 +71,28 @@
 
   /** Processes a peer's heartbeat and returns this instance's own. */
   onBeat(beat: Beat): Beat {
-    this.processBeat(beat);
+    this.processBeat(beat, this.clock.now());
     return this.createBeat();
   }
 
   private async exchange(address: string, beat: Beat): Promise<void> {
     if (this.pendingAddresses.has(address)) return;
     this.pendingAddresses.add(address);
+    const startedAt = this.clock.now();
     const reply = await this.transport.exchange(address, beat, EXCHANGE_TIMEOUT_MS);
     this.pendingAddresses.delete(address);
-    if (reply !== undefined) this.processBeat(reply);
+    if (reply !== undefined) this.processBeat(reply, startedAt);
     else if (this.members.recordNoReply(address, this.clock.now())) {
       this.logger.warn("peer lost", { address });
     }
   }
 
-  private processBeat(beat: Beat): void {
+  private processBeat(beat: Beat, sentAt: Moment): void {
     if (beat.instance === this.self.instance) return;
     const now = this.clock.now();
     const isNew = this.members.recordBeat(beat, now);
     if (isNew) this.logger.info("peer found", { peer: beat.instance, address: beat.address });
-    this.host.handleBeat(beat, now);
+    this.host.handleBeat(beat, now, sentAt);
     if (this.host.shouldFetch(beat)) void this.fetch(beat.address);
   }
 
--- a/src/fleet/members.ts
+++ b/src/fleet/members.ts
@@ -7,6 +7,7 @@
 import { decodeText } from "../core/codec";
 import type { Logger } from "../core/log";
 import type { Beat } from "../peer/gen/fleet";
+import type { ReaderCandidate } from "./readers";
 import type { FeedRecord } from "./store";
 
 /**
@@ -55,6 +56,8 @@
 interface Member {
   readonly instance: string;
   readonly address: string;
+  readonly dataCentre: string;
+  readonly isStoreLost: boolean;
   lastHeartbeatAt: Moment;
   isLeaving: boolean;
   isLost: boolean;
@@ -118,6 +121,8 @@
     this.members.set(beat.instance, {
       instance: beat.instance,
       address: beat.address,
+      dataCentre: beat.dataCentre,
+      isStoreLost: beat.storeLost,
       lastHeartbeatAt: now,
       isLeaving: beat.leaving,
       isLost: false,
@@ -165,6 +170,14 @@
     return { heard, missing };
   }
 
+  /** Lists the peers that are heard and not leaving, as candidates for reading the store. */
+  listReaderCandidates(now: Moment): readonly ReaderCandidate[] {
+    return [...this.members.values()].filter(
+      ({ isLeaving, lastHeartbeatAt }) =>
+        !isLeaving && now - lastHeartbeatAt <= SUSPICION_TIMEOUT_MS,
+    );
+  }
+
   /** Finds the address of an instance that was heard. */
   findAddress(instance: string): string | undefined {
     return this.members.get(instance)?.address;
--- a/src/fleet/watcher.ts
+++ b/src/fleet/watcher.ts
@@ -1,14 +1,19 @@
 /**
- * Follows the configuration and the endpoint list in the store while the instance runs. Both can
- * also be applied from peers, for when the store does not respond.
+ * Follows the configuration and the endpoint list. Few instances read them from the store, chosen
+ * among the live ones; the others get changes from peers, and read by themselves only once their
+ * copies are no longer confirmed in time, whatever the reason. A copy is confirmed by an own read, or
+ * by a peer whose copy holds nothing more.
  */
 import * as E from "fp-ts/Either";
 import { type Clock, type Moment, pause } from "../core/clock";
 import type { DecodeError } from "../core/codec";
 import type { Logger } from "../core/log";
 import type { Meter } from "../forward/meter";
+import type { Beat } from "../peer/gen/fleet";
 import { FleetConfigIndex, type FleetConfig } from "./config";
 import type { EndpointDirectory } from "./directory";
+import { Freshness } from "./freshness";
+import { FIRST_ERA, type LogPosition } from "./position";
 import { type Feed, type FeedPage, type FeedRecord, type Store, StoreFault } from "./store";
 
 /** Key of the configuration in its feed. */
@@ -19,35 +24,66 @@
  * reveals a dead connection.
  */
 const CONFIG_WAIT_MS = { min: 1200, jitter: 1600 } as const;
+/** The share of the drain time after which a reader reads the list again. */
+const LIST_READ_SHARE = 0.4;
 /** Maximum fraction by which the pause between reads is randomly shortened. */
 const POLL_JITTER = 0.2;
+/**
+ * The share of a bound after which an instance that is not a reader reads by itself; a random part of
+ * it earlier, so that not all instances do so at once.
+ */
+const UNCONFIRMED_SHARE = { max: 0.7, jitter: 0.15 } as const;
+/** Shortest and longest time until it is checked again whether to read, in milliseconds. */
+const CHECK_MS = { min: 60, max: 250 } as const;
 /** Delay after a failed call, in milliseconds. */
 const RETRY_DELAY_MS = 200;
 
+/** Bounds within which changes have to be known, in milliseconds. */
+export interface WatchBounds {
+  /** From a change of the configuration until it is in force. */
+  readonly configMs: number;
+  /** From a change of the endpoint list until it is observed. */
+  readonly endpointsMs: number;
+}
+
 /** Decodes a published configuration. */
 export type ConfigDecoder = (value: Buffer) => E.Either<DecodeError, FleetConfig>;
 
 /** The state of following one feed. */
 interface FeedState {
   nextOffset: number | undefined;
-  lastReadAt: Moment;
+  readonly freshness: Freshness;
+  /** True while a long poll is open. */
+  isWaiting: boolean;
   isUnavailable: boolean;
+  /** Age from which the copy counts as unconfirmed, in milliseconds. */
+  readonly maxAgeMs: number;
 }
 
-function createFeedState(): FeedState {
-  return { nextOffset: undefined, lastReadAt: Number.NEGATIVE_INFINITY, isUnavailable: false };
+function createFeedState(boundMs: number): FeedState {
+  const share = UNCONFIRMED_SHARE.max - Math.random() * UNCONFIRMED_SHARE.jitter;
+  return {
+    nextOffset: undefined,
+    freshness: new Freshness(),
+    isWaiting: false,
+    isUnavailable: false,
+    maxAgeMs: boundMs * share,
+  };
 }
 
 /** Follows the store's configuration and endpoint feeds. */
 export class StoreWatcher {
   private configIndex: FleetConfigIndex | undefined;
   private configValue: Buffer | undefined;
-  private readonly configState = createFeedState();
-  private readonly endpointsState = createFeedState();
+  private readonly configState: FeedState;
+  private readonly endpointsState: FeedState;
+  /** Era of the store when the list was last read here. */
+  private listEra = FIRST_ERA;
   private isClosed = false;
 
   /**
-   * @param endpointsIntervalMs - how often the list of endpoints is read, in milliseconds
+   * @param isReader - true while this instance reads for the fleet
+   * @param onChange - called after a change that was read from the store, to tell peers at once
    */
   constructor(
     private readonly store: Store,
@@ -56,8 +92,13 @@
     private readonly clock: Clock,
     private readonly logger: Logger,
     private readonly meter: Meter,
-    private readonly endpointsIntervalMs: number,
-  ) {}
+    private readonly bounds: WatchBounds,
+    private readonly isReader: (now: Moment) => boolean,
+    private readonly onChange: () => void,
+  ) {
+    this.configState = createFeedState(bounds.configMs);
+    this.endpointsState = createFeedState(bounds.endpointsMs);
+  }
 
   start(): void {
     this.store.onRestored((era) => {
@@ -69,7 +110,7 @@
       this.store.endpoints,
       this.endpointsState,
       false,
-      this.endpointsIntervalMs,
+      this.bounds.endpointsMs * LIST_READ_SHARE,
     );
   }
 
@@ -92,44 +133,77 @@
     return this.configIndex !== undefined && this.directory.next.offset > 0;
   }
 
-  /**
-   * Time since the endpoint list was last read from the store, in milliseconds; infinite if never.
-   */
+  /** Time since the endpoint list was last confirmed, in milliseconds; infinite if never. */
   computeEndpointsAgeMs(): number {
-    return this.clock.now() - this.endpointsState.lastReadAt;
+    return this.endpointsState.freshness.computeAgeMs(this.clock.now());
+  }
+
+  /** Time since the configuration was last confirmed, in milliseconds; infinite if never. */
+  computeConfigAgeMs(): number {
+    return this.configState.freshness.computeAgeMs(this.clock.now());
+  }
+
+  /** Confirms the configuration as of a moment, since a peer that knew it then has nothing newer. */
+  confirmConfig(at: Moment): void {
+    this.configState.freshness.confirm(at);
   }
 
   /**
-   * Time since the configuration was last read from the store, in milliseconds; infinite if never.
+   * Confirms the endpoint list as of a moment, since a peer that knew it then has nothing newer.
+   *
+   * @param next - the position up to which the peer knows the list
    */
-  computeConfigAgeMs(): number {
-    return this.clock.now() - this.configState.lastReadAt;
+  confirmEndpoints(next: LogPosition, at: Moment): void {
+    this.endpointsState.freshness.confirm(at);
+    this.directory.advance(next);
+  }
+
+  /** Reports to peers how fresh the copies are, and whether the store is in reach. */
+  readReport(): Pick<Beat, "configAgeMs" | "endpointsAgeMs" | "storeLost"> {
+    return {
+      configAgeMs: encodeAge(this.computeConfigAgeMs()),
+      endpointsAgeMs: encodeAge(this.computeEndpointsAgeMs()),
+      storeLost: this.isStoreLost,
+    };
+  }
+
+  /** True while this instance's last call to the store failed. */
+  get isStoreLost(): boolean {
+    return this.configState.isUnavailable || this.endpointsState.isUnavailable;
   }
 
   /**
    * Applies a configuration from the store or a peer; an older version never replaces a newer one.
+   *
+   * @returns true if it is in force now
    */
-  applyConfig(value: Buffer, source: string): void {
+  applyConfig(value: Buffer, source: string): boolean {
     const decoded = this.decodeConfig(value);
     if (E.isLeft(decoded)) {
       this.logger.warn("configuration unreadable", { source, error: decoded.left.message });
-      return;
+      return false;
     }
     const { version } = decoded.right;
     const before = this.configIndex?.config.version;
-    if (before !== undefined && version <= before) return;
+    if (before !== undefined && version <= before) return false;
     this.configIndex = new FleetConfigIndex(decoded.right);
     this.configValue = value;
     const routes = decoded.right.routes.length;
     this.logger.info("configuration", { version, before: before ?? 0, source, routes });
+    return true;
   }
 
-  /** Applies endpoint records from the store or a peer. */
-  applyEndpoints(page: FeedPage, isSnapshot: boolean, source: string): void {
+  /**
+   * Applies endpoint records from the store or a peer.
+   *
+   * @returns true if something changed
+   */
+  applyEndpoints(page: FeedPage, isSnapshot: boolean, source: string): boolean {
     const now = this.clock.now();
     const { directory } = this;
     const changes = isSnapshot ? directory.applySnapshot(page, now) : directory.apply(page, now);
     for (const change of changes) this.logger.info("endpoint", { ...change, source });
+    return changes.length > 0;
   }
 
   private async followFeed(
@@ -140,14 +214,19 @@
     pauseMs: number,
   ): Promise<void> {
     while (!this.isClosed) {
+      await this.waitUntilNeeded(state);
+      const startedAt = this.clock.now();
+      if (name === "endpoints") this.skipKnownEntries(state);
       const isSnapshot = state.nextOffset === undefined;
       const waitMs = isLongPoll ? CONFIG_WAIT_MS.min + Math.random() * CONFIG_WAIT_MS.jitter : 0;
+      state.isWaiting = isLongPoll && !isSnapshot;
       const result = await this.readOnce(feed, state.nextOffset, Math.round(waitMs));
+      state.isWaiting = false;
       if (this.isClosed) return;
       if (E.isRight(result)) {
-        this.recordSuccess(name, state);
+        this.recordSuccess(name, state, startedAt);
         state.nextOffset = result.right.next.offset;
-        this.applyPage(name, result.right, isSnapshot);
+        if (this.applyPage(name, result.right, isSnapshot)) this.onChange();
         await pause(pauseMs * (1 - Math.random() * POLL_JITTER));
         continue;
       }
@@ -173,6 +252,24 @@
     this.logger.warn("store restored", { era });
   }
 
+  /** Waits until this instance is a reader, or the copy is not confirmed in time. */
+  private async waitUntilNeeded(state: FeedState): Promise<void> {
+    for (;;) {
+      const now = this.clock.now();
+      if (this.isClosed || this.isReader(now)) return;
+      const leftMs = state.maxAgeMs - state.freshness.computeAgeMs(now);
+      if (leftMs <= 0) return;
+      await pause(Math.min(CHECK_MS.max, Math.max(CHECK_MS.min, leftMs)));
+    }
+  }
+
+  /** Skips what peers have passed on, if the list is known further than it was read here. */
+  private skipKnownEntries(state: FeedState): void {
+    const { era, offset } = this.directory.next;
+    if (state.nextOffset === undefined || era !== this.listEra) return;
+    state.nextOffset = Math.max(state.nextOffset, offset);
+  }
+
   private readOnce(feed: Feed, next: number | undefined, waitMs: number) {
     this.meter.storeCalls.inc();
     return next === undefined ? feed.readNewest()() : feed.read(next, waitMs)();
@@ -182,22 +279,32 @@
     name: "configuration" | "endpoints",
     page: FeedPage,
     isSnapshot: boolean,
-  ): void {
-    if (name === "endpoints") this.applyEndpoints(page, isSnapshot, "store");
-    else for (const record of page.records) this.applyConfigRecord(record);
+  ): boolean {
+    if (name === "endpoints") {
+      this.listEra = page.next.era;
+      return this.applyEndpoints(page, isSnapshot, "store");
+    }
+    const applied = page.records.map((record) => this.applyConfigRecord(record));
+    return applied.includes(true);
   }
 
-  private applyConfigRecord(record: FeedRecord): void {
-    if (record.key === CONFIG_KEY && record.value !== undefined) {
-      this.applyConfig(record.value, `store offset ${record.position.offset}`);
-    }
+  private applyConfigRecord({ key, value, position }: FeedRecord): boolean {
+    if (key !== CONFIG_KEY || value === undefined) return false;
+    return this.applyConfig(value, `store offset ${position.offset}`);
   }
 
-  private recordSuccess(name: string, state: FeedState): void {
-    state.lastReadAt = this.clock.now();
+  /**
+   * Confirms a copy as of the start of its read; a long poll, which returns at once if there is
+   * something new, as of its end. While a long poll for the configuration is open, a read of the list
+   * shows that the store is in reach, so there is nothing new.
+   */
+  private recordSuccess(name: string, state: FeedState, startedAt: Moment): void {
+    const now = this.clock.now();
+    state.freshness.confirm(name === "endpoints" ? startedAt : now);
+    if (name === "endpoints" && this.configState.isWaiting) this.confirmConfig(startedAt);
     if (!state.isUnavailable) return;
     state.isUnavailable = false;
-    if (name === "endpoints") this.directory.recordStoreRecovery(state.lastReadAt);
+    if (name === "endpoints") this.directory.recordStoreRecovery(now);
     this.logger.info("store regained", { feed: name });
   }
 
@@ -208,3 +315,7 @@
     this.logger.warn("store lost", { feed: name, error });
   }
 }
+
+function encodeAge(ageMs: number): number | undefined {
+  return Number.isFinite(ageMs) ? Math.max(0, Math.round(ageMs)) : undefined;
+}
--- a/src/forward/decode.ts
+++ b/src/forward/decode.ts
@@ -191,7 +191,8 @@
     const { engineLoad, context } = this.parts;
     if (head.verdict === Verdict.notRun || head.verdict === Verdict.misdirected) {
       await readBody(response.body);
-      if (head.verdict === Verdict.misdirected) context.directory.markMisdirected(endpoint);
+      if (head.verdict === Verdict.misdirected)
+        context.directory.markMisdirected(endpoint, context.clock.now());
       else engineLoad.recordRefusal(endpoint.id, context.clock.now());
       return { end: TryEnd.notRun, message: `the engine answered ${head.status}` };
     }
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -18,6 +18,7 @@
   startFleetServer,
 } from "../fleet/transport";
 import { MemberList, type MemberIdentity } from "../fleet/members";
+import { ReaderRole } from "../fleet/readers";
 import type { Store } from "../fleet/store";
 import { type ConfigDecoder, StoreWatcher } from "../fleet/watcher";
 import type { Beat, ChargeReply, ChargeRequest, FetchReply, FetchRequest } from "../peer/gen/fleet";
@@ -45,11 +46,6 @@
 import type { ForwardSettings, ListenAddress } from "./settings";
 
 const STANDARD_OUTPUT = 1;
-/**
- * The share of the drain time after which the list of endpoints is read again. Peers read it at
- * other moments and report changes to each other, so that an instance learns of them sooner.
- */
-const LIST_READ_SHARE = 0.55;
 /**
  * How long callers may still send requests on kept-alive connections after a signal to stop, in
  * milliseconds.
@@ -89,6 +85,7 @@
   private readonly members: MemberList;
   private readonly transport = new GrpcFleetTransport();
   private readonly watcher: StoreWatcher;
+  private readonly readerRole: ReaderRole;
   private readonly heartbeats: HeartbeatExchanger;
   private readonly joiner: Joiner;
   private readonly quotas: Quotas;
@@ -127,6 +124,10 @@
     this.self = { instance, incarnation: createIncarnation(instance), address, dataCentre };
     this.directory = new EndpointDirectory(adapter.decodeEndpoint);
     this.members = new MemberList(this.self, this.logger, clock.now());
+    this.readerRole = new ReaderRole(instance, (now) => [
+      ...this.members.listReaderCandidates(now),
+      { instance, dataCentre, isStoreLost: this.watcher.isStoreLost },
+    ]);
     this.watcher = new StoreWatcher(
       adapter.store,
       this.directory,
@@ -134,7 +135,11 @@
       clock,
       this.logger,
       meter,
-      settings.drainMs * LIST_READ_SHARE,
+      { configMs: settings.configApplyMs, endpointsMs: settings.drainMs },
+      (now) => this.readerRole.isReader(now),
+      () => {
+        this.heartbeats.sendHeartbeats();
+      },
     );
     this.quotas = new Quotas(
       settings.quotaTolerance,
--- a/src/forward/peerstate.ts
+++ b/src/forward/peerstate.ts
@@ -76,6 +76,7 @@
       endpointsNext: directory.next.offset,
       endpointsEra: directory.next.era,
       endpointsChange: this.readLastChangeOffset(),
+      ...this.parts.watcher.readReport(),
       leaving: isLeaving(),
       usages: [...quotas.listLocalUsage()],
       works: [...engineLoad.listLocalWork()],
@@ -96,7 +97,7 @@
     };
   }
 
-  handleBeat(beat: Beat, now: Moment): void {
+  handleBeat(beat: Beat, now: Moment, sentAt: Moment): void {
     const { quotas, engineLoad, crashes, reservations } = this.parts;
     const { instance, incarnation, arrivingTokens, waiting } = beat;
     quotas.applyPeerUsage(instance, incarnation, beat.usages);
@@ -107,15 +108,15 @@
     }
     this.parts.refusals.mergePeerRefusals(beat.refused, now);
     this.applyDepartures(beat, now);
+    this.confirmCopies(beat, sentAt);
     for (const crash of beat.crashes) crashes.recordCrash(crash, now);
     reservations.dispatchWaiting();
   }
 
   shouldFetch(beat: Beat): boolean {
     const { next } = this.parts.directory;
-    if (beat.configVersion > this.readConfigVersion()) return true;
+    if (beat.configVersion > this.readConfigVersion() || this.isMissingChanges(beat)) return true;
     const era = beat.endpointsEra;
-    if (!isAfter(next, { era, offset: beat.endpointsChange })) return true;
     const isStale = this.parts.watcher.computeEndpointsAgeMs() > LIST_STALE_MS;
     return isStale && isAfter({ era, offset: beat.endpointsNext }, next);
   }
@@ -134,6 +135,9 @@
     const source = `peer ${from}`;
     if (reply.config !== undefined) watcher.applyConfig(Buffer.from(reply.config), source);
     const next = { era: reply.endpointsEra, offset: reply.endpointsNext };
+    if (reply.sinceOutageMs !== undefined) {
+      directory.recordStoreRecovery(this.parts.clock.now() - reply.sinceOutageMs);
+    }
     if (!isAfter(next, directory.next)) return;
     const records = reply.endpoints.map(({ key, value, offset, era }) => ({
       key,
@@ -159,6 +163,7 @@
       endpoints: isListNewer ? directory.listRecords().map(encodeRecord) : [],
       endpointsNext: next.offset,
       endpointsEra: next.era,
+      ...this.readOutageReport(),
     };
   }
 
@@ -178,6 +183,28 @@
     return { engines, promptTokensPerSecond };
   }
 
+  /** Confirms the copies that hold all that a peer's copies hold, as of the peer's last knowledge. */
+  private confirmCopies(beat: Beat, sentAt: Moment): void {
+    const { watcher } = this.parts;
+    const { configAgeMs, endpointsAgeMs, endpointsEra: era, endpointsNext: offset } = beat;
+    const hasConfig = beat.configVersion >= 0 && beat.configVersion <= this.readConfigVersion();
+    if (hasConfig && configAgeMs !== undefined) watcher.confirmConfig(sentAt - configAgeMs);
+    if (endpointsAgeMs !== undefined && !this.isMissingChanges(beat)) {
+      watcher.confirmEndpoints({ era, offset }, sentAt - endpointsAgeMs);
+    }
+  }
+
+  /** Checks whether a peer knows a change of the list that is not known here. */
+  private isMissingChanges({ endpointsEra: era, endpointsChange: offset }: Beat): boolean {
+    return !isAfter(this.parts.directory.next, { era, offset });
+  }
+
+  private readOutageReport(): Pick<FetchReply, "sinceOutageMs"> {
+    const { directory, clock } = this.parts;
+    const sinceMs = directory.computeSinceOutageMs(clock.now());
+    return Number.isFinite(sinceMs) ? { sinceOutageMs: Math.round(sinceMs) } : {};
+  }
+
   /** The offset of the last change within the era of the list; -1 where there is none in it. */
   private readLastChangeOffset(): number {
     const { next, lastChange } = this.parts.directory;
--- a/src/forward/reservations.ts
+++ b/src/forward/reservations.ts
@@ -188,7 +188,7 @@
     else if (E.isLeft(response)) {
       if (!response.left.isLocal) this.engineLoad.markUnavailable(id, now);
     } else if (codec.isMisdirected(response.right.status)) {
-      this.context.directory.markMisdirected(endpoint);
+      directory.markMisdirected(endpoint, now);
     } else this.engineLoad.markFull(id, now);
     logger.debug("no room", {
       request: waitingRequest.id,
--- a/src/forward/service.ts
+++ b/src/forward/service.ts
@@ -203,7 +203,8 @@
       this.context.health.recordLoad(endpoint.id, head.load, this.context.clock.now());
     }
     const whole = await readWholeBody(response);
-    if (head.verdict === Verdict.misdirected) this.context.directory.markMisdirected(endpoint);
+    if (head.verdict === Verdict.misdirected)
+      this.context.directory.markMisdirected(endpoint, this.context.clock.now());
     if (head.verdict === Verdict.notRun || head.verdict === Verdict.misdirected) {
       return {
         end: SendEnd.notRun,
--- a/src/forward/settings.ts
+++ b/src/forward/settings.ts
@@ -30,6 +30,8 @@
   readonly retryLimit: RetryLimit;
   /** Time within which new requests to a leaving endpoint must stop, in milliseconds. */
   readonly drainMs: number;
+  /** Time within which a published configuration must be in force, in milliseconds. */
+  readonly configApplyMs: number;
   /** Time from a signal to stop until the platform kills the process, in milliseconds. */
   readonly graceMs: number;
   /**
--- a/src/peer/gen/fleet.ts
+++ b/src/peer/gen/fleet.ts
@@ -49,6 +49,16 @@
   departures: Departure[];
   /** Era of the store that both offsets of the list belong to. */
   endpointsEra: number;
+  /**
+   * Time since the sender's configuration and list were last known to be those of the store; absent
+   * where it does not know.
+   */
+  configAgeMs?: number | undefined;
+  endpointsAgeMs?:
+    | number
+    | undefined;
+  /** The sender's last call to the store failed. */
+  storeLost: boolean;
 }
 
 export interface Departure {
@@ -104,6 +114,8 @@
   endpoints: Record[];
   endpointsNext: number;
   endpointsEra: number;
+  /** Time since the store was last found to answer again after an outage; absent where there was none. */
+  sinceOutageMs?: number | undefined;
 }
 
 export interface ChargeRequest {
@@ -149,6 +161,9 @@
     refused: [],
     departures: [],
     endpointsEra: 0,
+    configAgeMs: undefined,
+    endpointsAgeMs: undefined,
+    storeLost: false,
   };
 }
 
@@ -205,6 +220,15 @@
     if (message.endpointsEra !== 0) {
       writer.uint32(136).int64(message.endpointsEra);
     }
+    if (message.configAgeMs !== undefined) {
+      writer.uint32(144).uint32(message.configAgeMs);
+    }
+    if (message.endpointsAgeMs !== undefined) {
+      writer.uint32(152).uint32(message.endpointsAgeMs);
+    }
+    if (message.storeLost !== false) {
+      writer.uint32(160).bool(message.storeLost);
+    }
     return writer;
   },
 
@@ -357,6 +381,30 @@
             message.endpointsEra = longToNumber(reader.int64());
             continue;
           }
+          case 18: {
+            if (tag !== 144) {
+              break;
+            }
+
+            message.configAgeMs = reader.uint32();
+            continue;
+          }
+          case 19: {
+            if (tag !== 152) {
+              break;
+            }
+
+            message.endpointsAgeMs = reader.uint32();
+            continue;
+          }
+          case 20: {
+            if (tag !== 160) {
+              break;
+            }
+
+            message.storeLost = reader.bool();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -418,6 +466,21 @@
         : isSet(object.endpoints_era)
         ? globalThis.Number(object.endpoints_era)
         : 0,
+      configAgeMs: isSet(object.configAgeMs)
+        ? globalThis.Number(object.configAgeMs)
+        : isSet(object.config_age_ms)
+        ? globalThis.Number(object.config_age_ms)
+        : undefined,
+      endpointsAgeMs: isSet(object.endpointsAgeMs)
+        ? globalThis.Number(object.endpointsAgeMs)
+        : isSet(object.endpoints_age_ms)
+        ? globalThis.Number(object.endpoints_age_ms)
+        : undefined,
+      storeLost: isSet(object.storeLost)
+        ? globalThis.Boolean(object.storeLost)
+        : isSet(object.store_lost)
+        ? globalThis.Boolean(object.store_lost)
+        : false,
     };
   },
 
@@ -474,6 +537,15 @@
     if (message.endpointsEra !== 0) {
       obj.endpointsEra = Math.round(message.endpointsEra);
     }
+    if (message.configAgeMs !== undefined) {
+      obj.configAgeMs = Math.round(message.configAgeMs);
+    }
+    if (message.endpointsAgeMs !== undefined) {
+      obj.endpointsAgeMs = Math.round(message.endpointsAgeMs);
+    }
+    if (message.storeLost !== false) {
+      obj.storeLost = message.storeLost;
+    }
     return obj;
   },
 
@@ -499,6 +571,9 @@
     message.refused = object.refused?.map((e) => e) || [];
     message.departures = object.departures?.map((e) => Departure.fromPartial(e)) || [];
     message.endpointsEra = object.endpointsEra ?? 0;
+    message.configAgeMs = object.configAgeMs ?? undefined;
+    message.endpointsAgeMs = object.endpointsAgeMs ?? undefined;
+    message.storeLost = object.storeLost ?? false;
     return message;
   },
 };
@@ -1239,7 +1314,7 @@
 };
 
 function createBaseFetchReply(): FetchReply {
-  return { config: undefined, endpoints: [], endpointsNext: 0, endpointsEra: 0 };
+  return { config: undefined, endpoints: [], endpointsNext: 0, endpointsEra: 0, sinceOutageMs: undefined };
 }
 
 export const FetchReply: MessageFns<FetchReply> = {
@@ -1256,6 +1331,9 @@
     if (message.endpointsEra !== 0) {
       writer.uint32(32).int64(message.endpointsEra);
     }
+    if (message.sinceOutageMs !== undefined) {
+      writer.uint32(40).uint32(message.sinceOutageMs);
+    }
     return writer;
   },
 
@@ -1304,6 +1382,14 @@
             message.endpointsEra = longToNumber(reader.int64());
             continue;
           }
+          case 5: {
+            if (tag !== 40) {
+              break;
+            }
+
+            message.sinceOutageMs = reader.uint32();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -1332,6 +1418,11 @@
         : isSet(object.endpoints_era)
         ? globalThis.Number(object.endpoints_era)
         : 0,
+      sinceOutageMs: isSet(object.sinceOutageMs)
+        ? globalThis.Number(object.sinceOutageMs)
+        : isSet(object.since_outage_ms)
+        ? globalThis.Number(object.since_outage_ms)
+        : undefined,
     };
   },
 
@@ -1349,6 +1440,9 @@
     if (message.endpointsEra !== 0) {
       obj.endpointsEra = Math.round(message.endpointsEra);
     }
+    if (message.sinceOutageMs !== undefined) {
+      obj.sinceOutageMs = Math.round(message.sinceOutageMs);
+    }
     return obj;
   },
 
@@ -1361,6 +1455,7 @@
     message.endpoints = object.endpoints?.map((e) => Record.fromPartial(e)) || [];
     message.endpointsNext = object.endpointsNext ?? 0;
     message.endpointsEra = object.endpointsEra ?? 0;
+    message.sinceOutageMs = object.sinceOutageMs ?? undefined;
     return message;
   },
 };
