Learn how fast engines read prompts, and let the mix of stages follow

One engine of eight read 26,000 tokens a second at 33 a ms: loaded to four fifths, its queue is long, and what overflows is read slowly among the tokens of others. Two orders before and at the start of traffic had cut the prefill engines from three to one, as the load was rounded and no load counted as little load.

EngineModel takes the median of tokens by time over prefills at engines with nothing else to read, and of peers' estimates before it has four of its own. The mix keeps prefill engines under 65% of their speed, spares one below 45%, and stays as it is without load; arrivals are averaged over 4 s in place of 1. A prompt goes to the prefill engine unless it would be late there and the decode engine reads it sooner; the timeout is four times what is expected. PREFILL_ENGINE_TOKENS_PER_SECOND, MAX_TOKENS_AHEAD and PREFILL_TIMEOUT_MS are gone; TYPICAL_FIRST_EVENT_MS and the speed of single engines are not done.

Instance.ts gave its gauges to a module; new gauges tell whether an instance reads the store and how old its copies are.

--- a/measure/load/router.ts
+++ b/measure/load/router.ts
@@ -5,6 +5,7 @@
 import { UrgentQueue, type UrgentQueueItem } from "../../src/core/urgentqueue";
 import type { EngineLimits } from "../../src/fleet/config";
 import { type EndpointEntry, EngineStage } from "../../src/fleet/directory";
+import { EngineModel as SpeedModel } from "../../src/forward/enginemodel";
 import { chooseDecode, choosePrefill, EngineLoadTracker } from "../../src/forward/engines";
 import type * as overload from "../../src/forward/overload";
 import type { Arrival, Random } from "./arrivals";
@@ -22,6 +23,9 @@
   readonly decisions: OverloadDecisions;
 }
 
+/** The only service of the simulated engines. */
+const SERVICE = "models";
+
 /** The latency target, timeout and output limit that the router assumes for each request. */
 export interface RouterParameters {
   readonly targetLatencyMs: number;
@@ -57,6 +61,7 @@
 /** A simulated router instance. */
 export class RouterModel {
   readonly engineLoad = new EngineLoadTracker();
+  private readonly speeds = new SpeedModel();
   private readonly queue = new UrgentQueue<QueuedAttempt>();
   private readonly pendingHoldEngines = new Set<string>();
 
@@ -139,8 +144,13 @@
 
   private startPrefill(queued: QueuedAttempt, decodeId: string, hold: string): void {
     const now = this.host.now();
-    const { promptTokens } = queued.attempt;
-    const chosen = choosePrefill(this.listViews(now), new Set([decodeId]));
+    const { promptTokens, requestedAt } = queued.attempt;
+    const prompt = {
+      promptTokens,
+      tokensPerMs: this.speeds.readTokensPerMs(SERVICE, now),
+      leftMs: requestedAt + this.parameters.targetLatencyMs - now,
+    };
+    const chosen = choosePrefill(this.listViews(now), new Set([decodeId]), prompt);
     const engine = this.engines.get(chosen?.endpoint.id ?? "");
     if (engine === undefined) {
       this.startDecode(queued, decodeId, hold, false);
@@ -150,6 +160,9 @@
     engine.prefill(promptTokens, now, (availableAt, handle) => {
       this.host.schedule(availableAt - this.host.now() + 2 * NETWORK_HOP_MS, () => {
         this.engineLoad.addLocalWork(engine.id, 0, -promptTokens, -1);
+        if (chosen?.promptTokens === 0) {
+          this.speeds.recordPrefill(SERVICE, promptTokens, this.host.now() - now);
+        }
         const isTransferred = handle !== undefined && engine.consumeHandle(handle, this.host.now());
         this.startDecode(queued, decodeId, hold, isTransferred);
       });
--- a/src/forward/dispatch.ts
+++ b/src/forward/dispatch.ts
@@ -8,6 +8,7 @@
 import type { Admission } from "./admission";
 import { computeTimes, type ForwardContext, type RequestTimes } from "./context";
 import type { ReservationQueue } from "./reservations";
+import type { EngineModel } from "./enginemodel";
 import type { EngineLoadTracker } from "./engines";
 import type { ForwardRequest } from "./messages";
 import { RequestOutcome } from "./meter";
@@ -28,6 +29,7 @@
   readonly admission: Admission;
   readonly reservations: ReservationQueue;
   readonly engineLoad: EngineLoadTracker;
+  readonly engineModel: EngineModel;
   readonly refusals: RefusalTracker;
   readonly peerState: PeerState;
   readonly watcher: StoreWatcher;
@@ -65,14 +67,15 @@
     times: RequestTimes,
     { head, arrivedAt, caller, sink }: CallerRequest,
   ): Promise<RequestEnd> {
-    const { context, reservations, engineLoad, refusals, peerState, watcher } = this.parts;
+    const { context, reservations, engineLoad, engineModel, refusals, peerState, watcher } =
+      this.parts;
     const engine = watcher.readConfigIndex()?.findService(forwardRequest.service)?.engine;
     if (engine === undefined || !forwardRequest.route.isStream) {
       const response = await new ServiceRun(context, forwardRequest, times, caller).run();
       return { response, isCut: false, isCallerGone: caller.aborted };
     }
     peerState.recordArrival(head.size?.promptTokens ?? 0, arrivedAt);
-    const parts = { context, reservations, engineLoad, refusals };
+    const parts = { context, reservations, engineLoad, engineModel, refusals };
     const run = new StreamRun(parts, forwardRequest, engine, times, caller, sink);
     const response = await run.run();
     return { response, isCut: run.isCut, isCallerGone: caller.aborted };
--- a/src/forward/engines.ts
+++ b/src/forward/engines.ts
@@ -5,6 +5,7 @@
 import type { Moment } from "../core/clock";
 import type { EngineLimits } from "../fleet/config";
 import { type EndpointEntry, EngineStage } from "../fleet/directory";
+import { computeDecodeReadMs, computePrefillMs } from "./enginemodel";
 
 /** Work in progress at an engine. */
 export interface EngineWork {
@@ -37,11 +38,19 @@
 const UNAVAILABLE_COOLDOWN_MS = 1500;
 
 /**
- * Maximum prompt tokens waiting at a prefill engine; beyond it the decode engine reads the prompt
- * itself. A prefill engine reads about this much while a decode engine, at half the speed, reads a
- * typical prompt.
+ * Share of the time left until the first event is late that reading the prompt may take at a prefill
+ * engine; the rest is for the transfer and the first step of the decode engine.
  */
-const MAX_TOKENS_AHEAD = 12_000;
+const MAX_PREFILL_TIME_SHARE = 0.6;
+
+/** A prompt to be read. */
+export interface PromptToRead {
+  readonly promptTokens: number;
+  /** Prompt tokens that a prefill engine reads per millisecond. */
+  readonly tokensPerMs: number;
+  /** Time until its first event is late, in milliseconds; zero or less if it is late already. */
+  readonly leftMs: number;
+}
 
 interface LocalWork {
   heldTokens: number;
@@ -219,13 +228,15 @@
 /**
  * Chooses the prefill engine with the fewest prompt tokens waiting.
  *
- * @returns undefined if none is available, or the decode engine would read the prompt sooner
+ * @returns undefined if none is available, or if the generation would be late by its queue and the
+ *   decode engine reads the prompt sooner
  * @example
- * choosePrefill(views, new Set());
+ * choosePrefill(views, new Set(), { promptTokens: 3000, tokensPerMs: 33, leftMs: 850 });
  */
 export function choosePrefill(
   views: readonly EngineView[],
   excluded: ReadonlySet<string>,
+  { promptTokens, tokensPerMs, leftMs }: PromptToRead,
 ): EngineView | undefined {
   const eligible = views.filter(
     (view) =>
@@ -235,7 +246,10 @@
       !excluded.has(view.endpoint.id),
   );
   const least = findMinimum(eligible, (view) => view.promptTokens);
-  return least !== undefined && least.promptTokens <= MAX_TOKENS_AHEAD ? least : undefined;
+  if (least === undefined) return undefined;
+  const prefillMs = computePrefillMs(promptTokens, least.promptTokens, tokensPerMs);
+  const decodeReadMs = computeDecodeReadMs(promptTokens, tokensPerMs);
+  return prefillMs <= Math.max(decodeReadMs, leftMs * MAX_PREFILL_TIME_SHARE) ? least : undefined;
 }
 
 function preferAvailable(views: readonly EngineView[]): readonly EngineView[] {
--- /dev/null
+++ b/src/forward/gauges.ts
@@ -0,0 +1,49 @@
+/**
+ * Gauges of an instance, whose values are read at each scrape.
+ */
+import type { Meter } from "./meter";
+
+/** Reads the values of the gauges. */
+export interface GaugeSource {
+  countOpenRequests(): number;
+  countWaiting(): number;
+  readConfigVersion(): number;
+  countLive(): number;
+  countDroppedLines(): number;
+  isStoreReader(): boolean;
+  computeConfigAgeMs(): number;
+  computeEndpointsAgeMs(): number;
+}
+
+/**
+ * Adds all gauges to a meter.
+ *
+ * @example
+ * addGauges(meter, source);
+ */
+export function addGauges(meter: Meter, source: GaugeSource): void {
+  meter.addGauge("open_requests", "Requests without a final answer", () =>
+    source.countOpenRequests(),
+  );
+  meter.addGauge("waiting_generations", "Generations that wait for memory", () =>
+    source.countWaiting(),
+  );
+  meter.addGauge("config_version", "Version of the configuration in force", () =>
+    source.readConfigVersion(),
+  );
+  meter.addGauge("live_instances", "Instances that are heard, this one too", () =>
+    source.countLive(),
+  );
+  meter.addGauge("dropped_log_lines", "Log lines left out since the start", () =>
+    source.countDroppedLines(),
+  );
+  meter.addGauge("store_reader", "1 while this instance reads the store for the fleet", () =>
+    Number(source.isStoreReader()),
+  );
+  meter.addGauge("config_age_ms", "Time since the configuration was confirmed", () =>
+    source.computeConfigAgeMs(),
+  );
+  meter.addGauge("endpoints_age_ms", "Time since the endpoint list was confirmed", () =>
+    source.computeEndpointsAgeMs(),
+  );
+}
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -5,7 +5,7 @@
 import * as E from "fp-ts/Either";
 import { type Clock, MonotonicClock, pause } from "../core/clock";
 import { createIncarnation } from "../core/ids";
-import { BoundedLineWriter, createByteWriter, type LineWriter } from "../core/lines";
+import { BoundedLineWriter, createByteWriter } from "../core/lines";
 import { createLogger, type Logger } from "../core/log";
 import { createNotRunRefusal, Reason } from "../core/outcome";
 import { HeartbeatExchanger } from "../fleet/heartbeat";
@@ -26,10 +26,12 @@
 import { HttpEndpointClient } from "./client";
 import type { ForwardContext } from "./context";
 import { EndpointGate } from "./gate";
+import { addGauges } from "./gauges";
 import { Releaser } from "./releaser";
 import { CrashTracker } from "../core/crashes";
 import { ReservationQueue } from "./reservations";
 import { Dispatcher } from "./dispatch";
+import { EngineModel } from "./enginemodel";
 import { EngineLoadTracker } from "./engines";
 import type { CallerCodec, EndpointCodec } from "./messages";
 import { HealthTracker } from "./health";
@@ -94,6 +96,7 @@
   private readonly engineLoad = new EngineLoadTracker((engine, forMs) => {
     this.logger.warn("engine passed over", { engine, forMs });
   });
+  private readonly engineModel = new EngineModel();
   private readonly context: ForwardContext;
   private readonly reservations: ReservationQueue;
   private readonly rebalancer: StageRebalancer;
@@ -184,6 +187,7 @@
       crashes: this.crashes,
       refusals: this.refusals,
       engineLoad: this.engineLoad,
+      engineModel: this.engineModel,
       reservations: this.reservations,
       isLeaving: () => this.isStopping,
     });
@@ -247,6 +251,7 @@
       admission,
       reservations: this.reservations,
       engineLoad: this.engineLoad,
+      engineModel: this.engineModel,
       refusals: this.refusals,
       peerState: this.peerState,
       watcher: this.watcher,
@@ -268,7 +273,16 @@
       response.setHeader("content-type", "text/plain");
       void meter.renderMetrics().then((text) => response.end(text));
     });
-    this.addGauges(lines);
+    addGauges(meter, {
+      countOpenRequests: () => this.callerServer.inFlightCount,
+      countWaiting: () => this.reservations.size,
+      readConfigVersion: () => this.configVersion,
+      countLive: () => this.countLive(),
+      countDroppedLines: () => lines.dropped,
+      isStoreReader: () => this.readerRole.isReader(clock.now()),
+      computeConfigAgeMs: () => this.watcher.computeConfigAgeMs(),
+      computeEndpointsAgeMs: () => this.watcher.computeEndpointsAgeMs(),
+    });
   }
 
   /** Starts all parts; rejects if an address is not available. */
@@ -401,25 +415,6 @@
     this.meter.prune(isListed);
   }
 
-  private addGauges(lines: LineWriter): void {
-    const { meter } = this;
-    meter.addGauge("open_requests", "Requests without a final answer", () => {
-      return this.callerServer.inFlightCount;
-    });
-    meter.addGauge("waiting_generations", "Generations that wait for memory", () => {
-      return this.reservations.size;
-    });
-    meter.addGauge("config_version", "Version of the configuration in force", () => {
-      return this.configVersion;
-    });
-    meter.addGauge("live_instances", "Instances that are heard, this one too", () => {
-      return this.countLive();
-    });
-    meter.addGauge("dropped_log_lines", "Log lines left out since the start", () => {
-      return lines.dropped;
-    });
-  }
-
   /**
    * Logs the number of live instances and the live ratio when the number changes; the shares of
    * rates and retries are computed from them at each moment.
--- a/src/forward/peerstate.ts
+++ b/src/forward/peerstate.ts
@@ -12,14 +12,19 @@
 import type { Beat, FetchReply, FetchRequest, Record as PeerRecord } from "../peer/gen/fleet";
 import type { CrashTracker } from "../core/crashes";
 import type { ReservationQueue } from "./reservations";
+import type { EngineModel } from "./enginemodel";
 import type { EngineLoadTracker } from "./engines";
 import type { Quotas } from "./quota";
 import type { RefusalTracker } from "./refusals";
 import type { StageLoad } from "./stages";
 import { SlidingWindowSum } from "../core/window";
 
-/** Window over which arriving prompt tokens are summed, in milliseconds. */
-const ARRIVAL_WINDOW_MS = 1000;
+/**
+ * Window over which arriving prompt tokens are averaged, in milliseconds; longer than the gaps
+ * between large prompts at one instance.
+ */
+const ARRIVAL_WINDOW_MS = 4000;
+const MS_PER_SECOND = 1000;
 /** How long the arrivals that a peer last reported still count, in milliseconds. */
 const PEER_ARRIVALS_TTL_MS = 2000;
 /**
@@ -49,6 +54,7 @@
   readonly crashes: CrashTracker;
   readonly refusals: RefusalTracker;
   readonly engineLoad: EngineLoadTracker;
+  readonly engineModel: EngineModel;
   readonly reservations: ReservationQueue;
   readonly isLeaving: () => boolean;
 }
@@ -81,7 +87,8 @@
       usages: [...quotas.listLocalUsage()],
       works: [...engineLoad.listLocalWork()],
       crashes: [...crashes.listCrashes(now)],
-      arrivingTokens: Math.round(this.arrivedTokens.read(now)),
+      arrivingTokens: Math.round(this.computeArrivalRate(now)),
+      engineSpeeds: [...this.parts.engineModel.listLocalEstimates()],
       waiting: reservations.size,
       refused: [...this.parts.refusals.listLocalRefusals(now)],
       departures: directory.listAnnouncedDepartures(now).map((departure) => ({
@@ -102,6 +109,7 @@
     const { instance, incarnation, arrivingTokens, waiting } = beat;
     quotas.applyPeerUsage(instance, incarnation, beat.usages);
     engineLoad.replacePeerWork(instance, beat.works, now);
+    this.parts.engineModel.replacePeerEstimates(instance, beat.engineSpeeds, now);
     this.peerArrivals.set(instance, { arrivingTokens, waiting, receivedAt: now });
     for (const { engine, remainingMs } of beat.absences) {
       engineLoad.markAbsent(engine, now + remainingMs);
@@ -174,13 +182,19 @@
   readStageLoad(service: string): StageLoad {
     const { clock, reservations } = this.parts;
     const now = clock.now();
-    let promptTokensPerSecond = this.arrivedTokens.read(now);
+    let promptTokensPerSecond = this.computeArrivalRate(now);
     for (const [peer, arrivals] of this.peerArrivals) {
       if (now - arrivals.receivedAt > PEER_ARRIVALS_TTL_MS) this.peerArrivals.delete(peer);
       else promptTokensPerSecond += arrivals.arrivingTokens;
     }
     const engines = reservations.listViews(service, now).map((view) => view.endpoint);
-    return { engines, promptTokensPerSecond };
+    const tokensPerMs = this.parts.engineModel.readTokensPerMs(service, now);
+    return { engines, promptTokensPerSecond, tokensPerMs };
+  }
+
+  /** Computes the prompt tokens that arrive at this instance per second. */
+  private computeArrivalRate(now: Moment): number {
+    return (this.arrivedTokens.read(now) * MS_PER_SECOND) / ARRIVAL_WINDOW_MS;
   }
 
   /** Confirms the copies that hold all that a peer's copies hold, as of the peer's last knowledge. */
--- a/src/forward/prefill.ts
+++ b/src/forward/prefill.ts
@@ -8,13 +8,16 @@
 import type { EndpointEntry } from "../fleet/directory";
 import { DeadlineSignal } from "./abort";
 import { type ForwardContext, type RequestTimes, resetDataCentreConnections } from "./context";
+import { computePrefillMs, type EngineModel } from "./enginemodel";
 import { choosePrefill, type EngineLoadTracker, type EngineView } from "./engines";
 import { type CacheSource, type ForwardRequest, SendTask } from "./messages";
 import { readBody } from "./service";
 import type { SendBudget } from "./sendbudget";
 
-/** Timeout of a prefill, in milliseconds; includes the wait behind other prompts. */
-const PREFILL_TIMEOUT_MS = 900;
+/** Timeout of a prefill, as a multiple of the time that it is expected to take. */
+const PREFILL_TIMEOUT_FACTOR = 4;
+/** Shortest timeout of a prefill, in milliseconds: a short prompt may wait behind unknown ones. */
+const MIN_PREFILL_TIMEOUT_MS = 600;
 /** The share of a handle's time to live within which it is offered to another engine. */
 const HANDLE_REUSE_SHARE = 0.7;
 
@@ -22,6 +25,7 @@
 export interface PrefillParts {
   readonly context: ForwardContext;
   readonly engineLoad: EngineLoadTracker;
+  readonly engineModel: EngineModel;
   /** Lists the engines of the request's service. */
   readonly listViews: (now: Moment) => readonly EngineView[];
 }
@@ -50,20 +54,29 @@
   ): Promise<CacheSource | undefined> {
     const kept = this.takeKeptSource();
     if (kept !== undefined) return kept;
-    const { context, engineLoad, listViews } = this.parts;
-    const view = choosePrefill(listViews(context.clock.now()), new Set([decodeEngine.id]));
+    const { context, engineLoad, engineModel, listViews } = this.parts;
+    const now = context.clock.now();
+    const promptTokens = this.request.head.size?.promptTokens ?? 0;
+    const tokensPerMs = engineModel.readTokensPerMs(this.request.service, now);
+    const prompt = { promptTokens, tokensPerMs, leftMs: this.times.softDeadline - now };
+    const view = choosePrefill(listViews(now), new Set([decodeEngine.id]), prompt);
     if (view === undefined) return undefined;
     if (this.hasPrefilled && !this.sendBudget.tryConsume()) return undefined;
     const { id } = view.endpoint;
-    const promptTokens = this.request.head.size?.promptTokens ?? 0;
     engineLoad.addLocalWork(id, 0, promptTokens, 1);
     context.logger.info("prefill", {
       request: this.request.head.id,
       engine: id,
       promptTokens,
       tokensAhead: view.promptTokens,
+      tokensPerMs: Math.round(tokensPerMs * 10) / 10,
     });
-    const source = await this.prefillAt(view.endpoint, deadlineSignal);
+    const tokensAhead = view.promptTokens;
+    const expectedMs = computePrefillMs(promptTokens, tokensAhead, tokensPerMs);
+    const source = await this.prefillAt(view.endpoint, deadlineSignal, expectedMs);
+    if (source !== undefined && tokensAhead === 0) {
+      engineModel.recordPrefill(this.request.service, promptTokens, this.prefilledAt - now);
+    }
     engineLoad.addLocalWork(id, 0, -promptTokens, -1);
     if (source === undefined && !this.hasPrefilled) this.sendBudget.consume();
     this.hasPrefilled = this.hasPrefilled || source !== undefined;
@@ -105,13 +118,14 @@
   private async prefillAt(
     endpoint: EndpointEntry,
     deadlineSignal: DeadlineSignal,
+    expectedMs: number,
   ): Promise<CacheSource | undefined> {
     const { context, engineLoad } = this.parts;
     const { clock, client, codec, meter, logger } = context;
     const startedAt = clock.now();
     const prefillSignal = new DeadlineSignal(
       clock,
-      startedAt + PREFILL_TIMEOUT_MS,
+      startedAt + Math.max(MIN_PREFILL_TIMEOUT_MS, expectedMs * PREFILL_TIMEOUT_FACTOR),
       deadlineSignal.signal,
     );
     const send = {
--- a/src/forward/rebalancer.ts
+++ b/src/forward/rebalancer.ts
@@ -21,7 +21,7 @@
  * How long a change must be called for before it is ordered, by the new stage, in milliseconds.
  * Engines that only seem lost, behind a network partition, return within some seconds.
  */
-const CONFIRMATION_MS = { decode: 1500, prefill: 10_000 } as const;
+const CONFIRMATION_MS = { decode: 1500, prefill: 5000 } as const;
 /**
  * Pause after an order, in milliseconds, in addition to the time that the engine takes to change
  * its stage.
--- a/src/forward/stages.ts
+++ b/src/forward/stages.ts
@@ -4,12 +4,16 @@
  */
 import { type EndpointEntry, EngineStage } from "../fleet/directory";
 
+const MS_PER_SECOND = 1000;
+
 /** The engines and the load of a service. */
 export interface StageLoad {
   /** Usable engines. */
   readonly engines: readonly EndpointEntry[];
   /** Prompt tokens that arrive per second on average, summed over all instances. */
   readonly promptTokensPerSecond: number;
+  /** Prompt tokens that a prefill engine reads per millisecond. */
+  readonly tokensPerMs: number;
 }
 
 /** A change of an engine's stage. */
@@ -20,10 +24,12 @@
 }
 
 /**
- * Prompt tokens that a prefill engine reads per second while its queue stays short. The decode
- * engines read what exceeds it, at half the speed.
+ * Share of its speed up to which a prefill engine is loaded on average: its queue then stays short at
+ * peaks. The decode engines read what exceeds it, far more slowly.
  */
-const PREFILL_ENGINE_TOKENS_PER_SECOND = 33_000;
+const MAX_PREFILL_LOAD = 0.65;
+/** Average load below which one prefill engine less is enough; lower, so that the mix settles. */
+const MIN_PREFILL_LOAD = 0.45;
 /**
  * Maximum share of engines that only prefill: a generation occupies a decode engine far longer than
  * its prompt occupies a prefill engine.
@@ -33,15 +39,23 @@
 const MIN_ENGINES_FOR_PREFILL = 3;
 
 /**
- * Computes how many engines should be in the prefill stage.
+ * Computes how many engines should be in the prefill stage. Without load, the number is kept as far
+ * as it is allowed, since nothing speaks for another one.
  *
+ * @param load - the engines and the load of the service
  * @example
- * computePrefillEngines(6, 25_000); // 1
+ * computePrefillEngines({ engines, promptTokensPerSecond: 25_000, tokensPerMs: 33 }); // 1
  */
-export function computePrefillEngines(engines: number, promptTokensPerSecond: number): number {
-  if (engines < MIN_ENGINES_FOR_PREFILL) return 0;
-  const wanted = Math.round(promptTokensPerSecond / PREFILL_ENGINE_TOKENS_PER_SECOND);
-  const max = Math.max(1, Math.floor(engines * MAX_PREFILL_SHARE));
+export function computePrefillEngines(load: StageLoad): number {
+  const { engines, promptTokensPerSecond, tokensPerMs } = load;
+  if (engines.length < MIN_ENGINES_FOR_PREFILL) return 0;
+  const max = Math.max(1, Math.floor(engines.length * MAX_PREFILL_SHARE));
+  const current = engines.filter((engine) => engine.stage === EngineStage.prefill).length;
+  const busyEngines = promptTokensPerSecond / (tokensPerMs * MS_PER_SECOND);
+  const isIdle = promptTokensPerSecond <= 0;
+  const canSpareOne = !isIdle && busyEngines <= MIN_PREFILL_LOAD * (current - 1);
+  const needed = Math.ceil(busyEngines / MAX_PREFILL_LOAD);
+  const wanted = canSpareOne ? needed : Math.max(needed, current);
   return Math.min(max, Math.max(1, wanted));
 }
 
@@ -50,13 +64,13 @@
  *
  * @returns undefined if no engine needs to change
  * @example
- * chooseStageChange({ engines, promptTokensPerSecond: 25_000 });
+ * chooseStageChange({ engines, promptTokensPerSecond: 25_000, tokensPerMs: 33 });
  */
 export function chooseStageChange(load: StageLoad): StageChange | undefined {
-  const { engines, promptTokensPerSecond } = load;
+  const { engines } = load;
   const prefills = engines.filter((engine) => engine.stage === EngineStage.prefill);
   const decodes = engines.filter((engine) => engine.stage === EngineStage.decode);
-  const wanted = computePrefillEngines(engines.length, promptTokensPerSecond);
+  const wanted = computePrefillEngines(load);
   const reason = `${prefills.length} of ${engines.length} read prompts, ${wanted} should`;
   if (prefills.length > wanted) {
     const engine = findLastById(prefills);
--- a/src/forward/stream.ts
+++ b/src/forward/stream.ts
@@ -17,6 +17,7 @@
 import type { ForwardContext, RequestTimes } from "./context";
 import { Decoder, createAbortResult, type StreamSink, TryEnd, type TryResult } from "./decode";
 import type { ReservationQueue, Reservation } from "./reservations";
+import type { EngineModel } from "./enginemodel";
 import type { EngineLoadTracker } from "./engines";
 import type { CacheSource, ForwardRequest } from "./messages";
 import { computeReservationTokens, computeRetryAfterMs, computeWaitLimits } from "./overload";
@@ -35,6 +36,7 @@
   readonly context: ForwardContext;
   readonly reservations: ReservationQueue;
   readonly engineLoad: EngineLoadTracker;
+  readonly engineModel: EngineModel;
   readonly refusals: RefusalTracker;
 }
 
@@ -58,12 +60,12 @@
     private readonly caller: AbortSignal,
     private readonly sink: StreamSink,
   ) {
-    const { context, reservations, engineLoad } = parts;
+    const { context, reservations, engineLoad, engineModel } = parts;
     const { service, head } = request;
     const listViews = (now: Moment) => reservations.listViews(service, now);
     this.needTokens = head.size === undefined ? 0 : computeReservationTokens(head.size);
     this.sendBudget = new SendBudget(context.retries, service, context.clock);
-    const prefillParts = { context, engineLoad, listViews };
+    const prefillParts = { context, engineLoad, engineModel, listViews };
     this.decoder = new Decoder(parts, request, times, sink);
     this.prefiller = new Prefiller(prefillParts, request, limits, times, this.sendBudget);
   }
--- a/src/peer/gen/fleet.ts
+++ b/src/peer/gen/fleet.ts
@@ -35,7 +35,7 @@
   usages: WorkspaceUsage[];
   works: Work[];
   crashes: Crash[];
-  /** Prompt tokens that came in within the last second. */
+  /** Prompt tokens that come in per second. */
   arrivingTokens: number;
   /** Generations that wait for an engine. */
   waiting: number;
@@ -59,6 +59,13 @@
     | undefined;
   /** The sender's last call to the store failed. */
   storeLost: boolean;
+  engineSpeeds: EngineSpeed[];
+}
+
+export interface EngineSpeed {
+  service: string;
+  /** Prompt tokens that a prefill engine of the service reads per millisecond, as measured. */
+  tokensPerMs: number;
 }
 
 export interface Departure {
@@ -164,6 +171,7 @@
     configAgeMs: undefined,
     endpointsAgeMs: undefined,
     storeLost: false,
+    engineSpeeds: [],
   };
 }
 
@@ -229,6 +237,9 @@
     if (message.storeLost !== false) {
       writer.uint32(160).bool(message.storeLost);
     }
+    for (const v of message.engineSpeeds) {
+      EngineSpeed.encode(v!, writer.uint32(170).fork()).join();
+    }
     return writer;
   },
 
@@ -405,6 +416,14 @@
             message.storeLost = reader.bool();
             continue;
           }
+          case 21: {
+            if (tag !== 170) {
+              break;
+            }
+
+            message.engineSpeeds.push(EngineSpeed.decode(reader, reader.uint32()));
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -481,6 +500,11 @@
         : isSet(object.store_lost)
         ? globalThis.Boolean(object.store_lost)
         : false,
+      engineSpeeds: globalThis.Array.isArray(object?.engineSpeeds)
+        ? object.engineSpeeds.map((e: any) => EngineSpeed.fromJSON(e))
+        : globalThis.Array.isArray(object?.engine_speeds)
+        ? object.engine_speeds.map((e: any) => EngineSpeed.fromJSON(e))
+        : [],
     };
   },
 
@@ -546,6 +570,9 @@
     if (message.storeLost !== false) {
       obj.storeLost = message.storeLost;
     }
+    if (message.engineSpeeds?.length) {
+      obj.engineSpeeds = message.engineSpeeds.map((e) => EngineSpeed.toJSON(e));
+    }
     return obj;
   },
 
@@ -574,6 +601,96 @@
     message.configAgeMs = object.configAgeMs ?? undefined;
     message.endpointsAgeMs = object.endpointsAgeMs ?? undefined;
     message.storeLost = object.storeLost ?? false;
+    message.engineSpeeds = object.engineSpeeds?.map((e) => EngineSpeed.fromPartial(e)) || [];
+    return message;
+  },
+};
+
+function createBaseEngineSpeed(): EngineSpeed {
+  return { service: "", tokensPerMs: 0 };
+}
+
+export const EngineSpeed: MessageFns<EngineSpeed> = {
+  encode(message: EngineSpeed, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.service !== "") {
+      writer.uint32(10).string(message.service);
+    }
+    if (message.tokensPerMs !== 0) {
+      writer.uint32(17).double(message.tokensPerMs);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): EngineSpeed {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseEngineSpeed();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.service = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 17) {
+              break;
+            }
+
+            message.tokensPerMs = reader.double();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): EngineSpeed {
+    return {
+      service: isSet(object.service) ? globalThis.String(object.service) : "",
+      tokensPerMs: isSet(object.tokensPerMs)
+        ? globalThis.Number(object.tokensPerMs)
+        : isSet(object.tokens_per_ms)
+        ? globalThis.Number(object.tokens_per_ms)
+        : 0,
+    };
+  },
+
+  toJSON(message: EngineSpeed): unknown {
+    const obj: any = {};
+    if (message.service !== "") {
+      obj.service = message.service;
+    }
+    if (message.tokensPerMs !== 0) {
+      obj.tokensPerMs = floatToJson(message.tokensPerMs);
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<EngineSpeed>, I>>(base?: I): EngineSpeed {
+    return EngineSpeed.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<EngineSpeed>, I>>(object: I): EngineSpeed {
+    const message = createBaseEngineSpeed();
+    message.service = object.service ?? "";
+    message.tokensPerMs = object.tokensPerMs ?? 0;
     return message;
   },
 };
--- a/test/fleet.spec.ts
+++ b/test/fleet.spec.ts
@@ -303,6 +303,7 @@
     endpointsNext: 1,
     endpointsEra: 0,
     storeLost: false,
+    engineSpeeds: [],
     endpointsChange: 0,
     refused: [],
     departures: [],
--- a/test/play.spec.ts
+++ b/test/play.spec.ts
@@ -35,6 +35,8 @@
 const QUEUE_TIMEOUT_MS = 675;
 /** Time that the waiting queue allows from the memory reservation to the first event. */
 const TYPICAL_FIRST_EVENT_MS = 300;
+/** Speed of the simulated prefill engines. */
+const TOKENS_PER_MS = 33;
 
 interface Generation extends UrgentQueueItem {
   readonly workspace: string;
@@ -54,6 +56,14 @@
   readonly next?: (index: number, ms: number) => { workspace: string; isOverRate: boolean };
 }
 
+function createEngines(count: number, prefills: number) {
+  return Array.from({ length: count }, (_, index) => {
+    const id = `e${String(index).padStart(2, "0")}`;
+    const stage = index < prefills ? EngineStage.prefill : EngineStage.decode;
+    return createEntry(id, `${id}:1`, { stage });
+  });
+}
+
 /** Simulates a load on prefill and decode engines; counts the outcomes by workspace. */
 function simulateLoad(
   prefills: number,
@@ -84,7 +94,9 @@
     const decode = chooseDecode(views, LIMITS, reservationTokens);
     if (decode === undefined) return false;
     engineLoad.addLocalWork(decode.endpoint.id, reservationTokens, 0, 1);
-    const prefill = choosePrefill(views, new Set());
+    const leftMs = generation.arrivedAt + TARGET_LATENCY_MS - now;
+    const prompt = { promptTokens: PROMPT_TOKENS, tokensPerMs: TOKENS_PER_MS, leftMs };
+    const prefill = choosePrefill(views, new Set(), prompt);
     let firstAt = now + SELF_PREFILL_MS;
     if (prefill !== undefined) {
       const { id } = prefill.endpoint;
@@ -158,7 +170,11 @@
   };
 
   it("serves more callers on time, once rebalanced, than the stages that the engines start with", () => {
-    const prefillCount = computePrefillEngines(6, 9 * PROMPT_TOKENS);
+    const prefillCount = computePrefillEngines({
+      engines: createEngines(6, 2),
+      promptTokensPerSecond: 9 * PROMPT_TOKENS,
+      tokensPerMs: TOKENS_PER_MS,
+    });
     const rebalancedRatio = computeOnTimeRatio(
       simulateLoad(prefillCount, 6 - prefillCount, bursts).get("w"),
     );
@@ -168,24 +184,50 @@
   });
 
   it("is reached by one stage change at a time, and is then kept under a changed load", () => {
-    const engines = ["a", "b", "c", "d", "e", "f"].map((id, index) =>
-      createEntry(id, `${id}:1`, {
-        stage: index < 2 ? EngineStage.prefill : EngineStage.decode,
-      }),
-    );
-    const change = chooseStageChange({ engines, promptTokensPerSecond: 25_000 });
-    assert.equal(change?.engine.id, "b");
+    const tokensPerMs = TOKENS_PER_MS;
+    const engines = createEngines(6, 2);
+    const change = chooseStageChange({ engines, promptTokensPerSecond: 25_000, tokensPerMs });
+    assert.equal(change?.engine.id, "e01");
     assert.equal(change.stage, EngineStage.decode);
-    const changed = engines.map((engine) =>
-      engine.id === "b" ? { ...engine, stage: EngineStage.decode } : engine,
-    );
-    assert.equal(chooseStageChange({ engines: changed, promptTokensPerSecond: 40_000 }), undefined);
-    assert.equal(chooseStageChange({ engines: changed, promptTokensPerSecond: 0 }), undefined);
+    const changed = createEngines(6, 1);
+    for (const promptTokensPerSecond of [40_000, 0]) {
+      const load = { engines: changed, promptTokensPerSecond, tokensPerMs };
+      assert.equal(chooseStageChange(load), undefined);
+    }
   });
 
   it("stays small, since decode engines can prefill prompts as well", () => {
-    assert.equal(computePrefillEngines(2, 100_000), 0);
-    assert.equal(computePrefillEngines(60, 700_000), 15);
+    const compute = (engines: number, promptTokensPerSecond: number) =>
+      computePrefillEngines({
+        engines: createEngines(engines, 0),
+        promptTokensPerSecond,
+        tokensPerMs: TOKENS_PER_MS,
+      });
+    assert.equal(compute(2, 100_000), 0);
+    assert.equal(compute(60, 700_000), 15);
+  });
+
+  it("follows the speed of the engines, and keeps queues short", () => {
+    const compute = (promptTokensPerSecond: number, tokensPerMs: number) =>
+      computePrefillEngines({ engines: createEngines(24, 1), promptTokensPerSecond, tokensPerMs });
+    assert.equal(compute(26_000, 33), 2, "one would be loaded to four fifths");
+    assert.equal(compute(26_000, 55), 1);
+    assert.equal(compute(100_000, 33), 5);
+    assert.equal(compute(100_000, 8), 6, "a quarter of the engines at most");
+  });
+
+  it("does not go up and down with a load that changes a little", () => {
+    const compute = (prefills: number, promptTokensPerSecond: number) =>
+      computePrefillEngines({
+        engines: createEngines(8, prefills),
+        promptTokensPerSecond,
+        tokensPerMs: TOKENS_PER_MS,
+      });
+    assert.equal(compute(1, 23_000), 2);
+    assert.equal(compute(2, 19_000), 2);
+    assert.equal(compute(2, 0), 2, "nothing speaks for another number");
+    assert.equal(compute(2, 14_000), 1);
+    assert.equal(compute(1, 19_000), 1);
   });
 });
 
@@ -264,8 +306,14 @@
   it("leaves the prompt to the decode engine if the prefill engines have too much work queued", () => {
     const engineLoad = new EngineLoadTracker();
     const engine = createEntry("p", "p:1", { stage: EngineStage.prefill });
-    assert.ok(choosePrefill([engineLoad.readView(engine, false, 0)], new Set()));
+    const choose = (leftMs: number, tokensPerMs = TOKENS_PER_MS) => {
+      const prompt = { promptTokens: PROMPT_TOKENS, tokensPerMs, leftMs };
+      return choosePrefill([engineLoad.readView(engine, false, 0)], new Set(), prompt);
+    };
+    assert.ok(choose(900));
     engineLoad.addLocalWork("p", 0, 20_000, 6);
-    assert.equal(choosePrefill([engineLoad.readView(engine, false, 0)], new Set()), undefined);
+    assert.equal(choose(900), undefined);
+    assert.ok(choose(900, 100), "a faster engine still reads it in time");
+    assert.ok(choose(2000), "there is time");
   });
 });
--- a/test/steering.spec.ts
+++ b/test/steering.spec.ts
@@ -53,7 +53,7 @@
     logger: SILENT_LOGGER,
     listLive: () => live,
     listServices: () => createConfig(1).services,
-    readStageLoad: () => ({ engines, promptTokensPerSecond: 20_000 }),
+    readStageLoad: () => ({ engines, promptTokensPerSecond: 20_000, tokensPerMs: 33 }),
     onOrder: () => undefined,
   });
 }
