Keep the requests of other instances when a scheduler's session ends

The scheduler knows the session of each request now. test/session.spec.ts fails before and passes after.

--- a/src/control/scheduler.ts
+++ b/src/control/scheduler.ts
@@ -96,6 +96,12 @@
   lastRequestedAt: Moment;
 }
 
+/** Where a request waits or runs, and for whom. */
+interface KnownRequest {
+  readonly pool: string;
+  readonly session: string;
+}
+
 /** A connection to an instance that requests grants, and the way to reply to it. */
 export interface SchedulerSession {
   readonly name: string;
@@ -105,7 +111,7 @@
 /** Schedules the pools for which instances request grants here. */
 export class PoolScheduler {
   private readonly pools = new Map<string, ScheduledPool>();
-  private readonly poolByRequest = new Map<string, string>();
+  private readonly requests = new Map<string, KnownRequest>();
   private readonly sessions = new Map<string, SchedulerSession>();
   private timer: NodeJS.Timeout | undefined;
 
@@ -142,9 +148,9 @@
   closeSession(name: string): void {
     this.sessions.delete(name);
     for (const pool of this.pools.values()) {
-      for (const [id, poolName] of this.poolByRequest) {
-        if (poolName !== pool.name || pool.queue.remove(id)?.session !== name) continue;
-        this.poolByRequest.delete(id);
+      for (const [id, request] of this.requests) {
+        if (request.pool !== pool.name || request.session !== name) continue;
+        if (pool.queue.remove(id) !== undefined) this.requests.delete(id);
       }
       pool.grants.endSession(name);
     }
@@ -195,13 +201,13 @@
       this.refuse(session, want, Reason.poison, 0);
       return;
     }
-    this.poolByRequest.set(want.id, want.pool);
+    this.requests.set(want.id, { pool: want.pool, session });
     scheduledPool.queue.push(createWaitingRequest(session, want, this.findClassWeight(want), now));
   }
 
   private handleDone(done: Done): void {
     const now = this.clock.now();
-    const pool = this.pools.get(this.poolByRequest.get(done.id) ?? "");
+    const pool = this.pools.get(this.requests.get(done.id)?.pool ?? "");
     if (pool === undefined) return;
     if (done.stage === GrantStage.decoding) {
       pool.grants.markDecoding(done.id, now);
@@ -217,7 +223,7 @@
     const grant = pool.grants.end(done.id, now);
     if (done.fault === "" && grant !== undefined) this.board.poison.clear(grant.want.fingerprint);
     pool.queue.remove(done.id);
-    this.poolByRequest.delete(done.id);
+    this.requests.delete(done.id);
   }
 
   /**
@@ -240,7 +246,7 @@
     let waiting = 0;
     for (const pool of this.pools.values()) {
       for (const item of pool.queue.removeExpired(now)) {
-        this.poolByRequest.delete(item.id);
+        this.requests.delete(item.id);
         this.refuse(item.session, item.want, Reason.overloaded, this.estimateRetryAfterMs(pool));
       }
       pool.grants.prune(now);
--- /dev/null
+++ b/test/session.spec.ts
@@ -0,0 +1,75 @@
+/**
+ * Sessions of a pool's scheduler: each instance that waits for grants has one. Guards against requests of other
+ * instances that are dropped when one session ends.
+ */
+import assert from "node:assert/strict";
+import { after, describe, it } from "node:test";
+import { createBlackboard } from "../src/board/board";
+import { PoolScheduler, RESERVING_POLICY } from "../src/control/scheduler";
+import { ManualClock, pause } from "../src/core/clock";
+import { type Endpoint, Role } from "../src/core/config";
+import { SILENT_LOGGER } from "../src/core/log";
+import type { Metrics } from "../src/core/metrics";
+import type { BookReply, Want } from "../src/peer/gen/peer";
+
+const PATIENCE_MS = 1000;
+
+function createWant(id: string): Want {
+  return {
+    id,
+    workspace: "walls",
+    class: "usual",
+    model: "m",
+    route: "draft",
+    pool: "drafter",
+    promptTokens: 10,
+    outputTokens: 10,
+    firstTokenMs: PATIENCE_MS,
+    patienceMs: PATIENCE_MS,
+    blocks: [],
+    fingerprint: id,
+    dataCentre: "nizwa",
+    exclude: [],
+    resumed: false,
+    crashes: [],
+  };
+}
+
+function createEngine(role: Role): Endpoint {
+  return { url: "http://127.0.0.1:1", role, models: ["m"], dataCentre: "nizwa", pool: "drafter" };
+}
+
+const SILENT_METRICS = { gauge: () => undefined } as unknown as Metrics;
+
+describe("a scheduler whose session with one instance ends", () => {
+  const clock = new ManualClock(10_000);
+  const board = createBlackboard();
+  const state = board.config.read();
+  const endpoints = { p: createEngine(Role.prefill), d: createEngine(Role.decode) };
+  board.config.write({ ...state, configuration: { ...state.configuration, endpoints } });
+  const scheduler = new PoolScheduler(
+    board,
+    clock,
+    RESERVING_POLICY,
+    SILENT_LOGGER,
+    SILENT_METRICS,
+    () => undefined,
+  );
+  after(() => {
+    scheduler.close();
+  });
+
+  it("still answers the requests of other instances that wait for the same pool", async () => {
+    const replies: BookReply[] = [];
+    for (const name of ["ended", "open"]) {
+      scheduler.openSession({ name, send: (reply) => replies.push(reply) });
+      scheduler.onBookRequest(name, { wants: [createWant(`${name}-1`)], done: [] });
+    }
+    scheduler.closeSession("ended");
+    clock.advance(PATIENCE_MS + 1);
+    scheduler.start();
+    await pause(300);
+    const answered = replies.flatMap(({ refusals }) => refusals.map(({ id }) => id));
+    assert.deepEqual(answered, ["open-1"]);
+  });
+});
