--- a/test/quota.spec.ts
+++ b/test/quota.spec.ts
@@ -179,6 +179,19 @@
     assert.ok(quotas.admitAsOwner("w", LIMIT, 1000, decision.retryAfterMs + 1).isAdmitted);
   });
 
+  it("does not begin full, and less so if other instances may have begun too", () => {
+    const countAdmitted = (missing: number) => {
+      const quotas = new Quotas(TOLERANCE, () => ({ heard: 1, missing }), 0);
+      let admitted = 0;
+      while (quotas.admitAsOwner("w", LIMIT, 10, 0).isAdmitted) admitted += 10;
+      return admitted;
+    };
+    const tolerance = computeBound(LIMIT) - (LIMIT.perSecond * WINDOW_MS) / 1000 - LIMIT.burst;
+    const alone = countAdmitted(0);
+    assert.ok(alone > 0 && alone <= 0.1 * tolerance, `${alone} of ${tolerance}`);
+    assert.ok(countAdmitted(3) * 4 <= alone + 40, "all of them together");
+  });
+
   it("applies a lowered limit to the next request", () => {
     const quotas = createQuotas({ ...TOLERANCE, slack: 0, ratio: 0 });
     assert.ok(quotas.admitAsOwner("w", LIMIT, 1, 0).isAdmitted);
