Try a lost store again also while copies are confirmed by peers

Found by the new test of the readers: an instance whose call to the store had failed was no candidate for reader until a call succeeded, and made none while peers confirmed its copies. After some outages one instance was left to read.

The test also plays a store that stops answering both readers, without an error; that one fails if an unconfirmed copy is not read by the instance itself (node scripts/prove.mjs readers: the mutation went unnoticed before).

--- a/src/fleet/watcher.ts
+++ b/src/fleet/watcher.ts
@@ -37,6 +37,11 @@
 const CHECK_MS = { min: 60, max: 250 } as const;
 /** Delay after a failed call, in milliseconds. */
 const RETRY_DELAY_MS = 200;
+/**
+ * Delay after which an instance whose copies are confirmed by peers tries a store that it lost, in
+ * milliseconds: it can become a reader again only once a call succeeds.
+ */
+const LOST_RETRY_DELAY_MS = 2000;
 
 /** Bounds within which changes have to be known, in milliseconds. */
 export interface WatchBounds {
@@ -56,6 +61,8 @@
   /** True while a long poll is open. */
   isWaiting: boolean;
   isUnavailable: boolean;
+  /** When the store is tried again after a failed call, also by an instance that is not a reader. */
+  retryAt: Moment;
   /** Age from which the copy counts as unconfirmed, in milliseconds. */
   readonly maxAgeMs: number;
 }
@@ -67,6 +74,7 @@
     freshness: new Freshness(),
     isWaiting: false,
     isUnavailable: false,
+    retryAt: Number.POSITIVE_INFINITY,
     maxAgeMs: boundMs * share,
   };
 }
@@ -256,7 +264,7 @@
   private async waitUntilNeeded(state: FeedState): Promise<void> {
     for (;;) {
       const now = this.clock.now();
-      if (this.isClosed || this.isReader(now)) return;
+      if (this.isClosed || this.isReader(now) || state.retryAt <= now) return;
       const leftMs = state.maxAgeMs - state.freshness.computeAgeMs(now);
       if (leftMs <= 0) return;
       await pause(Math.min(CHECK_MS.max, Math.max(CHECK_MS.min, leftMs)));
@@ -304,12 +312,14 @@
     if (name === "endpoints" && this.configState.isWaiting) this.confirmConfig(startedAt);
     if (!state.isUnavailable) return;
     state.isUnavailable = false;
+    state.retryAt = Number.POSITIVE_INFINITY;
     if (name === "endpoints") this.directory.recordStoreRecovery(now);
     this.logger.info("store regained", { feed: name });
   }
 
   private recordFailure(name: string, state: FeedState, error: string): void {
     this.meter.storeFailures.inc();
+    state.retryAt = this.clock.now() + LOST_RETRY_DELAY_MS;
     if (state.isUnavailable) return;
     state.isUnavailable = true;
     this.logger.warn("store lost", { feed: name, error });
