Take an answer only for the exchange that it is to

Cause: on a kept connection the next bytes were taken for the answer to whatever exchange waited. Only runs compared the id that an answer names, and only if it names one. Prefills did not look at it, so that a late copy handed over another's handle; holds, releases and orders name nothing and shared their connections with requests; failures, 'not run' and 421 without an id counted as the request's own; and the same request sent twice on one connection could meet the copy of its first answer.

Ruled out: copies on idle connections (the connection is closed before it is used, as before; tested).

Change: one decision, src/forward/exchange.ts, that every answer to a request passes in the client: it names the request, or it names none and its connection has carried nothing else. Else it is foreign: the connection and the idle ones to that endpoint are closed, and the request counts as sent with an unknown outcome. No request goes twice on one connection. A call of the router's own has a connection of its own. A generation that may run once goes on a new connection, as no second send can make up for an answer that was lost to a copy. src/forward/pool.ts holds the pool, which now also keeps no more idle connections than the instance may open. The platform's codec no longer calls a foreign answer 'foreign' by itself: its verdict is about authenticity, and its test of an answer that names another request became one of the id that is read and, in test/exchange.spec.ts, of what follows from it.

The test of a second send got a keep-alive time and a resumable route, as the broken mechanism was not noticed at first.

--- a/src/forward/client.ts
+++ b/src/forward/client.ts
@@ -1,15 +1,17 @@
 /**
  * HTTP client for endpoints, with a pool of kept-alive connections for each address. It never sends
- * a request twice. A connection that failed, or whose response was not read to its end, is closed
- * and never reused.
+ * a request twice. A connection that failed, whose response was not read to its end, or that
+ * brought an answer to another exchange is closed and never reused.
  */
 import type { Readable } from "node:stream";
 import * as E from "fp-ts/Either";
 import type { Clock } from "../core/clock";
 import { isConnectionRefused, isConnectError } from "../store/http";
-import { Connection } from "./connection";
+import type { Connection } from "./connection";
+import { isOwnAnswer } from "./exchange";
 import type { EndpointGate, EndpointTarget } from "./gate";
 import type { ResponseHead, EndpointCodec, EndpointCall, EndpointRequest } from "./messages";
+import { ConnectionPool } from "./pool";
 
 /**
  * How often idle connections that the endpoint closed are removed from the pools, in milliseconds.
@@ -32,6 +34,11 @@
   unreachable: "unreachable",
   /** The request may have been sent. */
   broken: "broken",
+  /**
+   * The answer on the connection was to another exchange. The request was sent, and its own answer
+   * is not known.
+   */
+  foreign: "foreign",
 } as const;
 export type SendFailureKind = (typeof SendFailureKind)[keyof typeof SendFailureKind];
 
@@ -48,7 +55,12 @@
 
   /** False only if no byte of the request can have left. */
   get isSent(): boolean {
-    return this.kind === SendFailureKind.broken;
+    return this.kind === SendFailureKind.broken || this.kind === SendFailureKind.foreign;
+  }
+
+  /** True if an answer to another exchange came, so that the endpoint is up. */
+  get isForeign(): boolean {
+    return this.kind === SendFailureKind.foreign;
   }
 
   /** True if the failure says nothing about the endpoint's health. */
@@ -93,11 +105,6 @@
   close(): Promise<void>;
 }
 
-interface ConnectionPool {
-  readonly idle: Connection[];
-  readonly busy: Set<Connection>;
-}
-
 /** Sends to endpoints over HTTP/1.1. */
 export class HttpEndpointClient implements EndpointClient {
   private readonly pools = new Map<string, ConnectionPool>();
@@ -126,7 +133,12 @@
     const { head, body } = send.request;
     const { address, service } = send.endpoint;
     if (!this.gate.isOpenForRequest(send.endpoint)) return E.left(createHeldFailure());
-    const connection = this.acquireUpTo(address, this.computeMaxConnections(service));
+    const pool = this.getOrCreatePool(address);
+    const connection = pool.acquireForRequest({
+      id: head.id,
+      needsNewConnection: send.needsNewConnection,
+      maxConnections: this.computeMaxConnections(service),
+    });
     if (connection === undefined) {
       const message = "all connections to the endpoint are in use";
       return E.left(new SendFailure(SendFailureKind.busy, message));
@@ -140,19 +152,27 @@
         signal,
         responseHeaders: "raw",
       });
-      this.releaseAfter(address, connection, response.body);
       const headers = response.headers as unknown as readonly string[];
+      // A notice is the endpoint's word, also in an answer to another exchange.
       this.gate.onNotice(send.endpoint, this.codec.readNotice(response.statusCode, headers));
-      const responseHead = this.codec.readResponseHead(send, response.statusCode, headers);
-      const isBroken = () => connection.isBroken;
+      const answeredId = this.codec.readAnsweredId(headers);
+      const { isFirstExchange: isFirst } = connection;
+      if (!isOwnAnswer({ requestId: head.id, answeredId, isFirst })) {
+        response.body.on("error", () => undefined);
+        pool.discard(connection);
+        // The endpoint may have written late copies on its other connections too.
+        pool.closeIdle();
+        return E.left(createForeignFailure(response.statusCode, answeredId));
+      }
+      releaseAfter(pool, connection, response.body);
       return E.right({
-        head: responseHead,
+        head: this.codec.readResponseHead(send, response.statusCode, headers),
         body: response.body,
         isFramed: hasFraming(response.statusCode, headers),
-        isBroken,
+        isBroken: () => connection.isBroken,
       });
     } catch (error) {
-      this.discard(address, connection);
+      pool.discard(connection);
       return E.left(createFailure(error));
     }
   }
@@ -162,9 +182,9 @@
     call: EndpointCall,
     timeoutMs: number,
   ): Promise<E.Either<SendFailure, CallResponse>> {
-    const { address } = target;
     if (this.gate.isPaused(target.id)) return E.left(createHeldFailure());
-    const connection = this.acquire(address) ?? this.open(address);
+    const pool = this.getOrCreatePool(target.address);
+    const connection = pool.openForCall();
     try {
       const response = await connection.client.request({
         method: call.method,
@@ -177,104 +197,54 @@
       const headers = response.headers as unknown as readonly string[];
       this.gate.onNotice(target, this.codec.readNotice(response.statusCode, headers));
       const body = Buffer.from(await response.body.arrayBuffer());
-      this.release(address, connection);
       return E.right({ status: response.statusCode, body });
     } catch (error) {
-      this.discard(address, connection);
       return E.left(createFailure(error));
+    } finally {
+      pool.discard(connection);
     }
   }
 
   reset(address: string): void {
-    const pool = this.pools.get(address);
-    if (pool === undefined) return;
-    for (const connection of pool.idle.splice(0)) connection.close();
+    this.pools.get(address)?.closeIdle();
   }
 
   close(): Promise<void> {
     clearInterval(this.timer);
-    for (const { idle, busy } of this.pools.values()) {
-      for (const connection of [...idle, ...busy]) connection.close();
-    }
+    for (const pool of this.pools.values()) pool.close();
     this.pools.clear();
     return Promise.resolve();
   }
 
-  /**
-   * Takes the idle connection that was used last, as it is the likeliest to be alive, or opens one;
-   * returns undefined if the maximum is in use.
-   */
-  private acquireUpTo(address: string, maxConnections: number): Connection | undefined {
-    const isFull = this.getOrCreatePool(address).busy.size >= maxConnections;
-    return this.acquire(address) ?? (isFull ? undefined : this.open(address));
-  }
-
-  private acquire(address: string): Connection | undefined {
-    const pool = this.getOrCreatePool(address);
-    for (;;) {
-      const connection = pool.idle.pop();
-      if (connection === undefined) break;
-      if (connection.isAlive) {
-        pool.busy.add(connection);
-        return connection;
-      }
-      connection.close();
-    }
-    return undefined;
-  }
-
-  private open(address: string): Connection {
-    const connection = new Connection(address);
-    this.getOrCreatePool(address).busy.add(connection);
-    return connection;
-  }
-
-  private releaseAfter(address: string, connection: Connection, body: Readable): void {
-    // The reader of the body handles its errors; this listener keeps an error of a body that is not
-    // read from being uncaught.
-    body.on("error", () => undefined);
-    body.once("end", () => {
-      this.release(address, connection);
-    });
-    body.once("close", () => {
-      if (!body.readableEnded) this.discard(address, connection);
-    });
-  }
-
-  private release(address: string, connection: Connection): void {
-    const pool = this.getOrCreatePool(address);
-    if (!pool.busy.delete(connection)) return;
-    if (!connection.isAlive) {
-      connection.close();
-      return;
-    }
-    connection.idleSince = this.clock.now();
-    pool.idle.push(connection);
-  }
-
-  private discard(address: string, connection: Connection): void {
-    this.getOrCreatePool(address).busy.delete(connection);
-    connection.close();
-  }
-
   private getOrCreatePool(address: string): ConnectionPool {
     const existing = this.pools.get(address);
     if (existing !== undefined) return existing;
-    const pool: ConnectionPool = { idle: [], busy: new Set() };
+    const pool = new ConnectionPool(address, this.clock);
     this.pools.set(address, pool);
     return pool;
   }
 
   private removeClosed(): void {
-    for (const [address, { idle, busy }] of this.pools) {
-      const alive = idle.filter((connection) => connection.isAlive);
-      for (const connection of idle) if (!connection.isAlive) connection.close();
-      idle.splice(0, idle.length, ...alive);
-      if (idle.length === 0 && busy.size === 0) this.pools.delete(address);
+    for (const [address, pool] of this.pools) {
+      pool.removeClosed();
+      if (pool.isEmpty) this.pools.delete(address);
     }
   }
 }
 
+/** Returns a connection to its pool once the body was read to its end, else closes it. */
+function releaseAfter(pool: ConnectionPool, connection: Connection, body: Readable): void {
+  // The reader of the body handles its errors; this listener keeps an error of a body that is not
+  // read from being uncaught.
+  body.on("error", () => undefined);
+  body.once("end", () => {
+    pool.release(connection);
+  });
+  body.once("close", () => {
+    if (!body.readableEnded) pool.discard(connection);
+  });
+}
+
 /** Checks for a length, chunks, or a status without a body. */
 function hasFraming(status: number, headers: readonly string[]): boolean {
   if (status === NO_CONTENT || status === NOT_MODIFIED) return true;
@@ -292,6 +262,12 @@
   return isConnectError(error) ? SendFailureKind.unreachable : SendFailureKind.broken;
 }
 
+function createForeignFailure(status: number, answeredId: string | undefined): SendFailure {
+  const named = answeredId === undefined ? "no request" : `request ${answeredId}`;
+  const message = `an answer ${status} to ${named} came on the connection`;
+  return new SendFailure(SendFailureKind.foreign, message);
+}
+
 function createHeldFailure(): SendFailure {
   const message = "the endpoint asked for a pause or is leaving";
   return new SendFailure(SendFailureKind.held, message);
--- a/src/forward/connection.ts
+++ b/src/forward/connection.ts
@@ -22,6 +22,10 @@
  * How much earlier than the endpoint's keep-alive timeout a connection is closed, in milliseconds.
  */
 const IDLE_MARGIN_MS = 700;
+/**
+ * Maximum number of requests that one connection carries; bounds the ids that it remembers.
+ */
+const MAX_REQUESTS = 200;
 /** Maximum size of a response, in bytes. */
 const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
 
@@ -30,6 +34,7 @@
   readonly client: Client;
   /** When it was last returned to its pool. */
   idleSince: Moment = 0;
+  private readonly requestIds = new Set<string>();
   private socket: Socket | undefined;
   private hasError = false;
 
@@ -62,6 +67,26 @@
     return socket !== undefined && !socket.destroyed && socket.writable && !this.hasError;
   }
 
+  /** True if another request may be sent on it. */
+  get isReusable(): boolean {
+    return this.isAlive && this.requestIds.size < MAX_REQUESTS;
+  }
+
+  /** True if it has carried no request before the present one, whose answer could arrive late. */
+  get isFirstExchange(): boolean {
+    return this.requestIds.size <= 1;
+  }
+
+  /** Checks whether it has carried a request, whose answer could then arrive a second time. */
+  hasCarried(requestId: string): boolean {
+    return this.requestIds.has(requestId);
+  }
+
+  /** Records that a request is about to be sent on it. */
+  recordRequest(requestId: string): void {
+    this.requestIds.add(requestId);
+  }
+
   /** Closes the connection, also with a request in flight. */
   close(): void {
     void this.client.destroy().catch(() => undefined);
--- a/src/forward/decode.ts
+++ b/src/forward/decode.ts
@@ -144,6 +144,7 @@
       cacheSource,
       hold,
       urgency: undefined,
+      needsNewConnection: !this.isResumable,
     };
     const opened = await client.send({ ...send, lastEventId: lastEvent }, firstEventSignal.signal);
     firstEventSignal.close();
@@ -159,11 +160,12 @@
   ): Promise<TryResult> {
     const aborted = createAbortResult(deadlineSignal);
     if (aborted !== undefined) return aborted;
-    const { isSent, isLocal, message } = failure;
+    const { isSent, isLocal, isForeign, message } = failure;
     if (!isSent) {
       if (!isLocal) this.markEngineUnavailable(endpoint);
       return { end: TryEnd.notRun, message };
     }
+    if (isForeign) return { end: TryEnd.broken, message };
     return this.handleBreak(endpoint, message);
   }
 
@@ -196,10 +198,10 @@
       else engineLoad.recordRefusal(endpoint.id, context.clock.now());
       return { end: TryEnd.notRun, message: `the engine answered ${head.status}` };
     }
-    if (head.verdict === Verdict.mismatched) {
+    if (head.verdict === Verdict.unauthentic) {
       response.body.destroy();
       resetDataCentreConnections(context, endpoint);
-      return { end: TryEnd.broken, message: "the answer is not one to this request" };
+      return { end: TryEnd.broken, message: "the answer does not come from the endpoint itself" };
     }
     if (head.status >= MIN_NON_STREAM_STATUS) return this.readFailureResponse(response);
     engineLoad.markAvailable(endpoint.id);
--- a/src/forward/messages.ts
+++ b/src/forward/messages.ts
@@ -89,6 +89,11 @@
   readonly lastEventId: string | undefined;
   /** Priority at the engine; 0 is first. */
   readonly urgency: number | undefined;
+  /**
+   * True if it goes on a new connection, where no late copy of another answer can take the place of
+   * its own: a costly request that may run once can't be sent again.
+   */
+  readonly needsNewConnection: boolean;
 }
 
 /** The KV cache of a prompt at the engine that read it. */
@@ -109,8 +114,8 @@
   notRun: "not run",
   /** The address belongs to another endpoint than intended, which has not run the request. */
   misdirected: "misdirected",
-  /** The response doesn't follow the protocol, or belongs to another request. */
-  mismatched: "foreign",
+  /** A success that does not come from the endpoint itself, or was changed on the way. */
+  unauthentic: "unauthentic",
 } as const;
 export type Verdict = (typeof Verdict)[keyof typeof Verdict];
 
@@ -174,6 +179,8 @@
 export interface EndpointCodec {
   /** Lists the headers of a request to an endpoint, names and values alternating. */
   listHeaders(send: EndpointRequest): string[];
+  /** Reads the id of the request that a response names; undefined if it names none. */
+  readAnsweredId(headers: readonly string[]): string | undefined;
   /** Decodes the head of a response to a request. */
   readResponseHead(send: EndpointRequest, status: number, headers: readonly string[]): ResponseHead;
   /** Decodes what the headers of any response, also to a router call, say about the endpoint. */
--- /dev/null
+++ b/src/forward/pool.ts
@@ -0,0 +1,112 @@
+/**
+ * Connections to one endpoint, and which exchange may go on which of them: every answer must be told
+ * from a late copy of an earlier one. Requests share kept-alive connections, as their answers name
+ * them, but none goes twice on one connection. A call of the router's own, whose answer names
+ * nothing, has a connection of its own.
+ */
+import type { Clock } from "../core/clock";
+import { Connection } from "./connection";
+
+/** Connections kept to an endpoint before a maximum is known. */
+const DEFAULT_MAX_CONNECTIONS = 8;
+
+/** A request that needs a connection. */
+export interface PooledRequest {
+  readonly id: string;
+  readonly needsNewConnection: boolean;
+  /** How many connections this instance may open to the endpoint. */
+  readonly maxConnections: number;
+}
+
+/** The connections to one endpoint. */
+export class ConnectionPool {
+  private idle: Connection[] = [];
+  private readonly busy = new Set<Connection>();
+  private maxConnections = DEFAULT_MAX_CONNECTIONS;
+
+  constructor(
+    private readonly address: string,
+    private readonly clock: Clock,
+  ) {}
+
+  /** True if it has no connection, so that it can be forgotten. */
+  get isEmpty(): boolean {
+    return this.idle.length === 0 && this.busy.size === 0;
+  }
+
+  /**
+   * Takes a connection for a request: the idle one that was used last, as it is the likeliest to be
+   * alive, unless it has carried the same request; or opens one.
+   *
+   * @returns undefined if the maximum is in use
+   */
+  acquireForRequest(request: PooledRequest): Connection | undefined {
+    this.maxConnections = request.maxConnections;
+    const kept = request.needsNewConnection ? undefined : this.takeIdle(request.id);
+    if (kept === undefined && this.busy.size >= this.maxConnections) return undefined;
+    const connection = kept ?? this.open();
+    connection.recordRequest(request.id);
+    return connection;
+  }
+
+  /** Opens a connection of its own for a call of the router's own; it is discarded after it. */
+  openForCall(): Connection {
+    return this.open();
+  }
+
+  /** Takes back a connection whose answer was read to its end. */
+  release(connection: Connection): void {
+    if (!this.busy.delete(connection)) return;
+    if (!connection.isReusable) {
+      connection.close();
+      return;
+    }
+    connection.idleSince = this.clock.now();
+    this.idle.push(connection);
+    this.closeSurplus();
+  }
+
+  /** Closes a connection that failed, or whose answer was not read to its end. */
+  discard(connection: Connection): void {
+    this.busy.delete(connection);
+    connection.close();
+  }
+
+  /** Closes all idle connections. */
+  closeIdle(): void {
+    for (const connection of this.idle.splice(0)) connection.close();
+  }
+
+  /** Forgets idle connections that the endpoint closed. */
+  removeClosed(): void {
+    for (const connection of this.idle) if (!connection.isAlive) connection.close();
+    this.idle = this.idle.filter((connection) => connection.isAlive);
+  }
+
+  /** Closes all connections, also those with an exchange in flight. */
+  close(): void {
+    this.closeIdle();
+    for (const connection of this.busy) connection.close();
+  }
+
+  private takeIdle(requestId: string): Connection | undefined {
+    this.removeClosed();
+    const index = this.idle.findLastIndex((connection) => !connection.hasCarried(requestId));
+    if (index < 0) return undefined;
+    const [connection] = this.idle.splice(index, 1);
+    if (connection !== undefined) this.busy.add(connection);
+    return connection;
+  }
+
+  private open(): Connection {
+    const connection = new Connection(this.address);
+    this.busy.add(connection);
+    return connection;
+  }
+
+  /** Closes the connections that are idle the longest, down to the maximum. */
+  private closeSurplus(): void {
+    const maxIdle = Math.max(1, this.maxConnections - this.busy.size);
+    while (this.idle.length > maxIdle) this.idle.shift()?.close();
+  }
+}
--- a/src/forward/prefill.ts
+++ b/src/forward/prefill.ts
@@ -137,6 +137,7 @@
       hold: undefined,
       lastEventId: undefined,
       urgency: undefined,
+      needsNewConnection: false,
     };
     const opened = await client.send(send, prefillSignal.signal);
     const body = E.isRight(opened) ? await readBody(opened.right.body) : opened;
@@ -151,10 +152,10 @@
       const { id, address } = endpoint;
       return { engine: id, address, handle: prefilled.handle, expiresAt };
     }
-    const isHeld = E.isLeft(opened) && opened.left.isLocal;
-    if (deadlineSignal.cause === undefined && !isHeld)
+    const isEngineSound = E.isLeft(opened) && (opened.left.isLocal || opened.left.isForeign);
+    if (deadlineSignal.cause === undefined && !isEngineSound)
       engineLoad.markUnavailable(endpoint.id, clock.now());
-    if (E.isLeft(body) && !isHeld) resetDataCentreConnections(context, endpoint);
+    if (E.isLeft(body) && !isEngineSound) resetDataCentreConnections(context, endpoint);
     logger.warn("prefill failed", {
       request: this.request.head.id,
       engine: endpoint.id,
--- a/src/forward/service.ts
+++ b/src/forward/service.ts
@@ -155,6 +155,7 @@
       hold: undefined,
       lastEventId: undefined,
       urgency: undefined,
+      needsNewConnection: false,
     };
     const opened = await client.send(send, deadlineSignal.signal);
     const result = E.isLeft(opened)
@@ -216,9 +217,9 @@
       await this.probeAfterBreak(endpoint, deadlineSignal);
       return { end: SendEnd.unknown, response: undefined, message: whole.left.message };
     }
-    if (head.verdict === Verdict.mismatched) {
+    if (head.verdict === Verdict.unauthentic) {
       this.context.client.reset(endpoint.address);
-      const message = "the answer is not one to this request";
+      const message = "the answer does not come from the endpoint itself";
       return { end: SendEnd.unknown, response: undefined, message };
     }
     return {
@@ -233,12 +234,12 @@
     endpoint: EndpointEntry,
     deadlineSignal: DeadlineSignal,
   ): Promise<SendResult> {
-    const { message, isSent, kind } = failure;
+    const { message, isSent, isForeign, kind } = failure;
     const hasNoReply =
       deadlineSignal.cause === AbortCause.timeUp || kind === SendFailureKind.unreachable;
     if (hasNoReply) resetDataCentreConnections(this.context, endpoint);
     if (!isSent) return { end: SendEnd.notRun, response: undefined, message };
-    await this.probeAfterBreak(endpoint, deadlineSignal);
+    if (!isForeign) await this.probeAfterBreak(endpoint, deadlineSignal);
     return { end: SendEnd.unknown, response: undefined, message };
   }
 
--- /dev/null
+++ b/test/exchange.spec.ts
@@ -0,0 +1,39 @@
+/**
+ * Which answer is to which exchange, for every order of requests and late copies on one connection. Guards against
+ * an answer that is taken for another's.
+ */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import fc from "fast-check";
+import { isOwnAnswer } from "../src/forward/exchange";
+
+describe("an answer on a connection", () => {
+  it("is to the request that it names, and to no other", () => {
+    const named = { requestId: "r1", answeredId: "r1" };
+    for (const isFirst of [true, false]) assert.ok(isOwnAnswer({ ...named, isFirst }));
+    for (const isFirst of [true, false])
+      assert.ok(!isOwnAnswer({ requestId: "r1", answeredId: "r2", isFirst }));
+  });
+
+  it("that names no request is to the first exchange only", () => {
+    for (const requestId of ["r1", undefined]) {
+      assert.ok(isOwnAnswer({ requestId, answeredId: undefined, isFirst: true }));
+      assert.ok(!isOwnAnswer({ requestId, answeredId: undefined, isFirst: false }));
+    }
+  });
+
+  it("is never taken for that of another request, whichever copies come late", () => {
+    const exchange = fc.record({ isNamed: fc.boolean(), lateCopyOf: fc.option(fc.nat(9)) });
+    fc.assert(
+      fc.property(fc.array(exchange, { minLength: 1, maxLength: 10 }), (exchanges) => {
+        exchanges.forEach(({ isNamed, lateCopyOf }, index) => {
+          const source = lateCopyOf === null ? index : Math.min(lateCopyOf, index);
+          const answeredId = isNamed ? `r${source}` : undefined;
+          const isFirst = index === 0;
+          const isTaken = isOwnAnswer({ requestId: `r${index}`, answeredId, isFirst });
+          if (isTaken) assert.equal(source, index);
+        });
+      }),
+    );
+  });
+});
--- a/test/harness/forward.ts
+++ b/test/harness/forward.ts
@@ -60,6 +60,11 @@
     return headers;
   }
 
+  readAnsweredId(headers: readonly string[]): string | undefined {
+    const index = headers.findIndex((name, at) => at % 2 === 0 && name.toLowerCase() === "x-id");
+    return index < 0 ? undefined : headers[index + 1];
+  }
+
   readResponseHead(
     send: EndpointRequest,
     status: number,
@@ -73,7 +78,7 @@
         ? Verdict.misdirected
         : hasRequestId || send.task === SendTask.prefill
           ? Verdict.answered
-          : Verdict.mismatched;
+          : Verdict.unauthentic;
     return { status, headers: ["x-id", send.request.head.id], verdict, load: undefined };
   }
 
--- a/test/latecopies.spec.ts
+++ b/test/latecopies.spec.ts
@@ -171,25 +171,27 @@
     }
   });
 
-  it("to the same request is not taken for the answer to its second send", async () => {
-    let sends = 0;
-    await addEndpoint(
-      "d",
-      createStutter((head) => {
-        if (isHold(head)) return createAnswer("", `h${Math.random()}`);
-        if (isRelease(head)) return createAnswer("", "");
-        sends += 1;
-        return sends === 1
-          ? `HTTP/1.1 503 Full\r\nx-id: ${readId(head)}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n`
-          : createStream(head);
-      }),
-      DECODE,
-    );
-    await start();
-    const response = await draft("one");
-    assert.deepEqual([response.status, response.body], [200, "id: 1\ndata: one\n\n"]);
-    assert.equal(sends, 2, "once refused, once run");
-  });
+  for (const path of ["/draft/1", "/summary/1"]) {
+    it(`to the same request is not taken for the answer to its second send: ${path}`, async () => {
+      let sends = 0;
+      await addEndpoint(
+        "d",
+        createStutter((head) => {
+          if (isHold(head)) return createAnswer("", `h${Math.random()}`);
+          if (isRelease(head)) return createAnswer("", "");
+          sends += 1;
+          if (sends > 1) return createStream(head);
+          const headers = `x-id: ${readId(head)}\r\nx-not-run: 1\r\nkeep-alive: timeout=5\r\n`;
+          return `HTTP/1.1 503 Full\r\n${headers}content-length: 0\r\n\r\n`;
+        }),
+        DECODE,
+      );
+      await start();
+      const response = await get(port, path, { "x-id": "one", "x-tokens": "300" });
+      assert.deepEqual([response.status, response.body], [200, "id: 1\ndata: one\n\n"]);
+      assert.equal(sends, 2, "once refused, once run");
+    });
+  }
 
   it("on an idle connection closes it before a request is sent on it", async () => {
     const used = new Set<Socket>();
