Open a connection for each call to the store

Seen: against a store that writes each answer again where the next one on the connection is due, a read returned the records of the read before at the offsets of its own, a long poll ended with them, the newest records lacked or doubled a page, an order lease was granted whose record was not written, and another was denied whose record was written; an append that was refused counted as done.

Cause: the calls shared kept connections, and no answer of the store names its call. undici closes an idle connection on which something arrives, but not one that is in use again.

Ruled out: to tell a copy by its contents. A page of records does not state its first offset, and the answer to an append says nothing of what was appended.

Change: pools with SINGLE_CALL_OPTIONS of src/store/http.ts close a connection after its call. A call pays one round trip more.

--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -516,4 +516,11 @@
     replace: "this.isChosen = true;",
     test: "readers",
   },
+  {
+    name: "copies: a connection to the store carries one call",
+    file: "src/store/http.ts",
+    find: "pipelining: 0,",
+    replace: "pipelining: 1,",
+    test: "../platform/test/storecopies",
+  },
 ];
--- a/src/store/http.ts
+++ b/src/store/http.ts
@@ -11,6 +11,21 @@
 const CONNECT_TIMEOUT_MS = 1000;
 const KEEP_ALIVE_TIMEOUT_MS = 4000;
 const MAX_CONNECTIONS_PER_ORIGIN = 256;
+/** How long a connection whose call was given up while it opened is kept for the next call. */
+const UNUSED_CONNECTION_TIMEOUT_MS = 1000;
+
+/**
+ * Options of undici for a pool whose connections carry one call each and close after it. It is for
+ * answers that carry no id of their call: on a kept connection, a late second copy of an answer
+ * could not be told from the answer to the next call.
+ */
+export const SINGLE_CALL_OPTIONS = {
+  /** With zero, undici closes a connection after its call. */
+  pipelining: 0,
+  keepAliveTimeout: UNUSED_CONNECTION_TIMEOUT_MS,
+  headersTimeout: 0,
+  bodyTimeout: 0,
+} as const;
 
 /** Error codes of undici and Node.js that occur only before a connection is established. */
 const CONNECT_ERROR_CODES = new Set([
