Open a connection for each call to engines, the log and the list

Seen: against servers that write each answer again where the next one on the connection is due, an older report or list was given for the current one, a slot counted as reserved that was refused and the reverse, releases and orders that failed counted as done, a prefill and a stream failed with another's refusal, an append to the log that was refused counted as done, and a page of the log came twice.

Only the success of a prefill or a decode names its attempt; failures of these, and all answers to the other calls, name nothing.

Ruled out: kept connections for prefills and decodes alone. Their success could be told, their failures not, and it is not known beforehand which one comes.

Change: createSender has no connection that carries two calls, so it needs no reset after a timeout. It keeps up to 1,024 pools, which hold no connections.

Its effect on the load that an instance carries was not measured.

--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -523,4 +523,11 @@
     replace: "pipelining: 1,",
     test: "../platform/test/storecopies",
   },
+  {
+    name: "copies: a connection to an engine or the log carries one call",
+    file: "src/store/http.ts",
+    find: "...SINGLE_CALL_OPTIONS,",
+    replace: "pipelining: 1,",
+    test: "copies",
+  },
 ];
--- a/src/endpoint/engine.ts
+++ b/src/endpoint/engine.ts
@@ -130,11 +130,14 @@
   close(): Promise<void>;
 }
 
-/** Engine client over HTTP. */
+/**
+ * Engine client over HTTP. The success of a prefill or decode names its attempt, which is
+ * checked; a failure that names none is this call's because its connection carries no other.
+ */
 export class HttpEngineClient implements EngineClient {
   private readonly workSender: Sender = createSender();
   /**
-   * Separate connections for reports, releases and orders, so that stalled work cannot block them.
+   * Separate limits on connections, so that stalled work cannot block reports, releases and orders.
    */
   private readonly controlSender: Sender = createSender();
 
--- a/src/endpoint/stream.ts
+++ b/src/endpoint/stream.ts
@@ -31,7 +31,7 @@
 /**
  * Opens a token stream.
  *
- * @param sender - sends the request; its connections are reset where the engine is silent
+ * @param sender - sends the request
  * @param url - URL of the engine
  * @example
  * openTokenStream(sender, url, request, { onToken: write, onEnd: finish });
@@ -71,9 +71,8 @@
       this.checkSilence();
     }, SILENCE_CHECK_INTERVAL_MS);
     const { origin } = new URL(url);
-    this.sender.dispatcher
-      .request({
-        origin,
+    this.sender
+      .request(origin, {
         path: "/decode",
         method: "POST",
         headers: { "content-type": "application/json", "x-attempt-id": this.request.attempt },
@@ -143,7 +142,6 @@
 
   private checkSilence(): void {
     if (performance.now() < this.silenceDeadline) return;
-    this.sender.reset();
     this.finish(new EngineError(EngineFault.silent, "the engine sent nothing within the timeout"));
   }
 
--- a/src/store/http.ts
+++ b/src/store/http.ts
@@ -1,16 +1,17 @@
 /**
  * Sends JSON over HTTP to the platform and to endpoints, using undici.
  *
- * No call is ever sent twice. Where a call times out, its connection may have gone silent: the
- * connection pool is replaced, so that the next call opens a new connection.
+ * No call is ever sent twice, and each has a connection of its own, since most answers carry no id
+ * of their call, and failures never do.
  */
 import * as E from "fp-ts/Either";
 import type * as TE from "fp-ts/TaskEither";
-import { Agent, type Dispatcher } from "undici";
+import { type Dispatcher, Pool } from "undici";
 
 const CONNECT_TIMEOUT_MS = 1000;
-const KEEP_ALIVE_TIMEOUT_MS = 4000;
 const MAX_CONNECTIONS_PER_ORIGIN = 256;
+/** A pool without connections is kept, as creating it costs more than a connection. */
+const MAX_POOLS = 1024;
 /** How long a connection whose call was given up while it opened is kept for the next call. */
 const UNUSED_CONNECTION_TIMEOUT_MS = 1000;
 
@@ -71,26 +72,24 @@
   readonly body: unknown;
 }
 
-/** Sends calls over a pool of keep-alive connections. */
+/** Sends calls, each over a connection of its own. */
 export interface Sender {
-  /** Undici dispatcher for calls with a streamed response. */
-  readonly dispatcher: Dispatcher;
+  /** Sends a call with a streamed response. */
+  request(origin: string, options: Dispatcher.RequestOptions): Promise<Dispatcher.ResponseData>;
   sendJson(call: JsonCall): TE.TaskEither<SendError, JsonResponse>;
-  /** Replaces the connection pool; the next call opens a new connection. */
-  reset(): void;
   /** Closes all connections; calls in flight fail. */
   close(): Promise<void>;
 }
 
 /**
- * Creates a sender with its own connection pool.
+ * Creates a sender with its own limit on connections.
  *
  * @example
  * const sender = createSender();
  * await sender.sendJson({ method: "GET", url: "http://127.0.0.1:80/", timeoutMs: 500 })();
  */
 export function createSender(): Sender {
-  return new PooledSender();
+  return new SingleCallSender();
 }
 
 /**
@@ -117,25 +116,24 @@
   return (error as { code?: string }).code === "ECONNREFUSED";
 }
 
-class PooledSender implements Sender {
-  private agent = createAgent();
+class SingleCallSender implements Sender {
+  private readonly pools = new Map<string, Pool>();
 
-  get dispatcher(): Dispatcher {
-    return this.agent;
+  request(origin: string, options: Dispatcher.RequestOptions): Promise<Dispatcher.ResponseData> {
+    return this.findOrCreatePool(origin).request(options);
   }
 
   sendJson(call: JsonCall): TE.TaskEither<SendError, JsonResponse> {
     return async () => {
       const timeout = AbortSignal.timeout(call.timeoutMs);
       const signal = call.signal === undefined ? timeout : AbortSignal.any([timeout, call.signal]);
-      const agent = this.agent;
+      const { origin } = new URL(call.url);
       try {
-        const response = await agent.request(createRequestOptions(call, signal));
+        const response = await this.request(origin, createRequestOptions(call, signal));
         const text = await response.body.text();
         const body: unknown = text === "" ? undefined : JSON.parse(text);
         return E.right({ status: response.statusCode, headers: response.headers, body });
       } catch (error) {
-        if (timeout.aborted && agent === this.agent) this.reset();
         return E.left(
           new SendError(
             `${call.method} failed: ${formatError(error)}`,
@@ -148,26 +146,36 @@
     };
   }
 
-  reset(): void {
-    const oldAgent = this.agent;
-    this.agent = createAgent();
-    // Calls in flight on the old connections are left to complete.
-    void oldAgent.close().catch(() => undefined);
+  async close(): Promise<void> {
+    const pools = [...this.pools.values()];
+    this.pools.clear();
+    await Promise.all(pools.map((pool) => pool.destroy()));
   }
 
-  async close(): Promise<void> {
-    await this.agent.destroy();
+  private findOrCreatePool(origin: string): Pool {
+    const existing = this.pools.get(origin);
+    if (existing !== undefined) return existing;
+    if (this.pools.size >= MAX_POOLS) this.dropOldestPool();
+    const pool = createPool(origin);
+    this.pools.set(origin, pool);
+    return pool;
+  }
+
+  private dropOldestPool(): void {
+    const oldest = this.pools.entries().next().value;
+    if (oldest === undefined) return;
+    const [origin, pool] = oldest;
+    this.pools.delete(origin);
+    // Calls in flight are left to complete.
+    void pool.close().catch(() => undefined);
   }
 }
 
-function createAgent(): Agent {
-  return new Agent({
+function createPool(origin: string): Pool {
+  return new Pool(origin, {
     connect: { timeout: CONNECT_TIMEOUT_MS },
     connections: MAX_CONNECTIONS_PER_ORIGIN,
-    pipelining: 1,
-    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-    headersTimeout: 0,
-    bodyTimeout: 0,
+    ...SINGLE_CALL_OPTIONS,
   });
 }
 
@@ -176,7 +184,6 @@
   const headers: Record<string, string> = { accept: "application/json", ...call.headers };
   if (call.body !== undefined) headers["content-type"] = "application/json";
   return {
-    origin: url.origin,
     path: url.pathname + url.search,
     method: call.method,
     headers,
