Pass on no refusal of an engine that names another attempt

Seen: a 409 to a prefill or decode that named another attempt counted as the engine's refusal of this one ("full", hence not run).

Cause: the name was compared on success only.

Ruled out: to demand the name on failures; the engines' interface does not have them state it. A failure without a name is this call's by its connection.

Change: a name that differs is a mismatch whatever the status, and its connection is closed. A success still has to name its attempt.

--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -530,4 +530,12 @@
     replace: "pipelining: 1,",
     test: "copies",
   },
+  {
+    name: "copies: a refusal that names another attempt is not passed on",
+    file: "src/endpoint/engine.ts",
+    find: "return named !== undefined && named !== attempt;",
+    replace: "return false;",
+    test: "copies",
+    pattern: "names another attempt",
+  },
 ];
--- a/src/endpoint/engine.ts
+++ b/src/endpoint/engine.ts
@@ -175,11 +175,12 @@
         timeoutMs,
         signal,
       })();
+      if (E.isRight(result) && isOfAnother(result.right.headers, request.attempt)) {
+        return E.left(createMismatchError());
+      }
       const prefilled = decodeResponse(result, prefillCodec);
       if (E.isLeft(prefilled) || prefilled.right.attempt === request.attempt) return prefilled;
-      return E.left(
-        new EngineError(EngineFault.mismatch, "the response belongs to another attempt"),
-      );
+      return E.left(createMismatchError());
     };
   }
 
@@ -216,6 +217,17 @@
   }
 }
 
+/**
+ * Checks whether a response names another attempt; a failure usually names none.
+ *
+ * @example
+ * isOfAnother({ "x-attempt-id": "nizwa-1/5f:1" }, "nizwa-1/5f:2"); // true
+ */
+export function isOfAnother(headers: JsonResponse["headers"], attempt: string): boolean {
+  const named = headers["x-attempt-id"];
+  return named !== undefined && named !== attempt;
+}
+
 /**
  * Maps the status of an engine's error response to a fault.
  *
@@ -235,6 +247,10 @@
   return error.isTimeout ? EngineFault.silent : EngineFault.broken;
 }
 
+function createMismatchError(): EngineError {
+  return new EngineError(EngineFault.mismatch, "the response belongs to another attempt");
+}
+
 function decodeResponse<A>(
   result: E.Either<SendError, JsonResponse>,
   codec: t.Type<A>,
--- a/src/endpoint/stream.ts
+++ b/src/endpoint/stream.ts
@@ -6,7 +6,13 @@
 import type { Dispatcher } from "undici";
 import type { Sender } from "../store/http";
 import { isConnectionRefused, isConnectError } from "../store/http";
-import { type DecodeRequest, EngineError, EngineFault, mapStatusToFault } from "./engine";
+import {
+  type DecodeRequest,
+  EngineError,
+  EngineFault,
+  isOfAnother,
+  mapStatusToFault,
+} from "./engine";
 
 /** An engine sends a token, or else a heartbeat, at least every few hundred milliseconds. */
 const SILENCE_TIMEOUT_MS = 1500;
@@ -103,6 +109,11 @@
     body.on("error", (error: Error) => {
       this.finish(new EngineError(EngineFault.broken, error.message));
     });
+    const { attempt } = this.request;
+    if (isOfAnother(headers, attempt) || (statusCode === 200 && !headers["x-attempt-id"])) {
+      this.finish(new EngineError(EngineFault.mismatch, "the stream belongs to another attempt"));
+      return;
+    }
     if (statusCode !== 200) {
       body.resume();
       this.finish(
@@ -110,10 +121,6 @@
       );
       return;
     }
-    if (headers["x-attempt-id"] !== this.request.attempt) {
-      this.finish(new EngineError(EngineFault.mismatch, "the stream belongs to another attempt"));
-      return;
-    }
     body.on("data", (chunk: Buffer) => {
       this.silenceDeadline = performance.now() + SILENCE_TIMEOUT_MS;
       this.parser.feed(this.decoder.decode(chunk, { stream: true }));
--- a/test/copies.spec.ts
+++ b/test/copies.spec.ts
@@ -138,6 +138,19 @@
     assert.deepEqual(await callTwice(decode), [EngineFault.lost, "attempt-1"]);
   });
 
+  it("does not pass on an answer or a refusal that names another attempt", async () => {
+    const headers = { "x-attempt-id": "another" };
+    const prefilled = { attempt: "another", exportId: "x", promptTokens: 1, cachedTokens: 0 };
+    const foreign = [200, 409].map((status) =>
+      formatAnswer(JSON.stringify(prefilled), status, headers),
+    );
+    setAnswers(...foreign, ...foreign);
+    const prefills = (await callTwice(prefill)).map(describeResult);
+    assert.deepEqual(prefills, [EngineFault.mismatch, EngineFault.mismatch]);
+    assert.deepEqual(await callTwice(decode), [EngineFault.mismatch, EngineFault.mismatch]);
+    await waitUntil(() => server.sockets.size === 0);
+  });
+
   it("leaves no connection open after calls of all kinds", async () => {
     setAnswers(formatJson({}), answerPrefill, answerStream, formatJson({}), formatJson({}, 404));
     await reserve();
