--- /dev/null
+++ b/src/forward/base.ts
@@ -0,0 +1,46 @@
+/**
+ * What all parts of an instance are created from: its settings, adapter, clock, log and identity.
+ */
+import { type Clock, MonotonicClock } from "../core/clock";
+import { createIncarnation } from "../core/ids";
+import { BoundedLineWriter, createByteWriter } from "../core/lines";
+import { createLogger, type Logger } from "../core/log";
+import type { MemberIdentity } from "../fleet/members";
+import type { Adapter } from "./adapter";
+import { Meter } from "./meter";
+import type { ForwardSettings } from "./settings";
+
+const STANDARD_OUTPUT = 1;
+
+/** What the parts of one instance have in common. */
+export interface InstanceBase {
+  readonly settings: ForwardSettings;
+  readonly adapter: Adapter;
+  readonly clock: Clock;
+  readonly meter: Meter;
+  /** Writes the log lines. */
+  readonly lines: BoundedLineWriter;
+  readonly logger: Logger;
+  readonly self: MemberIdentity;
+}
+
+/**
+ * Creates the base of an instance that logs to standard output, with a new incarnation.
+ *
+ * @example
+ * const { clock, logger, self } = createInstanceBase(settings, adapter);
+ */
+export function createInstanceBase(settings: ForwardSettings, adapter: Adapter): InstanceBase {
+  const { instance, dataCentre, peers } = settings;
+  const lines = new BoundedLineWriter(createByteWriter(STANDARD_OUTPUT));
+  const address = `${peers.host}:${peers.port}`;
+  return {
+    settings,
+    adapter,
+    clock: new MonotonicClock(),
+    meter: new Meter(),
+    lines,
+    logger: createLogger(instance, settings.logLevel, lines),
+    self: { instance, incarnation: createIncarnation(instance), address, dataCentre },
+  };
+}
--- /dev/null
+++ b/src/forward/fleetview.ts
@@ -0,0 +1,55 @@
+/**
+ * What an instance knows of the fleet: its members, the endpoints and the configuration.
+ */
+import { EndpointDirectory } from "../fleet/directory";
+import { MemberList } from "../fleet/members";
+import { ReaderRole } from "../fleet/readers";
+import { GrpcFleetTransport } from "../fleet/transport";
+import { StoreWatcher } from "../fleet/watcher";
+import type { InstanceBase } from "./base";
+
+/** The parts that know the fleet. */
+export interface FleetView {
+  readonly directory: EndpointDirectory;
+  readonly members: MemberList;
+  readonly transport: GrpcFleetTransport;
+  readonly readerRole: ReaderRole;
+  readonly watcher: StoreWatcher;
+  /** Counts the live instances, including this one. */
+  readonly countLive: () => number;
+  /** Lists the names of the live instances, including this one. */
+  readonly listLive: () => readonly string[];
+}
+
+/**
+ * Creates the parts that know the fleet.
+ *
+ * @param sendHeartbeats - called when peers should hear at once what was read from the store
+ * @example
+ * const view = createFleetView(base, () => heartbeats.sendHeartbeats());
+ */
+export function createFleetView(base: InstanceBase, sendHeartbeats: () => void): FleetView {
+  const { settings, adapter, clock, meter, logger, self } = base;
+  const { instance, dataCentre } = self;
+  const directory = new EndpointDirectory(adapter.decodeEndpoint);
+  const members = new MemberList(self, logger, clock.now());
+  const readerRole: ReaderRole = new ReaderRole(instance, (now) => [
+    ...members.listReaderCandidates(now),
+    { instance, dataCentre, isStoreLost: watcher.isStoreLost },
+  ]);
+  const watcher: StoreWatcher = new StoreWatcher(
+    adapter.store,
+    directory,
+    adapter.decodeConfig,
+    clock,
+    logger,
+    meter,
+    { configMs: settings.configApplyMs, endpointsMs: settings.drainMs },
+    (now) => readerRole.isReader(now),
+    sendHeartbeats,
+  );
+  const listLive = () => members.listLive(clock.now());
+  const countLive = () => listLive().length;
+  const transport = new GrpcFleetTransport();
+  return { directory, members, transport, readerRole, watcher, countLive, listLive };
+}
--- /dev/null
+++ b/src/forward/maintenance.ts
@@ -0,0 +1,71 @@
+/**
+ * Does the periodic work of an instance: applies the limits for callers, logs the shares, and
+ * forgets endpoints that left.
+ */
+import type { ForwardContext } from "./context";
+import type { FleetView } from "./fleetview";
+import type { ForwardServer } from "./server";
+
+const MAINTENANCE_INTERVAL_MS = 1000;
+/** The version before a configuration is in force. */
+const NO_VERSION = -1;
+
+/** Maintains an instance. */
+export class Maintenance {
+  private timer: NodeJS.Timeout | undefined;
+  private appliedVersion = NO_VERSION;
+  /** Number of live instances in the last log line on shares. */
+  private loggedLiveCount = 0;
+
+  constructor(
+    private readonly view: FleetView,
+    private readonly context: ForwardContext,
+    private readonly callerServer: ForwardServer,
+  ) {}
+
+  /** The version of the configuration whose limits for callers are in force. */
+  get configVersion(): number {
+    return this.appliedVersion;
+  }
+
+  start(): void {
+    this.timer = setInterval(() => {
+      this.maintain();
+    }, MAINTENANCE_INTERVAL_MS);
+  }
+
+  close(): void {
+    clearInterval(this.timer);
+  }
+
+  /** Applies the limits for callers of a new configuration; called at each request too. */
+  applyCallerLimits(): void {
+    const config = this.view.watcher.readConfigIndex()?.config;
+    if (config === undefined || config.version === this.appliedVersion) return;
+    this.appliedVersion = config.version;
+    this.callerServer.setLimits(config.limits);
+  }
+
+  private maintain(): void {
+    this.applyCallerLimits();
+    this.logShares();
+    const { health, meter, directory } = this.context;
+    const isListed = (id: string) => directory.find(id) !== undefined;
+    health.prune(isListed);
+    meter.prune(isListed);
+  }
+
+  /**
+   * Logs the number of live instances and the live ratio when the number changes; the shares of
+   * rates and retries are computed from them at each moment.
+   */
+  private logShares(): void {
+    const live = this.view.countLive();
+    if (live === this.loggedLiveCount) return;
+    const { clock, logger } = this.context;
+    const { heard, missing } = this.view.members.readFleetSize(clock.now());
+    const heardShare = Math.round((heard / (heard + missing)) * 100) / 100;
+    logger.info("shares", { live, before: this.loggedLiveCount, heardShare });
+    this.loggedLiveCount = live;
+  }
+}
--- /dev/null
+++ b/src/forward/parts.ts
@@ -0,0 +1,242 @@
+/**
+ * Creates and connects the parts of a forwarding instance.
+ */
+import { CrashTracker } from "../core/crashes";
+import { RetryBudget } from "../core/retrybudget";
+import { HeartbeatExchanger } from "../fleet/heartbeat";
+import { Joiner } from "../fleet/joiner";
+import { OrderLeases } from "../fleet/orders";
+import { Admission } from "./admission";
+import type { InstanceBase } from "./base";
+import { PeerChargeTransport } from "./chargepeer";
+import { QuotaCharger } from "./charges";
+import { HttpEndpointClient } from "./client";
+import type { ForwardContext } from "./context";
+import { Dispatcher } from "./dispatch";
+import { EngineModel } from "./enginemodel";
+import { EngineLoadTracker } from "./engines";
+import { createFleetView, type FleetView } from "./fleetview";
+import { EndpointGate } from "./gate";
+import { HealthTracker } from "./health";
+import { PeerState } from "./peerstate";
+import { Quotas } from "./quota";
+import { StageRebalancer, type StageRebalancerParts } from "./rebalancer";
+import { RefusalTracker } from "./refusals";
+import { Releaser } from "./releaser";
+import { ReservationQueue } from "./reservations";
+
+/**
+ * The share of an endpoint's maximum of connections that the fleet uses, so that the endpoint never
+ * refuses one.
+ */
+const CONNECTION_SHARE = 0.85;
+const MIN_CONNECTIONS = 4;
+
+/** What an instance knows of engines and of the requests that run there. */
+interface EngineState {
+  readonly refusals: RefusalTracker;
+  readonly engineLoad: EngineLoadTracker;
+  readonly engineModel: EngineModel;
+  readonly reservations: ReservationQueue;
+}
+
+/** The parts of an instance that it starts, serves requests with and closes. */
+export interface InstanceParts {
+  readonly view: FleetView;
+  readonly quotas: Quotas;
+  readonly context: ForwardContext;
+  readonly reservations: ReservationQueue;
+  readonly peerState: PeerState;
+  readonly heartbeats: HeartbeatExchanger;
+  readonly joiner: Joiner;
+  readonly rebalancer: StageRebalancer;
+  readonly dispatcher: Dispatcher;
+}
+
+/**
+ * Creates the parts of an instance; none of them is started.
+ *
+ * @param isLeaving - returns whether the instance is stopping, which its heartbeats say
+ * @example
+ * const { heartbeats, dispatcher } = createParts(base, () => isStopping);
+ */
+export function createParts(base: InstanceBase, isLeaving: () => boolean): InstanceParts {
+  const { clock, logger, self } = base;
+  const sendHeartbeats = () => {
+    heartbeats.sendHeartbeats();
+  };
+  const view = createFleetView(base, sendHeartbeats);
+  const { members, transport } = view;
+  const quotas = createQuotas(base, view);
+  const context = createContext(base, view);
+  const engines = createEngineState(context);
+  const peerState = createPeerState(base, view, quotas, context, engines, isLeaving);
+  const heartbeats = new HeartbeatExchanger(self, members, transport, peerState, clock, logger);
+  const joiner = createJoiner(base, view, sendHeartbeats);
+  const leases = createLeases(base, joiner);
+  const rebalancer = createRebalancer(base, view, context, {
+    leases,
+    readStageLoad: (service) => peerState.readStageLoad(service),
+    onOrder: (engine, deadline) => {
+      engines.engineLoad.recordOrder(engine, deadline);
+      sendHeartbeats();
+    },
+  });
+  const admission = createAdmission(base, view, quotas, context);
+  const { watcher } = view;
+  const dispatcher = new Dispatcher({ context, admission, ...engines, peerState, watcher });
+  const { reservations } = engines;
+  return {
+    view,
+    quotas,
+    context,
+    reservations,
+    peerState,
+    heartbeats,
+    joiner,
+    rebalancer,
+    dispatcher,
+  };
+}
+
+function createQuotas({ settings, clock }: InstanceBase, { members }: FleetView): Quotas {
+  return new Quotas(settings.quotaTolerance, () => members.readFleetSize(clock.now()), clock.now());
+}
+
+function createContext(base: InstanceBase, view: FleetView): ForwardContext {
+  const { settings, adapter, clock, meter, logger } = base;
+  const { directory } = view;
+  const gate = new EndpointGate(directory, clock, logger);
+  const client = new HttpEndpointClient(adapter.endpointCodec, gate, clock, (service) =>
+    computeMaxConnections(view, service),
+  );
+  return {
+    clock,
+    logger,
+    meter,
+    directory,
+    health: new HealthTracker(),
+    gate,
+    client,
+    releaser: new Releaser(client, gate, clock, logger),
+    codec: adapter.endpointCodec,
+    retries: new RetryBudget(settings.retryLimit, view.countLive, clock.now()),
+    crashes: new CrashTracker(),
+    dataCentre: settings.dataCentre,
+    random: Math.random,
+  };
+}
+
+/** Computes how many connections this instance may have to each endpoint of a service. */
+function computeMaxConnections({ watcher, countLive }: FleetView, service: string): number {
+  const fleetMax = watcher.readConfigIndex()?.findService(service)?.maxConnections;
+  if (fleetMax === undefined) return 0;
+  const share = Math.floor((fleetMax * CONNECTION_SHARE) / countLive());
+  return Math.max(MIN_CONNECTIONS, share);
+}
+
+function createEngineState(context: ForwardContext): EngineState {
+  const engineLoad = new EngineLoadTracker((engine, forMs) => {
+    context.logger.warn("engine passed over", { engine, forMs });
+  });
+  return {
+    refusals: new RefusalTracker(),
+    engineLoad,
+    engineModel: new EngineModel(),
+    reservations: new ReservationQueue(context, engineLoad),
+  };
+}
+
+function createPeerState(
+  { clock, logger }: InstanceBase,
+  { directory, watcher }: FleetView,
+  quotas: Quotas,
+  { crashes }: ForwardContext,
+  engines: EngineState,
+  isLeaving: () => boolean,
+): PeerState {
+  return new PeerState({
+    clock,
+    logger,
+    directory,
+    watcher,
+    quotas,
+    crashes,
+    ...engines,
+    isLeaving,
+  });
+}
+
+function createJoiner(
+  { adapter, clock, meter, logger, self }: InstanceBase,
+  { members }: FleetView,
+  sendHeartbeats: () => void,
+): Joiner {
+  return new Joiner(self, members, adapter.store.members, clock, meter, logger, sendHeartbeats);
+}
+
+/** Creates the order leases; they and the joiner are told when the store was restored. */
+function createLeases(
+  { settings, adapter, clock, logger, self }: InstanceBase,
+  joiner: Joiner,
+): OrderLeases {
+  const { store } = adapter;
+  const { orderLeaseMs } = settings;
+  const { incarnation } = self;
+  const leases = new OrderLeases(
+    incarnation,
+    store.orders,
+    orderLeaseMs,
+    clock,
+    logger,
+    clock.now(),
+  );
+  store.onRestored(() => {
+    leases.onStoreRestored();
+    joiner.onStoreRestored();
+  });
+  return leases;
+}
+
+function createRebalancer(
+  { clock, logger, self }: InstanceBase,
+  { watcher, listLive }: FleetView,
+  { client, gate, codec }: ForwardContext,
+  parts: Pick<StageRebalancerParts, "leases" | "readStageLoad" | "onOrder">,
+): StageRebalancer {
+  return new StageRebalancer({
+    instance: self.instance,
+    client,
+    gate,
+    codec,
+    clock,
+    logger,
+    listLive,
+    listServices: () => watcher.readConfigIndex()?.config.services ?? [],
+    ...parts,
+  });
+}
+
+function createAdmission(
+  { clock, logger, self }: InstanceBase,
+  { members, transport, watcher, listLive }: FleetView,
+  quotas: Quotas,
+  { crashes, random }: ForwardContext,
+): Admission {
+  const charger = new QuotaCharger({
+    instance: self.instance,
+    quotas,
+    transport: new PeerChargeTransport(self, members, transport),
+    clock,
+    logger,
+    listLive,
+  });
+  return new Admission({
+    readConfigIndex: () => watcher.readConfigIndex(),
+    computeConfigAgeMs: () => watcher.computeConfigAgeMs(),
+    charger,
+    crashes,
+    logger,
+    random,
+  });
+}
