Take policies and waiting requests out of the pool scheduler

The policies by which it queues and places are now in src/control/policy.ts, the creation of waiting requests in src/control/waiting.ts.

No change of behaviour.

--- a/src/control/scheduler.ts
+++ b/src/control/scheduler.ts
@@ -4,49 +4,27 @@
  */
 import type { Blackboard } from "../board/board";
 import type { Clock, Moment } from "../core/clock";
-import { computeRemainingMs } from "../core/clock";
-import { FairQueue } from "../core/fairqueue";
-import { FifoQueue, type RequestQueue } from "../core/queue";
+import type { RequestQueue } from "../core/queue";
 import type { Logger } from "../core/log";
 import { type Metrics, Metric } from "../core/metrics";
 import { Reason } from "../core/outcome";
-import {
-  DEFAULT_PLACEMENT_COSTS,
-  type Placement,
-  type PlacementPolicy,
-  ReservingPolicy,
-  RoundRobinPolicy,
-} from "../core/placement";
+import type { Placement, PlacementPolicy } from "../core/placement";
 import { listPools, type Pool } from "../core/pools";
 import type { EngineReport } from "../endpoint/engine";
 import { EngineFault } from "../endpoint/engine";
 import type { BookReply, BookRequest, Done, Grant, Refusal, Want } from "../peer/gen/peer";
 import { GrantTable, hasCandidates, type WaitingRequest } from "./grants";
+import type { SchedulerPolicy } from "./policy";
 import { UNREACHABLE_COOLDOWN_MS } from "./prober";
+import { createWaitingRequest } from "./waiting";
 
 const TICK_INTERVAL_MS = 25;
 /** How long an idle pool is still scheduled here after the last request for it. */
 const IDLE_POOL_TTL_MS = 5000;
 /** How long an engine that reported itself full is skipped. */
 const FULL_COOLDOWN_MS = 150;
-/**
- * Time to the first token beside prefill and transfer: another prefill ahead, a decode step, the
- * calls.
- */
-const START_MARGIN_MS = 150;
 /** How long until a grant expires if its end is never reported. */
 const GRANT_TTL_MS = 120_000;
-/**
- * Requests whose caller has already received tokens go before all requests of configured classes.
- */
-const RESUMED_CLASS = "(resumed)";
-const RESUMED_WEIGHT = 1e6;
-/**
- * A request whose engine crashed before its first token is the most likely cause of the crash. It
- * goes before all others, so that the cause is known as soon as possible.
- */
-const SUSPECT_CLASS = "(suspect)";
-const SUSPECT_WEIGHT = 1e9;
 const MIN_RETRY_AFTER_MS = 250;
 const MAX_RETRY_AFTER_MS = 10_000;
 
@@ -69,24 +47,6 @@
   EngineFault.draining,
 ]);
 
-/** How requests are queued and placed. */
-export interface SchedulerPolicy {
-  createQueue(): RequestQueue<WaitingRequest>;
-  createPlacement(): PlacementPolicy;
-}
-
-/** Fair queueing, and placement that reserves a decode slot; measured against the baseline. */
-export const RESERVING_POLICY: SchedulerPolicy = {
-  createQueue: () => new FairQueue(),
-  createPlacement: () => new ReservingPolicy(DEFAULT_PLACEMENT_COSTS),
-};
-
-/** First come, first served; round robin; no reservation of decode slots. */
-export const BASELINE_POLICY: SchedulerPolicy = {
-  createQueue: () => new FifoQueue(),
-  createPlacement: () => new RoundRobinPolicy(),
-};
-
 /** A pool that is scheduled here. */
 interface ScheduledPool {
   readonly name: string;
@@ -383,36 +343,3 @@
     return Math.round(Math.min(MAX_RETRY_AFTER_MS, estimate) * (1 + Math.random() / 2));
   }
 }
-
-/**
- * Creates a waiting request. It may wait for the time that its targets leave after the estimated
- * time of the work itself.
- */
-function createWaitingRequest(
-  session: string,
-  want: Want,
-  weight: number,
-  now: Moment,
-): WaitingRequest {
-  const workMs =
-    want.promptTokens / DEFAULT_PLACEMENT_COSTS.prefillTokensPerMs +
-    want.promptTokens / DEFAULT_PLACEMENT_COSTS.transferTokensPerMs +
-    START_MARGIN_MS;
-  return {
-    id: want.id,
-    workspace: want.workspace,
-    ...chooseFlow(want, weight),
-    cost: want.promptTokens + want.outputTokens,
-    targetDeadline: now + computeRemainingMs(want.firstTokenMs, workMs),
-    deadline: now + computeRemainingMs(want.patienceMs, workMs),
-    want,
-    arrivedAt: now,
-    session,
-  };
-}
-
-function chooseFlow(want: Want, weight: number): Pick<WaitingRequest, "priorityClass" | "weight"> {
-  if (want.resumed) return { priorityClass: RESUMED_CLASS, weight: RESUMED_WEIGHT };
-  if (want.crashes.length > 0) return { priorityClass: SUSPECT_CLASS, weight: SUSPECT_WEIGHT };
-  return { priorityClass: want.class, weight };
-}
--- a/src/instance.ts
+++ b/src/instance.ts
@@ -10,7 +10,8 @@
 import { EndpointController } from "./control/endpointcontroller";
 import { OwnedEndpoints } from "./control/ownership";
 import { RateLimiter } from "./control/ratelimiter";
-import { BASELINE_POLICY, PoolScheduler, RESERVING_POLICY } from "./control/scheduler";
+import { BASELINE_POLICY, RESERVING_POLICY } from "./control/policy";
+import { PoolScheduler } from "./control/scheduler";
 import { HoldTracker } from "./control/holds";
 import { ListPoller } from "./control/listpoller";
 import {
--- a/test/session.spec.ts
+++ b/test/session.spec.ts
@@ -5,7 +5,8 @@
 import assert from "node:assert/strict";
 import { after, describe, it } from "node:test";
 import { createBlackboard } from "../src/board/board";
-import { PoolScheduler, RESERVING_POLICY } from "../src/control/scheduler";
+import { RESERVING_POLICY } from "../src/control/policy";
+import { PoolScheduler } from "../src/control/scheduler";
 import { ManualClock, pause } from "../src/core/clock";
 import { type Endpoint, Role } from "../src/core/config";
 import { SILENT_LOGGER } from "../src/core/log";
