Take the platform stand-in's client out of the test fleet

What the stand-in lists, its faults and its control stream are now in test/harness/platform.ts with typed entries in place of records of unknown; engines and services are started by one function, and each instance by its own.

No change of behaviour.

--- a/test/harness/fleet.ts
+++ b/test/harness/fleet.ts
@@ -6,7 +6,15 @@
 import { existsSync, readFileSync, writeFileSync } from "node:fs";
 import type { Endpoint } from "../../src/core/config";
 import { type HistoryEvent, pause } from "../standin/http";
-import { createRecord, ENGINE_OPTIONS, type FleetPlan, MODEL } from "./plan";
+import {
+  createRecord,
+  ENGINE_OPTIONS,
+  type EnginePlan,
+  type FleetPlan,
+  type InstancePlan,
+  MODEL,
+} from "./plan";
+import { PlatformClient } from "./platform";
 import { findPorts, RunningProcess, RunDirectory } from "./process";
 import { Proxy } from "./proxy";
 
@@ -19,6 +27,9 @@
 
 const READY_TIMEOUT_MS = 15_000;
 const POLL_INTERVAL_MS = 50;
+const DECODE_SLOTS = 20;
+const PREFILL_SLOTS = 2;
+
 /** A running fleet: its processes, and the proxies in this process that inject connection faults. */
 export class Fleet {
   readonly workplace = new RunDirectory();
@@ -31,8 +42,7 @@
   readonly callerPorts = new Map<string, number>();
   private readonly operatorPorts = new Map<string, number>();
   private readonly startFunctions = new Map<string, () => RunningProcess>();
-  private readonly entries = new Map<string, Record<string, unknown>>();
-  private platformPort = 0;
+  private readonly platform = new PlatformClient();
   private readonly historyFile = this.workplace.path("history.jsonl");
 
   constructor(private readonly plan: FleetPlan) {}
@@ -40,7 +50,7 @@
   /** Starts all processes, publishes the configuration, and waits until every instance is ready. */
   async start(): Promise<void> {
     const [platformPort = 0] = await findPorts(1);
-    this.platformPort = platformPort;
+    this.platform.port = platformPort;
     this.startProcess("platform", () =>
       this.workplace.start("platform", "platform", [
         String(platformPort),
@@ -48,10 +58,10 @@
       ]),
     );
     const endpoints = await this.startEndpoints();
-    await this.waitFor(async () => (await this.callPlatform("GET", "/entries")) !== undefined);
-    await this.appendToControlStream(createRecord(this.plan, endpoints));
+    await this.waitFor(() => this.platform.isAnswering());
+    await this.platform.appendToControlStream(createRecord(this.plan, endpoints));
     await this.startInstances();
-    await this.publishEntries();
+    await this.platform.publishEntries();
     await this.waitReady();
   }
 
@@ -67,7 +77,7 @@
   /** Kills a process; an instance is also removed from the platform's list, which shows it after the list's lag. */
   async kill(name: string): Promise<void> {
     await this.processes.get(name)?.kill();
-    if (this.entries.get(name)?.kind !== "instance") return;
+    if (this.platform.find(name)?.kind !== "instance") return;
     await this.setListed(name, false);
   }
 
@@ -76,7 +86,7 @@
     const start = this.startFunctions.get(name);
     if (start === undefined) return;
     this.processes.set(name, start());
-    if (this.entries.get(name)?.kind === "instance") await this.setListed(name, true);
+    if (this.platform.find(name)?.kind === "instance") await this.setListed(name, true);
   }
 
   /** Sends a signal to a process. */
@@ -86,15 +96,12 @@
 
   /** Sets whether the platform lists a process, and in which state. */
   async setListed(name: string, isListed: boolean, state = "live"): Promise<void> {
-    const entry = this.entries.get(name);
-    if (entry === undefined) return;
-    this.entries.set(name, { ...entry, isListed, state });
-    await this.publishEntries();
+    await this.platform.setListed(name, isListed, state);
   }
 
   /** Sets faults of the platform stand-in; faults that are not named keep their state. */
   async setFaults(faults: Readonly<Record<string, unknown>>): Promise<void> {
-    await this.callPlatform("PUT", "/faults", faults);
+    await this.platform.setFaults(faults);
   }
 
   /** Partitions a data centre from the log and from instances in other data centres, or heals the partition. */
@@ -126,7 +133,7 @@
     for (;;) {
       const version = await this.readVersion();
       const id = `test-${Math.random()}`;
-      await this.appendToControlStream({
+      await this.platform.appendToControlStream({
         id,
         basedOn: version,
         changes: [{ kind, name, ...(value === undefined ? {} : { value }) }],
@@ -143,7 +150,7 @@
 
   /** URL of the platform stand-in, without a proxy. */
   get logUrl(): string {
-    return `http://127.0.0.1:${this.platformPort}`;
+    return this.platform.url;
   }
 
   /** Runs an operator's command asynchronously, since the proxies run in this process and must not be blocked. */
@@ -186,7 +193,7 @@
   async readHolds(): Promise<readonly string[]> {
     const holdIds: string[] = [];
     for (const engine of this.plan.engines) {
-      const port = (this.entries.get(engine.name)?.port ?? 0) as number;
+      const port = this.platform.find(engine.name)?.port ?? 0;
       if (this.processes.get(engine.name)?.isRunning !== true) continue;
       const answer = await fetch(`http://127.0.0.1:${port}/holds`, {
         signal: AbortSignal.timeout(1000),
@@ -236,7 +243,7 @@
   }
 
   private findDataCentre(name: string): string | undefined {
-    return this.entries.get(name)?.dataCentre as string | undefined;
+    return this.platform.find(name)?.dataCentre;
   }
 
   private startProcess(name: string, start: () => RunningProcess): void {
@@ -246,67 +253,50 @@
 
   private async startEndpoints(): Promise<Record<string, Endpoint>> {
     const endpoints: Record<string, Endpoint> = {};
-    for (const plan of this.plan.engines) {
-      const [port = 0, proxyPort = 0] = await findPorts(2);
-      const slots = plan.role === "decode" ? 20 : 2;
-      const options = {
-        ...ENGINE_OPTIONS,
-        slots,
-        ...plan.options,
-        name: plan.name,
-        port,
-        role: plan.role,
-        historyFile: this.historyFile,
-      };
-      this.startProcess(plan.name, () =>
-        this.workplace.start(plan.name, "engine", [JSON.stringify(options)]),
-      );
-      const connectPort = await this.openProxy(plan.name, port, proxyPort);
-      this.entries.set(plan.name, {
-        name: plan.name,
-        kind: "endpoint",
-        dataCentre: plan.dataCentre,
-        address: "",
-        state: "live",
-        isListed: true,
-        port,
-      });
-      const { dataCentre, role } = plan;
-      endpoints[plan.name] = {
-        url: `http://127.0.0.1:${connectPort}`,
-        dataCentre,
-        role,
-        models: [MODEL],
-        checksFence: true,
-        ...(plan.labels === undefined ? {} : { labels: plan.labels }),
-      };
-    }
-    const dataCentre = this.plan.instances[0]?.dataCentre ?? "";
-    for (const name of this.plan.services) {
-      const [port = 0, proxyPort = 0] = await findPorts(2);
-      this.startProcess(name, () =>
-        this.workplace.start(name, "service", [name, String(port), this.historyFile]),
-      );
-      const connectPort = await this.openProxy(name, port, proxyPort);
-      this.entries.set(name, {
-        name,
-        kind: "endpoint",
-        dataCentre,
-        address: "",
-        state: "live",
-        isListed: true,
-        port,
-      });
-      endpoints[name] = {
-        url: `http://127.0.0.1:${connectPort}`,
-        dataCentre,
-        role: "service",
-        service: "sheets",
-      };
-    }
+    for (const plan of this.plan.engines) endpoints[plan.name] = await this.startEngine(plan);
+    for (const name of this.plan.services) endpoints[name] = await this.startService(name);
     return endpoints;
   }
 
+  private async startEngine(plan: EnginePlan): Promise<Endpoint> {
+    const { name, dataCentre, role, labels } = plan;
+    const { historyFile } = this;
+    const slots = role === "decode" ? DECODE_SLOTS : PREFILL_SLOTS;
+    const url = await this.startEndpoint(name, dataCentre, (port) => {
+      const options = { ...ENGINE_OPTIONS, slots, ...plan.options, name, port, role, historyFile };
+      return this.workplace.start(name, "engine", [JSON.stringify(options)]);
+    });
+    return {
+      url,
+      dataCentre,
+      role,
+      models: [MODEL],
+      checksFence: true,
+      ...(labels === undefined ? {} : { labels }),
+    };
+  }
+
+  private async startService(name: string): Promise<Endpoint> {
+    const dataCentre = this.plan.instances[0]?.dataCentre ?? "";
+    const url = await this.startEndpoint(name, dataCentre, (port) =>
+      this.workplace.start(name, "service", [name, String(port), this.historyFile]),
+    );
+    return { url, dataCentre, role: "service", service: "sheets" };
+  }
+
+  /** Starts an endpoint behind a proxy, and returns the URL to connect to. */
+  private async startEndpoint(
+    name: string,
+    dataCentre: string,
+    start: (port: number) => RunningProcess,
+  ): Promise<string> {
+    const [port = 0, proxyPort = 0] = await findPorts(2);
+    this.startProcess(name, () => start(port));
+    const connectPort = await this.openProxy(name, port, proxyPort);
+    this.platform.add({ name, kind: "endpoint", dataCentre, address: "" }, port);
+    return `http://127.0.0.1:${connectPort}`;
+  }
+
   /** Opens a proxy and returns the port to connect to, which is the target's own where the plan has no proxies. */
   private async openProxy(name: string, target: number, port: number): Promise<number> {
     if (this.plan.isDirect === true) return target;
@@ -321,57 +311,48 @@
     const logPorts = new Map<string, number>();
     for (const dataCentre of dataCentres) {
       const [port = 0] = await findPorts(1);
-      logPorts.set(dataCentre, await this.openProxy(`log:${dataCentre}`, this.platformPort, port));
+      const connectPort = await this.openProxy(`log:${dataCentre}`, this.platform.port, port);
+      logPorts.set(dataCentre, connectPort);
     }
-    for (const { name, dataCentre } of this.plan.instances) {
-      const [callers = 0, peers = 0, operator = 0, ...proxyPorts] = await findPorts(
-        3 + dataCentres.length,
-      );
-      const addressFrom: Record<string, string> = {};
-      for (const [index, viewer] of dataCentres.entries()) {
-        const port = proxyPorts[index] ?? 0;
-        const connectPort = await this.openProxy(`peer:${viewer}>${name}`, peers, port);
-        addressFrom[viewer] = `127.0.0.1:${connectPort}`;
-      }
-      this.entries.set(name, {
-        name,
-        kind: "instance",
-        dataCentre,
-        address: `127.0.0.1:${peers}`,
-        addressFrom,
-        state: "live",
-        isListed: true,
-      });
-      const log = `http://127.0.0.1:${logPorts.get(dataCentre) ?? 0}`;
-      const listen = (port: number) => ({ host: "127.0.0.1", port });
-      const settings = {
-        instance: name,
-        dataCentre,
-        callers: listen(callers),
-        peers: listen(peers),
-        operator: listen(operator),
-        platform: { log, list: `${log}/${dataCentre}` },
-        drainNoticeMs: 300,
-        ...this.plan.settings,
-      };
-      const file = this.workplace.path(`${name}.json`);
-      writeFileSync(file, JSON.stringify(settings));
-      this.callerPorts.set(name, callers);
-      this.operatorPorts.set(name, operator);
-      this.startProcess(
-        name,
-        () =>
-          new RunningProcess(
-            name,
-            [...this.programCommand, "serve", "--settings", file],
-            this.workplace.path(`${name}.log`),
-          ),
-      );
+    for (const plan of this.plan.instances) {
+      const logPort = logPorts.get(plan.dataCentre) ?? 0;
+      await this.startInstance(plan, dataCentres, `http://127.0.0.1:${logPort}`);
     }
   }
 
-  private async appendToControlStream(record: unknown): Promise<void> {
-    await this.callPlatform("POST", "/streams/control/records", { records: [record] });
+  private async startInstance(
+    { name, dataCentre }: InstancePlan,
+    dataCentres: readonly string[],
+    log: string,
+  ): Promise<void> {
+    const [callers = 0, peers = 0, operator = 0, ...proxyPorts] = await findPorts(
+      3 + dataCentres.length,
+    );
+    const addressFrom: Record<string, string> = {};
+    for (const [index, viewer] of dataCentres.entries()) {
+      const port = proxyPorts[index] ?? 0;
+      const connectPort = await this.openProxy(`peer:${viewer}>${name}`, peers, port);
+      addressFrom[viewer] = `127.0.0.1:${connectPort}`;
+    }
+    const address = `127.0.0.1:${peers}`;
+    this.platform.add({ name, kind: "instance", dataCentre, address, addressFrom });
+    const settings = {
+      instance: name,
+      dataCentre,
+      callers: createListenAddress(callers),
+      peers: createListenAddress(peers),
+      operator: createListenAddress(operator),
+      platform: { log, list: `${log}/${dataCentre}` },
+      drainNoticeMs: 300,
+      ...this.plan.settings,
+    };
+    const file = this.workplace.path(`${name}.json`);
+    writeFileSync(file, JSON.stringify(settings));
+    this.callerPorts.set(name, callers);
+    this.operatorPorts.set(name, operator);
+    const command = [...this.programCommand, "serve", "--settings", file];
+    const logFile = this.workplace.path(`${name}.log`);
+    this.startProcess(name, () => new RunningProcess(name, command, logFile));
   }
 
   private async readVersion(): Promise<number> {
@@ -385,22 +366,6 @@
     const isNewer = await this.waitFor(async () => (await this.readVersion()) > before, 3000);
     return isNewer ? this.readVersion() : undefined;
   }
-
-  private async publishEntries(): Promise<void> {
-    const entries = [...this.entries.values()]
-      .filter((entry) => entry.isListed)
-      .map((entry) => ({ ...entry, isListed: undefined, port: undefined }));
-    await this.callPlatform("PUT", "/entries", { entries });
-  }
-
-  private async callPlatform(method: string, path: string, body?: unknown): Promise<unknown> {
-    const answer = await fetch(`${this.logUrl}${path}`, {
-      method,
-      ...(body === undefined ? {} : { body: JSON.stringify(body) }),
-      signal: AbortSignal.timeout(3000),
-    }).catch(() => undefined);
-    return answer?.json();
-  }
 }
 
 /** Starts a fleet; closes it again if it does not become ready. */
@@ -412,3 +377,7 @@
   });
   return fleet;
 }
+
+function createListenAddress(port: number): { readonly host: string; readonly port: number } {
+  return { host: "127.0.0.1", port };
+}
