Join logic that stood twice in src

Binding and closing gRPC servers (src/peer/binding.ts), listing the instances of the own data centre (listLocalInstances), and an engine client's calls of which only the status matters (postCommand).

No change of behaviour.

--- a/src/control/elector.ts
+++ b/src/control/elector.ts
@@ -21,7 +21,7 @@
 import { StreamName } from "../store/log";
 import { Appender } from "./appender";
 import { isIncarnationGone } from "./listpoller";
-import { listReachableInstances, type InstanceIdentity } from "./membership";
+import { listLocalInstances, type InstanceIdentity } from "./membership";
 
 const CHECK_INTERVAL_MS = 400;
 /** How long a controller's lease lasts. */
@@ -136,12 +136,7 @@
    */
   private isChosen(duty: Duty): boolean {
     const now = this.clock.now();
-    const localInstances = listReachableInstances(
-      this.board,
-      this.self,
-      now,
-      new Set([this.self.dataCentre]),
-    );
+    const localInstances = listLocalInstances(this.board, this.self, now);
     return chooseByRendezvousHash(duty, localInstances) === this.self.instance;
   }
 
--- a/src/control/membership.ts
+++ b/src/control/membership.ts
@@ -257,6 +257,20 @@
   return includesSelf && !board.draining.read() ? [...names, self.instance] : names;
 }
 
+/**
+ * Lists the reachable instances of this instance's data centre, this one included.
+ *
+ * @example
+ * listLocalInstances(board, self, clock.now());
+ */
+export function listLocalInstances(
+  board: Blackboard,
+  self: InstanceIdentity,
+  now: Moment,
+): readonly string[] {
+  return listReachableInstances(board, self, now, new Set([self.dataCentre]));
+}
+
 /**
  * Finds the address of an instance in the platform's list.
  *
--- a/src/endpoint/engine.ts
+++ b/src/endpoint/engine.ts
@@ -153,15 +153,7 @@
   }
 
   reserve(url: string, request: HoldRequest): TE.TaskEither<EngineError, void> {
-    return async () => {
-      const result = await this.workSender.sendJson({
-        method: "POST",
-        url: `${url}/holds`,
-        body: request,
-        timeoutMs: CALL_TIMEOUT_MS,
-      })();
-      return decodeResponse(result, t.unknown) as E.Either<EngineError, undefined>;
-    };
+    return postCommand(this.workSender, `${url}/holds`, request);
   }
 
   prefill(url: string, request: PrefillRequest): TE.TaskEither<EngineError, PrefillResult> {
@@ -189,27 +181,11 @@
   }
 
   releaseHolds(url: string, holds: readonly string[]): TE.TaskEither<EngineError, void> {
-    return async () => {
-      const result = await this.controlSender.sendJson({
-        method: "POST",
-        url: `${url}/holds/release`,
-        body: { holds },
-        timeoutMs: CALL_TIMEOUT_MS,
-      })();
-      return decodeResponse(result, t.unknown) as E.Either<EngineError, undefined>;
-    };
+    return postCommand(this.controlSender, `${url}/holds/release`, { holds });
   }
 
   sendOrder(url: string, order: Order): TE.TaskEither<EngineError, void> {
-    return async () => {
-      const result = await this.controlSender.sendJson({
-        method: "POST",
-        url: `${url}/orders`,
-        body: order,
-        timeoutMs: CALL_TIMEOUT_MS,
-      })();
-      return decodeResponse(result, t.unknown) as E.Either<EngineError, undefined>;
-    };
+    return postCommand(this.controlSender, `${url}/orders`, order);
   }
 
   async close(): Promise<void> {
@@ -267,3 +243,20 @@
     ? E.left(new EngineError(EngineFault.refused, decoded.left.message))
     : decoded;
 }
+
+/** Posts a request of whose response only the status matters. */
+function postCommand(
+  sender: Sender,
+  url: string,
+  body: unknown,
+): TE.TaskEither<EngineError, undefined> {
+  return async () => {
+    const result = await sender.sendJson({
+      method: "POST",
+      url,
+      body,
+      timeoutMs: CALL_TIMEOUT_MS,
+    })();
+    return decodeResponse(result, t.unknown) as E.Either<EngineError, undefined>;
+  };
+}
--- a/src/fleet/transport.ts
+++ b/src/fleet/transport.ts
@@ -6,10 +6,10 @@
   credentials,
   type sendUnaryData,
   Server,
-  ServerCredentials,
   type ServiceError,
   type ServerUnaryCall,
 } from "@grpc/grpc-js";
+import { bindServer, closeServer } from "../peer/binding";
 import {
   type Beat,
   type ChargeReply,
@@ -130,24 +130,6 @@
       done(null, handler.onCharge(call.request));
     },
   });
-  await new Promise<void>((resolve, reject) => {
-    server.bindAsync(address, ServerCredentials.createInsecure(), (error) => {
-      if (error === null) resolve();
-      else reject(error);
-    });
-  });
-  return { close: () => closeServer(server) };
-}
-
-function closeServer(server: Server): Promise<void> {
-  return new Promise((resolve) => {
-    const timer = setTimeout(() => {
-      server.forceShutdown();
-      resolve();
-    }, SHUTDOWN_TIMEOUT_MS);
-    server.tryShutdown(() => {
-      clearTimeout(timer);
-      resolve();
-    });
-  });
+  await bindServer(server, address);
+  return { close: () => closeServer(server, SHUTDOWN_TIMEOUT_MS) };
 }
--- a/src/instance.ts
+++ b/src/instance.ts
@@ -16,6 +16,7 @@
 import { ListPoller } from "./control/listpoller";
 import {
   findInstanceAddress,
+  listLocalInstances,
   listReachableInstances,
   Membership,
   type InstanceIdentity,
@@ -330,12 +331,7 @@
    */
   private async handOverHolderDuty(): Promise<void> {
     const now = this.clock.now();
-    const candidates = listReachableInstances(
-      this.board,
-      this.self,
-      now,
-      new Set([this.self.dataCentre]),
-    );
+    const candidates = listLocalInstances(this.board, this.self, now);
     const successor = chooseByRendezvousHash("holder", candidates);
     const member = this.board.members.get(successor ?? "");
     const address = findInstanceAddress(this.board, successor ?? "");
--- a/src/peer/server.ts
+++ b/src/peer/server.ts
@@ -3,12 +3,12 @@
  */
 import {
   Server,
-  ServerCredentials,
   type ServerDuplexStream,
   type sendUnaryData,
   type ServerUnaryCall,
 } from "@grpc/grpc-js";
 import type { Address } from "../core/settings";
+import { bindServer, closeServer } from "./binding";
 import {
   type BookReply,
   type BookRequest,
@@ -72,7 +72,7 @@
       handler.onBook(stream);
     },
   });
-  await bindServer(server, address);
+  await bindServer(server, `${address.host}:${address.port}`);
   return {
     close: (graceMs) => closeServer(server, graceMs),
   };
@@ -92,26 +92,3 @@
     );
   };
 }
-
-function bindServer(server: Server, address: Address): Promise<void> {
-  return new Promise((resolve, reject) => {
-    const hostAndPort = `${address.host}:${address.port}`;
-    server.bindAsync(hostAndPort, ServerCredentials.createInsecure(), (error) => {
-      if (error === null) resolve();
-      else reject(error);
-    });
-  });
-}
-
-function closeServer(server: Server, graceMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    const timer = setTimeout(() => {
-      server.forceShutdown();
-      resolve();
-    }, graceMs);
-    server.tryShutdown(() => {
-      clearTimeout(timer);
-      resolve();
-    });
-  });
-}
