Give the failures of reading a body a type, and the relay's timeouts a function

readBodyUpTo in src/forward/server.ts returns an Either with a BodyFailure in place of the string "too large" or undefined; chooseRelayTimeouts in src/forward/decode.ts replaces a nested conditional.

No change of behaviour.

--- a/src/forward/decode.ts
+++ b/src/forward/decode.ts
@@ -221,16 +221,10 @@
     endpoint: EndpointEntry,
     deadlineSignal: DeadlineSignal,
   ): Promise<TryResult> {
-    const hasStarted = this.firstSentAt !== undefined;
     const { end, message } = await relayEvents({
       response,
       deadlineSignal,
-      firstEventTimeoutMs: this.isResumable
-        ? hasStarted
-          ? SILENCE_TIMEOUT_MS
-          : FIRST_EVENT_TIMEOUT_MS
-        : undefined,
-      silenceTimeoutMs: this.isResumable ? SILENCE_TIMEOUT_MS : undefined,
+      ...this.chooseRelayTimeouts(),
       onEvents: (events) => {
         this.forwardEvents(response, events);
       },
@@ -248,6 +242,16 @@
     return { end: TryEnd.broken, message };
   }
 
+  /** Chooses the timeouts of a relay: a stream that can't be resumed elsewhere has none. */
+  private chooseRelayTimeouts() {
+    if (!this.isResumable) return { firstEventTimeoutMs: undefined, silenceTimeoutMs: undefined };
+    const hasStarted = this.firstSentAt !== undefined;
+    return {
+      firstEventTimeoutMs: hasStarted ? SILENCE_TIMEOUT_MS : FIRST_EVENT_TIMEOUT_MS,
+      silenceTimeoutMs: SILENCE_TIMEOUT_MS,
+    };
+  }
+
   /** An unframed response may have ended early, so it must not complete a framed one. */
   private canEndWith(response: OpenResponse): boolean {
     const hasStarted = this.firstSentAt !== undefined;
--- a/src/forward/server.ts
+++ b/src/forward/server.ts
@@ -47,6 +47,14 @@
 /** Handles a request that was read completely. */
 export type CallerHandler = (request: CallerRequest) => Promise<CallerResponse>;
 
+/** Why a body was not read completely. */
+const BodyFailure = {
+  tooLarge: "too large",
+  /** The caller left: its response is closed, and nothing was run. */
+  callerGone: "caller gone",
+} as const;
+type BodyFailure = (typeof BodyFailure)[keyof typeof BodyFailure];
+
 /** Serves callers over HTTP. */
 export class ForwardServer {
   private readonly server: Server;
@@ -151,15 +159,17 @@
       return;
     }
     const body = await readBodyUpTo(request, this.limits.maxBodyBytes);
-    if (caller.aborted || body === undefined) return;
-    if (body === "too large") {
+    if (caller.aborted) return;
+    if (E.isLeft(body)) {
+      if (body.left === BodyFailure.callerGone) return;
       const message = `the body is larger than ${this.limits.maxBodyBytes} bytes`;
       const refusal = createNotRunRefusal(413, Reason.bodyTooLarge, message);
       this.refuse(request, response, head.right.id, refusal);
       return;
     }
     const sink = this.createSink(response);
-    const result = await this.handler({ head: head.right, body, arrivedAt, caller, sink });
+    const callerRequest = { head: head.right, body: body.right, arrivedAt, caller, sink };
+    const result = await this.handler(callerRequest);
     if (result === undefined) return;
     if (E.isLeft(result)) this.refuse(request, response, head.right.id, result.left);
     else this.sendBuffered(response, result.right);
@@ -260,22 +270,21 @@
   else response.once("finish", () => socket.end());
 }
 
-/** Reads a body; returns "too large" beyond the limit, and undefined if it did not arrive whole. */
+/** Reads a body, up to a limit. */
 async function readBodyUpTo(
   request: IncomingMessage,
   maxBytes: number,
-): Promise<Buffer | "too large" | undefined> {
+): Promise<E.Either<BodyFailure, Buffer>> {
   const chunks: Buffer[] = [];
   let size = 0;
   try {
     for await (const chunk of request.iterator({ destroyOnReturn: false })) {
       size += (chunk as Buffer).length;
-      if (size > maxBytes) return "too large";
+      if (size > maxBytes) return E.left(BodyFailure.tooLarge);
       chunks.push(chunk as Buffer);
     }
   } catch {
-    // The caller left: its response is closed, and nothing was run.
-    return undefined;
+    return E.left(BodyFailure.callerGone);
   }
-  return Buffer.concat(chunks);
+  return E.right(Buffer.concat(chunks));
 }
