Use typed values for feeds, directory changes and execution statuses

FeedName in src/fleet/watcher.ts, EntryChange in src/fleet/directory.ts, ExecutionStatus.notRun in src/explain/cause.ts and src/entry/service.ts stand in place of bare strings; the values are the same.

No change of behaviour.

--- a/src/entry/service.ts
+++ b/src/entry/service.ts
@@ -18,7 +18,13 @@
 import type { Logger } from "../core/log";
 import { Metric, type Metrics } from "../core/metrics";
 import { CRASHES_TO_BAN } from "../core/crashes";
-import { createNotRunRefusal, createUnknownRefusal, Reason, type Refusal } from "../core/outcome";
+import {
+  createNotRunRefusal,
+  createUnknownRefusal,
+  ExecutionStatus,
+  Reason,
+  type Refusal,
+} from "../core/outcome";
 import type { RetryBudget } from "../core/retrybudget";
 import type { NamedEndpoint } from "../core/pools";
 import type { ServiceResponse, ServiceClient, ServiceError } from "../endpoint/service";
@@ -121,7 +127,8 @@
     const result = await this.runOnce(request);
     if (E.isRight(result)) {
       void claimer.recordResponse(claimName, claim.claimId, createRecordedResponse(result.right));
-    } else if (result.left.ran === "not run") claimer.release(claimName, claim.claimId);
+    } else if (result.left.ran === ExecutionStatus.notRun)
+      claimer.release(claimName, claim.claimId);
     return result;
   }
 
--- a/src/explain/cause.ts
+++ b/src/explain/cause.ts
@@ -1,6 +1,7 @@
 /**
  * Counts refused, failed and cancelled requests of a time range by cause, from log lines.
  */
+import { ExecutionStatus } from "../core/outcome";
 import { type LogLine, formatField } from "./line";
 
 /** How a request that got no complete response ended. */
@@ -92,7 +93,7 @@
   if (line.event === "answered" && line.isWarning) return Ending.failed;
   if (line.event !== "refused" && line.event !== "refusal") return undefined;
   const executionStatus = formatField(line, "ran") || formatField(line, "outcome");
-  return executionStatus === "not run" ? Ending.refused : Ending.failed;
+  return executionStatus === ExecutionStatus.notRun ? Ending.refused : Ending.failed;
 }
 
 function describeCause(line: LogLine, warning: LogLine | undefined): string {
--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -64,17 +64,27 @@
   readonly latestEntry: EndpointEntry | undefined;
 }
 
+/** What changed in an entry, as it is logged. */
+export const EntryChange = {
+  added: "added",
+  changed: "changed",
+  leaving: "leaving",
+  /** The entry expired around an outage of the store, and may return. */
+  inDoubt: "in doubt",
+  gone: "gone",
+  unreadable: "unreadable",
+  /** The entry is older than what is known of its endpoint, so it was not applied. */
+  outOfDate: "out of date",
+} as const;
+export type EntryChange = (typeof EntryChange)[keyof typeof EntryChange];
+
 /** A change of the directory, as it is logged. */
 export interface DirectoryChange {
   readonly endpoint: string;
-  readonly change:
-    "added" | "changed" | "leaving" | "in doubt" | "gone" | "unreadable" | "out of date";
+  readonly change: EntryChange;
   readonly offset: number;
 }
 
-/** What changed in an entry; undefined where only its sequence number did. */
-type EntryChange = DirectoryChange["change"] | undefined;
-
 /** The directory of endpoints. */
 export class EndpointDirectory {
   private readonly listed = new Map<string, ListedEndpoint>();
@@ -265,17 +275,17 @@
     return newest;
   }
 
-  private applyRecord(record: FeedRecord, now: Moment): EntryChange {
+  private applyRecord(record: FeedRecord, now: Moment): EntryChange | undefined {
     const before = this.listed.get(record.key);
     if (before !== undefined && !isAfter(record.position, before.record.position)) return undefined;
     this.usableCache = undefined;
     if (record.value === undefined) return this.applyRemoval(record, before, now);
     const entry = this.decode(record.key, record.value);
-    if (entry === undefined) return "unreadable";
+    if (entry === undefined) return EntryChange.unreadable;
     const departure = this.departures.find(record.key);
     const latestKnown = [before?.latestEntry, departure].filter((known) => known !== undefined);
     if (latestKnown.some((known) => isOutOfDate(entry, known))) {
-      return "out of date";
+      return EntryChange.outOfDate;
     }
     const isLeaving =
       entry.isLeaving ||
@@ -297,7 +307,7 @@
     record: FeedRecord,
     before: ListedEndpoint | undefined,
     now: Moment,
-  ): EntryChange {
+  ): EntryChange | undefined {
     const entry = before?.entry;
     const latestEntry = before?.latestEntry;
     const mayReturn =
@@ -305,7 +315,7 @@
     if (mayReturn) {
       const doubtDeadline = this.outageEndedAt + OUTAGE_GRACE_MS;
       this.listed.set(record.key, { record, entry, doubtDeadline, latestEntry });
-      return "in doubt";
+      return EntryChange.inDoubt;
     }
     this.listed.set(record.key, {
       record,
@@ -315,7 +325,7 @@
     });
     if (entry === undefined) return undefined;
     this.departures.record(createDeparture(entry, entry.isLeaving), false, now);
-    return "gone";
+    return EntryChange.gone;
   }
 
   /** Records a departure that the list did not say, and applies it to the listed entry. */
@@ -354,14 +364,18 @@
   return entry.sequence <= last.sequence;
 }
 
-function compareEntries(before: EndpointEntry | undefined, after: EndpointEntry): EntryChange {
-  if (before === undefined) return "added";
-  if (after.isLeaving && !before.isLeaving) return "leaving";
+/** Compares an entry with the one before; returns undefined if only its sequence number changed. */
+function compareEntries(
+  before: EndpointEntry | undefined,
+  after: EndpointEntry,
+): EntryChange | undefined {
+  if (before === undefined) return EntryChange.added;
+  if (after.isLeaving && !before.isLeaving) return EntryChange.leaving;
   const isSame =
     before.address === after.address &&
     before.service === after.service &&
     before.stage === after.stage &&
     before.processStartedAt === after.processStartedAt &&
     before.isLeaving === after.isLeaving;
-  return isSame ? undefined : "changed";
+  return isSame ? undefined : EntryChange.changed;
 }
--- a/src/fleet/watcher.ts
+++ b/src/fleet/watcher.ts
@@ -54,6 +54,13 @@
 /** Decodes a published configuration. */
 export type ConfigDecoder = (value: Buffer) => E.Either<DecodeError, FleetConfig>;
 
+/** The feeds of the store, as they are logged. */
+const FeedName = {
+  configuration: "configuration",
+  endpoints: "endpoints",
+} as const;
+type FeedName = (typeof FeedName)[keyof typeof FeedName];
+
 /** The state of following one feed. */
 interface FeedState {
   nextOffset: number | undefined;
@@ -112,9 +119,15 @@
     this.store.onRestored((era) => {
       this.onStoreRestored(era);
     });
-    void this.followFeed("configuration", this.store.configuration, this.configState, true, 0);
     void this.followFeed(
-      "endpoints",
+      FeedName.configuration,
+      this.store.configuration,
+      this.configState,
+      true,
+      0,
+    );
+    void this.followFeed(
+      FeedName.endpoints,
       this.store.endpoints,
       this.endpointsState,
       false,
@@ -215,7 +228,7 @@
   }
 
   private async followFeed(
-    name: "configuration" | "endpoints",
+    name: FeedName,
     feed: Feed,
     state: FeedState,
     isLongPoll: boolean,
@@ -224,7 +237,7 @@
     while (!this.isClosed) {
       await this.waitUntilNeeded(state);
       const startedAt = this.clock.now();
-      if (name === "endpoints") this.skipKnownEntries(state);
+      if (name === FeedName.endpoints) this.skipKnownEntries(state);
       const isSnapshot = state.nextOffset === undefined;
       const waitMs = isLongPoll ? CONFIG_WAIT_MS.min + Math.random() * CONFIG_WAIT_MS.jitter : 0;
       state.isWaiting = isLongPoll && !isSnapshot;
@@ -283,12 +296,8 @@
     return next === undefined ? feed.readNewest()() : feed.read(next, waitMs)();
   }
 
-  private applyPage(
-    name: "configuration" | "endpoints",
-    page: FeedPage,
-    isSnapshot: boolean,
-  ): boolean {
-    if (name === "endpoints") {
+  private applyPage(name: FeedName, page: FeedPage, isSnapshot: boolean): boolean {
+    if (name === FeedName.endpoints) {
       this.listEra = page.next.era;
       return this.applyEndpoints(page, isSnapshot, "store");
     }
@@ -306,18 +315,18 @@
    * something new, as of its end. While a long poll for the configuration is open, a read of the list
    * shows that the store is in reach, so there is nothing new.
    */
-  private recordSuccess(name: string, state: FeedState, startedAt: Moment): void {
+  private recordSuccess(name: FeedName, state: FeedState, startedAt: Moment): void {
     const now = this.clock.now();
-    state.freshness.confirm(name === "endpoints" ? startedAt : now);
-    if (name === "endpoints" && this.configState.isWaiting) this.confirmConfig(startedAt);
+    state.freshness.confirm(name === FeedName.endpoints ? startedAt : now);
+    if (name === FeedName.endpoints && this.configState.isWaiting) this.confirmConfig(startedAt);
     if (!state.isUnavailable) return;
     state.isUnavailable = false;
     state.retryAt = Number.POSITIVE_INFINITY;
-    if (name === "endpoints") this.directory.recordStoreRecovery(now);
+    if (name === FeedName.endpoints) this.directory.recordStoreRecovery(now);
     this.logger.info("store regained", { feed: name });
   }
 
-  private recordFailure(name: string, state: FeedState, error: string): void {
+  private recordFailure(name: FeedName, state: FeedState, error: string): void {
     this.meter.storeFailures.inc();
     state.retryAt = this.clock.now() + LOST_RETRY_DELAY_MS;
     if (state.isUnavailable) return;
