Name the level that a quota decision reports

QuotaDecision.left is the level of the account before the request, not what is left after it: it is levelBefore now. The field left on the wire and in log lines stays.

No change of behaviour.

--- a/src/forward/admission.ts
+++ b/src/forward/admission.ts
@@ -111,7 +111,7 @@
       request: head.id,
       workspace: workspace.name,
       cost,
-      left: Math.round(decision.left),
+      left: Math.round(decision.levelBefore),
     });
     const message = "the workspace is over its rate";
     return E.left(createNotRunRefusal(429, Reason.overRate, message, decision.retryAfterMs));
--- a/src/forward/chargepeer.ts
+++ b/src/forward/chargepeer.ts
@@ -30,7 +30,7 @@
     return reply?.decisions.map(({ admitted, overRate, left, retryAfterMs }) => ({
       isAdmitted: admitted,
       isOverRate: overRate,
-      left,
+      levelBefore: left,
       retryAfterMs,
     }));
   }
@@ -54,10 +54,10 @@
   const peer = { instance, incarnation, totalCost };
   const decisions = quotas.admitForPeer(peer, workspace, limit, costs, now);
   return {
-    decisions: decisions.map(({ isAdmitted, isOverRate, left, retryAfterMs }) => ({
+    decisions: decisions.map(({ isAdmitted, isOverRate, levelBefore, retryAfterMs }) => ({
       admitted: isAdmitted,
       overRate: isOverRate,
-      left,
+      left: levelBefore,
       retryAfterMs,
     })),
   };
--- a/src/forward/quota.ts
+++ b/src/forward/quota.ts
@@ -91,7 +91,7 @@
    */
   readonly isOverRate: boolean;
   /** Level of the account before the request; negative where peers used more than was known. */
-  readonly left: number;
+  readonly levelBefore: number;
   /** Retry delay in milliseconds, for a request that is not admitted. */
   readonly retryAfterMs: number;
 }
@@ -100,7 +100,7 @@
 export const UNLIMITED: QuotaDecision = {
   isAdmitted: true,
   isOverRate: false,
-  left: Number.POSITIVE_INFINITY,
+  levelBefore: Number.POSITIVE_INFINITY,
   retryAfterMs: 0,
 };
 
@@ -187,7 +187,7 @@
     }
     const { refillPerSecond } = this.computeAccountLimit(limit);
     const retryAfterMs = computeRefillMs(cost - share, refillPerSecond / this.countInstances());
-    return { isAdmitted: false, isOverRate: true, left: level, retryAfterMs };
+    return { isAdmitted: false, isOverRate: true, levelBefore: level, retryAfterMs };
   }
 
   /**
@@ -217,7 +217,7 @@
     const { refillPerSecond } = this.computeAccountLimit(limit);
     const refill = refillPerSecond * this.computeHeardShare(limit);
     const retryAfterMs = computeRefillMs(cost - level, refill);
-    return { isAdmitted: false, isOverRate: true, left: level, retryAfterMs };
+    return { isAdmitted: false, isOverRate: true, levelBefore: level, retryAfterMs };
   }
 
   private admitLocally(
@@ -338,7 +338,7 @@
   const { level, ratedLevel } = account;
   account.level -= cost;
   account.ratedLevel -= cost;
-  return { isAdmitted: true, isOverRate: ratedLevel < cost, left: level, retryAfterMs: 0 };
+  return { isAdmitted: true, isOverRate: ratedLevel < cost, levelBefore: level, retryAfterMs: 0 };
 }
 
 function computeRefillMs(cost: number, perSecond: number): number {
--- a/test/harness/quotafleet.ts
+++ b/test/harness/quotafleet.ts
@@ -157,10 +157,11 @@
               limit,
               this.now,
             );
-            const decisions = reply.decisions.map(({ admitted, overRate, ...rest }) => ({
+            const decisions = reply.decisions.map(({ admitted, overRate, left, ...rest }) => ({
               ...rest,
               isAdmitted: admitted,
               isOverRate: overRate,
+              levelBefore: left,
             }));
             this.deliver(receiver, sender, () => {
               finish(decisions);
--- a/test/quota.spec.ts
+++ b/test/quota.spec.ts
@@ -205,18 +205,18 @@
     quotas.applyPeerUsage("p", "p/1", [{ workspace: "w", cost: 300 }]);
     const [first] = quotas.admitForPeer(peer, "w", LIMIT, [400], 0);
     assert.equal(first?.isAdmitted, true);
-    const full = first.left;
+    const full = first.levelBefore;
     quotas.applyPeerUsage("p", "p/1", [{ workspace: "w", cost: 700 }]);
-    assert.equal(quotas.admitAsOwner("w", LIMIT, 1, 0).left, full - 400);
+    assert.equal(quotas.admitAsOwner("w", LIMIT, 1, 0).levelBefore, full - 400);
     quotas.applyPeerUsage("p", "p/1", [{ workspace: "w", cost: 750 }]);
     assert.equal(
-      quotas.admitAsOwner("w", LIMIT, 1, 0).left,
+      quotas.admitAsOwner("w", LIMIT, 1, 0).levelBefore,
       full - 451,
       "what it admitted by itself",
     );
     quotas.applyPeerUsage("p", "p/2", [{ workspace: "w", cost: 20 }]);
     assert.equal(
-      quotas.admitAsOwner("w", LIMIT, 1, 0).left,
+      quotas.admitAsOwner("w", LIMIT, 1, 0).levelBefore,
       full - 452,
       "a new process begins anew",
     );
