Bound bytes without end, at every reader of an endpoint or the store

What callers saw: a refusal or a failure of an engine whose body trickled or never ended had no deadline once the first-event signal was closed: the caller waited for ever, past its own deadline. A trickled event kept a resumable stream at its engine until the deadline. Cause, by reading and by test: readBody after firstEventSignal.close(); the silence timer restarted on any byte; EventSplitter without a maximum, joined and scanned anew for each chunk; answers to holds, releases and prefills read up to 16 MB; undici bounds heads and trailers (16 KB of names and values) and bodies (maxResponseSize), but not what its parser discards: reason phrases, interim responses, chunk sizes and extensions. The store's answers had no bound at all.

Change: a connection is closed when more bytes arrive than its exchange may bring (store/bytelimit): 64 KB of head, then 64 KB for calls and prefills and 32 MB, framing included, for the rest. An event has at most 256 KB; only whole events count against silence; an engine that exceeds this is passed over as a silent one. Nobody waits for the body of a refusal: it is read beside for 250 ms and 64 KB so that the connection can be reused. A failure body is read under the first-event deadline.

Ruled out: bytes that are no HTTP, header lines and headers, trailers, and bytes after an answer: undici closed the connection before this too; the tests stay. A limit on bodies alone: discarded bytes pass it.

test/endless.spec.ts and platform/test/endless.spec.ts, over the code before (with only the constants the tests name) and after. The writer stops at 256 MB.

--- a/src/forward/client.ts
+++ b/src/forward/client.ts
@@ -7,10 +7,17 @@
 import * as E from "fp-ts/Either";
 import type { Clock } from "../core/clock";
 import { isConnectionRefused, isConnectError } from "../store/http";
-import type { Connection } from "./connection";
+import { MAX_SMALL_BODY_BYTES } from "./body";
+import { type Connection, MAX_FRAMED_BYTES, MAX_HEAD_BYTES } from "./connection";
 import { isOwnAnswer } from "./exchange";
 import type { EndpointGate, EndpointTarget } from "./gate";
-import type { ResponseHead, EndpointCodec, EndpointCall, EndpointRequest } from "./messages";
+import {
+  type ResponseHead,
+  type EndpointCodec,
+  type EndpointCall,
+  type EndpointRequest,
+  SendTask,
+} from "./messages";
 import { ConnectionPool } from "./pool";
 
 /**
@@ -143,6 +150,7 @@
       const message = "all connections to the endpoint are in use";
       return E.left(new SendFailure(SendFailureKind.busy, message));
     }
+    connection.limitBytes(MAX_HEAD_BYTES);
     try {
       const response = await connection.client.request({
         method: head.method as "POST",
@@ -164,6 +172,9 @@
         pool.closeIdle();
         return E.left(createForeignFailure(response.statusCode, answeredId));
       }
+      connection.limitBytes(
+        send.task === SendTask.prefill ? MAX_SMALL_BODY_BYTES : MAX_FRAMED_BYTES,
+      );
       releaseAfter(pool, connection, response.body);
       return E.right({
         head: this.codec.readResponseHead(send, response.statusCode, headers),
@@ -185,6 +196,7 @@
     if (this.gate.isPaused(target.id)) return E.left(createHeldFailure());
     const pool = this.getOrCreatePool(target.address);
     const connection = pool.openForCall();
+    connection.limitBytes(MAX_HEAD_BYTES);
     try {
       const response = await connection.client.request({
         method: call.method,
@@ -196,6 +208,7 @@
       });
       const headers = response.headers as unknown as readonly string[];
       this.gate.onNotice(target, this.codec.readNotice(response.statusCode, headers));
+      connection.limitBytes(MAX_SMALL_BODY_BYTES);
       const body = Buffer.from(await response.body.arrayBuffer());
       return E.right({ status: response.statusCode, body });
     } catch (error) {
--- a/src/forward/connection.ts
+++ b/src/forward/connection.ts
@@ -5,6 +5,7 @@
 import type { Socket } from "node:net";
 import { Client } from "undici";
 import type { Moment } from "../core/clock";
+import { ByteLimit } from "../store/bytelimit";
 import { createConnector } from "../store/connector";
 
 /** Timeout for opening a connection, in milliseconds; far more than a round trip. */
@@ -29,6 +30,11 @@
 /** Maximum size of a response, in bytes. */
 const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
 
+/** Maximum size of a response's head with the interim responses before it, in bytes. */
+export const MAX_HEAD_BYTES = 64 * 1024;
+/** Maximum size of what follows the head of a response, with its framing, in bytes. */
+export const MAX_FRAMED_BYTES = 2 * MAX_RESPONSE_BYTES;
+
 /** A connection that carries one request at a time. */
 export class Connection {
   readonly client: Client;
@@ -36,6 +42,7 @@
   idleSince: Moment = 0;
   private readonly requestIds = new Set<string>();
   private socket: Socket | undefined;
+  private byteLimit: ByteLimit | undefined;
   private hasError = false;
 
   constructor(address: string) {
@@ -87,6 +94,11 @@
     this.requestIds.add(requestId);
   }
 
+  /** Sets how many bytes may arrive from now on; with more, the connection is closed. */
+  limitBytes(maxBytes: number): void {
+    this.byteLimit?.reset(maxBytes);
+  }
+
   /** Closes the connection, also with a request in flight. */
   close(): void {
     void this.client.destroy().catch(() => undefined);
@@ -94,6 +106,7 @@
 
   private trackSocket(socket: Socket): void {
     this.socket = socket;
+    this.byteLimit = new ByteLimit(socket, MAX_HEAD_BYTES);
     socket.prependOnceListener("error", (error: NodeJS.ErrnoException) => {
       // undici destroys sockets it no longer needs with errors of its own, which have no errno.
       if (error.errno !== undefined) this.hasError = true;
--- a/src/forward/decode.ts
+++ b/src/forward/decode.ts
@@ -7,13 +7,20 @@
 import { RetryMode } from "../fleet/config";
 import type { EndpointEntry } from "../fleet/directory";
 import { AbortCause, DeadlineSignal } from "./abort";
+import { discardBody } from "./body";
 import type { OpenResponse, SendFailure } from "./client";
 import { type ForwardContext, type RequestTimes, resetDataCentreConnections } from "./context";
 import type { Reservation } from "./reservations";
 import type { EngineLoadTracker } from "./engines";
 import type { StreamEvent } from "./events";
-import { type CacheSource, type ForwardRequest, SendTask, Verdict } from "./messages";
-import { readBody, readWholeBody, type BufferedResponse } from "./service";
+import {
+  type CacheSource,
+  type ForwardRequest,
+  type ResponseHead,
+  SendTask,
+  Verdict,
+} from "./messages";
+import { readWholeBody, type BufferedResponse } from "./service";
 import { EndpointState, probeEndpoint } from "./probe";
 import { RelayEnd, relayEvents } from "./relay";
 
@@ -147,10 +154,12 @@
       needsNewConnection: !this.isResumable,
     };
     const opened = await client.send({ ...send, lastEventId: lastEvent }, firstEventSignal.signal);
+    if (E.isLeft(opened) || isStream(opened.right.head)) firstEventSignal.close();
+    const result = E.isRight(opened)
+      ? await this.readResponse(opened.right, endpoint, deadlineSignal)
+      : await this.handleSendFailure(opened.left, endpoint, deadlineSignal);
     firstEventSignal.close();
-    return E.isRight(opened)
-      ? this.readResponse(opened.right, endpoint, deadlineSignal)
-      : this.handleSendFailure(opened.left, endpoint, deadlineSignal);
+    return result;
   }
 
   private async handleSendFailure(
@@ -192,7 +201,7 @@
     const { head } = response;
     const { engineLoad, context } = this.parts;
     if (head.verdict === Verdict.notRun || head.verdict === Verdict.misdirected) {
-      await readBody(response.body);
+      discardBody(response.body);
       if (head.verdict === Verdict.misdirected)
         context.directory.markMisdirected(endpoint, context.clock.now());
       else engineLoad.recordRefusal(endpoint.id, context.clock.now());
@@ -203,15 +212,21 @@
       resetDataCentreConnections(context, endpoint);
       return { end: TryEnd.broken, message: "the answer does not come from the endpoint itself" };
     }
-    if (head.status >= MIN_NON_STREAM_STATUS) return this.readFailureResponse(response);
+    if (!isStream(head)) return this.readFailureResponse(response, deadlineSignal);
     engineLoad.markAvailable(endpoint.id);
     return this.relay(response, endpoint, deadlineSignal);
   }
 
-  private async readFailureResponse(response: OpenResponse): Promise<TryResult> {
+  private async readFailureResponse(
+    response: OpenResponse,
+    deadlineSignal: DeadlineSignal,
+  ): Promise<TryResult> {
     const message = `the engine answered ${response.head.status}`;
     const whole = await readWholeBody(response);
-    if (E.isLeft(whole)) return { end: TryEnd.broken, message: whole.left.message };
+    if (E.isLeft(whole)) {
+      const broken = { end: TryEnd.broken, message: whole.left.message };
+      return createAbortResult(deadlineSignal) ?? broken;
+    }
     const { head, isFramed } = response;
     return { end: TryEnd.failed, message, response: { head, body: whole.right, isFramed } };
   }
@@ -237,7 +252,8 @@
     }
     const aborted = createAbortResult(deadlineSignal);
     if (aborted !== undefined) return aborted;
-    if (end !== RelayEnd.silent) return this.handleBreak(endpoint, message);
+    const isEngineFault = end === RelayEnd.silent || end === RelayEnd.malformed;
+    if (!isEngineFault) return this.handleBreak(endpoint, message);
     this.markEngineUnavailable(endpoint);
     return { end: TryEnd.broken, message };
   }
@@ -286,6 +302,11 @@
   }
 }
 
+/** Checks whether a response carries events, which may go on after the first-event deadline. */
+function isStream({ verdict, status }: ResponseHead): boolean {
+  return verdict === Verdict.answered && status < MIN_NON_STREAM_STATUS;
+}
+
 /**
  * Creates the result of a try that the caller or the deadline ended; returns undefined if neither
  * did.
--- a/src/forward/events.ts
+++ b/src/forward/events.ts
@@ -5,6 +5,8 @@
 
 const LINE_FEED = 10;
 const ID_FIELD = "id:";
+/** How much of the end of an event may have been received before its last byte. */
+const MAX_SPLIT_BYTES = 2;
 
 /** One whole event as received, including the blank line that ends it. */
 export interface StreamEvent {
@@ -13,37 +15,60 @@
   readonly id: string | undefined;
 }
 
-/** Splits the bytes of a stream into whole events. */
+/** Splits the bytes of a stream into whole events; reads each byte once. */
 export class EventSplitter {
+  /** The incomplete event, in the first `length` bytes; the rest is room for more. */
   private pending: Buffer = Buffer.alloc(0);
+  private length = 0;
 
-  /** True while the last event is incomplete. */
-  get hasPartialEvent(): boolean {
-    return this.pending.length > 0;
+  /** Number of bytes received of the last event if it is incomplete; otherwise 0. */
+  get partialBytes(): number {
+    return this.length;
   }
 
   /** Adds bytes; returns the events that they complete. */
   push(bytes: Buffer): readonly StreamEvent[] {
-    let pending = this.pending.length === 0 ? bytes : Buffer.concat([this.pending, bytes]);
+    const scanFrom = Math.max(0, this.length - MAX_SPLIT_BYTES);
+    const received = this.append(bytes);
     const events: StreamEvent[] = [];
-    for (;;) {
-      const end = findEventEnd(pending);
-      if (end === undefined) break;
-      const event = pending.subarray(0, end);
+    let start = 0;
+    let end = findEventEnd(received, scanFrom);
+    while (end !== undefined) {
+      const event = received.subarray(start, end);
       events.push({ bytes: event, id: readEventId(event) });
-      pending = pending.subarray(end);
+      start = end;
+      end = findEventEnd(received, start);
     }
-    this.pending = pending;
+    if (start > 0) this.keep(received.subarray(start));
     return events;
   }
+
+  private append(bytes: Buffer): Buffer {
+    if (this.length === 0) {
+      this.keep(bytes);
+      return bytes;
+    }
+    const length = this.length + bytes.length;
+    if (length > this.pending.length) {
+      this.pending = Buffer.concat([this.pending.subarray(0, this.length)], 2 * length);
+    }
+    bytes.copy(this.pending, this.length);
+    this.length = length;
+    return this.pending.subarray(0, length);
+  }
+
+  private keep(rest: Buffer): void {
+    this.pending = rest;
+    this.length = rest.length;
+  }
 }
 
 /**
- * Finds the end of the first event: a blank line; lines end with a line feed, with or without a
- * carriage return.
+ * Finds the end of the first event after a position: a blank line; lines end with a line feed, with
+ * or without a carriage return.
  */
-function findEventEnd(bytes: Buffer): number | undefined {
-  let from = 0;
+function findEventEnd(bytes: Buffer, start: number): number | undefined {
+  let from = start;
   for (;;) {
     const feed = bytes.indexOf(LINE_FEED, from);
     if (feed < 0) return undefined;
--- a/src/forward/relay.ts
+++ b/src/forward/relay.ts
@@ -6,12 +6,17 @@
 import type { OpenResponse } from "./client";
 import { EventSplitter, type StreamEvent } from "./events";
 
+/** Maximum size of one event, in bytes; a longer one is no event of an engine. */
+export const MAX_EVENT_BYTES = 256 * 1024;
+
 /** How a relayed stream ended. */
 export const RelayEnd = {
   complete: "complete",
   broken: "broken",
-  /** Nothing was received within the timeout. */
+  /** No whole event was received within the timeout. */
   silent: "silent",
+  /** An event exceeds the maximum size. */
+  malformed: "malformed",
   /** The caller left, or the deadline passed. */
   aborted: "aborted",
 } as const;
@@ -77,13 +82,17 @@
     deadlineSignal.signal.addEventListener("abort", onAbort, { once: true });
     restartTimer(firstEventTimeoutMs);
     body.on("data", (bytes: Buffer) => {
-      restartTimer(silenceTimeoutMs);
       const events = splitter.push(bytes);
-      if (events.length > 0) onEvents(events);
+      if (events.length > 0) {
+        restartTimer(silenceTimeoutMs);
+        onEvents(events);
+      }
+      if (splitter.partialBytes > MAX_EVENT_BYTES)
+        finish(RelayEnd.malformed, `an event exceeds ${MAX_EVENT_BYTES} bytes`);
     });
     body.on("end", () => {
       if (response.isBroken()) finish(RelayEnd.broken, "the connection broke within the stream");
-      else if (splitter.hasPartialEvent)
+      else if (splitter.partialBytes > 0)
         finish(RelayEnd.broken, "the stream ended within an event");
       else finish(RelayEnd.complete, "complete");
     });
--- a/src/forward/service.ts
+++ b/src/forward/service.ts
@@ -15,6 +15,7 @@
 import { RetryMode } from "../fleet/config";
 import type { EndpointEntry } from "../fleet/directory";
 import { AbortCause, DeadlineSignal } from "./abort";
+import { discardBody } from "./body";
 import { type OpenResponse, type SendFailure, SendFailureKind } from "./client";
 import { type ForwardContext, type RequestTimes, resetDataCentreConnections } from "./context";
 import { type ResponseHead, type ForwardRequest, SendTask, Verdict } from "./messages";
@@ -203,16 +204,17 @@
     if (head.load !== undefined) {
       this.context.health.recordLoad(endpoint.id, head.load, this.context.clock.now());
     }
-    const whole = await readWholeBody(response);
     if (head.verdict === Verdict.misdirected)
       this.context.directory.markMisdirected(endpoint, this.context.clock.now());
     if (head.verdict === Verdict.notRun || head.verdict === Verdict.misdirected) {
+      discardBody(response.body);
       return {
         end: SendEnd.notRun,
         response: undefined,
         message: `the endpoint has ${head.verdict}`,
       };
     }
+    const whole = await readWholeBody(response);
     if (E.isLeft(whole)) {
       await this.probeAfterBreak(endpoint, deadlineSignal);
       return { end: SendEnd.unknown, response: undefined, message: whole.left.message };
--- a/src/store/http.ts
+++ b/src/store/http.ts
@@ -10,6 +10,8 @@
 
 const CONNECT_TIMEOUT_MS = 1000;
 const MAX_CONNECTIONS_PER_ORIGIN = 256;
+/** Maximum size of the body of a response, in bytes. */
+export const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
 /** A pool without connections is kept, as creating it costs more than a connection. */
 const MAX_POOLS = 1024;
 /** How long a connection whose call was given up while it opened is kept for the next call. */
@@ -175,6 +177,7 @@
   return new Pool(origin, {
     connect: { timeout: CONNECT_TIMEOUT_MS },
     connections: MAX_CONNECTIONS_PER_ORIGIN,
+    maxResponseSize: MAX_RESPONSE_BYTES,
     ...SINGLE_CALL_OPTIONS,
   });
 }
