--- a/src/cli/base.ts
+++ b/src/cli/base.ts
@@ -5,12 +5,12 @@
 import { Command, Option, UsageError } from "clipanion";
 import * as E from "fp-ts/Either";
 import type * as t from "io-ts";
+import { MS_PER_SECOND } from "../core/clock";
 import { type DecodeError, decodeText } from "../core/codec";
 import { Exit, type ExitCode } from "./exit";
 import { type Fleet, readFleet } from "./fleet";
 import { CommandError, type Published, Publisher } from "./publisher";
 
-const MS_PER_SECOND = 1000;
 const WAIT_POLL_INTERVAL_MS = 200;
 
 /** A command that prints text or, with --json, JSON for programs. */
--- a/src/control/ratelimiter.ts
+++ b/src/control/ratelimiter.ts
@@ -8,7 +8,7 @@
 import * as E from "fp-ts/Either";
 import type { Blackboard } from "../board/board";
 import { TokenBucket, type BucketLimit } from "../core/bucket";
-import type { Clock, Moment } from "../core/clock";
+import { type Clock, type Moment, MS_PER_SECOND } from "../core/clock";
 import { type DutyAssignment, Duty, findAssignment } from "../core/duties";
 import type {
   ChargeReply,
@@ -336,6 +336,6 @@
     if (settings === undefined || bucket === undefined || settings.rate === 0) return 0;
     const borrowed = loans.reduce((sum, loan) => sum + loan.tokens, 0);
     const missing = tokens - borrowed - bucket.computeLevel(this.clock.now());
-    return Math.max(MIN_RETRY_AFTER_MS, Math.ceil((missing * 1000) / settings.rate));
+    return Math.max(MIN_RETRY_AFTER_MS, Math.ceil((missing * MS_PER_SECOND) / settings.rate));
   }
 }
--- a/src/core/bucket.ts
+++ b/src/core/bucket.ts
@@ -5,7 +5,7 @@
  * still in the bucket. A settled charge refunds its unused tokens, but never more than would have
  * fitted into the bucket had the charge been smaller from the start.
  */
-import type { Moment } from "./clock";
+import { type Moment, MS_PER_SECOND } from "./clock";
 
 /** Rate in tokens per second and burst in tokens. */
 export interface BucketLimit {
@@ -130,7 +130,7 @@
     this.refill(now);
     if (tokens <= this.level) return 0;
     if (tokens > this.limit.burst || this.limit.rate === 0) return Number.POSITIVE_INFINITY;
-    return Math.ceil(((tokens - this.level) * 1000) / this.limit.rate);
+    return Math.ceil(((tokens - this.level) * MS_PER_SECOND) / this.limit.rate);
   }
 
   /** Counts the loans that the borrower may still spend. */
@@ -182,7 +182,7 @@
 
   private addRefill(until: Moment): void {
     if (until <= this.refilledAt) return;
-    const refilled = ((until - this.refilledAt) * this.limit.rate) / 1000;
+    const refilled = ((until - this.refilledAt) * this.limit.rate) / MS_PER_SECOND;
     this.level = Math.min(this.level + refilled, Math.max(this.level, this.computeCeiling()));
     this.refilledAt = until;
     this.updatePeaks();
--- a/src/core/clock.ts
+++ b/src/core/clock.ts
@@ -2,6 +2,8 @@
  * Monotonic clocks in milliseconds, so that steps of the wall clock have no effect.
  */
 
+export const MS_PER_SECOND = 1000;
+
 /** A moment on the monotonic clock of this process, in milliseconds. */
 export type Moment = number;
 
--- a/src/entry/response.ts
+++ b/src/entry/response.ts
@@ -2,6 +2,7 @@
  * Writes refusals as JSON responses, and names the headers of all responses to callers.
  */
 import type { ServerResponse } from "node:http";
+import { MS_PER_SECOND } from "../core/clock";
 import type { Refusal } from "../core/outcome";
 
 /** Names of the headers of a response to a caller. */
@@ -13,8 +14,6 @@
   replayed: "x-gorsefold-replayed",
 } as const;
 
-const MS_PER_SECOND = 1000;
-
 /**
  * Creates the body of a refusal.
  *
--- a/src/entry/service.ts
+++ b/src/entry/service.ts
@@ -31,6 +31,8 @@
 import { type Caller, checkCaller } from "./caller";
 
 const MAX_ATTEMPTS = 4;
+/** Time that an endpoint may take to show that it still runs. */
+const PROBE_TIMEOUT_MS = 500;
 /** Time that one attempt at a repeatable call may take before the call is sent elsewhere. */
 const ATTEMPT_TIMEOUT_MS = 2500;
 const RETRY_AFTER_MS = 1000;
@@ -247,8 +249,8 @@
       path: "/livez",
       headers: {},
       body: Buffer.alloc(0),
-      timeoutMs: 500,
-      signal: AbortSignal.timeout(500),
+      timeoutMs: PROBE_TIMEOUT_MS,
+      signal: AbortSignal.timeout(PROBE_TIMEOUT_MS),
     })();
     if (E.isRight(probe) || probe.left.isSent) return;
     const now = clock.now();
--- a/src/fleet/orders.ts
+++ b/src/fleet/orders.ts
@@ -12,7 +12,7 @@
 import * as E from "fp-ts/Either";
 import * as t from "io-ts";
 import { uptime } from "node:os";
-import type { Clock, Moment } from "../core/clock";
+import { type Clock, type Moment, MS_PER_SECOND } from "../core/clock";
 import { decodeText } from "../core/codec";
 import type { Logger } from "../core/log";
 import type { LogPosition } from "./position";
@@ -22,7 +22,6 @@
 const MAX_APPEND_MS = 400;
 /** How long an order may still be in flight after its lease has expired, in milliseconds. */
 const ORDER_MARGIN_MS = 2500;
-const MS_PER_SECOND = 1000;
 /** Fencing tokens of one era; the log never has as many records. */
 const FENCES_PER_ERA = 2 ** 32;
 
--- a/src/forward/meter.ts
+++ b/src/forward/meter.ts
@@ -2,8 +2,8 @@
  * Counters, gauges and latency histograms of an instance, in the Prometheus text format.
  */
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { MS_PER_SECOND } from "../core/clock";
 
-const MS_PER_SECOND = 1000;
 const PREFIX = "gorsefold_";
 /** Upper bounds of the latency buckets, in seconds: from a lookup to the longest stream. */
 const LATENCY_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 20];
--- a/src/forward/quota.ts
+++ b/src/forward/quota.ts
@@ -8,7 +8,7 @@
  * besides within a window. The tolerance is divided: parts of it raise the refill and the capacity
  * of the account, the rest covers what the owner cannot know yet.
  */
-import type { Moment } from "../core/clock";
+import { type Moment, MS_PER_SECOND } from "../core/clock";
 import { SlidingWindowSum } from "../core/window";
 import type { RateLimit } from "../fleet/config";
 import type { FleetSize } from "../fleet/members";
@@ -246,7 +246,7 @@
    */
   private computeAccountLimit({ perSecond, burst }: RateLimit): AccountLimit {
     const { ratio, slack, windowMs } = this.tolerance;
-    const windowSeconds = windowMs / 1000;
+    const windowSeconds = windowMs / MS_PER_SECOND;
     const tolerance = (perSecond * windowSeconds + burst) * ratio + slack;
     return {
       refillPerSecond: perSecond + (tolerance * TOLERANCE_SHARES.refill) / windowSeconds,
@@ -263,7 +263,7 @@
     const { heard, missing } = this.readFleetSize();
     if (missing === 0) return 1;
     const { refillPerSecond, tolerance } = this.computeAccountLimit(limit);
-    const windowRefill = (refillPerSecond * this.tolerance.windowMs) / 1000;
+    const windowRefill = (refillPerSecond * this.tolerance.windowMs) / MS_PER_SECOND;
     const margin = 1 + (tolerance * TOLERANCE_SHARES.partition) / Math.max(1, windowRefill);
     return Math.min(1, (heard / (heard + missing)) * Math.min(margin, MAX_SHARE_MARGIN));
   }
@@ -303,7 +303,7 @@
     const { refillPerSecond, capacity, tolerance } = this.computeAccountLimit(limit);
     const instances = this.countInstances();
     const heardShare = this.computeHeardShare(limit);
-    const seconds = (now - account.refilledAt) / 1000;
+    const seconds = (now - account.refilledAt) / MS_PER_SECOND;
     const refill = seconds * refillPerSecond;
     const maxShare = (tolerance * TOLERANCE_SHARES.unasked) / instances;
     account.level = Math.min(capacity * heardShare, account.level + refill * heardShare);
@@ -342,5 +342,5 @@
 }
 
 function computeRefillMs(cost: number, perSecond: number): number {
-  return perSecond > 0 ? (cost * 1000) / perSecond : 0;
+  return perSecond > 0 ? (cost * MS_PER_SECOND) / perSecond : 0;
 }
--- a/src/forward/server.ts
+++ b/src/forward/server.ts
@@ -26,6 +26,8 @@
  * smaller.
  */
 const MAX_PARSED_HEAD_BYTES = 65_536;
+/** Connections that may wait to be accepted. */
+const LISTEN_BACKLOG = 1024;
 /**
  * How often connections are checked for request heads that exceed their timeout, in milliseconds.
  */
@@ -100,7 +102,7 @@
   listen(host: string, port: number): Promise<void> {
     return new Promise((resolve, reject) => {
       this.server.once("error", reject);
-      this.server.listen({ host, port, backlog: 1024 }, resolve);
+      this.server.listen({ host, port, backlog: LISTEN_BACKLOG }, resolve);
     });
   }
 
