--- a/scripts/mutations/forwarding.mjs
+++ b/scripts/mutations/forwarding.mjs
@@ -24,14 +24,6 @@
     test: "forward",
     pattern: "run once",
   },
-  {
-    name: "forwarding: a response to another request is not accepted",
-    file: "src/forward/service.ts",
-    find: "if (head.verdict === Verdict.mismatched) {",
-    replace: "if (head.verdict === undefined) {",
-    test: "forward",
-    pattern: "belongs to another",
-  },
   {
     name: "forwarding: late generations leave room",
     file: "src/forward/overload.ts",
