Take an answer without length or chunks as whole only if its endpoint is up

What callers saw: an engine or a service that died amid an answer with neither a length nor chunks left them a short one that counted as complete: 200, no resume, no retry. An empty one counted as a complete stream. Cause: the kernel closes the sockets of a dead process properly, so the end of the connection says nothing. Besides, a stream of this kind that was cut was cut by a proper close, which its caller cannot tell from an end.

Change: such a stream without any event is broken. After such an end the endpoint is probed by a new connection; if it refuses it, the stream is broken (resumed where it may be, else cut), and a service answer counts as not received: asked again within budget and attempts, or 502. The rule holds for failures of a service too, as their bodies may be cut as well. A cut of an unframed stream is a reset. canEndWith and the framing towards the caller are unchanged.

Ruled out: the reset flag of the socket (isBroken): it is not set after a proper close. What stays: an endpoint that is up again when it is probed counts as alive.

The test client took a reset of an unframed response for a complete one, as Node.js does; it now reports a reset as incomplete, which is stricter.

--- a/src/forward/decode.ts
+++ b/src/forward/decode.ts
@@ -22,7 +22,7 @@
 } from "./messages";
 import { readWholeBody, type BufferedResponse } from "./service";
 import { EndpointState, probeEndpoint } from "./probe";
-import { RelayEnd, relayEvents } from "./relay";
+import { RelayEnd, relayEvents, type RelayResult } from "./relay";
 
 /**
  * How long a resumable stream may be silent before it is resumed on another engine, in
@@ -236,7 +236,7 @@
     endpoint: EndpointEntry,
     deadlineSignal: DeadlineSignal,
   ): Promise<TryResult> {
-    const { end, message } = await relayEvents({
+    const relayed = await relayEvents({
       response,
       deadlineSignal,
       ...this.chooseRelayTimeouts(),
@@ -244,6 +244,7 @@
         this.forwardEvents(response, events);
       },
     });
+    const { end, message } = await this.confirmEnd(relayed, response, endpoint);
     if (end === RelayEnd.complete && this.canEndWith(response)) {
       this.forwardEvents(response, []);
       this.parts.context.crashes.clear(this.request.fingerprint);
@@ -268,6 +269,18 @@
     };
   }
 
+  /** An unframed response ends in the same way if its engine has just crashed. */
+  private async confirmEnd(
+    relayed: RelayResult,
+    response: OpenResponse,
+    endpoint: EndpointEntry,
+  ): Promise<RelayResult> {
+    if (relayed.end !== RelayEnd.complete || response.isFramed) return relayed;
+    const state = await probeEndpoint(this.parts.context, this.request, endpoint);
+    if (state !== EndpointState.down) return relayed;
+    return { end: RelayEnd.broken, message: "the engine is down after the end of its connection" };
+  }
+
   /** An unframed response may have ended early, so it must not complete a framed one. */
   private canEndWith(response: OpenResponse): boolean {
     const hasStarted = this.firstSentAt !== undefined;
--- a/src/forward/relay.ts
+++ b/src/forward/relay.ts
@@ -56,6 +56,7 @@
   const { response, deadlineSignal, firstEventTimeoutMs, silenceTimeoutMs, onEvents } = options;
   const { body } = response;
   const splitter = new EventSplitter();
+  let hasEvents = false;
   return new Promise((resolve) => {
     let timer: NodeJS.Timeout | undefined;
     const finish = (end: RelayEnd, message: string) => {
@@ -84,6 +85,7 @@
     body.on("data", (bytes: Buffer) => {
       const events = splitter.push(bytes);
       if (events.length > 0) {
+        hasEvents = true;
         restartTimer(silenceTimeoutMs);
         onEvents(events);
       }
@@ -91,13 +93,24 @@
         finish(RelayEnd.malformed, `an event exceeds ${MAX_EVENT_BYTES} bytes`);
     });
     body.on("end", () => {
-      if (response.isBroken()) finish(RelayEnd.broken, "the connection broke within the stream");
-      else if (splitter.partialBytes > 0)
-        finish(RelayEnd.broken, "the stream ended within an event");
-      else finish(RelayEnd.complete, "complete");
+      const fault = findFaultOfEnd(response, splitter, hasEvents);
+      if (fault === undefined) finish(RelayEnd.complete, "complete");
+      else finish(RelayEnd.broken, fault);
     });
     body.on("error", (error: Error) => {
       finish(RelayEnd.broken, error.message);
     });
   });
 }
+
+/** Finds out why a stream that has ended is not whole; returns undefined if it may be. */
+function findFaultOfEnd(
+  response: OpenResponse,
+  splitter: EventSplitter,
+  hasEvents: boolean,
+): string | undefined {
+  if (response.isBroken()) return "the connection broke within the stream";
+  if (splitter.partialBytes > 0) return "the stream ended within an event";
+  if (!response.isFramed && !hasEvents) return "the connection ended before an event";
+  return undefined;
+}
--- a/src/forward/server.ts
+++ b/src/forward/server.ts
@@ -232,8 +232,10 @@
   }
 
   private createSink(response: ServerResponse): StreamSink {
+    let isUnframed = false;
     return {
       begin: (status, headers, isFramed) => {
+        isUnframed = !isFramed;
         if (response.destroyed) return;
         this.writeHead(response, status, headers, isFramed);
         response.flushHeaders();
@@ -245,6 +247,8 @@
         response.end();
       },
       cut: () => {
+        // A proper close would end an unframed response as whole.
+        if (isUnframed) response.socket?.resetAndDestroy();
         response.destroy();
       },
     };
--- a/src/forward/service.ts
+++ b/src/forward/service.ts
@@ -20,7 +20,7 @@
 import { type ForwardContext, type RequestTimes, resetDataCentreConnections } from "./context";
 import { type ResponseHead, type ForwardRequest, SendTask, Verdict } from "./messages";
 import { CallOutcome } from "./health";
-import { probeEndpoint } from "./probe";
+import { EndpointState, probeEndpoint } from "./probe";
 import { chooseEndpoint } from "./balancer";
 
 /** Maximum number of sends of one request, including those that did not run it. */
@@ -224,6 +224,11 @@
       const message = "the answer does not come from the endpoint itself";
       return { end: SendEnd.unknown, response: undefined, message };
     }
+    const state = isFramed ? undefined : await this.probeAfterBreak(endpoint, deadlineSignal);
+    if (state === EndpointState.down) {
+      const message = "the endpoint is down after the end of its connection";
+      return { end: SendEnd.unknown, response: undefined, message };
+    }
     return {
       end: SendEnd.answered,
       response: { head, body: whole.right, isFramed },
@@ -245,12 +250,13 @@
     return { end: SendEnd.unknown, response: undefined, message };
   }
 
+  /** Probes an endpoint whose connection ended; returns undefined if the send was aborted. */
   private async probeAfterBreak(
     endpoint: EndpointEntry,
     deadlineSignal: DeadlineSignal,
-  ): Promise<void> {
-    if (deadlineSignal.cause !== undefined) return;
-    await probeEndpoint(this.context, this.request, endpoint);
+  ): Promise<EndpointState | undefined> {
+    if (deadlineSignal.cause !== undefined) return undefined;
+    return probeEndpoint(this.context, this.request, endpoint);
   }
 
   /**
--- a/test/harness/fixture.ts
+++ b/test/harness/fixture.ts
@@ -63,11 +63,15 @@
     const request = httpRequest(
       { host: "127.0.0.1", port: at, path, agent, headers: { "x-id": id, ...headers } },
       (response) => {
+        // After a reset, Node.js takes a response that has no length as complete.
+        let wasReset = false;
+        request.off("error", reject);
+        request.on("error", () => (wasReset = true));
         let body = "";
         response.on("data", (bytes: Buffer) => (body += bytes.toString()));
         const finish = () => {
           const { statusCode = 0, headers: got, complete } = response;
-          resolve({ status: statusCode, body, isComplete: complete, headers: got });
+          resolve({ status: statusCode, body, isComplete: complete && !wasReset, headers: got });
         };
         response.on("end", finish);
         response.on("error", finish);
--- a/test/harness/raw.ts
+++ b/test/harness/raw.ts
@@ -41,6 +41,11 @@
     return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
   }
 
+  /** Refuses new connections, as if the process had died; open ones are left to the test. */
+  stopListening(): void {
+    this.server.close();
+  }
+
   close(): void {
     for (const socket of this.sockets) socket.destroy();
     this.server.close();
