Refuse bytes that are no request after the answers before them

Seen: a caller that had sent a request, and behind it bytes that are no request or a head that came too slowly, got the 400 or 408 at once, where the answer to its request was due. The entry server said "not run" there of a call that ran.

Cause: both servers wrote this refusal straight to the socket, past the queue of responses that Node.js keeps for each connection.

Ruled out, by tests that passed before: a first request whose time is up while the second one's answer is there; an answer without a length, and a cut stream, with a request behind them. Bodies sent to callers are as long as their content-length says, or chunked: content-length is not taken from endpoints.

Change: src/entry/badconnection.ts has the refusal wait for its turn. Bytes behind a request close the connection after its answer; a malformed body is refused in the response to its own request.

--- a/scripts/mutations/forwarding.mjs
+++ b/scripts/mutations/forwarding.mjs
@@ -288,4 +288,12 @@
     test: "unframed",
     pattern: "is cut",
   },
+  {
+    name: "pipelining: bytes that are no request are refused after the answers before them",
+    file: "src/entry/badconnection.ts",
+    find: "if (last === undefined || last.response.writableFinished) {",
+    replace: "if (last === undefined || last !== null) {",
+    test: "pipeline",
+    pattern: "no request|too slowly",
+  },
 ];
--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -11,6 +11,7 @@
 import type { Address } from "../core/settings";
 import { countTokens } from "../core/tokens";
 import { Metric } from "../core/metrics";
+import { BadConnections, type BadRequestAnswer } from "./badconnection";
 import { ResponseHeader, writeRefusal } from "./response";
 import { type Caller, containsKey, identifyCaller, readKey } from "./caller";
 import { chooseClass, parseCompletion } from "./completion";
@@ -52,6 +53,7 @@
   private readonly server: Server;
   private readonly inFlight = new Set<Promise<void>>();
   private readonly sockets = new Set<Socket>();
+  private readonly badConnections = new BadConnections();
 
   constructor(
     private readonly parts: RunnerParts,
@@ -67,7 +69,7 @@
     );
     this.server.headersTimeout = limits.headersTimeoutMs;
     this.server.on("clientError", (error: Error & { code?: string }, socket: Socket) => {
-      rejectBadConnection(error, socket);
+      this.rejectBadConnection(error, socket);
     });
     this.server.on("connection", (socket: Socket) => {
       this.sockets.add(socket);
@@ -103,7 +105,13 @@
     this.server.closeAllConnections();
   }
 
+  private rejectBadConnection(error: Error & { code?: string }, socket: Socket): void {
+    if (error.code === "ECONNRESET" || !socket.writable) socket.destroy();
+    else this.badConnections.answer(socket, createBadRequestAnswer(error));
+  }
+
   private accept(request: IncomingMessage, response: ServerResponse): void {
+    this.badConnections.record(request, response);
     const run = this.handle(request, response).catch((error: unknown) => {
       this.parts.logger.error("broken invariant", {
         message: (error as Error).message,
@@ -377,23 +385,14 @@
   });
 }
 
-/**
- * Sends the usual JSON refusal on a connection whose bytes could not be parsed as a request, where
- * the connection is still writable.
- */
-function rejectBadConnection(error: Error & { code?: string }, socket: Socket): void {
-  if (error.code === "ECONNRESET" || !socket.writable) {
-    socket.destroy();
-    return;
-  }
+/** Creates the usual JSON refusal of bytes that could not be parsed as a request. */
+function createBadRequestAnswer(error: Error & { code?: string }): BadRequestAnswer {
   const isHeadersTimeout = error.code === "ERR_HTTP_REQUEST_TIMEOUT";
-  const status = isHeadersTimeout ? "408 Request Timeout" : "400 Bad Request";
+  const [status, reason] = isHeadersTimeout ? [408, "Request Timeout"] : [400, "Bad Request"];
   const message = isHeadersTimeout ? "the headers came too slowly" : "the request is not HTTP";
   const body = JSON.stringify({
     error: { type: Reason.badRequest, message, outcome: ExecutionStatus.notRun },
   });
-  socket.end(
-    `HTTP/1.1 ${status}\r\ncontent-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\n` +
-      `${ResponseHeader.ran}: ${ExecutionStatus.notRun}\r\nconnection: close\r\n\r\n${body}`,
-  );
+  const ran = { [ResponseHeader.ran]: ExecutionStatus.notRun };
+  return { status, reason, headers: { "content-type": "application/json", ...ran }, body };
 }
--- a/src/forward/server.ts
+++ b/src/forward/server.ts
@@ -8,6 +8,7 @@
 import type { CallerLimits } from "../fleet/config";
 import type { Clock, Moment } from "../core/clock";
 import type { Logger } from "../core/log";
+import { BadConnections } from "../entry/badconnection";
 import { createNotRunRefusal, Reason, type Refusal } from "../core/outcome";
 import type { CallerCodec, RequestHead } from "./messages";
 import type { Meter } from "./meter";
@@ -61,6 +62,7 @@
 export class ForwardServer {
   private readonly server: Server;
   private readonly sockets = new Set<Socket>();
+  private readonly badConnections = new BadConnections();
   private limits = INITIAL_LIMITS;
   private openRequests = 0;
   private isClosing = false;
@@ -133,6 +135,7 @@
   }
 
   private async onRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.badConnections.record(request, response);
     const arrivedAt = this.clock.now();
     const callerAbort = new AbortController();
     const onCallerGone = () => {
@@ -265,8 +268,8 @@
     }
     const isSlow = error.code === "ERR_HTTP_REQUEST_TIMEOUT";
     this.logger.info("bad connection", { code: error.code ?? "", message: error.message });
-    const status = isSlow ? "408 Request Timeout" : "400 Bad Request";
-    socket.end(`HTTP/1.1 ${status}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`);
+    const [status, reason] = isSlow ? [408, "Request Timeout"] : [400, "Bad Request"];
+    this.badConnections.answer(socket, { status, reason, headers: {}, body: "" });
   }
 }
 
--- a/test/path.spec.ts
+++ b/test/path.spec.ts
@@ -103,13 +103,28 @@
     assert.match(answer, /^HTTP\/1\.1 408 /);
     assert.match(answer, /"outcome":"not run"/);
   });
+
+  it("does not refuse a call as not run that runs, because of bytes that follow it", async () => {
+    const body = JSON.stringify({ issue: "followed", delayMs: 300 });
+    const head = `POST /sheets/issues HTTP/1.1\r\nhost: a\r\nauthorization: Bearer ${KEYS.large}\r\n`;
+    const call = `${head}content-type: application/json\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+    const port = fleet.callerPorts.get("nizwa-1") ?? 0;
+    const answer = await sendRaw(port, `${call}no request\r\n\r\n`);
+    assert.match(answer, /^HTTP\/1\.1 200 /);
+    assert.equal(answer.match(/HTTP\/1\.1/g)?.length, 1);
+  });
 });
 
 /** Sends the beginning of a request's headers and reads the response until the connection closes. */
 function sendPartialHeaders(port: number): Promise<string> {
+  return sendRaw(port, "POST /v1/completions HTTP/1.1\r\nhost: a\r\nx-slow: ");
+}
+
+/** Sends text and reads what comes back until the connection closes. */
+function sendRaw(port: number, text: string): Promise<string> {
   return new Promise((resolve) => {
     const socket = connect(port, "127.0.0.1", () => {
-      socket.write("POST /v1/completions HTTP/1.1\r\nhost: a\r\nx-slow: ");
+      socket.write(text);
     });
     let received = "";
     socket.on("data", (chunk: Buffer) => (received += String(chunk)));
