Log and count foreign answers, and say how they are told

Operators could not see that an endpoint answers twice: a foreign answer showed only in the message of the send that failed.

--- a/src/forward/client.ts
+++ b/src/forward/client.ts
@@ -112,20 +112,34 @@
   close(): Promise<void>;
 }
 
+/** An answer that came where the answer to another exchange was due. */
+export interface ForeignAnswer {
+  /** Id of the request that waited for its own answer. */
+  readonly request: string;
+  readonly service: string;
+  readonly endpoint: string;
+  readonly status: number;
+  /** Id of the request that the answer names; undefined if it names none. */
+  readonly answeredId: string | undefined;
+}
+
+/** What a client asks of its instance. */
+export interface ClientHost {
+  /** Computes how many connections to one endpoint of a service this instance may open. */
+  computeMaxConnections(service: string): number;
+  onForeignAnswer(answer: ForeignAnswer): void;
+}
+
 /** Sends to endpoints over HTTP/1.1. */
 export class HttpEndpointClient implements EndpointClient {
   private readonly pools = new Map<string, ConnectionPool>();
   private readonly timer: NodeJS.Timeout;
 
-  /**
-   * @param computeMaxConnections - computes how many connections to one endpoint of a service this
-   *   instance may open
-   */
   constructor(
     private readonly codec: EndpointCodec,
     private readonly gate: EndpointGate,
     private readonly clock: Clock,
-    private readonly computeMaxConnections: (service: string) => number,
+    private readonly host: ClientHost,
   ) {
     this.timer = setInterval(() => {
       this.removeClosed();
@@ -144,7 +158,7 @@
     const connection = pool.acquireForRequest({
       id: head.id,
       needsNewConnection: send.needsNewConnection,
-      maxConnections: this.computeMaxConnections(service),
+      maxConnections: this.host.computeMaxConnections(service),
     });
     if (connection === undefined) {
       const message = "all connections to the endpoint are in use";
@@ -170,7 +184,7 @@
         pool.discard(connection);
         // The endpoint may have written late copies on its other connections too.
         pool.closeIdle();
-        return E.left(createForeignFailure(response.statusCode, answeredId));
+        return E.left(this.reportForeign(send, response.statusCode, answeredId));
       }
       connection.limitBytes(
         send.task === SendTask.prefill ? MAX_SMALL_BODY_BYTES : MAX_FRAMED_BYTES,
@@ -229,6 +243,19 @@
     return Promise.resolve();
   }
 
+  private reportForeign(
+    { request, endpoint }: EndpointRequest,
+    status: number,
+    answeredId: string | undefined,
+  ): SendFailure {
+    const { id, service } = endpoint;
+    const answer = { request: request.head.id, service, endpoint: id, status, answeredId };
+    this.host.onForeignAnswer(answer);
+    const named = answeredId === undefined ? "no request" : `request ${answeredId}`;
+    const message = `an answer ${status} to ${named} came on the connection`;
+    return new SendFailure(SendFailureKind.foreign, message);
+  }
+
   private getOrCreatePool(address: string): ConnectionPool {
     const existing = this.pools.get(address);
     if (existing !== undefined) return existing;
@@ -275,12 +302,6 @@
   return isConnectError(error) ? SendFailureKind.unreachable : SendFailureKind.broken;
 }
 
-function createForeignFailure(status: number, answeredId: string | undefined): SendFailure {
-  const named = answeredId === undefined ? "no request" : `request ${answeredId}`;
-  const message = `an answer ${status} to ${named} came on the connection`;
-  return new SendFailure(SendFailureKind.foreign, message);
-}
-
 function createHeldFailure(): SendFailure {
   const message = "the endpoint asked for a pause or is leaving";
   return new SendFailure(SendFailureKind.held, message);
--- a/src/forward/meter.ts
+++ b/src/forward/meter.ts
@@ -34,6 +34,11 @@
     "reason",
   ]);
   readonly repeats = this.createCounter("repeats_total", "Requests sent once more", ["service"]);
+  readonly foreignAnswers = this.createCounter(
+    "foreign_answers_total",
+    "Answers that came where the answer to another exchange was due",
+    ["service"],
+  );
   readonly storeCalls = this.createCounter("store_calls_total", "Calls to the store", []);
   readonly storeFailures = this.createCounter("store_failures_total", "Failed calls to it", []);
   private readonly requests = this.createHistogram(
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -107,9 +107,13 @@
   const { settings, adapter, clock, meter, logger } = base;
   const { directory } = view;
   const gate = new EndpointGate(directory, clock, logger);
-  const client = new HttpEndpointClient(adapter.endpointCodec, gate, clock, (service) =>
-    computeMaxConnections(view, service),
-  );
+  const client = new HttpEndpointClient(adapter.endpointCodec, gate, clock, {
+    computeMaxConnections: (service) => computeMaxConnections(view, service),
+    onForeignAnswer: (answer) => {
+      meter.foreignAnswers.inc({ service: answer.service });
+      logger.warn("foreign answer", { ...answer, answeredId: answer.answeredId ?? "" });
+    },
+  });
   return {
     clock,
     logger,
