Keep the maximum of connections to an endpoint when a new one is needed

Change: whenever a connection is opened, those that are idle the longest give way. Calls of the router's own have a set of their own: they make idle ones give way, but take no connection from requests, as they did.

--- a/scripts/mutations/forwarding.mjs
+++ b/scripts/mutations/forwarding.mjs
@@ -190,8 +190,9 @@
   {
     name: "exchanges: a call has a connection of its own",
     file: "src/forward/pool.ts",
-    find: "  openForCall(): Connection {\n    return this.open();",
-    replace: '  openForCall(): Connection {\n    return this.takeIdle("") ?? this.open();',
+    find: "  openForCall(): Connection {\n    const connection = new Connection(this.address);",
+    replace:
+      '  openForCall(): Connection {\n    const connection = this.takeIdle("") ?? new Connection(this.address);',
     test: "latecopies",
   },
   {
@@ -296,4 +297,25 @@
     test: "pipeline",
     pattern: "no request|too slowly",
   },
+  {
+    name: "pool: idle connections give way, so that the maximum is kept",
+    file: "src/forward/pool.ts",
+    find: "while (this.idle.length > maxIdle) this.idle.shift()?.close();",
+    replace: "while (this.idle.length < 0) this.idle.shift()?.close();",
+    test: "pool",
+  },
+  {
+    name: "pool: a connection carries a bounded number of requests",
+    file: "src/forward/connection.ts",
+    find: "this.isAlive && this.requestIds.size < MAX_REQUESTS",
+    replace: "this.isAlive",
+    test: "pool",
+  },
+  {
+    name: "exchanges: a foreign answer closes the idle connections to its endpoint",
+    file: "src/forward/client.ts",
+    find: "        pool.closeIdle();\n        return E.left(this.reportForeign",
+    replace: "        return E.left(this.reportForeign",
+    test: "pool",
+  },
 ];
--- a/src/forward/connection.ts
+++ b/src/forward/connection.ts
@@ -26,7 +26,7 @@
 /**
  * Maximum number of requests that one connection carries; bounds the ids that it remembers.
  */
-const MAX_REQUESTS = 200;
+export const MAX_REQUESTS = 200;
 /** Maximum size of a response, in bytes. */
 const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
 
--- a/src/forward/pool.ts
+++ b/src/forward/pool.ts
@@ -21,7 +21,10 @@
 /** The connections to one endpoint. */
 export class ConnectionPool {
   private idle: Connection[] = [];
+  /** In use by requests. */
   private readonly busy = new Set<Connection>();
+  /** In use by calls of the router's own, which take no connection from requests. */
+  private readonly calls = new Set<Connection>();
   private maxConnections = DEFAULT_MAX_CONNECTIONS;
 
   constructor(
@@ -31,7 +34,7 @@
 
   /** True if it has no connection, so that it can be forgotten. */
   get isEmpty(): boolean {
-    return this.idle.length === 0 && this.busy.size === 0;
+    return this.idle.length + this.busy.size + this.calls.size === 0;
   }
 
   /**
@@ -44,14 +47,19 @@
     this.maxConnections = request.maxConnections;
     const kept = request.needsNewConnection ? undefined : this.takeIdle(request.id);
     if (kept === undefined && this.busy.size >= this.maxConnections) return undefined;
-    const connection = kept ?? this.open();
+    const connection = kept ?? new Connection(this.address);
     connection.recordRequest(request.id);
+    this.busy.add(connection);
+    this.closeSurplus();
     return connection;
   }
 
   /** Opens a connection of its own for a call of the router's own; it is discarded after it. */
   openForCall(): Connection {
-    return this.open();
+    const connection = new Connection(this.address);
+    this.calls.add(connection);
+    this.closeSurplus();
+    return connection;
   }
 
   /** Takes back a connection whose answer was read to its end. */
@@ -69,6 +77,7 @@
   /** Closes a connection that failed, or whose answer was not read to its end. */
   discard(connection: Connection): void {
     this.busy.delete(connection);
+    this.calls.delete(connection);
     connection.close();
   }
 
@@ -86,27 +95,19 @@
   /** Closes all connections, also those with an exchange in flight. */
   close(): void {
     this.closeIdle();
-    for (const connection of this.busy) connection.close();
+    for (const connection of [...this.busy, ...this.calls]) connection.close();
   }
 
   private takeIdle(requestId: string): Connection | undefined {
     this.removeClosed();
     const index = this.idle.findLastIndex((connection) => !connection.hasCarried(requestId));
     if (index < 0) return undefined;
-    const [connection] = this.idle.splice(index, 1);
-    if (connection !== undefined) this.busy.add(connection);
-    return connection;
-  }
-
-  private open(): Connection {
-    const connection = new Connection(this.address);
-    this.busy.add(connection);
-    return connection;
+    return this.idle.splice(index, 1)[0];
   }
 
-  /** Closes the connections that are idle the longest, down to the maximum. */
+  /** Closes the connections that are idle the longest, so that all together keep the maximum. */
   private closeSurplus(): void {
-    const maxIdle = Math.max(1, this.maxConnections - this.busy.size);
+    const maxIdle = Math.max(0, this.maxConnections - this.busy.size - this.calls.size);
     while (this.idle.length > maxIdle) this.idle.shift()?.close();
   }
 }
--- /dev/null
+++ b/test/pool.spec.ts
@@ -0,0 +1,103 @@
+/**
+ * Connections to one endpoint, opened to a real server. Guards against more of them than an instance may open, and
+ * against connections that remember requests without bound.
+ */
+import assert from "node:assert/strict";
+import type { Socket } from "node:net";
+import { afterEach, beforeEach, describe, it } from "node:test";
+import { MonotonicClock } from "../src/core/clock";
+import { type Connection, MAX_REQUESTS } from "../src/forward/connection";
+import { ConnectionPool } from "../src/forward/pool";
+import { addEndpoint, get, port, prepareEach, start } from "./harness/fixture";
+import { waitUntil } from "./harness/forward";
+import { RawEndpoint, writeAnswer } from "./harness/raw";
+
+const MAX_CONNECTIONS = 4;
+const KEPT = "keep-alive: timeout=5\r\n";
+
+describe("the connections to an endpoint", () => {
+  let endpoint: RawEndpoint;
+  let pool: ConnectionPool;
+  let requests = 0;
+
+  beforeEach(async () => {
+    requests = 0;
+    endpoint = new RawEndpoint((_head, socket) => {
+      socket.write(`HTTP/1.1 200 OK\r\n${KEPT}content-length: 2\r\n\r\nok`);
+    });
+    pool = new ConnectionPool(await endpoint.listen(), new MonotonicClock());
+  });
+  afterEach(() => {
+    pool.close();
+    endpoint.close();
+  });
+
+  const acquire = (needsNewConnection = false): Connection => {
+    requests += 1;
+    const request = { id: `r${requests}`, needsNewConnection, maxConnections: MAX_CONNECTIONS };
+    const connection = pool.acquireForRequest(request);
+    assert.ok(connection !== undefined);
+    return connection;
+  };
+  const exchange = async (connection: Connection): Promise<void> => {
+    const response = await connection.client.request({ method: "GET", path: "/" });
+    await response.body.text();
+  };
+  const exchangeTogether = async (needsNewConnection: boolean): Promise<void> => {
+    const connections = Array.from({ length: MAX_CONNECTIONS }, () => acquire(needsNewConnection));
+    await Promise.all(connections.map(exchange));
+    for (const connection of connections) pool.release(connection);
+  };
+
+  it("stay within the maximum while requests need new ones beside idle ones", async () => {
+    for (const needsNew of [false, true, true]) {
+      await exchangeTogether(needsNew);
+      await waitUntil(() => endpoint.sockets.size <= MAX_CONNECTIONS, 500);
+    }
+    assert.equal(endpoint.sockets.size, MAX_CONNECTIONS);
+  });
+
+  it("give way to calls of the router's own, which take none from requests", async () => {
+    await exchangeTogether(false);
+    const calls = Array.from({ length: MAX_CONNECTIONS }, () => pool.openForCall());
+    await Promise.all(calls.map(exchange));
+    await waitUntil(() => endpoint.sockets.size <= MAX_CONNECTIONS, 500);
+    assert.equal(acquire().isAlive, false, "a new connection, which opens with its request");
+    for (const call of calls) pool.discard(call);
+  });
+
+  it("are used again, each for a bounded number of requests", async () => {
+    const used = new Set<Connection>();
+    for (let turn = 0; turn < MAX_REQUESTS + 1; turn += 1) {
+      const connection = acquire();
+      used.add(connection);
+      await exchange(connection);
+      pool.release(connection);
+    }
+    assert.equal(used.size, 2);
+  });
+});
+
+describe("a foreign answer", () => {
+  prepareEach();
+
+  it("closes the other idle connections to its endpoint, which may hold late copies too", async () => {
+    const answered: Socket[] = [];
+    const endpoint = await addEndpoint("a", (head, socket) => {
+      if (head.includes("/once/foreign")) {
+        socket.write("HTTP/1.1 200 OK\r\nx-id: another\r\ncontent-length: 0\r\n\r\n");
+        return;
+      }
+      answered.push(socket);
+      const write = () => {
+        writeAnswer(socket, head, "sheet");
+      };
+      setTimeout(write, 50);
+    });
+    await start();
+    await Promise.all([1, 2, 3].map((sheet) => get(port, `/once/${sheet}`)));
+    assert.equal(new Set(answered).size, 3);
+    assert.equal((await get(port, "/once/foreign")).status, 502);
+    await waitUntil(() => endpoint.sockets.size === 0, 150);
+  });
+});
