Name the ends of processes that the harness did not cause

Seen: in "key withdrawn, and pause nizwa-2" nizwa-2 wrote nothing after its pause and was gone (KNOWN-RED.txt). The harness kept neither exit codes nor signals.

Traced so far, from the logs in test/recorded: nizwa-2 was stopped at about 10:07:50.6, when it last wrote. All ten issues that waited for it failed at 53.783 (their second attempts ran at bahla-1 within 3 ms), so it died 3.2 s after SIGSTOP. The configuration of the end of the first fault was in force at 53.658, one status timeout after it began, so it was still stopped then. The harness sends SIGCONT only after a second status timeout: 5.3 s after SIGSTOP in a run in which signals were recorded. So it died while it was stopped, when only SIGKILL can end a process. No code of the tests sends a signal to another process than its own children, and to nizwa-2 none was due.

Reproduced: SIGKILL sent from outside 3.17 s after SIGSTOP, in a copy, gave the same picture: two streams ended early, and the next pair failed too (there for a hold of nizwa-2, which the platform still listed; in the recorded run for a fleet that was not ready). 1 of 1 with the test as it was.

Ruled out: an end by the pause itself (31 cycles of withdrawal, pause of 2.5 s and traffic, and 3 runs of the file: none died); an exit whose trace was lost on the way to the log (60 of 60 traces arrived; and a stopped process does not exit); the session's hang-up of stopped processes, which would end the whole group. Not known: who sent it. Memory was not looked at then; the kernel's log is gone.

Change: a process knows whether the harness ended it. A fleet lists the ends that it did not cause, by pid, signal or exit code and time; the pairs of faults fail for one by its name, and a fleet that does not become ready names them too.

With the SIGKILL from outside the pair now fails with "nizwa-2, pid ..., ended by SIGKILL at ...", 2 of 2; without it the file passed 2 of 2. The entries stay in KNOWN-RED.txt.

--- a/test/harness/fleet.ts
+++ b/test/harness/fleet.ts
@@ -34,6 +34,8 @@
 export class Fleet {
   readonly workplace = new RunDirectory();
   readonly processes = new Map<string, RunningProcess>();
+  /** All processes that were started, also those that others have replaced. */
+  private readonly startedProcesses: RunningProcess[] = [];
   /**
    * Proxies by name: the endpoint's name, `log:DC` between a data centre and the log, `peer:DC>NAME` between a data
    * centre and a peer.
@@ -85,7 +87,7 @@
   async restart(name: string): Promise<void> {
     const start = this.startFunctions.get(name);
     if (start === undefined) return;
-    this.processes.set(name, start());
+    this.startProcess(name, start);
     if (this.platform.find(name)?.kind === "instance") await this.setListed(name, true);
   }
 
@@ -94,6 +96,11 @@
     this.processes.get(name)?.signal(signal);
   }
 
+  /** Lists how processes ended that the harness did not end. */
+  listStrayEnds(): readonly string[] {
+    return this.startedProcesses.flatMap((started) => started.describeStrayEnd() ?? []);
+  }
+
   /** Sets whether the platform lists a process, and in which state. */
   async setListed(name: string, isListed: boolean, state = "live"): Promise<void> {
     await this.platform.setListed(name, isListed, state);
@@ -237,8 +244,10 @@
     });
     if (isReady) return;
     const statuses = await Promise.all(names.map((name) => this.readStatus(name)));
+    const strayEnds = this.listStrayEnds().join("; ");
     throw new Error(
-      `the fleet did not become ready: ${JSON.stringify(statuses)}; see ${this.workplace.folder}`,
+      `the fleet did not become ready: ${JSON.stringify(statuses)}; not ended by the harness: ` +
+        `${strayEnds || "none"}; see ${this.workplace.folder}`,
     );
   }
 
@@ -248,7 +257,9 @@
 
   private startProcess(name: string, start: () => RunningProcess): void {
     this.startFunctions.set(name, start);
-    this.processes.set(name, start());
+    const started = start();
+    this.processes.set(name, started);
+    this.startedProcesses.push(started);
   }
 
   private async startEndpoints(): Promise<Record<string, Endpoint>> {
--- a/test/harness/process.ts
+++ b/test/harness/process.ts
@@ -49,9 +49,15 @@
   }
 }
 
+/** Signals by which the harness ends a process. */
+const ENDING_SIGNALS: ReadonlySet<NodeJS.Signals> = new Set(["SIGKILL", "SIGTERM", "SIGINT"]);
+
 /** A child process whose output goes to a file. */
 export class RunningProcess {
   private readonly child: ChildProcess;
+  /** True once the harness has sent a signal that ends the process. */
+  private isEndedByHarness = false;
+  private endedAt: Date | undefined;
   readonly exited: Promise<number | null>;
 
   constructor(
@@ -65,6 +71,7 @@
     this.child.stderr?.pipe(output, { end: false });
     this.exited = new Promise((resolve) => {
       this.child.on("exit", (code) => {
+        this.endedAt = new Date();
         resolve(code);
       });
     });
@@ -74,9 +81,23 @@
     return this.child.exitCode === null && this.child.signalCode === null;
   }
 
+  get pid(): number | undefined {
+    return this.child.pid;
+  }
+
   /** Sends a signal if the process is running. */
   signal(signal: NodeJS.Signals): void {
-    if (this.isRunning) this.child.kill(signal);
+    if (!this.isRunning) return;
+    if (ENDING_SIGNALS.has(signal)) this.isEndedByHarness = true;
+    this.child.kill(signal);
+  }
+
+  /** Describes how the process ended if it did so by itself or by a signal from outside the harness. */
+  describeStrayEnd(): string | undefined {
+    if (this.isRunning || this.isEndedByHarness) return undefined;
+    const { pid, exitCode, signalCode } = this.child;
+    const cause = signalCode ?? `exit code ${exitCode}`;
+    return `${this.name}, pid ${pid}, ended by ${cause} at ${this.endedAt?.toISOString()}`;
   }
 
   /** Sends SIGKILL, which also ends a process stopped by SIGSTOP, and waits for the exit. */
--- a/test/pairs.spec.ts
+++ b/test/pairs.spec.ts
@@ -191,6 +191,7 @@
     if (first === undefined || second === undefined) continue;
     it(`${first.name}, and ${second.name}`, async () => {
       round += 1;
+      const earlierStrayEnds = fleet.listStrayEnds();
       const traffic = sendTraffic();
       await pause(1000);
       await first.begin(fleet);
@@ -200,6 +201,11 @@
       await first.end(fleet);
       await second.end(fleet);
       const { drafts, issues } = await traffic;
+      assert.deepEqual(
+        fleet.listStrayEnds(),
+        earlierStrayEnds,
+        "a process ended that no fault had ended",
+      );
       const killed = new Set([first.killedInstance, second.killedInstance]);
       const truncated = drafts.filter(
         (item) =>
