Let the demo's caller go to another instance where one is not ready

Cause: the demo. nizwa-2 is started again while traffic runs; until it has the configuration it answers 503 not_ready, "not run", which is right. The caller stands for a load balancer that goes to another instance if one is gone or dies, but it took that refusal for the final answer, so the draft had one attempt of its two. What load does: the time without configuration gets longer, so that a draft falls into it.

Change: the caller also goes on where an instance is not ready, as it does for an issue. The check is as before: whole within two attempts, any other refusal fails.

--- a/demo/main.ts
+++ b/demo/main.ts
@@ -6,6 +6,7 @@
  */
 import { join } from "node:path";
 import { hashKey } from "../src/core/ids";
+import { Reason } from "../src/core/outcome";
 import { callService, draft, type Seen } from "../test/harness/callers";
 import { type Fleet, startFleet } from "../test/harness/fleet";
 import { pause } from "../test/standin/http";
@@ -91,7 +92,10 @@
   await Promise.all(calls);
 }
 
-/** Sends a draft as through a load balancer: if the instance is gone or dies, the caller retries at another one. */
+/**
+ * Sends a draft as through a load balancer: if the instance is gone, dies or is not ready, the caller retries at another
+ * one.
+ */
 async function sendDraft(
   fleet: Fleet,
   keys: WorkspaceKeys,
@@ -107,7 +111,7 @@
     const key = keys[workspace] ?? "";
     const seen = await draft({ url: fleet.url(at), key, prompt, maxTokens: 60 });
     sent.push({ kind: "draft", workspace, name: `draft-${index}`, at, seen });
-    if (seen.isWhole || seen.reason !== "") return;
+    if (seen.isWhole || (seen.reason !== "" && seen.reason !== Reason.notReady)) return;
   }
 }
 
