--- a/test/quota.spec.ts
+++ b/test/quota.spec.ts
@@ -192,6 +192,28 @@
     assert.ok(countAdmitted(3) * 4 <= alone + 40, "all of them together");
   });
 
+  it("is given once by the shares of all instances together while no owner answers", () => {
+    const admitByShares = (heard: number, missing: number) => {
+      let admitted = 0;
+      for (let instance = 0; instance < heard + missing; instance += 1) {
+        const quotas = new Quotas(TOLERANCE, () => ({ heard, missing }), -60_000);
+        for (let now = 0; now < WINDOW_MS; now += 100)
+          while (quotas.admitByShare("w", LIMIT, 10, now).isAdmitted) admitted += 10;
+      }
+      return admitted;
+    };
+    for (const [heard, missing] of [
+      [4, 0],
+      [1, 3],
+      [1, 59],
+    ] as const) {
+      const admitted = admitByShares(heard, missing);
+      const rated = (LIMIT.perSecond * WINDOW_MS) / 1000;
+      assert.ok(admitted >= rated, `${admitted} of ${rated} by ${heard} and ${missing}`);
+      assert.ok(admitted <= computeBound(LIMIT), `${admitted} by ${heard} and ${missing}`);
+    }
+  });
+
   it("applies a lowered limit to the next request", () => {
     const quotas = createQuotas({ ...TOLERANCE, slack: 0, ratio: 0 });
     assert.ok(quotas.admitAsOwner("w", LIMIT, 1, 0).isAdmitted);
