--- a/scripts/mutations/entry.mjs
+++ b/scripts/mutations/entry.mjs
@@ -175,7 +175,7 @@
   {
     name: "poison: the second crash names the culprit",
     file: "src/core/poison.ts",
-    find: "if (this.countCrashes(culprit) < CRASHES_TO_BAN) return true;",
+    find: "if (!this.crashes.isBanned(suspect, now)) return true;",
     replace: "if (Date.now() > 0) return true;",
     test: "poison",
   },
--- a/scripts/mutations/fleet.mjs
+++ b/scripts/mutations/fleet.mjs
@@ -2,9 +2,9 @@
 export const fleetMutations = [
   {
     name: "forwarding: an instance with a possibly stale configuration does not deny requests",
-    file: "src/fleet/watcher.ts",
-    find: "lastReadAt: Number.NEGATIVE_INFINITY",
-    replace: "lastReadAt: 0",
+    file: "src/forward/admission.ts",
+    find: "if (this.parts.computeConfigAgeMs() > CONFIG_STALE_MS) {",
+    replace: "if (this.parts.computeConfigAgeMs() < 0) {",
     test: "forward",
     pattern: "comes from a peer",
   },
@@ -43,8 +43,8 @@
   {
     name: "forwarding: a misdirected entry is not used",
     file: "src/fleet/directory.ts",
-    find: "if (this.misdirected.get(id) === listed.entry.sequence) continue;",
-    replace: "",
+    find: "return known?.sequence === sequence && known.deadline > now;",
+    replace: "return known?.sequence === sequence && known.deadline < 0;",
     test: "forward",
     pattern: "address another one has",
   },
