Give the test of a second send time beyond the cooldown after a refusal

It failed once in about ten runs, beside other tests. By reading: an engine that refused is skipped for 400 ms, and a generation waits for at most 750 ms on the test's routes, so that a slow run is refused before its second send. The failed run's output was not kept.

--- a/test/latecopies.spec.ts
+++ b/test/latecopies.spec.ts
@@ -7,8 +7,8 @@
 import { describe, it } from "node:test";
 import { pause } from "../src/core/clock";
 import { EngineStage } from "../src/fleet/directory";
-import { addEndpoint, get, port, prepareEach, start } from "./harness/fixture";
-import { waitUntil } from "./harness/forward";
+import { addEndpoint, get, port, prepareEach, start, store } from "./harness/fixture";
+import { createConfig, waitUntil } from "./harness/forward";
 
 prepareEach();
 
@@ -186,6 +186,10 @@
         }),
         DECODE,
       );
+      const config = createConfig(2);
+      const routes = config.routes.map((route) => ({ ...route, targetLatencyMs: 5000 }));
+      // The second send follows the cooldown after a refusal, within the wait that the latency allows.
+      store.putConfig({ ...config, routes });
       await start();
       const response = await get(port, path, { "x-id": "one", "x-tokens": "300" });
       assert.deepEqual([response.status, response.body], [200, "id: 1\ndata: one\n\n"]);
