Ban the prompt parts that explain crashes, over the whole fleet

Sound requests beside them were refused as well.

Cause: crashes were counted by the fingerprint of a whole request, so requests that share only one part never added up. A crash counted against all that ran there, streams written for seconds included. An acquittal was local: the next heartbeat of a peer brought the crash back, and a crash was told without its age, so that peers could keep it alive for each other.

Change: one tracker for requests and parts (core/crashes), which exchanges crashes with suspects and ages, completed runs, and bans whose crashes are forgotten; the decision is pure (core/culprits, core/moments, core/suspects). A run is a suspect until 500 ms after its first event, and after that shows, as a completed one does, that its parts crash nothing. Bans are checked at admission, while a generation waits, before its prefill and before its run; one that has not run is refused at once with 503. A new crash is told at once. A lapsed ban leaves a part on probation. PoisonDetector keeps the old counter, as core/crashcounter.

Not solved: an instance that is cut off from its peers knows only its own crashes. A part that completed before needs crashes at five moments.

--- a/src/core/outcome.ts
+++ b/src/core/outcome.ts
@@ -73,6 +73,18 @@
   return new Refusal(status, reason, ExecutionStatus.notRun, message, retryAfterMs);
 }
 
+/**
+ * Creates the refusal of a request that is known to crash the endpoints that run it, itself or by a
+ * part of its prompt. It has no retry delay, as a retry would be refused as well.
+ *
+ * @example
+ * createPoisonRefusal().status; // 503
+ */
+export function createPoisonRefusal(): Refusal {
+  const message = "the request crashes the endpoints that run it";
+  return createNotRunRefusal(503, Reason.poison, message);
+}
+
 /**
  * Creates the final response, a 502, for a request that an endpoint may or may not have run.
  *
--- a/src/core/poison.ts
+++ b/src/core/poison.ts
@@ -12,7 +12,7 @@
  * Those crashes then count as explained: all other requests that ran through them are cleared.
  */
 import type { Moment } from "./clock";
-import { CrashTracker, CRASHES_TO_BAN } from "./crashes";
+import { CrashCounter, CRASHES_TO_BAN } from "./crashcounter";
 
 /** How long a request that ran through a crash stays suspect, in milliseconds. */
 export const SUSPECT_MS = 120_000;
@@ -49,7 +49,7 @@
 /** Tracks suspects, reported crashes and bans. Requests are identified by fingerprint. */
 export class PoisonDetector {
   private readonly suspicions = new Map<string, Suspicion>();
-  private readonly crashes = new CrashTracker(SUSPECT_MS);
+  private readonly crashes = new CrashCounter(SUSPECT_MS);
   private readonly bans = new Map<string, Moment>();
   private readonly reportedCrashes = new Map<string, Crash>();
   /** Requests identified as poison whose crashes are not all confirmed yet. */
--- a/src/entry/service.ts
+++ b/src/entry/service.ts
@@ -17,7 +17,7 @@
 import { matchesSelector, type Selector } from "../core/labels";
 import type { Logger } from "../core/log";
 import { Metric, type Metrics } from "../core/metrics";
-import { CRASHES_TO_BAN } from "../core/crashes";
+import { CRASHES_TO_BAN } from "../core/crashcounter";
 import {
   createNotRunRefusal,
   createUnknownRefusal,
--- a/src/forward/admission.ts
+++ b/src/forward/admission.ts
@@ -6,7 +6,7 @@
 import type { Moment } from "../core/clock";
 import { computeFingerprint } from "../core/ids";
 import type { Logger } from "../core/log";
-import { createNotRunRefusal, Reason, type Refusal } from "../core/outcome";
+import { createNotRunRefusal, createPoisonRefusal, Reason, type Refusal } from "../core/outcome";
 import {
   type FleetConfigIndex,
   chooseService,
@@ -60,7 +60,9 @@
       head.key ?? "",
       body.toString("latin1"),
     );
-    if (this.parts.crashes.isBanned(fingerprint, now)) return E.left(createPoisonRefusal());
+    const suspect = { fingerprint, parts: head.promptParts };
+    const ban = this.parts.crashes.findBan(suspect, now);
+    if (ban !== undefined) return E.left(createPoisonRefusal());
     const isOverRate = await this.charge(head, workspace.right);
     if (E.isLeft(isOverRate)) return isOverRate;
     return E.right({
@@ -134,8 +136,3 @@
 function createNotReadyRefusal(message: string): Refusal {
   return createNotRunRefusal(503, Reason.notReady, message, NOT_READY_RETRY_AFTER_MS);
 }
-
-function createPoisonRefusal(): Refusal {
-  const message = "the request crashes the endpoints that run it";
-  return createNotRunRefusal(503, Reason.poison, message);
-}
--- a/src/forward/context.ts
+++ b/src/forward/context.ts
@@ -8,6 +8,7 @@
 import type { EndpointGate } from "./gate";
 import type { Releaser } from "./releaser";
 import type { CrashTracker } from "../core/crashes";
+import type { CrashAnnouncer } from "./crashannouncer";
 import type { EndpointCodec, ForwardRequest } from "./messages";
 import type { HealthTracker } from "./health";
 import type { Meter } from "./meter";
@@ -26,6 +27,7 @@
   readonly codec: EndpointCodec;
   readonly retries: RetryBudget;
   readonly crashes: CrashTracker;
+  readonly crashAnnouncer: CrashAnnouncer;
   readonly dataCentre: string;
   /** Returns a random number in [0, 1). */
   readonly random: () => number;
--- /dev/null
+++ b/src/forward/crashannouncer.ts
@@ -0,0 +1,46 @@
+/**
+ * Tells peers of crashes at once, ahead of the next regular heartbeat: engines crash faster than
+ * heartbeats go.
+ */
+import type { Clock, Moment } from "../core/clock";
+
+/** Shortest time between two announcements, in milliseconds. */
+const MIN_INTERVAL_MS = 100;
+
+/** Announces crashes, several at a time where they come fast. */
+export class CrashAnnouncer {
+  private nextAt: Moment = 0;
+  private timer: NodeJS.Timeout | undefined;
+
+  /**
+   * @param send - sends what is known to all peers
+   */
+  constructor(
+    private readonly clock: Clock,
+    private readonly send: () => void,
+  ) {}
+
+  /** Reports now, or as soon as enough time has passed since the last announcement. */
+  report(): void {
+    if (this.timer !== undefined) return;
+    const now = this.clock.now();
+    if (now >= this.nextAt) {
+      this.sendNow();
+      return;
+    }
+    this.timer = setTimeout(() => {
+      this.timer = undefined;
+      this.sendNow();
+    }, this.nextAt - now);
+  }
+
+  /** Cancels a pending announcement. */
+  close(): void {
+    clearTimeout(this.timer);
+  }
+
+  private sendNow(): void {
+    this.nextAt = this.clock.now() + MIN_INTERVAL_MS;
+    this.send();
+  }
+}
--- a/src/forward/decode.ts
+++ b/src/forward/decode.ts
@@ -5,6 +5,7 @@
 import * as E from "fp-ts/Either";
 import { computeRemainingMs, type Moment } from "../core/clock";
 import { RetryMode } from "../fleet/config";
+import { isAcquitted, isSuspect } from "../core/suspects";
 import type { EndpointEntry } from "../fleet/directory";
 import { AbortCause, DeadlineSignal } from "./abort";
 import { discardBody } from "./body";
@@ -21,7 +22,7 @@
   Verdict,
 } from "./messages";
 import { readWholeBody, type BufferedResponse } from "./service";
-import { EndpointState, probeEndpoint } from "./probe";
+import { createSuspect, EndpointState, probeEndpoint } from "./probe";
 import { RelayEnd, relayEvents, type RelayResult } from "./relay";
 
 /**
@@ -63,6 +64,8 @@
   timeUp: "time up",
   /** Nothing was sent: the deadline has passed, or the retry budget is used up. */
   unsent: "unsent",
+  /** Nothing was sent: the request or a part of its prompt crashes engines. */
+  banned: "banned",
 } as const;
 export type TryEnd = (typeof TryEnd)[keyof typeof TryEnd];
 
@@ -83,6 +86,10 @@
 export class Decoder {
   private lastEvent: string | undefined;
   private firstSentAt: Moment | undefined;
+  /** When the first event of the current run arrived; undefined before. */
+  private firstEventOfRunAt: Moment | undefined;
+  /** True once the current run has shown that the request crashes no engine. */
+  private isRunAcquitted = false;
   private cachedId: string | undefined;
   /** Whether the response to the caller is framed, so that the caller can tell if it is whole. */
   private isFramed = true;
@@ -129,6 +136,8 @@
     const { clock, client, logger } = this.parts.context;
     const { endpoint, hold } = reservation;
     const { request, lastEvent } = this;
+    this.firstEventOfRunAt = undefined;
+    this.isRunAcquitted = false;
     const leftMs = computeRemainingMs(this.times.deadline, clock.now());
     logger.info("decode", {
       request: request.head.id,
@@ -185,14 +194,19 @@
   }
 
   private async handleBreak(endpoint: EndpointEntry, message: string): Promise<TryResult> {
-    const { context } = this.parts;
-    resetDataCentreConnections(context, endpoint);
-    const state = await probeEndpoint(context, this.request, endpoint);
+    resetDataCentreConnections(this.parts.context, endpoint);
+    const state = await this.probeAfterBreak(endpoint);
     if (state === EndpointState.up) this.cachedId = endpoint.id;
     else this.markEngineUnavailable(endpoint);
     return { end: TryEnd.broken, message };
   }
 
+  private probeAfterBreak(endpoint: EndpointEntry): Promise<EndpointState> {
+    const { context } = this.parts;
+    const broken = { firstEventAt: this.firstEventOfRunAt, brokeAt: context.clock.now() };
+    return probeEndpoint(context, this.request, endpoint, isSuspect(broken));
+  }
+
   private async readResponse(
     response: OpenResponse,
     endpoint: EndpointEntry,
@@ -241,13 +255,14 @@
       deadlineSignal,
       ...this.chooseRelayTimeouts(),
       onEvents: (events) => {
+        this.recordProgress();
         this.forwardEvents(response, events);
       },
     });
     const { end, message } = await this.confirmEnd(relayed, response, endpoint);
     if (end === RelayEnd.complete && this.canEndWith(response)) {
       this.forwardEvents(response, []);
-      this.parts.context.crashes.clear(this.request.fingerprint);
+      if (this.isProof(response)) this.recordCompletion();
       this.sink.end();
       return { end: TryEnd.complete, message };
     }
@@ -276,11 +291,33 @@
     endpoint: EndpointEntry,
   ): Promise<RelayResult> {
     if (relayed.end !== RelayEnd.complete || response.isFramed) return relayed;
-    const state = await probeEndpoint(this.parts.context, this.request, endpoint);
+    const state = await this.probeAfterBreak(endpoint);
     if (state !== EndpointState.down) return relayed;
     return { end: RelayEnd.broken, message: "the engine is down after the end of its connection" };
   }
 
+  /** Records events of the current run; it shows that it crashes no engine once it goes on. */
+  private recordProgress(): void {
+    const now = this.parts.context.clock.now();
+    this.firstEventOfRunAt ??= now;
+    if (this.isRunAcquitted || !isAcquitted(this.firstEventOfRunAt, now)) return;
+    this.isRunAcquitted = true;
+    this.recordCompletion();
+  }
+
+  /**
+   * Checks whether a complete response shows that its run crashed no engine: a crash may have ended
+   * an unframed one, and a run that only found a resumed stream at its end wrote nothing.
+   */
+  private isProof({ isFramed }: OpenResponse): boolean {
+    return isFramed && this.firstEventOfRunAt !== undefined;
+  }
+
+  private recordCompletion(): void {
+    const { crashes, clock } = this.parts.context;
+    crashes.recordCompletion(createSuspect(this.request), clock.now());
+  }
+
   /** An unframed response may have ended early, so it must not complete a framed one. */
   private canEndWith(response: OpenResponse): boolean {
     const hasStarted = this.firstSentAt !== undefined;
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -189,6 +189,7 @@
     rebalancer.close();
     reservations.close();
     context.releaser.close();
+    context.crashAnnouncer.close();
     view.transport.close();
     await Promise.all([
       this.peerServer?.close(),
--- a/src/forward/messages.ts
+++ b/src/forward/messages.ts
@@ -34,6 +34,8 @@
   readonly size: GenerationSize | undefined;
   /** Id of the last event that the caller has received; undefined for a stream from its start. */
   readonly lastEventId: string | undefined;
+  /** Ids of the parts of the prompt, in order, without the last one, which is the request's own. */
+  readonly promptParts: readonly string[];
   /** Names and values, alternating, of the headers that are forwarded to an endpoint. */
   readonly headers: readonly string[];
 }
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -1,7 +1,6 @@
 /**
  * Creates and connects the parts of a forwarding instance.
  */
-import { CrashTracker } from "../core/crashes";
 import { RetryBudget } from "../core/retrybudget";
 import { HeartbeatExchanger } from "../fleet/heartbeat";
 import { Joiner } from "../fleet/joiner";
@@ -12,6 +11,8 @@
 import { QuotaCharger } from "./charges";
 import { HttpEndpointClient } from "./client";
 import type { ForwardContext } from "./context";
+import { CrashAnnouncer } from "./crashannouncer";
+import { createCrashTracker } from "./crashtracking";
 import { Dispatcher } from "./dispatch";
 import { EngineModel } from "./enginemodel";
 import { EngineLoadTracker } from "./engines";
@@ -68,7 +69,7 @@
   const view = createFleetView(base, sendHeartbeats);
   const { members, transport } = view;
   const quotas = createQuotas(base, view);
-  const context = createContext(base, view);
+  const context = createContext(base, view, sendHeartbeats);
   const engines = createEngineState(context);
   const peerState = createPeerState(base, view, quotas, context, engines, isLeaving);
   const heartbeats = new HeartbeatExchanger(self, members, transport, peerState, clock, logger);
@@ -103,9 +104,14 @@
   return new Quotas(settings.quotaTolerance, () => members.readFleetSize(clock.now()), clock.now());
 }
 
-function createContext(base: InstanceBase, view: FleetView): ForwardContext {
+function createContext(
+  base: InstanceBase,
+  view: FleetView,
+  sendHeartbeats: () => void,
+): ForwardContext {
   const { settings, adapter, clock, meter, logger } = base;
-  const { directory } = view;
+  const { directory, members } = view;
+  const listLive = () => members.listLive(clock.now());
   const gate = new EndpointGate(directory, clock, logger);
   const client = new HttpEndpointClient(adapter.endpointCodec, gate, clock, {
     computeMaxConnections: (service) => computeMaxConnections(view, service),
@@ -125,7 +131,8 @@
     releaser: new Releaser(client, gate, clock, logger),
     codec: adapter.endpointCodec,
     retries: new RetryBudget(settings.retryLimit, view.countLive, clock.now()),
-    crashes: new CrashTracker(),
+    crashes: createCrashTracker(settings.instance, listLive, logger),
+    crashAnnouncer: new CrashAnnouncer(clock, sendHeartbeats),
     dataCentre: settings.dataCentre,
     random: Math.random,
   };
--- a/src/forward/peerstate.ts
+++ b/src/forward/peerstate.ts
@@ -11,6 +11,7 @@
 import type { StoreWatcher } from "../fleet/watcher";
 import type { Beat, FetchReply, FetchRequest, Record as PeerRecord } from "../peer/gen/fleet";
 import type { CrashTracker } from "../core/crashes";
+import { decodeKnowledge, encodeKnowledge } from "./crashwire";
 import type { ReservationQueue } from "./reservations";
 import type { EngineModel } from "./enginemodel";
 import type { EngineLoadTracker } from "./engines";
@@ -86,7 +87,7 @@
       leaving: isLeaving(),
       usages: [...quotas.listLocalUsage()],
       works: [...engineLoad.listLocalWork()],
-      crashes: [...crashes.listCrashes(now)],
+      ...encodeKnowledge(crashes.listKnowledge(now)),
       arrivingTokens: Math.round(this.computeArrivalRate(now)),
       engineSpeeds: [...this.parts.engineModel.listLocalEstimates()],
       waiting: reservations.size,
@@ -117,7 +118,7 @@
     this.parts.refusals.mergePeerRefusals(beat.refused, now);
     this.applyDepartures(beat, now);
     this.confirmCopies(beat, sentAt);
-    for (const crash of beat.crashes) crashes.recordCrash(crash, now);
+    crashes.mergeKnowledge(decodeKnowledge(beat), now);
     reservations.dispatchWaiting();
   }
 
--- a/src/forward/probe.ts
+++ b/src/forward/probe.ts
@@ -2,6 +2,7 @@
  * Probes an endpoint by a new connection after a connection to it broke, and records crashes.
  */
 import { connect } from "node:net";
+import type { Suspect } from "../core/suspects";
 import type { EndpointEntry } from "../fleet/directory";
 import type { ForwardContext } from "./context";
 import type { ForwardRequest } from "./messages";
@@ -26,29 +27,55 @@
 }
 
 /**
- * Probes an endpoint whose connection broke during a request; if it is down, the request is
- * recorded as one that may have crashed it. An endpoint that asked for a pause is not probed.
+ * Creates what the crash tracker knows a request by.
  *
  * @example
- * await probeEndpoint(context, request, endpoint); // "up"
+ * crashes.findBan(createSuspect(request), clock.now());
+ */
+export function createSuspect({ fingerprint, head }: ForwardRequest): Suspect {
+  return { fingerprint, parts: head.promptParts };
+}
+
+/**
+ * Probes an endpoint whose connection broke during a request; if it is down and the request is a
+ * suspect, the request is recorded as one that may have crashed it. An endpoint that asked for a
+ * pause is not probed.
+ *
+ * @example
+ * await probeEndpoint(context, request, endpoint, true); // "up"
  */
 export async function probeEndpoint(
   context: ForwardContext,
   request: ForwardRequest,
   endpoint: EndpointEntry,
+  isSuspect: boolean,
 ): Promise<EndpointState> {
   if (context.gate.isPaused(endpoint.id)) return EndpointState.silent;
   const state = await probeAddress(endpoint.address);
-  if (state !== EndpointState.down) return state;
-  const { crashes, clock, logger } = context;
-  const { fingerprint, head } = request;
-  const process = createProcessId(endpoint);
-  if (crashes.recordCrash({ fingerprint, process }, clock.now())) {
-    logger.warn("crash", { request: head.id, endpoint: endpoint.id, process, fingerprint });
-  }
+  if (state === EndpointState.down) recordCrash(context, request, endpoint, isSuspect);
   return state;
 }
 
+function recordCrash(
+  { crashes, crashAnnouncer, clock, logger }: ForwardContext,
+  request: ForwardRequest,
+  endpoint: EndpointEntry,
+  isSuspect: boolean,
+): void {
+  const suspect = createSuspect(request);
+  const process = createProcessId(endpoint);
+  logger.warn("crash", {
+    request: request.head.id,
+    endpoint: endpoint.id,
+    process,
+    isSuspect,
+    fingerprint: suspect.fingerprint,
+    parts: suspect.parts,
+  });
+  const suspects = isSuspect ? [suspect] : [];
+  if (crashes.recordCrash({ process, suspects }, clock.now())) crashAnnouncer.report();
+}
+
 function probeAddress(address: string): Promise<EndpointState> {
   const [host = "", port = ""] = address.split(":");
   return new Promise((resolve) => {
--- a/src/forward/reservations.ts
+++ b/src/forward/reservations.ts
@@ -4,6 +4,7 @@
  */
 import * as E from "fp-ts/Either";
 import type { Moment } from "../core/clock";
+import type { Suspect } from "../core/suspects";
 import type { EngineLimits } from "../fleet/config";
 import { type EndpointEntry, EngineStage } from "../fleet/directory";
 import type { ForwardContext } from "./context";
@@ -30,6 +31,8 @@
   readonly service: string;
   readonly limits: EngineLimits;
   readonly needTokens: number;
+  /** What the crash tracker knows the generation by. */
+  readonly suspect: Suspect;
   /** Id of an engine that has the prompt in its cache. */
   readonly cachedEngineId: string | undefined;
   readonly caller: AbortSignal;
@@ -58,8 +61,8 @@
   /**
    * Reserves memory at a decode engine; waits until there is room.
    *
-   * @returns undefined if there was no room by the request's deadline, its caller left, or the
-   *   instance is stopping
+   * @returns undefined if there was no room by the request's deadline, its caller left, it was
+   *   found to crash engines, or the instance is stopping
    */
   reserve(request: ReservationRequest): Promise<Reservation | undefined> {
     return new Promise((resolve) => {
@@ -80,6 +83,7 @@
   dispatchWaiting(): void {
     const now = this.context.clock.now();
     for (const waitingRequest of this.queue.removeExpired(now)) waitingRequest.resolve(undefined);
+    this.dropBanned(now);
     for (const waitingRequest of this.queue.listHeads(now)) {
       if (this.computePauseMs(waitingRequest.service, now) !== undefined) {
         this.queue.remove(waitingRequest.id);
@@ -134,6 +138,15 @@
     this.timer = undefined;
   }
 
+  /** Drops the requests that were found to crash engines while they waited. */
+  private dropBanned(now: Moment): void {
+    for (const waitingRequest of this.queue.listHeads(now)) {
+      if (this.context.crashes.findBan(waitingRequest.suspect, now) === undefined) continue;
+      this.queue.remove(waitingRequest.id);
+      waitingRequest.resolve(undefined);
+    }
+  }
+
   private chooseEngine(waitingRequest: WaitingRequest, now: Moment): EngineView | undefined {
     const views = this.listViews(waitingRequest.service, now).filter(
       (view) => !this.enginesInCall.has(view.endpoint.id),
--- a/src/forward/service.ts
+++ b/src/forward/service.ts
@@ -7,6 +7,7 @@
 import { computeRemainingMs, type Moment } from "../core/clock";
 import {
   createNotRunRefusal,
+  createPoisonRefusal,
   createUnknownRefusal,
   ExecutionStatus,
   Reason,
@@ -20,7 +21,7 @@
 import { type ForwardContext, type RequestTimes, resetDataCentreConnections } from "./context";
 import { type ResponseHead, type ForwardRequest, SendTask, Verdict } from "./messages";
 import { CallOutcome } from "./health";
-import { EndpointState, probeEndpoint } from "./probe";
+import { createSuspect, EndpointState, probeEndpoint } from "./probe";
 import { chooseEndpoint } from "./balancer";
 
 /** Maximum number of sends of one request, including those that did not run it. */
@@ -41,6 +42,8 @@
  * time.
  */
 const MIN_REMAINING_MS = 5;
+/** Responses with this status or a higher one don't say that the request ran to completion. */
+const MIN_FAILURE_STATUS = 400;
 
 /** A whole response of an endpoint. */
 export interface BufferedResponse {
@@ -77,6 +80,8 @@
   /** Last failure response after which a retry was allowed; final if no retry gets a response. */
   private failedResponse: BufferedResponse | undefined;
   private message = "no endpoint of the service is listed";
+  /** True once the request or a part of its prompt was found to crash endpoints. */
+  private isBanned = false;
 
   constructor(
     private readonly context: ForwardContext,
@@ -105,11 +110,12 @@
 
   private chooseNextEndpoint(sends: number): EndpointEntry | undefined {
     const { clock, retries, crashes, logger } = this.context;
-    const { service, fingerprint, head } = this.request;
+    const { service, head } = this.request;
     const now = clock.now();
     if (computeRemainingMs(this.times.deadline, now) < MIN_REMAINING_MS) return undefined;
-    if (crashes.isBanned(fingerprint, now)) {
+    if (crashes.beginRun(createSuspect(this.request), now) !== undefined) {
       this.message = "the request crashes the endpoints that run it";
+      this.isBanned = true;
       return undefined;
     }
     const candidates = listCandidates(this.context, service, now);
@@ -229,6 +235,7 @@
       const message = "the endpoint is down after the end of its connection";
       return { end: SendEnd.unknown, response: undefined, message };
     }
+    if (isFramed && head.status < MIN_FAILURE_STATUS) this.recordCompletion();
     return {
       end: SendEnd.answered,
       response: { head, body: whole.right, isFramed },
@@ -236,6 +243,11 @@
     };
   }
 
+  private recordCompletion(): void {
+    const { crashes, clock } = this.context;
+    crashes.recordCompletion(createSuspect(this.request), clock.now());
+  }
+
   private async handleSendFailure(
     failure: SendFailure,
     endpoint: EndpointEntry,
@@ -256,7 +268,7 @@
     deadlineSignal: DeadlineSignal,
   ): Promise<EndpointState | undefined> {
     if (deadlineSignal.cause !== undefined) return undefined;
-    return probeEndpoint(this.context, this.request, endpoint);
+    return probeEndpoint(this.context, this.request, endpoint, true);
   }
 
   /**
@@ -300,6 +312,7 @@
   private createFinalResult(): E.Either<Refusal, BufferedResponse> {
     if (this.failedResponse !== undefined) return E.right(this.failedResponse);
     const isLate = this.context.clock.now() >= this.times.deadline;
+    if (this.runs === 0 && this.isBanned) return E.left(createPoisonRefusal());
     if (this.runs === 0) {
       const reason = isLate ? Reason.deadline : Reason.noEndpoint;
       const retryAfterMs = this.computePauseMs() ?? RETRY_AFTER_MS;
--- a/src/forward/stream.ts
+++ b/src/forward/stream.ts
@@ -7,12 +7,14 @@
 import { computeRemainingMs, type Moment } from "../core/clock";
 import {
   createNotRunRefusal,
+  createPoisonRefusal,
   createUnknownRefusal,
   ExecutionStatus,
   Reason,
   Refusal,
 } from "../core/outcome";
 import type { EngineLimits } from "../fleet/config";
+import type { EndpointEntry } from "../fleet/directory";
 import { DeadlineSignal } from "./abort";
 import type { ForwardContext, RequestTimes } from "./context";
 import { Decoder, createAbortResult, type StreamSink, TryEnd, type TryResult } from "./decode";
@@ -23,6 +25,7 @@
 import { computeReservationTokens, computeRetryAfterMs, computeWaitLimits } from "./overload";
 import { createCancelledRefusal, type BufferedResponse } from "./service";
 import { Prefiller } from "./prefill";
+import { createSuspect } from "./probe";
 import type { RefusalTracker } from "./refusals";
 import { SendBudget } from "./sendbudget";
 
@@ -95,8 +98,7 @@
       this.message = result.message;
       if (result.end === TryEnd.complete) return undefined;
       if (result.end === TryEnd.callerGone) return E.left(createCancelledRefusal());
-      const hasRun = result.end !== TryEnd.notRun && result.end !== TryEnd.unsent;
-      if (hasRun) this.runs += 1;
+      if (hasRun(result.end)) this.runs += 1;
       failedResponse = result.response ?? failedResponse;
       if (!this.canRetry(result.end)) break;
       this.recordRetry(result);
@@ -119,15 +121,18 @@
   }
 
   private canRetry(end: TryEnd): boolean {
-    const { clock, crashes } = this.parts.context;
-    const now = clock.now();
-    if (end === TryEnd.timeUp || end === TryEnd.unsent) return false;
-    if (now >= this.times.deadline) return false;
-    if (crashes.isBanned(this.request.fingerprint, now)) return false;
+    if (end === TryEnd.timeUp || end === TryEnd.unsent || end === TryEnd.banned) return false;
+    if (this.parts.context.clock.now() >= this.times.deadline) return false;
+    if (this.isBanned()) return false;
     if (end === TryEnd.notRun) return true;
     return this.decoder.isResumable && this.runs < this.request.route.maxAttempts;
   }
 
+  private isBanned(): boolean {
+    const { clock, crashes } = this.parts.context;
+    return crashes.findBan(createSuspect(this.request), clock.now()) !== undefined;
+  }
+
   private async reserve(): Promise<Reservation | undefined> {
     const { clock, meter, logger, directory } = this.parts.context;
     const { head, service, priority, isOverRate } = this.request;
@@ -155,6 +160,7 @@
       service,
       limits: this.limits,
       needTokens: this.needTokens,
+      suspect: createSuspect(this.request),
       cachedEngineId: this.decoder.cachedEngineId,
       caller: this.caller,
     });
@@ -172,8 +178,7 @@
       this.times.deadline + DEADLINE_GRACE_MS,
       this.caller,
     );
-    const isCached = endpoint.id === this.decoder.cachedEngineId;
-    const source = isCached ? undefined : await this.prefiller.prefill(deadlineSignal, endpoint);
+    const source = await this.prefill(endpoint, deadlineSignal);
     const prefilledAt = clock.now();
     const result = await this.decode(reservation, source, deadlineSignal);
     deadlineSignal.close();
@@ -200,13 +205,32 @@
     return result;
   }
 
+  private async prefill(
+    endpoint: EndpointEntry,
+    deadlineSignal: DeadlineSignal,
+  ): Promise<CacheSource | undefined> {
+    if (endpoint.id === this.decoder.cachedEngineId || this.beginRun() !== undefined) {
+      return undefined;
+    }
+    return this.prefiller.prefill(deadlineSignal, endpoint);
+  }
+
+  /** Checks for a ban that came since the request was admitted, before each send to an engine. */
+  private beginRun(): TryResult | undefined {
+    const { clock, crashes } = this.parts.context;
+    const ban = crashes.beginRun(createSuspect(this.request), clock.now());
+    if (ban === undefined) return undefined;
+    return { end: TryEnd.banned, message: `the ${ban.subject.kind} crashes engines` };
+  }
+
   private async decode(
     reservation: Reservation,
     source: CacheSource | undefined,
     deadlineSignal: DeadlineSignal,
   ): Promise<TryResult> {
     const { reservations } = this.parts;
-    const stopped = createUnsentAbortResult(deadlineSignal) ?? this.consumeSendBudget();
+    const stopped =
+      createUnsentAbortResult(deadlineSignal) ?? this.beginRun() ?? this.consumeSendBudget();
     if (stopped !== undefined) {
       reservations.release(reservation);
       this.prefiller.release(source);
@@ -226,6 +250,7 @@
     const { clock, random } = this.parts.context;
     const now = clock.now();
     const isLate = now >= this.times.deadline;
+    if (this.runs === 0 && this.isBanned()) return createPoisonRefusal();
     if (this.runs === 0) {
       this.parts.refusals.recordRefusal(this.request.fingerprint, now);
       const reason = isLate ? Reason.deadline : Reason.overloaded;
@@ -239,6 +264,11 @@
   }
 }
 
+/** Checks whether a try may have run the generation. */
+function hasRun(end: TryEnd): boolean {
+  return end !== TryEnd.notRun && end !== TryEnd.unsent && end !== TryEnd.banned;
+}
+
 function createUnsentAbortResult(deadlineSignal: DeadlineSignal): TryResult | undefined {
   const aborted = createAbortResult(deadlineSignal);
   return aborted?.end === TryEnd.timeUp ? { ...aborted, end: TryEnd.unsent } : aborted;
--- a/src/peer/gen/fleet.ts
+++ b/src/peer/gen/fleet.ts
@@ -60,6 +60,8 @@
   /** The sender's last call to the store failed. */
   storeLost: boolean;
   engineSpeeds: EngineSpeed[];
+  completions: Completion[];
+  partBans: PartBan[];
 }
 
 export interface EngineSpeed {
@@ -96,9 +98,29 @@
   requests: number;
 }
 
+/** One suspect of a crash; without a fingerprint, a crash that had none. */
 export interface Crash {
   fingerprint: string;
   process: string;
+  /** Ids of the parts of its prompt that other requests may share. */
+  parts: string[];
+  /** Time since the crash; absent where an older build tells it. */
+  ageMs?: number | undefined;
+}
+
+/** A run of the sender that completed, of a request or with a part of a prompt; one of both is set. */
+export interface Completion {
+  fingerprint: string;
+  part: string;
+  ageMs: number;
+}
+
+/** A part of prompts that is banned or on probation, where the first crashes are forgotten. */
+export interface PartBan {
+  part: string;
+  /** Number of times that it was banned without a completed run in between. */
+  strikes: number;
+  lastCrashAgeMs: number;
 }
 
 export interface FetchRequest {
@@ -172,6 +194,8 @@
     endpointsAgeMs: undefined,
     storeLost: false,
     engineSpeeds: [],
+    completions: [],
+    partBans: [],
   };
 }
 
@@ -240,6 +264,12 @@
     for (const v of message.engineSpeeds) {
       EngineSpeed.encode(v!, writer.uint32(170).fork()).join();
     }
+    for (const v of message.completions) {
+      Completion.encode(v!, writer.uint32(178).fork()).join();
+    }
+    for (const v of message.partBans) {
+      PartBan.encode(v!, writer.uint32(186).fork()).join();
+    }
     return writer;
   },
 
@@ -424,6 +454,22 @@
             message.engineSpeeds.push(EngineSpeed.decode(reader, reader.uint32()));
             continue;
           }
+          case 22: {
+            if (tag !== 178) {
+              break;
+            }
+
+            message.completions.push(Completion.decode(reader, reader.uint32()));
+            continue;
+          }
+          case 23: {
+            if (tag !== 186) {
+              break;
+            }
+
+            message.partBans.push(PartBan.decode(reader, reader.uint32()));
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -505,6 +551,14 @@
         : globalThis.Array.isArray(object?.engine_speeds)
         ? object.engine_speeds.map((e: any) => EngineSpeed.fromJSON(e))
         : [],
+      completions: globalThis.Array.isArray(object?.completions)
+        ? object.completions.map((e: any) => Completion.fromJSON(e))
+        : [],
+      partBans: globalThis.Array.isArray(object?.partBans)
+        ? object.partBans.map((e: any) => PartBan.fromJSON(e))
+        : globalThis.Array.isArray(object?.part_bans)
+        ? object.part_bans.map((e: any) => PartBan.fromJSON(e))
+        : [],
     };
   },
 
@@ -573,6 +627,12 @@
     if (message.engineSpeeds?.length) {
       obj.engineSpeeds = message.engineSpeeds.map((e) => EngineSpeed.toJSON(e));
     }
+    if (message.completions?.length) {
+      obj.completions = message.completions.map((e) => Completion.toJSON(e));
+    }
+    if (message.partBans?.length) {
+      obj.partBans = message.partBans.map((e) => PartBan.toJSON(e));
+    }
     return obj;
   },
 
@@ -602,6 +662,8 @@
     message.endpointsAgeMs = object.endpointsAgeMs ?? undefined;
     message.storeLost = object.storeLost ?? false;
     message.engineSpeeds = object.engineSpeeds?.map((e) => EngineSpeed.fromPartial(e)) || [];
+    message.completions = object.completions?.map((e) => Completion.fromPartial(e)) || [];
+    message.partBans = object.partBans?.map((e) => PartBan.fromPartial(e)) || [];
     return message;
   },
 };
@@ -1116,7 +1178,7 @@
 };
 
 function createBaseCrash(): Crash {
-  return { fingerprint: "", process: "" };
+  return { fingerprint: "", process: "", parts: [], ageMs: undefined };
 }
 
 export const Crash: MessageFns<Crash> = {
@@ -1127,6 +1189,12 @@
     if (message.process !== "") {
       writer.uint32(18).string(message.process);
     }
+    for (const v of message.parts) {
+      writer.uint32(26).string(v!);
+    }
+    if (message.ageMs !== undefined) {
+      writer.uint32(32).uint32(message.ageMs);
+    }
     return writer;
   },
 
@@ -1159,6 +1227,22 @@
             message.process = reader.string();
             continue;
           }
+          case 3: {
+            if (tag !== 26) {
+              break;
+            }
+
+            message.parts.push(reader.string());
+            continue;
+          }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.ageMs = reader.uint32();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -1175,6 +1259,12 @@
     return {
       fingerprint: isSet(object.fingerprint) ? globalThis.String(object.fingerprint) : "",
       process: isSet(object.process) ? globalThis.String(object.process) : "",
+      parts: globalThis.Array.isArray(object?.parts) ? object.parts.map((e: any) => globalThis.String(e)) : [],
+      ageMs: isSet(object.ageMs)
+        ? globalThis.Number(object.ageMs)
+        : isSet(object.age_ms)
+        ? globalThis.Number(object.age_ms)
+        : undefined,
     };
   },
 
@@ -1186,6 +1276,12 @@
     if (message.process !== "") {
       obj.process = message.process;
     }
+    if (message.parts?.length) {
+      obj.parts = message.parts;
+    }
+    if (message.ageMs !== undefined) {
+      obj.ageMs = Math.round(message.ageMs);
+    }
     return obj;
   },
 
@@ -1196,6 +1292,218 @@
     const message = createBaseCrash();
     message.fingerprint = object.fingerprint ?? "";
     message.process = object.process ?? "";
+    message.parts = object.parts?.map((e) => e) || [];
+    message.ageMs = object.ageMs ?? undefined;
+    return message;
+  },
+};
+
+function createBaseCompletion(): Completion {
+  return { fingerprint: "", part: "", ageMs: 0 };
+}
+
+export const Completion: MessageFns<Completion> = {
+  encode(message: Completion, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.fingerprint !== "") {
+      writer.uint32(10).string(message.fingerprint);
+    }
+    if (message.part !== "") {
+      writer.uint32(18).string(message.part);
+    }
+    if (message.ageMs !== 0) {
+      writer.uint32(24).uint32(message.ageMs);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): Completion {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseCompletion();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.fingerprint = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 18) {
+              break;
+            }
+
+            message.part = reader.string();
+            continue;
+          }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.ageMs = reader.uint32();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): Completion {
+    return {
+      fingerprint: isSet(object.fingerprint) ? globalThis.String(object.fingerprint) : "",
+      part: isSet(object.part) ? globalThis.String(object.part) : "",
+      ageMs: isSet(object.ageMs)
+        ? globalThis.Number(object.ageMs)
+        : isSet(object.age_ms)
+        ? globalThis.Number(object.age_ms)
+        : 0,
+    };
+  },
+
+  toJSON(message: Completion): unknown {
+    const obj: any = {};
+    if (message.fingerprint !== "") {
+      obj.fingerprint = message.fingerprint;
+    }
+    if (message.part !== "") {
+      obj.part = message.part;
+    }
+    if (message.ageMs !== 0) {
+      obj.ageMs = Math.round(message.ageMs);
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<Completion>, I>>(base?: I): Completion {
+    return Completion.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<Completion>, I>>(object: I): Completion {
+    const message = createBaseCompletion();
+    message.fingerprint = object.fingerprint ?? "";
+    message.part = object.part ?? "";
+    message.ageMs = object.ageMs ?? 0;
+    return message;
+  },
+};
+
+function createBasePartBan(): PartBan {
+  return { part: "", strikes: 0, lastCrashAgeMs: 0 };
+}
+
+export const PartBan: MessageFns<PartBan> = {
+  encode(message: PartBan, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.part !== "") {
+      writer.uint32(10).string(message.part);
+    }
+    if (message.strikes !== 0) {
+      writer.uint32(16).uint32(message.strikes);
+    }
+    if (message.lastCrashAgeMs !== 0) {
+      writer.uint32(24).uint32(message.lastCrashAgeMs);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): PartBan {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBasePartBan();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.part = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.strikes = reader.uint32();
+            continue;
+          }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.lastCrashAgeMs = reader.uint32();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): PartBan {
+    return {
+      part: isSet(object.part) ? globalThis.String(object.part) : "",
+      strikes: isSet(object.strikes) ? globalThis.Number(object.strikes) : 0,
+      lastCrashAgeMs: isSet(object.lastCrashAgeMs)
+        ? globalThis.Number(object.lastCrashAgeMs)
+        : isSet(object.last_crash_age_ms)
+        ? globalThis.Number(object.last_crash_age_ms)
+        : 0,
+    };
+  },
+
+  toJSON(message: PartBan): unknown {
+    const obj: any = {};
+    if (message.part !== "") {
+      obj.part = message.part;
+    }
+    if (message.strikes !== 0) {
+      obj.strikes = Math.round(message.strikes);
+    }
+    if (message.lastCrashAgeMs !== 0) {
+      obj.lastCrashAgeMs = Math.round(message.lastCrashAgeMs);
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<PartBan>, I>>(base?: I): PartBan {
+    return PartBan.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<PartBan>, I>>(object: I): PartBan {
+    const message = createBasePartBan();
+    message.part = object.part ?? "";
+    message.strikes = object.strikes ?? 0;
+    message.lastCrashAgeMs = object.lastCrashAgeMs ?? 0;
     return message;
   },
 };
--- a/test/admission.spec.ts
+++ b/test/admission.spec.ts
@@ -198,14 +198,17 @@
   it("are refused after crashing two processes, with crashes that peers reported included", () => {
     const here = new CrashTracker();
     const there = new CrashTracker();
-    here.recordCrash({ fingerprint: "f", process: "a@1" }, 0);
-    here.recordCrash({ fingerprint: "f", process: "a@1" }, 10);
-    assert.equal(here.isBanned("f", 20), false, "one crash, reported twice");
-    there.recordCrash({ fingerprint: "f", process: "b@1" }, 30);
-    for (const crash of there.listCrashes(40)) here.recordCrash(crash, 40);
-    assert.equal(here.isBanned("f", 50), true);
-    assert.equal(here.isBanned("g", 50), false);
-    assert.equal(here.isBanned("f", 70_000), false);
+    const suspects = [{ fingerprint: "f", parts: [] }];
+    const isBanned = (fingerprint: string, now: number) =>
+      here.findBan({ fingerprint, parts: [] }, now) !== undefined;
+    here.recordCrash({ process: "a@1", suspects }, 0);
+    here.recordCrash({ process: "a@1", suspects }, 10);
+    assert.equal(isBanned("f", 20), false, "one crash, reported twice");
+    there.recordCrash({ process: "b@1", suspects }, 30);
+    here.mergeKnowledge(there.listKnowledge(40), 40);
+    assert.equal(isBanned("f", 50), true);
+    assert.equal(isBanned("g", 50), false);
+    assert.equal(isBanned("f", 70_000), false);
   });
 });
 
--- a/test/crashes.spec.ts
+++ b/test/crashes.spec.ts
@@ -22,6 +22,9 @@
 /** How long a stream named `long` is open, in milliseconds. */
 const LONG_MS = 2500;
 
+/** Whether the engines of the running test refuse to reserve memory. */
+let isFull = false;
+
 const event = (id: number) => `id: ${id}\ndata: t${id}\n\n`;
 const chunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
 const readId = (head: string) => /x-id: (\S+)/i.exec(head)?.[1] ?? "";
@@ -35,8 +38,13 @@
 
 /** Starts decode engines that crash on requests whose ids begin with `bad`. */
 async function startEngines(count = ENGINES): Promise<readonly RawEndpoint[]> {
+  isFull = false;
   const engines: RawEndpoint[] = [];
   const answer = (head: string, socket: Socket) => {
+    if (head.startsWith("POST /hold") && isFull) {
+      socket.write("HTTP/1.1 503 Full\r\ncontent-length: 0\r\n\r\n");
+      return;
+    }
     if (head.startsWith("POST /hold")) {
       socket.write("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nh1");
       return;
@@ -115,6 +123,24 @@
     assert.deepEqual([refused.status, served.status], [503, 200]);
   });
 
+  it("a request with it that waits for an engine is refused as soon as the part is banned", async () => {
+    const engines = await startEngines(4);
+    await start();
+    await generate("good", [SHARED_PART]);
+    const waiting = Array.from({ length: 3 }, (_, turn) =>
+      generate(`bad-${turn}`, [SHARED_PART, POISON_PART, `other-${turn}`]),
+    );
+    await waitUntil(() => countRuns(engines, "bad") === 3);
+    isFull = true;
+    const startedAt = performance.now();
+    const queued = generate("bad-last", [SHARED_PART, POISON_PART]);
+    await Promise.all(waiting);
+    assert.equal((await queued).status, 503);
+    assert.equal((await queued).headers["x-retry-ms"], "");
+    assert.ok(performance.now() - startedAt < 500, "before the time after which it would give up");
+    assert.equal(countRuns(engines, "bad"), 3);
+  });
+
   it("copies of a stream are served whose engines crashed long after they began to write it", async () => {
     const engines = await startEngines(3);
     await start();
--- a/test/fleet.spec.ts
+++ b/test/fleet.spec.ts
@@ -311,6 +311,8 @@
     usages: [],
     works: [],
     crashes: [],
+    completions: [],
+    partBans: [],
     arrivingTokens: 0,
     waiting: 0,
     absences: [],
--- a/test/harness/forward.ts
+++ b/test/harness/forward.ts
@@ -41,6 +41,7 @@
       callerTimeoutMs: Number(readHeaderValue(headers["x-patience"]) ?? "5000"),
       size: { promptTokens: tokens, maxOutputTokens: 40, expectedOutputTokens: 20 },
       lastEventId: readHeaderValue(headers["x-after"]),
+      promptParts: (readHeaderValue(headers["x-parts"]) ?? "").split(",").slice(0, -1),
       headers: ["x-id", id],
     });
   }
