Send no release to a process that did not give the memory

What could be seen: a release of a hold or a handle (DELETE) named no endpoint, so another one at an address that is used again could not answer 421; and it was sent also where the directory already listed a later process of the engine. Where names of holds start anew with the process, such a release frees the memory of another request.

Cause: createReleaseHoldCall and createReleaseHandleCall got only the name, and a release only an id and an address.

Ruled out: the gate (it holds back only during a pause) and the expiry (a restart can be faster).

Change: the calls get the endpoint and name it as all other calls do. A release and a cache source carry the endpoint's entry; the releaser sends nothing unless the directory lists the same process at the same address, checked as it sends, also after a pause. A leaving process is still sent its releases. One that is not sent is logged at debug level.

--- a/scripts/mutations/forwarding.mjs
+++ b/scripts/mutations/forwarding.mjs
@@ -335,8 +335,8 @@
   },
   {
     name: "crashes: a completed run acquits the parts of its prompt",
-    file: "src/core/culprits.ts",
-    find: "if (crash.at <= (readCompletion(part) ?? -Infinity)) continue;",
+    file: "src/core/completions.ts",
+    find: "this.set(subject, { lastAt: at, ownAt: at });",
     replace: "",
     test: "culprits",
   },
@@ -355,4 +355,20 @@
     test: "crashes",
     pattern: "copies of a stream",
   },
+  {
+    name: "restarts: a release does not go to the next process",
+    file: "src/forward/releaser.ts",
+    find: "if (!directory.isListedProcess(target)) {",
+    replace: "if (directory.isListedProcess(target) === undefined) {",
+    test: "restarts",
+    pattern: "does not free",
+  },
+  {
+    name: "restarts: a release names its endpoint",
+    file: "platform/endpoint.ts",
+    find: "headers: [Header.expectEndpoint, id], body",
+    replace: "headers: [id, id].slice(2), body",
+    test: "../platform/test/endpoint",
+    pattern: "to a release",
+  },
 ];
--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -207,6 +207,20 @@
     );
   }
 
+  /**
+   * Checks whether the process that an entry describes is still the listed one: only that process
+   * knows the holds and handles that it gave. One that is no longer listed, or whose address a later
+   * process has, counts as gone.
+   */
+  isListedProcess({ id, address, processStartedAt }: EndpointEntry): boolean {
+    const entry = this.find(id);
+    return (
+      entry?.address === address &&
+      entry.processStartedAt === processStartedAt &&
+      (this.findNewestStarts().get(address) ?? 0) <= processStartedAt
+    );
+  }
+
   /** Lists the newest record of each endpoint, for a peer that cannot read the store. */
   listRecords(): readonly FeedRecord[] {
     return [...this.listed.values()].map(({ record }) => record);
--- a/src/forward/decode.ts
+++ b/src/forward/decode.ts
@@ -142,7 +142,7 @@
     logger.info("decode", {
       request: request.head.id,
       engine: endpoint.id,
-      source: cacheSource?.address ?? "none",
+      source: cacheSource?.endpoint.address ?? "none",
       run,
       lastEvent: lastEvent ?? "",
       leftMs,
--- a/src/forward/messages.ts
+++ b/src/forward/messages.ts
@@ -100,9 +100,8 @@
 
 /** The KV cache of a prompt at the engine that read it. */
 export interface CacheSource {
-  /** Id of the engine. */
-  readonly engine: string;
-  readonly address: string;
+  /** The engine, as it was listed when it read the prompt. */
+  readonly endpoint: EndpointEntry;
   readonly handle: string;
   /** When the engine drops the KV cache by itself. */
   readonly expiresAt: Moment;
@@ -195,8 +194,8 @@
    */
   isMisdirected(status: number): boolean;
   readHold(status: number, body: Buffer): string | undefined;
-  createReleaseHoldCall(hold: string): EndpointCall;
-  createReleaseHandleCall(handle: string): EndpointCall;
+  createReleaseHoldCall(endpoint: EndpointEntry, hold: string): EndpointCall;
+  createReleaseHandleCall(endpoint: EndpointEntry, handle: string): EndpointCall;
   createStageCall(endpoint: EndpointEntry, order: StageOrder): EndpointCall;
   readOrderResult(status: number): OrderResult;
 }
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -128,7 +128,7 @@
     health: new HealthTracker(),
     gate,
     client,
-    releaser: new Releaser(client, gate, clock, logger),
+    releaser: new Releaser({ client, gate, directory, clock, logger }),
     codec: adapter.endpointCodec,
     retries: new RetryBudget(settings.retryLimit, view.countLive, clock.now()),
     crashes: createCrashTracker(settings.instance, listLive, logger),
--- a/src/forward/prefill.ts
+++ b/src/forward/prefill.ts
@@ -94,9 +94,9 @@
   release(source: CacheSource | undefined): void {
     if (source === undefined) return;
     const { releaser, codec } = this.parts.context;
-    const { engine, address, handle, expiresAt } = source;
-    const call = codec.createReleaseHandleCall(handle);
-    releaser.release({ target: { id: engine, address }, call, expiresAt });
+    const { endpoint, handle, expiresAt } = source;
+    const call = codec.createReleaseHandleCall(endpoint, handle);
+    releaser.release({ target: endpoint, call, expiresAt });
   }
 
   /** Releases the kept cache source. */
@@ -149,8 +149,7 @@
       meter.recordPrefill(this.request.service, this.prefilledAt - startedAt);
       engineLoad.markAvailable(endpoint.id);
       const expiresAt = this.prefilledAt + this.limits.handleTtlMs;
-      const { id, address } = endpoint;
-      return { engine: id, address, handle: prefilled.handle, expiresAt };
+      return { endpoint, handle: prefilled.handle, expiresAt };
     }
     const isEngineSound = E.isLeft(opened) && (opened.left.isLocal || opened.left.isForeign);
     if (deadlineSignal.cause === undefined && !isEngineSound)
--- a/src/forward/releaser.ts
+++ b/src/forward/releaser.ts
@@ -1,46 +1,59 @@
 /**
  * Releases holds and KV caches that engines keep for this instance. While an engine has asked for a
  * pause, its releases wait: a release is a request like any other. One that can't be sent before
- * the engine drops the memory by itself is not sent at all.
+ * the engine drops the memory by itself is not sent at all, and neither is one for a process that is
+ * gone: at its address, the same name may mean the memory of another request.
  */
 import * as E from "fp-ts/Either";
 import type { Clock, Moment } from "../core/clock";
 import type { Logger } from "../core/log";
+import type { EndpointDirectory, EndpointEntry } from "../fleet/directory";
 import { type EndpointClient, SendFailureKind } from "./client";
-import type { EndpointGate, EndpointTarget } from "./gate";
+import type { EndpointGate } from "./gate";
 import type { EndpointCall } from "./messages";
 
 const RELEASE_TIMEOUT_MS = 500;
 
 /** A call that frees memory at an engine. */
 export interface Release {
-  readonly target: EndpointTarget;
+  /** The engine, as it was listed when it gave the memory. */
+  readonly target: EndpointEntry;
   readonly call: EndpointCall;
   /** When the engine frees the memory by itself. */
   readonly expiresAt: Moment;
 }
 
+/** Dependencies of a releaser. */
+export interface ReleaserParts {
+  readonly client: EndpointClient;
+  readonly gate: EndpointGate;
+  readonly directory: EndpointDirectory;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
 /** Sends releases, after the pause of their engine if it has asked for one. */
 export class Releaser {
   private readonly timers = new Set<NodeJS.Timeout>();
 
-  constructor(
-    private readonly client: EndpointClient,
-    private readonly gate: EndpointGate,
-    private readonly clock: Clock,
-    private readonly logger: Logger,
-  ) {}
+  constructor(private readonly parts: ReleaserParts) {}
 
   /** Sends a release in the background; logs one that fails or is not sent. */
   release(release: Release): void {
+    const { client, gate, directory, clock, logger } = this.parts;
     const { target, call, expiresAt } = release;
-    const pauseEnd = this.gate.readPauseEnd(target.id);
+    if (!directory.isListedProcess(target)) {
+      const error = "the engine's process is gone";
+      logger.debug("memory not released", { engine: target.id, path: call.path, error });
+      return;
+    }
+    const pauseEnd = gate.readPauseEnd(target.id);
     if (pauseEnd !== undefined) {
       this.sendAfterPause(release, pauseEnd);
       return;
     }
-    if (this.clock.now() >= expiresAt) return;
-    void this.client.call(target, call, RELEASE_TIMEOUT_MS).then((response) => {
+    if (clock.now() >= expiresAt) return;
+    void client.call(target, call, RELEASE_TIMEOUT_MS).then((response) => {
       if (E.isRight(response)) return;
       if (response.left.kind === SendFailureKind.held) this.release(release);
       else this.logFailure(release, response.left.message);
@@ -63,12 +76,12 @@
         this.timers.delete(timer);
         this.release(release);
       },
-      Math.ceil(pauseEnd - this.clock.now()),
+      Math.ceil(pauseEnd - this.parts.clock.now()),
     );
     this.timers.add(timer);
   }
 
   private logFailure({ target, call }: Release, error: string): void {
-    this.logger.warn("memory not released", { engine: target.id, path: call.path, error });
+    this.parts.logger.warn("memory not released", { engine: target.id, path: call.path, error });
   }
 }
--- a/src/forward/reservations.ts
+++ b/src/forward/reservations.ts
@@ -217,7 +217,8 @@
   release(reservation: Reservation): void {
     const { releaser, codec } = this.context;
     const { endpoint, hold, expiresAt } = reservation;
-    releaser.release({ target: endpoint, call: codec.createReleaseHoldCall(hold), expiresAt });
+    const call = codec.createReleaseHoldCall(endpoint, hold);
+    releaser.release({ target: endpoint, call, expiresAt });
   }
 
   private scheduleDispatch(): void {
--- a/src/forward/stream.ts
+++ b/src/forward/stream.ts
@@ -190,7 +190,7 @@
     const fields = {
       request: this.request.head.id,
       engine: endpoint.id,
-      prefill: source?.address ?? "none",
+      prefill: source?.endpoint.address ?? "none",
       end: outcome,
       message: result.message,
       lastEvent: this.decoder.lastEventId ?? "",
--- a/test/harness/forward.ts
+++ b/test/harness/forward.ts
@@ -109,12 +109,14 @@
     return status === 200 ? body.toString() : undefined;
   }
 
-  createReleaseHoldCall(hold: string): EndpointCall {
-    return { method: "DELETE", path: `/hold/${hold}`, headers: [], body: undefined };
+  createReleaseHoldCall(endpoint: EndpointEntry, hold: string): EndpointCall {
+    const headers = ["x-expect", endpoint.id];
+    return { method: "DELETE", path: `/hold/${hold}`, headers, body: undefined };
   }
 
-  createReleaseHandleCall(handle: string): EndpointCall {
-    return { method: "DELETE", path: `/handle/${handle}`, headers: [], body: undefined };
+  createReleaseHandleCall(endpoint: EndpointEntry, handle: string): EndpointCall {
+    const headers = ["x-expect", endpoint.id];
+    return { method: "DELETE", path: `/handle/${handle}`, headers, body: undefined };
   }
 
   createStageCall(endpoint: EndpointEntry, order: { stage: string; fence: number }): EndpointCall {
--- a/test/harness/raw.ts
+++ b/test/harness/raw.ts
@@ -38,6 +38,11 @@
 
   async listen(): Promise<string> {
     await new Promise<void>((resolve) => this.server.listen(0, "127.0.0.1", resolve));
+    return this.address;
+  }
+
+  /** IP address and port, once it listens. */
+  get address(): string {
     return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
   }
 
