Use no hold or handle of a process that is gone

What could be seen: the directory listed a new process of the decode engine while the prompt was read, and the run still went out with the hold of the process before; a kept handle of a prefill engine was offered again, and a fresh one used, after its process had changed. Where names start anew with the process, the second is the prompt of another request.

Cause: a reservation was used without a look at the directory, and a kept cache source was judged by its age alone.

Ruled out: the expected endpoint in the request (a new process under the same id answers to it) and the age of handles (a restart can be faster; in the tests handles are kept 20 s, so that age decides nothing).

Change: right before the decode is sent, in the same turn, the directory must list the process that gave the hold, at its address and not leaving; otherwise the try ends as not run, without a charge to the retry budget, and the generation queues again with its cache source. A cache source is checked there and before it is offered again: one of a process that is gone is dropped, and the prompt is read again as for one that is too old, or by the decode engine.

Both new mutations are noticed.

--- a/scripts/mutations/forwarding.mjs
+++ b/scripts/mutations/forwarding.mjs
@@ -371,4 +371,20 @@
     test: "../platform/test/endpoint",
     pattern: "to a release",
   },
+  {
+    name: "restarts: a hold is not used at the next process",
+    file: "src/forward/stream.ts",
+    find: "if (aborted === undefined && !context",
+    replace: "if (aborted !== undefined && !context",
+    test: "restarts",
+    pattern: "a hold",
+  },
+  {
+    name: "restarts: a handle is not used after its process is gone",
+    file: "src/forward/prefill.ts",
+    find: "if (this.parts.context.directory.canUseMemory(source.endpoint)) return source;",
+    replace: "return source;",
+    test: "restarts",
+    pattern: "a handle",
+  },
 ];
--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -207,11 +207,7 @@
     );
   }
 
-  /**
-   * Checks whether the process that an entry describes is still the listed one: only that process
-   * knows the holds and handles that it gave. One that is no longer listed, or whose address a later
-   * process has, counts as gone.
-   */
+  /** Checks whether a process is still the listed one: only it knows the memory that it gave. */
   isListedProcess({ id, address, processStartedAt }: EndpointEntry): boolean {
     const entry = this.find(id);
     return (
@@ -221,6 +217,11 @@
     );
   }
 
+  /** Checks whether the holds and handles of this process may be used: it is listed and not leaving. */
+  canUseMemory(endpoint: EndpointEntry): boolean {
+    return this.isListedProcess(endpoint) && !this.hasLeft(endpoint);
+  }
+
   /** Lists the newest record of each endpoint, for a peer that cannot read the store. */
   listRecords(): readonly FeedRecord[] {
     return [...this.listed.values()].map(({ record }) => record);
--- a/src/forward/prefill.ts
+++ b/src/forward/prefill.ts
@@ -83,6 +83,17 @@
     return source;
   }
 
+  /**
+   * Drops a cache source whose process is gone: at the next one, its handle may name the prompt of
+   * another request. The decode engine reads the prompt instead.
+   */
+  dropGone(source: CacheSource | undefined): CacheSource | undefined {
+    if (source === undefined) return undefined;
+    if (this.parts.context.directory.canUseMemory(source.endpoint)) return source;
+    this.release(source);
+    return undefined;
+  }
+
   /** Keeps a cache source that no decode engine has used, for the next try. */
   keep(source: CacheSource | undefined): void {
     this.kept = source;
@@ -106,7 +117,7 @@
   }
 
   private takeKeptSource(): CacheSource | undefined {
-    const { kept } = this;
+    const kept = this.dropGone(this.kept);
     this.kept = undefined;
     if (kept === undefined) return undefined;
     const deadline = this.prefilledAt + this.limits.handleTtlMs * HANDLE_REUSE_SHARE;
--- a/src/forward/stream.ts
+++ b/src/forward/stream.ts
@@ -228,16 +228,22 @@
     source: CacheSource | undefined,
     deadlineSignal: DeadlineSignal,
   ): Promise<TryResult> {
-    const { reservations } = this.parts;
-    const stopped =
-      createUnsentAbortResult(deadlineSignal) ?? this.beginRun() ?? this.consumeSendBudget();
+    const { reservations, context } = this.parts;
+    const barred = createUnsentAbortResult(deadlineSignal) ?? this.beginRun();
+    if (barred === undefined && !context.directory.canUseMemory(reservation.endpoint)) {
+      reservations.release(reservation);
+      this.prefiller.keep(source);
+      return { end: TryEnd.notRun, message: "the process that gave the hold is gone" };
+    }
+    const stopped = barred ?? this.consumeSendBudget();
     if (stopped !== undefined) {
       reservations.release(reservation);
       this.prefiller.release(source);
       return stopped;
     }
-    const result = await this.decoder.run(reservation, source, this.runs + 1, deadlineSignal);
-    if (result.end === TryEnd.notRun) this.prefiller.keep(source);
+    const usable = this.prefiller.dropGone(source);
+    const result = await this.decoder.run(reservation, usable, this.runs + 1, deadlineSignal);
+    if (result.end === TryEnd.notRun) this.prefiller.keep(usable);
     return result;
   }
 
