Take no body or event as whole that a late copy of its answer filled up

The caller got 200 with the first bytes of the copy's head as the end of its body; a stream without length and chunks brought its events twice, with the copy's head as an event between them; a stream whose chunk was cut short brought an event that contained the head.

Cause: the bytes of the copy count for the length that is missing, and nobody looked at what they were, nor at what came behind a body.

Ruled out: a check by undici. It ends the connection with the same error ("bad response") behind a filled-up body and behind a whole one (trial on a scratch script), so bytes behind a body alone say nothing. Ids of events that don't rise are no sign either: test/endless.spec.ts has a whole stream whose ids go from 59999 back to 9. The status line alone is no sign of a copy.

Change: src/forward/copy.ts looks for a head that names the request itself, in bodies and in events; a body that ends within a head isn't whole if bytes that are no answer came behind it within 20 ms (src/forward/connection.ts). Such an answer is broken like one whose connection broke: 502, or asked again within the budget; a stream is cut, or resumed after its last event.

--- a/src/forward/client.ts
+++ b/src/forward/client.ts
@@ -9,6 +9,7 @@
 import { isConnectionRefused, isConnectError } from "../store/http";
 import { MAX_SMALL_BODY_BYTES } from "./body";
 import { type Connection, MAX_FRAMED_BYTES, MAX_HEAD_BYTES } from "./connection";
+import { containsOwnHead, isCutInHead } from "./copy";
 import { isOwnAnswer } from "./exchange";
 import type { EndpointGate, EndpointTarget } from "./gate";
 import {
@@ -86,6 +87,10 @@
    * Returns true if the connection failed, so that a body that seems to have ended is not whole.
    */
   readonly isBroken: () => boolean;
+  /** Returns true if bytes of the body contain the head of a copy of this response. */
+  readonly containsCopy: (bytes: Buffer) => boolean;
+  /** Returns true if the end of a body is the beginning of a copy, whose rest came behind it. */
+  readonly isFilledUp: (body: Buffer) => Promise<boolean>;
 }
 
 /** The whole response to a call that the router makes for itself. */
@@ -195,6 +200,9 @@
         body: response.body,
         isFramed: hasFraming(response.statusCode, headers),
         isBroken: () => connection.isBroken,
+        containsCopy: (bytes) =>
+          containsOwnHead(bytes, (names) => this.codec.readAnsweredId(names) === head.id),
+        isFilledUp: async (whole) => isCutInHead(whole) && (await connection.waitForStrayBytes()),
       });
     } catch (error) {
       pool.discard(connection);
--- a/src/forward/connection.ts
+++ b/src/forward/connection.ts
@@ -2,9 +2,10 @@
  * One kept-alive connection to an endpoint. Each has an undici client of its own, so that it is
  * known which socket brought a response and how that socket ended.
  */
+import { once } from "node:events";
 import type { Socket } from "node:net";
 import { Client } from "undici";
-import type { Moment } from "../core/clock";
+import { type Moment, pause } from "../core/clock";
 import { ByteLimit } from "../store/bytelimit";
 import { createConnector } from "../store/connector";
 
@@ -27,6 +28,12 @@
  * Maximum number of requests that one connection carries; bounds the ids that it remembers.
  */
 export const MAX_REQUESTS = 200;
+/** How soon bytes that belong to those of an answer follow them, in milliseconds. */
+const STRAY_BYTES_TIMEOUT_MS = 20;
+/** What undici says of bytes that come while no request waits for an answer. */
+const STRAY_BYTES_MESSAGE = "bad response";
+/** What the error codes of undici's parser begin with. */
+const PARSER_CODE_PREFIX = "HPE_";
 /** Maximum size of a response, in bytes. */
 const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
 
@@ -44,6 +51,7 @@
   private socket: Socket | undefined;
   private byteLimit: ByteLimit | undefined;
   private hasError = false;
+  private hasStrayBytes = false;
 
   constructor(address: string) {
     this.client = new Client(`http://${address}`, {
@@ -99,6 +107,20 @@
     this.byteLimit?.reset(maxBytes);
   }
 
+  /**
+   * Returns true if bytes came behind an answer, or come within moments, that are no answer to a
+   * request that waits.
+   */
+  async waitForStrayBytes(): Promise<boolean> {
+    const { socket } = this;
+    if (socket !== undefined && !socket.closed && !this.hasStrayBytes) {
+      await Promise.race([once(socket, "close"), pause(STRAY_BYTES_TIMEOUT_MS)]).catch(
+        () => undefined,
+      );
+    }
+    return this.hasStrayBytes;
+  }
+
   /** Closes the connection, also with a request in flight. */
   close(): void {
     void this.client.destroy().catch(() => undefined);
@@ -110,6 +132,11 @@
     socket.prependOnceListener("error", (error: NodeJS.ErrnoException) => {
       // undici destroys sockets it no longer needs with errors of its own, which have no errno.
       if (error.errno !== undefined) this.hasError = true;
+      if (isStrayBytesError(error)) this.hasStrayBytes = true;
     });
   }
 }
+
+function isStrayBytesError({ code, message }: NodeJS.ErrnoException): boolean {
+  return message === STRAY_BYTES_MESSAGE || (code?.startsWith(PARSER_CODE_PREFIX) ?? false);
+}
--- a/src/forward/relay.ts
+++ b/src/forward/relay.ts
@@ -83,12 +83,17 @@
     deadlineSignal.signal.addEventListener("abort", onAbort, { once: true });
     restartTimer(firstEventTimeoutMs);
     body.on("data", (bytes: Buffer) => {
-      const events = splitter.push(bytes);
+      const received = splitter.push(bytes);
+      const events = listEventsBeforeCopy(received, response);
       if (events.length > 0) {
         hasEvents = true;
         restartTimer(silenceTimeoutMs);
         onEvents(events);
       }
+      if (events.length < received.length) {
+        finish(RelayEnd.broken, "a copy of the stream came within it");
+        return;
+      }
       if (splitter.partialBytes > MAX_EVENT_BYTES)
         finish(RelayEnd.malformed, `an event exceeds ${MAX_EVENT_BYTES} bytes`);
     });
@@ -103,6 +108,15 @@
   });
 }
 
+/** Lists the events before the one, if any, that the head of a copy has filled up. */
+function listEventsBeforeCopy(
+  events: readonly StreamEvent[],
+  response: OpenResponse,
+): readonly StreamEvent[] {
+  const copied = events.findIndex(({ bytes }) => response.containsCopy(bytes));
+  return copied < 0 ? events : events.slice(0, copied);
+}
+
 /** Finds out why a stream that has ended is not whole; returns undefined if it may be. */
 function findFaultOfEnd(
   response: OpenResponse,
--- a/src/forward/service.ts
+++ b/src/forward/service.ts
@@ -360,11 +360,14 @@
 
 /**
  * Reads the body of a response to its end; fails if the connection failed, even if the body seems
- * to have ended.
+ * to have ended, or if a copy of the response has filled it up.
  */
 export async function readWholeBody(response: OpenResponse): Promise<E.Either<Error, Buffer>> {
   const body = await readBody(response.body);
-  return response.isBroken() ? E.left(new Error("the connection broke within the answer")) : body;
+  if (response.isBroken()) return E.left(new Error("the connection broke within the answer"));
+  if (E.isLeft(body)) return body;
+  const isCopied = response.containsCopy(body.right) || (await response.isFilledUp(body.right));
+  return isCopied ? E.left(new Error("a copy of the answer came within it")) : body;
 }
 
 /** Creates the final result of a request whose caller has left. */
