Queue generations by an id of the instance's own

Three generations with one id at one instance, while holds are refused: one was answered, the two others never, past the timeout of their route (6 s). The queue had the caller's id as its key, so that a generation put back took the place of another, and a caller that left removed the other's entry. The queue now numbers its entries; the caller's id is only logged.

Ruled out: the ids that a connection remembers are the caller's too, but two requests with one id never share a connection, so neither is lost. No other map of src/forward was found that has the caller's id as its key.

--- a/scripts/mutations/forwarding.mjs
+++ b/scripts/mutations/forwarding.mjs
@@ -429,4 +429,12 @@
     replace: "return copied < -1 ? events.slice(0, copied) : events;",
     test: "truncated",
   },
+  {
+    name: "holds: generations with one id don't take each other's place in the queue",
+    file: "src/forward/reservations.ts",
+    find: "const id = String(this.queuedCount);",
+    replace: "const id = request.requestId;",
+    test: "holds",
+    pattern: "while holds are refused",
+  },
 ];
--- a/src/core/queue.ts
+++ b/src/core/queue.ts
@@ -6,6 +6,7 @@
 
 /** A request as every queue sees it. */
 export interface QueuedRequest {
+  /** Id that no other request in the queue has, so not one that a caller chose. */
   readonly id: string;
   /** Latest start that still meets the request's latency target. */
   readonly targetDeadline: Moment;
--- a/src/forward/reservations.ts
+++ b/src/forward/reservations.ts
@@ -27,7 +27,9 @@
 }
 
 /** A generation that needs memory. */
-export interface ReservationRequest extends UrgentQueueItem {
+export interface ReservationRequest extends Omit<UrgentQueueItem, "id"> {
+  /** Id that its caller chose, for the log: other generations may have the same. */
+  readonly requestId: string;
   readonly service: string;
   readonly limits: EngineLimits;
   readonly needTokens: number;
@@ -39,6 +41,8 @@
 }
 
 interface WaitingRequest extends ReservationRequest {
+  /** Id in the queue, which no other generation of this instance has. */
+  readonly id: string;
   readonly resolve: (reservation: Reservation | undefined) => void;
 }
 
@@ -47,6 +51,7 @@
   private readonly queue = new UrgentQueue<WaitingRequest>();
   private readonly enginesInCall = new Set<string>();
   private timer: NodeJS.Timeout | undefined;
+  private queuedCount = 0;
 
   constructor(
     private readonly context: ForwardContext,
@@ -66,7 +71,9 @@
    */
   reserve(request: ReservationRequest): Promise<Reservation | undefined> {
     return new Promise((resolve) => {
-      const waitingRequest: WaitingRequest = { ...request, resolve };
+      this.queuedCount += 1;
+      const id = String(this.queuedCount);
+      const waitingRequest: WaitingRequest = { ...request, id, resolve };
       this.queue.push(waitingRequest);
       request.caller.addEventListener(
         "abort",
@@ -186,7 +193,7 @@
     const isUsable = !waitingRequest.caller.aborted && !directory.hasLeft(endpoint);
     if (hold !== undefined && isUsable) {
       logger.info("reserved", {
-        request: waitingRequest.id,
+        request: waitingRequest.requestId,
         engine: id,
         needTokens: waitingRequest.needTokens,
         waitedMs: Math.round(now - waitingRequest.arrivedAt),
@@ -204,7 +211,7 @@
       directory.markMisdirected(endpoint, now);
     } else this.engineLoad.markFull(id, now);
     logger.debug("no room", {
-      request: waitingRequest.id,
+      request: waitingRequest.requestId,
       endpoint: id,
       answer: E.isRight(response) ? response.right.status : response.left.message,
     });
--- a/src/forward/stream.ts
+++ b/src/forward/stream.ts
@@ -151,7 +151,7 @@
       listOffset: directory.next.offset,
     });
     const reservation = await this.parts.reservations.reserve({
-      id: head.id,
+      requestId: head.id,
       priority,
       isOverRate,
       arrivedAt,
