Release holds that nothing was sent with, and take none without a connection

With 8 generations at an engine to which an instance may open 4 connections, 25 holds were taken, 3 used and 2 released; 20 kept engine memory until they expired, and five callers were refused. A send that finds all connections in use ends as not run, and the next try took another hold at once; nothing released the first. A hold is now released if no byte of its request left (not if the engine answered that it did not run it, as it may have consumed the hold), and an engine counts as full while the instance's own requests there, with those that have only a hold, are as many as its connections. An engine whose send was held or found no connection is passed over for a moment.

Ruled out: asking the pool how many connections are in use, as a generation that has a hold and still waits for its prefill has none yet. Router calls still count as connections in use in src/forward/pool.ts, which is not changed here.

A hold whose engine asks for a pause before the send is released after it.

--- a/scripts/mutations/forwarding.mjs
+++ b/scripts/mutations/forwarding.mjs
@@ -437,4 +437,20 @@
     test: "holds",
     pattern: "while holds are refused",
   },
+  {
+    name: "holds: one that nothing was sent with is released",
+    file: "src/forward/decode.ts",
+    find: "if (E.isLeft(opened) && !opened.left.isSent)",
+    replace: "if (E.isLeft(opened) && opened.left.isSent)",
+    test: "holds",
+    pattern: "released after the pause",
+  },
+  {
+    name: "holds: none is taken while all connections are in use",
+    file: "src/forward/reservations.ts",
+    find: "return this.engineLoad.countLocalRequests(id) < client.computeMaxConnections(service);",
+    replace: "return client.computeMaxConnections(service) > 0;",
+    test: "holds",
+    pattern: "no hold is lost",
+  },
 ];
--- a/src/forward/client.ts
+++ b/src/forward/client.ts
@@ -112,6 +112,8 @@
     call: EndpointCall,
     timeoutMs: number,
   ): Promise<E.Either<SendFailure, CallResponse>>;
+  /** Computes how many connections to one endpoint of a service this instance may open. */
+  computeMaxConnections(service: string): number;
   /** Closes the idle connections to an address. */
   reset(address: string): void;
   close(): Promise<void>;
@@ -240,6 +242,10 @@
     }
   }
 
+  computeMaxConnections(service: string): number {
+    return this.host.computeMaxConnections(service);
+  }
+
   reset(address: string): void {
     this.pools.get(address)?.closeIdle();
   }
--- a/src/forward/decode.ts
+++ b/src/forward/decode.ts
@@ -11,7 +11,7 @@
 import { discardBody } from "./body";
 import type { OpenResponse, SendFailure } from "./client";
 import { type ForwardContext, type RequestTimes, resetDataCentreConnections } from "./context";
-import type { Reservation } from "./reservations";
+import type { Reservation, ReservationQueue } from "./reservations";
 import type { EngineLoadTracker } from "./engines";
 import type { StreamEvent } from "./events";
 import {
@@ -79,6 +79,7 @@
 /** Dependencies of a decoder. */
 export interface DecodeParts {
   readonly context: ForwardContext;
+  readonly reservations: ReservationQueue;
   readonly engineLoad: EngineLoadTracker;
 }
 
@@ -164,6 +165,7 @@
     };
     const opened = await client.send({ ...send, lastEventId: lastEvent }, firstEventSignal.signal);
     if (E.isLeft(opened) || isStream(opened.right.head)) firstEventSignal.close();
+    if (E.isLeft(opened) && !opened.left.isSent) this.parts.reservations.release(reservation);
     const result = E.isRight(opened)
       ? await this.readResponse(opened.right, endpoint, deadlineSignal)
       : await this.handleSendFailure(opened.left, endpoint, deadlineSignal);
@@ -180,13 +182,19 @@
     if (aborted !== undefined) return aborted;
     const { isSent, isLocal, isForeign, message } = failure;
     if (!isSent) {
-      if (!isLocal) this.markEngineUnavailable(endpoint);
+      if (isLocal) this.markEngineFull(endpoint);
+      else this.markEngineUnavailable(endpoint);
       return { end: TryEnd.notRun, message };
     }
     if (isForeign) return { end: TryEnd.broken, message };
     return this.handleBreak(endpoint, message);
   }
 
+  private markEngineFull(endpoint: EndpointEntry): void {
+    const { context, engineLoad } = this.parts;
+    engineLoad.markFull(endpoint.id, context.clock.now());
+  }
+
   private markEngineUnavailable(endpoint: EndpointEntry): void {
     const { context, engineLoad } = this.parts;
     engineLoad.markUnavailable(endpoint.id, context.clock.now());
--- a/src/forward/engines.ts
+++ b/src/forward/engines.ts
@@ -122,6 +122,11 @@
     });
   }
 
+  /** Counts the requests of this instance at an engine, with those that have only a hold. */
+  countLocalRequests(engine: string): number {
+    return this.localWork.get(engine)?.requests ?? 0;
+  }
+
   /** Lists the work of this instance, to be sent to peers. */
   listLocalWork(): readonly EngineWork[] {
     return [...this.localWork].map(([engine, work]) => ({ engine, ...work }));
--- a/src/forward/reservations.ts
+++ b/src/forward/reservations.ts
@@ -107,13 +107,13 @@
 
   /** Lists the usable engines of a service, with their load. */
   listViews(service: string, now: Moment): readonly EngineView[] {
-    const { directory, gate } = this.context;
+    const { directory } = this.context;
     return directory
       .listUsable(now)
       .filter((endpoint) => endpoint.service === service && endpoint.stage !== undefined)
       .map((endpoint) => {
         const view = this.engineLoad.readView(endpoint, directory.isInDoubt(endpoint.id), now);
-        return gate.isPaused(endpoint.id) ? { ...view, isFull: true } : view;
+        return this.canSend(endpoint) ? view : { ...view, isFull: true };
       });
   }
 
@@ -154,6 +154,13 @@
     }
   }
 
+  /** Checks that an engine has asked for no pause, and that a connection to it is left. */
+  private canSend({ id, service }: EndpointEntry): boolean {
+    const { gate, client } = this.context;
+    if (gate.isPaused(id)) return false;
+    return this.engineLoad.countLocalRequests(id) < client.computeMaxConnections(service);
+  }
+
   private chooseEngine(waitingRequest: WaitingRequest, now: Moment): EngineView | undefined {
     const views = this.listViews(waitingRequest.service, now).filter(
       (view) => !this.enginesInCall.has(view.endpoint.id),
