--- a/scripts/mutations/forwarding.mjs
+++ b/scripts/mutations/forwarding.mjs
@@ -453,4 +453,12 @@
     test: "holds",
     pattern: "no hold is lost",
   },
+  {
+    name: "caller: the request id is no option of a connection",
+    file: "platform/caller.ts",
+    find: "&& !KEPT_HEADERS.has(lowerCaseName)",
+    replace: "",
+    test: "../platform/test/codec",
+    pattern: "forwarded with its id",
+  },
 ];
