Take an answer with two ids or two seals that differ as nobody's

Of a header that came twice only the last value was read, so that an answer with another request's id and then the request's own counted as its own. An answer with two different ids, or two different seals, now names an id that no request has, so that it is foreign; repeated equal values still count as one. Naming no request was ruled out: such an answer passes on a new connection. The test codec does the same for its id (it has no seal).

No test has two ids through the test codec.

--- a/scripts/mutations/forwarding.mjs
+++ b/scripts/mutations/forwarding.mjs
@@ -461,4 +461,12 @@
     test: "../platform/test/codec",
     pattern: "forwarded with its id",
   },
+  {
+    name: "endpoint: an answer with two ids or seals is nobody's",
+    file: "platform/endpoint.ts",
+    find: "return isAmbiguous ? AMBIGUOUS_ID :",
+    replace: "return isAmbiguous && headers.length === 0 ? AMBIGUOUS_ID :",
+    test: "../platform/test/endpoint",
+    pattern: "two ids",
+  },
 ];
--- a/test/harness/forward.ts
+++ b/test/harness/forward.ts
@@ -62,8 +62,10 @@
   }
 
   readAnsweredId(headers: readonly string[]): string | undefined {
-    const index = headers.findIndex((name, at) => at % 2 === 0 && name.toLowerCase() === "x-id");
-    return index < 0 ? undefined : headers[index + 1];
+    const ids = headers.filter(
+      (_, at) => at % 2 === 1 && headers[at - 1]?.toLowerCase() === "x-id",
+    );
+    return new Set(ids).size > 1 ? " several" : ids[0];
   }
 
   readResponseHead(
