--- a/scripts/mutations/forwarding.mjs
+++ b/scripts/mutations/forwarding.mjs
@@ -374,8 +374,8 @@
   {
     name: "restarts: a hold is not used at the next process",
     file: "src/forward/stream.ts",
-    find: "if (aborted === undefined && !context",
-    replace: "if (aborted !== undefined && !context",
+    find: "if (barred === undefined && !context",
+    replace: "if (barred !== undefined && !context",
     test: "restarts",
     pattern: "a hold",
   },
