--- a/test/latecopies.spec.ts
+++ b/test/latecopies.spec.ts
@@ -9,6 +9,7 @@
 import { EngineStage } from "../src/fleet/directory";
 import { addEndpoint, get, port, prepareEach, start, store } from "./harness/fixture";
 import { createConfig, waitUntil } from "./harness/forward";
+import type { RawEndpoint } from "./harness/raw";
 
 prepareEach();
 
@@ -42,6 +43,24 @@
   return `HTTP/1.1 200 OK\r\nx-id: ${readId(head)}\r\ntransfer-encoding: chunked\r\n\r\n${chunk}`;
 }
 
+/** Adds a decode engine that answers each exchange once. */
+function addDecodeEngine(): Promise<RawEndpoint> {
+  const answer = (head: string, socket: Socket) => {
+    if (isHold(head)) socket.write(createAnswer("", "h"));
+    else if (isRelease(head)) socket.write(createAnswer("", ""));
+    else socket.write(createStream(head));
+  };
+  return addEndpoint("d", answer, DECODE);
+}
+
+/** Asserts that each generation went on from its own prompt, or from none. */
+function assertOwnSources(decode: RawEndpoint): void {
+  for (const head of decode.requests.filter((text) => !isHold(text) && !isRelease(text))) {
+    const source = /x-source: (\S+)/.exec(head)?.[1];
+    assert.ok(source === undefined || source === `kv-${readId(head)}`, head);
+  }
+}
+
 const draft = (id: string) => get(port, `/draft/${id}`, { "x-id": id, "x-tokens": "300" });
 
 describe("a late copy of an answer", () => {
@@ -51,25 +70,14 @@
       createStutter((head) => createAnswer(head, `kv-${readId(head)}`)),
       PREFILL,
     );
-    const decode = await addEndpoint(
-      "d",
-      (head, socket) => {
-        if (isHold(head)) socket.write(createAnswer("", "h"));
-        else if (isRelease(head)) socket.write(createAnswer("", ""));
-        else socket.write(createStream(head));
-      },
-      DECODE,
-    );
+    const decode = await addDecodeEngine();
     await start();
     for (const id of ["one", "two", "three"]) {
       const response = await draft(id);
       assert.deepEqual([response.status, response.body], [200, `id: 1\ndata: ${id}\n\n`]);
     }
     assert.ok(prefill.requests.length >= 3);
-    for (const head of decode.requests.filter((text) => !isHold(text) && !isRelease(text))) {
-      const source = /x-source: (\S+)/.exec(head)?.[1];
-      assert.ok(source === undefined || source === `kv-${readId(head)}`, head);
-    }
+    assertOwnSources(decode);
   });
 
   it("to a prefill that names no request does not hand over the prompt of another request", async () => {
@@ -78,21 +86,10 @@
       createStutter((head) => createAnswer("", `kv-${readId(head)}`)),
       PREFILL,
     );
-    const decode = await addEndpoint(
-      "d",
-      (head, socket) => {
-        if (isHold(head)) socket.write(createAnswer("", "h"));
-        else if (isRelease(head)) socket.write(createAnswer("", ""));
-        else socket.write(createStream(head));
-      },
-      DECODE,
-    );
+    const decode = await addDecodeEngine();
     await start();
     for (const id of ["one", "two", "three"]) assert.equal((await draft(id)).status, 200);
-    for (const head of decode.requests.filter((text) => !isHold(text) && !isRelease(text))) {
-      const source = /x-source: (\S+)/.exec(head)?.[1];
-      assert.ok(source === undefined || source === `kv-${readId(head)}`, head);
-    }
+    assertOwnSources(decode);
   });
 
   it("to a hold does not reserve the memory of another generation", async () => {
