--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -3,10 +3,10 @@
  * may send a second copy of an answer late, where the answer to the next exchange is due.
  */
 
-/** What is known of an exchange and of the answer that arrived for it. */
+/** What is known of a request and of the answer that arrived where its own is due. */
 export interface ExchangeEvidence {
-  /** Id of the request that was sent; undefined for a call of the router's own, which has none. */
-  readonly requestId: string | undefined;
+  /** Id of the request that was sent. */
+  readonly requestId: string;
   /** Id of the request that the answer names; undefined if it names none. */
   readonly answeredId: string | undefined;
   /** True if the connection has carried no exchange before, so that no late copy can be on it. */
