Choose owners of accounts in a module of their own

The owner of an account, its time to live and owners that do not answer stood in the charger; limits of endpoints need the same.

--- a/src/forward/charges.ts
+++ b/src/forward/charges.ts
@@ -4,21 +4,14 @@
  * Requests for one account that arrive while a call to its owner is under way go out together in
  * the next call, so that a busy instance makes one call at a time for an account.
  */
-import type { Clock, Moment } from "../core/clock";
+import type { Clock } from "../core/clock";
 import type { Logger } from "../core/log";
-import { chooseByRendezvousHash } from "../core/rendezvous";
 import type { RateLimit } from "../fleet/config";
+import { OwnerChooser } from "../fleet/owners";
 import { type QuotaDecision, type Quotas, UNLIMITED } from "./quota";
 
 /** How long an owner may take to answer, in milliseconds; far more than a round trip. */
 const CHARGE_TIMEOUT_MS = 200;
-/**
- * How long an owner that did not answer is not asked, in milliseconds; until about then the
- * instance is either heard again or taken for lost.
- */
-const SILENT_OWNER_MS = 1000;
-/** How long a chosen owner is kept, in milliseconds, as choosing costs a hash for each instance. */
-const OWNER_TTL_MS = 200;
 /** Maximum number of requests in one call, which bounds its size. */
 const MAX_BATCH = 256;
 
@@ -51,11 +44,6 @@
   readonly resolve: (decision: QuotaDecision) => void;
 }
 
-interface Owner {
-  readonly instance: string;
-  readonly expiresAt: Moment;
-}
-
 /** Dependencies of the charger. */
 export interface ChargerParts {
   readonly instance: string;
@@ -69,12 +57,13 @@
 
 /** Decides on the requests of this instance by the rates of their workspaces. */
 export class QuotaCharger {
-  private readonly owners = new Map<string, Owner>();
+  private readonly owners: OwnerChooser;
   /** By workspace: the requests that wait for the call under way to end. */
   private readonly waiting = new Map<string, WaitingRequest[]>();
-  private readonly silentOwners = new Map<string, Moment>();
 
-  constructor(private readonly parts: ChargerParts) {}
+  constructor(private readonly parts: ChargerParts) {
+    this.owners = new OwnerChooser(parts.instance, parts.listLive, parts.clock);
+  }
 
   /**
    * Admits a request and counts it, or refuses it.
@@ -89,11 +78,11 @@
     if (limit === undefined) return UNLIMITED;
     const { instance, quotas, clock } = this.parts;
     const now = clock.now();
-    const owner = this.chooseOwner(workspace, now);
+    const owner = this.owners.choose(workspace);
     if (owner === instance) return quotas.admitAsOwner(workspace, limit, cost, now);
     const unasked = quotas.admitUnasked(workspace, limit, cost, now);
     if (unasked !== undefined) return unasked;
-    if (this.isSilent(owner, now)) return quotas.admitByShare(workspace, limit, cost, now);
+    if (this.owners.isSilent(owner)) return quotas.admitByShare(workspace, limit, cost, now);
     return this.askOwner(workspace, limit, cost);
   }
 
@@ -120,12 +109,12 @@
   }
 
   private async sendBatch(workspace: string, batch: readonly WaitingRequest[]): Promise<void> {
-    const { quotas, transport, clock, instance } = this.parts;
-    const owner = this.chooseOwner(workspace, clock.now());
+    const { quotas, transport, instance } = this.parts;
+    const owner = this.owners.choose(workspace);
     const totalCost = quotas.readLocalCost(workspace);
     const costs = batch.map(({ cost }) => cost);
     const charge = { workspace, totalCost, costs };
-    const isAsked = owner !== instance && !this.isSilent(owner, clock.now());
+    const isAsked = owner !== instance && !this.owners.isSilent(owner);
     const decisions = isAsked
       ? await transport.charge(owner, charge, CHARGE_TIMEOUT_MS)
       : undefined;
@@ -162,26 +151,8 @@
       : quotas.admitByShare(workspace, limit, cost, now);
   }
 
-  private chooseOwner(workspace: string, now: Moment): string {
-    const known = this.owners.get(workspace);
-    if (known !== undefined && known.expiresAt > now) return known.instance;
-    const { instance: self, listLive } = this.parts;
-    const instance = chooseByRendezvousHash(workspace, [...listLive()].sort()) ?? self;
-    this.owners.set(workspace, { instance, expiresAt: now + OWNER_TTL_MS });
-    return instance;
-  }
-
   private recordSilence(owner: string, workspace: string): void {
-    const { clock, logger } = this.parts;
-    this.silentOwners.set(owner, clock.now() + SILENT_OWNER_MS);
-    logger.warn("rate owner silent", { owner, workspace });
-  }
-
-  private isSilent(owner: string, now: Moment): boolean {
-    const deadline = this.silentOwners.get(owner);
-    if (deadline === undefined) return false;
-    if (deadline > now) return true;
-    this.silentOwners.delete(owner);
-    return false;
+    this.owners.recordSilence(owner);
+    this.parts.logger.warn("rate owner silent", { owner, workspace });
   }
 }
