--- a/src/fleet/transport.ts
+++ b/src/fleet/transport.ts
@@ -18,6 +18,8 @@
   type FetchRequest,
   FleetClient,
   FleetService,
+  type PermitReply,
+  type PermitRequest,
 } from "../peer/gen/fleet";
 import { CHANNEL_OPTIONS } from "../peer/transport";
 import type { FleetTransport } from "./heartbeat";
@@ -31,6 +33,7 @@
   onBeat(beat: Beat): Beat;
   onFetch(request: FetchRequest): FetchReply;
   onCharge(request: ChargeRequest): ChargeReply;
+  onPermit(request: PermitRequest): PermitReply;
 }
 
 /** A server that listens for peers. */
@@ -63,6 +66,15 @@
     return this.call(address, timeoutMs, (client, done) => client.charge(request, done));
   }
 
+  /** Asks the owner of a limit for sends; undefined where it does not answer in time. */
+  permit(
+    address: string,
+    request: PermitRequest,
+    timeoutMs: number,
+  ): Promise<PermitReply | undefined> {
+    return this.call(address, timeoutMs, (client, done) => client.permit(request, done));
+  }
+
   close(): void {
     for (const client of this.clients.values()) client.close();
     this.clients.clear();
@@ -129,6 +141,12 @@
     ) => {
       done(null, handler.onCharge(call.request));
     },
+    permit: (
+      call: ServerUnaryCall<PermitRequest, PermitReply>,
+      done: sendUnaryData<PermitReply>,
+    ) => {
+      done(null, handler.onPermit(call.request));
+    },
   });
   await bindServer(server, address);
   return { close: () => closeServer(server, SHUTDOWN_TIMEOUT_MS) };
--- a/src/forward/announcer.ts
+++ b/src/forward/announcer.ts
@@ -1,14 +1,14 @@
 /**
- * Tells peers of crashes at once, ahead of the next regular heartbeat: engines crash faster than
- * heartbeats go.
+ * Tells peers at once, ahead of the next regular heartbeat, what can't wait for it: engines crash
+ * faster than heartbeats go, and an endpoint in need gets requests from all instances.
  */
 import type { Clock, Moment } from "../core/clock";
 
 /** Shortest time between two announcements, in milliseconds. */
 const MIN_INTERVAL_MS = 100;
 
-/** Announces crashes, several at a time where they come fast. */
-export class CrashAnnouncer {
+/** Announces news, several at a time where they come fast. */
+export class Announcer {
   private nextAt: Moment = 0;
   private timer: NodeJS.Timeout | undefined;
 
--- a/src/forward/balancer.ts
+++ b/src/forward/balancer.ts
@@ -10,6 +10,8 @@
   readonly health: HealthView;
   /** True if the endpoint may be gone. */
   readonly isInDoubt: boolean;
+  /** True if the endpoint has named a limit on requests. */
+  readonly isLimited: boolean;
 }
 
 /** Costs, in units of the load of a fully busy endpoint. */
@@ -20,6 +22,8 @@
   overdueCall: 2,
   full: 1.5,
   inDoubt: 5,
+  /** An endpoint in need: others go first while they have places left. */
+  limited: 0.5,
   unreachable: 10,
   /** Random, so that instances with the same view don't all choose the same endpoint. */
   jitter: 0.08,
@@ -57,13 +61,15 @@
   return best;
 }
 
-function computeCost({ endpoint, health, isInDoubt }: Candidate, dataCentre: string): number {
+function computeCost(candidate: Candidate, dataCentre: string): number {
+  const { endpoint, health, isInDoubt, isLimited } = candidate;
   let cost = health.load / Math.max(1, endpoint.slots);
   cost += health.failureRate * COSTS.failure;
   if (endpoint.dataCentre !== dataCentre) cost += COSTS.otherDataCentre;
   if (health.hasOverdueCall) cost += COSTS.overdueCall;
   if (health.isFull) cost += COSTS.full;
   if (isInDoubt) cost += COSTS.inDoubt;
+  if (isLimited) cost += COSTS.limited;
   if (health.isUnreachable) cost += COSTS.unreachable;
   return cost;
 }
--- a/src/forward/client.ts
+++ b/src/forward/client.ts
@@ -18,6 +18,7 @@
   type EndpointCall,
   type EndpointRequest,
   SendTask,
+  Verdict,
 } from "./messages";
 import { ConnectionPool } from "./pool";
 
@@ -32,7 +33,7 @@
 
 /** Why a send or call got no response. */
 export const SendFailureKind = {
-  /** Held back by the gate: the endpoint asked for a pause, or is leaving. */
+  /** Held back by the gate: the endpoint asked for a pause, is leaving, or its limit is used up. */
   held: "held",
   /** All connections that this instance may open to the endpoint are in use. */
   busy: "busy",
@@ -106,11 +107,16 @@
    * failure.
    */
   send(send: EndpointRequest, signal: AbortSignal): Promise<E.Either<SendFailure, OpenResponse>>;
-  /** Makes a call for the router itself, and reads the whole response. */
+  /**
+   * Makes a call for the router itself, and reads the whole response.
+   *
+   * @param permits - number of sends that the call takes from the endpoint's limit
+   */
   call(
     target: EndpointTarget,
     call: EndpointCall,
     timeoutMs: number,
+    permits?: number,
   ): Promise<E.Either<SendFailure, CallResponse>>;
   /** Computes how many connections to one endpoint of a service this instance may open. */
   computeMaxConnections(service: string): number;
@@ -160,7 +166,7 @@
   ): Promise<E.Either<SendFailure, OpenResponse>> {
     const { head, body } = send.request;
     const { address, service } = send.endpoint;
-    if (!this.gate.isOpenForRequest(send.endpoint)) return E.left(createHeldFailure());
+    if (!(await this.canSend(send))) return E.left(createHeldFailure());
     const pool = this.getOrCreatePool(address);
     const connection = pool.acquireForRequest({
       id: head.id,
@@ -172,6 +178,7 @@
       return E.left(new SendFailure(SendFailureKind.busy, message));
     }
     connection.limitBytes(MAX_HEAD_BYTES);
+    const sentAt = this.clock.now();
     try {
       const response = await connection.client.request({
         method: head.method as "POST",
@@ -183,7 +190,8 @@
       });
       const headers = response.headers as unknown as readonly string[];
       // A notice is the endpoint's word, also in an answer to another exchange.
-      this.gate.onNotice(send.endpoint, this.codec.readNotice(response.statusCode, headers));
+      const notice = this.codec.readNotice(response.statusCode, headers);
+      this.gate.onNotice(send.endpoint, notice);
       const answeredId = this.codec.readAnsweredId(headers);
       const { isFirstExchange: isFirst } = connection;
       if (!isOwnAnswer({ requestId: head.id, answeredId, isFirst })) {
@@ -197,8 +205,13 @@
         send.task === SendTask.prefill ? MAX_SMALL_BODY_BYTES : MAX_FRAMED_BYTES,
       );
       releaseAfter(pool, connection, response.body);
+      const responseHead = this.codec.readResponseHead(send, response.statusCode, headers);
+      if (comesFromEndpoint(responseHead)) {
+        const canEndLimit = send.task === SendTask.run;
+        this.gate.onLimitNotice(send.endpoint, notice, { sentAt, canEndLimit });
+      }
       return E.right({
-        head: this.codec.readResponseHead(send, response.statusCode, headers),
+        head: responseHead,
         body: response.body,
         isFramed: hasFraming(response.statusCode, headers),
         isBroken: () => connection.isBroken,
@@ -216,10 +229,15 @@
     target: EndpointTarget,
     call: EndpointCall,
     timeoutMs: number,
+    permits = 1,
   ): Promise<E.Either<SendFailure, CallResponse>> {
     if (this.gate.isPaused(target.id)) return E.left(createHeldFailure());
+    if ((await this.gate.acquirePermits(target, permits)) !== true) {
+      return E.left(createHeldFailure());
+    }
     const pool = this.getOrCreatePool(target.address);
     const connection = pool.openForCall();
+    const sentAt = this.clock.now();
     connection.limitBytes(MAX_HEAD_BYTES);
     try {
       const response = await connection.client.request({
@@ -231,7 +249,11 @@
         responseHeaders: "raw",
       });
       const headers = response.headers as unknown as readonly string[];
-      this.gate.onNotice(target, this.codec.readNotice(response.statusCode, headers));
+      const notice = this.codec.readNotice(response.statusCode, headers);
+      this.gate.onNotice(target, notice);
+      if (!this.codec.isMisdirected(response.statusCode)) {
+        this.gate.onLimitNotice(target, notice, { sentAt, canEndLimit: false });
+      }
       connection.limitBytes(MAX_SMALL_BODY_BYTES);
       const body = Buffer.from(await response.body.arrayBuffer());
       return E.right({ status: response.statusCode, body });
@@ -257,6 +279,15 @@
     return Promise.resolve();
   }
 
+  /** Checks that the endpoint takes the request, and acquires its permit where it has a limit. */
+  private async canSend({ endpoint, hold }: EndpointRequest): Promise<boolean> {
+    if (!this.gate.isOpenForRequest(endpoint)) return false;
+    // A hold was given with the permit for its run.
+    const permits = hold === undefined ? 1 : 0;
+    if ((await this.gate.acquirePermits(endpoint, permits)) !== true) return false;
+    return this.gate.isOpenForRequest(endpoint);
+  }
+
   private reportForeign(
     { request, endpoint }: EndpointRequest,
     status: number,
@@ -299,6 +330,11 @@
   });
 }
 
+/** Checks that an answer is that of the process that the request was sent to. */
+function comesFromEndpoint({ verdict }: ResponseHead): boolean {
+  return verdict === Verdict.answered || verdict === Verdict.notRun;
+}
+
 /** Checks for a length, chunks, or a status without a body. */
 function hasFraming(status: number, headers: readonly string[]): boolean {
   if (status === NO_CONTENT || status === NOT_MODIFIED) return true;
@@ -317,6 +353,6 @@
 }
 
 function createHeldFailure(): SendFailure {
-  const message = "the endpoint asked for a pause or is leaving";
+  const message = "the endpoint asked for a pause, is leaving, or its limit is used up";
   return new SendFailure(SendFailureKind.held, message);
 }
--- a/src/forward/context.ts
+++ b/src/forward/context.ts
@@ -4,11 +4,11 @@
 import type { Clock, Moment } from "../core/clock";
 import type { Logger } from "../core/log";
 import type { EndpointDirectory, EndpointEntry } from "../fleet/directory";
+import type { Announcer } from "./announcer";
 import type { EndpointClient } from "./client";
 import type { EndpointGate } from "./gate";
 import type { Releaser } from "./releaser";
 import type { CrashTracker } from "../core/crashes";
-import type { CrashAnnouncer } from "./crashannouncer";
 import type { EndpointCodec, ForwardRequest } from "./messages";
 import type { HealthTracker } from "./health";
 import type { Meter } from "./meter";
@@ -27,7 +27,7 @@
   readonly codec: EndpointCodec;
   readonly retries: RetryBudget;
   readonly crashes: CrashTracker;
-  readonly crashAnnouncer: CrashAnnouncer;
+  readonly announcer: Announcer;
   readonly dataCentre: string;
   /** Returns a random number in [0, 1). */
   readonly random: () => number;
--- a/src/forward/engines.ts
+++ b/src/forward/engines.ts
@@ -83,6 +83,8 @@
    * True while it is avoided because it was unreachable, broke or went silent, or may be gone.
    */
   readonly isUnavailable: boolean;
+  /** True if it has named a limit on requests. */
+  readonly isLimited: boolean;
 }
 
 /** Tracks the work and the availability of all engines. */
@@ -202,6 +204,7 @@
       ...sum,
       isFull: (this.fullDeadlines.get(id) ?? 0) > now || (this.absences.get(id) ?? 0) > now,
       isUnavailable: isInDoubt || (this.unavailableDeadlines.get(id) ?? 0) > now,
+      isLimited: false,
     };
   }
 }
@@ -227,7 +230,11 @@
       view.requests < limits.slots &&
       (view.heldTokens === 0 || view.heldTokens + needTokens <= limits.capacityTokens),
   );
-  return findMinimum(preferAvailable(eligible), (view) => view.heldTokens);
+  const available = preferWhere(eligible, (view) => !view.isUnavailable);
+  return findMinimum(
+    preferWhere(available, (view) => !view.isLimited),
+    (view) => view.heldTokens,
+  );
 }
 
 /**
@@ -250,16 +257,21 @@
       !view.isFull &&
       !excluded.has(view.endpoint.id),
   );
-  const least = findMinimum(eligible, (view) => view.promptTokens);
+  const preferred = preferWhere(eligible, (view) => !view.isLimited);
+  const least = findMinimum(preferred, (view) => view.promptTokens);
   if (least === undefined) return undefined;
   const prefillMs = computePrefillMs(promptTokens, least.promptTokens, tokensPerMs);
   const decodeReadMs = computeDecodeReadMs(promptTokens, tokensPerMs);
   return prefillMs <= Math.max(decodeReadMs, leftMs * MAX_PREFILL_TIME_SHARE) ? least : undefined;
 }
 
-function preferAvailable(views: readonly EngineView[]): readonly EngineView[] {
-  const available = views.filter((view) => !view.isUnavailable);
-  return available.length > 0 ? available : views;
+/** Returns the views that meet a condition, or all if none does. */
+function preferWhere(
+  views: readonly EngineView[],
+  isPreferred: (view: EngineView) => boolean,
+): readonly EngineView[] {
+  const preferred = views.filter(isPreferred);
+  return preferred.length > 0 ? preferred : views;
 }
 
 function findMinimum(
--- a/src/forward/gate.ts
+++ b/src/forward/gate.ts
@@ -1,17 +1,30 @@
 /**
- * Holds back what this instance would send to endpoints that asked for a pause or announced that
- * they leave. Every request and call to an endpoint passes here, whatever its purpose.
+ * Holds back what this instance would send to endpoints that asked for a pause, announced that they
+ * leave, or named a limit that is used up. Every request and call to an endpoint passes here,
+ * whatever its purpose.
  */
 import type { Clock, Moment } from "../core/clock";
 import type { Logger } from "../core/log";
 import type { EndpointDirectory, EndpointEntry } from "../fleet/directory";
+import type { EndpointLimits } from "./limits";
 import type { EndpointNotice } from "./messages";
+import type { Permits } from "./permits";
 
 /** The endpoint that a call is for. */
 export interface EndpointTarget {
   readonly id: string;
   /** IP address and port. */
   readonly address: string;
+  /** When its process started, in milliseconds of its own wall clock. */
+  readonly processStartedAt: number;
+}
+
+/** An endpoint's answer, as far as it matters for what the endpoint says of its limit. */
+export interface LimitAnswer {
+  /** When the request or call was sent. */
+  readonly sentAt: Moment;
+  /** True if an answer without a limit says that there is none; answers to calls may lack it. */
+  readonly canEndLimit: boolean;
 }
 
 /**
@@ -20,24 +33,64 @@
  */
 const MAX_PAUSE_MS = 60_000;
 
-/** Tracks pauses by endpoint id, and leaving endpoints in the directory. */
+/** Dependencies of a gate. */
+export interface GateParts {
+  readonly directory: EndpointDirectory;
+  readonly limits: EndpointLimits;
+  readonly permits: Permits;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Called when an endpoint begins or ceases to name a limit, or names another one. */
+  readonly onLimitChange: () => void;
+}
+
+/** Tracks pauses by endpoint id, leaving endpoints in the directory, and limits. */
 export class EndpointGate {
   private readonly pauseEnds = new Map<string, Moment>();
+  /** By endpoint: the start of the process whose unreadable limit was logged. */
+  private readonly unreadable = new Map<string, number>();
 
-  constructor(
-    private readonly directory: EndpointDirectory,
-    private readonly clock: Clock,
-    private readonly logger: Logger,
-  ) {}
+  constructor(private readonly parts: GateParts) {}
 
   /** Applies what an endpoint said about itself in a response. */
   onNotice(target: EndpointTarget, { pauseMs, isLeaving }: EndpointNotice): void {
     if (pauseMs !== undefined) this.recordPause(target.id, pauseMs);
     if (!isLeaving) return;
-    const entry = this.directory.find(target.id);
+    const { directory, clock, logger } = this.parts;
+    const entry = directory.find(target.id);
     if (entry === undefined || entry.address !== target.address) return;
-    if (!this.directory.markLeaving(entry, this.clock.now())) return;
-    this.logger.info("endpoint leaving", { endpoint: target.id, source: "response" });
+    if (!directory.markLeaving(entry, clock.now())) return;
+    logger.info("endpoint leaving", { endpoint: target.id, source: "response" });
+  }
+
+  /**
+   * Applies what an endpoint said about its limit in an answer of its own: not in a late copy, whose
+   * time is not known, and not where another process answered at its address.
+   */
+  onLimitNotice(target: EndpointTarget, notice: EndpointNotice, answer: LimitAnswer): void {
+    const { limitPerSecond: perSecond, unreadableLimit } = notice;
+    if (unreadableLimit !== undefined) {
+      this.reportUnreadable(target, unreadableLimit);
+      return;
+    }
+    const { limits, clock, logger, onLimitChange } = this.parts;
+    const { id: endpoint, processStartedAt } = target;
+    const isEnd = perSecond === undefined;
+    if (isEnd && (!answer.canEndLimit || limits.findWord(endpoint) === undefined)) return;
+    const at = isEnd ? answer.sentAt : clock.now();
+    if (!limits.learn({ endpoint, processStartedAt, perSecond, at, isOwn: true })) return;
+    logger.info("endpoint limit", { endpoint, perSecond, source: "response" });
+    onLimitChange();
+  }
+
+  /** Acquires the permits for sends to an endpoint; at once if it has named no limit. */
+  acquirePermits(target: EndpointTarget, count: number): Promise<boolean> | true {
+    return this.isLimited(target) ? this.parts.permits.acquire(target, count) : true;
+  }
+
+  /** True if the endpoint has named a limit. */
+  isLimited(target: EndpointTarget): boolean {
+    return this.parts.permits.isLimited(target);
   }
 
   /** True while the endpoint wants nothing from this instance. */
@@ -45,42 +98,68 @@
     return this.readPauseEnd(id) !== undefined;
   }
 
+  /** True while nothing may be sent to the endpoint: it is paused, or its limit is used up. */
+  isHeldBack(id: string): boolean {
+    return this.readHoldEnd(id) !== undefined;
+  }
+
+  /** When something may be sent to the endpoint again; undefined if it may be now. */
+  readHoldEnd(id: string): Moment | undefined {
+    const pauseEnd = this.readPauseEnd(id);
+    const denialEnd = this.parts.permits.readDenialEnd(id);
+    if (pauseEnd === undefined || denialEnd === undefined) return pauseEnd ?? denialEnd;
+    return Math.max(pauseEnd, denialEnd);
+  }
+
   /** When the pause that an endpoint asked for ends; undefined if there is none. */
   readPauseEnd(id: string): Moment | undefined {
     const end = this.pauseEnds.get(id);
-    if (end === undefined || end > this.clock.now()) return end;
+    if (end === undefined || end > this.parts.clock.now()) return end;
     this.pauseEnds.delete(id);
     return undefined;
   }
 
   /** Checks right before a send whether a caller's request may go to an endpoint. */
   isOpenForRequest(endpoint: EndpointEntry): boolean {
-    return !this.isPaused(endpoint.id) && !this.directory.hasLeft(endpoint);
+    return !this.isPaused(endpoint.id) && !this.parts.directory.hasLeft(endpoint);
   }
 
   /**
-   * Computes how long it takes until the first of several endpoints accepts requests again.
+   * Computes how long it takes until something may be sent to the first of several endpoints.
+   *
+   * @returns milliseconds; undefined if it may be to at least one now, or there is none
+   */
+  computeSharedHoldMs(endpoints: readonly EndpointTarget[]): number | undefined {
+    return this.computeLeastMs(endpoints.map(({ id }) => this.readHoldEnd(id)));
+  }
+
+  /**
+   * Computes how long it takes until the first of several endpoints ends its pause.
    *
    * @returns milliseconds; undefined if at least one is not paused, or there is none
    */
   computeSharedPauseMs(endpoints: readonly EndpointTarget[]): number | undefined {
-    if (endpoints.length === 0) return undefined;
-    const now = this.clock.now();
-    let least = Number.POSITIVE_INFINITY;
-    for (const { id } of endpoints) {
-      const end = this.readPauseEnd(id);
-      if (end === undefined) return undefined;
-      least = Math.min(least, end - now);
-    }
-    return Math.ceil(least);
+    return this.computeLeastMs(endpoints.map(({ id }) => this.readPauseEnd(id)));
+  }
+
+  private computeLeastMs(ends: readonly (Moment | undefined)[]): number | undefined {
+    const known = ends.filter((end) => end !== undefined);
+    if (known.length === 0 || known.length < ends.length) return undefined;
+    return Math.ceil(Math.min(...known) - this.parts.clock.now());
+  }
+
+  private reportUnreadable({ id, processStartedAt }: EndpointTarget, limit: string): void {
+    if (this.unreadable.get(id) === processStartedAt) return;
+    this.unreadable.set(id, processStartedAt);
+    this.parts.logger.warn("endpoint limit unreadable", { endpoint: id, limit });
   }
 
   private recordPause(id: string, pauseMs: number): void {
     const ms = Math.min(pauseMs, MAX_PAUSE_MS);
-    const end = this.clock.now() + ms;
+    const end = this.parts.clock.now() + ms;
     const previousEnd = this.readPauseEnd(id);
     if (previousEnd !== undefined && previousEnd >= end) return;
     this.pauseEnds.set(id, end);
-    if (previousEnd === undefined) this.logger.warn("endpoint paused", { endpoint: id, ms });
+    if (previousEnd === undefined) this.parts.logger.warn("endpoint paused", { endpoint: id, ms });
   }
 }
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -5,13 +5,22 @@
 import { pause } from "../core/clock";
 import { createNotRunRefusal, Reason } from "../core/outcome";
 import { type FleetHandler, type FleetServer, startFleetServer } from "../fleet/transport";
-import type { Beat, ChargeReply, ChargeRequest, FetchReply, FetchRequest } from "../peer/gen/fleet";
+import type {
+  Beat,
+  ChargeReply,
+  ChargeRequest,
+  FetchReply,
+  FetchRequest,
+  PermitReply,
+  PermitRequest,
+} from "../peer/gen/fleet";
 import type { Adapter } from "./adapter";
 import { createInstanceBase, type InstanceBase } from "./base";
 import { answerCharge } from "./chargepeer";
 import { addGauges } from "./gauges";
 import { Maintenance } from "./maintenance";
 import { createParts, type InstanceParts } from "./parts";
+import { answerPermit } from "./permits";
 import { type CallerResponse, type CallerRequest, ForwardServer } from "./server";
 import type { ForwardSettings } from "./settings";
 import { StatusServers } from "./status";
@@ -144,6 +153,11 @@
     return answerCharge(quotas, request, limit, this.base.clock.now());
   }
 
+  onPermit(request: PermitRequest): PermitReply {
+    const { limits, accounts } = this.parts.limitState;
+    return answerPermit(limits, accounts, request, this.base.clock.now());
+  }
+
   private serve(request: CallerRequest): Promise<CallerResponse> {
     this.maintenance.applyCallerLimits();
     if (!this.isRefusing) return this.parts.dispatcher.run(request);
@@ -189,7 +203,7 @@
     rebalancer.close();
     reservations.close();
     context.releaser.close();
-    context.crashAnnouncer.close();
+    context.announcer.close();
     view.transport.close();
     await Promise.all([
       this.peerServer?.close(),
--- a/src/forward/messages.ts
+++ b/src/forward/messages.ts
@@ -144,6 +144,13 @@
    */
   readonly pauseMs: number | undefined;
   readonly isLeaving: boolean;
+  /**
+   * Requests a second that it takes from all instances together; undefined if it names no limit, or
+   * one that can't be read.
+   */
+  readonly limitPerSecond: number | undefined;
+  /** The limit that can't be read, as it was sent. */
+  readonly unreadableLimit: string | undefined;
 }
 
 /** A prompt that a prefill engine has read, with the handle of its KV cache. */
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -3,15 +3,16 @@
  */
 import { RetryBudget } from "../core/retrybudget";
 import { HeartbeatExchanger } from "../fleet/heartbeat";
+import { OwnerChooser } from "../fleet/owners";
 import { Joiner } from "../fleet/joiner";
 import { OrderLeases } from "../fleet/orders";
 import { Admission } from "./admission";
+import { Announcer } from "./announcer";
 import type { InstanceBase } from "./base";
 import { PeerChargeTransport } from "./chargepeer";
 import { QuotaCharger } from "./charges";
 import { HttpEndpointClient } from "./client";
 import type { ForwardContext } from "./context";
-import { CrashAnnouncer } from "./crashannouncer";
 import { createCrashTracker } from "./crashtracking";
 import { Dispatcher } from "./dispatch";
 import { EngineModel } from "./enginemodel";
@@ -19,7 +20,10 @@
 import { createFleetView, type FleetView } from "./fleetview";
 import { EndpointGate } from "./gate";
 import { HealthTracker } from "./health";
+import { LimitAccounts } from "./limitaccounts";
+import { EndpointLimits } from "./limits";
 import { PeerState } from "./peerstate";
+import { PeerPermitTransport, Permits } from "./permits";
 import { Quotas } from "./quota";
 import { StageRebalancer, type StageRebalancerParts } from "./rebalancer";
 import { RefusalTracker } from "./refusals";
@@ -41,10 +45,17 @@
   readonly reservations: ReservationQueue;
 }
 
+/** The limits of endpoints, and the accounts of those that this instance owns. */
+export interface LimitState {
+  readonly limits: EndpointLimits;
+  readonly accounts: LimitAccounts;
+}
+
 /** The parts of an instance that it starts, serves requests with and closes. */
 export interface InstanceParts {
   readonly view: FleetView;
   readonly quotas: Quotas;
+  readonly limitState: LimitState;
   readonly context: ForwardContext;
   readonly reservations: ReservationQueue;
   readonly peerState: PeerState;
@@ -69,9 +80,14 @@
   const view = createFleetView(base, sendHeartbeats);
   const { members, transport } = view;
   const quotas = createQuotas(base, view);
-  const context = createContext(base, view, sendHeartbeats);
+  const limitState = {
+    limits: new EndpointLimits(),
+    accounts: new LimitAccounts(() => members.readFleetSize(clock.now())),
+  };
+  const context = createContext(base, view, limitState, sendHeartbeats);
   const engines = createEngineState(context);
-  const peerState = createPeerState(base, view, quotas, context, engines, isLeaving);
+  const { limits } = limitState;
+  const peerState = createPeerState(base, view, quotas, limits, context, engines, isLeaving);
   const heartbeats = new HeartbeatExchanger(self, members, transport, peerState, clock, logger);
   const joiner = createJoiner(base, view, sendHeartbeats);
   const leases = createLeases(base, joiner);
@@ -90,6 +106,7 @@
   return {
     view,
     quotas,
+    limitState,
     context,
     reservations,
     peerState,
@@ -107,12 +124,23 @@
 function createContext(
   base: InstanceBase,
   view: FleetView,
+  limitState: LimitState,
   sendHeartbeats: () => void,
 ): ForwardContext {
   const { settings, adapter, clock, meter, logger } = base;
   const { directory, members } = view;
   const listLive = () => members.listLive(clock.now());
-  const gate = new EndpointGate(directory, clock, logger);
+  const announcer = new Announcer(clock, sendHeartbeats);
+  const gate = new EndpointGate({
+    directory,
+    limits: limitState.limits,
+    permits: createPermits(base, view, limitState),
+    clock,
+    logger,
+    onLimitChange: () => {
+      announcer.report();
+    },
+  });
   const client = new HttpEndpointClient(adapter.endpointCodec, gate, clock, {
     computeMaxConnections: (service) => computeMaxConnections(view, service),
     onForeignAnswer: (answer) => {
@@ -132,12 +160,29 @@
     codec: adapter.endpointCodec,
     retries: new RetryBudget(settings.retryLimit, view.countLive, clock.now()),
     crashes: createCrashTracker(settings.instance, listLive, logger),
-    crashAnnouncer: new CrashAnnouncer(clock, sendHeartbeats),
+    announcer,
     dataCentre: settings.dataCentre,
     random: Math.random,
   };
 }
 
+function createPermits(
+  { settings, clock, logger }: InstanceBase,
+  { members, transport, listLive }: FleetView,
+  { limits, accounts }: LimitState,
+): Permits {
+  const { instance } = settings;
+  return new Permits({
+    instance,
+    limits,
+    accounts,
+    owners: new OwnerChooser(instance, listLive, clock),
+    transport: new PeerPermitTransport(members, transport, clock),
+    clock,
+    logger,
+  });
+}
+
 /** Computes how many connections this instance may have to each endpoint of a service. */
 function computeMaxConnections({ watcher, countLive }: FleetView, service: string): number {
   const fleetMax = watcher.readConfigIndex()?.findService(service)?.maxConnections;
@@ -162,6 +207,7 @@
   { clock, logger }: InstanceBase,
   { directory, watcher }: FleetView,
   quotas: Quotas,
+  limits: EndpointLimits,
   { crashes }: ForwardContext,
   engines: EngineState,
   isLeaving: () => boolean,
@@ -172,6 +218,7 @@
     directory,
     watcher,
     quotas,
+    limits,
     crashes,
     ...engines,
     isLeaving,
--- a/src/forward/peerstate.ts
+++ b/src/forward/peerstate.ts
@@ -11,6 +11,8 @@
 import type { StoreWatcher } from "../fleet/watcher";
 import type { Beat, FetchReply, FetchRequest, Record as PeerRecord } from "../peer/gen/fleet";
 import type { CrashTracker } from "../core/crashes";
+import type { EndpointLimits } from "./limits";
+import { decodeLimit, encodeLimit } from "./limitwire";
 import { decodeKnowledge, encodeKnowledge } from "./crashwire";
 import type { ReservationQueue } from "./reservations";
 import type { EngineModel } from "./enginemodel";
@@ -52,6 +54,7 @@
   readonly directory: EndpointDirectory;
   readonly watcher: StoreWatcher;
   readonly quotas: Quotas;
+  readonly limits: EndpointLimits;
   readonly crashes: CrashTracker;
   readonly refusals: RefusalTracker;
   readonly engineLoad: EngineLoadTracker;
@@ -88,6 +91,7 @@
       usages: [...quotas.listLocalUsage()],
       works: [...engineLoad.listLocalWork()],
       ...encodeKnowledge(crashes.listKnowledge(now)),
+      endpointLimits: this.parts.limits.list(now).map((word) => encodeLimit(word, now)),
       arrivingTokens: Math.round(this.computeArrivalRate(now)),
       engineSpeeds: [...this.parts.engineModel.listLocalEstimates()],
       waiting: reservations.size,
@@ -117,6 +121,7 @@
     }
     this.parts.refusals.mergePeerRefusals(beat.refused, now);
     this.applyDepartures(beat, now);
+    this.applyLimits(beat, sentAt);
     this.confirmCopies(beat, sentAt);
     crashes.mergeKnowledge(decodeKnowledge(beat), now);
     reservations.dispatchWaiting();
@@ -237,6 +242,15 @@
     }
   }
 
+  private applyLimits({ instance, endpointLimits }: Beat, sentAt: Moment): void {
+    const { limits, logger } = this.parts;
+    for (const limit of endpointLimits) {
+      if (!limits.learn(decodeLimit(limit, sentAt))) continue;
+      const { endpoint, perSecond } = limit;
+      logger.info("endpoint limit", { endpoint, perSecond, source: `peer ${instance}` });
+    }
+  }
+
   private readConfigVersion(): number {
     return this.parts.watcher.readConfigIndex()?.config.version ?? NO_VERSION;
   }
--- a/src/forward/prefill.ts
+++ b/src/forward/prefill.ts
@@ -107,7 +107,7 @@
     const { releaser, codec } = this.parts.context;
     const { endpoint, handle, expiresAt } = source;
     const call = codec.createReleaseHandleCall(endpoint, handle);
-    releaser.release({ target: endpoint, call, expiresAt });
+    releaser.release({ target: endpoint, call, expiresAt, permits: 1 });
   }
 
   /** Releases the kept cache source. */
--- a/src/forward/probe.ts
+++ b/src/forward/probe.ts
@@ -57,7 +57,7 @@
 }
 
 function recordCrash(
-  { crashes, crashAnnouncer, clock, logger }: ForwardContext,
+  { crashes, announcer, clock, logger }: ForwardContext,
   request: ForwardRequest,
   endpoint: EndpointEntry,
   isSuspect: boolean,
@@ -73,7 +73,7 @@
     parts: suspect.parts,
   });
   const suspects = isSuspect ? [suspect] : [];
-  if (crashes.recordCrash({ process, suspects }, clock.now())) crashAnnouncer.report();
+  if (crashes.recordCrash({ process, suspects }, clock.now())) announcer.report();
 }
 
 function probeAddress(address: string): Promise<EndpointState> {
--- a/src/forward/rebalancer.ts
+++ b/src/forward/rebalancer.ts
@@ -103,7 +103,7 @@
   private async sendOrder(change: StageChange): Promise<boolean> {
     const { leases, client, gate, codec, logger, instance } = this.parts;
     const { engine, stage, reason } = change;
-    if (gate.isPaused(engine.id)) return false;
+    if (gate.isHeldBack(engine.id)) return false;
     const lease = await leases.acquire({ engine: engine.id, stage });
     if (lease === undefined) return false;
     if (!lease.isFresh()) {
--- a/src/forward/releaser.ts
+++ b/src/forward/releaser.ts
@@ -1,8 +1,8 @@
 /**
  * Releases holds and KV caches that engines keep for this instance. While an engine has asked for a
- * pause, its releases wait: a release is a request like any other. One that can't be sent before
- * the engine drops the memory by itself is not sent at all, and neither is one for a process that is
- * gone: at its address, the same name may mean the memory of another request.
+ * pause or its limit is used up, its releases wait: a release is a request like any other. One that
+ * can't be sent before the engine drops the memory by itself is not sent at all, and neither is one
+ * for a process that is gone: at its address, the same name may mean the memory of another request.
  */
 import * as E from "fp-ts/Either";
 import type { Clock, Moment } from "../core/clock";
@@ -21,6 +21,8 @@
   readonly call: EndpointCall;
   /** When the engine frees the memory by itself. */
   readonly expiresAt: Moment;
+  /** Sends that it takes from the engine's limit; none where they were acquired with the memory. */
+  readonly permits: number;
 }
 
 /** Dependencies of a releaser. */
@@ -32,7 +34,7 @@
   readonly logger: Logger;
 }
 
-/** Sends releases, after the pause of their engine if it has asked for one. */
+/** Sends releases, once their engine takes them. */
 export class Releaser {
   private readonly timers = new Set<NodeJS.Timeout>();
 
@@ -41,19 +43,19 @@
   /** Sends a release in the background; logs one that fails or is not sent. */
   release(release: Release): void {
     const { client, gate, directory, clock, logger } = this.parts;
-    const { target, call, expiresAt } = release;
+    const { target, call, expiresAt, permits } = release;
     if (!directory.isListedProcess(target)) {
       const error = "the engine's process is gone";
       logger.debug("memory not released", { engine: target.id, path: call.path, error });
       return;
     }
-    const pauseEnd = gate.readPauseEnd(target.id);
-    if (pauseEnd !== undefined) {
-      this.sendAfterPause(release, pauseEnd);
+    const holdEnd = permits === 0 ? gate.readPauseEnd(target.id) : gate.readHoldEnd(target.id);
+    if (holdEnd !== undefined) {
+      this.sendLater(release, holdEnd);
       return;
     }
     if (clock.now() >= expiresAt) return;
-    void client.call(target, call, RELEASE_TIMEOUT_MS).then((response) => {
+    void client.call(target, call, RELEASE_TIMEOUT_MS, permits).then((response) => {
       if (E.isRight(response)) return;
       if (response.left.kind === SendFailureKind.held) this.release(release);
       else this.logFailure(release, response.left.message);
@@ -66,9 +68,9 @@
     this.timers.clear();
   }
 
-  private sendAfterPause(release: Release, pauseEnd: Moment): void {
-    if (pauseEnd >= release.expiresAt) {
-      this.logFailure(release, "the engine frees it before its pause ends");
+  private sendLater(release: Release, holdEnd: Moment): void {
+    if (holdEnd >= release.expiresAt) {
+      this.logFailure(release, "the engine frees it before it takes the release");
       return;
     }
     const timer = setTimeout(
@@ -76,7 +78,7 @@
         this.timers.delete(timer);
         this.release(release);
       },
-      Math.ceil(pauseEnd - this.parts.clock.now()),
+      Math.ceil(holdEnd - this.parts.clock.now()),
     );
     this.timers.add(timer);
   }
--- a/src/forward/reservations.ts
+++ b/src/forward/reservations.ts
@@ -16,6 +16,8 @@
 const DISPATCH_INTERVAL_MS = 20;
 /** Timeout for reserving a hold at an engine, in milliseconds. */
 const HOLD_CALL_TIMEOUT_MS = 500;
+/** A hold is followed by its run or its release, which must be possible too. */
+const HOLD_PERMITS = 2;
 
 /** A hold at a decode engine, which reserves memory for a generation. */
 export interface Reservation {
@@ -107,13 +109,14 @@
 
   /** Lists the usable engines of a service, with their load. */
   listViews(service: string, now: Moment): readonly EngineView[] {
-    const { directory } = this.context;
+    const { directory, gate } = this.context;
     return directory
       .listUsable(now)
       .filter((endpoint) => endpoint.service === service && endpoint.stage !== undefined)
       .map((endpoint) => {
         const view = this.engineLoad.readView(endpoint, directory.isInDoubt(endpoint.id), now);
-        return this.canSend(endpoint) ? view : { ...view, isFull: true };
+        const isFull = view.isFull || !this.canSend(endpoint);
+        return { ...view, isFull, isLimited: gate.isLimited(endpoint) };
       });
   }
 
@@ -157,7 +160,7 @@
   /** Checks that an engine has asked for no pause, and that a connection to it is left. */
   private canSend({ id, service }: EndpointEntry): boolean {
     const { gate, client } = this.context;
-    if (gate.isPaused(id)) return false;
+    if (gate.isHeldBack(id)) return false;
     return this.engineLoad.countLocalRequests(id) < client.computeMaxConnections(service);
   }
 
@@ -191,7 +194,7 @@
       waitingRequest.needTokens,
       waitingRequest.limits.holdTtlMs,
     );
-    const response = await client.call(endpoint, call, HOLD_CALL_TIMEOUT_MS);
+    const response = await client.call(endpoint, call, HOLD_CALL_TIMEOUT_MS, HOLD_PERMITS);
     this.enginesInCall.delete(id);
     const hold = E.isRight(response)
       ? codec.readHold(response.right.status, response.right.body)
@@ -232,7 +235,7 @@
     const { releaser, codec } = this.context;
     const { endpoint, hold, expiresAt } = reservation;
     const call = codec.createReleaseHoldCall(endpoint, hold);
-    releaser.release({ target: endpoint, call, expiresAt });
+    releaser.release({ target: endpoint, call, expiresAt, permits: 0 });
   }
 
   private scheduleDispatch(): void {
--- a/src/forward/service.ts
+++ b/src/forward/service.ts
@@ -60,6 +60,8 @@
 const SendEnd = {
   answered: "answered",
   notRun: "not run",
+  /** Nothing was sent, as the endpoint wants no request now. */
+  held: "held",
   /** The endpoint may have run the request, and no whole response arrived. */
   unknown: "unknown",
   callerGone: "caller gone",
@@ -92,12 +94,15 @@
 
   /** Runs the request until its final response. */
   async run(): Promise<E.Either<Refusal, BufferedResponse>> {
-    for (let sends = 0; sends < MAX_SENDS; sends += 1) {
+    let sends = 0;
+    while (sends < MAX_SENDS) {
       const endpoint = this.chooseNextEndpoint(sends);
       if (endpoint === undefined) break;
       const result = await this.sendOnce(endpoint);
       if (result.end === SendEnd.callerGone) return E.left(createCancelledRefusal());
       this.message = result.message;
+      if (result.end === SendEnd.held) continue;
+      sends += 1;
       if (result.end !== SendEnd.notRun) this.runs += 1;
       if (result.response !== undefined && !this.shouldRetry(result.response)) {
         return E.right(result.response);
@@ -257,6 +262,7 @@
     const hasNoReply =
       deadlineSignal.cause === AbortCause.timeUp || kind === SendFailureKind.unreachable;
     if (hasNoReply) resetDataCentreConnections(this.context, endpoint);
+    if (kind === SendFailureKind.held) return { end: SendEnd.held, response: undefined, message };
     if (!isSent) return { end: SendEnd.notRun, response: undefined, message };
     if (!isForeign) await this.probeAfterBreak(endpoint, deadlineSignal);
     return { end: SendEnd.unknown, response: undefined, message };
@@ -300,13 +306,13 @@
     return this.isRetryable() && this.runs < this.request.route.maxAttempts;
   }
 
-  /** Computes how long all endpoints of the service want no requests; undefined if one takes some. */
-  private computePauseMs(): number | undefined {
+  /** Computes how long no endpoint of the service takes a request; undefined if one takes some. */
+  private computeHoldMs(): number | undefined {
     const { directory, gate, clock } = this.context;
     const endpoints = directory
       .listUsable(clock.now())
       .filter((endpoint) => endpoint.service === this.request.service);
-    return gate.computeSharedPauseMs(endpoints);
+    return gate.computeSharedHoldMs(endpoints);
   }
 
   private createFinalResult(): E.Either<Refusal, BufferedResponse> {
@@ -315,8 +321,9 @@
     if (this.runs === 0 && this.isBanned) return E.left(createPoisonRefusal());
     if (this.runs === 0) {
       const reason = isLate ? Reason.deadline : Reason.noEndpoint;
-      const retryAfterMs = this.computePauseMs() ?? RETRY_AFTER_MS;
-      return E.left(createNotRunRefusal(503, reason, this.message, retryAfterMs));
+      const holdMs = this.computeHoldMs();
+      const message = holdMs === undefined ? this.message : "no endpoint takes requests now";
+      return E.left(createNotRunRefusal(503, reason, message, holdMs ?? RETRY_AFTER_MS));
     }
     if (isLate)
       return E.left(new Refusal(504, Reason.deadline, ExecutionStatus.unknown, this.message));
@@ -325,8 +332,8 @@
 }
 
 /**
- * Lists the usable endpoints of a service, which excludes leaving and paused ones, with their
- * health and whether they may be gone.
+ * Lists the usable endpoints of a service, which excludes leaving ones and those that nothing may be
+ * sent to now, with their health and whether they may be gone.
  *
  * @example
  * listCandidates(context, "job-sheets", clock.now());
@@ -335,11 +342,12 @@
   const { directory, health, gate } = context;
   return directory
     .listUsable(now)
-    .filter((endpoint) => endpoint.service === service && !gate.isPaused(endpoint.id))
+    .filter((endpoint) => endpoint.service === service && !gate.isHeldBack(endpoint.id))
     .map((endpoint) => ({
       endpoint,
       health: health.readView(endpoint.id, now),
       isInDoubt: directory.isInDoubt(endpoint.id),
+      isLimited: gate.isLimited(endpoint),
     }));
 }
 
--- a/src/peer/gen/fleet.ts
+++ b/src/peer/gen/fleet.ts
@@ -62,6 +62,17 @@
   engineSpeeds: EngineSpeed[];
   completions: Completion[];
   partBans: PartBan[];
+  endpointLimits: EndpointLimit[];
+}
+
+/** What an endpoint last said of the requests that it takes from all instances together. */
+export interface EndpointLimit {
+  endpoint: string;
+  /** Milliseconds of the endpoint's wall clock. */
+  processStartedAt: number;
+  /** Requests a second; absent where it no longer names a limit. */
+  perSecond?: number | undefined;
+  ageMs: number;
 }
 
 export interface EngineSpeed {
@@ -171,6 +182,21 @@
   retryAfterMs: number;
 }
 
+export interface PermitRequest {
+  /** The limit as the asker knows it. */
+  limit:
+    | EndpointLimit
+    | undefined;
+  /** Number of requests and calls that the asker would send. */
+  count: number;
+}
+
+export interface PermitReply {
+  granted: boolean;
+  /** Time until the asker may ask again; zero where it was granted. */
+  retryAfterMs: number;
+}
+
 function createBaseBeat(): Beat {
   return {
     instance: "",
@@ -196,6 +222,7 @@
     engineSpeeds: [],
     completions: [],
     partBans: [],
+    endpointLimits: [],
   };
 }
 
@@ -270,6 +297,9 @@
     for (const v of message.partBans) {
       PartBan.encode(v!, writer.uint32(186).fork()).join();
     }
+    for (const v of message.endpointLimits) {
+      EndpointLimit.encode(v!, writer.uint32(194).fork()).join();
+    }
     return writer;
   },
 
@@ -470,6 +500,14 @@
             message.partBans.push(PartBan.decode(reader, reader.uint32()));
             continue;
           }
+          case 24: {
+            if (tag !== 194) {
+              break;
+            }
+
+            message.endpointLimits.push(EndpointLimit.decode(reader, reader.uint32()));
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -559,6 +597,11 @@
         : globalThis.Array.isArray(object?.part_bans)
         ? object.part_bans.map((e: any) => PartBan.fromJSON(e))
         : [],
+      endpointLimits: globalThis.Array.isArray(object?.endpointLimits)
+        ? object.endpointLimits.map((e: any) => EndpointLimit.fromJSON(e))
+        : globalThis.Array.isArray(object?.endpoint_limits)
+        ? object.endpoint_limits.map((e: any) => EndpointLimit.fromJSON(e))
+        : [],
     };
   },
 
@@ -633,6 +676,9 @@
     if (message.partBans?.length) {
       obj.partBans = message.partBans.map((e) => PartBan.toJSON(e));
     }
+    if (message.endpointLimits?.length) {
+      obj.endpointLimits = message.endpointLimits.map((e) => EndpointLimit.toJSON(e));
+    }
     return obj;
   },
 
@@ -664,6 +710,136 @@
     message.engineSpeeds = object.engineSpeeds?.map((e) => EngineSpeed.fromPartial(e)) || [];
     message.completions = object.completions?.map((e) => Completion.fromPartial(e)) || [];
     message.partBans = object.partBans?.map((e) => PartBan.fromPartial(e)) || [];
+    message.endpointLimits = object.endpointLimits?.map((e) => EndpointLimit.fromPartial(e)) || [];
+    return message;
+  },
+};
+
+function createBaseEndpointLimit(): EndpointLimit {
+  return { endpoint: "", processStartedAt: 0, perSecond: undefined, ageMs: 0 };
+}
+
+export const EndpointLimit: MessageFns<EndpointLimit> = {
+  encode(message: EndpointLimit, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.endpoint !== "") {
+      writer.uint32(10).string(message.endpoint);
+    }
+    if (message.processStartedAt !== 0) {
+      writer.uint32(16).int64(message.processStartedAt);
+    }
+    if (message.perSecond !== undefined) {
+      writer.uint32(25).double(message.perSecond);
+    }
+    if (message.ageMs !== 0) {
+      writer.uint32(32).uint32(message.ageMs);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): EndpointLimit {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseEndpointLimit();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.endpoint = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.processStartedAt = longToNumber(reader.int64());
+            continue;
+          }
+          case 3: {
+            if (tag !== 25) {
+              break;
+            }
+
+            message.perSecond = reader.double();
+            continue;
+          }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.ageMs = reader.uint32();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): EndpointLimit {
+    return {
+      endpoint: isSet(object.endpoint) ? globalThis.String(object.endpoint) : "",
+      processStartedAt: isSet(object.processStartedAt)
+        ? globalThis.Number(object.processStartedAt)
+        : isSet(object.process_started_at)
+        ? globalThis.Number(object.process_started_at)
+        : 0,
+      perSecond: isSet(object.perSecond)
+        ? globalThis.Number(object.perSecond)
+        : isSet(object.per_second)
+        ? globalThis.Number(object.per_second)
+        : undefined,
+      ageMs: isSet(object.ageMs)
+        ? globalThis.Number(object.ageMs)
+        : isSet(object.age_ms)
+        ? globalThis.Number(object.age_ms)
+        : 0,
+    };
+  },
+
+  toJSON(message: EndpointLimit): unknown {
+    const obj: any = {};
+    if (message.endpoint !== "") {
+      obj.endpoint = message.endpoint;
+    }
+    if (message.processStartedAt !== 0) {
+      obj.processStartedAt = Math.round(message.processStartedAt);
+    }
+    if (message.perSecond !== undefined) {
+      obj.perSecond = floatToJson(message.perSecond);
+    }
+    if (message.ageMs !== 0) {
+      obj.ageMs = Math.round(message.ageMs);
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<EndpointLimit>, I>>(base?: I): EndpointLimit {
+    return EndpointLimit.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<EndpointLimit>, I>>(object: I): EndpointLimit {
+    const message = createBaseEndpointLimit();
+    message.endpoint = object.endpoint ?? "";
+    message.processStartedAt = object.processStartedAt ?? 0;
+    message.perSecond = object.perSecond ?? undefined;
+    message.ageMs = object.ageMs ?? 0;
     return message;
   },
 };
@@ -2232,6 +2408,182 @@
   },
 };
 
+function createBasePermitRequest(): PermitRequest {
+  return { limit: undefined, count: 0 };
+}
+
+export const PermitRequest: MessageFns<PermitRequest> = {
+  encode(message: PermitRequest, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.limit !== undefined) {
+      EndpointLimit.encode(message.limit, writer.uint32(10).fork()).join();
+    }
+    if (message.count !== 0) {
+      writer.uint32(16).uint32(message.count);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): PermitRequest {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBasePermitRequest();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.limit = EndpointLimit.decode(reader, reader.uint32());
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.count = reader.uint32();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): PermitRequest {
+    return {
+      limit: isSet(object.limit) ? EndpointLimit.fromJSON(object.limit) : undefined,
+      count: isSet(object.count) ? globalThis.Number(object.count) : 0,
+    };
+  },
+
+  toJSON(message: PermitRequest): unknown {
+    const obj: any = {};
+    if (message.limit !== undefined) {
+      obj.limit = EndpointLimit.toJSON(message.limit);
+    }
+    if (message.count !== 0) {
+      obj.count = Math.round(message.count);
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<PermitRequest>, I>>(base?: I): PermitRequest {
+    return PermitRequest.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<PermitRequest>, I>>(object: I): PermitRequest {
+    const message = createBasePermitRequest();
+    message.limit = (object.limit !== undefined && object.limit !== null)
+      ? EndpointLimit.fromPartial(object.limit)
+      : undefined;
+    message.count = object.count ?? 0;
+    return message;
+  },
+};
+
+function createBasePermitReply(): PermitReply {
+  return { granted: false, retryAfterMs: 0 };
+}
+
+export const PermitReply: MessageFns<PermitReply> = {
+  encode(message: PermitReply, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.granted !== false) {
+      writer.uint32(8).bool(message.granted);
+    }
+    if (message.retryAfterMs !== 0) {
+      writer.uint32(16).uint32(message.retryAfterMs);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): PermitReply {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBasePermitReply();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 8) {
+              break;
+            }
+
+            message.granted = reader.bool();
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.retryAfterMs = reader.uint32();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): PermitReply {
+    return {
+      granted: isSet(object.granted) ? globalThis.Boolean(object.granted) : false,
+      retryAfterMs: isSet(object.retryAfterMs)
+        ? globalThis.Number(object.retryAfterMs)
+        : isSet(object.retry_after_ms)
+        ? globalThis.Number(object.retry_after_ms)
+        : 0,
+    };
+  },
+
+  toJSON(message: PermitReply): unknown {
+    const obj: any = {};
+    if (message.granted !== false) {
+      obj.granted = message.granted;
+    }
+    if (message.retryAfterMs !== 0) {
+      obj.retryAfterMs = Math.round(message.retryAfterMs);
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<PermitReply>, I>>(base?: I): PermitReply {
+    return PermitReply.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<PermitReply>, I>>(object: I): PermitReply {
+    const message = createBasePermitReply();
+    message.granted = object.granted ?? false;
+    message.retryAfterMs = object.retryAfterMs ?? 0;
+    return message;
+  },
+};
+
 /** Fleet is what instances that forward requests tell each other. */
 export type FleetService = typeof FleetService;
 export const FleetService = {
@@ -2265,6 +2617,16 @@
     responseSerialize: (value: ChargeReply): Buffer => Buffer.from(ChargeReply.encode(value).finish()),
     responseDeserialize: (value: Buffer): ChargeReply => ChargeReply.decode(value),
   },
+  /** Decides whether the asker may send to an endpoint that has named a limit, as the owner of the limit. */
+  permit: {
+    path: "/gorsefold.fleet.Fleet/Permit" as const,
+    requestStream: false as const,
+    responseStream: false as const,
+    requestSerialize: (value: PermitRequest): Buffer => Buffer.from(PermitRequest.encode(value).finish()),
+    requestDeserialize: (value: Buffer): PermitRequest => PermitRequest.decode(value),
+    responseSerialize: (value: PermitReply): Buffer => Buffer.from(PermitReply.encode(value).finish()),
+    responseDeserialize: (value: Buffer): PermitReply => PermitReply.decode(value),
+  },
 } as const;
 
 export interface FleetServer extends UntypedServiceImplementation {
@@ -2274,6 +2636,8 @@
   fetch: handleUnaryCall<FetchRequest, FetchReply>;
   /** Decides on requests by the rate of their workspace, as the owner of its account. */
   charge: handleUnaryCall<ChargeRequest, ChargeReply>;
+  /** Decides whether the asker may send to an endpoint that has named a limit, as the owner of the limit. */
+  permit: handleUnaryCall<PermitRequest, PermitReply>;
 }
 
 export interface FleetClient extends Client {
@@ -2319,6 +2683,22 @@
     options: Partial<CallOptions>,
     callback: (error: ServiceError | null, response: ChargeReply) => void,
   ): ClientUnaryCall;
+  /** Decides whether the asker may send to an endpoint that has named a limit, as the owner of the limit. */
+  permit(
+    request: PermitRequest,
+    callback: (error: ServiceError | null, response: PermitReply) => void,
+  ): ClientUnaryCall;
+  permit(
+    request: PermitRequest,
+    metadata: Metadata,
+    callback: (error: ServiceError | null, response: PermitReply) => void,
+  ): ClientUnaryCall;
+  permit(
+    request: PermitRequest,
+    metadata: Metadata,
+    options: Partial<CallOptions>,
+    callback: (error: ServiceError | null, response: PermitReply) => void,
+  ): ClientUnaryCall;
 }
 
 export const FleetClient = makeGenericClientConstructor(FleetService, "gorsefold.fleet.Fleet") as unknown as {
--- a/test/admission.spec.ts
+++ b/test/admission.spec.ts
@@ -155,6 +155,7 @@
       endpoint: createEntry(id, `${id}:1`),
       health: health.readView(id, now),
       isInDoubt: false,
+      isLimited: false,
     }));
 
   it("avoids an endpoint that fails, hangs or cannot be reached, and uses it again later", () => {
--- a/test/fleet.spec.ts
+++ b/test/fleet.spec.ts
@@ -316,6 +316,7 @@
     arrivingTokens: 0,
     waiting: 0,
     absences: [],
+    endpointLimits: [],
   });
 
   it("lists members as live while their beats arrive, and counts them as missing for a while after", () => {
--- a/test/harness/crashfleet.ts
+++ b/test/harness/crashfleet.ts
@@ -256,7 +256,7 @@
 
   private readonly announcers = new Map<string, number>();
 
-  /** Reports as `CrashAnnouncer` does, whose timer is not one of virtual time. */
+  /** Reports as `Announcer` does, whose timer is not one of virtual time. */
   private reportCrash(node: Node): void {
     const nextAt = this.announcers.get(node.name) ?? 0;
     if (nextAt > this.now + 100) return;
--- a/test/harness/forward.ts
+++ b/test/harness/forward.ts
@@ -88,9 +88,12 @@
   readNotice(status: number, headers: readonly string[]): EndpointNotice {
     const text = headers.join("\n").toLowerCase();
     const pauseMs = /x-pause-ms\n(\d+)/.exec(text)?.[1];
+    const limit = /x-limit\n([\d.]+)/.exec(text)?.[1];
     return {
       pauseMs: status === 503 && pauseMs !== undefined ? Number(pauseMs) : undefined,
       isLeaving: text.includes("x-leaving\n1"),
+      limitPerSecond: limit === undefined ? undefined : Number(limit),
+      unreadableLimit: undefined,
     };
   }
 
--- /dev/null
+++ b/test/harness/gate.ts
@@ -0,0 +1,36 @@
+/**
+ * Creates a gate for tests of one instance, which owns all limits itself.
+ */
+import type { Clock } from "../../src/core/clock";
+import { SILENT_LOGGER } from "../../src/core/log";
+import { EndpointDirectory } from "../../src/fleet/directory";
+import { OwnerChooser } from "../../src/fleet/owners";
+import { EndpointGate } from "../../src/forward/gate";
+import { LimitAccounts } from "../../src/forward/limitaccounts";
+import { EndpointLimits } from "../../src/forward/limits";
+import { Permits } from "../../src/forward/permits";
+import { testCodecs } from "./forward";
+
+const INSTANCE = "nizwa-1";
+
+/** Creates a gate without peers. */
+export function createGate(clock: Clock, limits = new EndpointLimits()): EndpointGate {
+  const logger = SILENT_LOGGER;
+  const permits = new Permits({
+    instance: INSTANCE,
+    limits,
+    accounts: new LimitAccounts(() => ({ heard: 1, missing: 0 })),
+    owners: new OwnerChooser(INSTANCE, () => [INSTANCE], clock),
+    transport: { ask: () => Promise.resolve(undefined) },
+    clock,
+    logger,
+  });
+  return new EndpointGate({
+    directory: new EndpointDirectory(testCodecs.decodeEndpoint),
+    limits,
+    permits,
+    clock,
+    logger,
+    onLimitChange: () => undefined,
+  });
+}
--- a/test/limit.spec.ts
+++ b/test/limit.spec.ts
@@ -6,6 +6,7 @@
 import type { Socket } from "node:net";
 import { after, afterEach, beforeEach, describe, it } from "node:test";
 import { pause } from "../src/core/clock";
+import { type EndpointEntry, EngineStage } from "../src/fleet/directory";
 import { createConfig, createEntry, startInstance, waitUntil } from "./harness/forward";
 import { get, type ReceivedResponse } from "./harness/fixture";
 import { MemoryStore } from "./harness/memory";
@@ -14,6 +15,8 @@
 const INSTANCES = ["nizwa-1", "nizwa-2", "nizwa-3"] as const;
 const WINDOW_MS = 4000;
 const GAP_MS = 25;
+const EVENT = "id: 1\ndata: t1\n\n";
+const EVENT_CHUNK = `${EVENT.length.toString(16)}\r\n${EVENT}\r\n`;
 
 let store: MemoryStore;
 let ports: readonly number[] = [];
@@ -39,10 +42,14 @@
   );
 }
 
-async function addEndpoint(id: string, answer: ConstructorParameters<typeof RawEndpoint>[0]) {
+async function addEndpoint(
+  id: string,
+  answer: ConstructorParameters<typeof RawEndpoint>[0],
+  more: Partial<EndpointEntry> = {},
+) {
   const endpoint = new RawEndpoint(answer);
   endpoints.push(endpoint);
-  store.putEndpoint(createEntry(id, await endpoint.listen()));
+  store.putEndpoint(createEntry(id, await endpoint.listen(), more));
 }
 
 /** Adds an endpoint that names a limit while `isInNeed`, and returns when its requests arrived. */
@@ -56,6 +63,26 @@
   return arrivals;
 }
 
+/** Adds an engine that names a limit in all its answers, and returns when its requests arrived. */
+async function addLimitedEngine(id: string, stage: EngineStage, limit: string): Promise<number[]> {
+  const arrivals: number[] = [];
+  const named = `x-limit: ${limit}\r\n`;
+  const answer = (head: string, socket: Socket) => {
+    arrivals.push(performance.now());
+    const id = /x-id: (\S+)/i.exec(head)?.[1] ?? "";
+    if (!head.includes("x-task: run")) {
+      socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\n${named}content-length: 2\r\n\r\nh1`);
+      return;
+    }
+    socket.write(
+      `HTTP/1.1 200 OK\r\nx-id: ${id}\r\n${named}content-type: text/event-stream\r\n` +
+        `transfer-encoding: chunked\r\n\r\n${EVENT_CHUNK}0\r\n\r\n`,
+    );
+  };
+  await addEndpoint(id, answer, { service: "models", stage });
+  return arrivals;
+}
+
 async function startFleet(): Promise<void> {
   const knownPeers: string[] = [];
   for (const name of INSTANCES) {
@@ -133,4 +160,34 @@
       assert.ok(retryMs > 0 && retryMs <= 2000, `${retryMs} ms`);
     }
   });
+
+  it("gets requests as before once it names none", async () => {
+    let isInNeed = true;
+    const arrivals = await addLimited("a", "3", () => isInNeed);
+    await startFleet();
+    await sendFor(2000);
+    isInNeed = false;
+    await sendFor(2500);
+    const from = arrivals.length;
+    const responses = await sendFor(1000);
+    assert.ok(responses.every(({ status }) => status === 200));
+    assert.equal(arrivals.length - from, responses.length);
+  });
+
+  it("gets no more than its limit as an engine, with holds, prefills and releases", async () => {
+    const decodes = await addLimitedEngine("d1", EngineStage.decode, "6");
+    const prefills = await addLimitedEngine("p1", EngineStage.prefill, "4");
+    await startFleet();
+    await sendFor(500, "/summary/1");
+    const from = { decodes: decodes.length, prefills: prefills.length };
+    const responses = await sendFor(6000, "/summary/1");
+    const most = {
+      decodes: countMaxInWindow(decodes.slice(from.decodes)),
+      prefills: countMaxInWindow(prefills.slice(from.prefills)),
+    };
+    assert.ok(most.decodes <= computeBound(6), `${most.decodes} at the decode engine`);
+    assert.ok(most.prefills <= computeBound(4), `${most.prefills} at the prefill engine`);
+    const served = responses.filter(({ status }) => status === 200).length;
+    assert.ok(served >= 3 * 6 * 0.7, `${served} generations in 6 s, of 18 that the limit allows`);
+  });
 });
--- a/test/steering.spec.ts
+++ b/test/steering.spec.ts
@@ -8,12 +8,12 @@
 import { ManualClock } from "../src/core/clock";
 import { SILENT_LOGGER } from "../src/core/log";
 import { chooseByRendezvousHash } from "../src/core/rendezvous";
-import { EndpointDirectory, EngineStage } from "../src/fleet/directory";
+import { EngineStage } from "../src/fleet/directory";
 import { OrderLeases } from "../src/fleet/orders";
-import { EndpointGate } from "../src/forward/gate";
 import type { EndpointClient } from "../src/forward/client";
 import { StageRebalancer } from "../src/forward/rebalancer";
 import { createConfig, createEntry, testCodecs } from "./harness/forward";
+import { createGate } from "./harness/gate";
 import { MemoryOrders } from "./harness/memory";
 import { pause } from "../src/core/clock";
 
@@ -47,7 +47,7 @@
     instance: name,
     leases: new OrderLeases(name, log, 3000, clock, SILENT_LOGGER, 0),
     client: { call } as unknown as EndpointClient,
-    gate: new EndpointGate(new EndpointDirectory(testCodecs.decodeEndpoint), clock, SILENT_LOGGER),
+    gate: createGate(clock),
     codec: testCodecs.endpointCodec,
     clock,
     logger: SILENT_LOGGER,
