Refuse generations at once that the limits of their engines keep from running in time

Callers waited for three quarters of the time to their first event and were refused then, with a delay that had nothing to do with the limit. Cause: a limit that is used up looked like full engines, which may have room any moment, while the owner of the limit has said when to ask again. Now a generation is dropped once no decode engine may be sent anything until it would have given up, and the delay is the least of these times. A send whose signal ended while its permit was asked for is not made any more.

--- a/src/forward/client.ts
+++ b/src/forward/client.ts
@@ -166,7 +166,7 @@
   ): Promise<E.Either<SendFailure, OpenResponse>> {
     const { head, body } = send.request;
     const { address, service } = send.endpoint;
-    if (!(await this.canSend(send))) return E.left(createHeldFailure());
+    if (!(await this.canSend(send)) || signal.aborted) return E.left(createHeldFailure());
     const pool = this.getOrCreatePool(address);
     const connection = pool.acquireForRequest({
       id: head.id,
--- a/src/forward/reservations.ts
+++ b/src/forward/reservations.ts
@@ -94,7 +94,7 @@
     for (const waitingRequest of this.queue.removeExpired(now)) waitingRequest.resolve(undefined);
     this.dropBanned(now);
     for (const waitingRequest of this.queue.listHeads(now)) {
-      if (this.computePauseMs(waitingRequest.service, now) !== undefined) {
+      if (this.isTooLate(waitingRequest, now)) {
         this.queue.remove(waitingRequest.id);
         waitingRequest.resolve(undefined);
         continue;
@@ -121,15 +121,12 @@
   }
 
   /**
-   * Computes how long all decode engines of a service want no requests.
+   * Computes how long nothing may be sent to any decode engine of a service.
    *
-   * @returns milliseconds; undefined if one takes requests, or there is none
+   * @returns milliseconds; undefined if something may be sent to one, or there is none
    */
-  computePauseMs(service: string, now: Moment): number | undefined {
-    const decodes = this.context.directory
-      .listUsable(now)
-      .filter((endpoint) => endpoint.service === service && endpoint.stage === EngineStage.decode);
-    return this.context.gate.computeSharedPauseMs(decodes);
+  computeHoldMs(service: string, now: Moment): number | undefined {
+    return this.context.gate.computeSharedHoldMs(this.listDecodes(service, now));
   }
 
   /**
@@ -148,6 +145,21 @@
     this.timer = undefined;
   }
 
+  /** Checks whether all engines are paused, or take nothing until the request has given up. */
+  private isTooLate({ service, deadline }: WaitingRequest, now: Moment): boolean {
+    const { gate } = this.context;
+    const decodes = this.listDecodes(service, now);
+    if (gate.computeSharedPauseMs(decodes) !== undefined) return true;
+    const holdMs = gate.computeSharedHoldMs(decodes);
+    return holdMs !== undefined && now + holdMs >= deadline;
+  }
+
+  private listDecodes(service: string, now: Moment): readonly EndpointEntry[] {
+    return this.context.directory
+      .listUsable(now)
+      .filter((endpoint) => endpoint.service === service && endpoint.stage === EngineStage.decode);
+  }
+
   /** Drops the requests that were found to crash engines while they waited. */
   private dropBanned(now: Moment): void {
     for (const waitingRequest of this.queue.listHeads(now)) {
--- a/src/forward/stream.ts
+++ b/src/forward/stream.ts
@@ -261,7 +261,7 @@
       this.parts.refusals.recordRefusal(this.request.fingerprint, now);
       const reason = isLate ? Reason.deadline : Reason.overloaded;
       const retryAfterMs =
-        this.parts.reservations.computePauseMs(this.request.service, now) ??
+        this.parts.reservations.computeHoldMs(this.request.service, now) ??
         computeRetryAfterMs(this.times.deadline, now, random);
       return createNotRunRefusal(503, reason, this.message, retryAfterMs);
     }
--- a/test/limit.spec.ts
+++ b/test/limit.spec.ts
@@ -174,6 +174,25 @@
     assert.equal(arrivals.length - from, responses.length);
   });
 
+  it("has generations that it can't take in time refused at once, with a true delay", async () => {
+    await addLimitedEngine("d1", EngineStage.decode, "0.5");
+    await startFleet();
+    await sendFor(1500, "/summary/1");
+    const refusals: { readonly ms: number; readonly retryMs: number }[] = [];
+    for (let turn = 0; turn < 20; turn += 1) {
+      const startedAt = performance.now();
+      const { status, headers } = await get(ports[turn % ports.length] ?? 0, "/summary/1");
+      if (status === 200) continue;
+      assert.equal(status, 503);
+      const retryMs = Number(headers["x-retry-ms"]);
+      refusals.push({ ms: performance.now() - startedAt, retryMs });
+    }
+    assert.ok(refusals.length >= 16);
+    const slow = refusals.filter(({ ms }) => ms > 200);
+    assert.ok(slow.length <= 3, `${slow.length} of ${refusals.length} waited`);
+    assert.ok(refusals.every(({ retryMs }) => retryMs > 0 && retryMs <= 2000));
+  });
+
   it("gets no more than its limit as an engine, with holds, prefills and releases", async () => {
     const decodes = await addLimitedEngine("d1", EngineStage.decode, "6");
     const prefills = await addLimitedEngine("p1", EngineStage.prefill, "4");
