--- /dev/null
+++ b/test/versions.spec.ts
@@ -0,0 +1,190 @@
+/**
+ * Engines of several software versions side by side in one service, through real instances. Guards against streams
+ * that go on at another version than the one that began them, within one answer or over a caller's tries.
+ */
+import assert from "node:assert/strict";
+import type { Socket } from "node:net";
+import { after, afterEach, beforeEach, describe, it } from "node:test";
+import { pause } from "../src/core/clock";
+import { EngineStage } from "../src/fleet/directory";
+import { get } from "./harness/fixture";
+import { createConfig, createEntry, startInstance, waitUntil } from "./harness/forward";
+import { MemoryStore } from "./harness/memory";
+import { RawEndpoint } from "./harness/raw";
+
+const event = (id: number) => `id: ${id}\ndata: t${id}\n\n`;
+const chunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
+const readId = (head: string) => /x-id: (\S+)/i.exec(head)?.[1] ?? "";
+
+let store: MemoryStore;
+let ports: number[] = [];
+let running: Awaited<ReturnType<typeof startInstance>>[] = [];
+let engines: Map<string, RawEndpoint>;
+
+/** Entries of decode engines; a version is the software's. */
+const ofVersion = (version: string) => ({ service: "models", stage: EngineStage.decode, version });
+
+/** How long an engine that breaks off is silent before it does, in milliseconds. */
+const BREAK_MS = 700;
+
+/** Answers a hold, or two events; breaks off some time after them where it is to. */
+function answer(head: string, socket: Socket, breaks: () => boolean): void {
+  if (!head.includes("x-task: run")) {
+    socket.write("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nh1");
+    return;
+  }
+  const from = Number(/x-after: (\d+)/i.exec(head)?.[1] ?? "0");
+  socket.write(
+    `HTTP/1.1 200 OK\r\nx-id: ${readId(head)}\r\ncontent-type: text/event-stream\r\n` +
+      "transfer-encoding: chunked\r\n\r\n",
+  );
+  socket.write(chunk(event(from + 1)) + chunk(event(from + 2)));
+  if (!breaks()) socket.write("0\r\n\r\n");
+  else
+    setTimeout(() => {
+      socket.destroy();
+    }, BREAK_MS);
+}
+
+async function addEngine(id: string, version: string, breaks = () => false): Promise<RawEndpoint> {
+  const engine = new RawEndpoint((head, socket) => {
+    answer(head, socket, breaks);
+  });
+  engines.set(id, engine);
+  const more = ofVersion(version);
+  store.putEndpoint(createEntry(id, await engine.listen(), more));
+  return engine;
+}
+
+async function startFleet(size: number): Promise<void> {
+  const knownPeers: string[] = [];
+  for (let index = 1; index <= size; index += 1) {
+    const started = await startInstance(store, `nizwa-${index}`, { knownPeers: [...knownPeers] });
+    running.push(started);
+    knownPeers.push(`127.0.0.1:${started.settings.peers.port}`);
+  }
+  ports = running.map(({ settings }) => settings.callers.port);
+  await waitUntil(async () => {
+    const answers = running.map(({ settings }) => get(settings.ready.port, "/"));
+    return (await Promise.all(answers)).every(({ status }) => status === 200);
+  });
+  if (size > 1) await pause(1200);
+}
+
+const countRuns = (id: string) =>
+  engines.get(id)?.requests.filter((head) => head.includes("x-task: run")).length ?? 0;
+const countResumes = (id: string) =>
+  engines.get(id)?.requests.filter((head) => head.includes("x-after: ")).length ?? 0;
+
+describe("a stream goes on only at the version that began it", () => {
+  beforeEach(() => {
+    store = new MemoryStore();
+    store.putConfig(createConfig(1));
+    running = [];
+    engines = new Map();
+  });
+
+  afterEach(async () => {
+    await Promise.all(running.map(({ instance }) => instance.close()));
+    for (const engine of engines.values()) engine.close();
+  });
+
+  after(() => {
+    setTimeout(() => process.exit(), 500).unref();
+  });
+
+  it("within one answer, at another engine of it", async () => {
+    const first = await addEngine("d1", "v1", () => true);
+    await startFleet(1);
+    const begun = get(ports[0] ?? 0, "/summary/1");
+    await waitUntil(() => countRuns("d1") > 0);
+    for (const id of ["e1", "e2", "e3"]) await addEngine(id, "v2");
+    await addEngine("d2", "v1");
+    await pause(200);
+    first.close();
+    const response = await begun;
+    assert.equal(response.isComplete, true);
+    assert.equal(countResumes("d2"), 1);
+    assert.equal(countResumes("e1") + countResumes("e2") + countResumes("e3"), 0);
+  });
+
+  it("within one answer, and is cut if no engine of it is left", async () => {
+    const first = await addEngine("d1", "v1", () => true);
+    await startFleet(1);
+    const begun = get(ports[0] ?? 0, "/summary/1");
+    await waitUntil(() => countRuns("d1") > 0);
+    await addEngine("e1", "v2");
+    await pause(200);
+    store.endpoints.put("d1", undefined);
+    await pause(200);
+    const startedAt = performance.now();
+    first.close();
+    const response = await begun;
+    assert.deepEqual([response.isComplete, response.body.includes("id: 2")], [false, true]);
+    assert.ok(performance.now() - startedAt < 1000, "at once");
+    assert.equal(countResumes("e1"), 0);
+  });
+
+  it("over a caller's tries, at any instance", async () => {
+    let isBreaking = true;
+    await addEngine("d1", "v1", () => isBreaking);
+    await startFleet(3);
+    const ids = ["s1", "s2", "s3", "s4", "s5", "s6"];
+    const begin = (id: string, turn: number) =>
+      get(ports[turn % 3] ?? 0, `/draft/${id}`, { "x-id": id });
+    const begun = await Promise.all(ids.map(begin));
+    assert.ok(begun.every(({ isComplete, body }) => !isComplete && body.includes("id: 2")));
+    isBreaking = false;
+    for (const id of ["e1", "e2", "e3"]) await addEngine(id, "v2");
+    await addEngine("d2", "v1");
+    await pause(400);
+    const resume = (id: string, turn: number) =>
+      get(ports[(turn + 1) % 3] ?? 0, `/summary/${id}`, {
+        "x-id": `${id}-again`,
+        "x-resumes": id,
+        "x-after": "2",
+      });
+    const resumed = await Promise.all(ids.map(resume));
+    assert.deepEqual(
+      resumed.map(({ status, isComplete }) => [status, isComplete]),
+      ids.map(() => [200, true]),
+    );
+    assert.equal(countResumes("e1") + countResumes("e2") + countResumes("e3"), 0);
+    assert.equal(countResumes("d1") + countResumes("d2"), ids.length);
+  });
+
+  it("and is refused as not run if nobody knows what began it", async () => {
+    await addEngine("d1", "v1");
+    await addEngine("e1", "v2");
+    await startFleet(2);
+    const startedAt = performance.now();
+    for (const more of [{ "x-resumes": "unheard" }, { "x-resumes": "x".repeat(10_000) }, {}]) {
+      const response = await get(ports[0] ?? 0, "/summary/1", { ...more, "x-after": "4" });
+      assert.equal(response.status, 503);
+    }
+    const itself = { "x-id": "me", "x-resumes": "me", "x-after": "4" };
+    assert.equal((await get(ports[0] ?? 0, "/summary/1", itself)).status, 503);
+    assert.ok(performance.now() - startedAt < 1000, "at once");
+    assert.equal(countRuns("d1") + countRuns("e1"), 0);
+  });
+
+  it("and not at an engine that started anew under its id with another version", async () => {
+    let isBreaking = true;
+    const engine = await addEngine("d1", "v1", () => isBreaking);
+    await startFleet(1);
+    const begun = await get(ports[0] ?? 0, "/draft/s1", { "x-id": "s1" });
+    assert.equal(begun.isComplete, false);
+    isBreaking = false;
+    const more = { ...ofVersion("v2"), processStartedAt: Date.now() + 60_000 };
+    store.putEndpoint(createEntry("d1", engine.address, more));
+    await pause(400);
+    const headers = { "x-resumes": "s1", "x-after": "2" };
+    const refused = await get(ports[0] ?? 0, "/summary/s1", headers);
+    assert.equal(refused.status, 503);
+    await addEngine("d2", "v1");
+    await pause(400);
+    const resumed = await get(ports[0] ?? 0, "/summary/s1", headers);
+    assert.deepEqual([resumed.status, resumed.isComplete], [200, true]);
+    assert.equal(countResumes("d1"), 0);
+  });
+});
