--- a/measure/load/engine.ts
+++ b/measure/load/engine.ts
@@ -2,7 +2,7 @@
  * Simulates one prefill or decode engine in virtual time: batched decode steps with chunked prefill between
  * them, block-wise KV-cache memory with preemption, and holds and handles that expire.
  */
-import { EngineStage } from "../../src/fleet/directory";
+import { EngineStage } from "../../src/fleet/entries";
 
 /** The capacity and speed of a simulated engine. */
 export interface EngineParameters {
--- a/measure/load/play.ts
+++ b/measure/load/play.ts
@@ -4,7 +4,7 @@
  */
 import { build, type Histogram } from "hdr-histogram-js";
 import type { EngineLimits } from "../../src/fleet/config";
-import { EngineStage } from "../../src/fleet/directory";
+import { EngineStage } from "../../src/fleet/entries";
 import { createArrivals, createRandom, type LoadParameters } from "./arrivals";
 import { type EngineParameters, EngineModel } from "./engine";
 import {
--- a/measure/load/router.ts
+++ b/measure/load/router.ts
@@ -4,7 +4,7 @@
  */
 import { UrgentQueue, type UrgentQueueItem } from "../../src/core/urgentqueue";
 import type { EngineLimits } from "../../src/fleet/config";
-import { type EndpointEntry, EngineStage } from "../../src/fleet/directory";
+import { type EndpointEntry, EngineStage } from "../../src/fleet/entries";
 import { EngineModel as SpeedModel } from "../../src/forward/enginemodel";
 import { chooseDecode, choosePrefill, EngineLoadTracker } from "../../src/forward/engines";
 import type * as overload from "../../src/forward/overload";
@@ -225,6 +225,7 @@
     slots: 1,
     isLeaving: false,
     stage,
+    version: undefined,
     processStartedAt: 1,
     sequence: 1,
   }));
--- a/scripts/mutations/forwarding.mjs
+++ b/scripts/mutations/forwarding.mjs
@@ -88,7 +88,7 @@
     pattern: "look complete",
   },
   {
-    name: "forwarding: a stream resumes after its last event",
+    name: "forwarding: a stream goes on after its last event",
     file: "src/forward/events.ts",
     find: "return line?.slice(ID_FIELD.length).trim();",
     replace: "return undefined;",
--- a/src/core/outcome.ts
+++ b/src/core/outcome.ts
@@ -33,6 +33,7 @@
   claimReused: "idempotency_key_reused",
   outcomeUnknown: "outcome_unknown",
   notReady: "not_ready",
+  unknownStream: "unknown_stream",
   interrupted: "interrupted",
   cancelled: "cancelled",
   deadline: "deadline",
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -170,7 +170,7 @@
   }
 
   /**
-   * Streams the tokens. Where the connection breaks or goes silent, resumes the hold over a new
+   * Streams the tokens. Where the connection breaks or goes silent, takes up the hold again over a new
    * one, as long as the granted process still runs.
    */
   private async decode(url: string, source: KvSource): Promise<AttemptError> {
--- a/src/fleet/members.ts
+++ b/src/fleet/members.ts
@@ -8,6 +8,7 @@
 import type { Logger } from "../core/log";
 import type { Beat } from "../peer/gen/fleet";
 import type { ReaderCandidate } from "./readers";
+import type { ReplicaCandidate } from "./replicas";
 import type { FeedRecord } from "./store";
 
 /**
@@ -183,11 +184,16 @@
     return this.members.get(instance)?.address;
   }
 
-  /** Lists the instances that are live and not leaving, this one included. */
+  /** Lists the names of the instances that are live and not leaving, this one included. */
   listLive(now: Moment): readonly string[] {
-    const live = [...this.members.values()]
-      .filter((member) => now - member.lastHeartbeatAt <= LIVENESS_TIMEOUT_MS && !member.isLeaving)
-      .map((member) => member.instance);
-    return [...live, this.self.instance];
+    return this.listLiveMembers(now).map(({ instance }) => instance);
+  }
+
+  /** Lists the instances that are live and not leaving, this one included. */
+  listLiveMembers(now: Moment): readonly ReplicaCandidate[] {
+    const live = [...this.members.values()].filter(
+      (member) => now - member.lastHeartbeatAt <= LIVENESS_TIMEOUT_MS && !member.isLeaving,
+    );
+    return [...live, this.self];
   }
 }
--- a/src/fleet/transport.ts
+++ b/src/fleet/transport.ts
@@ -20,6 +20,10 @@
   FleetService,
   type PermitReply,
   type PermitRequest,
+  type RecallReply,
+  type RecallRequest,
+  type RememberReply,
+  type RememberRequest,
 } from "../peer/gen/fleet";
 import { CHANNEL_OPTIONS } from "../peer/transport";
 import type { FleetTransport } from "./heartbeat";
@@ -34,6 +38,8 @@
   onFetch(request: FetchRequest): FetchReply;
   onCharge(request: ChargeRequest): ChargeReply;
   onPermit(request: PermitRequest): PermitReply;
+  onRemember(request: RememberRequest): void;
+  onRecall(request: RecallRequest): RecallReply;
 }
 
 /** A server that listens for peers. */
@@ -75,6 +81,24 @@
     return this.call(address, timeoutMs, (client, done) => client.permit(request, done));
   }
 
+  /** Has an instance remember origins of streams; undefined where it does not answer in time. */
+  remember(
+    address: string,
+    request: RememberRequest,
+    timeoutMs: number,
+  ): Promise<RememberReply | undefined> {
+    return this.call(address, timeoutMs, (client, done) => client.remember(request, done));
+  }
+
+  /** Asks an instance for the origin of a stream; undefined where it does not answer in time. */
+  recall(
+    address: string,
+    request: RecallRequest,
+    timeoutMs: number,
+  ): Promise<RecallReply | undefined> {
+    return this.call(address, timeoutMs, (client, done) => client.recall(request, done));
+  }
+
   close(): void {
     for (const client of this.clients.values()) client.close();
     this.clients.clear();
@@ -147,6 +171,19 @@
     ) => {
       done(null, handler.onPermit(call.request));
     },
+    remember: (
+      call: ServerUnaryCall<RememberRequest, RememberReply>,
+      done: sendUnaryData<RememberReply>,
+    ) => {
+      handler.onRemember(call.request);
+      done(null, {});
+    },
+    recall: (
+      call: ServerUnaryCall<RecallRequest, RecallReply>,
+      done: sendUnaryData<RecallReply>,
+    ) => {
+      done(null, handler.onRecall(call.request));
+    },
   });
   await bindServer(server, address);
   return { close: () => closeServer(server, SHUTDOWN_TIMEOUT_MS) };
--- a/src/forward/adapter.ts
+++ b/src/forward/adapter.ts
@@ -1,7 +1,7 @@
 /**
  * What an adapter to a platform provides to an instance.
  */
-import type { EndpointDecoder } from "../fleet/directory";
+import type { EndpointDecoder } from "../fleet/entries";
 import type { Store } from "../fleet/store";
 import type { ConfigDecoder } from "../fleet/watcher";
 import type { CallerCodec, EndpointCodec } from "./messages";
--- a/src/forward/balancer.ts
+++ b/src/forward/balancer.ts
@@ -1,7 +1,7 @@
 /**
  * Chooses the endpoint of a plain service for a request, by least cost.
  */
-import type { EndpointEntry } from "../fleet/directory";
+import type { EndpointEntry } from "../fleet/entries";
 import type { HealthView } from "./health";
 
 /** An endpoint with its health as this instance sees it. */
--- a/src/forward/context.ts
+++ b/src/forward/context.ts
@@ -3,8 +3,10 @@
  */
 import type { Clock, Moment } from "../core/clock";
 import type { Logger } from "../core/log";
-import type { EndpointDirectory, EndpointEntry } from "../fleet/directory";
+import type { EndpointDirectory } from "../fleet/directory";
+import type { EndpointEntry } from "../fleet/entries";
 import type { Announcer } from "./announcer";
+import type { VersionHistory } from "../fleet/versionhistory";
 import type { EndpointClient } from "./client";
 import type { EndpointGate } from "./gate";
 import type { Releaser } from "./releaser";
@@ -13,6 +15,7 @@
 import type { HealthTracker } from "./health";
 import type { Meter } from "./meter";
 import type { RetryBudget } from "../core/retrybudget";
+import type { SharedOrigins } from "./sharedorigins";
 
 /** Dependencies that all requests share. */
 export interface ForwardContext {
@@ -28,7 +31,11 @@
   readonly retries: RetryBudget;
   readonly crashes: CrashTracker;
   readonly announcer: Announcer;
+  readonly sharedOrigins: SharedOrigins;
+  readonly versionHistory: VersionHistory;
   readonly dataCentre: string;
+  /** Returns the wall clock's time, in milliseconds, to compare with that of endpoints. */
+  readonly readWallClock: () => number;
   /** Returns a random number in [0, 1). */
   readonly random: () => number;
 }
--- a/src/forward/decode.ts
+++ b/src/forward/decode.ts
@@ -6,8 +6,8 @@
 import { computeRemainingMs, type Moment } from "../core/clock";
 import { RetryMode } from "../fleet/config";
 import { isAcquitted, isSuspect } from "../core/suspects";
-import type { EndpointEntry } from "../fleet/directory";
-import { AbortCause, DeadlineSignal } from "./abort";
+import type { EndpointEntry } from "../fleet/entries";
+import { DeadlineSignal } from "./abort";
 import { discardBody } from "./body";
 import type { OpenResponse, SendFailure } from "./client";
 import { type ForwardContext, type RequestTimes, resetDataCentreConnections } from "./context";
@@ -21,9 +21,13 @@
   SendTask,
   Verdict,
 } from "./messages";
-import { readWholeBody, type BufferedResponse } from "./service";
+import { readWholeBody } from "./service";
 import { createSuspect, EndpointState, probeEndpoint } from "./probe";
+import type { StreamOrigin } from "./origins";
 import { RelayEnd, relayEvents, type RelayResult } from "./relay";
+import type { StreamStart } from "./resume";
+import { createAbortResult, TryEnd, type TryResult } from "./tries";
+import { confirmOrigin } from "./versions";
 
 /**
  * How long a resumable stream may be silent before it is resumed on another engine, in
@@ -50,32 +54,6 @@
   cut(): void;
 }
 
-/** How a try at an engine ended. */
-export const TryEnd = {
-  complete: "complete",
-  /** The engine did not run the generation. */
-  notRun: "not run",
-  /** The engine answered with an error status. */
-  failed: "failed",
-  /** The stream broke, went silent or never started. */
-  broken: "broken",
-  callerGone: "caller gone",
-  /** The deadline passed while an engine was running the generation. */
-  timeUp: "time up",
-  /** Nothing was sent: the deadline has passed, or the retry budget is used up. */
-  unsent: "unsent",
-  /** Nothing was sent: the request or a part of its prompt crashes engines. */
-  banned: "banned",
-} as const;
-export type TryEnd = (typeof TryEnd)[keyof typeof TryEnd];
-
-/** The result of a try. */
-export interface TryResult {
-  readonly end: TryEnd;
-  readonly message: string;
-  readonly response?: BufferedResponse;
-}
-
 /** Dependencies of a decoder. */
 export interface DecodeParts {
   readonly context: ForwardContext;
@@ -85,6 +63,8 @@
 
 /** Streams one generation to its caller, over all its tries. */
 export class Decoder {
+  private readonly request: ForwardRequest;
+  private originOfStream: StreamOrigin | undefined;
   private lastEvent: string | undefined;
   private firstSentAt: Moment | undefined;
   /** When the first event of the current run arrived; undefined before. */
@@ -97,13 +77,22 @@
 
   constructor(
     private readonly parts: DecodeParts,
-    private readonly request: ForwardRequest,
+    { request, origin }: StreamStart,
     private readonly times: RequestTimes,
     private readonly sink: StreamSink,
   ) {
+    this.request = request;
+    this.originOfStream = origin;
     this.lastEvent = request.head.lastEventId;
   }
 
+  /** The engine that wrote the first event of the stream; undefined before there is one. */
+  get origin(): StreamOrigin | undefined {
+    const { directory } = this.parts.context;
+    const origin = this.originOfStream;
+    return origin && confirmOrigin(origin, directory.find(origin.endpoint));
+  }
+
   /** The id of the last event that was sent to the caller, as its engine assigned it. */
   get lastEventId(): string | undefined {
     return this.lastEvent;
@@ -264,6 +253,7 @@
       ...this.chooseRelayTimeouts(),
       onEvents: (events) => {
         this.recordProgress();
+        this.recordOrigin(endpoint);
         this.forwardEvents(response, events);
       },
     });
@@ -304,6 +294,20 @@
     return { end: RelayEnd.broken, message: "the engine is down after the end of its connection" };
   }
 
+  /**
+   * Records which engine began the stream, before the caller can come back for it; also under the id
+   * of a request that takes it up.
+   */
+  private recordOrigin({ id, service, version, processStartedAt }: EndpointEntry): void {
+    if (this.firstSentAt !== undefined || !this.isResumable) return;
+    const { sharedOrigins, readWallClock } = this.parts.context;
+    const beganAt = readWallClock();
+    this.originOfStream ??= { service, version, endpoint: id, processStartedAt, beganAt };
+    const { head, workspace } = this.request;
+    const stream = { workspace: workspace?.name ?? "", request: head.id };
+    sharedOrigins.record({ stream, origin: this.originOfStream });
+  }
+
   /** Records events of the current run; it shows that it crashes no engine once it goes on. */
   private recordProgress(): void {
     const now = this.parts.context.clock.now();
@@ -341,8 +345,8 @@
   }
 
   /**
-   * Sends the response head once: that of the first engine, also if another engine resumes the
-   * stream.
+   * Sends the response head once: that of the first engine, also if another engine goes on
+   * with the stream.
    */
   private begin(response: OpenResponse): void {
     if (this.firstSentAt !== undefined) return;
@@ -364,20 +368,3 @@
 function isStream({ verdict, status }: ResponseHead): boolean {
   return verdict === Verdict.answered && status < MIN_NON_STREAM_STATUS;
 }
-
-/**
- * Creates the result of a try that the caller or the deadline ended; returns undefined if neither
- * did.
- *
- * @example
- * createAbortResult(deadlineSignal)?.end; // TryEnd.callerGone
- */
-export function createAbortResult(deadlineSignal: DeadlineSignal): TryResult | undefined {
-  if (deadlineSignal.cause === AbortCause.callerGone) {
-    return { end: TryEnd.callerGone, message: "the caller has left" };
-  }
-  if (deadlineSignal.cause === AbortCause.timeUp) {
-    return { end: TryEnd.timeUp, message: "the deadline has passed" };
-  }
-  return undefined;
-}
--- a/src/forward/dispatch.ts
+++ b/src/forward/dispatch.ts
@@ -3,7 +3,8 @@
  */
 import * as E from "fp-ts/Either";
 import type { Moment } from "../core/clock";
-import { ExecutionStatus, Reason } from "../core/outcome";
+import { ExecutionStatus, Reason, type Refusal } from "../core/outcome";
+import type { EngineLimits } from "../fleet/config";
 import type { StoreWatcher } from "../fleet/watcher";
 import type { Admission } from "./admission";
 import { computeTimes, type ForwardContext, type RequestTimes } from "./context";
@@ -15,6 +16,7 @@
 import type { PeerState } from "./peerstate";
 import { ServiceRun } from "./service";
 import type { RefusalTracker } from "./refusals";
+import type { ResumeResolver, StreamStart } from "./resume";
 import type { CallerResponse, CallerRequest } from "./server";
 import { StreamRun } from "./stream";
 
@@ -27,6 +29,7 @@
 export interface DispatchParts {
   readonly context: ForwardContext;
   readonly admission: Admission;
+  readonly resumeResolver: ResumeResolver;
   readonly reservations: ReservationQueue;
   readonly engineLoad: EngineLoadTracker;
   readonly engineModel: EngineModel;
@@ -53,30 +56,46 @@
     const { admission, context } = this.parts;
     const admitted = await admission.admit(head, body, arrivedAt);
     if (E.isLeft(admitted)) return admitted;
-    const forwardRequest = admitted.right;
-    const times = computeTimes(forwardRequest, arrivedAt);
-    this.logAdmitted(forwardRequest, times);
-    context.retries.recordRequest(forwardRequest.service, arrivedAt);
-    const end = await this.runAdmitted(forwardRequest, times, request);
-    this.recordEnd(forwardRequest, end, arrivedAt);
+    const times = computeTimes(admitted.right, arrivedAt);
+    this.logAdmitted(admitted.right, times);
+    const start = await this.resolveStart(admitted.right);
+    const started = E.isLeft(start) ? admitted.right : start.right.request;
+    context.retries.recordRequest(started.service, arrivedAt);
+    const end = E.isLeft(start)
+      ? { response: start, isCut: false, isCallerGone: request.caller.aborted }
+      : await this.runAdmitted(start.right, times, request);
+    this.recordEnd(started, end, arrivedAt);
     return end.response;
   }
 
+  /** Finds out where a stream goes on that a caller takes up; other requests start as they are. */
+  private async resolveStart(request: ForwardRequest): Promise<E.Either<Refusal, StreamStart>> {
+    if (this.findEngineLimits(request) === undefined) {
+      return E.right({ request, origin: undefined });
+    }
+    return this.parts.resumeResolver.resolve(request);
+  }
+
+  /** Finds the limits of a generation's engines; undefined if the request is not a generation. */
+  private findEngineLimits({ route, service }: ForwardRequest): EngineLimits | undefined {
+    if (!route.isStream) return undefined;
+    return this.parts.watcher.readConfigIndex()?.findService(service)?.engine;
+  }
+
   private async runAdmitted(
-    forwardRequest: ForwardRequest,
+    start: StreamStart,
     times: RequestTimes,
     { head, arrivedAt, caller, sink }: CallerRequest,
   ): Promise<RequestEnd> {
-    const { context, reservations, engineLoad, engineModel, refusals, peerState, watcher } =
-      this.parts;
-    const engine = watcher.readConfigIndex()?.findService(forwardRequest.service)?.engine;
-    if (engine === undefined || !forwardRequest.route.isStream) {
-      const response = await new ServiceRun(context, forwardRequest, times, caller).run();
+    const { context, reservations, engineLoad, engineModel, refusals, peerState } = this.parts;
+    const engine = this.findEngineLimits(start.request);
+    if (engine === undefined) {
+      const response = await new ServiceRun(context, start.request, times, caller).run();
       return { response, isCut: false, isCallerGone: caller.aborted };
     }
     peerState.recordArrival(head.size?.promptTokens ?? 0, arrivedAt);
     const parts = { context, reservations, engineLoad, engineModel, refusals };
-    const run = new StreamRun(parts, forwardRequest, engine, times, caller, sink);
+    const run = new StreamRun(parts, start, engine, times, caller, sink);
     const response = await run.run();
     return { response, isCut: run.isCut, isCallerGone: caller.aborted };
   }
--- a/src/forward/engines.ts
+++ b/src/forward/engines.ts
@@ -4,7 +4,7 @@
  */
 import type { Moment } from "../core/clock";
 import type { EngineLimits } from "../fleet/config";
-import { type EndpointEntry, EngineStage } from "../fleet/directory";
+import { type EndpointEntry, EngineStage } from "../fleet/entries";
 import { computeDecodeReadMs, computePrefillMs } from "./enginemodel";
 
 /** Work in progress at an engine. */
--- a/src/forward/gate.ts
+++ b/src/forward/gate.ts
@@ -5,7 +5,8 @@
  */
 import type { Clock, Moment } from "../core/clock";
 import type { Logger } from "../core/log";
-import type { EndpointDirectory, EndpointEntry } from "../fleet/directory";
+import type { EndpointDirectory } from "../fleet/directory";
+import type { EndpointEntry } from "../fleet/entries";
 import type { EndpointLimits } from "./limits";
 import type { EndpointNotice } from "./messages";
 import type { Permits } from "./permits";
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -13,6 +13,9 @@
   FetchRequest,
   PermitReply,
   PermitRequest,
+  RecallReply,
+  RecallRequest,
+  RememberRequest,
 } from "../peer/gen/fleet";
 import type { Adapter } from "./adapter";
 import { createInstanceBase, type InstanceBase } from "./base";
@@ -20,6 +23,7 @@
 import { addGauges } from "./gauges";
 import { Maintenance } from "./maintenance";
 import { createParts, type InstanceParts } from "./parts";
+import { answerRecall, keepOrigins } from "./originpeer";
 import { answerPermit } from "./permits";
 import { type CallerResponse, type CallerRequest, ForwardServer } from "./server";
 import type { ForwardSettings } from "./settings";
@@ -158,6 +162,14 @@
     return answerPermit(limits, accounts, request, this.base.clock.now());
   }
 
+  onRemember(request: RememberRequest): void {
+    keepOrigins(this.parts.origins, request, this.base.clock.now());
+  }
+
+  onRecall(request: RecallRequest): RecallReply {
+    return answerRecall(this.parts.origins, request, this.base.clock.now());
+  }
+
   private serve(request: CallerRequest): Promise<CallerResponse> {
     this.maintenance.applyCallerLimits();
     if (!this.isRefusing) return this.parts.dispatcher.run(request);
--- a/src/forward/maintenance.ts
+++ b/src/forward/maintenance.ts
@@ -1,12 +1,14 @@
 /**
- * Does the periodic work of an instance: applies the limits for callers, logs the shares, and
- * forgets endpoints that left.
+ * Does the periodic work of an instance: applies the limits for callers, logs the shares, watches
+ * the versions of endpoints, and forgets endpoints that left.
  */
 import type { ForwardContext } from "./context";
 import type { FleetView } from "./fleetview";
 import type { ForwardServer } from "./server";
 
 const MAINTENANCE_INTERVAL_MS = 1000;
+/** Age up to which the list of endpoints counts as current, in milliseconds. */
+const LIST_CURRENT_MS = 2000;
 /** The version before a configuration is in force. */
 const NO_VERSION = -1;
 
@@ -49,12 +51,20 @@
   private maintain(): void {
     this.applyCallerLimits();
     this.logShares();
+    this.observeVersions();
     const { health, meter, directory } = this.context;
     const isListed = (id: string) => directory.find(id) !== undefined;
     health.prune(isListed);
     meter.prune(isListed);
   }
 
+  /** Watches the versions of endpoints while the list is current. */
+  private observeVersions(): void {
+    const { versionHistory, directory, clock } = this.context;
+    if (this.view.watcher.computeEndpointsAgeMs() > LIST_CURRENT_MS) return;
+    versionHistory.observe(directory.listAll(), clock.now());
+  }
+
   /**
    * Logs the number of live instances and the live ratio when the number changes; the shares of
    * rates and retries are computed from them at each moment.
--- a/src/forward/messages.ts
+++ b/src/forward/messages.ts
@@ -6,7 +6,7 @@
 import type * as E from "fp-ts/Either";
 import type { Moment } from "../core/clock";
 import type { FleetRoute, FleetWorkspace } from "../fleet/config";
-import type { EndpointEntry } from "../fleet/directory";
+import type { EndpointEntry } from "../fleet/entries";
 import type { Refusal } from "../core/outcome";
 
 /** The size of a generation. */
@@ -34,6 +34,8 @@
   readonly size: GenerationSize | undefined;
   /** Id of the last event that the caller has received; undefined for a stream from its start. */
   readonly lastEventId: string | undefined;
+  /** Id of the caller's request that brought the first event of the stream that it takes up again. */
+  readonly resumedId: string | undefined;
   /** Ids of the parts of the prompt, in order, without the last one, which is the request's own. */
   readonly promptParts: readonly string[];
   /** Names and values, alternating, of the headers that are forwarded to an endpoint. */
@@ -87,7 +89,7 @@
   readonly cacheSource: CacheSource | undefined;
   /** Id of the hold that reserves memory at the engine. */
   readonly hold: string | undefined;
-  /** Id of the event after which a stream resumes. */
+  /** Id of the event after which a stream goes on. */
   readonly lastEventId: string | undefined;
   /** Priority at the engine; 0 is first. */
   readonly urgency: number | undefined;
--- a/src/forward/meter.ts
+++ b/src/forward/meter.ts
@@ -39,6 +39,11 @@
     "Answers that came where the answer to another exchange was due",
     ["service"],
   );
+  readonly resumed = this.createCounter(
+    "resumed_total",
+    "Streams that callers took up again, by where their origin was found",
+    ["service", "source"],
+  );
   readonly storeCalls = this.createCounter("store_calls_total", "Calls to the store", []);
   readonly storeFailures = this.createCounter("store_failures_total", "Failed calls to it", []);
   private readonly requests = this.createHistogram(
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -4,6 +4,7 @@
 import { RetryBudget } from "../core/retrybudget";
 import { HeartbeatExchanger } from "../fleet/heartbeat";
 import { OwnerChooser } from "../fleet/owners";
+import { VersionHistory } from "../fleet/versionhistory";
 import { Joiner } from "../fleet/joiner";
 import { OrderLeases } from "../fleet/orders";
 import { Admission } from "./admission";
@@ -22,6 +23,8 @@
 import { HealthTracker } from "./health";
 import { LimitAccounts } from "./limitaccounts";
 import { EndpointLimits } from "./limits";
+import { PeerOriginTransport } from "./originpeer";
+import { StreamOrigins } from "./origins";
 import { PeerState } from "./peerstate";
 import { PeerPermitTransport, Permits } from "./permits";
 import { Quotas } from "./quota";
@@ -29,6 +32,8 @@
 import { RefusalTracker } from "./refusals";
 import { Releaser } from "./releaser";
 import { ReservationQueue } from "./reservations";
+import { ResumeResolver } from "./resume";
+import { SharedOrigins } from "./sharedorigins";
 
 /**
  * The share of an endpoint's maximum of connections that the fleet uses, so that the endpoint never
@@ -56,6 +61,7 @@
   readonly view: FleetView;
   readonly quotas: Quotas;
   readonly limitState: LimitState;
+  readonly origins: StreamOrigins;
   readonly context: ForwardContext;
   readonly reservations: ReservationQueue;
   readonly peerState: PeerState;
@@ -84,7 +90,8 @@
     limits: new EndpointLimits(),
     accounts: new LimitAccounts(() => members.readFleetSize(clock.now())),
   };
-  const context = createContext(base, view, limitState, sendHeartbeats);
+  const origins = new StreamOrigins();
+  const context = createContext(base, view, limitState, origins, sendHeartbeats);
   const engines = createEngineState(context);
   const { limits } = limitState;
   const peerState = createPeerState(base, view, quotas, limits, context, engines, isLeaving);
@@ -101,12 +108,21 @@
   });
   const admission = createAdmission(base, view, quotas, context);
   const { watcher } = view;
-  const dispatcher = new Dispatcher({ context, admission, ...engines, peerState, watcher });
+  const resumeResolver = new ResumeResolver(context);
+  const dispatcher = new Dispatcher({
+    context,
+    admission,
+    resumeResolver,
+    ...engines,
+    peerState,
+    watcher,
+  });
   const { reservations } = engines;
   return {
     view,
     quotas,
     limitState,
+    origins,
     context,
     reservations,
     peerState,
@@ -125,6 +141,7 @@
   base: InstanceBase,
   view: FleetView,
   limitState: LimitState,
+  origins: StreamOrigins,
   sendHeartbeats: () => void,
 ): ForwardContext {
   const { settings, adapter, clock, meter, logger } = base;
@@ -161,6 +178,9 @@
     retries: new RetryBudget(settings.retryLimit, view.countLive, clock.now()),
     crashes: createCrashTracker(settings.instance, listLive, logger),
     announcer,
+    sharedOrigins: createSharedOrigins(base, view, origins),
+    versionHistory: new VersionHistory(),
+    readWallClock: Date.now,
     dataCentre: settings.dataCentre,
     random: Math.random,
   };
@@ -183,6 +203,21 @@
   });
 }
 
+function createSharedOrigins(
+  { settings, clock, logger }: InstanceBase,
+  { members, transport }: FleetView,
+  origins: StreamOrigins,
+): SharedOrigins {
+  return new SharedOrigins({
+    instance: settings.instance,
+    origins,
+    transport: new PeerOriginTransport(members, transport),
+    listMembers: () => members.listLiveMembers(clock.now()),
+    clock,
+    logger,
+  });
+}
+
 /** Computes how many connections this instance may have to each endpoint of a service. */
 function computeMaxConnections({ watcher, countLive }: FleetView, service: string): number {
   const fleetMax = watcher.readConfigIndex()?.findService(service)?.maxConnections;
--- a/src/forward/prefill.ts
+++ b/src/forward/prefill.ts
@@ -5,7 +5,7 @@
 import * as E from "fp-ts/Either";
 import { computeRemainingMs, type Moment } from "../core/clock";
 import type { EngineLimits } from "../fleet/config";
-import type { EndpointEntry } from "../fleet/directory";
+import type { EndpointEntry } from "../fleet/entries";
 import { DeadlineSignal } from "./abort";
 import { type ForwardContext, type RequestTimes, resetDataCentreConnections } from "./context";
 import { computePrefillMs, type EngineModel } from "./enginemodel";
--- a/src/forward/probe.ts
+++ b/src/forward/probe.ts
@@ -3,7 +3,7 @@
  */
 import { connect } from "node:net";
 import type { Suspect } from "../core/suspects";
-import type { EndpointEntry } from "../fleet/directory";
+import type { EndpointEntry } from "../fleet/entries";
 import type { ForwardContext } from "./context";
 import type { ForwardRequest } from "./messages";
 
--- a/src/forward/releaser.ts
+++ b/src/forward/releaser.ts
@@ -7,7 +7,8 @@
 import * as E from "fp-ts/Either";
 import type { Clock, Moment } from "../core/clock";
 import type { Logger } from "../core/log";
-import type { EndpointDirectory, EndpointEntry } from "../fleet/directory";
+import type { EndpointDirectory } from "../fleet/directory";
+import type { EndpointEntry } from "../fleet/entries";
 import { type EndpointClient, SendFailureKind } from "./client";
 import type { EndpointGate } from "./gate";
 import type { EndpointCall } from "./messages";
--- a/src/forward/reservations.ts
+++ b/src/forward/reservations.ts
@@ -6,10 +6,12 @@
 import type { Moment } from "../core/clock";
 import type { Suspect } from "../core/suspects";
 import type { EngineLimits } from "../fleet/config";
-import { type EndpointEntry, EngineStage } from "../fleet/directory";
+import { type EndpointEntry, EngineStage } from "../fleet/entries";
 import type { ForwardContext } from "./context";
 import { chooseDecode, type EngineLoadTracker, type EngineView } from "./engines";
+import type { StreamOrigin } from "./origins";
 import { limitCapacity } from "./overload";
+import { canGoOn } from "./versions";
 import { type UrgentQueueItem, UrgentQueue } from "../core/urgentqueue";
 
 /** How often the queue is checked for generations that can be dispatched, in milliseconds. */
@@ -39,6 +41,8 @@
   readonly suspect: Suspect;
   /** Id of an engine that has the prompt in its cache. */
   readonly cachedEngineId: string | undefined;
+  /** The engine that began the stream, so that only its version goes on; undefined for a new one. */
+  readonly origin: StreamOrigin | undefined;
   readonly caller: AbortSignal;
 }
 
@@ -100,6 +104,8 @@
         continue;
       }
       const view = this.chooseEngine(waitingRequest, now);
+      // A stream that waits for its version does not keep others from engines of another one.
+      if (view === undefined && waitingRequest.origin !== undefined) continue;
       if (view === undefined) break;
       this.queue.dequeue(waitingRequest.id);
       void this.requestHold(waitingRequest, view.endpoint);
@@ -145,15 +151,25 @@
     this.timer = undefined;
   }
 
-  /** Checks whether all engines are paused, or take nothing until the request has given up. */
-  private isTooLate({ service, deadline }: WaitingRequest, now: Moment): boolean {
+  /**
+   * Checks whether a request waits in vain: no engine may go on with its stream, or all are paused or
+   * take nothing until it has given up.
+   */
+  private isTooLate({ service, deadline, origin }: WaitingRequest, now: Moment): boolean {
     const { gate } = this.context;
-    const decodes = this.listDecodes(service, now);
+    const decodes = this.listDecodes(service, now).filter((engine) => canGoOn(origin, engine));
+    if (decodes.length === 0 && origin !== undefined) return true;
     if (gate.computeSharedPauseMs(decodes) !== undefined) return true;
     const holdMs = gate.computeSharedHoldMs(decodes);
     return holdMs !== undefined && now + holdMs >= deadline;
   }
 
+  /** Checks whether there is an engine that may run a generation, or go on with its stream. */
+  hasEngine(service: string, origin: StreamOrigin | undefined, now: Moment): boolean {
+    if (origin === undefined) return true;
+    return this.listDecodes(service, now).some((engine) => canGoOn(origin, engine));
+  }
+
   private listDecodes(service: string, now: Moment): readonly EndpointEntry[] {
     return this.context.directory
       .listUsable(now)
@@ -178,7 +194,8 @@
 
   private chooseEngine(waitingRequest: WaitingRequest, now: Moment): EngineView | undefined {
     const views = this.listViews(waitingRequest.service, now).filter(
-      (view) => !this.enginesInCall.has(view.endpoint.id),
+      ({ endpoint }) =>
+        !this.enginesInCall.has(endpoint.id) && canGoOn(waitingRequest.origin, endpoint),
     );
     const preferred = views.filter((view) => view.endpoint.id === waitingRequest.cachedEngineId);
     const limits = limitCapacity(waitingRequest.limits, waitingRequest.targetDeadline <= now);
--- a/src/forward/service.ts
+++ b/src/forward/service.ts
@@ -14,7 +14,7 @@
   Refusal,
 } from "../core/outcome";
 import { RetryMode } from "../fleet/config";
-import type { EndpointEntry } from "../fleet/directory";
+import type { EndpointEntry } from "../fleet/entries";
 import { AbortCause, DeadlineSignal } from "./abort";
 import { discardBody } from "./body";
 import { type OpenResponse, type SendFailure, SendFailureKind } from "./client";
--- /dev/null
+++ b/src/forward/sharedorigins.ts
@@ -0,0 +1,139 @@
+/**
+ * Shares the origins of streams with the instances that keep them, and asks these for the origin of a
+ * stream that began elsewhere: a caller may come back to any instance, also after the first one died.
+ */
+import type { Clock } from "../core/clock";
+import type { Logger } from "../core/log";
+import { chooseReplicas, type ReplicaCandidate } from "../fleet/replicas";
+import type { NamedOrigin, StreamName, StreamOrigin, StreamOrigins } from "./origins";
+
+const REMEMBER_TIMEOUT_MS = 500;
+/** How long a lookup may take, in milliseconds; the caller waits for it. */
+const RECALL_TIMEOUT_MS = 150;
+/** Number of instances in each data centre that are asked beside those that should know. */
+const STANDBYS = 1;
+/** Maximum number of origins in one message. */
+const MAX_BATCH = 256;
+/** Maximum number of origins that wait for one instance; it may be down. */
+const MAX_WAITING = 1024;
+
+/** An instance's answer to a lookup. */
+export interface RecalledOrigin {
+  /** Undefined if the instance does not know the stream. */
+  readonly origin: StreamOrigin | undefined;
+}
+
+/** Calls to the instances that keep origins. */
+export interface OriginTransport {
+  /** Has an instance keep origins; resolves with false if it did not answer. */
+  remember(instance: string, origins: readonly NamedOrigin[], timeoutMs: number): Promise<boolean>;
+  /** Asks an instance for an origin; undefined if it did not answer. */
+  recall(
+    instance: string,
+    stream: StreamName,
+    timeoutMs: number,
+  ): Promise<RecalledOrigin | undefined>;
+}
+
+/** Where an origin was found. */
+export const OriginSource = {
+  here: "here",
+  peer: "peer",
+  /** Nobody who answered knows it, but the service has had one version for longer than it lasts. */
+  onlyVersion: "only version",
+  /** No instance that answered knows it, and all did. */
+  nowhere: "nowhere",
+  /** No instance that answered knows it, and some did not. */
+  unclear: "unclear",
+} as const;
+export type OriginSource = (typeof OriginSource)[keyof typeof OriginSource];
+
+/** The result of a lookup. */
+export interface FoundOrigin {
+  /** Undefined if it was not found. */
+  readonly origin: StreamOrigin | undefined;
+  readonly source: OriginSource;
+}
+
+/** Dependencies of shared origins. */
+export interface SharedOriginParts {
+  readonly instance: string;
+  readonly origins: StreamOrigins;
+  readonly transport: OriginTransport;
+  /** Lists the live instances, including this one. */
+  readonly listMembers: () => readonly ReplicaCandidate[];
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** Records origins for the whole fleet, and finds them. */
+export class SharedOrigins {
+  /** By instance: the origins that wait until the message under way has arrived. */
+  private readonly waiting = new Map<string, NamedOrigin[]>();
+
+  constructor(private readonly parts: SharedOriginParts) {}
+
+  /** Records an origin here and at the instances that keep it. */
+  record(named: NamedOrigin): void {
+    const { instance: self, origins, clock } = this.parts;
+    origins.record(named, clock.now());
+    for (const instance of this.chooseKeepers(named.stream, 0)) {
+      if (instance !== self) this.share(instance, named);
+    }
+  }
+
+  /** Finds the origin of a stream, here or at the instances that may keep it. */
+  async find(stream: StreamName): Promise<FoundOrigin> {
+    const { instance: self, origins, transport, clock } = this.parts;
+    const known = origins.find(stream, clock.now());
+    if (known !== undefined) return { origin: known, source: OriginSource.here };
+    const asked = this.chooseKeepers(stream, STANDBYS)
+      .filter((instance) => instance !== self)
+      .map((instance) => transport.recall(instance, stream, RECALL_TIMEOUT_MS));
+    return waitForOrigin(asked);
+  }
+
+  private chooseKeepers({ request }: StreamName, standbys: number): readonly string[] {
+    return chooseReplicas(request, this.parts.listMembers(), standbys);
+  }
+
+  private share(instance: string, named: NamedOrigin): void {
+    const waiting = this.waiting.get(instance);
+    if (waiting === undefined) {
+      this.waiting.set(instance, []);
+      void this.sendBatches(instance, [named]);
+    } else if (waiting.length < MAX_WAITING) waiting.push(named);
+    else this.parts.logger.warn("stream origin dropped", { instance, waiting: waiting.length });
+  }
+
+  private async sendBatches(instance: string, first: readonly NamedOrigin[]): Promise<void> {
+    const { transport, logger } = this.parts;
+    let batch = first;
+    while (batch.length > 0) {
+      const isKept = await transport.remember(instance, batch, REMEMBER_TIMEOUT_MS);
+      if (!isKept) logger.debug("stream origins not shared", { instance, origins: batch.length });
+      batch = this.waiting.get(instance)?.splice(0, MAX_BATCH) ?? [];
+    }
+    this.waiting.delete(instance);
+  }
+}
+
+/** Waits for the first answer that has the origin, or for all answers. */
+function waitForOrigin(
+  asked: readonly Promise<RecalledOrigin | undefined>[],
+): Promise<FoundOrigin> {
+  return new Promise((resolve) => {
+    const answers = asked.map(async (answer) => {
+      const recalled = await answer;
+      if (recalled?.origin !== undefined) {
+        resolve({ origin: recalled.origin, source: OriginSource.peer });
+      }
+      return recalled;
+    });
+    void Promise.all(answers).then((all) => {
+      const hasSilent = all.some((answer) => answer === undefined);
+      const source = hasSilent ? OriginSource.unclear : OriginSource.nowhere;
+      resolve({ origin: undefined, source });
+    });
+  });
+}
--- a/src/forward/stages.ts
+++ b/src/forward/stages.ts
@@ -3,7 +3,7 @@
  * tokens that arrive, and chooses the engine that changes its stage.
  */
 import { MS_PER_SECOND } from "../core/clock";
-import { type EndpointEntry, EngineStage } from "../fleet/directory";
+import { type EndpointEntry, EngineStage } from "../fleet/entries";
 
 /** The engines and the load of a service. */
 export interface StageLoad {
--- a/src/forward/stream.ts
+++ b/src/forward/stream.ts
@@ -14,10 +14,10 @@
   Refusal,
 } from "../core/outcome";
 import type { EngineLimits } from "../fleet/config";
-import type { EndpointEntry } from "../fleet/directory";
+import type { EndpointEntry } from "../fleet/entries";
 import { DeadlineSignal } from "./abort";
 import type { ForwardContext, RequestTimes } from "./context";
-import { Decoder, createAbortResult, type StreamSink, TryEnd, type TryResult } from "./decode";
+import { Decoder, type StreamSink } from "./decode";
 import type { ReservationQueue, Reservation } from "./reservations";
 import type { EngineModel } from "./enginemodel";
 import type { EngineLoadTracker } from "./engines";
@@ -27,7 +27,9 @@
 import { Prefiller } from "./prefill";
 import { createSuspect } from "./probe";
 import type { RefusalTracker } from "./refusals";
+import type { StreamStart } from "./resume";
 import { SendBudget } from "./sendbudget";
+import { createAbortResult, TryEnd, type TryResult } from "./tries";
 
 /** Maximum number of engines tried for one generation, including those that did not run it. */
 const MAX_TRIES = 5;
@@ -54,22 +56,28 @@
   isCut = false;
   private message = "no engine has room";
   private readonly needTokens: number;
+  private readonly request: ForwardRequest;
+  /** True if the caller takes up a stream that began in an earlier request of its. */
+  private readonly isTakenUp: boolean;
 
   constructor(
     private readonly parts: StreamParts,
-    private readonly request: ForwardRequest,
+    start: StreamStart,
     private readonly limits: EngineLimits,
     private readonly times: RequestTimes,
     private readonly caller: AbortSignal,
     private readonly sink: StreamSink,
   ) {
     const { context, reservations, engineLoad, engineModel } = parts;
+    const { request, origin } = start;
     const { service, head } = request;
+    this.request = request;
+    this.isTakenUp = origin !== undefined;
     const listViews = (now: Moment) => reservations.listViews(service, now);
     this.needTokens = head.size === undefined ? 0 : computeReservationTokens(head.size);
     this.sendBudget = new SendBudget(context.retries, service, context.clock);
     const prefillParts = { context, engineLoad, engineModel, listViews };
-    this.decoder = new Decoder(parts, request, times, sink);
+    this.decoder = new Decoder(parts, start, times, sink);
     this.prefiller = new Prefiller(prefillParts, request, limits, times, this.sendBudget);
   }
 
@@ -128,6 +136,11 @@
     return this.decoder.isResumable && this.runs < this.request.route.maxAttempts;
   }
 
+  /** True if an engine may have written events already, for this request or an earlier one. */
+  private get hasStarted(): boolean {
+    return this.runs > 0 || this.isTakenUp;
+  }
+
   private isBanned(): boolean {
     const { clock, crashes } = this.parts.context;
     return crashes.findBan(createSuspect(this.request), clock.now()) !== undefined;
@@ -139,7 +152,7 @@
     const { arrivedAt } = this.times;
     const startedAt = clock.now();
     const isReturned = this.parts.refusals.wasRefused(this.request.fingerprint, arrivedAt);
-    const demand = { ...this.times, isReturned, hasStarted: this.runs > 0 };
+    const demand = { ...this.times, isReturned, hasStarted: this.hasStarted };
     const wait = computeWaitLimits(demand, startedAt);
     logger.info("queued", {
       request: head.id,
@@ -162,6 +175,7 @@
       needTokens: this.needTokens,
       suspect: createSuspect(this.request),
       cachedEngineId: this.decoder.cachedEngineId,
+      origin: this.decoder.origin,
       caller: this.caller,
     });
     meter.recordWait(service, clock.now() - startedAt);
@@ -260,6 +274,10 @@
     if (this.runs === 0) {
       this.parts.refusals.recordRefusal(this.request.fingerprint, now);
       const reason = isLate ? Reason.deadline : Reason.overloaded;
+      if (!this.parts.reservations.hasEngine(this.request.service, this.decoder.origin, now)) {
+        const message = "no engine of the version that began the stream is left";
+        return createNotRunRefusal(503, Reason.unknownStream, message);
+      }
       const retryAfterMs =
         this.parts.reservations.computeHoldMs(this.request.service, now) ??
         computeRetryAfterMs(this.times.deadline, now, random);
--- /dev/null
+++ b/src/forward/tries.ts
@@ -0,0 +1,48 @@
+/**
+ * How tries of a generation at engines end.
+ */
+import { AbortCause, type DeadlineSignal } from "./abort";
+import type { BufferedResponse } from "./service";
+
+/** How a try at an engine ended. */
+export const TryEnd = {
+  complete: "complete",
+  /** The engine did not run the generation. */
+  notRun: "not run",
+  /** The engine answered with an error status. */
+  failed: "failed",
+  /** The stream broke, went silent or never started. */
+  broken: "broken",
+  callerGone: "caller gone",
+  /** The deadline passed while an engine was running the generation. */
+  timeUp: "time up",
+  /** Nothing was sent: the deadline has passed, or the retry budget is used up. */
+  unsent: "unsent",
+  /** Nothing was sent: the request or a part of its prompt crashes engines. */
+  banned: "banned",
+} as const;
+export type TryEnd = (typeof TryEnd)[keyof typeof TryEnd];
+
+/** The result of a try. */
+export interface TryResult {
+  readonly end: TryEnd;
+  readonly message: string;
+  readonly response?: BufferedResponse;
+}
+
+/**
+ * Creates the result of a try that the caller or the deadline ended; returns undefined if neither
+ * did.
+ *
+ * @example
+ * createAbortResult(deadlineSignal)?.end; // TryEnd.callerGone
+ */
+export function createAbortResult(deadlineSignal: DeadlineSignal): TryResult | undefined {
+  if (deadlineSignal.cause === AbortCause.callerGone) {
+    return { end: TryEnd.callerGone, message: "the caller has left" };
+  }
+  if (deadlineSignal.cause === AbortCause.timeUp) {
+    return { end: TryEnd.timeUp, message: "the deadline has passed" };
+  }
+  return undefined;
+}
--- a/src/index.ts
+++ b/src/index.ts
@@ -11,6 +11,6 @@
 export type { CallerCodec, EndpointCodec } from "./forward/messages";
 export type { ForwardSettings } from "./forward/settings";
 export type { FleetConfig } from "./fleet/config";
-export type { EndpointDecoder, EndpointEntry } from "./fleet/directory";
+export type { EndpointDecoder, EndpointEntry } from "./fleet/entries";
 export type { Store } from "./fleet/store";
 export type { ConfigDecoder } from "./fleet/watcher";
--- a/src/peer/gen/fleet.ts
+++ b/src/peer/gen/fleet.ts
@@ -197,6 +197,45 @@
   retryAfterMs: number;
 }
 
+/** The engine that wrote the first event of a stream. */
+export interface StreamOrigin {
+  service: string;
+  /** Version of its software; absent where it is not known. */
+  version?: string | undefined;
+  endpoint: string;
+  /** Milliseconds of the engine's wall clock. */
+  processStartedAt: number;
+  /** When the first event arrived; milliseconds of the wall clock of the instance. */
+  beganAt: number;
+}
+
+/** A stream, by the request that brought its first event. */
+export interface StreamName {
+  workspace: string;
+  request: string;
+}
+
+export interface NamedOrigin {
+  stream: StreamName | undefined;
+  origin: StreamOrigin | undefined;
+}
+
+export interface RememberRequest {
+  origins: NamedOrigin[];
+}
+
+export interface RememberReply {
+}
+
+export interface RecallRequest {
+  stream: StreamName | undefined;
+}
+
+export interface RecallReply {
+  /** Absent where it is not known here. */
+  origin: StreamOrigin | undefined;
+}
+
 function createBaseBeat(): Beat {
   return {
     instance: "",
@@ -2584,6 +2623,580 @@
   },
 };
 
+function createBaseStreamOrigin(): StreamOrigin {
+  return { service: "", version: undefined, endpoint: "", processStartedAt: 0, beganAt: 0 };
+}
+
+export const StreamOrigin: MessageFns<StreamOrigin> = {
+  encode(message: StreamOrigin, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.service !== "") {
+      writer.uint32(10).string(message.service);
+    }
+    if (message.version !== undefined) {
+      writer.uint32(18).string(message.version);
+    }
+    if (message.endpoint !== "") {
+      writer.uint32(26).string(message.endpoint);
+    }
+    if (message.processStartedAt !== 0) {
+      writer.uint32(32).int64(message.processStartedAt);
+    }
+    if (message.beganAt !== 0) {
+      writer.uint32(40).int64(message.beganAt);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): StreamOrigin {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseStreamOrigin();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.service = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 18) {
+              break;
+            }
+
+            message.version = reader.string();
+            continue;
+          }
+          case 3: {
+            if (tag !== 26) {
+              break;
+            }
+
+            message.endpoint = reader.string();
+            continue;
+          }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.processStartedAt = longToNumber(reader.int64());
+            continue;
+          }
+          case 5: {
+            if (tag !== 40) {
+              break;
+            }
+
+            message.beganAt = longToNumber(reader.int64());
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): StreamOrigin {
+    return {
+      service: isSet(object.service) ? globalThis.String(object.service) : "",
+      version: isSet(object.version) ? globalThis.String(object.version) : undefined,
+      endpoint: isSet(object.endpoint) ? globalThis.String(object.endpoint) : "",
+      processStartedAt: isSet(object.processStartedAt)
+        ? globalThis.Number(object.processStartedAt)
+        : isSet(object.process_started_at)
+        ? globalThis.Number(object.process_started_at)
+        : 0,
+      beganAt: isSet(object.beganAt)
+        ? globalThis.Number(object.beganAt)
+        : isSet(object.began_at)
+        ? globalThis.Number(object.began_at)
+        : 0,
+    };
+  },
+
+  toJSON(message: StreamOrigin): unknown {
+    const obj: any = {};
+    if (message.service !== "") {
+      obj.service = message.service;
+    }
+    if (message.version !== undefined) {
+      obj.version = message.version;
+    }
+    if (message.endpoint !== "") {
+      obj.endpoint = message.endpoint;
+    }
+    if (message.processStartedAt !== 0) {
+      obj.processStartedAt = Math.round(message.processStartedAt);
+    }
+    if (message.beganAt !== 0) {
+      obj.beganAt = Math.round(message.beganAt);
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<StreamOrigin>, I>>(base?: I): StreamOrigin {
+    return StreamOrigin.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<StreamOrigin>, I>>(object: I): StreamOrigin {
+    const message = createBaseStreamOrigin();
+    message.service = object.service ?? "";
+    message.version = object.version ?? undefined;
+    message.endpoint = object.endpoint ?? "";
+    message.processStartedAt = object.processStartedAt ?? 0;
+    message.beganAt = object.beganAt ?? 0;
+    return message;
+  },
+};
+
+function createBaseStreamName(): StreamName {
+  return { workspace: "", request: "" };
+}
+
+export const StreamName: MessageFns<StreamName> = {
+  encode(message: StreamName, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.workspace !== "") {
+      writer.uint32(10).string(message.workspace);
+    }
+    if (message.request !== "") {
+      writer.uint32(18).string(message.request);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): StreamName {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseStreamName();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.workspace = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 18) {
+              break;
+            }
+
+            message.request = reader.string();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): StreamName {
+    return {
+      workspace: isSet(object.workspace) ? globalThis.String(object.workspace) : "",
+      request: isSet(object.request) ? globalThis.String(object.request) : "",
+    };
+  },
+
+  toJSON(message: StreamName): unknown {
+    const obj: any = {};
+    if (message.workspace !== "") {
+      obj.workspace = message.workspace;
+    }
+    if (message.request !== "") {
+      obj.request = message.request;
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<StreamName>, I>>(base?: I): StreamName {
+    return StreamName.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<StreamName>, I>>(object: I): StreamName {
+    const message = createBaseStreamName();
+    message.workspace = object.workspace ?? "";
+    message.request = object.request ?? "";
+    return message;
+  },
+};
+
+function createBaseNamedOrigin(): NamedOrigin {
+  return { stream: undefined, origin: undefined };
+}
+
+export const NamedOrigin: MessageFns<NamedOrigin> = {
+  encode(message: NamedOrigin, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.stream !== undefined) {
+      StreamName.encode(message.stream, writer.uint32(10).fork()).join();
+    }
+    if (message.origin !== undefined) {
+      StreamOrigin.encode(message.origin, writer.uint32(18).fork()).join();
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): NamedOrigin {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseNamedOrigin();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.stream = StreamName.decode(reader, reader.uint32());
+            continue;
+          }
+          case 2: {
+            if (tag !== 18) {
+              break;
+            }
+
+            message.origin = StreamOrigin.decode(reader, reader.uint32());
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): NamedOrigin {
+    return {
+      stream: isSet(object.stream) ? StreamName.fromJSON(object.stream) : undefined,
+      origin: isSet(object.origin) ? StreamOrigin.fromJSON(object.origin) : undefined,
+    };
+  },
+
+  toJSON(message: NamedOrigin): unknown {
+    const obj: any = {};
+    if (message.stream !== undefined) {
+      obj.stream = StreamName.toJSON(message.stream);
+    }
+    if (message.origin !== undefined) {
+      obj.origin = StreamOrigin.toJSON(message.origin);
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<NamedOrigin>, I>>(base?: I): NamedOrigin {
+    return NamedOrigin.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<NamedOrigin>, I>>(object: I): NamedOrigin {
+    const message = createBaseNamedOrigin();
+    message.stream = (object.stream !== undefined && object.stream !== null)
+      ? StreamName.fromPartial(object.stream)
+      : undefined;
+    message.origin = (object.origin !== undefined && object.origin !== null)
+      ? StreamOrigin.fromPartial(object.origin)
+      : undefined;
+    return message;
+  },
+};
+
+function createBaseRememberRequest(): RememberRequest {
+  return { origins: [] };
+}
+
+export const RememberRequest: MessageFns<RememberRequest> = {
+  encode(message: RememberRequest, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    for (const v of message.origins) {
+      NamedOrigin.encode(v!, writer.uint32(10).fork()).join();
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): RememberRequest {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseRememberRequest();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.origins.push(NamedOrigin.decode(reader, reader.uint32()));
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): RememberRequest {
+    return {
+      origins: globalThis.Array.isArray(object?.origins) ? object.origins.map((e: any) => NamedOrigin.fromJSON(e)) : [],
+    };
+  },
+
+  toJSON(message: RememberRequest): unknown {
+    const obj: any = {};
+    if (message.origins?.length) {
+      obj.origins = message.origins.map((e) => NamedOrigin.toJSON(e));
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<RememberRequest>, I>>(base?: I): RememberRequest {
+    return RememberRequest.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<RememberRequest>, I>>(object: I): RememberRequest {
+    const message = createBaseRememberRequest();
+    message.origins = object.origins?.map((e) => NamedOrigin.fromPartial(e)) || [];
+    return message;
+  },
+};
+
+function createBaseRememberReply(): RememberReply {
+  return {};
+}
+
+export const RememberReply: MessageFns<RememberReply> = {
+  encode(_: RememberReply, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): RememberReply {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseRememberReply();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(_: any): RememberReply {
+    return {};
+  },
+
+  toJSON(_: RememberReply): unknown {
+    const obj: any = {};
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<RememberReply>, I>>(base?: I): RememberReply {
+    return RememberReply.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<RememberReply>, I>>(_: I): RememberReply {
+    const message = createBaseRememberReply();
+    return message;
+  },
+};
+
+function createBaseRecallRequest(): RecallRequest {
+  return { stream: undefined };
+}
+
+export const RecallRequest: MessageFns<RecallRequest> = {
+  encode(message: RecallRequest, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.stream !== undefined) {
+      StreamName.encode(message.stream, writer.uint32(10).fork()).join();
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): RecallRequest {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseRecallRequest();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.stream = StreamName.decode(reader, reader.uint32());
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): RecallRequest {
+    return { stream: isSet(object.stream) ? StreamName.fromJSON(object.stream) : undefined };
+  },
+
+  toJSON(message: RecallRequest): unknown {
+    const obj: any = {};
+    if (message.stream !== undefined) {
+      obj.stream = StreamName.toJSON(message.stream);
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<RecallRequest>, I>>(base?: I): RecallRequest {
+    return RecallRequest.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<RecallRequest>, I>>(object: I): RecallRequest {
+    const message = createBaseRecallRequest();
+    message.stream = (object.stream !== undefined && object.stream !== null)
+      ? StreamName.fromPartial(object.stream)
+      : undefined;
+    return message;
+  },
+};
+
+function createBaseRecallReply(): RecallReply {
+  return { origin: undefined };
+}
+
+export const RecallReply: MessageFns<RecallReply> = {
+  encode(message: RecallReply, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.origin !== undefined) {
+      StreamOrigin.encode(message.origin, writer.uint32(10).fork()).join();
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): RecallReply {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseRecallReply();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.origin = StreamOrigin.decode(reader, reader.uint32());
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): RecallReply {
+    return { origin: isSet(object.origin) ? StreamOrigin.fromJSON(object.origin) : undefined };
+  },
+
+  toJSON(message: RecallReply): unknown {
+    const obj: any = {};
+    if (message.origin !== undefined) {
+      obj.origin = StreamOrigin.toJSON(message.origin);
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<RecallReply>, I>>(base?: I): RecallReply {
+    return RecallReply.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<RecallReply>, I>>(object: I): RecallReply {
+    const message = createBaseRecallReply();
+    message.origin = (object.origin !== undefined && object.origin !== null)
+      ? StreamOrigin.fromPartial(object.origin)
+      : undefined;
+    return message;
+  },
+};
+
 /** Fleet is what instances that forward requests tell each other. */
 export type FleetService = typeof FleetService;
 export const FleetService = {
@@ -2627,6 +3240,26 @@
     responseSerialize: (value: PermitReply): Buffer => Buffer.from(PermitReply.encode(value).finish()),
     responseDeserialize: (value: Buffer): PermitReply => PermitReply.decode(value),
   },
+  /** Has an instance remember which engines began streams. */
+  remember: {
+    path: "/gorsefold.fleet.Fleet/Remember" as const,
+    requestStream: false as const,
+    responseStream: false as const,
+    requestSerialize: (value: RememberRequest): Buffer => Buffer.from(RememberRequest.encode(value).finish()),
+    requestDeserialize: (value: Buffer): RememberRequest => RememberRequest.decode(value),
+    responseSerialize: (value: RememberReply): Buffer => Buffer.from(RememberReply.encode(value).finish()),
+    responseDeserialize: (value: Buffer): RememberReply => RememberReply.decode(value),
+  },
+  /** Asks which engine began a stream. */
+  recall: {
+    path: "/gorsefold.fleet.Fleet/Recall" as const,
+    requestStream: false as const,
+    responseStream: false as const,
+    requestSerialize: (value: RecallRequest): Buffer => Buffer.from(RecallRequest.encode(value).finish()),
+    requestDeserialize: (value: Buffer): RecallRequest => RecallRequest.decode(value),
+    responseSerialize: (value: RecallReply): Buffer => Buffer.from(RecallReply.encode(value).finish()),
+    responseDeserialize: (value: Buffer): RecallReply => RecallReply.decode(value),
+  },
 } as const;
 
 export interface FleetServer extends UntypedServiceImplementation {
@@ -2638,6 +3271,10 @@
   charge: handleUnaryCall<ChargeRequest, ChargeReply>;
   /** Decides whether the asker may send to an endpoint that has named a limit, as the owner of the limit. */
   permit: handleUnaryCall<PermitRequest, PermitReply>;
+  /** Has an instance remember which engines began streams. */
+  remember: handleUnaryCall<RememberRequest, RememberReply>;
+  /** Asks which engine began a stream. */
+  recall: handleUnaryCall<RecallRequest, RecallReply>;
 }
 
 export interface FleetClient extends Client {
@@ -2699,6 +3336,38 @@
     options: Partial<CallOptions>,
     callback: (error: ServiceError | null, response: PermitReply) => void,
   ): ClientUnaryCall;
+  /** Has an instance remember which engines began streams. */
+  remember(
+    request: RememberRequest,
+    callback: (error: ServiceError | null, response: RememberReply) => void,
+  ): ClientUnaryCall;
+  remember(
+    request: RememberRequest,
+    metadata: Metadata,
+    callback: (error: ServiceError | null, response: RememberReply) => void,
+  ): ClientUnaryCall;
+  remember(
+    request: RememberRequest,
+    metadata: Metadata,
+    options: Partial<CallOptions>,
+    callback: (error: ServiceError | null, response: RememberReply) => void,
+  ): ClientUnaryCall;
+  /** Asks which engine began a stream. */
+  recall(
+    request: RecallRequest,
+    callback: (error: ServiceError | null, response: RecallReply) => void,
+  ): ClientUnaryCall;
+  recall(
+    request: RecallRequest,
+    metadata: Metadata,
+    callback: (error: ServiceError | null, response: RecallReply) => void,
+  ): ClientUnaryCall;
+  recall(
+    request: RecallRequest,
+    metadata: Metadata,
+    options: Partial<CallOptions>,
+    callback: (error: ServiceError | null, response: RecallReply) => void,
+  ): ClientUnaryCall;
 }
 
 export const FleetClient = makeGenericClientConstructor(FleetService, "gorsefold.fleet.Fleet") as unknown as {
--- a/test/endless.spec.ts
+++ b/test/endless.spec.ts
@@ -6,7 +6,7 @@
 import { request as httpRequest } from "node:http";
 import type { Socket } from "node:net";
 import { afterEach, beforeEach, describe, it } from "node:test";
-import { EngineStage } from "../src/fleet/directory";
+import { EngineStage } from "../src/fleet/entries";
 import { MAX_SMALL_BODY_BYTES } from "../src/forward/body";
 import { MAX_FRAMED_BYTES, MAX_HEAD_BYTES } from "../src/forward/connection";
 import { MAX_EVENT_BYTES } from "../src/forward/relay";
--- a/test/gate.spec.ts
+++ b/test/gate.spec.ts
@@ -1,12 +1,12 @@
 /**
  * Endpoints that ask for a pause or announce that they leave, through a real instance. Guards against requests of any
- * kind that reach an endpoint which wants none: requests, retries, resumes, prefills, holds, releases and stage orders.
+ * kind that reach an endpoint which wants none: requests, retries, streams that go on, prefills, holds, releases and stage orders.
  */
 import assert from "node:assert/strict";
 import type { Socket } from "node:net";
 import { describe, it } from "node:test";
 import { pause } from "../src/core/clock";
-import { EngineStage } from "../src/fleet/directory";
+import { EngineStage } from "../src/fleet/entries";
 import { addEndpoint, get, port, prepareEach, start, store } from "./harness/fixture";
 import { createEntry, startInstance, waitUntil } from "./harness/forward";
 import { type RawEndpoint, writeAnswer } from "./harness/raw";
--- a/test/generation.spec.ts
+++ b/test/generation.spec.ts
@@ -6,7 +6,7 @@
 import { Agent } from "node:http";
 import type { Socket } from "node:net";
 import { describe, it } from "node:test";
-import { EngineStage } from "../src/fleet/directory";
+import { EngineStage } from "../src/fleet/entries";
 import { addEndpoint, get, instance, port, prepareEach, readyPort, start } from "./harness/fixture";
 import { pause } from "../src/core/clock";
 import { type RawEndpoint, writeAnswer } from "./harness/raw";
--- a/test/harness/forward.ts
+++ b/test/harness/forward.ts
@@ -8,7 +8,7 @@
 import { createNotRunRefusal, Reason, type Refusal } from "../../src/core/outcome";
 import type { FleetConfig } from "../../src/fleet/config";
 import { CostUnit, RetryMode } from "../../src/fleet/config";
-import type { EndpointEntry } from "../../src/fleet/directory";
+import type { EndpointEntry } from "../../src/fleet/entries";
 import {
   type ResponseHead,
   type CallerCodec,
@@ -41,6 +41,7 @@
       callerTimeoutMs: Number(readHeaderValue(headers["x-patience"]) ?? "5000"),
       size: { promptTokens: tokens, maxOutputTokens: 40, expectedOutputTokens: 20 },
       lastEventId: readHeaderValue(headers["x-after"]),
+      resumedId: readHeaderValue(headers["x-of"]),
       promptParts: (readHeaderValue(headers["x-parts"]) ?? "").split(",").slice(0, -1),
       headers: ["x-id", id],
     });
@@ -212,6 +213,7 @@
     slots: 6,
     isLeaving: false,
     stage: undefined,
+    version: "v1",
     processStartedAt: 1,
     sequence: 1,
     ...more,
--- a/test/harness/memory.ts
+++ b/test/harness/memory.ts
@@ -4,7 +4,7 @@
 import * as E from "fp-ts/Either";
 import { pause } from "../../src/core/clock";
 import type { FleetConfig } from "../../src/fleet/config";
-import type { EndpointEntry } from "../../src/fleet/directory";
+import type { EndpointEntry } from "../../src/fleet/entries";
 import { FIRST_ERA, type LogPosition } from "../../src/fleet/position";
 import {
   type Feed,
--- a/test/limit.spec.ts
+++ b/test/limit.spec.ts
@@ -6,7 +6,7 @@
 import type { Socket } from "node:net";
 import { after, afterEach, beforeEach, describe, it } from "node:test";
 import { pause } from "../src/core/clock";
-import { type EndpointEntry, EngineStage } from "../src/fleet/directory";
+import { type EndpointEntry, EngineStage } from "../src/fleet/entries";
 import { createConfig, createEntry, startInstance, waitUntil } from "./harness/forward";
 import { get, type ReceivedResponse } from "./harness/fixture";
 import { MemoryStore } from "./harness/memory";
--- a/test/load.spec.ts
+++ b/test/load.spec.ts
@@ -9,7 +9,7 @@
 import { EngineModel } from "../measure/load/engine";
 import { type Scenario, runScenario, type ScenarioResult } from "../measure/load/play";
 import { SCENARIOS, POLICIES } from "../measure/load/plays";
-import { EngineStage } from "../src/fleet/directory";
+import { EngineStage } from "../src/fleet/entries";
 import { computeRetryAfterMs, computeWaitLimits, limitCapacity } from "../src/forward/overload";
 
 const SEEDS = [1, 2, 3, 4, 5];
--- a/test/pipeline.spec.ts
+++ b/test/pipeline.spec.ts
@@ -5,7 +5,7 @@
 import assert from "node:assert/strict";
 import { connect, type Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
-import { EngineStage } from "../src/fleet/directory";
+import { EngineStage } from "../src/fleet/entries";
 import { pause } from "../src/core/clock";
 import { addEndpoint, port, prepareEach, start, store } from "./harness/fixture";
 import { createConfig, waitUntil } from "./harness/forward";
--- a/test/play.spec.ts
+++ b/test/play.spec.ts
@@ -6,7 +6,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import type { EngineLimits } from "../src/fleet/config";
-import { EngineStage } from "../src/fleet/directory";
+import { EngineStage } from "../src/fleet/entries";
 import { chooseDecode, choosePrefill, EngineLoadTracker } from "../src/forward/engines";
 import { chooseStageChange, computePrefillEngines } from "../src/forward/stages";
 import { type UrgentQueueItem, UrgentQueue } from "../src/core/urgentqueue";
--- a/test/restarts.spec.ts
+++ b/test/restarts.spec.ts
@@ -5,7 +5,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { pause } from "../src/core/clock";
-import { EngineStage } from "../src/fleet/directory";
+import { EngineStage } from "../src/fleet/entries";
 import { addEndpoint, get, port, prepareEach, start, store } from "./harness/fixture";
 import { createConfig, createEntry, waitUntil } from "./harness/forward";
 import type { RawEndpoint } from "./harness/raw";
--- a/test/steering.spec.ts
+++ b/test/steering.spec.ts
@@ -8,7 +8,7 @@
 import { ManualClock } from "../src/core/clock";
 import { SILENT_LOGGER } from "../src/core/log";
 import { chooseByRendezvousHash } from "../src/core/rendezvous";
-import { EngineStage } from "../src/fleet/directory";
+import { EngineStage } from "../src/fleet/entries";
 import { OrderLeases } from "../src/fleet/orders";
 import type { EndpointClient } from "../src/forward/client";
 import { StageRebalancer } from "../src/forward/rebalancer";
--- a/test/versions.spec.ts
+++ b/test/versions.spec.ts
@@ -6,7 +6,7 @@
 import type { Socket } from "node:net";
 import { after, afterEach, beforeEach, describe, it } from "node:test";
 import { pause } from "../src/core/clock";
-import { EngineStage } from "../src/fleet/directory";
+import { EngineStage } from "../src/fleet/entries";
 import { get } from "./harness/fixture";
 import { createConfig, createEntry, startInstance, waitUntil } from "./harness/forward";
 import { MemoryStore } from "./harness/memory";
@@ -73,7 +73,7 @@
 
 const countRuns = (id: string) =>
   engines.get(id)?.requests.filter((head) => head.includes("x-task: run")).length ?? 0;
-const countResumes = (id: string) =>
+const countTakenUp = (id: string) =>
   engines.get(id)?.requests.filter((head) => head.includes("x-after: ")).length ?? 0;
 
 describe("a stream goes on only at the version that began it", () => {
@@ -104,8 +104,8 @@
     first.close();
     const response = await begun;
     assert.equal(response.isComplete, true);
-    assert.equal(countResumes("d2"), 1);
-    assert.equal(countResumes("e1") + countResumes("e2") + countResumes("e3"), 0);
+    assert.equal(countTakenUp("d2"), 1);
+    assert.equal(countTakenUp("e1") + countTakenUp("e2") + countTakenUp("e3"), 0);
   });
 
   it("within one answer, and is cut if no engine of it is left", async () => {
@@ -122,7 +122,7 @@
     const response = await begun;
     assert.deepEqual([response.isComplete, response.body.includes("id: 2")], [false, true]);
     assert.ok(performance.now() - startedAt < 1000, "at once");
-    assert.equal(countResumes("e1"), 0);
+    assert.equal(countTakenUp("e1"), 0);
   });
 
   it("over a caller's tries, at any instance", async () => {
@@ -131,9 +131,10 @@
     await startFleet(3);
     const ids = ["s1", "s2", "s3", "s4", "s5", "s6"];
     const begin = (id: string, turn: number) =>
-      get(ports[turn % 3] ?? 0, `/draft/${id}`, { "x-id": id });
+      get(ports[turn % 3] ?? 0, `/summary/${id}`, { "x-id": id });
     const begun = await Promise.all(ids.map(begin));
-    assert.ok(begun.every(({ isComplete, body }) => !isComplete && body.includes("id: 2")));
+    assert.ok(begun.every(({ isComplete, body }) => !isComplete && body.includes("id: 4")));
+    const runs = countRuns("d1");
     isBreaking = false;
     for (const id of ["e1", "e2", "e3"]) await addEngine(id, "v2");
     await addEngine("d2", "v1");
@@ -141,16 +142,16 @@
     const resume = (id: string, turn: number) =>
       get(ports[(turn + 1) % 3] ?? 0, `/summary/${id}`, {
         "x-id": `${id}-again`,
-        "x-resumes": id,
-        "x-after": "2",
+        "x-of": id,
+        "x-after": "4",
       });
     const resumed = await Promise.all(ids.map(resume));
     assert.deepEqual(
       resumed.map(({ status, isComplete }) => [status, isComplete]),
       ids.map(() => [200, true]),
     );
-    assert.equal(countResumes("e1") + countResumes("e2") + countResumes("e3"), 0);
-    assert.equal(countResumes("d1") + countResumes("d2"), ids.length);
+    assert.equal(countTakenUp("e1") + countTakenUp("e2") + countTakenUp("e3"), 0);
+    assert.equal(countRuns("d1") + countRuns("d2") - runs, ids.length);
   });
 
   it("and is refused as not run if nobody knows what began it", async () => {
@@ -158,11 +159,11 @@
     await addEngine("e1", "v2");
     await startFleet(2);
     const startedAt = performance.now();
-    for (const more of [{ "x-resumes": "unheard" }, { "x-resumes": "x".repeat(10_000) }, {}]) {
+    for (const more of [{ "x-of": "unheard" }, { "x-of": "x".repeat(10_000) }, {}]) {
       const response = await get(ports[0] ?? 0, "/summary/1", { ...more, "x-after": "4" });
       assert.equal(response.status, 503);
     }
-    const itself = { "x-id": "me", "x-resumes": "me", "x-after": "4" };
+    const itself = { "x-id": "me", "x-of": "me", "x-after": "4" };
     assert.equal((await get(ports[0] ?? 0, "/summary/1", itself)).status, 503);
     assert.ok(performance.now() - startedAt < 1000, "at once");
     assert.equal(countRuns("d1") + countRuns("e1"), 0);
@@ -172,19 +173,20 @@
     let isBreaking = true;
     const engine = await addEngine("d1", "v1", () => isBreaking);
     await startFleet(1);
-    const begun = await get(ports[0] ?? 0, "/draft/s1", { "x-id": "s1" });
+    const begun = await get(ports[0] ?? 0, "/summary/s1", { "x-id": "s1" });
     assert.equal(begun.isComplete, false);
     isBreaking = false;
     const more = { ...ofVersion("v2"), processStartedAt: Date.now() + 60_000 };
     store.putEndpoint(createEntry("d1", engine.address, more));
     await pause(400);
-    const headers = { "x-resumes": "s1", "x-after": "2" };
+    const runs = countRuns("d1");
+    const headers = { "x-of": "s1", "x-after": "4" };
     const refused = await get(ports[0] ?? 0, "/summary/s1", headers);
     assert.equal(refused.status, 503);
     await addEngine("d2", "v1");
     await pause(400);
     const resumed = await get(ports[0] ?? 0, "/summary/s1", headers);
     assert.deepEqual([resumed.status, resumed.isComplete], [200, true]);
-    assert.equal(countResumes("d1"), 0);
+    assert.equal(countRuns("d1"), runs);
   });
 });
