--- /dev/null
+++ b/test/harness/originfleet.ts
@@ -0,0 +1,133 @@
+/**
+ * A fleet of instances in virtual time that begin streams and are asked to go on with them.
+ */
+import { SILENT_LOGGER } from "../../src/core/log";
+import { answerRecall, keepOrigins } from "../../src/forward/originpeer";
+import { type NamedOrigin, type StreamName, StreamOrigins } from "../../src/forward/origins";
+import {
+  type FoundOrigin,
+  type OriginTransport,
+  SharedOrigins,
+} from "../../src/forward/sharedorigins";
+import { VirtualFleet, type VirtualNode } from "./virtualfleet";
+
+const DATA_CENTRES = ["nizwa", "bahla", "izki"];
+
+interface OriginParts {
+  readonly origins: StreamOrigins;
+  readonly shared: SharedOrigins;
+}
+
+type OriginNode = VirtualNode<OriginParts>;
+
+/** A stream that a caller took up again, and what was found of it. */
+export interface TakenUpStream {
+  readonly name: StreamName;
+  readonly version: string;
+  readonly found: FoundOrigin;
+}
+
+/** A simulated fleet. */
+export class OriginFleet extends VirtualFleet<OriginParts> {
+  readonly takenUp: TakenUpStream[] = [];
+  /** Number of messages between instances. */
+  messages = 0;
+  private streams = 0;
+
+  constructor(size: number, seed: number) {
+    super(size, seed, DATA_CENTRES);
+    this.startNodes();
+  }
+
+  /** Index of an instance of the same data centre that is up, drawn at random. */
+  drawInstance(dataCentre: number): number {
+    const up = this.nodes.flatMap((node, index) =>
+      !node.isDown && index % DATA_CENTRES.length === dataCentre ? [index] : [],
+    );
+    return up[Math.floor(this.draw() * up.length)] ?? 0;
+  }
+
+  isDown(index: number): boolean {
+    return this.nodes[index]?.isDown ?? true;
+  }
+
+  /** Begins a stream at an instance; returns its name. */
+  begin(index: number, version: string): StreamName {
+    this.streams += 1;
+    const name = { workspace: "walls", request: `s${this.streams}` };
+    const node = this.nodes[index];
+    if (node === undefined || node.isDown) return name;
+    const origin = {
+      service: "models",
+      version,
+      endpoint: "d1",
+      processStartedAt: 1,
+      beganAt: this.now,
+    };
+    this.act(node, () => {
+      node.parts.shared.record({ stream: name, origin });
+    });
+    return name;
+  }
+
+  /** Has a caller take up a stream at an instance. */
+  takeUp(index: number, name: StreamName, version: string): void {
+    const node = this.nodes[index];
+    if (node === undefined || node.isDown) return;
+    this.act(node, () => {
+      void node.parts.shared.find(name).then((found) => {
+        this.takenUp.push({ name, version, found });
+      });
+    });
+  }
+
+  /** Cuts a data centre off from the others, or ends that. */
+  cutDataCentre(dataCentre: number, group: number): void {
+    for (const index of this.nodes.keys()) {
+      if (index % DATA_CENTRES.length === dataCentre) this.cut(index, group);
+    }
+  }
+
+  protected createParts({ name, members }: OriginNode): OriginParts {
+    const origins = new StreamOrigins();
+    const shared = new SharedOrigins({
+      instance: name,
+      origins,
+      transport: this.createTransport(name),
+      listMembers: () => members.listLiveMembers(this.now),
+      clock: this.events.clock,
+      logger: SILENT_LOGGER,
+    });
+    return { origins, shared };
+  }
+
+  protected createBeat(): () => void {
+    return () => undefined;
+  }
+
+  private createTransport(from: string): OriginTransport {
+    return {
+      remember: async (instance, origins: readonly NamedOrigin[], timeoutMs) => {
+        this.messages += 1;
+        const request = { origins: origins.map(({ stream, origin }) => ({ stream, origin })) };
+        const isKept = await this.callNode(
+          this.findNode(from),
+          instance,
+          timeoutMs,
+          ({ parts }) => {
+            keepOrigins(parts.origins, request, this.now);
+            return true;
+          },
+        );
+        return isKept ?? false;
+      },
+      recall: async (instance, stream, timeoutMs) => {
+        this.messages += 1;
+        return this.callNode(this.findNode(from), instance, timeoutMs, ({ parts }) => {
+          const { origin } = answerRecall(parts.origins, { stream }, this.now);
+          return { origin: origin && { ...origin, version: origin.version } };
+        });
+      },
+    };
+  }
+}
