Keep a decode engine of each version

Cause: a change of stage chose engines by their ids alone, so it could take the last decode engine of a version whose streams no other engine goes on with, or give the one that is spared to a version that has most.

--- a/src/forward/stages.ts
+++ b/src/forward/stages.ts
@@ -59,7 +59,8 @@
 }
 
 /**
- * Chooses the next change of an engine's stage.
+ * Chooses the next change of an engine's stage. The last decode engine of a version stays one, as
+ * no other can go on with its streams.
  *
  * @returns undefined if no engine needs to change
  * @example
@@ -72,16 +73,34 @@
   const wanted = computePrefillEngines(load);
   const reason = `${prefills.length} of ${engines.length} read prompts, ${wanted} should`;
   if (prefills.length > wanted) {
-    const engine = findLastById(prefills);
+    const engine = findLastById(selectLeastDecoded(prefills, decodes));
     return engine && { engine, stage: EngineStage.decode, reason };
   }
-  if (prefills.length < wanted && decodes.length > 1) {
-    const engine = findLastById(decodes);
+  if (prefills.length < wanted) {
+    const engine = findLastById(
+      decodes.filter(({ version }) => countVersion(decodes, version) > 1),
+    );
     return engine && { engine, stage: EngineStage.prefill, reason };
   }
   return undefined;
 }
 
+/**
+ * Selects the engines of the version that has the fewest decode engines: streams go on only at their
+ * version.
+ */
+function selectLeastDecoded(
+  engines: readonly EndpointEntry[],
+  decodes: readonly EndpointEntry[],
+): readonly EndpointEntry[] {
+  const least = Math.min(...engines.map(({ version }) => countVersion(decodes, version)));
+  return engines.filter(({ version }) => countVersion(decodes, version) === least);
+}
+
+function countVersion(engines: readonly EndpointEntry[], version: string | undefined): number {
+  return engines.filter((engine) => engine.version === version).length;
+}
+
 /**
  * Finds the engine with the last id, so that all instances that choose among the same engines
  * choose the same one.
--- a/test/play.spec.ts
+++ b/test/play.spec.ts
@@ -5,6 +5,7 @@
  */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import fc from "fast-check";
 import type { EngineLimits } from "../src/fleet/config";
 import { EngineStage } from "../src/fleet/entries";
 import { chooseDecode, choosePrefill, EngineLoadTracker } from "../src/forward/engines";
@@ -196,6 +197,39 @@
     }
   });
 
+  it("never takes the last decode engine of a version, whose streams no other can go on with", () => {
+    fc.assert(
+      fc.property(
+        fc.array(
+          fc.record({
+            version: fc.constantFrom("v1", "v2", "v3"),
+            stage: fc.constantFrom(EngineStage.prefill, EngineStage.decode),
+          }),
+          { minLength: 3, maxLength: 12 },
+        ),
+        fc.integer({ min: 0, max: 400_000 }),
+        (kinds, promptTokensPerSecond) => {
+          const engines = kinds.map((kind, index) =>
+            createEntry(`e${index}`, `e${index}:1`, { service: "models", ...kind }),
+          );
+          const load = { engines, promptTokensPerSecond, tokensPerMs: TOKENS_PER_MS };
+          const change = chooseStageChange(load);
+          if (change === undefined) return;
+          const { engine, stage } = change;
+          const countDecodes = (version: string | undefined) =>
+            engines.filter((e) => e.version === version && e.stage === EngineStage.decode).length;
+          if (stage === EngineStage.prefill) {
+            assert.ok(countDecodes(engine.version) > 1, "another decode engine of it is left");
+            return;
+          }
+          const prefills = engines.filter((e) => e.stage === EngineStage.prefill);
+          const least = Math.min(...prefills.map((e) => countDecodes(e.version)));
+          assert.equal(countDecodes(engine.version), least, "the version with the fewest gets one");
+        },
+      ),
+    );
+  });
+
   it("stays small, since decode engines can prefill prompts as well", () => {
     const compute = (engines: number, promptTokensPerSecond: number) =>
       computePrefillEngines({
