Break each mechanism of limits and versions once; count permits

Permits are counted by outcome, and the version is checked once more right before an engine is sent a stream to go on with.

--- a/scripts/mutations/index.mjs
+++ b/scripts/mutations/index.mjs
@@ -2,5 +2,11 @@
 import { entryMutations } from "./entry.mjs";
 import { fleetMutations } from "./fleet.mjs";
 import { forwardingMutations } from "./forwarding.mjs";
+import { limitMutations } from "./limits.mjs";
 
-export const mutations = [...entryMutations, ...forwardingMutations, ...fleetMutations];
+export const mutations = [
+  ...entryMutations,
+  ...forwardingMutations,
+  ...fleetMutations,
+  ...limitMutations,
+];
--- a/src/forward/meter.ts
+++ b/src/forward/meter.ts
@@ -39,6 +39,11 @@
     "Answers that came where the answer to another exchange was due",
     ["service"],
   );
+  readonly permits = this.createCounter(
+    "permits_total",
+    "Permits for endpoints that have named a limit, by whether this instance got them",
+    ["outcome"],
+  );
   readonly resumed = this.createCounter(
     "resumed_total",
     "Streams that callers took up again, by where their origin was found",
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -187,7 +187,7 @@
 }
 
 function createPermits(
-  { settings, clock, logger }: InstanceBase,
+  { settings, clock, logger, meter }: InstanceBase,
   { members, transport, listLive }: FleetView,
   { limits, accounts }: LimitState,
 ): Permits {
@@ -200,6 +200,9 @@
     transport: new PeerPermitTransport(members, transport, clock),
     clock,
     logger,
+    onDecision: (isGranted) => {
+      meter.permits.inc({ outcome: isGranted ? "granted" : "denied" });
+    },
   });
 }
 
--- a/src/forward/permits.ts
+++ b/src/forward/permits.ts
@@ -48,6 +48,8 @@
   readonly transport: PermitTransport;
   readonly clock: Clock;
   readonly logger: Logger;
+  /** Called with each decision of an owner. */
+  readonly onDecision: (isGranted: boolean) => void;
 }
 
 /** Asks for permits, and remembers which endpoints have none left for this instance. */
@@ -71,12 +73,13 @@
 
   /** Acquires a number of permits; true also if the endpoint names no limit. */
   async acquire(target: PermitTarget, count: number): Promise<boolean> {
-    const { limits, clock, logger } = this.parts;
+    const { limits, clock, logger, onDecision } = this.parts;
     const perSecond = this.findLimit(target);
     const word = limits.findWord(target.id);
     if (perSecond === undefined || word === undefined || count === 0) return true;
     if (this.readDenialEnd(target.id) !== undefined) return false;
     const { isGranted, retryAfterMs } = await this.ask(word, perSecond, count);
+    onDecision(isGranted);
     if (isGranted) return true;
     this.denialEnds.set(target.id, clock.now() + retryAfterMs);
     const ms = Math.round(retryAfterMs);
--- a/src/forward/stream.ts
+++ b/src/forward/stream.ts
@@ -30,6 +30,7 @@
 import type { StreamStart } from "./resume";
 import { SendBudget } from "./sendbudget";
 import { createAbortResult, TryEnd, type TryResult } from "./tries";
+import { canGoOn } from "./versions";
 
 /** Maximum number of engines tried for one generation, including those that did not run it. */
 const MAX_TRIES = 5;
@@ -242,9 +243,9 @@
     source: CacheSource | undefined,
     deadlineSignal: DeadlineSignal,
   ): Promise<TryResult> {
-    const { reservations, context } = this.parts;
+    const { reservations } = this.parts;
     const barred = createUnsentAbortResult(deadlineSignal) ?? this.beginRun();
-    if (barred === undefined && !context.directory.canUseMemory(reservation.endpoint)) {
+    if (barred === undefined && !this.canUse(reservation)) {
       reservations.release(reservation);
       this.prefiller.keep(source);
       return { end: TryEnd.notRun, message: "the process that gave the hold is gone" };
@@ -261,6 +262,12 @@
     return result;
   }
 
+  /** Checks that the process that gave the hold is there, and may still go on with the stream. */
+  private canUse({ endpoint }: Reservation): boolean {
+    const { directory } = this.parts.context;
+    return directory.canUseMemory(endpoint) && canGoOn(this.decoder.origin, endpoint);
+  }
+
   private consumeSendBudget(): TryResult | undefined {
     if (this.sendBudget.tryConsume()) return undefined;
     return { end: TryEnd.unsent, message: `${this.message}; no retry is left in the budget` };
--- a/test/harness/gate.ts
+++ b/test/harness/gate.ts
@@ -24,6 +24,7 @@
     transport: { ask: () => Promise.resolve(undefined) },
     clock,
     logger,
+    onDecision: () => undefined,
   });
   return new EndpointGate({
     directory: new EndpointDirectory(testCodecs.decodeEndpoint),
--- a/test/harness/limitfleet.ts
+++ b/test/harness/limitfleet.ts
@@ -69,7 +69,17 @@
     const owners = new OwnerChooser(name, () => members.listLive(this.now), clock);
     const transport = this.createTransport(name);
     const logger = SILENT_LOGGER;
-    const parts = { instance: name, limits, accounts, owners, transport, clock, logger };
+    const onDecision = () => undefined;
+    const parts = {
+      instance: name,
+      limits,
+      accounts,
+      owners,
+      transport,
+      clock,
+      logger,
+      onDecision,
+    };
     return { limits, accounts, permits: new Permits(parts) };
   }
 
--- a/test/limitfleet.spec.ts
+++ b/test/limitfleet.spec.ts
@@ -209,6 +209,12 @@
     );
   });
 
+  it("begins with nothing, as the owner before may have given all of it", () => {
+    const accounts = new LimitAccounts(() => ({ heard: 1, missing: 0 }));
+    assert.equal(accounts.grant("a", 20, 1, 0).isGranted, false);
+    assert.equal(accounts.grant("a", 20, 1, 60).isGranted, true);
+  });
+
   it("gives its part of the limit while instances are missing", () => {
     const accounts = new LimitAccounts(() => ({ heard: 3, missing: 6 }));
     let granted = 0;
