--- a/test/limit.spec.ts
+++ b/test/limit.spec.ts
@@ -7,20 +7,21 @@
 import { after, afterEach, beforeEach, describe, it } from "node:test";
 import { pause } from "../src/core/clock";
 import { type EndpointEntry, EngineStage } from "../src/fleet/entries";
-import { createConfig, createEntry, startInstance, waitUntil } from "./harness/forward";
+import { createConfig, createEntry } from "./harness/forward";
 import { get, type ReceivedResponse } from "./harness/fixture";
+import { type RunningInstances, startInstances } from "./harness/instances";
 import { MemoryStore } from "./harness/memory";
 import { RawEndpoint, writeAnswer } from "./harness/raw";
 
-const INSTANCES = ["nizwa-1", "nizwa-2", "nizwa-3"] as const;
+const INSTANCES = 3;
 const WINDOW_MS = 4000;
 const GAP_MS = 25;
 const EVENT = "id: 1\ndata: t1\n\n";
 const EVENT_CHUNK = `${EVENT.length.toString(16)}\r\n${EVENT}\r\n`;
 
 let store: MemoryStore;
+let instances: RunningInstances | undefined;
 let ports: readonly number[] = [];
-let running: Awaited<ReturnType<typeof startInstance>>[] = [];
 let endpoints: RawEndpoint[] = [];
 
 /** The most requests that an endpoint may get in a window, by the users' rule. */
@@ -84,18 +85,8 @@
 }
 
 async function startFleet(): Promise<void> {
-  const knownPeers: string[] = [];
-  for (const name of INSTANCES) {
-    const started = await startInstance(store, name, { knownPeers: [...knownPeers] });
-    running.push(started);
-    knownPeers.push(`127.0.0.1:${started.settings.peers.port}`);
-  }
-  ports = running.map(({ settings }) => settings.callers.port);
-  await waitUntil(async () => {
-    const answers = running.map(({ settings }) => get(settings.ready.port, "/"));
-    return (await Promise.all(answers)).every(({ status }) => status === 200);
-  });
-  await pause(1200);
+  instances = await startInstances(store, INSTANCES);
+  ({ ports } = instances);
 }
 
 /** Has callers send requests for a time, half of them to the first instance. */
@@ -114,12 +105,12 @@
   beforeEach(() => {
     store = new MemoryStore();
     store.putConfig(createConfig(1));
-    running = [];
+    instances = undefined;
     endpoints = [];
   });
 
   afterEach(async () => {
-    await Promise.all(running.map(({ instance }) => instance.close()));
+    await instances?.close();
     for (const endpoint of endpoints) endpoint.close();
   });
 
--- a/test/versions.spec.ts
+++ b/test/versions.spec.ts
@@ -8,7 +8,8 @@
 import { pause } from "../src/core/clock";
 import { EngineStage } from "../src/fleet/entries";
 import { get } from "./harness/fixture";
-import { createConfig, createEntry, startInstance, waitUntil } from "./harness/forward";
+import { createConfig, createEntry, waitUntil } from "./harness/forward";
+import { type RunningInstances, startInstances } from "./harness/instances";
 import { MemoryStore } from "./harness/memory";
 import { RawEndpoint } from "./harness/raw";
 
@@ -17,8 +18,8 @@
 const readId = (head: string) => /x-id: (\S+)/i.exec(head)?.[1] ?? "";
 
 let store: MemoryStore;
-let ports: number[] = [];
-let running: Awaited<ReturnType<typeof startInstance>>[] = [];
+let instances: RunningInstances | undefined;
+let ports: readonly number[] = [];
 let engines: Map<string, RawEndpoint>;
 
 /** Entries of decode engines; a version is the software's. */
@@ -57,18 +58,8 @@
 }
 
 async function startFleet(size: number): Promise<void> {
-  const knownPeers: string[] = [];
-  for (let index = 1; index <= size; index += 1) {
-    const started = await startInstance(store, `nizwa-${index}`, { knownPeers: [...knownPeers] });
-    running.push(started);
-    knownPeers.push(`127.0.0.1:${started.settings.peers.port}`);
-  }
-  ports = running.map(({ settings }) => settings.callers.port);
-  await waitUntil(async () => {
-    const answers = running.map(({ settings }) => get(settings.ready.port, "/"));
-    return (await Promise.all(answers)).every(({ status }) => status === 200);
-  });
-  if (size > 1) await pause(1200);
+  instances = await startInstances(store, size);
+  ({ ports } = instances);
 }
 
 const countRuns = (id: string) =>
@@ -80,12 +71,12 @@
   beforeEach(() => {
     store = new MemoryStore();
     store.putConfig(createConfig(1));
-    running = [];
+    instances = undefined;
     engines = new Map();
   });
 
   afterEach(async () => {
-    await Promise.all(running.map(({ instance }) => instance.close()));
+    await instances?.close();
     for (const engine of engines.values()) engine.close();
   });
 
