Tell the end of a limit for a while only, and forget denials that are over

Causes: each answer without a limit renewed the word that a limit had ended, so that heartbeats carried it for as long as the endpoint had traffic; denials of endpoints that are gone were kept for good, as pauses were. The first try also dropped pauses with the endpoint's entry, which may lapse while the endpoint is up: not kept.

--- a/src/forward/gate.ts
+++ b/src/forward/gate.ts
@@ -77,7 +77,8 @@
     const { limits, clock, logger, onLimitChange } = this.parts;
     const { id: endpoint, processStartedAt } = target;
     const isEnd = perSecond === undefined;
-    if (isEnd && (!answer.canEndLimit || limits.findWord(endpoint) === undefined)) return;
+    const hasLimit = limits.findWord(endpoint)?.perSecond !== undefined;
+    if (isEnd && !(hasLimit && answer.canEndLimit)) return;
     const at = isEnd ? answer.sentAt : clock.now();
     if (!limits.learn({ endpoint, processStartedAt, perSecond, at, isOwn: true })) return;
     logger.info("endpoint limit", { endpoint, perSecond, source: "response" });
@@ -143,6 +144,16 @@
     return this.computeLeastMs(endpoints.map(({ id }) => this.readPauseEnd(id)));
   }
 
+  /**
+   * Forgets pauses and denials that are over. They outlast the entry of an endpoint, which may lapse
+   * while the endpoint is up.
+   */
+  prune(isListed: (id: string) => boolean): void {
+    for (const id of this.pauseEnds.keys()) this.readPauseEnd(id);
+    for (const id of this.unreadable.keys()) if (!isListed(id)) this.unreadable.delete(id);
+    this.parts.permits.prune();
+  }
+
   private computeLeastMs(ends: readonly (Moment | undefined)[]): number | undefined {
     const known = ends.filter((end) => end !== undefined);
     if (known.length === 0 || known.length < ends.length) return undefined;
--- a/src/forward/maintenance.ts
+++ b/src/forward/maintenance.ts
@@ -52,10 +52,11 @@
     this.applyCallerLimits();
     this.logShares();
     this.observeVersions();
-    const { health, meter, directory } = this.context;
+    const { health, meter, directory, gate } = this.context;
     const isListed = (id: string) => directory.find(id) !== undefined;
     health.prune(isListed);
     meter.prune(isListed);
+    gate.prune(isListed);
   }
 
   /** Watches the versions of endpoints while the list is current. */
--- a/src/forward/permits.ts
+++ b/src/forward/permits.ts
@@ -87,6 +87,11 @@
     return false;
   }
 
+  /** Forgets denials that are over. */
+  prune(): void {
+    for (const id of this.denialEnds.keys()) this.readDenialEnd(id);
+  }
+
   private async ask(word: LimitWord, perSecond: number, count: number): Promise<PermitDecision> {
     const { instance, accounts, owners, transport, clock, logger } = this.parts;
     const { endpoint } = word;
--- a/test/limitfleet.spec.ts
+++ b/test/limitfleet.spec.ts
@@ -6,8 +6,10 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import fc from "fast-check";
+import { ManualClock } from "../src/core/clock";
 import { LimitAccounts } from "../src/forward/limitaccounts";
 import { EndpointLimits, type LimitWord } from "../src/forward/limits";
+import { createGate } from "./harness/gate";
 import { LimitFleet } from "./harness/limitfleet";
 
 const WINDOW_MS = 4000;
@@ -178,6 +180,48 @@
   });
 });
 
+describe("what an instance keeps of endpoints' limits", () => {
+  const target = { id: "a", address: "a:1", processStartedAt: 1 };
+  const none = { pauseMs: undefined, isLeaving: false, unreadableLimit: undefined };
+
+  it("is told as ended for a while, however many answers without a limit follow", () => {
+    const clock = new ManualClock(1000);
+    const limits = new EndpointLimits();
+    const gate = createGate(clock, limits);
+    const answer = () => {
+      gate.onLimitNotice(
+        target,
+        { ...none, limitPerSecond: undefined },
+        { sentAt: clock.now(), canEndLimit: true },
+      );
+    };
+    answer();
+    assert.equal(limits.findWord("a"), undefined, "one that never named any is not kept");
+    gate.onLimitNotice(target, { ...none, limitPerSecond: 3 }, { sentAt: 900, canEndLimit: true });
+    assert.equal(gate.isLimited(target), true);
+    for (let turn = 0; turn < 30; turn += 1) {
+      clock.advance(1000);
+      answer();
+    }
+    assert.equal(gate.isLimited(target), false);
+    assert.deepEqual(limits.list(clock.now()), []);
+  });
+
+  it("outlasts the entry of the endpoint, and not the time that was named", async () => {
+    const clock = new ManualClock(1000);
+    const gate = createGate(clock);
+    gate.onNotice(target, { ...none, limitPerSecond: undefined, pauseMs: 50_000 });
+    gate.onLimitNotice(target, { ...none, limitPerSecond: 3 }, { sentAt: 900, canEndLimit: true });
+    assert.equal(await gate.acquirePermits(target, 1), false);
+    assert.equal(gate.isHeldBack("a"), true);
+    gate.prune(() => false);
+    assert.equal(gate.isHeldBack("a"), true);
+    clock.advance(50_000);
+    gate.prune(() => false);
+    assert.equal(gate.isHeldBack("a"), false);
+  });
+});
+
 describe("the owner of a limit", () => {
   it("keeps windows for any times and counts of asks", () => {
     fc.assert(
