--- a/scripts/mutations/limits.mjs
+++ b/scripts/mutations/limits.mjs
@@ -75,7 +75,7 @@
   {
     name: "versions: origins are shared",
     file: "src/forward/sharedorigins.ts",
-    find: "if (instance !== self) this.share(instance, named);",
+    find: "if (instance !== self) this.queueFor(instance, named);",
     replace: "",
     test: "origins",
     pattern: "were killed",
--- a/src/fleet/versionhistory.ts
+++ b/src/fleet/versionhistory.ts
@@ -29,7 +29,7 @@
   private observedAt: Moment = Number.NEGATIVE_INFINITY;
 
   /** Records the listed endpoints; called every second or so while the list is current. */
-  observe(endpoints: readonly EndpointEntry[], now: Moment): void {
+  record(endpoints: readonly EndpointEntry[], now: Moment): void {
     if (now - this.observedAt > MAX_GAP_MS) this.services.clear();
     this.observedAt = now;
     for (const { service, version } of endpoints) {
--- a/src/forward/client.ts
+++ b/src/forward/client.ts
@@ -206,7 +206,7 @@
       );
       releaseAfter(pool, connection, response.body);
       const responseHead = this.codec.readResponseHead(send, response.statusCode, headers);
-      if (comesFromEndpoint(responseHead)) {
+      if (isFromEndpoint(responseHead)) {
         const canEndLimit = send.task === SendTask.run;
         this.gate.onLimitNotice(send.endpoint, notice, { sentAt, canEndLimit });
       }
@@ -331,7 +331,7 @@
 }
 
 /** Checks that an answer is that of the process that the request was sent to. */
-function comesFromEndpoint({ verdict }: ResponseHead): boolean {
+function isFromEndpoint({ verdict }: ResponseHead): boolean {
   return verdict === Verdict.answered || verdict === Verdict.notRun;
 }
 
--- a/src/forward/gate.ts
+++ b/src/forward/gate.ts
@@ -80,7 +80,7 @@
     const hasLimit = limits.findWord(endpoint)?.perSecond !== undefined;
     if (isEnd && !(hasLimit && answer.canEndLimit)) return;
     const at = isEnd ? answer.sentAt : clock.now();
-    if (!limits.learn({ endpoint, processStartedAt, perSecond, at, isOwn: true })) return;
+    if (!limits.record({ endpoint, processStartedAt, perSecond, at, isOwn: true })) return;
     logger.info("endpoint limit", { endpoint, perSecond, source: "response" });
     onLimitChange();
   }
--- a/src/forward/limits.ts
+++ b/src/forward/limits.ts
@@ -46,7 +46,7 @@
    *
    * @returns true if it changed the limit
    */
-  learn(word: LimitWord): boolean {
+  record(word: LimitWord): boolean {
     const known = this.words.get(word.endpoint);
     if (known !== undefined && !isNewer(word, known)) return false;
     this.words.delete(word.endpoint);
--- a/src/forward/limitwire.ts
+++ b/src/forward/limitwire.ts
@@ -27,7 +27,7 @@
  * Decodes a limit that a peer tells.
  *
  * @example
- * limits.learn(decodeLimit(message, clock.now()));
+ * limits.record(decodeLimit(message, clock.now()));
  */
 export function decodeLimit(limit: EndpointLimit, now: Moment): LimitWord {
   const { endpoint, processStartedAt, perSecond, ageMs } = limit;
--- a/src/forward/maintenance.ts
+++ b/src/forward/maintenance.ts
@@ -51,7 +51,7 @@
   private maintain(): void {
     this.applyCallerLimits();
     this.logShares();
-    this.observeVersions();
+    this.recordVersions();
     const { health, meter, directory, gate } = this.context;
     const isListed = (id: string) => directory.find(id) !== undefined;
     health.prune(isListed);
@@ -60,10 +60,10 @@
   }
 
   /** Watches the versions of endpoints while the list is current. */
-  private observeVersions(): void {
+  private recordVersions(): void {
     const { versionHistory, directory, clock } = this.context;
     if (this.view.watcher.computeEndpointsAgeMs() > LIST_CURRENT_MS) return;
-    versionHistory.observe(directory.listAll(), clock.now());
+    versionHistory.record(directory.listAll(), clock.now());
   }
 
   /**
--- a/src/forward/origins.ts
+++ b/src/forward/origins.ts
@@ -60,7 +60,7 @@
     this.origins.delete(key);
     const recorded = isSame ? origin : { ...origin, version: undefined };
     this.origins.set(key, { origin: recorded, forgetAt: now + MEMORY_MS });
-    this.forget(now);
+    this.removeOld(now);
   }
 
   /** Finds the origin of a stream. */
@@ -74,7 +74,7 @@
     return this.origins.size;
   }
 
-  private forget(now: Moment): void {
+  private removeOld(now: Moment): void {
     for (const [key, { forgetAt }] of this.origins) {
       if (forgetAt > now && this.origins.size <= MAX_ORIGINS) return;
       this.origins.delete(key);
--- a/src/forward/peerstate.ts
+++ b/src/forward/peerstate.ts
@@ -245,7 +245,7 @@
   private applyLimits({ instance, endpointLimits }: Beat, sentAt: Moment): void {
     const { limits, logger } = this.parts;
     for (const limit of endpointLimits) {
-      if (!limits.learn(decodeLimit(limit, sentAt))) continue;
+      if (!limits.record(decodeLimit(limit, sentAt))) continue;
       const { endpoint, perSecond } = limit;
       logger.info("endpoint limit", { endpoint, perSecond, source: `peer ${instance}` });
     }
--- a/src/forward/permits.ts
+++ b/src/forward/permits.ts
@@ -25,7 +25,7 @@
    *
    * @returns undefined if there was no answer in time
    */
-  ask(
+  request(
     owner: string,
     word: LimitWord,
     count: number,
@@ -78,7 +78,7 @@
     const word = limits.findWord(target.id);
     if (perSecond === undefined || word === undefined || count === 0) return true;
     if (this.readDenialEnd(target.id) !== undefined) return false;
-    const { isGranted, retryAfterMs } = await this.ask(word, perSecond, count);
+    const { isGranted, retryAfterMs } = await this.requestFromOwner(word, perSecond, count);
     onDecision(isGranted);
     if (isGranted) return true;
     this.denialEnds.set(target.id, clock.now() + retryAfterMs);
@@ -92,14 +92,18 @@
     for (const id of this.denialEnds.keys()) this.readDenialEnd(id);
   }
 
-  private async ask(word: LimitWord, perSecond: number, count: number): Promise<PermitDecision> {
+  private async requestFromOwner(
+    word: LimitWord,
+    perSecond: number,
+    count: number,
+  ): Promise<PermitDecision> {
     const { instance, accounts, owners, transport, clock, logger } = this.parts;
     const { endpoint } = word;
     const owner = owners.choose(`limit ${endpoint}`);
     if (owner === instance) return accounts.grant(endpoint, perSecond, count, clock.now());
     const denial = { isGranted: false, retryAfterMs: SILENT_OWNER_RETRY_MS };
     if (owners.isSilent(owner)) return denial;
-    const decision = await transport.ask(owner, word, count, PERMIT_TIMEOUT_MS);
+    const decision = await transport.request(owner, word, count, PERMIT_TIMEOUT_MS);
     if (decision !== undefined) return decision;
     owners.recordSilence(owner);
     logger.warn("limit owner silent", { owner, endpoint });
@@ -120,7 +124,7 @@
     private readonly clock: Clock,
   ) {}
 
-  async ask(
+  async request(
     owner: string,
     word: LimitWord,
     count: number,
@@ -147,7 +151,7 @@
   now: Moment,
 ): PermitReply {
   if (limit === undefined) return { granted: false, retryAfterMs: SILENT_OWNER_RETRY_MS };
-  limits.learn(decodeLimit(limit, now));
+  limits.record(decodeLimit(limit, now));
   const perSecond = limits.findWord(limit.endpoint)?.perSecond;
   if (perSecond === undefined) return { granted: true, retryAfterMs: 0 };
   const { isGranted, retryAfterMs } = accounts.grant(limit.endpoint, perSecond, count, now);
--- a/src/forward/sharedorigins.ts
+++ b/src/forward/sharedorigins.ts
@@ -78,7 +78,7 @@
     const { instance: self, origins, clock } = this.parts;
     origins.record(named, clock.now());
     for (const instance of this.chooseKeepers(named.stream, 0)) {
-      if (instance !== self) this.share(instance, named);
+      if (instance !== self) this.queueFor(instance, named);
     }
   }
 
@@ -97,7 +97,7 @@
     return chooseReplicas(request, this.parts.listMembers(), standbys);
   }
 
-  private share(instance: string, named: NamedOrigin): void {
+  private queueFor(instance: string, named: NamedOrigin): void {
     const waiting = this.waiting.get(instance);
     if (waiting === undefined) {
       this.waiting.set(instance, []);
--- a/test/harness/gate.ts
+++ b/test/harness/gate.ts
@@ -21,7 +21,7 @@
     limits,
     accounts: new LimitAccounts(() => ({ heard: 1, missing: 0 })),
     owners: new OwnerChooser(INSTANCE, () => [INSTANCE], clock),
-    transport: { ask: () => Promise.resolve(undefined) },
+    transport: { request: () => Promise.resolve(undefined) },
     clock,
     logger,
     onDecision: () => undefined,
--- a/test/harness/limitfleet.ts
+++ b/test/harness/limitfleet.ts
@@ -54,12 +54,12 @@
   }
 
   /** Tells a node of a limit as if an endpoint had answered it. */
-  learn(node: LimitNode, endpoint: string, sentAt: number): void {
+  recordAnswer(node: LimitNode, endpoint: string, sentAt: number): void {
     const perSecond = this.named.get(endpoint);
     const { limits } = node.parts;
     if (perSecond === undefined && limits.findWord(endpoint) === undefined) return;
     const at = perSecond === undefined ? sentAt : this.now;
-    limits.learn({ endpoint, processStartedAt: 1, perSecond, at, isOwn: true });
+    limits.record({ endpoint, processStartedAt: 1, perSecond, at, isOwn: true });
   }
 
   protected createParts({ name, members }: LimitNode): LimitParts {
@@ -89,7 +89,7 @@
       .map((word) => EndpointLimit.encode(encodeLimit(word, this.now)).finish());
     return (peer) => {
       for (const bytes of told) {
-        peer.parts.limits.learn(decodeLimit(EndpointLimit.decode(bytes), this.now));
+        peer.parts.limits.record(decodeLimit(EndpointLimit.decode(bytes), this.now));
       }
     };
   }
@@ -102,7 +102,7 @@
       this.events.schedule(this.draw() * MAX_ANSWER_MS, () => {
         if (node.isDown || node.incarnation !== incarnation) return;
         this.act(node, () => {
-          this.learn(node, endpoint, sentAt);
+          this.recordAnswer(node, endpoint, sentAt);
         });
       });
     });
@@ -110,7 +110,7 @@
 
   private createTransport(from: string): PermitTransport {
     return {
-      ask: async (owner, word, count, timeoutMs) => {
+      request: async (owner, word, count, timeoutMs) => {
         this.calls += 1;
         const request = { limit: encodeLimit(word, this.now), count };
         const reply = await this.callNode(this.findNode(from), owner, timeoutMs, ({ parts }) =>
--- a/test/limitfleet.spec.ts
+++ b/test/limitfleet.spec.ts
@@ -147,34 +147,34 @@
 describe("what is known of limits", () => {
   it("is the newest word of the newest process", () => {
     const limits = new EndpointLimits();
-    assert.equal(limits.learn(createWord({})), true);
-    assert.equal(limits.learn(createWord({ perSecond: 9, at: 90 })), false, "an older word");
+    assert.equal(limits.record(createWord({})), true);
+    assert.equal(limits.record(createWord({ perSecond: 9, at: 90 })), false, "an older word");
     assert.equal(
-      limits.learn(createWord({ perSecond: undefined, at: 99 })),
+      limits.record(createWord({ perSecond: undefined, at: 99 })),
       false,
       "sent before it",
     );
     const process = { endpoint: "a", processStartedAt: 1 };
     assert.equal(limits.find(process, 200), 3);
     assert.equal(limits.find({ ...process, processStartedAt: 2 }, 200), undefined, "a new process");
-    assert.equal(limits.learn(createWord({ perSecond: undefined, at: 101 })), true);
+    assert.equal(limits.record(createWord({ perSecond: undefined, at: 101 })), true);
     assert.equal(limits.find(process, 200), undefined);
-    limits.learn(createWord({ processStartedAt: 2, perSecond: 7, at: 50 }));
-    assert.equal(limits.learn(createWord({ perSecond: 1, at: 300 })), false, "the process before");
+    limits.record(createWord({ processStartedAt: 2, perSecond: 7, at: 50 }));
+    assert.equal(limits.record(createWord({ perSecond: 1, at: 300 })), false, "the process before");
     assert.equal(limits.find({ ...process, processStartedAt: 2 }, 200), 7);
   });
 
   it("is told only by the instance that heard it, for a bounded time and number", () => {
     const limits = new EndpointLimits();
-    limits.learn(createWord({ endpoint: "a", isOwn: false }));
-    limits.learn(createWord({ endpoint: "b" }));
+    limits.record(createWord({ endpoint: "a", isOwn: false }));
+    limits.record(createWord({ endpoint: "b" }));
     assert.deepEqual(
       limits.list(200).map(({ endpoint }) => endpoint),
       ["b"],
     );
     assert.deepEqual(limits.list(61_000), []);
     for (let index = 0; index < 1000; index += 1) {
-      limits.learn(createWord({ endpoint: `e${index}`, at: 62_000 }));
+      limits.record(createWord({ endpoint: `e${index}`, at: 62_000 }));
     }
     assert.equal(limits.list(62_000).length, 256);
   });
--- a/test/versionhistory.spec.ts
+++ b/test/versionhistory.spec.ts
@@ -9,41 +9,41 @@
 
 const FOR_MS = 16_000;
 
-function observe(
+function record(
   history: VersionHistory,
   from: number,
   to: number,
   versions: (string | undefined)[],
 ) {
   const entries = versions.map((version, index) => createEntry(`e${index}`, "a:1", { version }));
-  for (let now = from; now <= to; now += 1000) history.observe(entries, now);
+  for (let now = from; now <= to; now += 1000) history.record(entries, now);
 }
 
 describe("the only version of a service", () => {
   it("is known once it was watched for as long as streams last", () => {
     const history = new VersionHistory();
-    observe(history, 0, 15_000, ["v1", "v1"]);
+    record(history, 0, 15_000, ["v1", "v1"]);
     assert.equal(history.findOnly("sheets", FOR_MS, 15_000), undefined);
-    observe(history, 16_000, 17_000, ["v1"]);
+    record(history, 16_000, 17_000, ["v1"]);
     assert.equal(history.findOnly("sheets", FOR_MS, 17_000), "v1");
     assert.equal(history.findOnly("others", FOR_MS, 17_000), undefined);
   });
 
   it("is not known while another one is listed, or was of late", () => {
     const history = new VersionHistory();
-    observe(history, 0, 20_000, ["v1", "v2"]);
+    record(history, 0, 20_000, ["v1", "v2"]);
     assert.equal(history.findOnly("sheets", FOR_MS, 20_000), undefined);
-    observe(history, 21_000, 36_000, ["v2"]);
+    record(history, 21_000, 36_000, ["v2"]);
     assert.equal(history.findOnly("sheets", FOR_MS, 36_000), undefined);
-    observe(history, 37_000, 38_000, ["v2"]);
+    record(history, 37_000, 38_000, ["v2"]);
     assert.equal(history.findOnly("sheets", FOR_MS, 38_000), "v2");
   });
 
   it("is not known after a time in which nothing was watched", () => {
     const history = new VersionHistory();
-    observe(history, 0, 20_000, ["v1"]);
+    record(history, 0, 20_000, ["v1"]);
     assert.equal(history.findOnly("sheets", FOR_MS, 24_000), undefined, "the list is not current");
-    observe(history, 25_000, 30_000, ["v1"]);
+    record(history, 25_000, 30_000, ["v1"]);
     assert.equal(
       history.findOnly("sheets", FOR_MS, 30_000),
       undefined,
@@ -53,7 +53,7 @@
 
   it("is not known if an entry names none", () => {
     const history = new VersionHistory();
-    observe(history, 0, 20_000, [undefined]);
+    record(history, 0, 20_000, [undefined]);
     assert.equal(history.findOnly("sheets", FOR_MS, 20_000), undefined);
   });
 });
