--- a/measure/load/plays.ts
+++ b/measure/load/plays.ts
@@ -5,7 +5,7 @@
 import type { Burst, LoadParameters } from "./arrivals";
 import type { EngineParameters } from "./engine";
 import type { Scenario } from "./play";
-import * as overload from "../../src/forward/overload";
+import * as overload from "../../src/forward/engines/overload";
 import type { EngineLimits } from "../../src/fleet/config";
 import type { OverloadDecisions, RouterPolicy } from "./router";
 
--- a/measure/load/router.ts
+++ b/measure/load/router.ts
@@ -5,9 +5,13 @@
 import { UrgentQueue, type UrgentQueueItem } from "../../src/core/urgentqueue";
 import type { EngineLimits } from "../../src/fleet/config";
 import { type EndpointEntry, EngineStage } from "../../src/fleet/entries";
-import { EngineModel as SpeedModel } from "../../src/forward/enginemodel";
-import { chooseDecode, choosePrefill, EngineLoadTracker } from "../../src/forward/engines";
-import type * as overload from "../../src/forward/overload";
+import {
+  EngineModel as SpeedModel,
+  chooseDecode,
+  choosePrefill,
+  EngineLoadTracker,
+} from "../../src/forward/engines";
+import type * as overload from "../../src/forward/engines/overload";
 import type { Arrival, Random } from "./arrivals";
 import type { EngineModel } from "./engine";
 
--- a/scripts/mutations/entry.mjs
+++ b/scripts/mutations/entry.mjs
@@ -187,14 +187,14 @@
   },
   {
     name: "configuration: a record applies only to its base version",
-    file: "src/core/configfold.ts",
+    file: "src/core/config/fold.ts",
     find: "if (decoded.right.basedOn !== state.version) {",
     replace: "if (Date.now() < 0) {",
     test: "control",
   },
   {
     name: "configuration: a snapshot hides no record",
-    file: "src/core/controlfold.ts",
+    file: "src/core/config/controlfold.ts",
     find: "this.pendingRecords.filter((item) => item.offset > snapshot.foldedTo)",
     replace: "this.pendingRecords.slice(0, 0)",
     test: "control",
@@ -233,7 +233,7 @@
   },
   {
     name: "poison: the second crash names the culprit",
-    file: "src/core/poison.ts",
+    file: "src/core/crashes/poison.ts",
     find: "if (!this.crashes.isBanned(suspect, now)) return true;",
     replace: "if (Date.now() > 0) return true;",
     test: "poison",
--- a/scripts/mutations/fleet.mjs
+++ b/scripts/mutations/fleet.mjs
@@ -2,7 +2,7 @@
 export const fleetMutations = [
   {
     name: "forwarding: an instance with a possibly stale configuration does not deny requests",
-    file: "src/forward/admission.ts",
+    file: "src/forward/callers/admission.ts",
     find: "if (this.parts.computeConfigAgeMs() > CONFIG_STALE_MS) {",
     replace: "if (this.parts.computeConfigAgeMs() < 0) {",
     test: "forward",
--- a/scripts/mutations/limits.mjs
+++ b/scripts/mutations/limits.mjs
@@ -2,7 +2,7 @@
 export const limitMutations = [
   {
     name: "limits: each instance keeps a limit alone",
-    file: "src/forward/permits.ts",
+    file: "src/forward/limits/permits.ts",
     find: "if (owner === instance) return accounts",
     replace: "if (owner.length > 0) return accounts",
     test: "limitfleet",
@@ -10,7 +10,7 @@
   },
   {
     name: "limits: requests need permits",
-    file: "src/forward/client.ts",
+    file: "src/forward/endpoints/client.ts",
     find: "const permits = hold === undefined ? 1 : 0;",
     replace: "const permits = 0;",
     test: "limit",
@@ -18,7 +18,7 @@
   },
   {
     name: "limits: calls need permits",
-    file: "src/forward/client.ts",
+    file: "src/forward/endpoints/client.ts",
     find: "if ((await this.gate.acquirePermits(target, permits)) !== true) return false;",
     replace: "",
     test: "limit",
@@ -26,7 +26,7 @@
   },
   {
     name: "limits: a pause that comes while a permit is waited for holds a call back",
-    file: "src/forward/client.ts",
+    file: "src/forward/endpoints/client.ts",
     find: "return !this.gate.isPaused(target.id);",
     replace: "return true;",
     test: "permitwait",
@@ -34,7 +34,7 @@
   },
   {
     name: "limits: an owner begins with nothing",
-    file: "src/forward/limitaccounts.ts",
+    file: "src/forward/limits/accounts.ts",
     find: "const account = { level: 0,",
     replace: "const account = { level: 40,",
     test: "limitfleet",
@@ -42,7 +42,7 @@
   },
   {
     name: "limits: a part of the fleet gives a part of the limit",
-    file: "src/forward/limitaccounts.ts",
+    file: "src/forward/limits/accounts.ts",
     find: "* (heard / (heard + missing));",
     replace: "* (heard / heard);",
     test: "limitfleet",
@@ -50,7 +50,7 @@
   },
   {
     name: "limits: the end of a limit counts from when its request was sent",
-    file: "src/forward/limits.ts",
+    file: "src/forward/limits/limits.ts",
     find: "return word.at > known.at;",
     replace: "return true;",
     test: "limitfleet",
@@ -58,7 +58,7 @@
   },
   {
     name: "limits: peers hear only what the endpoint said to the sender",
-    file: "src/forward/limits.ts",
+    file: "src/forward/limits/limits.ts",
     find: "if (word.isOwn) addLast(",
     replace: "if (word.at > 0) addLast(",
     test: "limitfleet",
@@ -66,7 +66,7 @@
   },
   {
     name: "limits: the limits of many endpoints are kept",
-    file: "src/forward/limits.ts",
+    file: "src/forward/limits/limits.ts",
     find: "const MAX_WORDS = 8192;",
     replace: "const MAX_WORDS = 256;",
     test: "limitfleet",
@@ -82,7 +82,7 @@
   },
   {
     name: "limits: a denial ends with its limit",
-    file: "src/forward/permits.ts",
+    file: "src/forward/limits/permits.ts",
     find: "(hasLimit && end > clock.now())",
     replace: "end > clock.now()",
     test: "limitfleet",
@@ -90,7 +90,7 @@
   },
   {
     name: "limits: only an answer ends a limit",
-    file: "src/forward/limits.ts",
+    file: "src/forward/limits/limits.ts",
     find: "if (word.perSecond === undefined || !isListed(endpoint)) this",
     replace: "this",
     test: "limitfleet",
@@ -98,7 +98,7 @@
   },
   {
     name: "limits: a generation that can't run in time is refused at once",
-    file: "src/forward/reservations.ts",
+    file: "src/forward/engines/reservations.ts",
     find: "return holdMs !== undefined && now + holdMs >= deadline;",
     replace: "return false;",
     test: "limit",
@@ -106,7 +106,7 @@
   },
   {
     name: "versions: within one answer only engines of the version go on",
-    file: "src/forward/versions.ts",
+    file: "src/forward/shared/versions.ts",
     find: "origin.version === engine.version &&",
     replace: "",
     test: "versions",
@@ -114,7 +114,7 @@
   },
   {
     name: "versions: origins are shared",
-    file: "src/forward/sharedorigins.ts",
+    file: "src/forward/shared/sharedorigins.ts",
     find: "if (instance !== self) this.queueFor(instance, named);",
     replace: "",
     test: "origins",
@@ -122,7 +122,7 @@
   },
   {
     name: "versions: an unknown stream does not go on",
-    file: "src/forward/resume.ts",
+    file: "src/forward/generations/resume.ts",
     find: "if (origin?.version === undefined) return",
     replace:
       "if (origin?.version === undefined) return E.right({ request, origin: undefined }); else if (false) return",
@@ -131,7 +131,7 @@
   },
   {
     name: "versions: a process that may have started anew before the first event is unknown",
-    file: "src/forward/versions.ts",
+    file: "src/forward/shared/versions.ts",
     find: "return mayHaveBegunIt ?",
     replace: "return mayHaveBegunIt && origin.beganAt < 0 ?",
     test: "origins",
--- a/scripts/mutations/ways.mjs
+++ b/scripts/mutations/ways.mjs
@@ -3,7 +3,7 @@
 export const wayMutations = [
   {
     name: "silence: a run is given up only with another engine at hand",
-    file: "src/forward/replacement.ts",
+    file: "src/forward/generations/replacement.ts",
     find: "if (start === undefined) return false;",
     replace: "if (start === undefined) return true;",
     test: "silence",
@@ -11,7 +11,7 @@
   },
   {
     name: "silence: a run is given up for one without an answer only with a retry left",
-    file: "src/forward/replacement.ts",
+    file: "src/forward/generations/replacement.ts",
     find: "return state === SilentRunState.sound && !this.host.tryKeepRetry(sent);",
     replace: "return false;",
     test: "lostsearch",
@@ -19,14 +19,14 @@
   },
   {
     name: "silence: the way to a silent engine is checked",
-    file: "src/forward/decode.ts",
+    file: "src/forward/generations/decode.ts",
     find: "this.parts.context.dialer.checkDirect(endpoint);",
     replace: "",
     test: "silentways",
   },
   {
     name: "silence: a run whose engine stays silent is given up",
-    file: "src/forward/silence.ts",
+    file: "src/core/silence.ts",
     find: "if (isFound) this.replaced.abort();",
     replace: "if (isFound) this.restartTimer(SEARCH_PAUSE_MS);",
     test: "silence",
@@ -34,7 +34,7 @@
   },
   {
     name: "silence: a plain request stays with its endpoint if no retry is left",
-    file: "src/forward/service.ts",
+    file: "src/forward/calls/run.ts",
     find: "if (E.isLeft(choice)) return;",
     replace: "silent.abort(); if (E.isLeft(choice)) return;",
     test: "silentservice",
@@ -42,7 +42,7 @@
   },
   {
     name: "silence: a plain request keeps its silent send beside another one",
-    file: "src/forward/service.ts",
+    file: "src/forward/calls/run.ts",
     find: "if (E.isLeft(choice)) return;",
     replace: "if (E.isLeft(choice)) return; silent.abort();",
     test: "silentservice",
@@ -50,7 +50,7 @@
   },
   {
     name: "silence: a hold that is granted late is released",
-    file: "src/forward/holdcalls.ts",
+    file: "src/forward/engines/holdcalls.ts",
     find: "if (granted !== undefined) this.release(",
     replace: "if (granted !== undefined && holdTtlMs < 0) this.release(",
     test: "holds",
@@ -65,42 +65,42 @@
   },
   {
     name: "ways: a crash needs two witnesses",
-    file: "src/forward/dialrun.ts",
+    file: "src/forward/tunnels/dialrun.ts",
     find: "const MIN_REFUSALS = 2;",
     replace: "const MIN_REFUSALS = 1;",
     test: "dialer",
   },
   {
     name: "ways: an instance that reaches no other endpoint is no witness of a crash",
-    file: "src/forward/dialrun.ts",
+    file: "src/forward/tunnels/dialrun.ts",
     find: "if (isLinkSound) this.refusalCount += 1;",
     replace: "this.refusalCount += isLinkSound ? 1 : 1;",
     test: "dialer",
   },
   {
     name: "ways: nor is a peer that reaches none",
-    file: "src/forward/tunnel.ts",
+    file: "src/forward/tunnels/tunnel.ts",
     find: "isLinkSound ? TunnelFailureKind.refused : TunnelFailureKind.unreachable",
     replace: "isLinkSound ? TunnelFailureKind.refused : TunnelFailureKind.refused",
     test: "tunnels",
   },
   {
     name: "ways: a link is checked by endpoints that may not have crashed as well",
-    file: "src/forward/linkcheck.ts",
+    file: "src/forward/tunnels/linkcheck.ts",
     find: "return a.failedAt < b.failedAt ? -1 : 1;",
     replace: "return a.failedAt < b.failedAt ? 1 : -1;",
     test: "linkcheck",
   },
   {
     name: "ways: a direct connect that hangs is overtaken by a peer's",
-    file: "src/forward/dialrun.ts",
+    file: "src/forward/tunnels/dialrun.ts",
     find: "const DIRECT_HEADSTART_MS = 40;",
     replace: "const DIRECT_HEADSTART_MS = 4000;",
     test: "dialer",
   },
   {
     name: "ways: a channel stays where another opening was answered meanwhile",
-    file: "src/forward/tunnelpeer.ts",
+    file: "src/forward/tunnels/peer.ts",
     find: "(!opening.isHeard && channel.isSilentSince(startedAt))",
     replace: "!opening.isHeard",
     test: "slowtunnels",
@@ -108,14 +108,14 @@
   },
   {
     name: "ways: a channel is closed only without tunnels",
-    file: "src/forward/tunnelchannel.ts",
+    file: "src/forward/tunnels/channel.ts",
     find: "if (this.isDropped && this.tunnels === 0)",
     replace: "if (this.isDropped)",
     test: "slowtunnels",
   },
   {
     name: "ways: sockets are read before an opening counts as late",
-    file: "src/forward/tunnelpeer.ts",
+    file: "src/forward/tunnels/peer.ts",
     find: "new ReadFirstTimer(timeoutMs, onSilence)",
     replace: "setTimeout(onSilence, timeoutMs)",
     test: "slowtunnels",
@@ -123,7 +123,7 @@
   },
   {
     name: "ways: a peer that is silent says nothing about the endpoint",
-    file: "src/forward/dialrun.ts",
+    file: "src/forward/tunnels/dialrun.ts",
     find: "this.silentCount === 0 && this.asked",
     replace: "this.asked",
     test: "dialer",
@@ -131,7 +131,7 @@
   },
   {
     name: "ways: a peer that answered since it was asked is not silent",
-    file: "src/forward/paths.ts",
+    file: "src/forward/tunnels/paths.ts",
     find: "if (answeredAt < askedAt) this.silentPeers",
     replace: "this.silentPeers",
     test: "paths",
@@ -139,7 +139,7 @@
   },
   {
     name: "ways: a peer may take the time of the whole dial",
-    file: "src/forward/dialrun.ts",
+    file: "src/forward/tunnels/dialrun.ts",
     find: "const timeoutMs = computeRemainingMs(this.deadline, askedAt);",
     replace: "const timeoutMs = Math.min(150, computeRemainingMs(this.deadline, askedAt));",
     test: "dialer",
@@ -147,7 +147,7 @@
   },
   {
     name: "ways: a peer that was silent is asked before those that are cut off",
-    file: "src/forward/paths.ts",
+    file: "src/forward/tunnels/paths.ts",
     find: "(isCut ? 4 : 0) + (isSilent ? 2 : 0)",
     replace: "(isCut || isSilent ? 2 : 0)",
     test: "paths",
@@ -155,7 +155,7 @@
   },
   {
     name: "ways: fewer peers are asked for a dial where answers take long",
-    file: "src/forward/dialer.ts",
+    file: "src/forward/tunnels/dialer.ts",
     find: "this.answerTimes.record(now - askedAt);",
     replace: "",
     test: "dialer",
@@ -163,7 +163,7 @@
   },
   {
     name: "ways: a part of the peers says nothing about the endpoint",
-    file: "src/forward/dialrun.ts",
+    file: "src/forward/tunnels/dialrun.ts",
     find: "this.silentCount === 0 && this.askedCount === this.plan.peers.length",
     replace: "this.silentCount === 0",
     test: "dialer",
@@ -171,7 +171,7 @@
   },
   {
     name: "ways: peers are asked also if this process stood still before",
-    file: "src/forward/dialrun.ts",
+    file: "src/forward/tunnels/dialrun.ts",
     find: "if (this.askedCount === 0) this.reserveTime();",
     replace: "",
     test: "dialer",
--- a/src/board/board.ts
+++ b/src/board/board.ts
@@ -5,8 +5,8 @@
 import type { Moment } from "../core/clock";
 import { Claims } from "../core/claims";
 import type { DutyAssignments } from "../core/duties";
-import { type ConfigState, createConfigState } from "../core/configfold";
-import { PoisonDetector } from "../core/poison";
+import { type ConfigState, createConfigState } from "../core/config/fold";
+import { PoisonDetector } from "../core/crashes/poison";
 import type { ListEntry } from "../store/list";
 
 /** An incarnation of another instance that was seen recently in a heartbeat, direct or relayed. */
--- a/src/cli/config.ts
+++ b/src/cli/config.ts
@@ -3,9 +3,13 @@
  */
 import { Command, Option } from "clipanion";
 import * as E from "fp-ts/Either";
-import { type Configuration, createEmptyConfiguration, documentCodec } from "../core/config";
-import { type Change, computeChanges, type ConfigState } from "../core/configfold";
-import { checkReferences } from "../core/references";
+import {
+  type Configuration,
+  createEmptyConfiguration,
+  documentCodec,
+} from "../core/config/objects";
+import { type Change, computeChanges, type ConfigState } from "../core/config/fold";
+import { checkReferences } from "../core/config/references";
 import { BaseCommand, ChangeCommand, LogCommand } from "./base";
 import { Exit, type ExitCode } from "./exit";
 import { CommandError, type Publisher } from "./publisher";
--- a/src/cli/key.ts
+++ b/src/cli/key.ts
@@ -5,7 +5,7 @@
 import { randomBytes } from "node:crypto";
 import { Command, Option } from "clipanion";
 import * as E from "fp-ts/Either";
-import type { Configuration } from "../core/config";
+import type { Configuration } from "../core/config/objects";
 import { hashKey } from "../core/ids";
 import { ChangeCommand, LogCommand } from "./base";
 import { Exit, type ExitCode } from "./exit";
--- a/src/cli/object.ts
+++ b/src/cli/object.ts
@@ -4,7 +4,7 @@
  */
 import { Command, Option } from "clipanion";
 import * as E from "fp-ts/Either";
-import type { Configuration, ObjectKind } from "../core/config";
+import type { Configuration, ObjectKind } from "../core/config/objects";
 import type { Selector } from "../core/labels";
 import { ChangeCommand, LogCommand } from "./base";
 import { Exit, type ExitCode } from "./exit";
--- a/src/cli/publisher.ts
+++ b/src/cli/publisher.ts
@@ -5,9 +5,14 @@
 import { pause } from "../core/clock";
 import { randomUUID } from "node:crypto";
 import * as E from "fp-ts/Either";
-import type { Configuration } from "../core/config";
-import { ControlFold } from "../core/controlfold";
-import { applyChanges, type Change, type ConfigRecord, type ConfigState } from "../core/configfold";
+import type { Configuration } from "../core/config/objects";
+import { ControlFold } from "../core/config/controlfold";
+import {
+  applyChanges,
+  type Change,
+  type ConfigRecord,
+  type ConfigState,
+} from "../core/config/fold";
 import { HttpLogClient, type LogClient, StreamName } from "../store/log";
 import { Exit, type ExitCode } from "./exit";
 
--- a/src/control/controlreader.ts
+++ b/src/control/controlreader.ts
@@ -5,7 +5,12 @@
  */
 import type { Blackboard } from "../board/board";
 import type { Clock, Moment } from "../core/clock";
-import { ControlFold, type LogRecord, type Snapshot, snapshotCodec } from "../core/controlfold";
+import {
+  ControlFold,
+  type LogRecord,
+  type Snapshot,
+  snapshotCodec,
+} from "../core/config/controlfold";
 import type { IdGenerator } from "../core/ids";
 import type { Logger } from "../core/log";
 import { runTask } from "../core/tasks";
--- a/src/control/endpointcontroller.ts
+++ b/src/control/endpointcontroller.ts
@@ -6,7 +6,7 @@
 import * as E from "fp-ts/Either";
 import type { Blackboard, EndpointView } from "../board/board";
 import type { Clock, Moment } from "../core/clock";
-import { type Endpoint, Role } from "../core/config";
+import { type Endpoint, Role } from "../core/config/objects";
 import type { Logger } from "../core/log";
 import { runTask } from "../core/tasks";
 import type { EngineClient } from "../endpoint/engine";
--- a/src/control/prober.ts
+++ b/src/control/prober.ts
@@ -5,10 +5,11 @@
 import * as E from "fp-ts/Either";
 import type { Blackboard } from "../board/board";
 import type { Clock, Moment } from "../core/clock";
-import { Role } from "../core/config";
+import { Role } from "../core/config/objects";
 import type { Logger } from "../core/log";
 import { runTask } from "../core/tasks";
-import { type EngineReport, type EngineClient, EngineFault } from "../endpoint/engine";
+import type { EngineReport, EngineClient } from "../endpoint/engine";
+import { EngineFault } from "../endpoint/fault";
 import type { OwnedEndpoints } from "./ownership";
 import type { InstanceIdentity } from "./membership";
 
--- a/src/control/scheduler.ts
+++ b/src/control/scheduler.ts
@@ -12,7 +12,7 @@
 import { listPools, type Pool } from "../core/pools";
 import { runTask } from "../core/tasks";
 import type { EngineReport } from "../endpoint/engine";
-import { EngineFault } from "../endpoint/engine";
+import { EngineFault } from "../endpoint/fault";
 import type { BookReply, BookRequest, Done, Grant, Refusal, Want } from "../peer/gen/peer";
 import { GrantTable, hasCandidates, type WaitingRequest } from "./grants";
 import type { SchedulerPolicy } from "./policy";
--- a/src/core/completions.ts
+++ b/src/core/completions.ts
@@ -4,7 +4,7 @@
  * before it show.
  */
 import type { Moment } from "./clock";
-import { type Subject, SubjectKind } from "./suspects";
+import { type Subject, SubjectKind } from "./crashes/suspects";
 
 /** Number of subjects of each kind whose completions are remembered. */
 const MAX_SUBJECTS = 10_000;
--- a/src/core/controlfold.ts
+++ b/src/core/config/controlfold.ts
@@ -9,11 +9,11 @@
  */
 import * as E from "fp-ts/Either";
 import * as t from "io-ts";
-import { type Configuration, createEmptyConfiguration, documentCodec } from "./config";
-import { createClosed } from "./codec";
-import type { DutyAssignment, DutyAssignments } from "./duties";
-import { foldDuty } from "./duties";
-import { type ConfigState, createConfigState, foldRecord } from "./configfold";
+import { type Configuration, createEmptyConfiguration, documentCodec } from "./objects";
+import { createClosed } from "../codec";
+import type { DutyAssignment, DutyAssignments } from "../duties";
+import { foldDuty } from "../duties";
+import { type ConfigState, createConfigState, foldRecord } from "./fold";
 
 const assignmentCodec = t.type({
   duty: t.keyof({ holder: null, controller: null }),
--- a/src/core/configfold.ts
+++ b/src/core/config/fold.ts
@@ -4,9 +4,9 @@
  */
 import * as E from "fp-ts/Either";
 import * as t from "io-ts";
-import type { Configuration, ObjectKind } from "./config";
-import { createEmptyConfiguration, KINDS, kindCodecs } from "./config";
-import { createClosed, decodeValue } from "./codec";
+import type { Configuration, ObjectKind } from "./objects";
+import { createEmptyConfiguration, KINDS, kindCodecs } from "./objects";
+import { createClosed, decodeValue } from "../codec";
 import { checkReferences } from "./references";
 
 const changeCodec = createClosed(
--- a/src/core/config.ts
+++ b/src/core/config/objects.ts
@@ -3,7 +3,7 @@
  * endpoints, selectors and data centres, each a named object.
  */
 import * as t from "io-ts";
-import { createClosed, createRange } from "./codec";
+import { createClosed, createRange } from "../codec";
 
 const MAX_TOKENS = 1e12;
 const DAY_MS = 86_400_000;
--- a/src/core/references.ts
+++ b/src/core/config/references.ts
@@ -2,9 +2,9 @@
  * Checks that every reference between the objects of a configuration names an existing object.
  */
 import * as E from "fp-ts/Either";
-import type { Configuration } from "./config";
-import { Role, RouteKind } from "./config";
-import { DecodeError } from "./codec";
+import type { Configuration } from "./objects";
+import { Role, RouteKind } from "./objects";
+import { DecodeError } from "../codec";
 
 /**
  * Checks every reference between objects, and members that depend on each other.
--- a/src/core/bans.ts
+++ b/src/core/crashes/bans.ts
@@ -3,7 +3,7 @@
  * on probation: one request at a time may try it. A crash bans it again for twice as long, a
  * completed run ends the ban.
  */
-import type { Moment } from "./clock";
+import type { Moment } from "../clock";
 
 /** How long the first ban of a part holds after the last crash with it, in milliseconds. */
 const BAN_MS = 60_000;
--- a/src/core/crashcounter.ts
+++ b/src/core/crashes/counter.ts
@@ -2,7 +2,7 @@
  * Counts the processes that crashed while they ran a request, for the detection of poison requests
  * by `PoisonDetector`.
  */
-import type { Moment } from "./clock";
+import type { Moment } from "../clock";
 
 /** Number of processes that a request may crash before its copies are refused. */
 export const CRASHES_TO_BAN = 2;
--- a/src/core/culprits.ts
+++ b/src/core/crashes/culprits.ts
@@ -8,8 +8,8 @@
  * explains don't count against other parts, so that the fewest parts that explain all crashes are
  * found.
  */
-import type { Moment } from "./clock";
-import { CRASH_MEMORY_MS, type Crash } from "./crashmemory";
+import type { Moment } from "../clock";
+import { CRASH_MEMORY_MS, type Crash } from "./memory";
 import { groupByMoment, listOwnCrashes } from "./moments";
 
 /** Crashes after which a part that never completed is a culprit if no other part was in all. */
--- a/src/core/crashmemory.ts
+++ b/src/core/crashes/memory.ts
@@ -3,7 +3,7 @@
  * the crashed process, and passes on what peers reported; so a crash is merged by its process, and
  * neither the order nor the number of reports matters.
  */
-import type { Moment } from "./clock";
+import type { Moment } from "../clock";
 import type { Suspect } from "./suspects";
 
 /**
--- a/src/core/moments.ts
+++ b/src/core/crashes/moments.ts
@@ -2,8 +2,8 @@
  * Tells crashes that happened at one moment from others: a loss of power ends many processes at
  * once, and says nothing about what ran on them.
  */
-import type { Moment } from "./clock";
-import type { Crash } from "./crashmemory";
+import type { Moment } from "../clock";
+import type { Crash } from "./memory";
 
 /** Crashes within this time of the first one happened at one moment, in milliseconds. */
 const MOMENT_MS = 250;
--- a/src/core/poison.ts
+++ b/src/core/crashes/poison.ts
@@ -11,8 +11,8 @@
  * a likely poison request does not run; its copies are banned only once both crashes are confirmed.
  * Those crashes then count as explained: all other requests that ran through them are cleared.
  */
-import type { Moment } from "./clock";
-import { CrashCounter, CRASHES_TO_BAN } from "./crashcounter";
+import type { Moment } from "../clock";
+import { CrashCounter, CRASHES_TO_BAN } from "./counter";
 
 /** How long a request that ran through a crash stays suspect, in milliseconds. */
 export const SUSPECT_MS = 120_000;
--- a/src/core/suspects.ts
+++ b/src/core/crashes/suspects.ts
@@ -3,7 +3,7 @@
  * their prompts. Answers the fault that crashes were counted against everything that ran there,
  * streams that had been written for seconds included.
  */
-import type { Moment } from "./clock";
+import type { Moment } from "../clock";
 
 /**
  * How long after its first event a run may still have crashed its engine, in milliseconds: the
--- a/src/core/crashes.ts
+++ b/src/core/crashes/tracker.ts
@@ -4,9 +4,9 @@
  * exchanged with all peers, so that all come to the same bans.
  */
 import { BanList, type BanReport, type PartBan } from "./bans";
-import type { Moment } from "./clock";
-import { CompletionMemory, type CompletionReport } from "./completions";
-import { CRASH_MEMORY_MS, type Crash, CrashMemory, type CrashReport } from "./crashmemory";
+import type { Moment } from "../clock";
+import { CompletionMemory, type CompletionReport } from "../completions";
+import { CRASH_MEMORY_MS, type Crash, CrashMemory, type CrashReport } from "./memory";
 import { type Culprit, findCulprits, listUnexplained } from "./culprits";
 import { groupByMoment, listOwnCrashes } from "./moments";
 import { listSubjects, type Subject, SubjectKind, type Suspect } from "./suspects";
--- a/src/core/outcome.ts
+++ b/src/core/outcome.ts
@@ -99,3 +99,8 @@
 ): Refusal {
   return new Refusal(502, reason, ExecutionStatus.unknown, message, retryAfterMs);
 }
+
+/** Creates the final result of a request whose caller has left. */
+export function createCancelledRefusal(): Refusal {
+  return new Refusal(499, Reason.cancelled, ExecutionStatus.unknown, "the caller has left");
+}
--- a/src/core/pools.ts
+++ b/src/core/pools.ts
@@ -1,7 +1,7 @@
 /**
  * Groups the engines of a configuration into pools, each with one scheduler at a time.
  */
-import { type Configuration, type Endpoint, Role } from "./config";
+import { type Configuration, type Endpoint, Role } from "./config/objects";
 
 /** An endpoint with its name in the configuration. */
 export interface NamedEndpoint extends Endpoint {
--- a/src/forward/silence.ts
+++ b/src/core/silence.ts
@@ -4,9 +4,9 @@
  * what the engine may still write.
  */
 
-import type { Clock, Moment } from "../core/clock";
-import { formatStack, type Logger } from "../core/log";
-import { ReadFirstTimer } from "../core/readfirst";
+import type { Clock, Moment } from "./clock";
+import { formatStack, type Logger } from "./log";
+import { ReadFirstTimer } from "./readfirst";
 
 /** Pause between two searches in one silence, in milliseconds. */
 const SEARCH_PAUSE_MS = 500;
--- a/src/endpoint/engine.ts
+++ b/src/endpoint/engine.ts
@@ -8,48 +8,17 @@
 import type { PrefixBlock } from "../core/tokens";
 import { decodeValue } from "../core/codec";
 import { createSender, type JsonResponse, type Sender, type SendError } from "../store/http";
-import { openTokenStream, type TokenStream, type TokenStreamListener } from "./stream";
+import { EngineError, EngineFault, isOfAnother, mapStatusToFault } from "./fault";
+import {
+  type DecodeRequest,
+  openTokenStream,
+  type TokenStream,
+  type TokenStreamListener,
+} from "./stream";
 
 /** Timeout of all calls except prefill and decode, unless the caller states limits. */
 export const CALL_TIMEOUT_MS = 1000;
 
-/** Why a call to an engine failed. */
-export const EngineFault = {
-  /** No connection was established: no byte of the call can have reached the engine. */
-  unreachable: "unreachable",
-  /** The connection was refused: no process listens there, and no byte can have reached one. */
-  down: "down",
-  /** The engine has no free capacity. */
-  full: "full",
-  /** The engine is draining and leaves the fleet. */
-  draining: "draining",
-  /** The engine no longer has the hold or the result of the prefill. */
-  lost: "lost",
-  /** The connection broke after the call may have been sent. */
-  broken: "broken",
-  /** The engine sent nothing within the timeout. */
-  silent: "silent",
-  /** The response belongs to another attempt, or its stream skipped a token. */
-  mismatch: "mismatch",
-  /** The engine rejected the call, or its response could not be decoded. */
-  refused: "refused",
-  /** The request was cancelled: the caller disconnected or the deadline passed, for example. */
-  cancelled: "cancelled",
-} as const;
-export type EngineFault = (typeof EngineFault)[keyof typeof EngineFault];
-
-/** A failed call to an engine. */
-export class EngineError extends Error {
-  override readonly name = "EngineError";
-
-  constructor(
-    readonly fault: EngineFault,
-    message: string,
-  ) {
-    super(message);
-  }
-}
-
 const reportCodec = t.type({
   name: t.string,
   incarnation: t.string,
@@ -99,19 +68,6 @@
 /** The result of a prefill; the engine keeps the exported KV cache only for a short time. */
 export type PrefillResult = t.TypeOf<typeof prefillCodec>;
 
-/** A decode to run in a reserved slot. */
-export interface DecodeRequest {
-  readonly attempt: string;
-  readonly hold: string;
-  readonly model: string;
-  /** Where to fetch the KV cache; absent to resume a hold whose connection was lost. */
-  readonly import?: { readonly url: string; readonly exportId: string };
-  /** Index of the first token to send. */
-  readonly from: number;
-  readonly maxTokens: number;
-  readonly priority: number;
-}
-
 /** An order that sets the role and the models of an engine; `fence` is its fencing token. */
 export interface Order {
   readonly fence: number;
@@ -205,30 +161,6 @@
   }
 }
 
-/**
- * Checks whether a response names another attempt; a failure usually names none.
- *
- * @example
- * isOfAnother({ "x-attempt-id": "nizwa-1/5f:1" }, "nizwa-1/5f:2"); // true
- */
-export function isOfAnother(headers: JsonResponse["headers"], attempt: string): boolean {
-  const named = headers["x-attempt-id"];
-  return named !== undefined && named !== attempt;
-}
-
-/**
- * Maps the status of an engine's error response to a fault.
- *
- * @example
- * mapStatusToFault(409); // "full"
- */
-export function mapStatusToFault(status: number): EngineFault {
-  if (status === 409) return EngineFault.full;
-  if (status === 503) return EngineFault.draining;
-  if (status === 404 || status === 410) return EngineFault.lost;
-  return EngineFault.refused;
-}
-
 function mapSendErrorToFault(error: SendError): EngineFault {
   if (error.isDown) return EngineFault.down;
   if (!error.isSent) return EngineFault.unreachable;
--- a/src/endpoint/stream.ts
+++ b/src/endpoint/stream.ts
@@ -6,13 +6,20 @@
 import type { Dispatcher } from "undici";
 import type { Sender } from "../store/http";
 import { isConnectionRefused, isConnectError } from "../store/http";
-import {
-  type DecodeRequest,
-  EngineError,
-  EngineFault,
-  isOfAnother,
-  mapStatusToFault,
-} from "./engine";
+import { EngineError, EngineFault, isOfAnother, mapStatusToFault } from "./fault";
+
+/** A decode to run in a reserved slot. */
+export interface DecodeRequest {
+  readonly attempt: string;
+  readonly hold: string;
+  readonly model: string;
+  /** Where to fetch the KV cache; absent to resume a hold whose connection was lost. */
+  readonly import?: { readonly url: string; readonly exportId: string };
+  /** Index of the first token to send. */
+  readonly from: number;
+  readonly maxTokens: number;
+  readonly priority: number;
+}
 
 /** Receives the tokens and the end of a stream. */
 export interface TokenStreamListener {
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -7,14 +7,15 @@
 import type { Moment } from "../core/clock";
 import { computeRemainingMs } from "../core/clock";
 import { parseIncarnation } from "../core/ids";
-import { CALL_TIMEOUT_MS, EngineError, EngineFault, type PrefillResult } from "../endpoint/engine";
+import { CALL_TIMEOUT_MS, type PrefillResult } from "../endpoint/engine";
+import { EngineError, EngineFault } from "../endpoint/fault";
 import type { Grant } from "../peer/gen/peer";
 import type { Completion, NamedClass } from "./completion";
 import { Decoding, formatProcess } from "./decoding";
 import { callPatiently, createCancelledError } from "./enginecall";
 import type { KeptStream } from "./keptstream";
 import type { AttemptFinder } from "./replacement";
-import type { RunnerParts } from "./runner";
+import type { RunnerParts } from "./runnerparts";
 
 /** How long a prefill may take before another attempt is looked for. */
 const PREFILL_TIMEOUT_MS = 20_000;
--- a/src/entry/caller.ts
+++ b/src/entry/caller.ts
@@ -5,7 +5,7 @@
 import * as E from "fp-ts/Either";
 import type { Blackboard } from "../board/board";
 import type { Moment } from "../core/clock";
-import type { Route } from "../core/config";
+import type { Route } from "../core/config/objects";
 import { hashKey } from "../core/ids";
 import { createNotRunRefusal, Reason, type Refusal } from "../core/outcome";
 
--- a/src/entry/completion.ts
+++ b/src/entry/completion.ts
@@ -4,7 +4,7 @@
 import * as E from "fp-ts/Either";
 import { pipe } from "fp-ts/function";
 import * as t from "io-ts";
-import type { Configuration, PriorityClass } from "../core/config";
+import type { Configuration, PriorityClass } from "../core/config/objects";
 import { decodeText } from "../core/codec";
 import { computeFingerprint } from "../core/ids";
 import { createNotRunRefusal, Reason, type Refusal } from "../core/outcome";
--- a/src/entry/decoding.ts
+++ b/src/entry/decoding.ts
@@ -5,14 +5,15 @@
 import * as E from "fp-ts/Either";
 import { computeRemainingMs } from "../core/clock";
 import { Metric } from "../core/metrics";
-import { CALL_TIMEOUT_MS, EngineError, EngineFault, type EngineReport } from "../endpoint/engine";
-import { SilenceWatch } from "../forward/silence";
+import { CALL_TIMEOUT_MS, type EngineReport } from "../endpoint/engine";
+import { EngineError, EngineFault } from "../endpoint/fault";
+import { SilenceWatch } from "../core/silence";
 import type { Grant } from "../peer/gen/peer";
 import type { AttemptError, AttemptRequest, KvSource, Progress } from "./attempt";
 import { callPatiently, createCancelledError, createSilentError } from "./enginecall";
 import { KeptStream } from "./keptstream";
 import type { AttemptFinder } from "./replacement";
-import type { RunnerParts } from "./runner";
+import type { RunnerParts } from "./runnerparts";
 
 /** How often one hold is resumed over a new connection. */
 const MAX_RECONNECTS = 3;
--- a/src/entry/enginecall.ts
+++ b/src/entry/enginecall.ts
@@ -5,8 +5,8 @@
 import * as E from "fp-ts/Either";
 import type { Clock } from "../core/clock";
 import type { Logger } from "../core/log";
-import { EngineError, EngineFault } from "../endpoint/engine";
-import { SilenceWatch } from "../forward/silence";
+import { EngineError, EngineFault } from "../endpoint/fault";
+import { SilenceWatch } from "../core/silence";
 import type { AttemptFinder } from "./replacement";
 
 /** A call, and what is done while it is silent. */
--- a/src/entry/grantrequest.ts
+++ b/src/entry/grantrequest.ts
@@ -7,7 +7,8 @@
 import { listPoolsForModel } from "../core/pools";
 import type { Grant, Refusal, Want } from "../peer/gen/peer";
 import type { Progress } from "./attempt";
-import type { RunnerParts, RunRequest } from "./runner";
+import type { RunRequest } from "./runner";
+import type { RunnerParts } from "./runnerparts";
 
 /** What is known about engines from the attempts before. */
 export interface EngineHistory {
--- a/src/entry/keptstream.ts
+++ b/src/entry/keptstream.ts
@@ -4,7 +4,7 @@
  * the caller before it has taken that place.
  */
 import { ReadFirstTimer } from "../core/readfirst";
-import type { EngineError } from "../endpoint/engine";
+import type { EngineError } from "../endpoint/fault";
 import type { TokenStream, TokenStreamListener } from "../endpoint/stream";
 
 type StreamEvent = (listener: TokenStreamListener) => void;
--- a/src/entry/patientsend.ts
+++ b/src/entry/patientsend.ts
@@ -6,7 +6,7 @@
 import type { Clock } from "../core/clock";
 import type { Logger } from "../core/log";
 import type { ServiceError, ServiceResponse } from "../endpoint/service";
-import { SilenceWatch } from "../forward/silence";
+import { SilenceWatch } from "../core/silence";
 
 /** How long one send may be silent before another endpoint is looked for, in milliseconds. */
 const SILENCE_TIMEOUT_MS = 2500;
--- a/src/entry/runner.ts
+++ b/src/entry/runner.ts
@@ -4,25 +4,20 @@
  * once.
  */
 import * as E from "fp-ts/Either";
-import type { Blackboard } from "../board/board";
-import type { SchedulerClient } from "../control/schedulerclient";
-import type { ChargeReceipt, RateLimitClient } from "../control/ratelimitclient";
-import type { HoldTracker } from "../control/holds";
-import { type Clock, type Moment, pause } from "../core/clock";
+import type { ChargeReceipt } from "../control/ratelimitclient";
+import { type Moment, pause } from "../core/clock";
 import { computeRemainingMs } from "../core/clock";
-import type { IdGenerator } from "../core/ids";
-import type { Logger } from "../core/log";
-import { Metric, type Metrics } from "../core/metrics";
+import { Metric } from "../core/metrics";
 import { createNotRunRefusal, ExecutionStatus, Reason, Refusal } from "../core/outcome";
 import { ReadFirstTimer } from "../core/readfirst";
-import type { RetryBudget } from "../core/retrybudget";
-import { type EngineClient, EngineFault } from "../endpoint/engine";
+import { EngineFault } from "../endpoint/fault";
 import type { Grant, Refusal as BookRefusal } from "../peer/gen/peer";
 import { Attempt, type AttemptResult, type Progress } from "./attempt";
 import { type Caller, checkCaller, shouldCancelRunning } from "./caller";
 import type { Completion, NamedClass } from "./completion";
 import { type EngineHistory, GrantRequester } from "./grantrequest";
 import { AttemptReplacer } from "./replacement";
+import type { RunnerParts } from "./runnerparts";
 import type { TokenSink } from "./sink";
 
 const MAX_ATTEMPTS = 10;
@@ -49,21 +44,6 @@
   [Reason.interrupted]: 502,
 };
 
-/** Dependencies that all completion runs of an instance share. */
-export interface RunnerParts {
-  readonly board: Blackboard;
-  readonly clock: Clock;
-  readonly ids: IdGenerator;
-  readonly dataCentre: string;
-  readonly schedulerClient: SchedulerClient;
-  readonly rateLimits: RateLimitClient;
-  readonly holdTracker: HoldTracker;
-  readonly engines: EngineClient;
-  readonly retries: RetryBudget;
-  readonly logger: Logger;
-  readonly metrics: Metrics;
-}
-
 /** A completion to run. */
 export interface RunRequest {
   readonly id: string;
--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -6,7 +6,7 @@
 import type { Socket } from "node:net";
 import * as E from "fp-ts/Either";
 import type { Moment } from "../core/clock";
-import { type Route, RouteKind } from "../core/config";
+import { type Route, RouteKind } from "../core/config/objects";
 import { formatStack } from "../core/log";
 import {
   createNotRunRefusal,
@@ -24,7 +24,8 @@
 import { type Caller, containsKey, identifyCaller, readKey } from "./caller";
 import { chooseClass, parseCompletion } from "./completion";
 import { chooseHeaders, type RoutedServiceResponse, type ServiceRouter } from "./service";
-import { CompletionRun, type RunnerParts } from "./runner";
+import { CompletionRun } from "./runner";
+import type { RunnerParts } from "./runnerparts";
 import { createSink } from "./sink";
 import { endIfUnread } from "./unread";
 
--- a/src/entry/service.ts
+++ b/src/entry/service.ts
@@ -11,11 +11,11 @@
 import type { RecordedResponse } from "../core/claims";
 import type { Clock, Moment } from "../core/clock";
 import { computeRemainingMs } from "../core/clock";
-import type { Route } from "../core/config";
+import type { Route } from "../core/config/objects";
 import { computeFingerprint, type IdGenerator } from "../core/ids";
 import type { Logger } from "../core/log";
 import { Metric, type Metrics } from "../core/metrics";
-import { CRASHES_TO_BAN } from "../core/crashcounter";
+import { CRASHES_TO_BAN } from "../core/crashes/counter";
 import {
   createNotRunRefusal,
   createUnknownRefusal,
--- a/src/entry/servicechoice.ts
+++ b/src/entry/servicechoice.ts
@@ -6,7 +6,7 @@
 import type { Blackboard } from "../board/board";
 import { isEndpointLeaving } from "../control/listpoller";
 import type { Clock } from "../core/clock";
-import { Role } from "../core/config";
+import { Role } from "../core/config/objects";
 import { matchesSelector, type Selector } from "../core/labels";
 import type { Logger } from "../core/log";
 import { createNotRunRefusal, Reason, type Refusal } from "../core/outcome";
--- a/src/fleet/joiner.ts
+++ b/src/fleet/joiner.ts
@@ -5,7 +5,7 @@
 import { type Clock, pause } from "../core/clock";
 import type { Logger } from "../core/log";
 import { runTask } from "../core/tasks";
-import type { Meter } from "../forward/meter";
+import type { Meter } from "../forward/requests";
 import type { MemberList, MemberIdentity } from "./members";
 import type { WritableFeed } from "./store";
 
--- a/src/fleet/watcher.ts
+++ b/src/fleet/watcher.ts
@@ -9,7 +9,7 @@
 import type { DecodeError } from "../core/codec";
 import type { Logger } from "../core/log";
 import { runTask } from "../core/tasks";
-import type { Meter } from "../forward/meter";
+import type { Meter } from "../forward/requests";
 import type { Beat } from "../peer/gen/fleet";
 import { FleetConfigIndex, type FleetConfig } from "./config";
 import type { EndpointDirectory } from "./directory";
--- a/src/forward/adapter.ts
+++ b/src/forward/adapter.ts
@@ -4,7 +4,7 @@
 import type { EndpointDecoder } from "../fleet/entries";
 import type { Store } from "../fleet/store";
 import type { ConfigDecoder } from "../fleet/watcher";
-import type { CallerCodec, EndpointCodec } from "./messages";
+import type { CallerCodec, EndpointCodec } from "./requests";
 
 /** An adapter to a platform: its store, codecs and decoders. */
 export interface Adapter {
--- a/src/forward/base.ts
+++ b/src/forward/base.ts
@@ -7,8 +7,7 @@
 import { createLogger, type Logger } from "../core/log";
 import type { MemberIdentity } from "../fleet/members";
 import type { Adapter } from "./adapter";
-import { LoopDelaySampler } from "./loopdelay";
-import { Meter } from "./meter";
+import { LoopDelaySampler, Meter } from "./requests";
 import type { ForwardSettings } from "./settings";
 
 const STANDARD_OUTPUT = 1;
--- a/src/forward/admission.ts
+++ b/src/forward/callers/admission.ts
@@ -3,20 +3,20 @@
  * before anything is sent.
  */
 import * as E from "fp-ts/Either";
-import type { Moment } from "../core/clock";
-import { computeFingerprint } from "../core/ids";
-import type { Logger } from "../core/log";
-import { createNotRunRefusal, createPoisonRefusal, Reason, type Refusal } from "../core/outcome";
+import type { Moment } from "../../core/clock";
+import { computeFingerprint } from "../../core/ids";
+import type { Logger } from "../../core/log";
+import { createNotRunRefusal, createPoisonRefusal, Reason, type Refusal } from "../../core/outcome";
 import {
   type FleetConfigIndex,
   chooseService,
   CostUnit,
   type FleetRoute,
   type FleetWorkspace,
-} from "../fleet/config";
-import type { CrashTracker } from "../core/crashes";
-import type { ForwardRequest, RequestHead } from "./messages";
-import type { QuotaCharger } from "./charges";
+} from "../../fleet/config";
+import type { CrashTracker } from "../../core/crashes/tracker";
+import type { ForwardRequest, RequestHead } from "../requests";
+import type { QuotaCharger } from "../shared";
 
 /** Retry delay for callers of an instance that isn't ready, in milliseconds. */
 const NOT_READY_RETRY_AFTER_MS = 300;
--- a/src/forward/dispatch.ts
+++ b/src/forward/callers/dispatch.ts
@@ -2,29 +2,29 @@
  * Runs a request from admission to its final response, and logs and counts how it ended.
  */
 import * as E from "fp-ts/Either";
-import type { Moment } from "../core/clock";
-import { ExecutionStatus, Reason, type Refusal } from "../core/outcome";
-import type { EngineLimits } from "../fleet/config";
-import type { StoreWatcher } from "../fleet/watcher";
+import type { Moment } from "../../core/clock";
+import { ExecutionStatus, Reason, type Refusal } from "../../core/outcome";
+import type { EngineLimits } from "../../fleet/config";
+import type { StoreWatcher } from "../../fleet/watcher";
 import type { Admission } from "./admission";
-import { computeTimes, type ForwardContext, type RequestTimes } from "./context";
-import type { ReservationQueue } from "./reservations";
-import type { EngineModel } from "./enginemodel";
-import type { EngineLoadTracker } from "./engines";
-import type { ForwardRequest } from "./messages";
-import { RequestOutcome } from "./meter";
-import type { PeerState } from "./peerstate";
-import { ServiceRun } from "./service";
-import type { RefusalTracker } from "./refusals";
-import type { ResumeResolver, StreamStart } from "./resume";
+import { computeTimes, type ForwardContext, type RequestTimes } from "../endpoints";
+import type { ReservationQueue, EngineModel, EngineLoadTracker } from "../engines";
+import { type ForwardRequest, RequestOutcome } from "../requests";
+import type { RefusalTracker } from "../shared";
+import { ServiceRun } from "../calls";
+import { type ResumeResolver, type StreamStart, StreamRun } from "../generations";
 import type { CallerResponse, CallerRequest } from "./server";
-import { StreamRun } from "./stream";
 
 /** The status recorded for a stream that was sent through the sink. */
 const STREAM_STATUS = 200;
 /** Responses with this status or a higher one count as failures of the endpoint. */
 const MIN_FAILURE_STATUS = 500;
 
+/** Counts the prompts that arrive at this instance. */
+export interface ArrivalRecorder {
+  recordArrival(promptTokens: number, now: Moment): void;
+}
+
 /** Dependencies of the dispatcher. */
 export interface DispatchParts {
   readonly context: ForwardContext;
@@ -34,7 +34,7 @@
   readonly engineLoad: EngineLoadTracker;
   readonly engineModel: EngineModel;
   readonly refusals: RefusalTracker;
-  readonly peerState: PeerState;
+  readonly arrivals: ArrivalRecorder;
   readonly watcher: StoreWatcher;
 }
 
@@ -90,14 +90,14 @@
     times: RequestTimes,
     { head, arrivedAt, caller, sink }: CallerRequest,
   ): Promise<RequestEnd> {
-    const { context, reservations, engineLoad, engineModel, refusals, peerState } = this.parts;
+    const { context, reservations, engineLoad, engineModel, refusals, arrivals } = this.parts;
     const engine = findEngineLimits(start.request);
     if (engine === undefined) {
       const run = new ServiceRun(context, start.request, times, caller);
       const response = await run.run();
       return { response, isCut: false, isCallerGone: caller.aborted, runs: run.runs };
     }
-    peerState.recordArrival(head.size?.promptTokens ?? 0, arrivedAt);
+    arrivals.recordArrival(head.size?.promptTokens ?? 0, arrivedAt);
     const parts = { context, reservations, engineLoad, engineModel, refusals };
     const run = new StreamRun(parts, start, engine, times, caller, sink);
     const response = await run.run();
--- /dev/null
+++ b/src/forward/callers/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Serves callers: parses, admits and dispatches their requests, and writes the responses.
+ */
+export { Admission } from "./admission";
+export { Dispatcher } from "./dispatch";
+export { type CallerRequest, type CallerResponse, ForwardServer } from "./server";
--- a/src/forward/server.ts
+++ b/src/forward/callers/server.ts
@@ -5,18 +5,21 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
 import * as E from "fp-ts/Either";
-import type { CallerLimits } from "../fleet/config";
-import type { Clock, Moment } from "../core/clock";
-import { formatStack, type Logger } from "../core/log";
-import { BadConnections } from "../entry/badconnection";
-import { BodyFailure, createBodyRefusal, readCallerBody } from "../entry/callerbody";
-import { endIfUnread } from "../entry/unread";
-import { createNotRunRefusal, createUnknownRefusal, Reason, type Refusal } from "../core/outcome";
-import { CallerConnections } from "./callerconnections";
-import type { CallerCodec, RequestHead } from "./messages";
-import type { Meter } from "./meter";
-import type { BufferedResponse } from "./service";
-import type { StreamSink } from "./decode";
+import type { CallerLimits } from "../../fleet/config";
+import type { Clock, Moment } from "../../core/clock";
+import { formatStack, type Logger } from "../../core/log";
+import { BadConnections } from "../../entry/badconnection";
+import { BodyFailure, createBodyRefusal, readCallerBody } from "../../entry/callerbody";
+import { endIfUnread } from "../../entry/unread";
+import {
+  createNotRunRefusal,
+  createUnknownRefusal,
+  Reason,
+  type Refusal,
+} from "../../core/outcome";
+import { CallerConnections } from "./connections";
+import type { BufferedResponse, CallerCodec, RequestHead, Meter } from "../requests";
+import type { StreamSink } from "../generations";
 
 /** Limits until a configuration is known. */
 const INITIAL_LIMITS: CallerLimits = {
--- a/src/forward/balancer.ts
+++ b/src/forward/calls/balancer.ts
@@ -1,8 +1,8 @@
 /**
  * Chooses the endpoint of a plain service for a request, by least cost.
  */
-import type { EndpointEntry } from "../fleet/entries";
-import type { HealthView } from "./health";
+import type { EndpointEntry } from "../../fleet/entries";
+import type { HealthView } from "../endpoints";
 
 /** An endpoint with its health as this instance sees it. */
 export interface Candidate {
--- /dev/null
+++ b/src/forward/calls/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Runs requests at plain services.
+ */
+export { ServiceRun } from "./run";
--- a/src/forward/service.ts
+++ b/src/forward/calls/run.ts
@@ -4,24 +4,27 @@
  * the first that is answered gives up the others.
  */
 import * as E from "fp-ts/Either";
-import { computeRemainingMs, type Moment } from "../core/clock";
+import { computeRemainingMs, type Moment } from "../../core/clock";
 import {
+  createCancelledRefusal,
   createNotRunRefusal,
   createPoisonRefusal,
   createUnknownRefusal,
   ExecutionStatus,
   Reason,
   Refusal,
-} from "../core/outcome";
-import { RetryMode } from "../fleet/config";
+} from "../../core/outcome";
+import { RetryMode } from "../../fleet/config";
 import { chooseEndpoint, type EndpointChoice } from "./balancer";
-import { type ForwardContext, type RequestTimes, resetDataCentreConnections } from "./context";
-import type { ForwardRequest } from "./messages";
-import { createSuspect } from "./probe";
+import {
+  type ForwardContext,
+  type RequestTimes,
+  resetDataCentreConnections,
+  createSuspect,
+} from "../endpoints";
+import type { BufferedResponse, ForwardRequest } from "../requests";
 import { RaceEventKind, SendRace } from "./sendrace";
-import { type BufferedResponse, SendEnd, type SendResult, ServiceSend } from "./servicesend";
-
-export type { BufferedResponse } from "./servicesend";
+import { SendEnd, type SendResult, ServiceSend } from "./send";
 
 /** Maximum number of sends of one request, including those that did not run it. */
 const MAX_SENDS = 4;
@@ -267,8 +270,3 @@
       isLimited: gate.isLimited(endpoint),
     }));
 }
-
-/** Creates the final result of a request whose caller has left. */
-export function createCancelledRefusal(): Refusal {
-  return new Refusal(499, Reason.cancelled, ExecutionStatus.unknown, "the caller has left");
-}
--- a/src/forward/servicesend.ts
+++ b/src/forward/calls/send.ts
@@ -2,15 +2,31 @@
  * Sends a request to one endpoint of a plain service, once, and buffers the whole response.
  */
 import * as E from "fp-ts/Either";
-import { computeRemainingMs, type Moment } from "../core/clock";
-import type { EndpointEntry } from "../fleet/entries";
-import { AbortCause, DeadlineSignal } from "./abort";
-import { discardBody, readWholeBody } from "./body";
-import { type OpenResponse, type SendFailure, SendFailureKind } from "./client";
-import { type ForwardContext, type RequestTimes, resetDataCentreConnections } from "./context";
-import { CallOutcome } from "./health";
-import { type ForwardRequest, type ResponseHead, SendTask, Verdict } from "./messages";
-import { canBeWhole, createSuspect, type EndpointState, probeEndpoint } from "./probe";
+import { computeRemainingMs, type Moment } from "../../core/clock";
+import type { EndpointEntry } from "../../fleet/entries";
+import {
+  AbortCause,
+  DeadlineSignal,
+  type BufferedResponse,
+  type ForwardRequest,
+  SendTask,
+  Verdict,
+} from "../requests";
+import {
+  discardBody,
+  readWholeBody,
+  type OpenResponse,
+  type SendFailure,
+  SendFailureKind,
+  type ForwardContext,
+  type RequestTimes,
+  resetDataCentreConnections,
+  CallOutcome,
+  canBeWhole,
+  createSuspect,
+  type EndpointState,
+  probeEndpoint,
+} from "../endpoints";
 import type { RacingSend } from "./sendrace";
 
 /** How long after the deadline a response in progress is still awaited, in milliseconds. */
@@ -18,17 +34,6 @@
 /** Responses with this status or a higher one don't say that the request ran to completion. */
 const MIN_FAILURE_STATUS = 400;
 
-/** A whole response of an endpoint. */
-export interface BufferedResponse {
-  readonly head: ResponseHead;
-  readonly body: Buffer;
-  /**
-   * False if the response had no length or chunks, so that only the end of its connection says that
-   * it is whole, which may be wrong.
-   */
-  readonly isFramed: boolean;
-}
-
 /** How one send ended. */
 export const SendEnd = {
   answered: "answered",
--- a/src/forward/sendrace.ts
+++ b/src/forward/calls/sendrace.ts
@@ -2,8 +2,8 @@
  * Keeps the sends of one request that are open beside each other, and hands over what happens to
  * them one event at a time, so that one loop decides on all of them.
  */
-import type { Logger } from "../core/log";
-import { ReadFirstTimer } from "../core/readfirst";
+import type { Logger } from "../../core/log";
+import { ReadFirstTimer } from "../../core/readfirst";
 
 /** A send that may be open beside others. */
 export interface RacingSend<Result> {
--- a/src/forward/dialing.ts
+++ b/src/forward/dialing.ts
@@ -4,15 +4,19 @@
 import type { EndpointDirectory } from "../fleet/directory";
 import type { ReplicaCandidate } from "../fleet/replicas";
 import type { InstanceBase } from "./base";
-import { Dialer, type WayListener } from "./dialer";
-import { TcpOpener } from "./directopener";
+import {
+  Dialer,
+  type WayListener,
+  TcpOpener,
+  DirectLinkChecker,
+  type LinkChecker,
+  type PathTracker,
+  PeerTunnelOpener,
+  type TunnelOpener,
+} from "./tunnels";
 import type { FleetView } from "./fleetview";
-import type { EndpointTarget } from "./gate";
-import { DirectLinkChecker, type LinkChecker } from "./linkcheck";
-import type { PathTracker } from "./paths";
-import { ConnectionWay } from "./pool";
-import { PeerTunnelOpener } from "./tunnelpeer";
-import type { TunnelOpener } from "./tunnels";
+import type { EndpointTarget } from "./limits";
+import { ConnectionWay } from "./endpoints";
 
 /** The peers that open connections for this instance, and how they are asked. */
 export interface PeerWays {
--- a/src/forward/client.ts
+++ b/src/forward/endpoints/client.ts
@@ -5,15 +5,14 @@
  */
 import type { Readable } from "node:stream";
 import * as E from "fp-ts/Either";
-import type { Clock } from "../core/clock";
-import { createTimeoutSignal } from "../core/readfirst";
-import { isConnectionRefused, isConnectError } from "../store/http";
+import type { Clock } from "../../core/clock";
+import { createTimeoutSignal } from "../../core/readfirst";
+import { isConnectionRefused, isConnectError } from "../../store/http";
 import { MAX_SMALL_BODY_BYTES } from "./body";
 import { type Connection, MAX_FRAMED_BYTES, MAX_HEAD_BYTES } from "./connection";
-import type { EndpointDialer } from "./dialer";
+import type { EndpointDialer } from "../tunnels";
 import { containsOwnHead, isCutInHead } from "./copy";
 import { isOwnAnswer } from "./exchange";
-import type { EndpointGate, EndpointTarget } from "./gate";
 import {
   type ResponseHead,
   type EndpointCodec,
@@ -21,7 +20,8 @@
   type EndpointRequest,
   SendTask,
   Verdict,
-} from "./messages";
+} from "../requests";
+import type { EndpointGate, EndpointTarget } from "../limits";
 import { ConnectionPool, ConnectionWay } from "./pool";
 
 /**
--- a/src/forward/connection.ts
+++ b/src/forward/endpoints/connection.ts
@@ -6,12 +6,10 @@
 import type { Socket } from "node:net";
 import * as E from "fp-ts/Either";
 import { type buildConnector, Client } from "undici";
-import { type Moment, pause } from "../core/clock";
-import { ByteLimit } from "../store/bytelimit";
-import type { DialOptions, EndpointDialer } from "./dialer";
-import type { DialledSocket } from "./dialrun";
-import type { EndpointTarget } from "./gate";
-import type { EndpointSocket } from "./tunnels";
+import { type Moment, pause } from "../../core/clock";
+import { ByteLimit } from "../../store/bytelimit";
+import type { DialOptions, EndpointDialer, DialledSocket, EndpointSocket } from "../tunnels";
+import type { EndpointTarget } from "../limits";
 
 /**
  * How long an idle connection is kept if the endpoint sends no keep-alive timeout, in milliseconds.
--- a/src/forward/context.ts
+++ b/src/forward/endpoints/context.ts
@@ -1,25 +1,20 @@
 /**
  * Dependencies and helpers that all requests of an instance share.
  */
-import type { Clock, Moment } from "../core/clock";
-import type { Logger } from "../core/log";
-import type { EndpointDirectory } from "../fleet/directory";
-import type { EndpointEntry } from "../fleet/entries";
-import type { Announcer } from "./announcer";
-import type { VersionHistory } from "../fleet/versionhistory";
+import type { Clock, Moment } from "../../core/clock";
+import type { Logger } from "../../core/log";
+import type { EndpointDirectory } from "../../fleet/directory";
+import type { EndpointEntry } from "../../fleet/entries";
+import type { Announcer, EndpointGate } from "../limits";
+import type { VersionHistory } from "../../fleet/versionhistory";
 import type { EndpointClient } from "./client";
-import type { Dialer } from "./dialer";
-import type { EndpointGate } from "./gate";
+import type { Dialer, LinkChecker, PathTracker } from "../tunnels";
 import type { Releaser } from "./releaser";
-import type { CrashTracker } from "../core/crashes";
-import type { EndpointCodec, ForwardRequest } from "./messages";
-import type { LinkChecker } from "./linkcheck";
-import type { PathTracker } from "./paths";
+import type { CrashTracker } from "../../core/crashes/tracker";
+import type { EndpointCodec, ForwardRequest, LoopDelaySampler, Meter } from "../requests";
 import type { HealthTracker } from "./health";
-import type { LoopDelaySampler } from "./loopdelay";
-import type { Meter } from "./meter";
-import type { RetryBudget } from "../core/retrybudget";
-import type { SharedOrigins } from "./sharedorigins";
+import type { RetryBudget } from "../../core/retrybudget";
+import type { SharedOrigins } from "../shared";
 
 /** Dependencies that all requests share. */
 export interface ForwardContext {
--- a/src/forward/health.ts
+++ b/src/forward/endpoints/health.ts
@@ -1,8 +1,8 @@
 /**
  * Tracks the load, the failures and the overdue calls of each endpoint, as this instance sees them.
  */
-import type { Moment } from "../core/clock";
-import type { EndpointLoad } from "./messages";
+import type { Moment } from "../../core/clock";
+import type { EndpointLoad } from "../requests";
 
 /**
  * How long an unreachable endpoint is avoided if there is another, in milliseconds; doubles with
--- /dev/null
+++ b/src/forward/endpoints/index.ts
@@ -0,0 +1,21 @@
+/**
+ * Sends requests and calls to endpoints, and tracks how they answer.
+ */
+export { discardBody, readBody, readWholeBody } from "./body";
+export {
+  type EndpointClient,
+  HttpEndpointClient,
+  type OpenResponse,
+  SendFailure,
+  SendFailureKind,
+} from "./client";
+export {
+  type ForwardContext,
+  type RequestTimes,
+  computeTimes,
+  resetDataCentreConnections,
+} from "./context";
+export { CallOutcome, HealthTracker, type HealthView } from "./health";
+export { ConnectionWay } from "./pool";
+export { EndpointState, canBeWhole, createSuspect, probeEndpoint } from "./probe";
+export { Releaser } from "./releaser";
--- a/src/forward/pool.ts
+++ b/src/forward/endpoints/pool.ts
@@ -4,11 +4,10 @@
  * them, but none goes twice on one connection. A call of the router's own, whose answer names
  * nothing, has a connection of its own.
  */
-import type { Clock } from "../core/clock";
+import type { Clock } from "../../core/clock";
 import { Connection } from "./connection";
-import type { EndpointDialer } from "./dialer";
-import type { EndpointTarget } from "./gate";
-import { isSameProcess } from "./paths";
+import { type EndpointDialer, isSameProcess } from "../tunnels";
+import type { EndpointTarget } from "../limits";
 
 /** The way of a connection. */
 export const ConnectionWay = {
--- a/src/forward/probe.ts
+++ b/src/forward/endpoints/probe.ts
@@ -1,11 +1,11 @@
 /**
  * Probes an endpoint by a new connection after a connection to it broke, and records crashes.
  */
-import type { Suspect } from "../core/suspects";
-import type { EndpointEntry } from "../fleet/entries";
+import type { Suspect } from "../../core/crashes/suspects";
+import type { EndpointEntry } from "../../fleet/entries";
 import type { ForwardContext } from "./context";
-import { ConnectState } from "./dialer";
-import type { ForwardRequest } from "./messages";
+import { ConnectState } from "../tunnels";
+import type { ForwardRequest } from "../requests";
 
 /** The state of an endpoint as a new connection shows it. */
 export const EndpointState = {
--- a/src/forward/releaser.ts
+++ b/src/forward/endpoints/releaser.ts
@@ -5,13 +5,13 @@
  * for a process that is gone: at its address, the same name may mean the memory of another request.
  */
 import * as E from "fp-ts/Either";
-import type { Clock, Moment } from "../core/clock";
-import type { Logger } from "../core/log";
-import type { EndpointDirectory } from "../fleet/directory";
-import type { EndpointEntry } from "../fleet/entries";
+import type { Clock, Moment } from "../../core/clock";
+import type { Logger } from "../../core/log";
+import type { EndpointDirectory } from "../../fleet/directory";
+import type { EndpointEntry } from "../../fleet/entries";
 import { type EndpointClient, SendFailureKind } from "./client";
-import type { EndpointGate } from "./gate";
-import type { EndpointCall } from "./messages";
+import type { EndpointGate } from "../limits";
+import type { EndpointCall } from "../requests";
 
 const RELEASE_TIMEOUT_MS = 500;
 
--- a/src/forward/holdcalls.ts
+++ b/src/forward/engines/holdcalls.ts
@@ -3,10 +3,10 @@
  * stopped waiting: the answer is read all the same, and a hold that comes late is released.
  */
 import * as E from "fp-ts/Either";
-import type { Moment } from "../core/clock";
-import { ReadFirstTimer } from "../core/readfirst";
-import type { EndpointEntry } from "../fleet/entries";
-import type { ForwardContext } from "./context";
+import type { Moment } from "../../core/clock";
+import { ReadFirstTimer } from "../../core/readfirst";
+import type { EndpointEntry } from "../../fleet/entries";
+import type { ForwardContext } from "../endpoints";
 
 /** How long a generation waits for the answer to one call, in milliseconds. */
 const ANSWER_TIMEOUT_MS = 500;
--- a/src/forward/engines.ts
+++ b/src/forward/engines/load.ts
@@ -2,10 +2,10 @@
  * Tracks the load of the engines of the fleet from the work of this instance and the work that
  * peers report, and chooses engines by it.
  */
-import type { Moment } from "../core/clock";
-import type { EngineLimits } from "../fleet/config";
-import { type EndpointEntry, EngineStage } from "../fleet/entries";
-import { computeDecodeReadMs, computePrefillMs } from "./enginemodel";
+import type { Moment } from "../../core/clock";
+import type { EngineLimits } from "../../fleet/config";
+import { type EndpointEntry, EngineStage } from "../../fleet/entries";
+import { computeDecodeReadMs, computePrefillMs } from "./model";
 
 /** Work in progress at an engine. */
 export interface EngineWork {
--- a/src/forward/enginemodel.ts
+++ b/src/forward/engines/model.ts
@@ -3,7 +3,7 @@
  * this instance and from what peers estimate. Everything that depends on the speed of engines
  * follows from it: the mix of stages, the choice between prefill and decode engine, and timeouts.
  */
-import type { Moment } from "../core/clock";
+import type { Moment } from "../../core/clock";
 
 /** Speed that is assumed until a prefill was measured, in prompt tokens per millisecond. */
 const INITIAL_TOKENS_PER_MS = 30;
--- a/src/forward/overload.ts
+++ b/src/forward/engines/overload.ts
@@ -4,9 +4,9 @@
  * take: those that can still meet their soft deadline are placed first, late ones after them, and
  * refused callers are told to retry when the burst may be over.
  */
-import { computeRemainingMs, type Moment } from "../core/clock";
-import type { EngineLimits } from "../fleet/config";
-import type { GenerationSize } from "./messages";
+import { computeRemainingMs, type Moment } from "../../core/clock";
+import type { EngineLimits } from "../../fleet/config";
+import type { GenerationSize } from "../requests";
 
 /**
  * The share of the time from arrival to the soft deadline that a generation may wait for memory.
--- a/src/forward/rebalancer.ts
+++ b/src/forward/engines/rebalancer.ts
@@ -4,16 +4,15 @@
  * lease in the store's log decides.
  */
 import * as E from "fp-ts/Either";
-import type { Clock, Moment } from "../core/clock";
-import type { Logger } from "../core/log";
-import { chooseByRendezvousHash } from "../core/rendezvous";
-import { runTask } from "../core/tasks";
-import type { FleetService } from "../fleet/config";
-import type { OrderLeases } from "../fleet/orders";
-import type { EndpointClient } from "./client";
-import type { EndpointGate } from "./gate";
-import type { EndpointCodec } from "./messages";
-import { OrderResult } from "./messages";
+import type { Clock, Moment } from "../../core/clock";
+import type { Logger } from "../../core/log";
+import { chooseByRendezvousHash } from "../../core/rendezvous";
+import { runTask } from "../../core/tasks";
+import type { FleetService } from "../../fleet/config";
+import type { OrderLeases } from "../../fleet/orders";
+import type { EndpointClient } from "../endpoints";
+import type { EndpointGate } from "../limits";
+import { type EndpointCodec, OrderResult } from "../requests";
 import { chooseStageChange, type StageChange, type StageLoad } from "./stages";
 
 /** Interval of the checks, in milliseconds. */
--- a/src/forward/reservations.ts
+++ b/src/forward/engines/reservations.ts
@@ -2,17 +2,16 @@
  * Queues generations until they get memory at a decode engine. The engine decides whether it has
  * room: its memory is reserved before a prompt is read, so that no prompt is read in vain.
  */
-import type { Moment } from "../core/clock";
-import type { Suspect } from "../core/suspects";
-import type { EngineLimits } from "../fleet/config";
-import { type EndpointEntry, EngineStage } from "../fleet/entries";
-import type { ForwardContext } from "./context";
-import { chooseDecode, type EngineLoadTracker, type EngineView } from "./engines";
+import type { Moment } from "../../core/clock";
+import type { Suspect } from "../../core/crashes/suspects";
+import type { EngineLimits } from "../../fleet/config";
+import { type EndpointEntry, EngineStage } from "../../fleet/entries";
+import type { ForwardContext } from "../endpoints";
+import { chooseDecode, type EngineLoadTracker, type EngineView } from "./load";
 import { type GrantedHold, HoldCaller, HoldEnd } from "./holdcalls";
-import type { StreamOrigin } from "./origins";
+import { type StreamOrigin, canGoOn } from "../shared";
 import { limitCapacity } from "./overload";
-import { canGoOn } from "./versions";
-import { type UrgentQueueItem, UrgentQueue } from "../core/urgentqueue";
+import { type UrgentQueueItem, UrgentQueue } from "../../core/urgentqueue";
 
 /** How often the queue is checked for generations that can be dispatched, in milliseconds. */
 const DISPATCH_INTERVAL_MS = 20;
--- a/src/forward/stages.ts
+++ b/src/forward/engines/stages.ts
@@ -2,8 +2,8 @@
  * Computes how many engines of a service should prefill and how many should decode from the prompt
  * tokens that arrive, and chooses the engine that changes its stage.
  */
-import { MS_PER_SECOND } from "../core/clock";
-import { type EndpointEntry, EngineStage } from "../fleet/entries";
+import { MS_PER_SECOND } from "../../core/clock";
+import { type EndpointEntry, EngineStage } from "../../fleet/entries";
 
 /** The engines and the load of a service. */
 export interface StageLoad {
--- a/src/forward/gauges.ts
+++ b/src/forward/gauges.ts
@@ -1,7 +1,7 @@
 /**
  * Gauges of an instance, whose values are read at each scrape.
  */
-import type { Meter } from "./meter";
+import type { Meter } from "./requests";
 
 /** Reads the values of the gauges. */
 export interface GaugeSource {
--- a/src/forward/decode.ts
+++ b/src/forward/generations/decode.ts
@@ -3,23 +3,20 @@
  * produce it.
  */
 import * as E from "fp-ts/Either";
-import type { Moment } from "../core/clock";
-import { isAcquitted } from "../core/suspects";
-import type { EndpointEntry } from "../fleet/entries";
-import type { OpenResponse } from "./client";
-import type { RequestTimes } from "./context";
-import type { StreamEvent } from "./events";
-import type { ForwardRequest } from "./messages";
-import { canBeWhole, createSuspect } from "./probe";
-import type { StreamOrigin } from "./origins";
+import type { Moment } from "../../core/clock";
+import { isAcquitted } from "../../core/crashes/suspects";
+import type { EndpointEntry } from "../../fleet/entries";
+import { type OpenResponse, type RequestTimes, canBeWhole, createSuspect } from "../endpoints";
 import { RelayEnd, relayEvents, type RelayResult } from "./relay";
+import { SilenceWatch } from "../../core/silence";
+import type { StreamEvent } from "./events";
+import type { ForwardRequest } from "../requests";
+import { createAbortResult, TryEnd, type TryResult } from "./tries";
+import { type StreamOrigin, confirmOrigin } from "../shared";
 import type { RunReplacer } from "./replacement";
 import type { StreamStart } from "./resume";
 import type { RunSender, RunSenderParts } from "./runsender";
 import type { SentRun } from "./sentrun";
-import { SilenceWatch } from "./silence";
-import { createAbortResult, TryEnd, type TryResult } from "./tries";
-import { confirmOrigin } from "./versions";
 
 /**
  * How long a resumable stream may be silent before another engine is looked for, in milliseconds.
--- a/src/forward/prefill.ts
+++ b/src/forward/generations/prefill.ts
@@ -3,17 +3,26 @@
  * until a decode engine takes it over or it is released.
  */
 import * as E from "fp-ts/Either";
-import { computeRemainingMs, type Moment } from "../core/clock";
-import type { EngineLimits } from "../fleet/config";
-import type { EndpointEntry } from "../fleet/entries";
-import { DeadlineSignal } from "./abort";
-import { readBody } from "./body";
-import type { OpenResponse, SendFailure } from "./client";
-import { type ForwardContext, type RequestTimes, resetDataCentreConnections } from "./context";
-import { computePrefillMs, type EngineModel } from "./enginemodel";
-import { choosePrefill, type EngineLoadTracker, type EngineView } from "./engines";
-import { type CacheSource, type ForwardRequest, SendTask } from "./messages";
+import { computeRemainingMs, type Moment } from "../../core/clock";
+import type { EngineLimits } from "../../fleet/config";
+import type { EndpointEntry } from "../../fleet/entries";
+import { DeadlineSignal, type CacheSource, type ForwardRequest, SendTask } from "../requests";
 import type { SendBudget } from "./sendbudget";
+import {
+  readBody,
+  type OpenResponse,
+  type SendFailure,
+  type ForwardContext,
+  type RequestTimes,
+  resetDataCentreConnections,
+} from "../endpoints";
+import {
+  computePrefillMs,
+  type EngineModel,
+  choosePrefill,
+  type EngineLoadTracker,
+  type EngineView,
+} from "../engines";
 
 /** Timeout of a prefill, as a multiple of the time that it is expected to take. */
 const PREFILL_TIMEOUT_FACTOR = 4;
--- a/src/forward/relay.ts
+++ b/src/forward/generations/relay.ts
@@ -2,9 +2,9 @@
  * Forwards the events of one response until the stream ends or breaks, another engine takes over, or
  * the request is aborted. Silence alone does not end it.
  */
-import type { DeadlineSignal } from "./abort";
-import type { OpenResponse } from "./client";
+import type { DeadlineSignal } from "../requests";
 import { EventSplitter, type StreamEvent } from "./events";
+import type { OpenResponse } from "../endpoints";
 
 /** Maximum size of one event, in bytes; a longer one is no event of an engine. */
 export const MAX_EVENT_BYTES = 256 * 1024;
--- a/src/forward/replacement.ts
+++ b/src/forward/generations/replacement.ts
@@ -2,11 +2,11 @@
  * Finds another engine for a generation whose run is silent. The silent run is kept until the
  * response of its replacement begins, so that the generation always has a run that may end it.
  */
-import type { ForwardContext } from "./context";
-import { ReadFirstTimer } from "../core/readfirst";
-import type { Reservation } from "./reservations";
+import type { ForwardContext } from "../endpoints";
+import type { ReplacementFinder } from "../../core/silence";
+import { ReadFirstTimer } from "../../core/readfirst";
+import type { Reservation } from "../engines";
 import { HeadState, type SentRun, type TryStart } from "./sentrun";
-import type { ReplacementFinder } from "./silence";
 
 /**
  * How long a run in doubt is silent beyond its timeout before its own engine is asked to run the
--- a/src/forward/resume.ts
+++ b/src/forward/generations/resume.ts
@@ -3,16 +3,19 @@
  * not known, the request is refused as not run: never a guess.
  */
 import * as E from "fp-ts/Either";
-import { createNotRunRefusal, Reason, type Refusal } from "../core/outcome";
-import type { Clock } from "../core/clock";
-import type { EndpointDirectory } from "../fleet/directory";
-import type { VersionHistory } from "../fleet/versionhistory";
-import type { Logger } from "../core/log";
-import type { ForwardRequest, RequestHead } from "./messages";
-import type { Meter } from "./meter";
-import type { StreamOrigin } from "./origins";
-import { type FoundOrigin, OriginSource, type SharedOrigins } from "./sharedorigins";
-import { confirmOrigin } from "./versions";
+import { createNotRunRefusal, Reason, type Refusal } from "../../core/outcome";
+import type { Clock } from "../../core/clock";
+import type { EndpointDirectory } from "../../fleet/directory";
+import type { VersionHistory } from "../../fleet/versionhistory";
+import type { Logger } from "../../core/log";
+import type { ForwardRequest, RequestHead, Meter } from "../requests";
+import {
+  type StreamOrigin,
+  type FoundOrigin,
+  OriginSource,
+  type SharedOrigins,
+  confirmOrigin,
+} from "../shared";
 
 /**
  * How long after the end of a caller's request it may take up the stream again, in milliseconds:
--- a/src/forward/runreserver.ts
+++ b/src/forward/generations/runreserver.ts
@@ -1,14 +1,16 @@
 /**
  * Reserves memory at decode engines for the runs of one generation.
  */
-import type { EngineLimits } from "../fleet/config";
-import type { ForwardContext, RequestTimes } from "./context";
-import type { ForwardRequest } from "./messages";
-import type { StreamOrigin } from "./origins";
-import { computeReservationTokens, computeWaitLimits } from "./overload";
-import { createSuspect } from "./probe";
-import type { RefusalTracker } from "./refusals";
-import type { Reservation, ReservationQueue } from "./reservations";
+import type { EngineLimits } from "../../fleet/config";
+import { type ForwardContext, type RequestTimes, createSuspect } from "../endpoints";
+import type { ForwardRequest } from "../requests";
+import type { RefusalTracker, StreamOrigin } from "../shared";
+import {
+  computeReservationTokens,
+  computeWaitLimits,
+  type Reservation,
+  type ReservationQueue,
+} from "../engines";
 
 /** How long a generation that runs waits for room at another engine, in milliseconds. */
 const SEARCH_WAIT_MS = 1000;
--- a/src/forward/runsender.ts
+++ b/src/forward/generations/runsender.ts
@@ -3,20 +3,25 @@
  * a run without a stream says of its engine.
  */
 import * as E from "fp-ts/Either";
-import { computeRemainingMs, type Moment } from "../core/clock";
-import { isSuspect } from "../core/suspects";
-import { RetryMode } from "../fleet/config";
-import type { EndpointEntry } from "../fleet/entries";
-import type { DeadlineSignal } from "./abort";
-import { discardBody, readWholeBody } from "./body";
-import type { OpenResponse, SendFailure } from "./client";
-import { type ForwardContext, type RequestTimes, resetDataCentreConnections } from "./context";
-import type { EngineLoadTracker } from "./engines";
-import { type ForwardRequest, SendTask, Verdict } from "./messages";
-import { EndpointState, probeEndpoint } from "./probe";
-import type { ReservationQueue } from "./reservations";
-import { isStream, SentRun, type TryStart } from "./sentrun";
+import { computeRemainingMs, type Moment } from "../../core/clock";
+import { isSuspect } from "../../core/crashes/suspects";
+import { RetryMode } from "../../fleet/config";
+import type { EndpointEntry } from "../../fleet/entries";
+import { type DeadlineSignal, type ForwardRequest, SendTask, Verdict } from "../requests";
 import { createAbortResult, TryEnd, type TryResult } from "./tries";
+import {
+  discardBody,
+  readWholeBody,
+  type OpenResponse,
+  type SendFailure,
+  type ForwardContext,
+  type RequestTimes,
+  resetDataCentreConnections,
+  EndpointState,
+  probeEndpoint,
+} from "../endpoints";
+import type { EngineLoadTracker, ReservationQueue } from "../engines";
+import { isStream, SentRun, type TryStart } from "./sentrun";
 
 /** Dependencies of a sender. */
 export interface RunSenderParts {
--- a/src/forward/sendbudget.ts
+++ b/src/forward/generations/sendbudget.ts
@@ -2,8 +2,8 @@
  * Charges the sends of one request to the retry budget of its service. The first send that reaches
  * an endpoint is free, and so is the first prefill that an engine accepts or may have accepted.
  */
-import type { Clock } from "../core/clock";
-import type { RetryBudget } from "../core/retrybudget";
+import type { Clock } from "../../core/clock";
+import type { RetryBudget } from "../../core/retrybudget";
 
 /** Counts the sends of one request. */
 export class SendBudget {
--- a/src/forward/sentrun.ts
+++ b/src/forward/generations/sentrun.ts
@@ -2,13 +2,12 @@
  * One run of a generation at a decode engine, from its send to its end.
  */
 import * as E from "fp-ts/Either";
-import type { Moment } from "../core/clock";
-import { ReadFirstTimer } from "../core/readfirst";
-import type { EndpointEntry } from "../fleet/entries";
-import type { DeadlineSignal } from "./abort";
-import type { OpenResponse, SendFailure } from "./client";
-import { type CacheSource, type ResponseHead, Verdict } from "./messages";
-import type { Reservation } from "./reservations";
+import type { Moment } from "../../core/clock";
+import { ReadFirstTimer } from "../../core/readfirst";
+import type { EndpointEntry } from "../../fleet/entries";
+import { type DeadlineSignal, type CacheSource, type ResponseHead, Verdict } from "../requests";
+import type { OpenResponse, SendFailure } from "../endpoints";
+import type { Reservation } from "../engines";
 
 /** Responses with this status or a higher one carry no stream. */
 const MIN_NON_STREAM_STATUS = 300;
--- a/src/forward/stream.ts
+++ b/src/forward/generations/stream.ts
@@ -4,31 +4,31 @@
  * after its last whole event.
  */
 import * as E from "fp-ts/Either";
-import { computeRemainingMs, type Moment, pause } from "../core/clock";
-import type { Refusal } from "../core/outcome";
-import type { EngineLimits } from "../fleet/config";
-import type { EndpointEntry } from "../fleet/entries";
-import { DeadlineSignal } from "./abort";
-import type { ForwardContext, RequestTimes } from "./context";
+import { computeRemainingMs, type Moment, pause } from "../../core/clock";
+import type { Refusal } from "../../core/outcome";
+import type { EngineLimits } from "../../fleet/config";
+import type { EndpointEntry } from "../../fleet/entries";
+import {
+  DeadlineSignal,
+  type BufferedResponse,
+  type CacheSource,
+  type ForwardRequest,
+} from "../requests";
+import { type RefusalTracker, canGoOn } from "../shared";
+import { SendBudget } from "./sendbudget";
+import { createUnsentAbortResult, hasRun, TryEnd, type TryResult } from "./tries";
+import { type ForwardContext, type RequestTimes, createSuspect } from "../endpoints";
 import { Decoder, type StreamSink } from "./decode";
-import type { ReservationQueue, Reservation } from "./reservations";
-import type { EngineModel } from "./enginemodel";
-import type { EngineLoadTracker } from "./engines";
-import type { CacheSource, ForwardRequest } from "./messages";
-import { createCancelledRefusal, type BufferedResponse } from "./service";
+import type { ReservationQueue, Reservation, EngineModel, EngineLoadTracker } from "../engines";
+import { createCancelledRefusal } from "../../core/outcome";
 import { Prefiller } from "./prefill";
-import { createSuspect } from "./probe";
-import type { RefusalTracker } from "./refusals";
 import { EngineReplacer, readSilentRunState, SilentRunState } from "./replacement";
 import type { StreamStart } from "./resume";
 import { type ReplacementSearch, RunReserver } from "./runreserver";
 import { RunSender } from "./runsender";
-import { SendBudget } from "./sendbudget";
 import { isStream, type SentRun, type TryStart } from "./sentrun";
 import { createStreamRefusal } from "./streamrefusal";
 import { TryRecorder } from "./tryrecorder";
-import { createUnsentAbortResult, hasRun, TryEnd, type TryResult } from "./tries";
-import { canGoOn } from "./versions";
 
 /** Maximum number of engines tried for one generation, including those that did not run it. */
 const MAX_TRIES = 5;
--- a/src/forward/streamrefusal.ts
+++ b/src/forward/generations/streamrefusal.ts
@@ -1,7 +1,7 @@
 /**
  * Creates the refusal of a generation that no engine has completed.
  */
-import type { Moment } from "../core/clock";
+import type { Moment } from "../../core/clock";
 import {
   createNotRunRefusal,
   createPoisonRefusal,
@@ -9,12 +9,10 @@
   ExecutionStatus,
   Reason,
   Refusal,
-} from "../core/outcome";
-import type { ForwardContext } from "./context";
-import { computeRetryAfterMs } from "./overload";
-import { createSuspect } from "./probe";
-import type { RefusalTracker } from "./refusals";
-import type { ReservationQueue } from "./reservations";
+} from "../../core/outcome";
+import { type ForwardContext, createSuspect } from "../endpoints";
+import { computeRetryAfterMs, type ReservationQueue } from "../engines";
+import type { RefusalTracker } from "../shared";
 import type { StreamStart } from "./resume";
 
 /** What a refusal is computed from. */
--- a/src/forward/tries.ts
+++ b/src/forward/generations/tries.ts
@@ -1,8 +1,7 @@
 /**
  * How tries of a generation at engines end.
  */
-import { AbortCause, type DeadlineSignal } from "./abort";
-import type { BufferedResponse } from "./service";
+import { AbortCause, type DeadlineSignal, type BufferedResponse } from "../requests";
 
 /** How a try at an engine ended. */
 export const TryEnd = {
--- a/src/forward/tryrecorder.ts
+++ b/src/forward/generations/tryrecorder.ts
@@ -1,11 +1,11 @@
 /**
  * Records the tries of a generation in the log and in the metrics.
  */
-import { computeRemainingMs, type Moment } from "../core/clock";
-import type { ForwardContext, RequestTimes } from "./context";
-import type { ForwardRequest } from "./messages";
-import type { TryStart } from "./sentrun";
+import { computeRemainingMs, type Moment } from "../../core/clock";
+import type { ForwardContext, RequestTimes } from "../endpoints";
+import type { ForwardRequest } from "../requests";
 import { TryEnd, type TryResult } from "./tries";
+import type { TryStart } from "./sentrun";
 
 /** How far the stream to the caller has come. */
 export interface StreamProgress {
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -20,17 +20,15 @@
 } from "../peer/gen/fleet";
 import type { Adapter } from "./adapter";
 import { createInstanceBase, type InstanceBase } from "./base";
-import { answerCharge } from "./chargepeer";
+import { answerCharge, answerRecall, keepOrigins } from "./shared";
 import { addGauges } from "./gauges";
 import { Maintenance } from "./maintenance";
 import { createParts, type InstanceParts } from "./parts";
-import { answerRecall, keepOrigins } from "./originpeer";
-import { answerPermit } from "./permits";
-import { type CallerResponse, type CallerRequest, ForwardServer } from "./server";
+import { answerPermit } from "./limits";
+import { type CallerResponse, type CallerRequest, ForwardServer } from "./callers";
 import type { ForwardSettings } from "./settings";
 import { StatusServers } from "./status";
-import type { TunnelServerCall } from "./tunnel";
-import { TunnelServer } from "./tunnelserver";
+import { type TunnelServerCall, TunnelServer } from "./tunnels";
 
 export type { Adapter } from "./adapter";
 
--- a/src/forward/limitaccounts.ts
+++ b/src/forward/limits/accounts.ts
@@ -3,9 +3,9 @@
  * an endpoint. It answers the load of many instances at once on one endpoint in need. A new owner
  * begins with an empty bucket, since the one before may just have used a full one.
  */
-import { type Moment, MS_PER_SECOND } from "../core/clock";
-import { SlidingWindowSum } from "../core/window";
-import type { FleetSize } from "../fleet/members";
+import { type Moment, MS_PER_SECOND } from "../../core/clock";
+import { SlidingWindowSum } from "../../core/window";
+import type { FleetSize } from "../../fleet/members";
 
 /**
  * The least rate that is granted, in requests a second: only an answer can tell that an endpoint
--- a/src/forward/announcer.ts
+++ b/src/forward/limits/announcer.ts
@@ -2,7 +2,7 @@
  * Tells peers at once, ahead of the next regular heartbeat, what can't wait for it: engines crash
  * faster than heartbeats go, and an endpoint in need gets requests from all instances.
  */
-import type { Clock, Moment } from "../core/clock";
+import type { Clock, Moment } from "../../core/clock";
 
 /** Shortest time between two announcements, in milliseconds. */
 const MIN_INTERVAL_MS = 100;
--- a/src/forward/gate.ts
+++ b/src/forward/limits/gate.ts
@@ -3,12 +3,12 @@
  * leave, or named a limit that is used up. Every request and call to an endpoint passes here,
  * whatever its purpose.
  */
-import type { Clock, Moment } from "../core/clock";
-import type { Logger } from "../core/log";
-import type { EndpointDirectory } from "../fleet/directory";
-import type { EndpointEntry } from "../fleet/entries";
+import type { Clock, Moment } from "../../core/clock";
+import type { Logger } from "../../core/log";
+import type { EndpointDirectory } from "../../fleet/directory";
+import type { EndpointEntry } from "../../fleet/entries";
 import type { EndpointLimits } from "./limits";
-import type { EndpointNotice } from "./messages";
+import type { EndpointNotice } from "../requests";
 import type { Permits } from "./permits";
 
 /** The endpoint that a call is for. */
--- a/src/forward/limits.ts
+++ b/src/forward/limits/limits.ts
@@ -2,7 +2,7 @@
  * Keeps what endpoints say of the requests that they take from all instances together. The newest
  * word of a process counts, whoever heard it; a new process has said nothing yet.
  */
-import type { Moment } from "../core/clock";
+import type { Moment } from "../../core/clock";
 
 /** What a process of an endpoint said last of its limit. */
 export interface LimitWord {
--- a/src/forward/permits.ts
+++ b/src/forward/limits/permits.ts
@@ -3,15 +3,15 @@
  * owns each limit and grants its permits; an instance that cannot reach the owner sends nothing
  * there until the owner is replaced.
  */
-import type { Clock, Moment } from "../core/clock";
-import type { Logger } from "../core/log";
-import type { MemberList } from "../fleet/members";
-import type { OwnerChooser } from "../fleet/owners";
-import type { GrpcFleetTransport } from "../fleet/transport";
-import type { PermitReply, PermitRequest } from "../peer/gen/fleet";
-import type { LimitAccounts, PermitDecision } from "./limitaccounts";
+import type { Clock, Moment } from "../../core/clock";
+import type { Logger } from "../../core/log";
+import type { MemberList } from "../../fleet/members";
+import type { OwnerChooser } from "../../fleet/owners";
+import type { GrpcFleetTransport } from "../../fleet/transport";
+import type { PermitReply, PermitRequest } from "../../peer/gen/fleet";
+import type { LimitAccounts, PermitDecision } from "./accounts";
 import type { EndpointLimits, LimitWord } from "./limits";
-import { decodeLimit, encodeLimit } from "./limitwire";
+import { decodeLimit, encodeLimit } from "./wire";
 
 /** How long an owner may take to answer, in milliseconds; far more than a round trip. */
 const PERMIT_TIMEOUT_MS = 150;
--- a/src/forward/limitwire.ts
+++ b/src/forward/limits/wire.ts
@@ -2,8 +2,8 @@
  * Translates limits of endpoints into messages to peers and back. Ages stand in place of moments, as
  * each instance has its own clock.
  */
-import type { Moment } from "../core/clock";
-import type { EndpointLimit } from "../peer/gen/fleet";
+import type { Moment } from "../../core/clock";
+import type { EndpointLimit } from "../../peer/gen/fleet";
 import type { LimitWord } from "./limits";
 
 /**
--- a/src/forward/maintenance.ts
+++ b/src/forward/maintenance.ts
@@ -2,9 +2,9 @@
  * Does the periodic work of an instance: applies the limits for callers, logs the shares, watches
  * the versions of endpoints, and forgets endpoints that left.
  */
-import type { ForwardContext } from "./context";
+import type { ForwardContext } from "./endpoints";
 import type { FleetView } from "./fleetview";
-import type { ForwardServer } from "./server";
+import type { ForwardServer } from "./callers";
 
 const MAINTENANCE_INTERVAL_MS = 1000;
 /** Age up to which the list of endpoints counts as current, in milliseconds. */
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -7,35 +7,39 @@
 import { VersionHistory } from "../fleet/versionhistory";
 import { Joiner } from "../fleet/joiner";
 import { OrderLeases } from "../fleet/orders";
-import { Admission } from "./admission";
-import { Announcer } from "./announcer";
+import { Admission, Dispatcher } from "./callers";
+import {
+  Announcer,
+  EndpointGate,
+  LimitAccounts,
+  EndpointLimits,
+  PeerPermitTransport,
+  Permits,
+} from "./limits";
 import type { InstanceBase } from "./base";
-import { PeerChargeTransport } from "./chargepeer";
-import { QuotaCharger } from "./charges";
-import { HttpEndpointClient } from "./client";
-import type { ForwardContext } from "./context";
-import { createCrashTracker } from "./crashtracking";
+import {
+  PeerChargeTransport,
+  QuotaCharger,
+  PeerOriginTransport,
+  StreamOrigins,
+  Quotas,
+  SharedOrigins,
+  createCrashTracker,
+  RefusalTracker,
+} from "./shared";
+import { HttpEndpointClient, type ForwardContext, HealthTracker, Releaser } from "./endpoints";
 import { createDialer, createLinkChecker, createPeerWays } from "./dialing";
-import { Dispatcher } from "./dispatch";
-import { EngineModel } from "./enginemodel";
-import { EngineLoadTracker } from "./engines";
+import {
+  EngineModel,
+  EngineLoadTracker,
+  StageRebalancer,
+  type StageRebalancerParts,
+  ReservationQueue,
+} from "./engines";
 import { createFleetView, type FleetView } from "./fleetview";
-import { EndpointGate } from "./gate";
-import { HealthTracker } from "./health";
-import { LimitAccounts } from "./limitaccounts";
-import { EndpointLimits } from "./limits";
-import { PeerOriginTransport } from "./originpeer";
-import { StreamOrigins } from "./origins";
-import { PathTracker } from "./paths";
+import { PathTracker } from "./tunnels";
 import { PeerState } from "./peerstate";
-import { PeerPermitTransport, Permits } from "./permits";
-import { Quotas } from "./quota";
-import { StageRebalancer, type StageRebalancerParts } from "./rebalancer";
-import { RefusalTracker } from "./refusals";
-import { Releaser } from "./releaser";
-import { ReservationQueue } from "./reservations";
-import { ResumeResolver } from "./resume";
-import { SharedOrigins } from "./sharedorigins";
+import { ResumeResolver } from "./generations";
 
 /**
  * The share of an endpoint's maximum of connections that the fleet uses, so that the endpoint never
@@ -122,7 +126,7 @@
     admission,
     resumeResolver,
     ...engines,
-    peerState,
+    arrivals: peerState,
     watcher,
   });
   const { reservations } = engines;
--- a/src/forward/peerstate.ts
+++ b/src/forward/peerstate.ts
@@ -9,17 +9,11 @@
 import type { FeedRecord } from "../fleet/store";
 import type { StoreWatcher } from "../fleet/watcher";
 import type { Beat, FetchReply, FetchRequest, Record as PeerRecord } from "../peer/gen/fleet";
-import type { CrashTracker } from "../core/crashes";
-import type { EndpointLimits } from "./limits";
-import { decodeLimit, encodeLimit } from "./limitwire";
-import { decodeKnowledge, encodeKnowledge } from "./crashwire";
-import type { PathTracker } from "./paths";
-import type { ReservationQueue } from "./reservations";
-import type { EngineModel } from "./enginemodel";
-import type { EngineLoadTracker } from "./engines";
-import type { Quotas } from "./quota";
-import type { RefusalTracker } from "./refusals";
-import type { StageLoad } from "./stages";
+import type { CrashTracker } from "../core/crashes/tracker";
+import { type EndpointLimits, decodeLimit, encodeLimit } from "./limits";
+import { decodeKnowledge, encodeKnowledge, type Quotas, type RefusalTracker } from "./shared";
+import type { PathTracker } from "./tunnels";
+import type { ReservationQueue, EngineModel, EngineLoadTracker, StageLoad } from "./engines";
 import { SlidingWindowSum } from "../core/window";
 
 /**
--- a/src/forward/abort.ts
+++ b/src/forward/requests/abort.ts
@@ -1,8 +1,8 @@
 /**
  * Aborts a send when its caller leaves or its deadline passes, and records which came first.
  */
-import type { Clock, Moment } from "../core/clock";
-import { ReadFirstTimer } from "../core/readfirst";
+import type { Clock, Moment } from "../../core/clock";
+import { ReadFirstTimer } from "../../core/readfirst";
 
 /** Why a send was aborted. */
 export const AbortCause = { callerGone: "caller gone", timeUp: "time up" } as const;
--- a/src/forward/loopdelay.ts
+++ b/src/forward/requests/loopdelay.ts
@@ -2,7 +2,7 @@
  * Samples how late the event loop runs, so that the end of a request can say for how long the process
  * stood still meanwhile.
  */
-import type { Clock, Moment } from "../core/clock";
+import type { Clock, Moment } from "../../core/clock";
 
 /** Interval of the samples, in milliseconds. */
 const SAMPLE_INTERVAL_MS = 20;
--- a/src/forward/messages.ts
+++ b/src/forward/requests/messages.ts
@@ -4,10 +4,10 @@
  */
 import type { IncomingMessage } from "node:http";
 import type * as E from "fp-ts/Either";
-import type { Moment } from "../core/clock";
-import type { FleetConfigIndex, FleetRoute, FleetWorkspace } from "../fleet/config";
-import type { EndpointEntry } from "../fleet/entries";
-import type { Refusal } from "../core/outcome";
+import type { Moment } from "../../core/clock";
+import type { FleetConfigIndex, FleetRoute, FleetWorkspace } from "../../fleet/config";
+import type { EndpointEntry } from "../../fleet/entries";
+import type { Refusal } from "../../core/outcome";
 
 /** The size of a generation. */
 export interface GenerationSize {
@@ -140,6 +140,17 @@
   readonly load: EndpointLoad | undefined;
 }
 
+/** A whole response of an endpoint. */
+export interface BufferedResponse {
+  readonly head: ResponseHead;
+  readonly body: Buffer;
+  /**
+   * False if the response had no length or chunks, so that only the end of its connection says that
+   * it is whole, which may be wrong.
+   */
+  readonly isFramed: boolean;
+}
+
 /** What an endpoint says about itself in a response, besides the response to the request. */
 export interface EndpointNotice {
   /**
--- a/src/forward/meter.ts
+++ b/src/forward/requests/meter.ts
@@ -2,7 +2,7 @@
  * Counters, gauges and latency histograms of an instance, in the Prometheus text format.
  */
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
-import { MS_PER_SECOND } from "../core/clock";
+import { MS_PER_SECOND } from "../../core/clock";
 
 const PREFIX = "gorsefold_";
 /** Upper bounds of the latency buckets, in seconds: from a lookup to the longest stream. */
--- a/src/forward/settings.ts
+++ b/src/forward/settings.ts
@@ -2,7 +2,7 @@
  * Settings that a forwarding instance gets at its start.
  */
 import type { LogLevel } from "../core/log";
-import type { QuotaTolerance } from "./quota";
+import type { QuotaTolerance } from "./shared";
 import type { RetryLimit } from "../core/retrybudget";
 
 /** An IP address and a port to listen at. */
--- a/src/forward/chargepeer.ts
+++ b/src/forward/shared/chargepeer.ts
@@ -1,11 +1,11 @@
 /**
  * Carries charges between instances over gRPC.
  */
-import type { Moment } from "../core/clock";
-import type { RateLimit } from "../fleet/config";
-import type { MemberIdentity, MemberList } from "../fleet/members";
-import type { GrpcFleetTransport } from "../fleet/transport";
-import type { ChargeReply, ChargeRequest } from "../peer/gen/fleet";
+import type { Moment } from "../../core/clock";
+import type { RateLimit } from "../../fleet/config";
+import type { MemberIdentity, MemberList } from "../../fleet/members";
+import type { GrpcFleetTransport } from "../../fleet/transport";
+import type { ChargeReply, ChargeRequest } from "../../peer/gen/fleet";
 import type { Charge, ChargeTransport } from "./charges";
 import type { QuotaDecision, Quotas } from "./quota";
 
--- a/src/forward/charges.ts
+++ b/src/forward/shared/charges.ts
@@ -4,11 +4,11 @@
  * Requests for one account that arrive while a call to its owner is under way go out together in
  * the next call, so that a busy instance makes one call at a time for an account.
  */
-import type { Clock } from "../core/clock";
-import type { Logger } from "../core/log";
-import { runTask } from "../core/tasks";
-import type { RateLimit } from "../fleet/config";
-import { OwnerChooser } from "../fleet/owners";
+import type { Clock } from "../../core/clock";
+import type { Logger } from "../../core/log";
+import { runTask } from "../../core/tasks";
+import type { RateLimit } from "../../fleet/config";
+import { OwnerChooser } from "../../fleet/owners";
 import { type QuotaDecision, type Quotas, UNLIMITED } from "./quota";
 
 /** How long an owner may take to answer, in milliseconds; far more than a round trip. */
--- a/src/forward/crashtracking.ts
+++ b/src/forward/shared/crashtracking.ts
@@ -2,9 +2,9 @@
  * Creates the crash tracker of an instance: which parts on probation it may try, and log lines on
  * bans.
  */
-import { type BanListener, CrashTracker } from "../core/crashes";
-import type { Logger } from "../core/log";
-import { chooseByRendezvousHash } from "../core/rendezvous";
+import { type BanListener, CrashTracker } from "../../core/crashes/tracker";
+import type { Logger } from "../../core/log";
+import { chooseByRendezvousHash } from "../../core/rendezvous";
 
 /**
  * Creates the crash tracker of an instance.
--- a/src/forward/crashwire.ts
+++ b/src/forward/shared/crashwire.ts
@@ -2,11 +2,11 @@
  * Translates what the crash tracker knows into the fields of heartbeats and back. A crash is sent as
  * one message for each suspect, which older builds read as a crash of one request.
  */
-import type { CompletionReport } from "../core/completions";
-import type { CrashKnowledge } from "../core/crashes";
-import type { CrashReport } from "../core/crashmemory";
-import { SubjectKind, type Suspect } from "../core/suspects";
-import type { Beat, Completion, Crash } from "../peer/gen/fleet";
+import type { CompletionReport } from "../../core/completions";
+import type { CrashKnowledge } from "../../core/crashes/tracker";
+import type { CrashReport } from "../../core/crashes/memory";
+import { SubjectKind, type Suspect } from "../../core/crashes/suspects";
+import type { Beat, Completion, Crash } from "../../peer/gen/fleet";
 
 /** The fingerprint in the message of a crash without suspects. */
 const NO_SUSPECT = "";
--- a/src/forward/originpeer.ts
+++ b/src/forward/shared/originpeer.ts
@@ -1,16 +1,16 @@
 /**
  * Carries the origins of streams between instances over gRPC.
  */
-import type { Moment } from "../core/clock";
-import type { MemberList } from "../fleet/members";
-import type { GrpcFleetTransport } from "../fleet/transport";
+import type { Moment } from "../../core/clock";
+import type { MemberList } from "../../fleet/members";
+import type { GrpcFleetTransport } from "../../fleet/transport";
 import {
   type NamedOrigin as NamedOriginMessage,
   type RecallReply,
   type RecallRequest,
   type RememberRequest,
   type StreamOrigin as StreamOriginMessage,
-} from "../peer/gen/fleet";
+} from "../../peer/gen/fleet";
 import type { NamedOrigin, StreamName, StreamOrigin, StreamOrigins } from "./origins";
 import type { OriginTransport, RecalledOrigin } from "./sharedorigins";
 
--- a/src/forward/origins.ts
+++ b/src/forward/shared/origins.ts
@@ -2,7 +2,7 @@
  * Remembers which engine began a stream: what engines of different software versions write does not
  * fit together, so a stream may go on only at the version of its first event.
  */
-import type { Moment } from "../core/clock";
+import type { Moment } from "../../core/clock";
 
 /** Names a stream by the request that brought its first event. */
 export interface StreamName {
--- a/src/forward/quota.ts
+++ b/src/forward/shared/quota.ts
@@ -8,10 +8,10 @@
  * besides within a window. The tolerance is divided: parts of it raise the refill and the capacity
  * of the account, the rest covers what the owner cannot know yet.
  */
-import { type Moment, MS_PER_SECOND } from "../core/clock";
-import { SlidingWindowSum } from "../core/window";
-import type { RateLimit } from "../fleet/config";
-import type { FleetSize } from "../fleet/members";
+import { type Moment, MS_PER_SECOND } from "../../core/clock";
+import { SlidingWindowSum } from "../../core/window";
+import type { RateLimit } from "../../fleet/config";
+import type { FleetSize } from "../../fleet/members";
 
 /** How late the counts of peers may be, in milliseconds; a little more than a heartbeat interval. */
 const PEER_COUNT_LAG_MS = 640;
--- a/src/forward/refusals.ts
+++ b/src/forward/shared/refusals.ts
@@ -2,7 +2,7 @@
  * Recognises generations that are sent again after a refusal by any instance. They are already
  * late, so they are queued behind those that can still be on time.
  */
-import type { Moment } from "../core/clock";
+import type { Moment } from "../../core/clock";
 
 /**
  * How long a refusal is remembered, in milliseconds; longer than the retry delay that callers are
--- a/src/forward/sharedorigins.ts
+++ b/src/forward/shared/sharedorigins.ts
@@ -2,10 +2,10 @@
  * Shares the origins of streams with the instances that keep them, and asks these for the origin of a
  * stream that began elsewhere: a caller may come back to any instance, also after the first one died.
  */
-import type { Clock } from "../core/clock";
-import type { Logger } from "../core/log";
-import { runTask } from "../core/tasks";
-import { chooseReplicas, type ReplicaCandidate } from "../fleet/replicas";
+import type { Clock } from "../../core/clock";
+import type { Logger } from "../../core/log";
+import { runTask } from "../../core/tasks";
+import { chooseReplicas, type ReplicaCandidate } from "../../fleet/replicas";
 import type { NamedOrigin, StreamName, StreamOrigin, StreamOrigins } from "./origins";
 
 const REMEMBER_TIMEOUT_MS = 500;
--- a/src/forward/versions.ts
+++ b/src/forward/shared/versions.ts
@@ -1,7 +1,7 @@
 /**
  * Decides at which engines a stream may go on: those of the software version that began it.
  */
-import type { EndpointEntry } from "../fleet/entries";
+import type { EndpointEntry } from "../../fleet/entries";
 import type { StreamOrigin } from "./origins";
 
 /** How far the wall clocks of an instance and of an engine may differ, in milliseconds. */
--- a/src/forward/status.ts
+++ b/src/forward/status.ts
@@ -7,7 +7,7 @@
 import { runTask } from "../core/tasks";
 import type { EndpointDirectory } from "../fleet/directory";
 import type { StoreWatcher } from "../fleet/watcher";
-import type { Meter } from "./meter";
+import type { Meter } from "./requests";
 import type { ListenAddress } from "./settings";
 
 /** Dependencies of the status servers. */
--- a/src/forward/tunnelchannel.ts
+++ b/src/forward/tunnels/channel.ts
@@ -4,10 +4,10 @@
  * next keep-alive ping, which Node.js refuses to send on a connection that is being closed.
  */
 import { type ChannelOptions, credentials } from "@grpc/grpc-js";
-import type { Clock, Moment } from "../core/clock";
-import { FleetClient } from "../peer/gen/fleet";
-import { CHANNEL_OPTIONS } from "../peer/transport";
-import type { TunnelCall } from "./tunnelsocket";
+import type { Clock, Moment } from "../../core/clock";
+import { FleetClient } from "../../peer/gen/fleet";
+import { CHANNEL_OPTIONS } from "../../peer/transport";
+import type { TunnelCall } from "./socket";
 
 /**
  * Maximum number of bytes that a peer may have sent on a tunnel or a channel before they are taken,
--- a/src/forward/dialer.ts
+++ b/src/forward/tunnels/dialer.ts
@@ -3,8 +3,8 @@
  * are tried again at a bounded rate, so that the end of a cut is noticed without a burst.
  */
 import * as E from "fp-ts/Either";
-import type { Clock, Moment } from "../core/clock";
-import type { ReplicaCandidate } from "../fleet/replicas";
+import type { Clock, Moment } from "../../core/clock";
+import type { ReplicaCandidate } from "../../fleet/replicas";
 import { AnswerTimes } from "./answertimes";
 import {
   type DialFailure,
@@ -21,10 +21,10 @@
   type PeerSuccess,
 } from "./dialrun";
 import type { DirectOpener } from "./directopener";
-import type { EndpointTarget } from "./gate";
+import type { EndpointTarget } from "../limits";
 import type { LinkChecker } from "./linkcheck";
 import type { PathTracker } from "./paths";
-import { type EndpointSocket, TunnelFailureKind, type TunnelOpener } from "./tunnels";
+import { type EndpointSocket, TunnelFailureKind, type TunnelOpener } from "./openers";
 
 /** How often it is checked whether a lost way is due for a direct try, in milliseconds. */
 const TRY_CHECK_INTERVAL_MS = 25;
--- a/src/forward/dialrun.ts
+++ b/src/forward/tunnels/dialrun.ts
@@ -3,12 +3,12 @@
  * established. Connecting carries no bytes of a request, so it is safe to try several ways.
  */
 import * as E from "fp-ts/Either";
-import { computeRemainingMs, type Clock, type Moment } from "../core/clock";
-import { isConnectionRefused } from "../store/http";
+import { computeRemainingMs, type Clock, type Moment } from "../../core/clock";
+import { isConnectionRefused } from "../../store/http";
 import type { DirectOpener } from "./directopener";
-import type { EndpointTarget } from "./gate";
+import type { EndpointTarget } from "../limits";
 import type { LinkChecker } from "./linkcheck";
-import { type EndpointSocket, TunnelFailureKind, type TunnelOpener } from "./tunnels";
+import { type EndpointSocket, TunnelFailureKind, type TunnelOpener } from "./openers";
 
 /** Timeout of a direct connect, in milliseconds; far more than a round trip. */
 export const DIRECT_TIMEOUT_MS = 250;
--- a/src/forward/directopener.ts
+++ b/src/forward/tunnels/directopener.ts
@@ -3,8 +3,8 @@
  */
 import type { Socket } from "node:net";
 import * as E from "fp-ts/Either";
-import { ConnectTimeoutError, openSocket, type SocketOpener } from "../store/connector";
-import type { EndpointSocket } from "./tunnels";
+import { ConnectTimeoutError, openSocket, type SocketOpener } from "../../store/connector";
+import type { EndpointSocket } from "./openers";
 
 /** Opens direct connections to addresses. */
 export interface DirectOpener {
--- a/src/forward/linkcheck.ts
+++ b/src/forward/tunnels/linkcheck.ts
@@ -4,10 +4,10 @@
  * cut off: one that reaches no other endpoint either is no witness of a crash.
  */
 import * as E from "fp-ts/Either";
-import type { EndpointEntry } from "../fleet/entries";
+import type { EndpointEntry } from "../../fleet/entries";
 import { discardSocket, openDirectly } from "./dialrun";
 import type { DirectOpener } from "./directopener";
-import type { EndpointTarget } from "./gate";
+import type { EndpointTarget } from "../limits";
 import type { DirectHistory } from "./paths";
 
 /** Timeout of a connect to another endpoint, in milliseconds; the dial of a peer waits for it. */
--- a/src/forward/tunnels.ts
+++ b/src/forward/tunnels/openers.ts
@@ -1,7 +1,7 @@
 /** Connections to endpoints that a peer opens for this instance. */
 import type { Duplex } from "node:stream";
 import type * as E from "fp-ts/Either";
-import type { EndpointTarget } from "./gate";
+import type { EndpointTarget } from "../limits";
 
 /** Why a peer opened no connection. */
 export const TunnelFailureKind = {
--- a/src/forward/paths.ts
+++ b/src/forward/tunnels/paths.ts
@@ -3,10 +3,10 @@
  * The direct way is lost if a direct connect failed while a peer reached the same process, so that
  * the fault is not the endpoint's. It has no network and no timer of its own.
  */
-import type { Moment } from "../core/clock";
-import type { ReplicaCandidate } from "../fleet/replicas";
-import type { EndpointTarget } from "./gate";
-import { TunnelFailureKind } from "./tunnels";
+import type { Moment } from "../../core/clock";
+import type { ReplicaCandidate } from "../../fleet/replicas";
+import type { EndpointTarget } from "../limits";
+import { TunnelFailureKind } from "./openers";
 
 /** Maximum number of peers that one dial asks. */
 const MAX_PEERS = 3;
--- a/src/forward/tunnelpeer.ts
+++ b/src/forward/tunnels/peer.ts
@@ -3,14 +3,14 @@
  * heartbeats are closed after a failed call, and wait behind no bytes of endpoints.
  */
 import * as E from "fp-ts/Either";
-import { type Clock, MonotonicClock } from "../core/clock";
-import { ReadFirstTimer } from "../core/readfirst";
-import { TunnelData } from "../peer/gen/fleet";
-import type { EndpointTarget } from "./gate";
-import { TunnelChannel } from "./tunnelchannel";
-import { type TunnelCall, TunnelSocket } from "./tunnelsocket";
-import { decodeFailure } from "./tunnelwire";
-import { type EndpointSocket, TunnelFailureKind, type TunnelOpener } from "./tunnels";
+import { type Clock, MonotonicClock } from "../../core/clock";
+import { ReadFirstTimer } from "../../core/readfirst";
+import { TunnelData } from "../../peer/gen/fleet";
+import type { EndpointTarget } from "../limits";
+import { TunnelChannel } from "./channel";
+import { type TunnelCall, TunnelSocket } from "./socket";
+import { decodeFailure } from "./wire";
+import { type EndpointSocket, TunnelFailureKind, type TunnelOpener } from "./openers";
 
 type Opened = E.Either<TunnelFailureKind, EndpointSocket>;
 
--- a/src/forward/tunnelserver.ts
+++ b/src/forward/tunnels/server.ts
@@ -3,9 +3,9 @@
  * directly, never through another peer, and only to those that its own directory lists.
  */
 import * as E from "fp-ts/Either";
-import type { Clock } from "../core/clock";
-import type { EndpointDirectory } from "../fleet/directory";
-import type { TunnelTarget } from "../peer/gen/fleet";
+import type { Clock } from "../../core/clock";
+import type { EndpointDirectory } from "../../fleet/directory";
+import type { TunnelTarget } from "../../peer/gen/fleet";
 import type { LinkChecker } from "./linkcheck";
 import {
   type EndpointConnector,
@@ -13,7 +13,7 @@
   ServedTunnel,
   type TunnelServerCall,
 } from "./tunnel";
-import { TunnelFailureKind } from "./tunnels";
+import { TunnelFailureKind } from "./openers";
 
 /** Maximum number of tunnels that are served at a time; bounds memory and open files. */
 export const MAX_TUNNELS = 512;
--- a/src/forward/tunnelsocket.ts
+++ b/src/forward/tunnels/socket.ts
@@ -5,9 +5,9 @@
 import { constants } from "node:os";
 import { Duplex } from "node:stream";
 import type { ClientDuplexStream } from "@grpc/grpc-js";
-import type { TunnelData } from "../peer/gen/fleet";
-import { encodeBytes, END_MESSAGE } from "./tunnelwire";
-import type { EndpointSocket } from "./tunnels";
+import type { TunnelData } from "../../peer/gen/fleet";
+import { encodeBytes, END_MESSAGE } from "./wire";
+import type { EndpointSocket } from "./openers";
 
 /** A call whose messages are the bytes of one connection. */
 export type TunnelCall = ClientDuplexStream<TunnelData, TunnelData>;
--- a/src/forward/tunnel.ts
+++ b/src/forward/tunnels/tunnel.ts
@@ -4,12 +4,12 @@
 import { connect, type Socket } from "node:net";
 import { Metadata, type ServerDuplexStream } from "@grpc/grpc-js";
 import * as E from "fp-ts/Either";
-import type { Clock, Moment } from "../core/clock";
-import { ReadFirstTimer } from "../core/readfirst";
-import { TunnelData, type TunnelTarget } from "../peer/gen/fleet";
+import type { Clock, Moment } from "../../core/clock";
+import { ReadFirstTimer } from "../../core/readfirst";
+import { TunnelData, type TunnelTarget } from "../../peer/gen/fleet";
 import type { LinkChecker } from "./linkcheck";
-import { encodeBytes, END_MESSAGE, OPENED_MESSAGE } from "./tunnelwire";
-import { TunnelFailureKind } from "./tunnels";
+import { encodeBytes, END_MESSAGE, OPENED_MESSAGE } from "./wire";
+import { TunnelFailureKind } from "./openers";
 
 /** The server's side of a call whose messages are the bytes of one connection. */
 export type TunnelServerCall = ServerDuplexStream<TunnelData, TunnelData>;
--- a/src/forward/tunnelwire.ts
+++ b/src/forward/tunnels/wire.ts
@@ -1,8 +1,8 @@
 /**
  * Messages that carry the bytes of a connection between two instances.
  */
-import { TunnelData } from "../peer/gen/fleet";
-import { TunnelFailureKind } from "./tunnels";
+import { TunnelData } from "../../peer/gen/fleet";
+import { TunnelFailureKind } from "./openers";
 
 /**
  * Maximum number of bytes in one message. gRPC buffers up to 16 messages a stream in each direction,
--- a/src/index.ts
+++ b/src/index.ts
@@ -4,11 +4,11 @@
  */
 export { createInstance, type Instance } from "./instance";
 export { type Settings, settingsCodec } from "./core/settings";
-export { type ConfigDocument, type Configuration, documentCodec } from "./core/config";
+export { type ConfigDocument, type Configuration, documentCodec } from "./core/config/objects";
 export { DecodeError, decodeText, decodeValue } from "./core/codec";
-export { checkReferences } from "./core/references";
+export { checkReferences } from "./core/config/references";
 export { type Adapter, ForwardInstance } from "./forward/instance";
-export type { CallerCodec, EndpointCodec } from "./forward/messages";
+export type { CallerCodec, EndpointCodec } from "./forward/requests/messages";
 export type { ForwardSettings } from "./forward/settings";
 export type { FleetConfig } from "./fleet/config";
 export type { EndpointDecoder, EndpointEntry } from "./fleet/entries";
--- a/test/control.spec.ts
+++ b/test/control.spec.ts
@@ -5,7 +5,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import fc from "fast-check";
-import { ControlFold, type LogRecord } from "../src/core/controlfold";
+import { ControlFold, type LogRecord } from "../src/core/config/controlfold";
 import { Duty, findAssignment } from "../src/core/duties";
 
 type LogEntry =
--- a/test/controltaskfault.spec.ts
+++ b/test/controltaskfault.spec.ts
@@ -20,7 +20,7 @@
 import { type StreamHandler, StreamReader } from "../src/control/streamreader";
 import { Sweeper } from "../src/control/sweeper";
 import { MonotonicClock, pause } from "../src/core/clock";
-import { type Endpoint, Role } from "../src/core/config";
+import { type Endpoint, Role } from "../src/core/config/objects";
 import { type LogFields, SILENT_LOGGER } from "../src/core/log";
 import type { Metrics } from "../src/core/metrics";
 import { type BookReply, HeartbeatMessage, PullReply, Want } from "../src/peer/gen/peer";
--- a/test/copies.spec.ts
+++ b/test/copies.spec.ts
@@ -5,7 +5,8 @@
 import assert from "node:assert/strict";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import * as E from "fp-ts/Either";
-import { EngineFault, HttpEngineClient, type EngineError } from "../src/endpoint/engine";
+import { HttpEngineClient } from "../src/endpoint/engine";
+import { EngineFault, type EngineError } from "../src/endpoint/fault";
 import { HttpServiceClient } from "../src/endpoint/service";
 import { HttpInstanceList } from "../src/store/list";
 import { HttpLogClient, StreamName } from "../src/store/log";
--- a/test/culprits.spec.ts
+++ b/test/culprits.spec.ts
@@ -5,9 +5,9 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import fc from "fast-check";
-import { type BanEnd, CrashTracker } from "../src/core/crashes";
-import { isSuspect, type Suspect, SubjectKind } from "../src/core/suspects";
-import { decodeKnowledge, encodeKnowledge } from "../src/forward/crashwire";
+import { type BanEnd, CrashTracker } from "../src/core/crashes/tracker";
+import { isSuspect, type Suspect, SubjectKind } from "../src/core/crashes/suspects";
+import { decodeKnowledge, encodeKnowledge } from "../src/forward/shared/crashwire";
 import { Beat } from "../src/peer/gen/fleet";
 
 const BAN_MS = 60_000;
--- a/test/dialer.spec.ts
+++ b/test/dialer.spec.ts
@@ -6,8 +6,8 @@
 import { afterEach, beforeEach, describe, it, mock } from "node:test";
 import fc from "fast-check";
 import * as E from "fp-ts/Either";
-import { ConnectState } from "../src/forward/dialer";
-import { DialFailureKind } from "../src/forward/dialrun";
+import { ConnectState } from "../src/forward/tunnels/dialer";
+import { DialFailureKind } from "../src/forward/tunnels/dialrun";
 import { isConnectionRefused, isConnectError } from "../src/store/http";
 import { createPeers, createTarget, SELF, Ways, WayState } from "./harness/ways";
 
--- a/test/ending.spec.ts
+++ b/test/ending.spec.ts
@@ -10,7 +10,7 @@
 import { RetryBudget } from "../src/core/retrybudget";
 import { EngineStage } from "../src/fleet/entries";
 import type { InstanceBase } from "../src/forward/base";
-import { LoopDelaySampler } from "../src/forward/loopdelay";
+import { LoopDelaySampler } from "../src/forward/requests/loopdelay";
 import { addEndpoint, get, instance, port, prepareEach, start, store } from "./harness/fixture";
 import { createConfig, waitUntil } from "./harness/forward";
 import { blockFor } from "./harness/standstill";
--- a/test/enginemodel.spec.ts
+++ b/test/enginemodel.spec.ts
@@ -5,7 +5,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import fc from "fast-check";
-import { EngineModel } from "../src/forward/enginemodel";
+import { EngineModel } from "../src/forward/engines/model";
 
 const NETWORK_MS = 4;
 
--- a/test/entryfault.spec.ts
+++ b/test/entryfault.spec.ts
@@ -6,10 +6,11 @@
 import { after, afterEach, beforeEach, describe, it } from "node:test";
 import { createBlackboard } from "../src/board/board";
 import { MonotonicClock } from "../src/core/clock";
-import { Role } from "../src/core/config";
+import { Role } from "../src/core/config/objects";
 import type { Progress } from "../src/entry/attempt";
 import { GrantRequester } from "../src/entry/grantrequest";
-import type { RunnerParts, RunRequest } from "../src/entry/runner";
+import type { RunRequest } from "../src/entry/runner";
+import type { RunnerParts } from "../src/entry/runnerparts";
 import { sendSlowly, startCallerServer } from "./harness/callerservers";
 
 const FAULT = "a fault of the handler";
--- a/test/exchange.spec.ts
+++ b/test/exchange.spec.ts
@@ -5,7 +5,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import fc from "fast-check";
-import { isOwnAnswer } from "../src/forward/exchange";
+import { isOwnAnswer } from "../src/forward/endpoints/exchange";
 
 describe("an answer on a connection", () => {
   it("is to the request that it names, and to no other", () => {
--- a/test/handlerfault.spec.ts
+++ b/test/handlerfault.spec.ts
@@ -9,10 +9,14 @@
 import { MonotonicClock, pause } from "../src/core/clock";
 import { type LogFields, SILENT_LOGGER } from "../src/core/log";
 import { GrpcFleetTransport } from "../src/fleet/transport";
-import { QuotaCharger } from "../src/forward/charges";
-import { Meter } from "../src/forward/meter";
-import { Quotas } from "../src/forward/quota";
-import { type CallerHandler, type CallerResponse, ForwardServer } from "../src/forward/server";
+import { QuotaCharger } from "../src/forward/shared/charges";
+import { Meter } from "../src/forward/requests/meter";
+import { Quotas } from "../src/forward/shared/quota";
+import {
+  type CallerHandler,
+  type CallerResponse,
+  ForwardServer,
+} from "../src/forward/callers/server";
 import { ChargeRequest } from "../src/peer/gen/fleet";
 import { get } from "./harness/fixture";
 import { testCodecs, waitUntil } from "./harness/forward";
--- a/test/harness/callerservers.ts
+++ b/test/harness/callerservers.ts
@@ -7,10 +7,10 @@
 import { MonotonicClock } from "../../src/core/clock";
 import { type LogFields, SILENT_LOGGER } from "../../src/core/log";
 import { CallerServer } from "../../src/entry/server";
-import type { RunnerParts } from "../../src/entry/runner";
+import type { RunnerParts } from "../../src/entry/runnerparts";
 import type { ServiceRouter } from "../../src/entry/service";
-import { Meter } from "../../src/forward/meter";
-import { ForwardServer } from "../../src/forward/server";
+import { Meter } from "../../src/forward/requests/meter";
+import { ForwardServer } from "../../src/forward/callers/server";
 import { testCodecs } from "./forward";
 import { allocatePort } from "./ports";
 
--- a/test/harness/clientways.ts
+++ b/test/harness/clientways.ts
@@ -4,13 +4,17 @@
 import * as E from "fp-ts/Either";
 import { MonotonicClock, pause } from "../../src/core/clock";
 import type { ReplicaCandidate } from "../../src/fleet/replicas";
-import { HttpEndpointClient, type OpenResponse, type SendFailure } from "../../src/forward/client";
-import { Dialer } from "../../src/forward/dialer";
-import { type DirectOpener, TcpOpener } from "../../src/forward/directopener";
-import type { EndpointTarget } from "../../src/forward/gate";
-import { type EndpointRequest, SendTask } from "../../src/forward/messages";
-import { PathTracker } from "../../src/forward/paths";
-import { type EndpointSocket, TunnelFailureKind } from "../../src/forward/tunnels";
+import {
+  HttpEndpointClient,
+  type OpenResponse,
+  type SendFailure,
+} from "../../src/forward/endpoints/client";
+import { Dialer } from "../../src/forward/tunnels/dialer";
+import { type DirectOpener, TcpOpener } from "../../src/forward/tunnels/directopener";
+import type { EndpointTarget } from "../../src/forward/limits/gate";
+import { type EndpointRequest, SendTask } from "../../src/forward/requests/messages";
+import { PathTracker } from "../../src/forward/tunnels/paths";
+import { type EndpointSocket, TunnelFailureKind } from "../../src/forward/tunnels/openers";
 import { createEntry, testCodecs } from "./forward";
 import { createGate } from "./gate";
 import { createPeers, SOUND_LINK, WayState } from "./ways";
--- a/test/harness/crashfleet.ts
+++ b/test/harness/crashfleet.ts
@@ -4,10 +4,10 @@
  */
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import { type BanListener, CrashTracker } from "../../src/core/crashes";
+import { type BanListener, CrashTracker } from "../../src/core/crashes/tracker";
 import { chooseByRendezvousHash } from "../../src/core/rendezvous";
-import { isSuspect, type Suspect } from "../../src/core/suspects";
-import { decodeKnowledge, encodeKnowledge } from "../../src/forward/crashwire";
+import { isSuspect, type Suspect } from "../../src/core/crashes/suspects";
+import { decodeKnowledge, encodeKnowledge } from "../../src/forward/shared/crashwire";
 import { Beat } from "../../src/peer/gen/fleet";
 import { EventQueue } from "./events";
 
--- a/test/harness/entryrun.ts
+++ b/test/harness/entryrun.ts
@@ -3,9 +3,10 @@
  */
 import * as E from "fp-ts/Either";
 import type { Clock } from "../../src/core/clock";
-import { Role } from "../../src/core/config";
+import { Role } from "../../src/core/config/objects";
 import { HttpEngineClient } from "../../src/endpoint/engine";
-import { CompletionRun, type RunnerParts, type RunRequest } from "../../src/entry/runner";
+import { CompletionRun, type RunRequest } from "../../src/entry/runner";
+import type { RunnerParts } from "../../src/entry/runnerparts";
 
 const ignore = () => undefined;
 
--- a/test/harness/fleet.ts
+++ b/test/harness/fleet.ts
@@ -4,7 +4,7 @@
  */
 import { spawn } from "node:child_process";
 import { existsSync, readFileSync, writeFileSync } from "node:fs";
-import type { Endpoint } from "../../src/core/config";
+import type { Endpoint } from "../../src/core/config/objects";
 import { type HistoryEvent, pause } from "../standin/http";
 import {
   createRecord,
--- a/test/harness/forward.ts
+++ b/test/harness/forward.ts
@@ -20,7 +20,7 @@
   type EndpointRequest,
   SendTask,
   Verdict,
-} from "../../src/forward/messages";
+} from "../../src/forward/requests/messages";
 import { ForwardInstance } from "../../src/forward/instance";
 import { MemoryStore } from "./memory";
 import { allocatePort } from "./ports";
--- a/test/harness/gate.ts
+++ b/test/harness/gate.ts
@@ -5,10 +5,10 @@
 import { SILENT_LOGGER } from "../../src/core/log";
 import { EndpointDirectory } from "../../src/fleet/directory";
 import { OwnerChooser } from "../../src/fleet/owners";
-import { EndpointGate } from "../../src/forward/gate";
-import { LimitAccounts } from "../../src/forward/limitaccounts";
-import { EndpointLimits } from "../../src/forward/limits";
-import { Permits } from "../../src/forward/permits";
+import { EndpointGate } from "../../src/forward/limits/gate";
+import { LimitAccounts } from "../../src/forward/limits/accounts";
+import { EndpointLimits } from "../../src/forward/limits/limits";
+import { Permits } from "../../src/forward/limits/permits";
 import { testCodecs } from "./forward";
 
 const INSTANCE = "nizwa-1";
--- a/test/harness/limitfleet.ts
+++ b/test/harness/limitfleet.ts
@@ -3,10 +3,10 @@
  */
 import { SILENT_LOGGER } from "../../src/core/log";
 import { OwnerChooser } from "../../src/fleet/owners";
-import { LimitAccounts } from "../../src/forward/limitaccounts";
-import { EndpointLimits } from "../../src/forward/limits";
-import { decodeLimit, encodeLimit } from "../../src/forward/limitwire";
-import { answerPermit, Permits, type PermitTransport } from "../../src/forward/permits";
+import { LimitAccounts } from "../../src/forward/limits/accounts";
+import { EndpointLimits } from "../../src/forward/limits/limits";
+import { decodeLimit, encodeLimit } from "../../src/forward/limits/wire";
+import { answerPermit, Permits, type PermitTransport } from "../../src/forward/limits/permits";
 import { EndpointLimit } from "../../src/peer/gen/fleet";
 import { VirtualFleet, type VirtualNode } from "./virtualfleet";
 
--- a/test/harness/originfleet.ts
+++ b/test/harness/originfleet.ts
@@ -2,13 +2,13 @@
  * A fleet of instances in virtual time that begin streams and are asked to go on with them.
  */
 import { SILENT_LOGGER } from "../../src/core/log";
-import { answerRecall, keepOrigins } from "../../src/forward/originpeer";
-import { type NamedOrigin, type StreamName, StreamOrigins } from "../../src/forward/origins";
+import { answerRecall, keepOrigins } from "../../src/forward/shared/originpeer";
+import { type NamedOrigin, type StreamName, StreamOrigins } from "../../src/forward/shared/origins";
 import {
   type FoundOrigin,
   type OriginTransport,
   SharedOrigins,
-} from "../../src/forward/sharedorigins";
+} from "../../src/forward/shared/sharedorigins";
 import { VirtualFleet, type VirtualNode } from "./virtualfleet";
 
 const DATA_CENTRES = ["nizwa", "bahla", "izki"];
--- a/test/harness/plan.ts
+++ b/test/harness/plan.ts
@@ -1,7 +1,7 @@
 /**
  * Plans of test fleets: the processes to start and the initial configuration.
  */
-import type { Configuration, Endpoint } from "../../src/core/config";
+import type { Configuration, Endpoint } from "../../src/core/config/objects";
 import { hashKey } from "../../src/core/ids";
 
 /** One entry instance to start. */
--- a/test/harness/quotafleet.ts
+++ b/test/harness/quotafleet.ts
@@ -3,9 +3,9 @@
  */
 import { SILENT_LOGGER } from "../../src/core/log";
 import type { RateLimit } from "../../src/fleet/config";
-import { answerCharge } from "../../src/forward/chargepeer";
-import { type ChargeTransport, QuotaCharger } from "../../src/forward/charges";
-import { type QuotaTolerance, Quotas } from "../../src/forward/quota";
+import { answerCharge } from "../../src/forward/shared/chargepeer";
+import { type ChargeTransport, QuotaCharger } from "../../src/forward/shared/charges";
+import { type QuotaTolerance, Quotas } from "../../src/forward/shared/quota";
 import { VirtualFleet, type VirtualNode } from "./virtualfleet";
 
 /** A request that the fleet admitted. */
--- a/test/harness/tunnels.ts
+++ b/test/harness/tunnels.ts
@@ -7,12 +7,12 @@
 import { EndpointDirectory } from "../../src/fleet/directory";
 import type { EndpointEntry } from "../../src/fleet/entries";
 import { type FleetHandler, type FleetServer, startFleetServer } from "../../src/fleet/transport";
-import type { EndpointTarget } from "../../src/forward/gate";
-import type { EndpointConnector } from "../../src/forward/tunnel";
-import type { LinkChecker } from "../../src/forward/linkcheck";
-import { PeerTunnelOpener } from "../../src/forward/tunnelpeer";
-import { TunnelServer } from "../../src/forward/tunnelserver";
-import type { EndpointSocket } from "../../src/forward/tunnels";
+import type { EndpointTarget } from "../../src/forward/limits/gate";
+import type { EndpointConnector } from "../../src/forward/tunnels/tunnel";
+import type { LinkChecker } from "../../src/forward/tunnels/linkcheck";
+import { PeerTunnelOpener } from "../../src/forward/tunnels/peer";
+import { TunnelServer } from "../../src/forward/tunnels/server";
+import type { EndpointSocket } from "../../src/forward/tunnels/openers";
 import { createEntry, testCodecs } from "./forward";
 import { allocatePort } from "./ports";
 
--- a/test/harness/ways.ts
+++ b/test/harness/ways.ts
@@ -7,17 +7,21 @@
 import { ManualClock } from "../../src/core/clock";
 import type { EndpointEntry } from "../../src/fleet/entries";
 import type { ReplicaCandidate } from "../../src/fleet/replicas";
-import { Dialer, type EndpointDialer } from "../../src/forward/dialer";
-import { DialFailure, DialFailureKind, type DialledSocket } from "../../src/forward/dialrun";
-import { type DirectOpener, TcpOpener } from "../../src/forward/directopener";
-import type { EndpointTarget } from "../../src/forward/gate";
-import { DirectLinkChecker, type LinkChecker } from "../../src/forward/linkcheck";
-import { PathTracker } from "../../src/forward/paths";
+import { Dialer, type EndpointDialer } from "../../src/forward/tunnels/dialer";
+import {
+  DialFailure,
+  DialFailureKind,
+  type DialledSocket,
+} from "../../src/forward/tunnels/dialrun";
+import { type DirectOpener, TcpOpener } from "../../src/forward/tunnels/directopener";
+import type { EndpointTarget } from "../../src/forward/limits/gate";
+import { DirectLinkChecker, type LinkChecker } from "../../src/forward/tunnels/linkcheck";
+import { PathTracker } from "../../src/forward/tunnels/paths";
 import {
   type EndpointSocket,
   TunnelFailureKind,
   type TunnelOpener,
-} from "../../src/forward/tunnels";
+} from "../../src/forward/tunnels/openers";
 import { createEntry } from "./forward";
 
 /** How a way, or an endpoint's machine, answers a connect. */
--- a/test/holdcalls.spec.ts
+++ b/test/holdcalls.spec.ts
@@ -6,8 +6,8 @@
 import { describe, it } from "node:test";
 import * as E from "fp-ts/Either";
 import type { EndpointEntry } from "../src/fleet/entries";
-import type { ForwardContext } from "../src/forward/context";
-import { HoldCaller, HoldEnd } from "../src/forward/holdcalls";
+import type { ForwardContext } from "../src/forward/endpoints/context";
+import { HoldCaller, HoldEnd } from "../src/forward/engines/holdcalls";
 import { createEntry, testCodecs } from "./harness/forward";
 
 const DEMAND = { needTokens: 30, holdTtlMs: 2000 };
--- a/test/limitfleet.spec.ts
+++ b/test/limitfleet.spec.ts
@@ -7,8 +7,8 @@
 import { describe, it } from "node:test";
 import fc from "fast-check";
 import { ManualClock } from "../src/core/clock";
-import { LimitAccounts } from "../src/forward/limitaccounts";
-import { EndpointLimits, type LimitWord } from "../src/forward/limits";
+import { LimitAccounts } from "../src/forward/limits/accounts";
+import { EndpointLimits, type LimitWord } from "../src/forward/limits/limits";
 import { createGate } from "./harness/gate";
 import { LimitFleet } from "./harness/limitfleet";
 
--- a/test/linkcheck.spec.ts
+++ b/test/linkcheck.spec.ts
@@ -6,8 +6,12 @@
 import { describe, it } from "node:test";
 import { PassThrough } from "node:stream";
 import * as E from "fp-ts/Either";
-import { chooseOthers, DirectLinkChecker, type HistoryReader } from "../src/forward/linkcheck";
-import type { EndpointSocket } from "../src/forward/tunnels";
+import {
+  chooseOthers,
+  DirectLinkChecker,
+  type HistoryReader,
+} from "../src/forward/tunnels/linkcheck";
+import type { EndpointSocket } from "../src/forward/tunnels/openers";
 import { createEntry } from "./harness/forward";
 
 class FakeSocket extends PassThrough implements EndpointSocket {
--- a/test/load.spec.ts
+++ b/test/load.spec.ts
@@ -10,7 +10,11 @@
 import { type Scenario, runScenario, type ScenarioResult } from "../measure/load/play";
 import { SCENARIOS, POLICIES } from "../measure/load/plays";
 import { EngineStage } from "../src/fleet/entries";
-import { computeRetryAfterMs, computeWaitLimits, limitCapacity } from "../src/forward/overload";
+import {
+  computeRetryAfterMs,
+  computeWaitLimits,
+  limitCapacity,
+} from "../src/forward/engines/overload";
 
 const SEEDS = [1, 2, 3, 4, 5];
 
--- a/test/meter.spec.ts
+++ b/test/meter.spec.ts
@@ -4,7 +4,7 @@
  */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { Meter, RequestOutcome } from "../src/forward/meter";
+import { Meter, RequestOutcome } from "../src/forward/requests/meter";
 
 describe("metrics", () => {
   it("record requests and sends with their labels, in seconds", async () => {
--- a/test/nearengine.spec.ts
+++ b/test/nearengine.spec.ts
@@ -7,7 +7,7 @@
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { EngineStage } from "../src/fleet/entries";
-import { chooseDecode, EngineLoadTracker } from "../src/forward/engines";
+import { chooseDecode, EngineLoadTracker } from "../src/forward/engines/load";
 import { createEntry } from "./harness/forward";
 
 const LIMITS = {
--- a/test/origins.spec.ts
+++ b/test/origins.spec.ts
@@ -6,9 +6,9 @@
 import { describe, it } from "node:test";
 import fc from "fast-check";
 import { chooseReplicas } from "../src/fleet/replicas";
-import { StreamOrigins, type StreamOrigin } from "../src/forward/origins";
-import { OriginSource } from "../src/forward/sharedorigins";
-import { canGoOn, confirmOrigin } from "../src/forward/versions";
+import { StreamOrigins, type StreamOrigin } from "../src/forward/shared/origins";
+import { OriginSource } from "../src/forward/shared/sharedorigins";
+import { canGoOn, confirmOrigin } from "../src/forward/shared/versions";
 import { createEntry } from "./harness/forward";
 import { OriginFleet } from "./harness/originfleet";
 
--- a/test/permitwait.spec.ts
+++ b/test/permitwait.spec.ts
@@ -5,9 +5,9 @@
 import { describe, it } from "node:test";
 import * as E from "fp-ts/Either";
 import { ManualClock } from "../src/core/clock";
-import { HttpEndpointClient, SendFailureKind } from "../src/forward/client";
-import type { EndpointDialer } from "../src/forward/dialer";
-import type { EndpointGate } from "../src/forward/gate";
+import { HttpEndpointClient, SendFailureKind } from "../src/forward/endpoints/client";
+import type { EndpointDialer } from "../src/forward/tunnels/dialer";
+import type { EndpointGate } from "../src/forward/limits/gate";
 import { createEntry, testCodecs } from "./harness/forward";
 
 describe("a call that waits for a permit", () => {
--- a/test/play.spec.ts
+++ b/test/play.spec.ts
@@ -8,8 +8,8 @@
 import fc from "fast-check";
 import type { EngineLimits } from "../src/fleet/config";
 import { EngineStage } from "../src/fleet/entries";
-import { chooseDecode, choosePrefill, EngineLoadTracker } from "../src/forward/engines";
-import { chooseStageChange, computePrefillEngines } from "../src/forward/stages";
+import { chooseDecode, choosePrefill, EngineLoadTracker } from "../src/forward/engines/load";
+import { chooseStageChange, computePrefillEngines } from "../src/forward/engines/stages";
 import { type UrgentQueueItem, UrgentQueue } from "../src/core/urgentqueue";
 import { createEntry } from "./harness/forward";
 
--- a/test/policy.spec.ts
+++ b/test/policy.spec.ts
@@ -11,7 +11,7 @@
 import { matchesSelector } from "../src/core/labels";
 import { type PlacementCandidate, ReservingPolicy } from "../src/core/placement";
 import { chooseByRendezvousHash } from "../src/core/rendezvous";
-import { PoisonDetector } from "../src/core/poison";
+import { PoisonDetector } from "../src/core/crashes/poison";
 import { Want } from "../src/peer/gen/peer";
 
 let count = 0;
--- a/test/quota.spec.ts
+++ b/test/quota.spec.ts
@@ -7,7 +7,7 @@
 import { describe, it } from "node:test";
 import fc from "fast-check";
 import type { RateLimit } from "../src/fleet/config";
-import { Quotas } from "../src/forward/quota";
+import { Quotas } from "../src/forward/shared/quota";
 import { computeMaxWindow, QuotaFleet } from "./harness/quotafleet";
 
 const WINDOW_MS = 8000;
--- a/test/replacement.spec.ts
+++ b/test/replacement.spec.ts
@@ -4,7 +4,7 @@
  */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { judgeSilentRun, SilentRunState } from "../src/forward/replacement";
+import { judgeSilentRun, SilentRunState } from "../src/forward/generations/replacement";
 
 describe("a silent run", () => {
   for (const [hasHead, isProcessListed, isDirectLost, state] of [
--- a/test/searchfault.spec.ts
+++ b/test/searchfault.spec.ts
@@ -6,7 +6,7 @@
 import { describe, it } from "node:test";
 import { MonotonicClock, pause } from "../src/core/clock";
 import { SILENT_LOGGER } from "../src/core/log";
-import { SilenceWatch } from "../src/forward/silence";
+import { SilenceWatch } from "../src/core/silence";
 
 describe("a search for a replacement that throws", () => {
   it("rejects no promise that nobody waits for", async () => {
--- a/test/sendrace.spec.ts
+++ b/test/sendrace.spec.ts
@@ -6,7 +6,7 @@
 import { describe, it } from "node:test";
 import { pause } from "../src/core/clock";
 import type { Logger } from "../src/core/log";
-import { RaceEventKind, type RacingSend, SendRace } from "../src/forward/sendrace";
+import { RaceEventKind, type RacingSend, SendRace } from "../src/forward/calls/sendrace";
 
 /** A send that ends when told to. */
 class StubSend implements RacingSend<string> {
--- a/test/session.spec.ts
+++ b/test/session.spec.ts
@@ -9,7 +9,7 @@
 import { PoolScheduler } from "../src/control/scheduler";
 import { SchedulerClient } from "../src/control/schedulerclient";
 import { ManualClock, MonotonicClock, pause } from "../src/core/clock";
-import { type Endpoint, Role } from "../src/core/config";
+import { type Endpoint, Role } from "../src/core/config/objects";
 import { SILENT_LOGGER } from "../src/core/log";
 import type { Metrics } from "../src/core/metrics";
 import type { BookReply, BookRequest, Want } from "../src/peer/gen/peer";
--- a/test/settings.spec.ts
+++ b/test/settings.spec.ts
@@ -7,9 +7,9 @@
 import { join } from "node:path";
 import { describe, it } from "node:test";
 import * as E from "fp-ts/Either";
-import { createEmptyConfiguration, documentCodec } from "../src/core/config";
+import { createEmptyConfiguration, documentCodec } from "../src/core/config/objects";
 import { decodeText } from "../src/core/codec";
-import { checkReferences } from "../src/core/references";
+import { checkReferences } from "../src/core/config/references";
 import { settingsCodec } from "../src/core/settings";
 
 const validSettings = {
--- a/test/silencewatch.spec.ts
+++ b/test/silencewatch.spec.ts
@@ -6,7 +6,7 @@
 import { it } from "node:test";
 import { MonotonicClock, pause } from "../src/core/clock";
 import { type LogFields, SILENT_LOGGER } from "../src/core/log";
-import { SilenceWatch } from "../src/forward/silence";
+import { SilenceWatch } from "../src/core/silence";
 
 /** Watches a run that stays silent, with searches of which the first one fails. */
 function watchSilent(fail: () => Promise<boolean>) {
--- a/test/silentcall.spec.ts
+++ b/test/silentcall.spec.ts
@@ -8,7 +8,7 @@
 import { after, describe, it } from "node:test";
 import * as E from "fp-ts/Either";
 import { MonotonicClock } from "../src/core/clock";
-import { Role } from "../src/core/config";
+import { Role } from "../src/core/config/objects";
 import { HttpServiceClient } from "../src/endpoint/service";
 import {
   type RoutedServiceRequest,
--- a/test/silententry.spec.ts
+++ b/test/silententry.spec.ts
@@ -5,10 +5,11 @@
 import assert from "node:assert/strict";
 import { after, describe, it } from "node:test";
 import * as E from "fp-ts/Either";
-import { Role } from "../src/core/config";
+import { Role } from "../src/core/config/objects";
 import { MonotonicClock, pause } from "../src/core/clock";
 import { HttpEngineClient } from "../src/endpoint/engine";
-import { CompletionRun, type RunnerParts, type RunRequest } from "../src/entry/runner";
+import { CompletionRun, type RunRequest } from "../src/entry/runner";
+import type { RunnerParts } from "../src/entry/runnerparts";
 import { StandingEngine } from "./harness/standingengine";
 
 /** How long two engines may work on one completion side by side, in milliseconds. */
--- a/test/truncated.spec.ts
+++ b/test/truncated.spec.ts
@@ -5,7 +5,7 @@
 import assert from "node:assert/strict";
 import type { Socket } from "node:net";
 import { describe, it } from "node:test";
-import { containsOwnHead, isCutInHead } from "../src/forward/copy";
+import { containsOwnHead, isCutInHead } from "../src/forward/endpoints/copy";
 import { EngineStage } from "../src/fleet/entries";
 import { addEndpoint, get, port, prepareEach, start } from "./harness/fixture";
 
