Endpoint load: read the fourth figure as a slowness

Cause: endpoints of some services report running, waiting, slots and how long work takes on their machine now, in percent of the usual time. parseLoadHeader accepted three figures only, so that all load of these endpoints was discarded.

Change: both forms are read. HealthView gives the slowness with its age.

--- a/src/forward/endpoints/health.ts
+++ b/src/forward/endpoints/health.ts
@@ -75,6 +75,15 @@
   readonly isFull: boolean;
   /** True while a call takes far longer than usual. */
   readonly hasOverdueCall: boolean;
+  /** What the endpoint last reported of its slowness; undefined if it reports none. */
+  readonly slowness: SlownessReport | undefined;
+}
+
+/** The slowness of an endpoint, as it last reported it. */
+export interface SlownessReport {
+  /** Multiple of the usual time that work takes. */
+  readonly factor: number;
+  readonly ageMs: number;
 }
 
 /** Tracks the health of all endpoints by their id. */
@@ -113,6 +122,7 @@
         isUnreachable: false,
         isFull: false,
         hasOverdueCall: false,
+        slowness: undefined,
       };
     }
     const reportedLoad = health.reportedLoad;
@@ -127,6 +137,7 @@
       isUnreachable: health.unreachableDeadline > now,
       isFull: health.fullDeadline > now,
       hasOverdueCall: [...health.openCalls].some((call) => now - call.startedAt > overdueMs),
+      slowness: readSlowness(health, now),
     };
   }
 
@@ -184,6 +195,14 @@
   health.latencyMs += (tookMs - health.latencyMs) * LATENCY_WEIGHT;
 }
 
+function readSlowness(
+  { reportedLoad, reportedAt }: Health,
+  now: Moment,
+): SlownessReport | undefined {
+  const factor = reportedLoad?.slowness;
+  return factor === undefined ? undefined : { factor, ageMs: now - reportedAt };
+}
+
 function computeFailureRate(health: Health, now: Moment): number {
   return health.failureRate * 2 ** (-(now - health.failureAt) / FAILURE_HALF_LIFE_MS);
 }
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -190,6 +190,9 @@
       meter.foreignAnswers.inc({ service: answer.service });
       logger.warn("foreign answer", { ...answer, answeredId: answer.answeredId ?? "" });
     },
+    onSlownessReport: (id, load) => {
+      health.recordLoad(id, load, clock.now());
+    },
   });
   return {
     clock,
--- a/src/forward/requests/messages.ts
+++ b/src/forward/requests/messages.ts
@@ -129,6 +129,11 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /**
+   * How long work takes on its machine now, as a multiple of the usual time; absent where the endpoint
+   * does not report it, or reports a value out of range.
+   */
+  readonly slowness?: number;
 }
 
 /** The head of an endpoint's response. */
@@ -166,6 +171,8 @@
   readonly limitPerSecond: number | undefined;
   /** The limit that can't be read, as it was sent. */
   readonly unreadableLimit: string | undefined;
+  /** The load of an endpoint that reports its slowness; undefined or absent for any other. */
+  readonly slownessReport?: EndpointLoad | undefined;
 }
 
 /** A prompt that a prefill engine has read, with the handle of its KV cache. */
