Choice of endpoints by expected time where their speeds differ

Cause: endpoints of one service differ in speed by more than two to one, with spells of 2.5 times, and were chosen by load alone; instances with the same view of engines all chose the same one until the next heartbeat, and its holds were rejected.

Change: SpeedTracker keeps one estimate for each endpoint and kind of work (route, prefill, decode) from the times measured at this instance and the slowness that the endpoint reports; a report loses weight with its age, and where the times are predicted better without it. Plain endpoints, decode and prefill engines are chosen by expected time with jitter where one reports its slowness, or where measured times differ by 1.5 and four standard errors. Services whose endpoints tell their load in three figures are never compared by measured times, so that their choices stay as they are. The timeout of a prefill follows the slowness of its engine. The work that peers report is kept as a running sum for each engine instead of being added up over all peers at each choice.

--- a/src/forward/calls/balancer.ts
+++ b/src/forward/calls/balancer.ts
@@ -2,7 +2,7 @@
  * Chooses the endpoint of a plain service for a request, by least cost.
  */
 import type { EndpointEntry } from "../../fleet/entries";
-import type { HealthView } from "../endpoints";
+import { hasSpeedDifference, type HealthView, type SpeedEstimate } from "../endpoints";
 
 /** An endpoint with its health as this instance sees it. */
 export interface Candidate {
@@ -12,6 +12,8 @@
   readonly isInDoubt: boolean;
   /** True if the endpoint has named a limit on requests. */
   readonly isLimited: boolean;
+  /** The speed of the endpoint for the request's kind of work; undefined if it is not known. */
+  readonly speed?: SpeedEstimate;
 }
 
 /** Costs, in units of the load of a fully busy endpoint. */
@@ -28,6 +30,16 @@
   /** Random, so that instances with the same view don't all choose the same endpoint. */
   jitter: 0.08,
 } as const;
+/**
+ * Random share of the expected time, where endpoints are chosen by it; without it, all instances that
+ * heard that an endpoint has become fast would choose it.
+ */
+const TIME_JITTER = 0.25;
+/**
+ * Share of the time of a request that it waits on average at an endpoint whose slots are all but full:
+ * other instances send to it meanwhile.
+ */
+const CONTENTION_SHARE = 0.5;
 
 /** A chosen endpoint, its cost and the number of candidates. */
 export interface EndpointChoice {
@@ -37,7 +49,8 @@
 }
 
 /**
- * Chooses the endpoint of least cost.
+ * Chooses the endpoint of least cost: that of its load, or of the expected time where endpoints report
+ * their slowness or their measured speeds differ clearly.
  *
  * @param excluded - ids of endpoints that the request was sent to before
  * @param random - returns a random number in [0, 1)
@@ -52,19 +65,44 @@
   random: () => number,
 ): EndpointChoice | undefined {
   let best: EndpointChoice | undefined;
+  const isByTime = usesExpectedTime(candidates);
   for (const candidate of candidates) {
     if (excluded.has(candidate.endpoint.id)) continue;
-    const cost = computeCost(candidate, dataCentre) + random() * COSTS.jitter;
+    const busyCost = isByTime
+      ? computeExpectedTime(candidate) * (1 + random() * TIME_JITTER)
+      : computeLoad(candidate) + random() * COSTS.jitter;
+    const cost = busyCost + computeExtraCost(candidate, dataCentre);
     if (best !== undefined && cost >= best.cost) continue;
     best = { endpoint: candidate.endpoint, cost, candidates: candidates.length };
   }
   return best;
 }
 
-function computeCost(candidate: Candidate, dataCentre: string): number {
+/**
+ * Computes the expected time of a request at an endpoint, as a multiple of that at a free endpoint of
+ * typical speed: its own time, and the time until a slot is free.
+ *
+ * @example
+ * computeExpectedTime(candidate); // 2.5 for a free endpoint that takes 2.5 times as long
+ */
+export function computeExpectedTime({ endpoint, health, speed }: Candidate): number {
+  const slots = Math.max(1, endpoint.slots);
+  const queue = Math.max(0, health.load + 1 - slots) / slots;
+  const contention = CONTENTION_SHARE * Math.min(1, health.load / slots) ** 2;
+  return (speed?.ratio ?? 1) * (1 + queue + contention);
+}
+
+function usesExpectedTime(candidates: readonly Candidate[]): boolean {
+  return hasSpeedDifference(candidates.flatMap(({ speed }) => speed ?? []));
+}
+
+function computeLoad({ endpoint, health }: Candidate): number {
+  return health.load / Math.max(1, endpoint.slots);
+}
+
+function computeExtraCost(candidate: Candidate, dataCentre: string): number {
   const { endpoint, health, isInDoubt, isLimited } = candidate;
-  let cost = health.load / Math.max(1, endpoint.slots);
-  cost += health.failureRate * COSTS.failure;
+  let cost = health.failureRate * COSTS.failure;
   if (endpoint.dataCentre !== dataCentre) cost += COSTS.otherDataCentre;
   if (health.hasOverdueCall) cost += COSTS.overdueCall;
   if (health.isFull) cost += COSTS.full;
--- a/src/forward/calls/run.ts
+++ b/src/forward/calls/run.ts
@@ -21,6 +21,7 @@
   type RequestTimes,
   resetDataCentreConnections,
   createSuspect,
+  createWorkKind,
 } from "../endpoints";
 import type { BufferedResponse, ForwardRequest } from "../requests";
 import { RaceEventKind, SendRace } from "./sendrace";
@@ -200,7 +201,8 @@
       const message = "the request crashes the endpoints that run it";
       return E.left({ message, isBanned: true });
     }
-    const candidates = listCandidates(this.context, service, now);
+    const kind = createWorkKind(this.request.route.name, service);
+    const candidates = listCandidates(this.context, service, kind, now);
     const choice = chooseEndpoint(candidates, dataCentre, this.triedEndpoints, random);
     if (choice === undefined) return createBar();
     const isRetry = this.sends + this.race.size > 0;
@@ -256,9 +258,14 @@
  * sent to now, with their health and whether they may be gone.
  *
  * @example
- * listCandidates(context, "job-sheets", clock.now());
+ * listCandidates(context, "job-sheets", createWorkKind("lookups", "job-sheets"), clock.now());
  */
-export function listCandidates(context: ForwardContext, service: string, now: Moment) {
+export function listCandidates(
+  context: ForwardContext,
+  service: string,
+  workKind: string,
+  now: Moment,
+) {
   const { directory, health, gate } = context;
   return directory
     .listUsable(now)
@@ -268,5 +275,6 @@
       health: health.readView(endpoint.id, now),
       isInDoubt: directory.isInDoubt(endpoint.id),
       isLimited: gate.isLimited(endpoint),
+      speed: health.estimateSpeed(workKind, endpoint.id, now),
     }));
 }
--- a/src/forward/calls/send.ts
+++ b/src/forward/calls/send.ts
@@ -24,6 +24,7 @@
   CallOutcome,
   canBeWhole,
   createSuspect,
+  createWorkKind,
   type EndpointState,
   probeEndpoint,
 } from "../endpoints";
@@ -94,6 +95,7 @@
     const { clock, health, client } = context;
     const { endpoint } = this;
     const startedAt = clock.now();
+    const units = computeQueuedUnits(health.readView(endpoint.id, startedAt).load, endpoint.slots);
     const call = health.beginCall(endpoint.id, startedAt);
     const deadlineSignal = new DeadlineSignal(clock, times.deadline + DEADLINE_GRACE_MS, caller);
     const send = {
@@ -117,6 +119,11 @@
     const outcome = this.classifyCallOutcome(result, opened);
     this.recordResult(result, startedAt);
     call.end(outcome, clock.now());
+    if (outcome === CallOutcome.success) {
+      const kind = createWorkKind(request.route.name, request.service);
+      const sample = { ms: clock.now() - startedAt, units };
+      health.recordWork(kind, endpoint.id, sample, clock.now());
+    }
     if (outcome === CallOutcome.unreachable) {
       const { isUnreachable } = health.readView(endpoint.id, clock.now());
       context.logger.warn("endpoint unreachable", { endpoint: endpoint.id, isUnreachable });
@@ -223,6 +230,12 @@
   }
 }
 
+/** Computes the work at an endpoint until a request ends, with what is ahead of it, in requests. */
+function computeQueuedUnits(load: number, slots: number): number {
+  const queued = Math.max(0, load + 1 - Math.max(1, slots));
+  return 1 + queued / Math.max(1, slots);
+}
+
 function createFailedResult(end: SendEnd, message: string): SendResult {
   return { end, response: undefined, message };
 }
--- a/src/forward/endpoints/client.ts
+++ b/src/forward/endpoints/client.ts
@@ -145,8 +145,8 @@
   /** Computes how many connections to one endpoint of a service this instance may open. */
   computeMaxConnections(service: string): number;
   onForeignAnswer(answer: ForeignAnswer): void;
-  /** Called with the load of an endpoint that reports its slowness, in an answer of any kind. */
-  onSlownessReport?(endpoint: string, load: EndpointLoad): void;
+  /** Called with the load that an endpoint tells in an answer of any kind. */
+  onLoad?(endpoint: string, load: EndpointLoad): void;
   /** Computes after which silence the direct way to an endpoint is checked, in milliseconds. */
   computeCheckMs(endpoint: string): number;
 }
@@ -219,7 +219,7 @@
       if (isFromEndpoint(responseHead)) {
         const canEndLimit = send.task === SendTask.run;
         this.gate.onLimitNotice(send.endpoint, notice, { sentAt, canEndLimit });
-        this.reportSlowness(send.endpoint, notice);
+        this.reportLoad(send.endpoint, notice);
       }
       return E.right({
         head: responseHead,
@@ -263,7 +263,7 @@
       this.gate.onNotice(target, notice);
       if (!this.codec.isMisdirected(response.statusCode)) {
         this.gate.onLimitNotice(target, notice, { sentAt, canEndLimit: false });
-        this.reportSlowness(target, notice);
+        this.reportLoad(target, notice);
       }
       connection.limitBytes(MAX_SMALL_BODY_BYTES);
       const body = Buffer.from(await response.body.arrayBuffer());
@@ -317,8 +317,8 @@
     return !this.gate.isPaused(target.id);
   }
 
-  private reportSlowness({ id }: EndpointTarget, { slownessReport }: EndpointNotice): void {
-    if (slownessReport !== undefined) this.host.onSlownessReport?.(id, slownessReport);
+  private reportLoad({ id }: EndpointTarget, { load }: EndpointNotice): void {
+    if (load !== undefined) this.host.onLoad?.(id, load);
   }
 
   private reportForeign(
--- a/src/forward/endpoints/health.ts
+++ b/src/forward/endpoints/health.ts
@@ -3,6 +3,7 @@
  */
 import type { Moment } from "../../core/clock";
 import type { EndpointLoad } from "../requests";
+import { type SlownessReport, type SpeedEstimate, type SpeedSample, SpeedTracker } from "./speeds";
 
 /**
  * How long an unreachable endpoint is avoided if there is another, in milliseconds; doubles with
@@ -24,6 +25,11 @@
 const FAILURE_HALF_LIFE_MS = 4000;
 /** How long the load that an endpoint reported counts, in milliseconds. */
 const LOAD_TTL_MS = 1500;
+/**
+ * How long the load that an engine with a slowness reported is compared with what peers report, in
+ * milliseconds: their reports are as old.
+ */
+const LOAD_REPORT_TTL_MS = 500;
 /** A call is overdue once it takes this many times the usual latency. */
 const OVERDUE_FACTOR = 5;
 /** A call younger than this is never overdue, in milliseconds. */
@@ -42,6 +48,8 @@
   reportedLoad: EndpointLoad | undefined;
   reportedAt: Moment;
   sentSinceReport: number;
+  /** True if it last told its load without a slowness. */
+  tellsPlainLoad: boolean;
   readonly openCalls: Set<{ readonly startedAt: Moment }>;
 }
 
@@ -79,16 +87,10 @@
   readonly slowness: SlownessReport | undefined;
 }
 
-/** The slowness of an endpoint, as it last reported it. */
-export interface SlownessReport {
-  /** Multiple of the usual time that work takes. */
-  readonly factor: number;
-  readonly ageMs: number;
-}
-
 /** Tracks the health of all endpoints by their id. */
 export class HealthTracker {
   private readonly healthById = new Map<string, Health>();
+  private readonly speeds = new SpeedTracker();
 
   /** Records the start of a call. */
   beginCall(id: string, now: Moment): OpenCall {
@@ -108,10 +110,43 @@
   recordLoad(id: string, load: EndpointLoad, now: Moment): void {
     const health = this.findOrCreate(id);
     health.reportedLoad = load;
+    health.tellsPlainLoad = load.slowness === undefined;
     health.reportedAt = now;
     health.sentSinceReport = 0;
   }
 
+  /**
+   * Records the load that an endpoint told in an answer of any kind. One without a slowness counts in
+   * answers to runs of plain services only.
+   */
+  recordLoadOfAnswer(id: string, load: EndpointLoad, now: Moment): void {
+    if (load.slowness === undefined) this.findOrCreate(id).tellsPlainLoad = true;
+    else this.recordLoad(id, load, now);
+  }
+
+  /** Reads the load of an endpoint that reports its slowness; undefined if it is too old. */
+  readLoadReport(id: string, now: Moment): EndpointLoad | undefined {
+    const health = this.healthById.get(id);
+    const isFresh = health !== undefined && now - health.reportedAt < LOAD_REPORT_TTL_MS;
+    return isFresh && health.reportedLoad?.slowness !== undefined ? health.reportedLoad : undefined;
+  }
+
+  /** Records how long a piece of work took at an endpoint. */
+  recordWork(kind: string, id: string, sample: SpeedSample, now: Moment): void {
+    const health = this.healthById.get(id);
+    this.speeds.recordSample(kind, id, sample, health && readSlowness(health, now), now);
+  }
+
+  /**
+   * Estimates the speed of an endpoint for a kind of work. One that tells its load without a slowness
+   * is not compared with others by the measured times, as its load explains them.
+   */
+  estimateSpeed(kind: string, id: string, now: Moment): SpeedEstimate {
+    const health = this.healthById.get(id);
+    const estimate = this.speeds.estimate(kind, id, health && readSlowness(health, now), now);
+    return health?.tellsPlainLoad === true ? { ...estimate, measured: undefined } : estimate;
+  }
+
   /** Computes the health of an endpoint; one without calls counts as healthy. */
   readView(id: string, now: Moment): HealthView {
     const health = this.healthById.get(id);
@@ -149,6 +184,7 @@
   /** Removes endpoints that are no longer listed. */
   prune(isListed: (id: string) => boolean): void {
     for (const id of this.healthById.keys()) if (!isListed(id)) this.healthById.delete(id);
+    this.speeds.prune(isListed);
   }
 
   private findOrCreate(id: string): Health {
@@ -164,6 +200,7 @@
       reportedLoad: undefined,
       reportedAt: 0,
       sentSinceReport: 0,
+      tellsPlainLoad: false,
       openCalls: new Set(),
     };
     this.healthById.set(id, health);
--- a/src/forward/endpoints/index.ts
+++ b/src/forward/endpoints/index.ts
@@ -17,5 +17,6 @@
 } from "./context";
 export { CallOutcome, HealthTracker, type HealthView } from "./health";
 export { ConnectionWay } from "./pool";
+export { createWorkKind, hasSpeedDifference, type SpeedEstimate } from "./speeds";
 export { EndpointState, canBeWhole, createSuspect, probeEndpoint } from "./probe";
 export { Releaser } from "./releaser";
--- a/src/forward/engines/load.ts
+++ b/src/forward/engines/load.ts
@@ -5,6 +5,14 @@
 import type { Moment } from "../../core/clock";
 import type { EngineLimits } from "../../fleet/config";
 import { type EndpointEntry, EngineStage } from "../../fleet/entries";
+import type { SpeedEstimate } from "../endpoints";
+import {
+  chooseFastestDecode,
+  chooseFastestPrefill,
+  computeSlots,
+  computeSlowdown,
+  usesExpectedTime,
+} from "./expected";
 import { computeDecodeReadMs, computePrefillMs } from "./model";
 
 /** Work in progress at an engine. */
@@ -50,6 +58,8 @@
   readonly tokensPerMs: number;
   /** Time until its first event is late, in milliseconds; zero or less if it is late already. */
   readonly leftMs: number;
+  /** Returns a random number in [0, 1), so that instances with the same view spread their choices. */
+  readonly random?: () => number;
 }
 
 interface LocalWork {
@@ -85,12 +95,28 @@
   readonly isUnavailable: boolean;
   /** True if it has named a limit on requests. */
   readonly isLimited: boolean;
+  /** How long its work takes in relation to other engines; absent if that is not known. */
+  readonly estimate?: SpeedEstimate;
+  /** What an engine that reports its slowness has just told; absent for any other. */
+  readonly report?: EngineReport;
+}
+
+/** Requests at an engine, and its slots, as it reports them. */
+export interface EngineReport {
+  readonly requests: number;
+  readonly slots: number;
 }
 
 /** Tracks the work and the availability of all engines. */
 export class EngineLoadTracker {
   private readonly localWork = new Map<string, LocalWork>();
+  /** In the order in which the reports arrived. */
   private readonly peerWork = new Map<string, PeerWork>();
+  /**
+   * Sums over all peers by engine, kept as reports arrive: with hundreds of peers, to add them up for
+   * each engine at each choice takes too long.
+   */
+  private readonly peerSums = new Map<string, LocalWork>();
   private readonly fullDeadlines = new Map<string, Moment>();
   private readonly unavailableDeadlines = new Map<string, Moment>();
   private readonly refusalCounts = new Map<string, number>();
@@ -118,10 +144,10 @@
 
   /** Replaces the work that a peer reported before. */
   replacePeerWork(peer: string, works: readonly EngineWork[], now: Moment): void {
-    this.peerWork.set(peer, {
-      works: new Map(works.map((work) => [work.engine, work])),
-      receivedAt: now,
-    });
+    this.removePeerWork(peer);
+    const worksByEngine = new Map(works.map((work) => [work.engine, work]));
+    for (const [engine, work] of worksByEngine) this.addPeerSum(engine, work, 1);
+    this.peerWork.set(peer, { works: worksByEngine, receivedAt: now });
   }
 
   /** Counts the requests of this instance at an engine, with those that have only a hold. */
@@ -194,11 +220,9 @@
   readView(endpoint: EndpointEntry, isInDoubt: boolean, now: Moment): EngineView {
     const { id } = endpoint;
     const sum = { heldTokens: 0, promptTokens: 0, requests: 0 };
+    this.removeSilentPeers(now);
     addWork(sum, this.localWork.get(id));
-    for (const [peer, { works, receivedAt }] of this.peerWork) {
-      if (now - receivedAt > PEER_WORK_TTL_MS) this.peerWork.delete(peer);
-      else addWork(sum, works.get(id));
-    }
+    addWork(sum, this.peerSums.get(id));
     return {
       endpoint,
       ...sum,
@@ -207,6 +231,30 @@
       isLimited: false,
     };
   }
+
+  private removeSilentPeers(now: Moment): void {
+    for (const [peer, { receivedAt }] of this.peerWork) {
+      if (now - receivedAt <= PEER_WORK_TTL_MS) return;
+      this.removePeerWork(peer);
+    }
+  }
+
+  private removePeerWork(peer: string): void {
+    const known = this.peerWork.get(peer);
+    if (known === undefined) return;
+    this.peerWork.delete(peer);
+    for (const [engine, work] of known.works) this.addPeerSum(engine, work, -1);
+  }
+
+  private addPeerSum(engine: string, work: EngineWork, sign: 1 | -1): void {
+    const sum = this.peerSums.get(engine) ?? { heldTokens: 0, promptTokens: 0, requests: 0 };
+    sum.heldTokens += sign * work.heldTokens;
+    sum.promptTokens += sign * work.promptTokens;
+    sum.requests += sign * work.requests;
+    const isZero = sum.heldTokens === 0 && sum.promptTokens === 0 && sum.requests === 0;
+    if (isZero) this.peerSums.delete(engine);
+    else this.peerSums.set(engine, sum);
+  }
 }
 
 /** A generation that needs a decode engine. */
@@ -215,13 +263,15 @@
   readonly needTokens: number;
   /** The data centre of the instance that forwards its stream. */
   readonly dataCentre: string;
+  /** Returns a random number in [0, 1), so that instances with the same view spread their choices. */
+  readonly random?: () => number;
 }
 
 /**
  * Chooses the decode engine with the most free memory that has room for a generation; an engine
  * without held memory has room for a generation of any size. An engine of the own data centre is
  * preferred unless it holds more than one such generation more: a cut between data centres breaks
- * the streams that cross it.
+ * the streams that cross it. Engines that differ in speed are chosen by expected time.
  *
  * @returns undefined if none has room
  * @example
@@ -230,17 +280,19 @@
 export function chooseDecode(
   views: readonly EngineView[],
   limits: EngineLimits,
-  { needTokens, dataCentre }: DecodeDemand,
+  demand: DecodeDemand,
 ): EngineView | undefined {
+  const { needTokens, dataCentre } = demand;
   const eligible = views.filter(
     (view) =>
       view.endpoint.stage === EngineStage.decode &&
       !view.isFull &&
-      view.requests < limits.slots &&
+      view.requests < computeSlots(view, limits) &&
       (view.heldTokens === 0 || view.heldTokens + needTokens <= limits.capacityTokens),
   );
   const available = preferWhere(eligible, (view) => !view.isUnavailable);
   const candidates = preferWhere(available, (view) => !view.isLimited);
+  if (usesExpectedTime(candidates)) return chooseFastestDecode(candidates, limits, demand);
   const least = findMinimum(candidates, readHeldTokens);
   const near = candidates.filter(({ endpoint }) => endpoint.dataCentre === dataCentre);
   const leastNear = findMinimum(near, readHeldTokens);
@@ -249,7 +301,8 @@
 }
 
 /**
- * Chooses the prefill engine with the fewest prompt tokens waiting.
+ * Chooses the prefill engine with the fewest prompt tokens waiting; of engines that differ in speed,
+ * the one that is expected to be done first.
  *
  * @returns undefined if none is available, or if the generation would be late by its queue and the
  *   decode engine reads the prompt sooner
@@ -259,8 +312,9 @@
 export function choosePrefill(
   views: readonly EngineView[],
   excluded: ReadonlySet<string>,
-  { promptTokens, tokensPerMs, leftMs }: PromptToRead,
+  prompt: PromptToRead,
 ): EngineView | undefined {
+  const { promptTokens, tokensPerMs, leftMs } = prompt;
   const eligible = views.filter(
     (view) =>
       view.endpoint.stage === EngineStage.prefill &&
@@ -269,9 +323,12 @@
       !excluded.has(view.endpoint.id),
   );
   const preferred = preferWhere(eligible, (view) => !view.isLimited);
-  const least = findMinimum(preferred, (view) => view.promptTokens);
+  const least = usesExpectedTime(preferred)
+    ? chooseFastestPrefill(preferred, prompt)
+    : findMinimum(preferred, (view) => view.promptTokens);
   if (least === undefined) return undefined;
-  const prefillMs = computePrefillMs(promptTokens, least.promptTokens, tokensPerMs);
+  const slowdown = computeSlowdown(least, preferred);
+  const prefillMs = computePrefillMs(promptTokens, least.promptTokens, tokensPerMs / slowdown);
   const decodeReadMs = computeDecodeReadMs(promptTokens, tokensPerMs);
   return prefillMs <= Math.max(decodeReadMs, leftMs * MAX_PREFILL_TIME_SHARE) ? least : undefined;
 }
--- a/src/forward/engines/reservations.ts
+++ b/src/forward/engines/reservations.ts
@@ -6,7 +6,7 @@
 import type { Suspect } from "../../core/crashes/suspects";
 import type { EngineLimits } from "../../fleet/config";
 import { type EndpointEntry, EngineStage } from "../../fleet/entries";
-import type { ForwardContext } from "../endpoints";
+import { createWorkKind, type ForwardContext } from "../endpoints";
 import { chooseDecode, type EngineLoadTracker, type EngineView } from "./load";
 import { type GrantedHold, HoldCaller, HoldEnd } from "./holdcalls";
 import { type StreamOrigin, canGoOn } from "../shared";
@@ -128,10 +128,24 @@
       .map((endpoint) => {
         const view = this.engineLoad.readView(endpoint, directory.isInDoubt(endpoint.id), now);
         const isFull = view.isFull || !this.canSend(endpoint);
-        return { ...view, isFull, isLimited: gate.isLimited(endpoint) };
+        return {
+          ...view,
+          isFull,
+          isLimited: gate.isLimited(endpoint),
+          ...this.readSpeed(view, now),
+        };
       });
   }
 
+  private readSpeed({ endpoint }: EngineView, now: Moment): Partial<EngineView> {
+    const { health } = this.context;
+    const kind = createWorkKind(endpoint.stage ?? "", endpoint.service);
+    const estimate = health.estimateSpeed(kind, endpoint.id, now);
+    const load = health.readLoadReport(endpoint.id, now);
+    if (load === undefined) return { estimate };
+    return { estimate, report: { requests: load.running + load.waiting, slots: load.slots } };
+  }
+
   /**
    * Computes how long nothing may be sent to any decode engine of a service.
    *
@@ -210,7 +224,8 @@
     const preferred = views.filter((view) => view.endpoint.id === waitingRequest.cachedEngineId);
     const limits = limitCapacity(waitingRequest.limits, waitingRequest.targetDeadline <= now);
     const { needTokens } = waitingRequest;
-    const demand = { needTokens, dataCentre: this.context.dataCentre };
+    const { dataCentre, random } = this.context;
+    const demand = { needTokens, dataCentre, random };
     return chooseDecode(preferred, limits, demand) ?? chooseDecode(views, limits, demand);
   }
 
--- a/src/forward/generations/decode.ts
+++ b/src/forward/generations/decode.ts
@@ -5,8 +5,14 @@
 import * as E from "fp-ts/Either";
 import type { Moment } from "../../core/clock";
 import { isAcquitted } from "../../core/crashes/suspects";
-import type { EndpointEntry } from "../../fleet/entries";
-import { type OpenResponse, type RequestTimes, canBeWhole, createSuspect } from "../endpoints";
+import { type EndpointEntry, EngineStage } from "../../fleet/entries";
+import {
+  type OpenResponse,
+  type RequestTimes,
+  canBeWhole,
+  createSuspect,
+  createWorkKind,
+} from "../endpoints";
 import { RelayEnd, relayEvents, type RelayResult } from "./relay";
 import { SilenceWatch } from "../../core/silence";
 import type { StreamEvent } from "./events";
@@ -25,6 +31,11 @@
 /** How long its first event may take before, in milliseconds. */
 const FIRST_EVENT_TIMEOUT_MS = 2500;
 
+/** Time over which the pace of a stream is measured, in milliseconds; some dozen events of an engine. */
+const PACE_WINDOW_MS = 250;
+/** Fewer events say more of the network than of the engine. */
+const MIN_PACE_EVENTS = 8;
+
 /** Receives the response stream and writes it to the caller. */
 export interface StreamSink {
   /**
@@ -48,6 +59,8 @@
   private firstSentAt: Moment | undefined;
   /** When the first event of the current run arrived; undefined before. */
   private firstEventOfRunAt: Moment | undefined;
+  /** Events of the current run since its pace was last recorded. */
+  private pace: { readonly startedAt: Moment; events: number } | undefined;
   /** True once the current run has shown that the request crashes no engine. */
   private isRunAcquitted = false;
   /** Whether the response to the caller is framed, so that the caller can tell if it is whole. */
@@ -89,6 +102,7 @@
    */
   async follow(sent: SentRun, replacer: RunReplacer): Promise<TryResult> {
     this.firstEventOfRunAt = undefined;
+    this.pace = undefined;
     this.isRunAcquitted = false;
     const watch = this.sender.isResumable ? this.createWatch(sent, replacer) : undefined;
     const response = await this.sender.readHead(sent, () => watch?.signal.aborted === true);
@@ -147,6 +161,7 @@
       onEvents: (events) => {
         watch?.onProgress(SILENCE_TIMEOUT_MS);
         this.recordProgress();
+        this.recordPace(endpoint, events.length);
         this.recordOrigin(endpoint);
         this.forwardEvents(response, events);
       },
@@ -195,6 +210,20 @@
     sharedOrigins.record({ stream, origin: this.originOfStream });
   }
 
+  /** Records how long the engine took for the events since the last record. */
+  private recordPace({ id, service }: EndpointEntry, events: number): void {
+    const { clock, health } = this.parts.context;
+    const now = clock.now();
+    const pace = this.pace ?? { startedAt: now, events: -events };
+    pace.events += events;
+    this.pace = pace;
+    const ms = now - pace.startedAt;
+    if (ms < PACE_WINDOW_MS || pace.events < MIN_PACE_EVENTS) return;
+    const kind = createWorkKind(EngineStage.decode, service);
+    health.recordWork(kind, id, { ms, units: pace.events }, now);
+    this.pace = { startedAt: now, events: 0 };
+  }
+
   /** Records events of the current run; it shows that it crashes no engine once it goes on. */
   private recordProgress(): void {
     const now = this.parts.context.clock.now();
--- a/src/forward/generations/prefill.ts
+++ b/src/forward/generations/prefill.ts
@@ -5,10 +5,11 @@
 import * as E from "fp-ts/Either";
 import { computeRemainingMs, type Moment } from "../../core/clock";
 import type { EngineLimits } from "../../fleet/config";
-import type { EndpointEntry } from "../../fleet/entries";
+import { type EndpointEntry, EngineStage } from "../../fleet/entries";
 import { DeadlineSignal, type CacheSource, type ForwardRequest, SendTask } from "../requests";
 import type { SendBudget } from "./sendbudget";
 import {
+  createWorkKind,
   readBody,
   type OpenResponse,
   type SendFailure,
@@ -18,6 +19,7 @@
 } from "../endpoints";
 import {
   computePrefillMs,
+  computeSlowdown,
   type EngineModel,
   choosePrefill,
   type EngineLoadTracker,
@@ -86,8 +88,10 @@
     const now = context.clock.now();
     const promptTokens = this.request.head.size?.promptTokens ?? 0;
     const tokensPerMs = engineModel.readTokensPerMs(this.request.service, now);
-    const prompt = { promptTokens, tokensPerMs, leftMs: this.times.softDeadline - now };
-    const view = choosePrefill(listViews(now), new Set([decodeEngine.id]), prompt);
+    const leftMs = this.times.softDeadline - now;
+    const prompt = { promptTokens, tokensPerMs, leftMs, random: context.random };
+    const views = listViews(now);
+    const view = choosePrefill(views, new Set([decodeEngine.id]), prompt);
     if (view === undefined) return undefined;
     if (this.hasPrefilled && !this.sendBudget.tryConsume()) return undefined;
     const { id } = view.endpoint;
@@ -100,8 +104,15 @@
       tokensPerMs: Math.round(tokensPerMs * 10) / 10,
     });
     const tokensAhead = view.promptTokens;
-    const expectedMs = computePrefillMs(promptTokens, tokensAhead, tokensPerMs);
+    const prefills = views.filter(({ endpoint }) => endpoint.stage === EngineStage.prefill);
+    const slowdown = Math.max(1, computeSlowdown(view, prefills));
+    const expectedMs = computePrefillMs(promptTokens, tokensAhead, tokensPerMs / slowdown);
     const { end, source } = await this.prefillAt(view.endpoint, deadlineSignal, expectedMs);
+    if (source !== undefined) {
+      const kind = createWorkKind(EngineStage.prefill, this.request.service);
+      const sample = { ms: this.prefilledAt - now, units: promptTokens + tokensAhead };
+      context.health.recordWork(kind, id, sample, this.prefilledAt);
+    }
     if (source !== undefined && tokensAhead === 0) {
       engineModel.recordPrefill(this.request.service, promptTokens, this.prefilledAt - now);
     }
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -190,8 +190,8 @@
       meter.foreignAnswers.inc({ service: answer.service });
       logger.warn("foreign answer", { ...answer, answeredId: answer.answeredId ?? "" });
     },
-    onSlownessReport: (id, load) => {
-      health.recordLoad(id, load, clock.now());
+    onLoad: (id, load) => {
+      health.recordLoadOfAnswer(id, load, clock.now());
     },
   });
   return {
--- a/src/forward/requests/messages.ts
+++ b/src/forward/requests/messages.ts
@@ -171,8 +171,8 @@
   readonly limitPerSecond: number | undefined;
   /** The limit that can't be read, as it was sent. */
   readonly unreadableLimit: string | undefined;
-  /** The load of an endpoint that reports its slowness; undefined or absent for any other. */
-  readonly slownessReport?: EndpointLoad | undefined;
+  /** Its load, if it tells it. */
+  readonly load?: EndpointLoad | undefined;
 }
 
 /** A prompt that a prefill engine has read, with the handle of its KV cache. */
