Streams: go on at no version where another one may have begun them

Five cases in which a stream that was taken up went on at another version than the one that began it, each seen with a test that fails on the code before:

- The list named the engine's new process only after the stream had begun, and its entry was then removed, or replaced by a third process: confirmOrigin looked at the present entry only.
The directory now remembers the processes of each endpoint for a minute.
- Entries without a start time: the new version was neither compared as a change, so that peers did not fetch it, nor noticed by confirmOrigin.
- A request id that began streams of two versions at two instances: each took its own record, and a lookup took the first answer.
- A version that was listed for less than a second was missed by the version history, which looked once a second.

--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -13,6 +13,7 @@
   isOutOfDate,
 } from "./entries";
 import { chooseLater, isAfter, LOG_START, type LogPosition } from "./position";
+import { ProcessHistory } from "./processhistory";
 import type { FeedPage, FeedRecord } from "./store";
 
 /**
@@ -47,6 +48,8 @@
   /** By endpoint: the entry that proved wrong. */
   private readonly misdirected = new Map<string, MisdirectedEntry>();
   private readonly departures = new DepartureTracker();
+  /** The processes that the endpoints have had. */
+  readonly processes = new ProcessHistory();
   private nextPosition = LOG_START;
   private changedPosition = NO_POSITION;
   private outageEndedAt: Moment = Number.NEGATIVE_INFINITY;
@@ -269,6 +272,7 @@
         (known) => known.processStartedAt === entry.processStartedAt && known.isLeaving,
       );
     const accepted = { ...entry, isLeaving };
+    this.processes.record(accepted, now);
     if (isLeaving) this.departures.record(createDeparture(accepted, true), false, now);
     this.listed.set(record.key, {
       record,
@@ -286,6 +290,7 @@
   ): EntryChange | undefined {
     const entry = before?.entry;
     const latestEntry = before?.latestEntry;
+    if (entry !== undefined) this.processes.record(entry, now);
     const mayReturn =
       entry !== undefined && !entry.isLeaving && now < this.outageEndedAt + OUTAGE_GRACE_MS;
     if (mayReturn) {
--- a/src/fleet/entries.ts
+++ b/src/fleet/entries.ts
@@ -88,6 +88,7 @@
     before.address === after.address &&
     before.service === after.service &&
     before.stage === after.stage &&
+    before.version === after.version &&
     before.processStartedAt === after.processStartedAt &&
     before.isLeaving === after.isLeaving;
   return isSame ? undefined : EntryChange.changed;
--- a/src/forward/generations/decode.ts
+++ b/src/forward/generations/decode.ts
@@ -69,7 +69,7 @@
   get origin(): StreamOrigin | undefined {
     const { directory } = this.parts.context;
     const origin = this.originOfStream;
-    return origin && confirmOrigin(origin, directory.find(origin.endpoint));
+    return origin && confirmOrigin(origin, directory.processes.list(origin.endpoint));
   }
 
   /** The id of the last event that was sent to the caller, as its engine assigned it. */
--- a/src/forward/generations/resume.ts
+++ b/src/forward/generations/resume.ts
@@ -52,7 +52,7 @@
     const shared = await this.find(request);
     const found = shared.origin === undefined ? this.findByOnlyVersion(request, shared) : shared;
     const origin =
-      found.origin && confirmOrigin(found.origin, directory.find(found.origin.endpoint));
+      found.origin && confirmOrigin(found.origin, directory.processes.list(found.origin.endpoint));
     this.report(request, found.source, origin);
     if (origin?.version === undefined) return E.left(createUnknownOriginRefusal(found.source));
     const isServed = request.route.services.some(({ service }) => service === origin.service);
--- a/src/forward/maintenance.ts
+++ b/src/forward/maintenance.ts
@@ -2,6 +2,7 @@
  * Does the periodic work of an instance: applies the limits for callers, logs the shares, watches
  * the versions of endpoints, and forgets endpoints that left.
  */
+import type { Moment } from "../core/clock";
 import type { ForwardContext } from "./endpoints";
 import type { FleetView } from "./fleetview";
 import type { ForwardServer } from "./callers";
@@ -16,6 +17,7 @@
 export class Maintenance {
   private timer: NodeJS.Timeout | undefined;
   private appliedVersion = NO_VERSION;
+  private versionsRecordedAt: Moment = Number.NEGATIVE_INFINITY;
   /** Number of live instances in the last log line on shares. */
   private loggedLiveCount = 0;
 
@@ -58,13 +60,20 @@
     meter.prune(isListed);
     gate.prune(isListed);
     dialer.prune(isListed);
+    directory.processes.prune(isListed, this.context.clock.now());
   }
 
-  /** Watches the versions of endpoints while the list is current. */
+  /**
+   * Watches the versions of endpoints while the list is current, also of processes that were listed
+   * only since the last time.
+   */
   private recordVersions(): void {
     const { versionHistory, directory, clock } = this.context;
     if (this.view.watcher.computeEndpointsAgeMs() > LIST_CURRENT_MS) return;
-    versionHistory.record(directory.listAll(), clock.now());
+    const now = clock.now();
+    const recent = directory.processes.listSince(this.versionsRecordedAt);
+    versionHistory.record([...directory.listAll(), ...recent], now);
+    this.versionsRecordedAt = now;
   }
 
   /**
--- a/src/forward/shared/origins.ts
+++ b/src/forward/shared/origins.ts
@@ -82,8 +82,13 @@
   }
 }
 
-/** Checks whether two streams, or a stream and an engine, have the same known version. */
-function isSameVersion(a: StreamOrigin, b: StreamOrigin): boolean {
+/**
+ * Checks whether two origins have the same known version.
+ *
+ * @example
+ * isSameVersion(origin, { ...origin, version: undefined }); // false
+ */
+export function isSameVersion(a: StreamOrigin, b: StreamOrigin): boolean {
   return a.version !== undefined && a.version === b.version && a.service === b.service;
 }
 
--- a/src/forward/shared/sharedorigins.ts
+++ b/src/forward/shared/sharedorigins.ts
@@ -6,7 +6,13 @@
 import type { Logger } from "../../core/log";
 import { runTask } from "../../core/tasks";
 import { chooseReplicas, type ReplicaCandidate } from "../../fleet/replicas";
-import type { NamedOrigin, StreamName, StreamOrigin, StreamOrigins } from "./origins";
+import {
+  isSameVersion,
+  type NamedOrigin,
+  type StreamName,
+  type StreamOrigin,
+  type StreamOrigins,
+} from "./origins";
 
 const REMEMBER_TIMEOUT_MS = 500;
 /** How long a lookup may take, in milliseconds; the caller waits for it. */
@@ -83,15 +89,20 @@
     }
   }
 
-  /** Finds the origin of a stream, here or at the instances that may keep it. */
+  /**
+   * Finds the origin of a stream, here or at the instances that may keep it. A caller may have begun
+   * a stream anew under the same id at another instance, so a record here is compared with theirs,
+   * unless this instance is told of all.
+   */
   async find(stream: StreamName): Promise<FoundOrigin> {
     const { instance: self, origins, transport, clock } = this.parts;
     const known = origins.find(stream, clock.now());
-    if (known !== undefined) return { origin: known, source: OriginSource.here };
+    const isKeeper = this.chooseKeepers(stream, 0).includes(self);
+    if (known !== undefined && isKeeper) return { origin: known, source: OriginSource.here };
     const asked = this.chooseKeepers(stream, STANDBYS)
       .filter((instance) => instance !== self)
       .map((instance) => transport.recall(instance, stream, RECALL_TIMEOUT_MS));
-    return waitForOrigin(asked);
+    return mergeAnswers(known, await Promise.all(asked));
   }
 
   private chooseKeepers({ request }: StreamName, standbys: number): readonly string[] {
@@ -123,22 +134,19 @@
   }
 }
 
-/** Waits for the first answer that has the origin, or for all answers. */
-function waitForOrigin(
-  asked: readonly Promise<RecalledOrigin | undefined>[],
-): Promise<FoundOrigin> {
-  return new Promise((resolve) => {
-    const answers = asked.map(async (answer) => {
-      const recalled = await answer;
-      if (recalled?.origin !== undefined) {
-        resolve({ origin: recalled.origin, source: OriginSource.peer });
-      }
-      return recalled;
-    });
-    void Promise.all(answers).then((all) => {
-      const hasSilent = all.some((answer) => answer === undefined);
-      const source = hasSilent ? OriginSource.unclear : OriginSource.nowhere;
-      resolve({ origin: undefined, source });
-    });
-  });
+/** Merges what is known here with the answers of peers: where two versions are named, none is known. */
+function mergeAnswers(
+  known: StreamOrigin | undefined,
+  answers: readonly (RecalledOrigin | undefined)[],
+): FoundOrigin {
+  const recalled = answers.flatMap((answer) => answer?.origin ?? []);
+  const all = known === undefined ? recalled : [known, ...recalled];
+  const [first] = all;
+  if (first !== undefined) {
+    const isClear = all.every((origin) => isSameVersion(origin, first));
+    const source = known === undefined ? OriginSource.peer : OriginSource.here;
+    return { origin: isClear ? first : { ...first, version: undefined }, source };
+  }
+  const hasSilent = answers.some((answer) => answer === undefined);
+  return { origin: undefined, source: hasSilent ? OriginSource.unclear : OriginSource.nowhere };
 }
--- a/src/forward/shared/versions.ts
+++ b/src/forward/shared/versions.ts
@@ -24,19 +24,27 @@
 }
 
 /**
- * Drops the version of an origin if the engine had started anew, with another version, before the
- * stream began: the list said so only later.
+ * Drops the version of an origin if another process of its engine, with another version, may have
+ * begun the stream: it had started before the first event, and the list said so only later. Entries
+ * without a start time don't tell which process was first.
  *
- * @param listed - the engine as it is listed now
+ * @param processes - the processes that the engine has had, also if it is listed no more
  * @example
- * confirmOrigin(origin, directory.find(origin.endpoint)).version;
+ * confirmOrigin(origin, directory.processes.list(origin.endpoint)).version;
  */
 export function confirmOrigin(
   origin: StreamOrigin,
-  listed: EndpointEntry | undefined,
+  processes: readonly EndpointEntry[],
 ): StreamOrigin {
-  const isOtherProcess = listed !== undefined && listed.processStartedAt > origin.processStartedAt;
-  if (!isOtherProcess || listed.version === origin.version) return origin;
-  const mayHaveBegunIt = listed.processStartedAt <= origin.beganAt + CLOCK_TOLERANCE_MS;
-  return mayHaveBegunIt ? { ...origin, version: undefined } : origin;
+  const mayBeWrong = processes.some((process) => mayHaveBegun(process, origin));
+  return mayBeWrong ? { ...origin, version: undefined } : origin;
+}
+
+/** Checks whether a process of another version than the recorded one may have begun a stream. */
+function mayHaveBegun(process: EndpointEntry, origin: StreamOrigin): boolean {
+  if (process.version === origin.version && process.service === origin.service) return false;
+  return (
+    process.processStartedAt >= origin.processStartedAt &&
+    process.processStartedAt <= origin.beganAt + CLOCK_TOLERANCE_MS
+  );
 }
--- a/test/harness/originfleet.ts
+++ b/test/harness/originfleet.ts
@@ -51,10 +51,12 @@
     return this.nodes[index]?.isDown ?? true;
   }
 
-  /** Begins a stream at an instance; returns its name. */
-  begin(index: number, version: string): StreamName {
-    this.streams += 1;
-    const name = { workspace: "walls", request: `s${this.streams}` };
+  /**
+   * Begins a stream at an instance; returns its name.
+   *
+   * @param name - a new one if not given
+   */
+  begin(index: number, version: string, name = this.createName()): StreamName {
     const node = this.nodes[index];
     if (node === undefined || node.isDown) return name;
     const origin = {
@@ -88,6 +90,11 @@
     }
   }
 
+  private createName(): StreamName {
+    this.streams += 1;
+    return { workspace: "walls", request: `s${this.streams}` };
+  }
+
   protected createParts({ name, members }: OriginNode): OriginParts {
     const origins = new StreamOrigins();
     const shared = new SharedOrigins({
--- a/test/origins.spec.ts
+++ b/test/origins.spec.ts
@@ -9,7 +9,9 @@
 import { StreamOrigins, type StreamOrigin } from "../src/forward/shared/origins";
 import { OriginSource } from "../src/forward/shared/sharedorigins";
 import { canGoOn, confirmOrigin } from "../src/forward/shared/versions";
-import { createEntry } from "./harness/forward";
+import { EndpointDirectory } from "../src/fleet/directory";
+import { compareEntries, EntryChange, type EndpointEntry } from "../src/fleet/entries";
+import { createEntry, testCodecs } from "./harness/forward";
 import { OriginFleet } from "./harness/originfleet";
 
 const VERSIONS = ["v1", "v1.1"] as const;
@@ -98,6 +100,27 @@
     );
   });
 
+  it("is unknown if its id names streams of two versions at two instances", async () => {
+    for (const [first, second] of [
+      [0, 4],
+      [4, 8],
+      [8, 0],
+    ] as const) {
+      const fleet = new OriginFleet(9, 4);
+      await fleet.events.runUntil(fleet.now + 1500);
+      const name = fleet.begin(first, "v1");
+      fleet.begin(second, "v1.1", name);
+      await fleet.events.runUntil(fleet.now + 500);
+      for (let index = 0; index < 9; index += 1) fleet.takeUp(index, name, "");
+      await fleet.events.runUntil(fleet.now + 500);
+      const versions = fleet.takenUp.map(({ found }) => found.origin?.version);
+      assert.deepEqual(
+        versions,
+        Array.from({ length: 9 }, () => undefined),
+      );
+    }
+  });
+
   it("says whether somebody who may know it did not answer", async () => {
     const fleet = new OriginFleet(9, 4);
     await fleet.events.runUntil(fleet.now + 1500);
@@ -179,15 +202,53 @@
     assert.equal(canGoOn(unknown, { ...engine, version: undefined }), false);
   });
 
+  const listed = createEntry("d1", "a:1", { service: "models", version: "v2" });
+
   it("are none if the process had started anew, with another version, before the first event", () => {
-    const listed = createEntry("d1", "a:1", { service: "models", version: "v2" });
     const confirm = (processStartedAt: number, version = "v2") =>
-      confirmOrigin(ORIGIN, { ...listed, processStartedAt, version }).version;
-    assert.equal(confirm(1000), "v1", "the same process");
+      confirmOrigin(ORIGIN, [{ ...listed, processStartedAt, version }]).version;
+    assert.equal(confirm(500), "v1", "an earlier process");
     assert.equal(confirm(4000), undefined, "it may have written the first event");
     assert.equal(confirm(5200), undefined, "the clocks may differ a little");
     assert.equal(confirm(6000), "v1", "it started later");
     assert.equal(confirm(4000, "v1"), "v1", "the same version");
-    assert.equal(confirmOrigin(ORIGIN, undefined).version, "v1");
+    assert.equal(confirm(1000, "v1"), "v1", "the same process");
+    assert.equal(confirmOrigin(ORIGIN, []).version, "v1");
+  });
+
+  it("are none if entries of another version have no other start time", () => {
+    assert.equal(confirmOrigin(ORIGIN, [{ ...listed, processStartedAt: 1000 }]).version, undefined);
+  });
+
+  it("are none if a process of another version has been replaced or removed since", () => {
+    const directory = new EndpointDirectory(testCodecs.decodeEndpoint);
+    const put = (offset: number, value: Buffer | undefined) => {
+      const record = { key: "d1", value, position: { era: 0, offset } };
+      directory.apply({ records: [record], next: { era: 0, offset: offset + 1 } }, offset);
+    };
+    const encode = (entry: EndpointEntry) => Buffer.from(JSON.stringify(entry));
+    const confirm = () => confirmOrigin(ORIGIN, directory.processes.list("d1")).version;
+    put(0, encode({ ...listed, version: "v1", processStartedAt: 1000 }));
+    assert.equal(confirm(), "v1");
+    put(1, encode({ ...listed, processStartedAt: 4000 }));
+    assert.equal(confirm(), undefined, "listed");
+    put(2, undefined);
+    assert.equal(confirm(), undefined, "removed");
+    put(3, encode({ ...listed, version: "v1", processStartedAt: 7000 }));
+    assert.equal(confirm(), undefined, "replaced");
+    const isListed = () => true;
+    directory.processes.prune(isListed, 59_000);
+    assert.equal(confirm(), undefined, "remembered as long as origins");
+    directory.processes.prune(isListed, 70_000);
+    assert.equal(confirm(), "v1", "forgotten");
+  });
+});
+
+describe("an entry in which only the version changed", () => {
+  it("counts as changed, so that peers fetch it", () => {
+    const entry = createEntry("d1", "a:1", { processStartedAt: 0 });
+    assert.equal(compareEntries(entry, { ...entry, sequence: 2 }), undefined);
+    const other = { ...entry, version: "v2", sequence: 2 };
+    assert.equal(compareEntries(entry, other), EntryChange.changed);
   });
 });
--- a/test/versionhistory.spec.ts
+++ b/test/versionhistory.spec.ts
@@ -5,7 +5,9 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { VersionHistory } from "../src/fleet/versionhistory";
-import { createEntry } from "./harness/forward";
+import { EndpointDirectory } from "../src/fleet/directory";
+import type { EndpointEntry } from "../src/fleet/entries";
+import { createEntry, testCodecs } from "./harness/forward";
 
 const FOR_MS = 16_000;
 
@@ -56,4 +58,29 @@
     record(history, 0, 20_000, [undefined]);
     assert.equal(history.findOnly("sheets", FOR_MS, 20_000), undefined);
   });
+
+  it("is not known if another one was listed for a moment between two observations", () => {
+    const history = new VersionHistory();
+    const directory = new EndpointDirectory(testCodecs.decodeEndpoint);
+    const entry = createEntry("e0", "a:1", { service: "sheets", version: "v1" });
+    const put = (offset: number, key: string, value: EndpointEntry | undefined) => {
+      const bytes = value && Buffer.from(JSON.stringify(value));
+      const record = { key, value: bytes, position: { era: 0, offset } };
+      directory.apply({ records: [record], next: { era: 0, offset: offset + 1 } }, 10_500);
+    };
+    put(0, "e0", entry);
+    const recordUpTo = (from: number, to: number) => {
+      for (let now = from; now <= to; now += 1000) {
+        const recent = directory.processes.listSince(now - 1000);
+        history.record([...directory.listAll(), ...recent], now);
+      }
+    };
+    recordUpTo(0, 10_000);
+    put(1, "e1", { ...entry, id: "e1", version: "v2" });
+    put(2, "e1", undefined);
+    recordUpTo(11_000, 20_000);
+    assert.equal(history.findOnly("sheets", FOR_MS, 20_000), undefined);
+    recordUpTo(21_000, 28_000);
+    assert.equal(history.findOnly("sheets", FOR_MS, 28_000), "v1");
+  });
 });
--- a/test/versions.spec.ts
+++ b/test/versions.spec.ts
@@ -180,4 +180,67 @@
     assert.deepEqual([resumed.status, resumed.isComplete], [200, true]);
     assert.equal(countRuns("d1"), runs);
   });
+
+  for (const [replaced, putNext] of [
+    ["was removed", () => store.endpoints.put("d1", undefined)],
+    [
+      "was replaced by a third process",
+      (address: string) => {
+        const more = { ...ofVersion("v1"), processStartedAt: Date.now() + 60_000 };
+        store.putEndpoint(createEntry("d1", address, more));
+      },
+    ],
+    [
+      "was replaced by one that is listed for a moment only",
+      (address: string) => {
+        const more = { ...ofVersion("v1"), processStartedAt: Date.now() + 60_000 };
+        store.putEndpoint(createEntry("d1", address, more));
+        store.endpoints.put("d1", undefined);
+      },
+    ],
+  ] as const) {
+    it(`and is refused if a process of another version may have begun it that ${replaced}`, async () => {
+      let isBreaking = true;
+      const engine = await addEngine("d1", "v1", () => isBreaking);
+      await startFleet(1);
+      const processStartedAt = Date.now();
+      const begun = await get(ports[0] ?? 0, "/summary/s1", { "x-id": "s1" });
+      assert.equal(begun.isComplete, false);
+      isBreaking = false;
+      // The process had started before the stream, and the list names it only now.
+      store.putEndpoint(
+        createEntry("d1", engine.address, { ...ofVersion("v2"), processStartedAt }),
+      );
+      await pause(400);
+      putNext(engine.address);
+      await addEngine("d2", "v1");
+      await pause(400);
+      const runs = countRuns("d1");
+      const headers = { "x-of": "s1", "x-after": "4" };
+      assert.equal((await get(ports[0] ?? 0, "/summary/s1", headers)).status, 503);
+      assert.deepEqual([countRuns("d1"), countRuns("d2")], [runs, 0]);
+    });
+  }
+
+  it("and is refused if its engine's entries have no start time and another version follows", async () => {
+    const processStartedAt = 0;
+    let isBreaking = true;
+    const engine = await addEngine("d1", "v1", () => isBreaking);
+    const put = (version: string, sequence: number) => {
+      const more = { ...ofVersion(version), processStartedAt, sequence };
+      store.putEndpoint(createEntry("d1", engine.address, more));
+    };
+    store.endpoints.records = [];
+    put("v1", 1);
+    await startFleet(1);
+    assert.equal((await get(ports[0] ?? 0, "/summary/s1", { "x-id": "s1" })).isComplete, false);
+    isBreaking = false;
+    put("v2", 2);
+    await addEngine("d2", "v1");
+    await pause(400);
+    const runs = countRuns("d1");
+    const headers = { "x-of": "s1", "x-after": "4" };
+    assert.equal((await get(ports[0] ?? 0, "/summary/s1", headers)).status, 503);
+    assert.deepEqual([countRuns("d1"), countRuns("d2")], [runs, 0]);
+  });
 });
