--- a/src/fleet/heartbeat.ts
+++ b/src/fleet/heartbeat.ts
@@ -30,8 +30,15 @@
   close(): void;
 }
 
-/** What a heartbeat reports, beside its sender and the time. */
-export type BeatContent = Omit<Beat, keyof MemberIdentity | "sentAtMs">;
+/** What a heartbeat reports, beside its sender, the time and the size of the fleet. */
+export type BeatContent = Omit<Beat, keyof MemberIdentity | "sentAtMs" | "fleetSize">;
+
+/** Takes the place of heartbeats to all peers in a large fleet. */
+export interface HeartbeatRelay {
+  readonly isActive: boolean;
+  activate(reason: string): void;
+  announce(): void;
+}
 
 /** The instance's state that heartbeats report and update. */
 export interface HeartbeatHost {
@@ -66,6 +73,9 @@
     private readonly host: HeartbeatHost,
     private readonly clock: Clock,
     private readonly logger: Logger,
+    private readonly relay?: HeartbeatRelay,
+    /** Number of known instances above which relays are used. */
+    private readonly maxSize = Number.POSITIVE_INFINITY,
   ) {}
 
   start(): void {
@@ -85,6 +95,10 @@
    * ended, as the beat of that one may be older than the news.
    */
   sendHeartbeats(): void {
+    if (this.relay?.isActive === true) {
+      this.relay.announce();
+      return;
+    }
     for (const address of this.pendingAddresses) this.overdueAddresses.add(address);
     this.sendRegular();
   }
@@ -97,10 +111,19 @@
 
   /** Sends a heartbeat to every peer, except where the last exchange with it is pending. */
   private sendRegular(): void {
+    if (this.isRelayed()) return;
     const beat = this.createBeat();
     for (const address of this.members.listAddresses()) this.startExchange(address, beat);
   }
 
+  /** Checks whether relays take the place of heartbeats, as the fleet is large. */
+  private isRelayed(): boolean {
+    const { relay, members, maxSize } = this;
+    if (relay === undefined) return false;
+    if (!relay.isActive && members.countKnown() > maxSize) relay.activate("the fleet is large");
+    return relay.isActive;
+  }
+
   private startExchange(address: string, beat: Beat): void {
     void runTask("heartbeat", this.logger, () => this.exchange(address, beat));
   }
@@ -131,6 +154,11 @@
     const isNew = this.members.recordBeat(beat, now);
     if (isNew) this.logger.info("peer found", { peer: beat.instance, address: beat.address });
     this.host.handleBeat(beat, now, sentAt);
+    this.addOffer(beat);
+  }
+
+  /** Fetches from a peer what is newer there. */
+  addOffer(beat: Beat): void {
     if (!this.host.shouldFetch(beat)) return;
     this.offers.add(beat);
     this.startFetch();
@@ -152,6 +180,7 @@
       const request = this.host.createFetchRequest();
       const reply = await this.transport.fetch(address, request, FETCH_TIMEOUT_MS);
       if (reply !== undefined) this.host.handleFetchReply(reply, address);
+      this.relay?.announce();
     } finally {
       timer.close();
       this.offers.end(address);
@@ -161,6 +190,7 @@
 
   private createBeat(): Beat {
     const sentAtMs = this.clock.now();
-    return { ...this.self, ...this.host.createBeatContent(), sentAtMs };
+    const fleetSize = this.relay === undefined ? 0 : this.members.countKnown();
+    return { ...this.self, ...this.host.createBeatContent(), sentAtMs, fleetSize };
   }
 }
--- a/src/fleet/members.ts
+++ b/src/fleet/members.ts
@@ -54,6 +54,12 @@
   readonly missing: number;
 }
 
+/** What relays say of an instance. */
+export interface RelayedMember extends ReaderCandidate {
+  readonly address: string;
+  readonly isLeaving: boolean;
+}
+
 interface Member {
   readonly instance: string;
   readonly address: string;
@@ -62,6 +68,8 @@
   lastHeartbeatAt: Moment;
   isLeaving: boolean;
   isLost: boolean;
+  /** When relays last said that it is heard; undefined if they never did. */
+  relayedAt: Moment | undefined;
 }
 
 interface PeerAddress {
@@ -75,6 +83,11 @@
 export class MemberList {
   private readonly members = new Map<string, Member>();
   private readonly addresses = new Map<string, PeerAddress>();
+  /** The relays of the fleet while it uses them. */
+  private relays: ReadonlySet<string> | undefined;
+  private isRelay = true;
+  /** The largest number of instances that a peer said it knows. */
+  private toldSize = 0;
 
   constructor(
     private readonly self: MemberIdentity,
@@ -127,7 +140,9 @@
       lastHeartbeatAt: now,
       isLeaving: beat.leaving,
       isLost: false,
+      relayedAt: member?.relayedAt,
     });
+    this.toldSize = Math.max(this.toldSize, beat.fleetSize ?? 0);
     return !isLive;
   }
 
@@ -150,6 +165,69 @@
     return true;
   }
 
+  /**
+   * Records that relays hear an instance.
+   *
+   * @param heardAt - when the neighbour was heard from which this comes
+   */
+  recordRelayed(relayed: RelayedMember, heardAt: Moment): void {
+    const { instance, address } = relayed;
+    const known = this.members.get(instance);
+    const lastHeartbeatAt = Math.max(heardAt, known?.lastHeartbeatAt ?? heardAt);
+    this.members.set(instance, { ...relayed, lastHeartbeatAt, isLost: false, relayedAt: heardAt });
+    this.addresses.set(address, { lastAliveAt: lastHeartbeatAt, instance, isHeard: true });
+  }
+
+  /** Records that relays lost an instance; it may still be running unheard. */
+  recordLost(instance: string, now: Moment): void {
+    const member = this.members.get(instance);
+    if (member === undefined || member.isLost) return;
+    member.lastHeartbeatAt = Math.min(member.lastHeartbeatAt, now - LIVENESS_TIMEOUT_MS - 1);
+    member.isLost = true;
+    this.logger.warn("peer lost", { peer: instance, address: member.address });
+  }
+
+  /** Checks whether the state of an instance comes through relays. */
+  isRelayed(instance: string, now: Moment): boolean {
+    const relayedAt = this.members.get(instance)?.relayedAt;
+    return relayedAt !== undefined && now - relayedAt <= LIVENESS_TIMEOUT_MS;
+  }
+
+  /**
+   * Sets the relays of the fleet: only they read the store.
+   *
+   * @param isRelay - whether this instance is one
+   */
+  setRelays(relays: ReadonlySet<string>, isRelay: boolean): void {
+    this.relays = relays;
+    this.isRelay = isRelay;
+  }
+
+  /** True if this instance may read the store for the fleet. */
+  get mayRead(): boolean {
+    return this.isRelay;
+  }
+
+  /** Counts the instances that are known, this one included: by their addresses, or as peers say. */
+  countKnown(): number {
+    return Math.max(this.addresses.size + 1, this.toldSize);
+  }
+
+  /** Lists the addresses of the instances that are live. */
+  listLiveAddresses(now: Moment): ReadonlySet<string> {
+    const live = [...this.members.values()].filter(
+      (member) => now - member.lastHeartbeatAt <= LIVENESS_TIMEOUT_MS,
+    );
+    return new Set([...live.map(({ address }) => address), this.self.address]);
+  }
+
+  /** Removes the addresses from which nothing was heard for too long. */
+  pruneAddresses(now: Moment): void {
+    for (const [address, { lastAliveAt }] of this.addresses) {
+      if (now - lastAliveAt > ADDRESS_TTL_MS) this.addresses.delete(address);
+    }
+  }
+
   /** Lists the addresses of all peers that may be running. */
   listAddresses(): readonly string[] {
     return [...this.addresses.keys()];
@@ -174,8 +252,10 @@
   /** Lists the peers that are heard and not leaving, as candidates for reading the store. */
   listReaderCandidates(now: Moment): readonly ReaderCandidate[] {
     return [...this.members.values()].filter(
-      ({ isLeaving, lastHeartbeatAt }) =>
-        !isLeaving && now - lastHeartbeatAt <= SUSPICION_TIMEOUT_MS,
+      ({ instance, isLeaving, lastHeartbeatAt }) =>
+        !isLeaving &&
+        now - lastHeartbeatAt <= SUSPICION_TIMEOUT_MS &&
+        this.relays?.has(instance) !== false,
     );
   }
 
--- /dev/null
+++ b/src/fleet/relay/network.ts
@@ -0,0 +1,401 @@
+/**
+ * Takes part in a fleet that uses relays: keeps the streams to neighbours, merges and passes on records,
+ * and derives from them which instances are live. Everything periodic is done by one tick.
+ */
+import type { Clock, Moment } from "../../core/clock";
+import type { Logger } from "../../core/log";
+import {
+  Beat,
+  type RelayHello,
+  RelayHeard,
+  RelayMember,
+  type RelayMessage,
+} from "../../peer/gen/fleet";
+import type { MemberIdentity, MemberList } from "../members";
+import { TopologyCache } from "./choice";
+import { Dialler } from "./dialler";
+import { FlushQueue } from "./flush";
+import type { RelayHost } from "./host";
+import { LinkTable } from "./links";
+import type { RelayLink } from "./link";
+import { LoadExchange } from "./loads";
+import { type KindState, OwnRecords } from "./own";
+import { decodeRecord, type OwnedRecord, RecordKind, RecordTable } from "./records";
+import { RelayTraffic } from "./traffic";
+import type { RelayListener, RelayStream, RelayTransport } from "./transport";
+import { computeHearing, type HeardReport } from "./view";
+
+/** Interval of the tick, in milliseconds: changes that are not urgent are sent as often. */
+export const TICK_INTERVAL_MS = 250;
+/** Time for which urgent changes are gathered into one message, in milliseconds. */
+const URGENT_DELAY_MS = 5;
+/** How long an instance is told to be lost, in milliseconds; longer than views differ. */
+const LOST_TTL_MS = 15_000;
+/** Interval at which state that expires at its receivers is applied again, in milliseconds. */
+const REAPPLY_INTERVAL_MS = 1000;
+
+/** Kinds whose changes are sent at once. */
+const URGENT_KINDS: ReadonlySet<number> = new Set([
+  RecordKind.limits,
+  RecordKind.crashes,
+  RecordKind.departures,
+  RecordKind.absences,
+]);
+/** Kinds that expire at their receivers unless they are told again. */
+const EXPIRING_KINDS = [RecordKind.lostEndpoints, RecordKind.speeds] as const;
+
+/** Dependencies of the network. */
+export interface RelayNetworkParts {
+  readonly self: MemberIdentity;
+  /** Number of this process, higher than that of earlier ones; milliseconds of the wall clock. */
+  readonly generation: number;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly transport: RelayTransport;
+  readonly members: MemberList;
+  readonly host: RelayHost;
+  readonly isLeaving: () => boolean;
+  readonly isStoreLost: () => boolean;
+  /** Addresses from the settings; tried as long as no neighbour is heard. */
+  readonly listSeeds: () => readonly string[];
+  readonly random: () => number;
+  /** Runs something after a delay in milliseconds. */
+  readonly schedule: (ms: number, run: () => void) => void;
+}
+
+/** The streams of one instance, and what it learns on them. */
+export class RelayNetwork {
+  readonly traffic = new RelayTraffic();
+  private readonly table = new RecordTable();
+  private readonly own: OwnRecords;
+  private readonly links: LinkTable;
+  private readonly topology: TopologyCache;
+  private readonly loads: LoadExchange;
+  private readonly dialler: Dialler;
+  private readonly flushQueue: FlushQueue;
+  private readonly heardReports = new WeakMap<OwnedRecord, HeardReport>();
+  private readonly lostAt = new Map<string, Moment>();
+  private active = false;
+  private isClosed = false;
+  private isFlushDue = false;
+  private isLoadChanged = false;
+  private reapplyAt: Moment = Number.NEGATIVE_INFINITY;
+
+  constructor(private readonly parts: RelayNetworkParts) {
+    const { self, generation, transport } = parts;
+    this.own = new OwnRecords(self, generation);
+    this.links = new LinkTable(self.instance, parts.clock);
+    this.topology = new TopologyCache(self);
+    this.loads = new LoadExchange(self);
+    this.flushQueue = new FlushQueue(parts.host, this.loads, this.traffic);
+    this.dialler = new Dialler({
+      ...parts,
+      links: this.links,
+      open: (address) => {
+        this.open(address, transport);
+      },
+    });
+  }
+
+  /** True once this instance takes part; until then it exchanges heartbeats with all peers. */
+  get isActive(): boolean {
+    return this.active;
+  }
+
+  get isRelay(): boolean {
+    return this.topology.current.isRelay;
+  }
+
+  /** Lists the names of the neighbours that are heard. */
+  listNeighbours(): readonly string[] {
+    return [...this.links.listHeard(this.parts.clock.now()).keys()];
+  }
+
+  /** Takes part from now on. */
+  activate(reason: string): void {
+    if (this.active || this.isClosed) return;
+    this.active = true;
+    this.parts.logger.info("relays used", { reason, known: this.parts.members.countKnown() });
+    this.tick();
+  }
+
+  close(): void {
+    this.isClosed = true;
+    this.active = false;
+    this.links.closeAll();
+  }
+
+  /** Sends urgent changes of this instance's state now. */
+  announce(): void {
+    if (!this.active) return;
+    this.collect(this.parts.clock.now());
+    this.scheduleFlush();
+  }
+
+  /** Accepts a stream that a peer has opened; the peer knows that the fleet uses relays. */
+  accept(stream: RelayStream): RelayListener {
+    this.activate("a peer opened a stream");
+    const link = this.links.add(stream, "", this.parts.clock.now());
+    return this.createListener(link);
+  }
+
+  /** Does what is due; called at each interval. */
+  tick(): void {
+    if (!this.active) return;
+    const { clock, members, host } = this.parts;
+    const now = clock.now();
+    this.links.check(now);
+    this.collect(now);
+    this.updateView(now);
+    const live = members.listLiveMembers(now);
+    if (this.topology.update(this.parts.isLeaving() ? live.slice(0, -1) : live)) {
+      this.onTopologyChange();
+    }
+    this.dialler.dial(this.topology.current, now);
+    this.loads.setOwnLoad(host.readLoad(now));
+    const links = this.links.listOpen();
+    this.loads.chooseWanted(links, this.topology.current, (name) => this.countHeard(name));
+    this.reapply(links, now);
+    this.flushQueue.flush(links, this.isRelay, true, now);
+  }
+
+  private reapply(links: readonly RelayLink[], now: Moment): void {
+    const isDue = now >= this.reapplyAt;
+    if (!isDue && !this.isLoadChanged) return;
+    this.isLoadChanged = false;
+    this.parts.host.applyPeerLoad(this.loads.computePeerLoad(links), now);
+    if (!isDue) return;
+    this.reapplyAt = now + REAPPLY_INTERVAL_MS;
+    const { members } = this.parts;
+    for (const kind of EXPIRING_KINDS) {
+      for (const record of this.table.listKind(kind)) {
+        if (record.instance === this.parts.self.instance) continue;
+        if (members.isRelayed(record.instance, now) && record.content.length > 0) {
+          this.parts.host.applyRecord({ ...record, writtenAt: now }, now);
+        }
+      }
+    }
+    this.table.prune((name) => members.isRelayed(name, now), now);
+    members.pruneAddresses(now);
+  }
+
+  private open(address: string, transport: RelayTransport): void {
+    const now = this.parts.clock.now();
+    const opened: { link: RelayLink | undefined } = { link: undefined };
+    const stream = transport.openRelay(address, {
+      onMessage: (message, bytes) => {
+        if (opened.link !== undefined) this.onMessage(opened.link, message, bytes);
+      },
+      onClosed: (isGraceful) => {
+        if (opened.link !== undefined) this.links.recordClosed(opened.link, isGraceful);
+      },
+    });
+    if (stream === undefined) return;
+    opened.link = this.links.add(stream, address, now);
+    this.flushQueue.sendHello(opened.link, this.createHello(), now);
+  }
+
+  private createListener(link: RelayLink): RelayListener {
+    return {
+      onMessage: (message, bytes) => {
+        this.onMessage(link, message, bytes);
+      },
+      onClosed: (isGraceful) => {
+        this.links.recordClosed(link, isGraceful);
+      },
+    };
+  }
+
+  private onMessage(link: RelayLink, message: RelayMessage, bytes: number): void {
+    if (this.isClosed || !this.links.contains(link)) return;
+    const now = this.parts.clock.now();
+    this.traffic.recordReceived(message, bytes);
+    const sentAt = link.recordMessage(message, now);
+    if (message.hello !== undefined) this.onHello(link, message.hello, now);
+    if (link.peer === undefined) return;
+    for (const record of message.records) {
+      this.mergeRecord(link, decodeRecord(record, sentAt ?? now), now);
+    }
+    if (message.head !== undefined) this.applyHead(link, message, sentAt);
+    if (message.report === undefined) return;
+    this.loads.applyReport(link, message.report);
+    this.isLoadChanged = true;
+  }
+
+  private onHello(link: RelayLink, hello: RelayHello, now: Moment): void {
+    if (!this.links.identify(link, hello)) return;
+    if (!link.isOutgoing) this.flushQueue.sendHello(link, this.createHello(), now);
+    this.collect(now);
+    for (const record of this.table.listAll()) {
+      if (record.instance !== hello.instance) link.queue(record);
+    }
+    this.scheduleFlush();
+  }
+
+  private createHello(): RelayHello {
+    return { ...this.parts.self, generation: this.own.generation };
+  }
+
+  private applyHead(link: RelayLink, { head }: RelayMessage, sentAt: Moment | undefined): void {
+    const { peer } = link;
+    if (head === undefined || peer === undefined) return;
+    const { instance, incarnation, address, dataCentre } = peer;
+    const beat = Beat.fromPartial({ ...head, instance, incarnation, address, dataCentre });
+    this.parts.host.applyHead(beat, sentAt);
+    if (this.isRelay && this.flushQueue.isHeadNews(this.parts.clock.now())) this.scheduleFlush();
+  }
+
+  /** Merges a record that a neighbour sent; passes it on if it is new here. */
+  private mergeRecord(link: RelayLink, record: OwnedRecord, now: Moment): void {
+    const { self, host } = this.parts;
+    if (record.instance === self.instance) {
+      if (record.incarnation === self.incarnation) return;
+      for (const renewed of this.own.advance(record.generation)) this.publish(renewed, now);
+      return;
+    }
+    for (const other of this.links.listOf(link.peer?.instance ?? "")) other.dropKnown(record);
+    const before = this.table.find(record.instance, record.kind);
+    if (!this.table.merge(record, now)) return;
+    this.passOn(link, record);
+    if (record.kind === RecordKind.heard) {
+      if (this.hasNewLoss(before, record)) {
+        this.updateView(now);
+        this.scheduleFlush();
+      }
+    } else if (record.kind === RecordKind.member) {
+      if (RelayMember.decode(record.content).leaving) this.scheduleFlush();
+      this.updateMember(record, now);
+    } else {
+      host.applyRecord(record, now);
+      if (URGENT_KINDS.has(record.kind)) this.scheduleFlush();
+    }
+  }
+
+  /** Passes a record on to the neighbours that do not get it from where it came from. */
+  private passOn(from: RelayLink, record: OwnedRecord): void {
+    const { relayNames, isRelay } = this.topology.current;
+    const sender = from.peer?.instance ?? "";
+    const isFromRelay = relayNames.has(sender);
+    for (const link of this.links.listOpen()) {
+      const { peer } = link;
+      if (peer === undefined || peer.instance === sender) continue;
+      if (peer.instance === record.instance) continue;
+      const isPartner = isRelay && peer.dataCentre === this.parts.self.dataCentre;
+      if (isFromRelay && relayNames.has(peer.instance) && !isPartner) continue;
+      link.queue(record);
+    }
+  }
+
+  /** Writes new versions of what has changed at this instance, and queues them for all neighbours. */
+  private collect(now: Moment): void {
+    const { host } = this.parts;
+    let isUrgent = false;
+    const states = [this.describeMember(), this.describeHeard(now), ...host.listKinds(now)];
+    for (const state of states) {
+      const record = this.own.update(state, now);
+      if (record === undefined) continue;
+      this.publish(record, now);
+      isUrgent ||= URGENT_KINDS.has(state.kind);
+    }
+    if (isUrgent) this.scheduleFlush();
+  }
+
+  private publish(record: OwnedRecord, now: Moment): void {
+    this.table.merge(record, now);
+    for (const link of this.links.listOpen()) if (link.peer !== undefined) link.queue(record);
+  }
+
+  private describeMember(): KindState {
+    const { self, isLeaving, isStoreLost } = this.parts;
+    const { address, dataCentre } = self;
+    const member = { address, dataCentre, leaving: isLeaving(), storeLost: isStoreLost() };
+    return {
+      kind: RecordKind.member,
+      signature: JSON.stringify(member),
+      encode: () => RelayMember.encode(member).finish(),
+    };
+  }
+
+  private describeHeard(now: Moment): KindState {
+    for (const [name, at] of this.lostAt) if (now - at > LOST_TTL_MS) this.lostAt.delete(name);
+    const isTold = this.isRelay || this.links.hasIncoming;
+    const heard = isTold ? [...this.links.listHeard(now).keys()].sort() : [];
+    const lost = isTold ? [...this.lostAt.keys()].sort() : [];
+    return {
+      kind: RecordKind.heard,
+      signature: `${heard.join(" ")}|${lost.join(" ")}`,
+      encode: () => RelayHeard.encode({ heard, lost }).finish(),
+    };
+  }
+
+  /** Derives from the neighbours and their reports which instances are live. */
+  private updateView(now: Moment): void {
+    const { members, logger, self } = this.parts;
+    for (const name of this.links.takeLost(now)) {
+      this.lostAt.set(name, now);
+      logger.warn("neighbour lost", { peer: name });
+    }
+    const neighbours = this.links.listHeard(now);
+    for (const name of neighbours.keys()) this.lostAt.delete(name);
+    const hearing = computeHearing(neighbours, (name) => this.findHeard(name));
+    for (const [name, at] of hearing.heardAt) {
+      if (name === self.instance) continue;
+      const record = this.table.find(name, RecordKind.member);
+      if (record !== undefined) this.recordMember(record, at);
+    }
+    for (const name of [...hearing.lost, ...this.lostAt.keys()]) {
+      if (!hearing.heardAt.has(name)) members.recordLost(name, now);
+    }
+    members.setRelays(this.topology.current.relayNames, this.isRelay);
+  }
+
+  /** Applies the state of a live member at once. */
+  private updateMember(record: OwnedRecord, now: Moment): void {
+    const { members } = this.parts;
+    if (members.isRelayed(record.instance, now)) this.recordMember(record, now);
+  }
+
+  private recordMember({ instance, content }: OwnedRecord, heardAt: Moment): void {
+    const { address, dataCentre, leaving, storeLost } = RelayMember.decode(content);
+    const member = { instance, address, dataCentre, isLeaving: leaving, isStoreLost: storeLost };
+    this.parts.members.recordRelayed(member, heardAt);
+  }
+
+  private findHeard(instance: string): HeardReport | undefined {
+    const record = this.table.find(instance, RecordKind.heard);
+    return record === undefined ? undefined : this.readHeard(record);
+  }
+
+  private readHeard(record: OwnedRecord): HeardReport {
+    const known = this.heardReports.get(record);
+    if (known !== undefined) return known;
+    const report = RelayHeard.decode(record.content);
+    this.heardReports.set(record, report);
+    return report;
+  }
+
+  private hasNewLoss(before: OwnedRecord | undefined, record: OwnedRecord): boolean {
+    const known = before === undefined ? [] : this.readHeard(before).lost;
+    return this.readHeard(record).lost.some((name) => !known.includes(name));
+  }
+
+  private countHeard(instance: string): number {
+    return this.findHeard(instance)?.heard.length ?? 0;
+  }
+
+  private onTopologyChange(): void {
+    const { isRelay, neighbours } = this.topology.current;
+    this.parts.logger.info("relay role", { isRelay, neighbours: neighbours.length });
+  }
+
+  private scheduleFlush(): void {
+    if (this.isFlushDue) return;
+    this.isFlushDue = true;
+    this.parts.schedule(URGENT_DELAY_MS, () => {
+      this.isFlushDue = false;
+      if (this.isClosed || !this.active) return;
+      const now = this.parts.clock.now();
+      this.flushQueue.flush(this.links.listOpen(), this.isRelay, false, now);
+    });
+  }
+}
--- a/src/fleet/transport.ts
+++ b/src/fleet/transport.ts
@@ -30,6 +30,8 @@
 } from "../peer/gen/fleet";
 import { CHANNEL_OPTIONS } from "../peer/transport";
 import type { FleetTransport } from "./heartbeat";
+import { openRelayStream, RELAY_DEFINITION, type RelayCall, serveRelayStream } from "./relay/grpc";
+import type { RelayListener, RelayStream, RelayTransport } from "./relay/transport";
 
 const SHUTDOWN_TIMEOUT_MS = 200;
 
@@ -44,6 +46,7 @@
   onRemember(request: RememberRequest): void;
   onRecall(request: RecallRequest): RecallReply;
   onTunnel(call: ServerDuplexStream<TunnelData, TunnelData>): void;
+  onRelay(stream: RelayStream): RelayListener;
 }
 
 /** A server that listens for peers. */
@@ -52,7 +55,7 @@
 }
 
 /** Calls peers over gRPC, with one channel per address. */
-export class GrpcFleetTransport implements FleetTransport {
+export class GrpcFleetTransport implements FleetTransport, RelayTransport {
   private readonly clients = new Map<string, FleetClient>();
 
   exchange(address: string, beat: Beat, timeoutMs: number): Promise<Beat | undefined> {
@@ -67,6 +70,10 @@
     return this.call(address, timeoutMs, (client, done) => client.fetch(request, done));
   }
 
+  openRelay(address: string, listener: RelayListener): RelayStream | undefined {
+    return openRelayStream(address, listener);
+  }
+
   /** Asks an instance to decide on requests; undefined where it does not answer in time. */
   charge(
     address: string,
@@ -165,42 +172,48 @@
   handler: FleetHandler,
 ): Promise<FleetServer> {
   const server = new Server(CHANNEL_OPTIONS);
-  server.addService(FleetService, {
-    exchange: (call: ServerUnaryCall<Beat, Beat>, done: sendUnaryData<Beat>) => {
-      done(null, handler.onBeat(call.request));
-    },
-    fetch: (call: ServerUnaryCall<FetchRequest, FetchReply>, done: sendUnaryData<FetchReply>) => {
-      done(null, handler.onFetch(call.request));
-    },
-    charge: (
-      call: ServerUnaryCall<ChargeRequest, ChargeReply>,
-      done: sendUnaryData<ChargeReply>,
-    ) => {
-      done(null, handler.onCharge(call.request));
-    },
-    permit: (
-      call: ServerUnaryCall<PermitRequest, PermitReply>,
-      done: sendUnaryData<PermitReply>,
-    ) => {
-      done(null, handler.onPermit(call.request));
-    },
-    remember: (
-      call: ServerUnaryCall<RememberRequest, RememberReply>,
-      done: sendUnaryData<RememberReply>,
-    ) => {
-      handler.onRemember(call.request);
-      done(null, {});
-    },
-    recall: (
-      call: ServerUnaryCall<RecallRequest, RecallReply>,
-      done: sendUnaryData<RecallReply>,
-    ) => {
-      done(null, handler.onRecall(call.request));
-    },
-    tunnel: (call: ServerDuplexStream<TunnelData, TunnelData>) => {
-      handler.onTunnel(call);
+  server.addService(
+    { ...FleetService, relay: RELAY_DEFINITION },
+    {
+      relay: (call: RelayCall) => {
+        serveRelayStream(call, (stream) => handler.onRelay(stream));
+      },
+      exchange: (call: ServerUnaryCall<Beat, Beat>, done: sendUnaryData<Beat>) => {
+        done(null, handler.onBeat(call.request));
+      },
+      fetch: (call: ServerUnaryCall<FetchRequest, FetchReply>, done: sendUnaryData<FetchReply>) => {
+        done(null, handler.onFetch(call.request));
+      },
+      charge: (
+        call: ServerUnaryCall<ChargeRequest, ChargeReply>,
+        done: sendUnaryData<ChargeReply>,
+      ) => {
+        done(null, handler.onCharge(call.request));
+      },
+      permit: (
+        call: ServerUnaryCall<PermitRequest, PermitReply>,
+        done: sendUnaryData<PermitReply>,
+      ) => {
+        done(null, handler.onPermit(call.request));
+      },
+      remember: (
+        call: ServerUnaryCall<RememberRequest, RememberReply>,
+        done: sendUnaryData<RememberReply>,
+      ) => {
+        handler.onRemember(call.request);
+        done(null, {});
+      },
+      recall: (
+        call: ServerUnaryCall<RecallRequest, RecallReply>,
+        done: sendUnaryData<RecallReply>,
+      ) => {
+        done(null, handler.onRecall(call.request));
+      },
+      tunnel: (call: ServerDuplexStream<TunnelData, TunnelData>) => {
+        handler.onTunnel(call);
+      },
     },
-  });
+  );
   await bindServer(server, address);
   return { close: () => closeServer(server, SHUTDOWN_TIMEOUT_MS) };
 }
--- a/src/forward/fleetview.ts
+++ b/src/forward/fleetview.ts
@@ -33,10 +33,11 @@
   const { instance, dataCentre } = self;
   const directory = new EndpointDirectory(adapter.decodeEndpoint);
   const members = new MemberList(self, logger, clock.now());
-  const readerRole: ReaderRole = new ReaderRole(instance, (now) => [
-    ...members.listReaderCandidates(now),
-    { instance, dataCentre, isStoreLost: watcher.isStoreLost },
-  ]);
+  const readerRole: ReaderRole = new ReaderRole(instance, (now) => {
+    const peers = members.listReaderCandidates(now);
+    if (!members.mayRead) return peers;
+    return [...peers, { instance, dataCentre, isStoreLost: watcher.isStoreLost }];
+  });
   const watcher: StoreWatcher = new StoreWatcher(
     adapter.store,
     directory,
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -5,6 +5,8 @@
 import { pause } from "../core/clock";
 import { pauseAndRead } from "../core/readfirst";
 import { createNotRunRefusal, Reason } from "../core/outcome";
+import { TICK_INTERVAL_MS } from "../fleet/relay/network";
+import type { RelayListener, RelayStream } from "../fleet/relay/transport";
 import { type FleetHandler, type FleetServer, startFleetServer } from "../fleet/transport";
 import type {
   Beat,
@@ -20,7 +22,7 @@
 } from "../peer/gen/fleet";
 import type { Adapter } from "./adapter";
 import { createInstanceBase, type InstanceBase } from "./base";
-import { answerCharge, answerRecall, keepOrigins } from "./shared";
+import { answerCharge, answerRecall, createRelayedCharge, keepOrigins } from "./shared";
 import { addGauges } from "./gauges";
 import { Maintenance } from "./maintenance";
 import { createParts, type InstanceParts } from "./parts";
@@ -58,6 +60,7 @@
   private readonly maintenance: Maintenance;
   private readonly tunnelServer: TunnelServer;
   private peerServer: FleetServer | undefined;
+  private networkTimer: NodeJS.Timeout | undefined;
   private isStopping = false;
   /** Resolves once the instance has stopped; undefined until it is told to. */
   private stopped: Promise<void> | undefined;
@@ -108,6 +111,9 @@
       this.listenPeers(),
     ]);
     heartbeats.start();
+    this.networkTimer = setInterval(() => {
+      this.parts.network.tick();
+    }, TICK_INTERVAL_MS);
     rebalancer.start();
     joiner.start();
     this.maintenance.start();
@@ -186,7 +192,9 @@
     const { quotas, view } = this.parts;
     const { workspace: name } = request;
     const limit = view.watcher.readConfigIndex()?.findWorkspaceByName(name)?.limit;
-    return answerCharge(quotas, request, limit, this.base.clock.now());
+    const now = this.base.clock.now();
+    const isRelayed = view.members.isRelayed(request.instance, now);
+    return answerCharge(quotas, isRelayed ? createRelayedCharge(request) : request, limit, now);
   }
 
   onPermit(request: PermitRequest): PermitReply {
@@ -202,6 +210,10 @@
     return answerRecall(this.parts.origins, request, this.base.clock.now());
   }
 
+  onRelay(stream: RelayStream): RelayListener {
+    return this.parts.network.accept(stream);
+  }
+
   onTunnel(call: TunnelServerCall): void {
     this.tunnelServer.open(call);
   }
@@ -246,7 +258,7 @@
   }
 
   private async closeParts(): Promise<void> {
-    const { view, heartbeats, joiner, rebalancer, reservations, context } = this.parts;
+    const { view, heartbeats, network, joiner, rebalancer, reservations, context } = this.parts;
     this.callerServer.close();
     this.tunnelServer.close();
     this.statusServers.close();
@@ -254,6 +266,8 @@
     this.base.loopDelay.close();
     view.watcher.close();
     heartbeats.close();
+    clearInterval(this.networkTimer);
+    network.close();
     joiner.close();
     rebalancer.close();
     reservations.close();
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -3,6 +3,8 @@
  */
 import { RetryBudget } from "../core/retrybudget";
 import { HeartbeatExchanger } from "../fleet/heartbeat";
+import type { RelayNetwork } from "../fleet/relay/network";
+import type { Beat } from "../peer/gen/fleet";
 import { OwnerChooser } from "../fleet/owners";
 import { VersionHistory } from "../fleet/versionhistory";
 import { Joiner } from "../fleet/joiner";
@@ -38,7 +40,9 @@
 } from "./engines";
 import { createFleetView, type FleetView } from "./fleetview";
 import { PathTracker } from "./tunnels";
-import { PeerState } from "./peerstate";
+import { PeerState, type PeerStateParts } from "./peerstate";
+import { createRelayNetwork } from "./relaying";
+import { DEFAULT_MAX_DIRECT_INSTANCES } from "./settings";
 import { ResumeResolver } from "./generations";
 
 /**
@@ -77,6 +81,7 @@
   readonly reservations: ReservationQueue;
   readonly peerState: PeerState;
   readonly heartbeats: HeartbeatExchanger;
+  readonly network: RelayNetwork;
   readonly joiner: Joiner;
   readonly rebalancer: StageRebalancer;
   readonly dispatcher: Dispatcher;
@@ -106,8 +111,22 @@
   const context = createContext(base, view, limitState, origins, sendHeartbeats);
   const engines = createEngineState(context);
   const { limits } = limitState;
-  const peerState = createPeerState(base, view, quotas, limits, context, engines, isLeaving);
-  const heartbeats = new HeartbeatExchanger(self, members, transport, peerState, clock, logger);
+  const offerFetch = (beat: Beat) => {
+    heartbeats.addOffer(beat);
+  };
+  const peerParts = { quotas, limits, isLeaving, offerFetch };
+  const peerState = createPeerState(base, view, context, engines, peerParts);
+  const network = createRelayNetwork(base, view, peerState, isLeaving);
+  const heartbeats = new HeartbeatExchanger(
+    self,
+    members,
+    transport,
+    peerState,
+    clock,
+    logger,
+    network,
+    base.settings.maxDirectInstances ?? DEFAULT_MAX_DIRECT_INSTANCES,
+  );
   const joiner = createJoiner(base, view, sendHeartbeats);
   const leases = createLeases(base, joiner);
   const rebalancer = createRebalancer(base, view, context, {
@@ -139,6 +158,7 @@
     reservations,
     peerState,
     heartbeats,
+    network,
     joiner,
     rebalancer,
     dispatcher,
@@ -287,24 +307,21 @@
 
 function createPeerState(
   { clock, logger }: InstanceBase,
-  { directory, watcher }: FleetView,
-  quotas: Quotas,
-  limits: EndpointLimits,
+  { directory, watcher, members }: FleetView,
   { crashes, paths }: ForwardContext,
   engines: EngineState,
-  isLeaving: () => boolean,
+  parts: Pick<PeerStateParts, "quotas" | "limits" | "isLeaving" | "offerFetch">,
 ): PeerState {
   return new PeerState({
     clock,
     logger,
     directory,
     watcher,
-    quotas,
-    limits,
     crashes,
     paths,
     ...engines,
-    isLeaving,
+    ...parts,
+    isRelayed: (peer, now) => members.isRelayed(peer, now),
   });
 }
 
--- a/src/forward/peerstate.ts
+++ b/src/forward/peerstate.ts
@@ -6,12 +6,29 @@
 import type { BeatContent, HeartbeatHost } from "../fleet/heartbeat";
 import type { EndpointDirectory } from "../fleet/directory";
 import { isAfter } from "../fleet/position";
+import type { RelayHost } from "../fleet/relay/host";
+import type { KindState } from "../fleet/relay/own";
+import { type OwnedRecord, RecordKind } from "../fleet/relay/records";
+import type { Load } from "../fleet/relay/sums";
 import type { FeedRecord } from "../fleet/store";
 import type { StoreWatcher } from "../fleet/watcher";
-import type { Beat, FetchReply, FetchRequest, Record as PeerRecord } from "../peer/gen/fleet";
+import {
+  Beat,
+  type FetchReply,
+  type FetchRequest,
+  type Record as PeerRecord,
+  type RelayHead,
+} from "../peer/gen/fleet";
 import type { CrashTracker } from "../core/crashes/tracker";
+import { createKindStates } from "./kinds";
 import { type EndpointLimits, decodeLimit, encodeLimit } from "./limits";
-import { decodeKnowledge, encodeKnowledge, type Quotas, type RefusalTracker } from "./shared";
+import {
+  decodeKnowledge,
+  encodeKnowledge,
+  type Quotas,
+  type RefusalTracker,
+  RELAYED_PEERS,
+} from "./shared";
 import type { PathTracker } from "./tunnels";
 import type { ReservationQueue, EngineModel, EngineLoadTracker, StageLoad } from "./engines";
 import { SlidingWindowSum } from "../core/window";
@@ -56,13 +73,17 @@
   readonly engineModel: EngineModel;
   readonly reservations: ReservationQueue;
   readonly isLeaving: () => boolean;
+  /** Checks whether the load of a peer comes through relays, so that its heartbeats don't count. */
+  readonly isRelayed: (peer: string, now: Moment) => boolean;
+  /** Fetches from a peer what is newer there. */
+  readonly offerFetch: (beat: Beat) => void;
 }
 
 /**
  * Exchanges state with peers: creates heartbeats, applies those of peers, and answers fetch
  * requests.
  */
-export class PeerState implements HeartbeatHost {
+export class PeerState implements HeartbeatHost, RelayHost {
   private readonly arrivedTokens = new SlidingWindowSum(ARRIVAL_WINDOW_MS);
   private readonly peerArrivals = new Map<string, PeerArrivals>();
 
@@ -77,11 +98,7 @@
     const { clock, directory, quotas, crashes, engineLoad, reservations, isLeaving } = this.parts;
     const now = clock.now();
     return {
-      configVersion: this.readConfigVersion(),
-      endpointsNext: directory.next.offset,
-      endpointsEra: directory.next.era,
-      endpointsChange: this.readLastChangeOffset(),
-      ...this.parts.watcher.readReport(),
+      ...this.createHead(),
       leaving: isLeaving(),
       usages: [...quotas.listLocalUsage()],
       works: [...engineLoad.listLocalWork()],
@@ -106,21 +123,63 @@
   }
 
   handleBeat(beat: Beat, now: Moment, sentAt: Moment | undefined): void {
-    const { quotas, engineLoad, crashes, reservations } = this.parts;
+    const { quotas, engineLoad, reservations, isRelayed } = this.parts;
     const { instance, incarnation, arrivingTokens, waiting } = beat;
-    quotas.applyPeerUsage(instance, incarnation, beat.usages);
-    engineLoad.replacePeerWork(instance, beat.works, now);
-    this.parts.engineModel.replacePeerEstimates(instance, beat.engineSpeeds, now);
-    this.peerArrivals.set(instance, { arrivingTokens, waiting, receivedAt: now });
-    for (const { engine, remainingMs } of beat.absences) {
-      engineLoad.markAbsent(engine, now + remainingMs);
+    if (!isRelayed(instance, now)) {
+      quotas.applyPeerUsage(instance, incarnation, beat.usages);
+      engineLoad.replacePeerWork(instance, beat.works, now);
+      this.peerArrivals.set(instance, { arrivingTokens, waiting, receivedAt: now });
     }
-    this.parts.refusals.mergePeerRefusals(beat.refused, now);
     this.parts.paths.applyPeerLost(instance, beat.lostEndpoints, now);
-    this.applyDepartures(beat, now);
-    this.applyLimits(beat, sentAt ?? now);
+    this.applyKinds(instance, beat, { limitsAt: sentAt ?? now, at: now }, now);
+    if (sentAt !== undefined) this.confirmCopies(beat, sentAt);
+    reservations.dispatchWaiting();
+  }
+
+  createHead(): RelayHead {
+    const { directory, watcher } = this.parts;
+    return {
+      configVersion: this.readConfigVersion(),
+      endpointsNext: directory.next.offset,
+      endpointsEra: directory.next.era,
+      endpointsChange: this.readLastChangeOffset(),
+      ...watcher.readReport(),
+    };
+  }
+
+  applyHead(beat: Beat, sentAt: Moment | undefined): void {
     if (sentAt !== undefined) this.confirmCopies(beat, sentAt);
-    crashes.mergeKnowledge(decodeKnowledge(beat), now);
+    this.parts.offerFetch(beat);
+  }
+
+  listKinds(now: Moment): readonly KindState[] {
+    return createKindStates(this.createBeatContent(), now);
+  }
+
+  applyRecord({ instance, kind, content, writtenAt }: OwnedRecord, now: Moment): void {
+    const beat = Beat.decode(content);
+    this.applyKinds(instance, beat, { limitsAt: writtenAt, at: writtenAt }, now);
+    if (kind === RecordKind.lostEndpoints) {
+      this.parts.paths.applyPeerLost(instance, beat.lostEndpoints, now);
+    }
+  }
+
+  readLoad(now: Moment): Load {
+    const { engineLoad, quotas, reservations } = this.parts;
+    return {
+      works: new Map(engineLoad.listLocalWork().map((work) => [work.engine, work])),
+      usages: new Map(quotas.listLocalUsage().map(({ workspace, cost }) => [workspace, cost])),
+      arrivingTokens: Math.round(this.computeArrivalRate(now)),
+      waiting: reservations.size,
+    };
+  }
+
+  applyPeerLoad({ works, usages, arrivingTokens, waiting }: Load, now: Moment): void {
+    const { quotas, engineLoad, reservations } = this.parts;
+    engineLoad.replacePeerWork(RELAYED_PEERS, [...works.values()], now);
+    const counts = [...usages].map(([workspace, cost]) => ({ workspace, cost }));
+    quotas.applyPeerUsage(RELAYED_PEERS, "", counts);
+    this.peerArrivals.set(RELAYED_PEERS, { arrivingTokens, waiting, receivedAt: now });
     reservations.dispatchWaiting();
   }
 
@@ -200,6 +259,24 @@
     return (this.arrivedTokens.read(now) * MS_PER_SECOND) / ARRIVAL_WINDOW_MS;
   }
 
+  /** Applies the fields of a heartbeat that are merged with what is known. */
+  private applyKinds(
+    peer: string,
+    beat: Beat,
+    { limitsAt, at }: { readonly limitsAt: Moment; readonly at: Moment },
+    now: Moment,
+  ): void {
+    const { engineLoad, engineModel, crashes } = this.parts;
+    engineModel.replacePeerEstimates(peer, beat.engineSpeeds, now);
+    for (const { engine, remainingMs } of beat.absences) {
+      engineLoad.markAbsent(engine, at + remainingMs);
+    }
+    this.parts.refusals.mergePeerRefusals(beat.refused, now);
+    this.applyDepartures(beat, now, peer);
+    this.applyLimits(beat, limitsAt, peer);
+    crashes.mergeKnowledge(decodeKnowledge(beat), at);
+  }
+
   /** Confirms the copies that hold all that a peer's copies hold, as of the peer's last knowledge. */
   private confirmCopies(beat: Beat, sentAt: Moment): void {
     const { watcher } = this.parts;
@@ -228,23 +305,23 @@
     return lastChange.era === next.era ? lastChange.offset : NO_OFFSET;
   }
 
-  private applyDepartures({ instance, departures }: Beat, now: Moment): void {
+  private applyDepartures({ departures }: Beat, now: Moment, peer: string): void {
     const { directory, logger } = this.parts;
     const learned = directory.applyDepartures(
       departures.map(({ leaving, ...departure }) => ({ ...departure, isLeaving: leaving })),
       now,
     );
     for (const endpoint of learned) {
-      logger.info("endpoint leaving", { endpoint, source: `peer ${instance}` });
+      logger.info("endpoint leaving", { endpoint, source: `peer ${peer}` });
     }
   }
 
-  private applyLimits({ instance, endpointLimits }: Beat, sentAt: Moment): void {
+  private applyLimits({ endpointLimits }: Beat, sentAt: Moment, peer: string): void {
     const { limits, logger } = this.parts;
     for (const limit of endpointLimits) {
       if (!limits.record(decodeLimit(limit, sentAt))) continue;
       const { endpoint, perSecond } = limit;
-      logger.info("endpoint limit", { endpoint, perSecond, source: `peer ${instance}` });
+      logger.info("endpoint limit", { endpoint, perSecond, source: `peer ${peer}` });
     }
   }
 
--- a/src/forward/settings.ts
+++ b/src/forward/settings.ts
@@ -5,6 +5,12 @@
 import type { QuotaTolerance } from "./shared";
 import type { RetryLimit } from "../core/retrybudget";
 
+/**
+ * Default of `maxDirectInstances`: the cost of heartbeats to all grows with the number of peers, and in
+ * a small fleet relays only add a step.
+ */
+export const DEFAULT_MAX_DIRECT_INSTANCES = 16;
+
 /** An IP address and a port to listen at. */
 export interface ListenAddress {
   readonly host: string;
@@ -25,6 +31,8 @@
   readonly metrics: ListenAddress | undefined;
   /** Addresses of peers that are known before the store is read. */
   readonly knownPeers: readonly string[];
+  /** Number of known instances above which control traffic goes through relays. */
+  readonly maxDirectInstances?: number;
   readonly logLevel: LogLevel;
   readonly quotaTolerance: QuotaTolerance;
   readonly retryLimit: RetryLimit;
--- a/src/forward/shared/chargepeer.ts
+++ b/src/forward/shared/chargepeer.ts
@@ -7,7 +7,7 @@
 import type { GrpcFleetTransport } from "../../fleet/transport";
 import type { ChargeReply, ChargeRequest } from "../../peer/gen/fleet";
 import type { Charge, ChargeTransport } from "./charges";
-import type { QuotaDecision, Quotas } from "./quota";
+import { type QuotaDecision, type Quotas, RELAYED_PEERS } from "./quota";
 
 /** Sends charges to the owners of accounts. */
 export class PeerChargeTransport implements ChargeTransport {
@@ -36,6 +36,17 @@
   }
 }
 
+/**
+ * Attributes a charge to the sum of all peers, whose use comes through relays in one count: what is
+ * charged here is part of that count later.
+ *
+ * @example
+ * answerCharge(quotas, createRelayedCharge(request), limit, clock.now());
+ */
+export function createRelayedCharge(request: ChargeRequest): ChargeRequest {
+  return { ...request, instance: RELAYED_PEERS, incarnation: "", totalCost: 0 };
+}
+
 /**
  * Decides on a peer's charge as the owner of the account.
  *
--- a/src/forward/shared/index.ts
+++ b/src/forward/shared/index.ts
@@ -1,13 +1,13 @@
 /**
  * What instances tell each other: accounts of workspaces, crashes, and origins of streams.
  */
-export { PeerChargeTransport, answerCharge } from "./chargepeer";
+export { PeerChargeTransport, answerCharge, createRelayedCharge } from "./chargepeer";
 export { QuotaCharger } from "./charges";
 export { createCrashTracker } from "./crashtracking";
 export { decodeKnowledge, encodeKnowledge } from "./crashwire";
 export { PeerOriginTransport, answerRecall, keepOrigins } from "./originpeer";
 export { type StreamOrigin, StreamOrigins } from "./origins";
-export { type QuotaTolerance, Quotas } from "./quota";
+export { type QuotaTolerance, Quotas, RELAYED_PEERS } from "./quota";
 export { RefusalTracker } from "./refusals";
 export { type FoundOrigin, OriginSource, SharedOrigins } from "./sharedorigins";
 export { canGoOn, confirmOrigin } from "./versions";
--- a/src/forward/shared/quota.ts
+++ b/src/forward/shared/quota.ts
@@ -16,6 +16,9 @@
 /** How late the counts of peers may be, in milliseconds; a little more than a heartbeat interval. */
 const PEER_COUNT_LAG_MS = 640;
 
+/** Stands for all peers whose counts come in one sum, through relays. */
+export const RELAYED_PEERS = "(relayed)";
+
 /** Parts of the tolerance; together they are at most 1. */
 const TOLERANCE_SHARES = {
   /** Raises the refill, over a window. */
--- a/src/peer/gen/fleet.ts
+++ b/src/peer/gen/fleet.ts
@@ -25,6 +25,54 @@
 
 export const protobufFileName = "fleet.proto";
 
+/** Which instances the sums in a report cover. */
+export enum RelayScope {
+  RELAY_SCOPE_NONE = 0,
+  /** RELAY_SCOPE_INSTANCE - The sender alone. */
+  RELAY_SCOPE_INSTANCE = 1,
+  /** RELAY_SCOPE_DATA_CENTRE - The instances of the sender's data centre that it hears, and itself. */
+  RELAY_SCOPE_DATA_CENTRE = 2,
+  RELAY_SCOPE_FLEET = 3,
+  UNRECOGNIZED = -1,
+}
+
+export function relayScopeFromJSON(object: any): RelayScope {
+  switch (object) {
+    case 0:
+    case "RELAY_SCOPE_NONE":
+      return RelayScope.RELAY_SCOPE_NONE;
+    case 1:
+    case "RELAY_SCOPE_INSTANCE":
+      return RelayScope.RELAY_SCOPE_INSTANCE;
+    case 2:
+    case "RELAY_SCOPE_DATA_CENTRE":
+      return RelayScope.RELAY_SCOPE_DATA_CENTRE;
+    case 3:
+    case "RELAY_SCOPE_FLEET":
+      return RelayScope.RELAY_SCOPE_FLEET;
+    case -1:
+    case "UNRECOGNIZED":
+    default:
+      return RelayScope.UNRECOGNIZED;
+  }
+}
+
+export function relayScopeToJSON(object: RelayScope): string {
+  switch (object) {
+    case RelayScope.RELAY_SCOPE_NONE:
+      return "RELAY_SCOPE_NONE";
+    case RelayScope.RELAY_SCOPE_INSTANCE:
+      return "RELAY_SCOPE_INSTANCE";
+    case RelayScope.RELAY_SCOPE_DATA_CENTRE:
+      return "RELAY_SCOPE_DATA_CENTRE";
+    case RelayScope.RELAY_SCOPE_FLEET:
+      return "RELAY_SCOPE_FLEET";
+    case RelayScope.UNRECOGNIZED:
+    default:
+      return "UNRECOGNIZED";
+  }
+}
+
 export interface Beat {
   instance: string;
   incarnation: string;
@@ -68,7 +116,92 @@
   /** Ids of endpoints that peers reach and the sender does not reach directly. */
   lostEndpoints: string[];
   /** When the beat was sent, on the monotonic clock of the sender's process, in milliseconds. */
-  sentAtMs?: number | undefined;
+  sentAtMs?:
+    | number
+    | undefined;
+  /**
+   * Number of instances that the sender knows, this one included; instances with few known peers
+   * learn from it that the fleet uses relays. Absent where an older build sends it.
+   */
+  fleetSize?: number | undefined;
+}
+
+/** A message of a relay stream. The first one of each side has `hello`; each one keeps the stream alive. */
+export interface RelayMessage {
+  /** Number of the message on its stream and direction, from 1 on. */
+  sequence: number;
+  /** Number of the last message that the sender has received on this stream; 0 if none. */
+  acknowledged: number;
+  /** When it was sent, on the monotonic clock of the sender's process, in milliseconds. */
+  sentAtMs: number;
+  hello: RelayHello | undefined;
+  head: RelayHead | undefined;
+  records: RelayRecord[];
+  report:
+    | RelayReport
+    | undefined;
+  /** The report that the sender wants from now on; absent where that is unchanged. */
+  wanted?: RelayScope | undefined;
+}
+
+export interface RelayHello {
+  instance: string;
+  incarnation: string;
+  address: string;
+  dataCentre: string;
+  /** Rises with each process of the instance; milliseconds of its wall clock where that is monotonic. */
+  generation: number;
+}
+
+/** How recent the sender's configuration and endpoint list are; fields as in Beat. */
+export interface RelayHead {
+  configVersion: number;
+  endpointsNext: number;
+  endpointsChange: number;
+  endpointsEra: number;
+  configAgeMs?: number | undefined;
+  endpointsAgeMs?: number | undefined;
+  storeLost: boolean;
+}
+
+/** What one instance says of one kind of state; replaces its earlier versions. */
+export interface RelayRecord {
+  instance: string;
+  incarnation: string;
+  generation: number;
+  kind: number;
+  /** Rises with each change within a generation. */
+  version: number;
+  /** Time since the owner wrote it. */
+  ageMs: number;
+  /** A RelayMember, a RelayHeard, or a Beat with the fields of the kind. */
+  content: Uint8Array;
+}
+
+export interface RelayMember {
+  address: string;
+  dataCentre: string;
+  leaving: boolean;
+  storeLost: boolean;
+}
+
+/** Whom a relay hears on its streams. */
+export interface RelayHeard {
+  heard: string[];
+  /** Instances that it heard and that went silent or broke off. */
+  lost: string[];
+}
+
+/** Sums over the instances of a scope. A value replaces the one that was sent before on the stream. */
+export interface RelayReport {
+  scope: RelayScope;
+  /** All values are in the report; those that are not are zero. */
+  whole: boolean;
+  /** A work without requests and tokens removes that of its engine. */
+  works: Work[];
+  usages: WorkspaceUsage[];
+  arrivingTokens: number;
+  waiting: number;
 }
 
 /** What an endpoint last said of the requests that it takes from all instances together. */
@@ -291,6 +424,7 @@
     endpointLimits: [],
     lostEndpoints: [],
     sentAtMs: undefined,
+    fleetSize: undefined,
   };
 }
 
@@ -374,6 +508,9 @@
     if (message.sentAtMs !== undefined) {
       writer.uint32(209).double(message.sentAtMs);
     }
+    if (message.fleetSize !== undefined) {
+      writer.uint32(320).uint32(message.fleetSize);
+    }
     return writer;
   },
 
@@ -539,63 +676,1308 @@
               break;
             }
 
-            message.endpointsAgeMs = reader.uint32();
-            continue;
-          }
-          case 20: {
-            if (tag !== 160) {
-              break;
-            }
+            message.endpointsAgeMs = reader.uint32();
+            continue;
+          }
+          case 20: {
+            if (tag !== 160) {
+              break;
+            }
+
+            message.storeLost = reader.bool();
+            continue;
+          }
+          case 21: {
+            if (tag !== 170) {
+              break;
+            }
+
+            message.engineSpeeds.push(EngineSpeed.decode(reader, reader.uint32()));
+            continue;
+          }
+          case 22: {
+            if (tag !== 178) {
+              break;
+            }
+
+            message.completions.push(Completion.decode(reader, reader.uint32()));
+            continue;
+          }
+          case 23: {
+            if (tag !== 186) {
+              break;
+            }
+
+            message.partBans.push(PartBan.decode(reader, reader.uint32()));
+            continue;
+          }
+          case 24: {
+            if (tag !== 194) {
+              break;
+            }
+
+            message.endpointLimits.push(EndpointLimit.decode(reader, reader.uint32()));
+            continue;
+          }
+          case 25: {
+            if (tag !== 202) {
+              break;
+            }
+
+            message.lostEndpoints.push(reader.string());
+            continue;
+          }
+          case 26: {
+            if (tag !== 209) {
+              break;
+            }
+
+            message.sentAtMs = reader.double();
+            continue;
+          }
+          case 40: {
+            if (tag !== 320) {
+              break;
+            }
+
+            message.fleetSize = reader.uint32();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): Beat {
+    return {
+      instance: isSet(object.instance) ? globalThis.String(object.instance) : "",
+      incarnation: isSet(object.incarnation) ? globalThis.String(object.incarnation) : "",
+      address: isSet(object.address) ? globalThis.String(object.address) : "",
+      dataCentre: isSet(object.dataCentre)
+        ? globalThis.String(object.dataCentre)
+        : isSet(object.data_centre)
+        ? globalThis.String(object.data_centre)
+        : "",
+      configVersion: isSet(object.configVersion)
+        ? globalThis.Number(object.configVersion)
+        : isSet(object.config_version)
+        ? globalThis.Number(object.config_version)
+        : 0,
+      endpointsNext: isSet(object.endpointsNext)
+        ? globalThis.Number(object.endpointsNext)
+        : isSet(object.endpoints_next)
+        ? globalThis.Number(object.endpoints_next)
+        : 0,
+      leaving: isSet(object.leaving) ? globalThis.Boolean(object.leaving) : false,
+      usages: globalThis.Array.isArray(object?.usages) ? object.usages.map((e: any) => WorkspaceUsage.fromJSON(e)) : [],
+      works: globalThis.Array.isArray(object?.works) ? object.works.map((e: any) => Work.fromJSON(e)) : [],
+      crashes: globalThis.Array.isArray(object?.crashes) ? object.crashes.map((e: any) => Crash.fromJSON(e)) : [],
+      arrivingTokens: isSet(object.arrivingTokens)
+        ? globalThis.Number(object.arrivingTokens)
+        : isSet(object.arriving_tokens)
+        ? globalThis.Number(object.arriving_tokens)
+        : 0,
+      waiting: isSet(object.waiting) ? globalThis.Number(object.waiting) : 0,
+      absences: globalThis.Array.isArray(object?.absences)
+        ? object.absences.map((e: any) => Absence.fromJSON(e))
+        : [],
+      endpointsChange: isSet(object.endpointsChange)
+        ? globalThis.Number(object.endpointsChange)
+        : isSet(object.endpoints_change)
+        ? globalThis.Number(object.endpoints_change)
+        : 0,
+      refused: globalThis.Array.isArray(object?.refused)
+        ? object.refused.map((e: any) => globalThis.String(e))
+        : [],
+      departures: globalThis.Array.isArray(object?.departures)
+        ? object.departures.map((e: any) => Departure.fromJSON(e))
+        : [],
+      endpointsEra: isSet(object.endpointsEra)
+        ? globalThis.Number(object.endpointsEra)
+        : isSet(object.endpoints_era)
+        ? globalThis.Number(object.endpoints_era)
+        : 0,
+      configAgeMs: isSet(object.configAgeMs)
+        ? globalThis.Number(object.configAgeMs)
+        : isSet(object.config_age_ms)
+        ? globalThis.Number(object.config_age_ms)
+        : undefined,
+      endpointsAgeMs: isSet(object.endpointsAgeMs)
+        ? globalThis.Number(object.endpointsAgeMs)
+        : isSet(object.endpoints_age_ms)
+        ? globalThis.Number(object.endpoints_age_ms)
+        : undefined,
+      storeLost: isSet(object.storeLost)
+        ? globalThis.Boolean(object.storeLost)
+        : isSet(object.store_lost)
+        ? globalThis.Boolean(object.store_lost)
+        : false,
+      engineSpeeds: globalThis.Array.isArray(object?.engineSpeeds)
+        ? object.engineSpeeds.map((e: any) => EngineSpeed.fromJSON(e))
+        : globalThis.Array.isArray(object?.engine_speeds)
+        ? object.engine_speeds.map((e: any) => EngineSpeed.fromJSON(e))
+        : [],
+      completions: globalThis.Array.isArray(object?.completions)
+        ? object.completions.map((e: any) => Completion.fromJSON(e))
+        : [],
+      partBans: globalThis.Array.isArray(object?.partBans)
+        ? object.partBans.map((e: any) => PartBan.fromJSON(e))
+        : globalThis.Array.isArray(object?.part_bans)
+        ? object.part_bans.map((e: any) => PartBan.fromJSON(e))
+        : [],
+      endpointLimits: globalThis.Array.isArray(object?.endpointLimits)
+        ? object.endpointLimits.map((e: any) => EndpointLimit.fromJSON(e))
+        : globalThis.Array.isArray(object?.endpoint_limits)
+        ? object.endpoint_limits.map((e: any) => EndpointLimit.fromJSON(e))
+        : [],
+      lostEndpoints: globalThis.Array.isArray(object?.lostEndpoints)
+        ? object.lostEndpoints.map((e: any) => globalThis.String(e))
+        : globalThis.Array.isArray(object?.lost_endpoints)
+        ? object.lost_endpoints.map((e: any) => globalThis.String(e))
+        : [],
+      sentAtMs: isSet(object.sentAtMs)
+        ? globalThis.Number(object.sentAtMs)
+        : isSet(object.sent_at_ms)
+        ? globalThis.Number(object.sent_at_ms)
+        : undefined,
+      fleetSize: isSet(object.fleetSize)
+        ? globalThis.Number(object.fleetSize)
+        : isSet(object.fleet_size)
+        ? globalThis.Number(object.fleet_size)
+        : undefined,
+    };
+  },
+
+  toJSON(message: Beat): unknown {
+    const obj: any = {};
+    if (message.instance !== "") {
+      obj.instance = message.instance;
+    }
+    if (message.incarnation !== "") {
+      obj.incarnation = message.incarnation;
+    }
+    if (message.address !== "") {
+      obj.address = message.address;
+    }
+    if (message.dataCentre !== "") {
+      obj.dataCentre = message.dataCentre;
+    }
+    if (message.configVersion !== 0) {
+      obj.configVersion = Math.round(message.configVersion);
+    }
+    if (message.endpointsNext !== 0) {
+      obj.endpointsNext = Math.round(message.endpointsNext);
+    }
+    if (message.leaving !== false) {
+      obj.leaving = message.leaving;
+    }
+    if (message.usages?.length) {
+      obj.usages = message.usages.map((e) => WorkspaceUsage.toJSON(e));
+    }
+    if (message.works?.length) {
+      obj.works = message.works.map((e) => Work.toJSON(e));
+    }
+    if (message.crashes?.length) {
+      obj.crashes = message.crashes.map((e) => Crash.toJSON(e));
+    }
+    if (message.arrivingTokens !== 0) {
+      obj.arrivingTokens = Math.round(message.arrivingTokens);
+    }
+    if (message.waiting !== 0) {
+      obj.waiting = Math.round(message.waiting);
+    }
+    if (message.absences?.length) {
+      obj.absences = message.absences.map((e) => Absence.toJSON(e));
+    }
+    if (message.endpointsChange !== 0) {
+      obj.endpointsChange = Math.round(message.endpointsChange);
+    }
+    if (message.refused?.length) {
+      obj.refused = message.refused;
+    }
+    if (message.departures?.length) {
+      obj.departures = message.departures.map((e) => Departure.toJSON(e));
+    }
+    if (message.endpointsEra !== 0) {
+      obj.endpointsEra = Math.round(message.endpointsEra);
+    }
+    if (message.configAgeMs !== undefined) {
+      obj.configAgeMs = Math.round(message.configAgeMs);
+    }
+    if (message.endpointsAgeMs !== undefined) {
+      obj.endpointsAgeMs = Math.round(message.endpointsAgeMs);
+    }
+    if (message.storeLost !== false) {
+      obj.storeLost = message.storeLost;
+    }
+    if (message.engineSpeeds?.length) {
+      obj.engineSpeeds = message.engineSpeeds.map((e) => EngineSpeed.toJSON(e));
+    }
+    if (message.completions?.length) {
+      obj.completions = message.completions.map((e) => Completion.toJSON(e));
+    }
+    if (message.partBans?.length) {
+      obj.partBans = message.partBans.map((e) => PartBan.toJSON(e));
+    }
+    if (message.endpointLimits?.length) {
+      obj.endpointLimits = message.endpointLimits.map((e) => EndpointLimit.toJSON(e));
+    }
+    if (message.lostEndpoints?.length) {
+      obj.lostEndpoints = message.lostEndpoints;
+    }
+    if (message.sentAtMs !== undefined) {
+      obj.sentAtMs = floatToJson(message.sentAtMs);
+    }
+    if (message.fleetSize !== undefined) {
+      obj.fleetSize = Math.round(message.fleetSize);
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<Beat>, I>>(base?: I): Beat {
+    return Beat.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<Beat>, I>>(object: I): Beat {
+    const message = createBaseBeat();
+    message.instance = object.instance ?? "";
+    message.incarnation = object.incarnation ?? "";
+    message.address = object.address ?? "";
+    message.dataCentre = object.dataCentre ?? "";
+    message.configVersion = object.configVersion ?? 0;
+    message.endpointsNext = object.endpointsNext ?? 0;
+    message.leaving = object.leaving ?? false;
+    message.usages = object.usages?.map((e) => WorkspaceUsage.fromPartial(e)) || [];
+    message.works = object.works?.map((e) => Work.fromPartial(e)) || [];
+    message.crashes = object.crashes?.map((e) => Crash.fromPartial(e)) || [];
+    message.arrivingTokens = object.arrivingTokens ?? 0;
+    message.waiting = object.waiting ?? 0;
+    message.absences = object.absences?.map((e) => Absence.fromPartial(e)) || [];
+    message.endpointsChange = object.endpointsChange ?? 0;
+    message.refused = object.refused?.map((e) => e) || [];
+    message.departures = object.departures?.map((e) => Departure.fromPartial(e)) || [];
+    message.endpointsEra = object.endpointsEra ?? 0;
+    message.configAgeMs = object.configAgeMs ?? undefined;
+    message.endpointsAgeMs = object.endpointsAgeMs ?? undefined;
+    message.storeLost = object.storeLost ?? false;
+    message.engineSpeeds = object.engineSpeeds?.map((e) => EngineSpeed.fromPartial(e)) || [];
+    message.completions = object.completions?.map((e) => Completion.fromPartial(e)) || [];
+    message.partBans = object.partBans?.map((e) => PartBan.fromPartial(e)) || [];
+    message.endpointLimits = object.endpointLimits?.map((e) => EndpointLimit.fromPartial(e)) || [];
+    message.lostEndpoints = object.lostEndpoints?.map((e) => e) || [];
+    message.sentAtMs = object.sentAtMs ?? undefined;
+    message.fleetSize = object.fleetSize ?? undefined;
+    return message;
+  },
+};
+
+function createBaseRelayMessage(): RelayMessage {
+  return {
+    sequence: 0,
+    acknowledged: 0,
+    sentAtMs: 0,
+    hello: undefined,
+    head: undefined,
+    records: [],
+    report: undefined,
+    wanted: undefined,
+  };
+}
+
+export const RelayMessage: MessageFns<RelayMessage> = {
+  encode(message: RelayMessage, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.sequence !== 0) {
+      writer.uint32(8).uint32(message.sequence);
+    }
+    if (message.acknowledged !== 0) {
+      writer.uint32(16).uint32(message.acknowledged);
+    }
+    if (message.sentAtMs !== 0) {
+      writer.uint32(25).double(message.sentAtMs);
+    }
+    if (message.hello !== undefined) {
+      RelayHello.encode(message.hello, writer.uint32(34).fork()).join();
+    }
+    if (message.head !== undefined) {
+      RelayHead.encode(message.head, writer.uint32(42).fork()).join();
+    }
+    for (const v of message.records) {
+      RelayRecord.encode(v!, writer.uint32(50).fork()).join();
+    }
+    if (message.report !== undefined) {
+      RelayReport.encode(message.report, writer.uint32(58).fork()).join();
+    }
+    if (message.wanted !== undefined) {
+      writer.uint32(64).int32(message.wanted);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): RelayMessage {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseRelayMessage();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 8) {
+              break;
+            }
+
+            message.sequence = reader.uint32();
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.acknowledged = reader.uint32();
+            continue;
+          }
+          case 3: {
+            if (tag !== 25) {
+              break;
+            }
+
+            message.sentAtMs = reader.double();
+            continue;
+          }
+          case 4: {
+            if (tag !== 34) {
+              break;
+            }
+
+            message.hello = RelayHello.decode(reader, reader.uint32());
+            continue;
+          }
+          case 5: {
+            if (tag !== 42) {
+              break;
+            }
+
+            message.head = RelayHead.decode(reader, reader.uint32());
+            continue;
+          }
+          case 6: {
+            if (tag !== 50) {
+              break;
+            }
+
+            message.records.push(RelayRecord.decode(reader, reader.uint32()));
+            continue;
+          }
+          case 7: {
+            if (tag !== 58) {
+              break;
+            }
+
+            message.report = RelayReport.decode(reader, reader.uint32());
+            continue;
+          }
+          case 8: {
+            if (tag !== 64) {
+              break;
+            }
+
+            message.wanted = reader.int32() as any;
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): RelayMessage {
+    return {
+      sequence: isSet(object.sequence) ? globalThis.Number(object.sequence) : 0,
+      acknowledged: isSet(object.acknowledged) ? globalThis.Number(object.acknowledged) : 0,
+      sentAtMs: isSet(object.sentAtMs)
+        ? globalThis.Number(object.sentAtMs)
+        : isSet(object.sent_at_ms)
+        ? globalThis.Number(object.sent_at_ms)
+        : 0,
+      hello: isSet(object.hello) ? RelayHello.fromJSON(object.hello) : undefined,
+      head: isSet(object.head) ? RelayHead.fromJSON(object.head) : undefined,
+      records: globalThis.Array.isArray(object?.records) ? object.records.map((e: any) => RelayRecord.fromJSON(e)) : [],
+      report: isSet(object.report) ? RelayReport.fromJSON(object.report) : undefined,
+      wanted: isSet(object.wanted) ? relayScopeFromJSON(object.wanted) : undefined,
+    };
+  },
+
+  toJSON(message: RelayMessage): unknown {
+    const obj: any = {};
+    if (message.sequence !== 0) {
+      obj.sequence = Math.round(message.sequence);
+    }
+    if (message.acknowledged !== 0) {
+      obj.acknowledged = Math.round(message.acknowledged);
+    }
+    if (message.sentAtMs !== 0) {
+      obj.sentAtMs = floatToJson(message.sentAtMs);
+    }
+    if (message.hello !== undefined) {
+      obj.hello = RelayHello.toJSON(message.hello);
+    }
+    if (message.head !== undefined) {
+      obj.head = RelayHead.toJSON(message.head);
+    }
+    if (message.records?.length) {
+      obj.records = message.records.map((e) => RelayRecord.toJSON(e));
+    }
+    if (message.report !== undefined) {
+      obj.report = RelayReport.toJSON(message.report);
+    }
+    if (message.wanted !== undefined) {
+      obj.wanted = relayScopeToJSON(message.wanted);
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<RelayMessage>, I>>(base?: I): RelayMessage {
+    return RelayMessage.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<RelayMessage>, I>>(object: I): RelayMessage {
+    const message = createBaseRelayMessage();
+    message.sequence = object.sequence ?? 0;
+    message.acknowledged = object.acknowledged ?? 0;
+    message.sentAtMs = object.sentAtMs ?? 0;
+    message.hello = (object.hello !== undefined && object.hello !== null)
+      ? RelayHello.fromPartial(object.hello)
+      : undefined;
+    message.head = (object.head !== undefined && object.head !== null) ? RelayHead.fromPartial(object.head) : undefined;
+    message.records = object.records?.map((e) => RelayRecord.fromPartial(e)) || [];
+    message.report = (object.report !== undefined && object.report !== null)
+      ? RelayReport.fromPartial(object.report)
+      : undefined;
+    message.wanted = object.wanted ?? undefined;
+    return message;
+  },
+};
+
+function createBaseRelayHello(): RelayHello {
+  return { instance: "", incarnation: "", address: "", dataCentre: "", generation: 0 };
+}
+
+export const RelayHello: MessageFns<RelayHello> = {
+  encode(message: RelayHello, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.instance !== "") {
+      writer.uint32(10).string(message.instance);
+    }
+    if (message.incarnation !== "") {
+      writer.uint32(18).string(message.incarnation);
+    }
+    if (message.address !== "") {
+      writer.uint32(26).string(message.address);
+    }
+    if (message.dataCentre !== "") {
+      writer.uint32(34).string(message.dataCentre);
+    }
+    if (message.generation !== 0) {
+      writer.uint32(40).int64(message.generation);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): RelayHello {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseRelayHello();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.instance = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 18) {
+              break;
+            }
+
+            message.incarnation = reader.string();
+            continue;
+          }
+          case 3: {
+            if (tag !== 26) {
+              break;
+            }
+
+            message.address = reader.string();
+            continue;
+          }
+          case 4: {
+            if (tag !== 34) {
+              break;
+            }
+
+            message.dataCentre = reader.string();
+            continue;
+          }
+          case 5: {
+            if (tag !== 40) {
+              break;
+            }
+
+            message.generation = longToNumber(reader.int64());
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): RelayHello {
+    return {
+      instance: isSet(object.instance) ? globalThis.String(object.instance) : "",
+      incarnation: isSet(object.incarnation) ? globalThis.String(object.incarnation) : "",
+      address: isSet(object.address) ? globalThis.String(object.address) : "",
+      dataCentre: isSet(object.dataCentre)
+        ? globalThis.String(object.dataCentre)
+        : isSet(object.data_centre)
+        ? globalThis.String(object.data_centre)
+        : "",
+      generation: isSet(object.generation) ? globalThis.Number(object.generation) : 0,
+    };
+  },
+
+  toJSON(message: RelayHello): unknown {
+    const obj: any = {};
+    if (message.instance !== "") {
+      obj.instance = message.instance;
+    }
+    if (message.incarnation !== "") {
+      obj.incarnation = message.incarnation;
+    }
+    if (message.address !== "") {
+      obj.address = message.address;
+    }
+    if (message.dataCentre !== "") {
+      obj.dataCentre = message.dataCentre;
+    }
+    if (message.generation !== 0) {
+      obj.generation = Math.round(message.generation);
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<RelayHello>, I>>(base?: I): RelayHello {
+    return RelayHello.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<RelayHello>, I>>(object: I): RelayHello {
+    const message = createBaseRelayHello();
+    message.instance = object.instance ?? "";
+    message.incarnation = object.incarnation ?? "";
+    message.address = object.address ?? "";
+    message.dataCentre = object.dataCentre ?? "";
+    message.generation = object.generation ?? 0;
+    return message;
+  },
+};
+
+function createBaseRelayHead(): RelayHead {
+  return {
+    configVersion: 0,
+    endpointsNext: 0,
+    endpointsChange: 0,
+    endpointsEra: 0,
+    configAgeMs: undefined,
+    endpointsAgeMs: undefined,
+    storeLost: false,
+  };
+}
+
+export const RelayHead: MessageFns<RelayHead> = {
+  encode(message: RelayHead, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.configVersion !== 0) {
+      writer.uint32(8).int64(message.configVersion);
+    }
+    if (message.endpointsNext !== 0) {
+      writer.uint32(16).int64(message.endpointsNext);
+    }
+    if (message.endpointsChange !== 0) {
+      writer.uint32(24).int64(message.endpointsChange);
+    }
+    if (message.endpointsEra !== 0) {
+      writer.uint32(32).int64(message.endpointsEra);
+    }
+    if (message.configAgeMs !== undefined) {
+      writer.uint32(40).uint32(message.configAgeMs);
+    }
+    if (message.endpointsAgeMs !== undefined) {
+      writer.uint32(48).uint32(message.endpointsAgeMs);
+    }
+    if (message.storeLost !== false) {
+      writer.uint32(56).bool(message.storeLost);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): RelayHead {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseRelayHead();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 8) {
+              break;
+            }
+
+            message.configVersion = longToNumber(reader.int64());
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.endpointsNext = longToNumber(reader.int64());
+            continue;
+          }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.endpointsChange = longToNumber(reader.int64());
+            continue;
+          }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.endpointsEra = longToNumber(reader.int64());
+            continue;
+          }
+          case 5: {
+            if (tag !== 40) {
+              break;
+            }
+
+            message.configAgeMs = reader.uint32();
+            continue;
+          }
+          case 6: {
+            if (tag !== 48) {
+              break;
+            }
+
+            message.endpointsAgeMs = reader.uint32();
+            continue;
+          }
+          case 7: {
+            if (tag !== 56) {
+              break;
+            }
+
+            message.storeLost = reader.bool();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): RelayHead {
+    return {
+      configVersion: isSet(object.configVersion)
+        ? globalThis.Number(object.configVersion)
+        : isSet(object.config_version)
+        ? globalThis.Number(object.config_version)
+        : 0,
+      endpointsNext: isSet(object.endpointsNext)
+        ? globalThis.Number(object.endpointsNext)
+        : isSet(object.endpoints_next)
+        ? globalThis.Number(object.endpoints_next)
+        : 0,
+      endpointsChange: isSet(object.endpointsChange)
+        ? globalThis.Number(object.endpointsChange)
+        : isSet(object.endpoints_change)
+        ? globalThis.Number(object.endpoints_change)
+        : 0,
+      endpointsEra: isSet(object.endpointsEra)
+        ? globalThis.Number(object.endpointsEra)
+        : isSet(object.endpoints_era)
+        ? globalThis.Number(object.endpoints_era)
+        : 0,
+      configAgeMs: isSet(object.configAgeMs)
+        ? globalThis.Number(object.configAgeMs)
+        : isSet(object.config_age_ms)
+        ? globalThis.Number(object.config_age_ms)
+        : undefined,
+      endpointsAgeMs: isSet(object.endpointsAgeMs)
+        ? globalThis.Number(object.endpointsAgeMs)
+        : isSet(object.endpoints_age_ms)
+        ? globalThis.Number(object.endpoints_age_ms)
+        : undefined,
+      storeLost: isSet(object.storeLost)
+        ? globalThis.Boolean(object.storeLost)
+        : isSet(object.store_lost)
+        ? globalThis.Boolean(object.store_lost)
+        : false,
+    };
+  },
+
+  toJSON(message: RelayHead): unknown {
+    const obj: any = {};
+    if (message.configVersion !== 0) {
+      obj.configVersion = Math.round(message.configVersion);
+    }
+    if (message.endpointsNext !== 0) {
+      obj.endpointsNext = Math.round(message.endpointsNext);
+    }
+    if (message.endpointsChange !== 0) {
+      obj.endpointsChange = Math.round(message.endpointsChange);
+    }
+    if (message.endpointsEra !== 0) {
+      obj.endpointsEra = Math.round(message.endpointsEra);
+    }
+    if (message.configAgeMs !== undefined) {
+      obj.configAgeMs = Math.round(message.configAgeMs);
+    }
+    if (message.endpointsAgeMs !== undefined) {
+      obj.endpointsAgeMs = Math.round(message.endpointsAgeMs);
+    }
+    if (message.storeLost !== false) {
+      obj.storeLost = message.storeLost;
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<RelayHead>, I>>(base?: I): RelayHead {
+    return RelayHead.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<RelayHead>, I>>(object: I): RelayHead {
+    const message = createBaseRelayHead();
+    message.configVersion = object.configVersion ?? 0;
+    message.endpointsNext = object.endpointsNext ?? 0;
+    message.endpointsChange = object.endpointsChange ?? 0;
+    message.endpointsEra = object.endpointsEra ?? 0;
+    message.configAgeMs = object.configAgeMs ?? undefined;
+    message.endpointsAgeMs = object.endpointsAgeMs ?? undefined;
+    message.storeLost = object.storeLost ?? false;
+    return message;
+  },
+};
+
+function createBaseRelayRecord(): RelayRecord {
+  return { instance: "", incarnation: "", generation: 0, kind: 0, version: 0, ageMs: 0, content: new Uint8Array(0) };
+}
+
+export const RelayRecord: MessageFns<RelayRecord> = {
+  encode(message: RelayRecord, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.instance !== "") {
+      writer.uint32(10).string(message.instance);
+    }
+    if (message.incarnation !== "") {
+      writer.uint32(18).string(message.incarnation);
+    }
+    if (message.generation !== 0) {
+      writer.uint32(24).int64(message.generation);
+    }
+    if (message.kind !== 0) {
+      writer.uint32(32).uint32(message.kind);
+    }
+    if (message.version !== 0) {
+      writer.uint32(40).int64(message.version);
+    }
+    if (message.ageMs !== 0) {
+      writer.uint32(48).uint32(message.ageMs);
+    }
+    if (message.content.length !== 0) {
+      writer.uint32(58).bytes(message.content);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): RelayRecord {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseRelayRecord();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.instance = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 18) {
+              break;
+            }
+
+            message.incarnation = reader.string();
+            continue;
+          }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.generation = longToNumber(reader.int64());
+            continue;
+          }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.kind = reader.uint32();
+            continue;
+          }
+          case 5: {
+            if (tag !== 40) {
+              break;
+            }
+
+            message.version = longToNumber(reader.int64());
+            continue;
+          }
+          case 6: {
+            if (tag !== 48) {
+              break;
+            }
+
+            message.ageMs = reader.uint32();
+            continue;
+          }
+          case 7: {
+            if (tag !== 58) {
+              break;
+            }
+
+            message.content = reader.bytes();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): RelayRecord {
+    return {
+      instance: isSet(object.instance) ? globalThis.String(object.instance) : "",
+      incarnation: isSet(object.incarnation) ? globalThis.String(object.incarnation) : "",
+      generation: isSet(object.generation) ? globalThis.Number(object.generation) : 0,
+      kind: isSet(object.kind) ? globalThis.Number(object.kind) : 0,
+      version: isSet(object.version) ? globalThis.Number(object.version) : 0,
+      ageMs: isSet(object.ageMs)
+        ? globalThis.Number(object.ageMs)
+        : isSet(object.age_ms)
+        ? globalThis.Number(object.age_ms)
+        : 0,
+      content: isSet(object.content) ? bytesFromBase64(object.content) : new Uint8Array(0),
+    };
+  },
+
+  toJSON(message: RelayRecord): unknown {
+    const obj: any = {};
+    if (message.instance !== "") {
+      obj.instance = message.instance;
+    }
+    if (message.incarnation !== "") {
+      obj.incarnation = message.incarnation;
+    }
+    if (message.generation !== 0) {
+      obj.generation = Math.round(message.generation);
+    }
+    if (message.kind !== 0) {
+      obj.kind = Math.round(message.kind);
+    }
+    if (message.version !== 0) {
+      obj.version = Math.round(message.version);
+    }
+    if (message.ageMs !== 0) {
+      obj.ageMs = Math.round(message.ageMs);
+    }
+    if (message.content.length !== 0) {
+      obj.content = base64FromBytes(message.content);
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<RelayRecord>, I>>(base?: I): RelayRecord {
+    return RelayRecord.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<RelayRecord>, I>>(object: I): RelayRecord {
+    const message = createBaseRelayRecord();
+    message.instance = object.instance ?? "";
+    message.incarnation = object.incarnation ?? "";
+    message.generation = object.generation ?? 0;
+    message.kind = object.kind ?? 0;
+    message.version = object.version ?? 0;
+    message.ageMs = object.ageMs ?? 0;
+    message.content = object.content ?? new Uint8Array(0);
+    return message;
+  },
+};
+
+function createBaseRelayMember(): RelayMember {
+  return { address: "", dataCentre: "", leaving: false, storeLost: false };
+}
+
+export const RelayMember: MessageFns<RelayMember> = {
+  encode(message: RelayMember, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.address !== "") {
+      writer.uint32(10).string(message.address);
+    }
+    if (message.dataCentre !== "") {
+      writer.uint32(18).string(message.dataCentre);
+    }
+    if (message.leaving !== false) {
+      writer.uint32(24).bool(message.leaving);
+    }
+    if (message.storeLost !== false) {
+      writer.uint32(32).bool(message.storeLost);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): RelayMember {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseRelayMember();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.address = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 18) {
+              break;
+            }
+
+            message.dataCentre = reader.string();
+            continue;
+          }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.leaving = reader.bool();
+            continue;
+          }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.storeLost = reader.bool();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): RelayMember {
+    return {
+      address: isSet(object.address) ? globalThis.String(object.address) : "",
+      dataCentre: isSet(object.dataCentre)
+        ? globalThis.String(object.dataCentre)
+        : isSet(object.data_centre)
+        ? globalThis.String(object.data_centre)
+        : "",
+      leaving: isSet(object.leaving) ? globalThis.Boolean(object.leaving) : false,
+      storeLost: isSet(object.storeLost)
+        ? globalThis.Boolean(object.storeLost)
+        : isSet(object.store_lost)
+        ? globalThis.Boolean(object.store_lost)
+        : false,
+    };
+  },
+
+  toJSON(message: RelayMember): unknown {
+    const obj: any = {};
+    if (message.address !== "") {
+      obj.address = message.address;
+    }
+    if (message.dataCentre !== "") {
+      obj.dataCentre = message.dataCentre;
+    }
+    if (message.leaving !== false) {
+      obj.leaving = message.leaving;
+    }
+    if (message.storeLost !== false) {
+      obj.storeLost = message.storeLost;
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<RelayMember>, I>>(base?: I): RelayMember {
+    return RelayMember.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<RelayMember>, I>>(object: I): RelayMember {
+    const message = createBaseRelayMember();
+    message.address = object.address ?? "";
+    message.dataCentre = object.dataCentre ?? "";
+    message.leaving = object.leaving ?? false;
+    message.storeLost = object.storeLost ?? false;
+    return message;
+  },
+};
+
+function createBaseRelayHeard(): RelayHeard {
+  return { heard: [], lost: [] };
+}
+
+export const RelayHeard: MessageFns<RelayHeard> = {
+  encode(message: RelayHeard, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    for (const v of message.heard) {
+      writer.uint32(10).string(v!);
+    }
+    for (const v of message.lost) {
+      writer.uint32(18).string(v!);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): RelayHeard {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseRelayHeard();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.heard.push(reader.string());
+            continue;
+          }
+          case 2: {
+            if (tag !== 18) {
+              break;
+            }
+
+            message.lost.push(reader.string());
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): RelayHeard {
+    return {
+      heard: globalThis.Array.isArray(object?.heard) ? object.heard.map((e: any) => globalThis.String(e)) : [],
+      lost: globalThis.Array.isArray(object?.lost) ? object.lost.map((e: any) => globalThis.String(e)) : [],
+    };
+  },
+
+  toJSON(message: RelayHeard): unknown {
+    const obj: any = {};
+    if (message.heard?.length) {
+      obj.heard = message.heard;
+    }
+    if (message.lost?.length) {
+      obj.lost = message.lost;
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<RelayHeard>, I>>(base?: I): RelayHeard {
+    return RelayHeard.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<RelayHeard>, I>>(object: I): RelayHeard {
+    const message = createBaseRelayHeard();
+    message.heard = object.heard?.map((e) => e) || [];
+    message.lost = object.lost?.map((e) => e) || [];
+    return message;
+  },
+};
+
+function createBaseRelayReport(): RelayReport {
+  return { scope: 0, whole: false, works: [], usages: [], arrivingTokens: 0, waiting: 0 };
+}
 
-            message.storeLost = reader.bool();
-            continue;
-          }
-          case 21: {
-            if (tag !== 170) {
+export const RelayReport: MessageFns<RelayReport> = {
+  encode(message: RelayReport, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.scope !== 0) {
+      writer.uint32(8).int32(message.scope);
+    }
+    if (message.whole !== false) {
+      writer.uint32(16).bool(message.whole);
+    }
+    for (const v of message.works) {
+      Work.encode(v!, writer.uint32(26).fork()).join();
+    }
+    for (const v of message.usages) {
+      WorkspaceUsage.encode(v!, writer.uint32(34).fork()).join();
+    }
+    if (message.arrivingTokens !== 0) {
+      writer.uint32(40).uint32(message.arrivingTokens);
+    }
+    if (message.waiting !== 0) {
+      writer.uint32(48).uint32(message.waiting);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): RelayReport {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseRelayReport();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 8) {
               break;
             }
 
-            message.engineSpeeds.push(EngineSpeed.decode(reader, reader.uint32()));
+            message.scope = reader.int32() as any;
             continue;
           }
-          case 22: {
-            if (tag !== 178) {
+          case 2: {
+            if (tag !== 16) {
               break;
             }
 
-            message.completions.push(Completion.decode(reader, reader.uint32()));
+            message.whole = reader.bool();
             continue;
           }
-          case 23: {
-            if (tag !== 186) {
+          case 3: {
+            if (tag !== 26) {
               break;
             }
 
-            message.partBans.push(PartBan.decode(reader, reader.uint32()));
+            message.works.push(Work.decode(reader, reader.uint32()));
             continue;
           }
-          case 24: {
-            if (tag !== 194) {
+          case 4: {
+            if (tag !== 34) {
               break;
             }
 
-            message.endpointLimits.push(EndpointLimit.decode(reader, reader.uint32()));
+            message.usages.push(WorkspaceUsage.decode(reader, reader.uint32()));
             continue;
           }
-          case 25: {
-            if (tag !== 202) {
+          case 5: {
+            if (tag !== 40) {
               break;
             }
 
-            message.lostEndpoints.push(reader.string());
+            message.arrivingTokens = reader.uint32();
             continue;
           }
-          case 26: {
-            if (tag !== 209) {
+          case 6: {
+            if (tag !== 48) {
               break;
             }
 
-            message.sentAtMs = reader.double();
+            message.waiting = reader.uint32();
             continue;
           }
         }
@@ -610,132 +1992,34 @@
     }
   },
 
-  fromJSON(object: any): Beat {
+  fromJSON(object: any): RelayReport {
     return {
-      instance: isSet(object.instance) ? globalThis.String(object.instance) : "",
-      incarnation: isSet(object.incarnation) ? globalThis.String(object.incarnation) : "",
-      address: isSet(object.address) ? globalThis.String(object.address) : "",
-      dataCentre: isSet(object.dataCentre)
-        ? globalThis.String(object.dataCentre)
-        : isSet(object.data_centre)
-        ? globalThis.String(object.data_centre)
-        : "",
-      configVersion: isSet(object.configVersion)
-        ? globalThis.Number(object.configVersion)
-        : isSet(object.config_version)
-        ? globalThis.Number(object.config_version)
-        : 0,
-      endpointsNext: isSet(object.endpointsNext)
-        ? globalThis.Number(object.endpointsNext)
-        : isSet(object.endpoints_next)
-        ? globalThis.Number(object.endpoints_next)
-        : 0,
-      leaving: isSet(object.leaving) ? globalThis.Boolean(object.leaving) : false,
-      usages: globalThis.Array.isArray(object?.usages) ? object.usages.map((e: any) => WorkspaceUsage.fromJSON(e)) : [],
+      scope: isSet(object.scope) ? relayScopeFromJSON(object.scope) : 0,
+      whole: isSet(object.whole) ? globalThis.Boolean(object.whole) : false,
       works: globalThis.Array.isArray(object?.works) ? object.works.map((e: any) => Work.fromJSON(e)) : [],
-      crashes: globalThis.Array.isArray(object?.crashes) ? object.crashes.map((e: any) => Crash.fromJSON(e)) : [],
+      usages: globalThis.Array.isArray(object?.usages) ? object.usages.map((e: any) => WorkspaceUsage.fromJSON(e)) : [],
       arrivingTokens: isSet(object.arrivingTokens)
         ? globalThis.Number(object.arrivingTokens)
         : isSet(object.arriving_tokens)
         ? globalThis.Number(object.arriving_tokens)
         : 0,
       waiting: isSet(object.waiting) ? globalThis.Number(object.waiting) : 0,
-      absences: globalThis.Array.isArray(object?.absences)
-        ? object.absences.map((e: any) => Absence.fromJSON(e))
-        : [],
-      endpointsChange: isSet(object.endpointsChange)
-        ? globalThis.Number(object.endpointsChange)
-        : isSet(object.endpoints_change)
-        ? globalThis.Number(object.endpoints_change)
-        : 0,
-      refused: globalThis.Array.isArray(object?.refused)
-        ? object.refused.map((e: any) => globalThis.String(e))
-        : [],
-      departures: globalThis.Array.isArray(object?.departures)
-        ? object.departures.map((e: any) => Departure.fromJSON(e))
-        : [],
-      endpointsEra: isSet(object.endpointsEra)
-        ? globalThis.Number(object.endpointsEra)
-        : isSet(object.endpoints_era)
-        ? globalThis.Number(object.endpoints_era)
-        : 0,
-      configAgeMs: isSet(object.configAgeMs)
-        ? globalThis.Number(object.configAgeMs)
-        : isSet(object.config_age_ms)
-        ? globalThis.Number(object.config_age_ms)
-        : undefined,
-      endpointsAgeMs: isSet(object.endpointsAgeMs)
-        ? globalThis.Number(object.endpointsAgeMs)
-        : isSet(object.endpoints_age_ms)
-        ? globalThis.Number(object.endpoints_age_ms)
-        : undefined,
-      storeLost: isSet(object.storeLost)
-        ? globalThis.Boolean(object.storeLost)
-        : isSet(object.store_lost)
-        ? globalThis.Boolean(object.store_lost)
-        : false,
-      engineSpeeds: globalThis.Array.isArray(object?.engineSpeeds)
-        ? object.engineSpeeds.map((e: any) => EngineSpeed.fromJSON(e))
-        : globalThis.Array.isArray(object?.engine_speeds)
-        ? object.engine_speeds.map((e: any) => EngineSpeed.fromJSON(e))
-        : [],
-      completions: globalThis.Array.isArray(object?.completions)
-        ? object.completions.map((e: any) => Completion.fromJSON(e))
-        : [],
-      partBans: globalThis.Array.isArray(object?.partBans)
-        ? object.partBans.map((e: any) => PartBan.fromJSON(e))
-        : globalThis.Array.isArray(object?.part_bans)
-        ? object.part_bans.map((e: any) => PartBan.fromJSON(e))
-        : [],
-      endpointLimits: globalThis.Array.isArray(object?.endpointLimits)
-        ? object.endpointLimits.map((e: any) => EndpointLimit.fromJSON(e))
-        : globalThis.Array.isArray(object?.endpoint_limits)
-        ? object.endpoint_limits.map((e: any) => EndpointLimit.fromJSON(e))
-        : [],
-      lostEndpoints: globalThis.Array.isArray(object?.lostEndpoints)
-        ? object.lostEndpoints.map((e: any) => globalThis.String(e))
-        : globalThis.Array.isArray(object?.lost_endpoints)
-        ? object.lost_endpoints.map((e: any) => globalThis.String(e))
-        : [],
-      sentAtMs: isSet(object.sentAtMs)
-        ? globalThis.Number(object.sentAtMs)
-        : isSet(object.sent_at_ms)
-        ? globalThis.Number(object.sent_at_ms)
-        : undefined,
     };
   },
 
-  toJSON(message: Beat): unknown {
+  toJSON(message: RelayReport): unknown {
     const obj: any = {};
-    if (message.instance !== "") {
-      obj.instance = message.instance;
-    }
-    if (message.incarnation !== "") {
-      obj.incarnation = message.incarnation;
-    }
-    if (message.address !== "") {
-      obj.address = message.address;
-    }
-    if (message.dataCentre !== "") {
-      obj.dataCentre = message.dataCentre;
-    }
-    if (message.configVersion !== 0) {
-      obj.configVersion = Math.round(message.configVersion);
-    }
-    if (message.endpointsNext !== 0) {
-      obj.endpointsNext = Math.round(message.endpointsNext);
-    }
-    if (message.leaving !== false) {
-      obj.leaving = message.leaving;
+    if (message.scope !== 0) {
+      obj.scope = relayScopeToJSON(message.scope);
     }
-    if (message.usages?.length) {
-      obj.usages = message.usages.map((e) => WorkspaceUsage.toJSON(e));
+    if (message.whole !== false) {
+      obj.whole = message.whole;
     }
     if (message.works?.length) {
       obj.works = message.works.map((e) => Work.toJSON(e));
     }
-    if (message.crashes?.length) {
-      obj.crashes = message.crashes.map((e) => Crash.toJSON(e));
+    if (message.usages?.length) {
+      obj.usages = message.usages.map((e) => WorkspaceUsage.toJSON(e));
     }
     if (message.arrivingTokens !== 0) {
       obj.arrivingTokens = Math.round(message.arrivingTokens);
@@ -743,82 +2027,20 @@
     if (message.waiting !== 0) {
       obj.waiting = Math.round(message.waiting);
     }
-    if (message.absences?.length) {
-      obj.absences = message.absences.map((e) => Absence.toJSON(e));
-    }
-    if (message.endpointsChange !== 0) {
-      obj.endpointsChange = Math.round(message.endpointsChange);
-    }
-    if (message.refused?.length) {
-      obj.refused = message.refused;
-    }
-    if (message.departures?.length) {
-      obj.departures = message.departures.map((e) => Departure.toJSON(e));
-    }
-    if (message.endpointsEra !== 0) {
-      obj.endpointsEra = Math.round(message.endpointsEra);
-    }
-    if (message.configAgeMs !== undefined) {
-      obj.configAgeMs = Math.round(message.configAgeMs);
-    }
-    if (message.endpointsAgeMs !== undefined) {
-      obj.endpointsAgeMs = Math.round(message.endpointsAgeMs);
-    }
-    if (message.storeLost !== false) {
-      obj.storeLost = message.storeLost;
-    }
-    if (message.engineSpeeds?.length) {
-      obj.engineSpeeds = message.engineSpeeds.map((e) => EngineSpeed.toJSON(e));
-    }
-    if (message.completions?.length) {
-      obj.completions = message.completions.map((e) => Completion.toJSON(e));
-    }
-    if (message.partBans?.length) {
-      obj.partBans = message.partBans.map((e) => PartBan.toJSON(e));
-    }
-    if (message.endpointLimits?.length) {
-      obj.endpointLimits = message.endpointLimits.map((e) => EndpointLimit.toJSON(e));
-    }
-    if (message.lostEndpoints?.length) {
-      obj.lostEndpoints = message.lostEndpoints;
-    }
-    if (message.sentAtMs !== undefined) {
-      obj.sentAtMs = floatToJson(message.sentAtMs);
-    }
     return obj;
   },
 
-  create<I extends Exact<DeepPartial<Beat>, I>>(base?: I): Beat {
-    return Beat.fromPartial(base ?? ({} as any));
+  create<I extends Exact<DeepPartial<RelayReport>, I>>(base?: I): RelayReport {
+    return RelayReport.fromPartial(base ?? ({} as any));
   },
-  fromPartial<I extends Exact<DeepPartial<Beat>, I>>(object: I): Beat {
-    const message = createBaseBeat();
-    message.instance = object.instance ?? "";
-    message.incarnation = object.incarnation ?? "";
-    message.address = object.address ?? "";
-    message.dataCentre = object.dataCentre ?? "";
-    message.configVersion = object.configVersion ?? 0;
-    message.endpointsNext = object.endpointsNext ?? 0;
-    message.leaving = object.leaving ?? false;
-    message.usages = object.usages?.map((e) => WorkspaceUsage.fromPartial(e)) || [];
+  fromPartial<I extends Exact<DeepPartial<RelayReport>, I>>(object: I): RelayReport {
+    const message = createBaseRelayReport();
+    message.scope = object.scope ?? 0;
+    message.whole = object.whole ?? false;
     message.works = object.works?.map((e) => Work.fromPartial(e)) || [];
-    message.crashes = object.crashes?.map((e) => Crash.fromPartial(e)) || [];
+    message.usages = object.usages?.map((e) => WorkspaceUsage.fromPartial(e)) || [];
     message.arrivingTokens = object.arrivingTokens ?? 0;
     message.waiting = object.waiting ?? 0;
-    message.absences = object.absences?.map((e) => Absence.fromPartial(e)) || [];
-    message.endpointsChange = object.endpointsChange ?? 0;
-    message.refused = object.refused?.map((e) => e) || [];
-    message.departures = object.departures?.map((e) => Departure.fromPartial(e)) || [];
-    message.endpointsEra = object.endpointsEra ?? 0;
-    message.configAgeMs = object.configAgeMs ?? undefined;
-    message.endpointsAgeMs = object.endpointsAgeMs ?? undefined;
-    message.storeLost = object.storeLost ?? false;
-    message.engineSpeeds = object.engineSpeeds?.map((e) => EngineSpeed.fromPartial(e)) || [];
-    message.completions = object.completions?.map((e) => Completion.fromPartial(e)) || [];
-    message.partBans = object.partBans?.map((e) => PartBan.fromPartial(e)) || [];
-    message.endpointLimits = object.endpointLimits?.map((e) => EndpointLimit.fromPartial(e)) || [];
-    message.lostEndpoints = object.lostEndpoints?.map((e) => e) || [];
-    message.sentAtMs = object.sentAtMs ?? undefined;
     return message;
   },
 };
@@ -3503,6 +4725,16 @@
     responseSerialize: (value: Beat): Buffer => Buffer.from(Beat.encode(value).finish()),
     responseDeserialize: (value: Buffer): Beat => Beat.decode(value),
   },
+  /** Long-lived stream between neighbours of a large fleet, where at least one is a relay. */
+  relay: {
+    path: "/gorsefold.fleet.Fleet/Relay" as const,
+    requestStream: true as const,
+    responseStream: true as const,
+    requestSerialize: (value: RelayMessage): Buffer => Buffer.from(RelayMessage.encode(value).finish()),
+    requestDeserialize: (value: Buffer): RelayMessage => RelayMessage.decode(value),
+    responseSerialize: (value: RelayMessage): Buffer => Buffer.from(RelayMessage.encode(value).finish()),
+    responseDeserialize: (value: Buffer): RelayMessage => RelayMessage.decode(value),
+  },
   /** Hands over what the store would, to an instance that the store does not answer. */
   fetch: {
     path: "/gorsefold.fleet.Fleet/Fetch" as const,
@@ -3568,6 +4800,8 @@
 export interface FleetServer extends UntypedServiceImplementation {
   /** Both sides tell what they know and have under way. */
   exchange: handleUnaryCall<Beat, Beat>;
+  /** Long-lived stream between neighbours of a large fleet, where at least one is a relay. */
+  relay: handleBidiStreamingCall<RelayMessage, RelayMessage>;
   /** Hands over what the store would, to an instance that the store does not answer. */
   fetch: handleUnaryCall<FetchRequest, FetchReply>;
   /** Decides on requests by the rate of their workspace, as the owner of its account. */
@@ -3596,6 +4830,10 @@
     options: Partial<CallOptions>,
     callback: (error: ServiceError | null, response: Beat) => void,
   ): ClientUnaryCall;
+  /** Long-lived stream between neighbours of a large fleet, where at least one is a relay. */
+  relay(): ClientDuplexStream<RelayMessage, RelayMessage>;
+  relay(options: Partial<CallOptions>): ClientDuplexStream<RelayMessage, RelayMessage>;
+  relay(metadata: Metadata, options?: Partial<CallOptions>): ClientDuplexStream<RelayMessage, RelayMessage>;
   /** Hands over what the store would, to an instance that the store does not answer. */
   fetch(request: FetchRequest, callback: (error: ServiceError | null, response: FetchReply) => void): ClientUnaryCall;
   fetch(
--- a/test/harness/tunnels.ts
+++ b/test/harness/tunnels.ts
@@ -120,6 +120,7 @@
       onPermit: refuseCall,
       onRemember: refuseCall,
       onRecall: refuseCall,
+      onRelay: refuseCall,
       onTunnel: (call) => {
         this.server.open(call);
       },
