Load test: engines of two speeds, against the choice by load alone

Cause: all modelled engines had the same speed, so that the choice by expected time could not be compared with the previous one.

Change: scenarios with engines that take 0.55 and 1.3 times the usual time, 40 percent of which have spells of 2.5 times, in two data centres, with three paid priorities; one has waves of 50 percent and a workspace at seven times its rate. The previous policy is kept as "by load alone". The table shows rejections, the worst second, and responses on time by class and data centre.

Scenarios whose engines have one speed: equal figures.

--- a/measure/load/arrivals.ts
+++ b/measure/load/arrivals.ts
@@ -29,6 +29,20 @@
   /** Worth of a response whose first token is within the latency target, and of a later one. */
   readonly worth: number;
   readonly lateWorth: number;
+  /** A workspace that sends far more than its rate; undefined if there is none. */
+  readonly flood?: Flood;
+  /** Number of paid priorities that requests are spread over; 1 if undefined. */
+  readonly priorities?: number;
+}
+
+/** A workspace that exceeds its rate for a limited time. */
+export interface Flood {
+  readonly startMs: number;
+  readonly durationMs: number;
+  /** Its rate as a multiple of its usual one. */
+  readonly factor: number;
+  /** Its usual share of the base rate. */
+  readonly share: number;
 }
 
 /** A size in tokens: its mean, its standard deviation as a share of the mean, and its upper limit. */
@@ -44,6 +58,10 @@
   readonly arrivedAt: number;
   readonly promptTokens: number;
   readonly outputTokens: number;
+  /** Paid priority; 0 is the most urgent. */
+  readonly priority: number;
+  /** True if its workspace has exceeded its rate. */
+  readonly isOverRate: boolean;
 }
 
 /** Returns numbers from 0 up to, but not including, 1; the same sequence for the same seed. */
@@ -69,7 +87,7 @@
  */
 export function createArrivals(load: LoadParameters, random: Random): readonly Arrival[] {
   const arrivals: Arrival[] = [];
-  const maxRate = load.requestsPerSecond * (1 + load.rateAmplitude) * computeMaxFactor(load.bursts);
+  const maxRate = load.requestsPerSecond * (1 + load.rateAmplitude) * computeMaxFactor(load);
   let arrivedAt = 0;
   for (;;) {
     arrivedAt += (-Math.log(1 - random()) * MS_PER_SECOND) / maxRate;
@@ -80,6 +98,8 @@
       arrivedAt,
       promptTokens: sampleSize(load.promptTokens, random),
       outputTokens: sampleSize(load.outputTokens, random),
+      priority: samplePriority(load, random),
+      isOverRate: sampleOverRate(load, arrivedAt, random),
     });
   }
 }
@@ -89,11 +109,28 @@
   const burst = load.bursts.find(
     (item) => atMs >= item.startMs && atMs < item.startMs + item.durationMs,
   );
-  return load.requestsPerSecond * wave * (burst?.factor ?? 1);
+  return load.requestsPerSecond * wave * ((burst?.factor ?? 1) + computeExcess(load, atMs));
+}
+
+function computeMaxFactor({ bursts, flood }: LoadParameters): number {
+  const excess = flood === undefined ? 0 : flood.share * (flood.factor - 1);
+  return Math.max(1, ...bursts.map((burst) => burst.factor)) + excess;
+}
+
+/** Computes the requests beyond the rate of the flooding workspace, as a share of the base rate. */
+function computeExcess({ flood }: LoadParameters, atMs: number): number {
+  if (flood === undefined) return 0;
+  const isActive = atMs >= flood.startMs && atMs < flood.startMs + flood.durationMs;
+  return isActive ? flood.share * (flood.factor - 1) : 0;
+}
+
+function samplePriority({ priorities }: LoadParameters, random: Random): number {
+  return priorities === undefined ? 1 : Math.floor(random() * priorities);
 }
 
-function computeMaxFactor(bursts: readonly Burst[]): number {
-  return Math.max(1, ...bursts.map((burst) => burst.factor));
+function sampleOverRate(load: LoadParameters, atMs: number, random: Random): boolean {
+  const excess = computeExcess(load, atMs);
+  return excess > 0 && random() < excess / (1 + excess);
 }
 
 /** Samples a log-normal distribution by the Box-Muller transform, limited to between 1 and the maximum. */
--- a/measure/load/engine.ts
+++ b/measure/load/engine.ts
@@ -3,6 +3,7 @@
  * them, block-wise KV-cache memory with preemption, and holds and handles that expire.
  */
 import { EngineStage } from "../../src/fleet/entries";
+import type { EndpointLoad } from "../../src/forward/requests";
 
 /** The capacity and speed of a simulated engine. */
 export interface EngineParameters {
@@ -81,6 +82,15 @@
   rejectedHolds: number;
 }
 
+/** The machine that an engine runs on. */
+export interface Machine {
+  readonly dataCentre: string | undefined;
+  /** How long work takes at a time, as a multiple of the usual time. */
+  readonly readSlowness: (now: number) => number;
+}
+
+const USUAL_MACHINE: Machine = { dataCentre: undefined, readSlowness: () => 1 };
+
 /** A simulated engine of one stage. */
 export class EngineModel {
   readonly counts: EngineCounters = {
@@ -102,8 +112,23 @@
     readonly id: string,
     readonly stage: EngineStage,
     private readonly parameters: EngineParameters,
+    private readonly machine: Machine = USUAL_MACHINE,
   ) {}
 
+  /** The data centre of its machine; undefined where all engines of a stage are in one. */
+  get dataCentre(): string | undefined {
+    return this.machine.dataCentre;
+  }
+
+  /** What it tells of its load; one of a usual machine tells nothing. */
+  readLoad(now: number): EndpointLoad | undefined {
+    if (this.machine === USUAL_MACHINE) return undefined;
+    const running = this.running.length + this.holds.size;
+    const waiting = this.preemptedJobs.length + this.prefillQueue.length;
+    const slowness = this.machine.readSlowness(now);
+    return { running, waiting, slots: this.parameters.slots, slowness };
+  }
+
   /** Tokens of memory that running jobs occupy or that holds and handles reserve. */
   get usedTokens(): number {
     let used = 0;
@@ -214,7 +239,7 @@
       this.stage === EngineStage.prefill
         ? this.computePrefillChunkMs()
         : this.computeDecodeStepMs(now);
-    if (ms !== undefined) this.stepEndsAt = now + ms;
+    if (ms !== undefined) this.stepEndsAt = now + ms * this.machine.readSlowness(now);
   }
 
   private computePrefillChunkMs(): number | undefined {
--- a/measure/load/main.ts
+++ b/measure/load/main.ts
@@ -27,6 +27,10 @@
   readonly firstP99Ms: number;
   readonly wastedPercent: number;
   readonly preempted: number;
+  readonly rejectedPercent: number;
+  readonly worstSecond: number;
+  readonly onTimeByClass: string;
+  readonly onTimeByDataCentre: string;
 }
 
 class LoadCommand extends Command {
@@ -115,5 +119,21 @@
     firstP99Ms: mean((result) => result.firstTokenP99Ms, 0),
     wastedPercent: mean((result) => result.wastedShare * 100, 1),
     preempted: mean((result) => result.preempted, 1),
+    rejectedPercent: mean((result) => result.rejectedShare * 100, 1),
+    worstSecond: mean((result) => result.worstSecond, 2),
+    onTimeByClass: describeShares(results.map((result) => result.onTimeByClass)),
+    onTimeByDataCentre: describeShares(results.map((result) => result.onTimeByDataCentre)),
   };
 }
+
+/** Describes the means of shares by name, over all seeds. */
+function describeShares(results: readonly ReadonlyMap<string, number>[]): string {
+  const names = new Set(results.flatMap((shares) => [...shares.keys()]));
+  return [...names]
+    .sort()
+    .map((name) => {
+      const shares = results.flatMap((result) => result.get(name) ?? []);
+      return `${name} ${(shares.reduce((sum, share) => sum + share, 0) / shares.length).toFixed(2)}`;
+    })
+    .join(", ");
+}
--- a/measure/load/play.ts
+++ b/measure/load/play.ts
@@ -5,11 +5,13 @@
 import { build, type Histogram } from "hdr-histogram-js";
 import type { EngineLimits } from "../../src/fleet/config";
 import { EngineStage } from "../../src/fleet/entries";
-import { createArrivals, createRandom, type LoadParameters } from "./arrivals";
-import { type EngineParameters, EngineModel } from "./engine";
+import { type Arrival, createArrivals, createRandom, type LoadParameters } from "./arrivals";
+import { type EngineParameters, EngineModel, type Machine } from "./engine";
+import { createMachine, type MachineParameters } from "./machine";
 import {
   type Attempt,
   createEndpointEntries,
+  DECODE_DATA_CENTRE,
   type RouterHost,
   RouterModel,
   type RouterPolicy,
@@ -22,6 +24,7 @@
 /** Callers wait at most this share of their remaining time before they retry. */
 const MAX_RETRY_WAIT_SHARE = 1 / 3;
 const STAGE_CHANGE_MS = 6000;
+const MACHINE_SEED_OFFSET = 1000;
 
 /** A load with the instances and engines that serve it. */
 export interface Scenario {
@@ -33,6 +36,8 @@
   readonly load: LoadParameters;
   /** A crash of one decode engine, and how long the engine stays down. */
   readonly engineLoss: { readonly startMs: number; readonly durationMs: number } | undefined;
+  /** The machines of the engines, which are spread over data centres; undefined if all are alike. */
+  readonly machines?: MachineParameters;
 }
 
 /** What callers got in one run of a scenario. */
@@ -51,11 +56,41 @@
   /** Share of the prefilled tokens whose result was not used or had to be computed again. */
   readonly wastedShare: number;
   readonly preempted: number;
+  /** Holds that engines rejected, as a share of all requests. */
+  readonly rejectedShare: number;
+  /** Share of responses on time by class: a paid priority, or requests beyond their rate. */
+  readonly onTimeByClass: ReadonlyMap<string, number>;
+  /** Share of responses on time by the data centre of the instance that the request came to. */
+  readonly onTimeByDataCentre: ReadonlyMap<string, number>;
+  /** Lowest share of responses on time of the requests within their rate that came in one second. */
+  readonly worstSecond: number;
   /** Share of the worth that callers got, for each window of two seconds, by time of arrival. */
   readonly worthByWindow: readonly number[];
 }
 
 const WINDOW_MS = 2000;
+const SECOND_MS = 1000;
+/** A second with fewer requests says little. */
+const MIN_REQUESTS_OF_SECOND = 5;
+
+/** Requests, and those that were answered on time, by a name. */
+class OnTimeTally {
+  private readonly counts = new Map<string, { requests: number; onTime: number }>();
+
+  record(name: string, requests: number, onTime: number): void {
+    const count = this.counts.get(name) ?? { requests: 0, onTime: 0 };
+    count.requests += requests;
+    count.onTime += onTime;
+    this.counts.set(name, count);
+  }
+
+  readShares(minRequests = 1): ReadonlyMap<string, number> {
+    const shares = new Map<string, number>();
+    for (const [name, { requests, onTime }] of [...this.counts].sort())
+      if (requests >= minRequests) shares.set(name, onTime / requests);
+    return shares;
+  }
+}
 
 interface Tally {
   onTime: number;
@@ -70,6 +105,9 @@
    * token later, which is not counted.
    */
   readonly served: Set<number>;
+  readonly byClass: OnTimeTally;
+  readonly byDataCentre: OnTimeTally;
+  readonly bySecond: OnTimeTally;
 }
 
 /**
@@ -87,7 +125,7 @@
   const random = createRandom(seed);
   const arrivals = createArrivals(scenario.load, random);
   const simulator = new EventSimulator();
-  const engines = createEngines(scenario);
+  const engines = createEngines(scenario, seed);
   const tally = createTally(scenario.load);
   const host: RouterHost = {
     now: () => simulator.now,
@@ -96,7 +134,8 @@
     },
     random,
     onFirstToken: (attempt) => {
-      recordFirstToken(tally, scenario.load, attempt, simulator.now);
+      const dataCentre = dataCentres.get(attempt.requestedAt) ?? "";
+      recordFirstToken(tally, scenario.load, { ...attempt, dataCentre }, simulator.now);
     },
     onEnd: () => undefined,
     onRefused: (attempt) => {
@@ -104,8 +143,12 @@
     },
   };
   const routers = createRouters(scenario, policy, engines, host);
+  const dataCentres = new Map<number, string>();
   const sendToRandomRouter = (attempt: Attempt) => {
-    routers[Math.floor(random() * routers.length)]?.submit(attempt);
+    const router = routers[Math.floor(random() * routers.length)];
+    const { requestedAt } = attempt;
+    if (!dataCentres.has(requestedAt)) dataCentres.set(requestedAt, router?.dataCentre ?? "");
+    router?.submit(attempt);
   };
   const handleRefusal = (attempt: Attempt) => {
     const deadline = attempt.requestedAt + scenario.load.deadlineMs;
@@ -123,7 +166,7 @@
     }
   };
   for (const arrival of arrivals) {
-    recordRequest(tally, scenario.load, arrival.arrivedAt);
+    recordRequest(tally, scenario.load, arrival);
     simulator.schedule(arrival.arrivedAt, () => {
       sendToRandomRouter({
         ...arrival,
@@ -137,6 +180,7 @@
   startHeartbeats(routers, host);
   startDispatching(routers, host);
   simulator.run(engines, scenario.load.durationMs + DRAIN_MS);
+  for (const dataCentre of dataCentres.values()) tally.byDataCentre.record(dataCentre, 1, 0);
   return summarise(tally, scenario.load, arrivals.length, engines);
 }
 
@@ -181,11 +225,17 @@
   }
 }
 
-function createEngines(scenario: Scenario): readonly EngineModel[] {
+function createEngines(scenario: Scenario, seed: number): readonly EngineModel[] {
+  const { machines, load } = scenario;
+  // A random sequence of its own, so that every policy gets the same machines.
+  const random = createRandom(seed + MACHINE_SEED_OFFSET);
+  const endMs = load.durationMs + DRAIN_MS;
+  const createOne = (index: number): Machine | undefined =>
+    machines === undefined ? undefined : createMachine(machines, index, endMs, random);
   const create = (stage: EngineStage, count: number) =>
     Array.from(
       { length: count },
-      (_, index) => new EngineModel(`${stage}-${index}`, stage, scenario.engine),
+      (_, index) => new EngineModel(`${stage}-${index}`, stage, scenario.engine, createOne(index)),
     );
   return [
     ...create(EngineStage.prefill, scenario.prefillEngines),
@@ -212,13 +262,14 @@
     deadlineMs: scenario.load.deadlineMs,
     outputTokenLimit: scenario.load.outputTokens.max,
   };
+  const dataCentres = scenario.machines?.dataCentres ?? [DECODE_DATA_CENTRE];
   const enginesById = new Map(engines.map((engine) => [engine.id, engine]));
   const entries = createEndpointEntries(engines);
-  return Array.from(
-    { length: scenario.instances },
-    (_, index) =>
-      new RouterModel(`router-${index}`, enginesById, entries, limits, parameters, policy, host),
-  );
+  return Array.from({ length: scenario.instances }, (_, index) => {
+    const dataCentre = dataCentres[index % dataCentres.length] ?? DECODE_DATA_CENTRE;
+    const own = { ...parameters, dataCentre };
+    return new RouterModel(`router-${index}`, enginesById, entries, limits, own, policy, host);
+  });
 }
 
 function scheduleEngineLoss(
@@ -252,20 +303,44 @@
     gainedWorth: Array.from({ length: windows }, () => 0),
     possibleWorth: Array.from({ length: windows }, () => 0),
     served: new Set(),
+    byClass: new OnTimeTally(),
+    byDataCentre: new OnTimeTally(),
+    bySecond: new OnTimeTally(),
     firstTokenMs: build({ highestTrackableValue: 60_000, numberOfSignificantValueDigits: 2 }),
   };
 }
 
-function recordRequest(tally: Tally, load: LoadParameters, requestedAt: number): void {
+function recordRequest(tally: Tally, load: LoadParameters, arrival: Arrival): void {
+  const { arrivedAt: requestedAt, isOverRate } = arrival;
+  tally.byClass.record(describeClass(arrival), 1, 0);
+  if (!isOverRate) tally.bySecond.record(describeSecond(requestedAt), 1, 0);
   const window = Math.floor(requestedAt / WINDOW_MS);
   tally.possibleWorth[window] = (tally.possibleWorth[window] ?? 0) + load.worth;
 }
 
-function recordFirstToken(tally: Tally, load: LoadParameters, attempt: Attempt, now: number): void {
+function describeClass({ isOverRate, priority }: Arrival): string {
+  return isOverRate ? "over rate" : `priority ${priority}`;
+}
+
+function describeSecond(atMs: number): string {
+  return String(Math.floor(atMs / SECOND_MS));
+}
+
+function recordFirstToken(
+  tally: Tally,
+  load: LoadParameters,
+  attempt: Attempt & { readonly dataCentre: string },
+  now: number,
+): void {
   if (tally.served.has(attempt.requestedAt)) return;
   tally.served.add(attempt.requestedAt);
   const latencyMs = now - attempt.requestedAt;
   const isOnTime = latencyMs <= load.targetLatencyMs;
+  if (isOnTime) {
+    tally.byClass.record(describeClass(attempt), 0, 1);
+    tally.byDataCentre.record(attempt.dataCentre, 0, 1);
+    if (!attempt.isOverRate) tally.bySecond.record(describeSecond(attempt.requestedAt), 0, 1);
+  }
   if (isOnTime) tally.onTime += 1;
   else tally.late += 1;
   tally.firstTokenMs.recordValue(Math.round(latencyMs));
@@ -299,6 +374,10 @@
         sum((engine) => engine.counts.prefilledTokens),
       ),
     preempted: sum((engine) => engine.counts.preempted),
+    rejectedShare: sum((engine) => engine.counts.rejectedHolds) / Math.max(1, requests),
+    onTimeByClass: tally.byClass.readShares(),
+    onTimeByDataCentre: tally.byDataCentre.readShares(),
+    worstSecond: Math.min(1, ...tally.bySecond.readShares(MIN_REQUESTS_OF_SECOND).values()),
     worthByWindow: tally.gainedWorth.map(
       (worth, window) => worth / (tally.possibleWorth[window] ?? worth),
     ),
--- a/measure/load/plays.ts
+++ b/measure/load/plays.ts
@@ -54,6 +54,35 @@
   engineLoss: undefined,
 };
 
+/** Arrivals at many instances in two data centres, with three paid priorities. */
+const UNEVEN_LOAD: LoadParameters = {
+  ...CALM_LOAD,
+  requestsPerSecond: 18,
+  rateAmplitude: 0.2,
+  priorities: 3,
+};
+
+/** Engines of two speeds with little memory, some of them with spells in which they are far slower. */
+const UNEVEN: Scenario = {
+  ...CALM,
+  name: "uneven",
+  instances: 24,
+  prefillEngines: 4,
+  decodeEngines: 14,
+  engine: { ...ENGINE_PARAMETERS, slots: 14, capacityTokens: 30_000 },
+  load: UNEVEN_LOAD,
+  machines: {
+    dataCentres: ["a", "b"],
+    slowness: [0.55, 1.3, 1.3, 0.55],
+    noise: { factor: 2.5, everyMs: 1500, meanMs: 400, share: 0.4 },
+  },
+};
+
+const WAVES_AND_FLOOD: Partial<LoadParameters> = {
+  rateAmplitude: 0.5,
+  flood: { startMs: 14_000, durationMs: 10_000, factor: 7, share: 0.1 },
+};
+
 /** The scenarios, each with its name for the command line and the results. */
 export const SCENARIOS: readonly Scenario[] = [
   CALM,
@@ -65,14 +94,21 @@
     load: { ...CALM_LOAD, bursts: BURSTS },
     engineLoss: { startMs: 9000, durationMs: 6000 },
   },
+  UNEVEN,
+  { ...UNEVEN, name: "uneven with waves and flood", load: { ...UNEVEN_LOAD, ...WAVES_AND_FLOOD } },
 ];
 
 /** The router's own decisions. */
-const ROUTER_POLICY: RouterPolicy = { name: "usual", decisions: overload };
+const ROUTER_POLICY: RouterPolicy = {
+  name: "usual",
+  decisions: overload,
+  usesExpectedTime: true,
+};
 
 /** The router's own policy, and the alternatives that it is compared with. */
 export const POLICIES: readonly RouterPolicy[] = [
   ROUTER_POLICY,
+  { ...ROUTER_POLICY, name: "by load alone", usesExpectedTime: false },
   createPolicy("no headroom", { limitCapacity: (limits) => limits }),
   createPolicy("more headroom", {
     limitCapacity: (limits, isLate) => scaleCapacity(limits, isLate, 0.65),
@@ -106,7 +142,7 @@
 ];
 
 function createPolicy(name: string, overrides: Partial<OverloadDecisions>): RouterPolicy {
-  return { name, decisions: { ...overload, ...overrides } };
+  return { name, decisions: { ...overload, ...overrides }, usesExpectedTime: true };
 }
 
 function scaleCapacity(limits: EngineLimits, isLate: boolean, share: number): EngineLimits {
--- a/measure/load/router.ts
+++ b/measure/load/router.ts
@@ -11,6 +11,7 @@
   choosePrefill,
   EngineLoadTracker,
 } from "../../src/forward/engines";
+import { createWorkKind, HealthTracker } from "../../src/forward/endpoints";
 import type * as overload from "../../src/forward/engines/overload";
 import type { Arrival, Random } from "./arrivals";
 import type { EngineModel } from "./engine";
@@ -25,19 +26,23 @@
 export interface RouterPolicy {
   readonly name: string;
   readonly decisions: OverloadDecisions;
+  /** False if engines are chosen by their free memory and queues alone, whatever their speeds. */
+  readonly usesExpectedTime: boolean;
 }
 
 /** The only service of the simulated engines. */
 const SERVICE = "models";
 /** The data centres of the simulated engines, by stage. */
 const PREFILL_DATA_CENTRE = "a";
-const DECODE_DATA_CENTRE = "b";
+export const DECODE_DATA_CENTRE = "b";
 
 /** The latency target, timeout and output limit that the router assumes for each request. */
 export interface RouterParameters {
   readonly targetLatencyMs: number;
   readonly deadlineMs: number;
   readonly outputTokenLimit: number;
+  /** The data centre of the instance. */
+  readonly dataCentre: string;
 }
 
 /** A generation request that was sent to a router instance, possibly again. */
@@ -69,6 +74,7 @@
 export class RouterModel {
   readonly engineLoad = new EngineLoadTracker();
   private readonly speeds = new SpeedModel();
+  private readonly health = new HealthTracker();
   private readonly queue = new UrgentQueue<QueuedAttempt>();
   private readonly pendingHoldEngines = new Set<string>();
 
@@ -82,6 +88,10 @@
     private readonly host: RouterHost,
   ) {}
 
+  get dataCentre(): string {
+    return this.parameters.dataCentre;
+  }
+
   /** Queues a generation until an engine has memory for it. */
   submit(attempt: Attempt): void {
     const now = this.host.now();
@@ -104,8 +114,8 @@
         maxOutputTokens: outputTokenLimit,
         expectedOutputTokens: outputTokens,
       }),
-      priority: 1,
-      isOverRate: false,
+      priority: attempt.priority,
+      isOverRate: attempt.isOverRate,
       arrivedAt: now,
       ...decisions.computeWaitLimits(demand),
     });
@@ -124,7 +134,8 @@
       const limits = this.policy.decisions.limitCapacity(this.limits, isLate);
       const chosen = chooseDecode(views, limits, {
         needTokens: queued.reservationTokens,
-        dataCentre: DECODE_DATA_CENTRE,
+        dataCentre: this.parameters.dataCentre,
+        random: this.host.random,
       });
       if (chosen === undefined) return;
       this.queue.dequeue(queued.id);
@@ -133,7 +144,29 @@
   }
 
   private listViews(now: number) {
-    return this.entries.map((entry) => this.engineLoad.readView(entry, false, now));
+    return this.entries.map((entry) => {
+      const view = this.engineLoad.readView(entry, false, now);
+      return this.policy.usesExpectedTime ? { ...view, ...this.readSpeed(entry, now) } : view;
+    });
+  }
+
+  private readSpeed({ id, stage }: EndpointEntry, now: number) {
+    const estimate = this.health.estimateSpeed(createWorkKind(stage ?? "", SERVICE), id, now);
+    const load = this.health.readLoadReport(id, now);
+    if (load === undefined) return { estimate };
+    return { estimate, report: { requests: load.running + load.waiting, slots: load.slots } };
+  }
+
+  /** Records what an engine tells of its load in an answer. */
+  private recordLoad(id: string): void {
+    const now = this.host.now();
+    const load = this.engines.get(id)?.readLoad(now);
+    if (load !== undefined) this.health.recordLoadOfAnswer(id, load, now);
+  }
+
+  private recordWork(stage: EngineStage, id: string, ms: number, units: number): void {
+    const sample = { ms, units };
+    this.health.recordWork(createWorkKind(stage, SERVICE), id, sample, this.host.now());
   }
 
   private requestHold(queued: QueuedAttempt, id: string): void {
@@ -143,6 +176,7 @@
       this.pendingHoldEngines.delete(id);
       const now = this.host.now();
       const hold = this.engines.get(id)?.reserveHold(queued.reservationTokens, now);
+      this.recordLoad(id);
       if (hold === undefined) {
         this.engineLoad.addLocalWork(id, -queued.reservationTokens, 0, -1);
         this.engineLoad.markFull(id, now);
@@ -159,6 +193,7 @@
       promptTokens,
       tokensPerMs: this.speeds.readTokensPerMs(SERVICE, now),
       leftMs: requestedAt + this.parameters.targetLatencyMs - now,
+      random: this.host.random,
     };
     const chosen = choosePrefill(this.listViews(now), new Set([decodeId]), prompt);
     const engine = this.engines.get(chosen?.endpoint.id ?? "");
@@ -170,8 +205,11 @@
     engine.prefill(promptTokens, now, (availableAt, handle) => {
       this.host.schedule(availableAt - this.host.now() + 2 * NETWORK_HOP_MS, () => {
         this.engineLoad.addLocalWork(engine.id, 0, -promptTokens, -1);
+        const ms = this.host.now() - now;
+        this.recordLoad(engine.id);
+        this.recordWork(engine.stage, engine.id, ms, promptTokens + (chosen?.promptTokens ?? 0));
         if (chosen?.promptTokens === 0) {
-          this.speeds.recordPrefill(SERVICE, promptTokens, this.host.now() - now);
+          this.speeds.recordPrefill(SERVICE, promptTokens, ms);
         }
         const isTransferred = handle !== undefined && engine.consumeHandle(handle, this.host.now());
         this.startDecode(queued, decodeId, hold, isTransferred);
@@ -187,16 +225,21 @@
   ): void {
     const { attempt, reservationTokens } = queued;
     const { promptTokens, outputTokens } = attempt;
+    let firstTokenAt = 0;
     const job = {
       id: attempt.id,
       promptTokens,
       outputTokens,
       isTransferred,
       onFirstToken: () => {
+        firstTokenAt = this.host.now();
+        this.recordLoad(id);
         this.host.onFirstToken(attempt);
       },
       onEnd: () => {
         this.engineLoad.addLocalWork(id, -reservationTokens, 0, -1);
+        const ms = this.host.now() - firstTokenAt;
+        if (outputTokens > 1) this.recordWork(EngineStage.decode, id, ms, outputTokens - 1);
         this.host.onEnd(attempt);
         this.dispatchWaiting();
       },
@@ -227,11 +270,12 @@
 
 /** Creates the endpoint directory entries of the engines. */
 export function createEndpointEntries(engines: readonly EngineModel[]): readonly EndpointEntry[] {
-  return engines.map(({ id, stage }) => ({
+  return engines.map(({ id, stage, dataCentre }) => ({
     id,
     service: "model",
     address: `${id}:1`,
-    dataCentre: stage === EngineStage.prefill ? PREFILL_DATA_CENTRE : DECODE_DATA_CENTRE,
+    dataCentre:
+      dataCentre ?? (stage === EngineStage.prefill ? PREFILL_DATA_CENTRE : DECODE_DATA_CENTRE),
     slots: 1,
     isLeaving: false,
     stage,
--- a/test/load.spec.ts
+++ b/test/load.spec.ts
@@ -31,6 +31,27 @@
   return (read) => results.reduce((sum, result) => sum + Number(result[read]), 0) / results.length;
 }
 
+describe("engines of two speeds, with spells in which they are slow", () => {
+  for (const name of ["uneven", "uneven with waves and flood"]) {
+    it(`bring more answers on time if they are chosen by expected time (${name})`, () => {
+      const play = findPlay(name);
+      const current = playMean(play, "usual");
+      const previous = playMean(play, "by load alone");
+      assert.ok(current("onTime") > previous("onTime") * 1.02);
+      assert.ok(current("worstSecond") > previous("worstSecond"));
+      assert.ok(current("rejectedShare") < previous("rejectedShare"));
+    });
+  }
+
+  it("are chosen as before where all have the same speed", () => {
+    const current = playMean(findPlay("bursts"), "usual");
+    const previous = playMean(findPlay("bursts"), "by load alone");
+    for (const figure of ["onTime", "refused", "worth"] as const) {
+      assert.equal(current(figure), previous(figure), figure);
+    }
+  });
+});
+
 describe("bursts of twice the engines' capacity", () => {
   for (const name of ["bursts", "bursts and lost engine"]) {
     it(`bring more answers on time if late generations leave room (${name})`, () => {
