Evacuation of a data centre on the forwarding path

Operators could not keep requests away from a data centre without removing its endpoints from the list. The gate holds back everything that would go to endpoints of such a data centre, as it does for an endpoint that asked for a pause: requests, holds, prefills, releases, orders and probes. A prompt that was read there is not fetched, peers open no connection there, and idle connections are closed.

Heartbeats and fetches carry what is known with its position, so it reaches instances that cannot read the store. A copy of the configuration is confirmed only by peers whose build tells evacuations.

--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -222,6 +222,11 @@
     return this.listed.get(id)?.entry;
   }
 
+  /** Finds the data centre of an endpoint, also if its entry was removed. */
+  findDataCentre(id: string): string | undefined {
+    return this.listed.get(id)?.latestEntry?.dataCentre;
+  }
+
   /** Checks whether an endpoint is listed and not leaving. */
   isUsable(id: string): boolean {
     const entry = this.listed.get(id)?.entry;
--- a/src/fleet/watcher.ts
+++ b/src/fleet/watcher.ts
@@ -13,6 +13,7 @@
 import type { Beat } from "../peer/gen/fleet";
 import { FleetConfigIndex, type FleetConfig } from "./config";
 import type { EndpointDirectory } from "./directory";
+import { type EvacuationRecord, Evacuations } from "./evacuations";
 import { Freshness } from "./freshness";
 import { FIRST_ERA, type LogPosition } from "./position";
 import { type Feed, type FeedPage, type FeedRecord, type Store, StoreFault } from "./store";
@@ -46,7 +47,7 @@
 
 /** Bounds within which changes have to be known, in milliseconds. */
 export interface WatchBounds {
-  /** From a change of the configuration until it is in force. */
+  /** From a change of the configuration, or of an evacuation, until it is in force. */
   readonly configMs: number;
   /** From a change of the endpoint list until it is observed. */
   readonly endpointsMs: number;
@@ -89,6 +90,8 @@
 
 /** Follows the store's configuration and endpoint feeds. */
 export class StoreWatcher {
+  /** The evacuations of data centres, which the feed of the configuration has too. */
+  readonly evacuations = new Evacuations();
   private configIndex: FleetConfigIndex | undefined;
   private configValue: Buffer | undefined;
   private readonly configState: FeedState;
@@ -228,6 +231,23 @@
     return changes.length > 0;
   }
 
+  /**
+   * Applies evacuations that a peer knows.
+   *
+   * @returns true if something changed
+   */
+  applyEvacuations(records: readonly EvacuationRecord[], source: string): boolean {
+    return this.logEvacuations(this.evacuations.merge(records), source);
+  }
+
+  private logEvacuations(changes: readonly EvacuationRecord[], source: string): boolean {
+    for (const { dataCentre, isEvacuated, position } of changes) {
+      const { offset, era } = position;
+      this.logger.warn("evacuation", { dataCentre, isEvacuated, offset, era, source });
+    }
+    return changes.length > 0;
+  }
+
   private async followFeed(
     name: FeedName,
     feed: Feed,
@@ -320,8 +340,9 @@
       this.listEra = page.next.era;
       return this.applyEndpoints(page, isSnapshot, "store");
     }
+    const isEvacuationNew = this.logEvacuations(this.evacuations.apply(page, isSnapshot), "store");
     const applied = page.records.map((record) => this.applyConfigRecord(record));
-    return applied.includes(true);
+    return isEvacuationNew || applied.includes(true);
   }
 
   private applyConfigRecord({ key, value, position }: FeedRecord): boolean {
--- a/src/forward/dialing.ts
+++ b/src/forward/dialing.ts
@@ -48,6 +48,8 @@
 export interface InstanceLinks {
   readonly paths: PathTracker;
   readonly links: LinkChecker;
+  /** True for an endpoint to which no connection is opened only to learn about its way. */
+  readonly isBarred: (endpoint: string) => boolean;
 }
 
 /**
@@ -75,7 +77,8 @@
  *
  * @param listener - told of changes, after they were logged
  * @example
- * const dialer = createDialer(base, directory, { paths, links }, createPeerWays(base, view), listener);
+ * const links = { paths, links, isBarred: (id) => gate.isEvacuated(id) };
+ * const dialer = createDialer(base, directory, links, createPeerWays(base, view), listener);
  */
 export function createDialer(
   { clock, meter, logger }: InstanceBase,
--- a/src/forward/endpoints/client.ts
+++ b/src/forward/endpoints/client.ts
@@ -35,7 +35,7 @@
 
 /** Why a send or call got no response. */
 export const SendFailureKind = {
-  /** Held back by the gate: the endpoint asked for a pause, is leaving, or its limit is used up. */
+  /** Held back by the gate: a pause, an evacuation, a limit that is used up, or it is leaving. */
   held: "held",
   /** All connections that this instance may open to the endpoint are in use. */
   busy: "busy",
@@ -296,11 +296,13 @@
   }
 
   /** Checks that the endpoint takes the request, and acquires its permit where it has a limit. */
-  private async canSend({ endpoint, hold }: EndpointRequest): Promise<boolean> {
+  private async canSend({ endpoint, hold, cacheSource }: EndpointRequest): Promise<boolean> {
     if (!this.gate.isOpenForRequest(endpoint)) return false;
     // A hold was given with the permit for its run.
     const permits = hold === undefined ? 1 : 0;
     if ((await this.gate.acquirePermits(endpoint, permits)) !== true) return false;
+    // The engine would fetch the prompt from there.
+    if (cacheSource !== undefined && this.gate.isEvacuated(cacheSource.endpoint.id)) return false;
     return this.gate.isOpenForRequest(endpoint);
   }
 
@@ -384,6 +386,7 @@
 }
 
 function createHeldFailure(): SendFailure {
-  const message = "the endpoint asked for a pause, is leaving, or its limit is used up";
+  const message =
+    "the endpoint asked for a pause, is leaving, is evacuated, or its limit is used up";
   return new SendFailure(SendFailureKind.held, message);
 }
--- a/src/forward/engines/reservations.ts
+++ b/src/forward/engines/reservations.ts
@@ -119,12 +119,13 @@
     this.scheduleDispatch();
   }
 
-  /** Lists the usable engines of a service, with their load. */
+  /** Lists the usable engines of a service outside evacuated data centres, with their load. */
   listViews(service: string, now: Moment): readonly EngineView[] {
     const { directory, gate } = this.context;
     return directory
       .listUsable(now)
       .filter((endpoint) => endpoint.service === service && endpoint.stage !== undefined)
+      .filter(({ id }) => !gate.isEvacuated(id))
       .map((endpoint) => {
         const view = this.engineLoad.readView(endpoint, directory.isInDoubt(endpoint.id), now);
         const isFull = view.isFull || !this.canSend(endpoint);
--- a/src/forward/fleetview.ts
+++ b/src/forward/fleetview.ts
@@ -44,7 +44,10 @@
     clock,
     logger,
     meter,
-    { configMs: settings.configApplyMs, endpointsMs: settings.drainMs },
+    {
+      configMs: Math.min(settings.configApplyMs, settings.evacuationMs),
+      endpointsMs: settings.drainMs,
+    },
     (now) => readerRole.isReader(now),
     sendHeartbeats,
   );
--- a/src/forward/gauges.ts
+++ b/src/forward/gauges.ts
@@ -14,6 +14,7 @@
   isStoreReader(): boolean;
   computeConfigAgeMs(): number;
   computeEndpointsAgeMs(): number;
+  countEvacuated(): number;
 }
 
 /**
@@ -50,4 +51,7 @@
   meter.addGauge("endpoints_age_ms", "Time since the endpoint list was confirmed", () =>
     source.computeEndpointsAgeMs(),
   );
+  meter.addGauge("evacuated_data_centres", "Data centres to which nothing is sent", () =>
+    source.countEvacuated(),
+  );
 }
--- a/src/forward/generations/prefill.ts
+++ b/src/forward/generations/prefill.ts
@@ -113,11 +113,14 @@
 
   /**
    * Drops a cache source whose process is gone: at the next one, its handle may name the prompt of
-   * another request. The decode engine reads the prompt instead.
+   * another request. Also one in an evacuated data centre, from which no engine may fetch it. The
+   * decode engine reads the prompt instead.
    */
   dropGone(source: CacheSource | undefined): CacheSource | undefined {
     if (source === undefined) return undefined;
-    if (this.parts.context.directory.canUseMemory(source.endpoint)) return source;
+    const { directory, gate } = this.parts.context;
+    const isOpen = !gate.isEvacuated(source.endpoint.id);
+    if (isOpen && directory.canUseMemory(source.endpoint)) return source;
     this.release(source);
     return undefined;
   }
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -81,7 +81,8 @@
       },
     );
     const { directory, watcher } = view;
-    this.tunnelServer = new TunnelServer(directory, clock, context.links);
+    const isBarred = (id: string) => context.gate.isEvacuated(id);
+    this.tunnelServer = new TunnelServer(directory, clock, context.links, undefined, isBarred);
     this.statusServers = new StatusServers({
       clock,
       logger,
@@ -238,6 +239,7 @@
       isStoreReader: () => readerRole.isReader(clock.now()),
       computeConfigAgeMs: () => watcher.computeConfigAgeMs(),
       computeEndpointsAgeMs: () => watcher.computeEndpointsAgeMs(),
+      countEvacuated: () => watcher.evacuations.listEvacuated().length,
     });
   }
 
--- a/src/forward/limits/gate.ts
+++ b/src/forward/limits/gate.ts
@@ -1,12 +1,13 @@
 /**
  * Holds back what this instance would send to endpoints that asked for a pause, announced that they
- * leave, or named a limit that is used up. Every request and call to an endpoint passes here,
+ * leave, are in an evacuated data centre, or named a limit that is used up. Every request and call to an endpoint passes here,
  * whatever its purpose.
  */
 import type { Clock, Moment } from "../../core/clock";
 import type { Logger } from "../../core/log";
 import type { EndpointDirectory } from "../../fleet/directory";
 import type { EndpointEntry } from "../../fleet/entries";
+import type { Evacuations } from "../../fleet/evacuations";
 import type { EndpointLimits } from "./limits";
 import type { EndpointNotice } from "../requests";
 import type { Permits } from "./permits";
@@ -33,10 +34,16 @@
  * service because of one malformed response.
  */
 const MAX_PAUSE_MS = 60_000;
+/**
+ * After which time callers may try again if only evacuated data centres are left, in milliseconds:
+ * an operator withdraws an evacuation by hand, and most retries before that are in vain.
+ */
+const EVACUATION_RETRY_MS = 2000;
 
 /** Dependencies of a gate. */
 export interface GateParts {
   readonly directory: EndpointDirectory;
+  readonly evacuations: Pick<Evacuations, "isEvacuated">;
   readonly limits: EndpointLimits;
   readonly permits: Permits;
   readonly clock: Clock;
@@ -45,7 +52,7 @@
   readonly onLimitChange: () => void;
 }
 
-/** Tracks pauses by endpoint id, leaving endpoints in the directory, and limits. */
+/** Tracks pauses by endpoint id, leaving endpoints in the directory, evacuations, and limits. */
 export class EndpointGate {
   private readonly pauseEnds = new Map<string, Moment>();
   /** By endpoint: the start of the process whose unreadable limit was logged. */
@@ -97,7 +104,14 @@
     return limits.isRecent({ endpoint, processStartedAt }, clock.now());
   }
 
-  /** True while the endpoint wants nothing from this instance. */
+  /** True while the data centre of an endpoint is evacuated; also if its entry was removed. */
+  isEvacuated(id: string): boolean {
+    const { directory, evacuations } = this.parts;
+    const dataCentre = directory.findDataCentre(id);
+    return dataCentre !== undefined && evacuations.isEvacuated(dataCentre);
+  }
+
+  /** True while the endpoint wants nothing from this instance, or its data centre is evacuated. */
   isPaused(id: string): boolean {
     return this.readPauseEnd(id) !== undefined;
   }
@@ -115,8 +129,19 @@
     return Math.max(pauseEnd, denialEnd);
   }
 
-  /** When the pause that an endpoint asked for ends; undefined if there is none. */
+  /**
+   * When the pause of an endpoint ends; undefined if there is none. The end of an evacuation is not
+   * known, so it is checked again after a while.
+   */
   readPauseEnd(id: string): Moment | undefined {
+    const askedEnd = this.readAskedPauseEnd(id);
+    if (!this.isEvacuated(id)) return askedEnd;
+    const checkAt = this.parts.clock.now() + EVACUATION_RETRY_MS;
+    return askedEnd === undefined ? checkAt : Math.max(askedEnd, checkAt);
+  }
+
+  /** When the pause that an endpoint asked for ends; undefined if there is none. */
+  private readAskedPauseEnd(id: string): Moment | undefined {
     const end = this.pauseEnds.get(id);
     if (end === undefined || end > this.parts.clock.now()) return end;
     this.pauseEnds.delete(id);
@@ -151,7 +176,7 @@
    * the entry of an endpoint, which may lapse while the endpoint is up.
    */
   prune(isListed: (id: string) => boolean): void {
-    for (const id of this.pauseEnds.keys()) this.readPauseEnd(id);
+    for (const id of this.pauseEnds.keys()) this.readAskedPauseEnd(id);
     for (const id of this.unreadable.keys()) if (!isListed(id)) this.unreadable.delete(id);
     const { permits, limits, clock } = this.parts;
     permits.prune();
@@ -173,7 +198,7 @@
   private recordPause(id: string, pauseMs: number): void {
     const ms = Math.min(pauseMs, MAX_PAUSE_MS);
     const end = this.parts.clock.now() + ms;
-    const previousEnd = this.readPauseEnd(id);
+    const previousEnd = this.readAskedPauseEnd(id);
     if (previousEnd !== undefined && previousEnd >= end) return;
     this.pauseEnds.set(id, end);
     if (previousEnd === undefined) this.parts.logger.warn("endpoint paused", { endpoint: id, ms });
--- a/src/forward/maintenance.ts
+++ b/src/forward/maintenance.ts
@@ -1,6 +1,7 @@
 /**
  * Does the periodic work of an instance: applies the limits for callers, logs the shares, watches
- * the versions of endpoints, and forgets endpoints that left.
+ * the versions of endpoints, closes idle connections to evacuated data centres, and forgets endpoints
+ * that left.
  */
 import type { ForwardContext } from "./endpoints";
 import type { FleetView } from "./fleetview";
@@ -52,6 +53,7 @@
     this.applyCallerLimits();
     this.logShares();
     this.recordVersions();
+    this.closeEvacuated();
     const { health, meter, directory, gate, dialer } = this.context;
     const isListed = (id: string) => directory.find(id) !== undefined;
     health.prune(isListed);
@@ -60,6 +62,14 @@
     dialer.prune(isListed);
   }
 
+  /** Closes the idle connections to the endpoints of evacuated data centres. */
+  private closeEvacuated(): void {
+    const { evacuations } = this.view.watcher;
+    for (const { dataCentre, address } of this.context.directory.listAll()) {
+      if (evacuations.isEvacuated(dataCentre)) this.context.client.reset(address);
+    }
+  }
+
   /** Watches the versions of endpoints while the list is current. */
   private recordVersions(): void {
     const { versionHistory, directory, clock } = this.context;
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -162,6 +162,7 @@
   const announcer = new Announcer(clock, sendHeartbeats);
   const gate = new EndpointGate({
     directory,
+    evacuations: view.watcher.evacuations,
     limits: limitState.limits,
     permits: createPermits(base, view, limitState),
     clock,
@@ -173,16 +174,23 @@
   const health = new HealthTracker();
   const paths = new PathTracker(Math.random);
   const links = createLinkChecker(base, directory, paths, (id) => gate.isPaused(id));
-  const dialer = createDialer(base, directory, { paths, links }, createPeerWays(base, view), {
-    onWayLost: (target) => {
-      client.onWayLost(target);
-      announcer.report();
-    },
-    onWayBack: (target) => {
-      client.onWayBack(target);
-      announcer.report();
+  const isBarred = (id: string) => gate.isEvacuated(id);
+  const dialer = createDialer(
+    base,
+    directory,
+    { paths, links, isBarred },
+    createPeerWays(base, view),
+    {
+      onWayLost: (target) => {
+        client.onWayLost(target);
+        announcer.report();
+      },
+      onWayBack: (target) => {
+        client.onWayBack(target);
+        announcer.report();
+      },
     },
-  });
+  );
   const client = new HttpEndpointClient(adapter.endpointCodec, gate, dialer, clock, {
     computeCheckMs: (id) => Math.max(MIN_CHECK_MS, health.readLatencyMs(id) * CHECK_LATENCY_FACTOR),
     computeMaxConnections: (service) => computeMaxConnections(view, service),
--- a/src/forward/peerstate.ts
+++ b/src/forward/peerstate.ts
@@ -5,6 +5,7 @@
 import type { Logger } from "../core/log";
 import type { BeatContent, HeartbeatHost } from "../fleet/heartbeat";
 import type { EndpointDirectory } from "../fleet/directory";
+import { decodeEvacuation, encodeEvacuation } from "../fleet/evacuationwire";
 import { isAfter } from "../fleet/position";
 import type { FeedRecord } from "../fleet/store";
 import type { StoreWatcher } from "../fleet/watcher";
@@ -88,6 +89,8 @@
       ...encodeKnowledge(crashes.listKnowledge(now)),
       endpointLimits: this.parts.limits.list(now).map((word) => encodeLimit(word, now)),
       lostEndpoints: [...this.parts.paths.listLost()],
+      ...this.encodeEvacuations(),
+      tellsEvacuations: true,
       arrivingTokens: Math.round(this.computeArrivalRate(now)),
       engineSpeeds: [...this.parts.engineModel.listLocalEstimates()],
       waiting: reservations.size,
@@ -119,6 +122,7 @@
     this.parts.paths.applyPeerLost(instance, beat.lostEndpoints, now);
     this.applyDepartures(beat, now);
     this.applyLimits(beat, sentAt ?? now);
+    this.applyEvacuations(beat, instance);
     if (sentAt !== undefined) this.confirmCopies(beat, sentAt);
     crashes.mergeKnowledge(decodeKnowledge(beat), now);
     reservations.dispatchWaiting();
@@ -144,6 +148,7 @@
   handleFetchReply(reply: FetchReply, from: string): void {
     const { watcher, directory } = this.parts;
     const source = `peer ${from}`;
+    this.applyEvacuations(reply, from);
     if (reply.config !== undefined) watcher.applyConfig(Buffer.from(reply.config), source);
     const next = { era: reply.endpointsEra, offset: reply.endpointsNext };
     if (reply.sinceOutageMs !== undefined) {
@@ -175,6 +180,7 @@
       endpointsNext: next.offset,
       endpointsEra: next.era,
       ...this.readOutageReport(),
+      ...this.encodeEvacuations(),
     };
   }
 
@@ -204,7 +210,11 @@
   private confirmCopies(beat: Beat, sentAt: Moment): void {
     const { watcher } = this.parts;
     const { configAgeMs, endpointsAgeMs, endpointsEra: era, endpointsNext: offset } = beat;
-    const hasConfig = beat.configVersion >= 0 && beat.configVersion <= this.readConfigVersion();
+    // The copy of an older build has no evacuations, so it cannot confirm that there are none.
+    const hasConfig =
+      beat.tellsEvacuations &&
+      beat.configVersion >= 0 &&
+      beat.configVersion <= this.readConfigVersion();
     if (hasConfig && configAgeMs !== undefined) watcher.confirmConfig(sentAt - configAgeMs);
     if (endpointsAgeMs !== undefined && !this.isMissingChanges(beat)) {
       watcher.confirmEndpoints({ era, offset }, sentAt - endpointsAgeMs);
@@ -248,6 +258,14 @@
     }
   }
 
+  private encodeEvacuations(): Pick<FetchReply, "evacuations"> {
+    return { evacuations: this.parts.watcher.evacuations.list().map(encodeEvacuation) };
+  }
+
+  private applyEvacuations({ evacuations }: Pick<FetchReply, "evacuations">, from: string): void {
+    this.parts.watcher.applyEvacuations(evacuations.map(decodeEvacuation), `peer ${from}`);
+  }
+
   private readConfigVersion(): number {
     return this.parts.watcher.readConfigIndex()?.config.version ?? NO_VERSION;
   }
--- a/src/forward/settings.ts
+++ b/src/forward/settings.ts
@@ -32,6 +32,8 @@
   readonly drainMs: number;
   /** Time within which a published configuration must be in force, in milliseconds. */
   readonly configApplyMs: number;
+  /** Time within which an evacuation of a data centre must be in force, in milliseconds. */
+  readonly evacuationMs: number;
   /** Time from a signal to stop until the platform kills the process, in milliseconds. */
   readonly graceMs: number;
   /**
--- a/src/forward/tunnels/dialer.ts
+++ b/src/forward/tunnels/dialer.ts
@@ -75,6 +75,8 @@
   /** Lists the live peers that are not leaving, without this instance. */
   readonly listPeers: () => readonly ReplicaCandidate[];
   readonly findDataCentre: (endpoint: string) => string | undefined;
+  /** True for an endpoint whose way is not checked; none if undefined. */
+  readonly isBarred?: (endpoint: string) => boolean;
   /** Called with each connection that a dial established. */
   readonly onConnection: (dialled: DialledSocket) => void;
 }
@@ -127,7 +129,8 @@
   }
 
   checkDirect(target: EndpointTarget): void {
-    if (this.parts.paths.isDirectLost(target) || !this.takeCheck(target)) return;
+    if (this.isBarred(target) || this.parts.paths.isDirectLost(target)) return;
+    if (!this.takeCheck(target)) return;
     void this.tryDirect(target).then((isOpen) => {
       if (!isOpen) this.probePeers(target);
     });
@@ -247,7 +250,11 @@
       return;
     }
     const target = paths.takeDirectTry(clock.now());
-    if (target !== undefined) void this.tryDirect(target);
+    if (target !== undefined && !this.isBarred(target)) void this.tryDirect(target);
+  }
+
+  private isBarred({ id }: EndpointTarget): boolean {
+    return this.parts.isBarred?.(id) === true;
   }
 
   /** A cut may show only after the connect: the connection is then reset without a byte. */
--- a/src/forward/tunnels/server.ts
+++ b/src/forward/tunnels/server.ts
@@ -28,12 +28,16 @@
   private readonly tunnels = new Set<ServedTunnel>();
   private isRefusing = false;
 
-  /** @param connect - opens connections to endpoints */
+  /**
+   * @param connect - opens connections to endpoints
+   * @param isBarred - true for an endpoint to which none is opened
+   */
   constructor(
     private readonly directory: EndpointDirectory,
     private readonly clock: Clock,
     private readonly links: LinkChecker,
     private readonly connect: EndpointConnector = openEndpointSocket,
+    private readonly isBarred: (endpoint: string) => boolean = () => false,
   ) {}
 
   /** Number of tunnels that are open or being opened. */
@@ -75,6 +79,7 @@
   private findAddress(target: TunnelTarget): E.Either<TunnelFailureKind, string> {
     if (this.isRefusing || this.tunnels.size > MAX_TUNNELS)
       return E.left(TunnelFailureKind.unreachable);
+    if (this.isBarred(target.endpoint)) return E.left(TunnelFailureKind.unreachable);
     const entry = this.directory.find(target.endpoint);
     const isListed =
       entry?.processStartedAt === target.processStartedAt && this.directory.canUseMemory(entry);
--- a/src/peer/gen/fleet.ts
+++ b/src/peer/gen/fleet.ts
@@ -69,6 +69,18 @@
   lostEndpoints: string[];
   /** When the beat was sent, on the monotonic clock of the sender's process, in milliseconds. */
   sentAtMs?: number | undefined;
+  evacuations: Evacuation[];
+  /** The sender's build tells evacuations: its copy of the configuration has them too. */
+  tellsEvacuations: boolean;
+}
+
+/** The last that the sender knows of the evacuation of a data centre: a record of the store. */
+export interface Evacuation {
+  dataCentre: string;
+  /** Else it was withdrawn. */
+  evacuated: boolean;
+  offset: number;
+  era: number;
 }
 
 /** What an endpoint last said of the requests that it takes from all instances together. */
@@ -162,6 +174,7 @@
   endpointsEra: number;
   /** Time since the store was last found to answer again after an outage; absent where there was none. */
   sinceOutageMs?: number | undefined;
+  evacuations: Evacuation[];
 }
 
 export interface ChargeRequest {
@@ -291,6 +304,8 @@
     endpointLimits: [],
     lostEndpoints: [],
     sentAtMs: undefined,
+    evacuations: [],
+    tellsEvacuations: false,
   };
 }
 
@@ -374,6 +389,12 @@
     if (message.sentAtMs !== undefined) {
       writer.uint32(209).double(message.sentAtMs);
     }
+    for (const v of message.evacuations) {
+      Evacuation.encode(v!, writer.uint32(242).fork()).join();
+    }
+    if (message.tellsEvacuations !== false) {
+      writer.uint32(248).bool(message.tellsEvacuations);
+    }
     return writer;
   },
 
@@ -598,6 +619,22 @@
             message.sentAtMs = reader.double();
             continue;
           }
+          case 30: {
+            if (tag !== 242) {
+              break;
+            }
+
+            message.evacuations.push(Evacuation.decode(reader, reader.uint32()));
+            continue;
+          }
+          case 31: {
+            if (tag !== 248) {
+              break;
+            }
+
+            message.tellsEvacuations = reader.bool();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -702,6 +739,14 @@
         : isSet(object.sent_at_ms)
         ? globalThis.Number(object.sent_at_ms)
         : undefined,
+      evacuations: globalThis.Array.isArray(object?.evacuations)
+        ? object.evacuations.map((e: any) => Evacuation.fromJSON(e))
+        : [],
+      tellsEvacuations: isSet(object.tellsEvacuations)
+        ? globalThis.Boolean(object.tellsEvacuations)
+        : isSet(object.tells_evacuations)
+        ? globalThis.Boolean(object.tells_evacuations)
+        : false,
     };
   },
 
@@ -785,6 +830,12 @@
     if (message.sentAtMs !== undefined) {
       obj.sentAtMs = floatToJson(message.sentAtMs);
     }
+    if (message.evacuations?.length) {
+      obj.evacuations = message.evacuations.map((e) => Evacuation.toJSON(e));
+    }
+    if (message.tellsEvacuations !== false) {
+      obj.tellsEvacuations = message.tellsEvacuations;
+    }
     return obj;
   },
 
@@ -819,6 +870,129 @@
     message.endpointLimits = object.endpointLimits?.map((e) => EndpointLimit.fromPartial(e)) || [];
     message.lostEndpoints = object.lostEndpoints?.map((e) => e) || [];
     message.sentAtMs = object.sentAtMs ?? undefined;
+    message.evacuations = object.evacuations?.map((e) => Evacuation.fromPartial(e)) || [];
+    message.tellsEvacuations = object.tellsEvacuations ?? false;
+    return message;
+  },
+};
+
+function createBaseEvacuation(): Evacuation {
+  return { dataCentre: "", evacuated: false, offset: 0, era: 0 };
+}
+
+export const Evacuation: MessageFns<Evacuation> = {
+  encode(message: Evacuation, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.dataCentre !== "") {
+      writer.uint32(10).string(message.dataCentre);
+    }
+    if (message.evacuated !== false) {
+      writer.uint32(16).bool(message.evacuated);
+    }
+    if (message.offset !== 0) {
+      writer.uint32(24).int64(message.offset);
+    }
+    if (message.era !== 0) {
+      writer.uint32(32).int64(message.era);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): Evacuation {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseEvacuation();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.dataCentre = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.evacuated = reader.bool();
+            continue;
+          }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.offset = longToNumber(reader.int64());
+            continue;
+          }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.era = longToNumber(reader.int64());
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): Evacuation {
+    return {
+      dataCentre: isSet(object.dataCentre)
+        ? globalThis.String(object.dataCentre)
+        : isSet(object.data_centre)
+        ? globalThis.String(object.data_centre)
+        : "",
+      evacuated: isSet(object.evacuated) ? globalThis.Boolean(object.evacuated) : false,
+      offset: isSet(object.offset) ? globalThis.Number(object.offset) : 0,
+      era: isSet(object.era) ? globalThis.Number(object.era) : 0,
+    };
+  },
+
+  toJSON(message: Evacuation): unknown {
+    const obj: any = {};
+    if (message.dataCentre !== "") {
+      obj.dataCentre = message.dataCentre;
+    }
+    if (message.evacuated !== false) {
+      obj.evacuated = message.evacuated;
+    }
+    if (message.offset !== 0) {
+      obj.offset = Math.round(message.offset);
+    }
+    if (message.era !== 0) {
+      obj.era = Math.round(message.era);
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<Evacuation>, I>>(base?: I): Evacuation {
+    return Evacuation.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<Evacuation>, I>>(object: I): Evacuation {
+    const message = createBaseEvacuation();
+    message.dataCentre = object.dataCentre ?? "";
+    message.evacuated = object.evacuated ?? false;
+    message.offset = object.offset ?? 0;
+    message.era = object.era ?? 0;
     return message;
   },
 };
@@ -2023,7 +2197,14 @@
 };
 
 function createBaseFetchReply(): FetchReply {
-  return { config: undefined, endpoints: [], endpointsNext: 0, endpointsEra: 0, sinceOutageMs: undefined };
+  return {
+    config: undefined,
+    endpoints: [],
+    endpointsNext: 0,
+    endpointsEra: 0,
+    sinceOutageMs: undefined,
+    evacuations: [],
+  };
 }
 
 export const FetchReply: MessageFns<FetchReply> = {
@@ -2043,6 +2224,9 @@
     if (message.sinceOutageMs !== undefined) {
       writer.uint32(40).uint32(message.sinceOutageMs);
     }
+    for (const v of message.evacuations) {
+      Evacuation.encode(v!, writer.uint32(82).fork()).join();
+    }
     return writer;
   },
 
@@ -2099,6 +2283,14 @@
             message.sinceOutageMs = reader.uint32();
             continue;
           }
+          case 10: {
+            if (tag !== 82) {
+              break;
+            }
+
+            message.evacuations.push(Evacuation.decode(reader, reader.uint32()));
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -2132,6 +2324,9 @@
         : isSet(object.since_outage_ms)
         ? globalThis.Number(object.since_outage_ms)
         : undefined,
+      evacuations: globalThis.Array.isArray(object?.evacuations)
+        ? object.evacuations.map((e: any) => Evacuation.fromJSON(e))
+        : [],
     };
   },
 
@@ -2152,6 +2347,9 @@
     if (message.sinceOutageMs !== undefined) {
       obj.sinceOutageMs = Math.round(message.sinceOutageMs);
     }
+    if (message.evacuations?.length) {
+      obj.evacuations = message.evacuations.map((e) => Evacuation.toJSON(e));
+    }
     return obj;
   },
 
@@ -2165,6 +2363,7 @@
     message.endpointsNext = object.endpointsNext ?? 0;
     message.endpointsEra = object.endpointsEra ?? 0;
     message.sinceOutageMs = object.sinceOutageMs ?? undefined;
+    message.evacuations = object.evacuations?.map((e) => Evacuation.fromPartial(e)) || [];
     return message;
   },
 };
--- a/test/fleet.spec.ts
+++ b/test/fleet.spec.ts
@@ -319,6 +319,8 @@
     absences: [],
     endpointLimits: [],
     lostEndpoints: [],
+    evacuations: [],
+    tellsEvacuations: true,
   });
 
   it("lists members as live while their beats arrive, and counts them as missing for a while after", () => {
--- a/test/harness/forward.ts
+++ b/test/harness/forward.ts
@@ -170,6 +170,7 @@
     retryLimit: { ratio: 0.2, slack: 50, windowMs: 10_000 },
     drainMs: 300,
     configApplyMs: 300,
+    evacuationMs: 300,
     graceMs: 8000,
     orderLeaseMs: 3000,
   };
--- a/test/harness/gate.ts
+++ b/test/harness/gate.ts
@@ -28,6 +28,7 @@
   });
   return new EndpointGate({
     directory: new EndpointDirectory(testCodecs.decodeEndpoint),
+    evacuations: { isEvacuated: () => false },
     limits,
     permits,
     clock,
