--- a/src/fleet/relay/network.ts
+++ b/src/fleet/relay/network.ts
@@ -40,6 +40,7 @@
   RecordKind.crashes,
   RecordKind.departures,
   RecordKind.absences,
+  RecordKind.evacuations,
 ]);
 /** Kinds that expire at their receivers unless they are told again. */
 const EXPIRING_KINDS = [RecordKind.lostEndpoints, RecordKind.speeds] as const;
--- a/src/fleet/relay/records.ts
+++ b/src/fleet/relay/records.ts
@@ -18,6 +18,7 @@
   lostEndpoints: 7,
   speeds: 8,
   refusals: 9,
+  evacuations: 10,
 } as const;
 export type RecordKind = (typeof RecordKind)[keyof typeof RecordKind];
 
--- a/src/forward/kinds.ts
+++ b/src/forward/kinds.ts
@@ -27,6 +27,7 @@
   | "lostEndpoints"
   | "engineSpeeds"
   | "refused"
+  | "evacuations"
 >;
 
 /**
@@ -37,7 +38,7 @@
  */
 export function createKindStates(content: KindContent, now: Moment): readonly KindState[] {
   const { endpointLimits, crashes, completions, partBans } = content;
-  const { departures, absences, lostEndpoints, engineSpeeds, refused } = content;
+  const { departures, absences, lostEndpoints, engineSpeeds, refused, evacuations } = content;
   const at = (ageMs: number | undefined, stepMs = MOMENT_STEP_MS) =>
     Math.round((now - (ageMs ?? 0)) / stepMs);
   return [
@@ -61,6 +62,7 @@
       ]),
     ]),
     createState(RecordKind.refusals, { refused }, [refused]),
+    createState(RecordKind.evacuations, { evacuations }, [evacuations]),
   ];
 }
 
--- a/src/forward/maintenance.ts
+++ b/src/forward/maintenance.ts
@@ -1,6 +1,7 @@
 /**
  * Does the periodic work of an instance: applies the limits for callers, logs the shares, watches
- * the versions of endpoints, and forgets endpoints that left.
+ * the versions of endpoints, closes idle connections to evacuated data centres, and forgets endpoints
+ * that left.
  */
 import type { Moment } from "../core/clock";
 import type { ForwardContext } from "./endpoints";
@@ -54,6 +55,7 @@
     this.applyCallerLimits();
     this.logShares();
     this.recordVersions();
+    this.closeEvacuated();
     const { health, meter, directory, gate, dialer } = this.context;
     const isListed = (id: string) => directory.find(id) !== undefined;
     health.prune(isListed);
@@ -63,6 +65,14 @@
     directory.processes.prune(isListed, this.context.clock.now());
   }
 
+  /** Closes the idle connections to the endpoints of evacuated data centres. */
+  private closeEvacuated(): void {
+    const { evacuations } = this.view.watcher;
+    for (const { dataCentre, address } of this.context.directory.listAll()) {
+      if (evacuations.isEvacuated(dataCentre)) this.context.client.reset(address);
+    }
+  }
+
   /**
    * Watches the versions of endpoints while the list is current, also of processes that were listed
    * only since the last time.
--- a/src/peer/gen/fleet.ts
+++ b/src/peer/gen/fleet.ts
@@ -116,9 +116,10 @@
   /** Ids of endpoints that peers reach and the sender does not reach directly. */
   lostEndpoints: string[];
   /** When the beat was sent, on the monotonic clock of the sender's process, in milliseconds. */
-  sentAtMs?:
-    | number
-    | undefined;
+  sentAtMs?: number | undefined;
+  evacuations: Evacuation[];
+  /** The sender's build tells evacuations: its copy of the configuration has them too. */
+  tellsEvacuations: boolean;
   /**
    * Number of instances that the sender knows, this one included; instances with few known peers
    * learn from it that the fleet uses relays. Absent where an older build sends it.
@@ -126,6 +127,15 @@
   fleetSize?: number | undefined;
 }
 
+/** The last that the sender knows of the evacuation of a data centre: a record of the store. */
+export interface Evacuation {
+  dataCentre: string;
+  /** Else it was withdrawn. */
+  evacuated: boolean;
+  offset: number;
+  era: number;
+}
+
 /** A message of a relay stream. The first one of each side has `hello`; each one keeps the stream alive. */
 export interface RelayMessage {
   /** Number of the message on its stream and direction, from 1 on. */
@@ -162,6 +172,8 @@
   configAgeMs?: number | undefined;
   endpointsAgeMs?: number | undefined;
   storeLost: boolean;
+  /** As in Beat. */
+  tellsEvacuations: boolean;
 }
 
 /** What one instance says of one kind of state; replaces its earlier versions. */
@@ -295,6 +307,7 @@
   endpointsEra: number;
   /** Time since the store was last found to answer again after an outage; absent where there was none. */
   sinceOutageMs?: number | undefined;
+  evacuations: Evacuation[];
 }
 
 export interface ChargeRequest {
@@ -424,6 +437,8 @@
     endpointLimits: [],
     lostEndpoints: [],
     sentAtMs: undefined,
+    evacuations: [],
+    tellsEvacuations: false,
     fleetSize: undefined,
   };
 }
@@ -508,6 +523,12 @@
     if (message.sentAtMs !== undefined) {
       writer.uint32(209).double(message.sentAtMs);
     }
+    for (const v of message.evacuations) {
+      Evacuation.encode(v!, writer.uint32(242).fork()).join();
+    }
+    if (message.tellsEvacuations !== false) {
+      writer.uint32(248).bool(message.tellsEvacuations);
+    }
     if (message.fleetSize !== undefined) {
       writer.uint32(320).uint32(message.fleetSize);
     }
@@ -735,6 +756,22 @@
             message.sentAtMs = reader.double();
             continue;
           }
+          case 30: {
+            if (tag !== 242) {
+              break;
+            }
+
+            message.evacuations.push(Evacuation.decode(reader, reader.uint32()));
+            continue;
+          }
+          case 31: {
+            if (tag !== 248) {
+              break;
+            }
+
+            message.tellsEvacuations = reader.bool();
+            continue;
+          }
           case 40: {
             if (tag !== 320) {
               break;
@@ -847,6 +884,14 @@
         : isSet(object.sent_at_ms)
         ? globalThis.Number(object.sent_at_ms)
         : undefined,
+      evacuations: globalThis.Array.isArray(object?.evacuations)
+        ? object.evacuations.map((e: any) => Evacuation.fromJSON(e))
+        : [],
+      tellsEvacuations: isSet(object.tellsEvacuations)
+        ? globalThis.Boolean(object.tellsEvacuations)
+        : isSet(object.tells_evacuations)
+        ? globalThis.Boolean(object.tells_evacuations)
+        : false,
       fleetSize: isSet(object.fleetSize)
         ? globalThis.Number(object.fleetSize)
         : isSet(object.fleet_size)
@@ -935,6 +980,12 @@
     if (message.sentAtMs !== undefined) {
       obj.sentAtMs = floatToJson(message.sentAtMs);
     }
+    if (message.evacuations?.length) {
+      obj.evacuations = message.evacuations.map((e) => Evacuation.toJSON(e));
+    }
+    if (message.tellsEvacuations !== false) {
+      obj.tellsEvacuations = message.tellsEvacuations;
+    }
     if (message.fleetSize !== undefined) {
       obj.fleetSize = Math.round(message.fleetSize);
     }
@@ -972,11 +1023,134 @@
     message.endpointLimits = object.endpointLimits?.map((e) => EndpointLimit.fromPartial(e)) || [];
     message.lostEndpoints = object.lostEndpoints?.map((e) => e) || [];
     message.sentAtMs = object.sentAtMs ?? undefined;
+    message.evacuations = object.evacuations?.map((e) => Evacuation.fromPartial(e)) || [];
+    message.tellsEvacuations = object.tellsEvacuations ?? false;
     message.fleetSize = object.fleetSize ?? undefined;
     return message;
   },
 };
 
+function createBaseEvacuation(): Evacuation {
+  return { dataCentre: "", evacuated: false, offset: 0, era: 0 };
+}
+
+export const Evacuation: MessageFns<Evacuation> = {
+  encode(message: Evacuation, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.dataCentre !== "") {
+      writer.uint32(10).string(message.dataCentre);
+    }
+    if (message.evacuated !== false) {
+      writer.uint32(16).bool(message.evacuated);
+    }
+    if (message.offset !== 0) {
+      writer.uint32(24).int64(message.offset);
+    }
+    if (message.era !== 0) {
+      writer.uint32(32).int64(message.era);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): Evacuation {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseEvacuation();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.dataCentre = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.evacuated = reader.bool();
+            continue;
+          }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.offset = longToNumber(reader.int64());
+            continue;
+          }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.era = longToNumber(reader.int64());
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): Evacuation {
+    return {
+      dataCentre: isSet(object.dataCentre)
+        ? globalThis.String(object.dataCentre)
+        : isSet(object.data_centre)
+        ? globalThis.String(object.data_centre)
+        : "",
+      evacuated: isSet(object.evacuated) ? globalThis.Boolean(object.evacuated) : false,
+      offset: isSet(object.offset) ? globalThis.Number(object.offset) : 0,
+      era: isSet(object.era) ? globalThis.Number(object.era) : 0,
+    };
+  },
+
+  toJSON(message: Evacuation): unknown {
+    const obj: any = {};
+    if (message.dataCentre !== "") {
+      obj.dataCentre = message.dataCentre;
+    }
+    if (message.evacuated !== false) {
+      obj.evacuated = message.evacuated;
+    }
+    if (message.offset !== 0) {
+      obj.offset = Math.round(message.offset);
+    }
+    if (message.era !== 0) {
+      obj.era = Math.round(message.era);
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<Evacuation>, I>>(base?: I): Evacuation {
+    return Evacuation.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<Evacuation>, I>>(object: I): Evacuation {
+    const message = createBaseEvacuation();
+    message.dataCentre = object.dataCentre ?? "";
+    message.evacuated = object.evacuated ?? false;
+    message.offset = object.offset ?? 0;
+    message.era = object.era ?? 0;
+    return message;
+  },
+};
+
 function createBaseRelayMessage(): RelayMessage {
   return {
     sequence: 0,
@@ -1321,6 +1495,7 @@
     configAgeMs: undefined,
     endpointsAgeMs: undefined,
     storeLost: false,
+    tellsEvacuations: false,
   };
 }
 
@@ -1347,6 +1522,9 @@
     if (message.storeLost !== false) {
       writer.uint32(56).bool(message.storeLost);
     }
+    if (message.tellsEvacuations !== false) {
+      writer.uint32(64).bool(message.tellsEvacuations);
+    }
     return writer;
   },
 
@@ -1419,6 +1597,14 @@
             message.storeLost = reader.bool();
             continue;
           }
+          case 8: {
+            if (tag !== 64) {
+              break;
+            }
+
+            message.tellsEvacuations = reader.bool();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -1468,6 +1654,11 @@
         : isSet(object.store_lost)
         ? globalThis.Boolean(object.store_lost)
         : false,
+      tellsEvacuations: isSet(object.tellsEvacuations)
+        ? globalThis.Boolean(object.tellsEvacuations)
+        : isSet(object.tells_evacuations)
+        ? globalThis.Boolean(object.tells_evacuations)
+        : false,
     };
   },
 
@@ -1494,6 +1685,9 @@
     if (message.storeLost !== false) {
       obj.storeLost = message.storeLost;
     }
+    if (message.tellsEvacuations !== false) {
+      obj.tellsEvacuations = message.tellsEvacuations;
+    }
     return obj;
   },
 
@@ -1509,6 +1703,7 @@
     message.configAgeMs = object.configAgeMs ?? undefined;
     message.endpointsAgeMs = object.endpointsAgeMs ?? undefined;
     message.storeLost = object.storeLost ?? false;
+    message.tellsEvacuations = object.tellsEvacuations ?? false;
     return message;
   },
 };
@@ -3245,7 +3440,14 @@
 };
 
 function createBaseFetchReply(): FetchReply {
-  return { config: undefined, endpoints: [], endpointsNext: 0, endpointsEra: 0, sinceOutageMs: undefined };
+  return {
+    config: undefined,
+    endpoints: [],
+    endpointsNext: 0,
+    endpointsEra: 0,
+    sinceOutageMs: undefined,
+    evacuations: [],
+  };
 }
 
 export const FetchReply: MessageFns<FetchReply> = {
@@ -3265,6 +3467,9 @@
     if (message.sinceOutageMs !== undefined) {
       writer.uint32(40).uint32(message.sinceOutageMs);
     }
+    for (const v of message.evacuations) {
+      Evacuation.encode(v!, writer.uint32(82).fork()).join();
+    }
     return writer;
   },
 
@@ -3321,6 +3526,14 @@
             message.sinceOutageMs = reader.uint32();
             continue;
           }
+          case 10: {
+            if (tag !== 82) {
+              break;
+            }
+
+            message.evacuations.push(Evacuation.decode(reader, reader.uint32()));
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -3354,6 +3567,9 @@
         : isSet(object.since_outage_ms)
         ? globalThis.Number(object.since_outage_ms)
         : undefined,
+      evacuations: globalThis.Array.isArray(object?.evacuations)
+        ? object.evacuations.map((e: any) => Evacuation.fromJSON(e))
+        : [],
     };
   },
 
@@ -3374,6 +3590,9 @@
     if (message.sinceOutageMs !== undefined) {
       obj.sinceOutageMs = Math.round(message.sinceOutageMs);
     }
+    if (message.evacuations?.length) {
+      obj.evacuations = message.evacuations.map((e) => Evacuation.toJSON(e));
+    }
     return obj;
   },
 
@@ -3387,6 +3606,7 @@
     message.endpointsNext = object.endpointsNext ?? 0;
     message.endpointsEra = object.endpointsEra ?? 0;
     message.sinceOutageMs = object.sinceOutageMs ?? undefined;
+    message.evacuations = object.evacuations?.map((e) => Evacuation.fromPartial(e)) || [];
     return message;
   },
 };
