--- a/measure/fleet.ts
+++ b/measure/fleet.ts
@@ -93,7 +93,7 @@
           () => false,
         );
         if (isReady) return performance.now() - startedAt;
-        await pause(100);
+        await pause(500);
       }
       return Number.POSITIVE_INFINITY;
     }),
@@ -131,6 +131,7 @@
     drainMs: 2000,
     configApplyMs: 2000,
     maxDirectInstances: maxDirect,
+    startHoldMs: 2500,
   };
 }
 
--- a/scripts/mutations/fleet.mjs
+++ b/scripts/mutations/fleet.mjs
@@ -103,8 +103,8 @@
   {
     name: "readers: few instances read the store",
     file: "src/fleet/readers.ts",
-    find: "this.isChosen = chooseReaders(this.listCandidates(now)).includes(this.instance);",
-    replace: "this.isChosen = true;",
+    find: "this.place = chooseReaders(this.listCandidates(now)).indexOf(this.instance);",
+    replace: "this.place = 0;",
     test: "readers",
   },
   {
--- a/scripts/mutations/index.mjs
+++ b/scripts/mutations/index.mjs
@@ -3,6 +3,7 @@
 import { fleetMutations } from "./fleet.mjs";
 import { forwardingMutations } from "./forwarding.mjs";
 import { limitMutations } from "./limits.mjs";
+import { relayMutations } from "./relay.mjs";
 import { wayMutations } from "./ways.mjs";
 
 export const mutations = [
@@ -10,5 +11,6 @@
   ...forwardingMutations,
   ...fleetMutations,
   ...limitMutations,
+  ...relayMutations,
   ...wayMutations,
 ];
--- a/src/fleet/heartbeat.ts
+++ b/src/fleet/heartbeat.ts
@@ -31,7 +31,10 @@
 }
 
 /** What a heartbeat reports, beside its sender, the time and the size of the fleet. */
-export type BeatContent = Omit<Beat, keyof MemberIdentity | "sentAtMs" | "fleetSize">;
+export type BeatContent = Omit<
+  Beat,
+  keyof MemberIdentity | "sentAtMs" | "fleetSize" | "heardAddresses"
+>;
 
 /** Takes the place of heartbeats to all peers in a large fleet. */
 export interface HeartbeatRelay {
@@ -152,6 +155,7 @@
     if (beat.instance === this.self.instance) return;
     const now = this.clock.now();
     const isNew = this.members.recordBeat(beat, now);
+    for (const address of beat.heardAddresses) this.members.addAddress(address, undefined, now);
     if (isNew) this.logger.info("peer found", { peer: beat.instance, address: beat.address });
     this.host.handleBeat(beat, now, sentAt);
     this.addOffer(beat);
@@ -190,7 +194,10 @@
 
   private createBeat(): Beat {
     const sentAtMs = this.clock.now();
-    const fleetSize = this.relay === undefined ? 0 : this.members.countKnown();
-    return { ...this.self, ...this.host.createBeatContent(), sentAtMs, fleetSize };
+    const beat = { ...this.self, ...this.host.createBeatContent(), sentAtMs };
+    if (this.relay === undefined) return { ...beat, heardAddresses: [] };
+    const { members } = this;
+    const heardAddresses = this.relay.isActive ? [] : [...members.listNewsAddresses(sentAtMs)];
+    return { ...beat, fleetSize: members.countKnown(), heardAddresses };
   }
 }
--- a/src/fleet/joiner.ts
+++ b/src/fleet/joiner.ts
@@ -2,7 +2,7 @@
  * Registers an instance in the store, and reads the other members from it.
  */
 import * as E from "fp-ts/Either";
-import { type Clock, pause } from "../core/clock";
+import { type Clock, type Moment, pause } from "../core/clock";
 import type { Logger } from "../core/log";
 import { runTask } from "../core/tasks";
 import type { Meter } from "../forward/requests";
@@ -22,6 +22,34 @@
  */
 const REJOIN_JITTER_MS = 600;
 
+/** Longest time for which an instance waits to be heard by the peers it knows, in milliseconds. */
+const PEER_WAIT_MS = 3000;
+/** Time after which an instance that hears peers knows whether the fleet is large, in milliseconds. */
+const SIZE_KNOWN_MS = 1500;
+const PEER_CHECK_INTERVAL_MS = 100;
+
+/** What decides whether an instance needs the store to find its peers. */
+export interface JoinPolicy {
+  /** True if the instance knows peers that may spare it the calls. */
+  readonly mayWait: boolean;
+  /** True while the fleet uses relays and this instance hears some. */
+  hasRelays(): boolean;
+  /** True if this instance hears a peer. */
+  hasPeers(): boolean;
+  /**
+   * True if this instance is a relay: the records of relays are enough for instances that know no
+   * address which is up.
+   */
+  isRelay(now: Moment): boolean;
+}
+
+const JOIN_AT_ONCE: JoinPolicy = {
+  mayWait: false,
+  hasRelays: () => false,
+  hasPeers: () => false,
+  isRelay: () => false,
+};
+
 /** Joins the fleet, and refreshes the list of members periodically. */
 export class Joiner {
   private timer: NodeJS.Timeout | undefined;
@@ -40,12 +68,13 @@
     private readonly meter: Meter,
     private readonly logger: Logger,
     private readonly onJoined: () => void,
+    private readonly policy: JoinPolicy = JOIN_AT_ONCE,
   ) {}
 
   start(): void {
-    void this.join();
+    void this.joinUnlessFound();
     this.timer = setInterval(() => {
-      void this.refreshMembers();
+      void this.refresh();
     }, MEMBERS_REFRESH_MS);
   }
 
@@ -56,10 +85,34 @@
 
   /** Writes this instance's record again: a restored store may have lost it. */
   onStoreRestored(): void {
+    if (!this.hasJoined && this.policy.hasRelays()) return;
     this.hasJoined = false;
     setTimeout(() => void this.join(), Math.random() * REJOIN_JITTER_MS).unref();
   }
 
+  /** Joins, unless peers spare the calls: in a large fleet an instance gets all it needs from relays. */
+  private async joinUnlessFound(): Promise<void> {
+    const { policy, clock } = this;
+    const startedAt = clock.now();
+    while (policy.mayWait && !this.isClosed) {
+      if (policy.hasRelays()) return;
+      const waitedMs = clock.now() - startedAt;
+      if (waitedMs >= (policy.hasPeers() ? SIZE_KNOWN_MS : PEER_WAIT_MS)) break;
+      await pause(PEER_CHECK_INTERVAL_MS);
+    }
+    await this.join();
+  }
+
+  /** Reads the members again; in a large fleet only writes the record of a relay, once. */
+  private async refresh(): Promise<void> {
+    const { policy, clock } = this;
+    if (!policy.hasRelays()) await this.refreshMembers();
+    else if (!this.hasJoined && !this.isJoining && policy.isRelay(clock.now())) {
+      this.hasJoined = true;
+      await runTask("join", this.logger, () => this.writeSelf());
+    }
+  }
+
   private async join(): Promise<void> {
     if (this.isJoining) return;
     this.isJoining = true;
--- a/src/fleet/members.ts
+++ b/src/fleet/members.ts
@@ -32,6 +32,17 @@
  */
 const ADDRESS_TTL_MS = 45_000;
 
+/** How long peers are told the addresses that are heard, in milliseconds; covers several heartbeats. */
+const NEWS_MS = 5000;
+/** Maximum number of addresses in a heartbeat, which bounds its size. */
+const MAX_NEWS_ADDRESSES = 32;
+
+/**
+ * How long an instance must have been a relay until it reads the store, in milliseconds: one that has
+ * only just found the fleet may take itself for one.
+ */
+const ROLE_SETTLED_MS = 1000;
+
 /** The identity of an instance. */
 export interface MemberIdentity {
   readonly instance: string;
@@ -70,6 +81,8 @@
   isLost: boolean;
   /** When relays last said that it is heard; undefined if they never did. */
   relayedAt: Moment | undefined;
+  /** What they said of it last. */
+  readonly relayed?: RelayedMember;
 }
 
 interface PeerAddress {
@@ -86,6 +99,9 @@
   /** The relays of the fleet while it uses them. */
   private relays: ReadonlySet<string> | undefined;
   private isRelay = true;
+  private roleSince: Moment = Number.NEGATIVE_INFINITY;
+  /** When an instance was found that was not live before. */
+  private foundAt: Moment = Number.NEGATIVE_INFINITY;
   /** The largest number of instances that a peer said it knows. */
   private toldSize = 0;
 
@@ -143,6 +159,7 @@
       relayedAt: member?.relayedAt,
     });
     this.toldSize = Math.max(this.toldSize, beat.fleetSize ?? 0);
+    if (!isLive) this.foundAt = now;
     return !isLive;
   }
 
@@ -168,13 +185,23 @@
   /**
    * Records that relays hear an instance.
    *
+   * @param relayed - what they say of it; the same object as long as that is unchanged
    * @param heardAt - when the neighbour was heard from which this comes
    */
   recordRelayed(relayed: RelayedMember, heardAt: Moment): void {
     const { instance, address } = relayed;
     const known = this.members.get(instance);
     const lastHeartbeatAt = Math.max(heardAt, known?.lastHeartbeatAt ?? heardAt);
-    this.members.set(instance, { ...relayed, lastHeartbeatAt, isLost: false, relayedAt: heardAt });
+    const peer = this.addresses.get(address);
+    if (known?.relayed === relayed && peer?.instance === instance) {
+      known.lastHeartbeatAt = lastHeartbeatAt;
+      known.relayedAt = heardAt;
+      known.isLost = false;
+      peer.lastAliveAt = lastHeartbeatAt;
+      return;
+    }
+    const state = { lastHeartbeatAt, isLost: false, relayedAt: heardAt, relayed };
+    this.members.set(instance, { ...relayed, ...state });
     this.addresses.set(address, { lastAliveAt: lastHeartbeatAt, instance, isHeard: true });
   }
 
@@ -198,14 +225,20 @@
    *
    * @param isRelay - whether this instance is one
    */
-  setRelays(relays: ReadonlySet<string>, isRelay: boolean): void {
+  setRelays(relays: ReadonlySet<string>, isRelay: boolean, now: Moment): void {
+    if (this.relays === undefined || isRelay !== this.isRelay) this.roleSince = now;
     this.relays = relays;
     this.isRelay = isRelay;
   }
 
-  /** True if this instance may read the store for the fleet. */
-  get mayRead(): boolean {
-    return this.isRelay;
+  /** True while the fleet uses relays. */
+  get usesRelays(): boolean {
+    return this.relays !== undefined;
+  }
+
+  /** Checks whether this instance may read the store for the fleet: as a relay, once that is settled. */
+  mayRead(now: Moment): boolean {
+    return this.relays === undefined || (this.isRelay && now - this.roleSince >= ROLE_SETTLED_MS);
   }
 
   /** Counts the instances that are known, this one included: by their addresses, or as peers say. */
@@ -213,6 +246,15 @@
     return Math.max(this.addresses.size + 1, this.toldSize);
   }
 
+  /** Lists the addresses of the instances that are heard, for a while after one was found. */
+  listNewsAddresses(now: Moment): readonly string[] {
+    if (now - this.foundAt > NEWS_MS) return [];
+    const heard = [...this.members.values()].filter(
+      (member) => now - member.lastHeartbeatAt <= LIVENESS_TIMEOUT_MS && !member.isLeaving,
+    );
+    return heard.map(({ address }) => address).slice(0, MAX_NEWS_ADDRESSES);
+  }
+
   /** Lists the addresses of the instances that are live. */
   listLiveAddresses(now: Moment): ReadonlySet<string> {
     const live = [...this.members.values()].filter(
--- a/src/fleet/readers.ts
+++ b/src/fleet/readers.ts
@@ -48,7 +48,8 @@
 
 /** Tells whether an instance is a reader, as it sees the fleet. */
 export class ReaderRole {
-  private isChosen = true;
+  /** Place among the readers; negative if it is none. */
+  private place = 0;
   private checkAgainAt: Moment = Number.NEGATIVE_INFINITY;
 
   /**
@@ -62,9 +63,14 @@
 
   /** Checks whether the instance is a reader; the choice is kept for a short time. */
   isReader(now: Moment): boolean {
-    if (now < this.checkAgainAt) return this.isChosen;
+    return this.readPlace(now) >= 0;
+  }
+
+  /** Returns the place of the instance among the readers, from 0 on; negative if it is none. */
+  readPlace(now: Moment): number {
+    if (now < this.checkAgainAt) return this.place;
     this.checkAgainAt = now + CHOICE_TTL_MS;
-    this.isChosen = chooseReaders(this.listCandidates(now)).includes(this.instance);
-    return this.isChosen;
+    this.place = chooseReaders(this.listCandidates(now)).indexOf(this.instance);
+    return this.place;
   }
 }
--- a/src/fleet/relay/loads.ts
+++ b/src/fleet/relay/loads.ts
@@ -17,6 +17,9 @@
   UsageCounter,
 } from "./sums";
 
+/** How many times as many instances a relay must hear to be asked in place of another one. */
+const CHANGE_FACTOR = 1.25;
+
 /** Reads how many instances a relay hears. */
 export type HeardCounter = (instance: string) => number;
 
@@ -100,7 +103,7 @@
     const relays = links.filter(
       ({ peer }) => peer?.dataCentre === dataCentre && relayNames.has(peer.instance),
     );
-    const source = chooseSource(relays, countHeard);
+    const source = chooseSource(relays, RelayScope.RELAY_SCOPE_FLEET, countHeard);
     return new Map(source === undefined ? [] : [[source, RelayScope.RELAY_SCOPE_FLEET]]);
   }
 
@@ -119,7 +122,7 @@
         continue;
       }
       const eligible = local.filter(({ peer }) => names.includes(peer?.instance ?? ""));
-      const source = chooseSource(eligible, countHeard);
+      const source = chooseSource(eligible, RelayScope.RELAY_SCOPE_DATA_CENTRE, countHeard);
       if (source !== undefined) chosen.set(source, RelayScope.RELAY_SCOPE_DATA_CENTRE);
     }
     return chosen;
@@ -145,15 +148,23 @@
   }
 }
 
-/** Chooses the neighbour that hears the most instances, of several the first by name. */
+/**
+ * Chooses the neighbour that hears the most instances, of several the first by name; keeps the one that
+ * was chosen before unless another hears clearly more, as a change loses what is on its way.
+ */
 function chooseSource(
   links: readonly RelayLink[],
+  scope: RelayScope,
   countHeard: HeardCounter,
 ): RelayLink | undefined {
-  return [...links].sort((a, b) => {
+  const countOf = (link: RelayLink) => countHeard(link.peer?.instance ?? "");
+  const [best] = [...links].sort((a, b) => {
     const [first, second] = [a.peer?.instance ?? "", b.peer?.instance ?? ""];
-    return countHeard(second) - countHeard(first) || (first < second ? -1 : 1);
-  })[0];
+    return countOf(b) - countOf(a) || (first < second ? -1 : 1);
+  });
+  const current = links.find(({ wanted }) => wanted === scope);
+  if (current === undefined || best === undefined) return best;
+  return countOf(best) > countOf(current) * CHANGE_FACTOR ? best : current;
 }
 
 function chooseOnePerPeer(links: readonly RelayLink[]): Iterable<RelayLink> {
--- a/src/fleet/relay/network.ts
+++ b/src/fleet/relay/network.ts
@@ -11,7 +11,7 @@
   RelayMember,
   type RelayMessage,
 } from "../../peer/gen/fleet";
-import type { MemberIdentity, MemberList } from "../members";
+import type { MemberIdentity, MemberList, RelayedMember } from "../members";
 import { TopologyCache } from "./choice";
 import { Dialler } from "./dialler";
 import { FlushQueue } from "./flush";
@@ -34,6 +34,7 @@
 /** Interval at which state that expires at its receivers is applied again, in milliseconds. */
 const REAPPLY_INTERVAL_MS = 1000;
 
+const EMPTY_BEAT: Beat = Beat.fromPartial({});
 /** Kinds whose changes are sent at once. */
 const URGENT_KINDS: ReadonlySet<number> = new Set([
   RecordKind.limits,
@@ -74,11 +75,13 @@
   private readonly dialler: Dialler;
   private readonly flushQueue: FlushQueue;
   private readonly heardReports = new WeakMap<OwnedRecord, HeardReport>();
+  private readonly memberStates = new WeakMap<OwnedRecord, RelayedMember>();
   private readonly lostAt = new Map<string, Moment>();
   private active = false;
   private isClosed = false;
   private isFlushDue = false;
   private isLoadChanged = false;
+  private loggedRole = "";
   private reapplyAt: Moment = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly parts: RelayNetworkParts) {
@@ -240,7 +243,7 @@
     const { peer } = link;
     if (head === undefined || peer === undefined) return;
     const { instance, incarnation, address, dataCentre } = peer;
-    const beat = Beat.fromPartial({ ...head, instance, incarnation, address, dataCentre });
+    const beat = { ...EMPTY_BEAT, ...head, instance, incarnation, address, dataCentre };
     this.parts.host.applyHead(beat, sentAt);
     if (this.isRelay && this.flushQueue.isHeadNews(this.parts.clock.now())) this.scheduleFlush();
   }
@@ -263,7 +266,7 @@
         this.scheduleFlush();
       }
     } else if (record.kind === RecordKind.member) {
-      if (RelayMember.decode(record.content).leaving) this.scheduleFlush();
+      if (this.readMember(record).isLeaving) this.scheduleFlush();
       this.updateMember(record, now);
     } else {
       host.applyRecord(record, now);
@@ -271,17 +274,20 @@
     }
   }
 
-  /** Passes a record on to the neighbours that do not get it from where it came from. */
+  /**
+   * Passes a record on to the neighbours that do not get it from where it came from: relays that hear
+   * each other need no third one between them.
+   */
   private passOn(from: RelayLink, record: OwnedRecord): void {
-    const { relayNames, isRelay } = this.topology.current;
+    const { relayNames } = this.topology.current;
     const sender = from.peer?.instance ?? "";
     const isFromRelay = relayNames.has(sender);
     for (const link of this.links.listOpen()) {
       const { peer } = link;
       if (peer === undefined || peer.instance === sender) continue;
       if (peer.instance === record.instance) continue;
-      const isPartner = isRelay && peer.dataCentre === this.parts.self.dataCentre;
-      if (isFromRelay && relayNames.has(peer.instance) && !isPartner) continue;
+      const isToRelay = isFromRelay && relayNames.has(peer.instance);
+      if (isToRelay && this.findHeard(peer.instance)?.heard.includes(sender) === true) continue;
       link.queue(record);
     }
   }
@@ -346,7 +352,7 @@
     for (const name of [...hearing.lost, ...this.lostAt.keys()]) {
       if (!hearing.heardAt.has(name)) members.recordLost(name, now);
     }
-    members.setRelays(this.topology.current.relayNames, this.isRelay);
+    members.setRelays(this.topology.current.relayNames, this.isRelay, now);
   }
 
   /** Applies the state of a live member at once. */
@@ -355,10 +361,18 @@
     if (members.isRelayed(record.instance, now)) this.recordMember(record, now);
   }
 
-  private recordMember({ instance, content }: OwnedRecord, heardAt: Moment): void {
+  private recordMember(record: OwnedRecord, heardAt: Moment): void {
+    this.parts.members.recordRelayed(this.readMember(record), heardAt);
+  }
+
+  private readMember(record: OwnedRecord): RelayedMember {
+    const known = this.memberStates.get(record);
+    if (known !== undefined) return known;
+    const { instance, content } = record;
     const { address, dataCentre, leaving, storeLost } = RelayMember.decode(content);
     const member = { instance, address, dataCentre, isLeaving: leaving, isStoreLost: storeLost };
-    this.parts.members.recordRelayed(member, heardAt);
+    this.memberStates.set(record, member);
+    return member;
   }
 
   private findHeard(instance: string): HeardReport | undefined {
@@ -383,9 +397,13 @@
     return this.findHeard(instance)?.heard.length ?? 0;
   }
 
+  /** Logs a change of the role of this instance or of its neighbours. */
   private onTopologyChange(): void {
     const { isRelay, neighbours } = this.topology.current;
-    this.parts.logger.info("relay role", { isRelay, neighbours: neighbours.length });
+    const role = `${isRelay ? "relay" : "member"} ${[...neighbours].sort().join(" ")}`;
+    if (role === this.loggedRole) return;
+    this.loggedRole = role;
+    this.parts.logger.info("relay role", { isRelay, neighbours });
   }
 
   private scheduleFlush(): void {
--- a/src/fleet/watcher.ts
+++ b/src/fleet/watcher.ts
@@ -34,6 +34,16 @@
  * it earlier, so that not all instances do so at once.
  */
 const UNCONFIRMED_SHARE = { max: 0.7, jitter: 0.15 } as const;
+/**
+ * The same where other instances read for this one: their reads and confirmations come first, and the
+ * rest of the bound is enough for an own read.
+ */
+const MEMBER_UNCONFIRMED_SHARE = { max: 0.9, jitter: 0.1 } as const;
+/** The share of a bound after which the second reader of a large fleet reads beside the first. */
+const STANDBY_SHARE = 0.65;
+/** In a large fleet: wait time of a long poll, in milliseconds, and pause between reads of the list. */
+const LARGE_FLEET_CONFIG_WAIT_MS = { min: 2400, jitter: 400 } as const;
+const LARGE_FLEET_LIST_READ_SHARE = 0.45;
 /** Shortest and longest time until it is checked again whether to read, in milliseconds. */
 const CHECK_MS = { min: 60, max: 250 } as const;
 /** Delay after a failed call, in milliseconds. */
@@ -52,6 +62,30 @@
   readonly endpointsMs: number;
 }
 
+/** The part of an instance in reading the store for the fleet. */
+export const ReadRole = {
+  /** Reads all the time. */
+  reader: "reader",
+  /** Reads once its copies are not confirmed for a while: the first reader may be gone. */
+  standby: "standby",
+  /** Reads only what is not confirmed for longer, as others read for it. */
+  member: "member",
+  /** Reads only what is not confirmed in time. */
+  none: "none",
+  /** Reads nothing yet. */
+  waiting: "waiting",
+} as const;
+export type ReadRole = (typeof ReadRole)[keyof typeof ReadRole];
+
+/** Decides how an instance reads the store. */
+export interface ReadPolicy {
+  /** True if relays are used, so that few calls to the store have to do for many instances. */
+  isLargeFleet(): boolean;
+  readRole(now: Moment): ReadRole;
+  /** Until when an instance that has just started leaves the first reads to its peers. */
+  readonly holdUntil: Moment;
+}
+
 /** Decodes a published configuration. */
 export type ConfigDecoder = (value: Buffer) => E.Either<DecodeError, FleetConfig>;
 
@@ -71,12 +105,16 @@
   isUnavailable: boolean;
   /** When the store is tried again after a failed call, also by an instance that is not a reader. */
   retryAt: Moment;
-  /** Age from which the copy counts as unconfirmed, in milliseconds. */
+  /** Age from which the copy counts as unconfirmed, in milliseconds, by role. */
   readonly maxAgeMs: number;
+  readonly memberMaxAgeMs: number;
+  readonly standbyMaxAgeMs: number;
 }
 
 function createFeedState(boundMs: number): FeedState {
   const share = UNCONFIRMED_SHARE.max - Math.random() * UNCONFIRMED_SHARE.jitter;
+  const memberShare =
+    MEMBER_UNCONFIRMED_SHARE.max - Math.random() * MEMBER_UNCONFIRMED_SHARE.jitter;
   return {
     nextOffset: undefined,
     freshness: new Freshness(),
@@ -84,6 +122,8 @@
     isUnavailable: false,
     retryAt: Number.POSITIVE_INFINITY,
     maxAgeMs: boundMs * share,
+    memberMaxAgeMs: boundMs * memberShare,
+    standbyMaxAgeMs: boundMs * STANDBY_SHARE,
   };
 }
 
@@ -98,7 +138,7 @@
   private isClosed = false;
 
   /**
-   * @param isReader - true while this instance reads for the fleet
+   * @param policy - whether this instance reads for the fleet
    * @param onChange - called after a change that was read from the store, to tell peers at once
    */
   constructor(
@@ -109,7 +149,7 @@
     private readonly logger: Logger,
     private readonly meter: Meter,
     private readonly bounds: WatchBounds,
-    private readonly isReader: (now: Moment) => boolean,
+    private readonly policy: ReadPolicy,
     private readonly onChange: () => void,
   ) {
     this.configState = createFeedState(bounds.configMs);
@@ -125,14 +165,10 @@
       this.store.configuration,
       this.configState,
       true,
-      0,
+      () => 0,
     );
-    void this.followFeed(
-      FeedName.endpoints,
-      this.store.endpoints,
-      this.endpointsState,
-      false,
-      this.bounds.endpointsMs * LIST_READ_SHARE,
+    void this.followFeed(FeedName.endpoints, this.store.endpoints, this.endpointsState, false, () =>
+      this.computeListPauseMs(),
     );
   }
 
@@ -233,11 +269,11 @@
     feed: Feed,
     state: FeedState,
     isLongPoll: boolean,
-    pauseMs: number,
+    computePauseMs: () => number,
   ): Promise<void> {
     while (!this.isClosed) {
       const isSound = await runTask(`follow ${name}`, this.logger, () =>
-        this.readPage(name, feed, state, isLongPoll, pauseMs),
+        this.readPage(name, feed, state, isLongPoll, computePauseMs),
       );
       if (isSound) continue;
       // What the failed turn has read may not be applied in full.
@@ -253,13 +289,16 @@
     feed: Feed,
     state: FeedState,
     isLongPoll: boolean,
-    pauseMs: number,
+    computePauseMs: () => number,
   ): Promise<void> {
-    await this.waitUntilNeeded(state);
+    await this.waitUntilNeeded(name, state);
     const startedAt = this.clock.now();
     if (name === FeedName.endpoints) this.skipKnownEntries(state);
     const isSnapshot = state.nextOffset === undefined;
-    const waitMs = isLongPoll ? CONFIG_WAIT_MS.min + Math.random() * CONFIG_WAIT_MS.jitter : 0;
+    const { min, jitter } = this.policy.isLargeFleet()
+      ? LARGE_FLEET_CONFIG_WAIT_MS
+      : CONFIG_WAIT_MS;
+    const waitMs = isLongPoll ? min + Math.random() * jitter : 0;
     state.isWaiting = isLongPoll && !isSnapshot;
     const result = await this.readOnce(feed, state.nextOffset, Math.round(waitMs));
     state.isWaiting = false;
@@ -268,7 +307,7 @@
       this.recordSuccess(name, state, startedAt);
       state.nextOffset = result.right.next.offset;
       if (this.applyPage(name, result.right, isSnapshot)) this.onChange();
-      await pause(pauseMs * (1 - Math.random() * POLL_JITTER));
+      await pause(computePauseMs() * (1 - Math.random() * POLL_JITTER));
       return;
     }
     if (result.left.fault === StoreFault.trimmed) {
@@ -293,16 +332,35 @@
   }
 
   /** Waits until this instance is a reader, or the copy is not confirmed in time. */
-  private async waitUntilNeeded(state: FeedState): Promise<void> {
+  private async waitUntilNeeded(name: FeedName, state: FeedState): Promise<void> {
     for (;;) {
       const now = this.clock.now();
-      if (this.isClosed || this.isReader(now) || state.retryAt <= now) return;
-      const leftMs = state.maxAgeMs - state.freshness.computeAgeMs(now);
+      if (this.isClosed) return;
+      if (now < this.policy.holdUntil && !this.isKnown(name)) {
+        await pause(CHECK_MS.min);
+        continue;
+      }
+      const role = this.policy.readRole(now);
+      if (role === ReadRole.reader || (state.retryAt <= now && role !== ReadRole.waiting)) return;
+      if (!this.isKnown(name)) return;
+      const leftMs = getMaxAgeMs(state, role) - state.freshness.computeAgeMs(now);
       if (leftMs <= 0) return;
       await pause(Math.min(CHECK_MS.max, Math.max(CHECK_MS.min, leftMs)));
     }
   }
 
+  /** Checks whether a copy is known at all. */
+  private isKnown(name: FeedName): boolean {
+    return name === FeedName.configuration
+      ? this.configIndex !== undefined
+      : this.directory.next.offset > 0;
+  }
+
+  private computeListPauseMs(): number {
+    const share = this.policy.isLargeFleet() ? LARGE_FLEET_LIST_READ_SHARE : LIST_READ_SHARE;
+    return this.bounds.endpointsMs * share;
+  }
+
   /** Skips what peers have passed on, if the list is known further than it was read here. */
   private skipKnownEntries(state: FeedState): void {
     const { era, offset } = this.directory.next;
@@ -354,6 +412,13 @@
   }
 }
 
+/** The age from which a copy is read again by an instance in a role, in milliseconds. */
+function getMaxAgeMs(state: FeedState, role: ReadRole): number {
+  if (role === ReadRole.waiting) return Number.POSITIVE_INFINITY;
+  if (role === ReadRole.member) return state.memberMaxAgeMs;
+  return role === ReadRole.standby ? state.standbyMaxAgeMs : state.maxAgeMs;
+}
+
 function encodeAge(ageMs: number): number | undefined {
   return Number.isFinite(ageMs) ? Math.max(0, Math.round(ageMs)) : undefined;
 }
--- a/src/forward/fleetview.ts
+++ b/src/forward/fleetview.ts
@@ -5,6 +5,7 @@
 import { MemberList } from "../fleet/members";
 import { ReaderRole } from "../fleet/readers";
 import { GrpcFleetTransport } from "../fleet/transport";
+import { createReadPolicy } from "./reading";
 import { StoreWatcher } from "../fleet/watcher";
 import type { InstanceBase } from "./base";
 
@@ -35,7 +36,7 @@
   const members = new MemberList(self, logger, clock.now());
   const readerRole: ReaderRole = new ReaderRole(instance, (now) => {
     const peers = members.listReaderCandidates(now);
-    if (!members.mayRead) return peers;
+    if (!members.mayRead(now)) return peers;
     return [...peers, { instance, dataCentre, isStoreLost: watcher.isStoreLost }];
   });
   const watcher: StoreWatcher = new StoreWatcher(
@@ -46,7 +47,7 @@
     logger,
     meter,
     { configMs: settings.configApplyMs, endpointsMs: settings.drainMs },
-    (now) => readerRole.isReader(now),
+    createReadPolicy(base, members, readerRole),
     sendHeartbeats,
   );
   const listLive = () => members.listLive(clock.now());
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -127,7 +127,7 @@
     network,
     base.settings.maxDirectInstances ?? DEFAULT_MAX_DIRECT_INSTANCES,
   );
-  const joiner = createJoiner(base, view, sendHeartbeats);
+  const joiner = createJoiner(base, view, network, sendHeartbeats);
   const leases = createLeases(base, joiner);
   const rebalancer = createRebalancer(base, view, context, {
     leases,
@@ -326,11 +326,18 @@
 }
 
 function createJoiner(
-  { adapter, clock, meter, logger, self }: InstanceBase,
+  { adapter, clock, meter, logger, self, settings }: InstanceBase,
   { members }: FleetView,
-  sendHeartbeats: () => void,
+  network: RelayNetwork,
+  onJoined: () => void,
 ): Joiner {
-  return new Joiner(self, members, adapter.store.members, clock, meter, logger, sendHeartbeats);
+  const feed = adapter.store.members;
+  return new Joiner(self, members, feed, clock, meter, logger, onJoined, {
+    mayWait: settings.knownPeers.length > 0 && settings.startHoldMs !== undefined,
+    hasRelays: () => network.isActive && network.listNeighbours().length > 0,
+    hasPeers: () => members.readFleetSize(clock.now()).heard > 1,
+    isRelay: (now) => network.isActive && members.mayRead(now),
+  });
 }
 
 /** Creates the order leases; they and the joiner are told when the store was restored. */
--- a/src/forward/settings.ts
+++ b/src/forward/settings.ts
@@ -33,6 +33,11 @@
   readonly knownPeers: readonly string[];
   /** Number of known instances above which control traffic goes through relays. */
   readonly maxDirectInstances?: number;
+  /**
+   * Longest time for which a starting instance that knows peers leaves the first reads of the store to
+   * them, in milliseconds; it may not know yet whether the fleet is large. Default: 0.
+   */
+  readonly startHoldMs?: number;
   readonly logLevel: LogLevel;
   readonly quotaTolerance: QuotaTolerance;
   readonly retryLimit: RetryLimit;
--- a/src/peer/gen/fleet.ts
+++ b/src/peer/gen/fleet.ts
@@ -123,7 +123,14 @@
    * Number of instances that the sender knows, this one included; instances with few known peers
    * learn from it that the fleet uses relays. Absent where an older build sends it.
    */
-  fleetSize?: number | undefined;
+  fleetSize?:
+    | number
+    | undefined;
+  /**
+   * Addresses of the instances that the sender hears, while they change: instances that know few peers
+   * find the others by them.
+   */
+  heardAddresses: string[];
 }
 
 /** A message of a relay stream. The first one of each side has `hello`; each one keeps the stream alive. */
@@ -425,6 +432,7 @@
     lostEndpoints: [],
     sentAtMs: undefined,
     fleetSize: undefined,
+    heardAddresses: [],
   };
 }
 
@@ -511,6 +519,9 @@
     if (message.fleetSize !== undefined) {
       writer.uint32(320).uint32(message.fleetSize);
     }
+    for (const v of message.heardAddresses) {
+      writer.uint32(330).string(v!);
+    }
     return writer;
   },
 
@@ -743,6 +754,14 @@
             message.fleetSize = reader.uint32();
             continue;
           }
+          case 41: {
+            if (tag !== 330) {
+              break;
+            }
+
+            message.heardAddresses.push(reader.string());
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -852,6 +871,11 @@
         : isSet(object.fleet_size)
         ? globalThis.Number(object.fleet_size)
         : undefined,
+      heardAddresses: globalThis.Array.isArray(object?.heardAddresses)
+        ? object.heardAddresses.map((e: any) => globalThis.String(e))
+        : globalThis.Array.isArray(object?.heard_addresses)
+        ? object.heard_addresses.map((e: any) => globalThis.String(e))
+        : [],
     };
   },
 
@@ -938,6 +962,9 @@
     if (message.fleetSize !== undefined) {
       obj.fleetSize = Math.round(message.fleetSize);
     }
+    if (message.heardAddresses?.length) {
+      obj.heardAddresses = message.heardAddresses;
+    }
     return obj;
   },
 
@@ -973,6 +1000,7 @@
     message.lostEndpoints = object.lostEndpoints?.map((e) => e) || [];
     message.sentAtMs = object.sentAtMs ?? undefined;
     message.fleetSize = object.fleetSize ?? undefined;
+    message.heardAddresses = object.heardAddresses?.map((e) => e) || [];
     return message;
   },
 };
--- a/test/fleet.spec.ts
+++ b/test/fleet.spec.ts
@@ -319,6 +319,7 @@
     absences: [],
     endpointLimits: [],
     lostEndpoints: [],
+    heardAddresses: [],
   });
 
   it("lists members as live while their beats arrive, and counts them as missing for a while after", () => {
--- a/test/paths.spec.ts
+++ b/test/paths.spec.ts
@@ -108,7 +108,8 @@
     const now = from.base.clock.now();
     paths.recordDirectFailure(target, "timeout", now, now);
     paths.recordPeerSuccess(target, "n3", now);
-    const beat = { ...from.base.self, ...from.parts.peerState.createBeatContent() };
+    const content = from.parts.peerState.createBeatContent();
+    const beat = { ...from.base.self, ...content, heardAddresses: [] };
     const sent = Beat.decode(Beat.encode(beat).finish());
     to.parts.peerState.handleBeat(sent, now, now);
     const live = ["n1", "n3", "n4"].map((instance) => ({ instance, dataCentre: "nizwa" }));
