--- a/test/fleet.spec.ts
+++ b/test/fleet.spec.ts
@@ -321,6 +321,7 @@
     lostEndpoints: [],
     evacuations: [],
     tellsEvacuations: true,
+    heardAddresses: [],
   });
 
   it("lists members as live while their beats arrive, and counts them as missing for a while after", () => {
