Streams: one version is known from the store's history after a restart

After all instances were killed at once, each had to watch the list for as long as a stream lasts before it knew that a service had one version; until then all streams that callers took up were refused as not run.

An instance that does not know the version from memory, from peers or from its own watch now reads the history of the endpoint feed, once for each watch, and proves from the numbers of the entries for how long nothing is missing and which versions there were. A request waits 150 ms for it at most; where the read takes longer or fails it is refused as not run with 300 ms to wait. Processes in the history also confirm origins. A version counts as in service for the drain time after its last entry was removed, as other instances may have used it until then.

--- a/scripts/mutations/limits.mjs
+++ b/scripts/mutations/limits.mjs
@@ -140,8 +140,8 @@
   {
     name: "versions: processes are remembered after their entries were replaced or removed",
     file: "src/fleet/processhistory.ts",
-    find: "const listed = [...others, { entry, lastListedAt: now }];",
-    replace: "const listed = [{ entry, lastListedAt: now }];",
+    find: "const listed = [...others, { entry, lastListedAt }];",
+    replace: "const listed = [{ entry, lastListedAt }];",
     test: "versions",
     pattern: "third process",
   },
--- a/src/fleet/processhistory.ts
+++ b/src/fleet/processhistory.ts
@@ -20,11 +20,14 @@
   /** By endpoint: the newest entry of each process, the one that was listed last at the end. */
   private readonly endpoints = new Map<string, readonly ListedProcess[]>();
 
-  /** Records that a process is listed, or was up to now. */
-  record(entry: EndpointEntry, now: Moment): void {
+  /** Records that a process was listed at a moment; earlier moments may come later. */
+  record(entry: EndpointEntry, at: Moment): void {
     const known = this.endpoints.get(entry.id) ?? [];
     const others = known.filter((process) => !isSameProcess(process.entry, entry));
-    const listed = [...others, { entry, lastListedAt: now }];
+    const before = known.find((process) => isSameProcess(process.entry, entry));
+    const lastListedAt = Math.max(at, before?.lastListedAt ?? at);
+    const listed = [...others, { entry, lastListedAt }];
+    listed.sort((a, b) => a.lastListedAt - b.lastListedAt);
     this.endpoints.set(entry.id, listed.slice(-MAX_PROCESSES));
   }
 
--- a/src/fleet/store.ts
+++ b/src/fleet/store.ts
@@ -60,6 +60,12 @@
   read(from: number, waitMs: number): TE.TaskEither<StoreError, FeedPage>;
 }
 
+/** A feed of which the store keeps for a while the records that newer ones have replaced. */
+export interface HistoryFeed extends Feed {
+  /** Reads all records that the store keeps, in the order of their offsets. */
+  readHistory(): TE.TaskEither<StoreError, FeedPage>;
+}
+
 /** A feed that instances write to. */
 export interface WritableFeed extends Feed {
   append(key: string, value: Buffer): TE.TaskEither<StoreError, void>;
@@ -88,7 +94,7 @@
 /** The store that all instances share. */
 export interface Store {
   readonly configuration: Feed;
-  readonly endpoints: Feed;
+  readonly endpoints: HistoryFeed;
   readonly members: WritableFeed;
   readonly orders: OrderLog;
   /**
--- a/src/fleet/versionhistory.ts
+++ b/src/fleet/versionhistory.ts
@@ -4,6 +4,7 @@
  */
 import type { Moment } from "../core/clock";
 import type { EndpointEntry } from "./entries";
+import type { HistoryProof } from "./historyproof";
 
 /**
  * Longest time between two observations, in milliseconds. After a longer one, such as a freeze or a
@@ -26,23 +27,51 @@
 /** The versions that services have had, as far as this instance has seen. */
 export class VersionHistory {
   private readonly services = new Map<string, ServiceVersions>();
+  private watchedSince: Moment = Number.POSITIVE_INFINITY;
   private observedAt: Moment = Number.NEGATIVE_INFINITY;
+  private watchCount = 0;
+
+  /**
+   * @param staleMs - how long after a version's last endpoint was removed other instances may still
+   *   begin streams there, in milliseconds
+   */
+  constructor(private readonly staleMs = 0) {}
 
   /** Records the listed endpoints; called every second or so while the list is current. */
   record(endpoints: readonly EndpointEntry[], now: Moment): void {
-    if (now - this.observedAt > MAX_GAP_MS) this.services.clear();
-    this.observedAt = now;
-    for (const { service, version } of endpoints) {
-      const known = this.services.get(service) ?? { since: now, lastSeen: new Map() };
-      known.lastSeen.set(version ?? UNNAMED, now);
-      this.services.set(service, known);
-    }
+    this.observe(now);
+    for (const { service, version } of endpoints) this.recordVersion(service, version, now, now);
     for (const [service, { lastSeen }] of this.services) {
       for (const [version, at] of lastSeen) if (now - at > MEMORY_MS) lastSeen.delete(version);
       if (lastSeen.size === 0) this.services.delete(service);
     }
   }
 
+  /**
+   * Records what the store's history of the endpoint feed proves, so that an instance that has just
+   * started need not watch for as long itself.
+   *
+   * @param at - when the history was read
+   */
+  recordProof({ coveredMs, processes }: HistoryProof, at: Moment): void {
+    this.observe(at);
+    const since = at - coveredMs;
+    this.watchedSince = Math.min(this.watchedSince, since);
+    for (const { entry, lastListedMs } of processes) {
+      this.recordVersion(entry.service, entry.version, since, at - lastListedMs);
+    }
+  }
+
+  /** Number of the present watch; a new one begins after each gap. */
+  get watch(): number {
+    return this.watchCount;
+  }
+
+  /** Computes for how long the endpoints were watched without a gap, in milliseconds. */
+  computeWatchedMs(now: Moment): number {
+    return now - this.observedAt > MAX_GAP_MS ? 0 : Math.max(0, now - this.watchedSince);
+  }
+
   /**
    * Finds the version of a service that was the only one for a time; undefined if there were others,
    * or the service was not watched for so long.
@@ -51,8 +80,40 @@
     const known = this.services.get(service);
     if (known === undefined || now - known.since < forMs) return undefined;
     if (now - this.observedAt > MAX_GAP_MS) return undefined;
-    const recent = [...known.lastSeen].filter(([, at]) => now - at <= forMs);
+    const recent = this.listVersions(service, forMs, now);
     const [only] = recent;
-    return recent.length === 1 && only !== undefined && only[0] !== UNNAMED ? only[0] : undefined;
+    return recent.length === 1 && only !== UNNAMED ? only : undefined;
+  }
+
+  /** Checks whether a service is known to have had several versions of late. */
+  hasSeveral(service: string, forMs: number, now: Moment): boolean {
+    return this.listVersions(service, forMs, now).length > 1;
+  }
+
+  private listVersions(service: string, forMs: number, now: Moment): readonly string[] {
+    const lastSeen = [...(this.services.get(service)?.lastSeen ?? [])];
+    return lastSeen.flatMap(([version, at]) => (now - at <= forMs + this.staleMs ? version : []));
+  }
+
+  /** After a gap, nothing that was seen before it counts. */
+  private observe(now: Moment): void {
+    if (now - this.observedAt > MAX_GAP_MS) {
+      this.services.clear();
+      this.watchedSince = now;
+      this.watchCount += 1;
+    }
+    this.observedAt = Math.max(now, this.observedAt);
+  }
+
+  private recordVersion(
+    service: string,
+    version: string | undefined,
+    since: Moment,
+    at: Moment,
+  ): void {
+    const known = this.services.get(service) ?? { since, lastSeen: new Map<string, Moment>() };
+    const name = version ?? UNNAMED;
+    known.lastSeen.set(name, Math.max(at, known.lastSeen.get(name) ?? at));
+    this.services.set(service, { ...known, since: Math.min(since, known.since) });
   }
 }
--- a/src/forward/endpoints/context.ts
+++ b/src/forward/endpoints/context.ts
@@ -6,6 +6,7 @@
 import type { EndpointDirectory } from "../../fleet/directory";
 import type { EndpointEntry } from "../../fleet/entries";
 import type { Announcer, EndpointGate } from "../limits";
+import type { HistoryReader } from "../../fleet/historyreader";
 import type { VersionHistory } from "../../fleet/versionhistory";
 import type { EndpointClient } from "./client";
 import type { Dialer, LinkChecker, PathTracker } from "../tunnels";
@@ -37,6 +38,7 @@
   readonly announcer: Announcer;
   readonly sharedOrigins: SharedOrigins;
   readonly versionHistory: VersionHistory;
+  readonly historyReader: HistoryReader;
   readonly dataCentre: string;
   /** Returns the wall clock's time, in milliseconds, to compare with that of endpoints. */
   readonly readWallClock: () => number;
--- a/src/forward/generations/resume.ts
+++ b/src/forward/generations/resume.ts
@@ -5,7 +5,9 @@
 import * as E from "fp-ts/Either";
 import { createNotRunRefusal, Reason, type Refusal } from "../../core/outcome";
 import type { Clock } from "../../core/clock";
+import { pauseAndRead } from "../../core/readfirst";
 import type { EndpointDirectory } from "../../fleet/directory";
+import type { HistoryReader } from "../../fleet/historyreader";
 import type { VersionHistory } from "../../fleet/versionhistory";
 import type { Logger } from "../../core/log";
 import type { ForwardRequest, RequestHead, Meter } from "../requests";
@@ -22,9 +24,15 @@
  * enough for several of its pauses between tries.
  */
 const MAX_RETURN_MS = 2000;
-/** Retry delay where an instance that may know the stream did not answer, in milliseconds. */
+/** Retry delay where an instance or the store, which may know, did not answer, in milliseconds. */
 const UNCLEAR_RETRY_MS = 300;
 
+/**
+ * How long a request waits for the store, in milliseconds; a read that takes longer goes on for the
+ * caller's next try.
+ */
+const STORE_TIMEOUT_MS = 150;
+
 /** A generation to run, with the origin of its stream if a caller takes one up again. */
 export interface StreamStart {
   readonly request: ForwardRequest;
@@ -36,6 +44,7 @@
   readonly sharedOrigins: SharedOrigins;
   readonly directory: EndpointDirectory;
   readonly versionHistory: VersionHistory;
+  readonly historyReader: HistoryReader;
   readonly clock: Clock;
   readonly meter: Meter;
   readonly logger: Logger;
@@ -49,8 +58,7 @@
   async resolve(request: ForwardRequest): Promise<E.Either<Refusal, StreamStart>> {
     if (!isResume(request.head)) return E.right({ request, origin: undefined });
     const { directory } = this.parts;
-    const shared = await this.find(request);
-    const found = shared.origin === undefined ? this.findByOnlyVersion(request, shared) : shared;
+    const found = await this.find(request);
     const origin =
       found.origin && confirmOrigin(found.origin, directory.processes.list(found.origin.endpoint));
     this.report(request, found.source, origin);
@@ -60,18 +68,30 @@
     return E.right({ request: { ...request, service: origin.service }, origin });
   }
 
-  private find({ head, workspace }: ForwardRequest): Promise<FoundOrigin> | FoundOrigin {
+  /** Asks memory and peers; what the store shows only if these and the own watch tell nothing. */
+  private async find(request: ForwardRequest): Promise<FoundOrigin> {
+    const shared = await this.findShared(request);
+    if (shared.origin !== undefined) return shared;
+    const watched = this.findByOnlyVersion(request);
+    if (watched !== undefined) return watched;
+    const isHistoryRead = await waitAtMost(this.parts.historyReader.read(), STORE_TIMEOUT_MS);
+    const proven = this.findByOnlyVersion(request);
+    if (proven !== undefined) return proven;
+    return isHistoryRead === true ? shared : { ...shared, source: OriginSource.unclear };
+  }
+
+  private findShared({ head, workspace }: ForwardRequest): Promise<FoundOrigin> | FoundOrigin {
     if (head.resumedId === undefined) return { origin: undefined, source: OriginSource.nowhere };
     const stream = { workspace: workspace?.name ?? "", request: head.resumedId };
     return this.parts.sharedOrigins.find(stream);
   }
 
   /** Assumes the only version that the service has had while any stream of the route may have begun. */
-  private findByOnlyVersion({ route, service }: ForwardRequest, shared: FoundOrigin): FoundOrigin {
+  private findByOnlyVersion({ route, service }: ForwardRequest): FoundOrigin | undefined {
     const { versionHistory, clock } = this.parts;
     const forMs = route.timeoutMs + MAX_RETURN_MS;
     const version = versionHistory.findOnly(service, forMs, clock.now());
-    if (version === undefined || route.services.length > 1) return shared;
+    if (version === undefined || route.services.length > 1) return undefined;
     const origin = { service, version, endpoint: "", processStartedAt: 0, beganAt: 0 };
     return { origin, source: OriginSource.onlyVersion };
   }
@@ -104,3 +124,8 @@
   const retryAfterMs = source === OriginSource.unclear ? UNCLEAR_RETRY_MS : undefined;
   return createNotRunRefusal(503, Reason.unknownStream, message, retryAfterMs);
 }
+
+/** Waits for a result up to a time; undefined after it. */
+function waitAtMost<A>(result: Promise<A>, ms: number): Promise<A | undefined> {
+  return Promise.race([result, pauseAndRead(ms).then(() => undefined)]);
+}
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -4,6 +4,7 @@
 import { RetryBudget } from "../core/retrybudget";
 import { HeartbeatExchanger } from "../fleet/heartbeat";
 import { OwnerChooser } from "../fleet/owners";
+import { HistoryReader } from "../fleet/historyreader";
 import { VersionHistory } from "../fleet/versionhistory";
 import { Joiner } from "../fleet/joiner";
 import { OrderLeases } from "../fleet/orders";
@@ -170,6 +171,7 @@
       announcer.report();
     },
   });
+  const versionHistory = new VersionHistory(settings.drainMs);
   const health = new HealthTracker();
   const paths = new PathTracker(Math.random);
   const links = createLinkChecker(base, directory, paths, (id) => gate.isPaused(id));
@@ -209,13 +211,24 @@
     crashes: createCrashTracker(settings.instance, listLive, logger),
     announcer,
     sharedOrigins: createSharedOrigins(base, view, origins),
-    versionHistory: new VersionHistory(),
+    versionHistory,
+    historyReader: createHistoryReader(base, view, versionHistory),
     readWallClock: Date.now,
     dataCentre: settings.dataCentre,
     random: Math.random,
   };
 }
 
+function createHistoryReader(
+  { adapter, clock, meter, logger }: InstanceBase,
+  { directory: { processes } }: FleetView,
+  versionHistory: VersionHistory,
+): HistoryReader {
+  const { store, decodeEndpoint: decode } = adapter;
+  const feed = store.endpoints;
+  return new HistoryReader({ feed, decode, versionHistory, processes, clock, meter, logger });
+}
+
 /** Creates the chooser of limits' owners. One that leaves owns none: its peers ask another one. */
 function createLimitOwners(
   { settings, clock }: InstanceBase,
--- a/test/harness/memory.ts
+++ b/test/harness/memory.ts
@@ -9,6 +9,7 @@
 import {
   type Feed,
   type FeedRecord,
+  type HistoryFeed,
   type OrderLog,
   type OrderRecord,
   type WritableFeed,
@@ -18,8 +19,10 @@
 } from "../../src/fleet/store";
 
 /** In-memory feed; reads all records from an offset, or the newest record of each key. */
-export class MemoryFeed implements WritableFeed {
+export class MemoryFeed implements WritableFeed, HistoryFeed {
   records: FeedRecord[] = [];
+  /** Offset of the first record that the history keeps. */
+  first = 0;
   isDown = false;
   era = FIRST_ERA;
 
@@ -54,6 +57,13 @@
     return Promise.resolve(E.right({ records, next: this.next }));
   };
 
+  readHistory: HistoryFeed["readHistory"] = () => () =>
+    Promise.resolve(
+      this.isDown
+        ? E.left(createUnavailableError())
+        : E.right({ records: this.records.slice(this.first), next: this.next }),
+    );
+
   read: Feed["read"] = (from, waitMs) => async () => {
     if (this.records.length <= from) await pause(Math.min(waitMs, 20));
     if (this.isDown) return E.left(createUnavailableError());
--- a/test/readers.spec.ts
+++ b/test/readers.spec.ts
@@ -19,6 +19,7 @@
 import { chooseReaders, type ReaderCandidate } from "../src/fleet/readers";
 import {
   type Feed,
+  type HistoryFeed,
   type Store,
   StoreError,
   StoreFault,
@@ -43,7 +44,7 @@
 const SETTLE_MS = 6000;
 
 /** A feed as one instance sees it: counts its reads, and can be taken out of its reach. */
-class FeedView implements WritableFeed {
+class FeedView implements WritableFeed, HistoryFeed {
   reads = 0;
   isDown = false;
   /** True while calls get no response. */
@@ -60,6 +61,8 @@
       return this.feed.read(from, 0)();
     });
 
+  readHistory: HistoryFeed["readHistory"] = () => () => this.call(this.feed.readHistory());
+
   append: WritableFeed["append"] = (key, value) => () => this.call(this.feed.append(key, value));
 
   private async call<A>(run: () => Promise<E.Either<StoreError, A>>) {
--- a/test/soak/storechannel.ts
+++ b/test/soak/storechannel.ts
@@ -13,7 +13,7 @@
 export interface StoreCall {
   readonly call: number;
   readonly part: "configuration" | "endpoints" | "members" | "orders";
-  readonly method: "readNewest" | "read" | "append" | "appendAt";
+  readonly method: "readNewest" | "readHistory" | "read" | "append" | "appendAt";
   readonly args: readonly (number | string | Uint8Array)[];
 }
 
@@ -68,6 +68,7 @@
     if (part === "orders") return this.store.orders.read(Number(first))();
     const feed = this.store[part];
     if (method === "append") return feed.append(String(first), toBuffer(second))();
+    if (method === "readHistory") return this.store.endpoints.readHistory()();
     if (method === "readNewest") return feed.readNewest()();
     return feed.read(Number(first), Number(second))();
   }
@@ -76,7 +77,10 @@
 /** The store, in an instance's process. */
 export class ChannelStore implements Store {
   readonly configuration = this.createFeed("configuration");
-  readonly endpoints = this.createFeed("endpoints");
+  readonly endpoints: Store["endpoints"] = {
+    ...this.createFeed("endpoints"),
+    readHistory: () => this.exchange<FeedPage>("endpoints", "readHistory", []),
+  };
   readonly members = this.createFeed("members");
   readonly orders: Store["orders"] = {
     read: (from) => this.exchange<OrderPage>("orders", "read", [from]),
