--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -6,6 +6,7 @@
 import type { RelayNetwork } from "../fleet/relay/network";
 import type { Beat } from "../peer/gen/fleet";
 import { OwnerChooser } from "../fleet/owners";
+import { HistoryReader } from "../fleet/historyreader";
 import { VersionHistory } from "../fleet/versionhistory";
 import { Joiner } from "../fleet/joiner";
 import { OrderLeases } from "../fleet/orders";
@@ -191,6 +192,7 @@
       announcer.report();
     },
   });
+  const versionHistory = new VersionHistory(settings.drainMs);
   const health = new HealthTracker();
   const paths = new PathTracker(Math.random);
   const links = createLinkChecker(base, directory, paths, (id) => gate.isPaused(id));
@@ -240,13 +242,24 @@
     crashes: createCrashTracker(settings.instance, listLive, logger),
     announcer,
     sharedOrigins: createSharedOrigins(base, view, origins),
-    versionHistory: new VersionHistory(),
+    versionHistory,
+    historyReader: createHistoryReader(base, view, versionHistory),
     readWallClock: Date.now,
     dataCentre: settings.dataCentre,
     random: Math.random,
   };
 }
 
+function createHistoryReader(
+  { adapter, clock, meter, logger }: InstanceBase,
+  { directory: { processes } }: FleetView,
+  versionHistory: VersionHistory,
+): HistoryReader {
+  const { store, decodeEndpoint: decode } = adapter;
+  const feed = store.endpoints;
+  return new HistoryReader({ feed, decode, versionHistory, processes, clock, meter, logger });
+}
+
 /** Creates the chooser of limits' owners. One that leaves owns none: its peers ask another one. */
 function createLimitOwners(
   { settings, clock }: InstanceBase,
