Plain services: each instance of a large fleet prefers few endpoints

Cause: 72 instances had a connection of their own to each of 48 endpoints, and most of them were closed as idle before the next request: 911 connections for 1,298 requests.

Change: in fleets of more than 16 instances each instance prefers a subset of a service's endpoints, chosen by rendezvous hashing of its name, endpoints of its data centre first: two, or as many as let each endpoint be preferred by four instances. The others cost a quarter of a busy endpoint more, so that they get requests once those of the subset are busier by that much, slow, full, limited, gone or failing; none is excluded. Where the subset would be all endpoints nothing changes. Engines have no subset: an instance sends a generation to one of them every few seconds, later than a connection is kept. npm run load prints a model of plain services.

--- a/measure/load/main.ts
+++ b/measure/load/main.ts
@@ -8,6 +8,7 @@
 import { Command, Option, runExit, UsageError } from "clipanion";
 import { type Scenario, runScenario, type ScenarioResult } from "./play";
 import { SCENARIOS, POLICIES } from "./plays";
+import { comparePlainPolicies } from "./plainplays";
 import { drawPlot } from "./plot";
 import type { RouterPolicy } from "./router";
 
@@ -52,8 +53,16 @@
     const rows = scenarios.flatMap((scenario) => comparePolicies(scenario, policies, seeds));
     if (this.json) this.context.stdout.write(`${JSON.stringify(rows)}\n`);
     else console.table(rows);
+    if (this.load === undefined && this.policy === undefined) this.printPlain(seeds);
     return Promise.resolve(0);
   }
+
+  /** Prints the scenarios of plain services, which have policies of their own. */
+  private printPlain(seeds: number): void {
+    const rows = comparePlainPolicies(seeds);
+    if (this.json) this.context.stdout.write(`${JSON.stringify(rows)}\n`);
+    else console.table(rows);
+  }
 }
 
 void runExit(LoadCommand, process.argv.slice(2));
--- a/src/forward/calls/balancer.ts
+++ b/src/forward/calls/balancer.ts
@@ -14,12 +14,19 @@
   readonly isLimited: boolean;
   /** The speed of the endpoint for the request's kind of work; undefined if it is not known. */
   readonly speed?: SpeedEstimate;
+  /** True if this instance prefers other endpoints, to which it has connections. */
+  readonly isOutsideSubset?: boolean;
 }
 
 /** Costs, in units of the load of a fully busy endpoint. */
 const COSTS = {
   /** An endpoint in another data centre: a little more latency, and the traffic is paid for. */
   otherDataCentre: 0.15,
+  /**
+   * An endpoint that the instance does not prefer: it gets a request once those that it prefers are
+   * busier by this share of their slots, fail or are slow.
+   */
+  outsideSubset: 0.25,
   failure: 2.5,
   overdueCall: 2,
   full: 1.5,
@@ -103,6 +110,7 @@
 function computeExtraCost(candidate: Candidate, dataCentre: string): number {
   const { endpoint, health, isInDoubt, isLimited } = candidate;
   let cost = health.failureRate * COSTS.failure;
+  if (candidate.isOutsideSubset === true) cost += COSTS.outsideSubset;
   if (endpoint.dataCentre !== dataCentre) cost += COSTS.otherDataCentre;
   if (health.hasOverdueCall) cost += COSTS.overdueCall;
   if (health.isFull) cost += COSTS.full;
--- a/src/forward/calls/run.ts
+++ b/src/forward/calls/run.ts
@@ -266,15 +266,17 @@
   workKind: string,
   now: Moment,
 ) {
-  const { directory, health, gate } = context;
-  return directory
-    .listUsable(now)
-    .filter((endpoint) => endpoint.service === service && !gate.isHeldBack(endpoint.id))
+  const { directory, health, gate, subsets } = context;
+  const endpoints = directory.listUsable(now).filter((endpoint) => endpoint.service === service);
+  const subset = subsets.find(service, endpoints);
+  return endpoints
+    .filter((endpoint) => !gate.isHeldBack(endpoint.id))
     .map((endpoint) => ({
       endpoint,
       health: health.readView(endpoint.id, now),
       isInDoubt: directory.isInDoubt(endpoint.id),
       isLimited: gate.isLimited(endpoint),
+      isOutsideSubset: subset !== undefined && !subset.has(endpoint.id),
       speed: health.estimateSpeed(workKind, endpoint.id, now),
     }));
 }
--- a/src/forward/endpoints/context.ts
+++ b/src/forward/endpoints/context.ts
@@ -14,6 +14,7 @@
 import type { EndpointCodec, ForwardRequest, LoopDelaySampler, Meter } from "../requests";
 import type { HealthTracker } from "./health";
 import type { RetryBudget } from "../../core/retrybudget";
+import type { EndpointSubsets } from "./subset";
 import type { SharedOrigins } from "../shared";
 
 /** Dependencies that all requests share. */
@@ -38,6 +39,7 @@
   readonly sharedOrigins: SharedOrigins;
   readonly versionHistory: VersionHistory;
   readonly dataCentre: string;
+  readonly subsets: EndpointSubsets;
   /** Returns the wall clock's time, in milliseconds, to compare with that of endpoints. */
   readonly readWallClock: () => number;
   /** Returns a random number in [0, 1). */
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -27,7 +27,13 @@
   createCrashTracker,
   RefusalTracker,
 } from "./shared";
-import { HttpEndpointClient, type ForwardContext, HealthTracker, Releaser } from "./endpoints";
+import {
+  EndpointSubsets,
+  HttpEndpointClient,
+  type ForwardContext,
+  HealthTracker,
+  Releaser,
+} from "./endpoints";
 import { createDialer, createLinkChecker, createPeerWays } from "./dialing";
 import {
   EngineModel,
@@ -215,6 +221,7 @@
     versionHistory: new VersionHistory(),
     readWallClock: Date.now,
     dataCentre: settings.dataCentre,
+    subsets: new EndpointSubsets(settings.instance, settings.dataCentre, view.countLive),
     random: Math.random,
   };
 }
