Plain services: refuse what no endpoint can serve in time, and say when one may

Cause: a request was sent whatever the queues were, and a refused caller was told to come back after 250 ms whatever the load.

Change: where all endpoints that can be reached report their slowness, a request is refused at once, as not run, if the shortest expected time exceeds its remaining time by half; the retry delay is the shortest expected time, from 250 ms to 2 s, and up to half as much again at random. Elsewhere nothing changes. The log lines of a placement and of a reservation have the slowness, a counter tells the choices by expected time.

Not measured under load.

--- a/src/forward/calls/balancer.ts
+++ b/src/forward/calls/balancer.ts
@@ -2,7 +2,12 @@
  * Chooses the endpoint of a plain service for a request, by least cost.
  */
 import type { EndpointEntry } from "../../fleet/entries";
-import { hasSpeedDifference, type HealthView, type SpeedEstimate } from "../endpoints";
+import {
+  hasSpeedDifference,
+  type HealthView,
+  type SlownessReport,
+  type SpeedEstimate,
+} from "../endpoints";
 
 /** An endpoint with its health as this instance sees it. */
 export interface Candidate {
@@ -53,6 +58,10 @@
   readonly endpoint: EndpointEntry;
   readonly cost: number;
   readonly candidates: number;
+  /** True if it was chosen by expected time. */
+  readonly isByTime: boolean;
+  /** What it reported of its slowness, and how long ago; undefined if it reports none. */
+  readonly slowness: SlownessReport | undefined;
 }
 
 /**
@@ -80,7 +89,9 @@
       : computeLoad(candidate) + random() * COSTS.jitter;
     const cost = busyCost + computeExtraCost(candidate, dataCentre);
     if (best !== undefined && cost >= best.cost) continue;
-    best = { endpoint: candidate.endpoint, cost, candidates: candidates.length };
+    const { endpoint, health } = candidate;
+    const { slowness } = health;
+    best = { endpoint, cost, candidates: candidates.length, isByTime, slowness };
   }
   return best;
 }
--- a/src/forward/calls/run.ts
+++ b/src/forward/calls/run.ts
@@ -15,13 +15,15 @@
   Refusal,
 } from "../../core/outcome";
 import { RetryMode } from "../../fleet/config";
-import { chooseEndpoint, type EndpointChoice } from "./balancer";
+import { type Candidate, chooseEndpoint, type EndpointChoice } from "./balancer";
+import { computeFreeAfterMs, isHopeless } from "./waiting";
 import {
   type ForwardContext,
   type RequestTimes,
   resetDataCentreConnections,
   createSuspect,
   createWorkKind,
+  type SlownessReport,
 } from "../endpoints";
 import type { BufferedResponse, ForwardRequest } from "../requests";
 import { RaceEventKind, SendRace } from "./sendrace";
@@ -170,7 +172,8 @@
     this.begin(choice.right);
   }
 
-  private begin({ endpoint, cost, candidates }: EndpointChoice): void {
+  private begin(choice: EndpointChoice): void {
+    const { endpoint, cost, candidates, isByTime, slowness } = choice;
     const { clock, crashes, meter, logger, directory, health } = this.context;
     const { request, times, caller, context, race } = this;
     crashes.beginRun(createSuspect(request), clock.now());
@@ -182,7 +185,10 @@
       cost: Math.round(cost * 100) / 100,
       candidates,
       listOffset: directory.next.offset,
+      isByTime,
+      ...(slowness === undefined ? {} : describeSlowness(slowness)),
     });
+    if (isByTime) meter.timedChoices.inc({ service: request.service });
     this.triedEndpoints.add(endpoint.id);
     const send = new ServiceSend({ context, request, times, caller }, endpoint);
     const latencyBasedMs = health.readLatencyMs(endpoint.id) * RETRY_TIMEOUT_LATENCY_FACTOR;
@@ -196,16 +202,19 @@
     const { clock, crashes, retries, dataCentre, random } = this.context;
     const { service } = this.request;
     const now = clock.now();
-    if (computeRemainingMs(this.times.deadline, now) < MIN_REMAINING_MS) return createBar();
+    const remainingMs = computeRemainingMs(this.times.deadline, now);
+    if (remainingMs < MIN_REMAINING_MS) return createBar();
     if (crashes.findBan(createSuspect(this.request), now) !== undefined) {
       const message = "the request crashes the endpoints that run it";
       return E.left({ message, isBanned: true });
     }
-    const kind = createWorkKind(this.request.route.name, service);
-    const candidates = listCandidates(this.context, service, kind, now);
+    const candidates = this.listCandidates(now);
     const choice = chooseEndpoint(candidates, dataCentre, this.triedEndpoints, random);
     if (choice === undefined) return createBar();
     const isRetry = this.sends + this.race.size > 0;
+    if (!isRetry && isHopeless(candidates, remainingMs)) {
+      return createBar("no endpoint can be expected to serve the request in time");
+    }
     if (isRetry && !retries.tryConsume(service, now)) {
       return createBar(`${this.message}; no retry is left in the budget`);
     }
@@ -224,6 +233,11 @@
     return this.request.route.retryMode !== RetryMode.once;
   }
 
+  private listCandidates(now: Moment): readonly Candidate[] {
+    const { route, service } = this.request;
+    return listCandidates(this.context, service, createWorkKind(route.name, service), now);
+  }
+
   /** Computes how long no endpoint of the service takes a request; undefined if one takes some. */
   private computeHoldMs(): number | undefined {
     const { directory, gate, clock } = this.context;
@@ -233,6 +247,11 @@
     return gate.computeSharedHoldMs(endpoints);
   }
 
+  private computeRetryMs(): number {
+    const { clock, random } = this.context;
+    return computeFreeAfterMs(this.listCandidates(clock.now()), RETRY_AFTER_MS, random);
+  }
+
   private createFinalResult(): E.Either<Refusal, BufferedResponse> {
     if (this.failedResponse !== undefined) return E.right(this.failedResponse);
     const isLate = this.context.clock.now() >= this.times.deadline;
@@ -241,7 +260,7 @@
       const reason = isLate ? Reason.deadline : Reason.noEndpoint;
       const holdMs = this.computeHoldMs();
       const message = holdMs === undefined ? this.message : "no endpoint takes requests now";
-      return E.left(createNotRunRefusal(503, reason, message, holdMs ?? RETRY_AFTER_MS));
+      return E.left(createNotRunRefusal(503, reason, message, holdMs ?? this.computeRetryMs()));
     }
     if (isLate)
       return E.left(new Refusal(504, Reason.deadline, ExecutionStatus.unknown, this.message));
@@ -249,6 +268,10 @@
   }
 }
 
+function describeSlowness({ factor, ageMs }: SlownessReport) {
+  return { slowness: factor, slownessAgeMs: Math.round(ageMs) };
+}
+
 function createBar(message?: string): E.Either<SendBar, never> {
   return E.left({ message, isBanned: false });
 }
--- a/src/forward/endpoints/index.ts
+++ b/src/forward/endpoints/index.ts
@@ -17,7 +17,12 @@
 } from "./context";
 export { CallOutcome, HealthTracker, type HealthView } from "./health";
 export { ConnectionWay } from "./pool";
-export { createWorkKind, hasSpeedDifference, type SpeedEstimate } from "./speeds";
+export {
+  createWorkKind,
+  hasSpeedDifference,
+  type SlownessReport,
+  type SpeedEstimate,
+} from "./speeds";
 export { EndpointState, canBeWhole, createSuspect, probeEndpoint } from "./probe";
 export { EndpointSubsets } from "./subset";
 export { Releaser } from "./releaser";
--- a/src/forward/engines/reservations.ts
+++ b/src/forward/engines/reservations.ts
@@ -137,6 +137,14 @@
       });
   }
 
+  /** Describes the speed of an engine that reports its slowness, for the log. */
+  private describeSpeed({ id, service, stage }: EndpointEntry) {
+    const { health, clock } = this.context;
+    const kind = createWorkKind(stage ?? "", service);
+    const { ratio, isReported } = health.estimateSpeed(kind, id, clock.now());
+    return isReported ? { slowness: Math.round(ratio * 100) / 100 } : {};
+  }
+
   private readSpeed({ endpoint }: EngineView, now: Moment): Partial<EngineView> {
     const { health } = this.context;
     const kind = createWorkKind(endpoint.stage ?? "", endpoint.service);
@@ -248,6 +256,7 @@
       logger.info("reserved", {
         request: requestId,
         engine: id,
+        ...this.describeSpeed(endpoint),
         needTokens,
         waitedMs: Math.round(clock.now() - waitingRequest.arrivedAt),
         waiting: this.queue.size,
--- a/src/forward/requests/meter.ts
+++ b/src/forward/requests/meter.ts
@@ -34,6 +34,11 @@
     "reason",
   ]);
   readonly repeats = this.createCounter("repeats_total", "Requests sent once more", ["service"]);
+  readonly timedChoices = this.createCounter(
+    "expected_time_choices_total",
+    "Endpoints that were chosen by expected time, not by load alone",
+    ["service"],
+  );
   readonly foreignAnswers = this.createCounter(
     "foreign_answers_total",
     "Answers that came where the answer to another exchange was due",
--- a/test/expectedtime.spec.ts
+++ b/test/expectedtime.spec.ts
@@ -10,6 +10,7 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { EngineStage } from "../src/fleet/entries";
 import { chooseEndpoint } from "../src/forward/calls/balancer";
+import { computeFreeAfterMs, isHopeless } from "../src/forward/calls/waiting";
 import { HealthTracker } from "../src/forward/endpoints/health";
 import { hasSpeedDifference, SpeedTracker } from "../src/forward/endpoints/speeds";
 import {
@@ -165,6 +166,45 @@
   });
 });
 
+describe("a request that no endpoint can serve in time", () => {
+  const endpoint = createEntry("a", "a:1", { slots: 6 });
+  const list = (waiting: number, hasReport = true) => {
+    const health = new HealthTracker();
+    for (let turn = 0; turn < 40; turn += 1)
+      health.recordWork(KIND, "a", { ms: 43, units: 1 }, turn);
+    const load = { running: 6, waiting, slots: 6 };
+    health.recordLoad("a", hasReport ? { ...load, slowness: 1 } : load, 40);
+    const speed = health.estimateSpeed(KIND, "a", 41);
+    const view = health.readView("a", 41);
+    return [{ endpoint, health: view, isInDoubt: false, isLimited: false, speed }];
+  };
+
+  it("is refused only if its endpoints report a queue that is far too long", () => {
+    assert.equal(isHopeless(list(0), 100), false);
+    assert.equal(isHopeless(list(12), 200), false, "it may just be in time");
+    assert.equal(isHopeless(list(60), 200), true);
+    assert.equal(isHopeless(list(60, false), 200), false, "loads in three figures refuse nothing");
+    assert.equal(isHopeless([], 200), false);
+  });
+
+  it("may come back when a slot is expected to be free, spread over half as much again", () => {
+    assert.equal(
+      computeFreeAfterMs(list(0), 250, () => 0),
+      250,
+    );
+    assert.equal(
+      computeFreeAfterMs(list(60, false), 250, () => 1),
+      250,
+    );
+    const soonestMs = computeFreeAfterMs(list(60), 250, () => 0);
+    assert.ok(soonestMs > 430 && soonestMs < 600, `${soonestMs}`);
+    assert.equal(
+      computeFreeAfterMs(list(60), 250, () => 1),
+      Math.round(soonestMs * 1.5),
+    );
+  });
+});
+
 describe("the choice of engines that differ in speed", () => {
   const createView = (id: string, ratio: number, more: Partial<EngineView> = {}): EngineView => ({
     endpoint: createEntry(id, `${id}:1`, { stage: EngineStage.decode, dataCentre: "nizwa" }),
