--- a/scripts/mutations/index.mjs
+++ b/scripts/mutations/index.mjs
@@ -1,5 +1,6 @@
 // The mutations of npm run prove: each breaks the mechanism behind a guarantee and names the test that must then fail.
 import { entryMutations } from "./entry.mjs";
+import { expectedTimeMutations } from "./expected.mjs";
 import { fleetMutations } from "./fleet.mjs";
 import { forwardingMutations } from "./forwarding.mjs";
 import { limitMutations } from "./limits.mjs";
@@ -11,4 +12,5 @@
   ...fleetMutations,
   ...limitMutations,
   ...wayMutations,
+  ...expectedTimeMutations,
 ];
