--- a/src/forward/calls/balancer.ts
+++ b/src/forward/calls/balancer.ts
@@ -2,7 +2,12 @@
  * Chooses the endpoint of a plain service for a request, by least cost.
  */
 import type { EndpointEntry } from "../../fleet/entries";
-import { hasSpeedDifference, type HealthView, type SpeedEstimate } from "../endpoints";
+import {
+  hasSpeedDifference,
+  type HealthView,
+  type SlownessReport,
+  type SpeedEstimate,
+} from "../endpoints";
 
 /** An endpoint with its health as this instance sees it. */
 export interface Candidate {
@@ -14,12 +19,19 @@
   readonly isLimited: boolean;
   /** The speed of the endpoint for the request's kind of work; undefined if it is not known. */
   readonly speed?: SpeedEstimate;
+  /** True if this instance prefers other endpoints, to which it has connections. */
+  readonly isOutsideSubset?: boolean;
 }
 
 /** Costs, in units of the load of a fully busy endpoint. */
 const COSTS = {
   /** An endpoint in another data centre: a little more latency, and the traffic is paid for. */
   otherDataCentre: 0.15,
+  /**
+   * An endpoint that the instance does not prefer: it gets a request once those that it prefers are
+   * busier by this share of their slots, fail or are slow.
+   */
+  outsideSubset: 0.25,
   failure: 2.5,
   overdueCall: 2,
   full: 1.5,
@@ -46,6 +58,10 @@
   readonly endpoint: EndpointEntry;
   readonly cost: number;
   readonly candidates: number;
+  /** True if it was chosen by expected time. */
+  readonly isByTime: boolean;
+  /** What it reported of its slowness, and how long ago; undefined if it reports none. */
+  readonly slowness: SlownessReport | undefined;
 }
 
 /**
@@ -73,7 +89,9 @@
       : computeLoad(candidate) + random() * COSTS.jitter;
     const cost = busyCost + computeExtraCost(candidate, dataCentre);
     if (best !== undefined && cost >= best.cost) continue;
-    best = { endpoint: candidate.endpoint, cost, candidates: candidates.length };
+    const { endpoint, health } = candidate;
+    const { slowness } = health;
+    best = { endpoint, cost, candidates: candidates.length, isByTime, slowness };
   }
   return best;
 }
@@ -103,6 +121,7 @@
 function computeExtraCost(candidate: Candidate, dataCentre: string): number {
   const { endpoint, health, isInDoubt, isLimited } = candidate;
   let cost = health.failureRate * COSTS.failure;
+  if (candidate.isOutsideSubset === true) cost += COSTS.outsideSubset;
   if (endpoint.dataCentre !== dataCentre) cost += COSTS.otherDataCentre;
   if (health.hasOverdueCall) cost += COSTS.overdueCall;
   if (health.isFull) cost += COSTS.full;
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -30,7 +30,13 @@
   createCrashTracker,
   RefusalTracker,
 } from "./shared";
-import { HttpEndpointClient, type ForwardContext, HealthTracker, Releaser } from "./endpoints";
+import {
+  EndpointSubsets,
+  HttpEndpointClient,
+  type ForwardContext,
+  HealthTracker,
+  Releaser,
+} from "./endpoints";
 import { createDialer, createLinkChecker, createPeerWays } from "./dialing";
 import {
   EngineModel,
@@ -246,6 +252,7 @@
     historyReader: createHistoryReader(base, view, versionHistory),
     readWallClock: Date.now,
     dataCentre: settings.dataCentre,
+    subsets: new EndpointSubsets(settings.instance, settings.dataCentre, view.countLive),
     random: Math.random,
   };
 }
