Restriction of requests to regions

Operators could not keep the requests of a route or a workspace within regions. Both may now list allowed-regions, and the settings map data centres to regions (zones). A request goes to endpoints in the regions that both allow: plain services, holds, prefills and decodes are chosen among those, and the client checks each send and the prompt that its engine fetches once more. A peer carries such a request only if it is in an allowed region or in that of the instance, on new and on kept connections. Without an endpoint there a request is refused at once as not run, and keeps no other one from engines. An empty list counts as none; a data centre without a region takes no restricted request.

--- a/scripts/mutations/fleet.mjs
+++ b/scripts/mutations/fleet.mjs
@@ -161,4 +161,28 @@
     test: "evacuationfleet",
     pattern: "starts while the store",
   },
+  {
+    name: "regions: no endpoint outside the allowed regions is chosen",
+    file: "src/forward/endpoints/restriction.ts",
+    find: "return rule === undefined || context.regions.isAllowed(dataCentre, rule);",
+    replace: "return true;",
+    test: "regions",
+    pattern: "goes to endpoints|refused at once",
+  },
+  {
+    name: "regions: the send itself is checked",
+    file: "src/forward/endpoints/client.ts",
+    find: "if (!canSendByRegions(send, this.host.regions)) return false;",
+    replace: "",
+    test: "regions",
+    pattern: "only those that may carry",
+  },
+  {
+    name: "regions: no peer outside them carries a body",
+    file: "src/forward/endpoints/restriction.ts",
+    find: "return (peer) => regions?.canCarry(peer, rule) === true;",
+    replace: "return () => true;",
+    test: "regions",
+    pattern: "only those that may carry",
+  },
 ];
--- a/src/fleet/config.ts
+++ b/src/fleet/config.ts
@@ -40,6 +40,8 @@
   readonly priority: number;
   /** Maximum number of endpoints that may run one request. */
   readonly maxAttempts: number;
+  /** Regions in which its requests may be run; everywhere if absent or empty. */
+  readonly allowedRegions?: readonly string[] | undefined;
 }
 
 /** Limits that all engines of a service share. */
@@ -87,6 +89,8 @@
   readonly unit: CostUnit;
   /** Cost of a request that does not state its size. */
   readonly defaultCost: number;
+  /** Regions in which its requests may be run; everywhere if absent or empty. */
+  readonly allowedRegions?: readonly string[] | undefined;
 }
 
 /** Limits on the size of a caller's request and on the time that it may take. */
--- a/src/fleet/members.ts
+++ b/src/fleet/members.ts
@@ -184,6 +184,11 @@
     return this.members.get(instance)?.address;
   }
 
+  /** Finds the data centre of an instance that was heard. */
+  findDataCentre(instance: string): string | undefined {
+    return this.members.get(instance)?.dataCentre;
+  }
+
   /** Lists the names of the instances that are live and not leaving, this one included. */
   listLive(now: Moment): readonly string[] {
     return this.listLiveMembers(now).map(({ instance }) => instance);
--- a/src/forward/callers/admission.ts
+++ b/src/forward/callers/admission.ts
@@ -14,6 +14,7 @@
   type FleetRoute,
   type FleetWorkspace,
 } from "../../fleet/config";
+import { combineRegions } from "../../fleet/regions";
 import type { CrashTracker } from "../../core/crashes/tracker";
 import type { ForwardRequest, RequestHead } from "../requests";
 import type { QuotaCharger } from "../shared";
@@ -74,6 +75,7 @@
       workspace: workspace.right,
       priority: workspace.right?.priority ?? route.priority,
       isOverRate: isOverRate.right,
+      allowedRegions: combineRegions(route.allowedRegions, workspace.right?.allowedRegions),
       fingerprint,
     });
   }
--- a/src/forward/calls/run.ts
+++ b/src/forward/calls/run.ts
@@ -15,12 +15,13 @@
   Refusal,
 } from "../../core/outcome";
 import { RetryMode } from "../../fleet/config";
-import { chooseEndpoint, type EndpointChoice } from "./balancer";
+import { type Candidate, chooseEndpoint, type EndpointChoice } from "./balancer";
 import {
   type ForwardContext,
   type RequestTimes,
   resetDataCentreConnections,
   createSuspect,
+  isInRegions,
 } from "../endpoints";
 import type { BufferedResponse, ForwardRequest } from "../requests";
 import { RaceEventKind, SendRace } from "./sendrace";
@@ -78,7 +79,7 @@
   private givenUp = 0;
   /** Last failure response after which a retry was allowed; final if no retry gets a response. */
   private failedResponse: BufferedResponse | undefined;
-  private message = "no endpoint of the service is listed";
+  private message: string;
   private isBanned = false;
 
   constructor(
@@ -88,6 +89,8 @@
     private readonly caller: AbortSignal,
   ) {
     this.race = new SendRace(context.logger);
+    const where = request.allowedRegions === undefined ? "listed" : "in an allowed region";
+    this.message = `no endpoint of the service is ${where}`;
   }
 
   /** Number of sends that may have run the request, without one that its caller left. */
@@ -200,7 +203,7 @@
       const message = "the request crashes the endpoints that run it";
       return E.left({ message, isBanned: true });
     }
-    const candidates = listCandidates(this.context, service, now);
+    const candidates = this.listAllowed(listCandidates(this.context, service, now));
     const choice = chooseEndpoint(candidates, dataCentre, this.triedEndpoints, random);
     if (choice === undefined) return createBar();
     const isRetry = this.sends + this.race.size > 0;
@@ -210,6 +213,12 @@
     return E.right(choice);
   }
 
+  /** Leaves out the candidates outside the regions in which the request may be run. */
+  private listAllowed(candidates: readonly Candidate[]): readonly Candidate[] {
+    const { allowedRegions } = this.request;
+    return candidates.filter(({ endpoint }) => isInRegions(this.context, allowedRegions, endpoint));
+  }
+
   /** Checks whether a send may follow, beside those that are open, which count as runs too. */
   private canSend(): boolean {
     const runs = this.endedRuns + this.race.size;
@@ -227,7 +236,8 @@
     const { directory, gate, clock } = this.context;
     const endpoints = directory
       .listUsable(clock.now())
-      .filter((endpoint) => endpoint.service === this.request.service);
+      .filter((endpoint) => endpoint.service === this.request.service)
+      .filter((endpoint) => isInRegions(this.context, this.request.allowedRegions, endpoint));
     return gate.computeSharedHoldMs(endpoints);
   }
 
--- a/src/forward/endpoints/client.ts
+++ b/src/forward/endpoints/client.ts
@@ -6,6 +6,7 @@
 import type { Readable } from "node:stream";
 import * as E from "fp-ts/Either";
 import type { Clock } from "../../core/clock";
+import type { Regions } from "../../fleet/regions";
 import { createTimeoutSignal } from "../../core/readfirst";
 import { isConnectionRefused, isConnectError } from "../../store/http";
 import { MAX_SMALL_BODY_BYTES } from "./body";
@@ -23,6 +24,7 @@
 } from "../requests";
 import type { EndpointGate, EndpointTarget } from "../limits";
 import { ConnectionPool, ConnectionWay } from "./pool";
+import { canSendByRegions, createPeerCheck } from "./restriction";
 
 /**
  * How often idle connections that the endpoint closed are removed from the pools, in milliseconds.
@@ -145,6 +147,7 @@
   onForeignAnswer(answer: ForeignAnswer): void;
   /** Computes after which silence the direct way to an endpoint is checked, in milliseconds. */
   computeCheckMs(endpoint: string): number;
+  readonly regions?: Regions;
 }
 
 /** Sends to endpoints over HTTP/1.1. */
@@ -177,6 +180,7 @@
       id: head.id,
       needsNewConnection: send.needsNewConnection,
       maxConnections: this.host.computeMaxConnections(service),
+      mayUsePeer: createPeerCheck(send.request.allowedRegions, this.host.regions),
     });
     if (connection === undefined) {
       const message = "all connections to the endpoint are in use";
@@ -296,7 +300,9 @@
   }
 
   /** Checks that the endpoint takes the request, and acquires its permit where it has a limit. */
-  private async canSend({ endpoint, hold, cacheSource }: EndpointRequest): Promise<boolean> {
+  private async canSend(send: EndpointRequest): Promise<boolean> {
+    const { endpoint, hold, cacheSource } = send;
+    if (!canSendByRegions(send, this.host.regions)) return false;
     if (!this.gate.isOpenForRequest(endpoint)) return false;
     // A hold was given with the permit for its run.
     const permits = hold === undefined ? 1 : 0;
--- a/src/forward/endpoints/context.ts
+++ b/src/forward/endpoints/context.ts
@@ -5,6 +5,7 @@
 import type { Logger } from "../../core/log";
 import type { EndpointDirectory } from "../../fleet/directory";
 import type { EndpointEntry } from "../../fleet/entries";
+import type { Regions } from "../../fleet/regions";
 import type { Announcer, EndpointGate } from "../limits";
 import type { VersionHistory } from "../../fleet/versionhistory";
 import type { EndpointClient } from "./client";
@@ -38,6 +39,7 @@
   readonly sharedOrigins: SharedOrigins;
   readonly versionHistory: VersionHistory;
   readonly dataCentre: string;
+  readonly regions: Regions;
   /** Returns the wall clock's time, in milliseconds, to compare with that of endpoints. */
   readonly readWallClock: () => number;
   /** Returns a random number in [0, 1). */
--- a/src/forward/endpoints/index.ts
+++ b/src/forward/endpoints/index.ts
@@ -18,4 +18,5 @@
 export { CallOutcome, HealthTracker, type HealthView } from "./health";
 export { ConnectionWay } from "./pool";
 export { EndpointState, canBeWhole, createSuspect, probeEndpoint } from "./probe";
+export { isInRegions } from "./restriction";
 export { Releaser } from "./releaser";
--- a/src/forward/endpoints/pool.ts
+++ b/src/forward/endpoints/pool.ts
@@ -6,7 +6,7 @@
  */
 import type { Clock } from "../../core/clock";
 import { Connection } from "./connection";
-import { type EndpointDialer, isSameProcess } from "../tunnels";
+import { type DialOptions, type EndpointDialer, isSameProcess } from "../tunnels";
 import type { EndpointTarget } from "../limits";
 
 /** The way of a connection. */
@@ -26,6 +26,8 @@
   readonly needsNewConnection: boolean;
   /** How many connections this instance may open to the endpoint. */
   readonly maxConnections: number;
+  /** Checks whether a peer may carry the request; all may if undefined. */
+  readonly mayUsePeer?: ((peer: string) => boolean) | undefined;
 }
 
 /** The connections to one endpoint. */
@@ -63,9 +65,9 @@
    */
   acquireForRequest(request: PooledRequest): Connection | undefined {
     this.maxConnections = request.maxConnections;
-    const kept = request.needsNewConnection ? undefined : this.takeIdle(request.id);
+    const kept = request.needsNewConnection ? undefined : this.takeIdle(request);
     if (kept === undefined && this.busy.size >= this.maxConnections) return undefined;
-    const connection = kept ?? this.open(false);
+    const connection = kept ?? this.open({ isDirectOnly: false, mayUsePeer: request.mayUsePeer });
     connection.recordRequest(request.id);
     this.busy.add(connection);
     this.closeSurplus();
@@ -78,7 +80,7 @@
    * @param isDirectOnly - true if no peer may open it
    */
   openForCall(isDirectOnly = false): Connection {
-    const connection = this.open(isDirectOnly);
+    const connection = this.open({ isDirectOnly });
     this.calls.add(connection);
     this.closeSurplus();
     return connection;
@@ -128,18 +130,21 @@
     for (const connection of [...this.busy, ...this.calls]) connection.close();
   }
 
-  private open(isDirectOnly: boolean): Connection {
-    return new Connection(this.target, this.dialer, { isDirectOnly });
+  private open(options: DialOptions): Connection {
+    return new Connection(this.target, this.dialer, options);
   }
 
   private canReuse({ peer }: Connection): boolean {
     return peer === undefined || this.dialer.canReuse(this.target, peer);
   }
 
-  private takeIdle(requestId: string): Connection | undefined {
+  private takeIdle({ id, mayUsePeer }: PooledRequest): Connection | undefined {
     this.removeClosed();
     const index = this.idle.findLastIndex(
-      (connection) => !connection.hasCarried(requestId) && this.canReuse(connection),
+      (connection) =>
+        !connection.hasCarried(id) &&
+        this.canReuse(connection) &&
+        (connection.peer === undefined || mayUsePeer?.(connection.peer) !== false),
     );
     if (index < 0) return undefined;
     return this.idle.splice(index, 1)[0];
--- a/src/forward/engines/reservations.ts
+++ b/src/forward/engines/reservations.ts
@@ -6,7 +6,8 @@
 import type { Suspect } from "../../core/crashes/suspects";
 import type { EngineLimits } from "../../fleet/config";
 import { type EndpointEntry, EngineStage } from "../../fleet/entries";
-import type { ForwardContext } from "../endpoints";
+import type { RegionRule } from "../../fleet/regions";
+import { type ForwardContext, isInRegions } from "../endpoints";
 import { chooseDecode, type EngineLoadTracker, type EngineView } from "./load";
 import { type GrantedHold, HoldCaller, HoldEnd } from "./holdcalls";
 import { type StreamOrigin, canGoOn } from "../shared";
@@ -39,6 +40,8 @@
   readonly avoidedEngineId: string | undefined;
   /** The engine that began the stream, so that only its version goes on; undefined for a new one. */
   readonly origin: StreamOrigin | undefined;
+  /** Regions in which it may be run. */
+  readonly allowedRegions?: RegionRule;
   readonly caller: AbortSignal;
 }
 
@@ -138,8 +141,11 @@
    *
    * @returns milliseconds; undefined if something may be sent to one, or there is none
    */
-  computeHoldMs(service: string, now: Moment): number | undefined {
-    return this.context.gate.computeSharedHoldMs(this.listDecodes(service, now));
+  computeHoldMs(service: string, now: Moment, rule?: RegionRule): number | undefined {
+    const decodes = this.listDecodes(service, now);
+    return this.context.gate.computeSharedHoldMs(
+      decodes.filter((engine) => isInRegions(this.context, rule, engine)),
+    );
   }
 
   /**
@@ -168,7 +174,7 @@
     const { gate } = this.context;
     const { service, deadline } = waitingRequest;
     const decodes = this.listDecodes(service, now).filter((engine) =>
-      canUse(waitingRequest, engine),
+      this.canUse(waitingRequest, engine),
     );
     if (decodes.length === 0 && canBePassed(waitingRequest)) return true;
     if (gate.computeSharedPauseMs(decodes) !== undefined) return true;
@@ -182,6 +188,16 @@
     return this.listDecodes(service, now).some((engine) => canGoOn(origin, engine));
   }
 
+  /** Checks whether there is a decode engine in the regions in which a generation may be run. */
+  hasEngineInRegions(service: string, rule: RegionRule, now: Moment): boolean {
+    if (rule === undefined) return true;
+    return this.listDecodes(service, now).some((each) => isInRegions(this.context, rule, each));
+  }
+
+  private canUse(request: ReservationRequest, engine: EndpointEntry): boolean {
+    return canUse(request, engine) && isInRegions(this.context, request.allowedRegions, engine);
+  }
+
   private listDecodes(service: string, now: Moment): readonly EndpointEntry[] {
     return this.context.directory
       .listUsable(now)
@@ -206,7 +222,8 @@
 
   private chooseEngine(waitingRequest: WaitingRequest, now: Moment): EngineView | undefined {
     const views = this.listViews(waitingRequest.service, now).filter(
-      ({ endpoint }) => !this.holdCaller.isInCall(endpoint.id) && canUse(waitingRequest, endpoint),
+      ({ endpoint }) =>
+        !this.holdCaller.isInCall(endpoint.id) && this.canUse(waitingRequest, endpoint),
     );
     const preferred = views.filter((view) => view.endpoint.id === waitingRequest.cachedEngineId);
     const limits = limitCapacity(waitingRequest.limits, waitingRequest.targetDeadline <= now);
@@ -278,6 +295,6 @@
 }
 
 /** Checks whether others may pass a generation that finds no engine. */
-function canBePassed({ origin, isSearch }: ReservationRequest): boolean {
-  return origin !== undefined || isSearch;
+function canBePassed({ origin, isSearch, allowedRegions }: ReservationRequest): boolean {
+  return origin !== undefined || isSearch || allowedRegions !== undefined;
 }
--- a/src/forward/fleetview.ts
+++ b/src/forward/fleetview.ts
@@ -4,6 +4,7 @@
 import { EndpointDirectory } from "../fleet/directory";
 import { MemberList } from "../fleet/members";
 import { ReaderRole } from "../fleet/readers";
+import { Regions } from "../fleet/regions";
 import { GrpcFleetTransport } from "../fleet/transport";
 import { StoreWatcher } from "../fleet/watcher";
 import type { InstanceBase } from "./base";
@@ -15,6 +16,7 @@
   readonly transport: GrpcFleetTransport;
   readonly readerRole: ReaderRole;
   readonly watcher: StoreWatcher;
+  readonly regions: Regions;
   /** Counts the live instances, including this one. */
   readonly countLive: () => number;
   /** Lists the names of the live instances, including this one. */
@@ -54,5 +56,7 @@
   const listLive = () => members.listLive(clock.now());
   const countLive = () => listLive().length;
   const transport = new GrpcFleetTransport();
-  return { directory, members, transport, readerRole, watcher, countLive, listLive };
+  const findPeer = (peer: string) => members.findDataCentre(peer);
+  const regions = new Regions(settings.regions, dataCentre, findPeer);
+  return { directory, members, transport, readerRole, watcher, regions, countLive, listLive };
 }
--- a/src/forward/generations/runreserver.ts
+++ b/src/forward/generations/runreserver.ts
@@ -89,6 +89,7 @@
       isSearch: search !== undefined,
       avoidedEngineId: search?.mayBeSame === true ? undefined : search?.silentEngineId,
       origin,
+      allowedRegions: this.request.allowedRegions,
       caller: signal,
     });
     meter.recordWait(service, clock.now() - startedAt);
--- a/src/forward/generations/stream.ts
+++ b/src/forward/generations/stream.ts
@@ -17,7 +17,7 @@
 import { type RefusalTracker, canGoOn } from "../shared";
 import { SendBudget } from "./sendbudget";
 import { createUnsentAbortResult, hasRun, TryEnd, type TryResult } from "./tries";
-import { type ForwardContext, type RequestTimes, createSuspect } from "../endpoints";
+import { type ForwardContext, type RequestTimes, createSuspect, isInRegions } from "../endpoints";
 import { Decoder, type StreamSink } from "./decode";
 import type { ReservationQueue, Reservation, EngineModel, EngineLoadTracker } from "../engines";
 import { createCancelledRefusal } from "../../core/outcome";
@@ -93,7 +93,10 @@
     const { service } = request;
     this.request = request;
     this.isTakenUp = origin !== undefined;
-    const listViews = (now: Moment) => reservations.listViews(service, now);
+    const listViews = (now: Moment) =>
+      reservations
+        .listViews(service, now)
+        .filter(({ endpoint }) => isInRegions(context, request.allowedRegions, endpoint));
     this.sendBudget = new SendBudget(context.retries, service, context.clock);
     this.reserver = new RunReserver(parts, request, limits, times);
     this.recorder = new TryRecorder(context, request, times);
--- a/src/forward/generations/streamrefusal.ts
+++ b/src/forward/generations/streamrefusal.ts
@@ -15,6 +15,12 @@
 import type { RefusalTracker } from "../shared";
 import type { StreamStart } from "./resume";
 
+/**
+ * Retry delay where no engine is in an allowed region, in milliseconds: one has to start there, or the
+ * configuration to change.
+ */
+const REGION_RETRY_MS = 2000;
+
 /** What a refusal is computed from. */
 export interface StreamRefusalParts {
   readonly context: ForwardContext;
@@ -43,7 +49,7 @@
   { deadline, runs, message }: StreamEnd,
 ): Refusal {
   const { clock, random, crashes } = context;
-  const { service, fingerprint } = request;
+  const { service, fingerprint, allowedRegions } = request;
   const now = clock.now();
   const isLate = now >= deadline;
   if (runs > 0) {
@@ -56,8 +62,13 @@
     const text = "no engine of the version that began the stream is left";
     return createNotRunRefusal(503, Reason.unknownStream, text);
   }
+  if (!reservations.hasEngineInRegions(service, allowedRegions, now)) {
+    const text = "no engine is in an allowed region";
+    return createNotRunRefusal(503, Reason.noEndpoint, text, REGION_RETRY_MS);
+  }
   const retryAfterMs =
-    reservations.computeHoldMs(service, now) ?? computeRetryAfterMs(deadline, now, random);
+    reservations.computeHoldMs(service, now, allowedRegions) ??
+    computeRetryAfterMs(deadline, now, random);
   const reason = isLate ? Reason.deadline : Reason.overloaded;
   return createNotRunRefusal(503, reason, message, retryAfterMs);
 }
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -194,6 +194,7 @@
   const client = new HttpEndpointClient(adapter.endpointCodec, gate, dialer, clock, {
     computeCheckMs: (id) => Math.max(MIN_CHECK_MS, health.readLatencyMs(id) * CHECK_LATENCY_FACTOR),
     computeMaxConnections: (service) => computeMaxConnections(view, service),
+    regions: view.regions,
     onForeignAnswer: (answer) => {
       meter.foreignAnswers.inc({ service: answer.service });
       logger.warn("foreign answer", { ...answer, answeredId: answer.answeredId ?? "" });
@@ -220,6 +221,7 @@
     versionHistory: new VersionHistory(),
     readWallClock: Date.now,
     dataCentre: settings.dataCentre,
+    regions: view.regions,
     random: Math.random,
   };
 }
--- a/src/forward/requests/messages.ts
+++ b/src/forward/requests/messages.ts
@@ -7,6 +7,7 @@
 import type { Moment } from "../../core/clock";
 import type { FleetConfigIndex, FleetRoute, FleetWorkspace } from "../../fleet/config";
 import type { EndpointEntry } from "../../fleet/entries";
+import type { RegionRule } from "../../fleet/regions";
 import type { Refusal } from "../../core/outcome";
 
 /** The size of a generation. */
@@ -56,6 +57,8 @@
   readonly priority: number;
   /** True if its workspace is over its rate: other requests go first. */
   readonly isOverRate: boolean;
+  /** Regions in which it may be run, by its route and its workspace. */
+  readonly allowedRegions: RegionRule;
   /** Hash by which copies of the same request are recognised. */
   readonly fingerprint: string;
 }
--- a/src/forward/settings.ts
+++ b/src/forward/settings.ts
@@ -15,6 +15,8 @@
 export interface ForwardSettings {
   readonly instance: string;
   readonly dataCentre: string;
+  /** The region of each data centre; requests may be restricted to some regions. */
+  readonly regions: Readonly<Record<string, string>>;
   /** Listen address for callers. */
   readonly callers: ListenAddress;
   /** Listen address for readiness checks by the load balancer. */
--- a/src/forward/tunnels/dialer.ts
+++ b/src/forward/tunnels/dialer.ts
@@ -37,6 +37,8 @@
 export interface DialOptions {
   /** True if no peer may be asked. */
   readonly isDirectOnly: boolean;
+  /** Checks whether a peer may be asked; all may if undefined. */
+  readonly mayUsePeer?: ((peer: string) => boolean) | undefined;
 }
 
 /** Opens connections to endpoints. */
@@ -104,9 +106,9 @@
 
   async dial(
     target: EndpointTarget,
-    { isDirectOnly }: DialOptions,
+    { isDirectOnly, mayUsePeer }: DialOptions,
   ): Promise<E.Either<DialFailure, DialledSocket>> {
-    const plan = isDirectOnly ? DIRECT_PLAN : this.createPlan(target, false);
+    const plan = isDirectOnly ? DIRECT_PLAN : this.createPlan(target, false, mayUsePeer);
     const result = await this.run(target, plan);
     if (E.isRight(result)) this.parts.onConnection(result.right);
     return result;
@@ -184,14 +186,20 @@
     const { direct, tunnels, links, clock, paths, listener } = this.parts;
     const run = new DialRun({ direct, tunnels, links, clock, observer: this }, target, plan);
     const result = await run.run();
-    const hasHeardAll = E.isLeft(result) && plan !== DIRECT_PLAN && run.hasHeardAll;
+    const isWhole = plan !== DIRECT_PLAN && plan.isRestricted !== true;
+    const hasHeardAll = E.isLeft(result) && isWhole && run.hasHeardAll;
     if (hasHeardAll && paths.recordAllFailed(target)) listener.onWayUnknown(target);
     return result;
   }
 
-  private createPlan(target: EndpointTarget, isProbe: boolean): DialPlan {
+  private createPlan(
+    target: EndpointTarget,
+    isProbe: boolean,
+    mayUsePeer?: (peer: string) => boolean,
+  ): DialPlan {
     const { paths, clock, listPeers, findDataCentre } = this.parts;
-    const live = listPeers();
+    const all = listPeers();
+    const live = all.filter(({ instance }) => mayUsePeer?.(instance) !== false);
     const dataCentre = findDataCentre(target.id);
     const query = { target, dataCentre, live, isThorough: isProbe };
     const { peers, isRefused } = paths.rankPeers(query, clock.now());
@@ -200,9 +208,10 @@
       isDirectFirst: !paths.isDirectLost(target),
       peers,
       peerStaggerMs: this.answerTimes.computeStaggerMs(),
-      hasPeers: live.length > 0,
+      hasPeers: all.length > 0,
       isRefusedByPeer: isRefused,
       isProbe,
+      isRestricted: live.length < all.length,
     };
   }
 
--- a/src/forward/tunnels/dialrun.ts
+++ b/src/forward/tunnels/dialrun.ts
@@ -78,6 +78,8 @@
   readonly isRefusedByPeer: boolean;
   /** True to learn whether the endpoint is up: a direct connection must last for a moment. */
   readonly isProbe: boolean;
+  /** True if some peers may not be asked, so that a failure says nothing of their ways. */
+  readonly isRestricted?: boolean;
 }
 
 /** Told of what a dial finds out. */
--- a/test/harness/clientways.ts
+++ b/test/harness/clientways.ts
@@ -3,6 +3,7 @@
  */
 import * as E from "fp-ts/Either";
 import { MonotonicClock, pause } from "../../src/core/clock";
+import type { RegionRule, Regions } from "../../src/fleet/regions";
 import type { ReplicaCandidate } from "../../src/fleet/replicas";
 import {
   HttpEndpointClient,
@@ -35,7 +36,11 @@
   private readonly tcp = new TcpOpener();
   private requests = 0;
 
-  constructor(private readonly address: string) {
+  /** @param regions - restricts requests to regions, where they name some */
+  constructor(
+    private readonly address: string,
+    regions?: Regions,
+  ) {
     const clock = new MonotonicClock();
     this.dialer = new Dialer({
       paths: this.paths,
@@ -68,6 +73,7 @@
         computeMaxConnections: () => MAX_CONNECTIONS,
         onForeignAnswer: () => undefined,
         computeCheckMs: () => CHECK_MS,
+        ...(regions === undefined ? {} : { regions }),
       },
     );
   }
@@ -76,11 +82,14 @@
     return createEntry("a", this.address);
   }
 
-  send(signal: AbortSignal): Promise<E.Either<SendFailure, OpenResponse>> {
+  send(
+    signal: AbortSignal,
+    allowedRegions?: RegionRule,
+  ): Promise<E.Either<SendFailure, OpenResponse>> {
     this.requests += 1;
     const head = { id: `r${this.requests}`, method: "GET", target: "/once/1" };
     const send = {
-      request: { head, body: Buffer.alloc(0) },
+      request: { head, body: Buffer.alloc(0), allowedRegions },
       endpoint: createEntry("a", this.address),
       task: SendTask.run,
       leftMs: 1000,
@@ -94,8 +103,8 @@
   }
 
   /** Sends a request and reads its answer to the end; returns the failure, if there is one. */
-  async exchange(): Promise<SendFailure | undefined> {
-    const response = await this.send(AbortSignal.timeout(1000));
+  async exchange(allowedRegions?: RegionRule): Promise<SendFailure | undefined> {
+    const response = await this.send(AbortSignal.timeout(1000), allowedRegions);
     if (E.isLeft(response)) return response.left;
     response.right.body.resume();
     await new Promise((resolve) => response.right.body.once("end", resolve));
--- a/test/harness/forward.ts
+++ b/test/harness/forward.ts
@@ -160,6 +160,7 @@
   return {
     instance: name,
     dataCentre: "nizwa",
+    regions: {},
     callers: at(),
     ready: at(),
     peers: at(),
