--- a/test/regions.spec.ts
+++ b/test/regions.spec.ts
@@ -205,6 +205,7 @@
     peerDataCentre = "bahla";
     assert.equal(await ways.exchange(west), undefined);
     assert.equal(endpoint.requests.length, 2);
+    peerDataCentre = "izki";
     const outside = await ways.send(AbortSignal.timeout(1000), EAST);
     assert.ok(E.isLeft(outside) && !outside.left.isSent, "the endpoint is outside its regions");
     assert.equal(endpoint.requests.length, 2);
