--- a/src/forward/calls/run.ts
+++ b/src/forward/calls/run.ts
@@ -24,6 +24,7 @@
   createSuspect,
   createWorkKind,
   type SlownessReport,
+  isInRegions,
 } from "../endpoints";
 import type { BufferedResponse, ForwardRequest } from "../requests";
 import { RaceEventKind, SendRace } from "./sendrace";
@@ -81,7 +82,7 @@
   private givenUp = 0;
   /** Last failure response after which a retry was allowed; final if no retry gets a response. */
   private failedResponse: BufferedResponse | undefined;
-  private message = "no endpoint of the service is listed";
+  private message: string;
   private isBanned = false;
 
   constructor(
@@ -91,6 +92,8 @@
     private readonly caller: AbortSignal,
   ) {
     this.race = new SendRace(context.logger);
+    const where = request.allowedRegions === undefined ? "listed" : "in an allowed region";
+    this.message = `no endpoint of the service is ${where}`;
   }
 
   /** Number of sends that may have run the request, without one that its caller left. */
@@ -221,6 +224,12 @@
     return E.right(choice);
   }
 
+  /** Leaves out the candidates outside the regions in which the request may be run. */
+  private listAllowed(candidates: readonly Candidate[]): readonly Candidate[] {
+    const { allowedRegions } = this.request;
+    return candidates.filter(({ endpoint }) => isInRegions(this.context, allowedRegions, endpoint));
+  }
+
   /** Checks whether a send may follow, beside those that are open, which count as runs too. */
   private canSend(): boolean {
     const runs = this.endedRuns + this.race.size;
@@ -235,7 +244,8 @@
 
   private listCandidates(now: Moment): readonly Candidate[] {
     const { route, service } = this.request;
-    return listCandidates(this.context, service, createWorkKind(route.name, service), now);
+    const kind = createWorkKind(route.name, service);
+    return this.listAllowed(listCandidates(this.context, service, kind, now));
   }
 
   /** Computes how long no endpoint of the service takes a request; undefined if one takes some. */
@@ -243,7 +253,8 @@
     const { directory, gate, clock } = this.context;
     const endpoints = directory
       .listUsable(clock.now())
-      .filter((endpoint) => endpoint.service === this.request.service);
+      .filter((endpoint) => endpoint.service === this.request.service)
+      .filter((endpoint) => isInRegions(this.context, this.request.allowedRegions, endpoint));
     return gate.computeSharedHoldMs(endpoints);
   }
 
--- a/src/forward/endpoints/index.ts
+++ b/src/forward/endpoints/index.ts
@@ -25,4 +25,5 @@
 } from "./speeds";
 export { EndpointState, canBeWhole, createSuspect, probeEndpoint } from "./probe";
 export { EndpointSubsets } from "./subset";
+export { isInRegions } from "./restriction";
 export { Releaser } from "./releaser";
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -222,6 +222,7 @@
   const client = new HttpEndpointClient(adapter.endpointCodec, gate, dialer, clock, {
     computeCheckMs: (id) => Math.max(MIN_CHECK_MS, health.readLatencyMs(id) * CHECK_LATENCY_FACTOR),
     computeMaxConnections: (service) => computeMaxConnections(view, service),
+    regions: view.regions,
     onForeignAnswer: (answer) => {
       meter.foreignAnswers.inc({ service: answer.service });
       logger.warn("foreign answer", { ...answer, answeredId: answer.answeredId ?? "" });
@@ -253,6 +254,7 @@
     readWallClock: Date.now,
     dataCentre: settings.dataCentre,
     subsets: new EndpointSubsets(settings.instance, settings.dataCentre, view.countLive),
+    regions: view.regions,
     random: Math.random,
   };
 }
