Limit for cold endpoints as a further source of endpoints' limits

Cause: an endpoint that has just started or lost its caches takes few requests a second from all instances together and crashes above that; the fleet sent to it as to any other.

Change: the entry's cold-remaining-ms and the response header Gorsefold-Cold-Ms say that a process is cold; services have cold-start-s and cold-per-s, settings cold-over and cold-slack (1.5 and 5 where they are absent). LimitSources combines the limit that an endpoint names with the one of cold endpoints, the lowest applies, and the owner of the limit grants each send, with a burst of half of what the bound leaves and nothing in the first 0.7 s. An endpoint that becomes cold is a change of the list, and responses are told to peers at once (Beat.cold_endpoints, PermitRequest.cold and cold_per_second). permits_total has a label source. A faulty cold-remaining-ms leaves the endpoint in service.

--- a/src/fleet/config.ts
+++ b/src/fleet/config.ts
@@ -56,6 +56,13 @@
   readonly stageChangeMs: number;
 }
 
+/** How many requests a cold endpoint takes from all instances together. */
+export interface ColdLimit {
+  readonly perSecond: number;
+  /** How long an endpoint is cold at most, in milliseconds. */
+  readonly startMs: number;
+}
+
 /** A group of interchangeable endpoints. */
 export interface FleetService {
   readonly name: string;
@@ -64,6 +71,8 @@
   readonly maxConnections: number;
   /** Limits of its engines; undefined for a plain service. */
   readonly engine: EngineLimits | undefined;
+  /** Limit of its endpoints while they are cold; absent if they need none. */
+  readonly cold?: ColdLimit;
 }
 
 /** Rate and burst over the whole fleet, in units of cost. */
--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -11,6 +11,7 @@
   type EndpointEntry,
   EntryChange,
   isOutOfDate,
+  MAX_COLD_MS,
 } from "./entries";
 import { chooseLater, isAfter, LOG_START, type LogPosition } from "./position";
 import type { FeedPage, FeedRecord } from "./store";
@@ -27,6 +28,12 @@
 /** How long an entry that proved wrong is ignored without a newer one, in milliseconds. */
 const MISDIRECTED_MS = 3000;
 
+/**
+ * How much longer than known an endpoint must stay cold for a change of the list, in milliseconds. The
+ * remaining time is counted from when an entry is read, which varies with the store's delay.
+ */
+const COLD_TOLERANCE_MS = 1000;
+
 interface MisdirectedEntry {
   readonly sequence: number;
   readonly deadline: Moment;
@@ -39,6 +46,8 @@
   readonly doubtDeadline: Moment | undefined;
   /** The newest entry that an endpoint of this id published; kept after the entry is removed. */
   readonly latestEntry: EndpointEntry | undefined;
+  /** Until when the process of the newest entry is cold, as its entries say. */
+  readonly coldEndsAt: Moment;
 }
 
 /** The directory of endpoints. */
@@ -222,6 +231,16 @@
     return this.listed.get(id)?.entry;
   }
 
+  /**
+   * Finds the newest entry of an endpoint and until when its process is cold; also after the entry
+   * was removed, as the process may still be up.
+   */
+  findCold(id: string): { readonly entry: EndpointEntry; readonly endsAt: Moment } | undefined {
+    const listed = this.listed.get(id);
+    if (listed?.latestEntry === undefined) return undefined;
+    return { entry: listed.latestEntry, endsAt: listed.coldEndsAt };
+  }
+
   /** Checks whether an endpoint is listed and not leaving. */
   isUsable(id: string): boolean {
     const entry = this.listed.get(id)?.entry;
@@ -270,13 +289,20 @@
       );
     const accepted = { ...entry, isLeaving };
     if (isLeaving) this.departures.record(createDeparture(accepted, true), false, now);
+    const knownColdEnd = readColdEnd(before, accepted);
+    const coldEndsAt = Math.max(
+      knownColdEnd,
+      now + Math.min(accepted.coldRemainingMs ?? 0, MAX_COLD_MS),
+    );
     this.listed.set(record.key, {
       record,
       entry: accepted,
       doubtDeadline: undefined,
       latestEntry: accepted,
+      coldEndsAt,
     });
-    return compareEntries(before?.entry, accepted);
+    const isColder = coldEndsAt > Math.max(knownColdEnd, now) + COLD_TOLERANCE_MS;
+    return compareEntries(before?.entry, accepted) ?? (isColder ? EntryChange.cold : undefined);
   }
 
   private applyRemoval(
@@ -285,19 +311,19 @@
     now: Moment,
   ): EntryChange | undefined {
     const entry = before?.entry;
-    const latestEntry = before?.latestEntry;
-    const mayReturn =
-      entry !== undefined && !entry.isLeaving && now < this.outageEndedAt + OUTAGE_GRACE_MS;
-    if (mayReturn) {
+    const mayReturn = entry?.isLeaving === false && now < this.outageEndedAt + OUTAGE_GRACE_MS;
+    if (before !== undefined && mayReturn) {
       const doubtDeadline = this.outageEndedAt + OUTAGE_GRACE_MS;
-      this.listed.set(record.key, { record, entry, doubtDeadline, latestEntry });
+      const { latestEntry, coldEndsAt } = before;
+      this.listed.set(record.key, { record, entry, doubtDeadline, latestEntry, coldEndsAt });
       return EntryChange.inDoubt;
     }
     this.listed.set(record.key, {
       record,
       entry: undefined,
       doubtDeadline: undefined,
-      latestEntry,
+      latestEntry: before?.latestEntry,
+      coldEndsAt: before?.coldEndsAt ?? Number.NEGATIVE_INFINITY,
     });
     if (entry === undefined) return undefined;
     this.departures.record(createDeparture(entry, entry.isLeaving), false, now);
@@ -322,6 +348,15 @@
   }
 }
 
+/** Reads until when the process of an entry is cold, by the entries before it. */
+function readColdEnd(
+  before: ListedEndpoint | undefined,
+  { processStartedAt }: EndpointEntry,
+): Moment {
+  const isSameProcess = before?.latestEntry?.processStartedAt === processStartedAt;
+  return isSameProcess ? before.coldEndsAt : Number.NEGATIVE_INFINITY;
+}
+
 function createDeparture(endpoint: EndpointEntry, isLeaving: boolean): Departure {
   const { id, processStartedAt, sequence } = endpoint;
   return { endpoint: id, processStartedAt, sequence, isLeaving };
--- a/src/fleet/entries.ts
+++ b/src/fleet/entries.ts
@@ -6,6 +6,9 @@
 export const EngineStage = { prefill: "prefill", decode: "decode" } as const;
 export type EngineStage = (typeof EngineStage)[keyof typeof EngineStage];
 
+/** Longest time that an endpoint is taken for cold after it said so once, in milliseconds. */
+export const MAX_COLD_MS = 60_000;
+
 /** An endpoint's own description, published in the store. */
 export interface EndpointEntry {
   readonly id: string;
@@ -30,6 +33,8 @@
    * of date.
    */
   readonly sequence: number;
+  /** How long its process is still cold, in milliseconds from when it wrote the entry. */
+  readonly coldRemainingMs?: number;
 }
 
 /** Decodes an endpoint's entry; undefined where it does not describe a usable endpoint. */
@@ -39,6 +44,8 @@
 export const EntryChange = {
   added: "added",
   changed: "changed",
+  /** The endpoint became cold, or stays cold for longer than was known. */
+  cold: "cold",
   leaving: "leaving",
   /** The entry expired around an outage of the store, and may return. */
   inDoubt: "in doubt",
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -190,8 +190,8 @@
   }
 
   onPermit(request: PermitRequest): PermitReply {
-    const { limits, accounts } = this.parts.limitState;
-    return answerPermit(limits, accounts, request, this.base.clock.now());
+    const { sources, accounts } = this.parts.limitState;
+    return answerPermit(sources, accounts, request, this.base.clock.now());
   }
 
   onRemember(request: RememberRequest): void {
--- a/src/forward/limits/accounts.ts
+++ b/src/forward/limits/accounts.ts
@@ -18,6 +18,11 @@
 const CAPACITY_S = 1;
 /** Window over which asks that were denied are counted, as they will come again. */
 const DENIED_WINDOW_MS = 1000;
+/**
+ * How long nothing is granted once an endpoint is cold, in seconds of its limit. It got requests that
+ * were not counted in the second before, and a former owner may not know yet that it is replaced.
+ */
+const COLD_DELAY_S = 0.7;
 const RETRY_AFTER_MS = { min: 20, max: 2000 } as const;
 /** How long an account is kept without being asked, in milliseconds. */
 const IDLE_TTL_MS = 60_000;
@@ -35,6 +40,7 @@
   level: number;
   refilledAt: Moment;
   readonly denied: SlidingWindowSum;
+  isCold: boolean;
 }
 
 /** The token buckets of the limits that this instance owns. */
@@ -48,15 +54,28 @@
    * Grants or denies a number of sends to an endpoint.
    *
    * @param perSecond - the limit for all instances together
+   * @param coldBurst - the most that may be sent at once from all instances together while the
+   *   endpoint is cold; undefined if it is warm
    */
-  grant(endpoint: string, perSecond: number, count: number, now: Moment): PermitDecision {
-    const rate = this.computeRate(perSecond);
+  grant(
+    endpoint: string,
+    perSecond: number,
+    count: number,
+    now: Moment,
+    coldBurst?: number,
+  ): PermitDecision {
+    const share = this.computeShare();
+    const rate = Math.max(perSecond, MIN_PER_SECOND) * share;
     const account = this.findOrCreateAccount(endpoint, now);
     const seconds = (now - account.refilledAt) / MS_PER_SECOND;
-    const capacity = Math.max(MIN_CAPACITY, rate * CAPACITY_S);
+    const normal = Math.max(MIN_CAPACITY, rate * CAPACITY_S);
+    const capacity =
+      coldBurst === undefined ? normal : Math.min(normal, Math.max(1, coldBurst * share));
     account.level = Math.min(capacity, account.level + rate * seconds);
     account.refilledAt = now;
-    if (account.level >= count) {
+    this.updateCold(account, coldBurst !== undefined, rate);
+    // A small capacity never holds several permits; the account is overdrawn and refills first.
+    if (account.level >= Math.min(count, capacity)) {
       account.level -= count;
       return { isGranted: true, retryAfterMs: 0 };
     }
@@ -68,16 +87,21 @@
   }
 
   /** Instances that are not heard may grant their part behind a partition. */
-  private computeRate(perSecond: number): number {
+  private computeShare(): number {
     const { heard, missing } = this.readFleetSize();
-    return Math.max(perSecond, MIN_PER_SECOND) * (heard / (heard + missing));
+    return heard / (heard + missing);
+  }
+
+  private updateCold(account: Account, isCold: boolean, rate: number): void {
+    if (isCold && !account.isCold) account.level = Math.min(account.level, -rate * COLD_DELAY_S);
+    account.isCold = isCold;
   }
 
   private findOrCreateAccount(endpoint: string, now: Moment): Account {
     const known = this.accounts.get(endpoint);
     if (known !== undefined) return known;
     if (this.accounts.size >= MAX_ACCOUNTS) this.removeIdle(now);
-    const account = { level: 0, refilledAt: now, denied: new SlidingWindowSum(DENIED_WINDOW_MS) };
+    const account = { level: 0, refilledAt: now, denied: createWindow(), isCold: false };
     this.accounts.set(endpoint, account);
     return account;
   }
@@ -88,3 +112,7 @@
     }
   }
 }
+
+function createWindow(): SlidingWindowSum {
+  return new SlidingWindowSum(DENIED_WINDOW_MS);
+}
--- a/src/forward/limits/gate.ts
+++ b/src/forward/limits/gate.ts
@@ -7,9 +7,9 @@
 import type { Logger } from "../../core/log";
 import type { EndpointDirectory } from "../../fleet/directory";
 import type { EndpointEntry } from "../../fleet/entries";
-import type { EndpointLimits } from "./limits";
 import type { EndpointNotice } from "../requests";
 import type { Permits } from "./permits";
+import type { LimitSources } from "./sources";
 
 /** The endpoint that a call is for. */
 export interface EndpointTarget {
@@ -37,11 +37,11 @@
 /** Dependencies of a gate. */
 export interface GateParts {
   readonly directory: EndpointDirectory;
-  readonly limits: EndpointLimits;
+  readonly sources: LimitSources;
   readonly permits: Permits;
   readonly clock: Clock;
   readonly logger: Logger;
-  /** Called when an endpoint begins or ceases to name a limit, or names another one. */
+  /** Called when an endpoint begins or ceases to name a limit, names another one, or is cold. */
   readonly onLimitChange: () => void;
 }
 
@@ -69,12 +69,14 @@
    * time is not known, and not where another process answered at its address.
    */
   onLimitNotice(target: EndpointTarget, notice: EndpointNotice, answer: LimitAnswer): void {
-    const { limitPerSecond: perSecond, unreadableLimit } = notice;
+    const { limitPerSecond: perSecond, unreadableLimit, coldMs } = notice;
+    if (coldMs !== undefined) this.recordCold(target, coldMs);
     if (unreadableLimit !== undefined) {
       this.reportUnreadable(target, unreadableLimit);
       return;
     }
-    const { limits, clock, logger, onLimitChange } = this.parts;
+    const { sources, clock, logger, onLimitChange } = this.parts;
+    const { limits } = sources;
     const { id: endpoint, processStartedAt } = target;
     const isEnd = perSecond === undefined;
     const hasLimit = limits.findWord(endpoint)?.perSecond !== undefined;
@@ -85,16 +87,16 @@
     onLimitChange();
   }
 
-  /** Acquires the permits for sends to an endpoint; at once if it has named no limit. */
+  /** Acquires the permits for sends to an endpoint; at once if it has no limit. */
   acquirePermits(target: EndpointTarget, count: number): Promise<boolean> | true {
     const { permits } = this.parts;
     return permits.isLimited(target) ? permits.acquire(target, count) : true;
   }
 
-  /** True if the endpoint has lately named a limit, so that others are preferred. */
+  /** True if the endpoint has lately named a limit or is cold, so that others are preferred. */
   isLimited({ id: endpoint, processStartedAt }: EndpointTarget): boolean {
-    const { limits, clock } = this.parts;
-    return limits.isRecent({ endpoint, processStartedAt }, clock.now());
+    const { sources, clock } = this.parts;
+    return sources.isAvoided({ endpoint, processStartedAt }, clock.now());
   }
 
   /** True while the endpoint wants nothing from this instance. */
@@ -153,9 +155,9 @@
   prune(isListed: (id: string) => boolean): void {
     for (const id of this.pauseEnds.keys()) this.readPauseEnd(id);
     for (const id of this.unreadable.keys()) if (!isListed(id)) this.unreadable.delete(id);
-    const { permits, limits, clock } = this.parts;
+    const { permits, sources, clock } = this.parts;
     permits.prune();
-    limits.prune(isListed, clock.now());
+    sources.prune(isListed, clock.now());
   }
 
   private computeLeastMs(ends: readonly (Moment | undefined)[]): number | undefined {
@@ -164,6 +166,15 @@
     return Math.ceil(Math.min(...known) - this.parts.clock.now());
   }
 
+  private recordCold({ id: endpoint, processStartedAt }: EndpointTarget, coldMs: number): void {
+    const { sources, clock, logger, onLimitChange } = this.parts;
+    const now = clock.now();
+    const word = { endpoint, processStartedAt, endsAt: now + coldMs, isOwn: true };
+    if (!sources.cold.record(word, now)) return;
+    logger.info("endpoint cold", { endpoint, remainingMs: coldMs, source: "response" });
+    onLimitChange();
+  }
+
   private reportUnreadable({ id, processStartedAt }: EndpointTarget, limit: string): void {
     if (this.unreadable.get(id) === processStartedAt) return;
     this.unreadable.set(id, processStartedAt);
--- a/src/forward/limits/index.ts
+++ b/src/forward/limits/index.ts
@@ -3,7 +3,9 @@
  */
 export { LimitAccounts } from "./accounts";
 export { Announcer } from "./announcer";
+export { ColdEndpoints, type ColdTolerance } from "./cold";
 export { EndpointGate, type EndpointTarget } from "./gate";
 export { EndpointLimits } from "./limits";
 export { PeerPermitTransport, Permits, answerPermit } from "./permits";
-export { decodeLimit, encodeLimit } from "./wire";
+export { LimitSources } from "./sources";
+export { decodeCold, decodeLimit, encodeCold, encodeLimit } from "./wire";
--- a/src/forward/limits/permits.ts
+++ b/src/forward/limits/permits.ts
@@ -10,14 +10,26 @@
 import type { GrpcFleetTransport } from "../../fleet/transport";
 import type { PermitReply, PermitRequest } from "../../peer/gen/fleet";
 import type { LimitAccounts, PermitDecision } from "./accounts";
-import type { EndpointLimits, LimitWord } from "./limits";
-import { decodeLimit, encodeLimit } from "./wire";
+import type { EndpointProcess, LimitWord } from "./limits";
+import { combineLimits, type LimitSources, type SendLimit } from "./sources";
+import { decodeCold, decodeLimit, encodePermitAsk } from "./wire";
 
 /** How long an owner may take to answer, in milliseconds; far more than a round trip. */
 const PERMIT_TIMEOUT_MS = 150;
 /** How long an endpoint is passed over while the owner of its limit does not answer, in milliseconds. */
 const SILENT_OWNER_RETRY_MS = 500;
 
+/** What the owner of a limit is asked for. */
+export interface PermitAsk {
+  readonly process: EndpointProcess;
+  /** What the asker knows of the limit. */
+  readonly limit: SendLimit;
+  /** The limit that the endpoint names itself; undefined if it names none. */
+  readonly word: LimitWord | undefined;
+  /** Number of sends. */
+  readonly count: number;
+}
+
 /** Calls to the owners of limits. */
 export interface PermitTransport {
   /**
@@ -25,12 +37,7 @@
    *
    * @returns undefined if there was no answer in time
    */
-  request(
-    owner: string,
-    word: LimitWord,
-    count: number,
-    timeoutMs: number,
-  ): Promise<PermitDecision | undefined>;
+  request(owner: string, ask: PermitAsk, timeoutMs: number): Promise<PermitDecision | undefined>;
 }
 
 /** A process of an endpoint that something is to be sent to. */
@@ -42,14 +49,14 @@
 /** Dependencies of the permits. */
 export interface PermitParts {
   readonly instance: string;
-  readonly limits: EndpointLimits;
+  readonly sources: LimitSources;
   readonly accounts: LimitAccounts;
   readonly owners: OwnerChooser;
   readonly transport: PermitTransport;
   readonly clock: Clock;
   readonly logger: Logger;
   /** Called with each decision of an owner. */
-  readonly onDecision: (isGranted: boolean) => void;
+  readonly onDecision: (isGranted: boolean, limit: SendLimit) => void;
 }
 
 /** Asks for permits, and remembers which endpoints have none left for this instance. */
@@ -58,34 +65,41 @@
 
   constructor(private readonly parts: PermitParts) {}
 
-  /** Checks whether a process has named a limit. */
+  /** Checks whether a process has a limit. */
   isLimited(target: PermitTarget): boolean {
     return this.findLimit(target) !== undefined;
   }
 
   /** When permits for an endpoint may be asked for again; undefined if they may be now. */
   readDenialEnd(id: string): Moment | undefined {
-    const { limits, clock } = this.parts;
+    const { sources, clock } = this.parts;
     const end = this.denialEnds.get(id);
-    const hasLimit = limits.findWord(id)?.perSecond !== undefined;
-    if (end === undefined || (hasLimit && end > clock.now())) return end;
+    if (end === undefined) return undefined;
+    const now = clock.now();
+    if (end > now && sources.hasLimit(id, now)) return end;
     this.denialEnds.delete(id);
     return undefined;
   }
 
-  /** Acquires a number of permits; true also if the endpoint names no limit. */
+  /** Acquires a number of permits; true also if the endpoint has no limit. */
   async acquire(target: PermitTarget, count: number): Promise<boolean> {
-    const { limits, clock, logger, onDecision } = this.parts;
-    const perSecond = this.findLimit(target);
-    const word = limits.findWord(target.id);
-    if (perSecond === undefined || word === undefined || count === 0) return true;
+    const { sources, clock, logger, onDecision } = this.parts;
+    const limit = this.findLimit(target);
+    if (limit === undefined || count === 0) return true;
     if (this.readDenialEnd(target.id) !== undefined) return false;
-    const { isGranted, retryAfterMs } = await this.requestFromOwner(word, perSecond, count);
-    onDecision(isGranted);
+    const { id: endpoint, processStartedAt } = target;
+    const process = { endpoint, processStartedAt };
+    const isNamed = sources.limits.find(process) !== undefined;
+    const word = isNamed ? sources.limits.findWord(endpoint) : undefined;
+    const ask = { process, limit, word, count };
+    const { isGranted, retryAfterMs } = await this.requestFromOwner(ask);
+    onDecision(isGranted, limit);
     if (isGranted) return true;
-    this.denialEnds.set(target.id, clock.now() + retryAfterMs);
-    const ms = Math.round(retryAfterMs);
-    logger.debug("endpoint limit reached", { endpoint: target.id, perSecond, forMs: ms });
+    this.denialEnds.set(endpoint, clock.now() + retryAfterMs);
+    const { perSecond, cold } = limit;
+    const isCold = cold !== undefined;
+    const forMs = Math.round(retryAfterMs);
+    logger.debug("endpoint limit reached", { endpoint, perSecond, isCold, forMs });
     return false;
   }
 
@@ -94,26 +108,26 @@
     for (const id of this.denialEnds.keys()) this.readDenialEnd(id);
   }
 
-  private async requestFromOwner(
-    word: LimitWord,
-    perSecond: number,
-    count: number,
-  ): Promise<PermitDecision> {
+  private async requestFromOwner(ask: PermitAsk): Promise<PermitDecision> {
     const { instance, accounts, owners, transport, clock, logger } = this.parts;
-    const { endpoint } = word;
+    const { limit, count } = ask;
+    const { endpoint } = ask.process;
+    const { perSecond, cold } = limit;
     const owner = owners.choose(`limit ${endpoint}`);
-    if (owner === instance) return accounts.grant(endpoint, perSecond, count, clock.now());
+    const now = clock.now();
+    if (owner === instance) return accounts.grant(endpoint, perSecond, count, now, cold?.burst);
     const denial = { isGranted: false, retryAfterMs: SILENT_OWNER_RETRY_MS };
     if (owners.isSilent(owner)) return denial;
-    const decision = await transport.request(owner, word, count, PERMIT_TIMEOUT_MS);
+    const decision = await transport.request(owner, ask, PERMIT_TIMEOUT_MS);
     if (decision !== undefined) return decision;
     owners.recordSilence(owner);
     logger.warn("limit owner silent", { owner, endpoint });
     return denial;
   }
 
-  private findLimit({ id, processStartedAt }: PermitTarget): number | undefined {
-    return this.parts.limits.find({ endpoint: id, processStartedAt });
+  private findLimit({ id, processStartedAt }: PermitTarget): SendLimit | undefined {
+    const { sources, clock } = this.parts;
+    return sources.find({ endpoint: id, processStartedAt }, clock.now());
   }
 }
 
@@ -127,34 +141,38 @@
 
   async request(
     owner: string,
-    word: LimitWord,
-    count: number,
+    ask: PermitAsk,
     timeoutMs: number,
   ): Promise<PermitDecision | undefined> {
     const address = this.members.findAddress(owner);
     if (address === undefined) return undefined;
-    const limit = encodeLimit(word, this.clock.now());
-    const reply = await this.transport.permit(address, { limit, count }, timeoutMs);
+    const request = encodePermitAsk(ask, this.clock.now());
+    const reply = await this.transport.permit(address, request, timeoutMs);
     return reply && { isGranted: reply.granted, retryAfterMs: reply.retryAfterMs };
   }
 }
 
 /**
- * Decides on the sends of a peer as the owner of the limit, by the newest word that either knows.
+ * Decides on the sends of a peer as the owner of the limit, by the newest that either knows.
  *
  * @example
- * answerPermit(limits, accounts, request, clock.now()).granted;
+ * answerPermit(sources, accounts, request, clock.now()).granted;
  */
 export function answerPermit(
-  limits: EndpointLimits,
+  sources: LimitSources,
   accounts: LimitAccounts,
-  { limit, count }: PermitRequest,
+  { limit, count, cold, coldPerSecond }: PermitRequest,
   now: Moment,
 ): PermitReply {
   if (limit === undefined) return { granted: false, retryAfterMs: SILENT_OWNER_RETRY_MS };
-  limits.record(decodeLimit(limit, now));
-  const perSecond = limits.findWord(limit.endpoint)?.perSecond;
-  if (perSecond === undefined) return { granted: true, retryAfterMs: 0 };
-  const { isGranted, retryAfterMs } = accounts.grant(limit.endpoint, perSecond, count, now);
+  const { endpoint, processStartedAt } = limit;
+  if (limit.perSecond !== undefined) sources.limits.record(decodeLimit(limit, now));
+  if (cold !== undefined) sources.cold.record(decodeCold(cold, now), now);
+  const named = sources.limits.findWord(endpoint)?.perSecond;
+  const coldState = sources.cold.findForPeer({ endpoint, processStartedAt }, coldPerSecond, now);
+  const known = combineLimits(named, coldState);
+  if (known === undefined) return { granted: true, retryAfterMs: 0 };
+  const burst = known.cold?.burst;
+  const { isGranted, retryAfterMs } = accounts.grant(endpoint, known.perSecond, count, now, burst);
   return { granted: isGranted, retryAfterMs: Math.ceil(retryAfterMs) };
 }
--- a/src/forward/limits/wire.ts
+++ b/src/forward/limits/wire.ts
@@ -3,8 +3,13 @@
  * each instance has its own clock.
  */
 import type { Moment } from "../../core/clock";
-import type { EndpointLimit } from "../../peer/gen/fleet";
+import type { EndpointCold, EndpointLimit, PermitRequest } from "../../peer/gen/fleet";
+import type { ColdWord } from "./cold";
 import type { LimitWord } from "./limits";
+import type { PermitAsk } from "./permits";
+
+/** Age of a limit that the endpoint never named; any word that is known is newer. */
+const NEVER_MS = 2 ** 32 - 1;
 
 /**
  * Encodes a limit.
@@ -33,3 +38,44 @@
   const { endpoint, processStartedAt, perSecond, ageMs } = limit;
   return { endpoint, processStartedAt, perSecond, at: now - ageMs, isOwn: false };
 }
+
+/**
+ * Encodes how long an endpoint is cold.
+ *
+ * @example
+ * encodeCold(word, clock.now()).remainingMs;
+ */
+export function encodeCold(word: Omit<ColdWord, "isOwn">, now: Moment): EndpointCold {
+  const { endpoint, processStartedAt, endsAt } = word;
+  return { endpoint, processStartedAt, remainingMs: Math.max(0, Math.ceil(endsAt - now)) };
+}
+
+/**
+ * Decodes how long an endpoint is cold, as a peer tells it.
+ *
+ * @example
+ * cold.record(decodeCold(message, clock.now()), clock.now());
+ */
+export function decodeCold(cold: EndpointCold, now: Moment): ColdWord {
+  const { endpoint, processStartedAt, remainingMs } = cold;
+  return { endpoint, processStartedAt, endsAt: now + remainingMs, isOwn: false };
+}
+
+/**
+ * Encodes what the owner of a limit is asked for. Owners of the build before read only the limit that
+ * the endpoint named, and grant everything where there is none.
+ *
+ * @example
+ * await transport.permit(address, encodePermitAsk(ask, clock.now()), 150);
+ */
+export function encodePermitAsk(ask: PermitAsk, now: Moment): PermitRequest {
+  const { process, limit, word, count } = ask;
+  const { cold } = limit;
+  const coldPart = cold && encodeCold({ ...process, endsAt: cold.endsAt }, now);
+  return {
+    limit: word === undefined ? { ...process, ageMs: NEVER_MS } : encodeLimit(word, now),
+    count,
+    coldPerSecond: cold?.perSecond ?? 0,
+    cold: coldPart,
+  };
+}
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -3,19 +3,12 @@
  */
 import { RetryBudget } from "../core/retrybudget";
 import { HeartbeatExchanger } from "../fleet/heartbeat";
-import { OwnerChooser } from "../fleet/owners";
 import { VersionHistory } from "../fleet/versionhistory";
 import { Joiner } from "../fleet/joiner";
 import { OrderLeases } from "../fleet/orders";
 import { Admission, Dispatcher } from "./callers";
-import {
-  Announcer,
-  EndpointGate,
-  LimitAccounts,
-  EndpointLimits,
-  PeerPermitTransport,
-  Permits,
-} from "./limits";
+import { Announcer, EndpointGate, type LimitSources } from "./limits";
+import { createLimitState, createPermits, type LimitState } from "./limitparts";
 import type { InstanceBase } from "./base";
 import {
   PeerChargeTransport,
@@ -60,13 +53,6 @@
   readonly reservations: ReservationQueue;
 }
 
-/** The limits of endpoints, and the accounts of those that this instance owns. */
-export interface LimitState {
-  readonly limits: EndpointLimits;
-  readonly accounts: LimitAccounts;
-  readonly owners: OwnerChooser;
-}
-
 /** The parts of an instance that it starts, serves requests with and closes. */
 export interface InstanceParts {
   readonly view: FleetView;
@@ -97,16 +83,12 @@
   const view = createFleetView(base, sendHeartbeats);
   const { members, transport } = view;
   const quotas = createQuotas(base, view);
-  const limitState = {
-    limits: new EndpointLimits(),
-    accounts: new LimitAccounts(() => members.readFleetSize(clock.now())),
-    owners: createLimitOwners(base, view, isLeaving),
-  };
+  const limitState = createLimitState(base, view, isLeaving);
   const origins = new StreamOrigins();
   const context = createContext(base, view, limitState, origins, sendHeartbeats);
   const engines = createEngineState(context);
-  const { limits } = limitState;
-  const peerState = createPeerState(base, view, quotas, limits, context, engines, isLeaving);
+  const { sources } = limitState;
+  const peerState = createPeerState(base, view, quotas, sources, context, engines, isLeaving);
   const heartbeats = new HeartbeatExchanger(self, members, transport, peerState, clock, logger);
   const joiner = createJoiner(base, view, sendHeartbeats);
   const leases = createLeases(base, joiner);
@@ -162,7 +144,7 @@
   const announcer = new Announcer(clock, sendHeartbeats);
   const gate = new EndpointGate({
     directory,
-    limits: limitState.limits,
+    sources: limitState.sources,
     permits: createPermits(base, view, limitState),
     clock,
     logger,
@@ -216,37 +198,6 @@
   };
 }
 
-/** Creates the chooser of limits' owners. One that leaves owns none: its peers ask another one. */
-function createLimitOwners(
-  { settings, clock }: InstanceBase,
-  { listLive }: FleetView,
-  isLeaving: () => boolean,
-): OwnerChooser {
-  const { instance } = settings;
-  const listOwners = () => listLive().filter((name) => name !== instance || !isLeaving());
-  return new OwnerChooser(instance, listOwners, clock);
-}
-
-function createPermits(
-  { settings, clock, logger, meter }: InstanceBase,
-  { members, transport }: FleetView,
-  { limits, accounts, owners }: LimitState,
-): Permits {
-  const { instance } = settings;
-  return new Permits({
-    instance,
-    limits,
-    accounts,
-    owners,
-    transport: new PeerPermitTransport(members, transport, clock),
-    clock,
-    logger,
-    onDecision: (isGranted) => {
-      meter.permits.inc({ outcome: isGranted ? "granted" : "denied" });
-    },
-  });
-}
-
 function createSharedOrigins(
   { settings, clock, logger }: InstanceBase,
   { members, transport }: FleetView,
@@ -289,7 +240,7 @@
   { clock, logger }: InstanceBase,
   { directory, watcher }: FleetView,
   quotas: Quotas,
-  limits: EndpointLimits,
+  sources: LimitSources,
   { crashes, paths }: ForwardContext,
   engines: EngineState,
   isLeaving: () => boolean,
@@ -300,7 +251,7 @@
     directory,
     watcher,
     quotas,
-    limits,
+    sources,
     crashes,
     paths,
     ...engines,
--- a/src/forward/peerstate.ts
+++ b/src/forward/peerstate.ts
@@ -10,7 +10,7 @@
 import type { StoreWatcher } from "../fleet/watcher";
 import type { Beat, FetchReply, FetchRequest, Record as PeerRecord } from "../peer/gen/fleet";
 import type { CrashTracker } from "../core/crashes/tracker";
-import { type EndpointLimits, decodeLimit, encodeLimit } from "./limits";
+import { decodeCold, decodeLimit, encodeCold, encodeLimit, type LimitSources } from "./limits";
 import { decodeKnowledge, encodeKnowledge, type Quotas, type RefusalTracker } from "./shared";
 import type { PathTracker } from "./tunnels";
 import type { ReservationQueue, EngineModel, EngineLoadTracker, StageLoad } from "./engines";
@@ -48,7 +48,7 @@
   readonly directory: EndpointDirectory;
   readonly watcher: StoreWatcher;
   readonly quotas: Quotas;
-  readonly limits: EndpointLimits;
+  readonly sources: LimitSources;
   readonly crashes: CrashTracker;
   readonly paths: PathTracker;
   readonly refusals: RefusalTracker;
@@ -74,7 +74,8 @@
   }
 
   createBeatContent(): BeatContent {
-    const { clock, directory, quotas, crashes, engineLoad, reservations, isLeaving } = this.parts;
+    const { clock, directory, quotas, sources, crashes, engineLoad, reservations, isLeaving } =
+      this.parts;
     const now = clock.now();
     return {
       configVersion: this.readConfigVersion(),
@@ -86,7 +87,8 @@
       usages: [...quotas.listLocalUsage()],
       works: [...engineLoad.listLocalWork()],
       ...encodeKnowledge(crashes.listKnowledge(now)),
-      endpointLimits: this.parts.limits.list(now).map((word) => encodeLimit(word, now)),
+      endpointLimits: sources.limits.list(now).map((word) => encodeLimit(word, now)),
+      coldEndpoints: sources.cold.list(now).map((word) => encodeCold(word, now)),
       lostEndpoints: [...this.parts.paths.listLost()],
       arrivingTokens: Math.round(this.computeArrivalRate(now)),
       engineSpeeds: [...this.parts.engineModel.listLocalEstimates()],
@@ -239,12 +241,18 @@
     }
   }
 
-  private applyLimits({ instance, endpointLimits }: Beat, sentAt: Moment): void {
-    const { limits, logger } = this.parts;
+  private applyLimits({ instance, endpointLimits, coldEndpoints }: Beat, sentAt: Moment): void {
+    const { sources, clock, logger } = this.parts;
+    const source = `peer ${instance}`;
     for (const limit of endpointLimits) {
-      if (!limits.record(decodeLimit(limit, sentAt))) continue;
+      if (!sources.limits.record(decodeLimit(limit, sentAt))) continue;
       const { endpoint, perSecond } = limit;
-      logger.info("endpoint limit", { endpoint, perSecond, source: `peer ${instance}` });
+      logger.info("endpoint limit", { endpoint, perSecond, source });
+    }
+    for (const cold of coldEndpoints) {
+      if (!sources.cold.record(decodeCold(cold, sentAt), clock.now())) continue;
+      const { endpoint, remainingMs } = cold;
+      logger.info("endpoint cold", { endpoint, remainingMs, source });
     }
   }
 
--- a/src/forward/requests/messages.ts
+++ b/src/forward/requests/messages.ts
@@ -166,6 +166,8 @@
   readonly limitPerSecond: number | undefined;
   /** The limit that can't be read, as it was sent. */
   readonly unreadableLimit: string | undefined;
+  /** How long the endpoint is still cold, in milliseconds; absent if it does not say that it is. */
+  readonly coldMs?: number;
 }
 
 /** A prompt that a prefill engine has read, with the handle of its KV cache. */
--- a/src/forward/requests/meter.ts
+++ b/src/forward/requests/meter.ts
@@ -41,8 +41,8 @@
   );
   readonly permits = this.createCounter(
     "permits_total",
-    "Permits for endpoints that have named a limit, by whether this instance got them",
-    ["outcome"],
+    "Permits for endpoints with a limit, by whether this instance got them and what limits them",
+    ["outcome", "source"],
   );
   readonly connections = this.createCounter(
     "connections_total",
--- a/src/forward/settings.ts
+++ b/src/forward/settings.ts
@@ -2,6 +2,7 @@
  * Settings that a forwarding instance gets at its start.
  */
 import type { LogLevel } from "../core/log";
+import type { ColdTolerance } from "./limits";
 import type { QuotaTolerance } from "./shared";
 import type { RetryLimit } from "../core/retrybudget";
 
@@ -28,6 +29,7 @@
   readonly logLevel: LogLevel;
   readonly quotaTolerance: QuotaTolerance;
   readonly retryLimit: RetryLimit;
+  readonly coldTolerance: ColdTolerance;
   /** Time within which new requests to a leaving endpoint must stop, in milliseconds. */
   readonly drainMs: number;
   /** Time within which a published configuration must be in force, in milliseconds. */
--- a/src/peer/gen/fleet.ts
+++ b/src/peer/gen/fleet.ts
@@ -68,7 +68,20 @@
   /** Ids of endpoints that peers reach and the sender does not reach directly. */
   lostEndpoints: string[];
   /** When the beat was sent, on the monotonic clock of the sender's process, in milliseconds. */
-  sentAtMs?: number | undefined;
+  sentAtMs?:
+    | number
+    | undefined;
+  /** Endpoints whose own responses to the sender said that they are cold. */
+  coldEndpoints: EndpointCold[];
+}
+
+/** An endpoint that is cold, by what it said last. */
+export interface EndpointCold {
+  endpoint: string;
+  /** Milliseconds of the endpoint's wall clock. */
+  processStartedAt: number;
+  /** Time until it is warm, counted from when the message was sent. */
+  remainingMs: number;
 }
 
 /** What an endpoint last said of the requests that it takes from all instances together. */
@@ -195,6 +208,12 @@
     | undefined;
   /** Number of requests and calls that the asker would send. */
   count: number;
+  /** Set where the asker takes the endpoint for cold. */
+  cold:
+    | EndpointCold
+    | undefined;
+  /** Requests a second that a cold endpoint of its service takes, by the asker's configuration. */
+  coldPerSecond: number;
 }
 
 export interface PermitReply {
@@ -291,6 +310,7 @@
     endpointLimits: [],
     lostEndpoints: [],
     sentAtMs: undefined,
+    coldEndpoints: [],
   };
 }
 
@@ -374,6 +394,9 @@
     if (message.sentAtMs !== undefined) {
       writer.uint32(209).double(message.sentAtMs);
     }
+    for (const v of message.coldEndpoints) {
+      EndpointCold.encode(v!, writer.uint32(322).fork()).join();
+    }
     return writer;
   },
 
@@ -598,6 +621,14 @@
             message.sentAtMs = reader.double();
             continue;
           }
+          case 40: {
+            if (tag !== 322) {
+              break;
+            }
+
+            message.coldEndpoints.push(EndpointCold.decode(reader, reader.uint32()));
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -702,6 +733,11 @@
         : isSet(object.sent_at_ms)
         ? globalThis.Number(object.sent_at_ms)
         : undefined,
+      coldEndpoints: globalThis.Array.isArray(object?.coldEndpoints)
+        ? object.coldEndpoints.map((e: any) => EndpointCold.fromJSON(e))
+        : globalThis.Array.isArray(object?.cold_endpoints)
+        ? object.cold_endpoints.map((e: any) => EndpointCold.fromJSON(e))
+        : [],
     };
   },
 
@@ -785,6 +821,9 @@
     if (message.sentAtMs !== undefined) {
       obj.sentAtMs = floatToJson(message.sentAtMs);
     }
+    if (message.coldEndpoints?.length) {
+      obj.coldEndpoints = message.coldEndpoints.map((e) => EndpointCold.toJSON(e));
+    }
     return obj;
   },
 
@@ -819,6 +858,116 @@
     message.endpointLimits = object.endpointLimits?.map((e) => EndpointLimit.fromPartial(e)) || [];
     message.lostEndpoints = object.lostEndpoints?.map((e) => e) || [];
     message.sentAtMs = object.sentAtMs ?? undefined;
+    message.coldEndpoints = object.coldEndpoints?.map((e) => EndpointCold.fromPartial(e)) || [];
+    return message;
+  },
+};
+
+function createBaseEndpointCold(): EndpointCold {
+  return { endpoint: "", processStartedAt: 0, remainingMs: 0 };
+}
+
+export const EndpointCold: MessageFns<EndpointCold> = {
+  encode(message: EndpointCold, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.endpoint !== "") {
+      writer.uint32(10).string(message.endpoint);
+    }
+    if (message.processStartedAt !== 0) {
+      writer.uint32(16).int64(message.processStartedAt);
+    }
+    if (message.remainingMs !== 0) {
+      writer.uint32(24).uint32(message.remainingMs);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): EndpointCold {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseEndpointCold();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.endpoint = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.processStartedAt = longToNumber(reader.int64());
+            continue;
+          }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.remainingMs = reader.uint32();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): EndpointCold {
+    return {
+      endpoint: isSet(object.endpoint) ? globalThis.String(object.endpoint) : "",
+      processStartedAt: isSet(object.processStartedAt)
+        ? globalThis.Number(object.processStartedAt)
+        : isSet(object.process_started_at)
+        ? globalThis.Number(object.process_started_at)
+        : 0,
+      remainingMs: isSet(object.remainingMs)
+        ? globalThis.Number(object.remainingMs)
+        : isSet(object.remaining_ms)
+        ? globalThis.Number(object.remaining_ms)
+        : 0,
+    };
+  },
+
+  toJSON(message: EndpointCold): unknown {
+    const obj: any = {};
+    if (message.endpoint !== "") {
+      obj.endpoint = message.endpoint;
+    }
+    if (message.processStartedAt !== 0) {
+      obj.processStartedAt = Math.round(message.processStartedAt);
+    }
+    if (message.remainingMs !== 0) {
+      obj.remainingMs = Math.round(message.remainingMs);
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<EndpointCold>, I>>(base?: I): EndpointCold {
+    return EndpointCold.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<EndpointCold>, I>>(object: I): EndpointCold {
+    const message = createBaseEndpointCold();
+    message.endpoint = object.endpoint ?? "";
+    message.processStartedAt = object.processStartedAt ?? 0;
+    message.remainingMs = object.remainingMs ?? 0;
     return message;
   },
 };
@@ -2517,7 +2666,7 @@
 };
 
 function createBasePermitRequest(): PermitRequest {
-  return { limit: undefined, count: 0 };
+  return { limit: undefined, count: 0, cold: undefined, coldPerSecond: 0 };
 }
 
 export const PermitRequest: MessageFns<PermitRequest> = {
@@ -2528,6 +2677,12 @@
     if (message.count !== 0) {
       writer.uint32(16).uint32(message.count);
     }
+    if (message.cold !== undefined) {
+      EndpointCold.encode(message.cold, writer.uint32(82).fork()).join();
+    }
+    if (message.coldPerSecond !== 0) {
+      writer.uint32(89).double(message.coldPerSecond);
+    }
     return writer;
   },
 
@@ -2560,6 +2715,22 @@
             message.count = reader.uint32();
             continue;
           }
+          case 10: {
+            if (tag !== 82) {
+              break;
+            }
+
+            message.cold = EndpointCold.decode(reader, reader.uint32());
+            continue;
+          }
+          case 11: {
+            if (tag !== 89) {
+              break;
+            }
+
+            message.coldPerSecond = reader.double();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -2576,6 +2747,12 @@
     return {
       limit: isSet(object.limit) ? EndpointLimit.fromJSON(object.limit) : undefined,
       count: isSet(object.count) ? globalThis.Number(object.count) : 0,
+      cold: isSet(object.cold) ? EndpointCold.fromJSON(object.cold) : undefined,
+      coldPerSecond: isSet(object.coldPerSecond)
+        ? globalThis.Number(object.coldPerSecond)
+        : isSet(object.cold_per_second)
+        ? globalThis.Number(object.cold_per_second)
+        : 0,
     };
   },
 
@@ -2587,6 +2764,12 @@
     if (message.count !== 0) {
       obj.count = Math.round(message.count);
     }
+    if (message.cold !== undefined) {
+      obj.cold = EndpointCold.toJSON(message.cold);
+    }
+    if (message.coldPerSecond !== 0) {
+      obj.coldPerSecond = floatToJson(message.coldPerSecond);
+    }
     return obj;
   },
 
@@ -2599,6 +2782,10 @@
       ? EndpointLimit.fromPartial(object.limit)
       : undefined;
     message.count = object.count ?? 0;
+    message.cold = (object.cold !== undefined && object.cold !== null)
+      ? EndpointCold.fromPartial(object.cold)
+      : undefined;
+    message.coldPerSecond = object.coldPerSecond ?? 0;
     return message;
   },
 };
--- a/test/fleet.spec.ts
+++ b/test/fleet.spec.ts
@@ -170,6 +170,27 @@
     assert.deepEqual(listIds(directory, 3011), ["a"]);
   });
 
+  it("changes where an endpoint becomes cold, also again, and not as its remaining time runs down", () => {
+    const directory = createDirectory();
+    const put = (sequence: number, coldRemainingMs: number, now: number) => {
+      const entry = createEntry("a", "a:1", { sequence, coldRemainingMs });
+      offset += 1;
+      const record = { key: "a", value: Buffer.from(JSON.stringify(entry)), position: at(offset) };
+      const changes = directory.apply({ records: [record], next: at(offset + 1) }, now);
+      return changes.map(({ change }) => change);
+    };
+    assert.deepEqual(put(1, 0, 0), ["added"]);
+    assert.deepEqual(put(2, 6000, 1000), ["cold"]);
+    assert.equal(directory.findCold("a")?.endsAt, 7000);
+    assert.deepEqual(put(3, 4800, 2250), [], "the store was 50 ms slower");
+    assert.deepEqual(put(4, 0, 7100), []);
+    assert.deepEqual(put(5, 6000, 9000), ["cold"]);
+    dropEntry(directory, "a", 9100);
+    assert.equal(directory.findCold("a")?.endsAt, 15_000, "the process may still be up");
+    putEntry(directory, createEntry("a", "a:1", { processStartedAt: 9, sequence: 1 }), 9200);
+    assert.ok((directory.findCold("a")?.endsAt ?? 0) <= 9200, "another process");
+  });
+
   it("drops entries that a snapshot does not contain", () => {
     const directory = createDirectory();
     putEntry(directory, createEntry("a", "x:1"), 0);
@@ -319,6 +340,7 @@
     absences: [],
     endpointLimits: [],
     lostEndpoints: [],
+    coldEndpoints: [],
   });
 
   it("lists members as live while their beats arrive, and counts them as missing for a while after", () => {
--- a/test/harness/forward.ts
+++ b/test/harness/forward.ts
@@ -90,12 +90,14 @@
   readNotice(status: number, headers: readonly string[]): EndpointNotice {
     const text = headers.join("\n").toLowerCase();
     const pauseMs = /x-pause-ms\n(\d+)/.exec(text)?.[1];
+    const cold = /x-cold\n(\d+)/.exec(text)?.[1];
     const limit = /x-limit\n([\d.]+)/.exec(text)?.[1];
     return {
       pauseMs: status === 503 && pauseMs !== undefined ? Number(pauseMs) : undefined,
       isLeaving: text.includes("x-leaving\n1"),
       limitPerSecond: limit === undefined ? undefined : Number(limit),
       unreadableLimit: undefined,
+      ...(cold === undefined ? {} : { coldMs: Number(cold) }),
     };
   }
 
@@ -168,6 +170,7 @@
     logLevel: "error",
     quotaTolerance: { ratio: 0, slack: 9500, windowMs: 8000 },
     retryLimit: { ratio: 0.2, slack: 50, windowMs: 10_000 },
+    coldTolerance: { ratio: 1.5, slack: 5 },
     drainMs: 300,
     configApplyMs: 300,
     graceMs: 8000,
--- a/test/harness/limitfleet.ts
+++ b/test/harness/limitfleet.ts
@@ -5,9 +5,18 @@
 import { OwnerChooser } from "../../src/fleet/owners";
 import { LimitAccounts } from "../../src/forward/limits/accounts";
 import { EndpointLimits } from "../../src/forward/limits/limits";
-import { decodeLimit, encodeLimit } from "../../src/forward/limits/wire";
+import type { EndpointEntry } from "../../src/fleet/entries";
+import { ColdEndpoints } from "../../src/forward/limits/cold";
+import { LimitSources } from "../../src/forward/limits/sources";
+import {
+  decodeCold,
+  decodeLimit,
+  encodeCold,
+  encodeLimit,
+  encodePermitAsk,
+} from "../../src/forward/limits/wire";
 import { answerPermit, Permits, type PermitTransport } from "../../src/forward/limits/permits";
-import { EndpointLimit } from "../../src/peer/gen/fleet";
+import { EndpointCold, EndpointLimit, PermitRequest } from "../../src/peer/gen/fleet";
 import { VirtualFleet, type VirtualNode } from "./virtualfleet";
 
 const MAX_SEND_MS = 5;
@@ -21,7 +30,9 @@
 }
 
 interface LimitParts {
-  readonly limits: EndpointLimits;
+  readonly sources: LimitSources;
+  /** Until when endpoints are cold, by the entries that the node has read. */
+  readonly coldEnds: Map<string, number>;
   readonly accounts: LimitAccounts;
   readonly permits: Permits;
 }
@@ -35,12 +46,41 @@
   calls = 0;
   /** The limits that endpoints name; one that is not here names none. */
   readonly named = new Map<string, number>();
+  /** The limit of cold endpoints; undefined if they have none. */
+  coldPerSecond: number | undefined;
 
   constructor(size: number, seed: number) {
     super(size, seed);
     this.startNodes();
   }
 
+  /** Has an endpoint be cold for a time, which nodes read in its entry after up to `delayMs`. */
+  makeCold(endpoint: string, forMs: number, delayMs: number): void {
+    const endsAt = this.now + forMs;
+    for (const node of this.nodes) {
+      this.events.schedule(this.draw() * delayMs, () => {
+        this.act(node, () => {
+          node.parts.coldEnds.set(endpoint, endsAt);
+        });
+      });
+    }
+  }
+
+  /** Has one node read at once that an endpoint is cold. */
+  readCold(index: number, endpoint: string, forMs: number): void {
+    this.nodes[index]?.parts.coldEnds.set(endpoint, this.now + forMs);
+  }
+
+  /** Has an endpoint tell one node in a response that it is cold. */
+  answerCold(index: number, endpoint: string, forMs: number): void {
+    const word = { endpoint, processStartedAt: 1, endsAt: this.now + forMs, isOwn: true };
+    this.nodes[index]?.parts.sources.cold.record(word, this.now);
+  }
+
+  get size(): number {
+    return this.nodes.length;
+  }
+
   /** Has a node send to an endpoint if it gets a permit. */
   request(index: number, endpoint: string, count = 1): void {
     const node = this.nodes[index];
@@ -56,7 +96,7 @@
   /** Tells a node of a limit as if an endpoint had answered it. */
   recordAnswer(node: LimitNode, endpoint: string, sentAt: number): void {
     const perSecond = this.named.get(endpoint);
-    const { limits } = node.parts;
+    const { limits } = node.parts.sources;
     if (perSecond === undefined && limits.findWord(endpoint) === undefined) return;
     const at = perSecond === undefined ? sentAt : this.now;
     limits.record({ endpoint, processStartedAt: 1, perSecond, at, isOwn: true });
@@ -64,7 +104,9 @@
 
   protected createParts({ name, members }: LimitNode): LimitParts {
     const { clock } = this.events;
-    const limits = new EndpointLimits();
+    const coldEnds = new Map<string, number>();
+    const cold = this.createCold(coldEnds);
+    const sources = new LimitSources(new EndpointLimits(), cold);
     const accounts = new LimitAccounts(() => members.readFleetSize(this.now));
     const owners = new OwnerChooser(name, () => members.listLive(this.now), clock);
     const transport = this.createTransport(name);
@@ -72,7 +114,7 @@
     const onDecision = () => undefined;
     const parts = {
       instance: name,
-      limits,
+      sources,
       accounts,
       owners,
       transport,
@@ -80,20 +122,39 @@
       logger,
       onDecision,
     };
-    return { limits, accounts, permits: new Permits(parts) };
+    return { sources, coldEnds, accounts, permits: new Permits(parts) };
   }
 
   protected createBeat({ parts }: LimitNode): (peer: LimitNode) => void {
-    const told = parts.limits
+    const { limits, cold } = parts.sources;
+    const colds = cold
+      .list(this.now)
+      .map((word) => EndpointCold.encode(encodeCold(word, this.now)).finish());
+    const told = limits
       .list(this.now)
       .map((word) => EndpointLimit.encode(encodeLimit(word, this.now)).finish());
     return (peer) => {
       for (const bytes of told) {
-        peer.parts.limits.record(decodeLimit(EndpointLimit.decode(bytes), this.now));
+        peer.parts.sources.limits.record(decodeLimit(EndpointLimit.decode(bytes), this.now));
+      }
+      for (const bytes of colds) {
+        peer.parts.sources.cold.record(decodeCold(EndpointCold.decode(bytes), this.now), this.now);
       }
     };
   }
 
+  private createCold(coldEnds: ReadonlyMap<string, number>): ColdEndpoints {
+    const entry = { service: "sheets", processStartedAt: 1 } as EndpointEntry;
+    return new ColdEndpoints({
+      directory: { findCold: (id) => ({ entry, endsAt: coldEnds.get(id) ?? 0 }) },
+      findLimit: () =>
+        this.coldPerSecond === undefined
+          ? undefined
+          : { perSecond: this.coldPerSecond, startMs: 6000 },
+      tolerance: { ratio: 1.5, slack: 5 },
+    });
+  }
+
   private send(node: LimitNode, endpoint: string): void {
     const sentAt = this.now;
     const { incarnation } = node;
@@ -110,11 +171,12 @@
 
   private createTransport(from: string): PermitTransport {
     return {
-      request: async (owner, word, count, timeoutMs) => {
+      request: async (owner, ask, timeoutMs) => {
         this.calls += 1;
-        const request = { limit: encodeLimit(word, this.now), count };
+        const bytes = PermitRequest.encode(encodePermitAsk(ask, this.now)).finish();
+        const request = PermitRequest.decode(bytes);
         const reply = await this.callNode(this.findNode(from), owner, timeoutMs, ({ parts }) =>
-          answerPermit(parts.limits, parts.accounts, request, this.now),
+          answerPermit(parts.sources, parts.accounts, request, this.now),
         );
         return reply && { isGranted: reply.granted, retryAfterMs: reply.retryAfterMs };
       },
