--- a/src/fleet/relay/network.ts
+++ b/src/fleet/relay/network.ts
@@ -42,6 +42,7 @@
   RecordKind.departures,
   RecordKind.absences,
   RecordKind.evacuations,
+  RecordKind.cold,
 ]);
 /** Kinds that expire at their receivers unless they are told again. */
 const EXPIRING_KINDS = [RecordKind.lostEndpoints, RecordKind.speeds] as const;
--- a/src/fleet/relay/records.ts
+++ b/src/fleet/relay/records.ts
@@ -19,6 +19,7 @@
   speeds: 8,
   refusals: 9,
   evacuations: 10,
+  cold: 11,
 } as const;
 export type RecordKind = (typeof RecordKind)[keyof typeof RecordKind];
 
--- a/src/forward/kinds.ts
+++ b/src/forward/kinds.ts
@@ -28,6 +28,7 @@
   | "engineSpeeds"
   | "refused"
   | "evacuations"
+  | "coldEndpoints"
 >;
 
 /**
@@ -38,7 +39,8 @@
  */
 export function createKindStates(content: KindContent, now: Moment): readonly KindState[] {
   const { endpointLimits, crashes, completions, partBans } = content;
-  const { departures, absences, lostEndpoints, engineSpeeds, refused, evacuations } = content;
+  const { departures, absences, lostEndpoints, engineSpeeds, refused, evacuations, coldEndpoints } =
+    content;
   const at = (ageMs: number | undefined, stepMs = MOMENT_STEP_MS) =>
     Math.round((now - (ageMs ?? 0)) / stepMs);
   return [
@@ -62,6 +64,9 @@
       ]),
     ]),
     createState(RecordKind.refusals, { refused }, [refused]),
+    createState(RecordKind.cold, { coldEndpoints }, [
+      coldEndpoints.map(({ remainingMs, ...cold }) => [cold, at(-remainingMs)]),
+    ]),
     createState(RecordKind.evacuations, { evacuations }, [evacuations]),
   ];
 }
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -5,20 +5,13 @@
 import { HeartbeatExchanger } from "../fleet/heartbeat";
 import type { RelayNetwork } from "../fleet/relay/network";
 import type { Beat } from "../peer/gen/fleet";
-import { OwnerChooser } from "../fleet/owners";
 import { HistoryReader } from "../fleet/historyreader";
 import { VersionHistory } from "../fleet/versionhistory";
 import { Joiner } from "../fleet/joiner";
 import { OrderLeases } from "../fleet/orders";
 import { Admission, Dispatcher } from "./callers";
-import {
-  Announcer,
-  EndpointGate,
-  LimitAccounts,
-  EndpointLimits,
-  PeerPermitTransport,
-  Permits,
-} from "./limits";
+import { Announcer, EndpointGate, type LimitSources } from "./limits";
+import { createLimitState, createPermits, type LimitState } from "./limitparts";
 import type { InstanceBase } from "./base";
 import {
   PeerChargeTransport,
@@ -71,13 +64,6 @@
   readonly reservations: ReservationQueue;
 }
 
-/** The limits of endpoints, and the accounts of those that this instance owns. */
-export interface LimitState {
-  readonly limits: EndpointLimits;
-  readonly accounts: LimitAccounts;
-  readonly owners: OwnerChooser;
-}
-
 /** The parts of an instance that it starts, serves requests with and closes. */
 export interface InstanceParts {
   readonly view: FleetView;
@@ -109,19 +95,15 @@
   const view = createFleetView(base, sendHeartbeats);
   const { members, transport } = view;
   const quotas = createQuotas(base, view);
-  const limitState = {
-    limits: new EndpointLimits(),
-    accounts: new LimitAccounts(() => members.readFleetSize(clock.now())),
-    owners: createLimitOwners(base, view, isLeaving),
-  };
+  const limitState = createLimitState(base, view, isLeaving);
   const origins = new StreamOrigins();
   const context = createContext(base, view, limitState, origins, sendHeartbeats);
   const engines = createEngineState(context);
-  const { limits } = limitState;
+  const { sources } = limitState;
   const offerFetch = (beat: Beat) => {
     heartbeats.addOffer(beat);
   };
-  const peerParts = { quotas, limits, isLeaving, offerFetch };
+  const peerParts = { quotas, sources, isLeaving, offerFetch };
   const peerState = createPeerState(base, view, context, engines, peerParts);
   const network = createRelayNetwork(base, view, peerState, isLeaving);
   const heartbeats = new HeartbeatExchanger(
@@ -190,7 +172,7 @@
   const gate = new EndpointGate({
     directory,
     evacuations: view.watcher.evacuations,
-    limits: limitState.limits,
+    sources: limitState.sources,
     permits: createPermits(base, view, limitState),
     clock,
     logger,
@@ -269,37 +251,6 @@
   return new HistoryReader({ feed, decode, versionHistory, processes, clock, meter, logger });
 }
 
-/** Creates the chooser of limits' owners. One that leaves owns none: its peers ask another one. */
-function createLimitOwners(
-  { settings, clock }: InstanceBase,
-  { listLive }: FleetView,
-  isLeaving: () => boolean,
-): OwnerChooser {
-  const { instance } = settings;
-  const listOwners = () => listLive().filter((name) => name !== instance || !isLeaving());
-  return new OwnerChooser(instance, listOwners, clock);
-}
-
-function createPermits(
-  { settings, clock, logger, meter }: InstanceBase,
-  { members, transport }: FleetView,
-  { limits, accounts, owners }: LimitState,
-): Permits {
-  const { instance } = settings;
-  return new Permits({
-    instance,
-    limits,
-    accounts,
-    owners,
-    transport: new PeerPermitTransport(members, transport, clock),
-    clock,
-    logger,
-    onDecision: (isGranted) => {
-      meter.permits.inc({ outcome: isGranted ? "granted" : "denied" });
-    },
-  });
-}
-
 function createSharedOrigins(
   { settings, clock, logger }: InstanceBase,
   { members, transport }: FleetView,
@@ -343,7 +294,7 @@
   { directory, watcher, members }: FleetView,
   { crashes, paths }: ForwardContext,
   engines: EngineState,
-  parts: Pick<PeerStateParts, "quotas" | "limits" | "isLeaving" | "offerFetch">,
+  parts: Pick<PeerStateParts, "quotas" | "sources" | "isLeaving" | "offerFetch">,
 ): PeerState {
   return new PeerState({
     clock,
--- a/src/forward/peerstate.ts
+++ b/src/forward/peerstate.ts
@@ -22,7 +22,7 @@
 } from "../peer/gen/fleet";
 import type { CrashTracker } from "../core/crashes/tracker";
 import { createKindStates } from "./kinds";
-import { type EndpointLimits, decodeLimit, encodeLimit } from "./limits";
+import { decodeCold, decodeLimit, encodeCold, encodeLimit, type LimitSources } from "./limits";
 import {
   decodeKnowledge,
   encodeKnowledge,
@@ -66,7 +66,7 @@
   readonly directory: EndpointDirectory;
   readonly watcher: StoreWatcher;
   readonly quotas: Quotas;
-  readonly limits: EndpointLimits;
+  readonly sources: LimitSources;
   readonly crashes: CrashTracker;
   readonly paths: PathTracker;
   readonly refusals: RefusalTracker;
@@ -96,7 +96,8 @@
   }
 
   createBeatContent(): BeatContent {
-    const { clock, directory, quotas, crashes, engineLoad, reservations, isLeaving } = this.parts;
+    const { clock, directory, quotas, sources, crashes, engineLoad, reservations, isLeaving } =
+      this.parts;
     const now = clock.now();
     return {
       ...this.createHead(),
@@ -104,7 +105,8 @@
       usages: [...quotas.listLocalUsage()],
       works: [...engineLoad.listLocalWork()],
       ...encodeKnowledge(crashes.listKnowledge(now)),
-      endpointLimits: this.parts.limits.list(now).map((word) => encodeLimit(word, now)),
+      endpointLimits: sources.limits.list(now).map((word) => encodeLimit(word, now)),
+      coldEndpoints: sources.cold.list(now).map((word) => encodeCold(word, now)),
       lostEndpoints: [...this.parts.paths.listLost()],
       ...this.encodeEvacuations(),
       tellsEvacuations: true,
@@ -328,12 +330,18 @@
     }
   }
 
-  private applyLimits({ endpointLimits }: Beat, sentAt: Moment, peer: string): void {
-    const { limits, logger } = this.parts;
+  private applyLimits({ endpointLimits, coldEndpoints }: Beat, sentAt: Moment, peer: string): void {
+    const { sources, clock, logger } = this.parts;
+    const source = `peer ${peer}`;
     for (const limit of endpointLimits) {
-      if (!limits.record(decodeLimit(limit, sentAt))) continue;
+      if (!sources.limits.record(decodeLimit(limit, sentAt))) continue;
       const { endpoint, perSecond } = limit;
-      logger.info("endpoint limit", { endpoint, perSecond, source: `peer ${peer}` });
+      logger.info("endpoint limit", { endpoint, perSecond, source });
+    }
+    for (const cold of coldEndpoints) {
+      if (!sources.cold.record(decodeCold(cold, sentAt), clock.now())) continue;
+      const { endpoint, remainingMs } = cold;
+      logger.info("endpoint cold", { endpoint, remainingMs, source });
     }
   }
 
--- a/src/forward/requests/messages.ts
+++ b/src/forward/requests/messages.ts
@@ -176,6 +176,8 @@
   readonly unreadableLimit: string | undefined;
   /** Its load, if it tells it. */
   readonly load?: EndpointLoad | undefined;
+  /** How long the endpoint is still cold, in milliseconds; absent if it does not say that it is. */
+  readonly coldMs?: number;
 }
 
 /** A prompt that a prefill engine has read, with the handle of its KV cache. */
--- a/src/peer/gen/fleet.ts
+++ b/src/peer/gen/fleet.ts
@@ -120,6 +120,8 @@
   evacuations: Evacuation[];
   /** The sender's build tells evacuations: its copy of the configuration has them too. */
   tellsEvacuations: boolean;
+  /** Endpoints whose own responses to the sender said that they are cold. */
+  coldEndpoints: EndpointCold[];
   /**
    * Number of instances that the sender knows, this one included; instances with few known peers
    * learn from it that the fleet uses relays. Absent where an older build sends it.
@@ -223,6 +225,15 @@
   waiting: number;
 }
 
+/** An endpoint that is cold, by what it said last. */
+export interface EndpointCold {
+  endpoint: string;
+  /** Milliseconds of the endpoint's wall clock. */
+  processStartedAt: number;
+  /** Time until it is warm, counted from when the message was sent. */
+  remainingMs: number;
+}
+
 /** What an endpoint last said of the requests that it takes from all instances together. */
 export interface EndpointLimit {
   endpoint: string;
@@ -348,6 +359,12 @@
     | undefined;
   /** Number of requests and calls that the asker would send. */
   count: number;
+  /** Set where the asker takes the endpoint for cold. */
+  cold:
+    | EndpointCold
+    | undefined;
+  /** Requests a second that a cold endpoint of its service takes, by the asker's configuration. */
+  coldPerSecond: number;
 }
 
 export interface PermitReply {
@@ -446,6 +463,7 @@
     sentAtMs: undefined,
     evacuations: [],
     tellsEvacuations: false,
+    coldEndpoints: [],
     fleetSize: undefined,
     heardAddresses: [],
   };
@@ -537,6 +555,9 @@
     if (message.tellsEvacuations !== false) {
       writer.uint32(248).bool(message.tellsEvacuations);
     }
+    for (const v of message.coldEndpoints) {
+      EndpointCold.encode(v!, writer.uint32(258).fork()).join();
+    }
     if (message.fleetSize !== undefined) {
       writer.uint32(320).uint32(message.fleetSize);
     }
@@ -783,6 +804,14 @@
             message.tellsEvacuations = reader.bool();
             continue;
           }
+          case 32: {
+            if (tag !== 258) {
+              break;
+            }
+
+            message.coldEndpoints.push(EndpointCold.decode(reader, reader.uint32()));
+            continue;
+          }
           case 40: {
             if (tag !== 320) {
               break;
@@ -911,6 +940,11 @@
         : isSet(object.tells_evacuations)
         ? globalThis.Boolean(object.tells_evacuations)
         : false,
+      coldEndpoints: globalThis.Array.isArray(object?.coldEndpoints)
+        ? object.coldEndpoints.map((e: any) => EndpointCold.fromJSON(e))
+        : globalThis.Array.isArray(object?.cold_endpoints)
+        ? object.cold_endpoints.map((e: any) => EndpointCold.fromJSON(e))
+        : [],
       fleetSize: isSet(object.fleetSize)
         ? globalThis.Number(object.fleetSize)
         : isSet(object.fleet_size)
@@ -1010,6 +1044,9 @@
     if (message.tellsEvacuations !== false) {
       obj.tellsEvacuations = message.tellsEvacuations;
     }
+    if (message.coldEndpoints?.length) {
+      obj.coldEndpoints = message.coldEndpoints.map((e) => EndpointCold.toJSON(e));
+    }
     if (message.fleetSize !== undefined) {
       obj.fleetSize = Math.round(message.fleetSize);
     }
@@ -1052,6 +1089,7 @@
     message.sentAtMs = object.sentAtMs ?? undefined;
     message.evacuations = object.evacuations?.map((e) => Evacuation.fromPartial(e)) || [];
     message.tellsEvacuations = object.tellsEvacuations ?? false;
+    message.coldEndpoints = object.coldEndpoints?.map((e) => EndpointCold.fromPartial(e)) || [];
     message.fleetSize = object.fleetSize ?? undefined;
     message.heardAddresses = object.heardAddresses?.map((e) => e) || [];
     return message;
@@ -2268,6 +2306,115 @@
   },
 };
 
+function createBaseEndpointCold(): EndpointCold {
+  return { endpoint: "", processStartedAt: 0, remainingMs: 0 };
+}
+
+export const EndpointCold: MessageFns<EndpointCold> = {
+  encode(message: EndpointCold, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.endpoint !== "") {
+      writer.uint32(10).string(message.endpoint);
+    }
+    if (message.processStartedAt !== 0) {
+      writer.uint32(16).int64(message.processStartedAt);
+    }
+    if (message.remainingMs !== 0) {
+      writer.uint32(24).uint32(message.remainingMs);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): EndpointCold {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseEndpointCold();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.endpoint = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.processStartedAt = longToNumber(reader.int64());
+            continue;
+          }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.remainingMs = reader.uint32();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): EndpointCold {
+    return {
+      endpoint: isSet(object.endpoint) ? globalThis.String(object.endpoint) : "",
+      processStartedAt: isSet(object.processStartedAt)
+        ? globalThis.Number(object.processStartedAt)
+        : isSet(object.process_started_at)
+        ? globalThis.Number(object.process_started_at)
+        : 0,
+      remainingMs: isSet(object.remainingMs)
+        ? globalThis.Number(object.remainingMs)
+        : isSet(object.remaining_ms)
+        ? globalThis.Number(object.remaining_ms)
+        : 0,
+    };
+  },
+
+  toJSON(message: EndpointCold): unknown {
+    const obj: any = {};
+    if (message.endpoint !== "") {
+      obj.endpoint = message.endpoint;
+    }
+    if (message.processStartedAt !== 0) {
+      obj.processStartedAt = Math.round(message.processStartedAt);
+    }
+    if (message.remainingMs !== 0) {
+      obj.remainingMs = Math.round(message.remainingMs);
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<EndpointCold>, I>>(base?: I): EndpointCold {
+    return EndpointCold.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<EndpointCold>, I>>(object: I): EndpointCold {
+    const message = createBaseEndpointCold();
+    message.endpoint = object.endpoint ?? "";
+    message.processStartedAt = object.processStartedAt ?? 0;
+    message.remainingMs = object.remainingMs ?? 0;
+    return message;
+  },
+};
+
 function createBaseEndpointLimit(): EndpointLimit {
   return { endpoint: "", processStartedAt: 0, perSecond: undefined, ageMs: 0 };
 }
@@ -3987,7 +4134,7 @@
 };
 
 function createBasePermitRequest(): PermitRequest {
-  return { limit: undefined, count: 0 };
+  return { limit: undefined, count: 0, cold: undefined, coldPerSecond: 0 };
 }
 
 export const PermitRequest: MessageFns<PermitRequest> = {
@@ -3998,6 +4145,12 @@
     if (message.count !== 0) {
       writer.uint32(16).uint32(message.count);
     }
+    if (message.cold !== undefined) {
+      EndpointCold.encode(message.cold, writer.uint32(82).fork()).join();
+    }
+    if (message.coldPerSecond !== 0) {
+      writer.uint32(89).double(message.coldPerSecond);
+    }
     return writer;
   },
 
@@ -4030,6 +4183,22 @@
             message.count = reader.uint32();
             continue;
           }
+          case 10: {
+            if (tag !== 82) {
+              break;
+            }
+
+            message.cold = EndpointCold.decode(reader, reader.uint32());
+            continue;
+          }
+          case 11: {
+            if (tag !== 89) {
+              break;
+            }
+
+            message.coldPerSecond = reader.double();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -4046,6 +4215,12 @@
     return {
       limit: isSet(object.limit) ? EndpointLimit.fromJSON(object.limit) : undefined,
       count: isSet(object.count) ? globalThis.Number(object.count) : 0,
+      cold: isSet(object.cold) ? EndpointCold.fromJSON(object.cold) : undefined,
+      coldPerSecond: isSet(object.coldPerSecond)
+        ? globalThis.Number(object.coldPerSecond)
+        : isSet(object.cold_per_second)
+        ? globalThis.Number(object.cold_per_second)
+        : 0,
     };
   },
 
@@ -4057,6 +4232,12 @@
     if (message.count !== 0) {
       obj.count = Math.round(message.count);
     }
+    if (message.cold !== undefined) {
+      obj.cold = EndpointCold.toJSON(message.cold);
+    }
+    if (message.coldPerSecond !== 0) {
+      obj.coldPerSecond = floatToJson(message.coldPerSecond);
+    }
     return obj;
   },
 
@@ -4069,6 +4250,10 @@
       ? EndpointLimit.fromPartial(object.limit)
       : undefined;
     message.count = object.count ?? 0;
+    message.cold = (object.cold !== undefined && object.cold !== null)
+      ? EndpointCold.fromPartial(object.cold)
+      : undefined;
+    message.coldPerSecond = object.coldPerSecond ?? 0;
     return message;
   },
 };
