--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -10,7 +10,7 @@
 import { Joiner } from "../fleet/joiner";
 import { OrderLeases } from "../fleet/orders";
 import { Admission, Dispatcher } from "./callers";
-import { Announcer, EndpointGate, type LimitSources } from "./limits";
+import { Announcer, EndpointGate } from "./limits";
 import { createLimitState, createPermits, type LimitState } from "./limitparts";
 import type { InstanceBase } from "./base";
 import {
