Streams: origins are stored while a service has several versions

With two versions in service all streams that callers took up after a restart of all instances were refused as not run, as origins were only in memory.

Instances now send the origins of their streams to the two store readers (Remember, new field for_store = 20) unless the service is known to have had one version for as long as streams last; those of the last seconds too, once a second version appears. A stored origin counts only if its engine is the same process, or the list is known back to the first event.

The mutations that were added were not run.

--- a/scripts/mutations/limits.mjs
+++ b/scripts/mutations/limits.mjs
@@ -153,6 +153,21 @@
     test: "origins",
     pattern: "two versions at two instances",
   },
+  {
+    name: "versions: missing records end the proof of a history",
+    file: "src/fleet/historyproof.ts",
+    find: "if (entry.sequence !== before.entry.sequence + 1) this.discardBefore(index);",
+    replace: "if (entry.sequence !== before.entry.sequence + 1) before.steps.push(index);",
+    test: "historyproof",
+  },
+  {
+    name: "versions: origins from before a second version are published once it appears",
+    file: "src/forward/shared/originpublisher.ts",
+    find: "this.recent.push({ named, at: this.parts.clock.now() });",
+    replace: "",
+    test: "storedorigins",
+    pattern: "another version is or was",
+  },
   {
     name: "versions: copies are in several data centres",
     file: "src/fleet/replicas.ts",
--- a/src/fleet/readers.ts
+++ b/src/fleet/readers.ts
@@ -46,9 +46,9 @@
   );
 }
 
-/** Tells whether an instance is a reader, as it sees the fleet. */
+/** Tells which instances are readers, as one of them sees the fleet. */
 export class ReaderRole {
-  private isChosen = true;
+  private chosen: readonly string[];
   private checkAgainAt: Moment = Number.NEGATIVE_INFINITY;
 
   /**
@@ -58,13 +58,20 @@
   constructor(
     private readonly instance: string,
     private readonly listCandidates: (now: Moment) => readonly ReaderCandidate[],
-  ) {}
+  ) {
+    this.chosen = [instance];
+  }
 
-  /** Checks whether the instance is a reader; the choice is kept for a short time. */
+  /** Checks whether the instance is a reader. */
   isReader(now: Moment): boolean {
-    if (now < this.checkAgainAt) return this.isChosen;
+    return this.list(now).includes(this.instance);
+  }
+
+  /** Lists the readers; the choice is kept for a short time. */
+  list(now: Moment): readonly string[] {
+    if (now < this.checkAgainAt) return this.chosen;
     this.checkAgainAt = now + CHOICE_TTL_MS;
-    this.isChosen = chooseReaders(this.listCandidates(now)).includes(this.instance);
-    return this.isChosen;
+    this.chosen = chooseReaders(this.listCandidates(now));
+    return this.chosen;
   }
 }
--- a/src/fleet/store.ts
+++ b/src/fleet/store.ts
@@ -71,13 +71,13 @@
   append(key: string, value: Buffer): TE.TaskEither<StoreError, void>;
 }
 
-/** A record of the order log. */
+/** A record of a log. */
 export interface OrderRecord {
   readonly value: Buffer;
   readonly offset: number;
 }
 
-/** Records from an offset up to the end of the order log. */
+/** Records from an offset on. */
 export interface OrderPage {
   readonly records: readonly OrderRecord[];
   /** The offset of the next record to be appended. */
@@ -91,12 +91,21 @@
   appendAt(end: number, value: Buffer): TE.TaskEither<StoreError, LogPosition>;
 }
 
+/** A log to which any instance appends. */
+export interface AppendLog {
+  /** Reads records from an offset on; a page may end before the end of the log. */
+  read(from: number): TE.TaskEither<StoreError, OrderPage>;
+  append(value: Buffer): TE.TaskEither<StoreError, void>;
+}
+
 /** The store that all instances share. */
 export interface Store {
   readonly configuration: Feed;
   readonly endpoints: HistoryFeed;
   readonly members: WritableFeed;
   readonly orders: OrderLog;
+  /** Origins of streams, while a service has several versions. */
+  readonly origins: AppendLog;
   /**
    * Calls a listener each time that a response shows a later era than the one before: the store was
    * restored from an earlier copy. Offsets of the earlier era are of no use from then on, and what
--- a/src/forward/endpoints/context.ts
+++ b/src/forward/endpoints/context.ts
@@ -15,7 +15,7 @@
 import type { EndpointCodec, ForwardRequest, LoopDelaySampler, Meter } from "../requests";
 import type { HealthTracker } from "./health";
 import type { RetryBudget } from "../../core/retrybudget";
-import type { SharedOrigins } from "../shared";
+import type { OriginPublisher, SharedOrigins, StoredOrigins } from "../shared";
 
 /** Dependencies that all requests share. */
 export interface ForwardContext {
@@ -37,6 +37,8 @@
   readonly crashes: CrashTracker;
   readonly announcer: Announcer;
   readonly sharedOrigins: SharedOrigins;
+  readonly storedOrigins: StoredOrigins;
+  readonly originPublisher: OriginPublisher;
   readonly versionHistory: VersionHistory;
   readonly historyReader: HistoryReader;
   readonly dataCentre: string;
--- a/src/forward/generations/index.ts
+++ b/src/forward/generations/index.ts
@@ -2,5 +2,5 @@
  * Runs generations: prefill, decode, and streams that go on at another engine.
  */
 export type { StreamSink } from "./decode";
-export { ResumeResolver, type StreamStart } from "./resume";
+export { MAX_RETURN_MS, ResumeResolver, type StreamStart } from "./resume";
 export { StreamRun } from "./stream";
--- a/src/forward/generations/resume.ts
+++ b/src/forward/generations/resume.ts
@@ -16,6 +16,8 @@
   type FoundOrigin,
   OriginSource,
   type SharedOrigins,
+  type StoredOrigins,
+  type StreamName,
   confirmOrigin,
 } from "../shared";
 
@@ -23,7 +25,7 @@
  * How long after the end of a caller's request it may take up the stream again, in milliseconds:
  * enough for several of its pauses between tries.
  */
-const MAX_RETURN_MS = 2000;
+export const MAX_RETURN_MS = 2000;
 /** Retry delay where an instance or the store, which may know, did not answer, in milliseconds. */
 const UNCLEAR_RETRY_MS = 300;
 
@@ -42,10 +44,12 @@
 /** Dependencies of the resolver. */
 export interface ResumeParts {
   readonly sharedOrigins: SharedOrigins;
+  readonly storedOrigins: StoredOrigins;
   readonly directory: EndpointDirectory;
   readonly versionHistory: VersionHistory;
   readonly historyReader: HistoryReader;
   readonly clock: Clock;
+  readonly readWallClock: () => number;
   readonly meter: Meter;
   readonly logger: Logger;
 }
@@ -68,22 +72,42 @@
     return E.right({ request: { ...request, service: origin.service }, origin });
   }
 
-  /** Asks memory and peers; what the store shows only if these and the own watch tell nothing. */
+  /** Asks memory and peers; the store only if these and the own watch tell nothing. */
   private async find(request: ForwardRequest): Promise<FoundOrigin> {
-    const shared = await this.findShared(request);
-    if (shared.origin !== undefined) return shared;
+    const stream = getStreamName(request);
+    const shared = stream && (await this.parts.sharedOrigins.find(stream));
+    if (shared?.origin !== undefined) return shared;
     const watched = this.findByOnlyVersion(request);
     if (watched !== undefined) return watched;
-    const isHistoryRead = await waitAtMost(this.parts.historyReader.read(), STORE_TIMEOUT_MS);
+    const stored = await this.findInStore(stream);
+    if (stored.origin !== undefined) return stored;
     const proven = this.findByOnlyVersion(request);
-    if (proven !== undefined) return proven;
-    return isHistoryRead === true ? shared : { ...shared, source: OriginSource.unclear };
+    return proven ?? (stored.source === OriginSource.unclear ? stored : (shared ?? stored));
   }
 
-  private findShared({ head, workspace }: ForwardRequest): Promise<FoundOrigin> | FoundOrigin {
-    if (head.resumedId === undefined) return { origin: undefined, source: OriginSource.nowhere };
-    const stream = { workspace: workspace?.name ?? "", request: head.resumedId };
-    return this.parts.sharedOrigins.find(stream);
+  /** Reads the store's records of origins and its history of the list, both at once. */
+  private async findInStore(stream: StreamName | undefined): Promise<FoundOrigin> {
+    const { storedOrigins, historyReader } = this.parts;
+    const [stored, isHistoryRead] = await Promise.all([
+      stream && waitAtMost(storedOrigins.find(stream), STORE_TIMEOUT_MS),
+      waitAtMost(historyReader.read(), STORE_TIMEOUT_MS),
+    ]);
+    const origin = stored?.origin;
+    if (origin !== undefined && this.isEngineKnown(origin)) {
+      return { origin, source: OriginSource.store };
+    }
+    const isRead = isHistoryRead === true && (stream === undefined || stored?.isRead === true);
+    return { origin: undefined, source: isRead ? OriginSource.nowhere : OriginSource.unclear };
+  }
+
+  /**
+   * Checks whether it is known which processes the engine of an origin has had since the stream began:
+   * it is still the same one, or the list was watched since.
+   */
+  private isEngineKnown({ endpoint, processStartedAt, beganAt }: StreamOrigin): boolean {
+    const { directory, versionHistory, clock, readWallClock } = this.parts;
+    if (directory.find(endpoint)?.processStartedAt === processStartedAt) return true;
+    return versionHistory.computeWatchedMs(clock.now()) >= readWallClock() - beganAt;
   }
 
   /** Assumes the only version that the service has had while any stream of the route may have begun. */
@@ -114,6 +138,12 @@
   }
 }
 
+/** The name of the stream that a request takes up; undefined if it does not say. */
+function getStreamName({ head, workspace }: ForwardRequest): StreamName | undefined {
+  if (head.resumedId === undefined) return undefined;
+  return { workspace: workspace?.name ?? "", request: head.resumedId };
+}
+
 /** Checks whether a request takes up a stream; either header alone says so. */
 function isResume({ resumedId, lastEventId }: RequestHead): boolean {
   return resumedId !== undefined || lastEventId !== undefined;
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -195,11 +195,14 @@
   }
 
   onRemember(request: RememberRequest): void {
-    keepOrigins(this.parts.origins, request, this.base.clock.now());
+    const { origins, originWriter } = this.parts.originParts;
+    keepOrigins(origins, request, this.base.clock.now(), (named) => {
+      originWriter.add(named);
+    });
   }
 
   onRecall(request: RecallRequest): RecallReply {
-    return answerRecall(this.parts.origins, request, this.base.clock.now());
+    return answerRecall(this.parts.originParts.origins, request, this.base.clock.now());
   }
 
   onTunnel(call: TunnelServerCall): void {
@@ -246,7 +249,7 @@
   }
 
   private async closeParts(): Promise<void> {
-    const { view, heartbeats, joiner, rebalancer, reservations, context } = this.parts;
+    const { view, heartbeats, joiner, rebalancer, reservations, context, originParts } = this.parts;
     this.callerServer.close();
     this.tunnelServer.close();
     this.statusServers.close();
@@ -259,6 +262,7 @@
     reservations.close();
     context.releaser.close();
     context.announcer.close();
+    originParts.originWriter.close();
     view.transport.close();
     await Promise.all([
       this.peerServer?.close(),
--- a/src/forward/maintenance.ts
+++ b/src/forward/maintenance.ts
@@ -54,6 +54,7 @@
     this.applyCallerLimits();
     this.logShares();
     this.recordVersions();
+    this.context.originPublisher.maintain();
     const { health, meter, directory, gate, dialer } = this.context;
     const isListed = (id: string) => directory.find(id) !== undefined;
     health.prune(isListed);
--- /dev/null
+++ b/src/forward/originparts.ts
@@ -0,0 +1,98 @@
+/**
+ * Creates the parts that know which version began a stream: from memory, from peers, and from the store.
+ */
+import { HistoryReader } from "../fleet/historyreader";
+import { VersionHistory } from "../fleet/versionhistory";
+import type { InstanceBase } from "./base";
+import type { FleetView } from "./fleetview";
+import { MAX_RETURN_MS } from "./generations";
+import {
+  type NamedOrigin,
+  OriginPublisher,
+  OriginWriter,
+  PeerOriginTransport,
+  SharedOrigins,
+  StoredOrigins,
+  StreamOrigins,
+} from "./shared";
+
+/** The parts that know which version began a stream. */
+export interface OriginParts {
+  readonly origins: StreamOrigins;
+  readonly sharedOrigins: SharedOrigins;
+  readonly storedOrigins: StoredOrigins;
+  readonly originWriter: OriginWriter;
+  readonly originPublisher: OriginPublisher;
+  readonly versionHistory: VersionHistory;
+  readonly historyReader: HistoryReader;
+}
+
+/**
+ * Creates the parts that know which version began a stream.
+ *
+ * @example
+ * const { sharedOrigins, versionHistory } = createOriginParts(base, view);
+ */
+export function createOriginParts(base: InstanceBase, view: FleetView): OriginParts {
+  const { settings, adapter, clock, meter, logger } = base;
+  const { members, transport, readerRole, directory } = view;
+  const { instance } = settings;
+  const log = adapter.store.origins;
+  const origins = new StreamOrigins();
+  const versionHistory = new VersionHistory(settings.drainMs);
+  const historyReader = new HistoryReader({
+    feed: adapter.store.endpoints,
+    decode: adapter.decodeEndpoint,
+    versionHistory,
+    processes: directory.processes,
+    clock,
+    meter,
+    logger,
+  });
+  const computeStreamMs = (service: string) => findLongestMs(view, service) + MAX_RETURN_MS;
+  const written = { log, versionHistory, historyReader, computeStreamMs, clock, meter, logger };
+  const originWriter = new OriginWriter(written);
+  const sharedOrigins: SharedOrigins = new SharedOrigins({
+    instance,
+    origins,
+    transport: new PeerOriginTransport(members, transport),
+    listMembers: () => members.listLiveMembers(clock.now()),
+    publish: (named) => {
+      originPublisher.publish(named);
+    },
+    clock,
+    logger,
+  });
+  const originPublisher = new OriginPublisher({
+    versionHistory,
+    computeStreamMs,
+    listWriters: () => readerRole.list(clock.now()),
+    send: (writer: string, named: NamedOrigin) => {
+      if (writer === instance) originWriter.add([named]);
+      else sharedOrigins.sendForStore(writer, named);
+    },
+    clock,
+  });
+  const storedOrigins = new StoredOrigins({ log, clock, meter, logger });
+  adapter.store.onRestored(() => {
+    storedOrigins.onStoreRestored();
+  });
+  return {
+    origins,
+    sharedOrigins,
+    storedOrigins,
+    originWriter,
+    originPublisher,
+    versionHistory,
+    historyReader,
+  };
+}
+
+/** Finds the longest time that a stream of a service may last, in milliseconds. */
+function findLongestMs({ watcher }: FleetView, service: string): number {
+  const routes = watcher.readConfigIndex()?.config.routes ?? [];
+  const streams = routes.filter(
+    ({ isStream, services }) => isStream && services.some((one) => one.service === service),
+  );
+  return Math.max(0, ...streams.map(({ timeoutMs }) => timeoutMs));
+}
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -4,8 +4,6 @@
 import { RetryBudget } from "../core/retrybudget";
 import { HeartbeatExchanger } from "../fleet/heartbeat";
 import { OwnerChooser } from "../fleet/owners";
-import { HistoryReader } from "../fleet/historyreader";
-import { VersionHistory } from "../fleet/versionhistory";
 import { Joiner } from "../fleet/joiner";
 import { OrderLeases } from "../fleet/orders";
 import { Admission, Dispatcher } from "./callers";
@@ -21,10 +19,7 @@
 import {
   PeerChargeTransport,
   QuotaCharger,
-  PeerOriginTransport,
-  StreamOrigins,
   Quotas,
-  SharedOrigins,
   createCrashTracker,
   RefusalTracker,
 } from "./shared";
@@ -38,6 +33,7 @@
   ReservationQueue,
 } from "./engines";
 import { createFleetView, type FleetView } from "./fleetview";
+import { createOriginParts, type OriginParts } from "./originparts";
 import { PathTracker } from "./tunnels";
 import { PeerState } from "./peerstate";
 import { ResumeResolver } from "./generations";
@@ -73,7 +69,7 @@
   readonly view: FleetView;
   readonly quotas: Quotas;
   readonly limitState: LimitState;
-  readonly origins: StreamOrigins;
+  readonly originParts: OriginParts;
   readonly context: ForwardContext;
   readonly reservations: ReservationQueue;
   readonly peerState: PeerState;
@@ -103,8 +99,8 @@
     accounts: new LimitAccounts(() => members.readFleetSize(clock.now())),
     owners: createLimitOwners(base, view, isLeaving),
   };
-  const origins = new StreamOrigins();
-  const context = createContext(base, view, limitState, origins, sendHeartbeats);
+  const originParts = createOriginParts(base, view);
+  const context = createContext(base, view, limitState, originParts, sendHeartbeats);
   const engines = createEngineState(context);
   const { limits } = limitState;
   const peerState = createPeerState(base, view, quotas, limits, context, engines, isLeaving);
@@ -135,7 +131,7 @@
     view,
     quotas,
     limitState,
-    origins,
+    originParts,
     context,
     reservations,
     peerState,
@@ -154,7 +150,7 @@
   base: InstanceBase,
   view: FleetView,
   limitState: LimitState,
-  origins: StreamOrigins,
+  originParts: OriginParts,
   sendHeartbeats: () => void,
 ): ForwardContext {
   const { settings, adapter, clock, meter, loopDelay, logger } = base;
@@ -171,7 +167,6 @@
       announcer.report();
     },
   });
-  const versionHistory = new VersionHistory(settings.drainMs);
   const health = new HealthTracker();
   const paths = new PathTracker(Math.random);
   const links = createLinkChecker(base, directory, paths, (id) => gate.isPaused(id));
@@ -210,25 +205,13 @@
     retries: new RetryBudget(settings.retryLimit, view.countLive, clock.now()),
     crashes: createCrashTracker(settings.instance, listLive, logger),
     announcer,
-    sharedOrigins: createSharedOrigins(base, view, origins),
-    versionHistory,
-    historyReader: createHistoryReader(base, view, versionHistory),
+    ...originParts,
     readWallClock: Date.now,
     dataCentre: settings.dataCentre,
     random: Math.random,
   };
 }
 
-function createHistoryReader(
-  { adapter, clock, meter, logger }: InstanceBase,
-  { directory: { processes } }: FleetView,
-  versionHistory: VersionHistory,
-): HistoryReader {
-  const { store, decodeEndpoint: decode } = adapter;
-  const feed = store.endpoints;
-  return new HistoryReader({ feed, decode, versionHistory, processes, clock, meter, logger });
-}
-
 /** Creates the chooser of limits' owners. One that leaves owns none: its peers ask another one. */
 function createLimitOwners(
   { settings, clock }: InstanceBase,
@@ -260,21 +243,6 @@
   });
 }
 
-function createSharedOrigins(
-  { settings, clock, logger }: InstanceBase,
-  { members, transport }: FleetView,
-  origins: StreamOrigins,
-): SharedOrigins {
-  return new SharedOrigins({
-    instance: settings.instance,
-    origins,
-    transport: new PeerOriginTransport(members, transport),
-    listMembers: () => members.listLiveMembers(clock.now()),
-    clock,
-    logger,
-  });
-}
-
 /**
  * Computes how many connections this instance may have to each endpoint of a service. Requests that
  * were admitted before the service was removed go on, so that it has the fewest then.
--- a/src/forward/requests/meter.ts
+++ b/src/forward/requests/meter.ts
@@ -54,6 +54,11 @@
     "Streams that callers took up again, by where their origin was found",
     ["service", "source"],
   );
+  readonly originsStored = this.createCounter(
+    "origins_stored_total",
+    "Origins of streams that this instance wrote to the store",
+    [],
+  );
   readonly storeCalls = this.createCounter("store_calls_total", "Calls to the store", []);
   readonly storeFailures = this.createCounter("store_failures_total", "Failed calls to it", []);
   private readonly requests = this.createHistogram(
--- a/src/forward/shared/originpeer.ts
+++ b/src/forward/shared/originpeer.ts
@@ -8,7 +8,7 @@
   type NamedOrigin as NamedOriginMessage,
   type RecallReply,
   type RecallRequest,
-  type RememberRequest,
+  RememberRequest,
   type StreamOrigin as StreamOriginMessage,
 } from "../../peer/gen/fleet";
 import type { NamedOrigin, StreamName, StreamOrigin, StreamOrigins } from "./origins";
@@ -25,10 +25,11 @@
     instance: string,
     origins: readonly NamedOrigin[],
     timeoutMs: number,
+    forStore: boolean,
   ): Promise<boolean> {
     const address = this.members.findAddress(instance);
     if (address === undefined) return false;
-    const request = { origins: origins.map(encodeNamedOrigin) };
+    const request = { origins: origins.map(encodeNamedOrigin), forStore };
     return (await this.transport.remember(address, request, timeoutMs)) !== undefined;
   }
 
@@ -45,15 +46,44 @@
 }
 
 /**
- * Keeps the origins that a peer shares.
+ * Keeps the origins that a peer shares, and has those stored that are for the store.
  *
  * @example
- * keepOrigins(origins, request, clock.now());
+ * keepOrigins(origins, request, clock.now(), (named) => writer.add(named));
  */
-export function keepOrigins(origins: StreamOrigins, request: RememberRequest, now: Moment): void {
-  for (const { stream, origin } of request.origins) {
-    if (stream === undefined || origin === undefined) continue;
-    origins.record({ stream, origin: decodeOrigin(origin) }, now);
+export function keepOrigins(
+  origins: StreamOrigins,
+  request: RememberRequest,
+  now: Moment,
+  store: (named: readonly NamedOrigin[]) => void,
+): void {
+  const named = request.origins.flatMap(decodeNamedOrigin);
+  for (const one of named) origins.record(one, now);
+  if (request.forStore) store(named);
+}
+
+/**
+ * Encodes origins for a record of the store.
+ *
+ * @example
+ * await log.append(encodeOrigins([{ stream, origin }]))();
+ */
+export function encodeOrigins(origins: readonly NamedOrigin[]): Buffer {
+  const message = { origins: origins.map(encodeNamedOrigin), forStore: false };
+  return Buffer.from(RememberRequest.encode(message).finish());
+}
+
+/**
+ * Decodes the origins in a record of the store; undefined if it can't be read.
+ *
+ * @example
+ * decodeOrigins(encodeOrigins(origins)); // origins
+ */
+export function decodeOrigins(value: Uint8Array): readonly NamedOrigin[] | undefined {
+  try {
+    return RememberRequest.decode(value).origins.flatMap(decodeNamedOrigin);
+  } catch {
+    return undefined;
   }
 }
 
@@ -84,3 +114,8 @@
   const { service, version, endpoint, processStartedAt, beganAt } = message;
   return { service, version, endpoint, processStartedAt, beganAt };
 }
+
+function decodeNamedOrigin({ stream, origin }: NamedOriginMessage): readonly NamedOrigin[] {
+  if (stream === undefined || origin === undefined) return [];
+  return [{ stream, origin: decodeOrigin(origin) }];
+}
--- a/src/forward/shared/sharedorigins.ts
+++ b/src/forward/shared/sharedorigins.ts
@@ -32,8 +32,17 @@
 
 /** Calls to the instances that keep origins. */
 export interface OriginTransport {
-  /** Has an instance keep origins; resolves with false if it did not answer. */
-  remember(instance: string, origins: readonly NamedOrigin[], timeoutMs: number): Promise<boolean>;
+  /**
+   * Has an instance keep origins; resolves with false if it did not answer.
+   *
+   * @param forStore - true if it is to write them to the store
+   */
+  remember(
+    instance: string,
+    origins: readonly NamedOrigin[],
+    timeoutMs: number,
+    forStore: boolean,
+  ): Promise<boolean>;
   /** Asks an instance for an origin; undefined if it did not answer. */
   recall(
     instance: string,
@@ -46,6 +55,8 @@
 export const OriginSource = {
   here: "here",
   peer: "peer",
+  /** The store's records. */
+  store: "store",
   /** Nobody who answered knows it, but the service has had one version for longer than it lasts. */
   onlyVersion: "only version",
   /** No instance that answered knows it, and all did. */
@@ -69,24 +80,33 @@
   readonly transport: OriginTransport;
   /** Lists the live instances, including this one. */
   readonly listMembers: () => readonly ReplicaCandidate[];
+  /** Has an origin written to the store where that is needed. */
+  readonly publish: (named: NamedOrigin) => void;
   readonly clock: Clock;
   readonly logger: Logger;
 }
 
 /** Records origins for the whole fleet, and finds them. */
 export class SharedOrigins {
-  /** By instance: the origins that wait until the message under way has arrived. */
+  /** Origins that wait until the message under way has arrived, by instance: to keep, and to store. */
   private readonly waiting = new Map<string, NamedOrigin[]>();
+  private readonly waitingForStore = new Map<string, NamedOrigin[]>();
 
   constructor(private readonly parts: SharedOriginParts) {}
 
-  /** Records an origin here and at the instances that keep it. */
+  /** Records an origin here, at the instances that keep it, and in the store where that is needed. */
   record(named: NamedOrigin): void {
     const { instance: self, origins, clock } = this.parts;
     origins.record(named, clock.now());
     for (const instance of this.chooseKeepers(named.stream, 0)) {
       if (instance !== self) this.queueFor(instance, named);
     }
+    this.parts.publish(named);
+  }
+
+  /** Sends an origin to an instance that writes it to the store. */
+  sendForStore(writer: string, named: NamedOrigin): void {
+    this.queueFor(writer, named, true);
   }
 
   /**
@@ -109,28 +129,34 @@
     return chooseReplicas(request, this.parts.listMembers(), standbys);
   }
 
-  private queueFor(instance: string, named: NamedOrigin): void {
-    const waiting = this.waiting.get(instance);
+  private queueFor(instance: string, named: NamedOrigin, forStore = false): void {
+    const queues = forStore ? this.waitingForStore : this.waiting;
+    const waiting = queues.get(instance);
     if (waiting === undefined) {
-      this.waiting.set(instance, []);
-      void this.sendBatches(instance, [named]);
+      queues.set(instance, []);
+      void this.sendBatches(instance, [named], forStore);
     } else if (waiting.length < MAX_WAITING) waiting.push(named);
     else this.parts.logger.warn("stream origin dropped", { instance, waiting: waiting.length });
   }
 
-  private async sendBatches(instance: string, first: readonly NamedOrigin[]): Promise<void> {
+  private async sendBatches(
+    instance: string,
+    first: readonly NamedOrigin[],
+    forStore: boolean,
+  ): Promise<void> {
     const { transport, logger } = this.parts;
+    const queues = forStore ? this.waitingForStore : this.waiting;
     let batch = first;
     while (batch.length > 0) {
       const origins = batch;
       await runTask("share origins", logger, async () => {
-        const isKept = await transport.remember(instance, origins, REMEMBER_TIMEOUT_MS);
+        const isKept = await transport.remember(instance, origins, REMEMBER_TIMEOUT_MS, forStore);
         if (isKept) return;
         logger.debug("stream origins not shared", { instance, origins: origins.length });
       });
-      batch = this.waiting.get(instance)?.splice(0, MAX_BATCH) ?? [];
+      batch = queues.get(instance)?.splice(0, MAX_BATCH) ?? [];
     }
-    this.waiting.delete(instance);
+    queues.delete(instance);
   }
 }
 
--- a/src/peer/gen/fleet.ts
+++ b/src/peer/gen/fleet.ts
@@ -228,6 +228,8 @@
 
 export interface RememberRequest {
   origins: NamedOrigin[];
+  /** True where the receiver is to write them to the store. */
+  forStore: boolean;
 }
 
 export interface RememberReply {
@@ -3008,7 +3010,7 @@
 };
 
 function createBaseRememberRequest(): RememberRequest {
-  return { origins: [] };
+  return { origins: [], forStore: false };
 }
 
 export const RememberRequest: MessageFns<RememberRequest> = {
@@ -3016,6 +3018,9 @@
     for (const v of message.origins) {
       NamedOrigin.encode(v!, writer.uint32(10).fork()).join();
     }
+    if (message.forStore !== false) {
+      writer.uint32(160).bool(message.forStore);
+    }
     return writer;
   },
 
@@ -3040,6 +3045,14 @@
             message.origins.push(NamedOrigin.decode(reader, reader.uint32()));
             continue;
           }
+          case 20: {
+            if (tag !== 160) {
+              break;
+            }
+
+            message.forStore = reader.bool();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -3055,6 +3068,11 @@
   fromJSON(object: any): RememberRequest {
     return {
       origins: globalThis.Array.isArray(object?.origins) ? object.origins.map((e: any) => NamedOrigin.fromJSON(e)) : [],
+      forStore: isSet(object.forStore)
+        ? globalThis.Boolean(object.forStore)
+        : isSet(object.for_store)
+        ? globalThis.Boolean(object.for_store)
+        : false,
     };
   },
 
@@ -3063,6 +3081,9 @@
     if (message.origins?.length) {
       obj.origins = message.origins.map((e) => NamedOrigin.toJSON(e));
     }
+    if (message.forStore !== false) {
+      obj.forStore = message.forStore;
+    }
     return obj;
   },
 
@@ -3072,6 +3093,7 @@
   fromPartial<I extends Exact<DeepPartial<RememberRequest>, I>>(object: I): RememberRequest {
     const message = createBaseRememberRequest();
     message.origins = object.origins?.map((e) => NamedOrigin.fromPartial(e)) || [];
+    message.forStore = object.forStore ?? false;
     return message;
   },
 };
--- a/test/allkilled.spec.ts
+++ b/test/allkilled.spec.ts
@@ -5,10 +5,13 @@
  */
 import assert from "node:assert/strict";
 import { after, afterEach, beforeEach, describe, it } from "node:test";
+import { pause } from "../src/core/clock";
 import { ResumeFleet, type ResumedStream } from "./harness/resumefleet";
 
 const SIZE = 3;
 const STREAMS = 6;
+/** How long a new version is in service before the instances are killed, in milliseconds. */
+const RELEASED_MS = 2500;
 
 let fleet: ResumeFleet;
 
@@ -40,6 +43,83 @@
     await fleet.killAll();
     await fleet.restartAll();
     assert.equal(countWentOn(await fleet.takeUp(begun)), STREAMS);
+    assert.equal(fleet.store.origins.values.length, 0, "no origin is stored");
+  });
+
+  it("goes on at its version where two are in service", async () => {
+    await fleet.addEngine("d1", "v1");
+    await fleet.addEngine("e1", "v2");
+    await fleet.start(SIZE);
+    const begun = await fleet.beginStreams(STREAMS * 2);
+    assert.deepEqual([...new Set(begun.map(({ version }) => version))].sort(), ["v1", "v2"]);
+    await fleet.killAll();
+    await fleet.restartAll();
+    assert.equal(countWentOn(await fleet.takeUp(begun)), begun.length);
+  });
+
+  it("goes on at the newer version if the older one was removed right before", async () => {
+    await fleet.addEngine("d1", "v1");
+    await fleet.addEngine("e1", "v2");
+    await fleet.start(SIZE);
+    const begun = await fleet.beginStreams(STREAMS * 2);
+    fleet.removeEngine("d1");
+    await fleet.killAll();
+    await fleet.restartAll();
+    const resumed = await fleet.takeUp(begun);
+    assert.equal(countWentOn(resumed), begun.filter(({ version }) => version === "v2").length);
+  });
+
+  it("goes on if it began before the second version appeared", async () => {
+    await fleet.addEngine("d1", "v1");
+    await fleet.start(SIZE);
+    const begun = await fleet.beginStreams(STREAMS);
+    await fleet.addEngine("e1", "v2", 0);
+    await pause(RELEASED_MS);
+    await fleet.killAll();
+    await fleet.restartAll();
+    assert.equal(countWentOn(await fleet.takeUp(begun)), STREAMS);
+  });
+
+  it("goes on once more, under either id, after all were killed again", async () => {
+    await fleet.addEngine("d1", "v1");
+    await fleet.addEngine("e1", "v2");
+    await fleet.start(SIZE);
+    const begun = await fleet.beginStreams(STREAMS);
+    await fleet.killAll();
+    await fleet.restartAll();
+    const takenUp = await fleet.takeUpOpenly(begun);
+    await fleet.killAll();
+    await fleet.restartAll();
+    assert.equal(countWentOn(await fleet.takeUp(begun)), STREAMS, "under the first id");
+    assert.equal(countWentOn(await fleet.takeUp(takenUp)), STREAMS, "under the second id");
+  });
+
+  it("is refused with two versions while the store is down, and goes on once it is back", async () => {
+    await fleet.addEngine("d1", "v1");
+    await fleet.addEngine("e1", "v2");
+    await fleet.start(SIZE);
+    const begun = await fleet.beginStreams(STREAMS);
+    await fleet.killAll();
+    await fleet.restartAll();
+    fleet.storeServer.isAway = true;
+    for (const refused of await fleet.takeUp(begun, 1)) {
+      assert.deepEqual([refused.status, refused.retryMs, refused.wentOnAt], [503, "300", []]);
+    }
+    fleet.storeServer.isAway = false;
+    assert.equal(countWentOn(await fleet.takeUp(begun, 6)), STREAMS);
+  });
+
+  it("never goes on at another version if the store was restored and lacks its records", async () => {
+    await fleet.addEngine("d1", "v1");
+    await fleet.addEngine("e1", "v2");
+    await fleet.start(SIZE);
+    const begun = await fleet.beginStreams(STREAMS);
+    fleet.removeEngine("d1");
+    await fleet.killAll();
+    fleet.store.restore({ endpoints: 4 });
+    fleet.store.origins.values = [];
+    await fleet.restartAll();
+    assert.equal(countWentOn(await fleet.takeUp(begun)), 0);
   });
 
   it("is refused while the store is down, and goes on once it is back", async () => {
--- a/test/harness/memory.ts
+++ b/test/harness/memory.ts
@@ -7,6 +7,7 @@
 import type { EndpointEntry } from "../../src/fleet/entries";
 import { FIRST_ERA, type LogPosition } from "../../src/fleet/position";
 import {
+  type AppendLog,
   type Feed,
   type FeedRecord,
   type HistoryFeed,
@@ -101,12 +102,30 @@
   };
 }
 
+/** In-memory log. */
+export class MemoryLog implements AppendLog {
+  values: Buffer[] = [];
+
+  read: AppendLog["read"] = (from) => () => {
+    const records = this.values
+      .slice(from)
+      .map((value, index) => ({ value, offset: from + index }));
+    return Promise.resolve(E.right({ records, end: this.values.length }));
+  };
+
+  append: AppendLog["append"] = (value) => () => {
+    this.values.push(value);
+    return Promise.resolve(E.right(undefined));
+  };
+}
+
 /** In-memory store. */
 export class MemoryStore implements Store {
   readonly configuration = new MemoryFeed();
   readonly endpoints = new MemoryFeed();
   readonly members = new MemoryFeed();
   readonly orders = new MemoryOrders();
+  readonly origins = new MemoryLog();
 
   private readonly restoreListeners: ((era: number) => void)[] = [];
 
--- a/test/harness/originfleet.ts
+++ b/test/harness/originfleet.ts
@@ -101,6 +101,7 @@
       instance: name,
       origins,
       transport: this.createTransport(name),
+      publish: () => undefined,
       listMembers: () => members.listLiveMembers(this.now),
       clock: this.events.clock,
       logger: SILENT_LOGGER,
@@ -116,13 +117,16 @@
     return {
       remember: async (instance, origins: readonly NamedOrigin[], timeoutMs) => {
         this.messages += 1;
-        const request = { origins: origins.map(({ stream, origin }) => ({ stream, origin })) };
+        const request = {
+          origins: origins.map(({ stream, origin }) => ({ stream, origin })),
+          forStore: false,
+        };
         const isKept = await this.callNode(
           this.findNode(from),
           instance,
           timeoutMs,
           ({ parts }) => {
-            keepOrigins(parts.origins, request, this.now);
+            keepOrigins(parts.origins, request, this.now, () => undefined);
             return true;
           },
         );
--- a/test/harness/resumefleet.ts
+++ b/test/harness/resumefleet.ts
@@ -35,6 +35,8 @@
 class ResumeEngine {
   readonly endpoint: RawEndpoint;
   entry: EndpointEntry | undefined;
+  /** False while it leaves streams open that are taken up. */
+  isEnding = true;
   /** By the ids of the requests that it began and that it went on with: the version that it had. */
   readonly begun = new Map<string, string>();
   readonly takenUp = new Map<string, string>();
@@ -59,7 +61,7 @@
         "transfer-encoding: chunked\r\n\r\n",
     );
     socket.write(chunk(event(from + 1)) + chunk(event(from + 2)));
-    if (after !== undefined) socket.write("0\r\n\r\n");
+    if (after !== undefined && this.isEnding) socket.write("0\r\n\r\n");
   }
 }
 
@@ -168,6 +170,21 @@
     return ids.map((id) => ({ id, version: this.findBeginner(id) }));
   }
 
+  /** Has callers take up streams that go on until the instances are killed. */
+  async takeUpOpenly(streams: readonly BegunStream[]): Promise<readonly BegunStream[]> {
+    for (const engine of this.engines.values()) engine.isEnding = false;
+    const taken = streams.map(({ id, version }) => ({ id: `${id}-open`, version }));
+    const open = streams.map(({ id }, turn) => {
+      const headers = { "x-id": `${id}-open`, "x-of": id, "x-after": "2" };
+      return get(this.findPort(turn + 1), `/summary/${id}`, headers);
+    });
+    this.open.push(...open);
+    await waitUntil(() => taken.every(({ id }) => this.listTakers(id).length > 0));
+    await pause(SHARING_MS);
+    for (const engine of this.engines.values()) engine.isEnding = true;
+    return taken;
+  }
+
   /** Kills all instances at once. */
   async killAll(): Promise<void> {
     await Promise.all(this.instances.map((instance) => instance.kill()));
--- a/test/readers.spec.ts
+++ b/test/readers.spec.ts
@@ -82,12 +82,14 @@
   readonly endpoints: FeedView;
   readonly members: FeedView;
   readonly orders: Store["orders"];
+  readonly origins: Store["origins"];
 
   constructor(store: MemoryStore) {
     this.configuration = new FeedView(store.configuration);
     this.endpoints = new FeedView(store.endpoints);
     this.members = new FeedView(store.members);
     this.orders = store.orders;
+    this.origins = store.origins;
   }
 
   get reads(): number {
--- a/test/soak/storechannel.ts
+++ b/test/soak/storechannel.ts
@@ -12,7 +12,7 @@
 /** A call to the store, as it is sent. */
 export interface StoreCall {
   readonly call: number;
-  readonly part: "configuration" | "endpoints" | "members" | "orders";
+  readonly part: "configuration" | "endpoints" | "members" | "orders" | "origins";
   readonly method: "readNewest" | "readHistory" | "read" | "append" | "appendAt";
   readonly args: readonly (number | string | Uint8Array)[];
 }
@@ -66,6 +66,12 @@
     const [first, second] = args;
     if (method === "appendAt") return this.store.orders.appendAt(Number(first), toBuffer(second))();
     if (part === "orders") return this.store.orders.read(Number(first))();
+    if (part === "origins") {
+      const { origins } = this.store;
+      return method === "append"
+        ? origins.append(toBuffer(first))()
+        : origins.read(Number(first))();
+    }
     const feed = this.store[part];
     if (method === "append") return feed.append(String(first), toBuffer(second))();
     if (method === "readHistory") return this.store.endpoints.readHistory()();
@@ -86,6 +92,10 @@
     read: (from) => this.exchange<OrderPage>("orders", "read", [from]),
     appendAt: (end, value) => this.exchange<LogPosition>("orders", "appendAt", [end, value]),
   };
+  readonly origins: Store["origins"] = {
+    read: (from) => this.exchange<OrderPage>("origins", "read", [from]),
+    append: (value) => this.exchange("origins", "append", [value]),
+  };
   private readonly waiting = new Map<number, (answer: StoreAnswer | undefined) => void>();
   private readonly listeners: ((era: number) => void)[] = [];
   private callCount = 0;
