--- a/src/fleet/readers.ts
+++ b/src/fleet/readers.ts
@@ -46,10 +46,9 @@
   );
 }
 
-/** Tells whether an instance is a reader, as it sees the fleet. */
+/** Tells which instances are readers, as one of them sees the fleet. */
 export class ReaderRole {
-  /** Place among the readers; negative if it is none. */
-  private place = 0;
+  private chosen: readonly string[];
   private checkAgainAt: Moment = Number.NEGATIVE_INFINITY;
 
   /**
@@ -59,18 +58,25 @@
   constructor(
     private readonly instance: string,
     private readonly listCandidates: (now: Moment) => readonly ReaderCandidate[],
-  ) {}
+  ) {
+    this.chosen = [instance];
+  }
 
-  /** Checks whether the instance is a reader; the choice is kept for a short time. */
+  /** Checks whether the instance is a reader. */
   isReader(now: Moment): boolean {
     return this.readPlace(now) >= 0;
   }
 
   /** Returns the place of the instance among the readers, from 0 on; negative if it is none. */
   readPlace(now: Moment): number {
-    if (now < this.checkAgainAt) return this.place;
+    return this.list(now).indexOf(this.instance);
+  }
+
+  /** Lists the readers; the choice is kept for a short time. */
+  list(now: Moment): readonly string[] {
+    if (now < this.checkAgainAt) return this.chosen;
     this.checkAgainAt = now + CHOICE_TTL_MS;
-    this.place = chooseReaders(this.listCandidates(now)).indexOf(this.instance);
-    return this.place;
+    this.chosen = chooseReaders(this.listCandidates(now));
+    return this.chosen;
   }
 }
--- a/src/forward/endpoints/context.ts
+++ b/src/forward/endpoints/context.ts
@@ -17,7 +17,7 @@
 import type { HealthTracker } from "./health";
 import type { RetryBudget } from "../../core/retrybudget";
 import type { EndpointSubsets } from "./subset";
-import type { SharedOrigins } from "../shared";
+import type { OriginPublisher, SharedOrigins, StoredOrigins } from "../shared";
 
 /** Dependencies that all requests share. */
 export interface ForwardContext {
@@ -39,6 +39,8 @@
   readonly crashes: CrashTracker;
   readonly announcer: Announcer;
   readonly sharedOrigins: SharedOrigins;
+  readonly storedOrigins: StoredOrigins;
+  readonly originPublisher: OriginPublisher;
   readonly versionHistory: VersionHistory;
   readonly historyReader: HistoryReader;
   readonly dataCentre: string;
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -204,11 +204,14 @@
   }
 
   onRemember(request: RememberRequest): void {
-    keepOrigins(this.parts.origins, request, this.base.clock.now());
+    const { origins, originWriter } = this.parts.originParts;
+    keepOrigins(origins, request, this.base.clock.now(), (named) => {
+      originWriter.add(named);
+    });
   }
 
   onRecall(request: RecallRequest): RecallReply {
-    return answerRecall(this.parts.origins, request, this.base.clock.now());
+    return answerRecall(this.parts.originParts.origins, request, this.base.clock.now());
   }
 
   onRelay(stream: RelayStream): RelayListener {
@@ -260,7 +263,8 @@
   }
 
   private async closeParts(): Promise<void> {
-    const { view, heartbeats, network, joiner, rebalancer, reservations, context } = this.parts;
+    const { view, heartbeats, network, joiner, rebalancer, reservations, context, originParts } =
+      this.parts;
     this.callerServer.close();
     this.tunnelServer.close();
     this.statusServers.close();
@@ -275,6 +279,7 @@
     reservations.close();
     context.releaser.close();
     context.announcer.close();
+    originParts.originWriter.close();
     view.transport.close();
     await Promise.all([
       this.peerServer?.close(),
--- a/src/forward/maintenance.ts
+++ b/src/forward/maintenance.ts
@@ -56,6 +56,7 @@
     this.logShares();
     this.recordVersions();
     this.closeEvacuated();
+    this.context.originPublisher.maintain();
     const { health, meter, directory, gate, dialer } = this.context;
     const isListed = (id: string) => directory.find(id) !== undefined;
     health.prune(isListed);
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -5,8 +5,6 @@
 import { HeartbeatExchanger } from "../fleet/heartbeat";
 import type { RelayNetwork } from "../fleet/relay/network";
 import type { Beat } from "../peer/gen/fleet";
-import { HistoryReader } from "../fleet/historyreader";
-import { VersionHistory } from "../fleet/versionhistory";
 import { Joiner } from "../fleet/joiner";
 import { OrderLeases } from "../fleet/orders";
 import { Admission, Dispatcher } from "./callers";
@@ -16,10 +14,7 @@
 import {
   PeerChargeTransport,
   QuotaCharger,
-  PeerOriginTransport,
-  StreamOrigins,
   Quotas,
-  SharedOrigins,
   createCrashTracker,
   RefusalTracker,
 } from "./shared";
@@ -39,6 +34,7 @@
   ReservationQueue,
 } from "./engines";
 import { createFleetView, type FleetView } from "./fleetview";
+import { createOriginParts, type OriginParts } from "./originparts";
 import { PathTracker } from "./tunnels";
 import { PeerState, type PeerStateParts } from "./peerstate";
 import { createRelayNetwork } from "./relaying";
@@ -69,7 +65,7 @@
   readonly view: FleetView;
   readonly quotas: Quotas;
   readonly limitState: LimitState;
-  readonly origins: StreamOrigins;
+  readonly originParts: OriginParts;
   readonly context: ForwardContext;
   readonly reservations: ReservationQueue;
   readonly peerState: PeerState;
@@ -96,8 +92,8 @@
   const { members, transport } = view;
   const quotas = createQuotas(base, view);
   const limitState = createLimitState(base, view, isLeaving);
-  const origins = new StreamOrigins();
-  const context = createContext(base, view, limitState, origins, sendHeartbeats);
+  const originParts = createOriginParts(base, view);
+  const context = createContext(base, view, limitState, originParts, sendHeartbeats);
   const engines = createEngineState(context);
   const { sources } = limitState;
   const offerFetch = (beat: Beat) => {
@@ -142,7 +138,7 @@
     view,
     quotas,
     limitState,
-    origins,
+    originParts,
     context,
     reservations,
     peerState,
@@ -162,7 +158,7 @@
   base: InstanceBase,
   view: FleetView,
   limitState: LimitState,
-  origins: StreamOrigins,
+  originParts: OriginParts,
   sendHeartbeats: () => void,
 ): ForwardContext {
   const { settings, adapter, clock, meter, loopDelay, logger } = base;
@@ -180,7 +176,6 @@
       announcer.report();
     },
   });
-  const versionHistory = new VersionHistory(settings.drainMs);
   const health = new HealthTracker();
   const paths = new PathTracker(Math.random);
   const links = createLinkChecker(base, directory, paths, (id) => gate.isPaused(id));
@@ -230,9 +225,7 @@
     retries: new RetryBudget(settings.retryLimit, view.countLive, clock.now()),
     crashes: createCrashTracker(settings.instance, listLive, logger),
     announcer,
-    sharedOrigins: createSharedOrigins(base, view, origins),
-    versionHistory,
-    historyReader: createHistoryReader(base, view, versionHistory),
+    ...originParts,
     readWallClock: Date.now,
     dataCentre: settings.dataCentre,
     subsets: new EndpointSubsets(settings.instance, settings.dataCentre, view.countLive),
@@ -241,31 +234,6 @@
   };
 }
 
-function createHistoryReader(
-  { adapter, clock, meter, logger }: InstanceBase,
-  { directory: { processes } }: FleetView,
-  versionHistory: VersionHistory,
-): HistoryReader {
-  const { store, decodeEndpoint: decode } = adapter;
-  const feed = store.endpoints;
-  return new HistoryReader({ feed, decode, versionHistory, processes, clock, meter, logger });
-}
-
-function createSharedOrigins(
-  { settings, clock, logger }: InstanceBase,
-  { members, transport }: FleetView,
-  origins: StreamOrigins,
-): SharedOrigins {
-  return new SharedOrigins({
-    instance: settings.instance,
-    origins,
-    transport: new PeerOriginTransport(members, transport),
-    listMembers: () => members.listLiveMembers(clock.now()),
-    clock,
-    logger,
-  });
-}
-
 /**
  * Computes how many connections this instance may have to each endpoint of a service. Requests that
  * were admitted before the service was removed go on, so that it has the fewest then.
--- a/src/forward/shared/index.ts
+++ b/src/forward/shared/index.ts
@@ -5,8 +5,11 @@
 export { QuotaCharger } from "./charges";
 export { createCrashTracker } from "./crashtracking";
 export { decodeKnowledge, encodeKnowledge } from "./crashwire";
+export { OriginPublisher } from "./originpublisher";
+export { OriginWriter } from "./originwriter";
+export { StoredOrigins } from "./storedorigins";
 export { PeerOriginTransport, answerRecall, keepOrigins } from "./originpeer";
-export { type StreamOrigin, StreamOrigins } from "./origins";
+export { type NamedOrigin, type StreamName, type StreamOrigin, StreamOrigins } from "./origins";
 export { type QuotaTolerance, Quotas, RELAYED_PEERS } from "./quota";
 export { RefusalTracker } from "./refusals";
 export { type FoundOrigin, OriginSource, SharedOrigins } from "./sharedorigins";
