gorsefold evacuate: evacuation on the product's own interface

The clients of engines and services make no call to an evacuated data centre, whatever it is for, and no engine fetches a KV cache from there. Pool schedulers and the service router leave its endpoints out, and refuse at once as not run what could run only there. Running streams go on.

--- a/scripts/mutations/entry.mjs
+++ b/scripts/mutations/entry.mjs
@@ -287,4 +287,20 @@
     replace: "const MAX_LOANS_PER_CALL = 1;",
     test: "loans",
   },
+  {
+    name: "evacuate: engines of an evacuated data centre are not chosen",
+    file: "src/control/grants.ts",
+    find: "if (isEvacuated(configuration, engine.dataCentre)) return false;",
+    replace: "",
+    test: "evacuate",
+    pattern: "refuse at once",
+  },
+  {
+    name: "evacuate: each call is checked right before it is made",
+    file: "src/endpoint/barred.ts",
+    find: "if (!this.isBarred(url)) return createCall()();",
+    replace: "if (url !== undefined) return createCall()();",
+    test: "evacuate",
+    pattern: "makes none",
+  },
 ];
--- a/src/cli/status.ts
+++ b/src/cli/status.ts
@@ -26,6 +26,7 @@
     if (E.isLeft(fleet)) return this.fail(fleet.left);
     const { instances, endpoints } = fleet.right;
     const lines = [
+      ...formatEvacuations(instances),
       ...instances.map(formatInstance),
       ...endpoints.map((entry) => `${entry.name}  ${entry.dataCentre}  endpoint  ${entry.state}`),
     ];
@@ -34,6 +35,16 @@
   }
 }
 
+/** Says for each evacuated data centre which of the instances that answer know it. */
+function formatEvacuations(instances: readonly FleetInstance[]): readonly string[] {
+  const answers = instances.flatMap(({ status }) => status ?? []);
+  const names = new Set(answers.flatMap(({ evacuated }) => evacuated ?? []));
+  return [...names].sort().map((name) => {
+    const known = answers.filter(({ evacuated }) => evacuated?.includes(name) === true);
+    return `${name}  evacuated  in force on ${known.length} of ${instances.length} instances`;
+  });
+}
+
 function formatInstance(instance: FleetInstance): string {
   const { name, dataCentre, state, status } = instance;
   if (status === undefined) return `${name}  ${dataCentre}  ${state}  no answer`;
--- /dev/null
+++ b/src/control/endpointclients.ts
@@ -0,0 +1,32 @@
+/**
+ * Creates the clients of engines and services, which call none in an evacuated data centre.
+ */
+import type { Blackboard } from "../board/board";
+import { isUrlEvacuated } from "../core/config/evacuations";
+import { BarredEngineClient, BarredServiceClient } from "../endpoint/barred";
+import { type EngineClient, HttpEngineClient } from "../endpoint/engine";
+import { HttpServiceClient, type ServiceClient } from "../endpoint/service";
+
+/**
+ * Creates the client of engines.
+ *
+ * @example
+ * const engines = createEngineClient(board);
+ */
+export function createEngineClient(board: Blackboard): EngineClient {
+  return new BarredEngineClient(new HttpEngineClient(), createBarCheck(board));
+}
+
+/**
+ * Creates the client of plain services.
+ *
+ * @example
+ * const services = createServiceClient(board);
+ */
+export function createServiceClient(board: Blackboard): ServiceClient {
+  return new BarredServiceClient(new HttpServiceClient(), createBarCheck(board));
+}
+
+function createBarCheck(board: Blackboard): (url: string) => boolean {
+  return (url) => isUrlEvacuated(board.config.read().configuration, url);
+}
--- a/src/control/endpointcontroller.ts
+++ b/src/control/endpointcontroller.ts
@@ -7,6 +7,7 @@
 import type { Blackboard, EndpointView } from "../board/board";
 import type { Clock, Moment } from "../core/clock";
 import { type Endpoint, Role } from "../core/config/objects";
+import { isEvacuated } from "../core/config/evacuations";
 import type { Logger } from "../core/log";
 import { runTask } from "../core/tasks";
 import type { EngineClient } from "../endpoint/engine";
@@ -63,7 +64,9 @@
       usableFrom: this.continuousLease?.usableFrom ?? now,
       lastFenceAt: now,
     };
-    const { endpoints } = this.board.config.read().configuration;
+    const { configuration } = this.board.config.read();
+    if (isEvacuated(configuration, this.self.dataCentre)) return;
+    const { endpoints } = configuration;
     for (const [name, endpoint] of Object.entries(endpoints)) {
       if (endpoint.dataCentre !== this.self.dataCentre || endpoint.role === Role.service) continue;
       const view = this.board.endpoints.get(name);
--- a/src/control/grants.ts
+++ b/src/control/grants.ts
@@ -11,6 +11,7 @@
 import type { RunningRequest } from "../core/crashes/poison";
 import { computePrefixBlockTokens } from "../core/tokens";
 import type { Want } from "../peer/gen/peer";
+import { isEvacuated } from "../core/config/evacuations";
 import { isEndpointLeaving } from "./listpoller";
 
 /** How long the hold of an ended grant is ignored in the engines' reports, which lag behind. */
@@ -294,7 +295,9 @@
 ): boolean {
   if (!(engine.models ?? []).includes(want.model) || want.exclude.includes(engine.name))
     return false;
-  const model = board.config.read().configuration.models[want.model];
+  const { configuration } = board.config.read();
+  if (isEvacuated(configuration, engine.dataCentre)) return false;
+  const model = configuration.models[want.model];
   const labels = mergeLabels(model?.labels ?? {}, engine.labels ?? {});
   return selectors.every((selector) => matchesSelector(selector, labels));
 }
--- a/src/control/scheduler.ts
+++ b/src/control/scheduler.ts
@@ -5,6 +5,7 @@
 import type { Blackboard } from "../board/board";
 import type { Clock, Moment } from "../core/clock";
 import type { RequestQueue } from "../core/queue";
+import { listEvacuated } from "../core/config/evacuations";
 import type { Logger } from "../core/log";
 import { type Metrics, Metric } from "../core/metrics";
 import { Reason } from "../core/outcome";
@@ -263,7 +264,13 @@
         scheduledPool.grants.listCandidates(pool.prefills, item, now),
         scheduledPool.grants.listCandidates(pool.decodes, item, now),
       );
-      if (placement === undefined) continue;
+      if (placement === undefined) {
+        if (this.canBeServed(pool, item)) continue;
+        scheduledPool.queue.remove(item.id);
+        this.requests.delete(item.id);
+        this.refuse(item.session, item.want, Reason.noEndpoint, MIN_RETRY_AFTER_MS);
+        return true;
+      }
       scheduledPool.queue.dequeue(item.id);
       this.grant(scheduledPool, item, placement, now);
       return true;
@@ -271,6 +278,12 @@
     return false;
   }
 
+  /** Checks whether a request that waits need not be refused since data centres were evacuated. */
+  private canBeServed(pool: Pool, { want }: WaitingRequest): boolean {
+    const isAnyEvacuated = listEvacuated(this.board.config.read().configuration).length > 0;
+    return !isAnyEvacuated || hasCandidates(this.board, pool, want);
+  }
+
   private grant(
     scheduledPool: ScheduledPool,
     item: WaitingRequest,
--- a/src/control/sweeper.ts
+++ b/src/control/sweeper.ts
@@ -5,6 +5,7 @@
 import type { Blackboard } from "../board/board";
 import type { Clock } from "../core/clock";
 import { parseInstance, parseIncarnation } from "../core/ids";
+import { isEvacuated } from "../core/config/evacuations";
 import type { Logger } from "../core/log";
 import { runTask } from "../core/tasks";
 import type { EngineClient } from "../endpoint/engine";
@@ -42,10 +43,11 @@
   }
 
   private sweep(): void {
-    const { endpoints } = this.board.config.read().configuration;
+    const { configuration } = this.board.config.read();
+    const { endpoints } = configuration;
     for (const name of this.ownedEndpoints.list(this.clock.now())) {
       const endpoint = endpoints[name];
-      if (endpoint === undefined) continue;
+      if (endpoint === undefined || isEvacuated(configuration, endpoint.dataCentre)) continue;
       const held = this.board.endpoints.get(name)?.holds ?? [];
       const holds = held.filter((hold) => this.isOrphan(hold));
       if (holds.length === 0) continue;
--- a/src/core/config/objects.ts
+++ b/src/core/config/objects.ts
@@ -124,7 +124,15 @@
 export type Key = t.TypeOf<typeof keyCodec>;
 
 /** A data centre, which holds a share of the rate of every workspace. */
-export const dataCentreCodec = createClosed("dataCentre", {}, { region: t.string });
+export const dataCentreCodec = createClosed(
+  "dataCentre",
+  {},
+  {
+    region: t.string,
+    /** True while nothing is sent to its endpoints. */
+    evacuated: t.boolean,
+  },
+);
 export type DataCentre = t.TypeOf<typeof dataCentreCodec>;
 
 /** The codec of each kind of object. */
--- a/src/entry/operator.ts
+++ b/src/entry/operator.ts
@@ -22,6 +22,8 @@
   readonly members: readonly string[];
   readonly endpoints: readonly string[];
   readonly duties: readonly string[];
+  /** Data centres to which the instance sends nothing; an instance of an older build does not say. */
+  readonly evacuated?: readonly string[];
   /** Pools that this instance schedules. */
   readonly keptPools: readonly string[];
   readonly eventLoopDelayP99Ms: number;
--- a/src/entry/servicechoice.ts
+++ b/src/entry/servicechoice.ts
@@ -6,6 +6,7 @@
 import type { Blackboard } from "../board/board";
 import { isEndpointLeaving } from "../control/listpoller";
 import type { Clock } from "../core/clock";
+import { isEvacuated } from "../core/config/evacuations";
 import { Role } from "../core/config/objects";
 import { matchesSelector, type Selector } from "../core/labels";
 import type { Logger } from "../core/log";
@@ -95,7 +96,8 @@
   }
 
   private listAllowedEndpoints(request: RoutedServiceRequest): readonly NamedEndpoint[] {
-    const { endpoints, selectors, workspaces } = this.parts.board.config.read().configuration;
+    const { configuration } = this.parts.board.config.read();
+    const { endpoints, selectors, workspaces } = configuration;
     const selectorNames = [request.route.selector, workspaces[request.caller.workspace]?.selector];
     const requiredSelectors: readonly Selector[] = selectorNames.flatMap((name) =>
       name === undefined ? [] : [selectors[name] ?? {}],
@@ -105,6 +107,7 @@
         ([, endpoint]) =>
           endpoint.role === Role.service && endpoint.service === request.route.service,
       )
+      .filter(([, { dataCentre }]) => !isEvacuated(configuration, dataCentre))
       .filter(([, endpoint]) =>
         requiredSelectors.every((selector) => matchesSelector(selector, endpoint.labels ?? {})),
       )
--- a/src/instance.ts
+++ b/src/instance.ts
@@ -22,9 +22,11 @@
   type InstanceIdentity,
 } from "./control/membership";
 import { DutyElector } from "./control/elector";
+import { createEngineClient, createServiceClient } from "./control/endpointclients";
 import { Prober } from "./control/prober";
 import { Sweeper } from "./control/sweeper";
 import { type Clock, MonotonicClock, pause } from "./core/clock";
+import { listEvacuated } from "./core/config/evacuations";
 import { createIncarnation, IdGenerator } from "./core/ids";
 import { createLogger, type Logger } from "./core/log";
 import { createMetrics, Metric, type Metrics } from "./core/metrics";
@@ -32,8 +34,6 @@
 import { RetryBudget, type RetryLimit } from "./core/retrybudget";
 import { DEFAULT_SETTINGS, type Settings } from "./core/settings";
 import { runTask } from "./core/tasks";
-import { HttpEngineClient } from "./endpoint/engine";
-import { HttpServiceClient } from "./endpoint/service";
 import { OperatorServer, type InstanceStatus } from "./entry/operator";
 import { ServiceRouter } from "./entry/service";
 import { CallerServer } from "./entry/server";
@@ -95,7 +95,7 @@
   private readonly logClient: HttpLogClient;
   private readonly instanceList: HttpInstanceList;
   private readonly transport = new GrpcPeerTransport();
-  private readonly engines = new HttpEngineClient();
+  private readonly engines = createEngineClient(this.board);
   private readonly listPoller: ListPoller;
   private readonly controlReader: ControlReader;
   private readonly membership: Membership;
@@ -182,7 +182,7 @@
     const serviceRouter = new ServiceRouter({
       ...shared,
       claimer: this.claimer,
-      services: new HttpServiceClient(),
+      services: createServiceClient(board),
     });
     this.callerServer = new CallerServer(
       {
@@ -389,6 +389,7 @@
       duties: [...this.board.duties.read().values()]
         .filter((item) => item.incarnation === this.self.incarnation)
         .map((item) => `${item.duty} of ${item.dataCentre}`),
+      evacuated: listEvacuated(this.board.config.read().configuration),
       keptPools: [...this.scheduler.listScheduledPools()].sort(),
       eventLoopDelayP99Ms: this.computeLoopDelayP99Ms(),
     };
--- a/src/main.ts
+++ b/src/main.ts
@@ -8,6 +8,7 @@
   ConfigPublishCommand,
   ConfigShowCommand,
 } from "./cli/config";
+import { EvacuateCommand } from "./cli/evacuate";
 import { CausesCommand, ExplainCommand } from "./cli/explain";
 import { KeyCreateCommand, KeyListCommand, KeyWithdrawCommand } from "./cli/key";
 import { createObjectCommands, LabelRemoveCommand, LabelSetCommand } from "./cli/object";
@@ -29,6 +30,7 @@
   KeyListCommand,
   LabelSetCommand,
   LabelRemoveCommand,
+  EvacuateCommand,
   StatusCommand,
   ExplainCommand,
   CausesCommand,
