Pace of endpoints that start or recover, behind the setting pace

Cause: an endpoint that has just started or recovered looks idle to all instances at once; one that is slow at first gets more than it answers in time.

Change: with the setting pace (off by default; member pace of the platform settings) the owner of the endpoint's limit keeps a window of sends in flight from all instances together. It grows with answers in the usual time of their route, stage and size, is halved by rejections and by answers far slower than those of the other endpoints, and ends once the endpoint performs like them. Instances find starts, recoveries and ends of pauses, tell peers at once (Beat.paced_endpoints) and report outcomes with the next PermitRequest or after 50 ms; PermitReply.pace_over ends it. The fake gate of standstill.spec has the new method.

--- a/src/forward/endpoints/client.ts
+++ b/src/forward/endpoints/client.ts
@@ -5,9 +5,8 @@
  */
 import type { Readable } from "node:stream";
 import * as E from "fp-ts/Either";
-import type { Clock } from "../../core/clock";
+import type { Clock, Moment } from "../../core/clock";
 import { createTimeoutSignal } from "../../core/readfirst";
-import { isConnectionRefused, isConnectError } from "../../store/http";
 import { MAX_SMALL_BODY_BYTES } from "./body";
 import { type Connection, MAX_FRAMED_BYTES, MAX_HEAD_BYTES } from "./connection";
 import type { EndpointDialer } from "../tunnels";
@@ -21,8 +20,12 @@
   SendTask,
   Verdict,
 } from "../requests";
-import type { EndpointGate, EndpointTarget } from "../limits";
+import { type EndpointGate, type EndpointTarget, SendEnding } from "../limits";
+import { describeCall, describeSend, readEnding, type SendKind } from "./sendkind";
 import { ConnectionPool, ConnectionWay } from "./pool";
+import { createFailure, createHeldFailure, SendFailure, SendFailureKind } from "./sendfailure";
+
+export { SendFailure, SendFailureKind } from "./sendfailure";
 
 /**
  * How often idle connections that the endpoint closed are removed from the pools, in milliseconds.
@@ -33,53 +36,6 @@
 const NO_CONTENT = 204;
 const NOT_MODIFIED = 304;
 
-/** Why a send or call got no response. */
-export const SendFailureKind = {
-  /** Held back by the gate: the endpoint asked for a pause, is leaving, or its limit is used up. */
-  held: "held",
-  /** All connections that this instance may open to the endpoint are in use. */
-  busy: "busy",
-  /** Nothing listens at the address (connection refused). */
-  down: "down",
-  /** No connection could be opened. */
-  unreachable: "unreachable",
-  /** The request may have been sent. */
-  broken: "broken",
-  /**
-   * The answer on the connection was to another exchange. The request was sent, and its own answer
-   * is not known.
-   */
-  foreign: "foreign",
-} as const;
-export type SendFailureKind = (typeof SendFailureKind)[keyof typeof SendFailureKind];
-
-/** A send or call that got no response. */
-export class SendFailure extends Error {
-  override readonly name = "SendFailure";
-
-  constructor(
-    readonly kind: SendFailureKind,
-    message: string,
-  ) {
-    super(message);
-  }
-
-  /** False only if no byte of the request can have left. */
-  get isSent(): boolean {
-    return this.kind === SendFailureKind.broken || this.kind === SendFailureKind.foreign;
-  }
-
-  /** True if an answer to another exchange came, so that the endpoint is up. */
-  get isForeign(): boolean {
-    return this.kind === SendFailureKind.foreign;
-  }
-
-  /** True if the failure says nothing about the endpoint's health. */
-  get isLocal(): boolean {
-    return this.kind === SendFailureKind.held || this.kind === SendFailureKind.busy;
-  }
-}
-
 /** A response whose body is still to be read. */
 export interface OpenResponse {
   readonly head: ResponseHead;
@@ -171,7 +127,11 @@
   ): Promise<E.Either<SendFailure, OpenResponse>> {
     const { head, body } = send.request;
     const { service } = send.endpoint;
-    if (!(await this.canSend(send)) || signal.aborted) return E.left(createHeldFailure());
+    if (!(await this.canSend(send))) return E.left(createHeldFailure());
+    if (signal.aborted) {
+      this.recordEnd(send.endpoint, describeSend(send), SendEnding.aborted, this.clock.now());
+      return E.left(createHeldFailure());
+    }
     const pool = this.getOrCreatePool(send.endpoint);
     const connection = pool.acquireForRequest({
       id: head.id,
@@ -179,6 +139,7 @@
       maxConnections: this.host.computeMaxConnections(service),
     });
     if (connection === undefined) {
+      this.recordEnd(send.endpoint, describeSend(send), SendEnding.aborted, this.clock.now());
       const message = "all connections to the endpoint are in use";
       return E.left(new SendFailure(SendFailureKind.busy, message));
     }
@@ -194,6 +155,7 @@
         signal,
         responseHeaders: "raw",
       });
+      this.recordEnd(send.endpoint, describeSend(send), readEnding(response.statusCode), sentAt);
       const headers = response.headers as unknown as readonly string[];
       // A notice is the endpoint's word, also in an answer to another exchange.
       const notice = this.codec.readNotice(response.statusCode, headers);
@@ -226,6 +188,8 @@
         isFilledUp: async (whole) => isCutInHead(whole) && (await connection.waitForStrayBytes()),
       });
     } catch (error) {
+      const ending = signal.aborted ? SendEnding.aborted : SendEnding.failed;
+      this.recordEnd(send.endpoint, describeSend(send), ending, sentAt);
       pool.discard(connection);
       return E.left(createFailure(error));
     } finally {
@@ -253,6 +217,7 @@
         signal: createTimeoutSignal(timeoutMs),
         responseHeaders: "raw",
       });
+      this.recordCallEnd(target, call, readEnding(response.statusCode), sentAt, permits);
       const headers = response.headers as unknown as readonly string[];
       const notice = this.codec.readNotice(response.statusCode, headers);
       this.gate.onNotice(target, notice);
@@ -263,6 +228,7 @@
       const body = Buffer.from(await response.body.arrayBuffer());
       return E.right({ status: response.statusCode, body });
     } catch (error) {
+      this.recordCallEnd(target, call, SendEnding.failed, sentAt, permits);
       return E.left(createFailure(error));
     } finally {
       pool.discard(connection);
@@ -311,6 +277,30 @@
     return !this.gate.isPaused(target.id);
   }
 
+  private recordEnd(
+    { id: endpoint, processStartedAt, service = "" }: EndpointTarget,
+    kind: SendKind,
+    ending: SendEnding,
+    sentAt: Moment,
+  ): void {
+    const tookMs = this.clock.now() - sentAt;
+    this.gate.recordSend({ endpoint, processStartedAt, service, ...kind, ending, tookMs });
+  }
+
+  private recordCallEnd(
+    target: EndpointTarget,
+    call: EndpointCall,
+    ending: SendEnding,
+    sentAt: Moment,
+    permits: number,
+  ): void {
+    this.recordEnd(target, describeCall(call), ending, sentAt);
+    // A hold that is not granted has no run, whose permit came with it.
+    for (let unused = 1; unused < permits && ending !== SendEnding.answered; unused += 1) {
+      this.recordEnd(target, describeCall(call), SendEnding.aborted, sentAt);
+    }
+  }
+
   private reportForeign(
     { request, endpoint }: EndpointRequest,
     status: number,
@@ -371,19 +361,3 @@
   if (status === NO_CONTENT || status === NOT_MODIFIED) return true;
   return headers.some((text, index) => index % 2 === 0 && FRAMING_HEADERS.has(text.toLowerCase()));
 }
-
-function createFailure(error: unknown): SendFailure {
-  const { code, message } = error as { code?: string; message?: string };
-  const text = [code, message].filter((part) => part !== undefined && part !== "").join(" ");
-  return new SendFailure(classifyError(error), text);
-}
-
-function classifyError(error: unknown): SendFailureKind {
-  if (isConnectionRefused(error)) return SendFailureKind.down;
-  return isConnectError(error) ? SendFailureKind.unreachable : SendFailureKind.broken;
-}
-
-function createHeldFailure(): SendFailure {
-  const message = "the endpoint asked for a pause, is leaving, or its limit is used up";
-  return new SendFailure(SendFailureKind.held, message);
-}
--- a/src/forward/gauges.ts
+++ b/src/forward/gauges.ts
@@ -14,6 +14,8 @@
   isStoreReader(): boolean;
   computeConfigAgeMs(): number;
   computeEndpointsAgeMs(): number;
+  countCold(): number;
+  countPaced(): number;
 }
 
 /**
@@ -50,4 +52,10 @@
   meter.addGauge("endpoints_age_ms", "Time since the endpoint list was confirmed", () =>
     source.computeEndpointsAgeMs(),
   );
+  meter.addGauge("cold_endpoints", "Listed endpoints that are cold", () => source.countCold());
+  meter.addGauge(
+    "paced_endpoints",
+    "Endpoints that started or recovered and get few requests",
+    () => source.countPaced(),
+  );
 }
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -190,8 +190,8 @@
   }
 
   onPermit(request: PermitRequest): PermitReply {
-    const { sources, accounts } = this.parts.limitState;
-    return answerPermit(sources, accounts, request, this.base.clock.now());
+    const { limitState } = this.parts;
+    return answerPermit(limitState.sources, limitState, request, this.base.clock.now());
   }
 
   onRemember(request: RememberRequest): void {
@@ -228,6 +228,7 @@
     const { clock, lines, loopDelay, meter } = this.base;
     const { view, reservations } = this.parts;
     const { watcher, readerRole } = view;
+    const { sources } = this.parts.limitState;
     addGauges(meter, {
       countOpenRequests: () => this.callerServer.inFlightCount,
       countWaiting: () => reservations.size,
@@ -238,6 +239,8 @@
       isStoreReader: () => readerRole.isReader(clock.now()),
       computeConfigAgeMs: () => watcher.computeConfigAgeMs(),
       computeEndpointsAgeMs: () => watcher.computeEndpointsAgeMs(),
+      countCold: () => sources.countCold(view.directory.listAll(), clock.now()),
+      countPaced: () => sources.pacing?.size ?? 0,
     });
   }
 
--- a/src/forward/limitparts.ts
+++ b/src/forward/limitparts.ts
@@ -9,14 +9,22 @@
   EndpointLimits,
   LimitAccounts,
   LimitSources,
+  PaceAccounts,
+  Pacing,
+  type PacingParts,
   PeerPermitTransport,
   Permits,
 } from "./limits";
 
+/** How long outcomes of sends wait for the next request for a permit, in milliseconds. */
+const REPORT_DELAY_MS = 50;
+
 /** What limits the sends to endpoints, and the accounts of the limits that this instance owns. */
 export interface LimitState {
   readonly sources: LimitSources;
   readonly accounts: LimitAccounts;
+  /** Undefined if endpoints that start are not limited in their pace. */
+  readonly paceAccounts: PaceAccounts | undefined;
   readonly owners: OwnerChooser;
 }
 
@@ -24,20 +32,30 @@
  * Creates the state of limits. An instance that leaves owns none: its peers ask another one.
  *
  * @param isLeaving - returns whether the instance is stopping
+ * @param hooks - called when peers should hear of an endpoint, and when outcomes are to be reported
  * @example
- * const { sources } = createLimitState(base, view, () => isStopping);
+ * const { sources } = createLimitState(base, view, () => isStopping, hooks);
  */
 export function createLimitState(
-  { settings, clock }: InstanceBase,
+  base: InstanceBase,
   { directory, watcher, members, listLive }: FleetView,
   isLeaving: () => boolean,
+  hooks: Pick<PacingParts, "onBegin" | "onOutcome">,
 ): LimitState {
+  const { settings, clock, logger } = base;
   const { instance, coldTolerance: tolerance } = settings;
   const findLimit = (service: string) => watcher.readConfigIndex()?.findService(service)?.cold;
   const cold = new ColdEndpoints({ directory, findLimit, tolerance });
   const listOwners = () => listLive().filter((name) => name !== instance || !isLeaving());
+  const isPaced = settings.pace === true;
+  const pacing = isPaced ? new Pacing({ clock, logger, ...hooks }) : undefined;
+  const readSlots = (id: string) => directory.find(id)?.slots;
+  const paceAccounts = new PaceAccounts(readSlots, (endpoint, window, cause) => {
+    logger.info("endpoint pace", { endpoint, window: Math.round(window), cause });
+  });
   return {
-    sources: new LimitSources(new EndpointLimits(), cold),
+    sources: new LimitSources(new EndpointLimits(), cold, pacing),
+    paceAccounts: isPaced ? paceAccounts : undefined,
     accounts: new LimitAccounts(() => members.readFleetSize(clock.now())),
     owners: new OwnerChooser(instance, listOwners, clock),
   };
@@ -61,8 +79,28 @@
     clock,
     logger,
     onDecision: (isGranted, limit) => {
-      const source = limit.cold === undefined ? "named" : "cold";
+      const named = limit.perSecond === undefined ? "pace" : "named";
+      const source = limit.cold === undefined ? named : "cold";
       meter.permits.inc({ outcome: isGranted ? "granted" : "denied", source });
     },
   });
 }
+
+/**
+ * Creates a function that reports the outcomes of sends soon; several calls report once.
+ *
+ * @param flush - reports them
+ * @example
+ * const onOutcome = createOutcomeReporter(() => permits.flushOutcomes());
+ */
+export function createOutcomeReporter(flush: () => Promise<void>): () => void {
+  let isScheduled = false;
+  return () => {
+    if (isScheduled) return;
+    isScheduled = true;
+    setTimeout(() => {
+      isScheduled = false;
+      void flush();
+    }, REPORT_DELAY_MS).unref();
+  };
+}
--- a/src/forward/limits/gate.ts
+++ b/src/forward/limits/gate.ts
@@ -8,6 +8,7 @@
 import type { EndpointDirectory } from "../../fleet/directory";
 import type { EndpointEntry } from "../../fleet/entries";
 import type { EndpointNotice } from "../requests";
+import type { EndedSend } from "./pacing";
 import type { Permits } from "./permits";
 import type { LimitSources } from "./sources";
 
@@ -18,6 +19,8 @@
   readonly address: string;
   /** When its process started, in milliseconds of its own wall clock. */
   readonly processStartedAt: number;
+  /** Absent where it is not known. */
+  readonly service?: string;
 }
 
 /** An endpoint's answer, as far as it matters for what the endpoint says of its limit. */
@@ -93,6 +96,16 @@
     return permits.isLimited(target) ? permits.acquire(target, count) : true;
   }
 
+  /** Reports how sends ended to the owners of the limits. */
+  flushOutcomes(): Promise<void> {
+    return this.parts.permits.flushOutcomes();
+  }
+
+  /** Records how a send ended, by which the pace of an endpoint that started is found. */
+  recordSend(send: EndedSend): void {
+    this.parts.sources.pacing?.record(send);
+  }
+
   /** True if the endpoint has lately named a limit or is cold, so that others are preferred. */
   isLimited({ id: endpoint, processStartedAt }: EndpointTarget): boolean {
     const { sources, clock } = this.parts;
@@ -156,8 +169,12 @@
     for (const id of this.pauseEnds.keys()) this.readPauseEnd(id);
     for (const id of this.unreadable.keys()) if (!isListed(id)) this.unreadable.delete(id);
     const { permits, sources, clock } = this.parts;
+    const now = clock.now();
     permits.prune();
-    sources.prune(isListed, clock.now());
+    sources.prune(isListed, now);
+    for (const { id: endpoint, processStartedAt } of this.parts.directory.listAll()) {
+      sources.pacing?.observe({ endpoint, processStartedAt }, now);
+    }
   }
 
   private computeLeastMs(ends: readonly (Moment | undefined)[]): number | undefined {
@@ -187,6 +204,7 @@
     const previousEnd = this.readPauseEnd(id);
     if (previousEnd !== undefined && previousEnd >= end) return;
     this.pauseEnds.set(id, end);
+    this.parts.sources.pacing?.recordPause(id);
     if (previousEnd === undefined) this.parts.logger.warn("endpoint paused", { endpoint: id, ms });
   }
 }
--- a/src/forward/limits/permits.ts
+++ b/src/forward/limits/permits.ts
@@ -9,10 +9,15 @@
 import type { OwnerChooser } from "../../fleet/owners";
 import type { GrpcFleetTransport } from "../../fleet/transport";
 import type { PermitReply, PermitRequest } from "../../peer/gen/fleet";
-import type { LimitAccounts, PermitDecision } from "./accounts";
+import {
+  type DecisionInput,
+  decidePermit,
+  type OwnerAccounts,
+  type OwnerDecision,
+} from "./decision";
 import type { EndpointProcess, LimitWord } from "./limits";
 import { combineLimits, type LimitSources, type SendLimit } from "./sources";
-import { decodeCold, decodeLimit, encodePermitAsk } from "./wire";
+import { decodeCold, decodeLimit, decodePaced, encodePermitAsk } from "./wire";
 
 /** How long an owner may take to answer, in milliseconds; far more than a round trip. */
 const PERMIT_TIMEOUT_MS = 150;
@@ -20,14 +25,9 @@
 const SILENT_OWNER_RETRY_MS = 500;
 
 /** What the owner of a limit is asked for. */
-export interface PermitAsk {
-  readonly process: EndpointProcess;
-  /** What the asker knows of the limit. */
-  readonly limit: SendLimit;
+export interface PermitAsk extends DecisionInput {
   /** The limit that the endpoint names itself; undefined if it names none. */
   readonly word: LimitWord | undefined;
-  /** Number of sends. */
-  readonly count: number;
 }
 
 /** Calls to the owners of limits. */
@@ -37,7 +37,7 @@
    *
    * @returns undefined if there was no answer in time
    */
-  request(owner: string, ask: PermitAsk, timeoutMs: number): Promise<PermitDecision | undefined>;
+  request(owner: string, ask: PermitAsk, timeoutMs: number): Promise<OwnerDecision | undefined>;
 }
 
 /** A process of an endpoint that something is to be sent to. */
@@ -47,10 +47,9 @@
 }
 
 /** Dependencies of the permits. */
-export interface PermitParts {
+export interface PermitParts extends OwnerAccounts {
   readonly instance: string;
   readonly sources: LimitSources;
-  readonly accounts: LimitAccounts;
   readonly owners: OwnerChooser;
   readonly transport: PermitTransport;
   readonly clock: Clock;
@@ -83,23 +82,20 @@
 
   /** Acquires a number of permits; true also if the endpoint has no limit. */
   async acquire(target: PermitTarget, count: number): Promise<boolean> {
-    const { sources, clock, logger, onDecision } = this.parts;
+    const { clock, logger, onDecision } = this.parts;
     const limit = this.findLimit(target);
     if (limit === undefined || count === 0) return true;
     if (this.readDenialEnd(target.id) !== undefined) return false;
     const { id: endpoint, processStartedAt } = target;
-    const process = { endpoint, processStartedAt };
-    const isNamed = sources.limits.find(process) !== undefined;
-    const word = isNamed ? sources.limits.findWord(endpoint) : undefined;
-    const ask = { process, limit, word, count };
+    const ask = this.createAsk({ endpoint, processStartedAt }, limit, count);
     const { isGranted, retryAfterMs } = await this.requestFromOwner(ask);
     onDecision(isGranted, limit);
     if (isGranted) return true;
     this.denialEnds.set(endpoint, clock.now() + retryAfterMs);
-    const { perSecond, cold } = limit;
-    const isCold = cold !== undefined;
+    const { perSecond, cold, pacedSince } = limit;
+    const state = { isCold: cold !== undefined, isPaced: pacedSince !== undefined };
     const forMs = Math.round(retryAfterMs);
-    logger.debug("endpoint limit reached", { endpoint, perSecond, isCold, forMs });
+    logger.debug("endpoint limit reached", { endpoint, perSecond, ...state, forMs });
     return false;
   }
 
@@ -108,15 +104,37 @@
     for (const id of this.denialEnds.keys()) this.readDenialEnd(id);
   }
 
-  private async requestFromOwner(ask: PermitAsk): Promise<PermitDecision> {
-    const { instance, accounts, owners, transport, clock, logger } = this.parts;
-    const { limit, count } = ask;
+  /** Reports how sends ended to the owners of the limits, where no request for a permit did. */
+  async flushOutcomes(): Promise<void> {
+    const { sources, clock } = this.parts;
+    const now = clock.now();
+    for (const process of sources.pacing?.listPending() ?? []) {
+      const limit = sources.find(process, now);
+      if (limit !== undefined) await this.requestFromOwner(this.createAsk(process, limit, 0));
+    }
+  }
+
+  private createAsk(process: EndpointProcess, limit: SendLimit, count: number): PermitAsk {
+    const { limits, pacing } = this.parts.sources;
+    const isNamed = limits.find(process) !== undefined;
+    const word = isNamed ? limits.findWord(process.endpoint) : undefined;
+    return { process, limit, word, count, outcomes: pacing?.takeOutcomes(process) };
+  }
+
+  private async requestFromOwner(ask: PermitAsk): Promise<OwnerDecision> {
+    const decision = await this.decide(ask);
+    const { sources, clock } = this.parts;
+    if (decision.isPaceOver) sources.pacing?.end(ask.process, clock.now());
+    return decision;
+  }
+
+  private async decide(ask: PermitAsk): Promise<OwnerDecision> {
+    const { instance, owners, transport, clock, logger } = this.parts;
     const { endpoint } = ask.process;
-    const { perSecond, cold } = limit;
     const owner = owners.choose(`limit ${endpoint}`);
-    const now = clock.now();
-    if (owner === instance) return accounts.grant(endpoint, perSecond, count, now, cold?.burst);
-    const denial = { isGranted: false, retryAfterMs: SILENT_OWNER_RETRY_MS };
+    if (owner === instance) return decidePermit(this.parts, ask, clock.now());
+    const retryAfterMs = SILENT_OWNER_RETRY_MS;
+    const denial = { isGranted: false, retryAfterMs, isPaceOver: false };
     if (owners.isSilent(owner)) return denial;
     const decision = await transport.request(owner, ask, PERMIT_TIMEOUT_MS);
     if (decision !== undefined) return decision;
@@ -143,12 +161,14 @@
     owner: string,
     ask: PermitAsk,
     timeoutMs: number,
-  ): Promise<PermitDecision | undefined> {
+  ): Promise<OwnerDecision | undefined> {
     const address = this.members.findAddress(owner);
     if (address === undefined) return undefined;
     const request = encodePermitAsk(ask, this.clock.now());
     const reply = await this.transport.permit(address, request, timeoutMs);
-    return reply && { isGranted: reply.granted, retryAfterMs: reply.retryAfterMs };
+    if (reply === undefined) return undefined;
+    const { granted, retryAfterMs, paceOver } = reply;
+    return { isGranted: granted, retryAfterMs, isPaceOver: paceOver };
   }
 }
 
@@ -156,23 +176,27 @@
  * Decides on the sends of a peer as the owner of the limit, by the newest that either knows.
  *
  * @example
- * answerPermit(sources, accounts, request, clock.now()).granted;
+ * answerPermit(sources, { accounts }, request, clock.now()).granted;
  */
 export function answerPermit(
   sources: LimitSources,
-  accounts: LimitAccounts,
-  { limit, count, cold, coldPerSecond }: PermitRequest,
+  accounts: OwnerAccounts,
+  request: PermitRequest,
   now: Moment,
 ): PermitReply {
-  if (limit === undefined) return { granted: false, retryAfterMs: SILENT_OWNER_RETRY_MS };
+  const { limit, count, cold, coldPerSecond, paced, outcomes } = request;
+  if (limit === undefined) {
+    return { granted: false, retryAfterMs: SILENT_OWNER_RETRY_MS, paceOver: false };
+  }
   const { endpoint, processStartedAt } = limit;
+  const process = { endpoint, processStartedAt };
   if (limit.perSecond !== undefined) sources.limits.record(decodeLimit(limit, now));
   if (cold !== undefined) sources.cold.record(decodeCold(cold, now), now);
   const named = sources.limits.findWord(endpoint)?.perSecond;
-  const coldState = sources.cold.findForPeer({ endpoint, processStartedAt }, coldPerSecond, now);
-  const known = combineLimits(named, coldState);
-  if (known === undefined) return { granted: true, retryAfterMs: 0 };
-  const burst = known.cold?.burst;
-  const { isGranted, retryAfterMs } = accounts.grant(endpoint, known.perSecond, count, now, burst);
-  return { granted: isGranted, retryAfterMs: Math.ceil(retryAfterMs) };
+  const coldState = sources.cold.findForPeer(process, coldPerSecond, now);
+  const known = combineLimits(named, coldState, paced && decodePaced(paced, now).begunAt);
+  if (known === undefined) return { granted: true, retryAfterMs: 0, paceOver: false };
+  const input = { process, limit: known, count, outcomes };
+  const { isGranted, retryAfterMs, isPaceOver } = decidePermit(accounts, input, now);
+  return { granted: isGranted, retryAfterMs: Math.ceil(retryAfterMs), paceOver: isPaceOver };
 }
--- a/src/forward/limits/sources.ts
+++ b/src/forward/limits/sources.ts
@@ -1,17 +1,23 @@
 /**
- * Combines what limits the sends to an endpoint: the limit that it names itself, and the one of cold
- * endpoints. The lowest applies.
+ * Combines what limits the sends to an endpoint: the limit that it names itself, the one of cold
+ * endpoints, and its pace after a start. All of them must allow a send.
  */
 import type { Moment } from "../../core/clock";
 import type { ColdEndpoints, ColdState } from "./cold";
 import type { EndpointLimits, EndpointProcess } from "./limits";
+import type { Pacing } from "./pacing";
 
 /** What limits the sends to a process now. */
 export interface SendLimit {
-  /** The lowest of the sources, in requests a second from all instances together. */
-  readonly perSecond: number;
+  /**
+   * The lowest of the rates, in requests a second from all instances together; undefined if only its
+   * pace is limited.
+   */
+  readonly perSecond: number | undefined;
   /** Set while the endpoint is cold. */
   readonly cold: ColdState | undefined;
+  /** When it started or recovered; undefined once its pace is not limited. */
+  readonly pacedSince: Moment | undefined;
 }
 
 /** The sources of limits. */
@@ -19,15 +25,19 @@
   constructor(
     readonly limits: EndpointLimits,
     readonly cold: ColdEndpoints,
+    /** Undefined if endpoints that start are not limited in their pace. */
+    readonly pacing?: Pacing,
   ) {}
 
   /** Finds the limit of a process; undefined if it has none. */
   find(process: EndpointProcess, now: Moment): SendLimit | undefined {
-    return combineLimits(this.limits.find(process), this.cold.find(process, now));
+    const pacedSince = this.pacing?.find(process, now);
+    return combineLimits(this.limits.find(process), this.cold.find(process, now), pacedSince);
   }
 
   /** Checks whether the newest process of an endpoint has a limit. */
   hasLimit(endpoint: string, now: Moment): boolean {
+    if (this.pacing?.isPaced(endpoint, now) === true) return true;
     if (this.limits.findWord(endpoint)?.perSecond !== undefined) return true;
     return this.cold.findNewest(endpoint, now) !== undefined;
   }
@@ -37,9 +47,15 @@
     return this.limits.isRecent(process, now) || this.cold.find(process, now) !== undefined;
   }
 
+  /** Counts the endpoints that are cold. */
+  countCold(endpoints: readonly { readonly id: string }[], now: Moment): number {
+    return endpoints.filter(({ id }) => this.cold.findNewest(id, now) !== undefined).length;
+  }
+
   prune(isListed: (endpoint: string) => boolean, now: Moment): void {
     this.limits.prune(isListed, now);
     this.cold.prune(now);
+    this.pacing?.prune(isListed, now);
   }
 }
 
@@ -52,7 +68,10 @@
 export function combineLimits(
   named: number | undefined,
   cold: ColdState | undefined,
+  pacedSince?: Moment,
 ): SendLimit | undefined {
-  if (named === undefined) return cold && { perSecond: cold.perSecond, cold };
-  return { perSecond: Math.min(named, cold?.perSecond ?? named), cold };
+  const rates = [named, cold?.perSecond].filter((rate) => rate !== undefined);
+  if (rates.length === 0 && pacedSince === undefined) return undefined;
+  const perSecond = rates.length === 0 ? undefined : Math.min(...rates);
+  return { perSecond, cold, pacedSince };
 }
--- a/src/forward/limits/wire.ts
+++ b/src/forward/limits/wire.ts
@@ -3,9 +3,15 @@
  * each instance has its own clock.
  */
 import type { Moment } from "../../core/clock";
-import type { EndpointCold, EndpointLimit, PermitRequest } from "../../peer/gen/fleet";
+import type {
+  EndpointCold,
+  EndpointLimit,
+  PacedEndpoint,
+  PermitRequest,
+} from "../../peer/gen/fleet";
 import type { ColdWord } from "./cold";
 import type { LimitWord } from "./limits";
+import type { PaceWord } from "./pacing";
 import type { PermitAsk } from "./permits";
 
 /** Age of a limit that the endpoint never named; any word that is known is newer. */
@@ -69,13 +75,38 @@
  * await transport.permit(address, encodePermitAsk(ask, clock.now()), 150);
  */
 export function encodePermitAsk(ask: PermitAsk, now: Moment): PermitRequest {
-  const { process, limit, word, count } = ask;
-  const { cold } = limit;
+  const { process, limit, word, count, outcomes } = ask;
+  const { cold, pacedSince } = limit;
   const coldPart = cold && encodeCold({ ...process, endsAt: cold.endsAt }, now);
   return {
     limit: word === undefined ? { ...process, ageMs: NEVER_MS } : encodeLimit(word, now),
     count,
     coldPerSecond: cold?.perSecond ?? 0,
     cold: coldPart,
+    paced:
+      pacedSince === undefined ? undefined : encodePaced({ ...process, begunAt: pacedSince }, now),
+    outcomes,
   };
 }
+
+/**
+ * Encodes when an endpoint started or recovered.
+ *
+ * @example
+ * encodePaced(word, clock.now()).ageMs;
+ */
+export function encodePaced(word: Omit<PaceWord, "isOwn">, now: Moment): PacedEndpoint {
+  const { endpoint, processStartedAt, begunAt } = word;
+  return { endpoint, processStartedAt, ageMs: Math.max(0, Math.round(now - begunAt)) };
+}
+
+/**
+ * Decodes when an endpoint started or recovered, as a peer tells it.
+ *
+ * @example
+ * pacing.recordPeer(decodePaced(message, clock.now()), clock.now());
+ */
+export function decodePaced(paced: PacedEndpoint, now: Moment): PaceWord {
+  const { endpoint, processStartedAt, ageMs } = paced;
+  return { endpoint, processStartedAt, begunAt: now - ageMs, isOwn: false };
+}
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -8,7 +8,12 @@
 import { OrderLeases } from "../fleet/orders";
 import { Admission, Dispatcher } from "./callers";
 import { Announcer, EndpointGate, type LimitSources } from "./limits";
-import { createLimitState, createPermits, type LimitState } from "./limitparts";
+import {
+  createLimitState,
+  createOutcomeReporter,
+  createPermits,
+  type LimitState,
+} from "./limitparts";
 import type { InstanceBase } from "./base";
 import {
   PeerChargeTransport,
@@ -83,9 +88,14 @@
   const view = createFleetView(base, sendHeartbeats);
   const { members, transport } = view;
   const quotas = createQuotas(base, view);
-  const limitState = createLimitState(base, view, isLeaving);
+  const limitState = createLimitState(base, view, isLeaving, {
+    onBegin: () => {
+      context.announcer.report();
+    },
+    onOutcome: createOutcomeReporter(() => context.gate.flushOutcomes()),
+  });
   const origins = new StreamOrigins();
-  const context = createContext(base, view, limitState, origins, sendHeartbeats);
+  const context: ForwardContext = createContext(base, view, limitState, origins, sendHeartbeats);
   const engines = createEngineState(context);
   const { sources } = limitState;
   const peerState = createPeerState(base, view, quotas, sources, context, engines, isLeaving);
--- a/src/forward/peerstate.ts
+++ b/src/forward/peerstate.ts
@@ -10,7 +10,15 @@
 import type { StoreWatcher } from "../fleet/watcher";
 import type { Beat, FetchReply, FetchRequest, Record as PeerRecord } from "../peer/gen/fleet";
 import type { CrashTracker } from "../core/crashes/tracker";
-import { decodeCold, decodeLimit, encodeCold, encodeLimit, type LimitSources } from "./limits";
+import {
+  decodeCold,
+  decodeLimit,
+  decodePaced,
+  encodeCold,
+  encodeLimit,
+  encodePaced,
+  type LimitSources,
+} from "./limits";
 import { decodeKnowledge, encodeKnowledge, type Quotas, type RefusalTracker } from "./shared";
 import type { PathTracker } from "./tunnels";
 import type { ReservationQueue, EngineModel, EngineLoadTracker, StageLoad } from "./engines";
@@ -89,6 +97,7 @@
       ...encodeKnowledge(crashes.listKnowledge(now)),
       endpointLimits: sources.limits.list(now).map((word) => encodeLimit(word, now)),
       coldEndpoints: sources.cold.list(now).map((word) => encodeCold(word, now)),
+      pacedEndpoints: (sources.pacing?.list(now) ?? []).map((word) => encodePaced(word, now)),
       lostEndpoints: [...this.parts.paths.listLost()],
       arrivingTokens: Math.round(this.computeArrivalRate(now)),
       engineSpeeds: [...this.parts.engineModel.listLocalEstimates()],
@@ -241,7 +250,8 @@
     }
   }
 
-  private applyLimits({ instance, endpointLimits, coldEndpoints }: Beat, sentAt: Moment): void {
+  private applyLimits(beat: Beat, sentAt: Moment): void {
+    const { instance, endpointLimits, coldEndpoints, pacedEndpoints } = beat;
     const { sources, clock, logger } = this.parts;
     const source = `peer ${instance}`;
     for (const limit of endpointLimits) {
@@ -249,6 +259,9 @@
       const { endpoint, perSecond } = limit;
       logger.info("endpoint limit", { endpoint, perSecond, source });
     }
+    for (const paced of pacedEndpoints) {
+      sources.pacing?.recordPeer(decodePaced(paced, sentAt), clock.now());
+    }
     for (const cold of coldEndpoints) {
       if (!sources.cold.record(decodeCold(cold, sentAt), clock.now())) continue;
       const { endpoint, remainingMs } = cold;
--- a/src/forward/settings.ts
+++ b/src/forward/settings.ts
@@ -30,6 +30,8 @@
   readonly quotaTolerance: QuotaTolerance;
   readonly retryLimit: RetryLimit;
   readonly coldTolerance: ColdTolerance;
+  /** True if endpoints that start or recover get few requests at first; absent means false. */
+  readonly pace?: boolean;
   /** Time within which new requests to a leaving endpoint must stop, in milliseconds. */
   readonly drainMs: number;
   /** Time within which a published configuration must be in force, in milliseconds. */
--- a/src/peer/gen/fleet.ts
+++ b/src/peer/gen/fleet.ts
@@ -73,6 +73,27 @@
     | undefined;
   /** Endpoints whose own responses to the sender said that they are cold. */
   coldEndpoints: EndpointCold[];
+  /** Endpoints that the sender found to have started or recovered, and that are limited in their pace. */
+  pacedEndpoints: PacedEndpoint[];
+}
+
+/** An endpoint that started or recovered. */
+export interface PacedEndpoint {
+  endpoint: string;
+  /** Milliseconds of the endpoint's wall clock. */
+  processStartedAt: number;
+  /** Time since it was found. */
+  ageMs: number;
+}
+
+/** How sends of the asker to the endpoint ended since it reported last. */
+export interface SendOutcomes {
+  inTime: number;
+  /** Far slower than at other endpoints of the service, or failed. */
+  slow: number;
+  /** Not run, as the endpoint had no room. */
+  rejected: number;
+  neutral: number;
 }
 
 /** An endpoint that is cold, by what it said last. */
@@ -214,12 +235,17 @@
     | undefined;
   /** Requests a second that a cold endpoint of its service takes, by the asker's configuration. */
   coldPerSecond: number;
+  /** Set where the asker takes the endpoint for limited in its pace. */
+  paced: PacedEndpoint | undefined;
+  outcomes: SendOutcomes | undefined;
 }
 
 export interface PermitReply {
   granted: boolean;
   /** Time until the asker may ask again; zero where it was granted. */
   retryAfterMs: number;
+  /** The endpoint performs like others of its service and is no longer limited in its pace. */
+  paceOver: boolean;
 }
 
 /** The engine that wrote the first event of a stream. */
@@ -311,6 +337,7 @@
     lostEndpoints: [],
     sentAtMs: undefined,
     coldEndpoints: [],
+    pacedEndpoints: [],
   };
 }
 
@@ -397,6 +424,9 @@
     for (const v of message.coldEndpoints) {
       EndpointCold.encode(v!, writer.uint32(322).fork()).join();
     }
+    for (const v of message.pacedEndpoints) {
+      PacedEndpoint.encode(v!, writer.uint32(330).fork()).join();
+    }
     return writer;
   },
 
@@ -629,6 +659,14 @@
             message.coldEndpoints.push(EndpointCold.decode(reader, reader.uint32()));
             continue;
           }
+          case 41: {
+            if (tag !== 330) {
+              break;
+            }
+
+            message.pacedEndpoints.push(PacedEndpoint.decode(reader, reader.uint32()));
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -738,6 +776,11 @@
         : globalThis.Array.isArray(object?.cold_endpoints)
         ? object.cold_endpoints.map((e: any) => EndpointCold.fromJSON(e))
         : [],
+      pacedEndpoints: globalThis.Array.isArray(object?.pacedEndpoints)
+        ? object.pacedEndpoints.map((e: any) => PacedEndpoint.fromJSON(e))
+        : globalThis.Array.isArray(object?.paced_endpoints)
+        ? object.paced_endpoints.map((e: any) => PacedEndpoint.fromJSON(e))
+        : [],
     };
   },
 
@@ -824,6 +867,9 @@
     if (message.coldEndpoints?.length) {
       obj.coldEndpoints = message.coldEndpoints.map((e) => EndpointCold.toJSON(e));
     }
+    if (message.pacedEndpoints?.length) {
+      obj.pacedEndpoints = message.pacedEndpoints.map((e) => PacedEndpoint.toJSON(e));
+    }
     return obj;
   },
 
@@ -859,6 +905,237 @@
     message.lostEndpoints = object.lostEndpoints?.map((e) => e) || [];
     message.sentAtMs = object.sentAtMs ?? undefined;
     message.coldEndpoints = object.coldEndpoints?.map((e) => EndpointCold.fromPartial(e)) || [];
+    message.pacedEndpoints = object.pacedEndpoints?.map((e) => PacedEndpoint.fromPartial(e)) || [];
+    return message;
+  },
+};
+
+function createBasePacedEndpoint(): PacedEndpoint {
+  return { endpoint: "", processStartedAt: 0, ageMs: 0 };
+}
+
+export const PacedEndpoint: MessageFns<PacedEndpoint> = {
+  encode(message: PacedEndpoint, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.endpoint !== "") {
+      writer.uint32(10).string(message.endpoint);
+    }
+    if (message.processStartedAt !== 0) {
+      writer.uint32(16).int64(message.processStartedAt);
+    }
+    if (message.ageMs !== 0) {
+      writer.uint32(24).uint32(message.ageMs);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): PacedEndpoint {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBasePacedEndpoint();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.endpoint = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.processStartedAt = longToNumber(reader.int64());
+            continue;
+          }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.ageMs = reader.uint32();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): PacedEndpoint {
+    return {
+      endpoint: isSet(object.endpoint) ? globalThis.String(object.endpoint) : "",
+      processStartedAt: isSet(object.processStartedAt)
+        ? globalThis.Number(object.processStartedAt)
+        : isSet(object.process_started_at)
+        ? globalThis.Number(object.process_started_at)
+        : 0,
+      ageMs: isSet(object.ageMs)
+        ? globalThis.Number(object.ageMs)
+        : isSet(object.age_ms)
+        ? globalThis.Number(object.age_ms)
+        : 0,
+    };
+  },
+
+  toJSON(message: PacedEndpoint): unknown {
+    const obj: any = {};
+    if (message.endpoint !== "") {
+      obj.endpoint = message.endpoint;
+    }
+    if (message.processStartedAt !== 0) {
+      obj.processStartedAt = Math.round(message.processStartedAt);
+    }
+    if (message.ageMs !== 0) {
+      obj.ageMs = Math.round(message.ageMs);
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<PacedEndpoint>, I>>(base?: I): PacedEndpoint {
+    return PacedEndpoint.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<PacedEndpoint>, I>>(object: I): PacedEndpoint {
+    const message = createBasePacedEndpoint();
+    message.endpoint = object.endpoint ?? "";
+    message.processStartedAt = object.processStartedAt ?? 0;
+    message.ageMs = object.ageMs ?? 0;
+    return message;
+  },
+};
+
+function createBaseSendOutcomes(): SendOutcomes {
+  return { inTime: 0, slow: 0, rejected: 0, neutral: 0 };
+}
+
+export const SendOutcomes: MessageFns<SendOutcomes> = {
+  encode(message: SendOutcomes, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.inTime !== 0) {
+      writer.uint32(8).uint32(message.inTime);
+    }
+    if (message.slow !== 0) {
+      writer.uint32(16).uint32(message.slow);
+    }
+    if (message.rejected !== 0) {
+      writer.uint32(24).uint32(message.rejected);
+    }
+    if (message.neutral !== 0) {
+      writer.uint32(32).uint32(message.neutral);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): SendOutcomes {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseSendOutcomes();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 8) {
+              break;
+            }
+
+            message.inTime = reader.uint32();
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.slow = reader.uint32();
+            continue;
+          }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.rejected = reader.uint32();
+            continue;
+          }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.neutral = reader.uint32();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): SendOutcomes {
+    return {
+      inTime: isSet(object.inTime)
+        ? globalThis.Number(object.inTime)
+        : isSet(object.in_time)
+        ? globalThis.Number(object.in_time)
+        : 0,
+      slow: isSet(object.slow) ? globalThis.Number(object.slow) : 0,
+      rejected: isSet(object.rejected) ? globalThis.Number(object.rejected) : 0,
+      neutral: isSet(object.neutral) ? globalThis.Number(object.neutral) : 0,
+    };
+  },
+
+  toJSON(message: SendOutcomes): unknown {
+    const obj: any = {};
+    if (message.inTime !== 0) {
+      obj.inTime = Math.round(message.inTime);
+    }
+    if (message.slow !== 0) {
+      obj.slow = Math.round(message.slow);
+    }
+    if (message.rejected !== 0) {
+      obj.rejected = Math.round(message.rejected);
+    }
+    if (message.neutral !== 0) {
+      obj.neutral = Math.round(message.neutral);
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<SendOutcomes>, I>>(base?: I): SendOutcomes {
+    return SendOutcomes.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<SendOutcomes>, I>>(object: I): SendOutcomes {
+    const message = createBaseSendOutcomes();
+    message.inTime = object.inTime ?? 0;
+    message.slow = object.slow ?? 0;
+    message.rejected = object.rejected ?? 0;
+    message.neutral = object.neutral ?? 0;
     return message;
   },
 };
@@ -2666,7 +2943,7 @@
 };
 
 function createBasePermitRequest(): PermitRequest {
-  return { limit: undefined, count: 0, cold: undefined, coldPerSecond: 0 };
+  return { limit: undefined, count: 0, cold: undefined, coldPerSecond: 0, paced: undefined, outcomes: undefined };
 }
 
 export const PermitRequest: MessageFns<PermitRequest> = {
@@ -2683,6 +2960,12 @@
     if (message.coldPerSecond !== 0) {
       writer.uint32(89).double(message.coldPerSecond);
     }
+    if (message.paced !== undefined) {
+      PacedEndpoint.encode(message.paced, writer.uint32(98).fork()).join();
+    }
+    if (message.outcomes !== undefined) {
+      SendOutcomes.encode(message.outcomes, writer.uint32(106).fork()).join();
+    }
     return writer;
   },
 
@@ -2731,6 +3014,22 @@
             message.coldPerSecond = reader.double();
             continue;
           }
+          case 12: {
+            if (tag !== 98) {
+              break;
+            }
+
+            message.paced = PacedEndpoint.decode(reader, reader.uint32());
+            continue;
+          }
+          case 13: {
+            if (tag !== 106) {
+              break;
+            }
+
+            message.outcomes = SendOutcomes.decode(reader, reader.uint32());
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -2753,6 +3052,8 @@
         : isSet(object.cold_per_second)
         ? globalThis.Number(object.cold_per_second)
         : 0,
+      paced: isSet(object.paced) ? PacedEndpoint.fromJSON(object.paced) : undefined,
+      outcomes: isSet(object.outcomes) ? SendOutcomes.fromJSON(object.outcomes) : undefined,
     };
   },
 
@@ -2770,6 +3071,12 @@
     if (message.coldPerSecond !== 0) {
       obj.coldPerSecond = floatToJson(message.coldPerSecond);
     }
+    if (message.paced !== undefined) {
+      obj.paced = PacedEndpoint.toJSON(message.paced);
+    }
+    if (message.outcomes !== undefined) {
+      obj.outcomes = SendOutcomes.toJSON(message.outcomes);
+    }
     return obj;
   },
 
@@ -2786,12 +3093,18 @@
       ? EndpointCold.fromPartial(object.cold)
       : undefined;
     message.coldPerSecond = object.coldPerSecond ?? 0;
+    message.paced = (object.paced !== undefined && object.paced !== null)
+      ? PacedEndpoint.fromPartial(object.paced)
+      : undefined;
+    message.outcomes = (object.outcomes !== undefined && object.outcomes !== null)
+      ? SendOutcomes.fromPartial(object.outcomes)
+      : undefined;
     return message;
   },
 };
 
 function createBasePermitReply(): PermitReply {
-  return { granted: false, retryAfterMs: 0 };
+  return { granted: false, retryAfterMs: 0, paceOver: false };
 }
 
 export const PermitReply: MessageFns<PermitReply> = {
@@ -2802,6 +3115,9 @@
     if (message.retryAfterMs !== 0) {
       writer.uint32(16).uint32(message.retryAfterMs);
     }
+    if (message.paceOver !== false) {
+      writer.uint32(80).bool(message.paceOver);
+    }
     return writer;
   },
 
@@ -2834,6 +3150,14 @@
             message.retryAfterMs = reader.uint32();
             continue;
           }
+          case 10: {
+            if (tag !== 80) {
+              break;
+            }
+
+            message.paceOver = reader.bool();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -2854,6 +3178,11 @@
         : isSet(object.retry_after_ms)
         ? globalThis.Number(object.retry_after_ms)
         : 0,
+      paceOver: isSet(object.paceOver)
+        ? globalThis.Boolean(object.paceOver)
+        : isSet(object.pace_over)
+        ? globalThis.Boolean(object.pace_over)
+        : false,
     };
   },
 
@@ -2865,6 +3194,9 @@
     if (message.retryAfterMs !== 0) {
       obj.retryAfterMs = Math.round(message.retryAfterMs);
     }
+    if (message.paceOver !== false) {
+      obj.paceOver = message.paceOver;
+    }
     return obj;
   },
 
@@ -2875,6 +3207,7 @@
     const message = createBasePermitReply();
     message.granted = object.granted ?? false;
     message.retryAfterMs = object.retryAfterMs ?? 0;
+    message.paceOver = object.paceOver ?? false;
     return message;
   },
 };
--- a/test/fleet.spec.ts
+++ b/test/fleet.spec.ts
@@ -341,6 +341,7 @@
     endpointLimits: [],
     lostEndpoints: [],
     coldEndpoints: [],
+    pacedEndpoints: [],
   });
 
   it("lists members as live while their beats arrive, and counts them as missing for a while after", () => {
--- a/test/harness/instances.ts
+++ b/test/harness/instances.ts
@@ -2,6 +2,7 @@
  * Starts several forwarding instances in this process, which know each other.
  */
 import { pause } from "../../src/core/clock";
+import type { ForwardSettings } from "../../src/forward/settings";
 import { get } from "./fixture";
 import { startInstance, waitUntil } from "./forward";
 import type { MemoryStore } from "./memory";
@@ -19,11 +20,18 @@
 }
 
 /** Starts instances and waits until they are ready and have heard each other. */
-export async function startInstances(store: MemoryStore, size: number): Promise<RunningInstances> {
+export async function startInstances(
+  store: MemoryStore,
+  size: number,
+  overrides: Partial<ForwardSettings> = {},
+): Promise<RunningInstances> {
   const running: Awaited<ReturnType<typeof startInstance>>[] = [];
   const knownPeers: string[] = [];
   for (let index = 1; index <= size; index += 1) {
-    const started = await startInstance(store, `nizwa-${index}`, { knownPeers: [...knownPeers] });
+    const started = await startInstance(store, `nizwa-${index}`, {
+      ...overrides,
+      knownPeers: [...knownPeers],
+    });
     running.push(started);
     knownPeers.push(`127.0.0.1:${started.settings.peers.port}`);
   }
--- a/test/harness/limitfleet.ts
+++ b/test/harness/limitfleet.ts
@@ -176,9 +176,11 @@
         const bytes = PermitRequest.encode(encodePermitAsk(ask, this.now)).finish();
         const request = PermitRequest.decode(bytes);
         const reply = await this.callNode(this.findNode(from), owner, timeoutMs, ({ parts }) =>
-          answerPermit(parts.sources, parts.accounts, request, this.now),
+          answerPermit(parts.sources, parts, request, this.now),
         );
-        return reply && { isGranted: reply.granted, retryAfterMs: reply.retryAfterMs };
+        if (reply === undefined) return undefined;
+        const { granted, retryAfterMs, paceOver } = reply;
+        return { isGranted: granted, retryAfterMs, isPaceOver: paceOver };
       },
     };
   }
--- a/test/standstill.spec.ts
+++ b/test/standstill.spec.ts
@@ -163,6 +163,7 @@
       acquirePermits: () => Promise.resolve(true),
       onNotice: () => undefined,
       onLimitNotice: () => undefined,
+      recordSend: () => undefined,
     } as unknown as EndpointGate;
     const host = {
       computeCheckMs: () => 60_000,
