--- a/src/fleet/relay/network.ts
+++ b/src/fleet/relay/network.ts
@@ -43,6 +43,7 @@
   RecordKind.absences,
   RecordKind.evacuations,
   RecordKind.cold,
+  RecordKind.paced,
 ]);
 /** Kinds that expire at their receivers unless they are told again. */
 const EXPIRING_KINDS = [RecordKind.lostEndpoints, RecordKind.speeds] as const;
--- a/src/fleet/relay/records.ts
+++ b/src/fleet/relay/records.ts
@@ -20,6 +20,7 @@
   refusals: 9,
   evacuations: 10,
   cold: 11,
+  paced: 12,
 } as const;
 export type RecordKind = (typeof RecordKind)[keyof typeof RecordKind];
 
--- a/src/forward/gauges.ts
+++ b/src/forward/gauges.ts
@@ -15,6 +15,8 @@
   computeConfigAgeMs(): number;
   computeEndpointsAgeMs(): number;
   countEvacuated(): number;
+  countCold(): number;
+  countPaced(): number;
 }
 
 /**
@@ -54,4 +56,10 @@
   meter.addGauge("evacuated_data_centres", "Data centres to which nothing is sent", () =>
     source.countEvacuated(),
   );
+  meter.addGauge("cold_endpoints", "Listed endpoints that are cold", () => source.countCold());
+  meter.addGauge(
+    "paced_endpoints",
+    "Endpoints that started or recovered and get few requests",
+    () => source.countPaced(),
+  );
 }
--- a/src/forward/kinds.ts
+++ b/src/forward/kinds.ts
@@ -29,6 +29,7 @@
   | "refused"
   | "evacuations"
   | "coldEndpoints"
+  | "pacedEndpoints"
 >;
 
 /**
@@ -39,8 +40,16 @@
  */
 export function createKindStates(content: KindContent, now: Moment): readonly KindState[] {
   const { endpointLimits, crashes, completions, partBans } = content;
-  const { departures, absences, lostEndpoints, engineSpeeds, refused, evacuations, coldEndpoints } =
-    content;
+  const {
+    departures,
+    absences,
+    lostEndpoints,
+    engineSpeeds,
+    refused,
+    evacuations,
+    coldEndpoints,
+    pacedEndpoints,
+  } = content;
   const at = (ageMs: number | undefined, stepMs = MOMENT_STEP_MS) =>
     Math.round((now - (ageMs ?? 0)) / stepMs);
   return [
@@ -67,6 +76,9 @@
     createState(RecordKind.cold, { coldEndpoints }, [
       coldEndpoints.map(({ remainingMs, ...cold }) => [cold, at(-remainingMs)]),
     ]),
+    createState(RecordKind.paced, { pacedEndpoints }, [
+      pacedEndpoints.map(({ ageMs, ...paced }) => [paced, at(ageMs)]),
+    ]),
     createState(RecordKind.evacuations, { evacuations }, [evacuations]),
   ];
 }
--- a/src/forward/peerstate.ts
+++ b/src/forward/peerstate.ts
@@ -22,7 +22,15 @@
 } from "../peer/gen/fleet";
 import type { CrashTracker } from "../core/crashes/tracker";
 import { createKindStates } from "./kinds";
-import { decodeCold, decodeLimit, encodeCold, encodeLimit, type LimitSources } from "./limits";
+import {
+  decodeCold,
+  decodeLimit,
+  decodePaced,
+  encodeCold,
+  encodeLimit,
+  encodePaced,
+  type LimitSources,
+} from "./limits";
 import {
   decodeKnowledge,
   encodeKnowledge,
@@ -107,6 +115,7 @@
       ...encodeKnowledge(crashes.listKnowledge(now)),
       endpointLimits: sources.limits.list(now).map((word) => encodeLimit(word, now)),
       coldEndpoints: sources.cold.list(now).map((word) => encodeCold(word, now)),
+      pacedEndpoints: (sources.pacing?.list(now) ?? []).map((word) => encodePaced(word, now)),
       lostEndpoints: [...this.parts.paths.listLost()],
       ...this.encodeEvacuations(),
       tellsEvacuations: true,
@@ -330,7 +339,8 @@
     }
   }
 
-  private applyLimits({ endpointLimits, coldEndpoints }: Beat, sentAt: Moment, peer: string): void {
+  private applyLimits(beat: Beat, sentAt: Moment, peer: string): void {
+    const { endpointLimits, coldEndpoints, pacedEndpoints } = beat;
     const { sources, clock, logger } = this.parts;
     const source = `peer ${peer}`;
     for (const limit of endpointLimits) {
@@ -338,6 +348,9 @@
       const { endpoint, perSecond } = limit;
       logger.info("endpoint limit", { endpoint, perSecond, source });
     }
+    for (const paced of pacedEndpoints) {
+      sources.pacing?.recordPeer(decodePaced(paced, sentAt), clock.now());
+    }
     for (const cold of coldEndpoints) {
       if (!sources.cold.record(decodeCold(cold, sentAt), clock.now())) continue;
       const { endpoint, remainingMs } = cold;
--- a/test/fleet.spec.ts
+++ b/test/fleet.spec.ts
@@ -344,6 +344,7 @@
     tellsEvacuations: true,
     heardAddresses: [],
     coldEndpoints: [],
+    pacedEndpoints: [],
   });
 
   it("lists members as live while their beats arrive, and counts them as missing for a while after", () => {
