Expected time: compare with the endpoints as they are now, so that unmeasured ones are tried

Change: the typical time of a kind of work is the mean of what is known of each measured endpoint now.

--- a/src/forward/calls/balancer.ts
+++ b/src/forward/calls/balancer.ts
@@ -47,6 +47,12 @@
  * heard that an endpoint has become fast would choose it.
  */
 const TIME_JITTER = 0.25;
+/**
+ * Cost of an endpoint outside the subset where endpoints are chosen by expected time. Those that are known
+ * to be fast are preferred then, which keeps an instance at few endpoints by itself; a higher cost made
+ * more responses late and saved no connections.
+ */
+const TIME_OUTSIDE_SUBSET = 0.05;
 /**
  * Share of the time of a request that it waits on average at an endpoint whose slots are all but full:
  * other instances send to it meanwhile.
@@ -87,7 +93,9 @@
     const busyCost = isByTime
       ? computeExpectedTime(candidate) * (1 + random() * TIME_JITTER)
       : computeLoad(candidate) + random() * COSTS.jitter;
-    const cost = busyCost + computeExtraCost(candidate, dataCentre);
+    const subsetCost = isByTime ? TIME_OUTSIDE_SUBSET : COSTS.outsideSubset;
+    const outsideCost = candidate.isOutsideSubset === true ? subsetCost : 0;
+    const cost = busyCost + outsideCost + computeExtraCost(candidate, dataCentre);
     if (best !== undefined && cost >= best.cost) continue;
     const { endpoint, health } = candidate;
     const { slowness } = health;
@@ -121,7 +129,6 @@
 function computeExtraCost(candidate: Candidate, dataCentre: string): number {
   const { endpoint, health, isInDoubt, isLimited } = candidate;
   let cost = health.failureRate * COSTS.failure;
-  if (candidate.isOutsideSubset === true) cost += COSTS.outsideSubset;
   if (endpoint.dataCentre !== dataCentre) cost += COSTS.otherDataCentre;
   if (health.hasOverdueCall) cost += COSTS.overdueCall;
   if (health.isFull) cost += COSTS.full;
--- a/src/forward/endpoints/speeds.ts
+++ b/src/forward/endpoints/speeds.ts
@@ -7,8 +7,6 @@
 
 /** Weight of one sample in the averages of an endpoint. */
 const SAMPLE_WEIGHT = 0.2;
-/** Weight of one sample in the average over all endpoints. */
-const TYPICAL_WEIGHT = 0.05;
 /** Half-life of what was learnt of an endpoint, in milliseconds: one that was slow is tried again. */
 const LEARNT_HALF_LIFE_MS = 3000;
 /** Half-life of a reported slowness, in milliseconds: it changes many times a second. */
@@ -70,10 +68,58 @@
   at: Moment;
 }
 
-/** Averages over all endpoints, as logarithms of milliseconds. */
+/** Averages of the endpoints of a kind of work, as logarithms of milliseconds. */
 interface Typical {
-  mean: number;
-  normalMean: number;
+  readonly mean: number;
+  readonly normalMean: number;
+}
+
+/** The endpoints that were measured for a kind of work. */
+class LearntKind {
+  readonly byEndpoint = new Map<string, Learnt>();
+  private meanSum = 0;
+  private normalMeanSum = 0;
+
+  /**
+   * The averages of what is learnt of each endpoint now. One that was not measured counts as typical:
+   * against an average over time, it would lose to all others whenever times have become shorter.
+   */
+  readTypical(): Typical | undefined {
+    const count = this.byEndpoint.size;
+    if (count === 0) return undefined;
+    return { mean: this.meanSum / count, normalMean: this.normalMeanSum / count };
+  }
+
+  add(endpoint: string, learnt: Learnt): void {
+    this.byEndpoint.set(endpoint, learnt);
+    this.addToSums(learnt.mean, learnt.normalMean);
+  }
+
+  remove(endpoint: string): void {
+    const learnt = this.byEndpoint.get(endpoint);
+    if (learnt === undefined) return;
+    this.byEndpoint.delete(endpoint);
+    this.addToSums(-learnt.mean, -learnt.normalMean);
+  }
+
+  /** Records a time at an endpoint that was measured before. */
+  record(learnt: Learnt, time: number, normalTime: number, now: Moment): void {
+    learnt.error += ((time - learnt.mean) ** 2 - learnt.error) * SAMPLE_WEIGHT;
+    learnt.normalError +=
+      ((normalTime - learnt.normalMean) ** 2 - learnt.normalError) * SAMPLE_WEIGHT;
+    const meanChange = (time - learnt.mean) * SAMPLE_WEIGHT;
+    const normalMeanChange = (normalTime - learnt.normalMean) * SAMPLE_WEIGHT;
+    learnt.mean += meanChange;
+    learnt.normalMean += normalMeanChange;
+    learnt.samples += 1;
+    learnt.at = now;
+    this.addToSums(meanChange, normalMeanChange);
+  }
+
+  private addToSums(mean: number, normalMean: number): void {
+    this.meanSum += mean;
+    this.normalMeanSum += normalMean;
+  }
 }
 
 /**
@@ -89,9 +135,7 @@
 
 /** Learns the speeds of endpoints for each kind of work. */
 export class SpeedTracker {
-  /** By kind of work and endpoint. */
-  private readonly learnt = new Map<string, Map<string, Learnt>>();
-  private readonly typical = new Map<string, Typical>();
+  private readonly kinds = new Map<string, LearntKind>();
 
   /**
    * Records a piece of work that ended at an endpoint.
@@ -109,24 +153,15 @@
     if (!(ms > 0) || !(units > 0)) return;
     const time = Math.log(ms / units);
     const normalTime = time - Math.log(report?.factor ?? 1);
-    const typical = this.typical.get(kind) ?? { mean: time, normalMean: normalTime };
-    typical.mean += (time - typical.mean) * TYPICAL_WEIGHT;
-    typical.normalMean += (normalTime - typical.normalMean) * TYPICAL_WEIGHT;
-    this.typical.set(kind, typical);
-    const byEndpoint = this.learnt.get(kind) ?? new Map<string, Learnt>();
-    this.learnt.set(kind, byEndpoint);
-    const known = byEndpoint.get(endpoint);
-    if (known === undefined) {
-      const fresh = { mean: time, normalMean: normalTime, error: 0, normalError: 0 };
-      byEndpoint.set(endpoint, { ...fresh, samples: 1, at: now });
+    const learntKind = this.kinds.get(kind) ?? new LearntKind();
+    this.kinds.set(kind, learntKind);
+    const known = learntKind.byEndpoint.get(endpoint);
+    if (known !== undefined) {
+      learntKind.record(known, time, normalTime, now);
       return;
     }
-    known.error += ((time - known.mean) ** 2 - known.error) * SAMPLE_WEIGHT;
-    known.normalError += ((normalTime - known.normalMean) ** 2 - known.normalError) * SAMPLE_WEIGHT;
-    known.mean += (time - known.mean) * SAMPLE_WEIGHT;
-    known.normalMean += (normalTime - known.normalMean) * SAMPLE_WEIGHT;
-    known.samples += 1;
-    known.at = now;
+    const fresh = { mean: time, normalMean: normalTime, error: 0, normalError: 0 };
+    learntKind.add(endpoint, { ...fresh, samples: 1, at: now });
   }
 
   /** Estimates the speed of an endpoint for a kind of work. */
@@ -136,8 +171,9 @@
     report: SlownessReport | undefined,
     now: Moment,
   ): SpeedEstimate {
-    const typical = this.typical.get(kind);
-    const learnt = this.learnt.get(kind)?.get(endpoint);
+    const learntKind = this.kinds.get(kind);
+    const typical = learntKind?.readTypical();
+    const learnt = learntKind?.byEndpoint.get(endpoint);
     const freshness = learnt === undefined ? 0 : 2 ** (-(now - learnt.at) / LEARNT_HALF_LIFE_MS);
     const learntLog = learnt && typical ? (learnt.mean - typical.mean) * freshness : 0;
     const isReported = report !== undefined && report.ageMs < REPORT_TTL_MS;
@@ -160,13 +196,11 @@
 
   /** Removes endpoints that are no longer listed. */
   prune(isListed: (endpoint: string) => boolean): void {
-    for (const [kind, byEndpoint] of this.learnt) {
-      for (const endpoint of byEndpoint.keys()) {
-        if (!isListed(endpoint)) byEndpoint.delete(endpoint);
+    for (const [kind, learntKind] of this.kinds) {
+      for (const endpoint of learntKind.byEndpoint.keys()) {
+        if (!isListed(endpoint)) learntKind.remove(endpoint);
       }
-      if (byEndpoint.size > 0) continue;
-      this.learnt.delete(kind);
-      this.typical.delete(kind);
+      if (learntKind.byEndpoint.size === 0) this.kinds.delete(kind);
     }
   }
 }
--- a/test/expectedtime.spec.ts
+++ b/test/expectedtime.spec.ts
@@ -62,6 +62,15 @@
     assert.ok(estimate("slow", 20_000).ratio < 1.05, "it is tried again after some time");
   });
 
+  it("of one that was not measured counts as typical, also when times have become shorter", () => {
+    const speeds = new SpeedTracker();
+    for (let turn = 0; turn < 60; turn += 1) {
+      speeds.recordSample(KIND, "known", { ms: 200 / (turn + 1), units: 1 }, undefined, turn);
+    }
+    const ratio = speeds.estimate(KIND, "known", undefined, 60).ratio;
+    assert.ok(ratio > 0.95, `a new endpoint must be tried beside one at ${ratio}`);
+  });
+
   it("combines the machine's own speed with the slowness that it reports", () => {
     const speeds = new SpeedTracker();
     for (let turn = 0; turn < 60; turn += 1) {
--- a/test/harness/forward.ts
+++ b/test/harness/forward.ts
@@ -13,6 +13,7 @@
   type ResponseHead,
   type CallerCodec,
   type EndpointCodec,
+  type EndpointLoad,
   type EndpointNotice,
   OrderResult,
   type EndpointCall,
@@ -53,6 +54,14 @@
   }
 }
 
+/** Reads the header `x-load` of an endpoint: requests that run and wait, slots, and its slowness if it tells it. */
+function readLoad(text: string): EndpointLoad | undefined {
+  const value = /x-load\n([\d.,]+)/.exec(text)?.[1];
+  if (value === undefined) return undefined;
+  const [running = 0, waiting = 0, slots = 0, slowness] = value.split(",").map(Number);
+  return { running, waiting, slots, ...(slowness === undefined ? {} : { slowness }) };
+}
+
 class TestEndpointCodec implements EndpointCodec {
   listHeaders(send: EndpointRequest): string[] {
     const headers = ["x-id", send.request.head.id, "x-expect", send.endpoint.id];
@@ -84,7 +93,8 @@
         : hasRequestId || send.task === SendTask.prefill
           ? Verdict.answered
           : Verdict.unauthentic;
-    return { status, headers: ["x-id", send.request.head.id], verdict, load: undefined };
+    const load = readLoad(text);
+    return { status, headers: ["x-id", send.request.head.id], verdict, load };
   }
 
   readNotice(status: number, headers: readonly string[]): EndpointNotice {
@@ -96,6 +106,7 @@
       isLeaving: text.includes("x-leaving\n1"),
       limitPerSecond: limit === undefined ? undefined : Number(limit),
       unreadableLimit: undefined,
+      load: readLoad(text),
     };
   }
 
