--- a/measure/slopes.ts
+++ b/measure/slopes.ts
@@ -31,6 +31,7 @@
   createWant,
 } from "./samples";
 import { measureBytes, measureMemory, measureMicros, range } from "./fit";
+import { prepareIdleMember } from "./relay";
 
 void run();
 
@@ -137,6 +138,11 @@
       const message = { wants: range(size).map(createWant), done: [] };
       return () => void BookRequest.decode(BookRequest.encode(message).finish());
     }),
+    measureMicros(
+      "relay: one second of an idle member, by members of the fleet",
+      [20, 86, 150, 300],
+      prepareIdleMember,
+    ),
     measureMicros("placement decision, by pairs of engines", [8, 64, 400, 1600], (size) => {
       const enginesPerStage = Math.round(Math.sqrt(size));
       const views = range(enginesPerStage).map(createCandidate);
--- a/scripts/mutations/relay.mjs
+++ b/scripts/mutations/relay.mjs
@@ -20,9 +20,9 @@
     name: "relays: a standstill of the process does not make its neighbours silent",
     file: "src/fleet/relay/links.ts",
     find: "if (standstillMs > STANDSTILL_MS) {",
-    replace: "if (standstillMs < 0) {",
+    replace: "if (standstillMs > 1e9) {",
     test: "relayfailure",
-    pattern: "freezes for a minute",
+    pattern: "stands still",
   },
   {
     name: "relays: an unheard address is tried, so that the sides of a partition find each other",
--- a/src/fleet/relay/network.ts
+++ b/src/fleet/relay/network.ts
@@ -12,7 +12,7 @@
   type RelayMessage,
 } from "../../peer/gen/fleet";
 import type { MemberIdentity, MemberList, RelayedMember } from "../members";
-import { TopologyCache } from "./choice";
+import { type RelayCandidate, TopologyCache } from "./choice";
 import { Dialler } from "./dialler";
 import { FlushQueue } from "./flush";
 import type { RelayHost } from "./host";
@@ -114,6 +114,12 @@
     return [...this.links.listHeard(this.parts.clock.now()).keys()];
   }
 
+  /** Computes for how long the most silent neighbour was not heard, in milliseconds. */
+  computeSilenceMs(): number {
+    const now = this.parts.clock.now();
+    return Math.max(0, ...[...this.links.listHeard(now).values()].map((at) => now - at));
+  }
+
   /** Takes part from now on. */
   activate(reason: string): void {
     if (this.active || this.isClosed) return;
@@ -145,15 +151,12 @@
   /** Does what is due; called at each interval. */
   tick(): void {
     if (!this.active) return;
-    const { clock, members, host } = this.parts;
+    const { clock, host } = this.parts;
     const now = clock.now();
     this.links.check(now);
     this.collect(now);
     this.updateView(now);
-    const live = members.listLiveMembers(now);
-    if (this.topology.update(this.parts.isLeaving() ? live.slice(0, -1) : live)) {
-      this.onTopologyChange();
-    }
+    if (this.topology.update(this.listCandidates(now))) this.onTopologyChange();
     this.dialler.dial(this.topology.current, now);
     this.loads.setOwnLoad(host.readLoad(now));
     const links = this.links.listOpen();
@@ -162,6 +165,16 @@
     this.flushQueue.flush(links, this.isRelay, true, now);
   }
 
+  /** Lists the instances that may be relays; older builds, which are heard directly, are none. */
+  private listCandidates(now: Moment): readonly RelayCandidate[] {
+    const { members, self, isLeaving } = this.parts;
+    return members
+      .listLiveMembers(now)
+      .filter(({ instance }) =>
+        instance === self.instance ? !isLeaving() : members.isRelayed(instance, now),
+      );
+  }
+
   private reapply(links: readonly RelayLink[], now: Moment): void {
     const isDue = now >= this.reapplyAt;
     if (!isDue && !this.isLoadChanged) return;
--- a/src/forward/gauges.ts
+++ b/src/forward/gauges.ts
@@ -1,8 +1,19 @@
 /**
  * Gauges of an instance, whose values are read at each scrape.
  */
+import type { TrafficCount } from "../fleet/relay/traffic";
 import type { Meter } from "./requests";
 
+/** What the gauges of relaying read. */
+export interface RelayGaugeSource {
+  readonly isActive: boolean;
+  readonly isRelay: boolean;
+  listNeighbours(): readonly string[];
+  /** Time since the most silent neighbour was heard, in milliseconds; 0 without neighbours. */
+  computeSilenceMs(): number;
+  readonly traffic: { readonly sent: TrafficCount; readonly received: TrafficCount };
+}
+
 /** Reads the values of the gauges. */
 export interface GaugeSource {
   countOpenRequests(): number;
@@ -51,3 +62,35 @@
     source.computeEndpointsAgeMs(),
   );
 }
+
+/**
+ * Adds the gauges of relaying to a meter. Counts of messages and bytes rise from the start on.
+ *
+ * @example
+ * addRelayGauges(meter, network);
+ */
+export function addRelayGauges(meter: Meter, source: RelayGaugeSource): void {
+  meter.addGauge("relay_role", "0 without relays, 1 for a member, 2 for a relay", () => {
+    if (!source.isActive) return 0;
+    return source.isRelay ? 2 : 1;
+  });
+  meter.addGauge(
+    "relay_neighbours",
+    "Neighbours that are heard on relay streams",
+    () => source.listNeighbours().length,
+  );
+  meter.addGauge("relay_silence_ms", "Time since the most silent neighbour was heard", () =>
+    source.computeSilenceMs(),
+  );
+  for (const direction of ["sent", "received"] as const) {
+    const count = source.traffic[direction];
+    const add = (name: string, help: string, read: () => number) => {
+      meter.addGauge(`relay_${direction}_${name}`, `${help} that were ${direction}`, read);
+    };
+    add("messages", "Messages on relay streams", () => count.messages);
+    add("bytes", "Bytes of messages on relay streams", () => count.bytes);
+    add("keep_alives", "Messages without records and sums", () => count.keepAlives);
+    add("records", "Records on relay streams", () => count.records);
+    add("reports", "Sums of load on relay streams", () => count.reports);
+  }
+}
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -23,7 +23,7 @@
 import type { Adapter } from "./adapter";
 import { createInstanceBase, type InstanceBase } from "./base";
 import { answerCharge, answerRecall, createRelayedCharge, keepOrigins } from "./shared";
-import { addGauges } from "./gauges";
+import { addGauges, addRelayGauges } from "./gauges";
 import { Maintenance } from "./maintenance";
 import { createParts, type InstanceParts } from "./parts";
 import { answerPermit } from "./limits";
@@ -237,6 +237,7 @@
   }
 
   private addGauges(): void {
+    addRelayGauges(this.base.meter, this.parts.network);
     const { clock, lines, loopDelay, meter } = this.base;
     const { view, reservations } = this.parts;
     const { watcher, readerRole } = view;
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -24,7 +24,9 @@
   QuotaCharger,
   PeerOriginTransport,
   StreamOrigins,
+  PEER_COUNT_LAG_MS,
   Quotas,
+  RELAYED_COUNT_LAG_MS,
   SharedOrigins,
   createCrashTracker,
   RefusalTracker,
@@ -166,7 +168,9 @@
 }
 
 function createQuotas({ settings, clock }: InstanceBase, { members }: FleetView): Quotas {
-  return new Quotas(settings.quotaTolerance, () => members.readFleetSize(clock.now()), clock.now());
+  const readFleetSize = () => members.readFleetSize(clock.now());
+  const readLagMs = () => (members.usesRelays ? RELAYED_COUNT_LAG_MS : PEER_COUNT_LAG_MS);
+  return new Quotas(settings.quotaTolerance, readFleetSize, clock.now(), readLagMs);
 }
 
 function createContext(
--- a/src/forward/shared/index.ts
+++ b/src/forward/shared/index.ts
@@ -7,7 +7,13 @@
 export { decodeKnowledge, encodeKnowledge } from "./crashwire";
 export { PeerOriginTransport, answerRecall, keepOrigins } from "./originpeer";
 export { type StreamOrigin, StreamOrigins } from "./origins";
-export { type QuotaTolerance, Quotas, RELAYED_PEERS } from "./quota";
+export {
+  PEER_COUNT_LAG_MS,
+  type QuotaTolerance,
+  Quotas,
+  RELAYED_COUNT_LAG_MS,
+  RELAYED_PEERS,
+} from "./quota";
 export { RefusalTracker } from "./refusals";
 export { type FoundOrigin, OriginSource, SharedOrigins } from "./sharedorigins";
 export { canGoOn, confirmOrigin } from "./versions";
--- a/src/forward/shared/quota.ts
+++ b/src/forward/shared/quota.ts
@@ -14,7 +14,9 @@
 import type { FleetSize } from "../../fleet/members";
 
 /** How late the counts of peers may be, in milliseconds; a little more than a heartbeat interval. */
-const PEER_COUNT_LAG_MS = 640;
+export const PEER_COUNT_LAG_MS = 640;
+/** The same through relays: a member, its relay and another relay each report four times a second. */
+export const RELAYED_COUNT_LAG_MS = 900;
 
 /** Stands for all peers whose counts come in one sum, through relays. */
 export const RELAYED_PEERS = "(relayed)";
@@ -118,6 +120,8 @@
     private readonly tolerance: QuotaTolerance,
     private readonly readFleetSize: () => FleetSize,
     private readonly startedAt: Moment,
+    /** Reads how late the counts of peers may be, in milliseconds. */
+    private readonly readCountLagMs: () => number = () => PEER_COUNT_LAG_MS,
   ) {}
 
   /**
@@ -329,7 +333,7 @@
       level: Math.min(capacity, startLevel),
       ratedLevel: limit.burst,
       refilledAt: this.startedAt,
-      unasked: new SlidingWindowSum(PEER_COUNT_LAG_MS),
+      unasked: new SlidingWindowSum(this.readCountLagMs()),
       share: 0,
     };
     this.accounts.set(workspace, account);
--- a/test/relayfailure.spec.ts
+++ b/test/relayfailure.spec.ts
@@ -6,6 +6,8 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import fc from "fast-check";
+import { ManualClock } from "../src/core/clock";
+import { LinkTable } from "../src/fleet/relay/links";
 import { type OwnedRecord, RecordTable } from "../src/fleet/relay/records";
 import { RelayFleet, type RelayNode } from "./harness/relayfleet";
 
@@ -174,6 +176,28 @@
   });
 });
 
+describe("the streams of an instance", () => {
+  it("do not grow silent while the process stands still, but afterwards", () => {
+    const clock = new ManualClock(0);
+    const links = new LinkTable("n0", clock);
+    const stream = { send: () => undefined, isWritable: () => true, close: () => undefined };
+    const link = links.add(stream, "n1", clock.now());
+    const identity = { instance: "n1", incarnation: "n1/1", address: "n1" };
+    links.identify(link, { ...identity, dataCentre: "dc0", generation: 1 });
+    const check = (ms: number) => {
+      clock.advance(ms);
+      links.check(clock.now());
+      return links.listOpen().length;
+    };
+    assert.equal(check(0), 1);
+    assert.equal(check(60_000), 1);
+    for (let step = 0; step < 4; step += 1) assert.equal(check(250), 1);
+    for (let step = 0; step < 3; step += 1) check(250);
+    assert.equal(links.listOpen().length, 0);
+    assert.deepEqual(links.takeLost(clock.now()), ["n1"]);
+  });
+});
+
 describe("the records of a fleet", () => {
   const record = fc.record({
     instance: fc.constantFrom("n1", "n2"),
