--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -19,7 +19,9 @@
 import {
   PeerChargeTransport,
   QuotaCharger,
+  PEER_COUNT_LAG_MS,
   Quotas,
+  RELAYED_COUNT_LAG_MS,
   createCrashTracker,
   RefusalTracker,
 } from "./shared";
@@ -167,7 +169,9 @@
 }
 
 function createQuotas({ settings, clock }: InstanceBase, { members }: FleetView): Quotas {
-  return new Quotas(settings.quotaTolerance, () => members.readFleetSize(clock.now()), clock.now());
+  const readFleetSize = () => members.readFleetSize(clock.now());
+  const readLagMs = () => (members.usesRelays ? RELAYED_COUNT_LAG_MS : PEER_COUNT_LAG_MS);
+  return new Quotas(settings.quotaTolerance, readFleetSize, clock.now(), readLagMs);
 }
 
 function createContext(
