--- a/src/peer/gen/fleet.ts
+++ b/src/peer/gen/fleet.ts
@@ -26,14 +26,24 @@
 export const protobufFileName = "fleet.proto";
 
 /** Which instances the sums in a report cover. */
-export enum RelayScope {
-  RELAY_SCOPE_NONE = 0,
+export const RelayScope = {
+  RELAY_SCOPE_NONE: 0,
   /** RELAY_SCOPE_INSTANCE - The sender alone. */
-  RELAY_SCOPE_INSTANCE = 1,
+  RELAY_SCOPE_INSTANCE: 1,
   /** RELAY_SCOPE_DATA_CENTRE - The instances of the sender's data centre that it hears, and itself. */
-  RELAY_SCOPE_DATA_CENTRE = 2,
-  RELAY_SCOPE_FLEET = 3,
-  UNRECOGNIZED = -1,
+  RELAY_SCOPE_DATA_CENTRE: 2,
+  RELAY_SCOPE_FLEET: 3,
+  UNRECOGNIZED: -1,
+} as const;
+
+export type RelayScope = typeof RelayScope[keyof typeof RelayScope];
+
+export namespace RelayScope {
+  export type RELAY_SCOPE_NONE = typeof RelayScope.RELAY_SCOPE_NONE;
+  export type RELAY_SCOPE_INSTANCE = typeof RelayScope.RELAY_SCOPE_INSTANCE;
+  export type RELAY_SCOPE_DATA_CENTRE = typeof RelayScope.RELAY_SCOPE_DATA_CENTRE;
+  export type RELAY_SCOPE_FLEET = typeof RelayScope.RELAY_SCOPE_FLEET;
+  export type UNRECOGNIZED = typeof RelayScope.UNRECOGNIZED;
 }
 
 export function relayScopeFromJSON(object: any): RelayScope {
