Tests: fakes that lack what the joined parts read

Two specs failed since the parts were joined: the fake configuration of silentcall had no data centres, which evacuations read, and the fake request of the connection tests no route, by which sends are described.

--- a/test/harness/clientways.ts
+++ b/test/harness/clientways.ts
@@ -89,7 +89,7 @@
     this.requests += 1;
     const head = { id: `r${this.requests}`, method: "GET", target: "/once/1" };
     const send = {
-      request: { head, body: Buffer.alloc(0), allowedRegions },
+      request: { head, route: { name: "once" }, body: Buffer.alloc(0), allowedRegions },
       endpoint: createEntry("a", this.address),
       task: SendTask.run,
       leftMs: 1000,
--- a/test/silentcall.spec.ts
+++ b/test/silentcall.spec.ts
@@ -50,7 +50,14 @@
     { url, role: Role.service, service: "sheets", dataCentre: index === 0 ? "nizwa" : "bahla" },
   ]);
   const endpoints = Object.fromEntries(entries) as Record<string, object>;
-  const configuration = { endpoints, selectors: {}, workspaces: {}, keys: {}, models: {} };
+  const configuration = {
+    endpoints,
+    selectors: {},
+    workspaces: {},
+    keys: {},
+    models: {},
+    dataCentres: {},
+  };
   let usedRetries = 0;
   const parts = {
     board: {
