--- a/src/fleet/watcher.ts
+++ b/src/fleet/watcher.ts
@@ -14,7 +14,7 @@
 import { FleetConfigIndex, type FleetConfig } from "./config";
 import type { EndpointDirectory } from "./directory";
 import { type EvacuationRecord, Evacuations } from "./evacuations";
-import { Freshness } from "./freshness";
+import { createFeedState, type FeedState, getMaxAgeMs, ReadRole } from "./feeds/state";
 import { FIRST_ERA, type LogPosition } from "./position";
 import { type Feed, type FeedPage, type FeedRecord, type Store, StoreFault } from "./store";
 
@@ -30,18 +30,6 @@
 const LIST_READ_SHARE = 0.4;
 /** Maximum fraction by which the pause between reads is randomly shortened. */
 const POLL_JITTER = 0.2;
-/**
- * The share of a bound after which an instance that is not a reader reads by itself; a random part of
- * it earlier, so that not all instances do so at once.
- */
-const UNCONFIRMED_SHARE = { max: 0.7, jitter: 0.15 } as const;
-/**
- * The same where other instances read for this one: their reads and confirmations come first, and the
- * rest of the bound is enough for an own read.
- */
-const MEMBER_UNCONFIRMED_SHARE = { max: 0.9, jitter: 0.1 } as const;
-/** The share of a bound after which the second reader of a large fleet reads beside the first. */
-const STANDBY_SHARE = 0.65;
 /** In a large fleet: wait time of a long poll, in milliseconds, and pause between reads of the list. */
 const LARGE_FLEET_CONFIG_WAIT_MS = { min: 2400, jitter: 400 } as const;
 const LARGE_FLEET_LIST_READ_SHARE = 0.45;
@@ -63,21 +51,6 @@
   readonly endpointsMs: number;
 }
 
-/** The part of an instance in reading the store for the fleet. */
-export const ReadRole = {
-  /** Reads all the time. */
-  reader: "reader",
-  /** Reads once its copies are not confirmed for a while: the first reader may be gone. */
-  standby: "standby",
-  /** Reads only what is not confirmed for longer, as others read for it. */
-  member: "member",
-  /** Reads only what is not confirmed in time. */
-  none: "none",
-  /** Reads nothing yet. */
-  waiting: "waiting",
-} as const;
-export type ReadRole = (typeof ReadRole)[keyof typeof ReadRole];
-
 /** Decides how an instance reads the store. */
 export interface ReadPolicy {
   /** True if relays are used, so that few calls to the store have to do for many instances. */
@@ -97,37 +70,6 @@
 } as const;
 type FeedName = (typeof FeedName)[keyof typeof FeedName];
 
-/** The state of following one feed. */
-interface FeedState {
-  nextOffset: number | undefined;
-  readonly freshness: Freshness;
-  /** True while a long poll is open. */
-  isWaiting: boolean;
-  isUnavailable: boolean;
-  /** When the store is tried again after a failed call, also by an instance that is not a reader. */
-  retryAt: Moment;
-  /** Age from which the copy counts as unconfirmed, in milliseconds, by role. */
-  readonly maxAgeMs: number;
-  readonly memberMaxAgeMs: number;
-  readonly standbyMaxAgeMs: number;
-}
-
-function createFeedState(boundMs: number): FeedState {
-  const share = UNCONFIRMED_SHARE.max - Math.random() * UNCONFIRMED_SHARE.jitter;
-  const memberShare =
-    MEMBER_UNCONFIRMED_SHARE.max - Math.random() * MEMBER_UNCONFIRMED_SHARE.jitter;
-  return {
-    nextOffset: undefined,
-    freshness: new Freshness(),
-    isWaiting: false,
-    isUnavailable: false,
-    retryAt: Number.POSITIVE_INFINITY,
-    maxAgeMs: boundMs * share,
-    memberMaxAgeMs: boundMs * memberShare,
-    standbyMaxAgeMs: boundMs * STANDBY_SHARE,
-  };
-}
-
 /** Follows the store's configuration and endpoint feeds. */
 export class StoreWatcher {
   /** The evacuations of data centres, which the feed of the configuration has too. */
@@ -433,13 +375,6 @@
   }
 }
 
-/** The age from which a copy is read again by an instance in a role, in milliseconds. */
-function getMaxAgeMs(state: FeedState, role: ReadRole): number {
-  if (role === ReadRole.waiting) return Number.POSITIVE_INFINITY;
-  if (role === ReadRole.member) return state.memberMaxAgeMs;
-  return role === ReadRole.standby ? state.standbyMaxAgeMs : state.maxAgeMs;
-}
-
 function encodeAge(ageMs: number): number | undefined {
   return Number.isFinite(ageMs) ? Math.max(0, Math.round(ageMs)) : undefined;
 }
--- a/src/forward/reading.ts
+++ b/src/forward/reading.ts
@@ -4,7 +4,8 @@
  */
 import type { MemberList } from "../fleet/members";
 import type { ReaderRole } from "../fleet/readers";
-import { type ReadPolicy, ReadRole } from "../fleet/watcher";
+import { ReadRole } from "../fleet/feeds/state";
+import type { ReadPolicy } from "../fleet/watcher";
 import type { InstanceBase } from "./base";
 
 /** Shortest time for which a starting instance may leave its first reads to peers, in milliseconds. */
