--- a/src/fleet/watcher.ts
+++ b/src/fleet/watcher.ts
@@ -13,7 +13,9 @@
 import type { Beat } from "../peer/gen/fleet";
 import { FleetConfigIndex, type FleetConfig } from "./config";
 import type { EndpointDirectory } from "./directory";
+import { type DirectoryChange, EntryChange } from "./entries";
 import { type EvacuationRecord, Evacuations } from "./evacuations";
+import { RecordFaults, RecordTopic } from "./feeds/faults";
 import { createFeedState, type FeedState, getMaxAgeMs, ReadRole } from "./feeds/state";
 import { FIRST_ERA, type LogPosition } from "./position";
 import { type Feed, type FeedPage, type FeedRecord, type Store, StoreFault } from "./store";
@@ -74,6 +76,7 @@
 export class StoreWatcher {
   /** The evacuations of data centres, which the feed of the configuration has too. */
   readonly evacuations = new Evacuations();
+  private readonly faults: RecordFaults;
   private configIndex: FleetConfigIndex | undefined;
   private configValue: Buffer | undefined;
   private readonly configState: FeedState;
@@ -97,6 +100,7 @@
     private readonly policy: ReadPolicy,
     private readonly onChange: () => void,
   ) {
+    this.faults = new RecordFaults(logger, meter);
     this.configState = createFeedState(bounds.configMs);
     this.endpointsState = createFeedState(bounds.endpointsMs);
   }
@@ -205,10 +209,20 @@
     const now = this.clock.now();
     const { directory } = this;
     const changes = isSnapshot ? directory.applySnapshot(page, now) : directory.apply(page, now);
-    for (const change of changes) this.logger.info("endpoint", { ...change, source });
+    for (const change of changes) this.logChange(change, source);
     return changes.length > 0;
   }
 
+  private logChange(change: DirectoryChange, source: string): void {
+    if (change.change !== EntryChange.unreadable) {
+      this.logger.info("endpoint", { ...change, source });
+      return;
+    }
+    const { endpoint: key, offset } = change;
+    const position = { era: this.directory.next.era, offset };
+    this.faults.report(RecordTopic.endpoints, { key, position }, "unreadable", source);
+  }
+
   /**
    * Applies evacuations that a peer knows.
    *
--- a/src/forward/requests/meter.ts
+++ b/src/forward/requests/meter.ts
@@ -66,6 +66,11 @@
   );
   readonly storeCalls = this.createCounter("store_calls_total", "Calls to the store", []);
   readonly storeFailures = this.createCounter("store_failures_total", "Failed calls to it", []);
+  readonly unusableRecords = this.createCounter(
+    "unusable_records_total",
+    "Records of the store or of peers that cannot be used",
+    ["topic"],
+  );
   private readonly requests = this.createHistogram(
     "request_duration_seconds",
     "From a request's arrival to the end of its answer",
