Watching the store: a record that fails costs itself alone, and the feed goes on

The same held for a configuration whose decoding or indexing throws, and for the history of versions, which was then never read.

Decoding and applying are caught per record: the entry or configuration before stays in force, as for one that is unreadable; the record has one line and one count, also if it is read at each turn. In the history it counts as unreadable, so that nothing before it is proven.

--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -99,13 +99,18 @@
     this.departures.announceAll(now);
   }
 
-  /** Applies records that follow those already applied; returns the changes. */
+  /**
+   * Applies records that follow those already applied; one that fails costs itself alone.
+   *
+   * @returns the changes
+   */
   apply(page: FeedPage, now: Moment): readonly DirectoryChange[] {
     const changes: DirectoryChange[] = [];
     for (const record of page.records) {
-      const change = this.applyRecord(record, now);
+      const { change, error } = this.tryRecord(record, now);
       if (change === undefined) continue;
-      changes.push({ endpoint: record.key, change, offset: record.position.offset });
+      const { key: endpoint, position } = record;
+      changes.push({ endpoint, change, offset: position.offset, ...(error ? { error } : {}) });
       this.changedPosition = chooseLater(record.position, this.changedPosition);
     }
     this.nextPosition = chooseLater(page.next, this.nextPosition);
@@ -278,6 +283,16 @@
     return newest;
   }
 
+  /** Applies a record; whatever is thrown by it costs this record alone. */
+  private tryRecord(record: FeedRecord, now: Moment): Partial<DirectoryChange> {
+    try {
+      const change = this.applyRecord(record, now);
+      return change === undefined ? {} : { change };
+    } catch (error) {
+      return { change: EntryChange.unreadable, error: String(error) };
+    }
+  }
+
   private applyRecord(record: FeedRecord, now: Moment): EntryChange | undefined {
     const before = this.listed.get(record.key);
     if (before !== undefined && !isAfter(record.position, before.record.position)) return undefined;
--- a/src/fleet/entries.ts
+++ b/src/fleet/entries.ts
@@ -61,6 +61,8 @@
   readonly endpoint: string;
   readonly change: EntryChange;
   readonly offset: number;
+  /** What decoding or applying an unreadable entry threw; absent if it only is no valid entry. */
+  readonly error?: string;
 }
 
 /**
--- a/src/fleet/historyproof.ts
+++ b/src/fleet/historyproof.ts
@@ -59,6 +59,7 @@
   /** Largest number of entries that a process wrote since then. */
   private mostSteps = 0;
   private nextIndex = 0;
+  private unreadableCount = 0;
 
   constructor(private readonly decode: EndpointDecoder) {}
 
@@ -69,13 +70,18 @@
     const before = this.listed.get(key);
     if (value === undefined) this.addRemoval(key, before, index);
     else {
-      const entry = this.decode(key, value);
+      const entry = this.tryDecode(key, value);
       if (entry === undefined) this.discardBefore(index + 1);
       else this.addEntry(entry, before, index);
     }
     this.known.add(key);
   }
 
+  /** Number of records whose entry could not be read. */
+  get unreadable(): number {
+    return this.unreadableCount;
+  }
+
   /** Proves what the records show that were added. */
   prove(): HistoryProof {
     return {
@@ -87,6 +93,18 @@
     };
   }
 
+  /** Decodes an entry; one whose decoder throws counts as one that is not valid. */
+  private tryDecode(key: string, value: Buffer): EndpointEntry | undefined {
+    let entry: EndpointEntry | undefined;
+    try {
+      entry = this.decode(key, value);
+    } catch {
+      entry = undefined;
+    }
+    if (entry === undefined) this.unreadableCount += 1;
+    return entry;
+  }
+
   /** The version of a removed endpoint is not known if no entry is kept, or some may be missing. */
   private addRemoval(key: string, before: WrittenProcess | undefined, index: number): void {
     if (before === undefined || before.lastIndex < this.coveredFrom) this.discardBefore(index + 1);
--- a/src/fleet/historyreader.ts
+++ b/src/fleet/historyreader.ts
@@ -72,7 +72,7 @@
       return;
     }
     const { records } = page.right;
-    const proof = await this.scan(records);
+    const { proof, unreadable } = await this.scan(records);
     versionHistory.recordProof(proof, at);
     this.readForWatch = versionHistory.watch;
     for (const { entry, lastListedMs } of proof.processes) {
@@ -80,17 +80,19 @@
     }
     const { coveredMs } = proof;
     const tookMs = Math.round(clock.now() - at);
-    logger.info("history", { records: records.length, coveredMs, tookMs });
+    logger.info("history", { records: records.length, unreadable, coveredMs, tookMs });
   }
 
   /** Scans the records in several turns, so that requests are not kept waiting. */
-  private async scan(records: readonly FeedRecord[]): Promise<HistoryProof> {
+  private async scan(
+    records: readonly FeedRecord[],
+  ): Promise<{ readonly proof: HistoryProof; readonly unreadable: number }> {
     const history = new HistoryScan(this.parts.decode);
     for (const [index, record] of records.entries()) {
       if (index > 0 && index % RECORDS_PER_TURN === 0) await endTurn();
       history.add(record);
     }
-    return history.prove();
+    return { proof: history.prove(), unreadable: history.unreadable };
   }
 }
 
--- a/src/fleet/watcher.ts
+++ b/src/fleet/watcher.ts
@@ -22,6 +22,8 @@
 
 /** Key of the configuration in its feed. */
 const CONFIG_KEY = "config";
+/** The position of a configuration that a peer passed on. */
+const NO_POSITION: LogPosition = { era: FIRST_ERA, offset: -1 };
 /**
  * Wait time of a long poll for a new configuration, in milliseconds: a minimum plus random jitter,
  * so that the reads of the fleet do not end together after a change. A read that gets no response
@@ -180,23 +182,36 @@
   }
 
   /**
-   * Applies a configuration from the store or a peer; an older version never replaces a newer one.
+   * Applies a configuration from the store or a peer; an older version never replaces a newer one, nor
+   * does one that can't be used.
    *
+   * @param position - where it stands in its feed, if that is known
    * @returns true if it is in force now
    */
-  applyConfig(value: Buffer, source: string): boolean {
-    const decoded = this.decodeConfig(value);
-    if (E.isLeft(decoded)) {
-      this.logger.warn("configuration unreadable", { source, error: decoded.left.message });
+  applyConfig(value: Buffer, source: string, position = NO_POSITION): boolean {
+    const indexed = E.flatten(
+      E.tryCatch(
+        () =>
+          E.map((config: FleetConfig) => new FleetConfigIndex(config))(this.decodeConfig(value)),
+        E.toError,
+      ),
+    );
+    if (E.isLeft(indexed)) {
+      const record = { key: CONFIG_KEY, position };
+      this.faults.report(RecordTopic.configuration, record, indexed.left.message, source);
       return false;
     }
-    const { version } = decoded.right;
+    const { version, routes } = indexed.right.config;
     const before = this.configIndex?.config.version;
     if (before !== undefined && version <= before) return false;
-    this.configIndex = new FleetConfigIndex(decoded.right);
+    this.configIndex = indexed.right;
     this.configValue = value;
-    const routes = decoded.right.routes.length;
-    this.logger.info("configuration", { version, before: before ?? 0, source, routes });
+    this.logger.info("configuration", {
+      version,
+      before: before ?? 0,
+      source,
+      routes: routes.length,
+    });
     return true;
   }
 
@@ -218,9 +233,9 @@
       this.logger.info("endpoint", { ...change, source });
       return;
     }
-    const { endpoint: key, offset } = change;
+    const { endpoint: key, offset, error = "no valid entry" } = change;
     const position = { era: this.directory.next.era, offset };
-    this.faults.report(RecordTopic.endpoints, { key, position }, "unreadable", source);
+    this.faults.report(RecordTopic.endpoints, { key, position }, error, source);
   }
 
   /**
@@ -361,7 +376,7 @@
 
   private applyConfigRecord({ key, value, position }: FeedRecord): boolean {
     if (key !== CONFIG_KEY || value === undefined) return false;
-    return this.applyConfig(value, `store offset ${position.offset}`);
+    return this.applyConfig(value, `store offset ${position.offset}`, position);
   }
 
   /**
