--- a/src/forward/tunnels/directopener.ts
+++ b/src/forward/tunnels/directopener.ts
@@ -3,7 +3,12 @@
  */
 import type { Socket } from "node:net";
 import * as E from "fp-ts/Either";
-import { ConnectTimeoutError, openSocket, type SocketOpener } from "../../store/connector";
+import {
+  ConnectTimeoutError,
+  openSocket,
+  type SocketOpener,
+  tryOpenSocket,
+} from "../../store/connector";
 import type { EndpointSocket } from "./openers";
 
 /** Opens direct connections to addresses. */
@@ -18,7 +23,9 @@
 
   open(address: string, timeoutMs: number): Promise<E.Either<Error, EndpointSocket>> {
     const [host = "", port = ""] = address.split(":");
-    const socket = this.openTcp(host, Number(port));
+    const opened = tryOpenSocket(this.openTcp, host, Number(port));
+    if (E.isLeft(opened)) return Promise.resolve(opened);
+    const socket = opened.right;
     return new Promise((resolve) => {
       const timer = setTimeout(() => {
         // After a pause of this process, an established connection is reported behind the timer.
--- a/src/forward/tunnels/tunnel.ts
+++ b/src/forward/tunnels/tunnel.ts
@@ -6,6 +6,7 @@
 import * as E from "fp-ts/Either";
 import type { Clock, Moment } from "../../core/clock";
 import { ReadFirstTimer } from "../../core/readfirst";
+import { tryOpenSocket } from "../../store/connector";
 import { TunnelData, type TunnelTarget } from "../../peer/gen/fleet";
 import type { LinkChecker } from "./linkcheck";
 import { encodeBytes, END_MESSAGE, OPENED_MESSAGE } from "./wire";
@@ -144,7 +145,12 @@
   private connect(address: string, endpoint: string): void {
     const separator = address.lastIndexOf(":");
     const port = Number(address.slice(separator + 1));
-    const socket = this.parts.connect(address.slice(0, separator), port);
+    const opened = tryOpenSocket(this.parts.connect, address.slice(0, separator), port);
+    if (E.isLeft(opened)) {
+      this.fail(TunnelFailureKind.unreachable);
+      return;
+    }
+    const socket = opened.right;
     this.socket = socket;
     this.timer.close();
     this.timer = new ReadFirstTimer(CONNECT_TIMEOUT_MS, () => {
--- a/src/store/connector.ts
+++ b/src/store/connector.ts
@@ -3,6 +3,7 @@
  * rounded up to about a second, which is the whole deadline of some requests.
  */
 import { connect, type Socket } from "node:net";
+import * as E from "fp-ts/Either";
 import type { buildConnector } from "undici";
 import { ReadFirstTimer } from "../core/readfirst";
 
@@ -35,6 +36,21 @@
     keepAliveInitialDelay: KEEP_ALIVE_INITIAL_DELAY_MS,
   });
 
+/**
+ * Opens a socket; one whose port or host cannot be connected to, for which Node.js throws, fails as a
+ * connection that was not established.
+ *
+ * @example
+ * tryOpenSocket(openSocket, "127.0.0.1", 99_999); // Left
+ */
+export function tryOpenSocket(
+  open: SocketOpener,
+  host: string,
+  port: number,
+): E.Either<Error, Socket> {
+  return E.tryCatch(() => open(host, port), E.toError);
+}
+
 /**
  * Creates a connector for an undici client or agent.
  *
