Relays: a peer's record that cannot be decoded costs itself alone, and is not passed on

A record of another instance (a faulty or newer build) whose content cannot be decoded was first kept and passed on to all neighbours and then decoded in the listener of the stream, where nothing catches what is thrown: the process that received it ended, and so did each one after it.

A record of a kind that this build knows is decoded before it is kept and passed on; one that fails, or whose applying throws, has one line and one count. Kinds of newer builds are passed on unread, as before.

The harness and measure/relay.ts name the new part.

--- a/measure/relay.ts
+++ b/measure/relay.ts
@@ -31,6 +31,7 @@
     logger: SILENT_LOGGER,
     transport: { openRelay: () => undefined },
     members: new MemberList(SELF, SILENT_LOGGER, clock.now()),
+    faults: { report: () => undefined },
     host: new TestHost(clock),
     isLeaving: () => false,
     isStoreLost: () => false,
--- a/src/fleet/relay/network.ts
+++ b/src/fleet/relay/network.ts
@@ -11,6 +11,7 @@
   RelayMember,
   type RelayMessage,
 } from "../../peer/gen/fleet";
+import { type RecordFaults, RecordTopic } from "../feeds/faults";
 import type { MemberIdentity, MemberList, RelayedMember } from "../members";
 import { type RelayCandidate, TopologyCache } from "./choice";
 import { Dialler } from "./dialler";
@@ -45,6 +46,8 @@
   RecordKind.cold,
   RecordKind.paced,
 ]);
+/** Kinds that this build decodes; those of newer builds are passed on as they are. */
+const KNOWN_KINDS: ReadonlySet<number> = new Set(Object.values(RecordKind));
 /** Kinds that expire at their receivers unless they are told again. */
 const EXPIRING_KINDS = [RecordKind.lostEndpoints, RecordKind.speeds] as const;
 
@@ -57,6 +60,7 @@
   readonly logger: Logger;
   readonly transport: RelayTransport;
   readonly members: MemberList;
+  readonly faults: Pick<RecordFaults, "report">;
   readonly host: RelayHost;
   readonly isLeaving: () => boolean;
   readonly isStoreLost: () => boolean;
@@ -190,7 +194,7 @@
       for (const record of this.table.listKind(kind)) {
         if (record.instance === this.parts.self.instance) continue;
         if (members.isRelayed(record.instance, now) && record.content.length > 0) {
-          this.parts.host.applyRecord({ ...record, writtenAt: now }, now);
+          this.tryApply({ ...record, writtenAt: now }, now);
         }
       }
     }
@@ -266,15 +270,16 @@
 
   /** Merges a record that a neighbour sent; passes it on if it is new here. */
   private mergeRecord(link: RelayLink, record: OwnedRecord, now: Moment): void {
-    const { self, host } = this.parts;
+    const { self } = this.parts;
     if (record.instance === self.instance) {
       if (record.incarnation === self.incarnation) return;
       for (const renewed of this.own.advance(record.generation)) this.publish(renewed, now);
       return;
     }
     for (const other of this.links.listOf(link.peer?.instance ?? "")) other.dropKnown(record);
+    if (!this.table.isNew(record) || !this.isReadable(link, record)) return;
     const before = this.table.find(record.instance, record.kind);
-    if (!this.table.merge(record, now)) return;
+    this.table.merge(record, now);
     this.passOn(link, record);
     if (record.kind === RecordKind.heard) {
       if (this.hasNewLoss(before, record)) {
@@ -285,11 +290,39 @@
       if (this.readMember(record).isLeaving) this.scheduleFlush();
       this.updateMember(record, now);
     } else {
-      host.applyRecord(record, now);
+      this.tryApply(record, now);
       if (URGENT_KINDS.has(record.kind)) this.scheduleFlush();
     }
   }
 
+  /** Checks whether a record can be decoded; one that can't is neither kept nor passed on. */
+  private isReadable(link: RelayLink, record: OwnedRecord): boolean {
+    try {
+      if (record.kind === RecordKind.member) this.readMember(record);
+      else if (record.kind === RecordKind.heard) this.readHeard(record);
+      else if (KNOWN_KINDS.has(record.kind)) Beat.decode(record.content);
+      return true;
+    } catch (error) {
+      this.reportFault(record, error, link.peer?.instance);
+      return false;
+    }
+  }
+
+  /** Has a record applied; whatever that throws costs the record alone. */
+  private tryApply(record: OwnedRecord, now: Moment): void {
+    try {
+      this.parts.host.applyRecord(record, now);
+    } catch (error) {
+      this.reportFault(record, error, record.instance);
+    }
+  }
+
+  private reportFault(record: OwnedRecord, error: unknown, peer = ""): void {
+    const { instance, kind, generation, version } = record;
+    const name = { key: `${instance} ${kind}`, position: { era: generation, offset: version } };
+    this.parts.faults.report(RecordTopic.peers, name, String(error), `peer ${peer}`);
+  }
+
   /**
    * Passes a record on to the neighbours that do not get it from where it came from: relays that hear
    * each other need no third one between them.
--- a/src/fleet/relay/records.ts
+++ b/src/fleet/relay/records.ts
@@ -72,14 +72,9 @@
    *   the table has no room
    */
   merge(record: OwnedRecord, now: Moment): boolean {
-    if (record.content.length > MAX_CONTENT_BYTES) return false;
+    if (!this.isNew(record)) return false;
     const known = this.owners.get(record.instance);
-    if (known === undefined && this.owners.size >= MAX_OWNERS) return false;
-    if (known !== undefined && compareProcess(record, known) < 0) return false;
     if (known?.incarnation === record.incarnation) {
-      const before = known.records.get(record.kind);
-      if (before !== undefined && before.version >= record.version) return false;
-      if (before === undefined && known.records.size >= MAX_KINDS) return false;
       known.records.set(record.kind, record);
       return true;
     }
@@ -89,6 +84,18 @@
     return true;
   }
 
+  /** Checks whether a record would be merged. */
+  isNew(record: OwnedRecord): boolean {
+    if (record.content.length > MAX_CONTENT_BYTES) return false;
+    const known = this.owners.get(record.instance);
+    if (known === undefined) return this.owners.size < MAX_OWNERS;
+    if (compareProcess(record, known) < 0) return false;
+    if (known.incarnation !== record.incarnation) return true;
+    const before = known.records.get(record.kind);
+    if (before === undefined) return known.records.size < MAX_KINDS;
+    return before.version < record.version;
+  }
+
   find(instance: string, kind: number): OwnedRecord | undefined {
     return this.owners.get(instance)?.records.get(kind);
   }
--- a/src/forward/relaying.ts
+++ b/src/forward/relaying.ts
@@ -1,6 +1,7 @@
 /**
  * Creates the part of an instance that takes part in relaying, in fleets that are large enough.
  */
+import { RecordFaults } from "../fleet/feeds/faults";
 import type { RelayHost } from "../fleet/relay/host";
 import { RelayNetwork } from "../fleet/relay/network";
 import type { InstanceBase } from "./base";
@@ -14,7 +15,7 @@
  * const network = createRelayNetwork(base, view, peerState, () => isStopping);
  */
 export function createRelayNetwork(
-  { settings, clock, logger, self }: InstanceBase,
+  { settings, clock, logger, meter, self }: InstanceBase,
   { members, transport, watcher }: FleetView,
   host: RelayHost,
   isLeaving: () => boolean,
@@ -26,6 +27,7 @@
     logger,
     transport,
     members,
+    faults: new RecordFaults(logger, meter),
     host,
     isLeaving,
     isStoreLost: () => watcher.isStoreLost,
--- a/test/harness/relayfleet.ts
+++ b/test/harness/relayfleet.ts
@@ -253,6 +253,7 @@
       logger: SILENT_LOGGER,
       transport: { openRelay: (address, listener) => this.open(node, address, listener) },
       members: node.members,
+      faults: { report: () => undefined },
       host,
       isLeaving: () => host.isLeaving,
       isStoreLost: () => false,
--- /dev/null
+++ b/test/oddpeers.spec.ts
@@ -0,0 +1,117 @@
+/**
+ * State of other instances that relays carry, as a faulty or a newer build may write it. Guards against
+ * a record that ends the process which receives it, and each one that it is passed on to.
+ */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import fc from "fast-check";
+import { ManualClock } from "../src/core/clock";
+import { SILENT_LOGGER } from "../src/core/log";
+import { MemberList } from "../src/fleet/members";
+import { RelayNetwork } from "../src/fleet/relay/network";
+import { RecordKind } from "../src/fleet/relay/records";
+import { Beat, RelayMessage, type RelayRecord } from "../src/peer/gen/fleet";
+import { TestHost } from "./harness/relayfleet";
+
+const SELF = { instance: "n0", incarnation: "n0/1", address: "n0", dataCentre: "dc0" };
+const NEIGHBOURS = ["n1", "n2"] as const;
+/** A tag that has no end, and text that is longer than its message. */
+const MALFORMED = [
+  [255, 255, 255],
+  [0x0a, 0x7f, 0x00],
+] as const;
+
+/** An instance with two neighbours. */
+class Scene {
+  readonly faults: string[] = [];
+  readonly passedOn: RelayRecord[] = [];
+  readonly host: TestHost;
+  private readonly clock = new ManualClock(1000);
+  private readonly network: RelayNetwork;
+  private readonly listener;
+  private sequence = 0;
+
+  constructor() {
+    this.host = new TestHost(this.clock);
+    this.network = new RelayNetwork({
+      self: SELF,
+      generation: 1,
+      clock: this.clock,
+      logger: SILENT_LOGGER,
+      transport: { openRelay: () => undefined },
+      members: new MemberList(SELF, SILENT_LOGGER, this.clock.now()),
+      faults: {
+        report: (_topic, { key }) => {
+          this.faults.push(key);
+        },
+      },
+      host: this.host,
+      isLeaving: () => false,
+      isStoreLost: () => false,
+      listSeeds: () => [],
+      random: () => 0.5,
+      schedule: (_ms, run) => {
+        run();
+      },
+    });
+    const [from, to] = NEIGHBOURS.map((name) => this.accept(name));
+    assert.ok(from !== undefined && to !== undefined);
+    this.listener = from;
+  }
+
+  /** Has the first neighbour send a record; ticks. */
+  receive(kind: number, content: Uint8Array, version: number, generation = 1): void {
+    const record = { instance: "n7", incarnation: "n7/1", generation, kind, version, content };
+    this.send(this.listener, { records: [{ ...record, ageMs: 0 }] });
+    this.clock.advance(1);
+    this.network.tick();
+  }
+
+  private accept(name: string) {
+    const stream = {
+      send: (bytes: Uint8Array) => {
+        if (name === "n2") this.passedOn.push(...RelayMessage.decode(bytes).records);
+      },
+      isWritable: () => true,
+      close: () => undefined,
+    };
+    const listener = this.network.accept(stream);
+    const hello = { instance: name, incarnation: `${name}/1`, address: name, dataCentre: "dc0" };
+    this.send(listener, { hello: { ...hello, generation: 1 } });
+    return listener;
+  }
+
+  private send(listener: ReturnType<RelayNetwork["accept"]>, content: Partial<RelayMessage>): void {
+    this.sequence += 1;
+    const message = { ...RelayMessage.fromPartial({ sequence: this.sequence }), ...content };
+    listener.onMessage(message, 100);
+  }
+}
+
+describe("a record of a peer that cannot be decoded", () => {
+  it("costs itself alone, and is not passed on", () => {
+    const scene = new Scene();
+    let version = 0;
+    for (const kind of Object.values(RecordKind)) {
+      for (const content of MALFORMED)
+        scene.receive(kind, Uint8Array.from(content), (version += 1));
+    }
+    assert.ok(scene.faults.length > 0);
+    assert.ok(!scene.passedOn.some(({ instance }) => instance === "n7"));
+    const sound = Beat.encode(Beat.fromPartial({ refused: ["n9"] })).finish();
+    scene.receive(RecordKind.limits, sound, version + 1);
+    assert.ok(scene.host.heardRefusals.has("n9"));
+    assert.ok(scene.passedOn.some(({ instance }) => instance === "n7"));
+  });
+
+  it("never throws, whatever its bytes are", () => {
+    const scene = new Scene();
+    let version = 0;
+    const kinds = fc.constantFrom(...Object.values(RecordKind), 99);
+    fc.assert(
+      fc.property(kinds, fc.uint8Array(), (kind, content) => {
+        scene.receive(kind, content, (version += 1));
+      }),
+    );
+  });
+});
