Endpoint list: an entry that cannot be true takes no sound endpoint out of service

A start in the far future superseded every other endpoint at its address (findNewestStarts, isListedProcess), and under a known id it, or a huge sequence number, made all later entries of the sound process out of date; a peer's word that such a process left did so too.

PROTOCOL.md: born is the Unix millisecond of the start, always a whole number. An entry whose start is more than an hour ahead of this instance's wall clock, or that counts more than one entry a millisecond since its start, cannot be true. It does not replace one that can, never supersedes another endpoint, and a sound entry replaces it. It is not refused otherwise: an instance whose own clock is wrong takes all entries for such and goes on as before. An entry at whose address another endpoint answered (421) supersedes none there until its next entry. What remains: a start within the hour ahead at another's address supersedes that one until a request is answered with 421.

--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -11,6 +11,7 @@
   type EndpointEntry,
   EntryChange,
   isOutOfDate,
+  isPlausible,
   MAX_COLD_MS,
 } from "./entries";
 import { chooseLater, isAfter, LOG_START, type LogPosition } from "./position";
@@ -64,7 +65,11 @@
   private outageEndedAt: Moment = Number.NEGATIVE_INFINITY;
   private usableCache: readonly EndpointEntry[] | undefined;
 
-  constructor(private readonly decode: EndpointDecoder) {}
+  /** @param readWallClock - reads this instance's wall clock, in milliseconds */
+  constructor(
+    private readonly decode: EndpointDecoder,
+    private readonly readWallClock: () => number = Date.now,
+  ) {}
 
   /** The position up to which the list is known. */
   get next(): LogPosition {
@@ -270,14 +275,19 @@
     return known?.sequence === sequence && known.deadline > now;
   }
 
+  private isPlausible(process: Pick<EndpointEntry, "processStartedAt" | "sequence">): boolean {
+    return isPlausible(process, this.readWallClock());
+  }
+
   /**
    * By address: when the newest process started there. Earlier processes at the address no longer
-   * exist.
+   * exist, unless the newest entry cannot be true, or another endpoint answered there.
    */
   private findNewestStarts(): ReadonlyMap<string, number> {
     const newest = new Map<string, number>();
     for (const { entry } of this.listed.values()) {
-      if (entry === undefined) continue;
+      if (entry === undefined || !this.isPlausible(entry)) continue;
+      if (this.misdirected.get(entry.id)?.sequence === entry.sequence) continue;
       newest.set(entry.address, Math.max(entry.processStartedAt, newest.get(entry.address) ?? 0));
     }
     return newest;
@@ -302,7 +312,10 @@
     if (entry === undefined) return EntryChange.unreadable;
     const departure = this.departures.find(record.key);
     const latestKnown = [before?.latestEntry, departure].filter((known) => known !== undefined);
-    if (latestKnown.some((known) => isOutOfDate(entry, known))) {
+    const plausible = latestKnown.filter((known) => this.isPlausible(known));
+    if (!this.isPlausible(entry) && plausible.length > 0) return EntryChange.implausible;
+    const comparable = this.isPlausible(entry) ? plausible : latestKnown;
+    if (comparable.some((known) => isOutOfDate(entry, known))) {
       return EntryChange.outOfDate;
     }
     const isLeaving =
@@ -357,6 +370,9 @@
 
   /** Records a departure that the list did not say, and applies it to the listed entry. */
   private recordDeparture(departure: Departure, isAnnounced: boolean, now: Moment): boolean {
+    const latest = this.listed.get(departure.endpoint)?.latestEntry;
+    const isKnownSound = latest !== undefined && this.isPlausible(latest);
+    if (isKnownSound && !this.isPlausible(departure)) return false;
     if (!this.departures.record(departure, isAnnounced, now)) return false;
     const { endpoint, processStartedAt, sequence, isLeaving } = departure;
     const listed = this.listed.get(endpoint);
--- a/src/fleet/entries.ts
+++ b/src/fleet/entries.ts
@@ -9,6 +9,12 @@
 /** Longest time that an endpoint is taken for cold after it said so once, in milliseconds. */
 export const MAX_COLD_MS = 60_000;
 
+/**
+ * How far an endpoint's wall clock may be ahead of that of an instance, in milliseconds; far more than
+ * clocks that are kept in step differ.
+ */
+const MAX_CLOCK_LEAD_MS = 3_600_000;
+
 /** An endpoint's own description, published in the store. */
 export interface EndpointEntry {
   readonly id: string;
@@ -53,6 +59,8 @@
   unreadable: "unreadable",
   /** The entry is older than what is known of its endpoint, so it was not applied. */
   outOfDate: "out of date",
+  /** The entry cannot be true, and one that can is known, so it was not applied. */
+  implausible: "implausible",
 } as const;
 export type EntryChange = (typeof EntryChange)[keyof typeof EntryChange];
 
@@ -81,6 +89,23 @@
   return entry.sequence <= last.sequence;
 }
 
+/**
+ * Checks whether a process can have started when an entry says, and have written as many entries since:
+ * at most one a millisecond. Of entries that other writers left, such as cannot be true must not make
+ * those of sound processes count as older.
+ *
+ * @param wallNow - milliseconds of this instance's wall clock
+ * @example
+ * isPlausible({ processStartedAt: Date.now() + 86_400_000, sequence: 1 }, Date.now()); // false
+ */
+export function isPlausible(
+  { processStartedAt, sequence }: Pick<EndpointEntry, "processStartedAt" | "sequence">,
+  wallNow: number,
+): boolean {
+  const maxAgeMs = wallNow + MAX_CLOCK_LEAD_MS - processStartedAt;
+  return maxAgeMs >= 0 && sequence <= maxAgeMs;
+}
+
 /**
  * Compares an entry with the one before; returns undefined if only its sequence number changed.
  *
