--- a/src/fleet/members.ts
+++ b/src/fleet/members.ts
@@ -4,7 +4,7 @@
 import * as E from "fp-ts/Either";
 import * as t from "io-ts";
 import type { Moment } from "../core/clock";
-import { decodeText } from "../core/codec";
+import { createText, decodeBytes } from "../core/codec";
 import type { Logger } from "../core/log";
 import type { Beat } from "../peer/gen/fleet";
 import type { ReaderCandidate } from "./readers";
@@ -52,7 +52,12 @@
   readonly dataCentre: string;
 }
 
-const memberCodec = t.type({ address: t.string, incarnation: t.string, dataCentre: t.string });
+/** Maximum size of a record, in bytes, and of a name in it, in characters. */
+const MAX_RECORD_BYTES = 16 * 1024;
+const MAX_NAME_CHARACTERS = 512;
+
+const nameCodec = createText("name", MAX_NAME_CHARACTERS);
+const memberCodec = t.type({ address: nameCodec, incarnation: nameCodec, dataCentre: nameCodec });
 
 /** The number of instances, as one of them sees it. */
 export interface FleetSize {
@@ -121,7 +126,7 @@
   addRecords(records: readonly FeedRecord[], now: Moment): void {
     for (const { key, value, position } of records) {
       if (value === undefined || key === this.self.instance) continue;
-      const member = decodeText(memberCodec, value.toString("utf8"), `member ${key}`);
+      const member = decodeBytes(memberCodec, value, `member ${key}`, MAX_RECORD_BYTES);
       if (E.isLeft(member)) {
         this.logger.warn("member unreadable", {
           member: key,
--- a/src/fleet/orders.ts
+++ b/src/fleet/orders.ts
@@ -13,7 +13,7 @@
 import * as t from "io-ts";
 import { uptime } from "node:os";
 import { type Clock, type Moment, MS_PER_SECOND } from "../core/clock";
-import { decodeText } from "../core/codec";
+import { decodeBytes } from "../core/codec";
 import type { Logger } from "../core/log";
 import type { LogPosition } from "./position";
 import { type OrderLog, type OrderRecord, StoreFault } from "./store";
@@ -22,6 +22,8 @@
 const MAX_APPEND_MS = 400;
 /** How long an order may still be in flight after its lease has expired, in milliseconds. */
 const ORDER_MARGIN_MS = 2500;
+/** Maximum size of a record, in bytes; those of instances have some hundreds. */
+const MAX_RECORD_BYTES = 16 * 1024;
 /** Fencing tokens of one era; the log never has as many records. */
 const FENCES_PER_ERA = 2 ** 32;
 
@@ -115,7 +117,7 @@
    * another's.
    */
   private trackHolder(record: OrderRecord): void {
-    const decoded = decodeText(recordCodec, record.value.toString("utf8"), "order");
+    const decoded = decodeBytes(recordCodec, record.value, "order", MAX_RECORD_BYTES);
     if (E.isRight(decoded) && decoded.right.holder === this.holder) return;
     this.otherHolderSeenAt = this.clock.now();
   }
--- a/test/oddrecords.spec.ts
+++ b/test/oddrecords.spec.ts
@@ -5,11 +5,13 @@
 import assert from "node:assert/strict";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { MonotonicClock, pause } from "../src/core/clock";
-import type { Logger, LogFields } from "../src/core/log";
+import { type Logger, type LogFields, SILENT_LOGGER } from "../src/core/log";
 import { EndpointDirectory } from "../src/fleet/directory";
 import type { EndpointDecoder } from "../src/fleet/entries";
 import { ReadRole } from "../src/fleet/feeds/state";
 import { HistoryScan } from "../src/fleet/historyproof";
+import { MemberList } from "../src/fleet/members";
+import type { FeedRecord } from "../src/fleet/store";
 import { type ConfigDecoder, StoreWatcher } from "../src/fleet/watcher";
 import { Meter } from "../src/forward/requests";
 import { createConfig, createEntry, testCodecs, waitUntil } from "./harness/forward";
@@ -124,3 +126,18 @@
     assert.equal(scan.prove().processes.length, 1);
   });
 });
+
+describe("an odd record among the members", () => {
+  it("is ignored if its address is a megabyte, and the others are known", () => {
+    const identity = { incarnation: "1", dataCentre: "nizwa" };
+    const self = { ...identity, instance: "nizwa-1", address: "127.0.0.1:1" };
+    const members = new MemberList(self, SILENT_LOGGER, 0);
+    const addresses = ["x".repeat(1_000_000), "127.0.0.1:2"];
+    const records = addresses.map((address, offset) => {
+      const value = Buffer.from(JSON.stringify({ ...identity, address }));
+      return { key: `nizwa-${offset + 2}`, value, position: { era: 0, offset } };
+    });
+    members.addRecords([{ ...records[0], key: "odd", value: ODD } as FeedRecord, ...records], 0);
+    assert.deepEqual(members.listAddresses(), ["127.0.0.1:2"]);
+  });
+});
