--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -36,6 +36,9 @@
  */
 const COLD_TOLERANCE_MS = 1000;
 
+/** Maximum number of entries of a process between two that are read. */
+const MAX_MISSED_ENTRIES = 100;
+
 interface MisdirectedEntry {
   readonly sequence: number;
   readonly deadline: Moment;
@@ -60,15 +63,20 @@
   private readonly departures = new DepartureTracker();
   /** The processes that the endpoints have had. */
   readonly processes = new ProcessHistory();
+  /** By endpoint: the last entry that cannot be true, and was not applied. */
+  private readonly implausible = new Map<
+    string,
+    Pick<EndpointEntry, "processStartedAt" | "sequence">
+  >();
   private nextPosition = LOG_START;
   private changedPosition = NO_POSITION;
   private outageEndedAt: Moment = Number.NEGATIVE_INFINITY;
   private usableCache: readonly EndpointEntry[] | undefined;
 
-  /** @param readWallClock - reads this instance's wall clock, in milliseconds */
+  /** @param readWallClock - reads this instance's wall clock, in milliseconds; never steps back */
   constructor(
     private readonly decode: EndpointDecoder,
-    private readonly readWallClock: () => number = Date.now,
+    private readonly readWallClock: () => number = readSteadyWallClock,
   ) {}
 
   /** The position up to which the list is known. */
@@ -275,6 +283,17 @@
     return known?.sequence === sequence && known.deadline > now;
   }
 
+  /**
+   * Checks whether the writer of an implausible entry goes on writing, as a sound process does. One that
+   * another writer left stands alone, so it is a clock that is wrong.
+   */
+  private isWrittenOn({ id, processStartedAt, sequence }: EndpointEntry): boolean {
+    const last = this.implausible.get(id);
+    this.implausible.set(id, { processStartedAt, sequence });
+    const step = last?.processStartedAt === processStartedAt ? sequence - last.sequence : 0;
+    return step > 0 && step <= MAX_MISSED_ENTRIES;
+  }
+
   private isPlausible(process: Pick<EndpointEntry, "processStartedAt" | "sequence">): boolean {
     return isPlausible(process, this.readWallClock());
   }
@@ -313,7 +332,9 @@
     const departure = this.departures.find(record.key);
     const latestKnown = [before?.latestEntry, departure].filter((known) => known !== undefined);
     const plausible = latestKnown.filter((known) => this.isPlausible(known));
-    if (!this.isPlausible(entry) && plausible.length > 0) return EntryChange.implausible;
+    if (plausible.length > 0 && !this.isPlausible(entry) && !this.isWrittenOn(entry)) {
+      return EntryChange.implausible;
+    }
     const comparable = this.isPlausible(entry) ? plausible : latestKnown;
     if (comparable.some((known) => isOutOfDate(entry, known))) {
       return EntryChange.outOfDate;
@@ -402,3 +423,8 @@
   const { id, processStartedAt, sequence } = endpoint;
   return { endpoint: id, processStartedAt, sequence, isLeaving };
 }
+
+/** Reads the wall clock, or what it would be by now if it had not been set back since the start. */
+function readSteadyWallClock(): number {
+  return Math.max(Date.now(), performance.timeOrigin + performance.now());
+}
--- a/test/oddstarts.spec.ts
+++ b/test/oddstarts.spec.ts
@@ -75,6 +75,28 @@
   });
 });
 
+describe("a sound entry that comes while the clock of this instance is hours behind", () => {
+  it("replaces the entry before it once its process has written another one", () => {
+    directory = new EndpointDirectory(testCodecs.decodeEndpoint, () => NOW);
+    put("a", { slots: 1 });
+    const processStartedAt = NOW + 7_200_000;
+    put("a", { processStartedAt, slots: 6 });
+    put("a", { processStartedAt, slots: 6, sequence: 2 });
+    assert.equal(directory.find("a")?.slots, 6);
+    put("a", { processStartedAt, slots: 6, sequence: 3, isLeaving: true });
+    assert.deepEqual(listIds(), []);
+  });
+
+  it("is applied at once if that clock was only set back since the start", (context) => {
+    const now = Date.now();
+    context.mock.method(Date, "now", () => now - 2 * 3_600_000);
+    directory = new EndpointDirectory(testCodecs.decodeEndpoint);
+    put("a", { processStartedAt: now - 3 * 3_600_000, slots: 1 });
+    put("a", { processStartedAt: now, slots: 6 });
+    assert.equal(directory.find("a")?.slots, 6);
+  });
+});
+
 describe("an entry at whose address another endpoint answers", () => {
   it("does not supersede that one, whatever its start is", () => {
     directory = new EndpointDirectory(testCodecs.decodeEndpoint, () => NOW);
