--- a/src/fleet/relay/sums.ts
+++ b/src/fleet/relay/sums.ts
@@ -3,6 +3,7 @@
  * last report on the stream. The usage of workspaces is counted in differences, so that totals only
  * rise, whichever neighbours come and go.
  */
+import { roundCount } from "../../peer/count";
 import { RelayScope, type RelayReport, type Work } from "../../peer/gen/fleet";
 
 /** Load of one instance or of several. */
@@ -73,6 +74,21 @@
   };
 }
 
+/**
+ * Encodes the work at an engine for peers.
+ *
+ * @example
+ * engineLoad.listLocalWork().map(encodeWork);
+ */
+export function encodeWork({ engine, heldTokens, promptTokens, requests }: Work): Work {
+  return {
+    engine,
+    heldTokens: roundCount(heldTokens),
+    promptTokens: roundCount(promptTokens),
+    requests: roundCount(requests),
+  };
+}
+
 /**
  * Creates a report of what changed between two loads.
  *
@@ -104,7 +120,14 @@
     known.arrivingTokens === arrivingTokens &&
     known.waiting === waiting;
   if (before !== undefined && isSame) return undefined;
-  return { scope, whole: before === undefined, works, usages, arrivingTokens, waiting };
+  return {
+    scope,
+    whole: before === undefined,
+    works: works.map(encodeWork),
+    usages,
+    arrivingTokens: roundCount(arrivingTokens),
+    waiting: roundCount(waiting),
+  };
 }
 
 function isSameWork(a: Work | undefined, b: Work): boolean {
--- a/src/forward/peerstate.ts
+++ b/src/forward/peerstate.ts
@@ -10,9 +10,10 @@
 import type { RelayHost } from "../fleet/relay/host";
 import type { KindState } from "../fleet/relay/own";
 import { type OwnedRecord, RecordKind } from "../fleet/relay/records";
-import type { Load } from "../fleet/relay/sums";
+import { encodeWork, type Load } from "../fleet/relay/sums";
 import type { FeedRecord } from "../fleet/store";
 import type { StoreWatcher } from "../fleet/watcher";
+import { roundCount } from "../peer/count";
 import {
   Beat,
   type FetchReply,
@@ -111,7 +112,7 @@
       ...this.createHead(),
       leaving: isLeaving(),
       usages: [...quotas.listLocalUsage()],
-      works: [...engineLoad.listLocalWork()],
+      works: engineLoad.listLocalWork().map(encodeWork),
       ...encodeKnowledge(crashes.listKnowledge(now)),
       endpointLimits: sources.limits.list(now).map((word) => encodeLimit(word, now)),
       coldEndpoints: sources.cold.list(now).map((word) => encodeCold(word, now)),
@@ -119,9 +120,9 @@
       lostEndpoints: [...this.parts.paths.listLost()],
       ...this.encodeEvacuations(),
       tellsEvacuations: true,
-      arrivingTokens: Math.round(this.computeArrivalRate(now)),
+      arrivingTokens: roundCount(this.computeArrivalRate(now)),
       engineSpeeds: [...this.parts.engineModel.listLocalEstimates()],
-      waiting: reservations.size,
+      waiting: roundCount(reservations.size),
       refused: [...this.parts.refusals.listLocalRefusals(now)],
       departures: directory.listAnnouncedDepartures(now).map((departure) => ({
         endpoint: departure.endpoint,
