--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -11,6 +11,7 @@
   type EndpointEntry,
   EntryChange,
   isOutOfDate,
+  isPlausible,
   MAX_COLD_MS,
 } from "./entries";
 import { chooseLater, isAfter, LOG_START, type LogPosition } from "./position";
@@ -35,6 +36,9 @@
  */
 const COLD_TOLERANCE_MS = 1000;
 
+/** Maximum number of entries of a process between two that are read. */
+const MAX_MISSED_ENTRIES = 100;
+
 interface MisdirectedEntry {
   readonly sequence: number;
   readonly deadline: Moment;
@@ -59,12 +63,21 @@
   private readonly departures = new DepartureTracker();
   /** The processes that the endpoints have had. */
   readonly processes = new ProcessHistory();
+  /** By endpoint: the last entry that cannot be true, and was not applied. */
+  private readonly implausible = new Map<
+    string,
+    Pick<EndpointEntry, "processStartedAt" | "sequence">
+  >();
   private nextPosition = LOG_START;
   private changedPosition = NO_POSITION;
   private outageEndedAt: Moment = Number.NEGATIVE_INFINITY;
   private usableCache: readonly EndpointEntry[] | undefined;
 
-  constructor(private readonly decode: EndpointDecoder) {}
+  /** @param readWallClock - reads this instance's wall clock, in milliseconds; never steps back */
+  constructor(
+    private readonly decode: EndpointDecoder,
+    private readonly readWallClock: () => number = readSteadyWallClock,
+  ) {}
 
   /** The position up to which the list is known. */
   get next(): LogPosition {
@@ -99,13 +112,18 @@
     this.departures.announceAll(now);
   }
 
-  /** Applies records that follow those already applied; returns the changes. */
+  /**
+   * Applies records that follow those already applied; one that fails costs itself alone.
+   *
+   * @returns the changes
+   */
   apply(page: FeedPage, now: Moment): readonly DirectoryChange[] {
     const changes: DirectoryChange[] = [];
     for (const record of page.records) {
-      const change = this.applyRecord(record, now);
+      const { change, error } = this.tryRecord(record, now);
       if (change === undefined) continue;
-      changes.push({ endpoint: record.key, change, offset: record.position.offset });
+      const { key: endpoint, position } = record;
+      changes.push({ endpoint, change, offset: position.offset, ...(error ? { error } : {}) });
       this.changedPosition = chooseLater(record.position, this.changedPosition);
     }
     this.nextPosition = chooseLater(page.next, this.nextPosition);
@@ -265,19 +283,45 @@
     return known?.sequence === sequence && known.deadline > now;
   }
 
+  /**
+   * Checks whether the writer of an implausible entry goes on writing, as a sound process does. One that
+   * another writer left stands alone, so it is a clock that is wrong.
+   */
+  private isWrittenOn({ id, processStartedAt, sequence }: EndpointEntry): boolean {
+    const last = this.implausible.get(id);
+    this.implausible.set(id, { processStartedAt, sequence });
+    const step = last?.processStartedAt === processStartedAt ? sequence - last.sequence : 0;
+    return step > 0 && step <= MAX_MISSED_ENTRIES;
+  }
+
+  private isPlausible(process: Pick<EndpointEntry, "processStartedAt" | "sequence">): boolean {
+    return isPlausible(process, this.readWallClock());
+  }
+
   /**
    * By address: when the newest process started there. Earlier processes at the address no longer
-   * exist.
+   * exist, unless the newest entry cannot be true, or another endpoint answered there.
    */
   private findNewestStarts(): ReadonlyMap<string, number> {
     const newest = new Map<string, number>();
     for (const { entry } of this.listed.values()) {
-      if (entry === undefined) continue;
+      if (entry === undefined || !this.isPlausible(entry)) continue;
+      if (this.misdirected.get(entry.id)?.sequence === entry.sequence) continue;
       newest.set(entry.address, Math.max(entry.processStartedAt, newest.get(entry.address) ?? 0));
     }
     return newest;
   }
 
+  /** Applies a record; whatever is thrown by it costs this record alone. */
+  private tryRecord(record: FeedRecord, now: Moment): Partial<DirectoryChange> {
+    try {
+      const change = this.applyRecord(record, now);
+      return change === undefined ? {} : { change };
+    } catch (error) {
+      return { change: EntryChange.unreadable, error: String(error) };
+    }
+  }
+
   private applyRecord(record: FeedRecord, now: Moment): EntryChange | undefined {
     const before = this.listed.get(record.key);
     if (before !== undefined && !isAfter(record.position, before.record.position)) return undefined;
@@ -287,7 +331,12 @@
     if (entry === undefined) return EntryChange.unreadable;
     const departure = this.departures.find(record.key);
     const latestKnown = [before?.latestEntry, departure].filter((known) => known !== undefined);
-    if (latestKnown.some((known) => isOutOfDate(entry, known))) {
+    const plausible = latestKnown.filter((known) => this.isPlausible(known));
+    if (plausible.length > 0 && !this.isPlausible(entry) && !this.isWrittenOn(entry)) {
+      return EntryChange.implausible;
+    }
+    const comparable = this.isPlausible(entry) ? plausible : latestKnown;
+    if (comparable.some((known) => isOutOfDate(entry, known))) {
       return EntryChange.outOfDate;
     }
     const isLeaving =
@@ -342,6 +391,9 @@
 
   /** Records a departure that the list did not say, and applies it to the listed entry. */
   private recordDeparture(departure: Departure, isAnnounced: boolean, now: Moment): boolean {
+    const latest = this.listed.get(departure.endpoint)?.latestEntry;
+    const isKnownSound = latest !== undefined && this.isPlausible(latest);
+    if (isKnownSound && !this.isPlausible(departure)) return false;
     if (!this.departures.record(departure, isAnnounced, now)) return false;
     const { endpoint, processStartedAt, sequence, isLeaving } = departure;
     const listed = this.listed.get(endpoint);
@@ -371,3 +423,8 @@
   const { id, processStartedAt, sequence } = endpoint;
   return { endpoint: id, processStartedAt, sequence, isLeaving };
 }
+
+/** Reads the wall clock, or what it would be by now if it had not been set back since the start. */
+function readSteadyWallClock(): number {
+  return Math.max(Date.now(), performance.timeOrigin + performance.now());
+}
--- a/src/fleet/watcher.ts
+++ b/src/fleet/watcher.ts
@@ -13,13 +13,17 @@
 import type { Beat } from "../peer/gen/fleet";
 import { FleetConfigIndex, type FleetConfig } from "./config";
 import type { EndpointDirectory } from "./directory";
+import { type DirectoryChange, EntryChange } from "./entries";
 import { type EvacuationRecord, Evacuations } from "./evacuations";
-import { Freshness } from "./freshness";
+import { RecordFaults, RecordTopic } from "./feeds/faults";
+import { createFeedState, type FeedState, getMaxAgeMs, ReadRole } from "./feeds/state";
 import { FIRST_ERA, type LogPosition } from "./position";
 import { type Feed, type FeedPage, type FeedRecord, type Store, StoreFault } from "./store";
 
 /** Key of the configuration in its feed. */
 const CONFIG_KEY = "config";
+/** The position of a configuration that a peer passed on. */
+const NO_POSITION: LogPosition = { era: FIRST_ERA, offset: -1 };
 /**
  * Wait time of a long poll for a new configuration, in milliseconds: a minimum plus random jitter,
  * so that the reads of the fleet do not end together after a change. A read that gets no response
@@ -30,18 +34,6 @@
 const LIST_READ_SHARE = 0.4;
 /** Maximum fraction by which the pause between reads is randomly shortened. */
 const POLL_JITTER = 0.2;
-/**
- * The share of a bound after which an instance that is not a reader reads by itself; a random part of
- * it earlier, so that not all instances do so at once.
- */
-const UNCONFIRMED_SHARE = { max: 0.7, jitter: 0.15 } as const;
-/**
- * The same where other instances read for this one: their reads and confirmations come first, and the
- * rest of the bound is enough for an own read.
- */
-const MEMBER_UNCONFIRMED_SHARE = { max: 0.9, jitter: 0.1 } as const;
-/** The share of a bound after which the second reader of a large fleet reads beside the first. */
-const STANDBY_SHARE = 0.65;
 /** In a large fleet: wait time of a long poll, in milliseconds, and pause between reads of the list. */
 const LARGE_FLEET_CONFIG_WAIT_MS = { min: 2400, jitter: 400 } as const;
 const LARGE_FLEET_LIST_READ_SHARE = 0.45;
@@ -63,21 +55,6 @@
   readonly endpointsMs: number;
 }
 
-/** The part of an instance in reading the store for the fleet. */
-export const ReadRole = {
-  /** Reads all the time. */
-  reader: "reader",
-  /** Reads once its copies are not confirmed for a while: the first reader may be gone. */
-  standby: "standby",
-  /** Reads only what is not confirmed for longer, as others read for it. */
-  member: "member",
-  /** Reads only what is not confirmed in time. */
-  none: "none",
-  /** Reads nothing yet. */
-  waiting: "waiting",
-} as const;
-export type ReadRole = (typeof ReadRole)[keyof typeof ReadRole];
-
 /** Decides how an instance reads the store. */
 export interface ReadPolicy {
   /** True if relays are used, so that few calls to the store have to do for many instances. */
@@ -97,41 +74,11 @@
 } as const;
 type FeedName = (typeof FeedName)[keyof typeof FeedName];
 
-/** The state of following one feed. */
-interface FeedState {
-  nextOffset: number | undefined;
-  readonly freshness: Freshness;
-  /** True while a long poll is open. */
-  isWaiting: boolean;
-  isUnavailable: boolean;
-  /** When the store is tried again after a failed call, also by an instance that is not a reader. */
-  retryAt: Moment;
-  /** Age from which the copy counts as unconfirmed, in milliseconds, by role. */
-  readonly maxAgeMs: number;
-  readonly memberMaxAgeMs: number;
-  readonly standbyMaxAgeMs: number;
-}
-
-function createFeedState(boundMs: number): FeedState {
-  const share = UNCONFIRMED_SHARE.max - Math.random() * UNCONFIRMED_SHARE.jitter;
-  const memberShare =
-    MEMBER_UNCONFIRMED_SHARE.max - Math.random() * MEMBER_UNCONFIRMED_SHARE.jitter;
-  return {
-    nextOffset: undefined,
-    freshness: new Freshness(),
-    isWaiting: false,
-    isUnavailable: false,
-    retryAt: Number.POSITIVE_INFINITY,
-    maxAgeMs: boundMs * share,
-    memberMaxAgeMs: boundMs * memberShare,
-    standbyMaxAgeMs: boundMs * STANDBY_SHARE,
-  };
-}
-
 /** Follows the store's configuration and endpoint feeds. */
 export class StoreWatcher {
   /** The evacuations of data centres, which the feed of the configuration has too. */
   readonly evacuations = new Evacuations();
+  private readonly faults: RecordFaults;
   private configIndex: FleetConfigIndex | undefined;
   private configValue: Buffer | undefined;
   private readonly configState: FeedState;
@@ -155,6 +102,7 @@
     private readonly policy: ReadPolicy,
     private readonly onChange: () => void,
   ) {
+    this.faults = new RecordFaults(logger, meter);
     this.configState = createFeedState(bounds.configMs);
     this.endpointsState = createFeedState(bounds.endpointsMs);
   }
@@ -234,23 +182,36 @@
   }
 
   /**
-   * Applies a configuration from the store or a peer; an older version never replaces a newer one.
+   * Applies a configuration from the store or a peer; an older version never replaces a newer one, nor
+   * does one that can't be used.
    *
+   * @param position - where it stands in its feed, if that is known
    * @returns true if it is in force now
    */
-  applyConfig(value: Buffer, source: string): boolean {
-    const decoded = this.decodeConfig(value);
-    if (E.isLeft(decoded)) {
-      this.logger.warn("configuration unreadable", { source, error: decoded.left.message });
+  applyConfig(value: Buffer, source: string, position = NO_POSITION): boolean {
+    const indexed = E.flatten(
+      E.tryCatch(
+        () =>
+          E.map((config: FleetConfig) => new FleetConfigIndex(config))(this.decodeConfig(value)),
+        E.toError,
+      ),
+    );
+    if (E.isLeft(indexed)) {
+      const record = { key: CONFIG_KEY, position };
+      this.faults.report(RecordTopic.configuration, record, indexed.left.message, source);
       return false;
     }
-    const { version } = decoded.right;
+    const { version, routes } = indexed.right.config;
     const before = this.configIndex?.config.version;
     if (before !== undefined && version <= before) return false;
-    this.configIndex = new FleetConfigIndex(decoded.right);
+    this.configIndex = indexed.right;
     this.configValue = value;
-    const routes = decoded.right.routes.length;
-    this.logger.info("configuration", { version, before: before ?? 0, source, routes });
+    this.logger.info("configuration", {
+      version,
+      before: before ?? 0,
+      source,
+      routes: routes.length,
+    });
     return true;
   }
 
@@ -263,10 +224,20 @@
     const now = this.clock.now();
     const { directory } = this;
     const changes = isSnapshot ? directory.applySnapshot(page, now) : directory.apply(page, now);
-    for (const change of changes) this.logger.info("endpoint", { ...change, source });
+    for (const change of changes) this.logChange(change, source);
     return changes.length > 0;
   }
 
+  private logChange(change: DirectoryChange, source: string): void {
+    if (change.change !== EntryChange.unreadable) {
+      this.logger.info("endpoint", { ...change, source });
+      return;
+    }
+    const { endpoint: key, offset, error = "no valid entry" } = change;
+    const position = { era: this.directory.next.era, offset };
+    this.faults.report(RecordTopic.endpoints, { key, position }, error, source);
+  }
+
   /**
    * Applies evacuations that a peer knows.
    *
@@ -405,7 +376,7 @@
 
   private applyConfigRecord({ key, value, position }: FeedRecord): boolean {
     if (key !== CONFIG_KEY || value === undefined) return false;
-    return this.applyConfig(value, `store offset ${position.offset}`);
+    return this.applyConfig(value, `store offset ${position.offset}`, position);
   }
 
   /**
@@ -433,13 +404,6 @@
   }
 }
 
-/** The age from which a copy is read again by an instance in a role, in milliseconds. */
-function getMaxAgeMs(state: FeedState, role: ReadRole): number {
-  if (role === ReadRole.waiting) return Number.POSITIVE_INFINITY;
-  if (role === ReadRole.member) return state.memberMaxAgeMs;
-  return role === ReadRole.standby ? state.standbyMaxAgeMs : state.maxAgeMs;
-}
-
 function encodeAge(ageMs: number): number | undefined {
   return Number.isFinite(ageMs) ? Math.max(0, Math.round(ageMs)) : undefined;
 }
