--- a/src/fleet/versionhistory.ts
+++ b/src/fleet/versionhistory.ts
@@ -67,6 +67,11 @@
     return this.watchCount;
   }
 
+  /** Computes the time since the last observation, in milliseconds; infinite if there was none. */
+  computeAgeMs(now: Moment): number {
+    return now - this.observedAt;
+  }
+
   /** Computes for how long the endpoints were watched without a gap, in milliseconds. */
   computeWatchedMs(now: Moment): number {
     return now - this.observedAt > MAX_GAP_MS ? 0 : Math.max(0, now - this.watchedSince);
--- a/src/forward/generations/resume.ts
+++ b/src/forward/generations/resume.ts
@@ -125,7 +125,8 @@
     source: OriginSource,
     origin: StreamOrigin | undefined,
   ): void {
-    const { meter, logger } = this.parts;
+    const { meter, logger, versionHistory, directory, clock } = this.parts;
+    const now = clock.now();
     meter.resumed.inc({ service, source });
     logger.info("resume", {
       request: head.id,
@@ -134,6 +135,9 @@
       source,
       version: origin?.version,
       engine: origin?.endpoint,
+      watchedMs: Math.round(versionHistory.computeWatchedMs(now)),
+      observedAgeMs: Math.round(versionHistory.computeAgeMs(now)),
+      listOffset: directory.next.offset,
     });
   }
 }
