Take a version for the only one only after a read of the list that began later

Callers saw text joined from two versions: one instance was cut off or stood still for a few seconds while engines of a new version joined; streams that began there through other instances broke and went on at the old version, the only one that this instance knew.

Cause: VersionHistory.findOnly speaks for the time up to its last observation, which may be 3 s old and made from a list 2 s old; ResumeResolver took it for the time up to the take-up, also where peers that may know the origin were silent. The class: absence in a copy is taken for absence.

Evidence: test/staleversions.spec.ts, in virtual time. Ruled out: that it needs silent peers (it happens as well where those who answer don't know the origin).

Now the only version counts with a read of the feed that began after the request came, from the position of the last observation to the end, each record counted. The store is linearizable and instances learn of engines from its list alone, so the engine that began the stream is before that end. One read serves all who asked before it began; without it within 150 ms the request is refused as not run with 300 ms to wait. Trimmed history and a restore end the watch.

--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -63,6 +63,7 @@
   private changedPosition = NO_POSITION;
   private outageEndedAt: Moment = Number.NEGATIVE_INFINITY;
   private usableCache: readonly EndpointEntry[] | undefined;
+  private gapCount = 0;
 
   constructor(private readonly decode: EndpointDecoder) {}
 
@@ -79,6 +80,16 @@
     return this.changedPosition;
   }
 
+  /** How often records may have been missed since the start. */
+  get gaps(): number {
+    return this.gapCount;
+  }
+
+  /** Records that endpoints may have come and gone unseen, as the store no longer has the records. */
+  recordGap(): void {
+    this.gapCount += 1;
+  }
+
   /** Records that the store responds again after an outage. */
   recordStoreRecovery(at: Moment): void {
     this.outageEndedAt = Math.max(this.outageEndedAt, at);
@@ -96,6 +107,7 @@
    */
   recordStoreRestore(now: Moment): void {
     this.outageEndedAt = now;
+    this.recordGap();
     this.departures.announceAll(now);
   }
 
--- a/src/fleet/store.ts
+++ b/src/fleet/store.ts
@@ -50,6 +50,8 @@
   readonly records: readonly FeedRecord[];
   /** The position to read from next. */
   readonly next: LogPosition;
+  /** The offset of the next record to be appended, if the store tells it; a page may end before. */
+  readonly end?: number;
 }
 
 /** A feed of keyed records that keeps the newest record of each key. */
--- a/src/fleet/versionhistory.ts
+++ b/src/fleet/versionhistory.ts
@@ -5,6 +5,7 @@
 import type { Moment } from "../core/clock";
 import type { EndpointEntry } from "./entries";
 import type { HistoryProof } from "./historyproof";
+import { chooseLater, type LogPosition } from "./position";
 
 /**
  * Longest time between two observations, in milliseconds. After a longer one, such as a freeze or a
@@ -24,12 +25,21 @@
   readonly lastSeen: Map<string, Moment>;
 }
 
+/** What an observation of the list holds. */
+export interface SeenList {
+  /** The position up to which all records are counted. */
+  readonly next: LogPosition;
+  /** How often records may have been missed before. */
+  readonly gaps: number;
+}
+
 /** The versions that services have had, as far as this instance has seen. */
 export class VersionHistory {
   private readonly services = new Map<string, ServiceVersions>();
   private watchedSince: Moment = Number.POSITIVE_INFINITY;
   private observedAt: Moment = Number.NEGATIVE_INFINITY;
   private watchCount = 0;
+  private seen: SeenList | undefined;
 
   /**
    * @param staleMs - how long after a version's last endpoint was removed other instances may still
@@ -37,8 +47,13 @@
    */
   constructor(private readonly staleMs = 0) {}
 
-  /** Records the listed endpoints; called every second or so while the list is current. */
-  record(endpoints: readonly EndpointEntry[], now: Moment): void {
+  /**
+   * Records the listed endpoints; called every second or so while the list is current.
+   *
+   * @param seen - the part of the feed that they stand for
+   */
+  record(endpoints: readonly EndpointEntry[], now: Moment, seen?: SeenList): void {
+    if (seen !== undefined) this.recordSeen(seen);
     this.observe(now);
     for (const { service, version } of endpoints) this.recordVersion(service, version, now, now);
     for (const [service, { lastSeen }] of this.services) {
@@ -62,6 +77,11 @@
     }
   }
 
+  /** The position up to which all records are counted; undefined before the first observation. */
+  get position(): LogPosition | undefined {
+    return this.seen?.next;
+  }
+
   /** Number of the present watch; a new one begins after each gap. */
   get watch(): number {
     return this.watchCount;
@@ -110,6 +130,14 @@
     this.observedAt = Math.max(now, this.observedAt);
   }
 
+  /** After records were missed, nothing that was seen before counts. */
+  private recordSeen({ next, gaps }: SeenList): void {
+    if (this.seen !== undefined && this.seen.gaps !== gaps) {
+      this.observedAt = Number.NEGATIVE_INFINITY;
+    }
+    this.seen = { next: chooseLater(next, this.seen?.next ?? next), gaps };
+  }
+
   private recordVersion(
     service: string,
     version: string | undefined,
--- a/src/fleet/watcher.ts
+++ b/src/fleet/watcher.ts
@@ -332,6 +332,7 @@
     }
     if (result.left.fault === StoreFault.trimmed) {
       state.nextOffset = undefined;
+      if (name === FeedName.endpoints) this.directory.recordGap();
       this.logger.info("history trimmed", { feed: name });
       return;
     }
--- a/src/forward/endpoints/context.ts
+++ b/src/forward/endpoints/context.ts
@@ -17,7 +17,7 @@
 import type { HealthTracker } from "./health";
 import type { RetryBudget } from "../../core/retrybudget";
 import type { EndpointSubsets } from "./subset";
-import type { OriginPublisher, SharedOrigins, StoredOrigins } from "../shared";
+import type { ListConfirmer, OriginPublisher, SharedOrigins, StoredOrigins } from "../shared";
 
 /** Dependencies that all requests share. */
 export interface ForwardContext {
@@ -43,6 +43,7 @@
   readonly originPublisher: OriginPublisher;
   readonly versionHistory: VersionHistory;
   readonly historyReader: HistoryReader;
+  readonly listConfirmer: ListConfirmer;
   readonly dataCentre: string;
   readonly subsets: EndpointSubsets;
   readonly regions: Regions;
--- a/src/forward/generations/resume.ts
+++ b/src/forward/generations/resume.ts
@@ -4,7 +4,7 @@
  */
 import * as E from "fp-ts/Either";
 import { createNotRunRefusal, Reason, type Refusal } from "../../core/outcome";
-import type { Clock } from "../../core/clock";
+import type { Clock, Moment } from "../../core/clock";
 import { pauseAndRead } from "../../core/readfirst";
 import type { EndpointDirectory } from "../../fleet/directory";
 import type { HistoryReader } from "../../fleet/historyreader";
@@ -13,7 +13,9 @@
 import type { ForwardRequest, RequestHead, Meter } from "../requests";
 import {
   type StreamOrigin,
+  type ConfirmedList,
   type FoundOrigin,
+  type ListConfirmer,
   OriginSource,
   type SharedOrigins,
   type StoredOrigins,
@@ -48,6 +50,7 @@
   readonly directory: EndpointDirectory;
   readonly versionHistory: VersionHistory;
   readonly historyReader: HistoryReader;
+  readonly listConfirmer: ListConfirmer;
   readonly clock: Clock;
   readonly readWallClock: () => number;
   readonly meter: Meter;
@@ -61,43 +64,60 @@
   /** Finds the origin of the stream that a request takes up, or refuses the request. */
   async resolve(request: ForwardRequest): Promise<E.Either<Refusal, StreamStart>> {
     if (!isResume(request.head)) return E.right({ request, origin: undefined });
-    const { directory } = this.parts;
-    const found = await this.find(request);
+    const { directory, clock } = this.parts;
+    const found = await this.find(request, clock.now());
     const origin =
       found.origin && confirmOrigin(found.origin, directory.processes.list(found.origin.endpoint));
-    this.report(request, found.source, origin);
+    this.report(request, found, origin);
     if (origin?.version === undefined) return E.left(createUnknownOriginRefusal(found.source));
     const isServed = request.route.services.some(({ service }) => service === origin.service);
     if (!isServed) return E.left(createUnknownOriginRefusal(OriginSource.nowhere));
     return E.right({ request: { ...request, service: origin.service }, origin });
   }
 
-  /** Asks memory and peers; the store only if these and the own watch tell nothing. */
-  private async find(request: ForwardRequest): Promise<FoundOrigin> {
+  /** Asks memory and peers, then the own watch and the store. */
+  private async find(request: ForwardRequest, arrivedAt: Moment): Promise<FoundOrigin> {
     const stream = getStreamName(request);
     const shared = stream && (await this.parts.sharedOrigins.find(stream));
     if (shared?.origin !== undefined) return shared;
-    const watched = this.findByOnlyVersion(request);
-    if (watched !== undefined) return watched;
-    const stored = await this.findInStore(stream);
+    const { listConfirmer } = this.parts;
+    const confirming = waitAtMost(listConfirmer.confirm(arrivedAt), STORE_TIMEOUT_MS);
+    if (this.findOnlyVersion(request, arrivedAt) !== undefined) {
+      const watched = this.findByOnlyVersion(request, arrivedAt, await confirming);
+      if (watched !== undefined) return watched;
+    }
+    const stored = await this.findInStore(stream, confirming);
     if (stored.origin !== undefined) return stored;
-    const proven = this.findByOnlyVersion(request);
-    return proven ?? (stored.source === OriginSource.unclear ? stored : (shared ?? stored));
+    const proven = this.findByOnlyVersion(request, arrivedAt, await confirming);
+    if (proven !== undefined) return proven;
+    const source = shared?.source ?? stored.source;
+    return stored.source === OriginSource.unclear ? stored : { ...stored, source };
   }
 
-  /** Reads the store's records of origins and its history of the list, both at once. */
-  private async findInStore(stream: StreamName | undefined): Promise<FoundOrigin> {
-    const { storedOrigins, historyReader } = this.parts;
-    const [stored, isHistoryRead] = await Promise.all([
+  /** Reads the store's records of origins and, for what the own watch lacks, its history of the list. */
+  private async findInStore(
+    stream: StreamName | undefined,
+    confirming: Promise<ConfirmedList | undefined>,
+  ): Promise<FoundOrigin> {
+    const { storedOrigins } = this.parts;
+    const [stored, isHistoryRead, confirmed] = await Promise.all([
       stream && waitAtMost(storedOrigins.find(stream), STORE_TIMEOUT_MS),
-      waitAtMost(historyReader.read(), STORE_TIMEOUT_MS),
+      this.readHistory(confirming),
+      confirming,
     ]);
     const origin = stored?.origin;
     if (origin !== undefined && this.isEngineKnown(origin)) {
       return { origin, source: OriginSource.store };
     }
-    const isRead = isHistoryRead === true && (stream === undefined || stored?.isRead === true);
-    return { origin: undefined, source: isRead ? OriginSource.nowhere : OriginSource.unclear };
+    const isRead = isHistoryRead && (stream === undefined || stored?.isRead === true);
+    const source = isRead ? OriginSource.nowhere : OriginSource.unclear;
+    return { origin: undefined, source, ...(confirmed && { confirmed }) };
+  }
+
+  /** Reads the history once the store has answered: a gap in the watch is known only then. */
+  private async readHistory(confirming: Promise<ConfirmedList | undefined>): Promise<boolean> {
+    if ((await confirming) === undefined) return false;
+    return (await waitAtMost(this.parts.historyReader.read(), STORE_TIMEOUT_MS)) ?? false;
   }
 
   /**
@@ -110,24 +130,41 @@
     return versionHistory.computeWatchedMs(clock.now()) >= readWallClock() - beganAt;
   }
 
-  /** Assumes the only version that the service has had while any stream of the route may have begun. */
-  private findByOnlyVersion({ route, service }: ForwardRequest): FoundOrigin | undefined {
-    const { versionHistory, clock } = this.parts;
-    const forMs = route.timeoutMs + MAX_RETURN_MS;
-    const version = versionHistory.findOnly(service, forMs, clock.now());
-    if (version === undefined || route.services.length > 1) return undefined;
+  /**
+   * Assumes the only version that the service has had while any stream of the route may have begun, up
+   * to the arrival of the request; only a read of the list that began later shows that.
+   */
+  private findByOnlyVersion(
+    request: ForwardRequest,
+    arrivedAt: Moment,
+    confirmed: ConfirmedList | undefined,
+  ): FoundOrigin | undefined {
+    const version = this.findOnlyVersion(request, arrivedAt);
+    if (version === undefined || confirmed === undefined) return undefined;
+    const { service } = request;
     const origin = { service, version, endpoint: "", processStartedAt: 0, beganAt: 0 };
-    return { origin, source: OriginSource.onlyVersion };
+    return { origin, source: OriginSource.onlyVersion, confirmed };
+  }
+
+  private findOnlyVersion(
+    { route, service }: ForwardRequest,
+    arrivedAt: Moment,
+  ): string | undefined {
+    if (route.services.length > 1) return undefined;
+    const forMs = route.timeoutMs + MAX_RETURN_MS;
+    return this.parts.versionHistory.findOnly(service, forMs, arrivedAt);
   }
 
   private report(
     { head, service }: ForwardRequest,
-    source: OriginSource,
+    { source, confirmed }: FoundOrigin,
     origin: StreamOrigin | undefined,
   ): void {
     const { meter, logger, versionHistory, directory, clock } = this.parts;
     const now = clock.now();
     meter.resumed.inc({ service, source });
+    const isUnconfirmed = source === OriginSource.unclear && confirmed === undefined;
+    if (isUnconfirmed) meter.resumesUnconfirmed.inc({ service });
     logger.info("resume", {
       request: head.id,
       resumedId: head.resumedId?.slice(0, 64),
@@ -138,6 +175,7 @@
       watchedMs: Math.round(versionHistory.computeWatchedMs(now)),
       observedAgeMs: Math.round(versionHistory.computeAgeMs(now)),
       listOffset: directory.next.offset,
+      confirmedAgeMs: confirmed && Math.round(now - confirmed.readAt),
     });
   }
 }
--- a/src/forward/maintenance.ts
+++ b/src/forward/maintenance.ts
@@ -83,7 +83,8 @@
     if (this.view.watcher.computeEndpointsAgeMs() > LIST_CURRENT_MS) return;
     const now = clock.now();
     const recent = directory.processes.listSince(this.versionsRecordedAt);
-    versionHistory.record([...directory.listAll(), ...recent], now);
+    const seen = { next: directory.next, gaps: directory.gaps };
+    versionHistory.record([...directory.listAll(), ...recent], now, seen);
     this.versionsRecordedAt = now;
   }
 
--- a/src/forward/originparts.ts
+++ b/src/forward/originparts.ts
@@ -7,6 +7,7 @@
 import type { FleetView } from "./fleetview";
 import { MAX_RETURN_MS } from "./generations";
 import {
+  ListConfirmer,
   type NamedOrigin,
   OriginPublisher,
   OriginWriter,
@@ -25,6 +26,7 @@
   readonly originPublisher: OriginPublisher;
   readonly versionHistory: VersionHistory;
   readonly historyReader: HistoryReader;
+  readonly listConfirmer: ListConfirmer;
 }
 
 /**
@@ -35,7 +37,7 @@
  */
 export function createOriginParts(base: InstanceBase, view: FleetView): OriginParts {
   const { settings, adapter, clock, meter, logger } = base;
-  const { members, transport, readerRole, directory } = view;
+  const { members, transport, readerRole, directory, watcher } = view;
   const { instance } = settings;
   const log = adapter.store.origins;
   const origins = new StreamOrigins();
@@ -49,6 +51,21 @@
     meter,
     logger,
   });
+  const listConfirmer = new ListConfirmer({
+    feed: adapter.store.endpoints,
+    decode: adapter.decodeEndpoint,
+    directory,
+    versionHistory,
+    apply: (page) => {
+      watcher.applyEndpoints(page, false, "store, confirmed");
+    },
+    onConfirmed: (next, at) => {
+      watcher.confirmEndpoints(next, at);
+    },
+    clock,
+    meter,
+    logger,
+  });
   const computeStreamMs = (service: string) => findLongestMs(view, service) + MAX_RETURN_MS;
   const written = { log, versionHistory, historyReader, computeStreamMs, clock, meter, logger };
   const originWriter = new OriginWriter(written);
@@ -85,6 +102,7 @@
     originPublisher,
     versionHistory,
     historyReader,
+    listConfirmer,
   };
 }
 
--- a/src/forward/requests/meter.ts
+++ b/src/forward/requests/meter.ts
@@ -59,6 +59,11 @@
     "Streams that callers took up again, by where their origin was found",
     ["service", "source"],
   );
+  readonly resumesUnconfirmed = this.createCounter(
+    "resumes_unconfirmed_total",
+    "Streams that callers could not take up as the list of endpoints was not confirmed in time",
+    ["service"],
+  );
   readonly originsStored = this.createCounter(
     "origins_stored_total",
     "Origins of streams that this instance wrote to the store",
--- /dev/null
+++ b/src/forward/shared/listconfirmer.ts
@@ -0,0 +1,153 @@
+/**
+ * Confirms the list of endpoints by a read of the store that starts after a given moment. The store is
+ * linearizable and instances learn of endpoints only from its list, so whatever was in use anywhere
+ * before the read began is among the records up to the end that it sees.
+ */
+import * as E from "fp-ts/Either";
+import { type Clock, type Moment, pause } from "../../core/clock";
+import type { Logger } from "../../core/log";
+import { runTask } from "../../core/tasks";
+import type { EndpointDirectory } from "../../fleet/directory";
+import type { EndpointDecoder, EndpointEntry } from "../../fleet/entries";
+import { chooseLater, type LogPosition } from "../../fleet/position";
+import { type Feed, type FeedPage, type FeedRecord, StoreFault } from "../../fleet/store";
+import type { VersionHistory } from "../../fleet/versionhistory";
+import type { Meter } from "../requests";
+
+/** Shortest time between the starts of two reads while the first one has no result, in milliseconds. */
+const MIN_READ_INTERVAL_MS = 50;
+/** Maximum number of pages in one read: a few seconds of 5,000 endpoints. */
+const MAX_PAGES = 8;
+
+/** A read of the list up to its end. */
+export interface ConfirmedList {
+  /** When the read began. */
+  readonly readAt: Moment;
+  /** The end of the feed that it saw. */
+  readonly next: LogPosition;
+}
+
+/** Dependencies of the confirmer. */
+export interface ListConfirmerParts {
+  readonly feed: Feed;
+  readonly decode: EndpointDecoder;
+  readonly directory: EndpointDirectory;
+  readonly versionHistory: VersionHistory;
+  /** Applies a page that was read. */
+  readonly apply: (page: FeedPage) => void;
+  /** Confirms the list as of a moment. */
+  readonly onConfirmed: (next: LogPosition, at: Moment) => void;
+  readonly clock: Clock;
+  readonly meter: Meter;
+  readonly logger: Logger;
+}
+
+/** A read that has begun. */
+interface StartedRead {
+  readonly readAt: Moment;
+  readonly result: Promise<ConfirmedList | undefined>;
+}
+
+/** Confirms the list for all who ask at about the same time by one read. */
+export class ListConfirmer {
+  private started: StartedRead | undefined;
+  private next: Promise<ConfirmedList | undefined> | undefined;
+
+  constructor(private readonly parts: ListConfirmerParts) {}
+
+  /**
+   * Confirms the list by a read that begins at a moment or later; all records since the last
+   * observation of the versions are counted in the version history.
+   *
+   * @returns undefined if the store could not be read, or records are missing
+   * @example
+   * const list = await listConfirmer.confirm(arrivedAt);
+   */
+  confirm(since: Moment): Promise<ConfirmedList | undefined> {
+    if (this.started !== undefined && this.started.readAt >= since) return this.started.result;
+    this.next ??= this.readNext(this.started);
+    return this.next;
+  }
+
+  private async readNext(before: StartedRead | undefined): Promise<ConfirmedList | undefined> {
+    const { clock } = this.parts;
+    // Those who ask in the same turn share the read, too.
+    await Promise.resolve();
+    if (before !== undefined) {
+      const leftMs = before.readAt + MIN_READ_INTERVAL_MS - clock.now();
+      await Promise.race([before.result, pause(Math.max(0, leftMs))]);
+    }
+    this.next = undefined;
+    const readAt = clock.now();
+    const result = this.read(readAt);
+    this.started = { readAt, result };
+    return result;
+  }
+
+  private async read(readAt: Moment): Promise<ConfirmedList | undefined> {
+    let confirmed: ConfirmedList | undefined;
+    await runTask("confirm list", this.parts.logger, async () => {
+      confirmed = await this.readToEnd(readAt);
+    });
+    return confirmed;
+  }
+
+  private async readToEnd(readAt: Moment): Promise<ConfirmedList | undefined> {
+    const { feed, directory, versionHistory, meter } = this.parts;
+    const from = versionHistory.position ?? directory.next;
+    const entries: EndpointEntry[] = [];
+    let next = from;
+    for (let count = 0; count < MAX_PAGES; count += 1) {
+      meter.storeCalls.inc();
+      const read = await feed.read(next.offset, 0)();
+      if (E.isLeft(read)) {
+        this.recordFailure(read.left.fault, read.left.message);
+        return undefined;
+      }
+      const page = read.right;
+      if (page.next.era !== from.era) {
+        this.recordFailure(StoreFault.restored, "the store was restored");
+        return undefined;
+      }
+      this.parts.apply(page);
+      entries.push(...this.decodeAll(page.records));
+      next = chooseLater(page.next, next);
+      if (isLastPage(page)) return this.record(entries, next, readAt);
+    }
+    this.recordFailure(StoreFault.refused, "too many pages");
+    return undefined;
+  }
+
+  /** Counts all entries that were read, also those that a later one replaced. */
+  private record(
+    entries: readonly EndpointEntry[],
+    next: LogPosition,
+    readAt: Moment,
+  ): ConfirmedList {
+    const { directory, versionHistory, onConfirmed, clock, logger } = this.parts;
+    const seen = { next, gaps: directory.gaps };
+    versionHistory.record([...directory.listAll(), ...entries], readAt, seen);
+    onConfirmed(next, readAt);
+    const tookMs = Math.round(clock.now() - readAt);
+    logger.info("list confirmed", { records: entries.length, offset: next.offset, tookMs });
+    return { readAt, next };
+  }
+
+  private decodeAll(records: readonly FeedRecord[]): readonly EndpointEntry[] {
+    return records.flatMap(({ key, value }) =>
+      value === undefined ? [] : (this.parts.decode(key, value) ?? []),
+    );
+  }
+
+  private recordFailure(fault: StoreFault, error: string): void {
+    const { directory, meter, logger } = this.parts;
+    meter.storeFailures.inc();
+    if (fault === StoreFault.trimmed) directory.recordGap();
+    logger.warn("list not confirmed", { fault, error });
+  }
+}
+
+/** Checks whether a page reaches the end of the feed; a store that does not tell sends an empty one. */
+function isLastPage({ records, next, end }: FeedPage): boolean {
+  return end === undefined ? records.length === 0 : next.offset >= end;
+}
--- a/src/forward/shared/sharedorigins.ts
+++ b/src/forward/shared/sharedorigins.ts
@@ -6,6 +6,7 @@
 import type { Logger } from "../../core/log";
 import { runTask } from "../../core/tasks";
 import { chooseReplicas, type ReplicaCandidate } from "../../fleet/replicas";
+import type { ConfirmedList } from "./listconfirmer";
 import {
   isSameVersion,
   type NamedOrigin,
@@ -71,6 +72,8 @@
   /** Undefined if it was not found. */
   readonly origin: StreamOrigin | undefined;
   readonly source: OriginSource;
+  /** The read of the list that proves that the service had one version. */
+  readonly confirmed?: ConfirmedList;
 }
 
 /** Dependencies of shared origins. */
--- /dev/null
+++ b/test/staleversions.spec.ts
@@ -0,0 +1,203 @@
+/**
+ * Streams that are taken up at an instance that was out of step while a new version joined. Guards against a version
+ * that is taken for the only one by a copy of the list from before the request.
+ */
+import assert from "node:assert/strict";
+import { beforeEach, describe, it } from "node:test";
+import * as E from "fp-ts/Either";
+import { ManualClock } from "../src/core/clock";
+import { SILENT_LOGGER } from "../src/core/log";
+import { EndpointDirectory } from "../src/fleet/directory";
+import { HistoryReader } from "../src/fleet/historyreader";
+import { type FeedPage, StoreError, StoreFault } from "../src/fleet/store";
+import { VersionHistory } from "../src/fleet/versionhistory";
+import { ResumeResolver } from "../src/forward/generations/resume";
+import { type ForwardRequest, Meter } from "../src/forward/requests";
+import { ListConfirmer } from "../src/forward/shared/listconfirmer";
+import { StreamOrigins } from "../src/forward/shared/origins";
+import { type RecalledOrigin, SharedOrigins } from "../src/forward/shared/sharedorigins";
+import { StoredOrigins } from "../src/forward/shared/storedorigins";
+import { createEntry, testCodecs } from "./harness/forward";
+import { MemoryFeed, MemoryLog } from "./harness/memory";
+
+const SERVICE = "models";
+const TIMEOUT_MS = 14_000;
+const RETRY_MS = 300;
+
+/** A feed that counts reads, answers them only when told to, and ends pages early where a test says. */
+class SlowFeed extends MemoryFeed {
+  readCount = 0;
+  pageSize = Number.POSITIVE_INFINITY;
+  isHeld = false;
+  private held: (() => void)[] = [];
+
+  override read: MemoryFeed["read"] = (from) => async () => {
+    this.readCount += 1;
+    const records = this.records.slice(from, from + this.pageSize);
+    const next = { era: this.era, offset: from + records.length };
+    const page: FeedPage = { records, next, end: this.records.length };
+    if (this.isHeld) await new Promise<void>((resolve) => this.held.push(resolve));
+    return this.isDown ? E.left(new StoreError(StoreFault.refused, "down")) : E.right(page);
+  };
+
+  release(): void {
+    this.isHeld = false;
+    for (const resolve of this.held.splice(0)) resolve();
+  }
+}
+
+/** An instance that has watched the list, and peers that answer as a test says. */
+class WatchingInstance {
+  readonly clock = new ManualClock(1000);
+  readonly feed = new SlowFeed();
+  readonly log = new MemoryLog();
+  readonly directory = new EndpointDirectory(testCodecs.decodeEndpoint);
+  readonly versionHistory = new VersionHistory(500);
+  readonly meter = new Meter();
+  recalled: RecalledOrigin | undefined;
+  private readonly resolver: ResumeResolver;
+  private sequence = 0;
+
+  constructor() {
+    const { clock, feed, log, directory, versionHistory, meter } = this;
+    const logger = SILENT_LOGGER;
+    const decode = testCodecs.decodeEndpoint;
+    const { processes } = directory;
+    const storedOrigins = new StoredOrigins({ log, clock, meter, logger });
+    const history = { feed, decode, versionHistory, processes, clock, meter, logger };
+    this.resolver = new ResumeResolver({
+      sharedOrigins: new SharedOrigins({
+        instance: "n1",
+        origins: new StreamOrigins(),
+        transport: {
+          remember: () => Promise.resolve(false),
+          recall: () => Promise.resolve(this.recalled),
+        },
+        listMembers: () => ["n1", "n2"].map((instance) => ({ instance, dataCentre: "nizwa" })),
+        publish: () => undefined,
+        clock,
+        logger,
+      }),
+      storedOrigins,
+      directory,
+      versionHistory,
+      historyReader: new HistoryReader(history),
+      listConfirmer: new ListConfirmer({
+        ...{ feed, decode, directory, versionHistory, clock, meter, logger },
+        apply: (page) => directory.apply(page, clock.now()),
+        onConfirmed: () => undefined,
+      }),
+      clock,
+      readWallClock: () => clock.now(),
+      meter,
+      logger,
+    });
+  }
+
+  /** An engine writes an entry; the instance does not read it. */
+  put(id: string, version: string): void {
+    this.sequence += 1;
+    const more = { service: SERVICE, version, sequence: this.sequence };
+    this.feed.put(id, Buffer.from(JSON.stringify(createEntry(id, `${id}:1`, more))));
+  }
+
+  /** Reads the list and observes the versions once a second, as an instance does. */
+  watch(seconds: number): void {
+    for (let second = 0; second < seconds; second += 1) {
+      this.clock.advance(1000);
+      const { directory, feed } = this;
+      const records = feed.records.slice(directory.next.offset);
+      directory.apply({ records, next: feed.next }, this.clock.now());
+      const seen = { next: directory.next, gaps: directory.gaps };
+      this.versionHistory.record(directory.listAll(), this.clock.now(), seen);
+    }
+  }
+
+  /** A caller takes up a stream; tells the version, or the status and the pause of the refusal. */
+  async takeUp(): Promise<string | (number | undefined)[]> {
+    const head = { id: "again", resumedId: "s1", lastEventId: "2" };
+    const route = { timeoutMs: TIMEOUT_MS, services: [{ service: SERVICE }] };
+    const request = { head, route, service: SERVICE } as unknown as ForwardRequest;
+    const start = await this.resolver.resolve(request);
+    if (E.isLeft(start)) return [start.left.status, start.left.retryAfterMs];
+    return start.right.origin?.version ?? "";
+  }
+}
+
+let instance: WatchingInstance;
+
+beforeEach(() => {
+  instance = new WatchingInstance();
+  instance.put("d1", "v1");
+  instance.watch(20);
+});
+
+describe("a stream that is taken up where the list was last seen before the request", () => {
+  for (const recalled of [undefined, { origin: undefined }]) {
+    const peers = recalled === undefined ? "silent" : "without the origin";
+    for (const ageMs of [500, 2900]) {
+      it(`is not joined with the older version if a newer one joined, ${ageMs} ms later, peers ${peers}`, async () => {
+        instance.recalled = recalled;
+        instance.put("e1", "v2");
+        instance.clock.advance(ageMs);
+        assert.notEqual(await instance.takeUp(), "v1");
+      });
+    }
+  }
+
+  it("is not joined with the older version if a newer one has come and gone", async () => {
+    instance.put("e1", "v2");
+    instance.feed.put("e1", undefined);
+    instance.clock.advance(500);
+    assert.notEqual(await instance.takeUp(), "v1");
+  });
+
+  it("is not joined with the older version if the newer one is on a later page", async () => {
+    instance.feed.pageSize = 2;
+    for (let entry = 0; entry < 5; entry += 1) instance.put("d1", "v1");
+    instance.put("e1", "v2");
+    assert.notEqual(await instance.takeUp(), "v1");
+  });
+
+  it("is not joined by a read of the list that began before the request", async () => {
+    instance.feed.isHeld = true;
+    const first = instance.takeUp();
+    await new Promise(setImmediate);
+    instance.clock.advance(10);
+    instance.put("e1", "v2");
+    const second = instance.takeUp();
+    await new Promise(setImmediate);
+    instance.feed.release();
+    assert.equal(await first, "v1");
+    assert.notEqual(await second, "v1");
+  });
+
+  it("goes on if the list shows no other version, by one read for all who come at once", async () => {
+    instance.clock.advance(900);
+    const versions = await Promise.all(Array.from({ length: 20 }, () => instance.takeUp()));
+    assert.deepEqual([...new Set(versions)], ["v1"]);
+    assert.equal(instance.feed.readCount, 1);
+  });
+
+  for (const fault of ["isDown", "isHeld"] as const) {
+    it(`is refused as not run, with a short pause, if the store can't be read (${fault})`, async () => {
+      instance.feed[fault] = true;
+      const startedAt = performance.now();
+      assert.deepEqual(await instance.takeUp(), [503, RETRY_MS]);
+      assert.ok(performance.now() - startedAt < 400, "refused in time");
+      assert.match(await instance.meter.renderMetrics(), /resumes_unconfirmed_total\{[^}]*\} 1/);
+      instance.feed[fault] = false;
+      instance.feed.release();
+      instance.clock.advance(RETRY_MS);
+      assert.equal(await instance.takeUp(), "v1");
+    });
+  }
+
+  it("is refused if the store was restored since the list was seen", async () => {
+    instance.feed.restore(1);
+    assert.deepEqual(await instance.takeUp(), [503, RETRY_MS]);
+    instance.directory.recordStoreRestore(instance.clock.now());
+    instance.watch(3);
+    assert.equal((await instance.takeUp())[0], 503, "what was seen before proves nothing");
+  });
+});
