Take an origin from the store only with a list that was confirmed after the request came

An instance that couldn't read the list in time took up a stream by a stored origin that its old copy of the list could not refute: the engine had started anew with another version right before the first event, and the entry that says so was not read. The stream may then go on at another version (ORDER).

The read that confirms the list runs beside the one of the origins already; its outcome was not asked for. Ruled out: that a read done in time leaves the fault; its pages are applied before the comparison.

--- a/src/forward/generations/resume.ts
+++ b/src/forward/generations/resume.ts
@@ -106,7 +106,7 @@
       confirming,
     ]);
     const origin = stored?.origin;
-    if (origin !== undefined && this.isEngineKnown(origin)) {
+    if (confirmed !== undefined && origin !== undefined && this.isEngineKnown(origin)) {
       return { origin, source: OriginSource.store };
     }
     const isRead = isHistoryRead && (stream === undefined || stored?.isRead === true);
--- a/test/staleversions.spec.ts
+++ b/test/staleversions.spec.ts
@@ -14,7 +14,8 @@
 import { ResumeResolver } from "../src/forward/generations/resume";
 import { type ForwardRequest, Meter } from "../src/forward/requests";
 import { ListConfirmer } from "../src/forward/shared/listconfirmer";
-import { StreamOrigins } from "../src/forward/shared/origins";
+import { encodeOrigins } from "../src/forward/shared/originpeer";
+import { type NamedOrigin, StreamOrigins } from "../src/forward/shared/origins";
 import { type RecalledOrigin, SharedOrigins } from "../src/forward/shared/sharedorigins";
 import { StoredOrigins } from "../src/forward/shared/storedorigins";
 import { createEntry, testCodecs } from "./harness/forward";
@@ -95,12 +96,22 @@
   }
 
   /** An engine writes an entry; the instance does not read it. */
-  put(id: string, version: string): void {
+  put(id: string, version: string, processStartedAt = 1): void {
     this.sequence += 1;
-    const more = { service: SERVICE, version, sequence: this.sequence };
+    const more = { service: SERVICE, version, sequence: this.sequence, processStartedAt };
     this.feed.put(id, Buffer.from(JSON.stringify(createEntry(id, `${id}:1`, more))));
   }
 
+  /** An origin of the stream that the caller takes up, begun now at an engine's first process. */
+  createOrigin(endpoint: string, version: string): NamedOrigin {
+    const stream = { workspace: "", request: "s1" };
+    const beganAt = this.clock.now();
+    return {
+      stream,
+      origin: { service: SERVICE, version, endpoint, processStartedAt: 1, beganAt },
+    };
+  }
+
   /** Reads the list and observes the versions once a second, as an instance does. */
   watch(seconds: number): void {
     for (let second = 0; second < seconds; second += 1) {
@@ -200,4 +211,17 @@
     instance.watch(3);
     assert.equal((await instance.takeUp())[0], 503, "what was seen before proves nothing");
   });
+
+  it("is refused if its stored origin can't be compared with the list of now", async () => {
+    instance.put("e1", "v2");
+    instance.watch(1);
+    instance.log.values.push(encodeOrigins([instance.createOrigin("d1", "v1")]));
+    instance.put("d1", "v2", instance.clock.now() - 100);
+    instance.clock.advance(500);
+    instance.feed.isDown = true;
+    assert.deepEqual(await instance.takeUp(), [503, RETRY_MS]);
+    instance.feed.isDown = false;
+    instance.clock.advance(1000);
+    assert.equal((await instance.takeUp())[0], 503, "another process may have begun it");
+  });
 });
