Compare the origin of a stream with a list that is younger than the stream

An origin that this instance or a peer remembers was compared with the processes of its engine by a copy of the list from before the stream began.

Cause: confirmOrigin drops an origin if another process may have begun the stream, as far as the copy says; its age was not asked for. It has to be younger than the first event. Ruled out: the only version and the store's origins; these are confirmed already.

An older list is now read again first, by the same coalesced read, 150 ms at most. Where the store is lost the origin counts as before: everybody would be refused for as long as the store is down, and entries can't change meanwhile.

The test failed before: taken up at v1, 503 expected.

--- a/src/core/readfirst.ts
+++ b/src/core/readfirst.ts
@@ -37,6 +37,17 @@
   return new Promise((resolve) => new ReadFirstTimer(ms, resolve));
 }
 
+/**
+ * Waits for a result up to a time, in milliseconds, and then until sockets were read once more;
+ * undefined after it.
+ *
+ * @example
+ * await waitAtMost(listConfirmer.confirm(arrivedAt), 150);
+ */
+export function waitAtMost<A>(result: Promise<A>, ms: number): Promise<A | undefined> {
+  return Promise.race([result, pauseAndRead(ms).then(() => undefined)]);
+}
+
 /**
  * Creates a signal that fires at the end of a timeout, after sockets were read once more; it keeps no
  * process alive.
--- a/src/forward/generations/resume.ts
+++ b/src/forward/generations/resume.ts
@@ -5,7 +5,7 @@
 import * as E from "fp-ts/Either";
 import { createNotRunRefusal, Reason, type Refusal } from "../../core/outcome";
 import type { Clock, Moment } from "../../core/clock";
-import { pauseAndRead } from "../../core/readfirst";
+import { waitAtMost } from "../../core/readfirst";
 import type { EndpointDirectory } from "../../fleet/directory";
 import type { HistoryReader } from "../../fleet/historyreader";
 import type { VersionHistory } from "../../fleet/versionhistory";
@@ -15,6 +15,7 @@
   type StreamOrigin,
   type ConfirmedList,
   type FoundOrigin,
+  CLOCK_TOLERANCE_MS,
   type ListConfirmer,
   OriginSource,
   type SharedOrigins,
@@ -66,6 +67,7 @@
     if (!isResume(request.head)) return E.right({ request, origin: undefined });
     const { directory, clock } = this.parts;
     const found = await this.find(request, clock.now());
+    if (found.origin !== undefined) await this.refreshList(found.origin);
     const origin =
       found.origin && confirmOrigin(found.origin, directory.processes.list(found.origin.endpoint));
     this.report(request, found, origin);
@@ -94,6 +96,14 @@
     return stored.source === OriginSource.unclear ? stored : { ...stored, source };
   }
 
+  /** Reads the list again if it is older than the stream: it may name another process of its engine. */
+  private async refreshList({ endpoint, beganAt }: StreamOrigin): Promise<void> {
+    const { listConfirmer, clock, readWallClock } = this.parts;
+    if (endpoint === "") return;
+    const ageMs = Math.max(0, readWallClock() - beganAt - CLOCK_TOLERANCE_MS);
+    await listConfirmer.refresh(clock.now() - ageMs);
+  }
+
   /** Reads the store's records of origins and, for what the own watch lacks, its history of the list. */
   private async findInStore(
     stream: StreamName | undefined,
@@ -196,8 +206,3 @@
   const retryAfterMs = source === OriginSource.unclear ? UNCLEAR_RETRY_MS : undefined;
   return createNotRunRefusal(503, Reason.unknownStream, message, retryAfterMs);
 }
-
-/** Waits for a result up to a time; undefined after it. */
-function waitAtMost<A>(result: Promise<A>, ms: number): Promise<A | undefined> {
-  return Promise.race([result, pauseAndRead(ms).then(() => undefined)]);
-}
--- a/src/forward/originparts.ts
+++ b/src/forward/originparts.ts
@@ -56,6 +56,8 @@
     decode: adapter.decodeEndpoint,
     directory,
     versionHistory,
+    computeListAgeMs: () => watcher.computeEndpointsAgeMs(),
+    isStoreLost: () => watcher.isStoreLost,
     apply: (page) => {
       watcher.applyEndpoints(page, false, "store, confirmed");
     },
--- a/src/forward/shared/index.ts
+++ b/src/forward/shared/index.ts
@@ -20,4 +20,4 @@
 } from "./quota";
 export { RefusalTracker } from "./refusals";
 export { type FoundOrigin, OriginSource, SharedOrigins } from "./sharedorigins";
-export { canGoOn, confirmOrigin } from "./versions";
+export { CLOCK_TOLERANCE_MS, canGoOn, confirmOrigin } from "./versions";
--- a/src/forward/shared/listconfirmer.ts
+++ b/src/forward/shared/listconfirmer.ts
@@ -6,6 +6,7 @@
 import * as E from "fp-ts/Either";
 import { type Clock, type Moment, pause } from "../../core/clock";
 import type { Logger } from "../../core/log";
+import { waitAtMost } from "../../core/readfirst";
 import { runTask } from "../../core/tasks";
 import type { EndpointDirectory } from "../../fleet/directory";
 import type { EndpointDecoder, EndpointEntry } from "../../fleet/entries";
@@ -16,6 +17,8 @@
 
 /** Shortest time between the starts of two reads while the first one has no result, in milliseconds. */
 const MIN_READ_INTERVAL_MS = 50;
+/** How long a read of a list that is too old may hold up its use, in milliseconds. */
+const REFRESH_TIMEOUT_MS = 150;
 /** Maximum number of pages in one read: a few seconds of 5,000 endpoints. */
 const MAX_PAGES = 8;
 
@@ -33,6 +36,10 @@
   readonly decode: EndpointDecoder;
   readonly directory: EndpointDirectory;
   readonly versionHistory: VersionHistory;
+  /** Computes the time since the list was last confirmed, in milliseconds. */
+  readonly computeListAgeMs: () => number;
+  /** Returns whether the last call to the store failed. */
+  readonly isStoreLost: () => boolean;
   /** Applies a page that was read. */
   readonly apply: (page: FeedPage) => void;
   /** Confirms the list as of a moment. */
@@ -69,6 +76,20 @@
     return this.next;
   }
 
+  /**
+   * Confirms the list if it is known only as of an earlier moment. Without the store, which may be
+   * down for long, the list is used as it is.
+   *
+   * @example
+   * await listConfirmer.refresh(clock.now() - 2000);
+   */
+  async refresh(asOf: Moment): Promise<void> {
+    const { clock, computeListAgeMs, isStoreLost } = this.parts;
+    const now = clock.now();
+    if (isStoreLost() || now - computeListAgeMs() >= asOf) return;
+    await waitAtMost(this.confirm(now), REFRESH_TIMEOUT_MS);
+  }
+
   private async readNext(before: StartedRead | undefined): Promise<ConfirmedList | undefined> {
     const { clock } = this.parts;
     // Those who ask in the same turn share the read, too.
--- a/src/forward/shared/versions.ts
+++ b/src/forward/shared/versions.ts
@@ -5,7 +5,7 @@
 import type { StreamOrigin } from "./origins";
 
 /** How far the wall clocks of an instance and of an engine may differ, in milliseconds. */
-const CLOCK_TOLERANCE_MS = 250;
+export const CLOCK_TOLERANCE_MS = 250;
 
 /**
  * Checks whether an engine may go on with a stream.
--- a/test/staleversions.spec.ts
+++ b/test/staleversions.spec.ts
@@ -58,6 +58,7 @@
   recalled: RecalledOrigin | undefined;
   private readonly resolver: ResumeResolver;
   private sequence = 0;
+  private lookedAt = 0;
 
   constructor() {
     const { clock, feed, log, directory, versionHistory, meter } = this;
@@ -85,8 +86,12 @@
       historyReader: new HistoryReader(history),
       listConfirmer: new ListConfirmer({
         ...{ feed, decode, directory, versionHistory, clock, meter, logger },
+        computeListAgeMs: () => clock.now() - this.lookedAt,
+        isStoreLost: () => false,
         apply: (page) => directory.apply(page, clock.now()),
-        onConfirmed: () => undefined,
+        onConfirmed: (_next, at) => {
+          this.lookedAt = at;
+        },
       }),
       clock,
       readWallClock: () => clock.now(),
@@ -121,6 +126,7 @@
       directory.apply({ records, next: feed.next }, this.clock.now());
       const seen = { next: directory.next, gaps: directory.gaps };
       this.versionHistory.record(directory.listAll(), this.clock.now(), seen);
+      this.lookedAt = this.clock.now();
     }
   }
 
@@ -224,4 +230,23 @@
     instance.clock.advance(1000);
     assert.equal((await instance.takeUp())[0], 503, "another process may have begun it");
   });
+
+  it("is refused if its engine's entry, read last before the stream began, was of another version then", async () => {
+    instance.clock.advance(500);
+    instance.recalled = instance.createOrigin("d1", "v1");
+    instance.put("d1", "v2", instance.clock.now() - 100);
+    instance.clock.advance(1000);
+    assert.equal((await instance.takeUp())[0], 503);
+  });
+
+  it("goes on by an origin that a peer knows, without a read if the list is younger than the stream", async () => {
+    instance.recalled = instance.createOrigin("d1", "v1");
+    instance.watch(1);
+    assert.equal(await instance.takeUp(), "v1");
+    assert.equal(instance.feed.readCount, 0);
+    instance.recalled = instance.createOrigin("d1", "v1");
+    instance.feed.isDown = true;
+    instance.clock.advance(1000);
+    assert.equal(await instance.takeUp(), "v1", "the store may be down for long");
+  });
 });
