Read a list that is seconds old again before a stream goes on at another engine

Cause: engines that go on with a stream within an answer are chosen from a copy of any age. Ruled out: an engine under another id (it is not in the copy, so it is not chosen).

A search for an engine that goes on with a stream has the list read again first if it is more than 2 s old, by the coalesced read, 150 ms at most. Where the store is lost, the list is used as it is.

--- a/src/forward/generations/runreserver.ts
+++ b/src/forward/generations/runreserver.ts
@@ -14,6 +14,11 @@
 
 /** How long a generation that runs waits for room at another engine, in milliseconds. */
 const SEARCH_WAIT_MS = 1000;
+/**
+ * Age from which the list is read again before an engine is chosen to go on with a stream, in
+ * milliseconds: it may not say yet that an engine is another process, of another version.
+ */
+const MAX_LIST_AGE_MS = 2000;
 
 /** A search for an engine in place of a silent one. */
 export interface ReplacementSearch {
@@ -65,7 +70,8 @@
     { hasStarted, cachedEngineId, origin, search }: RunDemand,
     signal: AbortSignal,
   ): Promise<Reservation | undefined> {
-    const { clock, meter } = this.parts.context;
+    const { clock, meter, listConfirmer } = this.parts.context;
+    if (origin !== undefined) await listConfirmer.refresh(clock.now() - MAX_LIST_AGE_MS);
     const { head, service, priority, isOverRate } = this.request;
     const { arrivedAt } = this.times;
     const startedAt = clock.now();
--- a/test/staleversions.spec.ts
+++ b/test/staleversions.spec.ts
@@ -3,11 +3,13 @@
  * that is taken for the only one by a copy of the list from before the request.
  */
 import assert from "node:assert/strict";
+import type { Socket } from "node:net";
 import { beforeEach, describe, it } from "node:test";
 import * as E from "fp-ts/Either";
-import { ManualClock } from "../src/core/clock";
+import { ManualClock, pause } from "../src/core/clock";
 import { SILENT_LOGGER } from "../src/core/log";
 import { EndpointDirectory } from "../src/fleet/directory";
+import { EngineStage, type EndpointEntry } from "../src/fleet/entries";
 import { HistoryReader } from "../src/fleet/historyreader";
 import { type FeedPage, StoreError, StoreFault } from "../src/fleet/store";
 import { VersionHistory } from "../src/fleet/versionhistory";
@@ -18,8 +20,11 @@
 import { type NamedOrigin, StreamOrigins } from "../src/forward/shared/origins";
 import { type RecalledOrigin, SharedOrigins } from "../src/forward/shared/sharedorigins";
 import { StoredOrigins } from "../src/forward/shared/storedorigins";
-import { createEntry, testCodecs } from "./harness/forward";
-import { MemoryFeed, MemoryLog } from "./harness/memory";
+import { get } from "./harness/fixture";
+import { createConfig, createEntry, testCodecs, waitUntil } from "./harness/forward";
+import { startInstances } from "./harness/instances";
+import { MemoryFeed, MemoryLog, MemoryStore } from "./harness/memory";
+import { RawEndpoint } from "./harness/raw";
 
 const SERVICE = "models";
 const TIMEOUT_MS = 14_000;
@@ -250,3 +255,80 @@
     assert.equal(await instance.takeUp(), "v1", "the store may be down for long");
   });
 });
+
+const event = (id: number) => `id: ${id}\ndata: t${id}\n\n`;
+const chunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
+const isRun = (head: string) => head.includes("x-task: run");
+
+/** Goes on with a stream until its connection ends. */
+function writeOn(socket: Socket, open: Socket[]): void {
+  open.push(socket);
+  let last = 1;
+  const timer = setInterval(() => socket.write(chunk(event((last += 1)))), 100);
+  socket.on("close", () => {
+    clearInterval(timer);
+  });
+}
+
+/** An engine that grants holds; it goes on with streams that it begins, and ends those that it takes up. */
+function createEngine(open: Socket[]): RawEndpoint {
+  return new RawEndpoint((head, socket) => {
+    if (!isRun(head)) {
+      socket.write("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nh1");
+      return;
+    }
+    const id = /x-id: (\S+)/i.exec(head)?.[1] ?? "";
+    const after = /x-after: (\d+)/i.exec(head)?.[1];
+    const from = Number(after ?? "0");
+    socket.write(
+      `HTTP/1.1 200 OK\r\nx-id: ${id}\r\ncontent-type: text/event-stream\r\n` +
+        "transfer-encoding: chunked\r\n\r\n",
+    );
+    socket.write(chunk(event(from + 1)));
+    if (after === undefined) writeOn(socket, open);
+    else socket.write("0\r\n\r\n");
+  });
+}
+
+describe("a stream that breaks at an instance whose list is seconds old", () => {
+  for (const version of ["v2", "v1"]) {
+    const outcome = version === "v1" ? "goes on at it" : "is not joined with what it writes";
+    it(`${outcome} if another engine's process was replaced by one of ${version}`, async (t) => {
+      const store = new MemoryStore();
+      store.putConfig(createConfig(1));
+      const open: Socket[] = [];
+      const engines = new Map(["d1", "d2"].map((id) => [id, createEngine(open)]));
+      for (const engine of engines.values()) await engine.listen();
+      const put = (id: string, more: Partial<EndpointEntry>) => {
+        const address = engines.get(id)?.address ?? "";
+        const stage = EngineStage.decode;
+        store.putEndpoint(createEntry(id, address, { service: SERVICE, stage, ...more }));
+      };
+      for (const id of engines.keys()) put(id, {});
+      const instances = await startInstances(store, 1);
+      t.after(async () => {
+        await instances.close();
+        for (const engine of engines.values()) engine.close();
+      });
+      const answer = get(instances.ports[0] ?? 0, "/summary/s1", { "x-id": "s1" });
+      await waitUntil(() => open.length === 1);
+      const other = engines.get("d1")?.requests.some(isRun) === true ? "d2" : "d1";
+      holdNextRead(store);
+      await pause(2600);
+      put(other, { version, processStartedAt: 2 });
+      engines.get(other === "d1" ? "d2" : "d1")?.close();
+      const { isComplete } = await answer;
+      const takenUp = engines.get(other)?.requests.filter(isRun).length;
+      assert.deepEqual([takenUp, isComplete], version === "v1" ? [1, true] : [0, false]);
+    });
+  }
+});
+
+/** The next read of the list, an instance's own, gets no answer; those that others begin do. */
+function holdNextRead({ endpoints }: MemoryStore): void {
+  const { read } = endpoints;
+  endpoints.read = () => {
+    endpoints.read = read;
+    return () => new Promise(() => undefined);
+  };
+}
