End the watch of versions where a version may have come and gone unseen

A list that a peer sends holds the newest record of each endpoint, so an engine of another version that joined and left between two of them left only its removal. The removal of an endpoint that was never seen counted for nothing, and the version watched before passed for the only one: streams that had begun at that engine could go on at another version (ORDER).

Cause: the watch counts the entries that are seen, not the records that may be missing. Such a removal is now a gap, as trimmed history and a restore are; the watch begins anew, and the store's history may prove what it lacks. Removals before the known position, which each new instance hears of, are none.

--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -347,6 +347,8 @@
       latestEntry: before?.latestEntry,
       coldEndsAt: before?.coldEndsAt ?? Number.NEGATIVE_INFINITY,
     });
+    // It was listed in records that were not seen: a peer's list holds the newest one of each endpoint.
+    if (before === undefined && !isAfter(this.nextPosition, record.position)) this.recordGap();
     if (entry === undefined) return undefined;
     this.departures.record(createDeparture(entry, entry.isLeaving), false, now);
     return EntryChange.gone;
--- a/test/staleversions.spec.ts
+++ b/test/staleversions.spec.ts
@@ -174,6 +174,15 @@
     assert.notEqual(await instance.takeUp(), "v1");
   });
 
+  it("is not joined with the older version if a peer's list holds only the removal of the newer one", async () => {
+    const { directory, feed, clock } = instance;
+    instance.put("e1", "v2");
+    feed.put("e1", undefined);
+    directory.apply({ records: feed.records.slice(-1), next: feed.next }, clock.now());
+    instance.watch(1);
+    assert.equal((await instance.takeUp())[0], 503);
+  });
+
   it("is not joined with the older version if the newer one is on a later page", async () => {
     instance.feed.pageSize = 2;
     for (let entry = 0; entry < 5; entry += 1) instance.put("d1", "v1");
