Ask a store that refuses to be read for the list no more than every 150 ms

While the store refused calls, each caller that took up a stream brought it one more read: the read that confirms the list began anew as soon as the one before had failed. Calls to the store are limited for the whole fleet. After a read that failed, the next one begins 150 ms after its start; those who wait longer than that are refused as before.

--- a/src/forward/shared/listconfirmer.ts
+++ b/src/forward/shared/listconfirmer.ts
@@ -17,6 +17,8 @@
 
 /** Shortest time between the starts of two reads while the first one has no result, in milliseconds. */
 const MIN_READ_INTERVAL_MS = 50;
+/** Shortest time between the start of a read that fails and that of the next, in milliseconds. */
+const FAILED_READ_INTERVAL_MS = 150;
 /** How long a read of a list that is too old may hold up its use, in milliseconds. */
 const REFRESH_TIMEOUT_MS = 150;
 /** Maximum number of pages in one read: a few seconds of 5,000 endpoints. */
@@ -91,20 +93,27 @@
   }
 
   private async readNext(before: StartedRead | undefined): Promise<ConfirmedList | undefined> {
-    const { clock } = this.parts;
     // Those who ask in the same turn share the read, too.
     await Promise.resolve();
-    if (before !== undefined) {
-      const leftMs = before.readAt + MIN_READ_INTERVAL_MS - clock.now();
-      await Promise.race([before.result, pause(Math.max(0, leftMs))]);
-    }
+    if (before !== undefined) await this.waitAfter(before);
     this.next = undefined;
-    const readAt = clock.now();
+    const readAt = this.parts.clock.now();
     const result = this.read(readAt);
     this.started = { readAt, result };
     return result;
   }
 
+  /** Waits until the next read may begin. */
+  private async waitAfter({ readAt, result }: StartedRead): Promise<void> {
+    const { clock } = this.parts;
+    const waitUntil = (at: Moment) => pause(Math.max(0, at - clock.now()));
+    const hasFailed = await Promise.race([
+      result.then((confirmed) => confirmed === undefined),
+      waitUntil(readAt + MIN_READ_INTERVAL_MS).then(() => false),
+    ]);
+    if (hasFailed) await waitUntil(readAt + FAILED_READ_INTERVAL_MS);
+  }
+
   private async read(readAt: Moment): Promise<ConfirmedList | undefined> {
     let confirmed: ConfirmedList | undefined;
     await runTask("confirm list", this.parts.logger, async () => {
--- a/test/staleversions.spec.ts
+++ b/test/staleversions.spec.ts
@@ -224,6 +224,19 @@
     });
   }
 
+  it("has a store that refuses to be read asked no more than every 150 ms", async () => {
+    instance.feed.isDown = true;
+    await instance.takeUp();
+    for (let count = 0; count < 4; count += 1) {
+      instance.clock.advance(10);
+      void instance.takeUp();
+      await pause(10);
+    }
+    assert.equal(instance.feed.readCount, 1);
+    await pause(150);
+    assert.equal(instance.feed.readCount, 2);
+  });
+
   it("is refused if the store was restored since the list was seen", async () => {
     instance.feed.restore(1);
     assert.deepEqual(await instance.takeUp(), [503, RETRY_MS]);
