--- a/test/staleversions.spec.ts
+++ b/test/staleversions.spec.ts
@@ -5,147 +5,18 @@
 import assert from "node:assert/strict";
 import type { Socket } from "node:net";
 import { beforeEach, describe, it } from "node:test";
-import * as E from "fp-ts/Either";
-import { ManualClock, pause } from "../src/core/clock";
-import { SILENT_LOGGER } from "../src/core/log";
-import { EndpointDirectory } from "../src/fleet/directory";
+import { pause } from "../src/core/clock";
 import { EngineStage, type EndpointEntry } from "../src/fleet/entries";
-import { HistoryReader } from "../src/fleet/historyreader";
-import { type FeedPage, StoreError, StoreFault } from "../src/fleet/store";
-import { VersionHistory } from "../src/fleet/versionhistory";
-import { ResumeResolver } from "../src/forward/generations/resume";
-import { type ForwardRequest, Meter } from "../src/forward/requests";
-import { ListConfirmer } from "../src/forward/shared/listconfirmer";
 import { encodeOrigins } from "../src/forward/shared/originpeer";
-import { type NamedOrigin, StreamOrigins } from "../src/forward/shared/origins";
-import { type RecalledOrigin, SharedOrigins } from "../src/forward/shared/sharedorigins";
-import { StoredOrigins } from "../src/forward/shared/storedorigins";
 import { get } from "./harness/fixture";
-import { createConfig, createEntry, testCodecs, waitUntil } from "./harness/forward";
+import { createConfig, createEntry, waitUntil } from "./harness/forward";
 import { startInstances } from "./harness/instances";
-import { MemoryFeed, MemoryLog, MemoryStore } from "./harness/memory";
+import { MemoryStore } from "./harness/memory";
 import { RawEndpoint } from "./harness/raw";
+import { SERVICE, WatchingInstance } from "./harness/watching";
 
-const SERVICE = "models";
-const TIMEOUT_MS = 14_000;
 const RETRY_MS = 300;
 
-/** A feed that counts reads, answers them only when told to, and ends pages early where a test says. */
-class SlowFeed extends MemoryFeed {
-  readCount = 0;
-  pageSize = Number.POSITIVE_INFINITY;
-  isHeld = false;
-  private held: (() => void)[] = [];
-
-  override read: MemoryFeed["read"] = (from) => async () => {
-    this.readCount += 1;
-    const records = this.records.slice(from, from + this.pageSize);
-    const next = { era: this.era, offset: from + records.length };
-    const page: FeedPage = { records, next, end: this.records.length };
-    if (this.isHeld) await new Promise<void>((resolve) => this.held.push(resolve));
-    return this.isDown ? E.left(new StoreError(StoreFault.refused, "down")) : E.right(page);
-  };
-
-  release(): void {
-    this.isHeld = false;
-    for (const resolve of this.held.splice(0)) resolve();
-  }
-}
-
-/** An instance that has watched the list, and peers that answer as a test says. */
-class WatchingInstance {
-  readonly clock = new ManualClock(1000);
-  readonly feed = new SlowFeed();
-  readonly log = new MemoryLog();
-  readonly directory = new EndpointDirectory(testCodecs.decodeEndpoint);
-  readonly versionHistory = new VersionHistory(500);
-  readonly meter = new Meter();
-  recalled: RecalledOrigin | undefined;
-  private readonly resolver: ResumeResolver;
-  private sequence = 0;
-  private lookedAt = 0;
-
-  constructor() {
-    const { clock, feed, log, directory, versionHistory, meter } = this;
-    const logger = SILENT_LOGGER;
-    const decode = testCodecs.decodeEndpoint;
-    const { processes } = directory;
-    const storedOrigins = new StoredOrigins({ log, clock, meter, logger });
-    const history = { feed, decode, versionHistory, processes, clock, meter, logger };
-    this.resolver = new ResumeResolver({
-      sharedOrigins: new SharedOrigins({
-        instance: "n1",
-        origins: new StreamOrigins(),
-        transport: {
-          remember: () => Promise.resolve(false),
-          recall: () => Promise.resolve(this.recalled),
-        },
-        listMembers: () => ["n1", "n2"].map((instance) => ({ instance, dataCentre: "nizwa" })),
-        publish: () => undefined,
-        clock,
-        logger,
-      }),
-      storedOrigins,
-      directory,
-      versionHistory,
-      historyReader: new HistoryReader(history),
-      listConfirmer: new ListConfirmer({
-        ...{ feed, decode, directory, versionHistory, clock, meter, logger },
-        computeListAgeMs: () => clock.now() - this.lookedAt,
-        isStoreLost: () => false,
-        apply: (page) => directory.apply(page, clock.now()),
-        onConfirmed: (_next, at) => {
-          this.lookedAt = at;
-        },
-      }),
-      clock,
-      readWallClock: () => clock.now(),
-      meter,
-      logger,
-    });
-  }
-
-  /** An engine writes an entry; the instance does not read it. */
-  put(id: string, version: string, processStartedAt = 1): void {
-    this.sequence += 1;
-    const more = { service: SERVICE, version, sequence: this.sequence, processStartedAt };
-    this.feed.put(id, Buffer.from(JSON.stringify(createEntry(id, `${id}:1`, more))));
-  }
-
-  /** An origin of the stream that the caller takes up, begun now at an engine's first process. */
-  createOrigin(endpoint: string, version: string): NamedOrigin {
-    const stream = { workspace: "", request: "s1" };
-    const beganAt = this.clock.now();
-    return {
-      stream,
-      origin: { service: SERVICE, version, endpoint, processStartedAt: 1, beganAt },
-    };
-  }
-
-  /** Reads the list and observes the versions once a second, as an instance does. */
-  watch(seconds: number): void {
-    for (let second = 0; second < seconds; second += 1) {
-      this.clock.advance(1000);
-      const { directory, feed } = this;
-      const records = feed.records.slice(directory.next.offset);
-      directory.apply({ records, next: feed.next }, this.clock.now());
-      const seen = { next: directory.next, gaps: directory.gaps };
-      this.versionHistory.record(directory.listAll(), this.clock.now(), seen);
-      this.lookedAt = this.clock.now();
-    }
-  }
-
-  /** A caller takes up a stream; tells the version, or the status and the pause of the refusal. */
-  async takeUp(): Promise<string | (number | undefined)[]> {
-    const head = { id: "again", resumedId: "s1", lastEventId: "2" };
-    const route = { timeoutMs: TIMEOUT_MS, services: [{ service: SERVICE }] };
-    const request = { head, route, service: SERVICE } as unknown as ForwardRequest;
-    const start = await this.resolver.resolve(request);
-    if (E.isLeft(start)) return [start.left.status, start.left.retryAfterMs];
-    return start.right.origin?.version ?? "";
-  }
-}
-
 let instance: WatchingInstance;
 
 beforeEach(() => {
