Count each record of the list before a version passes for the only one

Cause: the position "up to which all records are counted" was that of the directory, which pages with the newest record of each key move, too. It is the version history's own now: only reads of the feed that begin at or before it move it (own reads, OwnReads, and those of the confirmer). Others leave it, and the next confirming read reads over the hole.

Records that come after a later one of their endpoint are remembered as processes. Members that never read pay with a longer read at the first take-up, or with two more calls if the hole is older than the history.

The gap at the removal of an endpoint that was never seen stays: the publisher and the writer of origins conclude from the watch without a confirming read.

--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -13,7 +13,7 @@
   isOutOfDate,
   MAX_COLD_MS,
 } from "./entries";
-import { chooseLater, isAfter, LOG_START, type LogPosition } from "./position";
+import { chooseLater, isAfter, LOG_START, type LogPosition, OwnReads } from "./position";
 import { ProcessHistory } from "./processhistory";
 import type { FeedPage, FeedRecord } from "./store";
 
@@ -59,6 +59,8 @@
   private readonly departures = new DepartureTracker();
   /** The processes that the endpoints have had. */
   readonly processes = new ProcessHistory();
+  /** The part of the feed that was read here. */
+  readonly ownReads = new OwnReads();
   private nextPosition = LOG_START;
   private changedPosition = NO_POSITION;
   private outageEndedAt: Moment = Number.NEGATIVE_INFINITY;
@@ -292,7 +294,10 @@
 
   private applyRecord(record: FeedRecord, now: Moment): EntryChange | undefined {
     const before = this.listed.get(record.key);
-    if (before !== undefined && !isAfter(record.position, before.record.position)) return undefined;
+    if (before !== undefined && !isAfter(record.position, before.record.position)) {
+      this.recordEarlier(record, before.record, now);
+      return undefined;
+    }
     this.usableCache = undefined;
     if (record.value === undefined) return this.applyRemoval(record, before, now);
     const entry = this.decode(record.key, record.value);
@@ -326,6 +331,13 @@
     return compareEntries(before?.entry, accepted) ?? (isColder ? EntryChange.cold : undefined);
   }
 
+  /** Remembers the process of a record that comes after a later one of its endpoint. */
+  private recordEarlier(record: FeedRecord, known: FeedRecord, now: Moment): void {
+    if (record.value === undefined || !isAfter(known.position, record.position)) return;
+    const entry = this.decode(record.key, record.value);
+    if (entry !== undefined) this.processes.record(entry, now);
+  }
+
   private applyRemoval(
     record: FeedRecord,
     before: ListedEndpoint | undefined,
--- a/src/fleet/historyreader.ts
+++ b/src/fleet/historyreader.ts
@@ -71,9 +71,9 @@
       logger.warn("history not read", { error: page.left.message });
       return;
     }
-    const { records } = page.right;
+    const { records, next } = page.right;
     const proof = await this.scan(records);
-    versionHistory.recordProof(proof, at);
+    versionHistory.recordProof(proof, at, next);
     this.readForWatch = versionHistory.watch;
     for (const { entry, lastListedMs } of proof.processes) {
       processes.record(entry, at - lastListedMs);
--- a/src/fleet/versionhistory.ts
+++ b/src/fleet/versionhistory.ts
@@ -5,7 +5,7 @@
 import type { Moment } from "../core/clock";
 import type { EndpointEntry } from "./entries";
 import type { HistoryProof } from "./historyproof";
-import { chooseLater, type LogPosition } from "./position";
+import { advanceCounted, type LogPosition, type ReadRange } from "./position";
 
 /**
  * Longest time between two observations, in milliseconds. After a longer one, such as a freeze or a
@@ -27,10 +27,12 @@
 
 /** What an observation of the list holds. */
 export interface SeenList {
-  /** The position up to which all records are counted. */
+  /** The position up to which the list is known, though perhaps only the newest records. */
   readonly next: LogPosition;
   /** How often records may have been missed before. */
   readonly gaps: number;
+  /** The part of the feed of which each record was read. */
+  readonly read?: ReadRange | undefined;
 }
 
 /** The versions that services have had, as far as this instance has seen. */
@@ -39,7 +41,8 @@
   private watchedSince: Moment = Number.POSITIVE_INFINITY;
   private observedAt: Moment = Number.NEGATIVE_INFINITY;
   private watchCount = 0;
-  private seen: SeenList | undefined;
+  private gaps: number | undefined;
+  private countedPosition: LogPosition | undefined;
 
   /**
    * @param staleMs - how long after a version's last endpoint was removed other instances may still
@@ -53,7 +56,7 @@
    * @param seen - the part of the feed that they stand for
    */
   record(endpoints: readonly EndpointEntry[], now: Moment, seen?: SeenList): void {
-    if (seen !== undefined) this.recordSeen(seen);
+    if (seen !== undefined) this.recordSeen(seen, now);
     this.observe(now);
     for (const { service, version } of endpoints) this.recordVersion(service, version, now, now);
     for (const [service, { lastSeen }] of this.services) {
@@ -67,8 +70,10 @@
    * started need not watch for as long itself.
    *
    * @param at - when the history was read
+   * @param next - the end of the history
    */
-  recordProof({ coveredMs, processes }: HistoryProof, at: Moment): void {
+  recordProof({ coveredMs, processes }: HistoryProof, at: Moment, next?: LogPosition): void {
+    if (next !== undefined && this.isWatchOver(at)) this.countedPosition = next;
     this.observe(at);
     const since = at - coveredMs;
     this.watchedSince = Math.min(this.watchedSince, since);
@@ -77,9 +82,12 @@
     }
   }
 
-  /** The position up to which all records are counted; undefined before the first observation. */
+  /**
+   * The position up to which each record since the watch began is counted; only reads of the feed that
+   * begin at or before it move it. Undefined before the first observation.
+   */
   get position(): LogPosition | undefined {
-    return this.seen?.next;
+    return this.countedPosition;
   }
 
   /** Number of the present watch; a new one begins after each gap. */
@@ -94,7 +102,7 @@
 
   /** Computes for how long the endpoints were watched without a gap, in milliseconds. */
   computeWatchedMs(now: Moment): number {
-    return now - this.observedAt > MAX_GAP_MS ? 0 : Math.max(0, now - this.watchedSince);
+    return this.isWatchOver(now) ? 0 : Math.max(0, now - this.watchedSince);
   }
 
   /**
@@ -104,7 +112,7 @@
   findOnly(service: string, forMs: number, now: Moment): string | undefined {
     const known = this.services.get(service);
     if (known === undefined || now - known.since < forMs) return undefined;
-    if (now - this.observedAt > MAX_GAP_MS) return undefined;
+    if (this.isWatchOver(now)) return undefined;
     const recent = this.listVersions(service, forMs, now);
     const [only] = recent;
     return recent.length === 1 && only !== UNNAMED ? only : undefined;
@@ -122,7 +130,7 @@
 
   /** After a gap, nothing that was seen before it counts. */
   private observe(now: Moment): void {
-    if (now - this.observedAt > MAX_GAP_MS) {
+    if (this.isWatchOver(now)) {
       this.services.clear();
       this.watchedSince = now;
       this.watchCount += 1;
@@ -131,11 +139,19 @@
   }
 
   /** After records were missed, nothing that was seen before counts. */
-  private recordSeen({ next, gaps }: SeenList): void {
-    if (this.seen !== undefined && this.seen.gaps !== gaps) {
-      this.observedAt = Number.NEGATIVE_INFINITY;
+  private recordSeen({ next, gaps, read }: SeenList, now: Moment): void {
+    const isMissing = this.gaps !== undefined && this.gaps !== gaps;
+    const isOtherEra = this.countedPosition !== undefined && next.era > this.countedPosition.era;
+    if (isMissing || isOtherEra) this.observedAt = Number.NEGATIVE_INFINITY;
+    this.gaps = gaps;
+    if (this.countedPosition === undefined || this.isWatchOver(now)) this.countedPosition = next;
+    else if (read !== undefined) {
+      this.countedPosition = advanceCounted(this.countedPosition, read);
     }
-    this.seen = { next: chooseLater(next, this.seen?.next ?? next), gaps };
+  }
+
+  private isWatchOver(now: Moment): boolean {
+    return now - this.observedAt > MAX_GAP_MS;
   }
 
   private recordVersion(
--- a/src/fleet/watcher.ts
+++ b/src/fleet/watcher.ts
@@ -325,8 +325,11 @@
     if (this.isClosed) return;
     if (E.isRight(result)) {
       this.recordSuccess(name, state, startedAt);
+      const from = state.nextOffset;
       state.nextOffset = result.right.next.offset;
-      if (this.applyPage(name, result.right, isSnapshot)) this.onChange();
+      const isChanged = this.applyPage(name, result.right, isSnapshot);
+      if (name === FeedName.endpoints) this.directory.ownReads.record(from, result.right.next);
+      if (isChanged) this.onChange();
       await pause(computePauseMs() * (1 - Math.random() * POLL_JITTER));
       return;
     }
--- a/src/forward/maintenance.ts
+++ b/src/forward/maintenance.ts
@@ -83,7 +83,7 @@
     if (this.view.watcher.computeEndpointsAgeMs() > LIST_CURRENT_MS) return;
     const now = clock.now();
     const recent = directory.processes.listSince(this.versionsRecordedAt);
-    const seen = { next: directory.next, gaps: directory.gaps };
+    const seen = { next: directory.next, gaps: directory.gaps, read: directory.ownReads.range };
     versionHistory.record([...directory.listAll(), ...recent], now, seen);
     this.versionsRecordedAt = now;
   }
--- a/src/forward/originparts.ts
+++ b/src/forward/originparts.ts
@@ -61,6 +61,9 @@
     apply: (page) => {
       watcher.applyEndpoints(page, false, "store, confirmed");
     },
+    applySnapshot: (page) => {
+      watcher.applyEndpoints(page, true, "store, confirmed");
+    },
     onConfirmed: (next, at) => {
       watcher.confirmEndpoints(next, at);
     },
--- a/src/forward/shared/listconfirmer.ts
+++ b/src/forward/shared/listconfirmer.ts
@@ -10,7 +10,7 @@
 import { runTask } from "../../core/tasks";
 import type { EndpointDirectory } from "../../fleet/directory";
 import type { EndpointDecoder, EndpointEntry } from "../../fleet/entries";
-import { chooseLater, type LogPosition } from "../../fleet/position";
+import { chooseLater, type LogPosition, type ReadRange } from "../../fleet/position";
 import { type Feed, type FeedPage, type FeedRecord, StoreFault } from "../../fleet/store";
 import type { VersionHistory } from "../../fleet/versionhistory";
 import type { Meter } from "../requests";
@@ -44,6 +44,8 @@
   readonly isStoreLost: () => boolean;
   /** Applies a page that was read. */
   readonly apply: (page: FeedPage) => void;
+  /** Applies a page with the newest record of each endpoint. */
+  readonly applySnapshot: (page: FeedPage) => void;
   /** Confirms the list as of a moment. */
   readonly onConfirmed: (next: LogPosition, at: Moment) => void;
   readonly clock: Clock;
@@ -65,10 +67,10 @@
   constructor(private readonly parts: ListConfirmerParts) {}
 
   /**
-   * Confirms the list by a read that begins at a moment or later; all records since the last
-   * observation of the versions are counted in the version history.
+   * Confirms the list by a read that begins at a moment or later; each record that was not counted yet
+   * is counted in the version history, whose watch begins anew if the store no longer has them all.
    *
-   * @returns undefined if the store could not be read, or records are missing
+   * @returns undefined if the store could not be read
    * @example
    * const list = await listConfirmer.confirm(arrivedAt);
    */
@@ -131,6 +133,7 @@
       meter.storeCalls.inc();
       const read = await feed.read(next.offset, 0)();
       if (E.isLeft(read)) {
+        if (read.left.fault === StoreFault.trimmed) return this.readAnew(readAt);
         this.recordFailure(read.left.fault, read.left.message);
         return undefined;
       }
@@ -142,27 +145,52 @@
       this.parts.apply(page);
       entries.push(...this.decodeAll(page.records));
       next = chooseLater(page.next, next);
-      if (isLastPage(page)) return this.record(entries, next, readAt);
+      if (isLastPage(page)) return this.recordEnd(entries, { from, next }, readAt);
     }
+    // The next read begins where this one ended.
+    this.record(entries, { from, next }, readAt);
     this.recordFailure(StoreFault.refused, "too many pages");
     return undefined;
   }
 
-  /** Counts all entries that were read, also those that a later one replaced. */
-  private record(
+  /** Reads the newest records, as the store no longer has those that were not counted. */
+  private async readAnew(readAt: Moment): Promise<ConfirmedList | undefined> {
+    const { feed, directory, meter, logger, applySnapshot } = this.parts;
+    meter.storeCalls.inc();
+    const read = await feed.readNewest()();
+    if (E.isLeft(read)) {
+      this.recordFailure(read.left.fault, read.left.message);
+      return undefined;
+    }
+    const { records, next } = read.right;
+    applySnapshot(read.right);
+    directory.recordGap();
+    logger.info("history trimmed", { offset: next.offset });
+    return this.recordEnd(this.decodeAll(records), { from: next, next }, readAt);
+  }
+
+  private recordEnd(
     entries: readonly EndpointEntry[],
-    next: LogPosition,
+    range: ReadRange,
     readAt: Moment,
   ): ConfirmedList {
-    const { directory, versionHistory, onConfirmed, clock, logger } = this.parts;
-    const seen = { next, gaps: directory.gaps };
-    versionHistory.record([...directory.listAll(), ...entries], readAt, seen);
+    const { onConfirmed, clock, logger } = this.parts;
+    const { from, next } = range;
+    this.record(entries, range, readAt);
     onConfirmed(next, readAt);
     const tookMs = Math.round(clock.now() - readAt);
-    logger.info("list confirmed", { records: entries.length, offset: next.offset, tookMs });
+    const offsets = { from: from.offset, offset: next.offset };
+    logger.info("list confirmed", { records: entries.length, ...offsets, tookMs });
     return { readAt, next };
   }
 
+  /** Counts all entries that were read, also those that a later one replaced. */
+  private record(entries: readonly EndpointEntry[], read: ReadRange, readAt: Moment): void {
+    const { directory, versionHistory } = this.parts;
+    const seen = { next: read.next, gaps: directory.gaps, read };
+    versionHistory.record([...directory.listAll(), ...entries], readAt, seen);
+  }
+
   private decodeAll(records: readonly FeedRecord[]): readonly EndpointEntry[] {
     return records.flatMap(({ key, value }) =>
       value === undefined ? [] : (this.parts.decode(key, value) ?? []),
@@ -170,9 +198,8 @@
   }
 
   private recordFailure(fault: StoreFault, error: string): void {
-    const { directory, meter, logger } = this.parts;
+    const { meter, logger } = this.parts;
     meter.storeFailures.inc();
-    if (fault === StoreFault.trimmed) directory.recordGap();
     logger.warn("list not confirmed", { fault, error });
   }
 }
--- a/test/harness/watching.ts
+++ b/test/harness/watching.ts
@@ -24,12 +24,16 @@
 /** A feed that counts reads, answers them only when told to, and ends pages early where a test says. */
 export class SlowFeed extends MemoryFeed {
   readCount = 0;
+  /** The offset at which the last read began. */
+  readFrom = -1;
   pageSize = Number.POSITIVE_INFINITY;
   isHeld = false;
   private held: (() => void)[] = [];
 
   override read: MemoryFeed["read"] = (from) => async () => {
     this.readCount += 1;
+    this.readFrom = from;
+    if (from < this.first) return E.left(new StoreError(StoreFault.trimmed, "trimmed"));
     const records = this.records.slice(from, from + this.pageSize);
     const next = { era: this.era, offset: from + records.length };
     const page: FeedPage = { records, next, end: this.records.length };
@@ -85,6 +89,7 @@
         computeListAgeMs: () => clock.now() - this.lookedAt,
         isStoreLost: () => false,
         apply: (page) => directory.apply(page, clock.now()),
+        applySnapshot: (page) => directory.applySnapshot(page, clock.now()),
         onConfirmed: (_next, at) => {
           this.lookedAt = at;
         },
@@ -118,14 +123,29 @@
     for (let second = 0; second < seconds; second += 1) {
       this.clock.advance(1000);
       const { directory, feed } = this;
-      const records = feed.records.slice(directory.next.offset);
+      const from = directory.next;
+      const records = feed.records.slice(from.offset);
       directory.apply({ records, next: feed.next }, this.clock.now());
-      const seen = { next: directory.next, gaps: directory.gaps };
+      directory.ownReads.record(from.offset, feed.next);
+      const seen = { next: directory.next, gaps: directory.gaps, read: directory.ownReads.range };
       this.versionHistory.record(directory.listAll(), this.clock.now(), seen);
       this.lookedAt = this.clock.now();
     }
   }
 
+  /** Takes the list from a peer's page or from a snapshot, and observes the versions. */
+  copyList(isSnapshot: boolean): void {
+    const { directory, feed, clock } = this;
+    const newest = [...new Map(feed.records.map((record) => [record.key, record])).values()];
+    if (isSnapshot) {
+      const records = newest.filter(({ value }) => value !== undefined);
+      directory.applySnapshot({ records, next: feed.next }, clock.now());
+    } else directory.apply({ records: newest, next: feed.next }, clock.now());
+    const seen = { next: directory.next, gaps: directory.gaps, read: directory.ownReads.range };
+    this.versionHistory.record(directory.listAll(), clock.now(), seen);
+    this.lookedAt = clock.now();
+  }
+
   /** A caller takes up a stream; tells the version, or the status and the pause of the refusal. */
   async takeUp(): Promise<string | (number | undefined)[]> {
     const head = { id: "again", resumedId: "s1", lastEventId: "2" };
--- a/test/staleversions.spec.ts
+++ b/test/staleversions.spec.ts
@@ -54,6 +54,49 @@
     assert.equal((await instance.takeUp())[0], 503);
   });
 
+  for (const isSnapshot of [true, false]) {
+    const source = isSnapshot ? "a snapshot" : "a peer";
+    it(`is not joined with the older version if a newer one came and went between lists of ${source}`, async () => {
+      instance.put("e1", "v2");
+      instance.feed.put("e1", undefined);
+      instance.clock.advance(1000);
+      instance.copyList(isSnapshot);
+      instance.clock.advance(500);
+      assert.equal((await instance.takeUp())[0], 503);
+    });
+
+    it(`is not joined with the older version if an id was of a newer one between lists of ${source}`, async () => {
+      instance.put("d1", "v2", 2);
+      instance.put("d1", "v1", 3);
+      instance.clock.advance(1000);
+      instance.copyList(isSnapshot);
+      instance.clock.advance(500);
+      assert.equal((await instance.takeUp())[0], 503);
+    });
+  }
+
+  it("is not joined with the older version if the records between lists are trimmed", async () => {
+    instance.put("d1", "v2", 2);
+    instance.put("d1", "v1", 3);
+    instance.feed.first = instance.feed.next.offset;
+    instance.copyList(false);
+    assert.equal((await instance.takeUp())[0], 503);
+    assert.equal(instance.versionHistory.computeWatchedMs(instance.clock.now()), 0);
+  });
+
+  it("has the records since the last own read counted once", async () => {
+    instance.put("d1", "v1");
+    instance.copyList(false);
+    const hole = instance.feed.next.offset - 1;
+    assert.equal(await instance.takeUp(), "v1");
+    assert.equal(instance.feed.readFrom, hole, "from the hole on");
+    instance.put("d1", "v1");
+    instance.watch(1);
+    instance.clock.advance(60);
+    assert.equal(await instance.takeUp(), "v1");
+    assert.equal(instance.feed.readFrom, hole + 2, "from the last own read on");
+  });
+
   it("is not joined with the older version if the newer one is on a later page", async () => {
     instance.feed.pageSize = 2;
     for (let entry = 0; entry < 5; entry += 1) instance.put("d1", "v1");
