Let reads that confirm the list begin 50 ms apart, and none for 300 ms after one failed

Take-ups that came one after the other brought the store a read each: reads were shared by those who asked before one began, but the next began as soon as it had ended. Callers come again at about the same time, from each instance, right after a fault; calls to the store are limited for the whole fleet.

Cause: the pause of 50 ms held only while the read before had no result, and after a failed read the next began 150 ms after its start, while callers were told to wait 300 ms. Now starts are 50 ms apart in any case (those who ask wait 150 ms), and within 300 ms of a failure all are refused at once. A read that began at the very moment at which a request came does not serve it.

--- a/src/forward/generations/resume.ts
+++ b/src/forward/generations/resume.ts
@@ -16,6 +16,7 @@
   type ConfirmedList,
   type FoundOrigin,
   CLOCK_TOLERANCE_MS,
+  FAILED_READ_PAUSE_MS,
   type ListConfirmer,
   OriginSource,
   type SharedOrigins,
@@ -30,7 +31,7 @@
  */
 export const MAX_RETURN_MS = 2000;
 /** Retry delay where an instance or the store, which may know, did not answer, in milliseconds. */
-const UNCLEAR_RETRY_MS = 300;
+const UNCLEAR_RETRY_MS = FAILED_READ_PAUSE_MS;
 
 /**
  * How long a request waits for the store, in milliseconds; a read that takes longer goes on for the
--- a/src/forward/shared/index.ts
+++ b/src/forward/shared/index.ts
@@ -5,7 +5,7 @@
 export { QuotaCharger } from "./charges";
 export { createCrashTracker } from "./crashtracking";
 export { decodeKnowledge, encodeKnowledge } from "./crashwire";
-export { type ConfirmedList, ListConfirmer } from "./listconfirmer";
+export { type ConfirmedList, FAILED_READ_PAUSE_MS, ListConfirmer } from "./listconfirmer";
 export { OriginPublisher } from "./originpublisher";
 export { OriginWriter } from "./originwriter";
 export { StoredOrigins } from "./storedorigins";
--- a/src/forward/shared/listconfirmer.ts
+++ b/src/forward/shared/listconfirmer.ts
@@ -15,10 +15,10 @@
 import type { VersionHistory } from "../../fleet/versionhistory";
 import type { Meter } from "../requests";
 
-/** Shortest time between the starts of two reads while the first one has no result, in milliseconds. */
+/** Shortest time between the starts of two reads, in milliseconds: those who ask wait for longer. */
 const MIN_READ_INTERVAL_MS = 50;
-/** Shortest time between the start of a read that fails and that of the next, in milliseconds. */
-const FAILED_READ_INTERVAL_MS = 150;
+/** How long no read begins after one that failed, in milliseconds; callers are told to wait for as long. */
+export const FAILED_READ_PAUSE_MS = 300;
 /** How long a read of a list that is too old may hold up its use, in milliseconds. */
 const REFRESH_TIMEOUT_MS = 150;
 /** Maximum number of pages in one read: a few seconds of 5,000 endpoints. */
@@ -63,19 +63,21 @@
 export class ListConfirmer {
   private started: StartedRead | undefined;
   private next: Promise<ConfirmedList | undefined> | undefined;
+  private pausedUntil: Moment = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly parts: ListConfirmerParts) {}
 
   /**
-   * Confirms the list by a read that begins at a moment or later; each record that was not counted yet
+   * Confirms the list by a read that begins after a moment; each record that was not counted yet
    * is counted in the version history, whose watch begins anew if the store no longer has them all.
    *
-   * @returns undefined if the store could not be read
+   * @returns undefined if the store could not be read, also for a while after that
    * @example
    * const list = await listConfirmer.confirm(arrivedAt);
    */
   confirm(since: Moment): Promise<ConfirmedList | undefined> {
-    if (this.started !== undefined && this.started.readAt >= since) return this.started.result;
+    if (this.started !== undefined && this.started.readAt > since) return this.started.result;
+    if (this.isPaused()) return Promise.resolve(undefined);
     this.next ??= this.readNext(this.started);
     return this.next;
   }
@@ -97,30 +99,27 @@
   private async readNext(before: StartedRead | undefined): Promise<ConfirmedList | undefined> {
     // Those who ask in the same turn share the read, too.
     await Promise.resolve();
-    if (before !== undefined) await this.waitAfter(before);
+    const leftMs = (before?.readAt ?? 0) + MIN_READ_INTERVAL_MS - this.parts.clock.now();
+    if (before !== undefined && leftMs > 0) await pause(leftMs);
     this.next = undefined;
+    if (this.isPaused()) return undefined;
     const readAt = this.parts.clock.now();
     const result = this.read(readAt);
     this.started = { readAt, result };
     return result;
   }
 
-  /** Waits until the next read may begin. */
-  private async waitAfter({ readAt, result }: StartedRead): Promise<void> {
-    const { clock } = this.parts;
-    const waitUntil = (at: Moment) => pause(Math.max(0, at - clock.now()));
-    const hasFailed = await Promise.race([
-      result.then((confirmed) => confirmed === undefined),
-      waitUntil(readAt + MIN_READ_INTERVAL_MS).then(() => false),
-    ]);
-    if (hasFailed) await waitUntil(readAt + FAILED_READ_INTERVAL_MS);
+  private isPaused(): boolean {
+    return this.parts.clock.now() < this.pausedUntil;
   }
 
   private async read(readAt: Moment): Promise<ConfirmedList | undefined> {
+    const { clock, logger } = this.parts;
     let confirmed: ConfirmedList | undefined;
-    await runTask("confirm list", this.parts.logger, async () => {
+    await runTask("confirm list", logger, async () => {
       confirmed = await this.readToEnd(readAt);
     });
+    if (confirmed === undefined) this.pausedUntil = clock.now() + FAILED_READ_PAUSE_MS;
     return confirmed;
   }
 
--- a/test/staleversions.spec.ts
+++ b/test/staleversions.spec.ts
@@ -25,6 +25,19 @@
   instance.watch(20);
 });
 
+/** Callers take streams up, one 5 ms after the other. */
+async function takeUpMany(count: number) {
+  const startedAt = performance.now();
+  const takeUps: ReturnType<WatchingInstance["takeUp"]>[] = [];
+  for (let index = 0; index < count; index += 1) {
+    instance.clock.advance(5);
+    takeUps.push(instance.takeUp());
+    await pause(5);
+  }
+  const taken = await Promise.all(takeUps);
+  return { taken, elapsedMs: Math.round(performance.now() - startedAt) };
+}
+
 describe("a stream that is taken up where the list was last seen before the request", () => {
   for (const recalled of [undefined, { origin: undefined }]) {
     const peers = recalled === undefined ? "silent" : "without the origin";
@@ -138,16 +151,23 @@
     });
   }
 
-  it("has a store that refuses to be read asked no more than every 150 ms", async () => {
+  it("has the store read no more than every 50 ms while callers take streams up", async () => {
+    const { elapsedMs, taken } = await takeUpMany(100);
+    assert.deepEqual([...new Set(taken)], ["v1"]);
+    const { readCount } = instance.feed;
+    assert.ok(readCount <= elapsedMs / 50 + 2, `${readCount} reads in ${elapsedMs} ms`);
+  });
+
+  it("has a store that refuses to be read asked again only after the pause that callers are told", async () => {
     instance.feed.isDown = true;
-    await instance.takeUp();
-    for (let count = 0; count < 4; count += 1) {
-      instance.clock.advance(10);
-      void instance.takeUp();
-      await pause(10);
-    }
+    const { taken } = await takeUpMany(50);
+    assert.deepEqual(taken[0], [503, RETRY_MS]);
     assert.equal(instance.feed.readCount, 1);
-    await pause(150);
+    instance.clock.advance(RETRY_MS);
+    const startedAt = performance.now();
+    assert.deepEqual(await instance.takeUp(), [503, RETRY_MS]);
+    assert.deepEqual(await instance.takeUp(), [503, RETRY_MS]);
+    assert.ok(performance.now() - startedAt < 140, "refused at once");
     assert.equal(instance.feed.readCount, 2);
   });
 
