Go on with a stream at another engine by a list that was read after the break

While the store is lost, or the read fails or is not done in time, the list is used as it is: everybody would be refused for as long as the store is down. That stays open.

--- a/src/forward/generations/runreserver.ts
+++ b/src/forward/generations/runreserver.ts
@@ -14,12 +14,6 @@
 
 /** How long a generation that runs waits for room at another engine, in milliseconds. */
 const SEARCH_WAIT_MS = 1000;
-/**
- * Age from which the list is read again before an engine is chosen to go on with a stream, in
- * milliseconds: it may not say yet that an engine is another process, of another version.
- */
-const MAX_LIST_AGE_MS = 2000;
-
 /** A search for an engine in place of a silent one. */
 export interface ReplacementSearch {
   readonly silentEngineId: string | undefined;
@@ -49,6 +43,8 @@
 /** Reserves memory for one generation. */
 export class RunReserver {
   private readonly needTokens: number;
+  /** True once a run was reserved for: later ones are due to a break in this answer. */
+  private hasReserved = false;
 
   constructor(
     private readonly parts: RunReserverParts,
@@ -70,8 +66,9 @@
     { hasStarted, cachedEngineId, origin, search }: RunDemand,
     signal: AbortSignal,
   ): Promise<Reservation | undefined> {
-    const { clock, meter, listConfirmer } = this.parts.context;
-    if (origin !== undefined) await listConfirmer.refresh(clock.now() - MAX_LIST_AGE_MS);
+    const { clock, meter } = this.parts.context;
+    if (origin !== undefined) await this.refreshList();
+    this.hasReserved = true;
     const { head, service, priority, isOverRate } = this.request;
     const { arrivedAt } = this.times;
     const startedAt = clock.now();
@@ -102,6 +99,16 @@
     return reservation;
   }
 
+  /**
+   * Reads the list again unless it was read since the stream broke: an engine may be another process
+   * now, of another version. A stream that is taken up broke before the request came.
+   */
+  private async refreshList(): Promise<void> {
+    const { listConfirmer, clock } = this.parts.context;
+    const brokeAt = this.hasReserved ? clock.now() : this.times.arrivedAt;
+    await listConfirmer.refresh(brokeAt);
+  }
+
   private logQueued(isReturned: boolean): void {
     const { context, reservations } = this.parts;
     const { head, service, isOverRate } = this.request;
--- a/test/staleversions.spec.ts
+++ b/test/staleversions.spec.ts
@@ -246,10 +246,14 @@
   });
 }
 
-describe("a stream that breaks at an instance whose list is seconds old", () => {
-  for (const version of ["v2", "v1"]) {
+const STALE_CASES = ["v2", "v1"].flatMap((version) =>
+  [2600, 800].map((heldMs) => ({ version, heldMs })),
+);
+
+describe("a stream that breaks at an instance whose list is old", () => {
+  for (const { version, heldMs } of STALE_CASES) {
     const outcome = version === "v1" ? "goes on at it" : "is not joined with what it writes";
-    it(`${outcome} if another engine's process was replaced by one of ${version}`, async (t) => {
+    it(`${outcome} if another engine's process was replaced by one of ${version}, no read for ${heldMs} ms`, async (t) => {
       const store = new MemoryStore();
       store.putConfig(createConfig(1));
       const open: Socket[] = [];
@@ -269,8 +273,9 @@
       const answer = get(instances.ports[0] ?? 0, "/summary/s1", { "x-id": "s1" });
       await waitUntil(() => open.length === 1);
       const other = engines.get("d1")?.requests.some(isRun) === true ? "d2" : "d1";
+      if (heldMs < 1000) await pause(1000);
       holdNextRead(store);
-      await pause(2600);
+      await pause(heldMs);
       put(other, { version, processStartedAt: 2 });
       engines.get(other === "d1" ? "d2" : "d1")?.close();
       const { isComplete } = await answer;
