--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -14,7 +14,7 @@
   isPlausible,
   MAX_COLD_MS,
 } from "./entries";
-import { chooseLater, isAfter, LOG_START, type LogPosition } from "./position";
+import { chooseLater, isAfter, LOG_START, type LogPosition, OwnReads } from "./position";
 import { ProcessHistory } from "./processhistory";
 import type { FeedPage, FeedRecord } from "./store";
 
@@ -68,10 +68,13 @@
     string,
     Pick<EndpointEntry, "processStartedAt" | "sequence">
   >();
+  /** The part of the feed that was read here. */
+  readonly ownReads = new OwnReads();
   private nextPosition = LOG_START;
   private changedPosition = NO_POSITION;
   private outageEndedAt: Moment = Number.NEGATIVE_INFINITY;
   private usableCache: readonly EndpointEntry[] | undefined;
+  private gapCount = 0;
 
   /** @param readWallClock - reads this instance's wall clock, in milliseconds; never steps back */
   constructor(
@@ -92,6 +95,16 @@
     return this.changedPosition;
   }
 
+  /** How often records may have been missed since the start. */
+  get gaps(): number {
+    return this.gapCount;
+  }
+
+  /** Records that endpoints may have come and gone unseen, as the store no longer has the records. */
+  recordGap(): void {
+    this.gapCount += 1;
+  }
+
   /** Records that the store responds again after an outage. */
   recordStoreRecovery(at: Moment): void {
     this.outageEndedAt = Math.max(this.outageEndedAt, at);
@@ -109,6 +122,7 @@
    */
   recordStoreRestore(now: Moment): void {
     this.outageEndedAt = now;
+    this.recordGap();
     this.departures.announceAll(now);
   }
 
@@ -324,7 +338,10 @@
 
   private applyRecord(record: FeedRecord, now: Moment): EntryChange | undefined {
     const before = this.listed.get(record.key);
-    if (before !== undefined && !isAfter(record.position, before.record.position)) return undefined;
+    if (before !== undefined && !isAfter(record.position, before.record.position)) {
+      this.recordEarlier(record, before.record, now);
+      return undefined;
+    }
     this.usableCache = undefined;
     if (record.value === undefined) return this.applyRemoval(record, before, now);
     const entry = this.decode(record.key, record.value);
@@ -363,6 +380,13 @@
     return compareEntries(before?.entry, accepted) ?? (isColder ? EntryChange.cold : undefined);
   }
 
+  /** Remembers the process of a record that comes after a later one of its endpoint. */
+  private recordEarlier(record: FeedRecord, known: FeedRecord, now: Moment): void {
+    if (record.value === undefined || !isAfter(known.position, record.position)) return;
+    const entry = this.decode(record.key, record.value);
+    if (entry !== undefined) this.processes.record(entry, now);
+  }
+
   private applyRemoval(
     record: FeedRecord,
     before: ListedEndpoint | undefined,
@@ -384,6 +408,8 @@
       latestEntry: before?.latestEntry,
       coldEndsAt: before?.coldEndsAt ?? Number.NEGATIVE_INFINITY,
     });
+    // It was listed in records that were not seen: a peer's list holds the newest one of each endpoint.
+    if (before === undefined && !isAfter(this.nextPosition, record.position)) this.recordGap();
     if (entry === undefined) return undefined;
     this.departures.record(createDeparture(entry, entry.isLeaving), false, now);
     return EntryChange.gone;
--- a/src/fleet/watcher.ts
+++ b/src/fleet/watcher.ts
@@ -296,13 +296,17 @@
     if (this.isClosed) return;
     if (E.isRight(result)) {
       this.recordSuccess(name, state, startedAt);
+      const from = state.nextOffset;
       state.nextOffset = result.right.next.offset;
-      if (this.applyPage(name, result.right, isSnapshot)) this.onChange();
+      const isChanged = this.applyPage(name, result.right, isSnapshot);
+      if (name === FeedName.endpoints) this.directory.ownReads.record(from, result.right.next);
+      if (isChanged) this.onChange();
       await pause(computePauseMs() * (1 - Math.random() * POLL_JITTER));
       return;
     }
     if (result.left.fault === StoreFault.trimmed) {
       state.nextOffset = undefined;
+      if (name === FeedName.endpoints) this.directory.recordGap();
       this.logger.info("history trimmed", { feed: name });
       return;
     }
--- a/src/forward/generations/runreserver.ts
+++ b/src/forward/generations/runreserver.ts
@@ -14,7 +14,6 @@
 
 /** How long a generation that runs waits for room at another engine, in milliseconds. */
 const SEARCH_WAIT_MS = 1000;
-
 /** A search for an engine in place of a silent one. */
 export interface ReplacementSearch {
   readonly silentEngineId: string | undefined;
@@ -44,6 +43,8 @@
 /** Reserves memory for one generation. */
 export class RunReserver {
   private readonly needTokens: number;
+  /** True once a run was reserved for: later ones are due to a break in this answer. */
+  private hasReserved = false;
 
   constructor(
     private readonly parts: RunReserverParts,
@@ -66,6 +67,8 @@
     signal: AbortSignal,
   ): Promise<Reservation | undefined> {
     const { clock, meter } = this.parts.context;
+    if (origin !== undefined) await this.refreshList();
+    this.hasReserved = true;
     const { head, service, priority, isOverRate } = this.request;
     const { arrivedAt } = this.times;
     const startedAt = clock.now();
@@ -96,6 +99,16 @@
     return reservation;
   }
 
+  /**
+   * Reads the list again unless it was read since the stream broke: an engine may be another process
+   * now, of another version. A stream that is taken up broke before the request came.
+   */
+  private async refreshList(): Promise<void> {
+    const { listConfirmer, clock } = this.parts.context;
+    const brokeAt = this.hasReserved ? clock.now() : this.times.arrivedAt;
+    await listConfirmer.refresh(brokeAt);
+  }
+
   private logQueued(isReturned: boolean): void {
     const { context, reservations } = this.parts;
     const { head, service, isOverRate } = this.request;
--- a/src/forward/shared/index.ts
+++ b/src/forward/shared/index.ts
@@ -5,6 +5,7 @@
 export { QuotaCharger } from "./charges";
 export { createCrashTracker } from "./crashtracking";
 export { decodeKnowledge, encodeKnowledge } from "./crashwire";
+export { type ConfirmedList, FAILED_READ_PAUSE_MS, ListConfirmer } from "./listconfirmer";
 export { OriginPublisher } from "./originpublisher";
 export { OriginWriter } from "./originwriter";
 export { StoredOrigins } from "./storedorigins";
@@ -19,4 +20,4 @@
 } from "./quota";
 export { RefusalTracker } from "./refusals";
 export { type FoundOrigin, OriginSource, SharedOrigins } from "./sharedorigins";
-export { canGoOn, confirmOrigin } from "./versions";
+export { CLOCK_TOLERANCE_MS, canGoOn, confirmOrigin } from "./versions";
