--- /dev/null
+++ b/src/forward/endpoints/answer.ts
@@ -0,0 +1,91 @@
+/**
+ * An answer of an endpoint whose head has arrived and whose body is still to be read.
+ */
+import type { Readable } from "node:stream";
+import { type ResponseHead, Verdict } from "../requests";
+import type { Connection } from "./connection";
+import { containsOwnHead, isCutInHead } from "./copy";
+import type { ConnectionPool } from "./pool";
+
+const FRAMING_HEADERS: ReadonlySet<string> = new Set(["content-length", "transfer-encoding"]);
+const NO_CONTENT = 204;
+const NOT_MODIFIED = 304;
+
+/** A response whose body is still to be read. */
+export interface OpenResponse {
+  readonly head: ResponseHead;
+  readonly body: Readable;
+  /** True if the response has a length, chunks or no body; one without ends with its connection. */
+  readonly isFramed: boolean;
+  /**
+   * Returns true if the connection failed, so that a body that seems to have ended is not whole.
+   */
+  readonly isBroken: () => boolean;
+  /** Returns true if bytes of the body contain the head of a copy of this response. */
+  readonly containsCopy: (bytes: Buffer) => boolean;
+  /** Returns true if the end of a body is the beginning of a copy, whose rest came behind it. */
+  readonly isFilledUp: (body: Buffer) => Promise<boolean>;
+}
+
+/** What an open response is created from. */
+export interface ResponseParts {
+  readonly head: ResponseHead;
+  /** Names and values, alternating, as they were received. */
+  readonly headers: readonly string[];
+  readonly body: Readable;
+  readonly connection: Connection;
+  /** Checks whether the headers of a head within the body are those of a copy. */
+  readonly isCopy: (headers: readonly string[]) => boolean;
+}
+
+/**
+ * Creates the response to a request from its head.
+ *
+ * @example
+ * const response = createOpenResponse({ head, headers, body, connection, isCopy });
+ */
+export function createOpenResponse(parts: ResponseParts): OpenResponse {
+  const { head, headers, body, connection, isCopy } = parts;
+  return {
+    head,
+    body,
+    isFramed: hasFraming(head.status, headers),
+    isBroken: () => connection.isBroken,
+    containsCopy: (bytes) => containsOwnHead(bytes, isCopy),
+    isFilledUp: async (whole) => isCutInHead(whole) && (await connection.waitForStrayBytes()),
+  };
+}
+
+/**
+ * Returns a connection to its pool once the body was read to its end, else closes it.
+ *
+ * @example
+ * releaseAfter(pool, connection, response.body);
+ */
+export function releaseAfter(pool: ConnectionPool, connection: Connection, body: Readable): void {
+  // The reader of the body handles its errors; this listener keeps an error of a body that is not
+  // read from being uncaught.
+  body.on("error", () => undefined);
+  body.once("end", () => {
+    pool.release(connection);
+  });
+  body.once("close", () => {
+    if (!body.readableEnded) pool.discard(connection);
+  });
+}
+
+/**
+ * Checks that an answer is that of the process that the request was sent to.
+ *
+ * @example
+ * isFromEndpoint({ verdict: Verdict.misdirected, status: 421, headers: [], load: undefined }); // false
+ */
+export function isFromEndpoint({ verdict }: ResponseHead): boolean {
+  return verdict === Verdict.answered || verdict === Verdict.notRun;
+}
+
+/** Checks for a length, chunks, or a status without a body. */
+function hasFraming(status: number, headers: readonly string[]): boolean {
+  if (status === NO_CONTENT || status === NOT_MODIFIED) return true;
+  return headers.some((text, index) => index % 2 === 0 && FRAMING_HEADERS.has(text.toLowerCase()));
+}
--- a/src/forward/endpoints/body.ts
+++ b/src/forward/endpoints/body.ts
@@ -3,7 +3,7 @@
  */
 import type { Readable } from "node:stream";
 import * as E from "fp-ts/Either";
-import type { OpenResponse } from "./client";
+import type { OpenResponse } from "./answer";
 
 /**
  * Maximum size of a body that is small by nature, with its framing, in bytes: an answer to a call
--- a/src/forward/endpoints/client.ts
+++ b/src/forward/endpoints/client.ts
@@ -3,25 +3,22 @@
  * a request twice. A connection that failed, whose response was not read to its end, or that
  * brought an answer to another exchange is closed and never reused.
  */
-import type { Readable } from "node:stream";
 import * as E from "fp-ts/Either";
 import type { Clock, Moment } from "../../core/clock";
 import type { Regions } from "../../fleet/regions";
 import { createTimeoutSignal } from "../../core/readfirst";
+import { createOpenResponse, isFromEndpoint, type OpenResponse, releaseAfter } from "./answer";
 import { MAX_SMALL_BODY_BYTES } from "./body";
 import { type Connection, MAX_FRAMED_BYTES, MAX_HEAD_BYTES } from "./connection";
 import type { EndpointDialer } from "../tunnels";
-import { containsOwnHead, isCutInHead } from "./copy";
 import { isOwnAnswer } from "./exchange";
 import {
-  type ResponseHead,
   type EndpointCodec,
   type EndpointCall,
   type EndpointLoad,
   type EndpointNotice,
   type EndpointRequest,
   SendTask,
-  Verdict,
 } from "../requests";
 import { type EndpointGate, type EndpointTarget, SendEnding } from "../limits";
 import { describeCall, describeSend, readEnding, type SendKind } from "./sendkind";
@@ -29,6 +26,7 @@
 import { canSendByRegions, createPeerCheck } from "./restriction";
 import { createFailure, createHeldFailure, SendFailure, SendFailureKind } from "./sendfailure";
 
+export type { OpenResponse } from "./answer";
 export { SendFailure, SendFailureKind } from "./sendfailure";
 
 /**
@@ -36,26 +34,6 @@
  */
 const SWEEP_INTERVAL_MS = 2000;
 
-const FRAMING_HEADERS: ReadonlySet<string> = new Set(["content-length", "transfer-encoding"]);
-const NO_CONTENT = 204;
-const NOT_MODIFIED = 304;
-
-/** A response whose body is still to be read. */
-export interface OpenResponse {
-  readonly head: ResponseHead;
-  readonly body: Readable;
-  /** True if the response has a length, chunks or no body; one without ends with its connection. */
-  readonly isFramed: boolean;
-  /**
-   * Returns true if the connection failed, so that a body that seems to have ended is not whole.
-   */
-  readonly isBroken: () => boolean;
-  /** Returns true if bytes of the body contain the head of a copy of this response. */
-  readonly containsCopy: (bytes: Buffer) => boolean;
-  /** Returns true if the end of a body is the beginning of a copy, whose rest came behind it. */
-  readonly isFilledUp: (body: Buffer) => Promise<boolean>;
-}
-
 /** The whole response to a call that the router makes for itself. */
 export interface CallResponse {
   readonly status: number;
@@ -187,15 +165,9 @@
         this.gate.onLimitNotice(send.endpoint, notice, { sentAt, canEndLimit });
         this.reportLoad(send.endpoint, notice);
       }
-      return E.right({
-        head: responseHead,
-        body: response.body,
-        isFramed: hasFraming(response.statusCode, headers),
-        isBroken: () => connection.isBroken,
-        containsCopy: (bytes) =>
-          containsOwnHead(bytes, (names) => this.codec.readAnsweredId(names) === head.id),
-        isFilledUp: async (whole) => isCutInHead(whole) && (await connection.waitForStrayBytes()),
-      });
+      const isCopy = (names: readonly string[]) => this.codec.readAnsweredId(names) === head.id;
+      const parts = { head: responseHead, headers, body: response.body, connection, isCopy };
+      return E.right(createOpenResponse(parts));
     } catch (error) {
       const ending = signal.aborted ? SendEnding.aborted : SendEnding.failed;
       this.recordEnd(send.endpoint, describeSend(send), ending, sentAt);
@@ -355,27 +327,3 @@
     }
   }
 }
-
-/** Returns a connection to its pool once the body was read to its end, else closes it. */
-function releaseAfter(pool: ConnectionPool, connection: Connection, body: Readable): void {
-  // The reader of the body handles its errors; this listener keeps an error of a body that is not
-  // read from being uncaught.
-  body.on("error", () => undefined);
-  body.once("end", () => {
-    pool.release(connection);
-  });
-  body.once("close", () => {
-    if (!body.readableEnded) pool.discard(connection);
-  });
-}
-
-/** Checks that an answer is that of the process that the request was sent to. */
-function isFromEndpoint({ verdict }: ResponseHead): boolean {
-  return verdict === Verdict.answered || verdict === Verdict.notRun;
-}
-
-/** Checks for a length, chunks, or a status without a body. */
-function hasFraming(status: number, headers: readonly string[]): boolean {
-  if (status === NO_CONTENT || status === NOT_MODIFIED) return true;
-  return headers.some((text, index) => index % 2 === 0 && FRAMING_HEADERS.has(text.toLowerCase()));
-}
