A head joined from two is no answer: a refusal cut short before the next answer was believed

Callers saw "not run, try again" (503) for requests that an endpoint had run, and requests that may run once ran at a second endpoint. Cause: an endpoint that writes an earlier refusal once more and breaks off within its status line or the value of a header has the parser take the status line of the next answer as the rest of it. Status and first headers, "not run" among them, are then the refusal's, while the id that follows is that of the request that waits: the check of the id passes. Class: evidence of another exchange taken for this one's. Evidence: test/laterefusals.spec.ts before the fix: cut in a header, the request ran twice ([next, next]) and its caller got 503 in place of 502; cut in the status line, 503 with the body of the 200. A cut in a header's name or between lines is a parser error already; one behind the id names two requests. Such a head (a status line within the reason phrase or a value) now counts as an answer to another exchange: outcome unknown, connection closed, logged. Why it works: no cut of one head before another leaves the status line of the second anywhere else.

--- a/src/forward/endpoints/client.ts
+++ b/src/forward/endpoints/client.ts
@@ -11,7 +11,7 @@
 import { MAX_SMALL_BODY_BYTES } from "./body";
 import { type Connection, MAX_FRAMED_BYTES, MAX_HEAD_BYTES } from "./connection";
 import type { EndpointDialer } from "../tunnels";
-import { isOwnAnswer } from "./exchange";
+import { isJoinedHead, isOwnAnswer } from "./exchange";
 import {
   type EndpointCodec,
   type EndpointCall,
@@ -148,7 +148,8 @@
       this.gate.onNotice(send.endpoint, notice);
       const answeredId = this.codec.readAnsweredId(headers);
       const { isFirstExchange: isFirst } = connection;
-      if (!isOwnAnswer({ requestId: head.id, answeredId, isFirst })) {
+      const isJoined = isJoinedHead(response.statusText, headers);
+      if (!isOwnAnswer({ requestId: head.id, answeredId, isFirst, isJoined })) {
         response.body.on("error", () => undefined);
         pool.discard(connection);
         // The endpoint may have written late copies on its other connections too.
--- a/src/forward/endpoints/exchange.ts
+++ b/src/forward/endpoints/exchange.ts
@@ -11,6 +11,24 @@
   readonly answeredId: string | undefined;
   /** True if the connection has carried no exchange before, so that no late copy can be on it. */
   readonly isFirst: boolean;
+  /** True if its head was joined from two. */
+  readonly isJoined: boolean;
+}
+
+/** A status line within what should be one reason phrase or one value of a header. */
+const INNER_STATUS_LINE_PATTERN = /HTTP\/1\.[01] \d{3}( |$)/;
+
+/**
+ * Checks whether a head was joined from one that was cut short and the whole one behind it: its status
+ * and its first headers are then those of another answer than the id that it ends with.
+ *
+ * @param statusText - the reason phrase
+ * @param headers - names and values, alternating
+ * @example
+ * isJoinedHead("Full", ["date", "Sat, 05 DHTTP/1.1 200 OK", "x-id", "r7"]); // true
+ */
+export function isJoinedHead(statusText: string, headers: readonly string[]): boolean {
+  return [statusText, ...headers].some((text) => INNER_STATUS_LINE_PATTERN.test(text));
 }
 
 /**
@@ -18,9 +36,11 @@
  * connection that has carried nothing else.
  *
  * @example
- * isOwnAnswer({ requestId: "r7", answeredId: "r6", isFirst: false }); // false
+ * isOwnAnswer({ requestId: "r7", answeredId: "r6", isFirst: false, isJoined: false }); // false
  */
-export function isOwnAnswer({ requestId, answeredId, isFirst }: ExchangeEvidence): boolean {
+export function isOwnAnswer(evidence: ExchangeEvidence): boolean {
+  const { requestId, answeredId, isFirst, isJoined } = evidence;
+  if (isJoined) return false;
   if (answeredId === undefined) return isFirst;
   return answeredId === requestId;
 }
--- a/test/exchange.spec.ts
+++ b/test/exchange.spec.ts
@@ -5,18 +5,18 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import fc from "fast-check";
-import { isOwnAnswer } from "../src/forward/endpoints/exchange";
+import { isJoinedHead, isOwnAnswer } from "../src/forward/endpoints/exchange";
 
 describe("an answer on a connection", () => {
   it("is to the request that it names, and to no other", () => {
-    const named = { requestId: "r1", answeredId: "r1" };
+    const named = { requestId: "r1", answeredId: "r1", isJoined: false };
     for (const isFirst of [true, false]) assert.ok(isOwnAnswer({ ...named, isFirst }));
     for (const isFirst of [true, false])
-      assert.ok(!isOwnAnswer({ requestId: "r1", answeredId: "r2", isFirst }));
+      assert.ok(!isOwnAnswer({ ...named, answeredId: "r2", isFirst }));
   });
 
   it("that names no request is to the first exchange only", () => {
-    const unnamed = { requestId: "r1", answeredId: undefined };
+    const unnamed = { requestId: "r1", answeredId: undefined, isJoined: false };
     assert.ok(isOwnAnswer({ ...unnamed, isFirst: true }));
     assert.ok(!isOwnAnswer({ ...unnamed, isFirst: false }));
   });
@@ -29,10 +29,26 @@
           const source = lateCopyOf === null ? index : Math.min(lateCopyOf, index);
           const answeredId = isNamed ? `r${source}` : undefined;
           const isFirst = index === 0;
-          const isTaken = isOwnAnswer({ requestId: `r${index}`, answeredId, isFirst });
+          const exchanged = { requestId: `r${index}`, answeredId, isFirst, isJoined: false };
+          const isTaken = isOwnAnswer(exchanged);
           if (isTaken) assert.equal(source, index);
         });
       }),
     );
   });
 });
+
+describe("a head", () => {
+  const answer = "HTTP/1.1 200 OK";
+
+  it("is joined from two wherever the first was cut", () => {
+    for (const text of [`Fu${answer}`, answer]) assert.ok(isJoinedHead(text, []), text);
+    for (const value of [answer, `Sat, 05 D${answer}`, "aHTTP/1.0 503"])
+      assert.ok(isJoinedHead("Full", ["x-id", "r1", "date", value]), value);
+  });
+
+  it("that speaks of HTTP is not joined", () => {
+    for (const value of ["HTTP/1.1 proxy", "1.1 edge", "HTTP/2.0", "HTTP/1.1 2000", ""])
+      assert.ok(!isJoinedHead("OK", ["via", value]), value);
+  });
+});
--- a/test/harness/raw.ts
+++ b/test/harness/raw.ts
@@ -12,11 +12,14 @@
 export class RawEndpoint {
   readonly requests: string[] = [];
   readonly sockets = new Set<Socket>();
+  /** Called with each connection before anything is read from it. */
+  onAccept: ((socket: Socket) => void) | undefined;
   private readonly server: Server;
 
   constructor(private readonly answer: (head: string, socket: Socket) => void) {
     this.server = createNetServer((socket) => {
       this.sockets.add(socket);
+      this.onAccept?.(socket);
       socket.on("close", () => this.sockets.delete(socket));
       socket.on("error", () => undefined);
       let text = "";
--- /dev/null
+++ b/test/laterefusals.spec.ts
@@ -0,0 +1,94 @@
+/**
+ * Endpoints that write an earlier refusal once more. Guards against callers that are told "not run", and against
+ * requests that run at a second endpoint, while the first one runs them; and against refusals within an answer.
+ */
+import assert from "node:assert/strict";
+import { request as httpRequest } from "node:http";
+import type { Socket } from "node:net";
+import { describe, it } from "node:test";
+import { pause } from "../src/core/clock";
+import { addEndpoint, get, port, prepareEach, start } from "./harness/fixture";
+
+prepareEach();
+
+const KEPT = "keep-alive: timeout=5\r\n";
+
+const readId = (head: string) => /x-id: (\S+)/i.exec(head)?.[1] ?? "";
+const createRefusal = (id: string, more = "") =>
+  `HTTP/1.1 503 Full\r\nx-not-run: 1\r\n${KEPT}${more}${id === "" ? "" : `x-id: ${id}\r\n`}content-length: 0\r\n\r\n`;
+const openAnswer = (head: string, more = "") =>
+  `HTTP/1.1 200 OK\r\nx-id: ${readId(head)}\r\n${KEPT}${more}`;
+const createAnswer = (head: string, body: string) =>
+  `${openAnswer(head)}content-length: ${body.length}\r\n\r\n${body}`;
+
+/** Sends a request that the endpoint refuses, so that its connection is kept. */
+async function refuseFirst(): Promise<void> {
+  assert.equal((await get(port, "/once/full", { "x-id": "earlier" })).status, 503);
+  await pause(10);
+}
+
+/** Adds two endpoints that both refuse the first request, and then answer; returns the requests that they ran. */
+async function addRefusing(answer: (head: string, socket: Socket) => void): Promise<string[]> {
+  const runs: string[] = [];
+  for (const id of ["a", "b"]) {
+    await addEndpoint(id, (head, socket) => {
+      if (head.includes("/once/full")) return void socket.write(createRefusal("earlier"));
+      runs.push(readId(head));
+      answer(head, socket);
+    });
+  }
+  return runs;
+}
+
+const earlier = createRefusal("earlier");
+/** What a faulty endpoint may write before its answer to the next request. */
+const LATE_BYTES = {
+  "of an earlier request": earlier,
+  "that names no request": createRefusal(""),
+  "with two ids": createRefusal("earlier", "x-id: next\r\n"),
+  twice: earlier + earlier,
+  "after an interim response": `HTTP/1.1 103 Early Hints\r\nx-id: next\r\n\r\n${earlier}`,
+  "cut short in its status line": "HTTP/1.1 503 Fu",
+  "cut short in a header": "HTTP/1.1 503 Full\r\nx-not-run: 1\r\ndate: Sat, 05 D",
+  "cut short behind its id": earlier.slice(0, -20),
+};
+
+describe("a late refusal before the answer to the next request", () => {
+  for (const [name, bytes] of Object.entries(LATE_BYTES)) {
+    it(`is not taken for it: ${name}`, async () => {
+      const runs = await addRefusing((head, socket) => {
+        socket.write(bytes + createAnswer(head, "sheet"));
+      });
+      await start();
+      await refuseFirst();
+      const response = await get(port, "/once/7", { "x-id": "next" });
+      assert.deepEqual(
+        [response.status, response.body.includes("sheet"), runs],
+        [502, false, ["next"]],
+      );
+    });
+  }
+
+  it("is not taken for it while the body of that request is being sent", async () => {
+    const endpoint = await addEndpoint("a", (_head, socket) => {
+      socket.write(createRefusal("earlier"));
+      socket.on("data", () => {
+        socket.write(createRefusal("earlier"));
+        socket.pause();
+      });
+    });
+    await start();
+    await refuseFirst();
+    const status = await new Promise((resolve, reject) => {
+      const headers = { "x-id": "next" };
+      const options = { host: "127.0.0.1", port, path: "/once/7", method: "POST", headers };
+      const request = httpRequest(options, (response) => {
+        response.resume();
+        resolve(response.statusCode);
+      });
+      request.on("error", reject);
+      request.end(Buffer.alloc(900_000));
+    });
+    assert.deepEqual([status, endpoint.requests.length], [502, 1]);
+  });
+});
