A refusal of an earlier request within a body or stream is not passed on

Cause: the search for late copies within an answer looked only for a head that names the request itself; one that names an earlier request of the connection and fills up a length or a chunk was passed on as content. Class: evidence of another exchange taken for this one's. Evidence: test/laterefusals.spec.ts before the fix: 200 with the refusal in the body in place of 502; a stream that ended whole with the refusal as its last event in place of event 2. Now any id that the connection has carried tells a copy. After: both pass; a once-only body is answered 502, a stream that may be resumed goes on after its last whole event. A copy that names no request can't be told (PROMISES.md).

--- a/src/forward/endpoints/answer.ts
+++ b/src/forward/endpoints/answer.ts
@@ -21,7 +21,7 @@
    * Returns true if the connection failed, so that a body that seems to have ended is not whole.
    */
   readonly isBroken: () => boolean;
-  /** Returns true if bytes of the body contain the head of a copy of this response. */
+  /** Returns true if bytes of the body contain the head of a copy of this or an earlier response. */
   readonly containsCopy: (bytes: Buffer) => boolean;
   /** Returns true if the end of a body is the beginning of a copy, whose rest came behind it. */
   readonly isFilledUp: (body: Buffer) => Promise<boolean>;
--- a/src/forward/endpoints/client.ts
+++ b/src/forward/endpoints/client.ts
@@ -166,7 +166,10 @@
         this.gate.onLimitNotice(send.endpoint, notice, { sentAt, canEndLimit });
         this.reportLoad(send.endpoint, notice);
       }
-      const isCopy = (names: readonly string[]) => this.codec.readAnsweredId(names) === head.id;
+      const isCopy = (names: readonly string[]) => {
+        const named = this.codec.readAnsweredId(names);
+        return named !== undefined && connection.hasCarried(named);
+      };
       const parts = { head: responseHead, headers, body: response.body, connection, isCopy };
       return E.right(createOpenResponse(parts));
     } catch (error) {
--- a/src/forward/endpoints/copy.ts
+++ b/src/forward/endpoints/copy.ts
@@ -1,6 +1,6 @@
 /**
- * Recognises a late copy of an answer within the body of that answer. An endpoint may write part of
- * an answer and then the whole of it again: the copy's head then fills up the body.
+ * Recognises a late copy of an answer within a body. An endpoint may write part of an answer and then
+ * the whole of it, or of an earlier one, again: the copy's head then fills up the body.
  */
 
 /** What every head of a response begins with. */
@@ -17,10 +17,10 @@
 const LINE_FEED = 10;
 
 /**
- * Checks whether bytes contain the head of a response that names the request itself. The status
+ * Checks whether bytes contain the head of a response to a request of the connection. The status
  * line alone is no sign: a body may talk about HTTP.
  *
- * @param isOwn - checks whether headers, names and values alternating, name the request
+ * @param isOwn - checks whether headers, names and values alternating, name such a request
  * @example
  * containsOwnHead(body, (headers) => codec.readAnsweredId(headers) === "r7");
  */
--- a/test/laterefusals.spec.ts
+++ b/test/laterefusals.spec.ts
@@ -7,13 +7,18 @@
 import type { Socket } from "node:net";
 import { describe, it } from "node:test";
 import { pause } from "../src/core/clock";
+import { EngineStage } from "../src/fleet/entries";
 import { addEndpoint, get, port, prepareEach, start } from "./harness/fixture";
 
 prepareEach();
 
 const KEPT = "keep-alive: timeout=5\r\n";
+const DECODE = { service: "models", stage: EngineStage.decode };
+const TOKENS = { "x-tokens": "300" };
 
 const readId = (head: string) => /x-id: (\S+)/i.exec(head)?.[1] ?? "";
+const event = (id: number) => `id: ${id}\ndata: t${id}\n\n`;
+const chunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
 const createRefusal = (id: string, more = "") =>
   `HTTP/1.1 503 Full\r\nx-not-run: 1\r\n${KEPT}${more}${id === "" ? "" : `x-id: ${id}\r\n`}content-length: 0\r\n\r\n`;
 const openAnswer = (head: string, more = "") =>
@@ -92,3 +97,35 @@
     assert.deepEqual([status, endpoint.requests.length], [502, 1]);
   });
 });
+
+describe("a late refusal within an answer", () => {
+  it("does not fill up a body", async () => {
+    await addRefusing((head, socket) => {
+      socket.write(createAnswer(head, `sheet ${createRefusal("earlier")}`));
+    });
+    await start();
+    await refuseFirst();
+    const response = await get(port, "/once/7");
+    assert.deepEqual([response.status, response.body.includes("sheet")], [502, false]);
+  });
+
+  it("does not fill up a stream", async () => {
+    const chunked = "transfer-encoding: chunked\r\n\r\n";
+    await addEndpoint(
+      "d",
+      (head, socket) => {
+        if (head.startsWith("POST /hold")) return void socket.write(createAnswer("", "h1"));
+        if (head.startsWith("DELETE ")) return void socket.write(createAnswer("", ""));
+        const rest = /x-after: 1/.test(head) ? chunk(event(2)) : chunk(event(1));
+        const late = readId(head) === "next" && !head.includes("x-after") ? chunk(earlier) : "";
+        socket.write(`${openAnswer(head, chunked)}${rest}${late}0\r\n\r\n`);
+      },
+      DECODE,
+    );
+    await start();
+    assert.equal((await get(port, "/summary/1", { ...TOKENS, "x-id": "earlier" })).status, 200);
+    await pause(10);
+    const response = await get(port, "/summary/1", { ...TOKENS, "x-id": "next" });
+    assert.deepEqual([response.status, response.body], [200, event(1) + event(2)]);
+  });
+});
