The answer to a prefill is checked for copies and breaks like any other

Prefiller read the body of its answer without the checks that all other readers make: a copy within it, or a connection that broke, went into the handle. In the platform's encoding such a body does not decode, so no caller is known to have met it; with the test codec a handle with an earlier refusal in it was sent on, and the caller was answered 502 (test/laterefusals.spec.ts, before: 502 !== 200). Class: one reader of answers left out a check that stands at each. After: passes; the decode engine reads the prompt itself.

--- a/src/forward/generations/prefill.ts
+++ b/src/forward/generations/prefill.ts
@@ -10,7 +10,7 @@
 import type { SendBudget } from "./sendbudget";
 import {
   createWorkKind,
-  readBody,
+  readWholeBody,
   type OpenResponse,
   type SendFailure,
   type ForwardContext,
@@ -193,7 +193,7 @@
       needsNewConnection: false,
     };
     const opened = await client.send(send, prefillSignal.signal);
-    const body = E.isRight(opened) ? await readBody(opened.right.body) : opened;
+    const body = E.isRight(opened) ? await readWholeBody(opened.right) : opened;
     prefillSignal.close();
     const isPrefilled =
       E.isRight(opened) && opened.right.head.status === PREFILLED_STATUS && E.isRight(body);
--- a/test/laterefusals.spec.ts
+++ b/test/laterefusals.spec.ts
@@ -14,6 +14,7 @@
 
 const KEPT = "keep-alive: timeout=5\r\n";
 const DECODE = { service: "models", stage: EngineStage.decode };
+const PREFILL = { service: "models", stage: EngineStage.prefill };
 const TOKENS = { "x-tokens": "300" };
 
 const readId = (head: string) => /x-id: (\S+)/i.exec(head)?.[1] ?? "";
@@ -128,4 +129,32 @@
     const response = await get(port, "/summary/1", { ...TOKENS, "x-id": "next" });
     assert.deepEqual([response.status, response.body], [200, event(1) + event(2)]);
   });
+
+  it("does not fill up the answer to a prefill", async () => {
+    await addEndpoint(
+      "p",
+      (head, socket) => {
+        const late = readId(head) === "next" ? earlier : "";
+        socket.write(createAnswer(head, `kv-${readId(head)} ${late}`));
+      },
+      PREFILL,
+    );
+    const sources: string[] = [];
+    await addEndpoint(
+      "d",
+      (head, socket) => {
+        if (head.startsWith("POST /hold")) return void socket.write(createAnswer("", "h1"));
+        if (head.startsWith("DELETE ")) return void socket.write(createAnswer("", ""));
+        sources.push(/x-source: (.*)/.exec(head)?.[1]?.trim() ?? "none");
+        socket.write(createAnswer(head, event(1)));
+      },
+      DECODE,
+    );
+    await start();
+    for (const id of ["earlier", "next"]) {
+      assert.equal((await get(port, "/draft/1", { ...TOKENS, "x-id": id })).status, 200);
+      await pause(10);
+    }
+    assert.deepEqual(sources, ["kv-earlier", "none"]);
+  });
 });
