A pause in an answer to another exchange does not hold an endpoint back

Callers were refused (503) though the endpoint asked for no pause: the client applied the notice of every answer before it asked whose answer it is, so that a late copy of a refusal with a pause began that pause anew. Class: evidence of another exchange, of unknown age, taken for present. Evidence: test/laterefusals.spec.ts before: 503 !== 200, 200 ms after a copy with a pause of 3 s. The pause of a foreign answer is now left out; the word that the endpoint leaves is kept, as no process takes it back.

--- a/scripts/mutations/forwarding.mjs
+++ b/scripts/mutations/forwarding.mjs
@@ -27,7 +27,7 @@
   {
     name: "forwarding: a response to another request is not accepted",
     file: "src/forward/endpoints/client.ts",
-    find: "if (!isOwnAnswer({ requestId: head.id, answeredId, isFirst, isJoined })) {",
+    find: "if (!isOwn) {",
     replace: 'if (answeredId === "") {',
     test: "latecopies",
   },
--- a/src/forward/endpoints/client.ts
+++ b/src/forward/endpoints/client.ts
@@ -143,13 +143,14 @@
       });
       this.recordEnd(send.endpoint, describeSend(send), readEnding(response.statusCode), sentAt);
       const headers = response.headers as unknown as readonly string[];
-      // A notice is the endpoint's word, also in an answer to another exchange.
-      const notice = this.codec.readNotice(response.statusCode, headers);
-      this.gate.onNotice(send.endpoint, notice);
       const answeredId = this.codec.readAnsweredId(headers);
       const { isFirstExchange: isFirst } = connection;
       const isJoined = isJoinedHead(response.statusText, headers);
-      if (!isOwnAnswer({ requestId: head.id, answeredId, isFirst, isJoined })) {
+      const isOwn = isOwnAnswer({ requestId: head.id, answeredId, isFirst, isJoined });
+      const notice = this.codec.readNotice(response.statusCode, headers);
+      // An endpoint that once said that it leaves does so; the age of a pause is not known.
+      this.gate.onNotice(send.endpoint, isOwn ? notice : { ...notice, pauseMs: undefined });
+      if (!isOwn) {
         response.body.on("error", () => undefined);
         pool.discard(connection);
         // The endpoint may have written late copies on its other connections too.
--- a/test/laterefusals.spec.ts
+++ b/test/laterefusals.spec.ts
@@ -158,3 +158,21 @@
     assert.deepEqual(sources, ["kv-earlier", "none"]);
   });
 });
+
+describe("a late refusal with a pause", () => {
+  it("does not hold back an endpoint that asks for none", async () => {
+    const pauseMs = "x-pause-ms: 60\r\n";
+    await addEndpoint("a", (head, socket) => {
+      const id = readId(head);
+      if (id === "earlier") return void socket.write(createRefusal(id, pauseMs));
+      const late = id === "next" ? createRefusal("earlier", "x-pause-ms: 3000\r\n") : "";
+      socket.write(late + createAnswer(head, "sheet"));
+    });
+    await start();
+    await refuseFirst();
+    await pause(100);
+    assert.equal((await get(port, "/once/7", { "x-id": "next" })).status, 502);
+    await pause(200);
+    assert.equal((await get(port, "/once/7")).status, 200);
+  });
+});
