A refusal that names no request is never believed, on a fresh connection neither

Callers were told "not run, try again" (503) for a request that the endpoint was running, where it wrote an earlier refusal without an id as it accepted the connection; with a second endpoint the request would run there too. Class: an answer paired by place. Evidence: test/laterefusals.spec.ts before: 503 in place of 502 with one run, for 503 with "not run" and for 421. Other answers without an id are taken on a first exchange as before: they promise nothing.

Changed in existing tests: the stand-ins of gate, forward, generation, evacuation and latecopies refused without an id, unlike any endpoint of the protocol; they now echo it. What is asked of the router is the same. The unnamed copy on a used connection, which latecopies wrote, is in laterefusals.

--- a/src/forward/endpoints/client.ts
+++ b/src/forward/endpoints/client.ts
@@ -11,7 +11,7 @@
 import { MAX_SMALL_BODY_BYTES } from "./body";
 import { type Connection, MAX_FRAMED_BYTES, MAX_HEAD_BYTES } from "./connection";
 import type { EndpointDialer } from "../tunnels";
-import { isJoinedHead, isOwnAnswer } from "./exchange";
+import { isJoinedHead, isOwnAnswer, isRefusal } from "./exchange";
 import {
   type EndpointCodec,
   type EndpointCall,
@@ -146,7 +146,14 @@
       const answeredId = this.codec.readAnsweredId(headers);
       const { isFirstExchange: isFirst } = connection;
       const isJoined = isJoinedHead(response.statusText, headers);
-      const isOwn = isOwnAnswer({ requestId: head.id, answeredId, isFirst, isJoined });
+      const responseHead = this.codec.readResponseHead(send, response.statusCode, headers);
+      const isOwn = isOwnAnswer({
+        requestId: head.id,
+        answeredId,
+        isFirst,
+        isJoined,
+        isRefusal: isRefusal(responseHead),
+      });
       const notice = this.codec.readNotice(response.statusCode, headers);
       // An endpoint that once said that it leaves does so; the age of a pause is not known.
       this.gate.onNotice(send.endpoint, isOwn ? notice : { ...notice, pauseMs: undefined });
@@ -161,7 +168,6 @@
         send.task === SendTask.prefill ? MAX_SMALL_BODY_BYTES : MAX_FRAMED_BYTES,
       );
       releaseAfter(pool, connection, response.body);
-      const responseHead = this.codec.readResponseHead(send, response.statusCode, headers);
       if (isFromEndpoint(responseHead)) {
         const canEndLimit = send.task === SendTask.run;
         this.gate.onLimitNotice(send.endpoint, notice, { sentAt, canEndLimit });
--- a/src/forward/endpoints/exchange.ts
+++ b/src/forward/endpoints/exchange.ts
@@ -2,6 +2,7 @@
  * Decides whether an answer on a kept connection is to the exchange that waits for one. An endpoint
  * may send a second copy of an answer late, where the answer to the next exchange is due.
  */
+import { type ResponseHead, Verdict } from "../requests";
 
 /** What is known of a request and of the answer that arrived where its own is due. */
 export interface ExchangeEvidence {
@@ -13,8 +14,13 @@
   readonly isFirst: boolean;
   /** True if its head was joined from two. */
   readonly isJoined: boolean;
+  /** True if it says, or its status tells a caller, that the request was not run. */
+  readonly isRefusal: boolean;
 }
 
+/** Statuses by which callers are told that their request was not run. */
+const REFUSAL_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
 /** A status line within what should be one reason phrase or one value of a header. */
 const INNER_STATUS_LINE_PATTERN = /HTTP\/1\.[01] \d{3}( |$)/;
 
@@ -31,16 +37,28 @@
   return [statusText, ...headers].some((text) => INNER_STATUS_LINE_PATTERN.test(text));
 }
 
+/**
+ * Checks whether an answer says that its request was not run.
+ *
+ * @example
+ * isRefusal({ verdict: Verdict.notRun, status: 503, headers: [], load: undefined }); // true
+ */
+export function isRefusal({ verdict, status }: ResponseHead): boolean {
+  if (verdict === Verdict.notRun || verdict === Verdict.misdirected) return true;
+  return REFUSAL_STATUSES.has(status);
+}
+
 /**
  * Checks whether an answer is to the exchange that waits. One that names no request is so only on a
- * connection that has carried nothing else.
+ * connection that has carried nothing else, and a refusal never: an endpoint may write an earlier one
+ * as it accepts a connection.
  *
  * @example
- * isOwnAnswer({ requestId: "r7", answeredId: "r6", isFirst: false, isJoined: false }); // false
+ * isOwnAnswer({ ...evidence, requestId: "r7", answeredId: "r6" }); // false
  */
 export function isOwnAnswer(evidence: ExchangeEvidence): boolean {
-  const { requestId, answeredId, isFirst, isJoined } = evidence;
+  const { requestId, answeredId, isFirst, isJoined, isRefusal: saysNotRun } = evidence;
   if (isJoined) return false;
-  if (answeredId === undefined) return isFirst;
+  if (answeredId === undefined) return isFirst && !saysNotRun;
   return answeredId === requestId;
 }
--- a/test/evacuation.spec.ts
+++ b/test/evacuation.spec.ts
@@ -141,7 +141,7 @@
       "d2",
       (head, socket) => {
         if (!isFull) runAsEngine(head, socket);
-        else socket.write("HTTP/1.1 503 Full\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n");
+        else writeAnswer(socket, head, "", "503 Full\r\nx-not-run: 1");
       },
       decodeAt("izki"),
     );
--- a/test/exchange.spec.ts
+++ b/test/exchange.spec.ts
@@ -9,29 +9,41 @@
 
 describe("an answer on a connection", () => {
   it("is to the request that it names, and to no other", () => {
-    const named = { requestId: "r1", answeredId: "r1", isJoined: false };
+    const named = { requestId: "r1", answeredId: "r1", isJoined: false, isRefusal: true };
     for (const isFirst of [true, false]) assert.ok(isOwnAnswer({ ...named, isFirst }));
     for (const isFirst of [true, false])
       assert.ok(!isOwnAnswer({ ...named, answeredId: "r2", isFirst }));
   });
 
   it("that names no request is to the first exchange only", () => {
-    const unnamed = { requestId: "r1", answeredId: undefined, isJoined: false };
+    const unnamed = { requestId: "r1", answeredId: undefined, isJoined: false, isRefusal: false };
     assert.ok(isOwnAnswer({ ...unnamed, isFirst: true }));
     assert.ok(!isOwnAnswer({ ...unnamed, isFirst: false }));
+    assert.ok(!isOwnAnswer({ ...unnamed, isFirst: true, isRefusal: true }));
   });
 
   it("is never taken for that of another request, whichever copies come late", () => {
-    const exchange = fc.record({ isNamed: fc.boolean(), lateCopyOf: fc.option(fc.nat(9)) });
+    const exchange = fc.record({
+      isNamed: fc.boolean(),
+      isRefusal: fc.boolean(),
+      lateCopyOf: fc.option(fc.nat(9)),
+    });
     fc.assert(
       fc.property(fc.array(exchange, { minLength: 1, maxLength: 10 }), (exchanges) => {
-        exchanges.forEach(({ isNamed, lateCopyOf }, index) => {
+        exchanges.forEach(({ isNamed, isRefusal, lateCopyOf }, index) => {
           const source = lateCopyOf === null ? index : Math.min(lateCopyOf, index);
           const answeredId = isNamed ? `r${source}` : undefined;
           const isFirst = index === 0;
-          const exchanged = { requestId: `r${index}`, answeredId, isFirst, isJoined: false };
+          const exchanged = {
+            requestId: `r${index}`,
+            answeredId,
+            isFirst,
+            isJoined: false,
+            isRefusal,
+          };
           const isTaken = isOwnAnswer(exchanged);
           if (isTaken) assert.equal(source, index);
+          if (isTaken && isRefusal) assert.ok(isNamed);
         });
       }),
     );
--- a/test/forward.spec.ts
+++ b/test/forward.spec.ts
@@ -79,8 +79,8 @@
   });
 
   it("are sent to another endpoint if the first one responds that it did not run them", async () => {
-    await addEndpoint("a", (_head, socket) => {
-      socket.write("HTTP/1.1 503 Full\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n");
+    await addEndpoint("a", (head, socket) => {
+      writeAnswer(socket, head, "", "503 Full\r\nx-not-run: 1");
     });
     await addEndpoint("b", (head, socket) => {
       writeAnswer(socket, head, "from b");
@@ -93,8 +93,8 @@
   });
 
   it("are refused with 503 and a retry time if all endpoints are full", async () => {
-    await addEndpoint("a", (_head, socket) => {
-      socket.write("HTTP/1.1 503 Full\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n");
+    await addEndpoint("a", (head, socket) => {
+      writeAnswer(socket, head, "", "503 Full\r\nx-not-run: 1");
     });
     await start();
     const response = await get(port, "/once/7");
@@ -120,8 +120,8 @@
   });
 
   it("are not sent to an endpoint whose address another one has", async () => {
-    const moved = await addEndpoint("a", (_head, socket) => {
-      socket.write("HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n");
+    const moved = await addEndpoint("a", (head, socket) => {
+      writeAnswer(socket, head, "", "421 Misdirected");
     });
     await addEndpoint("b", (head, socket) => {
       writeAnswer(socket, head, "from b");
--- a/test/gate.spec.ts
+++ b/test/gate.spec.ts
@@ -15,9 +15,10 @@
 
 const PAUSE_MS = 800;
 
-function writeRefusal(socket: Socket, pauseMs: number): void {
+function writeRefusal(socket: Socket, head: string, pauseMs: number): void {
+  const id = /x-id: (\S+)/i.exec(head)?.[1] ?? "";
   socket.write(
-    `HTTP/1.1 503 Full\r\nx-not-run: 1\r\nx-pause-ms: ${pauseMs}\r\ncontent-length: 0\r\n\r\n`,
+    `HTTP/1.1 503 Full\r\nx-id: ${id}\r\nx-not-run: 1\r\nx-pause-ms: ${pauseMs}\r\ncontent-length: 0\r\n\r\n`,
   );
 }
 
@@ -58,10 +59,10 @@
   it("gets nothing until the pause ends, and requests after it", async () => {
     let pausedAt = 0;
     const arrivals: number[] = [];
-    await addEndpoint("a", (_head, socket) => {
+    await addEndpoint("a", (head, socket) => {
       if (pausedAt === 0) pausedAt = performance.now();
       arrivals.push(performance.now());
-      writeRefusal(socket, PAUSE_MS);
+      writeRefusal(socket, head, PAUSE_MS);
     });
     await addEndpoint("b", (head, socket) => {
       writeAnswer(socket, head, "from b");
@@ -90,8 +91,8 @@
       ["b", 1500],
     ] as const) {
       endpoints.push(
-        await addEndpoint(id, (_head, socket) => {
-          writeRefusal(socket, pauseMs);
+        await addEndpoint(id, (head, socket) => {
+          writeRefusal(socket, head, pauseMs);
         }),
       );
     }
@@ -112,8 +113,8 @@
   it("gets no holds, and generations go to another engine", async () => {
     const paused = await addEndpoint(
       "d1",
-      (_head, socket) => {
-        writeRefusal(socket, PAUSE_MS);
+      (head, socket) => {
+        writeRefusal(socket, head, PAUSE_MS);
       },
       decode,
     );
@@ -135,8 +136,8 @@
   it("makes generations be refused at once if it is the only engine", async () => {
     await addEndpoint(
       "d1",
-      (_head, socket) => {
-        writeRefusal(socket, PAUSE_MS);
+      (head, socket) => {
+        writeRefusal(socket, head, PAUSE_MS);
       },
       decode,
     );
@@ -152,8 +153,8 @@
   it("gets no prefills: decode engines read the prompts meanwhile", async () => {
     const paused = await addEndpoint(
       "p",
-      (_head, socket) => {
-        writeRefusal(socket, 5000);
+      (head, socket) => {
+        writeRefusal(socket, head, 5000);
       },
       prefill,
     );
@@ -188,7 +189,7 @@
         }
         if (head.includes("x-id: pauser")) {
           pausedAt = performance.now();
-          writeRefusal(socket, pauses.shift() ?? 0);
+          writeRefusal(socket, head, pauses.shift() ?? 0);
           return;
         }
         socket.write("HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nkv7");
@@ -205,7 +206,7 @@
         }
         // Refuses the generation only after the prefill engine has asked for a pause.
         setTimeout(() => {
-          socket.write("HTTP/1.1 503 Full\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n");
+          writeAnswer(socket, head, "", "503 Full\r\nx-not-run: 1");
         }, 60);
       },
       decode,
--- a/test/generation.spec.ts
+++ b/test/generation.spec.ts
@@ -150,7 +150,7 @@
       if (answerHold(head, socket)) return;
       refusals += 1;
       if (refusals === 1) {
-        socket.write("HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n");
+        writeAnswer(socket, head, "", "503 Busy\r\nx-not-run: 1");
         return;
       }
       assert.match(head, /x-source: kv7/);
--- a/test/latecopies.spec.ts
+++ b/test/latecopies.spec.ts
@@ -15,7 +15,6 @@
 
 const DECODE = { service: "models", stage: EngineStage.decode };
 const PREFILL = { service: "models", stage: EngineStage.prefill };
-const NOT_RUN = "HTTP/1.1 503 Full\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
 
 const readId = (head: string) => /x-id: (\S+)/i.exec(head)?.[1] ?? "";
 const isHold = (head: string) => head.startsWith("POST /hold");
@@ -137,7 +136,7 @@
   it("that says 'not run' does not send a request that may run once to a second endpoint", async () => {
     const runs: string[] = [];
     const answer = createStutter((head) => {
-      if (head.includes("/once/full")) return NOT_RUN;
+      if (head.includes("/once/full")) return createAnswer(head, "", "503 Full\r\nx-not-run: 1");
       runs.push(readId(head));
       return createAnswer(head, `sheet ${readId(head)}`);
     });
--- a/test/laterefusals.spec.ts
+++ b/test/laterefusals.spec.ts
@@ -99,6 +99,20 @@
   });
 });
 
+describe("a refusal that names no request", () => {
+  for (const status of ["503 Full", "421 Other"]) {
+    it(`does not say that the first request on a connection was not run: ${status}`, async () => {
+      const refusal = `HTTP/1.1 ${status}\r\n${status.startsWith("503") ? "x-not-run: 1\r\n" : ""}content-length: 0\r\n\r\n`;
+      let runs = 0;
+      const endpoint = await addEndpoint("a", () => (runs += 1));
+      endpoint.onAccept = (socket) => socket.write(refusal);
+      await start();
+      const response = await get(port, "/once/7");
+      assert.deepEqual([response.status, runs], [502, 1]);
+    });
+  }
+});
+
 describe("a late refusal within an answer", () => {
   it("does not fill up a body", async () => {
     await addRefusing((head, socket) => {
