A connection that was established and then lost its host does not count as never opened

A caller could be told "not run", or its request that may run once sent to a second endpoint, though it had been sent. Cause: EHOSTUNREACH, ENETUNREACH and ECONNREFUSED counted as proof that no connection was opened; an established one whose host becomes unreachable ends with the same codes, from read or write. Class: evidence of another exchange (the connect) taken for this one's. Evidence: test/connector.spec.ts before: true in place of false for EHOSTUNREACH of a read on a connection that had carried the request; the kernel's own case was not produced, as loopback has no such loss. Now the system call that failed must be one before the connection is there.

--- a/src/store/http.ts
+++ b/src/store/http.ts
@@ -41,6 +41,14 @@
   "UND_ERR_CONNECT_TIMEOUT",
 ]);
 
+/** System calls that end before a connection is established; undici's own errors name none. */
+const CONNECT_CALLS: ReadonlySet<string | undefined> = new Set([
+  undefined,
+  "connect",
+  "bind",
+  "getaddrinfo",
+]);
+
 /** A call that got no valid response. */
 export class SendError extends Error {
   override readonly name = "SendError";
@@ -97,14 +105,15 @@
 
 /**
  * Checks whether an error of undici or Node.js proves that nothing was sent. An aggregate error
- * does where each of its errors does.
+ * does where each of its errors does. An established connection may fail with the same codes, in
+ * another system call.
  *
  * @example
  * isConnectError(Object.assign(new Error("refused"), { code: "ECONNREFUSED" })); // true
  */
 export function isConnectError(error: unknown): boolean {
-  const code = (error as { code?: string }).code ?? "";
-  if (CONNECT_ERROR_CODES.has(code)) return true;
+  const { code = "", syscall } = error as NodeJS.ErrnoException;
+  if (CONNECT_ERROR_CODES.has(code)) return CONNECT_CALLS.has(syscall);
   const innerErrors = (error as { errors?: readonly unknown[] }).errors;
   return innerErrors !== undefined && innerErrors.length > 0 && innerErrors.every(isConnectError);
 }
@@ -116,7 +125,8 @@
  * isConnectionRefused(Object.assign(new Error("refused"), { code: "ECONNREFUSED" })); // true
  */
 export function isConnectionRefused(error: unknown): boolean {
-  return (error as { code?: string }).code === "ECONNREFUSED";
+  const { code, syscall } = error as NodeJS.ErrnoException;
+  return code === "ECONNREFUSED" && CONNECT_CALLS.has(syscall);
 }
 
 class SingleCallSender implements Sender {
--- a/test/connector.spec.ts
+++ b/test/connector.spec.ts
@@ -52,3 +52,30 @@
     server.close();
   });
 });
+
+describe("a connection that was established", () => {
+  it("and fails as its host is unreachable does not prove that nothing was sent", async () => {
+    for (const code of ["EHOSTUNREACH", "ENETUNREACH", "ECONNREFUSED"]) {
+      const opened = new Socket();
+      const server = createServer((socket) => {
+        socket.once("data", () => {
+          const error = Object.assign(new Error(`read ${code}`), { code, syscall: "read" });
+          opened.destroy(error);
+          socket.destroy();
+        });
+      });
+      await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+      const { port } = server.address() as AddressInfo;
+      const connect = createConnector(500, undefined, () => opened.connect(port, "127.0.0.1"));
+      const client = new Client(`http://127.0.0.1:${port}`, { connect });
+      const error: unknown = await client
+        .request({ path: "/", method: "GET" })
+        .then(() => undefined)
+        .catch((reason: unknown) => reason);
+      await client.destroy();
+      server.close();
+      assert.ok(error !== undefined);
+      assert.deepEqual([isConnectError(error), isConnectionRefused(error)], [false, false], code);
+    }
+  });
+});
