--- a/src/forward/calls/send.ts
+++ b/src/forward/calls/send.ts
@@ -24,6 +24,8 @@
   CallOutcome,
   canBeWhole,
   createSuspect,
+  findNotRunEvidence,
+  type NotRunEvidence,
   createWorkKind,
   type EndpointState,
   probeEndpoint,
@@ -54,6 +56,8 @@
   readonly end: SendEnd;
   readonly response: BufferedResponse | undefined;
   readonly message: string;
+  /** What shows that it was not run; undefined if nothing does. */
+  readonly evidence?: NotRunEvidence | undefined;
 }
 
 /** What all sends of a request share. */
@@ -111,9 +115,10 @@
     };
     const signal = AbortSignal.any([deadlineSignal.signal, this.replaced.signal]);
     const opened = await client.send(send, signal);
+    const evidence = findNotRunEvidence(opened);
     const received = E.isLeft(opened)
-      ? await this.handleFailure(opened.left, deadlineSignal)
-      : await this.readResponse(opened.right, deadlineSignal);
+      ? await this.handleFailure(opened.left, evidence, deadlineSignal)
+      : await this.readResponse(opened.right, evidence, deadlineSignal);
     deadlineSignal.close();
     const result = { ...received, end: this.classifyEnd(received, deadlineSignal) };
     const outcome = this.classifyCallOutcome(result, opened);
@@ -152,7 +157,7 @@
     return isSuccess ? CallOutcome.success : CallOutcome.failure;
   }
 
-  private recordResult({ end, message }: SendResult, startedAt: Moment): void {
+  private recordResult({ end, message, evidence }: SendResult, startedAt: Moment): void {
     const { context, request } = this.parts;
     const { clock, meter, logger } = context;
     const { service, head } = request;
@@ -160,7 +165,7 @@
     const ms = clock.now() - startedAt;
     meter.recordSend({ service, endpoint, outcome: end }, ms);
     if (end === SendEnd.answered) return;
-    const fields = { request: head.id, endpoint, end, message, ms: Math.round(ms) };
+    const fields = { request: head.id, endpoint, end, evidence, message, ms: Math.round(ms) };
     const isFault = end === SendEnd.replaced ? this.wasSilent : end !== SendEnd.callerGone;
     if (isFault) logger.warn("send failed", fields);
     else logger.info("send failed", fields);
@@ -168,6 +173,7 @@
 
   private async readResponse(
     response: OpenResponse,
+    evidence: NotRunEvidence | undefined,
     deadlineSignal: DeadlineSignal,
   ): Promise<SendResult> {
     const { head, isFramed } = response;
@@ -175,9 +181,10 @@
     const { endpoint } = this;
     if (head.load !== undefined) health.recordLoad(endpoint.id, head.load, clock.now());
     if (head.verdict === Verdict.misdirected) directory.markMisdirected(endpoint, clock.now());
-    if (head.verdict === Verdict.notRun || head.verdict === Verdict.misdirected) {
+    if (evidence !== undefined) {
       discardBody(response.body);
-      return createFailedResult(SendEnd.notRun, `the endpoint has ${head.verdict}`);
+      const message = `the endpoint has ${head.verdict}`;
+      return createFailedResult(SendEnd.notRun, message, evidence);
     }
     const whole = await readWholeBody(response);
     if (E.isLeft(whole)) {
@@ -206,14 +213,17 @@
 
   private async handleFailure(
     failure: SendFailure,
+    evidence: NotRunEvidence | undefined,
     deadlineSignal: DeadlineSignal,
   ): Promise<SendResult> {
-    const { message, isSent, isForeign, kind } = failure;
+    const { message, isForeign, kind } = failure;
     const isTimeUp = deadlineSignal.cause === AbortCause.timeUp;
     const hasNoReply = isTimeUp || kind === SendFailureKind.unreachable;
     if (hasNoReply) resetDataCentreConnections(this.parts.context, this.endpoint);
-    if (kind === SendFailureKind.held) return createFailedResult(SendEnd.held, message);
-    if (!isSent) return createFailedResult(SendEnd.notRun, message);
+    if (evidence !== undefined) {
+      const end = kind === SendFailureKind.held ? SendEnd.held : SendEnd.notRun;
+      return createFailedResult(end, message, evidence);
+    }
     if (!isForeign) await this.probeAfterBreak(deadlineSignal);
     return createFailedResult(SendEnd.unknown, message);
   }
@@ -236,6 +246,6 @@
   return 1 + queued / Math.max(1, slots);
 }
 
-function createFailedResult(end: SendEnd, message: string): SendResult {
-  return { end, response: undefined, message };
+function createFailedResult(end: SendEnd, message: string, evidence?: NotRunEvidence): SendResult {
+  return { end, response: undefined, message, evidence };
 }
--- a/src/forward/endpoints/index.ts
+++ b/src/forward/endpoints/index.ts
@@ -16,6 +16,7 @@
   resetDataCentreConnections,
 } from "./context";
 export { CallOutcome, HealthTracker, type HealthView } from "./health";
+export { findNotRunEvidence, type NotRunEvidence } from "./notrun";
 export { ConnectionWay } from "./pool";
 export {
   createWorkKind,
--- a/src/forward/generations/prefill.ts
+++ b/src/forward/generations/prefill.ts
@@ -10,6 +10,7 @@
 import type { SendBudget } from "./sendbudget";
 import {
   createWorkKind,
+  findNotRunEvidence,
   readWholeBody,
   type OpenResponse,
   type SendFailure,
@@ -221,6 +222,7 @@
 }
 
 function classifyEnd(opened: E.Either<SendFailure, OpenResponse>): PrefillEnd {
-  if (E.isLeft(opened)) return opened.left.isSent ? PrefillEnd.accepted : PrefillEnd.unsent;
+  const isUnsent = E.isLeft(opened) && findNotRunEvidence(opened) !== undefined;
+  if (E.isLeft(opened)) return isUnsent ? PrefillEnd.unsent : PrefillEnd.accepted;
   return opened.right.head.status === PREFILLED_STATUS ? PrefillEnd.accepted : PrefillEnd.rejected;
 }
--- a/src/forward/generations/runsender.ts
+++ b/src/forward/generations/runsender.ts
@@ -18,6 +18,7 @@
   type RequestTimes,
   resetDataCentreConnections,
   EndpointState,
+  findNotRunEvidence,
   probeEndpoint,
 } from "../endpoints";
 import type { EngineLoadTracker, ReservationQueue } from "../engines";
@@ -119,11 +120,12 @@
   /** Reads the result of a run that was aborted, as its stream is not needed. */
   async readWithdrawn(sent: SentRun): Promise<TryResult> {
     const opened = await sent.opened;
-    if (E.isLeft(opened) && !opened.left.isSent) {
+    const evidence = findNotRunEvidence(opened);
+    if (E.isLeft(opened) && evidence !== undefined) {
       this.parts.reservations.release(sent.start.engine.reservation);
-      return { end: TryEnd.notRun, message: opened.left.message };
+      return { end: TryEnd.notRun, message: opened.left.message, evidence };
     }
-    if (E.isRight(opened) && hasNotRun(opened.right)) {
+    if (E.isRight(opened) && evidence !== undefined) {
       return this.readOtherResponse(opened.right, sent);
     }
     if (E.isRight(opened)) opened.right.body.destroy();
@@ -165,19 +167,21 @@
   }
 
   private async handleFailure(
-    { isSent, isLocal, isForeign, message }: SendFailure,
+    failure: SendFailure,
     { endpoint, start }: SentRun,
     isReplaced: boolean,
   ): Promise<TryResult> {
     const { context, engineLoad, reservations } = this.parts;
-    if (!isSent) reservations.release(start.engine.reservation);
+    const { isLocal, isForeign, message } = failure;
+    const evidence = findNotRunEvidence(E.left(failure));
+    if (evidence !== undefined) reservations.release(start.engine.reservation);
     const aborted = createAbortResult(start.deadlineSignal);
     if (aborted !== undefined) return aborted;
     if (isReplaced) return createReplacedResult();
-    if (!isSent) {
+    if (evidence !== undefined) {
       if (isLocal) engineLoad.markFull(endpoint.id, context.clock.now());
       else this.markUnavailable(endpoint);
-      return { end: TryEnd.notRun, message };
+      return { end: TryEnd.notRun, message, evidence };
     }
     if (isForeign) return { end: TryEnd.broken, message };
     return this.handleBreak(endpoint, undefined, message);
@@ -189,12 +193,13 @@
   ): Promise<TryResult> {
     const { head } = response;
     const { engineLoad, context } = this.parts;
-    if (hasNotRun(response)) {
+    const evidence = findNotRunEvidence(E.right(response));
+    if (evidence !== undefined) {
       discardBody(response.body);
       if (head.verdict === Verdict.misdirected)
         context.directory.markMisdirected(endpoint, context.clock.now());
       else engineLoad.recordRefusal(endpoint.id, context.clock.now());
-      return { end: TryEnd.notRun, message: `the engine answered ${head.status}` };
+      return { end: TryEnd.notRun, message: `the engine answered ${head.status}`, evidence };
     }
     if (head.verdict === Verdict.unauthentic) {
       response.body.destroy();
@@ -205,10 +210,6 @@
   }
 }
 
-function hasNotRun({ head }: OpenResponse): boolean {
-  return head.verdict === Verdict.notRun || head.verdict === Verdict.misdirected;
-}
-
 async function readFailureResponse(
   response: OpenResponse,
   deadlineSignal: DeadlineSignal,
--- a/src/forward/generations/tries.ts
+++ b/src/forward/generations/tries.ts
@@ -1,6 +1,7 @@
 /**
  * How tries of a generation at engines end.
  */
+import type { NotRunEvidence } from "../endpoints";
 import { AbortCause, type DeadlineSignal, type BufferedResponse } from "../requests";
 
 /** How a try at an engine ended. */
@@ -29,6 +30,8 @@
   readonly end: TryEnd;
   readonly message: string;
   readonly response?: BufferedResponse;
+  /** What shows that it was not run; absent if nothing does, or nothing was sent to an engine. */
+  readonly evidence?: NotRunEvidence;
 }
 
 /**
--- a/src/forward/generations/tryrecorder.ts
+++ b/src/forward/generations/tryrecorder.ts
@@ -24,7 +24,7 @@
   ) {}
 
   /** Records the end of a try. */
-  record(start: TryStart, { end, message }: TryResult, progress: StreamProgress): void {
+  record(start: TryStart, { end, message, evidence }: TryResult, progress: StreamProgress): void {
     const { clock, logger, meter } = this.context;
     const { service, head } = this.request;
     const { engine, startedAt, prefilledAt } = start;
@@ -36,6 +36,7 @@
       engine: endpoint.id,
       prefill: engine.source?.endpoint.address ?? "none",
       end,
+      evidence,
       message,
       lastEvent: progress.lastEventId ?? "",
       needTokens,
--- a/test/exchange.spec.ts
+++ b/test/exchange.spec.ts
@@ -5,7 +5,10 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import fc from "fast-check";
+import * as E from "fp-ts/Either";
 import { isJoinedHead, isOwnAnswer } from "../src/forward/endpoints/exchange";
+import { findNotRunEvidence } from "../src/forward/endpoints/notrun";
+import { SendFailure, SendFailureKind } from "../src/forward/endpoints/sendfailure";
 
 describe("an answer on a connection", () => {
   it("is to the request that it names, and to no other", () => {
@@ -64,3 +67,14 @@
       assert.ok(!isJoinedHead("OK", ["via", value]), value);
   });
 });
+
+describe("a failed send", () => {
+  it("shows that its request was not run only if nothing was sent", () => {
+    const kinds = Object.values(SendFailureKind);
+    const shown = kinds.filter(
+      (kind) => findNotRunEvidence(E.left(new SendFailure(kind, ""))) !== undefined,
+    );
+    assert.deepEqual(shown.sort(), ["busy", "down", "held", "unreachable"]);
+    for (const kind of kinds) assert.equal(new SendFailure(kind, "").isSent, !shown.includes(kind));
+  });
+});
