A connection that is opened anew keeps nothing of the socket and the request before

undici opens a second socket for a request if the kept one ends before the request is written, as it does when a late copy arrives then. Connection went on with what it knew of the first: the ids that it had carried, stray bytes (an answer that ends in "H" or more of "HTTP/1." would count as filled up by a copy, and its caller be answered 502 though it was served), an error of the first socket that comes late; and it dialled with the options of the request that had opened it first, so that a request bound to regions could go over a peer that only an earlier one might use. Class: evidence of another exchange taken for this one's. Evidence: test/pool.spec.ts before: the second dial asked the peer check of the first request ([true, true] in place of [true, false]); the stray bytes and the ids were found by reading and are asserted in the same test. Now the options are those of the present request, and a new socket begins with its id alone.

--- a/src/forward/endpoints/connection.ts
+++ b/src/forward/endpoints/connection.ts
@@ -1,6 +1,7 @@
 /**
  * One kept-alive connection to an endpoint. Each has an undici client of its own, so that it is
- * known which socket brought a response and how that socket ended.
+ * known which socket brought a response and how that socket ended. Where undici opens another socket
+ * for a request, as the one before ended, nothing that is known of that one holds any more.
  */
 import { once } from "node:events";
 import type { Socket } from "node:net";
@@ -54,10 +55,15 @@
   private hasError = false;
   private hasStrayBytes = false;
 
-  constructor(target: EndpointTarget, dialer: EndpointDialer, options: DialOptions) {
+  /** @param options - those of its first request; each request brings its own */
+  constructor(
+    target: EndpointTarget,
+    dialer: EndpointDialer,
+    private options: DialOptions,
+  ) {
     this.client = new Client(`http://${target.address}`, {
       connect: (_, callback) => {
-        void dialer.dial(target, options).then((dialled) => {
+        void dialer.dial(target, this.options).then((dialled) => {
           if (E.isLeft(dialled)) callback(dialled.left, null);
           else this.handOver(dialled.right, callback);
         });
@@ -106,8 +112,14 @@
     return this.requestIds.has(requestId);
   }
 
-  /** Records that a request is about to be sent on it. */
-  recordRequest(requestId: string): void {
+  /**
+   * Records that a request is about to be sent on it.
+   *
+   * @param mayUsePeer - checks whether a peer may open the connection for it; all may if undefined
+   */
+  recordRequest(requestId: string, mayUsePeer: DialOptions["mayUsePeer"]): void {
+    this.options = { ...this.options, mayUsePeer };
+    this.requestIds.delete(requestId);
     this.requestIds.add(requestId);
   }
 
@@ -143,13 +155,24 @@
 
   private trackSocket(socket: EndpointSocket): void {
     this.socket = socket;
+    this.resetToPresent();
     this.byteLimit = new ByteLimit(socket, MAX_HEAD_BYTES);
     socket.prependOnceListener("error", (error: NodeJS.ErrnoException) => {
+      if (this.socket !== socket) return;
       // undici destroys sockets it no longer needs with errors of its own, which have no errno.
       if (error.errno !== undefined) this.hasError = true;
       if (isStrayBytesError(error)) this.hasStrayBytes = true;
     });
   }
+
+  /** Forgets what is known of an earlier socket, with all requests but the present one. */
+  private resetToPresent(): void {
+    this.hasError = false;
+    this.hasStrayBytes = false;
+    const present = [...this.requestIds].at(-1);
+    this.requestIds.clear();
+    if (present !== undefined) this.requestIds.add(present);
+  }
 }
 
 function isStrayBytesError({ code, message }: NodeJS.ErrnoException): boolean {
--- a/src/forward/endpoints/pool.ts
+++ b/src/forward/endpoints/pool.ts
@@ -68,7 +68,7 @@
     const kept = request.needsNewConnection ? undefined : this.takeIdle(request);
     if (kept === undefined && this.busy.size >= this.maxConnections) return undefined;
     const connection = kept ?? this.open({ isDirectOnly: false, mayUsePeer: request.mayUsePeer });
-    connection.recordRequest(request.id);
+    connection.recordRequest(request.id, request.mayUsePeer);
     this.busy.add(connection);
     this.closeSurplus();
     return connection;
--- a/test/pool.spec.ts
+++ b/test/pool.spec.ts
@@ -8,6 +8,7 @@
 import { MonotonicClock } from "../src/core/clock";
 import { type Connection, MAX_REQUESTS } from "../src/forward/endpoints/connection";
 import { ConnectionPool } from "../src/forward/endpoints/pool";
+import type { EndpointDialer } from "../src/forward/tunnels/dialer";
 import { addEndpoint, get, port, prepareEach, start } from "./harness/fixture";
 import { waitUntil } from "./harness/forward";
 import { RawEndpoint, writeAnswer } from "./harness/raw";
@@ -69,6 +70,47 @@
     for (const call of calls) pool.discard(call);
   });
 
+  it("that are opened anew under a request are bound by that request and their own socket alone", async () => {
+    const peersAllowed: (boolean | undefined)[] = [];
+    const dialer = new DirectDialer();
+    const recorder: EndpointDialer = {
+      dial: (target, { mayUsePeer }) => {
+        peersAllowed.push(mayUsePeer?.("p1"));
+        return dialer.dial(target);
+      },
+      canReuse: () => true,
+      checkDirect: () => undefined,
+      close: () => undefined,
+    };
+    pool = new ConnectionPool(
+      createTarget("a", 1, endpoint.address),
+      recorder,
+      new MonotonicClock(),
+    );
+    const acquireFor = (id: string, mayUsePeer: () => boolean) => {
+      const request = {
+        id,
+        needsNewConnection: false,
+        maxConnections: MAX_CONNECTIONS,
+        mayUsePeer,
+      };
+      return pool.acquireForRequest(request);
+    };
+    const first = acquireFor("one", () => true);
+    assert.ok(first !== undefined);
+    await exchange(first);
+    pool.release(first);
+    const second = acquireFor("two", () => false);
+    assert.equal(second, first);
+    for (const socket of endpoint.sockets) socket.write("HTTP/1.1 503 Full\r\n\r\n");
+    await waitUntil(() => !first.isAlive);
+    await exchange(first);
+    assert.deepEqual(peersAllowed, [true, false]);
+    assert.deepEqual([first.hasCarried("one"), first.hasCarried("two")], [false, true]);
+    assert.ok(first.isFirstExchange && !first.isBroken);
+    assert.equal(await first.waitForStrayBytes(), false);
+  });
+
   it("are used again, each for a bounded number of requests", async () => {
     const used = new Set<Connection>();
     for (let turn = 0; turn < MAX_REQUESTS + 1; turn += 1) {
