The status of an answer to another exchange says nothing of an endpoint's pace

The client recorded the end of a send by its status before it asked whose answer it was: a late copy of a refusal counted as rejected, of an answer as served in time, for the limits of a slow start (off by default). No caller is known to have met it. Class: evidence of another exchange taken for this one's. Evidence: test/pool.spec.ts before: [rejected, answered] in place of [aborted, aborted]. A foreign answer now counts as a send given up.

--- a/src/forward/endpoints/client.ts
+++ b/src/forward/endpoints/client.ts
@@ -141,7 +141,6 @@
         signal,
         responseHeaders: "raw",
       });
-      this.recordEnd(send.endpoint, describeSend(send), readEnding(response.statusCode), sentAt);
       const headers = response.headers as unknown as readonly string[];
       const answeredId = this.codec.readAnsweredId(headers);
       const { isFirstExchange: isFirst } = connection;
@@ -154,6 +153,8 @@
         isJoined,
         isRefusal: isRefusal(responseHead),
       });
+      const ending = isOwn ? readEnding(response.statusCode) : SendEnding.aborted;
+      this.recordEnd(send.endpoint, describeSend(send), ending, sentAt);
       const notice = this.codec.readNotice(response.statusCode, headers);
       // An endpoint that once said that it leaves does so; the age of a pause is not known.
       this.gate.onNotice(send.endpoint, isOwn ? notice : { ...notice, pauseMs: undefined });
--- a/test/pool.spec.ts
+++ b/test/pool.spec.ts
@@ -4,10 +4,12 @@
  */
 import assert from "node:assert/strict";
 import type { Socket } from "node:net";
-import { afterEach, beforeEach, describe, it } from "node:test";
+import { afterEach, beforeEach, describe, it, mock } from "node:test";
 import { MonotonicClock } from "../src/core/clock";
 import { type Connection, MAX_REQUESTS } from "../src/forward/endpoints/connection";
 import { ConnectionPool } from "../src/forward/endpoints/pool";
+import { EndpointGate } from "../src/forward/limits/gate";
+import { SendEnding } from "../src/forward/limits/pacing";
 import type { EndpointDialer } from "../src/forward/tunnels/dialer";
 import { addEndpoint, get, port, prepareEach, start } from "./harness/fixture";
 import { waitUntil } from "./harness/forward";
@@ -145,4 +147,17 @@
     assert.equal((await get(port, "/once/foreign")).status, 502);
     await waitUntil(() => endpoint.sockets.size === 0, 150);
   });
+
+  it("does not say that its endpoint has no room, or answers in time", async () => {
+    const recordSend = mock.method(EndpointGate.prototype, "recordSend");
+    const statuses = ["503 Full", "200 OK"];
+    await addEndpoint("a", (_head, socket) => {
+      writeAnswer(socket, "x-id: another", "", statuses.shift());
+    });
+    await start();
+    for (let turn = 0; turn < 2; turn += 1) assert.equal((await get(port, "/once/7")).status, 502);
+    const endings = recordSend.mock.calls.map(({ arguments: [send] }) => send.ending);
+    recordSend.mock.restore();
+    assert.deepEqual(endings, [SendEnding.aborted, SendEnding.aborted]);
+  });
 });
