A status line that is quoted behind the id of an answer does not make it foreign

What callers saw: since, a request whose id holds what looks like a status line, or any request to an endpoint that sends a header such as x-upstream: HTTP/1.1 200 OK, ran and was answered 502; the idle connections to the endpoint were closed with each.

Cause: isJoinedHead looked at all values. A head is joined only if the id that it is believed for stands behind the joint: a first head that was cut behind its id, with another id behind it, has two ids, and a request goes only once on a connection. Still open: an endpoint whose own header before the id holds a whole status line.

Test: exchange, 'that quotes a status line in its id or behind it is not joined' failed before (1 of 7) and passes. The joints of the test before it now stand before the id, as on the wire; with the id on both sides, and with none, they are asked too. exchange, laterefusals, latecopies and truncated: 59 of 59.

--- a/src/forward/endpoints/client.ts
+++ b/src/forward/endpoints/client.ts
@@ -144,7 +144,9 @@
       const headers = response.headers as unknown as readonly string[];
       const answeredId = this.codec.readAnsweredId(headers);
       const { isFirstExchange: isFirst } = connection;
-      const isJoined = isJoinedHead(response.statusText, headers);
+      const isJoined = isJoinedHead(response.statusText, headers, (names) =>
+        this.codec.readAnsweredId(names),
+      );
       const responseHead = this.codec.readResponseHead(send, response.statusCode, headers);
       const isOwn = isOwnAnswer({
         requestId: head.id,
--- a/src/forward/endpoints/exchange.ts
+++ b/src/forward/endpoints/exchange.ts
@@ -26,15 +26,23 @@
 
 /**
  * Checks whether a head was joined from one that was cut short and the whole one behind it: its status
- * and its first headers are then those of another answer than the id that it ends with.
+ * and its first headers are then those of another answer than the id behind them. A status line behind
+ * the id is only quoted.
  *
  * @param statusText - the reason phrase
  * @param headers - names and values, alternating
+ * @param readId - reads the id of the request that headers name; undefined if they name none
  * @example
- * isJoinedHead("Full", ["date", "Sat, 05 DHTTP/1.1 200 OK", "x-id", "r7"]); // true
+ * isJoinedHead("Full", ["date", "Sat, 05 DHTTP/1.1 200 OK", "x-id", "r7"], readId); // true
  */
-export function isJoinedHead(statusText: string, headers: readonly string[]): boolean {
-  return [statusText, ...headers].some((text) => INNER_STATUS_LINE_PATTERN.test(text));
+export function isJoinedHead(
+  statusText: string,
+  headers: readonly string[],
+  readId: (headers: readonly string[]) => string | undefined,
+): boolean {
+  const joint = [statusText, ...headers].findIndex((text) => INNER_STATUS_LINE_PATTERN.test(text));
+  if (joint < 0) return false;
+  return readId(headers) === undefined || readId(headers.slice(joint)) !== undefined;
 }
 
 /**
