--- a/src/forward/generations/prefill.ts
+++ b/src/forward/generations/prefill.ts
@@ -10,7 +10,8 @@
 import type { SendBudget } from "./sendbudget";
 import {
   createWorkKind,
-  readBody,
+  findNotRunEvidence,
+  readWholeBody,
   type OpenResponse,
   type SendFailure,
   type ForwardContext,
@@ -193,7 +194,7 @@
       needsNewConnection: false,
     };
     const opened = await client.send(send, prefillSignal.signal);
-    const body = E.isRight(opened) ? await readBody(opened.right.body) : opened;
+    const body = E.isRight(opened) ? await readWholeBody(opened.right) : opened;
     prefillSignal.close();
     const isPrefilled =
       E.isRight(opened) && opened.right.head.status === PREFILLED_STATUS && E.isRight(body);
@@ -221,6 +222,7 @@
 }
 
 function classifyEnd(opened: E.Either<SendFailure, OpenResponse>): PrefillEnd {
-  if (E.isLeft(opened)) return opened.left.isSent ? PrefillEnd.accepted : PrefillEnd.unsent;
+  const isUnsent = E.isLeft(opened) && findNotRunEvidence(opened) !== undefined;
+  if (E.isLeft(opened)) return isUnsent ? PrefillEnd.unsent : PrefillEnd.accepted;
   return opened.right.head.status === PREFILLED_STATUS ? PrefillEnd.accepted : PrefillEnd.rejected;
 }
--- a/test/pool.spec.ts
+++ b/test/pool.spec.ts
@@ -4,10 +4,13 @@
  */
 import assert from "node:assert/strict";
 import type { Socket } from "node:net";
-import { afterEach, beforeEach, describe, it } from "node:test";
+import { afterEach, beforeEach, describe, it, mock } from "node:test";
 import { MonotonicClock } from "../src/core/clock";
 import { type Connection, MAX_REQUESTS } from "../src/forward/endpoints/connection";
 import { ConnectionPool } from "../src/forward/endpoints/pool";
+import { EndpointGate } from "../src/forward/limits/gate";
+import { SendEnding } from "../src/forward/limits/pacing";
+import type { EndpointDialer } from "../src/forward/tunnels/dialer";
 import { addEndpoint, get, port, prepareEach, start } from "./harness/fixture";
 import { waitUntil } from "./harness/forward";
 import { RawEndpoint, writeAnswer } from "./harness/raw";
@@ -69,6 +72,47 @@
     for (const call of calls) pool.discard(call);
   });
 
+  it("that are opened anew under a request are bound by that request and their own socket alone", async () => {
+    const peersAllowed: (boolean | undefined)[] = [];
+    const dialer = new DirectDialer();
+    const recorder: EndpointDialer = {
+      dial: (target, { mayUsePeer }) => {
+        peersAllowed.push(mayUsePeer?.("p1"));
+        return dialer.dial(target);
+      },
+      canReuse: () => true,
+      checkDirect: () => undefined,
+      close: () => undefined,
+    };
+    pool = new ConnectionPool(
+      createTarget("a", 1, endpoint.address),
+      recorder,
+      new MonotonicClock(),
+    );
+    const acquireFor = (id: string, mayUsePeer: () => boolean) => {
+      const request = {
+        id,
+        needsNewConnection: false,
+        maxConnections: MAX_CONNECTIONS,
+        mayUsePeer,
+      };
+      return pool.acquireForRequest(request);
+    };
+    const first = acquireFor("one", () => true);
+    assert.ok(first !== undefined);
+    await exchange(first);
+    pool.release(first);
+    const second = acquireFor("two", () => false);
+    assert.equal(second, first);
+    for (const socket of endpoint.sockets) socket.write("HTTP/1.1 503 Full\r\n\r\n");
+    await waitUntil(() => !first.isAlive);
+    await exchange(first);
+    assert.deepEqual(peersAllowed, [true, false]);
+    assert.deepEqual([first.hasCarried("one"), first.hasCarried("two")], [false, true]);
+    assert.ok(first.isFirstExchange && !first.isBroken);
+    assert.equal(await first.waitForStrayBytes(), false);
+  });
+
   it("are used again, each for a bounded number of requests", async () => {
     const used = new Set<Connection>();
     for (let turn = 0; turn < MAX_REQUESTS + 1; turn += 1) {
@@ -103,4 +147,17 @@
     assert.equal((await get(port, "/once/foreign")).status, 502);
     await waitUntil(() => endpoint.sockets.size === 0, 150);
   });
+
+  it("does not say that its endpoint has no room, or answers in time", async () => {
+    const recordSend = mock.method(EndpointGate.prototype, "recordSend");
+    const statuses = ["503 Full", "200 OK"];
+    await addEndpoint("a", (_head, socket) => {
+      writeAnswer(socket, "x-id: another", "", statuses.shift());
+    });
+    await start();
+    for (let turn = 0; turn < 2; turn += 1) assert.equal((await get(port, "/once/7")).status, 502);
+    const endings = recordSend.mock.calls.map(({ arguments: [send] }) => send.ending);
+    recordSend.mock.restore();
+    assert.deepEqual(endings, [SendEnding.aborted, SendEnding.aborted]);
+  });
 });
