Requests: one that nothing answers is named, answered and ended a second after its deadline

What callers saw: a request that was read whole and whose handling waits for something that nobody settles stays open until its caller leaves. Each single wait has its deadline; the whole of them had none, and no log line said where a request was left. The class: a wait that nobody ends.

Each request now has a watch with its deadline (5 s after it was read until it is admitted) and the stage in which it waits. Four times a second the requests are checked after the sockets were read; one that five checks find past its deadline, a second after it, is logged at error with its stage, counted (gorsefold_overdue_requests_total), answered 504 with an unknown outcome or cut if its stream has begun, and its work is aborted. What comes later is dropped.

--- a/src/forward/callers/dispatch.ts
+++ b/src/forward/callers/dispatch.ts
@@ -9,7 +9,7 @@
 import type { Admission } from "./admission";
 import { computeTimes, type ForwardContext, type RequestTimes } from "../endpoints";
 import type { ReservationQueue, EngineModel, EngineLoadTracker } from "../engines";
-import { type ForwardRequest, RequestOutcome } from "../requests";
+import { type ForwardRequest, RequestOutcome, RequestStage } from "../requests";
 import type { RefusalTracker } from "../shared";
 import { ServiceRun } from "../calls";
 import { type ResumeResolver, type StreamStart, StreamRun } from "../generations";
@@ -66,7 +66,9 @@
     const admitted = await admission.admit(head, body, arrivedAt);
     if (E.isLeft(admitted)) return admitted;
     const times = computeTimes(admitted.right, arrivedAt);
+    request.watched.setDeadline(times.deadline);
     this.logAdmitted(admitted.right, times);
+    request.watched.enter(RequestStage.resume);
     const start = await this.resolveStart(admitted.right);
     const started = E.isLeft(start) ? admitted.right : start.right.request;
     context.retries.recordRequest(started.service, arrivedAt);
@@ -88,18 +90,19 @@
   private async runAdmitted(
     start: StreamStart,
     times: RequestTimes,
-    { head, arrivedAt, caller, sink }: CallerRequest,
+    { head, arrivedAt, caller, sink, watched }: CallerRequest,
   ): Promise<RequestEnd> {
     const { context, reservations, engineLoad, engineModel, refusals, arrivals } = this.parts;
     const engine = findEngineLimits(start.request);
     if (engine === undefined) {
+      watched.enter(RequestStage.service);
       const run = new ServiceRun(context, start.request, times, caller);
       const response = await run.run();
       return { response, isCut: false, isCallerGone: caller.aborted, runs: run.runs };
     }
     arrivals.recordArrival(head.size?.promptTokens ?? 0, arrivedAt);
     const parts = { context, reservations, engineLoad, engineModel, refusals };
-    const run = new StreamRun(parts, start, engine, times, caller, sink);
+    const run = new StreamRun(parts, start, engine, times, caller, sink, watched);
     const response = await run.run();
     return { response, isCut: run.isCut, isCallerGone: caller.aborted, runs: run.runs };
   }
--- a/src/forward/callers/server.ts
+++ b/src/forward/callers/server.ts
@@ -8,17 +8,32 @@
 import type { CallerLimits } from "../../fleet/config";
 import type { Clock, Moment } from "../../core/clock";
 import { formatStack, type Logger } from "../../core/log";
+import { runTask } from "../../core/tasks";
 import { BadConnections } from "../../entry/badconnection";
 import { BodyFailure, createBodyRefusal, readCallerBody } from "../../entry/callerbody";
 import { endIfUnread } from "../../entry/unread";
 import {
   createNotRunRefusal,
   createUnknownRefusal,
+  ExecutionStatus,
   Reason,
-  type Refusal,
+  Refusal,
 } from "../../core/outcome";
 import { CallerConnections } from "./connections";
-import type { BufferedResponse, CallerCodec, RequestHead, Meter } from "../requests";
+import {
+  CHECK_INTERVAL_MS,
+  MAX_ADMISSION_MS,
+  type OverdueReport,
+  OverdueRequests,
+  type WatchedRequest,
+} from "./overdue";
+import {
+  type BufferedResponse,
+  type CallerCodec,
+  type Meter,
+  type RequestHead,
+  RequestStage,
+} from "../requests";
 import type { StreamSink } from "../generations";
 
 /** Limits until a configuration is known. */
@@ -50,6 +65,8 @@
   /** Aborted when the caller leaves. */
   readonly caller: AbortSignal;
   readonly sink: StreamSink;
+  /** Told its deadline and what it waits for. */
+  readonly watched: WatchedRequest;
 }
 
 /** The response to a request; undefined if it was sent through the sink. */
@@ -63,6 +80,8 @@
   private readonly server: Server;
   private readonly connections = new CallerConnections();
   private readonly badConnections = new BadConnections();
+  private readonly overdue: OverdueRequests;
+  private overdueTimer: NodeJS.Timeout | undefined;
   private limits = INITIAL_LIMITS;
   private openRequests = 0;
   /** Ends the work on each open request as if its caller had left. */
@@ -79,6 +98,7 @@
     /** Called at each head of a request, before it is checked; may set the limits. */
     private readonly onHead: () => void = () => undefined,
   ) {
+    this.overdue = new OverdueRequests(() => clock.now());
     this.server = createServer(
       {
         maxHeaderSize: MAX_PARSED_HEAD_BYTES,
@@ -109,6 +129,9 @@
 
   /** Starts to listen; rejects if the address is not available. */
   listen(host: string, port: number): Promise<void> {
+    this.overdueTimer = setInterval(() => {
+      this.checkOverdue();
+    }, CHECK_INTERVAL_MS);
     return new Promise((resolve, reject) => {
       this.server.once("error", reject);
       this.server.listen({ host, port, backlog: LISTEN_BACKLOG }, resolve);
@@ -144,6 +167,7 @@
    * Stops accepting connections, and closes all connections, also those with requests in flight.
    */
   close(): void {
+    clearInterval(this.overdueTimer);
     this.connections.closeAll();
     this.server.close();
   }
@@ -164,7 +188,7 @@
     this.openRequests += 1;
     this.aborts.add(callerAbort);
     try {
-      await this.respond(request, response, arrivedAt, callerAbort.signal);
+      await this.respond(request, response, arrivedAt, callerAbort);
     } catch (error) {
       this.failRequest(request, response, undefined, error);
     }
@@ -197,7 +221,7 @@
     request: IncomingMessage,
     response: ServerResponse,
     arrivedAt: Moment,
-    caller: AbortSignal,
+    abort: AbortController,
   ): Promise<void> {
     this.onHead();
     const bodyLimits = {
@@ -210,16 +234,15 @@
       return;
     }
     const body = await readCallerBody(request, bodyLimits);
-    if (caller.aborted) return;
+    if (abort.signal.aborted) return;
     if (E.isLeft(body)) {
       if (body.left === BodyFailure.callerGone) return;
       this.refuse(request, response, head.right.id, createBodyRefusal(body.left, bodyLimits));
       return;
     }
-    const sink = this.createSink(response);
-    const callerRequest = { head: head.right, body: body.right, arrivedAt, caller, sink };
+    const callerRequest = { head: head.right, body: body.right, arrivedAt, caller: abort.signal };
     try {
-      const result = await this.handler(callerRequest);
+      const result = await this.handleInTime(callerRequest, response, abort);
       if (result === undefined) return;
       if (E.isLeft(result))
         this.refuse(request, response, head.right.id, this.convertCancelled(result.left));
@@ -229,6 +252,47 @@
     }
   }
 
+  /** Has a request handled; gives it up once it is overdue, whatever its handling waits for. */
+  private handleInTime(
+    request: Omit<CallerRequest, "sink" | "watched">,
+    response: ServerResponse,
+    abort: AbortController,
+  ): Promise<CallerResponse> {
+    const { id } = request.head;
+    return new Promise((resolve, reject) => {
+      const watched = this.overdue.begin(this.clock.now() + MAX_ADMISSION_MS, (report) => {
+        this.reportOverdue(id, report);
+        resolve(createOverdueResponse(response));
+        abort.abort();
+      });
+      const handle = async () =>
+        this.handler({ ...request, sink: this.createSink(response, watched), watched });
+      const end = () => {
+        if (!this.overdue.end(watched)) this.logger.info("overdue request ended", { request: id });
+      };
+      handle().finally(end).then(resolve, reject);
+    });
+  }
+
+  private reportOverdue(request: string, { stage, stageMs, overdueMs }: OverdueReport): void {
+    this.meter.overdue.inc({ stage });
+    this.logger.error("request overdue", {
+      request,
+      stage,
+      stageMs: Math.round(stageMs),
+      overdueMs: Math.round(overdueMs),
+    });
+  }
+
+  /** Checks for overdue requests once sockets were read, which may bring what they wait for. */
+  private checkOverdue(): void {
+    setImmediate(() => {
+      void runTask("check overdue requests", this.logger, () => {
+        this.overdue.check();
+      });
+    });
+  }
+
   /**
    * Ends a request whose handling threw an unexpected error, of which nothing but this request may
    * notice anything. It may have run; a response whose head was sent is cut.
@@ -242,8 +306,7 @@
     this.logger.error("unexpected error", { request: id ?? "", stack: formatStack(error) });
     if (response.writableEnded) return;
     if (response.headersSent) {
-      response.socket?.resetAndDestroy();
-      response.destroy();
+      cutResponse(response);
       return;
     }
     const message = "an unexpected error ended the request";
@@ -313,22 +376,27 @@
     response.writeHead(status, [...headers]);
   }
 
-  private createSink(response: ServerResponse): StreamSink {
+  private createSink(response: ServerResponse, watched: WatchedRequest): StreamSink {
     let isUnframed = false;
+    const isOver = () => response.destroyed || response.writableEnded;
     return {
       begin: (status, headers, isFramed) => {
+        if (isOver()) return;
         isUnframed = !isFramed || !hasChunks(response.req);
-        if (response.destroyed) return;
+        watched.enter(RequestStage.stream);
         this.writeHead(response, status, headers, !isUnframed);
         response.flushHeaders();
       },
       write: (bytes) => {
-        if (!response.destroyed) response.write(bytes);
+        if (isOver()) return;
+        watched.enter(RequestStage.stream);
+        response.write(bytes);
       },
       end: () => {
         response.end();
       },
       cut: () => {
+        if (isOver()) return;
         // A proper close would end an unframed response as whole.
         if (isUnframed) response.socket?.resetAndDestroy();
         response.destroy();
@@ -364,6 +432,22 @@
   }
 }
 
+/** Cuts a response whose head was sent, so that it can't look whole. */
+function cutResponse(response: ServerResponse): void {
+  response.socket?.resetAndDestroy();
+  response.destroy();
+}
+
+/** Creates the final response of an overdue request; a stream that has begun is cut. */
+function createOverdueResponse(response: ServerResponse): CallerResponse {
+  if (response.headersSent) {
+    cutResponse(response);
+    return undefined;
+  }
+  const message = "the request was not answered in time";
+  return E.left(new Refusal(504, Reason.deadline, ExecutionStatus.unknown, message));
+}
+
 /**
  * Closes a kept connection at its idle timeout, unless its next request came in time: after the
  * process stood still, the timeout fires before the socket is read.
--- a/src/forward/generations/stream.ts
+++ b/src/forward/generations/stream.ts
@@ -13,6 +13,8 @@
   type BufferedResponse,
   type CacheSource,
   type ForwardRequest,
+  RequestStage,
+  type StageRecorder,
 } from "../requests";
 import { type RefusalTracker, canGoOn } from "../shared";
 import { SendBudget } from "./sendbudget";
@@ -87,6 +89,7 @@
     private readonly times: RequestTimes,
     private readonly caller: AbortSignal,
     private readonly sink: StreamSink,
+    private readonly stages: StageRecorder,
   ) {
     const { context, reservations, engineLoad, engineModel } = parts;
     const { request, origin } = start;
@@ -285,11 +288,13 @@
 
   /** Tries the next engine that has room; returns undefined if there is none. */
   private async tryEngine(): Promise<TryResult | undefined> {
+    this.stages.enter(RequestStage.reservation);
     const reservation = await this.reserve(this.caller);
     if (reservation === undefined) {
       if (!this.caller.aborted) return undefined;
       return { end: TryEnd.callerGone, message: "the caller has left" };
     }
+    this.stages.enter(RequestStage.prefill);
     const start = await this.prepare(reservation);
     const stopped = this.stopBeforeSend(start);
     if (stopped === undefined) return this.followRun(this.send(start, this.runs + 1));
@@ -300,6 +305,7 @@
   /** Forwards the stream of a run that was sent, to its end. */
   private async followRun(sent: SentRun): Promise<TryResult> {
     this.currentRun = sent;
+    this.stages.enter(RequestStage.head);
     const result = await this.decoder.follow(sent, this.replacer);
     this.finishRun(sent, result);
     return result;
--- a/src/forward/requests/index.ts
+++ b/src/forward/requests/index.ts
@@ -23,3 +23,4 @@
   Verdict,
 } from "./messages";
 export { Meter, RequestOutcome } from "./meter";
+export { RequestStage, type StageRecorder } from "./waits";
--- a/src/forward/requests/meter.ts
+++ b/src/forward/requests/meter.ts
@@ -33,6 +33,11 @@
   readonly refusals = this.createCounter("refusals_total", "Answers of the router's own", [
     "reason",
   ]);
+  readonly overdue = this.createCounter(
+    "overdue_requests_total",
+    "Requests that had no final response long after their deadline, by what they waited for",
+    ["stage"],
+  );
   readonly repeats = this.createCounter("repeats_total", "Requests sent once more", ["service"]);
   readonly timedChoices = this.createCounter(
     "expected_time_choices_total",
