Timers: a timeout of 2^31 ms or more does not end its request at once

What callers saw: under a route with a timeout of 2^31 ms, each request was sent, and cut off after 1 ms: 502, outcome unknown, "This operation was aborted", while the endpoint ran it. A change of the configuration is enough.

Cause: Node.js takes a timer of 2^31 ms or more for one of 1 ms. The class: a number from the configuration that reaches a timer as it is. ReadFirstTimer and createTimeoutSignal, which carry the deadlines of sends, bodies, holds and calls, now run any length in parts. Bounds of the configuration itself are the decoder's matter.

Test longtimeouts: the 5 cases that can run on the code before failed there (502 in place of 200 on both routes; timers of 2^31, 3 times 2^31 and endless ms ran at once); 6 of 6 pass.

--- a/src/core/readfirst.ts
+++ b/src/core/readfirst.ts
@@ -8,21 +8,22 @@
  * the ticks and promises that follow from a read are done before the next socket's turn. It does not
  * help a peer whose request this process had not written yet when it stood still.
  */
+import { LongTimer } from "./timeouts";
 
 /** Runs a callback at the end of a timeout, unless it is closed before or while sockets are read. */
 export class ReadFirstTimer {
   private immediate: NodeJS.Immediate | undefined;
-  private readonly timer: NodeJS.Timeout;
+  private readonly timer: LongTimer;
 
   /** @param timeoutMs - the timeout, in milliseconds */
   constructor(timeoutMs: number, onExpired: () => void) {
-    this.timer = setTimeout(() => {
+    this.timer = new LongTimer(timeoutMs, () => {
       this.immediate = setImmediate(onExpired);
-    }, timeoutMs);
+    });
   }
 
   close(): void {
-    clearTimeout(this.timer);
+    this.timer.close();
     clearImmediate(this.immediate);
   }
 }
@@ -48,11 +49,11 @@
 export function createTimeoutSignal(timeoutMs: number): AbortSignal {
   const controller = new AbortController();
   const message = "The operation was aborted due to timeout";
-  const timer = setTimeout(() => {
+  const timer = new LongTimer(timeoutMs, () => {
     setImmediate(() => {
       controller.abort(new DOMException(message, "TimeoutError"));
     });
-  }, timeoutMs);
+  });
   timer.unref();
   return controller.signal;
 }
