Callers: limits that are endless or negative do not end the process

What callers saw: after a change of the configuration to an idle timeout that is endless (1e400 in JSON) or below -1000 ms, the first answer on any connection ended the process, with every request that it had read: neither answers nor refusals.

Cause: Node.js sets the idle timeout on the socket as a response ends, outside any handler, and throws ERR_OUT_OF_RANGE for such a number. Limits are bounded where they are set; one that is not above zero counts as none.

--- a/src/forward/callers/server.ts
+++ b/src/forward/callers/server.ts
@@ -6,9 +6,10 @@
 import { Server as NetServer, type Socket } from "node:net";
 import * as E from "fp-ts/Either";
 import type { CallerLimits } from "../../fleet/config";
-import type { Clock, Moment } from "../../core/clock";
+import { type Clock, type Moment, MS_PER_SECOND } from "../../core/clock";
 import { formatStack, type Logger } from "../../core/log";
 import { runTask } from "../../core/tasks";
+import { boundTimeoutMs, MAX_TIMEOUT_MS } from "../../core/timeouts";
 import { BadConnections } from "../../entry/badconnection";
 import { BodyFailure, createBodyRefusal, readCallerBody } from "../../entry/callerbody";
 import { endIfUnread } from "../../entry/unread";
@@ -54,6 +55,8 @@
  * How often connections are checked for request heads that exceed their timeout, in milliseconds.
  */
 const HEADERS_CHECK_INTERVAL_MS = 500;
+/** Longest idle timeout that the HTTP server can keep, as it adds a second to it, in milliseconds. */
+const MAX_KEEP_ALIVE_MS = MAX_TIMEOUT_MS - MS_PER_SECOND;
 /** Error code of a request head that exceeds its timeout. */
 const SLOW_HEAD_CODE = "ERR_HTTP_REQUEST_TIMEOUT";
 
@@ -140,9 +143,11 @@
 
   /** Sets the limits on requests and connections of callers. */
   setLimits(limits: CallerLimits): void {
-    this.limits = limits;
-    this.server.keepAliveTimeout = limits.idleTimeoutMs;
-    this.server.headersTimeout = limits.headersTimeoutMs;
+    const headersTimeoutMs = boundTimeoutMs(limits.headersTimeoutMs);
+    const idleTimeoutMs = boundTimeoutMs(limits.idleTimeoutMs);
+    this.limits = { ...limits, headersTimeoutMs, idleTimeoutMs };
+    this.server.keepAliveTimeout = Math.min(idleTimeoutMs, MAX_KEEP_ALIVE_MS);
+    this.server.headersTimeout = headersTimeoutMs;
   }
 
   /** Closes every connection from now on, after the response to the last request read on it. */
