Callers: a kept connection stays open as long as its last response announced

What callers saw: a response said "Keep-Alive: timeout=15"; a change of the configuration lowered the idle timeout to 0.2 s while the request ran, and the connection was closed 1.2 s after the response (Node.js adds a second). A next request that crossed the close got neither an answer nor a refusal.

Cause: Node.js announces the timeout in force as the head of the request was read, and sets the one in force as the response ends. The class: one request decided by two configurations. A lowered limit now counts from the next request on the connection; what was announced holds.

--- a/src/forward/callers/server.ts
+++ b/src/forward/callers/server.ts
@@ -180,6 +180,7 @@
   private async onRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
     this.badConnections.record(request, response);
     const written = this.connections.track(request, response);
+    this.keepAnnounced(request, response, this.server.keepAliveTimeout);
     const arrivedAt = this.clock.now();
     const callerAbort = new AbortController();
     const onCallerGone = () => {
@@ -207,6 +208,17 @@
     this.openRequests -= 1;
   }
 
+  /**
+   * Keeps a connection open as long as its response announces, also if the limit is lowered before the
+   * response ends.
+   */
+  private keepAnnounced({ socket }: IncomingMessage, response: ServerResponse, ms: number): void {
+    response.once("finish", () => {
+      const isShorter = this.server.keepAliveTimeout < ms;
+      if (isShorter && this.isLast(response.req)) socket.setTimeout(ms + MS_PER_SECOND);
+    });
+  }
+
   /** Checks that a request that was read just now did not cross the end of its connection. */
   private canAnswer({ socket }: IncomingMessage): boolean {
     return !this.badConnections.wasAnswered(socket) && !this.connections.isEnding(socket);
--- a/test/keptconnections.spec.ts
+++ b/test/keptconnections.spec.ts
@@ -22,6 +22,7 @@
   idleTimeoutMs: 15_000,
 };
 const RUN_MS = 80;
+const IDLE_MS = 1600;
 
 describe("a kept connection of a caller", () => {
   const faults: unknown[] = [];
@@ -69,6 +70,23 @@
     await waitUntil(() => text.split("done").length > answers, 1000);
   };
 
+  it("stays open as long as its response announced, though the limit was lowered meanwhile", async () => {
+    const answer = send();
+    await pause(RUN_MS / 2);
+    server.setLimits({ ...LIMITS, idleTimeoutMs: IDLE_MS / 8 });
+    await answer;
+    assert.match(text, /keep-alive: timeout=15/i);
+    await pause(IDLE_MS);
+    assert.equal(isClosed, false);
+  });
+
+  it("closes by the lowered limit after a response that came under it", async () => {
+    server.setLimits({ ...LIMITS, idleTimeoutMs: IDLE_MS / 8 });
+    await send();
+    await pause(IDLE_MS);
+    assert.equal(isClosed, true);
+  });
+
   for (const ms of [
     2 ** 31,
     2 ** 32 + 5,
