Streams: an error while events are passed on cuts the stream, and does not end it as whole

What callers saw: an unexpected error in code that runs with an event (the record of its origin, a metric, the pace) left the event out, and the stream ended as complete: a 200 without its events. The rest of the run's cleaning up was left out too: its watch went on, its load stayed counted at the engine.

Cause: events are passed on in the "data" event of a socket's body, where a throw reaches nobody who knows the request; undici takes it for a fault of the connection's reader. The promise of the relay settled by the end of the body alone. The class: a promise that only the good way settles. It rejects now, so that the request is answered 502 or cut as any whose handling throws; the run is aborted, its load, watch, kept prompt and retry are given back on that way too.

Test passedonfault: a throw in sharedOrigins.record and in meter.recordFirstEvent gave "200, complete" in 2 of 2 before; 2 of 2 pass, and the next requests are answered. generation, silence, lostsearch, queueservices, handlerfault, taskfault: 57 of 57.

--- a/src/forward/generations/decode.ts
+++ b/src/forward/generations/decode.ts
@@ -105,12 +105,13 @@
     this.pace = undefined;
     this.isRunAcquitted = false;
     const watch = this.sender.isResumable ? this.createWatch(sent, replacer) : undefined;
-    const response = await this.sender.readHead(sent, () => watch?.signal.aborted === true);
-    const result = E.isRight(response)
-      ? await this.followStream(response.right, sent, watch)
-      : response.left;
-    watch?.close();
-    return result;
+    try {
+      const response = await this.sender.readHead(sent, () => watch?.signal.aborted === true);
+      if (E.isLeft(response)) return response.left;
+      return await this.followStream(response.right, sent, watch);
+    } finally {
+      watch?.close();
+    }
   }
 
   private createWatch(sent: SentRun, replacer: RunReplacer): SilenceWatch {
--- a/src/forward/generations/relay.ts
+++ b/src/forward/generations/relay.ts
@@ -39,7 +39,8 @@
 }
 
 /**
- * Relays events until the stream ends; closes the body then.
+ * Relays events until the stream ends; closes the body then. Rejects if the consumer of the events throws:
+ * it runs in an event of the socket, where nobody else could catch the error.
  *
  * @example
  * const { end } = await relayEvents({ response, deadlineSignal, replaced: watch.signal, onEvents });
@@ -49,14 +50,17 @@
   const { body } = response;
   const splitter = new EventSplitter();
   let hasEvents = false;
-  return new Promise((resolve) => {
-    const finish = (end: RelayEnd, message: string) => {
+  return new Promise((resolve, reject) => {
+    const close = () => {
       deadlineSignal.signal.removeEventListener("abort", onAbort);
       replaced?.removeEventListener("abort", onReplaced);
       body.removeAllListeners("data");
-      resolve({ end, message });
       body.destroy();
     };
+    const finish = (end: RelayEnd, message: string) => {
+      resolve({ end, message });
+      close();
+    };
     const onAbort = () => {
       finish(RelayEnd.aborted, deadlineSignal.cause ?? "ended");
     };
@@ -73,7 +77,7 @@
     }
     deadlineSignal.signal.addEventListener("abort", onAbort, { once: true });
     replaced?.addEventListener("abort", onReplaced, { once: true });
-    body.on("data", (bytes: Buffer) => {
+    const onData = (bytes: Buffer) => {
       const received = splitter.push(bytes);
       const events = listEventsBeforeCopy(received, response);
       if (events.length > 0) {
@@ -86,6 +90,14 @@
       }
       if (splitter.partialBytes > MAX_EVENT_BYTES)
         finish(RelayEnd.malformed, `an event exceeds ${MAX_EVENT_BYTES} bytes`);
+    };
+    body.on("data", (bytes: Buffer) => {
+      try {
+        onData(bytes);
+      } catch (error) {
+        reject(error as Error);
+        close();
+      }
     });
     body.on("end", () => {
       const fault = findFaultOfEnd(response, splitter, hasEvents);
--- a/src/forward/generations/stream.ts
+++ b/src/forward/generations/stream.ts
@@ -6,6 +6,7 @@
 import * as E from "fp-ts/Either";
 import { computeRemainingMs, type Moment, pause } from "../../core/clock";
 import type { Refusal } from "../../core/outcome";
+import { runTask } from "../../core/tasks";
 import type { EngineLimits } from "../../fleet/config";
 import type { EndpointEntry } from "../../fleet/entries";
 import {
@@ -116,11 +117,9 @@
    * @returns the response still to be sent; undefined if it went out through the sink
    */
   async run(): Promise<E.Either<Refusal, BufferedResponse> | undefined> {
-    const response = await this.runTries();
-    this.isEnded = true;
-    this.replacer.close();
-    this.prefiller.close();
-    this.sendBudget.dropKept();
+    const response = await this.runTries().finally(() => {
+      this.close();
+    });
     if (response === undefined || this.decoder.firstEventAt === undefined) return response;
     // Once events were sent, only a closed connection tells the caller that the stream is incomplete.
     this.isCut = true;
@@ -128,6 +127,13 @@
     return undefined;
   }
 
+  private close(): void {
+    this.isEnded = true;
+    this.replacer.close();
+    this.prefiller.close();
+    this.sendBudget.dropKept();
+  }
+
   private async runTries(): Promise<E.Either<Refusal, BufferedResponse> | undefined> {
     for (this.tries = 1; this.tries <= MAX_TRIES; this.tries += 1) {
       const replacement = this.replacer.take();
@@ -212,7 +218,9 @@
       finish: (sent) => this.recordBeside(sent, this.sender.readResult(sent)),
       withdraw: (sent) => {
         sent.abort();
-        void this.recordBeside(sent, this.sender.readWithdrawn(sent));
+        void runTask("record a withdrawn run", context.logger, () =>
+          this.recordBeside(sent, this.sender.readWithdrawn(sent)),
+        );
       },
     });
   }
@@ -306,9 +314,15 @@
   private async followRun(sent: SentRun): Promise<TryResult> {
     this.currentRun = sent;
     this.stages.enter(RequestStage.head);
-    const result = await this.decoder.follow(sent, this.replacer);
-    this.finishRun(sent, result);
-    return result;
+    try {
+      const result = await this.decoder.follow(sent, this.replacer);
+      this.finishRun(sent, result);
+      return result;
+    } catch (error) {
+      sent.abort();
+      this.finishTry(sent.start, { end: TryEnd.broken, message: "an unexpected error ended it" });
+      throw error;
+    }
   }
 
   private finishRun({ start }: SentRun, result: TryResult): void {
