Runs: a send that throws ends its try, not the process

What callers saw: an unexpected error in the client's send (a permit that can't be encoded is one: the start time of an odd entry) rejected a promise that nobody waits for, which ends the process with every request that it has read.

Cause: SentRun listens to the send beside its reader, without a handler of a rejection. The send of a run now never rejects: an error counts as a broken connection, so the engine may have run it, and a stream that may be resumed goes on elsewhere.

--- a/src/forward/generations/runsender.ts
+++ b/src/forward/generations/runsender.ts
@@ -5,6 +5,7 @@
 import * as E from "fp-ts/Either";
 import { computeRemainingMs, type Moment } from "../../core/clock";
 import { isSuspect } from "../../core/crashes/suspects";
+import { formatStack } from "../../core/log";
 import { RetryMode } from "../../fleet/config";
 import type { EndpointEntry } from "../../fleet/entries";
 import { type DeadlineSignal, type ForwardRequest, SendTask, Verdict } from "../requests";
@@ -13,7 +14,8 @@
   discardBody,
   readWholeBody,
   type OpenResponse,
-  type SendFailure,
+  SendFailure,
+  SendFailureKind,
   type ForwardContext,
   type RequestTimes,
   resetDataCentreConnections,
@@ -86,7 +88,17 @@
     };
     const controller = new AbortController();
     const signal = AbortSignal.any([start.deadlineSignal.signal, controller.signal]);
-    return new SentRun(start, controller, client.send(send, signal));
+    const opened = client.send(send, signal).catch((error: unknown) => this.convertFault(error));
+    return new SentRun(start, controller, opened);
+  }
+
+  /** An unexpected error ends the send; the engine may have got the request. */
+  private convertFault(error: unknown): E.Either<SendFailure, never> {
+    this.parts.context.logger.error("send threw", {
+      request: this.request.head.id,
+      stack: formatStack(error),
+    });
+    return E.left(new SendFailure(SendFailureKind.broken, String(error)));
   }
 
   /**
--- a/test/passedonfault.spec.ts
+++ b/test/passedonfault.spec.ts
@@ -96,4 +96,11 @@
       await checkOthers();
     });
   }
+
+  it("in its send ends it alone", async () => {
+    const { context } = await startWithEngine();
+    breakMethod(context["client"], "send", 1, true);
+    assert.ok((await send("/summary/1")) !== undefined, "an answer in time");
+    await checkOthers();
+  });
 });
