Reservations: an error about one generation ends its wait alone

What callers saw: an unexpected error while the queue chooses an engine, in its timer, ended the process; in the call of another request it left its own generation in the queue, where the next choice threw again for everybody.

Cause: one loop decides on all that wait, in the turn of whoever comes next, and the promises of the others are settled by going on. Each decision is guarded now: an error is logged and rejects the wait of its own generation.

--- a/src/forward/engines/reservations.ts
+++ b/src/forward/engines/reservations.ts
@@ -4,6 +4,7 @@
  */
 import type { Moment } from "../../core/clock";
 import type { Suspect } from "../../core/crashes/suspects";
+import { formatStack } from "../../core/log";
 import type { EngineLimits } from "../../fleet/config";
 import { type EndpointEntry, EngineStage } from "../../fleet/entries";
 import type { RegionRule } from "../../fleet/regions";
@@ -49,6 +50,7 @@
   /** Id in the queue, which no other generation of this instance has. */
   readonly id: string;
   readonly resolve: (reservation: Reservation | undefined) => void;
+  readonly reject: (error: unknown) => void;
 }
 
 /** Queues generations and reserves memory for them at decode engines. */
@@ -79,10 +81,10 @@
   reserve(request: ReservationRequest): Promise<Reservation | undefined> {
     // A signal that has fired does not fire again.
     if (request.caller.aborted) return Promise.resolve(undefined);
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
       this.queuedCount += 1;
       const id = String(this.queuedCount);
-      const waitingRequest: WaitingRequest = { ...request, id, resolve };
+      const waitingRequest: WaitingRequest = { ...request, id, resolve, reject };
       this.queue.push(waitingRequest);
       request.caller.addEventListener(
         "abort",
@@ -104,24 +106,46 @@
     const fullServices = new Set<string>();
     for (const waitingRequest of this.queue.listHeads(now)) {
       if (fullServices.has(waitingRequest.service)) continue;
-      if (this.isTooLate(waitingRequest, now)) {
-        this.queue.remove(waitingRequest.id);
-        waitingRequest.resolve(undefined);
-        continue;
-      }
-      const view = this.chooseEngine(waitingRequest, now);
-      // A stream that waits for its version, or has a run, does not keep others from engines.
-      if (view === undefined && canBePassed(waitingRequest)) continue;
-      if (view === undefined) {
-        fullServices.add(waitingRequest.service);
-        continue;
-      }
-      this.queue.dequeue(waitingRequest.id);
-      void this.requestHold(waitingRequest, view.endpoint);
+      this.guard(waitingRequest, () => {
+        if (!this.dispatch(waitingRequest, now)) fullServices.add(waitingRequest.service);
+      });
     }
     this.scheduleDispatch();
   }
 
+  /** Requests a hold if there is an engine; returns false if those behind it have to wait too. */
+  private dispatch(waitingRequest: WaitingRequest, now: Moment): boolean {
+    if (this.isTooLate(waitingRequest, now)) {
+      this.queue.remove(waitingRequest.id);
+      waitingRequest.resolve(undefined);
+      return true;
+    }
+    const view = this.chooseEngine(waitingRequest, now);
+    // A stream that waits for its version, or has a run, does not keep others from engines.
+    if (view === undefined) return canBePassed(waitingRequest);
+    this.queue.dequeue(waitingRequest.id);
+    this.requestHold(waitingRequest, view.endpoint).catch((error: unknown) => {
+      this.fail(waitingRequest, error);
+    });
+    return true;
+  }
+
+  /** Decides on one generation; an unexpected error ends its wait, and no other. */
+  private guard(waitingRequest: WaitingRequest, decide: () => void): void {
+    try {
+      decide();
+    } catch (error) {
+      this.fail(waitingRequest, error);
+    }
+  }
+
+  private fail(waitingRequest: WaitingRequest, error: unknown): void {
+    const fields = { request: waitingRequest.requestId, stack: formatStack(error) };
+    this.context.logger.error("reservation failed", fields);
+    this.queue.remove(waitingRequest.id);
+    waitingRequest.reject(error);
+  }
+
   /** Lists the usable engines of a service outside evacuated data centres, with their load. */
   listViews(service: string, now: Moment): readonly EngineView[] {
     const { directory, gate } = this.context;
@@ -229,9 +253,11 @@
   /** Drops the requests that were found to crash engines while they waited. */
   private dropBanned(now: Moment): void {
     for (const waitingRequest of this.queue.listHeads(now)) {
-      if (this.context.crashes.findBan(waitingRequest.suspect, now) === undefined) continue;
-      this.queue.remove(waitingRequest.id);
-      waitingRequest.resolve(undefined);
+      this.guard(waitingRequest, () => {
+        if (this.context.crashes.findBan(waitingRequest.suspect, now) === undefined) return;
+        this.queue.remove(waitingRequest.id);
+        waitingRequest.resolve(undefined);
+      });
     }
   }
 
--- a/test/passedonfault.spec.ts
+++ b/test/passedonfault.spec.ts
@@ -7,6 +7,7 @@
 import { pause } from "../src/core/clock";
 import { EngineStage } from "../src/fleet/entries";
 import { addEndpoint, get, instance, port, prepareEach, start } from "./harness/fixture";
+import { waitUntil } from "./harness/forward";
 import { writeAnswer } from "./harness/raw";
 
 const FAULT = "a fault of this test";
@@ -28,6 +29,7 @@
 /** The parts of an instance that a test makes throw. */
 interface FaultyParts {
   readonly context: Record<string, Record<string, unknown>>;
+  readonly reservations: { readonly engineLoad: Record<string, unknown> };
 }
 
 /** Makes a method of a part throw, or reject, at its next calls. */
@@ -52,10 +54,20 @@
 describe("an unexpected error amid a generation", () => {
   prepareEach();
 
+  let isFull = false;
+  let holds = 0;
+
   const startWithEngine = async () => {
+    isFull = false;
+    holds = 0;
     await addEndpoint(
       "d",
       (head, socket) => {
+        if (head.startsWith("POST /hold")) holds += 1;
+        if (head.startsWith("POST /hold") && isFull) {
+          socket.write("HTTP/1.1 503 Full\r\ncontent-length: 0\r\n\r\n");
+          return;
+        }
         if (head.startsWith("POST /hold")) {
           socket.write("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nh1");
           return;
@@ -103,4 +115,15 @@
     assert.ok((await send("/summary/1")) !== undefined, "an answer in time");
     await checkOthers();
   });
+
+  it("in the choice of its engine while it waits for room ends it alone", async () => {
+    const { reservations } = await startWithEngine();
+    isFull = true;
+    const answer = send("/summary/1");
+    await waitUntil(() => holds > 0);
+    breakMethod(reservations.engineLoad, "readView", 1);
+    assert.ok((await answer) !== undefined, "an answer in time");
+    isFull = false;
+    await checkOthers();
+  });
 });
