Charges: an error in the decision leaves no request of the workspace waiting

What callers saw: an unexpected error in the decision of a request's own instance, after its owner had not answered, left that request without an end, and with it every later one of the workspace: the call under way never ended, and all queued behind it. The rejection that nobody waits for ended the process.

Cause: the decision beside the owner's stood outside the guard of the call, and so did the choice of the owner.

--- a/src/forward/shared/charges.ts
+++ b/src/forward/shared/charges.ts
@@ -43,6 +43,7 @@
   readonly limit: RateLimit;
   readonly cost: number;
   readonly resolve: (decision: QuotaDecision) => void;
+  readonly reject: (error: Error) => void;
 }
 
 /** Dependencies of the charger. */
@@ -88,8 +89,8 @@
   }
 
   private askOwner(workspace: string, limit: RateLimit, cost: number): Promise<QuotaDecision> {
-    return new Promise((resolve) => {
-      const request = { limit, cost, resolve };
+    return new Promise((resolve, reject) => {
+      const request = { limit, cost, resolve, reject };
       const waiting = this.waiting.get(workspace);
       if (waiting !== undefined) {
         waiting.push(request);
@@ -111,12 +112,23 @@
 
   /** Has a batch decided by the owner, or alone where that fails in whatever way. */
   private async decideBatch(workspace: string, batch: readonly WaitingRequest[]): Promise<void> {
-    const owner = this.owners.choose(workspace);
-    const isDecided = await runTask("charge", this.parts.logger, () =>
-      this.sendBatch(workspace, batch, owner),
-    );
+    const { logger, instance } = this.parts;
+    let owner = instance;
+    const isDecided = await runTask("charge", logger, () => {
+      owner = this.owners.choose(workspace);
+      return this.sendBatch(workspace, batch, owner);
+    });
     if (isDecided) return;
-    for (const request of batch) request.resolve(this.decideAlone(workspace, request, owner));
+    for (const request of batch) this.settleAlone(workspace, request, owner);
+  }
+
+  /** Ends the wait of a request in any case: its caller has no other way to learn of an error. */
+  private settleAlone(workspace: string, request: WaitingRequest, owner: string): void {
+    try {
+      request.resolve(this.decideAlone(workspace, request, owner));
+    } catch (error) {
+      request.reject(error as Error);
+    }
   }
 
   private async sendBatch(
--- a/test/passedonfault.spec.ts
+++ b/test/passedonfault.spec.ts
@@ -4,8 +4,11 @@
  */
 import assert from "node:assert/strict";
 import { afterEach, beforeEach, describe, it } from "node:test";
-import { pause } from "../src/core/clock";
+import { MonotonicClock, pause } from "../src/core/clock";
+import { SILENT_LOGGER } from "../src/core/log";
 import { EngineStage } from "../src/fleet/entries";
+import { QuotaCharger } from "../src/forward/shared/charges";
+import type { Quotas } from "../src/forward/shared/quota";
 import { addEndpoint, get, instance, port, prepareEach, start } from "./harness/fixture";
 import { waitUntil } from "./harness/forward";
 import { writeAnswer } from "./harness/raw";
@@ -127,3 +130,32 @@
     await checkOthers();
   });
 });
+
+describe("an unexpected error in the decision on a charge", () => {
+  it("leaves no request of the workspace waiting, then or later", async () => {
+    const quotas = {
+      admitUnasked: () => undefined,
+      readLocalCost: () => 0,
+      admitByShare: () => {
+        throw new Error(FAULT);
+      },
+    };
+    const charger = new QuotaCharger({
+      instance: "n1",
+      quotas: quotas as unknown as Quotas,
+      transport: { charge: () => pause(20).then(() => undefined) },
+      clock: new MonotonicClock(),
+      logger: SILENT_LOGGER,
+      listLive: () => ["n2"],
+    });
+    const limit = { perSecond: 1000, burst: 1_000_000 };
+    const admit = () =>
+      Promise.race([
+        charger.admit("walls", limit, 1).catch((error: unknown) => String(error)),
+        pause(300),
+      ]);
+    const first = await Promise.all([admit(), admit(), admit()]);
+    for (const end of [...first, await admit()]) assert.match(String(end), new RegExp(FAULT));
+    assert.deepEqual(faults, []);
+  });
+});
