Maintenance: an error in a step does not end the process

What callers saw: an unexpected error in the periodic work of an instance (which applies the limits of a new configuration, once a second) or in the tick of its relays ended the process, with every request that it had read.

Cause: both run in a timer, outside any guard; taskfault covers the other tasks that nobody waits for. Each step runs as a task of its own now, so that an error costs this step this turn, and a line in the log.

--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -4,6 +4,7 @@
 import * as E from "fp-ts/Either";
 import { pause } from "../core/clock";
 import { pauseAndRead } from "../core/readfirst";
+import { runTask } from "../core/tasks";
 import { createNotRunRefusal, Reason } from "../core/outcome";
 import { TICK_INTERVAL_MS } from "../fleet/relay/network";
 import type { RelayListener, RelayStream } from "../fleet/relay/transport";
@@ -113,7 +114,9 @@
     ]);
     heartbeats.start();
     this.networkTimer = setInterval(() => {
-      this.parts.network.tick();
+      void runTask("relay network", logger, () => {
+        this.parts.network.tick();
+      });
     }, TICK_INTERVAL_MS);
     rebalancer.start();
     joiner.start();
--- a/src/forward/maintenance.ts
+++ b/src/forward/maintenance.ts
@@ -4,6 +4,7 @@
  * that left.
  */
 import type { Moment } from "../core/clock";
+import { runTask } from "../core/tasks";
 import type { ForwardContext } from "./endpoints";
 import type { FleetView } from "./fleetview";
 import type { ForwardServer } from "./callers";
@@ -51,12 +52,33 @@
     this.callerServer.setLimits(config.limits);
   }
 
+  /** Does all the work; a step that fails keeps no other from being done. */
   private maintain(): void {
-    this.applyCallerLimits();
-    this.logShares();
-    this.recordVersions();
-    this.closeEvacuated();
-    this.context.originPublisher.maintain();
+    const steps = {
+      "apply limits": () => {
+        this.applyCallerLimits();
+      },
+      "log shares": () => {
+        this.logShares();
+      },
+      "record versions": () => {
+        this.recordVersions();
+      },
+      "close evacuated": () => {
+        this.closeEvacuated();
+      },
+      "maintain origins": () => {
+        this.context.originPublisher.maintain();
+      },
+      prune: () => {
+        this.prune();
+      },
+    };
+    for (const [name, step] of Object.entries(steps)) void runTask(name, this.context.logger, step);
+  }
+
+  /** Forgets endpoints that left. */
+  private prune(): void {
     const { health, meter, directory, gate, dialer } = this.context;
     const isListed = (id: string) => directory.find(id) !== undefined;
     health.prune(isListed);
