Tasks: a heartbeat or a report of outcomes that throws does not end the process

What callers saw: an error while the regular heartbeat is written, or a permit is encoded for a report of how sends ended, ended the process with every request that it had read.

--- a/src/fleet/heartbeat.ts
+++ b/src/fleet/heartbeat.ts
@@ -83,7 +83,9 @@
 
   start(): void {
     this.timer = setInterval(() => {
-      this.sendRegular();
+      void runTask("heartbeat", this.logger, () => {
+        this.sendRegular();
+      });
     }, HEARTBEAT_INTERVAL_MS);
     this.sendRegular();
   }
--- a/src/forward/limitparts.ts
+++ b/src/forward/limitparts.ts
@@ -1,6 +1,8 @@
 /**
  * Creates the parts that limit the sends to endpoints.
  */
+import type { Logger } from "../core/log";
+import { runTask } from "../core/tasks";
 import { OwnerChooser } from "../fleet/owners";
 import type { InstanceBase } from "./base";
 import type { FleetView } from "./fleetview";
@@ -91,16 +93,16 @@
  *
  * @param flush - reports them
  * @example
- * const onOutcome = createOutcomeReporter(() => permits.flushOutcomes());
+ * const onOutcome = createOutcomeReporter(() => permits.flushOutcomes(), logger);
  */
-export function createOutcomeReporter(flush: () => Promise<void>): () => void {
+export function createOutcomeReporter(flush: () => Promise<void>, logger: Logger): () => void {
   let isScheduled = false;
   return () => {
     if (isScheduled) return;
     isScheduled = true;
     setTimeout(() => {
       isScheduled = false;
-      void flush();
+      void runTask("report outcomes", logger, flush);
     }, REPORT_DELAY_MS).unref();
   };
 }
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -102,7 +102,7 @@
     onBegin: () => {
       context.announcer.report();
     },
-    onOutcome: createOutcomeReporter(() => context.gate.flushOutcomes()),
+    onOutcome: createOutcomeReporter(() => context.gate.flushOutcomes(), logger),
   });
   const originParts = createOriginParts(base, view);
   const context: ForwardContext = createContext(
--- a/test/taskfault.spec.ts
+++ b/test/taskfault.spec.ts
@@ -11,6 +11,7 @@
 import { type FleetHandler, GrpcFleetTransport, startFleetServer } from "../src/fleet/transport";
 import { QuotaCharger } from "../src/forward/shared/charges";
 import { ForwardInstance } from "../src/forward/instance";
+import { createOutcomeReporter } from "../src/forward/limitparts";
 import { Meter } from "../src/forward/requests/meter";
 import { StreamOrigins } from "../src/forward/shared/origins";
 import { Quotas } from "../src/forward/shared/quota";
@@ -165,6 +166,35 @@
     assert.deepEqual([replies, rejections, errors.length], [2, [], 2]);
   });
 
+  it("goes on with heartbeats after a fault of one", async () => {
+    let beats = 0;
+    const createBeatContent = () => {
+      beats += 1;
+      if (beats === 2) throw new Error(FAULT);
+      return Beat.fromPartial({});
+    };
+    const heartbeats = createHeartbeats({ createBeatContent }, () => Promise.resolve(undefined));
+    heartbeats.start();
+    await pause(1250);
+    heartbeats.close();
+    assert.ok(beats > 2, `${beats} beats`);
+    assert.deepEqual([rejections, errors.length], [[], 1]);
+  });
+
+  it("reports outcomes of sends again after a fault of a report", async () => {
+    let reports = 0;
+    const flush = () => {
+      reports += 1;
+      return Promise.reject(new Error(FAULT));
+    };
+    const report = createOutcomeReporter(flush, logger);
+    for (const turn of [1, 2]) {
+      report();
+      await pause(300 * turn);
+    }
+    assert.deepEqual([reports, rejections, errors.length], [2, [], 2]);
+  });
+
   it("fetches again after a fault of a fetch", async () => {
     let fetches = 0;
     const fetch = () => {
