Tasks: an error in a turn that nobody waits for does not end the process

Each now runs in it; news to peers is guarded in sendHeartbeats itself, so that its callers (a change from the store, the stop) go on. A dial whose step throws ends as unreachable, and a connection whose dial rejects fails its own request: both would have been left pending besides. A queue whose turn throws has another one.

Existing tests only got a logger where the client's host and the dialer need one.

--- a/src/fleet/heartbeat.ts
+++ b/src/fleet/heartbeat.ts
@@ -87,7 +87,9 @@
         this.sendRegular();
       });
     }, HEARTBEAT_INTERVAL_MS);
-    this.sendRegular();
+    void runTask("heartbeat", this.logger, () => {
+      this.sendRegular();
+    });
   }
 
   close(): void {
@@ -100,12 +102,9 @@
    * ended, as the beat of that one may be older than the news.
    */
   sendHeartbeats(): void {
-    if (this.relay?.isActive === true) {
-      this.relay.announce();
-      return;
-    }
-    for (const address of this.pendingAddresses) this.overdueAddresses.add(address);
-    this.sendRegular();
+    void runTask("heartbeat", this.logger, () => {
+      this.sendNews();
+    });
   }
 
   /** Processes a peer's heartbeat and returns this instance's own. */
@@ -114,6 +113,15 @@
     return this.createBeat();
   }
 
+  private sendNews(): void {
+    if (this.relay?.isActive === true) {
+      this.relay.announce();
+      return;
+    }
+    for (const address of this.pendingAddresses) this.overdueAddresses.add(address);
+    this.sendRegular();
+  }
+
   /** Sends a heartbeat to every peer, except where the last exchange with it is pending. */
   private sendRegular(): void {
     if (this.isRelayed()) return;
--- a/src/fleet/joiner.ts
+++ b/src/fleet/joiner.ts
@@ -72,9 +72,9 @@
   ) {}
 
   start(): void {
-    void this.joinUnlessFound();
+    void runTask("join", this.logger, () => this.joinUnlessFound());
     this.timer = setInterval(() => {
-      void this.refresh();
+      void runTask("refresh members", this.logger, () => this.refresh());
     }, MEMBERS_REFRESH_MS);
   }
 
@@ -87,7 +87,8 @@
   onStoreRestored(): void {
     if (!this.hasJoined && this.policy.hasRelays()) return;
     this.hasJoined = false;
-    setTimeout(() => void this.join(), Math.random() * REJOIN_JITTER_MS).unref();
+    const rejoin = () => void runTask("join", this.logger, () => this.join());
+    setTimeout(rejoin, Math.random() * REJOIN_JITTER_MS).unref();
   }
 
   /** Joins, unless peers spare the calls: in a large fleet an instance gets all it needs from relays. */
--- a/src/forward/dialing.ts
+++ b/src/forward/dialing.ts
@@ -92,6 +92,7 @@
     direct: new TcpOpener(),
     ...peerWays,
     clock,
+    logger,
     listener: createLoggingListener(logger, listener),
     findDataCentre: (id) => directory.find(id)?.dataCentre,
     onConnection: ({ peer }) => {
--- a/src/forward/endpoints/client.ts
+++ b/src/forward/endpoints/client.ts
@@ -8,6 +8,8 @@
 import type { Clock, Moment } from "../../core/clock";
 import type { Regions } from "../../fleet/regions";
 import { createTimeoutSignal } from "../../core/readfirst";
+import type { Logger } from "../../core/log";
+import { runTask } from "../../core/tasks";
 import { MAX_SMALL_BODY_BYTES } from "./body";
 import { type Connection, MAX_FRAMED_BYTES, MAX_HEAD_BYTES } from "./connection";
 import type { EndpointDialer } from "../tunnels";
@@ -107,6 +109,7 @@
   onLoad?(endpoint: string, load: EndpointLoad): void;
   /** Computes after which silence the direct way to an endpoint is checked, in milliseconds. */
   computeCheckMs(endpoint: string): number;
+  readonly logger: Logger;
   readonly regions?: Regions;
 }
 
@@ -123,7 +126,9 @@
     private readonly host: ClientHost,
   ) {
     this.timer = setInterval(() => {
-      this.removeClosed();
+      void runTask("remove closed pools", this.host.logger, () => {
+        this.removeClosed();
+      });
     }, SWEEP_INTERVAL_MS);
     this.timer.unref();
   }
@@ -335,7 +340,9 @@
   /** Schedules a check of the direct way, should the endpoint stay silent. */
   private scheduleCheck(endpoint: EndpointTarget, connection: Connection): NodeJS.Timeout {
     return setTimeout(() => {
-      if (connection.isAlive && connection.peer === undefined) this.dialer.checkDirect(endpoint);
+      void runTask("check a silent endpoint", this.host.logger, () => {
+        if (connection.isAlive && connection.peer === undefined) this.dialer.checkDirect(endpoint);
+      });
     }, this.host.computeCheckMs(endpoint.id));
   }
 
--- a/src/forward/endpoints/connection.ts
+++ b/src/forward/endpoints/connection.ts
@@ -57,10 +57,15 @@
   constructor(target: EndpointTarget, dialer: EndpointDialer, options: DialOptions) {
     this.client = new Client(`http://${target.address}`, {
       connect: (_, callback) => {
-        void dialer.dial(target, options).then((dialled) => {
-          if (E.isLeft(dialled)) callback(dialled.left, null);
-          else this.handOver(dialled.right, callback);
-        });
+        dialer
+          .dial(target, options)
+          .then((dialled) => {
+            if (E.isLeft(dialled)) callback(dialled.left, null);
+            else this.handOver(dialled.right, callback);
+          })
+          .catch((error: unknown) => {
+            callback(error as Error, null);
+          });
       },
       pipelining: 1,
       keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
--- a/src/forward/endpoints/releaser.ts
+++ b/src/forward/endpoints/releaser.ts
@@ -7,6 +7,7 @@
 import * as E from "fp-ts/Either";
 import type { Clock, Moment } from "../../core/clock";
 import type { Logger } from "../../core/log";
+import { runTask } from "../../core/tasks";
 import type { EndpointDirectory } from "../../fleet/directory";
 import type { EndpointEntry } from "../../fleet/entries";
 import { type EndpointClient, SendFailureKind } from "./client";
@@ -56,7 +57,8 @@
       return;
     }
     if (clock.now() >= expiresAt) return;
-    void client.call(target, call, RELEASE_TIMEOUT_MS, permits).then((response) => {
+    void runTask("release memory", logger, async () => {
+      const response = await client.call(target, call, RELEASE_TIMEOUT_MS, permits);
       if (E.isRight(response)) return;
       if (response.left.kind === SendFailureKind.held) this.release(release);
       else this.logFailure(release, response.left.message);
@@ -77,7 +79,9 @@
     const timer = setTimeout(
       () => {
         this.timers.delete(timer);
-        this.release(release);
+        void runTask("release memory", this.parts.logger, () => {
+          this.release(release);
+        });
       },
       Math.ceil(holdEnd - this.parts.clock.now()),
     );
--- a/src/forward/engines/holdcalls.ts
+++ b/src/forward/engines/holdcalls.ts
@@ -5,6 +5,7 @@
 import * as E from "fp-ts/Either";
 import type { Moment } from "../../core/clock";
 import { ReadFirstTimer } from "../../core/readfirst";
+import { runTask } from "../../core/tasks";
 import type { EndpointEntry } from "../../fleet/entries";
 import type { ForwardContext } from "../endpoints";
 
@@ -83,7 +84,8 @@
     this.enginesInCall.delete(endpoint.id);
     if (inTime !== undefined) return inTime;
     this.addLate(endpoint.id, 1);
-    void answer.then((late) => {
+    void runTask("drop a late hold", this.context.logger, async () => {
+      const late = await answer;
       this.addLate(endpoint.id, -1);
       this.dropLate(endpoint, demand, late);
     });
--- a/src/forward/engines/rebalancer.ts
+++ b/src/forward/engines/rebalancer.ts
@@ -58,7 +58,7 @@
 
   start(): void {
     this.timer = setInterval(() => {
-      void this.checkStages();
+      void runTask("check stages", this.parts.logger, () => this.checkStages());
     }, CHECK_INTERVAL_MS);
   }
 
--- a/src/forward/engines/reservations.ts
+++ b/src/forward/engines/reservations.ts
@@ -14,6 +14,7 @@
 import { type StreamOrigin, canGoOn } from "../shared";
 import { limitCapacity } from "./overload";
 import { type UrgentQueueItem, UrgentQueue } from "../../core/urgentqueue";
+import { runTask } from "../../core/tasks";
 
 /** How often the queue is checked for generations that can be dispatched, in milliseconds. */
 const DISPATCH_INTERVAL_MS = 20;
@@ -334,7 +335,12 @@
     if (this.timer !== undefined || this.queue.size === 0) return;
     this.timer = setTimeout(() => {
       this.timer = undefined;
-      this.dispatchWaiting();
+      const turn = () => {
+        this.dispatchWaiting();
+      };
+      void runTask("dispatch", this.context.logger, turn).then(() => {
+        this.scheduleDispatch();
+      });
     }, DISPATCH_INTERVAL_MS);
   }
 }
--- a/src/forward/limits/announcer.ts
+++ b/src/forward/limits/announcer.ts
@@ -3,6 +3,8 @@
  * faster than heartbeats go, and an endpoint in need gets requests from all instances.
  */
 import type { Clock, Moment } from "../../core/clock";
+import type { Logger } from "../../core/log";
+import { runTask } from "../../core/tasks";
 
 /** Shortest time between two announcements, in milliseconds. */
 const MIN_INTERVAL_MS = 100;
@@ -18,6 +20,7 @@
   constructor(
     private readonly clock: Clock,
     private readonly send: () => void,
+    private readonly logger: Logger,
   ) {}
 
   /** Reports now, or as soon as enough time has passed since the last announcement. */
@@ -41,6 +44,6 @@
 
   private sendNow(): void {
     this.nextAt = this.clock.now() + MIN_INTERVAL_MS;
-    this.send();
+    void runTask("announce", this.logger, this.send);
   }
 }
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -184,7 +184,7 @@
   const { settings, adapter, clock, meter, loopDelay, logger } = base;
   const { directory, members } = view;
   const listLive = () => members.listLive(clock.now());
-  const announcer = new Announcer(clock, sendHeartbeats);
+  const announcer = new Announcer(clock, sendHeartbeats, logger);
   const gate = new EndpointGate({
     directory,
     evacuations: view.watcher.evacuations,
@@ -217,6 +217,7 @@
     },
   );
   const client = new HttpEndpointClient(adapter.endpointCodec, gate, dialer, clock, {
+    logger,
     computeCheckMs: (id) => Math.max(MIN_CHECK_MS, health.readLatencyMs(id) * CHECK_LATENCY_FACTOR),
     computeMaxConnections: (service) => computeMaxConnections(view, service),
     regions: view.regions,
--- a/src/forward/relaying.ts
+++ b/src/forward/relaying.ts
@@ -1,6 +1,7 @@
 /**
  * Creates the part of an instance that takes part in relaying, in fleets that are large enough.
  */
+import { runTask } from "../core/tasks";
 import type { RelayHost } from "../fleet/relay/host";
 import { RelayNetwork } from "../fleet/relay/network";
 import type { InstanceBase } from "./base";
@@ -32,7 +33,7 @@
     listSeeds: () => settings.knownPeers,
     random: Math.random,
     schedule: (ms, run) => {
-      setTimeout(run, ms);
+      setTimeout(() => void runTask("relay news", logger, run), ms);
     },
   });
 }
--- a/src/forward/tunnels/dialer.ts
+++ b/src/forward/tunnels/dialer.ts
@@ -4,6 +4,8 @@
  */
 import * as E from "fp-ts/Either";
 import type { Clock, Moment } from "../../core/clock";
+import type { Logger } from "../../core/log";
+import { runTask } from "../../core/tasks";
 import type { ReplicaCandidate } from "../../fleet/replicas";
 import { AnswerTimes } from "./answertimes";
 import {
@@ -73,6 +75,7 @@
   readonly tunnels: TunnelOpener;
   readonly links: LinkChecker;
   readonly clock: Clock;
+  readonly logger: Logger;
   readonly listener: WayListener;
   /** Lists the live peers that are not leaving, without this instance. */
   readonly listPeers: () => readonly ReplicaCandidate[];
@@ -133,8 +136,8 @@
   checkDirect(target: EndpointTarget): void {
     if (this.isBarred(target) || this.parts.paths.isDirectLost(target)) return;
     if (!this.takeCheck(target)) return;
-    void this.tryDirect(target).then((isOpen) => {
-      if (!isOpen) this.probePeers(target);
+    void runTask("check a direct way", this.parts.logger, async () => {
+      if (!(await this.tryDirect(target))) await this.probePeers(target);
     });
   }
 
@@ -216,15 +219,14 @@
   }
 
   /** Asks peers whether they reach an endpoint whose direct way failed. */
-  private probePeers(target: EndpointTarget): void {
+  private async probePeers(target: EndpointTarget): Promise<void> {
     const plan = {
       ...this.createPlan(target, false),
       canDialDirectly: false,
       isDirectFirst: false,
     };
-    void this.run(target, plan).then((result) => {
-      if (E.isRight(result)) discardSocket(result.right.socket);
-    });
+    const result = await this.run(target, plan);
+    if (E.isRight(result)) discardSocket(result.right.socket);
   }
 
   /** Connects directly and closes the connection; returns true if it succeeded. */
@@ -246,12 +248,12 @@
     listener.onWayLost(target, paths.readFailure(target), asked);
     if (this.tryTimer !== undefined || this.isClosed) return;
     this.tryTimer = setInterval(() => {
-      this.tryLost();
+      void runTask("try a lost way", this.parts.logger, () => this.tryLost());
     }, TRY_CHECK_INTERVAL_MS);
     this.tryTimer.unref();
   }
 
-  private tryLost(): void {
+  private async tryLost(): Promise<void> {
     const { paths, clock } = this.parts;
     if (!paths.hasLost) {
       clearInterval(this.tryTimer);
@@ -259,7 +261,7 @@
       return;
     }
     const target = paths.takeDirectTry(clock.now());
-    if (target !== undefined && !this.isBarred(target)) void this.tryDirect(target);
+    if (target !== undefined && !this.isBarred(target)) await this.tryDirect(target);
   }
 
   private isBarred({ id }: EndpointTarget): boolean {
@@ -273,8 +275,10 @@
     socket.prependOnceListener("error", (error: NodeJS.ErrnoException) => {
       const isEarly = clock.now() - startedAt <= EARLY_BREAK_MS && socket.bytesRead === 0;
       if (!isEarly || error.errno === undefined || !this.takeCheck(target)) return;
-      this.onDirectFailure(target, { message: error.message, startedAt: clock.now(), asked: 0 });
-      this.probePeers(target);
+      void runTask("check a broken way", this.parts.logger, () => {
+        this.onDirectFailure(target, { message: error.message, startedAt: clock.now(), asked: 0 });
+        return this.probePeers(target);
+      });
     });
   }
 
--- a/src/forward/tunnels/dialrun.ts
+++ b/src/forward/tunnels/dialrun.ts
@@ -4,6 +4,7 @@
  */
 import * as E from "fp-ts/Either";
 import { computeRemainingMs, type Clock, type Moment } from "../../core/clock";
+import { formatStack } from "../../core/log";
 import { isConnectionRefused } from "../../store/http";
 import type { DirectOpener } from "./directopener";
 import type { EndpointTarget } from "../limits";
@@ -164,7 +165,7 @@
         this.advance();
         return;
       }
-      void this.openDirect();
+      this.guard(() => this.openDirect());
       this.scheduleAdvance(DIRECT_HEADSTART_MS);
     });
   }
@@ -177,10 +178,11 @@
     if (this.askedCount === 0) this.reserveTime();
     if (peer !== undefined && this.parts.clock.now() < this.deadline) {
       this.askedCount += 1;
-      void this.openThrough(peer);
+      this.guard(() => this.openThrough(peer));
       const { isProbe, peerStaggerMs } = this.plan;
       this.scheduleAdvance(isProbe ? PROBE_STAGGER_MS : peerStaggerMs);
-    } else if (this.plan.canDialDirectly && !this.hasTriedDirect) void this.openDirect();
+    } else if (this.plan.canDialDirectly && !this.hasTriedDirect)
+      this.guard(() => this.openDirect());
     else if (this.openCount === 0) this.finish(E.left(this.createFailure()));
   }
 
@@ -193,12 +195,25 @@
     const timer = setTimeout(() => {
       // After a pause of this process, an established connection is reported behind the timer.
       setImmediate(() => {
-        if (this.timer === timer) this.advance();
+        this.guard(() => {
+          if (this.timer === timer) this.advance();
+        });
       });
     }, ms);
     this.timer = timer;
   }
 
+  /** Runs a step; an unexpected error in it ends this dial. */
+  private guard(step: () => Promise<void> | void): void {
+    const run = async () => {
+      await step();
+    };
+    run().catch((error: unknown) => {
+      const message = `the dial failed: ${formatStack(error)}`;
+      this.finish(E.left(new DialFailure(DialFailureKind.unreachable, message, false)));
+    });
+  }
+
   private clearTimer(): void {
     clearTimeout(this.timer);
     this.timer = undefined;
@@ -230,7 +245,7 @@
   /** Counts a direct refusal; one that decides whether the endpoint is up needs a sound link. */
   private recordDirectRefusal(): void {
     this.isRefusedDirectly = true;
-    if (this.plan.isProbe) void this.confirmRefusal();
+    if (this.plan.isProbe) this.guard(() => this.confirmRefusal());
     else this.refusalCount += 1;
   }
 
--- a/test/harness/clientways.ts
+++ b/test/harness/clientways.ts
@@ -3,6 +3,7 @@
  */
 import * as E from "fp-ts/Either";
 import { MonotonicClock, pause } from "../../src/core/clock";
+import { SILENT_LOGGER } from "../../src/core/log";
 import type { RegionRule, Regions } from "../../src/fleet/regions";
 import type { ReplicaCandidate } from "../../src/fleet/replicas";
 import {
@@ -51,6 +52,7 @@
       },
       links: SOUND_LINK,
       clock,
+      logger: SILENT_LOGGER,
       listener: {
         onWayLost: (target) => {
           this.client.onWayLost(target);
@@ -72,6 +74,7 @@
       {
         computeMaxConnections: () => MAX_CONNECTIONS,
         onForeignAnswer: () => undefined,
+        logger: SILENT_LOGGER,
         computeCheckMs: () => CHECK_MS,
         ...(regions === undefined ? {} : { regions }),
       },
--- a/test/harness/ways.ts
+++ b/test/harness/ways.ts
@@ -5,6 +5,7 @@
 import { mock } from "node:test";
 import * as E from "fp-ts/Either";
 import { ManualClock } from "../../src/core/clock";
+import { SILENT_LOGGER } from "../../src/core/log";
 import type { EndpointEntry } from "../../src/fleet/entries";
 import type { ReplicaCandidate } from "../../src/fleet/replicas";
 import { Dialer, type EndpointDialer } from "../../src/forward/tunnels/dialer";
@@ -85,6 +86,7 @@
       tunnels: this.createTunnels(),
       links: this.findLinks(SELF),
       clock: this.clock,
+      logger: SILENT_LOGGER,
       listener: {
         onWayLost: ({ id }, failure, asked) => {
           this.events.push(`lost ${id} ${failure} ${asked}`);
--- a/test/permitwait.spec.ts
+++ b/test/permitwait.spec.ts
@@ -5,6 +5,7 @@
 import { describe, it } from "node:test";
 import * as E from "fp-ts/Either";
 import { ManualClock } from "../src/core/clock";
+import { SILENT_LOGGER } from "../src/core/log";
 import { HttpEndpointClient, SendFailureKind } from "../src/forward/endpoints/client";
 import type { EndpointDialer } from "../src/forward/tunnels/dialer";
 import type { EndpointGate } from "../src/forward/limits/gate";
@@ -36,6 +37,7 @@
       {
         computeMaxConnections: () => 8,
         onForeignAnswer: () => undefined,
+        logger: SILENT_LOGGER,
         computeCheckMs: () => 60_000,
       },
     );
--- a/test/slowtunnels.spec.ts
+++ b/test/slowtunnels.spec.ts
@@ -8,6 +8,7 @@
 import { afterEach, describe, it } from "node:test";
 import * as E from "fp-ts/Either";
 import { MonotonicClock, pause } from "../src/core/clock";
+import { SILENT_LOGGER } from "../src/core/log";
 import { Dialer } from "../src/forward/tunnels/dialer";
 import type { EndpointTarget } from "../src/forward/limits/gate";
 import { PathTracker } from "../src/forward/tunnels/paths";
@@ -134,6 +135,7 @@
       tunnels: pair.opener,
       links: SOUND_LINK,
       clock: new MonotonicClock(),
+      logger: SILENT_LOGGER,
       listener: {
         onWayLost: () => undefined,
         onWayBack: () => undefined,
--- a/test/standstill.spec.ts
+++ b/test/standstill.spec.ts
@@ -166,6 +166,7 @@
       recordSend: () => undefined,
     } as unknown as EndpointGate;
     const host = {
+      logger: SILENT_LOGGER,
       computeCheckMs: () => 60_000,
       computeMaxConnections: () => 8,
       onForeignAnswer: () => undefined,
@@ -176,6 +177,7 @@
       tunnels: { open: () => Promise.resolve(E.left("silent")), close: () => undefined },
       links: SOUND_LINK,
       clock,
+      logger: SILENT_LOGGER,
       listener: {
         onWayLost: () => undefined,
         onWayBack: () => undefined,
