Overdue: a whole answer whose engine is still probed is not ended

A caller's stream without a length that ended just after its deadline (up to 120 ms) was cut, though whole, if the probe of its engine took up to 1 s: 1.12 s in all, and a request counted as overdue after 1.0 to 1.25 s (found by the review).

--- a/src/forward/callers/overdue.ts
+++ b/src/forward/callers/overdue.ts
@@ -9,9 +9,9 @@
 export const CHECK_INTERVAL_MS = 250;
 /**
  * How long after its deadline a request counts as overdue, in milliseconds: longer than a response in
- * progress is awaited and its endpoint is probed after it.
+ * progress is awaited (120 ms) and its endpoint is probed after it (up to 1 s).
  */
-export const OVERDUE_MS = 1000;
+export const OVERDUE_MS = 1500;
 /** How long after it was read a request has to be admitted or refused, in milliseconds. */
 export const MAX_ADMISSION_MS = 5000;
 /**
--- a/src/forward/callers/server.ts
+++ b/src/forward/callers/server.ts
@@ -457,6 +457,7 @@
 
 /** Creates the final response of an overdue request; a stream that has begun is cut. */
 function createOverdueResponse(response: ServerResponse): CallerResponse {
+  if (response.writableEnded) return undefined;
   if (response.headersSent) {
     cutResponse(response);
     return undefined;
--- a/test/unframed.spec.ts
+++ b/test/unframed.spec.ts
@@ -6,7 +6,10 @@
 import type { Socket } from "node:net";
 import { describe, it } from "node:test";
 import { EngineStage } from "../src/fleet/entries";
-import { addEndpoint, get, port, prepareEach, start } from "./harness/fixture";
+import type { OverdueRequests } from "../src/forward/callers/overdue";
+import { type Dialer, ConnectState } from "../src/forward/tunnels";
+import { pause } from "../src/core/clock";
+import { addEndpoint, get, instance, port, prepareEach, start } from "./harness/fixture";
 import { type RawEndpoint } from "./harness/raw";
 
 prepareEach();
@@ -18,6 +21,11 @@
 const openUnframed = (head: string, status = "200 OK") =>
   `HTTP/1.1 ${status}\r\nx-id: ${/x-id: (\S+)/i.exec(head)?.[1] ?? ""}\r\nconnection: close\r\n\r\n`;
 
+interface InstanceParts {
+  readonly callerServer: { readonly overdue: OverdueRequests };
+  readonly parts: { readonly context: { readonly dialer: Dialer } };
+}
+
 type Answer = (head: string, socket: Socket, die: () => void) => void;
 
 /** Adds endpoints that give the answers in turn, whichever is asked; `die` stops the one that is asked. */
@@ -66,6 +74,24 @@
     assert.deepEqual([response.isComplete, heads.length], [true, 1]);
   });
 
+  it("is complete if it ends just after its deadline and the probe of its engine takes 1 s", async () => {
+    const answer: Answer = (head, socket) => {
+      socket.write(openUnframed(head) + event(1));
+      setTimeout(() => socket.end(event(2)), 580);
+    };
+    await addInTurn(["d1", "d2"], [answer], DECODE);
+    await start();
+    const { callerServer, parts } = instance as unknown as InstanceParts;
+    const { dialer } = parts.context;
+    const checks = setInterval(() => {
+      callerServer.overdue.check();
+    }, 25);
+    dialer.probe = () => pause(1000).then(() => ConnectState.up);
+    const response = await get(port, "/draft/1", { ...TOKENS, "x-patience": "500" });
+    clearInterval(checks);
+    assert.deepEqual([response.body, response.isComplete], [event(1) + event(2), true]);
+  });
+
   it("is broken if it ends inside an event, and is resumed where it may be", async () => {
     const answers = [end(`${event(1)}id: 2\nda`), end(event(2))];
     const heads = await addInTurn(["d1", "d2"], answers, DECODE);
