Generations: an error in the preparation of an engine leaves neither its load nor its memory

The caller got 502, but the engine's load stayed counted here for good, so that it was asked less, and its memory was held until it expired; a replacement that was prepared beside a silent run leaked in the same way (by reading).

It now releases the engine itself.

--- a/src/forward/generations/stream.ts
+++ b/src/forward/generations/stream.ts
@@ -349,10 +349,17 @@
     const startedAt = clock.now();
     const deadlineSignal = this.createDeadlineSignal(this.caller);
     const searchSignal = search && this.createDeadlineSignal(search);
-    const source = await this.prefill(reservation.endpoint, searchSignal ?? deadlineSignal);
-    searchSignal?.close();
-    const engine = { reservation, source };
-    return { engine, startedAt, prefilledAt: clock.now(), deadlineSignal };
+    try {
+      const source = await this.prefill(reservation.endpoint, searchSignal ?? deadlineSignal);
+      const engine = { reservation, source };
+      return { engine, startedAt, prefilledAt: clock.now(), deadlineSignal };
+    } catch (error) {
+      deadlineSignal.close();
+      this.releaseEngine(reservation);
+      throw error;
+    } finally {
+      searchSignal?.close();
+    }
   }
 
   private async prefill(
--- a/test/passedonfault.spec.ts
+++ b/test/passedonfault.spec.ts
@@ -59,10 +59,12 @@
 
   let isFull = false;
   let holds = 0;
+  let releases = 0;
 
   const startWithEngine = async () => {
     isFull = false;
     holds = 0;
+    releases = 0;
     await addEndpoint(
       "d",
       (head, socket) => {
@@ -75,7 +77,10 @@
           socket.write("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nh1");
           return;
         }
-        if (head.startsWith("DELETE")) return;
+        if (head.startsWith("DELETE")) {
+          releases += 1;
+          return;
+        }
         const id = /x-id: (\S+)/i.exec(head)?.[1] ?? "";
         const length = `content-length: ${EVENTS.length}`;
         socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\n${length}\r\n\r\n`);
@@ -98,6 +103,22 @@
     assert.deepEqual(faults, []);
   };
 
+  it("in the preparation of its engine leaves neither its load nor its memory there", async () => {
+    const { context, reservations } = await startWithEngine();
+    const { engineLoad } = reservations;
+    const addLocalWork = engineLoad["addLocalWork"] as (...all: unknown[]) => void;
+    let localTokens = 0;
+    engineLoad["addLocalWork"] = (id: string, tokens: number, ...more: unknown[]) => {
+      localTokens += tokens;
+      addLocalWork.call(engineLoad, id, tokens, ...more);
+    };
+    breakMethod(context["crashes"], "beginRun", 1);
+    assert.equal((await send("/summary/1"))?.status, 502);
+    await pause(50);
+    assert.deepEqual([localTokens, holds, releases], [0, 1, 1]);
+    await checkOthers();
+  });
+
   for (const [what, part, method] of [
     ["passing events on", "sharedOrigins", "record"],
     ["the metric of its first event", "meter", "recordFirstEvent"],
