--- a/src/forward/endpoints/connection.ts
+++ b/src/forward/endpoints/connection.ts
@@ -63,10 +63,15 @@
   ) {
     this.client = new Client(`http://${target.address}`, {
       connect: (_, callback) => {
-        void dialer.dial(target, this.options).then((dialled) => {
-          if (E.isLeft(dialled)) callback(dialled.left, null);
-          else this.handOver(dialled.right, callback);
-        });
+        dialer
+          .dial(target, this.options)
+          .then((dialled) => {
+            if (E.isLeft(dialled)) callback(dialled.left, null);
+            else this.handOver(dialled.right, callback);
+          })
+          .catch((error: unknown) => {
+            callback(error as Error, null);
+          });
       },
       pipelining: 1,
       keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
--- a/src/forward/generations/stream.ts
+++ b/src/forward/generations/stream.ts
@@ -6,6 +6,7 @@
 import * as E from "fp-ts/Either";
 import { computeRemainingMs, type Moment, pause } from "../../core/clock";
 import type { Refusal } from "../../core/outcome";
+import { runTask } from "../../core/tasks";
 import type { EngineLimits } from "../../fleet/config";
 import type { EndpointEntry } from "../../fleet/entries";
 import {
@@ -13,6 +14,8 @@
   type BufferedResponse,
   type CacheSource,
   type ForwardRequest,
+  RequestStage,
+  type StageRecorder,
 } from "../requests";
 import { type RefusalTracker, canGoOn } from "../shared";
 import { SendBudget } from "./sendbudget";
@@ -87,6 +90,7 @@
     private readonly times: RequestTimes,
     private readonly caller: AbortSignal,
     private readonly sink: StreamSink,
+    private readonly stages: StageRecorder,
   ) {
     const { context, reservations, engineLoad, engineModel } = parts;
     const { request, origin } = start;
@@ -113,11 +117,9 @@
    * @returns the response still to be sent; undefined if it went out through the sink
    */
   async run(): Promise<E.Either<Refusal, BufferedResponse> | undefined> {
-    const response = await this.runTries();
-    this.isEnded = true;
-    this.replacer.close();
-    this.prefiller.close();
-    this.sendBudget.dropKept();
+    const response = await this.runTries().finally(() => {
+      this.close();
+    });
     if (response === undefined || this.decoder.firstEventAt === undefined) return response;
     // Once events were sent, only a closed connection tells the caller that the stream is incomplete.
     this.isCut = true;
@@ -125,6 +127,13 @@
     return undefined;
   }
 
+  private close(): void {
+    this.isEnded = true;
+    this.replacer.close();
+    this.prefiller.close();
+    this.sendBudget.dropKept();
+  }
+
   private async runTries(): Promise<E.Either<Refusal, BufferedResponse> | undefined> {
     for (this.tries = 1; this.tries <= MAX_TRIES; this.tries += 1) {
       const replacement = this.replacer.take();
@@ -209,7 +218,9 @@
       finish: (sent) => this.recordBeside(sent, this.sender.readResult(sent)),
       withdraw: (sent) => {
         sent.abort();
-        void this.recordBeside(sent, this.sender.readWithdrawn(sent));
+        void runTask("record a withdrawn run", context.logger, () =>
+          this.recordBeside(sent, this.sender.readWithdrawn(sent)),
+        );
       },
     });
   }
@@ -285,11 +296,13 @@
 
   /** Tries the next engine that has room; returns undefined if there is none. */
   private async tryEngine(): Promise<TryResult | undefined> {
+    this.stages.enter(RequestStage.reservation);
     const reservation = await this.reserve(this.caller);
     if (reservation === undefined) {
       if (!this.caller.aborted) return undefined;
       return { end: TryEnd.callerGone, message: "the caller has left" };
     }
+    this.stages.enter(RequestStage.prefill);
     const start = await this.prepare(reservation);
     const stopped = this.stopBeforeSend(start);
     if (stopped === undefined) return this.followRun(this.send(start, this.runs + 1));
@@ -300,9 +313,16 @@
   /** Forwards the stream of a run that was sent, to its end. */
   private async followRun(sent: SentRun): Promise<TryResult> {
     this.currentRun = sent;
-    const result = await this.decoder.follow(sent, this.replacer);
-    this.finishRun(sent, result);
-    return result;
+    this.stages.enter(RequestStage.head);
+    try {
+      const result = await this.decoder.follow(sent, this.replacer);
+      this.finishRun(sent, result);
+      return result;
+    } catch (error) {
+      sent.abort();
+      this.finishTry(sent.start, { end: TryEnd.broken, message: "an unexpected error ended it" });
+      throw error;
+    }
   }
 
   private finishRun({ start }: SentRun, result: TryResult): void {
@@ -329,10 +349,17 @@
     const startedAt = clock.now();
     const deadlineSignal = this.createDeadlineSignal(this.caller);
     const searchSignal = search && this.createDeadlineSignal(search);
-    const source = await this.prefill(reservation.endpoint, searchSignal ?? deadlineSignal);
-    searchSignal?.close();
-    const engine = { reservation, source };
-    return { engine, startedAt, prefilledAt: clock.now(), deadlineSignal };
+    try {
+      const source = await this.prefill(reservation.endpoint, searchSignal ?? deadlineSignal);
+      const engine = { reservation, source };
+      return { engine, startedAt, prefilledAt: clock.now(), deadlineSignal };
+    } catch (error) {
+      deadlineSignal.close();
+      this.releaseEngine(reservation);
+      throw error;
+    } finally {
+      searchSignal?.close();
+    }
   }
 
   private async prefill(
