The removal of an odd entry is no gap in the watch of versions

What callers saw (in a test): for some 17 s after another writer's unreadable entry was removed, streams were not taken up by the only version (503, 300 ms), though each record had been read. A writer that leaves and removes one now and then ended them for good.

Cause: a removal under a key of which no entry is kept counted as an endpoint that came and went unseen; an entry that can't be read is not kept either. Its key is now remembered (1,024 at most), and its removal is not passed on.

--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -36,6 +36,9 @@
  */
 const COLD_TOLERANCE_MS = 1000;
 
+/** Maximum number of keys that are remembered for entries that can't be read. */
+const MAX_UNREADABLE = 1024;
+
 /** Maximum number of entries of a process between two that are read. */
 const MAX_MISSED_ENTRIES = 100;
 
@@ -68,6 +71,8 @@
     string,
     Pick<EndpointEntry, "processStartedAt" | "sequence">
   >();
+  /** Keys under which nothing but entries that can't be read was seen. */
+  private readonly unreadable = new Set<string>();
   /** The part of the feed that was read here. */
   readonly ownReads = new OwnReads();
   private nextPosition = LOG_START;
@@ -345,7 +350,10 @@
     this.usableCache = undefined;
     if (record.value === undefined) return this.applyRemoval(record, before, now);
     const entry = this.decode(record.key, record.value);
-    if (entry === undefined) return EntryChange.unreadable;
+    if (entry === undefined) {
+      if (before === undefined) this.recordUnreadable(record.key);
+      return EntryChange.unreadable;
+    }
     const departure = this.departures.find(record.key);
     const latestKnown = [before?.latestEntry, departure].filter((known) => known !== undefined);
     const plausible = latestKnown.filter((known) => this.isPlausible(known));
@@ -380,6 +388,13 @@
     return compareEntries(before?.entry, accepted) ?? (isColder ? EntryChange.cold : undefined);
   }
 
+  /** Remembers a key whose removal then says nothing of an endpoint that was missed. */
+  private recordUnreadable(key: string): void {
+    this.unreadable.add(key);
+    const [oldest = ""] = this.unreadable;
+    if (this.unreadable.size > MAX_UNREADABLE) this.unreadable.delete(oldest);
+  }
+
   /** Remembers the process of a record that comes after a later one of its endpoint. */
   private recordEarlier(record: FeedRecord, known: FeedRecord, now: Moment): void {
     if (record.value === undefined || !isAfter(known.position, record.position)) return;
@@ -392,6 +407,7 @@
     before: ListedEndpoint | undefined,
     now: Moment,
   ): EntryChange | undefined {
+    if (before === undefined && this.unreadable.delete(record.key)) return undefined;
     const entry = before?.entry;
     if (entry !== undefined) this.processes.record(entry, now);
     const mayReturn = entry?.isLeaving === false && now < this.outageEndedAt + OUTAGE_GRACE_MS;
--- a/src/fleet/feeds/faults.ts
+++ b/src/fleet/feeds/faults.ts
@@ -17,8 +17,6 @@
 export const RecordTopic = {
   configuration: "configuration",
   endpoints: "endpoints",
-  members: "members",
-  origins: "origins",
   /** State of another instance that relays carry. */
   peers: "peers",
 } as const;
--- a/test/staleversions.spec.ts
+++ b/test/staleversions.spec.ts
@@ -51,6 +51,14 @@
     }
   }
 
+  it("goes on at the only version after an odd entry was removed", async () => {
+    instance.feed.put("odd", Buffer.from("{"));
+    instance.watch(1);
+    instance.feed.put("odd", undefined);
+    instance.watch(1);
+    assert.equal(await instance.takeUp(), "v1");
+  });
+
   it("is not joined with the older version if a newer one has come and gone", async () => {
     instance.put("e1", "v2");
     instance.feed.put("e1", undefined);
