--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -11,10 +11,10 @@
   type EndpointEntry,
   EntryChange,
   isOutOfDate,
-  isPlausible,
   MAX_COLD_MS,
 } from "./entries";
 import { chooseLater, isAfter, LOG_START, type LogPosition, OwnReads } from "./position";
+import { PlausibilityCheck } from "./plausibility";
 import { ProcessHistory } from "./processhistory";
 import type { FeedPage, FeedRecord } from "./store";
 
@@ -39,9 +39,6 @@
 /** Maximum number of keys that are remembered for entries that can't be read. */
 const MAX_UNREADABLE = 1024;
 
-/** Maximum number of entries of a process between two that are read. */
-const MAX_MISSED_ENTRIES = 100;
-
 interface MisdirectedEntry {
   readonly sequence: number;
   readonly deadline: Moment;
@@ -66,11 +63,6 @@
   private readonly departures = new DepartureTracker();
   /** The processes that the endpoints have had. */
   readonly processes = new ProcessHistory();
-  /** By endpoint: the last entry that cannot be true, and was not applied. */
-  private readonly implausible = new Map<
-    string,
-    Pick<EndpointEntry, "processStartedAt" | "sequence">
-  >();
   /** Keys under which nothing but entries that can't be read was seen. */
   private readonly unreadable = new Set<string>();
   /** The part of the feed that was read here. */
@@ -81,11 +73,15 @@
   private usableCache: readonly EndpointEntry[] | undefined;
   private gapCount = 0;
 
+  private readonly plausibility: PlausibilityCheck;
+
   /** @param readWallClock - reads this instance's wall clock, in milliseconds; never steps back */
   constructor(
     private readonly decode: EndpointDecoder,
-    private readonly readWallClock: () => number = readSteadyWallClock,
-  ) {}
+    readWallClock?: () => number,
+  ) {
+    this.plausibility = new PlausibilityCheck(readWallClock);
+  }
 
   /** The position up to which the list is known. */
   get next(): LogPosition {
@@ -302,21 +298,6 @@
     return known?.sequence === sequence && known.deadline > now;
   }
 
-  /**
-   * Checks whether the writer of an implausible entry goes on writing, as a sound process does. One that
-   * another writer left stands alone, so it is a clock that is wrong.
-   */
-  private isWrittenOn({ id, processStartedAt, sequence }: EndpointEntry): boolean {
-    const last = this.implausible.get(id);
-    this.implausible.set(id, { processStartedAt, sequence });
-    const step = last?.processStartedAt === processStartedAt ? sequence - last.sequence : 0;
-    return step > 0 && step <= MAX_MISSED_ENTRIES;
-  }
-
-  private isPlausible(process: Pick<EndpointEntry, "processStartedAt" | "sequence">): boolean {
-    return isPlausible(process, this.readWallClock());
-  }
-
   /**
    * By address: when the newest process started there. Earlier processes at the address no longer
    * exist, unless the newest entry cannot be true, or another endpoint answered there.
@@ -324,7 +305,7 @@
   private findNewestStarts(): ReadonlyMap<string, number> {
     const newest = new Map<string, number>();
     for (const { entry } of this.listed.values()) {
-      if (entry === undefined || !this.isPlausible(entry)) continue;
+      if (entry === undefined || !this.plausibility.isPlausible(entry)) continue;
       if (this.misdirected.get(entry.id)?.sequence === entry.sequence) continue;
       newest.set(entry.address, Math.max(entry.processStartedAt, newest.get(entry.address) ?? 0));
     }
@@ -356,11 +337,15 @@
     }
     const departure = this.departures.find(record.key);
     const latestKnown = [before?.latestEntry, departure].filter((known) => known !== undefined);
-    const plausible = latestKnown.filter((known) => this.isPlausible(known));
-    if (plausible.length > 0 && !this.isPlausible(entry) && !this.isWrittenOn(entry)) {
+    const plausible = latestKnown.filter((known) => this.plausibility.isPlausible(known));
+    if (
+      plausible.length > 0 &&
+      !this.plausibility.isPlausible(entry) &&
+      !this.plausibility.isWrittenOn(entry)
+    ) {
       return EntryChange.implausible;
     }
-    const comparable = this.isPlausible(entry) ? plausible : latestKnown;
+    const comparable = this.plausibility.isPlausible(entry) ? plausible : latestKnown;
     if (comparable.some((known) => isOutOfDate(entry, known))) {
       return EntryChange.outOfDate;
     }
@@ -434,8 +419,8 @@
   /** Records a departure that the list did not say, and applies it to the listed entry. */
   private recordDeparture(departure: Departure, isAnnounced: boolean, now: Moment): boolean {
     const latest = this.listed.get(departure.endpoint)?.latestEntry;
-    const isKnownSound = latest !== undefined && this.isPlausible(latest);
-    if (isKnownSound && !this.isPlausible(departure)) return false;
+    const isKnownSound = latest !== undefined && this.plausibility.isPlausible(latest);
+    if (isKnownSound && !this.plausibility.isPlausible(departure)) return false;
     if (!this.departures.record(departure, isAnnounced, now)) return false;
     const { endpoint, processStartedAt, sequence, isLeaving } = departure;
     const listed = this.listed.get(endpoint);
@@ -465,8 +450,3 @@
   const { id, processStartedAt, sequence } = endpoint;
   return { endpoint: id, processStartedAt, sequence, isLeaving };
 }
-
-/** Reads the wall clock, or what it would be by now if it had not been set back since the start. */
-function readSteadyWallClock(): number {
-  return Math.max(Date.now(), performance.timeOrigin + performance.now());
-}
