--- a/src/forward/generations/resume.ts
+++ b/src/forward/generations/resume.ts
@@ -175,7 +175,7 @@
     const now = clock.now();
     meter.resumed.inc({ service, source });
     const isUnconfirmed = source === OriginSource.unclear && confirmed === undefined;
-    if (isUnconfirmed) meter.resumesUnconfirmed.inc({ service });
+    if (isUnconfirmed) meter.unconfirmedTakeUps.inc({ service });
     logger.info("resume", {
       request: head.id,
       resumedId: head.resumedId?.slice(0, 64),
--- a/src/forward/generations/runreserver.ts
+++ b/src/forward/generations/runreserver.ts
@@ -14,6 +14,7 @@
 
 /** How long a generation that runs waits for room at another engine, in milliseconds. */
 const SEARCH_WAIT_MS = 1000;
+
 /** A search for an engine in place of a silent one. */
 export interface ReplacementSearch {
   readonly silentEngineId: string | undefined;
--- a/src/forward/requests/meter.ts
+++ b/src/forward/requests/meter.ts
@@ -64,8 +64,8 @@
     "Streams that callers took up again, by where their origin was found",
     ["service", "source"],
   );
-  readonly resumesUnconfirmed = this.createCounter(
-    "resumes_unconfirmed_total",
+  readonly unconfirmedTakeUps = this.createCounter(
+    "take_ups_unconfirmed_total",
     "Streams that callers could not take up as the list of endpoints was not confirmed in time",
     ["service"],
   );
--- a/test/staleversions.spec.ts
+++ b/test/staleversions.spec.ts
@@ -151,7 +151,7 @@
       const startedAt = performance.now();
       assert.deepEqual(await instance.takeUp(), [503, RETRY_MS]);
       assert.ok(performance.now() - startedAt < 400, "refused in time");
-      assert.match(await instance.meter.renderMetrics(), /resumes_unconfirmed_total\{[^}]*\} 1/);
+      assert.match(await instance.meter.renderMetrics(), /take_ups_unconfirmed_total\{[^}]*\} 1/);
       instance.feed[fault] = false;
       instance.feed.release();
       instance.clock.advance(RETRY_MS);
