Readers' and relays' tests: give evacuations the bound of the configuration

Again in 1 of 3 runs here (load average 1 to 4 on 8 cores).

Cause: the test. It gives a change of the configuration 2400 ms, but since the configuration is watched for the shorter of that and the bound of evacuations, which stayed at the harness's 300 ms. No heartbeat confirms a copy within 300 ms, so all five instances polled the configuration by themselves (8 of 8 traced runs: "none age 207" to "age 266", 1 or 2 polls each within the 3 s of the look). Three polls of 1.2 to 2.8 s that begin within the look make a reader of one that is none. The test of the relays had the same: its change came by own polls, not by relays.

Change: both tests give evacuations the bound that they give the configuration. All checks stay. They ask more than before: the change now has to come from the readers by heartbeats, or by the relays.

Measured, with each read printed (a trial on a copy): in the 3 s of the look the others read 1 or 2 times each before, 8 of 8, and never after, 8 of 8. The files as committed passed 2 of 2 and 1 of 1 (load average 4).

--- a/test/readers.spec.ts
+++ b/test/readers.spec.ts
@@ -231,6 +231,7 @@
           dataCentre: ["nizwa", "bahla", "izki"][index % 3] ?? "",
           drainMs: BOUND_MS,
           configApplyMs: BOUND_MS,
+          evacuationMs: BOUND_MS,
           knownPeers: [...knownPeers],
         },
       );
--- a/test/relayinstances.spec.ts
+++ b/test/relayinstances.spec.ts
@@ -27,6 +27,7 @@
         maxDirectInstances: 3,
         drainMs: 2000,
         configApplyMs: 2000,
+        evacuationMs: 2000,
       });
       running.push(started);
       knownPeers.push(`127.0.0.1:${started.settings.peers.port}`);
