Tasks: one class for tasks at an interval, in place of eleven timers

Cause: the same eight lines (a timer, a turn, runTask around it, its clearing) stood in nine modules of src/control, in the joiner and in the rebalancer. Each was guarded against errors by hand; the next one would have to remember it.

Change: PeriodicTask in core/tasks starts, runs and closes such a task, and guards each turn by itself. What runs, how often, and what the log calls it stay.

--- a/src/control/controlreader.ts
+++ b/src/control/controlreader.ts
@@ -13,7 +13,7 @@
 } from "../core/config/controlfold";
 import type { IdGenerator } from "../core/ids";
 import type { Logger } from "../core/log";
-import { runTask } from "../core/tasks";
+import { PeriodicTask } from "../core/tasks";
 import type { PullReply, PullRequest } from "../peer/gen/peer";
 import type { LogClient, LogPage } from "../store/log";
 import { StreamName } from "../store/log";
@@ -34,7 +34,7 @@
   private hasReadLog = false;
   private readonly reader: StreamReader;
   private readonly appender: Appender;
-  private timer: NodeJS.Timeout | undefined;
+  private readonly task: PeriodicTask;
 
   constructor(
     private readonly board: Blackboard,
@@ -47,6 +47,9 @@
   ) {
     this.reader = new StreamReader(log, StreamName.control, this, clock, logger);
     this.appender = new Appender(log, StreamName.control, logger);
+    this.task = new PeriodicTask("append a snapshot", SNAPSHOT_CHECK_INTERVAL_MS, logger, () => {
+      this.appendSnapshotIfDue();
+    });
   }
 
   get next(): number {
@@ -65,17 +68,11 @@
 
   start(): void {
     this.reader.start();
-    const turn = () => {
-      this.appendSnapshotIfDue();
-    };
-    this.timer = setInterval(
-      () => void runTask("append a snapshot", this.logger, turn),
-      SNAPSHOT_CHECK_INTERVAL_MS,
-    );
+    this.task.start();
   }
 
   close(): void {
-    clearInterval(this.timer);
+    this.task.close();
     this.reader.close();
   }
 
--- a/src/control/elector.ts
+++ b/src/control/elector.ts
@@ -17,7 +17,7 @@
 import { parseInstance } from "../core/ids";
 import type { Logger } from "../core/log";
 import { chooseByRendezvousHash } from "../core/rendezvous";
-import { runTask } from "../core/tasks";
+import { PeriodicTask } from "../core/tasks";
 import type { LogClient } from "../store/log";
 import { StreamName } from "../store/log";
 import { Appender } from "./appender";
@@ -52,7 +52,7 @@
    */
   private leaseStart: { recordId: string; startedAt: number } | undefined;
   private readonly appender: Appender;
-  private timer: NodeJS.Timeout | undefined;
+  private readonly task: PeriodicTask;
 
   constructor(
     private readonly board: Blackboard,
@@ -63,20 +63,17 @@
     private readonly logger: Logger,
   ) {
     this.appender = new Appender(log, StreamName.control, logger);
+    this.task = new PeriodicTask("check duties", CHECK_INTERVAL_MS, logger, () => {
+      this.check();
+    });
   }
 
   start(): void {
-    const turn = () => {
-      this.check();
-    };
-    this.timer = setInterval(
-      () => void runTask("check duties", this.logger, turn),
-      CHECK_INTERVAL_MS,
-    );
+    this.task.start();
   }
 
   close(): void {
-    clearInterval(this.timer);
+    this.task.close();
   }
 
   /**
--- a/src/control/endpointcontroller.ts
+++ b/src/control/endpointcontroller.ts
@@ -9,7 +9,7 @@
 import { type Endpoint, Role } from "../core/config/objects";
 import { isEvacuated } from "../core/config/evacuations";
 import type { Logger } from "../core/log";
-import { runTask } from "../core/tasks";
+import { PeriodicTask, runTask } from "../core/tasks";
 import type { EngineClient } from "../endpoint/engine";
 import { isEndpointLeaving } from "./listpoller";
 import type { InstanceIdentity } from "./membership";
@@ -23,7 +23,7 @@
 
 /** Sends orders while this instance has the controller's lease. */
 export class EndpointController {
-  private timer: NodeJS.Timeout | undefined;
+  private readonly task: PeriodicTask;
   private readonly retryOrderAt = new Map<string, Moment>();
   /**
    * The uninterrupted period with a fencing token: when it began, and when a token was last read.
@@ -37,20 +37,18 @@
     private readonly engines: EngineClient,
     private readonly clock: Clock,
     private readonly logger: Logger,
-  ) {}
+  ) {
+    this.task = new PeriodicTask("check endpoints", CHECK_INTERVAL_MS, logger, () => {
+      this.check();
+    });
+  }
 
   start(): void {
-    const turn = () => {
-      this.check();
-    };
-    this.timer = setInterval(
-      () => void runTask("check endpoints", this.logger, turn),
-      CHECK_INTERVAL_MS,
-    );
+    this.task.start();
   }
 
   close(): void {
-    clearInterval(this.timer);
+    this.task.close();
   }
 
   private check(): void {
--- a/src/control/holds.ts
+++ b/src/control/holds.ts
@@ -6,7 +6,7 @@
 import type { Clock, Moment } from "../core/clock";
 import type { Logger } from "../core/log";
 import { type Metrics, Metric } from "../core/metrics";
-import { runTask } from "../core/tasks";
+import { PeriodicTask, runTask } from "../core/tasks";
 import type { EngineClient } from "../endpoint/engine";
 
 const RELEASE_RETRY_INTERVAL_MS = 250;
@@ -23,27 +23,25 @@
 export class HoldTracker {
   private readonly entries = new Map<string, TrackedHold>();
   private readonly releasingUrls = new Set<string>();
-  private timer: NodeJS.Timeout | undefined;
+  private readonly task: PeriodicTask;
 
   constructor(
     private readonly engines: EngineClient,
     private readonly clock: Clock,
     private readonly metrics: Metrics,
     private readonly logger: Logger,
-  ) {}
+  ) {
+    this.task = new PeriodicTask("release holds", RELEASE_RETRY_INTERVAL_MS, logger, () => {
+      this.sendPendingReleases();
+    });
+  }
 
   start(): void {
-    const turn = () => {
-      this.sendPendingReleases();
-    };
-    this.timer = setInterval(
-      () => void runTask("release holds", this.logger, turn),
-      RELEASE_RETRY_INTERVAL_MS,
-    );
+    this.task.start();
   }
 
   close(): void {
-    clearInterval(this.timer);
+    this.task.close();
   }
 
   /** Number of holds that are not known to be released. */
--- a/src/control/listpoller.ts
+++ b/src/control/listpoller.ts
@@ -5,31 +5,32 @@
 import type { Blackboard } from "../board/board";
 import type { Clock, Moment } from "../core/clock";
 import type { Logger } from "../core/log";
-import { runTask } from "../core/tasks";
+import { PeriodicTask } from "../core/tasks";
 import type { InstanceList } from "../store/list";
 
 const POLL_INTERVAL_MS = 500;
 
 /** Polls the list at a fixed interval; a failed read leaves the last list in place. */
 export class ListPoller {
-  private timer: NodeJS.Timeout | undefined;
+  private readonly task: PeriodicTask;
   private isReading = false;
 
   constructor(
     private readonly board: Blackboard,
     private readonly list: InstanceList,
     private readonly clock: Clock,
-    private readonly logger: Logger,
-  ) {}
+    logger: Logger,
+  ) {
+    this.task = new PeriodicTask("read the list", POLL_INTERVAL_MS, logger, () => this.poll());
+  }
 
   start(): void {
-    const poll = () => void runTask("read the list", this.logger, () => this.poll());
-    this.timer = setInterval(poll, POLL_INTERVAL_MS);
-    poll();
+    this.task.start();
+    this.task.run();
   }
 
   close(): void {
-    clearInterval(this.timer);
+    this.task.close();
   }
 
   private async poll(): Promise<void> {
--- a/src/control/membership.ts
+++ b/src/control/membership.ts
@@ -10,7 +10,7 @@
 import type { Logger } from "../core/log";
 import { listDataCentresSharingPools } from "../core/pools";
 import { chooseByRendezvousHash } from "../core/rendezvous";
-import { runTask } from "../core/tasks";
+import { PeriodicTask, runTask } from "../core/tasks";
 import type { HeartbeatMessage, Member } from "../peer/gen/peer";
 import type { PeerTransport } from "../peer/transport";
 import type { ListEntry } from "../store/list";
@@ -42,7 +42,7 @@
 
 /** Sends and answers heartbeats. */
 export class Membership {
-  private timer: NodeJS.Timeout | undefined;
+  private readonly task: PeriodicTask;
   private isPulling = false;
   /** How far each member has read the control stream, from its own heartbeats only. */
   private readonly progress = new Map<string, MemberProgress>();
@@ -56,19 +56,19 @@
     private readonly control: ControlProgress,
     private readonly clock: Clock,
     private readonly logger: Logger,
-  ) {}
+  ) {
+    this.task = new PeriodicTask("send heartbeats", HEARTBEAT_INTERVAL_MS, logger, () => {
+      this.sendHeartbeats();
+    });
+  }
 
   start(): void {
-    const turn = () => {
-      this.sendHeartbeats();
-    };
-    const send = () => void runTask("send heartbeats", this.logger, turn);
-    this.timer = setInterval(send, HEARTBEAT_INTERVAL_MS);
-    send();
+    this.task.start();
+    this.task.run();
   }
 
   close(): void {
-    clearInterval(this.timer);
+    this.task.close();
   }
 
   /**
--- a/src/control/prober.ts
+++ b/src/control/prober.ts
@@ -7,7 +7,7 @@
 import type { Clock, Moment } from "../core/clock";
 import { Role } from "../core/config/objects";
 import type { Logger } from "../core/log";
-import { runTask } from "../core/tasks";
+import { PeriodicTask, runTask } from "../core/tasks";
 import type { EngineReport, EngineClient } from "../endpoint/engine";
 import { EngineFault } from "../endpoint/fault";
 import type { OwnedEndpoints } from "./ownership";
@@ -27,7 +27,7 @@
 
 /** Fetches reports at a fixed interval. */
 export class Prober {
-  private timer: NodeJS.Timeout | undefined;
+  private readonly task: PeriodicTask;
   private readonly probesInFlight = new Set<string>();
   private readonly listeners: ReportListener[] = [];
 
@@ -42,20 +42,18 @@
     /** Returns whether this instance controls the endpoints of its data centre. */
     private readonly isController: () => boolean,
     private readonly logger: Logger,
-  ) {}
+  ) {
+    this.task = new PeriodicTask("probe endpoints", PROBE_INTERVAL_MS, logger, () => {
+      this.probe();
+    });
+  }
 
   start(): void {
-    const turn = () => {
-      this.probe();
-    };
-    this.timer = setInterval(
-      () => void runTask("probe endpoints", this.logger, turn),
-      PROBE_INTERVAL_MS,
-    );
+    this.task.start();
   }
 
   close(): void {
-    clearInterval(this.timer);
+    this.task.close();
   }
 
   /** Calls `listener` with every report that arrives. */
--- a/src/control/scheduler.ts
+++ b/src/control/scheduler.ts
@@ -11,7 +11,7 @@
 import { Reason } from "../core/outcome";
 import type { Placement, PlacementPolicy } from "../core/placement";
 import { listPools, type Pool } from "../core/pools";
-import { runTask } from "../core/tasks";
+import { PeriodicTask, runTask } from "../core/tasks";
 import type { EngineReport } from "../endpoint/engine";
 import { EngineFault } from "../endpoint/fault";
 import type { BookReply, BookRequest, Done, Grant, Refusal, Want } from "../peer/gen/peer";
@@ -75,7 +75,7 @@
   private readonly pools = new Map<string, ScheduledPool>();
   private readonly requests = new Map<string, KnownRequest>();
   private readonly sessions = new Map<string, SchedulerSession>();
-  private timer: NodeJS.Timeout | undefined;
+  private readonly task: PeriodicTask;
 
   constructor(
     private readonly board: Blackboard,
@@ -85,17 +85,18 @@
     private readonly metrics: Metrics,
     /** Called when a pool is first scheduled here, to fetch fresh reports. */
     private readonly onNewPool: () => void,
-  ) {}
+  ) {
+    this.task = new PeriodicTask("schedule", TICK_INTERVAL_MS, logger, () => {
+      this.tick();
+    });
+  }
 
   start(): void {
-    const turn = () => {
-      this.tick();
-    };
-    this.timer = setInterval(() => void runTask("schedule", this.logger, turn), TICK_INTERVAL_MS);
+    this.task.start();
   }
 
   close(): void {
-    clearInterval(this.timer);
+    this.task.close();
   }
 
   /** Lists the pools that are scheduled here. */
--- a/src/control/sweeper.ts
+++ b/src/control/sweeper.ts
@@ -7,7 +7,7 @@
 import { parseInstance, parseIncarnation } from "../core/ids";
 import { isEvacuated } from "../core/config/evacuations";
 import type { Logger } from "../core/log";
-import { runTask } from "../core/tasks";
+import { PeriodicTask, runTask } from "../core/tasks";
 import type { EngineClient } from "../endpoint/engine";
 import type { OwnedEndpoints } from "./ownership";
 import { isIncarnationGone } from "./listpoller";
@@ -17,7 +17,7 @@
 
 /** Releases orphaned holds on the endpoints that this instance owns. */
 export class Sweeper {
-  private timer: NodeJS.Timeout | undefined;
+  private readonly task: PeriodicTask;
 
   constructor(
     private readonly board: Blackboard,
@@ -26,20 +26,18 @@
     private readonly clock: Clock,
     private readonly ownedEndpoints: OwnedEndpoints,
     private readonly logger: Logger,
-  ) {}
+  ) {
+    this.task = new PeriodicTask("sweep holds", SWEEP_INTERVAL_MS, logger, () => {
+      this.sweep();
+    });
+  }
 
   start(): void {
-    const turn = () => {
-      this.sweep();
-    };
-    this.timer = setInterval(
-      () => void runTask("sweep holds", this.logger, turn),
-      SWEEP_INTERVAL_MS,
-    );
+    this.task.start();
   }
 
   close(): void {
-    clearInterval(this.timer);
+    this.task.close();
   }
 
   private sweep(): void {
--- a/src/core/tasks.ts
+++ b/src/core/tasks.ts
@@ -10,7 +10,7 @@
  * @param name - what the log calls the task
  * @returns true if the turn ended without an error; never rejects
  * @example
- * setInterval(() => void runTask("read members", logger, () => this.readMembers()), 20_000);
+ * void runTask("read members", logger, () => this.readMembers());
  */
 export async function runTask(
   name: string,
@@ -25,3 +25,41 @@
     return false;
   }
 }
+
+/**
+ * A task that runs a turn at a fixed interval, whether or not the turn before has ended.
+ *
+ * @example
+ * const sweep = new PeriodicTask("sweep holds", 500, logger, () => this.sweepHolds());
+ * sweep.start();
+ */
+export class PeriodicTask {
+  private timer: NodeJS.Timeout | undefined;
+
+  /**
+   * @param name - what the log calls the task
+   * @param intervalMs - from one turn to the next, in milliseconds
+   */
+  constructor(
+    private readonly name: string,
+    private readonly intervalMs: number,
+    private readonly logger: Logger,
+    private readonly turn: () => Promise<void> | void,
+  ) {}
+
+  /** Starts the interval; the first turn is due at its end. */
+  start(): void {
+    this.timer = setInterval(() => {
+      this.run();
+    }, this.intervalMs);
+  }
+
+  /** Runs one turn now. */
+  run(): void {
+    void runTask(this.name, this.logger, this.turn);
+  }
+
+  close(): void {
+    clearInterval(this.timer);
+  }
+}
--- a/src/fleet/joiner.ts
+++ b/src/fleet/joiner.ts
@@ -4,7 +4,7 @@
 import * as E from "fp-ts/Either";
 import { type Clock, type Moment, pause } from "../core/clock";
 import type { Logger } from "../core/log";
-import { runTask } from "../core/tasks";
+import { PeriodicTask, runTask } from "../core/tasks";
 import type { Meter } from "../forward/requests";
 import type { MemberList, MemberIdentity } from "./members";
 import type { WritableFeed } from "./store";
@@ -52,7 +52,7 @@
 
 /** Joins the fleet, and refreshes the list of members periodically. */
 export class Joiner {
-  private timer: NodeJS.Timeout | undefined;
+  private readonly refreshTask: PeriodicTask;
   private isClosed = false;
   private hasJoined = false;
   private isJoining = false;
@@ -69,18 +69,20 @@
     private readonly logger: Logger,
     private readonly onJoined: () => void,
     private readonly policy: JoinPolicy = JOIN_AT_ONCE,
-  ) {}
+  ) {
+    this.refreshTask = new PeriodicTask("refresh members", MEMBERS_REFRESH_MS, logger, () =>
+      this.refresh(),
+    );
+  }
 
   start(): void {
     void runTask("join", this.logger, () => this.joinUnlessFound());
-    this.timer = setInterval(() => {
-      void runTask("refresh members", this.logger, () => this.refresh());
-    }, MEMBERS_REFRESH_MS);
+    this.refreshTask.start();
   }
 
   close(): void {
     this.isClosed = true;
-    clearInterval(this.timer);
+    this.refreshTask.close();
   }
 
   /** Writes this instance's record again: a restored store may have lost it. */
--- a/src/forward/engines/rebalancer.ts
+++ b/src/forward/engines/rebalancer.ts
@@ -7,7 +7,7 @@
 import type { Clock, Moment } from "../../core/clock";
 import type { Logger } from "../../core/log";
 import { chooseByRendezvousHash } from "../../core/rendezvous";
-import { runTask } from "../../core/tasks";
+import { PeriodicTask, runTask } from "../../core/tasks";
 import type { FleetService } from "../../fleet/config";
 import type { OrderLeases } from "../../fleet/orders";
 import type { EndpointClient } from "../endpoints";
@@ -49,21 +49,23 @@
 
 /** Rebalances the stages of engines. */
 export class StageRebalancer {
-  private timer: NodeJS.Timeout | undefined;
+  private readonly task: PeriodicTask;
   private readonly wantedSince = new Map<string, Moment>();
   private nextOrderAt: Moment = 0;
   private isChecking = false;
 
-  constructor(private readonly parts: StageRebalancerParts) {}
+  constructor(private readonly parts: StageRebalancerParts) {
+    this.task = new PeriodicTask("check stages", CHECK_INTERVAL_MS, parts.logger, () =>
+      this.checkStages(),
+    );
+  }
 
   start(): void {
-    this.timer = setInterval(() => {
-      void runTask("check stages", this.parts.logger, () => this.checkStages());
-    }, CHECK_INTERVAL_MS);
+    this.task.start();
   }
 
   close(): void {
-    clearInterval(this.timer);
+    this.task.close();
   }
 
   /** Checks once whether a change is called for, and orders it if this instance is responsible. */
