Callers: the writing of responses moves to its own module

Change: callers/responses.ts writes refusals, whole responses and streams, and tells the connections which response ends theirs; the server keeps reading and handing over. The request of a refused response is read from the response. No change of behaviour.

--- /dev/null
+++ b/src/forward/callers/responses.ts
@@ -0,0 +1,128 @@
+/**
+ * Writes the responses to callers: refusals, those that are known whole, and streams.
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import * as E from "fp-ts/Either";
+import type { Logger } from "../../core/log";
+import { ExecutionStatus, Reason, Refusal } from "../../core/outcome";
+import type { StreamSink } from "../generations";
+import {
+  type BufferedResponse,
+  type CallerCodec,
+  type Meter,
+  RequestStage,
+  type StageRecorder,
+} from "../requests";
+import type { CallerConnections } from "./connections";
+
+/** Writes responses, and tells the connections which of them end theirs. */
+export class ResponseWriter {
+  constructor(
+    private readonly codec: CallerCodec,
+    private readonly connections: CallerConnections,
+    private readonly logger: Logger,
+    private readonly meter: Meter,
+    /** Checks whether the response to a request is the last one on its connection. */
+    private readonly isLast: (request: IncomingMessage) => boolean,
+  ) {}
+
+  /** Sends a response that is known whole. */
+  send(response: ServerResponse, buffered: BufferedResponse): void {
+    if (response.destroyed) return;
+    const { head, body, isFramed } = buffered;
+    const length = isFramed ? ["content-length", String(body.length)] : [];
+    this.writeHead(response, head.status, [...head.headers, ...length], isFramed);
+    response.end(body);
+  }
+
+  /** Refuses a request; it is logged and counted also where its caller has left. */
+  refuse(response: ServerResponse, id: string | undefined, refusal: Refusal): void {
+    const { status, reason, ran, message } = refusal;
+    this.meter.refusals.inc({ reason });
+    const retryAfterMs = refusal.retryAfterMs ?? 0;
+    const fields = { request: id ?? "", status, reason, ran, message, retryAfterMs };
+    if (reason === Reason.cancelled) this.logger.info("cancelled", fields);
+    else this.logger.warn("refused", fields);
+    if (response.destroyed) return;
+    const body = Buffer.from(JSON.stringify({ error: { type: reason, message, outcome: ran } }));
+    const headers = [...this.codec.listRefusalHeaders(id, refusal)];
+    headers.push("content-type", "application/json", "content-length", String(body.length));
+    if (!response.req.complete) headers.push("connection", "close");
+    this.writeHead(response, status, headers);
+    response.end(body);
+  }
+
+  /** Creates the sink through which a stream is sent. */
+  createSink(response: ServerResponse, stages: StageRecorder): StreamSink {
+    let isUnframed = false;
+    const isOver = () => response.destroyed || response.writableEnded;
+    return {
+      begin: (status, headers, isFramed) => {
+        if (isOver()) return;
+        isUnframed = !isFramed || !hasChunks(response.req);
+        stages.enter(RequestStage.stream);
+        this.writeHead(response, status, headers, !isUnframed);
+        response.flushHeaders();
+      },
+      write: (bytes) => {
+        if (isOver()) return;
+        stages.enter(RequestStage.stream);
+        response.write(bytes);
+      },
+      end: () => {
+        response.end();
+      },
+      cut: () => {
+        if (isOver()) return;
+        // A proper close would end an unframed response as whole.
+        if (isUnframed) response.socket?.resetAndDestroy();
+        response.destroy();
+      },
+    };
+  }
+
+  /**
+   * Writes a response head. The connection closes after an unframed response, as it did between the
+   * endpoint and the router.
+   */
+  private writeHead(
+    response: ServerResponse,
+    status: number,
+    headers: readonly string[],
+    isFramed = true,
+  ): void {
+    response.sendDate = false;
+    response.useChunkedEncodingByDefault = isFramed;
+    const isLast = this.isLast(response.req);
+    if (isLast || !isFramed) response.shouldKeepAlive = false;
+    if (!response.shouldKeepAlive) this.connections.markEnding(response.req.socket);
+    if (!isFramed) this.connections.markUnframed(response);
+    response.writeHead(status, [...headers]);
+  }
+}
+
+/** Cuts a response whose head was sent, so that it can't look whole. */
+export function cutResponse(response: ServerResponse): void {
+  response.socket?.resetAndDestroy();
+  response.destroy();
+}
+
+/**
+ * Ends the response to an overdue request: a stream that has begun is cut.
+ *
+ * @returns the refusal that has to be sent; undefined if nothing more can be
+ */
+export function endOverdue(response: ServerResponse): E.Either<Refusal, never> | undefined {
+  if (response.writableEnded) return undefined;
+  if (response.headersSent) {
+    cutResponse(response);
+    return undefined;
+  }
+  const message = "the request was not answered in time";
+  return E.left(new Refusal(504, Reason.deadline, ExecutionStatus.unknown, message));
+}
+
+/** Checks that a caller's protocol has chunks; HTTP/1.0 has none. */
+function hasChunks({ httpVersionMajor, httpVersionMinor }: IncomingMessage): boolean {
+  return httpVersionMajor > 1 || httpVersionMinor > 0;
+}
--- a/src/forward/callers/server.ts
+++ b/src/forward/callers/server.ts
@@ -13,13 +13,7 @@
 import { BadConnections } from "../../entry/badconnection";
 import { BodyFailure, createBodyRefusal, readCallerBody } from "../../entry/callerbody";
 import { endIfUnread } from "../../entry/unread";
-import {
-  createNotRunRefusal,
-  createUnknownRefusal,
-  ExecutionStatus,
-  Reason,
-  Refusal,
-} from "../../core/outcome";
+import { createNotRunRefusal, createUnknownRefusal, Reason, Refusal } from "../../core/outcome";
 import { CallerConnections } from "./connections";
 import {
   CHECK_INTERVAL_MS,
@@ -28,13 +22,8 @@
   OverdueRequests,
   type WatchedRequest,
 } from "./overdue";
-import {
-  type BufferedResponse,
-  type CallerCodec,
-  type Meter,
-  type RequestHead,
-  RequestStage,
-} from "../requests";
+import { cutResponse, endOverdue, ResponseWriter } from "./responses";
+import type { BufferedResponse, CallerCodec, Meter, RequestHead } from "../requests";
 import type { StreamSink } from "../generations";
 
 /** Limits until a configuration is known. */
@@ -84,6 +73,7 @@
   private readonly connections = new CallerConnections();
   private readonly badConnections = new BadConnections();
   private readonly overdue: OverdueRequests;
+  private readonly responses: ResponseWriter;
   private overdueTimer: NodeJS.Timeout | undefined;
   private limits = INITIAL_LIMITS;
   private openRequests = 0;
@@ -102,6 +92,13 @@
     private readonly onHead: () => void = () => undefined,
   ) {
     this.overdue = new OverdueRequests(() => clock.now());
+    this.responses = new ResponseWriter(
+      codec,
+      this.connections,
+      logger,
+      meter,
+      (request) => this.isClosing && this.isLast(request),
+    );
     this.server = createServer(
       {
         maxHeaderSize: MAX_PARSED_HEAD_BYTES,
@@ -196,7 +193,7 @@
     try {
       await this.respond(request, response, arrivedAt, callerAbort);
     } catch (error) {
-      this.failRequest(request, response, undefined, error);
+      this.failRequest(response, undefined, error);
     }
     endIfUnread({ request, response }, this.limits.idleTimeoutMs, this.badConnections);
     // The head of a stream may have been sent, without "connection: close", before closing began.
@@ -247,14 +244,14 @@
     };
     const head = this.readHead(request);
     if (E.isLeft(head)) {
-      this.refuse(request, response, undefined, head.left);
+      this.responses.refuse(response, undefined, head.left);
       return;
     }
     const body = await readCallerBody(request, bodyLimits);
     if (abort.signal.aborted) return;
     if (E.isLeft(body)) {
       if (body.left === BodyFailure.callerGone) return;
-      this.refuse(request, response, head.right.id, createBodyRefusal(body.left, bodyLimits));
+      this.responses.refuse(response, head.right.id, createBodyRefusal(body.left, bodyLimits));
       return;
     }
     const callerRequest = { head: head.right, body: body.right, arrivedAt, caller: abort.signal };
@@ -262,10 +259,10 @@
       const result = await this.handleInTime(callerRequest, response, abort);
       if (result === undefined) return;
       if (E.isLeft(result))
-        this.refuse(request, response, head.right.id, this.convertCancelled(result.left));
-      else this.sendBuffered(response, result.right);
+        this.responses.refuse(response, head.right.id, this.convertCancelled(result.left));
+      else this.responses.send(response, result.right);
     } catch (error) {
-      this.failRequest(request, response, head.right.id, error);
+      this.failRequest(response, head.right.id, error);
     }
   }
 
@@ -279,11 +276,11 @@
     return new Promise((resolve, reject) => {
       const watched = this.overdue.begin(this.clock.now() + MAX_ADMISSION_MS, (report) => {
         this.reportOverdue(id, report);
-        resolve(createOverdueResponse(response));
+        resolve(endOverdue(response));
         abort.abort();
       });
       const handle = async () =>
-        this.handler({ ...request, sink: this.createSink(response, watched), watched });
+        this.handler({ ...request, sink: this.responses.createSink(response, watched), watched });
       const end = () => {
         if (!this.overdue.end(watched)) this.logger.info("overdue request ended", { request: id });
       };
@@ -314,12 +311,7 @@
    * Ends a request whose handling threw an unexpected error, of which nothing but this request may
    * notice anything. It may have run; a response whose head was sent is cut.
    */
-  private failRequest(
-    request: IncomingMessage,
-    response: ServerResponse,
-    id: string | undefined,
-    error: unknown,
-  ): void {
+  private failRequest(response: ServerResponse, id: string | undefined, error: unknown): void {
     this.logger.error("unexpected error", { request: id ?? "", stack: formatStack(error) });
     if (response.writableEnded) return;
     if (response.headersSent) {
@@ -327,7 +319,7 @@
       return;
     }
     const message = "an unexpected error ended the request";
-    this.refuse(request, response, id, createUnknownRefusal(Reason.outcomeUnknown, message));
+    this.responses.refuse(response, id, createUnknownRefusal(Reason.outcomeUnknown, message));
   }
 
   /** A request that this server has ended may have run, and its caller waits for an answer. */
@@ -345,82 +337,6 @@
     return this.codec.readHead(request);
   }
 
-  private sendBuffered(response: ServerResponse, buffered: BufferedResponse): void {
-    if (response.destroyed) return;
-    const { head, body, isFramed } = buffered;
-    const length = isFramed ? ["content-length", String(body.length)] : [];
-    this.writeHead(response, head.status, [...head.headers, ...length], isFramed);
-    response.end(body);
-  }
-
-  private refuse(
-    request: IncomingMessage,
-    response: ServerResponse,
-    id: string | undefined,
-    refusal: Refusal,
-  ): void {
-    const { status, reason, ran, message } = refusal;
-    this.meter.refusals.inc({ reason });
-    const retryAfterMs = refusal.retryAfterMs ?? 0;
-    const fields = { request: id ?? "", status, reason, ran, message, retryAfterMs };
-    if (reason === Reason.cancelled) this.logger.info("cancelled", fields);
-    else this.logger.warn("refused", fields);
-    if (response.destroyed) return;
-    const body = Buffer.from(JSON.stringify({ error: { type: reason, message, outcome: ran } }));
-    const headers = [...this.codec.listRefusalHeaders(id, refusal)];
-    headers.push("content-type", "application/json", "content-length", String(body.length));
-    if (!request.complete) headers.push("connection", "close");
-    this.writeHead(response, status, headers);
-    response.end(body);
-  }
-
-  /**
-   * Writes a response head. The connection closes after an unframed response, as it did between the
-   * endpoint and the router.
-   */
-  private writeHead(
-    response: ServerResponse,
-    status: number,
-    headers: readonly string[],
-    isFramed = true,
-  ): void {
-    response.sendDate = false;
-    response.useChunkedEncodingByDefault = isFramed;
-    const isLast = this.isClosing && this.isLast(response.req);
-    if (isLast || !isFramed) response.shouldKeepAlive = false;
-    if (!response.shouldKeepAlive) this.connections.markEnding(response.req.socket);
-    if (!isFramed) this.connections.markUnframed(response);
-    response.writeHead(status, [...headers]);
-  }
-
-  private createSink(response: ServerResponse, watched: WatchedRequest): StreamSink {
-    let isUnframed = false;
-    const isOver = () => response.destroyed || response.writableEnded;
-    return {
-      begin: (status, headers, isFramed) => {
-        if (isOver()) return;
-        isUnframed = !isFramed || !hasChunks(response.req);
-        watched.enter(RequestStage.stream);
-        this.writeHead(response, status, headers, !isUnframed);
-        response.flushHeaders();
-      },
-      write: (bytes) => {
-        if (isOver()) return;
-        watched.enter(RequestStage.stream);
-        response.write(bytes);
-      },
-      end: () => {
-        response.end();
-      },
-      cut: () => {
-        if (isOver()) return;
-        // A proper close would end an unframed response as whole.
-        if (isUnframed) response.socket?.resetAndDestroy();
-        response.destroy();
-      },
-    };
-  }
-
   /**
    * Answers a connection whose request head exceeds its timeout, unless the rest came in time: after
    * the process stood still, the timeout is checked before the socket is read.
@@ -449,23 +365,6 @@
   }
 }
 
-/** Cuts a response whose head was sent, so that it can't look whole. */
-function cutResponse(response: ServerResponse): void {
-  response.socket?.resetAndDestroy();
-  response.destroy();
-}
-
-/** Creates the final response of an overdue request; a stream that has begun is cut. */
-function createOverdueResponse(response: ServerResponse): CallerResponse {
-  if (response.writableEnded) return undefined;
-  if (response.headersSent) {
-    cutResponse(response);
-    return undefined;
-  }
-  const message = "the request was not answered in time";
-  return E.left(new Refusal(504, Reason.deadline, ExecutionStatus.unknown, message));
-}
-
 /**
  * Closes a kept connection at its idle timeout, unless its next request came in time: after the
  * process stood still, the timeout fires before the socket is read.
@@ -477,11 +376,6 @@
   });
 }
 
-/** Checks that a caller's protocol has chunks; HTTP/1.0 has none. */
-function hasChunks({ httpVersionMajor, httpVersionMinor }: IncomingMessage): boolean {
-  return httpVersionMajor > 1 || httpVersionMinor > 0;
-}
-
 /** Closes a connection once its response has been sent. */
 function endAfter(socket: Socket, response: ServerResponse): void {
   if (response.writableFinished) socket.end();
