Directory of endpoints: split along its jobs, no change of behaviour

Change: src/fleet/listed has what the directory keeps of endpoints: departures and plausibility (moved), entries that proved wrong, and what outlives an entry (split off).

--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -3,18 +3,18 @@
  * such as misdirected requests and outages of the store.
  */
 import type { Moment } from "../core/clock";
-import { type Departure, DepartureTracker } from "./departures";
 import {
   compareEntries,
   type DirectoryChange,
   type EndpointDecoder,
   type EndpointEntry,
   EntryChange,
-  isOutOfDate,
-  MAX_COLD_MS,
 } from "./entries";
+import { createDeparture, type Departure, DepartureTracker } from "./listed/departures";
+import { createListed, createRemoved, type ListedEndpoint, readColdEnd } from "./listed/endpoint";
+import { MisdirectionTracker } from "./listed/misdirections";
+import { PlausibilityCheck } from "./listed/plausibility";
 import { chooseLater, isAfter, LOG_START, type LogPosition, OwnReads } from "./position";
-import { PlausibilityCheck } from "./plausibility";
 import { ProcessHistory } from "./processhistory";
 import type { FeedPage, FeedRecord } from "./store";
 
@@ -27,9 +27,6 @@
 /** A position before that of any record. */
 const NO_POSITION: LogPosition = { ...LOG_START, offset: -1 };
 
-/** How long an entry that proved wrong is ignored without a newer one, in milliseconds. */
-const MISDIRECTED_MS = 3000;
-
 /**
  * How much longer than known an endpoint must stay cold for a change of the list, in milliseconds. The
  * remaining time is counted from when an entry is read, which varies with the store's delay.
@@ -39,27 +36,10 @@
 /** Maximum number of keys that are remembered for entries that can't be read. */
 const MAX_UNREADABLE = 1024;
 
-interface MisdirectedEntry {
-  readonly sequence: number;
-  readonly deadline: Moment;
-}
-
-interface ListedEndpoint {
-  readonly record: FeedRecord;
-  readonly entry: EndpointEntry | undefined;
-  /** Set where the entry expired around an outage of the store: the entry may return until then. */
-  readonly doubtDeadline: Moment | undefined;
-  /** The newest entry that an endpoint of this id published; kept after the entry is removed. */
-  readonly latestEntry: EndpointEntry | undefined;
-  /** Until when the process of the newest entry is cold, as its entries say. */
-  readonly coldEndsAt: Moment;
-}
-
 /** The directory of endpoints. */
 export class EndpointDirectory {
   private readonly listed = new Map<string, ListedEndpoint>();
-  /** By endpoint: the entry that proved wrong. */
-  private readonly misdirected = new Map<string, MisdirectedEntry>();
+  private readonly misdirections = new MisdirectionTracker();
   private readonly departures = new DepartureTracker();
   /** The processes that the endpoints have had. */
   readonly processes = new ProcessHistory();
@@ -164,8 +144,7 @@
    * on entries in which only the sequence number is new.
    */
   markMisdirected(endpoint: EndpointEntry, now: Moment): void {
-    const deadline = now + MISDIRECTED_MS;
-    this.misdirected.set(endpoint.id, { sequence: endpoint.sequence, deadline });
+    this.misdirections.record(endpoint, now);
     this.usableCache = undefined;
   }
 
@@ -239,7 +218,7 @@
     const usable: EndpointEntry[] = [];
     for (const [id, listed] of this.listed) {
       if (listed.entry === undefined || listed.entry.isLeaving) continue;
-      if (this.isMisdirected(listed.entry, now)) {
+      if (this.misdirections.isIgnored(listed.entry, now)) {
         canExpire = true;
         continue;
       }
@@ -293,11 +272,6 @@
     return this.listed.get(id)?.doubtDeadline !== undefined;
   }
 
-  private isMisdirected({ id, sequence }: EndpointEntry, now: Moment): boolean {
-    const known = this.misdirected.get(id);
-    return known?.sequence === sequence && known.deadline > now;
-  }
-
   /**
    * By address: when the newest process started there. Earlier processes at the address no longer
    * exist, unless the newest entry cannot be true, or another endpoint answered there.
@@ -306,7 +280,7 @@
     const newest = new Map<string, number>();
     for (const { entry } of this.listed.values()) {
       if (entry === undefined || !this.plausibility.isPlausible(entry)) continue;
-      if (this.misdirected.get(entry.id)?.sequence === entry.sequence) continue;
+      if (this.misdirections.isKnown(entry)) continue;
       newest.set(entry.address, Math.max(entry.processStartedAt, newest.get(entry.address) ?? 0));
     }
     return newest;
@@ -337,18 +311,8 @@
     }
     const departure = this.departures.find(record.key);
     const latestKnown = [before?.latestEntry, departure].filter((known) => known !== undefined);
-    const plausible = latestKnown.filter((known) => this.plausibility.isPlausible(known));
-    if (
-      plausible.length > 0 &&
-      !this.plausibility.isPlausible(entry) &&
-      !this.plausibility.isWrittenOn(entry)
-    ) {
-      return EntryChange.implausible;
-    }
-    const comparable = this.plausibility.isPlausible(entry) ? plausible : latestKnown;
-    if (comparable.some((known) => isOutOfDate(entry, known))) {
-      return EntryChange.outOfDate;
-    }
+    const refusal = this.plausibility.judge(entry, latestKnown);
+    if (refusal !== undefined) return refusal;
     const isLeaving =
       entry.isLeaving ||
       latestKnown.some(
@@ -358,18 +322,9 @@
     this.processes.record(accepted, now);
     if (isLeaving) this.departures.record(createDeparture(accepted, true), false, now);
     const knownColdEnd = readColdEnd(before, accepted);
-    const coldEndsAt = Math.max(
-      knownColdEnd,
-      now + Math.min(accepted.coldRemainingMs ?? 0, MAX_COLD_MS),
-    );
-    this.listed.set(record.key, {
-      record,
-      entry: accepted,
-      doubtDeadline: undefined,
-      latestEntry: accepted,
-      coldEndsAt,
-    });
-    const isColder = coldEndsAt > Math.max(knownColdEnd, now) + COLD_TOLERANCE_MS;
+    const listed = createListed(record, accepted, before, now);
+    this.listed.set(record.key, listed);
+    const isColder = listed.coldEndsAt > Math.max(knownColdEnd, now) + COLD_TOLERANCE_MS;
     return compareEntries(before?.entry, accepted) ?? (isColder ? EntryChange.cold : undefined);
   }
 
@@ -402,13 +357,7 @@
       this.listed.set(record.key, { record, entry, doubtDeadline, latestEntry, coldEndsAt });
       return EntryChange.inDoubt;
     }
-    this.listed.set(record.key, {
-      record,
-      entry: undefined,
-      doubtDeadline: undefined,
-      latestEntry: before?.latestEntry,
-      coldEndsAt: before?.coldEndsAt ?? Number.NEGATIVE_INFINITY,
-    });
+    this.listed.set(record.key, createRemoved(record, before));
     // It was listed in records that were not seen: a peer's list holds the newest one of each endpoint.
     if (before === undefined && !isAfter(this.nextPosition, record.position)) this.recordGap();
     if (entry === undefined) return undefined;
@@ -436,17 +385,3 @@
     return true;
   }
 }
-
-/** Reads until when the process of an entry is cold, by the entries before it. */
-function readColdEnd(
-  before: ListedEndpoint | undefined,
-  { processStartedAt }: EndpointEntry,
-): Moment {
-  const isSameProcess = before?.latestEntry?.processStartedAt === processStartedAt;
-  return isSameProcess ? before.coldEndsAt : Number.NEGATIVE_INFINITY;
-}
-
-function createDeparture(endpoint: EndpointEntry, isLeaving: boolean): Departure {
-  const { id, processStartedAt, sequence } = endpoint;
-  return { endpoint: id, processStartedAt, sequence, isLeaving };
-}
--- a/src/fleet/departures.ts
+++ b/src/fleet/listed/departures.ts
@@ -3,7 +3,8 @@
  * older record of such a process must not bring it back: not from a late writer, and not from a
  * store that was restored from an earlier copy. Peers are told what they may not know.
  */
-import type { Moment } from "../core/clock";
+import type { Moment } from "../../core/clock";
+import type { EndpointEntry } from "../entries";
 
 /** What is known of a process that left or is leaving. */
 export interface Departure {
@@ -87,3 +88,14 @@
     return departure.processStartedAt > known.processStartedAt;
   return departure.sequence > known.sequence || (departure.isLeaving && !known.isLeaving);
 }
+
+/**
+ * Creates the departure of an endpoint's process.
+ *
+ * @example
+ * createDeparture(entry, true); // the process said that it leaves
+ */
+export function createDeparture(endpoint: EndpointEntry, isLeaving: boolean): Departure {
+  const { id, processStartedAt, sequence } = endpoint;
+  return { endpoint: id, processStartedAt, sequence, isLeaving };
+}
