Own reads count the process of an entry that a peer's word made out of date

Seen: 4 of 32 in test/staleversions.spec.ts failed (by reading first): a stream of v2 was taken up at v1 where the newer process, at a new id or at a known one, left or was removed by a peer's word before its entry was read.

Cause: EndpointDirectory.apply drops such an entry as out of date and remembers nothing of its process, while the position up to which records are counted moves over it. So neither the watch nor a confirming read, which begins there, counts the version.

Ruled out: an entry whose removal is read with it (the watch ends, as before); records that come after a later one of their endpoint (remembered already).

Change: the process of an entry that is out of date is remembered; the listed one stays the newest of its endpoint, so that the history is pruned as before.

--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -312,6 +312,7 @@
     const departure = this.departures.find(record.key);
     const latestKnown = [before?.latestEntry, departure].filter((known) => known !== undefined);
     const refusal = this.plausibility.judge(entry, latestKnown);
+    if (refusal === EntryChange.outOfDate) this.recordUnlisted(entry, now, before?.entry);
     if (refusal !== undefined) return refusal;
     const isLeaving =
       entry.isLeaving ||
@@ -342,6 +343,15 @@
     if (entry !== undefined) this.processes.record(entry, now);
   }
 
+  /**
+   * Remembers the process of an entry that is not applied: streams may have begun there, and what was
+   * read is not read again. The listed one stays the newest.
+   */
+  private recordUnlisted(entry: EndpointEntry, at: Moment, listed?: EndpointEntry): void {
+    this.processes.record(entry, at);
+    if (listed !== undefined) this.processes.record(listed, at);
+  }
+
   private applyRemoval(
     record: FeedRecord,
     before: ListedEndpoint | undefined,
--- a/test/harness/watching.ts
+++ b/test/harness/watching.ts
@@ -133,6 +133,14 @@
     }
   }
 
+  /** Observes the versions of the processes that were listed of late, as the maintenance does. */
+  observe(): void {
+    const { directory, versionHistory, clock } = this;
+    const recent = directory.processes.listSince(clock.now() - 1000);
+    const seen = { next: directory.next, gaps: directory.gaps, read: directory.ownReads.range };
+    versionHistory.record([...directory.listAll(), ...recent], clock.now(), seen);
+  }
+
   /** Takes the list from a peer's page or from a snapshot, and observes the versions. */
   copyList(isSnapshot: boolean): void {
     const { directory, feed, clock } = this;
--- a/test/staleversions.spec.ts
+++ b/test/staleversions.spec.ts
@@ -66,6 +66,24 @@
     assert.notEqual(await instance.takeUp(), "v1");
   });
 
+  for (const isLeaving of [true, false]) {
+    const how = isLeaving ? "leaves" : "was removed";
+    for (const endpoint of ["e1", "d1"]) {
+      it(`is not joined with the older version if the newer one at ${endpoint} ${how} by a peer's word before its entry is read`, async () => {
+        const { directory, clock } = instance;
+        instance.put(endpoint, "v2", 2);
+        directory.applyDepartures(
+          [{ endpoint, processStartedAt: 2, sequence: 9, isLeaving }],
+          clock.now(),
+        );
+        instance.watch(1);
+        instance.observe();
+        instance.clock.advance(500);
+        assert.equal((await instance.takeUp())[0], 503);
+      });
+    }
+  }
+
   it("is not joined with the older version if a peer's list holds only the removal of the newer one", async () => {
     const { directory, feed, clock } = instance;
     instance.put("e1", "v2");
