--- a/test/harness/watching.ts
+++ b/test/harness/watching.ts
@@ -50,7 +50,6 @@
 /** An instance that has watched the list, and peers that answer as a test says. */
 export class WatchingInstance {
   readonly clock = new ManualClock(1000);
-  readonly feed = new SlowFeed();
   readonly log = new MemoryLog();
   readonly directory = new EndpointDirectory(testCodecs.decodeEndpoint);
   readonly versionHistory = new VersionHistory(500);
@@ -60,8 +59,8 @@
   private sequence = 0;
   private lookedAt = 0;
 
-  constructor() {
-    const { clock, feed, log, directory, versionHistory, meter } = this;
+  constructor(readonly feed = new SlowFeed()) {
+    const { clock, log, directory, versionHistory, meter } = this;
     const logger = SILENT_LOGGER;
     const decode = testCodecs.decodeEndpoint;
     const { processes } = directory;
