Streams that go on elsewhere: the list is read again before the run is sent

Seen: test/staleprefills.spec.ts, 2 of 4 failed. While the prompt was read for a second engine (400 ms), its process was replaced under its id and address by one of v2; the instance's own read of the list got no answer. The run was sent there with a hold of the process before: after a break, and in place of a silent run.

Cause: the list was read for the choice of the engine only. The wait for a hold and the prefill come after it, and StreamRun.canUse judges by the copy.

Ruled out: reading only where the hold was slow or the prompt was read by a prefill; the time since the last read says the same and covers both.

A new stream reads nothing.

Measured: staleprefills 4 of 4; with staleversions, generation, handover, versions and replacement 76 of 76 (load average 15).

--- a/src/forward/shared/listconfirmer.ts
+++ b/src/forward/shared/listconfirmer.ts
@@ -96,6 +96,14 @@
     await waitAtMost(this.confirm(now), REFRESH_TIMEOUT_MS);
   }
 
+  /**
+   * Confirms the list unless a read of it began so lately that none may begin yet; used before a stream
+   * goes on at another engine.
+   */
+  refreshBeforeSend(): Promise<void> {
+    return this.refresh(this.parts.clock.now() - MIN_READ_INTERVAL_MS);
+  }
+
   private async readNext(before: StartedRead | undefined): Promise<ConfirmedList | undefined> {
     // Those who ask in the same turn share the read, too.
     await Promise.resolve();
