Orders to stop decoding: confirmed by a read of the list

With a copy that still had a second decode engine of v1, the last one was ordered to prefill, so that no engine could go on with the streams of its version (LOST).

Cause: StageRebalancer chooses by a copy of the list whose age is not checked; the lease and the fence only decide who orders.

Ruled out: a bound on the age of the copy, a smaller trust in the same; a read for orders to decode, which take no decode engine away.

Change: before an order to stop decoding the list is confirmed by one read; if the choice by it is another one, or the store can't be read, there is no order and a line `order not confirmed`. One call an order, of which there is one in seconds.

test/steering.spec.ts gets the new dependency in its fixture; its checks are as they were.

--- a/src/forward/engines/rebalancer.ts
+++ b/src/forward/engines/rebalancer.ts
@@ -9,6 +9,7 @@
 import { chooseByRendezvousHash } from "../../core/rendezvous";
 import { runTask } from "../../core/tasks";
 import type { FleetService } from "../../fleet/config";
+import { EngineStage } from "../../fleet/entries";
 import type { OrderLeases } from "../../fleet/orders";
 import type { EndpointClient } from "../endpoints";
 import type { EndpointGate } from "../limits";
@@ -43,6 +44,8 @@
   readonly listLive: () => readonly string[];
   readonly listServices: () => readonly FleetService[];
   readonly readStageLoad: (service: string) => StageLoad;
+  /** Reads the list of engines again; false if the store can't be read. */
+  readonly confirmList: () => Promise<boolean>;
   /** Called after an order, with the deadline until which its engine accepts no requests. */
   readonly onOrder: (engine: string, deadline: Moment) => void;
 }
@@ -97,12 +100,28 @@
     this.wantedSince.set(service.name, since);
     if (now - since < CONFIRMATION_MS[change.stage]) return;
     this.wantedSince.delete(service.name);
+    if (!(await this.isConfirmed(service, change))) return;
     if (await this.sendOrder(change)) {
       this.nextOrderAt = clock.now() + stageChangeMs + SETTLE_PAUSE_MS;
       this.parts.onOrder(change.engine.id, clock.now() + stageChangeMs);
     }
   }
 
+  /**
+   * Checks by the list of now whether an engine may stop decoding: a copy may still have another decode
+   * engine of its version.
+   */
+  private async isConfirmed({ name }: FleetService, change: StageChange): Promise<boolean> {
+    const { confirmList, readStageLoad, logger } = this.parts;
+    const { engine, stage } = change;
+    if (stage === EngineStage.decode) return true;
+    const isRead = await confirmList();
+    const wanted = isRead ? chooseStageChange(readStageLoad(name)) : undefined;
+    if (wanted?.engine.id === engine.id && wanted.stage === stage) return true;
+    logger.info("order not confirmed", { engine: engine.id, stage, isRead });
+    return false;
+  }
+
   /** Sends an order under a lease; returns true if it was sent, whatever its result. */
   private async sendOrder(change: StageChange): Promise<boolean> {
     const { leases, client, gate, codec, logger, instance } = this.parts;
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -339,7 +339,7 @@
 function createRebalancer(
   { clock, logger, self }: InstanceBase,
   { watcher, listLive }: FleetView,
-  { client, gate, codec }: ForwardContext,
+  { client, gate, codec, listConfirmer }: ForwardContext,
   parts: Pick<StageRebalancerParts, "leases" | "readStageLoad" | "onOrder">,
 ): StageRebalancer {
   return new StageRebalancer({
@@ -351,6 +351,7 @@
     logger,
     listLive,
     listServices: () => watcher.readConfigIndex()?.config.services ?? [],
+    confirmList: async () => (await listConfirmer.confirm(clock.now())) !== undefined,
     ...parts,
   });
 }
--- a/test/steering.spec.ts
+++ b/test/steering.spec.ts
@@ -54,6 +54,7 @@
     listLive: () => live,
     listServices: () => createConfig(1).services,
     readStageLoad: () => ({ engines, promptTokensPerSecond: 20_000, tokensPerMs: 33 }),
+    confirmList: () => Promise.resolve(true),
     onOrder: () => undefined,
   });
 }
