Deadlines after a standstill: read the signal once sockets were read

Cause: the test. A deadline's timer that is late has sockets read once before it aborts (ReadFirstTimer, on purpose). The test waits 30 ms for a deadline that is 30 ms over; where the process stands still as this wait begins, both timers run in one turn, and the signal is read ahead of the pass over the sockets.

Ruled out: a deadline that is lost or comes late; the abort comes in the same turn, right after that pass.

Change: the test waits for one pass of the event loop after the same 30 ms. All it asks for stays.

--- a/test/standstill.spec.ts
+++ b/test/standstill.spec.ts
@@ -4,6 +4,7 @@
  */
 import assert from "node:assert/strict";
 import { after, describe, it } from "node:test";
+import { setImmediate } from "node:timers/promises";
 import * as E from "fp-ts/Either";
 import { Client } from "undici";
 import { MonotonicClock, pause } from "../src/core/clock";
@@ -137,6 +138,8 @@
     const late = new DeadlineSignal(clock, clock.now() + 20, caller.signal);
     blockFor(50);
     await pause(30);
+    // Sockets are read once between a timer that is late and the abort, also where `pause` is late in the same turn.
+    await setImmediate();
     assert.deepEqual([late.cause, late.signal.aborted], [AbortCause.timeUp, true]);
     const left = new DeadlineSignal(clock, clock.now() + 20, caller.signal);
     caller.abort();
