Burst of dials over a new channel: give the peer a process of its own

Cause: the test asks too much of one process. The dialler, the relay, the peer and the endpoint shared it. Traced: dials ended as "silent" after 1050 to 1500 ms in place of their 409 ms, as the process stood still for most of it.

Ruled out: the code that the test guards (one opening that is late closes the channel of the others): no tunnel was refused or broke, all were late.

Change: the relay, the peer and the endpoint run in a process of their own, and both processes have opened tunnels before, over the peer's own address; the channel of the burst is new as before. 100 dials, 180 ms of way, the dial's own bound and the check stay.

--- a/test/slowtunnels.spec.ts
+++ b/test/slowtunnels.spec.ts
@@ -12,10 +12,10 @@
 import { Dialer } from "../src/forward/tunnels/dialer";
 import type { EndpointTarget } from "../src/forward/limits/gate";
 import { PathTracker } from "../src/forward/tunnels/paths";
+import { PeerTunnelOpener } from "../src/forward/tunnels/peer";
 import type { EndpointConnector } from "../src/forward/tunnels/tunnel";
-import { allocatePort } from "./harness/ports";
-import { SlowRelay } from "./harness/slowrelay";
-import { PEER, type TunnelPair, TunnelScene } from "./harness/tunnels";
+import { startHostedSlowPair, startSlowPair } from "./harness/slowpair";
+import { PEER, TunnelScene } from "./harness/tunnels";
 import { SOUND_LINK } from "./harness/ways";
 
 /** How late the relay carries bytes, in milliseconds. */
@@ -24,30 +24,16 @@
 const SHORT_MS = 60;
 /** How late the relay carries bytes during a burst; setting up a channel and an answer take three times as long. */
 const BURST_DELAY_MS = 60;
+const BURST_DIALS = 100;
 /** Longer than the time between keep-alive pings of a channel, in milliseconds. */
 const KEEP_ALIVE_MS = 1300;
+/** Timeout of openings that no dial waits for, in milliseconds. */
+const OPEN_TIMEOUT_MS = 5000;
+/** Time for both sides to have done with tunnels that were closed, in milliseconds. */
+const CLOSE_MS = 300;
 /** How long this process stands still, in milliseconds. */
 const STANDSTILL_MS = 400;
 
-interface SlowPair {
-  readonly relay: SlowRelay;
-  readonly pair: TunnelPair;
-  readonly target: EndpointTarget;
-}
-
-/** Starts a peer behind a relay, with an endpoint that returns what it is sent. */
-async function startSlowPair(scene: TunnelScene): Promise<SlowPair> {
-  const peerPort = allocatePort();
-  const relay = new SlowRelay(peerPort);
-  const relayAddress = await relay.listen();
-  scene.onClose(() => {
-    relay.close();
-  });
-  const pair = await scene.startPair({ peerAddress: `127.0.0.1:${peerPort}`, relayAddress });
-  const target = pair.list(await scene.listen((peer) => peer.pipe(peer)));
-  return { relay, pair, target };
-}
-
 describe("an opening that is late", () => {
   const scene = new TunnelScene();
   afterEach(() => scene.close());
@@ -121,8 +107,10 @@
   afterEach(() => scene.close());
 
   it("is not answered as unreachable because the channel is new", async () => {
-    const { relay, pair, target } = await startSlowPair(scene);
-    relay.delayMs = BURST_DELAY_MS;
+    const hosted = await startHostedSlowPair(scene, BURST_DELAY_MS);
+    const { peerAddress, relayAddress, target } = hosted;
+    // Both processes have opened tunnels before, as instances have; the channel of the burst is new.
+    await openTunnels(peerAddress, target, BURST_DIALS);
     const paths = new PathTracker(Math.random);
     const dialer = new Dialer({
       paths,
@@ -132,7 +120,7 @@
           return E.left(new Error("hangs"));
         },
       },
-      tunnels: pair.opener,
+      tunnels: new PeerTunnelOpener((peer) => (peer === PEER ? relayAddress : undefined)),
       links: SOUND_LINK,
       clock: new MonotonicClock(),
       logger: SILENT_LOGGER,
@@ -149,13 +137,25 @@
       dialer.close();
     });
     const dial = () => dialer.dial(target, { isDirectOnly: false });
-    const results = await Promise.all(Array.from({ length: 100 }, dial));
+    const results = await Promise.all(Array.from({ length: BURST_DIALS }, dial));
     const failures = results.flatMap((result) => (E.isLeft(result) ? [result.left.kind] : []));
     for (const result of results) if (E.isRight(result)) result.right.socket.destroy();
     assert.deepEqual(failures, []);
   });
 });
 
+/** Opens tunnels over a peer, all at once, and closes them and their channel. */
+async function openTunnels(peerAddress: string, target: EndpointTarget, count: number) {
+  const opener = new PeerTunnelOpener(() => peerAddress);
+  const open = () => opener.open(PEER, target, OPEN_TIMEOUT_MS);
+  const opened = await Promise.all(Array.from({ length: count }, open));
+  const sockets = opened.flatMap((tunnel) => (E.isRight(tunnel) ? [tunnel.right] : []));
+  for (const socket of sockets) socket.destroy();
+  opener.close();
+  await Promise.all(sockets.filter(({ closed }) => !closed).map((socket) => once(socket, "close")));
+  await pause(CLOSE_MS);
+}
+
 /** Keeps this process from reading its sockets. */
 function standStill(ms: number): void {
   const end = performance.now() + ms;
