Time of sending in peers' messages: one that cannot be true counts for nothing

Seen: a message on a relay stream whose time of sending is NaN or endless made each record in it one without a moment. The next turn that passed such a record on threw "invalid uint32: NaN", after it had taken the records of all kinds that were due; a new neighbour, which is sent all records, got none. A heartbeat with such a time confirmed a copy as of NaN, after which the copy's age is NaN for good (Math.max), so by reading it never counts as fresh again.

Cause: the time was compared with the own clock unchecked, and kept as the offset of both for up to 15 s.

Ruled out: dropping the whole message, which has records of others; a bound against the time of the message before, as one that is too large and accepted would then bar all that follow.

Change: src/peer/numbers.ts checks it where it arrives; the message then counts as one whose clocks are not compared, as that of a new stream does. A wrong time within 0 to 2^53 ms is not told from a true one.

--- a/src/fleet/feeds/faults.ts
+++ b/src/fleet/feeds/faults.ts
@@ -5,6 +5,7 @@
 import { cutText } from "../../core/codec";
 import type { Logger } from "../../core/log";
 import type { Meter } from "../../forward/requests";
+import { LOG_START } from "../position";
 import type { FeedRecord } from "../store";
 
 /** Maximum number of records that are remembered as reported. */
@@ -61,3 +62,20 @@
     });
   }
 }
+
+/**
+ * Reports a number in a message of a peer that can't be true; once for each peer and field.
+ *
+ * @example
+ * reportNumber(faults, "nizwa-1", "sentAtMs", Number.NaN);
+ */
+export function reportNumber(
+  faults: Pick<RecordFaults, "report">,
+  peer: string | undefined,
+  field: string,
+  value: number | undefined,
+): void {
+  const source = peer ?? "";
+  const name = { key: `${source} ${field}`, position: LOG_START };
+  faults.report(RecordTopic.peers, name, `found ${String(value)}`, `peer ${source}`);
+}
--- a/src/fleet/peerclocks.ts
+++ b/src/fleet/peerclocks.ts
@@ -4,6 +4,7 @@
  */
 import type { Moment } from "../core/clock";
 import type { Beat } from "../peer/gen/fleet";
+import { isSendTime } from "../peer/numbers";
 
 /** What a heartbeat says of its sender's clock. */
 export type ClockReading = Pick<Beat, "instance" | "incarnation" | "sentAtMs">;
@@ -25,20 +26,20 @@
    * @param askedAt - when the heartbeat that it replies to was sent
    */
   recordReply({ instance, incarnation, sentAtMs }: ClockReading, askedAt: Moment): void {
-    if (sentAtMs === undefined) return;
+    if (!isSendTime(sentAtMs)) return;
     this.clocks.set(instance, { incarnation, offsetMs: askedAt - sentAtMs });
   }
 
   /**
    * Estimates when a peer sent a heartbeat: never later than it did.
    *
-   * @returns undefined where the clock of its process was not compared yet
+   * @returns undefined where the clock of its process was not compared yet, or the reading can't be true
    * @example
    * const sentAt = peerClocks.estimateSentAt(beat, clock.now());
    */
   estimateSentAt(reading: ClockReading, now: Moment): Moment | undefined {
     const clock = this.clocks.get(reading.instance);
-    if (reading.sentAtMs === undefined || clock?.incarnation !== reading.incarnation) {
+    if (!isSendTime(reading.sentAtMs) || clock?.incarnation !== reading.incarnation) {
       return undefined;
     }
     return Math.min(now, reading.sentAtMs + clock.offsetMs);
--- a/src/fleet/relay/link.ts
+++ b/src/fleet/relay/link.ts
@@ -4,6 +4,7 @@
  */
 import type { Moment } from "../../core/clock";
 import { type RelayHello, RelayMessage, RelayScope } from "../../peer/gen/fleet";
+import { isSendTime } from "../../peer/numbers";
 import type { OwnedRecord } from "./records";
 import { type Load, NO_LOAD } from "./sums";
 import type { RelayStream } from "./transport";
@@ -124,7 +125,8 @@
   /**
    * Records that a message arrived.
    *
-   * @returns a moment before which it was not sent later; undefined while the clocks are not compared
+   * @returns a moment before which it was not sent later; undefined while the clocks are not compared, or
+   *   if it says a time that can't be true
    */
   recordMessage(message: RelayMessage, now: Moment): Moment | undefined {
     this.lastHeardAt = now;
@@ -135,8 +137,9 @@
       this.ownLoadSent = NO_LOAD;
     }
     const acknowledged = this.takeAcknowledged(message.acknowledged);
+    if (acknowledged !== undefined) this.ownLoadKnown = acknowledged.ownLoad;
+    if (!isSendTime(message.sentAtMs)) return undefined;
     if (acknowledged !== undefined) {
-      this.ownLoadKnown = acknowledged.ownLoad;
       this.recordOffset(acknowledged.sentAt - message.sentAtMs, now);
     }
     const offsets = [this.offset, this.earlierOffset].filter((known) => known !== undefined);
--- a/src/fleet/relay/network.ts
+++ b/src/fleet/relay/network.ts
@@ -11,7 +11,8 @@
   RelayMember,
   type RelayMessage,
 } from "../../peer/gen/fleet";
-import { type RecordFaults, RecordTopic } from "../feeds/faults";
+import { isSendTime } from "../../peer/numbers";
+import { type RecordFaults, RecordTopic, reportNumber } from "../feeds/faults";
 import type { MemberIdentity, MemberList, RelayedMember } from "../members";
 import { type RelayCandidate, TopologyCache } from "./choice";
 import { Dialler } from "./dialler";
@@ -235,6 +236,10 @@
     this.traffic.recordReceived(message, bytes);
     const sentAt = link.recordMessage(message, now);
     if (message.hello !== undefined) this.onHello(link, message.hello, now);
+    const { faults } = this.parts;
+    if (!isSendTime(message.sentAtMs)) {
+      reportNumber(faults, link.peer?.instance, "sentAtMs", message.sentAtMs);
+    }
     if (link.peer === undefined) return;
     for (const record of message.records) {
       this.mergeRecord(link, decodeRecord(record, sentAt ?? now), now);
--- a/test/oddpeers.spec.ts
+++ b/test/oddpeers.spec.ts
@@ -10,7 +10,7 @@
 import { MemberList } from "../src/fleet/members";
 import { RelayNetwork } from "../src/fleet/relay/network";
 import { RecordKind } from "../src/fleet/relay/records";
-import { Beat, RelayMessage, type RelayRecord } from "../src/peer/gen/fleet";
+import { Beat, RelayMessage, RelayRecord } from "../src/peer/gen/fleet";
 import { TestHost } from "./harness/relayfleet";
 
 const SELF = { instance: "n0", incarnation: "n0/1", address: "n0", dataCentre: "dc0" };
@@ -21,6 +21,9 @@
   [0x0a, 0x7f, 0x00],
 ] as const;
 
+/** Whose records the second neighbour gets: this instance's own, and both that the first one sent. */
+const OWNERS = new Set(["n0", "n7", "n8"]);
+
 /** An instance with two neighbours. */
 class Scene {
   readonly faults: string[] = [];
@@ -61,8 +64,13 @@
 
   /** Has the first neighbour send a record; ticks. */
   receive(kind: number, content: Uint8Array, version: number, generation = 1): void {
-    const record = { instance: "n7", incarnation: "n7/1", generation, kind, version, content };
-    this.send(this.listener, { records: [{ ...record, ageMs: 0 }] });
+    this.receiveRecord({ kind, content, version, generation });
+  }
+
+  /** The same, of a record and a message with numbers of its own. */
+  receiveRecord(record: Partial<RelayRecord>, message: Partial<RelayMessage> = {}): void {
+    const sound = RelayRecord.fromPartial({ instance: "n7", incarnation: "n7/1", generation: 1 });
+    this.send(this.listener, { ...message, records: [{ ...sound, ...record }] });
     this.clock.advance(1);
     this.network.tick();
   }
@@ -115,3 +123,20 @@
     );
   });
 });
+
+describe("a number of a peer that cannot be true", () => {
+  const sound = Beat.encode(Beat.fromPartial({ refused: ["n9"] })).finish();
+  const kind = RecordKind.limits;
+
+  it("does not stop the records that are passed on: the time at which a message was sent", () => {
+    for (const sentAtMs of [NaN, Infinity, -Infinity, 1e300, -1e300]) {
+      const scene = new Scene();
+      const message = { acknowledged: 1, sentAtMs };
+      scene.receiveRecord({ kind, content: sound, version: 1 }, message);
+      const record = { instance: "n8", incarnation: "n8/1", kind, content: sound, version: 2 };
+      scene.receiveRecord(record);
+      assert.deepEqual(new Set(scene.passedOn.map(({ instance }) => instance)), OWNERS);
+      assert.deepEqual(scene.faults, ["n1 sentAtMs"]);
+    }
+  });
+});
--- a/test/peerclocks.spec.ts
+++ b/test/peerclocks.spec.ts
@@ -67,6 +67,18 @@
     assert.deepEqual(sentAts, [1000, undefined, undefined]);
   });
 
+  it("counts for nothing if the time of sending cannot be true, nor do those of the clock", async () => {
+    for (const odd of [NaN, Infinity, -Infinity, 1e300, -1e300]) {
+      const { exchanger, sentAts } = await startExchanged();
+      exchanger.onBeat(createBeat(odd));
+      exchanger.close();
+      assert.deepEqual(sentAts, [1000, undefined]);
+      const clocks = new PeerClocks();
+      clocks.recordReply(createBeat(odd), 1000);
+      assert.equal(clocks.estimateSentAt(createBeat(20), 1000), undefined);
+    }
+  });
+
   it("does not come from the future if this process's clock stood still", async () => {
     const { exchanger, clock, sentAts } = await startExchanged();
     clock.advance(10);
