Ages in peers' messages: one as old as its field can say stops no message that passes it on

Seen: one heartbeat with a banned part whose last crash is 2^32 - 1 ms ago, each number of which fits its field, and the instance answered no heartbeat any more ("invalid uint32:"): a ban that a peer told is told on, and a ban stays. The same with the age of a relayed record (the turn that passes it on threw), of an endpoint's limit (the ask for a permit threw, by reading with the send that needed it) and of an outage of the store (the reply to a fetch threw).

Cause: what is told on grows older, and its age was rounded, not bounded. Strikes of a ban are counted on in the same way.

Ruled out: refusing ages above some bound where they arrive: a process that runs for 50 days can have an own age of that size.

Change: all of them go through roundCount or the new roundAge where messages are made; roundAge replaces a function of watcher.ts.

--- a/src/fleet/relay/records.ts
+++ b/src/fleet/relay/records.ts
@@ -3,6 +3,7 @@
  * are merged in any order and as often as they come; the newest process of an instance counts.
  */
 import type { Moment } from "../../core/clock";
+import { roundCount } from "../../peer/count";
 import type { RelayRecord } from "../../peer/gen/fleet";
 
 /** Kinds of records, by their numbers on the wire. */
@@ -142,7 +143,7 @@
  */
 export function encodeRecord(record: OwnedRecord, now: Moment): RelayRecord {
   const { instance, incarnation, generation, kind, version, content, writtenAt } = record;
-  const ageMs = Math.max(0, Math.round(now - writtenAt));
+  const ageMs = roundCount(now - writtenAt);
   return { instance, incarnation, generation, kind, version, ageMs, content };
 }
 
--- a/src/fleet/watcher.ts
+++ b/src/fleet/watcher.ts
@@ -10,6 +10,7 @@
 import type { Logger } from "../core/log";
 import { runTask } from "../core/tasks";
 import type { Meter } from "../forward/requests";
+import { roundAge } from "../peer/count";
 import type { Beat } from "../peer/gen/fleet";
 import { FleetConfigIndex, type FleetConfig } from "./config";
 import type { EndpointDirectory } from "./directory";
@@ -170,8 +171,8 @@
   /** Reports to peers how fresh the copies are, and whether the store is in reach. */
   readReport(): Pick<Beat, "configAgeMs" | "endpointsAgeMs" | "storeLost"> {
     return {
-      configAgeMs: encodeAge(this.computeConfigAgeMs()),
-      endpointsAgeMs: encodeAge(this.computeEndpointsAgeMs()),
+      configAgeMs: roundAge(this.computeConfigAgeMs()),
+      endpointsAgeMs: roundAge(this.computeEndpointsAgeMs()),
       storeLost: this.isStoreLost,
     };
   }
@@ -407,7 +408,3 @@
     this.logger.warn("store lost", { feed: name, error });
   }
 }
-
-function encodeAge(ageMs: number): number | undefined {
-  return Number.isFinite(ageMs) ? Math.max(0, Math.round(ageMs)) : undefined;
-}
--- a/src/forward/limits/wire.ts
+++ b/src/forward/limits/wire.ts
@@ -3,6 +3,7 @@
  * each instance has its own clock.
  */
 import type { Moment } from "../../core/clock";
+import { roundCount } from "../../peer/count";
 import type {
   EndpointCold,
   EndpointLimit,
@@ -25,7 +26,7 @@
  */
 export function encodeLimit(word: LimitWord, now: Moment): EndpointLimit {
   const { endpoint, processStartedAt, perSecond, at } = word;
-  const ageMs = Math.max(0, Math.round(now - at));
+  const ageMs = roundCount(now - at);
   return {
     endpoint,
     processStartedAt,
@@ -53,7 +54,7 @@
  */
 export function encodeCold(word: Omit<ColdWord, "isOwn">, now: Moment): EndpointCold {
   const { endpoint, processStartedAt, endsAt } = word;
-  return { endpoint, processStartedAt, remainingMs: Math.max(0, Math.ceil(endsAt - now)) };
+  return { endpoint, processStartedAt, remainingMs: roundCount(Math.ceil(endsAt - now)) };
 }
 
 /**
@@ -97,7 +98,7 @@
  */
 export function encodePaced(word: Omit<PaceWord, "isOwn">, now: Moment): PacedEndpoint {
   const { endpoint, processStartedAt, begunAt } = word;
-  return { endpoint, processStartedAt, ageMs: Math.max(0, Math.round(now - begunAt)) };
+  return { endpoint, processStartedAt, ageMs: roundCount(now - begunAt) };
 }
 
 /**
--- a/src/forward/peerstate.ts
+++ b/src/forward/peerstate.ts
@@ -13,7 +13,7 @@
 import { encodeWork, type Load } from "../fleet/relay/sums";
 import type { FeedRecord } from "../fleet/store";
 import type { StoreWatcher } from "../fleet/watcher";
-import { roundCount } from "../peer/count";
+import { roundAge, roundCount } from "../peer/count";
 import {
   Beat,
   type FetchReply,
@@ -319,8 +319,7 @@
 
   private readOutageReport(): Pick<FetchReply, "sinceOutageMs"> {
     const { directory, clock } = this.parts;
-    const sinceMs = directory.computeSinceOutageMs(clock.now());
-    return Number.isFinite(sinceMs) ? { sinceOutageMs: Math.round(sinceMs) } : {};
+    return { sinceOutageMs: roundAge(directory.computeSinceOutageMs(clock.now())) };
   }
 
   /** The offset of the last change within the era of the list; -1 where there is none in it. */
--- a/src/forward/shared/crashwire.ts
+++ b/src/forward/shared/crashwire.ts
@@ -6,6 +6,7 @@
 import type { CrashKnowledge } from "../../core/crashes/tracker";
 import type { CrashReport } from "../../core/crashes/memory";
 import { SubjectKind, type Suspect } from "../../core/crashes/suspects";
+import { roundCount } from "../../peer/count";
 import type { Beat, Completion, Crash } from "../../peer/gen/fleet";
 
 /** The fingerprint in the message of a crash without suspects. */
@@ -24,7 +25,11 @@
   return {
     crashes: crashes.flatMap(encodeCrash),
     completions: completions.map(encodeCompletion),
-    partBans: bans.map((ban) => ({ ...ban })),
+    partBans: bans.map(({ part, strikes, lastCrashAgeMs }) => ({
+      part,
+      strikes: roundCount(strikes),
+      lastCrashAgeMs: roundCount(lastCrashAgeMs),
+    })),
   };
 }
 
--- a/src/peer/count.ts
+++ b/src/peer/count.ts
@@ -16,3 +16,13 @@
   if (Number.isNaN(value)) return 0;
   return Math.min(MAX_COUNT, Math.max(0, Math.round(value)));
 }
+
+/**
+ * Rounds an age in milliseconds as a count; undefined where it is endless, or is not known.
+ *
+ * @example
+ * roundAge(Number.POSITIVE_INFINITY); // undefined
+ */
+export function roundAge(ageMs: number): number | undefined {
+  return Number.isFinite(ageMs) ? roundCount(ageMs) : undefined;
+}
--- a/test/oddpeers.spec.ts
+++ b/test/oddpeers.spec.ts
@@ -128,6 +128,15 @@
   const sound = Beat.encode(Beat.fromPartial({ refused: ["n9"] })).finish();
   const kind = RecordKind.limits;
 
+  it("does not stop the records that are passed on: the oldest age that a message can have", () => {
+    const scene = new Scene();
+    const content = sound;
+    const { speeds: kind } = RecordKind;
+    scene.receiveRecord({ kind, content, version: 1, ageMs: 2 ** 32 - 1 });
+    scene.receiveRecord({ instance: "n8", incarnation: "n8/1", kind, content, version: 2 });
+    assert.deepEqual(new Set(scene.passedOn.map(({ instance }) => instance)), OWNERS);
+  });
+
   it("does not stop the records that are passed on: the time at which a message was sent", () => {
     for (const sentAtMs of [NaN, Infinity, -Infinity, 1e300, -1e300]) {
       const scene = new Scene();
