Costs in peers' messages: one that cannot be true does not use up an account

Seen: after one heartbeat with a workspace's cost of NaN, infinity or 1e300, each request that the instance decides on as owner was refused, an hour later too (by reading for good: the account's level is NaN or endless). The same by the total of a charge, whose reply was "left NaN, retry after NaN ms" or the like. A charge of -1e300 was admitted. In a report between relays, one such cost left the workspace without any count from the member: the sum that is passed on to the fleet had none.

Cause: costs are doubles; they were charged and added up as they came.

Ruled out: a check within Quotas and within the sums, which stand behind three kinds of message each.

Change: checkBeat, checkReport and isCharge in src/peer/numbers.ts drop an entry whose cost is not from 0 to 1e15, where the message is read; a charge with one is left to its sender, as for a workspace that is not known. The line `record not used` names peer and field, once each. The base of an instance has one RecordFaults for it, which relaying uses too. Not yet: a cost within the bound that is far too large still overdraws the account for long.

--- a/src/fleet/feeds/faults.ts
+++ b/src/fleet/feeds/faults.ts
@@ -5,6 +5,7 @@
 import { cutText } from "../../core/codec";
 import type { Logger } from "../../core/log";
 import type { Meter } from "../../forward/requests";
+import type { NumberFaultListener } from "../../peer/numbers";
 import { LOG_START } from "../position";
 import type { FeedRecord } from "../store";
 
@@ -64,18 +65,17 @@
 }
 
 /**
- * Reports a number in a message of a peer that can't be true; once for each peer and field.
+ * Creates a listener that reports numbers in messages of a peer; each field of a peer once.
  *
  * @example
- * reportNumber(faults, "nizwa-1", "sentAtMs", Number.NaN);
+ * checkBeat(beat, createNumberReport(faults, "nizwa-1"));
  */
-export function reportNumber(
+export function createNumberReport(
   faults: Pick<RecordFaults, "report">,
-  peer: string | undefined,
-  field: string,
-  value: number | undefined,
-): void {
-  const source = peer ?? "";
-  const name = { key: `${source} ${field}`, position: LOG_START };
-  faults.report(RecordTopic.peers, name, `found ${String(value)}`, `peer ${source}`);
+  peer: string,
+): NumberFaultListener {
+  return (field, value) => {
+    const name = { key: `${peer} ${field}`, position: LOG_START };
+    faults.report(RecordTopic.peers, name, `found ${String(value)}`, `peer ${peer}`);
+  };
 }
--- a/src/fleet/relay/network.ts
+++ b/src/fleet/relay/network.ts
@@ -11,8 +11,8 @@
   RelayMember,
   type RelayMessage,
 } from "../../peer/gen/fleet";
-import { isSendTime } from "../../peer/numbers";
-import { type RecordFaults, RecordTopic, reportNumber } from "../feeds/faults";
+import { checkReport, isSendTime } from "../../peer/numbers";
+import { type RecordFaults, RecordTopic, createNumberReport } from "../feeds/faults";
 import type { MemberIdentity, MemberList, RelayedMember } from "../members";
 import { type RelayCandidate, TopologyCache } from "./choice";
 import { Dialler } from "./dialler";
@@ -236,17 +236,15 @@
     this.traffic.recordReceived(message, bytes);
     const sentAt = link.recordMessage(message, now);
     if (message.hello !== undefined) this.onHello(link, message.hello, now);
-    const { faults } = this.parts;
-    if (!isSendTime(message.sentAtMs)) {
-      reportNumber(faults, link.peer?.instance, "sentAtMs", message.sentAtMs);
-    }
     if (link.peer === undefined) return;
+    const onFault = createNumberReport(this.parts.faults, link.peer.instance);
+    if (!isSendTime(message.sentAtMs)) onFault("sentAtMs", message.sentAtMs);
     for (const record of message.records) {
       this.mergeRecord(link, decodeRecord(record, sentAt ?? now), now);
     }
     if (message.head !== undefined) this.applyHead(link, message, sentAt);
     if (message.report === undefined) return;
-    this.loads.applyReport(link, message.report);
+    this.loads.applyReport(link, checkReport(message.report, onFault));
     this.isLoadChanged = true;
   }
 
--- a/src/forward/base.ts
+++ b/src/forward/base.ts
@@ -5,6 +5,7 @@
 import { createIncarnation } from "../core/ids";
 import { BoundedLineWriter, createByteWriter } from "../core/lines";
 import { createLogger, type Logger } from "../core/log";
+import { RecordFaults } from "../fleet/feeds/faults";
 import type { MemberIdentity } from "../fleet/members";
 import type { Adapter } from "./adapter";
 import { LoopDelaySampler, Meter } from "./requests";
@@ -22,6 +23,8 @@
   /** Writes the log lines. */
   readonly lines: BoundedLineWriter;
   readonly logger: Logger;
+  /** Reports what peers sent and can't be used. */
+  readonly faults: RecordFaults;
   readonly self: MemberIdentity;
 }
 
@@ -37,6 +40,7 @@
   const address = `${peers.host}:${peers.port}`;
   const clock = new MonotonicClock();
   const meter = new Meter();
+  const logger = createLogger(instance, settings.logLevel, lines);
   return {
     settings,
     adapter,
@@ -46,7 +50,8 @@
       meter.recordLoopDelay(ms);
     }),
     lines,
-    logger: createLogger(instance, settings.logLevel, lines),
+    logger,
+    faults: new RecordFaults(logger, meter),
     self: { instance, incarnation: createIncarnation(instance), address, dataCentre },
   };
 }
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -6,6 +6,7 @@
 import { pauseAndRead } from "../core/readfirst";
 import { runTask } from "../core/tasks";
 import { createNotRunRefusal, Reason } from "../core/outcome";
+import { createNumberReport } from "../fleet/feeds/faults";
 import { TICK_INTERVAL_MS } from "../fleet/relay/network";
 import type { RelayListener, RelayStream } from "../fleet/relay/transport";
 import { type FleetHandler, type FleetServer, startFleetServer } from "../fleet/transport";
@@ -196,9 +197,12 @@
     const { quotas, view } = this.parts;
     const { workspace: name } = request;
     const limit = view.watcher.readConfigIndex()?.findWorkspaceByName(name)?.limit;
-    const now = this.base.clock.now();
+    const { clock, faults } = this.base;
+    const now = clock.now();
     const isRelayed = view.members.isRelayed(request.instance, now);
-    return answerCharge(quotas, isRelayed ? createRelayedCharge(request) : request, limit, now);
+    const charge = isRelayed ? createRelayedCharge(request) : request;
+    const onFault = createNumberReport(faults, request.instance);
+    return answerCharge(quotas, charge, limit, now, onFault);
   }
 
   onPermit(request: PermitRequest): PermitReply {
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -279,7 +279,7 @@
 }
 
 function createPeerState(
-  { clock, logger }: InstanceBase,
+  { clock, logger, faults }: InstanceBase,
   { directory, watcher, members }: FleetView,
   { crashes, paths }: ForwardContext,
   engines: EngineState,
@@ -288,6 +288,7 @@
   return new PeerState({
     clock,
     logger,
+    faults,
     directory,
     watcher,
     crashes,
--- a/src/forward/peerstate.ts
+++ b/src/forward/peerstate.ts
@@ -6,6 +6,7 @@
 import type { BeatContent, HeartbeatHost } from "../fleet/heartbeat";
 import type { EndpointDirectory } from "../fleet/directory";
 import { decodeEvacuation, encodeEvacuation } from "../fleet/evacuationwire";
+import { createNumberReport, type RecordFaults } from "../fleet/feeds/faults";
 import { isAfter } from "../fleet/position";
 import type { RelayHost } from "../fleet/relay/host";
 import type { KindState } from "../fleet/relay/own";
@@ -21,6 +22,7 @@
   type Record as PeerRecord,
   type RelayHead,
 } from "../peer/gen/fleet";
+import { checkBeat } from "../peer/numbers";
 import type { CrashTracker } from "../core/crashes/tracker";
 import { createKindStates } from "./kinds";
 import {
@@ -72,6 +74,7 @@
 export interface PeerStateParts {
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly faults: Pick<RecordFaults, "report">;
   readonly directory: EndpointDirectory;
   readonly watcher: StoreWatcher;
   readonly quotas: Quotas;
@@ -137,8 +140,9 @@
     };
   }
 
-  handleBeat(beat: Beat, now: Moment, sentAt: Moment | undefined): void {
-    const { quotas, engineLoad, reservations, isRelayed } = this.parts;
+  handleBeat(received: Beat, now: Moment, sentAt: Moment | undefined): void {
+    const { quotas, engineLoad, reservations, isRelayed, faults } = this.parts;
+    const beat = checkBeat(received, createNumberReport(faults, received.instance));
     const { instance, incarnation, arrivingTokens, waiting } = beat;
     if (!isRelayed(instance, now)) {
       quotas.applyPeerUsage(instance, incarnation, beat.usages);
@@ -174,7 +178,8 @@
   }
 
   applyRecord({ instance, kind, content, writtenAt }: OwnedRecord, now: Moment): void {
-    const beat = Beat.decode(content);
+    const onFault = createNumberReport(this.parts.faults, instance);
+    const beat = checkBeat(Beat.decode(content), onFault);
     this.applyKinds(instance, beat, { limitsAt: writtenAt, at: writtenAt }, now);
     if (kind === RecordKind.lostEndpoints) {
       this.parts.paths.applyPeerLost(instance, beat.lostEndpoints, now);
--- a/src/forward/relaying.ts
+++ b/src/forward/relaying.ts
@@ -1,7 +1,6 @@
 /**
  * Creates the part of an instance that takes part in relaying, in fleets that are large enough.
  */
-import { RecordFaults } from "../fleet/feeds/faults";
 import { runTask } from "../core/tasks";
 import type { RelayHost } from "../fleet/relay/host";
 import { RelayNetwork } from "../fleet/relay/network";
@@ -16,7 +15,7 @@
  * const network = createRelayNetwork(base, view, peerState, () => isStopping);
  */
 export function createRelayNetwork(
-  { settings, clock, logger, meter, self }: InstanceBase,
+  { settings, clock, logger, faults, self }: InstanceBase,
   { members, transport, watcher }: FleetView,
   host: RelayHost,
   isLeaving: () => boolean,
@@ -28,7 +27,7 @@
     logger,
     transport,
     members,
-    faults: new RecordFaults(logger, meter),
+    faults,
     host,
     isLeaving,
     isStoreLost: () => watcher.isStoreLost,
--- a/src/forward/shared/chargepeer.ts
+++ b/src/forward/shared/chargepeer.ts
@@ -6,6 +6,7 @@
 import type { MemberIdentity, MemberList } from "../../fleet/members";
 import type { GrpcFleetTransport } from "../../fleet/transport";
 import type { ChargeReply, ChargeRequest } from "../../peer/gen/fleet";
+import { isCharge, type NumberFaultListener } from "../../peer/numbers";
 import type { Charge, ChargeTransport } from "./charges";
 import { type QuotaDecision, type Quotas, RELAYED_PEERS } from "./quota";
 
@@ -51,17 +52,19 @@
  * Decides on a peer's charge as the owner of the account.
  *
  * @param limit - the limit of the workspace; undefined if it is not known here or has none, which
- *   leaves the decision to the peer
+ *   leaves the decision to the peer, as does a cost that can't be true
  * @example
  * answerCharge(quotas, request, limit, clock.now()).decisions;
  */
 export function answerCharge(
   quotas: Quotas,
-  { instance, incarnation, workspace, totalCost, costs }: ChargeRequest,
+  request: ChargeRequest,
   limit: RateLimit | undefined,
   now: Moment,
+  onFault: NumberFaultListener = () => undefined,
 ): ChargeReply {
-  if (limit === undefined) return { decisions: [] };
+  if (limit === undefined || !isCharge(request, onFault)) return { decisions: [] };
+  const { instance, incarnation, workspace, totalCost, costs } = request;
   const peer = { instance, incarnation, totalCost };
   const decisions = quotas.admitForPeer(peer, workspace, limit, costs, now);
   return {
--- a/test/oddpeers.spec.ts
+++ b/test/oddpeers.spec.ts
@@ -10,7 +10,14 @@
 import { MemberList } from "../src/fleet/members";
 import { RelayNetwork } from "../src/fleet/relay/network";
 import { RecordKind } from "../src/fleet/relay/records";
-import { Beat, RelayMessage, RelayRecord } from "../src/peer/gen/fleet";
+import {
+  Beat,
+  RelayMember,
+  RelayMessage,
+  RelayRecord,
+  RelayReport,
+  RelayScope,
+} from "../src/peer/gen/fleet";
 import { TestHost } from "./harness/relayfleet";
 
 const SELF = { instance: "n0", incarnation: "n0/1", address: "n0", dataCentre: "dc0" };
@@ -75,6 +82,14 @@
     this.network.tick();
   }
 
+  /** Has the first neighbour, which is a member, report its load. */
+  report(report: Partial<RelayReport>): void {
+    const scope = RelayScope.RELAY_SCOPE_INSTANCE;
+    this.send(this.listener, { report: RelayReport.fromPartial({ scope, ...report }) });
+    this.clock.advance(250);
+    this.network.tick();
+  }
+
   private accept(name: string) {
     const stream = {
       send: (bytes: Uint8Array) => {
@@ -148,4 +163,16 @@
       assert.deepEqual(scene.faults, ["n1 sentAtMs"]);
     }
   });
+
+  it("does not spoil the sum of what workspaces used: a cost in a report", () => {
+    const scene = new Scene();
+    const member = RelayMember.encode({ ...SELF, address: "n1", leaving: false, storeLost: false });
+    const record = { instance: "n1", incarnation: "n1/1", kind: RecordKind.member, version: 1 };
+    scene.receiveRecord({ ...record, content: member.finish() });
+    const tell = (cost: number) => {
+      scene.report({ whole: true, usages: [{ workspace: "w", cost }] });
+    };
+    for (const cost of [100, NaN, Infinity, 1e300, -1e300, 130]) tell(cost);
+    assert.equal(scene.host.peerLoad.usages.get("w"), 30);
+  });
 });
