Limits and numbers of sends in peers' messages: bounded where they are read

Seen: one ask for permits with a count of 2^32 - 1 to an endpoint that begins slowly ended the process of the owner: out of memory after 2 s (test run with a heap of 300 MB). With the same count, an endpoint that had named a limit got nothing from any instance any more: its account was overdrawn by that number. One ask, or one heartbeat, with a limit of NaN or infinity made the account NaN, so that nothing was granted an hour later, by sound asks too. A reply with a retry time of 2^32 - 1 ms kept the asker from the endpoint for 49 days.

Cause: an endpoint's limit is a double and a count any number of 32 bits; the owner keeps a lease a send in memory, and computed with both as they came.

Ruled out: a bound within the accounts: they are also asked by this instance itself, whose numbers are its own.

Change: checkBeat drops limits that are not from 0 to 1e9 a second; isPermitRequest denies an ask with such a limit, or of more than 100 sends (senders ask for one or two); a retry time counts for 60 s at most. Reports of outcomes are not bounded: they move a window that ends after 30 s.

--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -53,6 +53,9 @@
  */
 const STOPPING_RETRY_MS = 50;
 
+/** Stands in the log for the sender of a message that does not name it. */
+const UNNAMED_PEER = "(unnamed)";
+
 /** A forwarding instance with all its parts. */
 export class ForwardInstance implements FleetHandler {
   private readonly base: InstanceBase;
@@ -207,7 +210,9 @@
 
   onPermit(request: PermitRequest): PermitReply {
     const { limitState } = this.parts;
-    return answerPermit(limitState.sources, limitState, request, this.base.clock.now());
+    const { clock, faults } = this.base;
+    const onFault = createNumberReport(faults, UNNAMED_PEER);
+    return answerPermit(limitState.sources, limitState, request, clock.now(), onFault);
   }
 
   onRemember(request: RememberRequest): void {
--- a/src/forward/limits/permits.ts
+++ b/src/forward/limits/permits.ts
@@ -9,6 +9,7 @@
 import type { OwnerChooser } from "../../fleet/owners";
 import type { GrpcFleetTransport } from "../../fleet/transport";
 import type { PermitReply, PermitRequest } from "../../peer/gen/fleet";
+import { boundRetryMs, isPermitRequest, type NumberFaultListener } from "../../peer/numbers";
 import {
   type DecisionInput,
   decidePermit,
@@ -168,12 +169,13 @@
     const reply = await this.transport.permit(address, request, timeoutMs);
     if (reply === undefined) return undefined;
     const { granted, retryAfterMs, paceOver } = reply;
-    return { isGranted: granted, retryAfterMs, isPaceOver: paceOver };
+    return { isGranted: granted, retryAfterMs: boundRetryMs(retryAfterMs), isPaceOver: paceOver };
   }
 }
 
 /**
- * Decides on the sends of a peer as the owner of the limit, by the newest that either knows.
+ * Decides on the sends of a peer as the owner of the limit, by the newest that either knows. An ask
+ * with numbers that can't be true is denied.
  *
  * @example
  * answerPermit(sources, { accounts }, request, clock.now()).granted;
@@ -183,9 +185,10 @@
   accounts: OwnerAccounts,
   request: PermitRequest,
   now: Moment,
+  onFault: NumberFaultListener = () => undefined,
 ): PermitReply {
   const { limit, count, cold, coldPerSecond, paced, outcomes } = request;
-  if (limit === undefined) {
+  if (limit === undefined || !isPermitRequest(request, onFault)) {
     return { granted: false, retryAfterMs: SILENT_OWNER_RETRY_MS, paceOver: false };
   }
   const { endpoint, processStartedAt } = limit;
--- a/src/peer/numbers.ts
+++ b/src/peer/numbers.ts
@@ -2,10 +2,16 @@
  * Bounds of numbers in messages of peers, which a faulty or a newer build may have written: one that
  * cannot be true costs what it stands in, and never the turn or what is computed from it later.
  */
-import type { Beat, ChargeRequest, RelayReport } from "./gen/fleet";
+import type { Beat, ChargeRequest, EndpointLimit, PermitRequest, RelayReport } from "./gen/fleet";
 
 /** The highest cost that is believed, in tokens; far more than a process admits in its life. */
 const MAX_COST = 1e15;
+/** The highest limit of an endpoint that is believed, in requests a second. */
+const MAX_PER_SECOND = 1e9;
+/** The highest number of sends that one ask is for; a hold and its run take two. */
+const MAX_SENDS = 100;
+/** The longest time after which an owner of a limit is asked again, in milliseconds. */
+const MAX_RETRY_MS = 60_000;
 
 /** Called with each number that is not used, and the field that it stands in. */
 export type NumberFaultListener = (field: string, value: number | undefined) => void;
@@ -25,6 +31,20 @@
   max: MAX_COST,
 };
 
+const LIMIT: Bound<Pick<EndpointLimit, "perSecond">> = {
+  field: "perSecond",
+  read: ({ perSecond }) => perSecond,
+  min: 0,
+  max: MAX_PER_SECOND,
+};
+
+const SENDS: Bound<Pick<PermitRequest, "count">> = {
+  field: "count",
+  read: ({ count }) => count,
+  min: 0,
+  max: MAX_SENDS,
+};
+
 /**
  * Checks the time at which a peer sent a message, in milliseconds of the monotonic clock of its process.
  *
@@ -42,7 +62,11 @@
  * checkBeat(Beat.decode(content), (field, value) => log(field, value)).usages;
  */
 export function checkBeat(beat: Beat, onFault: NumberFaultListener): Beat {
-  return { ...beat, usages: keepEntries(beat.usages, COST, onFault) };
+  return {
+    ...beat,
+    usages: keepEntries(beat.usages, COST, onFault),
+    endpointLimits: keepEntries(beat.endpointLimits, LIMIT, onFault),
+  };
 }
 
 /**
@@ -66,6 +90,29 @@
   return keepEntries(costs, COST, onFault).length === costs.length;
 }
 
+/**
+ * Checks the limits and the number of sends of an ask for permits.
+ *
+ * @example
+ * isPermitRequest({ ...request, count: 4_294_967_295 }, onFault); // false
+ */
+export function isPermitRequest(request: PermitRequest, onFault: NumberFaultListener): boolean {
+  const { limit, coldPerSecond } = request;
+  const limits = [{ perSecond: limit?.perSecond }, { perSecond: coldPerSecond }];
+  const areSound = keepEntries(limits, LIMIT, onFault).length === limits.length;
+  return keepEntries([request], SENDS, onFault).length > 0 && areSound;
+}
+
+/**
+ * Bounds the time after which the owner of a limit wants to be asked again, in milliseconds.
+ *
+ * @example
+ * boundRetryMs(4_294_967_295); // 60000
+ */
+export function boundRetryMs(retryAfterMs: number): number {
+  return Math.min(retryAfterMs, MAX_RETRY_MS);
+}
+
 function keepEntries<T>(
   entries: readonly T[],
   { field, read, min, max }: Bound<T>,
--- a/test/oddnumbers.spec.ts
+++ b/test/oddnumbers.spec.ts
@@ -4,10 +4,13 @@
  */
 import assert from "node:assert/strict";
 import { after, describe, it } from "node:test";
+import type { MemberList } from "../src/fleet/members";
+import type { GrpcFleetTransport } from "../src/fleet/transport";
 import { createInstanceBase } from "../src/forward/base";
 import { createParts } from "../src/forward/parts";
+import { answerPermit, PeerPermitTransport } from "../src/forward/limits";
 import { answerCharge } from "../src/forward/shared";
-import { Beat } from "../src/peer/gen/fleet";
+import { Beat, PermitRequest } from "../src/peer/gen/fleet";
 import { createSettings, testCodecs } from "./harness/forward";
 import { MemoryStore } from "./harness/memory";
 
@@ -16,7 +19,8 @@
 const LONG_MS = 3_600_000;
 
 /** An instance that gets heartbeats of one peer. */
-const base = createInstanceBase(createSettings("n1"), { store: new MemoryStore(), ...testCodecs });
+const settings = { ...createSettings("n1"), pace: true };
+const base = createInstanceBase(settings, { store: new MemoryStore(), ...testCodecs });
 const parts = createParts(base, () => false);
 const start = base.clock.now();
 
@@ -51,3 +55,64 @@
     });
   }
 });
+
+describe("a limit that cannot be true", () => {
+  const MAX_COUNT = 2 ** 32 - 1;
+  const { sources } = parts.limitState;
+  const ask = (content: Partial<PermitRequest>, now: number) =>
+    answerPermit(sources, parts.limitState, PermitRequest.fromPartial(content), now);
+
+  for (const perSecond of ODD) {
+    it(`in a heartbeat is not taken for one: ${perSecond}`, () => {
+      const process = { endpoint: `told ${perSecond}`, processStartedAt: 1 };
+      receive({ endpointLimits: [{ ...process, perSecond, ageMs: 0 }] }, start);
+      assert.equal(sources.limits.find(process), undefined);
+    });
+
+    it(`in an ask is denied, and the asks after it are as before: ${perSecond}`, () => {
+      const process = { endpoint: `asked ${perSecond}`, processStartedAt: 1 };
+      const sound = { limit: { ...process, perSecond: 10, ageMs: 0 }, count: 1 };
+      ask(sound, start);
+      const odd = { limit: { ...process, perSecond, ageMs: 0 }, count: 1 };
+      assert.equal(ask(odd, start + 1).granted, false);
+      assert.ok(ask(sound, start + LONG_MS).granted);
+    });
+
+    it(`of a cold endpoint is denied as well: ${perSecond}`, () => {
+      const process = { endpoint: `cold ${perSecond}`, processStartedAt: 1 };
+      const cold = { ...process, remainingMs: 1000 };
+      const odd = { limit: { ...process, ageMs: 0 }, count: 1, cold, coldPerSecond: perSecond };
+      assert.equal(ask(odd, start).granted, false);
+      const sound = { limit: { ...process, perSecond: 10, ageMs: 0 }, count: 1 };
+      ask(sound, start);
+      assert.ok(ask(sound, start + LONG_MS).granted);
+    });
+  }
+
+  it("does not use up what the endpoint takes: a number of sends", () => {
+    const limit = { endpoint: "count", processStartedAt: 1, perSecond: 10, ageMs: 0 };
+    ask({ limit, count: 1 }, start);
+    assert.equal(ask({ limit, count: MAX_COUNT }, start + 2000).granted, false);
+    assert.ok(ask({ limit, count: 1 }, start + 2000).granted);
+  });
+
+  it("does not use up the memory of the process: a number of sends to an endpoint that begins", () => {
+    const process = { endpoint: "paced", processStartedAt: 1, ageMs: 0 };
+    const odd = { limit: process, paced: process, count: MAX_COUNT };
+    assert.equal(ask(odd, start).granted, false);
+  });
+});
+
+describe("a delay that cannot be true", () => {
+  it("in the reply of the owner of a limit does not end the sends to the endpoint", async () => {
+    const members = { findAddress: () => "127.0.0.1:1" } as unknown as MemberList;
+    const reply = { granted: false, retryAfterMs: 2 ** 32 - 1, paceOver: false };
+    const transport = { permit: () => Promise.resolve(reply) } as unknown as GrpcFleetTransport;
+    const permits = new PeerPermitTransport(members, transport, base.clock);
+    const process = { endpoint: "e", processStartedAt: 1 };
+    const limit = { perSecond: 1, cold: undefined, pacedSince: undefined };
+    const ask = { process, limit, word: undefined, count: 1, outcomes: undefined };
+    const decision = await permits.request("n2", ask, 100);
+    assert.ok(decision !== undefined && decision.retryAfterMs <= 60_000);
+  });
+});
