Absences of engines in peers' messages: one of more than an hour is not believed

Cause: the remaining time of a change of stage was added to the own clock unchecked.

Ruled out: the longest change of the configuration in force as the bound, which the receiver may not have yet; letting a later word shorten a deadline, as words of several peers come in any order.

Change: checkBeat drops an absence of more than an hour, with the line `record not used`.

--- a/src/peer/numbers.ts
+++ b/src/peer/numbers.ts
@@ -2,7 +2,14 @@
  * Bounds of numbers in messages of peers, which a faulty or a newer build may have written: one that
  * cannot be true costs what it stands in, and never the turn or what is computed from it later.
  */
-import type { Beat, ChargeRequest, EndpointLimit, PermitRequest, RelayReport } from "./gen/fleet";
+import type {
+  Absence,
+  Beat,
+  ChargeRequest,
+  EndpointLimit,
+  PermitRequest,
+  RelayReport,
+} from "./gen/fleet";
 
 /** The highest cost that is believed, in tokens; far more than a process admits in its life. */
 const MAX_COST = 1e15;
@@ -10,6 +17,8 @@
 const MAX_PER_SECOND = 1e9;
 /** The highest number of sends that one ask is for; a hold and its run take two. */
 const MAX_SENDS = 100;
+/** The longest time for which an engine may be absent, in milliseconds; a change of its stage takes seconds. */
+const MAX_ABSENCE_MS = 3_600_000;
 /** The longest time after which an owner of a limit is asked again, in milliseconds. */
 const MAX_RETRY_MS = 60_000;
 
@@ -38,6 +47,13 @@
   max: MAX_PER_SECOND,
 };
 
+const ABSENCE: Bound<Absence> = {
+  field: "remainingMs",
+  read: ({ remainingMs }) => remainingMs,
+  min: 0,
+  max: MAX_ABSENCE_MS,
+};
+
 const SENDS: Bound<Pick<PermitRequest, "count">> = {
   field: "count",
   read: ({ count }) => count,
@@ -66,6 +82,7 @@
     ...beat,
     usages: keepEntries(beat.usages, COST, onFault),
     endpointLimits: keepEntries(beat.endpointLimits, LIMIT, onFault),
+    absences: keepEntries(beat.absences, ABSENCE, onFault),
   };
 }
 
--- a/test/oddnumbers.spec.ts
+++ b/test/oddnumbers.spec.ts
@@ -4,14 +4,16 @@
  */
 import assert from "node:assert/strict";
 import { after, describe, it } from "node:test";
+import { EngineStage } from "../src/fleet/entries";
 import type { MemberList } from "../src/fleet/members";
+import { LOG_START } from "../src/fleet/position";
 import type { GrpcFleetTransport } from "../src/fleet/transport";
 import { createInstanceBase } from "../src/forward/base";
 import { createParts } from "../src/forward/parts";
 import { answerPermit, PeerPermitTransport } from "../src/forward/limits";
 import { answerCharge } from "../src/forward/shared";
 import { Beat, PermitRequest } from "../src/peer/gen/fleet";
-import { createSettings, testCodecs } from "./harness/forward";
+import { createEntry, createSettings, testCodecs } from "./harness/forward";
 import { MemoryStore } from "./harness/memory";
 
 const ODD = [NaN, Infinity, 1e300, -1e300, -Infinity];
@@ -116,3 +118,20 @@
     assert.ok(decision !== undefined && decision.retryAfterMs <= 60_000);
   });
 });
+
+describe("a remaining time that cannot be true", () => {
+  it("does not keep an engine absent: that of an order", () => {
+    const entry = createEntry("e1", "127.0.0.1:1", {
+      service: "models",
+      stage: EngineStage.decode,
+    });
+    const value = Buffer.from(JSON.stringify(entry));
+    const record = { key: entry.id, value, position: { era: 0, offset: 1 } };
+    parts.view.watcher.applyEndpoints({ records: [record], next: LOG_START }, false, "test");
+    const isFull = (now: number) => parts.reservations.listViews("models", now)[0]?.isFull;
+    receive({ absences: [{ engine: entry.id, remainingMs: 2 ** 32 - 1 }] }, start);
+    assert.equal(isFull(start), false);
+    receive({ absences: [{ engine: entry.id, remainingMs: 6000 }] }, start);
+    assert.deepEqual([isFull(start), isFull(start + 6001)], [true, false]);
+  });
+});
