Speeds of engines in peers' messages: bounded where they are read

By reading it then orders engines out of or into the prefill stage, as the prompts that come seem to need none or more than all of them; it lasts 10 s after the last such heartbeat.

Cause: the model of engines left out what is not finite or not above zero, and no more.

Tests: oddnumbers 'does not change the stages of engines' 0 of 2 before, 2 of 2 after; the file is 31 of 31. enginemodel 5 of 5.

--- a/src/peer/numbers.ts
+++ b/src/peer/numbers.ts
@@ -7,6 +7,7 @@
   Beat,
   ChargeRequest,
   EndpointLimit,
+  EngineSpeed,
   PermitRequest,
   RelayReport,
 } from "./gen/fleet";
@@ -17,6 +18,8 @@
 const MAX_PER_SECOND = 1e9;
 /** The highest number of sends that one ask is for; a hold and its run take two. */
 const MAX_SENDS = 100;
+/** Speeds of engines that are believed, in prompt tokens a millisecond. */
+const SPEEDS = { min: 0.001, max: 1e6 } as const;
 /** The longest time for which an engine may be absent, in milliseconds; a change of its stage takes seconds. */
 const MAX_ABSENCE_MS = 3_600_000;
 /** The longest time after which an owner of a limit is asked again, in milliseconds. */
@@ -54,6 +57,12 @@
   max: MAX_ABSENCE_MS,
 };
 
+const SPEED: Bound<EngineSpeed> = {
+  field: "tokensPerMs",
+  read: ({ tokensPerMs }) => tokensPerMs,
+  ...SPEEDS,
+};
+
 const SENDS: Bound<Pick<PermitRequest, "count">> = {
   field: "count",
   read: ({ count }) => count,
@@ -82,6 +91,7 @@
     ...beat,
     usages: keepEntries(beat.usages, COST, onFault),
     endpointLimits: keepEntries(beat.endpointLimits, LIMIT, onFault),
+    engineSpeeds: keepEntries(beat.engineSpeeds, SPEED, onFault),
     absences: keepEntries(beat.absences, ABSENCE, onFault),
   };
 }
--- a/test/oddnumbers.spec.ts
+++ b/test/oddnumbers.spec.ts
@@ -135,3 +135,13 @@
     assert.deepEqual([isFull(start), isFull(start + 6001)], [true, false]);
   });
 });
+
+describe("a speed that cannot be true", () => {
+  for (const tokensPerMs of [1e300, 1e-300]) {
+    it(`does not change the stages of engines: ${tokensPerMs}`, () => {
+      const read = () => parts.peerState.readStageLoad("models").tokensPerMs;
+      receive({ engineSpeeds: [{ service: "models", tokensPerMs }] }, base.clock.now());
+      assert.equal(read(), 30);
+    });
+  }
+});
