Size of the fleet in heartbeats: a number of instances that cannot be true is not told on

Seen: after one heartbeat of a peer that says it knows 2^32 - 1 instances, the instance told the same in its own heartbeats, and by reading so does each that hears it, for good: the largest number counts. Each then uses relays, however few they are.

Cause: the number is kept as a maximum, unchecked.

Ruled out: counting only addresses, as an instance with few known peers is to learn the size from the others.

Change: a number above 10,000 counts for nothing; checkBeat reports it, and a time of sending that can't be true, with the line `record not used`. A wrong number below that is not told from a true one.

--- a/src/fleet/members.ts
+++ b/src/fleet/members.ts
@@ -7,6 +7,7 @@
 import { createText, decodeBytes } from "../core/codec";
 import type { Logger } from "../core/log";
 import type { Beat } from "../peer/gen/fleet";
+import { isFleetSize } from "../peer/numbers";
 import type { ReaderCandidate } from "./readers";
 import type { ReplicaCandidate } from "./replicas";
 import type { FeedRecord } from "./store";
@@ -163,7 +164,7 @@
       isLost: false,
       relayedAt: member?.relayedAt,
     });
-    this.toldSize = Math.max(this.toldSize, beat.fleetSize ?? 0);
+    this.toldSize = Math.max(this.toldSize, isFleetSize(beat.fleetSize) ? beat.fleetSize : 0);
     if (!isLive) this.foundAt = now;
     return !isLive;
   }
--- a/src/peer/numbers.ts
+++ b/src/peer/numbers.ts
@@ -25,6 +25,9 @@
 /** The longest time after which an owner of a limit is asked again, in milliseconds. */
 const MAX_RETRY_MS = 60_000;
 
+/** The largest fleet that is believed, in instances. */
+const MAX_FLEET_SIZE = 10_000;
+
 /** Called with each number that is not used, and the field that it stands in. */
 export type NumberFaultListener = (field: string, value: number | undefined) => void;
 
@@ -81,12 +84,26 @@
 }
 
 /**
- * Drops the entries of a heartbeat, or of a record of a peer, whose numbers can't be true.
+ * Checks the number of instances that a peer knows.
+ *
+ * @example
+ * isFleetSize(4_294_967_295); // false
+ */
+export function isFleetSize(size: number | undefined): size is number {
+  return size !== undefined && isWithin(size, 0, MAX_FLEET_SIZE);
+}
+
+/**
+ * Drops the entries of a heartbeat, or of a record of a peer, whose numbers can't be true; reports those
+ * of its head too, which are read by themselves.
  *
  * @example
  * checkBeat(Beat.decode(content), (field, value) => log(field, value)).usages;
  */
 export function checkBeat(beat: Beat, onFault: NumberFaultListener): Beat {
+  const { sentAtMs, fleetSize } = beat;
+  if (sentAtMs !== undefined && !isSendTime(sentAtMs)) onFault("sentAtMs", sentAtMs);
+  if (fleetSize !== undefined && !isFleetSize(fleetSize)) onFault("fleetSize", fleetSize);
   return {
     ...beat,
     usages: keepEntries(beat.usages, COST, onFault),
--- a/test/oddnumbers.spec.ts
+++ b/test/oddnumbers.spec.ts
@@ -145,3 +145,12 @@
     });
   }
 });
+
+describe("a number of instances that cannot be true", () => {
+  it("does not have the fleet use relays, nor is it told on", () => {
+    const beat = { instance: "n2", incarnation: "n2/1", address: "127.0.0.1:1" };
+    const told = Beat.fromPartial({ ...beat, fleetSize: 2 ** 32 - 1 });
+    assert.ok((parts.heartbeats.onBeat(told).fleetSize ?? 0) < 10);
+    assert.ok((parts.heartbeats.onBeat(told).fleetSize ?? 0) < 10);
+  });
+});
