--- a/src/fleet/feeds/faults.ts
+++ b/src/fleet/feeds/faults.ts
@@ -5,6 +5,8 @@
 import { cutText } from "../../core/codec";
 import type { Logger } from "../../core/log";
 import type { Meter } from "../../forward/requests";
+import type { NumberFaultListener } from "../../peer/numbers";
+import { LOG_START } from "../position";
 import type { FeedRecord } from "../store";
 
 /** Maximum number of records that are remembered as reported. */
@@ -61,3 +63,19 @@
     });
   }
 }
+
+/**
+ * Creates a listener that reports numbers in messages of a peer; each field of a peer once.
+ *
+ * @example
+ * checkBeat(beat, createNumberReport(faults, "nizwa-1"));
+ */
+export function createNumberReport(
+  faults: Pick<RecordFaults, "report">,
+  peer: string,
+): NumberFaultListener {
+  return (field, value) => {
+    const name = { key: `${peer} ${field}`, position: LOG_START };
+    faults.report(RecordTopic.peers, name, `found ${String(value)}`, `peer ${peer}`);
+  };
+}
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -6,6 +6,7 @@
 import { pauseAndRead } from "../core/readfirst";
 import { runTask } from "../core/tasks";
 import { createNotRunRefusal, Reason } from "../core/outcome";
+import { createNumberReport } from "../fleet/feeds/faults";
 import { TICK_INTERVAL_MS } from "../fleet/relay/network";
 import type { RelayListener, RelayStream } from "../fleet/relay/transport";
 import { type FleetHandler, type FleetServer, startFleetServer } from "../fleet/transport";
@@ -52,6 +53,9 @@
  */
 const STOPPING_RETRY_MS = 50;
 
+/** Stands in the log for the sender of a message that does not name it. */
+const UNNAMED_PEER = "(unnamed)";
+
 /** A forwarding instance with all its parts. */
 export class ForwardInstance implements FleetHandler {
   private readonly base: InstanceBase;
@@ -196,14 +200,19 @@
     const { quotas, view } = this.parts;
     const { workspace: name } = request;
     const limit = view.watcher.readConfigIndex()?.findWorkspaceByName(name)?.limit;
-    const now = this.base.clock.now();
+    const { clock, faults } = this.base;
+    const now = clock.now();
     const isRelayed = view.members.isRelayed(request.instance, now);
-    return answerCharge(quotas, isRelayed ? createRelayedCharge(request) : request, limit, now);
+    const charge = isRelayed ? createRelayedCharge(request) : request;
+    const onFault = createNumberReport(faults, request.instance);
+    return answerCharge(quotas, charge, limit, now, onFault);
   }
 
   onPermit(request: PermitRequest): PermitReply {
     const { limitState } = this.parts;
-    return answerPermit(limitState.sources, limitState, request, this.base.clock.now());
+    const { clock, faults } = this.base;
+    const onFault = createNumberReport(faults, UNNAMED_PEER);
+    return answerPermit(limitState.sources, limitState, request, clock.now(), onFault);
   }
 
   onRemember(request: RememberRequest): void {
--- /dev/null
+++ b/src/peer/numbers.ts
@@ -0,0 +1,176 @@
+/**
+ * Bounds of numbers in messages of peers, which a faulty or a newer build may have written: one that
+ * cannot be true costs what it stands in, and never the turn or what is computed from it later.
+ */
+import type {
+  Absence,
+  Beat,
+  ChargeRequest,
+  EndpointLimit,
+  EngineSpeed,
+  PermitRequest,
+  RelayReport,
+} from "./gen/fleet";
+
+/** The highest cost that is believed, in tokens; far more than a process admits in its life. */
+const MAX_COST = 1e15;
+/** The highest limit of an endpoint that is believed, in requests a second. */
+const MAX_PER_SECOND = 1e9;
+/** The highest number of sends that one ask is for; a hold and its run take two. */
+const MAX_SENDS = 100;
+/** Speeds of engines that are believed, in prompt tokens a millisecond. */
+const SPEEDS = { min: 0.001, max: 1e6 } as const;
+/** The longest time for which an engine may be absent, in milliseconds; a change of its stage takes seconds. */
+const MAX_ABSENCE_MS = 3_600_000;
+/** The longest time after which an owner of a limit is asked again, in milliseconds. */
+const MAX_RETRY_MS = 60_000;
+
+/** The largest fleet that is believed, in instances. */
+const MAX_FLEET_SIZE = 10_000;
+
+/** Called with each number that is not used, and the field that it stands in. */
+export type NumberFaultListener = (field: string, value: number | undefined) => void;
+
+/** The numbers that an entry of a list may have. */
+interface Bound<T> {
+  readonly field: string;
+  readonly read: (entry: T) => number | undefined;
+  readonly min: number;
+  readonly max: number;
+}
+
+const COST: Bound<{ readonly cost: number }> = {
+  field: "cost",
+  read: ({ cost }) => cost,
+  min: 0,
+  max: MAX_COST,
+};
+
+const LIMIT: Bound<Pick<EndpointLimit, "perSecond">> = {
+  field: "perSecond",
+  read: ({ perSecond }) => perSecond,
+  min: 0,
+  max: MAX_PER_SECOND,
+};
+
+const ABSENCE: Bound<Absence> = {
+  field: "remainingMs",
+  read: ({ remainingMs }) => remainingMs,
+  min: 0,
+  max: MAX_ABSENCE_MS,
+};
+
+const SPEED: Bound<EngineSpeed> = {
+  field: "tokensPerMs",
+  read: ({ tokensPerMs }) => tokensPerMs,
+  ...SPEEDS,
+};
+
+const SENDS: Bound<Pick<PermitRequest, "count">> = {
+  field: "count",
+  read: ({ count }) => count,
+  min: 0,
+  max: MAX_SENDS,
+};
+
+/**
+ * Checks the time at which a peer sent a message, in milliseconds of the monotonic clock of its process.
+ *
+ * @example
+ * isSendTime(Number.NaN); // false
+ */
+export function isSendTime(sentAtMs: number | undefined): sentAtMs is number {
+  return sentAtMs !== undefined && isWithin(sentAtMs, 0, Number.MAX_SAFE_INTEGER);
+}
+
+/**
+ * Checks the number of instances that a peer knows.
+ *
+ * @example
+ * isFleetSize(4_294_967_295); // false
+ */
+export function isFleetSize(size: number | undefined): size is number {
+  return size !== undefined && isWithin(size, 0, MAX_FLEET_SIZE);
+}
+
+/**
+ * Drops the entries of a heartbeat, or of a record of a peer, whose numbers can't be true; reports those
+ * of its head too, which are read by themselves.
+ *
+ * @example
+ * checkBeat(Beat.decode(content), (field, value) => log(field, value)).usages;
+ */
+export function checkBeat(beat: Beat, onFault: NumberFaultListener): Beat {
+  const { sentAtMs, fleetSize } = beat;
+  if (sentAtMs !== undefined && !isSendTime(sentAtMs)) onFault("sentAtMs", sentAtMs);
+  if (fleetSize !== undefined && !isFleetSize(fleetSize)) onFault("fleetSize", fleetSize);
+  return {
+    ...beat,
+    usages: keepEntries(beat.usages, COST, onFault),
+    endpointLimits: keepEntries(beat.endpointLimits, LIMIT, onFault),
+    engineSpeeds: keepEntries(beat.engineSpeeds, SPEED, onFault),
+    absences: keepEntries(beat.absences, ABSENCE, onFault),
+  };
+}
+
+/**
+ * Drops the entries of a neighbour's report whose numbers can't be true.
+ *
+ * @example
+ * checkReport(message.report, onFault).usages;
+ */
+export function checkReport(report: RelayReport, onFault: NumberFaultListener): RelayReport {
+  return { ...report, usages: keepEntries(report.usages, COST, onFault) };
+}
+
+/**
+ * Checks the costs of a charge.
+ *
+ * @example
+ * isCharge({ ...request, costs: [Number.NaN] }, onFault); // false
+ */
+export function isCharge(request: ChargeRequest, onFault: NumberFaultListener): boolean {
+  const costs = [request.totalCost, ...request.costs].map((cost) => ({ cost }));
+  return keepEntries(costs, COST, onFault).length === costs.length;
+}
+
+/**
+ * Checks the limits and the number of sends of an ask for permits.
+ *
+ * @example
+ * isPermitRequest({ ...request, count: 4_294_967_295 }, onFault); // false
+ */
+export function isPermitRequest(request: PermitRequest, onFault: NumberFaultListener): boolean {
+  const { limit, coldPerSecond } = request;
+  const limits = [{ perSecond: limit?.perSecond }, { perSecond: coldPerSecond }];
+  const areSound = keepEntries(limits, LIMIT, onFault).length === limits.length;
+  return keepEntries([request], SENDS, onFault).length > 0 && areSound;
+}
+
+/**
+ * Bounds the time after which the owner of a limit wants to be asked again, in milliseconds.
+ *
+ * @example
+ * boundRetryMs(4_294_967_295); // 60000
+ */
+export function boundRetryMs(retryAfterMs: number): number {
+  return Math.min(retryAfterMs, MAX_RETRY_MS);
+}
+
+function keepEntries<T>(
+  entries: readonly T[],
+  { field, read, min, max }: Bound<T>,
+  onFault: NumberFaultListener,
+): T[] {
+  return entries.filter((entry) => {
+    const value = read(entry);
+    const isSound = value === undefined || isWithin(value, min, max);
+    if (!isSound) onFault(field, value);
+    return isSound;
+  });
+}
+
+/** False also for what is no number. */
+function isWithin(value: number, min: number, max: number): boolean {
+  return value >= min && value <= max;
+}
