Generations: an error between preparation and send leaves nothing behind

Seen: an error that a check before the send of a run throws, or the send itself, left the load of the run (310 tokens in the test) with its engine in this instance's view for good, and its hold there until it expired: 2 of 3 cases of `passedonfault` failed on the code before, with [310, 1, 0] for load, holds and releases in place of [0, 1, 1].

Cause: after the preparation only `followRun` released what a try holds.

Ruled out: that the preparation is meant, whose case passed before too; that a run was sent and its engine still needs the hold (the start of the send is what throws).

Change: the checks and the send are one step that discards the start if it throws, as a replacement that is not used is discarded.

Test lines changed: the case of the preparation is now the first of three with the same checks.

--- a/src/forward/generations/stream.ts
+++ b/src/forward/generations/stream.ts
@@ -209,10 +209,8 @@
       release: (reservation) => {
         this.releaseEngine(reservation);
       },
-      discard: ({ engine, deadlineSignal }) => {
-        deadlineSignal.close();
-        this.releaseEngine(engine.reservation);
-        this.keepSource(engine.source);
+      discard: (start) => {
+        this.discard(start);
       },
       send: (start) => this.send(start, this.runs + 2),
       finish: (sent) => this.recordBeside(sent, this.sender.readResult(sent)),
@@ -283,6 +281,13 @@
     reservations.release(reservation);
   }
 
+  /** Releases what a try holds of which no run was sent. */
+  private discard({ engine, deadlineSignal }: TryStart): void {
+    deadlineSignal.close();
+    this.releaseEngine(engine.reservation);
+    this.keepSource(engine.source);
+  }
+
   /** Keeps a prompt that was read for the next try, if there may be one. */
   private keepSource(source: CacheSource | undefined): void {
     if (this.isEnded) this.prefiller.release(source);
@@ -304,10 +309,21 @@
     }
     this.stages.enter(RequestStage.prefill);
     const start = await this.prepare(reservation);
-    const stopped = this.stopBeforeSend(start);
-    if (stopped === undefined) return this.followRun(this.send(start, this.runs + 1));
-    this.finishTry(start, stopped);
-    return stopped;
+    const begun = this.begin(start);
+    if (E.isRight(begun)) return this.followRun(begun.right);
+    this.finishTry(start, begun.left);
+    return begun.left;
+  }
+
+  /** Sends a run, or tells why none may be sent; if that throws, nothing is left at the engines. */
+  private begin(start: TryStart): E.Either<TryResult, SentRun> {
+    try {
+      const stopped = this.stopBeforeSend(start);
+      return stopped === undefined ? E.right(this.send(start, this.runs + 1)) : E.left(stopped);
+    } catch (error) {
+      this.discard(start);
+      throw error;
+    }
   }
 
   /** Forwards the stream of a run that was sent, to its end. */
--- a/test/passedonfault.spec.ts
+++ b/test/passedonfault.spec.ts
@@ -103,21 +103,27 @@
     assert.deepEqual(faults, []);
   };
 
-  it("in the preparation of its engine leaves neither its load nor its memory there", async () => {
-    const { context, reservations } = await startWithEngine();
-    const { engineLoad } = reservations;
-    const addLocalWork = engineLoad["addLocalWork"] as (...all: unknown[]) => void;
-    let localTokens = 0;
-    engineLoad["addLocalWork"] = (id: string, tokens: number, ...more: unknown[]) => {
-      localTokens += tokens;
-      addLocalWork.call(engineLoad, id, tokens, ...more);
-    };
-    breakMethod(context["crashes"], "beginRun", 1);
-    assert.equal((await send("/summary/1"))?.status, 502);
-    await pause(50);
-    assert.deepEqual([localTokens, holds, releases], [0, 1, 1]);
-    await checkOthers();
-  });
+  for (const [what, part, method] of [
+    ["the preparation of its engine", "crashes", "beginRun"],
+    ["the checks before its send", "directory", "canUseMemory"],
+    ["the start of its send", "client", "send"],
+  ] as const) {
+    it(`in ${what} leaves neither its load nor its memory there`, async () => {
+      const { context, reservations } = await startWithEngine();
+      const { engineLoad } = reservations;
+      const addLocalWork = engineLoad["addLocalWork"] as (...all: unknown[]) => void;
+      let localTokens = 0;
+      engineLoad["addLocalWork"] = (id: string, tokens: number, ...more: unknown[]) => {
+        localTokens += tokens;
+        addLocalWork.call(engineLoad, id, tokens, ...more);
+      };
+      breakMethod(context[part], method, 1);
+      assert.equal((await send("/summary/1"))?.status, 502);
+      await pause(50);
+      assert.deepEqual([localTokens, holds, releases], [0, 1, 1]);
+      await checkOthers();
+    });
+  }
 
   for (const [what, part, method] of [
     ["passing events on", "sharedOrigins", "record"],
