Replacements: one that fails keeps neither its retry nor its memory

Seen: where the preparation of a run in place of a silent one throws, the retry that it was charged was not given back; where a check before the send or the send throws, neither was its memory: 4 of 4 new cases of `replacement` failed on the code before.

Cause: what was reserved and charged was given back only where the steps say "no", not where they throw.

Ruled out: a retry of a run that was sent is not given back; `prepare` releases its reservation by itself.

Change: charge, preparation and send give back what they took unless a run was sent. The send follows its check without a turn between them.

--- a/src/forward/generations/replacement.ts
+++ b/src/forward/generations/replacement.ts
@@ -102,7 +102,7 @@
   tryKeepRetry(sent: SentRun): boolean;
   /** Takes back the retry of a run that was not sent. */
   refund(): void;
-  /** Has the prompt read, or leaves it to the decode engine. */
+  /** Has the prompt read, or leaves it to the decode engine; releases the engine if that throws. */
   prepare(reservation: Reservation, signal: AbortSignal): Promise<TryStart>;
   /** Checks right before its use that the engine is there and that the generation may run. */
   canUse(reservation: Reservation): boolean;
@@ -134,9 +134,8 @@
     const state = this.host.judgeSilentRun();
     const isLate = overdueMs >= SAME_ENGINE_OVERDUE_MS;
     const mayBeSame = state === SilentRunState.gone || (state === SilentRunState.inDoubt && isLate);
-    const start = await this.prepare(mayBeSame, signal);
-    if (start === undefined) return false;
-    const sent = this.host.send(start);
+    const sent = await this.reserveAndSend(mayBeSame, signal);
+    if (sent === undefined) return false;
     this.ready = sent;
     const headState = await sent.waitForHead(MAX_BESIDE_MS);
     // The silent run has gone on, or has ended and left the generation to this one.
@@ -183,21 +182,42 @@
     return state === SilentRunState.sound && !this.host.tryKeepRetry(sent);
   }
 
-  /** Prepares an engine up to the send of a run; returns undefined if there is none. */
-  private async prepare(mayBeSame: boolean, signal: AbortSignal): Promise<TryStart | undefined> {
+  /** Reserves an engine and sends it a run; returns undefined if there is none. */
+  private async reserveAndSend(
+    mayBeSame: boolean,
+    signal: AbortSignal,
+  ): Promise<SentRun | undefined> {
     const { host } = this;
     if (!host.canRunAgain()) return undefined;
     const reservation = await host.reserve(mayBeSame, signal);
     if (reservation === undefined) return undefined;
-    // The prompt may cost a retry as well, which must not be the last one.
-    if (signal.aborted || !host.canRunAgain() || !host.tryCharge()) {
-      host.release(reservation);
-      return undefined;
+    let isCharged = false;
+    try {
+      // The prompt may cost a retry as well, which must not be the last one.
+      isCharged = !signal.aborted && host.canRunAgain() && host.tryCharge();
+    } finally {
+      if (!isCharged) host.release(reservation);
+    }
+    return isCharged ? this.prepareAndSend(reservation, signal) : undefined;
+  }
+
+  /** Sends a run that is charged; if none is sent, also as a step throws, nothing of it is kept. */
+  private async prepareAndSend(
+    reservation: Reservation,
+    signal: AbortSignal,
+  ): Promise<SentRun | undefined> {
+    const { host } = this;
+    let start: TryStart | undefined;
+    let sent: SentRun | undefined;
+    try {
+      start = await host.prepare(reservation, signal);
+      if (!signal.aborted && host.canUse(reservation)) sent = host.send(start);
+      return sent;
+    } finally {
+      if (sent === undefined) {
+        host.refund();
+        if (start !== undefined) host.discard(start);
+      }
     }
-    const start = await host.prepare(reservation, signal);
-    if (!signal.aborted && host.canUse(reservation)) return start;
-    host.discard(start);
-    host.refund();
-    return undefined;
   }
 }
