Relay streams: an error in the handling of a message costs its stream

Cause: handlers of streams run the code that merges what peers wrote, and nobody catches there; and the view of all members was given up for one whose record could not be recorded, at each tick.

Ruled out: records that cannot be decoded or applied (`oddpeers`), which cost themselves before; decoding of messages (gRPC answers its errors).

Change: `core/guard`: handlers of one source of events are wrapped; an error is logged as `event failed` and ends the source. A relay stream is closed, so that the next one begins with all records. A member's record that cannot be recorded costs itself, as others do.

--- a/src/fleet/relay/network.ts
+++ b/src/fleet/relay/network.ts
@@ -3,6 +3,7 @@
  * and derives from them which instances are live. Everything periodic is done by one tick.
  */
 import type { Clock, Moment } from "../../core/clock";
+import { EventGuard } from "../../core/guard";
 import type { Logger } from "../../core/log";
 import {
   Beat,
@@ -204,28 +205,29 @@
 
   private open(address: string, transport: RelayTransport): void {
     const now = this.parts.clock.now();
-    const opened: { link: RelayLink | undefined } = { link: undefined };
+    const opened: { listener: RelayListener | undefined } = { listener: undefined };
     const stream = transport.openRelay(address, {
-      onMessage: (message, bytes) => {
-        if (opened.link !== undefined) this.onMessage(opened.link, message, bytes);
-      },
-      onClosed: (isGraceful) => {
-        if (opened.link !== undefined) this.links.recordClosed(opened.link, isGraceful);
-      },
+      onMessage: (message, bytes) => opened.listener?.onMessage(message, bytes),
+      onClosed: (isGraceful) => opened.listener?.onClosed(isGraceful),
     });
     if (stream === undefined) return;
-    opened.link = this.links.add(stream, address, now);
-    this.flushQueue.sendHello(opened.link, this.createHello(), now);
+    const link = this.links.add(stream, address, now);
+    opened.listener = this.createListener(link);
+    this.flushQueue.sendHello(link, this.createHello(), now);
   }
 
+  /** Creates a listener of which an error costs its stream alone; the next one starts afresh. */
   private createListener(link: RelayLink): RelayListener {
+    const guard = new EventGuard("relay stream", this.parts.logger, () => {
+      this.links.remove(link);
+    });
     return {
-      onMessage: (message, bytes) => {
+      onMessage: guard.wrap((message, bytes) => {
         this.onMessage(link, message, bytes);
-      },
-      onClosed: (isGraceful) => {
+      }),
+      onClosed: guard.wrap((isGraceful) => {
         this.links.recordClosed(link, isGraceful);
-      },
+      }),
     };
   }
 
@@ -410,8 +412,13 @@
     if (members.isRelayed(record.instance, now)) this.recordMember(record, now);
   }
 
+  /** Records a live member; whatever that throws costs the member's record alone. */
   private recordMember(record: OwnedRecord, heardAt: Moment): void {
-    this.parts.members.recordRelayed(this.readMember(record), heardAt);
+    try {
+      this.parts.members.recordRelayed(this.readMember(record), heardAt);
+    } catch (error) {
+      this.reportFault(record, error, record.instance);
+    }
   }
 
   private readMember(record: OwnedRecord): RelayedMember {
