Served tunnels: an error in an event costs its tunnel

Cause: handlers of the call and of the socket run the search of the target and the link check, and nobody catches there.

Change: the handlers are wrapped by an `EventGuard`; a tunnel that is not open is answered as unreachable, one that is open is reset. A link check that fails counts as no evidence against the endpoint. It is marked as open only once that can be told.

Test lines changed: the harness of tunnels gives its server a logger.

--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -86,7 +86,14 @@
     );
     const { directory, watcher } = view;
     const isBarred = (id: string) => context.gate.isEvacuated(id);
-    this.tunnelServer = new TunnelServer(directory, clock, context.links, undefined, isBarred);
+    this.tunnelServer = new TunnelServer(
+      directory,
+      clock,
+      context.links,
+      logger,
+      undefined,
+      isBarred,
+    );
     this.statusServers = new StatusServers({
       clock,
       logger,
--- a/src/forward/tunnels/server.ts
+++ b/src/forward/tunnels/server.ts
@@ -4,6 +4,7 @@
  */
 import * as E from "fp-ts/Either";
 import type { Clock } from "../../core/clock";
+import type { Logger } from "../../core/log";
 import type { EndpointDirectory } from "../../fleet/directory";
 import type { TunnelTarget } from "../../peer/gen/fleet";
 import type { LinkChecker } from "./linkcheck";
@@ -36,6 +37,7 @@
     private readonly directory: EndpointDirectory,
     private readonly clock: Clock,
     private readonly links: LinkChecker,
+    private readonly logger: Logger,
     private readonly connect: EndpointConnector = openEndpointSocket,
     private readonly isBarred: (endpoint: string) => boolean = () => false,
   ) {}
@@ -49,6 +51,7 @@
   open(call: TunnelServerCall): void {
     const tunnel = new ServedTunnel(call, {
       clock: this.clock,
+      logger: this.logger,
       connect: this.connect,
       links: this.links,
       findAddress: (target) => this.findAddress(target),
--- a/src/forward/tunnels/tunnel.ts
+++ b/src/forward/tunnels/tunnel.ts
@@ -5,6 +5,8 @@
 import { Metadata, type ServerDuplexStream } from "@grpc/grpc-js";
 import * as E from "fp-ts/Either";
 import type { Clock, Moment } from "../../core/clock";
+import { EventGuard } from "../../core/guard";
+import { formatStack, type Logger } from "../../core/log";
 import { ReadFirstTimer } from "../../core/readfirst";
 import { tryOpenSocket } from "../../store/connector";
 import { TunnelData, type TunnelTarget } from "../../peer/gen/fleet";
@@ -21,6 +23,7 @@
 /** What a served tunnel needs. */
 export interface ServedTunnelParts {
   readonly clock: Clock;
+  readonly logger: Logger;
   readonly connect: EndpointConnector;
   /** Finds the address of the process that a peer names, or says why none is opened. */
   readonly findAddress: (target: TunnelTarget) => E.Either<TunnelFailureKind, string>;
@@ -66,11 +69,16 @@
   private idleAt: Moment | undefined;
   /** Runs until the call has named its target, then until the endpoint has accepted. */
   private timer: ReadFirstTimer;
+  /** An error in a handler costs this tunnel alone. */
+  private readonly guard: EventGuard;
 
   constructor(
     private readonly call: TunnelServerCall,
     private readonly parts: ServedTunnelParts,
   ) {
+    this.guard = new EventGuard("served tunnel", parts.logger, () => {
+      this.failOrClose();
+    });
     this.timer = new ReadFirstTimer(TARGET_TIMEOUT_MS, () => {
       this.close();
     });
@@ -81,9 +89,12 @@
     call.on("cancelled", () => {
       this.close();
     });
-    call.on("data", (message: TunnelData) => {
-      this.receive(message);
-    });
+    call.on(
+      "data",
+      this.guard.wrap((message: TunnelData) => {
+        this.receive(message);
+      }),
+    );
     // The peer has left; of the end of its bytes it sends a message.
     call.on("end", () => {
       this.close();
@@ -156,31 +167,47 @@
     this.timer = new ReadFirstTimer(CONNECT_TIMEOUT_MS, () => {
       this.fail(TunnelFailureKind.unreachable);
     });
-    socket.once("connect", () => {
-      this.confirm(socket);
-    });
+    socket.once(
+      "connect",
+      this.guard.wrap(() => {
+        this.confirm(socket);
+      }),
+    );
     socket.on("error", (error: NodeJS.ErrnoException) => {
-      if (this.isOpen) this.close();
-      else if (error.code === "ECONNREFUSED") void this.failAsRefused(endpoint);
-      else this.fail(TunnelFailureKind.unreachable);
+      if (!this.isOpen && error.code === "ECONNREFUSED") void this.failAsRefused(endpoint);
+      else this.failOrClose();
     });
   }
 
   /** Tells the peer of a refusal, as one of the endpoint only if this instance reaches others. */
   private async failAsRefused(endpoint: string): Promise<void> {
-    const isLinkSound = await this.parts.links.check(endpoint);
+    const isLinkSound = await this.checkLink(endpoint);
     this.fail(isLinkSound ? TunnelFailureKind.refused : TunnelFailureKind.unreachable);
   }
 
+  /** Checks the link of this instance; a check that fails says nothing for it. */
+  private async checkLink(endpoint: string): Promise<boolean> {
+    const { links, logger } = this.parts;
+    try {
+      return await links.check(endpoint);
+    } catch (error) {
+      logger.error("link check failed", { endpoint, stack: formatStack(error) });
+      return false;
+    }
+  }
+
   private confirm(socket: Socket): void {
     if (this.isClosed) return;
     this.timer.close();
-    this.isOpen = true;
     this.idleAt = this.parts.clock.now();
+    this.isOpen = true;
     this.call.write(OPENED_MESSAGE);
-    socket.on("data", (bytes) => {
-      this.relay(bytes, socket);
-    });
+    socket.on(
+      "data",
+      this.guard.wrap((bytes: Buffer) => {
+        this.relay(bytes, socket);
+      }),
+    );
     socket.on("drain", () => {
       this.call.resume();
     });
@@ -224,6 +251,12 @@
     });
   }
 
+  /** Ends a tunnel that broke; of one that is not open the peer learns that it never was. */
+  private failOrClose(): void {
+    if (this.isOpen) this.close();
+    else this.fail(TunnelFailureKind.unreachable);
+  }
+
   private fail(failure: TunnelFailureKind): void {
     if (this.isClosed) return;
     this.call.write(TunnelData.create({ failure }));
--- a/test/harness/tunnels.ts
+++ b/test/harness/tunnels.ts
@@ -4,6 +4,7 @@
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import * as E from "fp-ts/Either";
 import { MonotonicClock } from "../../src/core/clock";
+import { SILENT_LOGGER } from "../../src/core/log";
 import { EndpointDirectory } from "../../src/fleet/directory";
 import type { EndpointEntry } from "../../src/fleet/entries";
 import { type FleetHandler, type FleetServer, startFleetServer } from "../../src/fleet/transport";
@@ -51,7 +52,10 @@
   readonly opener: PeerTunnelOpener;
   /** Whether the peer reaches other endpoints. */
   isLinkSound = true;
-  private readonly links: LinkChecker = { check: () => Promise.resolve(this.isLinkSound) };
+  readonly links: LinkChecker = { check: () => Promise.resolve(this.isLinkSound) };
+  readonly clock = new MonotonicClock();
+  /** Events of the peer's error lines. */
+  readonly errors: string[] = [];
   private offset = 0;
 
   private constructor(
@@ -59,7 +63,8 @@
     connect: EndpointConnector | undefined,
     dialledAddress: string,
   ) {
-    this.server = new TunnelServer(this.directory, new MonotonicClock(), this.links, connect);
+    const logger = { ...SILENT_LOGGER, error: (event: string) => void this.errors.push(event) };
+    this.server = new TunnelServer(this.directory, this.clock, this.links, logger, connect);
     this.opener = new PeerTunnelOpener((peer) => (peer === PEER ? dialledAddress : undefined));
   }
 
