Callers' connections: an error in an event costs its connection

Seen: an unexpected error outside the handling of a request ended the process: at a new connection, in the check or the tracking of a request, in the refusal of one whose handling had thrown, of bytes that are no request, and of a slow head (written in a `setImmediate`).

Cause: nobody waits for the turn of a request, and nobody catches in events of the server. A request that ended so was also counted as open for good, so that a stop would have waited for it until the end of its grace.

Ruled out: errors in the handling itself (`handlerfault`, passed before).

Change: each event of a connection runs in an `EventGuard` that resets it; the count of open requests ends with the turn, however that ends.

--- a/src/core/guard.ts
+++ b/src/core/guard.ts
@@ -34,6 +34,16 @@
     };
   }
 
+  /** Runs a turn that nobody waits for; an error is logged and ends the source. Never rejects. */
+  async run(turn: () => Promise<void>): Promise<void> {
+    try {
+      await turn();
+    } catch (error) {
+      this.report(error);
+      this.end();
+    }
+  }
+
   private end(): void {
     try {
       this.onFault();
--- a/src/forward/callers/server.ts
+++ b/src/forward/callers/server.ts
@@ -7,6 +7,7 @@
 import * as E from "fp-ts/Either";
 import type { CallerLimits } from "../../fleet/config";
 import { type Clock, type Moment, MS_PER_SECOND } from "../../core/clock";
+import { EventGuard } from "../../core/guard";
 import { formatStack, type Logger } from "../../core/log";
 import { runTask } from "../../core/tasks";
 import { boundTimeoutMs, MAX_TIMEOUT_MS } from "../../core/timeouts";
@@ -21,6 +22,7 @@
   Refusal,
 } from "../../core/outcome";
 import { CallerConnections } from "./connections";
+import { closeUnlessRead, cutResponse, endAfter } from "./endings";
 import {
   CHECK_INTERVAL_MS,
   MAX_ADMISSION_MS,
@@ -110,16 +112,19 @@
         noDelay: true,
       },
       (request, response) => {
-        if (this.canAnswer(request)) void this.onRequest(request, response);
-        else this.dropRequest(request);
+        void this.createGuard(request.socket).run(() => this.onRequest(request, response));
       },
     );
     this.server.on("connection", (socket) => {
-      this.connections.add(socket);
+      this.guard(socket, () => {
+        this.connections.add(socket);
+      });
     });
     this.server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
-      if (error.code === SLOW_HEAD_CODE) this.answerUnlessRead(error, socket as Socket);
-      else this.answerBadConnection(error, socket as Socket);
+      this.guard(socket as Socket, () => {
+        if (error.code === SLOW_HEAD_CODE) this.answerUnlessRead(error, socket as Socket);
+        else this.answerBadConnection(error, socket as Socket);
+      });
     });
     this.server.on("timeout", closeUnlessRead);
     this.setLimits(INITIAL_LIMITS);
@@ -177,7 +182,22 @@
     this.server.close();
   }
 
+  /** Creates the guard of a caller's connection: it is reset, as no answer may look whole after it. */
+  private createGuard(socket: Socket): EventGuard {
+    return new EventGuard("caller", this.logger, () => {
+      socket.resetAndDestroy();
+    });
+  }
+
+  private guard(socket: Socket, handle: () => void): void {
+    this.createGuard(socket).wrap(handle)();
+  }
+
   private async onRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (!this.canAnswer(request)) {
+      this.dropRequest(request);
+      return;
+    }
     this.badConnections.record(request, response);
     const written = this.connections.track(request, response);
     this.keepAnnounced(request, response, this.server.keepAliveTimeout);
@@ -194,18 +214,30 @@
     this.openRequests += 1;
     this.aborts.add(callerAbort);
     try {
-      await this.respond(request, response, arrivedAt, callerAbort);
+      await this.respondOrFail(request, response, arrivedAt, callerAbort);
+      request.socket.off("end", onCallerGone);
+      request.socket.off("close", onCallerGone);
+      await written;
+    } finally {
+      this.aborts.delete(callerAbort);
+      this.openRequests -= 1;
+    }
+  }
+
+  private async respondOrFail(
+    request: IncomingMessage,
+    response: ServerResponse,
+    arrivedAt: Moment,
+    abort: AbortController,
+  ): Promise<void> {
+    try {
+      await this.respond(request, response, arrivedAt, abort);
     } catch (error) {
       this.failRequest(request, response, undefined, error);
     }
     endIfUnread({ request, response }, this.limits.idleTimeoutMs, this.badConnections);
     // The head of a stream may have been sent, without "connection: close", before closing began.
     if (this.isClosing && this.isLast(request)) endAfter(request.socket, response);
-    request.socket.off("end", onCallerGone);
-    request.socket.off("close", onCallerGone);
-    this.aborts.delete(callerAbort);
-    await written;
-    this.openRequests -= 1;
   }
 
   /**
@@ -428,8 +460,10 @@
   private answerUnlessRead(error: NodeJS.ErrnoException, socket: Socket): void {
     const last = this.badConnections.findLastRequest(socket);
     setImmediate(() => {
-      if (this.badConnections.findLastRequest(socket) !== last) return;
-      this.answerBadConnection(error, socket);
+      this.guard(socket, () => {
+        if (this.badConnections.findLastRequest(socket) !== last) return;
+        this.answerBadConnection(error, socket);
+      });
     });
   }
 
@@ -449,12 +483,6 @@
   }
 }
 
-/** Cuts a response whose head was sent, so that it can't look whole. */
-function cutResponse(response: ServerResponse): void {
-  response.socket?.resetAndDestroy();
-  response.destroy();
-}
-
 /** Creates the final response of an overdue request; a stream that has begun is cut. */
 function createOverdueResponse(response: ServerResponse): CallerResponse {
   if (response.writableEnded) return undefined;
@@ -466,24 +494,7 @@
   return E.left(new Refusal(504, Reason.deadline, ExecutionStatus.unknown, message));
 }
 
-/**
- * Closes a kept connection at its idle timeout, unless its next request came in time: after the
- * process stood still, the timeout fires before the socket is read.
- */
-function closeUnlessRead(socket: Socket): void {
-  const { bytesRead } = socket;
-  setImmediate(() => {
-    if (socket.bytesRead === bytesRead) socket.destroy();
-  });
-}
-
 /** Checks that a caller's protocol has chunks; HTTP/1.0 has none. */
 function hasChunks({ httpVersionMajor, httpVersionMinor }: IncomingMessage): boolean {
   return httpVersionMajor > 1 || httpVersionMinor > 0;
 }
-
-/** Closes a connection once its response has been sent. */
-function endAfter(socket: Socket, response: ServerResponse): void {
-  if (response.writableFinished) socket.end();
-  else response.once("finish", () => socket.end());
-}
