Silence watch: an error as the silence is told no longer ends the process

Cause: only the search of the watch was caught, not what it tells before.

Ruled out: the search itself (its two cases passed before too).

Change: the timer's turn is a `runTask`; the silence is searched all the same, as the stream needs an engine whatever the watch's owner makes of it.

--- a/src/core/silence.ts
+++ b/src/core/silence.ts
@@ -7,6 +7,7 @@
 import type { Clock, Moment } from "./clock";
 import { formatStack, type Logger } from "./log";
 import { ReadFirstTimer } from "./readfirst";
+import { runTask } from "./tasks";
 
 /** Pause between two searches in one silence, in milliseconds. */
 const SEARCH_PAUSE_MS = 500;
@@ -88,15 +89,19 @@
   private restartTimer(timeoutMs: number): void {
     this.timer?.close();
     this.timer = new ReadFirstTimer(timeoutMs, () => {
-      this.onTimeout();
+      void runTask("search beside a silent run", this.options.logger, () => this.onTimeout());
     });
   }
 
-  private onTimeout(): void {
+  private async onTimeout(): Promise<void> {
     const now = this.options.clock.now();
-    if (this.overdueSince === undefined) this.options.onSilent();
+    const isNew = this.overdueSince === undefined;
     this.overdueSince ??= now;
-    void this.replace(now - this.overdueSince);
+    try {
+      if (isNew) this.options.onSilent();
+    } finally {
+      await this.replace(now - this.overdueSince);
+    }
   }
 
   private async replace(overdueMs: number): Promise<void> {
--- a/test/silencewatch.spec.ts
+++ b/test/silencewatch.spec.ts
@@ -9,7 +9,7 @@
 import { SilenceWatch } from "../src/core/silence";
 
 /** Watches a run that stays silent, with searches of which the first one fails. */
-function watchSilent(fail: () => Promise<boolean>) {
+function watchSilent(fail: () => Promise<boolean>, onSilent: () => void = () => undefined) {
   let searches = 0;
   const errors: unknown[] = [];
   const logger = {
@@ -22,7 +22,7 @@
     logger,
     timeoutMs: 20,
     finder: { find },
-    onSilent: () => undefined,
+    onSilent,
     onResumed: () => undefined,
   });
   return { watch, errors };
@@ -45,3 +45,20 @@
     assert.match(String(errors), /broken invariant/);
   });
 }
+
+it("an error as the silence is told is logged, and the silence is searched", async () => {
+  const faults: unknown[] = [];
+  const onFault = (error: unknown) => void faults.push(error);
+  process.on("uncaughtException", onFault);
+  const { watch, errors } = watchSilent(
+    () => Promise.resolve(true),
+    () => {
+      throw new Error("broken invariant");
+    },
+  );
+  await Promise.race([once(watch.signal, "abort"), pause(1000)]);
+  watch.close();
+  process.off("uncaughtException", onFault);
+  assert.deepEqual([watch.signal.aborted, faults], [true, []]);
+  assert.match(String(errors), /broken invariant/);
+});
