Heartbeats: an error in a fetch beside a slow one ends that turn alone

Seen: the timer that begins a fetch beside a slow one looks at what peers offer, outside a `runTask`; an error there ends the process.

Cause: only the fetch itself was a task, not the choice of its peer.

Ruled out, by reading: the other callbacks of `ReadFirstTimer` and `LongTimer` in src/forward, src/fleet, src/control and src/peer, which resolve, abort, cancel or destroy, or are in a task.

Change: the timer's turn is a `runTask`.

--- a/src/fleet/heartbeat.ts
+++ b/src/fleet/heartbeat.ts
@@ -187,8 +187,10 @@
 
   private async fetch(address: string): Promise<void> {
     const timer = new ReadFirstTimer(SLOW_FETCH_MS, () => {
-      this.offers.markSlow(address);
-      this.startFetch();
+      void runTask("fetch beside a slow one", this.logger, () => {
+        this.offers.markSlow(address);
+        this.startFetch();
+      });
     });
     try {
       const request = this.host.createFetchRequest();
--- a/test/detachedfault.spec.ts
+++ b/test/detachedfault.spec.ts
@@ -117,6 +117,13 @@
       const relay = { isActive: true, announce: fail };
       create(HeartbeatExchanger, {}, {}, {}, {}, clock, logger, relay)["sendHeartbeats"]?.();
     },
+    "a fetch beside a slow one": () => {
+      const transport = { fetch: () => new Promise(() => undefined) };
+      const host = { createFetchRequest: () => ({}) };
+      const exchanger = create(HeartbeatExchanger, {}, {}, transport, host, clock, logger);
+      void exchanger["fetch"]?.("n2:1");
+      exchanger["startFetch"] = fail;
+    },
     "the first join, and a refresh of the members": () => {
       const policy = { mayWait: true, hasRelays: fail };
       const join = [{}, {}, {}, clock, {}, logger, fail, policy];
