Stop: a step that throws keeps none of the others from being done

Seen: an unexpected error in a step of the stop (the notice to peers, the end of the queue, the closing of a part) rejected `close`; `platform/main` waits for it without a catch, so that the process ended at once, with requests under way. `stopfault` failed 2 of 2 on the code before: `close` rejected.

Cause: the steps stood behind each other without a guard.

Ruled out: reading changed settings at a signal (its errors are values).

Change: each step is a `runTask`; `runSteps` does several, also for the periodic maintenance, which had its own loop for it. The order is as it was.

--- a/src/core/tasks.ts
+++ b/src/core/tasks.ts
@@ -25,3 +25,18 @@
     return false;
   }
 }
+
+/** The steps of a task, by what the log calls them. */
+export type TaskSteps = Readonly<Record<string, () => Promise<void> | void>>;
+
+/**
+ * Runs steps in their order, without waiting for one before the next; one that fails keeps no other from
+ * being done.
+ *
+ * @returns resolves once all have ended; never rejects
+ * @example
+ * await runSteps(logger, { "close the store": () => store.close() });
+ */
+export async function runSteps(logger: Logger, steps: TaskSteps): Promise<void> {
+  await Promise.all(Object.entries(steps).map(([name, step]) => runTask(name, logger, step)));
+}
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -4,7 +4,7 @@
 import * as E from "fp-ts/Either";
 import { pause } from "../core/clock";
 import { pauseAndRead } from "../core/readfirst";
-import { runTask } from "../core/tasks";
+import { runSteps, runTask } from "../core/tasks";
 import { createNotRunRefusal, Reason } from "../core/outcome";
 import { TICK_INTERVAL_MS } from "../fleet/relay/network";
 import type { RelayListener, RelayStream } from "../fleet/relay/transport";
@@ -147,7 +147,8 @@
   /**
    * Shuts down gracefully: reports not ready at once, keeps serving until the load balancer has
    * noticed, then refuses new requests and waits for those in flight, until shortly before the
-   * platform kills the process. Resolves once it has stopped, also if it was told to before.
+   * platform kills the process. Resolves once it has stopped, also if it was told to before; a step
+   * that fails is logged, and the rest is done.
    */
   close(): Promise<void> {
     this.stopped ??= this.stop();
@@ -160,16 +161,32 @@
     const stopAt = clock.now() + settings.graceMs - GRACE_MARGIN_MS;
     this.isStopping = true;
     logger.info("stopping", { requests: this.callerServer.inFlightCount });
-    this.callerServer.beginClose();
-    this.tunnelServer.beginClose();
-    heartbeats.sendHeartbeats();
+    void runSteps(logger, {
+      "close kept connections": () => {
+        this.callerServer.beginClose();
+      },
+      "refuse tunnels": () => {
+        this.tunnelServer.beginClose();
+      },
+      "tell peers of the stop": () => {
+        heartbeats.sendHeartbeats();
+      },
+    });
     await pauseAndRead(SHUTDOWN_NOTICE_MS);
     this.isRefusing = true;
-    reservations.stop();
-    this.callerServer.closeIdle();
+    void runSteps(logger, {
+      "stop queueing": () => {
+        reservations.stop();
+      },
+      "close idle connections": () => {
+        this.callerServer.closeIdle();
+      },
+    });
     while (this.isServing() && clock.now() < stopAt) {
       await pause(DRAIN_CHECK_INTERVAL_MS);
-      this.tunnelServer.endIdle();
+      void runTask("end idle tunnels", logger, () => {
+        this.tunnelServer.endIdle();
+      });
     }
     logger.info("stopped", {
       requests: this.callerServer.inFlightCount,
@@ -181,11 +198,15 @@
 
   /** Answers the requests that are left, as not run where no endpoint has them. */
   private async endRequests(): Promise<void> {
-    const { clock } = this.base;
+    const { clock, logger } = this.base;
     const end = clock.now() + END_TIMEOUT_MS;
-    this.parts.reservations.stop();
+    void runTask("refuse queued requests", logger, () => {
+      this.parts.reservations.stop();
+    });
     await pauseAndRead(0);
-    this.callerServer.endRequests();
+    void runTask("end requests", logger, () => {
+      this.callerServer.endRequests();
+    });
     while (this.callerServer.inFlightCount > 0 && clock.now() < end) {
       await pause(DRAIN_CHECK_INTERVAL_MS);
     }
@@ -279,26 +300,16 @@
   private async closeParts(): Promise<void> {
     const { view, heartbeats, network, joiner, rebalancer, reservations, context, originParts } =
       this.parts;
-    this.callerServer.close();
-    this.tunnelServer.close();
-    this.statusServers.close();
-    this.maintenance.close();
-    this.base.loopDelay.close();
-    view.watcher.close();
-    heartbeats.close();
+    const servers = [this.callerServer, this.tunnelServer, this.statusServers, this.maintenance];
+    const own = [this.base.loopDelay, view.watcher, heartbeats, network, joiner, rebalancer];
+    const shared = [reservations, context.releaser, context.announcer, originParts.originWriter];
     clearInterval(this.networkTimer);
-    network.close();
-    joiner.close();
-    rebalancer.close();
-    reservations.close();
-    context.releaser.close();
-    context.announcer.close();
-    originParts.originWriter.close();
-    view.transport.close();
-    await Promise.all([
-      this.peerServer?.close(),
-      context.client.close(),
-      this.base.adapter.store.close(),
-    ]);
+    const closers = [...servers, ...own, ...shared, view.transport, this.peerServer];
+    const stores = [context.client, this.base.adapter.store];
+    await Promise.all(
+      [...closers, ...stores].map((part) =>
+        runTask("close a part", this.base.logger, () => part?.close()),
+      ),
+    );
   }
 }
--- a/src/forward/maintenance.ts
+++ b/src/forward/maintenance.ts
@@ -4,7 +4,7 @@
  * that left.
  */
 import type { Moment } from "../core/clock";
-import { runTask } from "../core/tasks";
+import { runSteps } from "../core/tasks";
 import type { ForwardContext } from "./endpoints";
 import type { FleetView } from "./fleetview";
 import type { ForwardServer } from "./callers";
@@ -74,7 +74,7 @@
         this.prune();
       },
     };
-    for (const [name, step] of Object.entries(steps)) void runTask(name, this.context.logger, step);
+    void runSteps(this.context.logger, steps);
   }
 
   /** Forgets endpoints that left. */
