--- a/src/forward/callers/responses.ts
+++ b/src/forward/callers/responses.ts
@@ -14,6 +14,7 @@
   type StageRecorder,
 } from "../requests";
 import type { CallerConnections } from "./connections";
+import { cutResponse } from "./endings";
 
 /** Writes responses, and tells the connections which of them end theirs. */
 export class ResponseWriter {
@@ -101,12 +102,6 @@
   }
 }
 
-/** Cuts a response whose head was sent, so that it can't look whole. */
-export function cutResponse(response: ServerResponse): void {
-  response.socket?.resetAndDestroy();
-  response.destroy();
-}
-
 /**
  * Ends the response to an overdue request: a stream that has begun is cut.
  *
