--- a/measure/load/router.ts
+++ b/measure/load/router.ts
@@ -2,7 +2,7 @@
  * Simulates router instances in front of simulated engines. The queue, the engine load tracker and the engine
  * selection are the router's own code; instances learn of each other's work by simulated heartbeats.
  */
-import { UrgentQueue, type UrgentQueueItem } from "../../src/core/urgentqueue";
+import { UrgentQueue, type UrgentQueueItem } from "../../src/core/queues/urgentqueue";
 import type { EngineLimits } from "../../src/fleet/config";
 import { type EndpointEntry, EngineStage } from "../../src/fleet/entries";
 import {
--- a/measure/samples.ts
+++ b/measure/samples.ts
@@ -3,7 +3,7 @@
  */
 import { createBlackboard } from "../src/board/board";
 import { GrantTable } from "../src/control/grants";
-import { Precedence } from "../src/core/fairqueue";
+import { Precedence } from "../src/core/queues/fairqueue";
 import { Claims } from "../src/core/claims";
 import { ControlFold } from "../src/core/config/controlfold";
 import type { PlacementCandidate } from "../src/core/placement";
--- a/measure/slopes.ts
+++ b/measure/slopes.ts
@@ -8,7 +8,7 @@
 import { mkdirSync, writeFileSync } from "node:fs";
 import { createBlackboard } from "../src/board/board";
 import { TokenBucket } from "../src/core/bucket";
-import { FairQueue, type FairQueueItem, Precedence } from "../src/core/fairqueue";
+import { FairQueue, type FairQueueItem, Precedence } from "../src/core/queues/fairqueue";
 import { ReservingPolicy } from "../src/core/placement";
 import { chooseByRendezvousHash } from "../src/core/rendezvous";
 import {
--- a/src/control/grants.ts
+++ b/src/control/grants.ts
@@ -7,7 +7,7 @@
 import { matchesSelector, mergeLabels, type Selector } from "../core/labels";
 import type { PlacementCandidate, PlacementRequest } from "../core/placement";
 import type { NamedEndpoint, Pool } from "../core/pools";
-import type { FairQueueItem } from "../core/fairqueue";
+import type { FairQueueItem } from "../core/queues/fairqueue";
 import type { RunningRequest } from "../core/crashes/poison";
 import { computePrefixBlockTokens } from "../core/tokens";
 import type { Want } from "../peer/gen/peer";
--- a/src/control/policy.ts
+++ b/src/control/policy.ts
@@ -1,14 +1,14 @@
 /**
  * The policies by which a pool scheduler can queue and place requests.
  */
-import { FairQueue } from "../core/fairqueue";
+import { FairQueue } from "../core/queues/fairqueue";
 import {
   DEFAULT_PLACEMENT_COSTS,
   type PlacementPolicy,
   ReservingPolicy,
   RoundRobinPolicy,
 } from "../core/placement";
-import { FifoQueue, type RequestQueue } from "../core/queue";
+import { FifoQueue, type RequestQueue } from "../core/queues/queue";
 import type { WaitingRequest } from "./grants";
 
 /** How requests are queued and placed. */
--- a/src/control/scheduler.ts
+++ b/src/control/scheduler.ts
@@ -4,7 +4,7 @@
  */
 import type { Blackboard } from "../board/board";
 import type { Clock, Moment } from "../core/clock";
-import type { RequestQueue } from "../core/queue";
+import type { RequestQueue } from "../core/queues/queue";
 import { listEvacuated } from "../core/config/evacuations";
 import type { Logger } from "../core/log";
 import { type Metrics, Metric } from "../core/metrics";
--- a/src/control/waiting.ts
+++ b/src/control/waiting.ts
@@ -2,7 +2,7 @@
  * Creates the waiting requests of a pool scheduler from what instances request.
  */
 import { computeRemainingMs, type Moment } from "../core/clock";
-import { Precedence } from "../core/fairqueue";
+import { Precedence } from "../core/queues/fairqueue";
 import { DEFAULT_PLACEMENT_COSTS } from "../core/placement";
 import type { Want } from "../peer/gen/peer";
 import type { WaitingRequest } from "./grants";
--- a/src/core/fairqueue.ts
+++ b/src/core/queues/fairqueue.ts
@@ -3,7 +3,7 @@
  * class. Requests that can still meet their target come before those that cannot. Flows of a higher
  * precedence come before all others, however late they are and whatever was served before.
  */
-import type { Moment } from "./clock";
+import type { Moment } from "../clock";
 import type { QueuedRequest, RequestQueue } from "./queue";
 
 /** Which flows go before others; the lowest first. */
--- a/src/core/queue.ts
+++ b/src/core/queues/queue.ts
@@ -2,7 +2,7 @@
  * Queues of waiting requests. They share how requests enter and leave; each queue decides in which
  * order.
  */
-import type { Moment } from "./clock";
+import type { Moment } from "../clock";
 
 /** A request as every queue sees it. */
 export interface QueuedRequest {
--- a/src/core/urgentqueue.ts
+++ b/src/core/queues/urgentqueue.ts
@@ -3,7 +3,7 @@
  * that cannot, then workspaces within their rate before those over it, then lower priority ranks,
  * then earlier arrivals.
  */
-import type { Moment } from "./clock";
+import type { Moment } from "../clock";
 import { BaseRequestQueue, type QueuedRequest } from "./queue";
 
 /** A request as the urgent queue sees it. */
--- a/src/fleet/relay/network.ts
+++ b/src/fleet/relay/network.ts
@@ -5,24 +5,19 @@
 import type { Clock, Moment } from "../../core/clock";
 import { EventGuard } from "../../core/guard";
 import type { Logger } from "../../core/log";
-import {
-  Beat,
-  type RelayHello,
-  RelayHeard,
-  RelayMember,
-  type RelayMessage,
-} from "../../peer/gen/fleet";
+import { Beat, type RelayHello, type RelayMessage } from "../../peer/gen/fleet";
 import { checkReport, isSendTime } from "../../peer/numbers";
-import { type RecordFaults, RecordTopic, createNumberReport } from "../feeds/faults";
-import type { MemberIdentity, MemberList, RelayedMember } from "../members";
+import { createNumberReport, type RecordFaults } from "../feeds/faults";
+import type { MemberIdentity, MemberList } from "../members";
 import { type RelayCandidate, TopologyCache } from "./choice";
+import { RecordContents } from "./contents";
 import { Dialler } from "./dialler";
 import { FlushQueue } from "./flush";
 import type { RelayHost } from "./host";
 import { LinkTable } from "./links";
 import type { RelayLink } from "./link";
 import { LoadExchange } from "./loads";
-import { type KindState, OwnRecords } from "./own";
+import { createHeardState, createMemberState, type KindState, OwnRecords } from "./own";
 import { decodeRecord, type OwnedRecord, RecordKind, RecordTable } from "./records";
 import { RelayTraffic } from "./traffic";
 import type { RelayListener, RelayStream, RelayTransport } from "./transport";
@@ -48,8 +43,6 @@
   RecordKind.cold,
   RecordKind.paced,
 ]);
-/** Kinds that this build decodes; those of newer builds are passed on as they are. */
-const KNOWN_KINDS: ReadonlySet<number> = new Set(Object.values(RecordKind));
 /** Kinds that expire at their receivers unless they are told again. */
 const EXPIRING_KINDS = [RecordKind.lostEndpoints, RecordKind.speeds] as const;
 
@@ -83,8 +76,7 @@
   private readonly loads: LoadExchange;
   private readonly dialler: Dialler;
   private readonly flushQueue: FlushQueue;
-  private readonly heardReports = new WeakMap<OwnedRecord, HeardReport>();
-  private readonly memberStates = new WeakMap<OwnedRecord, RelayedMember>();
+  private readonly contents: RecordContents;
   private readonly lostAt = new Map<string, Moment>();
   private active = false;
   private isClosed = false;
@@ -96,6 +88,7 @@
   constructor(private readonly parts: RelayNetworkParts) {
     const { self, generation, transport } = parts;
     this.own = new OwnRecords(self, generation);
+    this.contents = new RecordContents(parts.faults);
     this.links = new LinkTable(self.instance, parts.clock);
     this.topology = new TopologyCache(self);
     this.loads = new LoadExchange(self);
@@ -282,7 +275,7 @@
       return;
     }
     for (const other of this.links.listOf(link.peer?.instance ?? "")) other.dropKnown(record);
-    if (!this.table.isNew(record) || !this.isReadable(link, record)) return;
+    if (!this.table.isNew(record) || !this.contents.isReadable(record, link.peer?.instance)) return;
     const before = this.table.find(record.instance, record.kind);
     this.table.merge(record, now);
     this.passOn(link, record);
@@ -292,7 +285,7 @@
         this.scheduleFlush();
       }
     } else if (record.kind === RecordKind.member) {
-      if (this.readMember(record).isLeaving) this.scheduleFlush();
+      if (this.contents.readMember(record).isLeaving) this.scheduleFlush();
       this.updateMember(record, now);
     } else {
       this.tryApply(record, now);
@@ -300,34 +293,15 @@
     }
   }
 
-  /** Checks whether a record can be decoded; one that can't is neither kept nor passed on. */
-  private isReadable(link: RelayLink, record: OwnedRecord): boolean {
-    try {
-      if (record.kind === RecordKind.member) this.readMember(record);
-      else if (record.kind === RecordKind.heard) this.readHeard(record);
-      else if (KNOWN_KINDS.has(record.kind)) Beat.decode(record.content);
-      return true;
-    } catch (error) {
-      this.reportFault(record, error, link.peer?.instance);
-      return false;
-    }
-  }
-
   /** Has a record applied; whatever that throws costs the record alone. */
   private tryApply(record: OwnedRecord, now: Moment): void {
     try {
       this.parts.host.applyRecord(record, now);
     } catch (error) {
-      this.reportFault(record, error, record.instance);
+      this.contents.reportFault(record, error, record.instance);
     }
   }
 
-  private reportFault(record: OwnedRecord, error: unknown, peer = ""): void {
-    const { instance, kind, generation, version } = record;
-    const name = { key: `${instance} ${kind}`, position: { era: generation, offset: version } };
-    this.parts.faults.report(RecordTopic.peers, name, String(error), `peer ${peer}`);
-  }
-
   /**
    * Passes a record on to the neighbours that do not get it from where it came from: relays that hear
    * each other need no third one between them.
@@ -350,7 +324,7 @@
   private collect(now: Moment): void {
     const { host } = this.parts;
     let isUrgent = false;
-    const states = [this.describeMember(), this.describeHeard(now), ...host.listKinds(now)];
+    const states = [this.readMemberState(), this.readHeardState(now), ...host.listKinds(now)];
     for (const state of states) {
       const record = this.own.update(state, now);
       if (record === undefined) continue;
@@ -365,27 +339,19 @@
     for (const link of this.links.listOpen()) if (link.peer !== undefined) link.queue(record);
   }
 
-  private describeMember(): KindState {
+  private readMemberState(): KindState {
     const { self, isLeaving, isStoreLost } = this.parts;
     const { address, dataCentre } = self;
-    const member = { address, dataCentre, leaving: isLeaving(), storeLost: isStoreLost() };
-    return {
-      kind: RecordKind.member,
-      signature: JSON.stringify(member),
-      encode: () => RelayMember.encode(member).finish(),
-    };
+    const states = { leaving: isLeaving(), storeLost: isStoreLost() };
+    return createMemberState({ address, dataCentre, ...states });
   }
 
-  private describeHeard(now: Moment): KindState {
+  private readHeardState(now: Moment): KindState {
     for (const [name, at] of this.lostAt) if (now - at > LOST_TTL_MS) this.lostAt.delete(name);
     const isTold = this.isRelay || this.links.hasIncoming;
     const heard = isTold ? [...this.links.listHeard(now).keys()].sort() : [];
     const lost = isTold ? [...this.lostAt.keys()].sort() : [];
-    return {
-      kind: RecordKind.heard,
-      signature: `${heard.join(" ")}|${lost.join(" ")}`,
-      encode: () => RelayHeard.encode({ heard, lost }).finish(),
-    };
+    return createHeardState({ heard, lost });
   }
 
   /** Derives from the neighbours and their reports which instances are live. */
@@ -418,38 +384,20 @@
   /** Records a live member; whatever that throws costs the member's record alone. */
   private recordMember(record: OwnedRecord, heardAt: Moment): void {
     try {
-      this.parts.members.recordRelayed(this.readMember(record), heardAt);
+      this.parts.members.recordRelayed(this.contents.readMember(record), heardAt);
     } catch (error) {
-      this.reportFault(record, error, record.instance);
+      this.contents.reportFault(record, error, record.instance);
     }
   }
 
-  private readMember(record: OwnedRecord): RelayedMember {
-    const known = this.memberStates.get(record);
-    if (known !== undefined) return known;
-    const { instance, content } = record;
-    const { address, dataCentre, leaving, storeLost } = RelayMember.decode(content);
-    const member = { instance, address, dataCentre, isLeaving: leaving, isStoreLost: storeLost };
-    this.memberStates.set(record, member);
-    return member;
-  }
-
   private findHeard(instance: string): HeardReport | undefined {
     const record = this.table.find(instance, RecordKind.heard);
-    return record === undefined ? undefined : this.readHeard(record);
-  }
-
-  private readHeard(record: OwnedRecord): HeardReport {
-    const known = this.heardReports.get(record);
-    if (known !== undefined) return known;
-    const report = RelayHeard.decode(record.content);
-    this.heardReports.set(record, report);
-    return report;
+    return record === undefined ? undefined : this.contents.readHeard(record);
   }
 
   private hasNewLoss(before: OwnedRecord | undefined, record: OwnedRecord): boolean {
-    const known = before === undefined ? [] : this.readHeard(before).lost;
-    return this.readHeard(record).lost.some((name) => !known.includes(name));
+    const known = before === undefined ? [] : this.contents.readHeard(before).lost;
+    return this.contents.readHeard(record).lost.some((name) => !known.includes(name));
   }
 
   private countHeard(instance: string): number {
--- a/src/fleet/relay/own.ts
+++ b/src/fleet/relay/own.ts
@@ -2,8 +2,9 @@
  * The records that this instance owns. A new version is written only when the content changes.
  */
 import type { Moment } from "../../core/clock";
+import { RelayHeard, RelayMember } from "../../peer/gen/fleet";
 import type { MemberIdentity } from "../members";
-import type { OwnedRecord, RecordKind } from "./records";
+import { type OwnedRecord, RecordKind } from "./records";
 
 /** The current state of one kind. */
 export interface KindState {
@@ -14,6 +15,34 @@
   readonly encode: () => Uint8Array;
 }
 
+/**
+ * Creates the state of a member as it tells it itself.
+ *
+ * @example
+ * createMemberState({ address, dataCentre, leaving: false, storeLost: false });
+ */
+export function createMemberState(member: RelayMember): KindState {
+  return {
+    kind: RecordKind.member,
+    signature: JSON.stringify(member),
+    encode: () => RelayMember.encode(member).finish(),
+  };
+}
+
+/**
+ * Creates the state of which instances one hears, and which it has lost.
+ *
+ * @example
+ * createHeardState({ heard: ["n1"], lost: [] });
+ */
+export function createHeardState(report: RelayHeard): KindState {
+  return {
+    kind: RecordKind.heard,
+    signature: `${report.heard.join(" ")}|${report.lost.join(" ")}`,
+    encode: () => RelayHeard.encode(report).finish(),
+  };
+}
+
 /** Writes versions of this instance's records. */
 export class OwnRecords {
   private readonly records = new Map<number, OwnedRecord>();
--- a/src/forward/engines/reservations.ts
+++ b/src/forward/engines/reservations.ts
@@ -13,7 +13,7 @@
 import { type GrantedHold, HoldCaller, HoldEnd } from "./holdcalls";
 import { type StreamOrigin, canGoOn } from "../shared";
 import { limitCapacity } from "./overload";
-import { type UrgentQueueItem, UrgentQueue } from "../../core/urgentqueue";
+import { type UrgentQueueItem, UrgentQueue } from "../../core/queues/urgentqueue";
 import { runTask } from "../../core/tasks";
 
 /** How often the queue is checked for generations that can be dispatched, in milliseconds. */
--- a/test/admission.spec.ts
+++ b/test/admission.spec.ts
@@ -13,7 +13,7 @@
 import { RetryBudget } from "../src/core/retrybudget";
 import { RefusalTracker } from "../src/forward/shared/refusals";
 import { SendBudget } from "../src/forward/generations/sendbudget";
-import { type UrgentQueueItem, UrgentQueue } from "../src/core/urgentqueue";
+import { type UrgentQueueItem, UrgentQueue } from "../src/core/queues/urgentqueue";
 import { SlidingWindowSum } from "../src/core/window";
 import { createEntry } from "./harness/forward";
 
--- a/test/play.spec.ts
+++ b/test/play.spec.ts
@@ -10,7 +10,7 @@
 import { EngineStage } from "../src/fleet/entries";
 import { chooseDecode, choosePrefill, EngineLoadTracker } from "../src/forward/engines/load";
 import { chooseStageChange, computePrefillEngines } from "../src/forward/engines/stages";
-import { type UrgentQueueItem, UrgentQueue } from "../src/core/urgentqueue";
+import { type UrgentQueueItem, UrgentQueue } from "../src/core/queues/urgentqueue";
 import { createEntry } from "./harness/forward";
 
 const LIMITS: EngineLimits = {
--- a/test/policy.spec.ts
+++ b/test/policy.spec.ts
@@ -7,7 +7,7 @@
 import fc from "fast-check";
 import type { WaitingRequest } from "../src/control/grants";
 import { createWaitingRequest } from "../src/control/waiting";
-import { FairQueue, type FairQueueItem, Precedence } from "../src/core/fairqueue";
+import { FairQueue, type FairQueueItem, Precedence } from "../src/core/queues/fairqueue";
 import { matchesSelector } from "../src/core/labels";
 import { type PlacementCandidate, ReservingPolicy } from "../src/core/placement";
 import { chooseByRendezvousHash } from "../src/core/rendezvous";
