The listed process of an endpoint is not forgotten for an earlier one

Seen: test/versionhistory.spec.ts, 1 of 7 failed: 70 s after an earlier record of another process was read, the history of processes had that one and not the listed one. An origin is compared with these processes, so one of another version than the listed process would pass. No stream was seen to go on so.

Cause: the history keeps the process that was listed last for as long as its endpoint is listed, and an earlier record that is read late counted as the last.

Change: the listed process is recorded again after the earlier one.

--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -299,7 +299,7 @@
   private applyRecord(record: FeedRecord, now: Moment): EntryChange | undefined {
     const before = this.listed.get(record.key);
     if (before !== undefined && !isAfter(record.position, before.record.position)) {
-      this.recordEarlier(record, before.record, now);
+      this.recordEarlier(record, before, now);
       return undefined;
     }
     this.usableCache = undefined;
@@ -337,10 +337,10 @@
   }
 
   /** Remembers the process of a record that comes after a later one of its endpoint. */
-  private recordEarlier(record: FeedRecord, known: FeedRecord, now: Moment): void {
-    if (record.value === undefined || !isAfter(known.position, record.position)) return;
+  private recordEarlier(record: FeedRecord, known: ListedEndpoint, now: Moment): void {
+    if (record.value === undefined || !isAfter(known.record.position, record.position)) return;
     const entry = this.decode(record.key, record.value);
-    if (entry !== undefined) this.processes.record(entry, now);
+    if (entry !== undefined) this.recordUnlisted(entry, now, known.entry);
   }
 
   /**
--- a/test/versionhistory.spec.ts
+++ b/test/versionhistory.spec.ts
@@ -84,3 +84,23 @@
     assert.equal(history.findOnly("sheets", FOR_MS, 28_000), "v1");
   });
 });
+
+describe("the processes of an endpoint", () => {
+  for (const isEarlier of [true, false]) {
+    const source = isEarlier ? "an earlier record" : "an entry that is out of date";
+    it(`still have the listed one, long after ${source} of another was read`, () => {
+      const directory = new EndpointDirectory(testCodecs.decodeEndpoint);
+      const apply = (offset: number, processStartedAt: number, now: number) => {
+        const entry = createEntry("d1", "a:1", { processStartedAt, sequence: 1 });
+        const value = Buffer.from(JSON.stringify(entry));
+        const records = [{ key: "d1", value, position: { era: 0, offset } }];
+        directory.apply({ records, next: { era: 0, offset: offset + 1 } }, now);
+      };
+      apply(5, 2, 0);
+      apply(isEarlier ? 4 : 6, 1, 1000);
+      directory.processes.prune(() => true, 70_000);
+      const kept = directory.processes.list("d1").map((process) => process.processStartedAt);
+      assert.deepEqual(kept, [2]);
+    });
+  }
+});
