Relays: a process is told the records of earlier ones of its instance

Cause: generations are milliseconds of the wall clock, and a record of the higher one counts. A process that hears of one moves beyond it (OwnRecords.advance), but nobody told it: both places that queue records left out all of the receiver's instance, not only those of its own process.

Ruled out: bounding generations by the receiver's wall clock, which may be the one that is wrong.

Change: only records that the receiver's own process wrote are left out.

--- a/src/fleet/relay/network.ts
+++ b/src/fleet/relay/network.ts
@@ -253,7 +253,7 @@
     if (!link.isOutgoing) this.flushQueue.sendHello(link, this.createHello(), now);
     this.collect(now);
     for (const record of this.table.listAll()) {
-      if (record.instance !== hello.instance) link.queue(record);
+      if (!isOwnedBy(record, hello)) link.queue(record);
     }
     this.scheduleFlush();
   }
@@ -337,7 +337,7 @@
     for (const link of this.links.listOpen()) {
       const { peer } = link;
       if (peer === undefined || peer.instance === sender) continue;
-      if (peer.instance === record.instance) continue;
+      if (isOwnedBy(record, peer)) continue;
       const isToRelay = isFromRelay && relayNames.has(peer.instance);
       if (isToRelay && this.findHeard(peer.instance)?.heard.includes(sender) === true) continue;
       link.queue(record);
@@ -469,3 +469,11 @@
     });
   }
 }
+
+/**
+ * Checks whether a process wrote a record itself. It is told those of others of its instance: one that is
+ * ahead of it would hide its own.
+ */
+function isOwnedBy(record: OwnedRecord, { instance, incarnation }: RelayHello): boolean {
+  return record.instance === instance && record.incarnation === incarnation;
+}
--- a/test/relayfailure.spec.ts
+++ b/test/relayfailure.spec.ts
@@ -98,6 +98,19 @@
     assert.deepEqual(await listUnaware(fleet, fleet.get(0), "after the restart"), []);
   });
 
+  it("hears one that restarts after its wall clock was set back", async () => {
+    const fleet = await createFleet(6);
+    for (const node of [getRelay(fleet), fleet.get(0)]) {
+      fleet.kill(node);
+      await fleet.runFor(1500);
+      node.generation -= 10;
+      fleet.start(node);
+      await fleet.runFor(HEALED_MS);
+      assert.deepEqual(countWrong(fleet), NONE_WRONG);
+      assert.deepEqual(await listUnaware(fleet, node, `${node.name} is back`), []);
+    }
+  });
+
   it("finds together after a data centre was cut off in both directions or in one", async () => {
     for (const isOneWay of [false, true]) {
       const fleet = await createFleet(5);
