Relayed records: a generation or version that cannot be true costs the record alone

Seen: a record under an instance's name with the generation 2^53 - 1 had the instance count on from it to 2^53, which no decoder of a neighbour takes ("Value is larger than Number.MAX_SAFE_INTEGER"): by reading each of its streams then ends at the first message, for good. Under another's name, a record with such a generation or version hides all that its owner says later.

Cause: both are compared and counted on unchecked.

Ruled out: a bound by the receiver's wall clock, which may be the one that is wrong; a process now moves beyond what it is told.

--- a/src/fleet/relay/network.ts
+++ b/src/fleet/relay/network.ts
@@ -11,7 +11,7 @@
   RelayMember,
   type RelayMessage,
 } from "../../peer/gen/fleet";
-import { checkReport, isSendTime } from "../../peer/numbers";
+import { checkRecords, checkReport, isSendTime } from "../../peer/numbers";
 import { type RecordFaults, RecordTopic, createNumberReport } from "../feeds/faults";
 import type { MemberIdentity, MemberList, RelayedMember } from "../members";
 import { type RelayCandidate, TopologyCache } from "./choice";
@@ -239,7 +239,7 @@
     if (link.peer === undefined) return;
     const onFault = createNumberReport(this.parts.faults, link.peer.instance);
     if (!isSendTime(message.sentAtMs)) onFault("sentAtMs", message.sentAtMs);
-    for (const record of message.records) {
+    for (const record of checkRecords(message.records, onFault)) {
       this.mergeRecord(link, decodeRecord(record, sentAt ?? now), now);
     }
     if (message.head !== undefined) this.applyHead(link, message, sentAt);
--- a/src/peer/numbers.ts
+++ b/src/peer/numbers.ts
@@ -9,6 +9,7 @@
   EndpointLimit,
   EngineSpeed,
   PermitRequest,
+  RelayRecord,
   RelayReport,
 } from "./gen/fleet";
 
@@ -25,6 +26,11 @@
 /** The longest time after which an owner of a limit is asked again, in milliseconds. */
 const MAX_RETRY_MS = 60_000;
 
+/**
+ * The highest generation or version of a record that is believed: what is counted on from it stays a number
+ * that a message can have.
+ */
+const MAX_RECORD_NUMBER = 2 ** 52;
 /** The largest fleet that is believed, in instances. */
 const MAX_FLEET_SIZE = 10_000;
 
@@ -73,6 +79,20 @@
   max: MAX_SENDS,
 };
 
+const GENERATION: Bound<RelayRecord> = {
+  field: "generation",
+  read: ({ generation }) => generation,
+  min: 0,
+  max: MAX_RECORD_NUMBER,
+};
+
+const VERSION: Bound<RelayRecord> = {
+  field: "version",
+  read: ({ version }) => version,
+  min: 0,
+  max: MAX_RECORD_NUMBER,
+};
+
 /**
  * Checks the time at which a peer sent a message, in milliseconds of the monotonic clock of its process.
  *
@@ -113,6 +133,19 @@
   };
 }
 
+/**
+ * Drops the records of a neighbour's message whose numbers can't be true.
+ *
+ * @example
+ * checkRecords(message.records, onFault).length;
+ */
+export function checkRecords(
+  records: readonly RelayRecord[],
+  onFault: NumberFaultListener,
+): readonly RelayRecord[] {
+  return keepEntries(keepEntries(records, GENERATION, onFault), VERSION, onFault);
+}
+
 /**
  * Drops the entries of a neighbour's report whose numbers can't be true.
  *
--- a/test/oddpeers.spec.ts
+++ b/test/oddpeers.spec.ts
@@ -175,4 +175,20 @@
     for (const cost of [100, NaN, Infinity, 1e300, -1e300, 130]) tell(cost);
     assert.equal(scene.host.peerLoad.usages.get("w"), 30);
   });
+
+  it("costs its record alone: the highest generation or version of a record, or a negative one", () => {
+    const scene = new Scene();
+    const own = { instance: "n0", incarnation: "n0/0", kind, content: sound, version: 1 };
+    scene.receiveRecord({ ...own, generation: Number.MAX_SAFE_INTEGER });
+    const other = { incarnation: "n7/0", kind, content: sound, version: 1 };
+    for (const odd of [Number.MAX_SAFE_INTEGER, -1]) {
+      scene.receiveRecord({ ...other, generation: odd });
+      scene.receiveRecord({ ...other, version: odd });
+    }
+    scene.receiveRecord({ kind, content: sound, version: 1 });
+    scene.receiveRecord({ kind: RecordKind.refusals, content: sound, version: 2 });
+    const passedOn = scene.passedOn.map(({ instance, version }) => `${instance} ${version}`);
+    assert.deepEqual(new Set(passedOn.slice(-2)), new Set(["n7 1", "n7 2"]));
+    assert.deepEqual(new Set(scene.faults), new Set(["n1 generation", "n1 version"]));
+  });
 });
