--- a/src/fleet/relay/network.ts
+++ b/src/fleet/relay/network.ts
@@ -6,7 +6,7 @@
 import { EventGuard } from "../../core/guard";
 import type { Logger } from "../../core/log";
 import { Beat, type RelayHello, type RelayMessage } from "../../peer/gen/fleet";
-import { checkReport, isSendTime } from "../../peer/numbers";
+import { checkRecords, checkReport, isSendTime } from "../../peer/numbers";
 import { createNumberReport, type RecordFaults } from "../feeds/faults";
 import type { MemberIdentity, MemberList } from "../members";
 import { type RelayCandidate, TopologyCache } from "./choice";
@@ -234,7 +234,7 @@
     if (link.peer === undefined) return;
     const onFault = createNumberReport(this.parts.faults, link.peer.instance);
     if (!isSendTime(message.sentAtMs)) onFault("sentAtMs", message.sentAtMs);
-    for (const record of message.records) {
+    for (const record of checkRecords(message.records, onFault)) {
       this.mergeRecord(link, decodeRecord(record, sentAt ?? now), now);
     }
     if (message.head !== undefined) this.applyHead(link, message, sentAt);
@@ -248,7 +248,7 @@
     if (!link.isOutgoing) this.flushQueue.sendHello(link, this.createHello(), now);
     this.collect(now);
     for (const record of this.table.listAll()) {
-      if (record.instance !== hello.instance) link.queue(record);
+      if (!isOwnedBy(record, hello)) link.queue(record);
     }
     this.scheduleFlush();
   }
@@ -313,7 +313,7 @@
     for (const link of this.links.listOpen()) {
       const { peer } = link;
       if (peer === undefined || peer.instance === sender) continue;
-      if (peer.instance === record.instance) continue;
+      if (isOwnedBy(record, peer)) continue;
       const isToRelay = isFromRelay && relayNames.has(peer.instance);
       if (isToRelay && this.findHeard(peer.instance)?.heard.includes(sender) === true) continue;
       link.queue(record);
@@ -424,3 +424,11 @@
     });
   }
 }
+
+/**
+ * Checks whether a process wrote a record itself. It is told those of others of its instance: one that is
+ * ahead of it would hide its own.
+ */
+function isOwnedBy(record: OwnedRecord, { instance, incarnation }: RelayHello): boolean {
+  return record.instance === instance && record.incarnation === incarnation;
+}
