Overdue requests: one whose report throws is answered all the same

Cause: the answer followed the report in one callback, in a task that logs.

Ruled out: the handling itself, which never ends in this case.

Change: the callback's error rejects the request's handling, which is then answered as an unexpected error is, 502 or cut; the work is aborted in any case.

Test lines changed: `send` of `overdue` takes a meter.

--- a/src/forward/callers/endings.ts
+++ b/src/forward/callers/endings.ts
@@ -3,6 +3,8 @@
  */
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import * as E from "fp-ts/Either";
+import { ExecutionStatus, Reason, Refusal } from "../../core/outcome";
 
 /**
  * Cuts a response whose head was sent, so that it can't look whole.
@@ -15,6 +17,23 @@
   response.destroy();
 }
 
+/**
+ * Ends an overdue request: cuts a stream that has begun.
+ *
+ * @returns the refusal to be sent; undefined if none can be
+ * @example
+ * endOverdue(response); // left: 504
+ */
+export function endOverdue(response: ServerResponse): E.Either<Refusal, never> | undefined {
+  if (response.writableEnded) return undefined;
+  if (response.headersSent) {
+    cutResponse(response);
+    return undefined;
+  }
+  const message = "the request was not answered in time";
+  return E.left(new Refusal(504, Reason.deadline, ExecutionStatus.unknown, message));
+}
+
 /**
  * Closes a kept connection at its idle timeout, unless its next request came in time: after the
  * process stood still, the timeout fires before the socket is read.
--- a/src/forward/callers/server.ts
+++ b/src/forward/callers/server.ts
@@ -17,12 +17,11 @@
 import {
   createNotRunRefusal,
   createUnknownRefusal,
-  ExecutionStatus,
   Reason,
-  Refusal,
+  type Refusal,
 } from "../../core/outcome";
 import { CallerConnections } from "./connections";
-import { closeUnlessRead, cutResponse, endAfter } from "./endings";
+import { closeUnlessRead, cutResponse, endAfter, endOverdue } from "./endings";
 import {
   CHECK_INTERVAL_MS,
   MAX_ADMISSION_MS,
@@ -309,9 +308,12 @@
   ): Promise<CallerResponse> {
     const { id } = request.head;
     return new Promise((resolve, reject) => {
-      const watched = this.overdue.begin(this.clock.now() + MAX_ADMISSION_MS, (report) => {
+      const giveUp = async (report: OverdueReport) => {
         this.reportOverdue(id, report);
-        resolve(createOverdueResponse(response));
+        return Promise.resolve(endOverdue(response));
+      };
+      const watched = this.overdue.begin(this.clock.now() + MAX_ADMISSION_MS, (report) => {
+        resolve(giveUp(report));
         abort.abort();
       });
       const handle = async () =>
@@ -483,17 +485,6 @@
   }
 }
 
-/** Creates the final response of an overdue request; a stream that has begun is cut. */
-function createOverdueResponse(response: ServerResponse): CallerResponse {
-  if (response.writableEnded) return undefined;
-  if (response.headersSent) {
-    cutResponse(response);
-    return undefined;
-  }
-  const message = "the request was not answered in time";
-  return E.left(new Refusal(504, Reason.deadline, ExecutionStatus.unknown, message));
-}
-
 /** Checks that a caller's protocol has chunks; HTTP/1.0 has none. */
 function hasChunks({ httpVersionMajor, httpVersionMinor }: IncomingMessage): boolean {
   return httpVersionMajor > 1 || httpVersionMinor > 0;
--- a/test/overdue.spec.ts
+++ b/test/overdue.spec.ts
@@ -91,10 +91,9 @@
   const clock = new MonotonicClock();
 
   /** Sends a request; returns what its caller got within 2.5 s, and whether its work was aborted. */
-  const send = async (handler: CallerHandler) => {
+  const send = async (handler: CallerHandler, meter = new Meter()) => {
     errors.length = 0;
     let wasAborted = false;
-    const meter = new Meter();
     const server = new ForwardServer(
       testCodecs.callerCodec,
       (request) => {
@@ -131,6 +130,16 @@
     assert.match(got.metrics, /overdue_requests_total\{stage="prefill"\} 1/);
   });
 
+  it("answers 502, logs and aborts its work, where the report of it throws", async () => {
+    const meter = new Meter();
+    meter.overdue.inc = () => {
+      throw new Error("a fault of this test");
+    };
+    const got = await send(() => new Promise(() => undefined), meter);
+    assert.deepEqual([got.answer?.status, got.wasAborted, got.inFlightCount], [502, true, 0]);
+    assert.deepEqual([errors.length, errors[0]?.["event"]], [1, "unexpected error"]);
+  });
+
   it("cuts a stream that has begun", async () => {
     const got = await send(({ sink }) => {
       sink.begin(200, ["content-type", "text/event-stream"], true);
