--- a/src/forward/callers/responses.ts
+++ b/src/forward/callers/responses.ts
@@ -2,9 +2,8 @@
  * Writes the responses to callers: refusals, those that are known whole, and streams.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import * as E from "fp-ts/Either";
 import type { Logger } from "../../core/log";
-import { ExecutionStatus, Reason, Refusal } from "../../core/outcome";
+import { Reason, type Refusal } from "../../core/outcome";
 import type { StreamSink } from "../generations";
 import {
   type BufferedResponse,
@@ -14,7 +13,6 @@
   type StageRecorder,
 } from "../requests";
 import type { CallerConnections } from "./connections";
-import { cutResponse } from "./endings";
 
 /** Writes responses, and tells the connections which of them end theirs. */
 export class ResponseWriter {
@@ -102,21 +100,6 @@
   }
 }
 
-/**
- * Ends the response to an overdue request: a stream that has begun is cut.
- *
- * @returns the refusal that has to be sent; undefined if nothing more can be
- */
-export function endOverdue(response: ServerResponse): E.Either<Refusal, never> | undefined {
-  if (response.writableEnded) return undefined;
-  if (response.headersSent) {
-    cutResponse(response);
-    return undefined;
-  }
-  const message = "the request was not answered in time";
-  return E.left(new Refusal(504, Reason.deadline, ExecutionStatus.unknown, message));
-}
-
 /** Checks that a caller's protocol has chunks; HTTP/1.0 has none. */
 function hasChunks({ httpVersionMajor, httpVersionMinor }: IncomingMessage): boolean {
   return httpVersionMajor > 1 || httpVersionMinor > 0;
--- a/src/forward/callers/server.ts
+++ b/src/forward/callers/server.ts
@@ -14,9 +14,14 @@
 import { BadConnections } from "../../entry/badconnection";
 import { BodyFailure, createBodyRefusal, readCallerBody } from "../../entry/callerbody";
 import { endIfUnread } from "../../entry/unread";
-import { createNotRunRefusal, createUnknownRefusal, Reason, Refusal } from "../../core/outcome";
+import {
+  createNotRunRefusal,
+  createUnknownRefusal,
+  Reason,
+  type Refusal,
+} from "../../core/outcome";
 import { CallerConnections } from "./connections";
-import { closeUnlessRead, cutResponse, endAfter } from "./endings";
+import { closeUnlessRead, cutResponse, endAfter, endOverdue } from "./endings";
 import {
   CHECK_INTERVAL_MS,
   MAX_ADMISSION_MS,
@@ -24,7 +29,7 @@
   OverdueRequests,
   type WatchedRequest,
 } from "./overdue";
-import { endOverdue, ResponseWriter } from "./responses";
+import { ResponseWriter } from "./responses";
 import type { BufferedResponse, CallerCodec, Meter, RequestHead } from "../requests";
 import type { StreamSink } from "../generations";
 
@@ -306,9 +311,12 @@
   ): Promise<CallerResponse> {
     const { id } = request.head;
     return new Promise((resolve, reject) => {
-      const watched = this.overdue.begin(this.clock.now() + MAX_ADMISSION_MS, (report) => {
+      const giveUp = async (report: OverdueReport) => {
         this.reportOverdue(id, report);
-        resolve(endOverdue(response));
+        return Promise.resolve(endOverdue(response));
+      };
+      const watched = this.overdue.begin(this.clock.now() + MAX_ADMISSION_MS, (report) => {
+        resolve(giveUp(report));
         abort.abort();
       });
       const handle = async () =>
