Prefills: an error amid one leaves no load at its engine

Seen: where the send of a prefill throws, or the reading of its answer, the load of the prompt (300 tokens, 1 request in the test) stayed with the prefill engine in this instance's view for good: the new case of `passedonfault` failed on the code before, [3, 301] in place of [6, 0] for the numbers told and their sum.

Cause: the load was taken off behind the answer only.

Change: it is put on right before the prefill and taken off at its end, however that ends.

--- a/src/forward/generations/prefill.ts
+++ b/src/forward/generations/prefill.ts
@@ -96,7 +96,6 @@
     if (view === undefined) return undefined;
     if (this.hasPrefilled && !this.sendBudget.tryConsume()) return undefined;
     const { id } = view.endpoint;
-    engineLoad.addLocalWork(id, 0, promptTokens, 1);
     context.logger.info("prefill", {
       request: this.request.head.id,
       engine: id,
@@ -108,7 +107,11 @@
     const prefills = views.filter(({ endpoint }) => endpoint.stage === EngineStage.prefill);
     const slowdown = Math.max(1, computeSlowdown(view, prefills));
     const expectedMs = computePrefillMs(promptTokens, tokensAhead, tokensPerMs / slowdown);
-    const { end, source } = await this.prefillAt(view.endpoint, deadlineSignal, expectedMs);
+    engineLoad.addLocalWork(id, 0, promptTokens, 1);
+    const result = this.prefillAt(view.endpoint, deadlineSignal, expectedMs).finally(() => {
+      engineLoad.addLocalWork(id, 0, -promptTokens, -1);
+    });
+    const { end, source } = await result;
     if (source !== undefined) {
       const kind = createWorkKind(EngineStage.prefill, this.request.service);
       const sample = { ms: this.prefilledAt - now, units: promptTokens + tokensAhead };
@@ -117,7 +120,6 @@
     if (source !== undefined && tokensAhead === 0) {
       engineModel.recordPrefill(this.request.service, promptTokens, this.prefilledAt - now);
     }
-    engineLoad.addLocalWork(id, 0, -promptTokens, -1);
     if (end === PrefillEnd.rejected && !this.hasPrefilled) this.sendBudget.consume();
     this.hasPrefilled = this.hasPrefilled || end === PrefillEnd.accepted;
     return source;
--- a/test/passedonfault.spec.ts
+++ b/test/passedonfault.spec.ts
@@ -125,6 +125,22 @@
     });
   }
 
+  it("amid a prefill leaves no load at the engine that was to read the prompt", async () => {
+    await addEndpoint("p", () => undefined, { service: "models", stage: EngineStage.prefill });
+    const { context, reservations } = await startWithEngine();
+    const { engineLoad } = reservations;
+    const addLocalWork = engineLoad["addLocalWork"] as (...all: unknown[]) => void;
+    const works: number[] = [];
+    engineLoad["addLocalWork"] = (id: string, ...work: number[]) => {
+      if (id === "p") works.push(...work);
+      addLocalWork.call(engineLoad, id, ...work);
+    };
+    breakMethod(context["client"], "send", 1, true);
+    assert.equal((await send("/summary/1"))?.status, 502);
+    const sum = works.reduce((all, work) => all + work, 0);
+    assert.deepEqual([works.length, sum], [6, 0]);
+  });
+
   for (const [what, part, method] of [
     ["passing events on", "sharedOrigins", "record"],
     ["the metric of its first event", "meter", "recordFirstEvent"],
