Test ports: a range in which another program listens is passed over

Cause: a test process takes the range that its pid names.

Ruled out: two test processes in one range (the reservations are exclusive).

Change: a range in which somebody listens is passed over, by the system's table of sockets; where there is none, all is as before.

--- a/test/harness/ports.ts
+++ b/test/harness/ports.ts
@@ -10,6 +10,8 @@
 const FIRST_PORT = 10_000;
 const PORTS_PER_RANGE = 500;
 const RANGES = 40;
+/** State of a listening socket in the system's table. */
+const LISTENING = 0x0a;
 
 let range: number | undefined;
 let allocatedCount = 0;
@@ -35,10 +37,15 @@
   return ports;
 }
 
-/** Reserves a range for the lifetime of this process; the reservation of a process that is gone is void. */
+/**
+ * Reserves a range for the lifetime of this process, in which nobody else listens; the reservation of a process that is
+ * gone is void.
+ */
 function reserveRange(): number {
+  const used = listUsedRanges();
   for (let attempt = 0; attempt < RANGES; attempt += 1) {
     const candidate = (process.pid + attempt) % RANGES;
+    if (used.has(candidate)) continue;
     const file = join(tmpdir(), `gorsefold-ports-${candidate}`);
     if (!isOwnerGone(file) || !tryWrite(file)) continue;
     process.once("exit", () => {
@@ -49,6 +56,26 @@
   throw new Error("no port range is free");
 }
 
+/** Lists the ranges in which a program listens that reserves none; empty where the system does not tell. */
+function listUsedRanges(): ReadonlySet<number> {
+  const sockets = [...readSockets("/proc/net/tcp"), ...readSockets("/proc/net/tcp6")];
+  const listening = sockets.filter(({ state }) => state === LISTENING);
+  return new Set(listening.map(({ port }) => Math.floor((port - FIRST_PORT) / PORTS_PER_RANGE)));
+}
+
+/** Reads the local port and the state of each socket: the second and the fourth field of a line, in hexadecimal. */
+function readSockets(file: string): readonly { readonly port: number; readonly state: number }[] {
+  try {
+    const [, ...lines] = readFileSync(file, "utf8").trim().split("\n");
+    return lines.map((line) => {
+      const [, local = "", , state = ""] = line.trim().split(/\s+/);
+      return { port: parseInt(local.split(":")[1] ?? "", 16), state: parseInt(state, 16) };
+    });
+  } catch {
+    return [];
+  }
+}
+
 /** Checks whether a reservation has no living owner, and removes it then. */
 function isOwnerGone(file: string): boolean {
   try {
