Revert "Reads that confirm the list: at most four under way"

What it bounded: while the store is silent, a read starts every 50 ms and ends at 900 ms, so some 18 are under way at an instance.

--- a/src/forward/shared/listconfirmer.ts
+++ b/src/forward/shared/listconfirmer.ts
@@ -17,11 +17,6 @@
 
 /** Shortest time between the starts of two reads, in milliseconds: those who ask wait for longer. */
 const MIN_READ_INTERVAL_MS = 50;
-/**
- * Maximum number of reads under way: as many as begin while callers wait for one. A single one is not
- * enough, as a call that hangs must not keep others from a store that answers.
- */
-const MAX_PENDING_READS = 4;
 /** How long no read begins after one that failed, in milliseconds; callers are told to wait for as long. */
 export const FAILED_READ_PAUSE_MS = 300;
 /** How long a read of a list that is too old may hold up its use, in milliseconds. */
@@ -69,7 +64,6 @@
   private started: StartedRead | undefined;
   private next: Promise<ConfirmedList | undefined> | undefined;
   private pausedUntil: Moment = Number.NEGATIVE_INFINITY;
-  private pendingCount = 0;
 
   constructor(private readonly parts: ListConfirmerParts) {}
 
@@ -77,14 +71,13 @@
    * Confirms the list by a read that begins after a moment; each record that was not counted yet
    * is counted in the version history, whose watch begins anew if the store no longer has them all.
    *
-   * @returns undefined if the store could not be read, also for a while after that, or if too many
-   *   reads have no answer yet
+   * @returns undefined if the store could not be read, also for a while after that
    * @example
    * const list = await listConfirmer.confirm(arrivedAt);
    */
   confirm(since: Moment): Promise<ConfirmedList | undefined> {
     if (this.started !== undefined && this.started.readAt > since) return this.started.result;
-    if (!this.canRead()) return Promise.resolve(undefined);
+    if (this.isPaused()) return Promise.resolve(undefined);
     this.next ??= this.readNext(this.started);
     return this.next;
   }
@@ -117,26 +110,23 @@
     const leftMs = (before?.readAt ?? 0) + MIN_READ_INTERVAL_MS - this.parts.clock.now();
     if (before !== undefined && leftMs > 0) await pause(leftMs);
     this.next = undefined;
-    if (!this.canRead()) return undefined;
+    if (this.isPaused()) return undefined;
     const readAt = this.parts.clock.now();
     const result = this.read(readAt);
     this.started = { readAt, result };
     return result;
   }
 
-  private canRead(): boolean {
-    const isPaused = this.parts.clock.now() < this.pausedUntil;
-    return !isPaused && this.pendingCount < MAX_PENDING_READS;
+  private isPaused(): boolean {
+    return this.parts.clock.now() < this.pausedUntil;
   }
 
   private async read(readAt: Moment): Promise<ConfirmedList | undefined> {
     const { clock, logger } = this.parts;
     let confirmed: ConfirmedList | undefined;
-    this.pendingCount += 1;
     await runTask("confirm list", logger, async () => {
       confirmed = await this.readToEnd(readAt);
     });
-    this.pendingCount -= 1;
     if (confirmed === undefined) this.pausedUntil = clock.now() + FAILED_READ_PAUSE_MS;
     return confirmed;
   }
