Orders to stop decoding: a list that can't be read costs one check, not the wait

Cause: the wish was deleted before the confirmation; "another check is under way" and "another instance is responsible" were one case.

Change: a wish begins anew once its order is sent, or once the list says that it is called for no more; where the list can't be read the next check tries again. A check beside another one does nothing.

--- a/src/forward/engines/rebalancer.ts
+++ b/src/forward/engines/rebalancer.ts
@@ -74,7 +74,8 @@
   /** Checks once whether a change is called for, and orders it if this instance is responsible. */
   async checkStages(): Promise<void> {
     const { instance, listLive, listServices, clock } = this.parts;
-    if (this.isChecking || chooseByRendezvousHash("stages", [...listLive()].sort()) !== instance) {
+    if (this.isChecking) return;
+    if (chooseByRendezvousHash("stages", [...listLive()].sort()) !== instance) {
       this.wantedSince.clear();
       return;
     }
@@ -101,8 +102,8 @@
     const since = this.wantedSince.get(service.name) ?? now;
     this.wantedSince.set(service.name, since);
     if (now - since < CONFIRMATION_MS[change.stage]) return;
+    if (!(await this.canOrder(service, change))) return;
     this.wantedSince.delete(service.name);
-    if (!(await this.isConfirmed(service, change))) return;
     if (await this.sendOrder(change)) {
       this.nextOrderAt = clock.now() + stageChangeMs + SETTLE_PAUSE_MS;
       this.parts.onOrder(change.engine.id, clock.now() + stageChangeMs);
@@ -110,16 +111,18 @@
   }
 
   /**
-   * Checks by the list of now whether an engine may stop decoding: a copy may still have another decode
-   * engine of its version.
+   * Checks by the list of now whether an engine may be ordered to stop decoding: a copy may still have
+   * another decode engine of its version. A change that is called for no more begins anew; where the list
+   * can't be read, the next check tries again.
    */
-  private async isConfirmed({ name }: FleetService, change: StageChange): Promise<boolean> {
+  private async canOrder({ name }: FleetService, change: StageChange): Promise<boolean> {
     const { confirmList, readStageLoad, logger } = this.parts;
     const { engine, stage } = change;
     if (stage === EngineStage.decode) return true;
     const isRead = await confirmList();
     const wanted = isRead ? chooseStageChange(readStageLoad(name)) : undefined;
     if (wanted?.engine.id === engine.id && wanted.stage === stage) return true;
+    if (isRead) this.wantedSince.delete(name);
     logger.info("order not confirmed", { engine: engine.id, stage, isRead });
     return false;
   }
--- a/test/stagecopies.spec.ts
+++ b/test/stagecopies.spec.ts
@@ -18,15 +18,27 @@
 const createDecode = (id: string, version: string) =>
   createEntry(id, `${id}:1`, { service: "models", stage: EngineStage.decode, version });
 
+const START = 60_000;
+/** How long a change has to be called for, and a few checks more, in milliseconds. */
+const SOON_MS = 8000;
+
 const OLDER = [createDecode("e", "v1"), createDecode("f", "v1")];
 const NEWER = ["a", "b", "c", "d"].map((id) => createDecode(id, "v2"));
 
-/** Checks for a minute whether one engine should prefill; returns the addresses of the orders. */
-async function checkForMinute(confirmList: () => readonly EndpointEntry[] | undefined) {
-  const clock = new ManualClock(60_000);
+/** The list as it is read again, or undefined if it can't be read. */
+type ConfirmedEngines = readonly EndpointEntry[] | undefined;
+
+/** Checks for a minute, each half second, whether one engine should prefill; returns the addresses of the orders. */
+async function checkForMinute(
+  confirmList: () => ConfirmedEngines | Promise<ConfirmedEngines>,
+  onCheck: (check: () => Promise<void>) => Promise<void> = (check) => check(),
+) {
+  const clock = new ManualClock(START);
   const sent: string[] = [];
+  const sentAfterMs: number[] = [];
   const call: EndpointClient["call"] = ({ address }) => {
     sent.push(address);
+    sentAfterMs.push(clock.now() - START);
     return Promise.resolve(E.right({ status: 202, body: Buffer.alloc(0) }));
   };
   let engines: readonly EndpointEntry[] = [...NEWER, ...OLDER];
@@ -42,11 +54,11 @@
     listLive: () => ["n1"],
     listServices: () => createConfig(1).services,
     readStageLoad: () => ({ engines, promptTokensPerSecond: 20_000, tokensPerMs: 33 }),
-    confirmList: () => {
+    confirmList: async () => {
       reads += 1;
-      const confirmed = confirmList();
+      const confirmed = await confirmList();
       engines = confirmed ?? engines;
-      return Promise.resolve(confirmed !== undefined);
+      return confirmed !== undefined;
     },
     onOrder: (ordered) => {
       engines = engines.map((engine) =>
@@ -56,24 +68,52 @@
   });
   for (let check = 0; check < 120; check += 1) {
     clock.advance(500);
-    await rebalancer.checkStages();
+    await onCheck(() => rebalancer.checkStages());
     await pause(0);
   }
-  return { sent, reads };
+  return { sent, reads, sentAfterMs };
 }
 
 describe("an engine that should prefill", () => {
   it("is not the last decode engine of its version, though the copy has another", async () => {
     const confirmed = [...NEWER, ...OLDER.slice(1)];
-    assert.deepEqual(await checkForMinute(() => confirmed), { sent: ["d:1"], reads: 2 });
+    const { sent, reads } = await checkForMinute(() => confirmed);
+    assert.deepEqual({ sent, reads }, { sent: ["d:1"], reads: 2 });
   });
 
   it("is ordered by one read of the list if the copy is right", async () => {
     const confirmed = [...NEWER, ...OLDER];
-    assert.deepEqual(await checkForMinute(() => confirmed), { sent: ["f:1"], reads: 1 });
+    const { sent, reads } = await checkForMinute(() => confirmed);
+    assert.deepEqual({ sent, reads }, { sent: ["f:1"], reads: 1 });
   });
 
   it("gets no order while the list can't be read", async () => {
     assert.deepEqual((await checkForMinute(() => undefined)).sent, []);
   });
+
+  it("is ordered at the next check after the list could not be read", async () => {
+    let failures = 3;
+    const confirm = () => ((failures -= 1) < 0 ? [...NEWER, ...OLDER] : undefined);
+    const { sent, sentAfterMs } = await checkForMinute(confirm);
+    assert.deepEqual(sent, ["f:1"]);
+    assert.ok((sentAfterMs[0] ?? Infinity) <= SOON_MS, `after ${sentAfterMs.join(" ")} ms`);
+  });
+
+  it("does not wait anew because a check came while the list was read", async () => {
+    const held: ((confirmed: ConfirmedEngines) => void)[] = [];
+    let isHeld = true;
+    const confirm = () =>
+      isHeld ? new Promise<ConfirmedEngines>((end) => held.push(end)) : [...NEWER, ...OLDER];
+    const { sentAfterMs } = await checkForMinute(confirm, async (check) => {
+      const checked = check();
+      await pause(0);
+      if (held.length > 0) {
+        isHeld = false;
+        await check();
+        for (const end of held.splice(0)) end(undefined);
+      }
+      await checked;
+    });
+    assert.ok((sentAfterMs[0] ?? Infinity) <= SOON_MS, `after ${sentAfterMs.join(" ")} ms`);
+  });
 });
