Streams that go on elsewhere: reads before their sends are shared

Seen by a review of: the read of the list after a break is shared by all streams that broke, the one before each send is not, as prefills end at different moments.

Cause: only a read that begins after the ask counted, though one that began within the age that is allowed is as good; and that age was 50 ms.

Change: a refresh takes a read that is under way if it began at the moment asked for or later; before a send the list may be 250 ms old. The window in which a replaced process is not seen grows by 200 ms.

Ruled out: 500 ms, as prefills of some hundred milliseconds would have no read.

--- a/src/forward/shared/listconfirmer.ts
+++ b/src/forward/shared/listconfirmer.ts
@@ -19,6 +19,8 @@
 const MIN_READ_INTERVAL_MS = 50;
 /** How long no read begins after one that failed, in milliseconds; callers are told to wait for as long. */
 export const FAILED_READ_PAUSE_MS = 300;
+/** Age of the list from which it is read again before a stream goes on at another engine, in milliseconds. */
+const MAX_AGE_BEFORE_SEND_MS = 250;
 /** How long a read of a list that is too old may hold up its use, in milliseconds. */
 const REFRESH_TIMEOUT_MS = 150;
 /** Maximum number of pages in one read: a few seconds of 5,000 endpoints. */
@@ -91,17 +93,13 @@
    */
   async refresh(asOf: Moment): Promise<void> {
     const { clock, computeListAgeMs, isStoreLost } = this.parts;
-    const now = clock.now();
-    if (isStoreLost() || now - computeListAgeMs() >= asOf) return;
-    await waitAtMost(this.confirm(now), REFRESH_TIMEOUT_MS);
+    if (isStoreLost() || clock.now() - computeListAgeMs() >= asOf) return;
+    await waitAtMost(this.confirm(asOf), REFRESH_TIMEOUT_MS);
   }
 
-  /**
-   * Confirms the list unless a read of it began so lately that none may begin yet; used before a stream
-   * goes on at another engine.
-   */
+  /** Confirms the list unless it was confirmed of late; used before a stream goes on at another engine. */
   refreshBeforeSend(): Promise<void> {
-    return this.refresh(this.parts.clock.now() - MIN_READ_INTERVAL_MS);
+    return this.refresh(this.parts.clock.now() - MAX_AGE_BEFORE_SEND_MS);
   }
 
   private async readNext(before: StartedRead | undefined): Promise<ConfirmedList | undefined> {
