Costs in peers' messages: one that cannot be true leaves the count unknown, not zero

The first count that is read of a peer is odd, the next one is sound (5e7): all that the peer ever admitted was charged at once, and the workspace was refused for hours. Cause: the odd entry was dropped, and a workspace that a peer's report lacks counts as zero, so the next count was charged from zero in place of setting the baseline. The same in the sums of relays. Ruled out, by reading: the total of a charge. One that is odd leaves the whole charge to its sender, and nothing of it is kept, so the count stays as unknown as it was. Change: an odd cost is handed on as UNREAD_COST. Quotas and UsageCounter keep per workspace that the count is not known, and the next one that can be read is the baseline. A count that was known before stays.

--- a/src/fleet/relay/sums.ts
+++ b/src/fleet/relay/sums.ts
@@ -5,6 +5,7 @@
  */
 import { roundCount } from "../../peer/count";
 import { RelayScope, type RelayReport, type Work } from "../../peer/gen/fleet";
+import { chooseBaseline } from "../../peer/numbers";
 
 /** Load of one instance or of several. */
 export interface Load {
@@ -158,7 +159,7 @@
 /** Totals of usage that only rise, counted from the differences between reports of sources. */
 export class UsageCounter {
   private readonly totals = new Map<string, number>();
-  /** By source and workspace: the highest count that was added. */
+  /** By source and workspace: the highest count that was added, or UNREAD_COST. */
   private readonly sources = new Map<string, Map<string, number>>();
 
   /** The totals, by workspace. */
@@ -176,11 +177,11 @@
     const known = isBaseline ? undefined : this.sources.get(source);
     const counted = known ?? new Map<string, number>();
     for (const [workspace, cost] of usages) {
-      const before = counted.get(workspace) ?? (known === undefined ? cost : 0);
+      const before = chooseBaseline(counted.get(workspace), cost, known === undefined);
       if (cost > before) {
         this.totals.set(workspace, (this.totals.get(workspace) ?? 0) + cost - before);
       }
-      counted.set(workspace, Math.max(cost, before));
+      counted.set(workspace, Number.isNaN(cost) ? before : Math.max(cost, before));
     }
     this.sources.set(source, counted);
   }
--- a/src/forward/shared/quota.ts
+++ b/src/forward/shared/quota.ts
@@ -12,6 +12,7 @@
 import { SlidingWindowSum } from "../../core/window";
 import type { RateLimit } from "../../fleet/config";
 import type { FleetSize } from "../../fleet/members";
+import { chooseBaseline } from "../../peer/numbers";
 
 /** How late the counts of peers may be, in milliseconds; a little more than a heartbeat interval. */
 export const PEER_COUNT_LAG_MS = 640;
@@ -63,7 +64,7 @@
 
 interface PeerUsage {
   readonly incarnation: string;
-  /** By workspace: the peer's count that is charged already. */
+  /** By workspace: the peer's count that is charged already, or UNREAD_COST. */
   readonly costs: Map<string, number>;
   /** True once it has reported all its counts; one that it does not report is zero from then on. */
   hasReported: boolean;
@@ -282,14 +283,15 @@
 
   /**
    * Charges the part of a peer's count that is not charged yet; counts only rise. The first count of
-   * a peer that is new here is the baseline.
+   * a peer that is new here is the baseline, as is the first that can be read after one that can't.
    */
   private chargeReport(usage: PeerUsage, workspace: string, totalCost: number): void {
-    const known = usage.costs.get(workspace) ?? (usage.hasReported ? 0 : totalCost);
-    if (totalCost <= known && usage.costs.has(workspace)) return;
-    usage.costs.set(workspace, totalCost);
+    const told = usage.costs.get(workspace);
+    const known = chooseBaseline(told, totalCost, !usage.hasReported);
+    if (told !== undefined && !(totalCost > told || Number.isNaN(told))) return;
+    usage.costs.set(workspace, Number.isNaN(totalCost) ? known : totalCost);
     const account = this.accounts.get(workspace);
-    if (account !== undefined) charge(account, totalCost - known);
+    if (account !== undefined && totalCost > known) charge(account, totalCost - known);
   }
 
   private addLocalCost(workspace: string, cost: number): void {
--- a/src/peer/numbers.ts
+++ b/src/peer/numbers.ts
@@ -11,6 +11,7 @@
   PermitRequest,
   RelayRecord,
   RelayReport,
+  WorkspaceUsage,
 } from "./gen/fleet";
 
 /** The highest cost that is believed, in tokens; far more than a process admits in its life. */
@@ -34,6 +35,9 @@
 /** The largest fleet that is believed, in instances. */
 const MAX_FLEET_SIZE = 10_000;
 
+/** Stands for a cost that was not believed: what the sender has used since it started is not known. */
+export const UNREAD_COST = Number.NaN;
+
 /** Called with each number that is not used, and the field that it stands in. */
 export type NumberFaultListener = (field: string, value: number | undefined) => void;
 
@@ -115,7 +119,7 @@
 
 /**
  * Drops the entries of a heartbeat, or of a record of a peer, whose numbers can't be true; reports those
- * of its head too, which are read by themselves.
+ * of its head too, which are read by themselves. A cost that can't be true becomes UNREAD_COST.
  *
  * @example
  * checkBeat(Beat.decode(content), (field, value) => log(field, value)).usages;
@@ -126,7 +130,7 @@
   if (fleetSize !== undefined && !isFleetSize(fleetSize)) onFault("fleetSize", fleetSize);
   return {
     ...beat,
-    usages: keepEntries(beat.usages, COST, onFault),
+    usages: readCosts(beat.usages, onFault),
     endpointLimits: keepEntries(beat.endpointLimits, LIMIT, onFault),
     engineSpeeds: keepEntries(beat.engineSpeeds, SPEED, onFault),
     absences: keepEntries(beat.absences, ABSENCE, onFault),
@@ -147,13 +151,13 @@
 }
 
 /**
- * Drops the entries of a neighbour's report whose numbers can't be true.
+ * Makes each cost of a neighbour's report that can't be true UNREAD_COST.
  *
  * @example
  * checkReport(message.report, onFault).usages;
  */
 export function checkReport(report: RelayReport, onFault: NumberFaultListener): RelayReport {
-  return { ...report, usages: keepEntries(report.usages, COST, onFault) };
+  return { ...report, usages: readCosts(report.usages, onFault) };
 }
 
 /**
@@ -190,6 +194,25 @@
   return Math.min(retryAfterMs, MAX_RETRY_MS);
 }
 
+/**
+ * Chooses the count of a sender from which its next one is charged.
+ *
+ * @param known - its count so far, or UNREAD_COST; undefined if it has told none
+ * @param isFirst - true if a count that it has not told may be of any size, else it was zero
+ * @returns the count itself where it is the first that can be read
+ * @example
+ * chooseBaseline(UNREAD_COST, 300, false); // 300
+ */
+export function chooseBaseline(known: number | undefined, cost: number, isFirst: boolean): number {
+  const before = known ?? (isFirst ? cost : 0);
+  return Number.isNaN(before) ? cost : before;
+}
+
+function readCosts(usages: readonly WorkspaceUsage[], onFault: NumberFaultListener) {
+  const sound = new Set(keepEntries(usages, COST, onFault));
+  return usages.map((usage) => (sound.has(usage) ? usage : { ...usage, cost: UNREAD_COST }));
+}
+
 function keepEntries<T>(
   entries: readonly T[],
   { field, read, min, max }: Bound<T>,
--- a/test/oddnumbers.spec.ts
+++ b/test/oddnumbers.spec.ts
@@ -5,6 +5,7 @@
 import assert from "node:assert/strict";
 import { after, describe, it } from "node:test";
 import { EngineStage } from "../src/fleet/entries";
+import { applyReport, NO_LOAD, UsageCounter } from "../src/fleet/relay/sums";
 import type { MemberList } from "../src/fleet/members";
 import { LOG_START } from "../src/fleet/position";
 import type { GrpcFleetTransport } from "../src/fleet/transport";
@@ -12,7 +13,8 @@
 import { createParts } from "../src/forward/parts";
 import { answerPermit, PeerPermitTransport } from "../src/forward/limits";
 import { answerCharge } from "../src/forward/shared";
-import { Beat, PermitRequest } from "../src/peer/gen/fleet";
+import { Beat, PermitRequest, RelayReport } from "../src/peer/gen/fleet";
+import { checkReport } from "../src/peer/numbers";
 import { createEntry, createSettings, testCodecs } from "./harness/forward";
 import { MemoryStore } from "./harness/memory";
 
@@ -47,6 +49,29 @@
       assert.ok(quotas.admitAsOwner(workspace, limit, 1, start + LONG_MS).isAdmitted);
     });
 
+    it(`as the first in heartbeats does not have all before the next one charged: ${cost}`, () => {
+      const workspace = `first ${cost}`;
+      const told = { instance: `first ${cost}`, incarnation: "1" };
+      quotas.admitAsOwner(workspace, limit, 1, start);
+      for (const total of [cost, 5e7])
+        receive({ ...told, usages: [{ workspace, cost: total }] }, start);
+      assert.ok(quotas.admitAsOwner(workspace, limit, 1, start + 1000).isAdmitted);
+      receive({ ...told, usages: [{ workspace, cost: 5e7 + 1e5 }] }, start + 1000);
+      assert.ok(!quotas.admitAsOwner(workspace, limit, 1, start + 1000).isAdmitted, "counts on");
+    });
+
+    it(`in the reports of a relay charges only what is used after it: ${cost}`, () => {
+      const counter = new UsageCounter();
+      const report = (total: number, whole: boolean) => {
+        const usages = [{ workspace: "w", cost: total }];
+        const content = checkReport(RelayReport.fromPartial({ usages, whole }), () => undefined);
+        counter.count("relay", applyReport(NO_LOAD, content).usages, whole);
+        return counter.read().get("w") ?? 0;
+      };
+      const totals = [report(cost, true), report(5e7, false), report(5e7 + 7, false)];
+      assert.deepEqual([...totals, report(cost, false), report(5e7 + 9, false)], [0, 0, 7, 7, 9]);
+    });
+
     it(`in a charge leaves the decision to its sender, and the account as it is: ${cost}`, () => {
       const workspace = `charge ${cost}`;
       assert.equal(charge(workspace, { totalCost: 1, costs: [1] }).decisions.length, 1);
