--- a/src/fleet/watcher.ts
+++ b/src/fleet/watcher.ts
@@ -103,7 +103,7 @@
     private readonly policy: ReadPolicy,
     private readonly onChange: () => void,
   ) {
-    this.faults = new RecordFaults(logger, meter);
+    this.faults = new RecordFaults(logger, meter, clock);
     this.configState = createFeedState(bounds.configMs);
     this.endpointsState = createFeedState(bounds.endpointsMs);
   }
--- a/src/forward/base.ts
+++ b/src/forward/base.ts
@@ -51,7 +51,7 @@
     }),
     lines,
     logger,
-    faults: new RecordFaults(logger, meter),
+    faults: new RecordFaults(logger, meter, clock),
     self: { instance, incarnation: createIncarnation(instance), address, dataCentre },
   };
 }
