Charges: one cost that cannot be true costs its own request, not the batch

Seen: a review's trial. 50 requests, the account full, one cost of 2e15 among them: 1 admitted, 49 refused, as the owner left the whole batch to the sender's share. Cause: the owner checked the costs of a charge as one. Found beside it: the sender paired decisions with its batch by their index alone, so that a reply with one too few or too many gave a request the decision of another one. Change: the owner denies a request whose cost cannot be true and decides the rest, in their order. A charge with no sound cost, or with an odd total, stays with its sender as before. A reply of another length than the batch counts as no answer; an empty one means, as before, that the owner leaves the batch to its sender.

--- a/src/forward/shared/chargepeer.ts
+++ b/src/forward/shared/chargepeer.ts
@@ -5,8 +5,8 @@
 import type { RateLimit } from "../../fleet/config";
 import type { MemberIdentity, MemberList } from "../../fleet/members";
 import type { GrpcFleetTransport } from "../../fleet/transport";
-import type { ChargeReply, ChargeRequest } from "../../peer/gen/fleet";
-import { isCharge, type NumberFaultListener } from "../../peer/numbers";
+import type { ChargeDecision, ChargeReply, ChargeRequest } from "../../peer/gen/fleet";
+import { checkCosts, type NumberFaultListener } from "../../peer/numbers";
 import type { Charge, ChargeTransport } from "./charges";
 import { type QuotaDecision, type Quotas, RELAYED_PEERS } from "./quota";
 
@@ -48,11 +48,15 @@
   return { ...request, instance: RELAYED_PEERS, incarnation: "", totalCost: 0 };
 }
 
+/** The decision on a request whose cost can't be true, while others of its charge can be decided. */
+const DENIED: ChargeDecision = { admitted: false, overRate: true, left: 0, retryAfterMs: 60_000 };
+
 /**
- * Decides on a peer's charge as the owner of the account.
+ * Decides on a peer's charge as the owner of the account. A request whose cost can't be true is denied
+ * and costs no other one its decision.
  *
  * @param limit - the limit of the workspace; undefined if it is not known here or has none, which
- *   leaves the decision to the peer, as does a cost that can't be true
+ *   leaves the decision to the peer, as does a charge without any cost that can be true
  * @example
  * answerCharge(quotas, request, limit, clock.now()).decisions;
  */
@@ -63,16 +67,18 @@
   now: Moment,
   onFault: NumberFaultListener = () => undefined,
 ): ChargeReply {
-  if (limit === undefined || !isCharge(request, onFault)) return { decisions: [] };
-  const { instance, incarnation, workspace, totalCost, costs } = request;
+  const areSound = checkCosts(request, onFault);
+  if (limit === undefined || !areSound.includes(true)) return { decisions: [] };
+  const { instance, incarnation, workspace, totalCost } = request;
+  const costs = request.costs.filter((_cost, index) => areSound[index]);
   const peer = { instance, incarnation, totalCost };
-  const decisions = quotas.admitForPeer(peer, workspace, limit, costs, now);
+  const decided = quotas.admitForPeer(peer, workspace, limit, costs, now).map(encodeDecision);
   return {
-    decisions: decisions.map(({ isAdmitted, isOverRate, levelBefore, retryAfterMs }) => ({
-      admitted: isAdmitted,
-      overRate: isOverRate,
-      left: levelBefore,
-      retryAfterMs,
-    })),
+    decisions: areSound.map((isSound) => (isSound ? decided.shift() : undefined) ?? DENIED),
   };
 }
+
+function encodeDecision(decision: QuotaDecision): ChargeDecision {
+  const { isAdmitted, isOverRate, levelBefore, retryAfterMs } = decision;
+  return { admitted: isAdmitted, overRate: isOverRate, left: levelBefore, retryAfterMs };
+}
--- a/src/forward/shared/charges.ts
+++ b/src/forward/shared/charges.ts
@@ -30,7 +30,8 @@
   /**
    * Asks an instance to decide on a charge as the owner of the account.
    *
-   * @returns a decision for each request, or undefined if there was no answer in time
+   * @returns a decision for each request in their order, none if the owner leaves them to this instance, or
+   *   undefined if there was no answer in time; any other number counts as no answer
    */
   charge(
     owner: string,
@@ -141,9 +142,8 @@
     const costs = batch.map(({ cost }) => cost);
     const charge = { workspace, totalCost, costs };
     const isAsked = owner !== instance && !this.owners.isSilent(owner);
-    const decisions = isAsked
-      ? await transport.charge(owner, charge, CHARGE_TIMEOUT_MS)
-      : undefined;
+    const reply = isAsked ? await transport.charge(owner, charge, CHARGE_TIMEOUT_MS) : undefined;
+    const decisions = reply?.length === batch.length || reply?.length === 0 ? reply : undefined;
     if (isAsked && decisions === undefined) this.recordSilence(owner, workspace);
     for (const [index, request] of batch.entries()) {
       const decision = decisions?.[index];
--- a/src/peer/numbers.ts
+++ b/src/peer/numbers.ts
@@ -161,14 +161,16 @@
 }
 
 /**
- * Checks the costs of a charge.
+ * Checks the costs of a charge, each by itself.
  *
+ * @returns for each cost, whether it can be true; none can if the total of the sender can't
  * @example
- * isCharge({ ...request, costs: [Number.NaN] }, onFault); // false
+ * checkCosts({ ...request, costs: [1, Number.NaN] }, onFault); // [true, false]
  */
-export function isCharge(request: ChargeRequest, onFault: NumberFaultListener): boolean {
-  const costs = [request.totalCost, ...request.costs].map((cost) => ({ cost }));
-  return keepEntries(costs, COST, onFault).length === costs.length;
+export function checkCosts(request: ChargeRequest, onFault: NumberFaultListener): boolean[] {
+  const isSound = (cost: number) => keepEntries([{ cost }], COST, onFault).length > 0;
+  const isTotalSound = isSound(request.totalCost);
+  return request.costs.map((cost) => isSound(cost) && isTotalSound);
 }
 
 /**
--- a/test/oddnumbers.spec.ts
+++ b/test/oddnumbers.spec.ts
@@ -4,6 +4,7 @@
  */
 import assert from "node:assert/strict";
 import { after, describe, it } from "node:test";
+import { SILENT_LOGGER } from "../src/core/log";
 import { EngineStage } from "../src/fleet/entries";
 import { applyReport, NO_LOAD, UsageCounter } from "../src/fleet/relay/sums";
 import type { MemberList } from "../src/fleet/members";
@@ -12,13 +13,16 @@
 import { createInstanceBase } from "../src/forward/base";
 import { createParts } from "../src/forward/parts";
 import { answerPermit, PeerPermitTransport } from "../src/forward/limits";
-import { answerCharge } from "../src/forward/shared";
+import { answerCharge, QuotaCharger } from "../src/forward/shared";
+import type { ChargeTransport } from "../src/forward/shared/charges";
+import { type QuotaDecision, Quotas } from "../src/forward/shared/quota";
 import { Beat, PermitRequest, RelayReport } from "../src/peer/gen/fleet";
 import { checkReport } from "../src/peer/numbers";
 import { createEntry, createSettings, testCodecs } from "./harness/forward";
 import { MemoryStore } from "./harness/memory";
 
 const ODD = [NaN, Infinity, 1e300, -1e300, -Infinity];
+const NO_TOLERANCE = { ratio: 0, slack: 0, windowMs: 10_000 };
 /** Long enough for any account to be full again, in milliseconds. */
 const LONG_MS = 3_600_000;
 
@@ -83,6 +87,44 @@
   }
 });
 
+describe("a charge of several requests", () => {
+  const limit = { perSecond: 1000, burst: 1000 };
+
+  for (const cost of ODD) {
+    it(`has each decided but the one whose cost cannot be true: ${cost}`, () => {
+      const workspace = `batch ${cost}`;
+      const peer = { instance: "n4", incarnation: "n4/1", workspace };
+      const ask = { ...peer, totalCost: 1, costs: [1, cost, 5000, 2] };
+      const { decisions } = answerCharge(parts.quotas, ask, limit, start + LONG_MS);
+      assert.deepEqual(
+        decisions.map(({ admitted }) => admitted),
+        [true, false, false, true],
+      );
+      assert.ok(decisions.every(({ retryAfterMs }) => retryAfterMs <= 60_000));
+    });
+  }
+
+  it("does not pair decisions with other requests: a reply with one too few, or too many", async () => {
+    const admitted = { isAdmitted: true, isOverRate: false, levelBefore: 7, retryAfterMs: 0 };
+    for (const more of [-1, 1]) {
+      const lives = ["n2", "n3"];
+      const transport: ChargeTransport = {
+        charge: (_owner, { costs }) =>
+          Promise.resolve(new Array<QuotaDecision>(costs.length + more).fill(admitted)),
+      };
+      const { clock } = base;
+      const quotas = new Quotas(NO_TOLERANCE, () => ({ heard: 2, missing: 0 }), clock.now());
+      const listLive = () => lives;
+      const own = { instance: "n1", quotas, transport, clock, logger: SILENT_LOGGER, listLive };
+      const charger = new QuotaCharger(own);
+      const costs = [1000, 1000, 1000];
+      const asked = costs.map((cost) => charger.admit("w", limit, cost));
+      const decisions = await Promise.all(asked);
+      assert.ok(decisions.every(({ isAdmitted }) => !isAdmitted));
+    }
+  });
+});
+
 describe("a limit that cannot be true", () => {
   const MAX_COUNT = 2 ** 32 - 1;
   const { sources } = parts.limitState;
