Load, addresses and replies to charges in peers' messages: bounded where they are read

Seen: a review's trials. One beat with 2^32-1 arriving tokens had 10 of 40 engines ordered to prefill where one suffices; 50,000 made-up addresses, an empty one and one of 100,000 characters were all kept; the reply to a charge sent a caller away for 49 days. Cause: these fields had no bound (what a faulty or a newer build may write). Ruled out: the bound of permits' replies, a minute, for every reply to a charge: an account below zero truly takes longer to refill. A delay over an hour, or none at all, is read as a minute. Change: works have at most 1e9 tokens and 1e6 requests on an engine; an instance tells at most 1e8 arriving tokens a second and 1e6 waiting generations, a sum of relays 2e9 and 6e8. A work over its bound is dropped, a count is zero. Of the addresses of a beat the first 10,000 count, of 1 to 512 characters. The bounds are by reckoning; no large fleet was run against them. Measured: test/oddnumbers.spec.ts, 8 new cases: 0 of 8 before, 8 of 8 after; with the peerclocks spec 61 of 61; specs of oddpeers and oddlines 7 of 7, quota and relay 21 of 21, membership 4 of 4.

--- a/src/fleet/heartbeat.ts
+++ b/src/fleet/heartbeat.ts
@@ -7,6 +7,7 @@
 import { runTask } from "../core/tasks";
 import type { Clock, Moment } from "../core/clock";
 import type { Beat, FetchReply, FetchRequest } from "../peer/gen/fleet";
+import { listHeardAddresses } from "../peer/numbers";
 import type { MemberList, MemberIdentity } from "./members";
 import { FetchOffers } from "./offers";
 import { PeerClocks } from "./peerclocks";
@@ -165,7 +166,8 @@
     if (beat.instance === this.self.instance) return;
     const now = this.clock.now();
     const isNew = this.members.recordBeat(beat, now);
-    for (const address of beat.heardAddresses) this.members.addAddress(address, undefined, now);
+    for (const address of listHeardAddresses(beat))
+      this.members.addAddress(address, undefined, now);
     if (isNew) this.logger.info("peer found", { peer: beat.instance, address: beat.address });
     this.host.handleBeat(beat, now, sentAt);
     this.addOffer(beat);
--- a/src/forward/shared/chargepeer.ts
+++ b/src/forward/shared/chargepeer.ts
@@ -6,7 +6,12 @@
 import type { MemberIdentity, MemberList } from "../../fleet/members";
 import type { GrpcFleetTransport } from "../../fleet/transport";
 import type { ChargeDecision, ChargeReply, ChargeRequest } from "../../peer/gen/fleet";
-import { checkCosts, type NumberFaultListener } from "../../peer/numbers";
+import {
+  checkCosts,
+  type NumberFaultListener,
+  readChargeRetryMs,
+  readLevel,
+} from "../../peer/numbers";
 import type { Charge, ChargeTransport } from "./charges";
 import { type QuotaDecision, type Quotas, RELAYED_PEERS } from "./quota";
 
@@ -31,8 +36,8 @@
     return reply?.decisions.map(({ admitted, overRate, left, retryAfterMs }) => ({
       isAdmitted: admitted,
       isOverRate: overRate,
-      levelBefore: left,
-      retryAfterMs,
+      levelBefore: readLevel(left),
+      retryAfterMs: readChargeRetryMs(retryAfterMs),
     }));
   }
 }
--- a/src/peer/numbers.ts
+++ b/src/peer/numbers.ts
@@ -11,6 +11,7 @@
   PermitRequest,
   RelayRecord,
   RelayReport,
+  Work,
   WorkspaceUsage,
 } from "./gen/fleet";
 
@@ -38,6 +39,17 @@
 /** Stands for a cost that was not believed: what the sender has used since it started is not known. */
 export const UNREAD_COST = Number.NaN;
 
+/** The longest delay after a charge that is believed, in milliseconds; an account refills within minutes. */
+const MAX_CHARGE_RETRY_MS = 3_600_000;
+/** The most work on an engine that is believed, of one instance as of a fleet: many times what an engine holds. */
+const MAX_WORK = { tokens: 1e9, requests: 1e6 } as const;
+/** What one instance may tell of its callers: prompt tokens a second, and generations that wait. */
+const MAX_INSTANCE_LOAD = { arrivingTokens: 1e8, waiting: 1e6 } as const;
+/** What a sum over a fleet may tell of them. */
+const MAX_FLEET_LOAD = { arrivingTokens: 2e9, waiting: 6e8 } as const;
+/** The longest address that is believed, in characters. */
+const MAX_ADDRESS_LENGTH = 512;
+
 /** Called with each number that is not used, and the field that it stands in. */
 export type NumberFaultListener = (field: string, value: number | undefined) => void;
 
@@ -83,6 +95,12 @@
   max: MAX_SENDS,
 };
 
+const WORK: readonly Bound<Work>[] = [
+  { field: "heldTokens", read: ({ heldTokens }) => heldTokens, min: 0, max: MAX_WORK.tokens },
+  { field: "promptTokens", read: ({ promptTokens }) => promptTokens, min: 0, max: MAX_WORK.tokens },
+  { field: "requests", read: ({ requests }) => requests, min: 0, max: MAX_WORK.requests },
+];
+
 const GENERATION: Bound<RelayRecord> = {
   field: "generation",
   read: ({ generation }) => generation,
@@ -119,7 +137,8 @@
 
 /**
  * Drops the entries of a heartbeat, or of a record of a peer, whose numbers can't be true; reports those
- * of its head too, which are read by themselves. A cost that can't be true becomes UNREAD_COST.
+ * of its head too, which are read by themselves. A cost that can't be true becomes UNREAD_COST,
+ * a count of arrivals or of waiting generations zero.
  *
  * @example
  * checkBeat(Beat.decode(content), (field, value) => log(field, value)).usages;
@@ -128,8 +147,11 @@
   const { sentAtMs, fleetSize } = beat;
   if (sentAtMs !== undefined && !isSendTime(sentAtMs)) onFault("sentAtMs", sentAtMs);
   if (fleetSize !== undefined && !isFleetSize(fleetSize)) onFault("fleetSize", fleetSize);
+  const oddAddresses = beat.heardAddresses.length - listHeardAddresses(beat).length;
+  if (oddAddresses > 0) onFault("heardAddresses", oddAddresses);
   return {
     ...beat,
+    ...readLoad(beat, MAX_INSTANCE_LOAD, onFault),
     usages: readCosts(beat.usages, onFault),
     endpointLimits: keepEntries(beat.endpointLimits, LIMIT, onFault),
     engineSpeeds: keepEntries(beat.engineSpeeds, SPEED, onFault),
@@ -151,13 +173,18 @@
 }
 
 /**
- * Makes each cost of a neighbour's report that can't be true UNREAD_COST.
+ * Drops the works of a neighbour's report whose numbers can't be true; a count of arrivals or of waiting
+ * generations becomes zero, and a cost UNREAD_COST.
  *
  * @example
  * checkReport(message.report, onFault).usages;
  */
 export function checkReport(report: RelayReport, onFault: NumberFaultListener): RelayReport {
-  return { ...report, usages: readCosts(report.usages, onFault) };
+  return {
+    ...report,
+    ...readLoad(report, MAX_FLEET_LOAD, onFault),
+    usages: readCosts(report.usages, onFault),
+  };
 }
 
 /**
@@ -210,6 +237,58 @@
   return Number.isNaN(before) ? cost : before;
 }
 
+/**
+ * Reads the delay in the reply to a charge, in milliseconds; one that can't be true is a minute.
+ *
+ * @example
+ * readChargeRetryMs(Number.NaN); // 60000
+ */
+export function readChargeRetryMs(retryAfterMs: number): number {
+  return isWithin(retryAfterMs, 0, MAX_CHARGE_RETRY_MS) ? retryAfterMs : MAX_RETRY_MS;
+}
+
+/**
+ * Reads the level of an account in the reply to a charge; one that can't be true is zero.
+ *
+ * @example
+ * readLevel(Number.NaN); // 0
+ */
+export function readLevel(level: number): number {
+  return isWithin(level, -MAX_COST, MAX_COST) ? level : 0;
+}
+
+/**
+ * Lists the addresses that a peer has heard of, as many and as long as they may be.
+ *
+ * @example
+ * listHeardAddresses({ heardAddresses: ["", "10.0.0.1:7000"] }); // ["10.0.0.1:7000"]
+ */
+export function listHeardAddresses({
+  heardAddresses,
+}: Pick<Beat, "heardAddresses">): readonly string[] {
+  const isSound = ({ length }: string) => isWithin(length, 1, MAX_ADDRESS_LENGTH);
+  return heardAddresses.slice(0, MAX_FLEET_SIZE).filter(isSound);
+}
+
+type LoadCounts = Pick<Beat, "works" | "arrivingTokens" | "waiting">;
+
+function readLoad(
+  load: LoadCounts,
+  max: Omit<LoadCounts, "works">,
+  onFault: NumberFaultListener,
+): LoadCounts {
+  const readCount = (field: keyof typeof max) => {
+    if (isWithin(load[field], 0, max[field])) return load[field];
+    onFault(field, load[field]);
+    return 0;
+  };
+  return {
+    works: WORK.reduce((works, bound) => keepEntries(works, bound, onFault), load.works),
+    arrivingTokens: readCount("arrivingTokens"),
+    waiting: readCount("waiting"),
+  };
+}
+
 function readCosts(usages: readonly WorkspaceUsage[], onFault: NumberFaultListener) {
   const sound = new Set(keepEntries(usages, COST, onFault));
   return usages.map((usage) => (sound.has(usage) ? usage : { ...usage, cost: UNREAD_COST }));
--- a/test/oddnumbers.spec.ts
+++ b/test/oddnumbers.spec.ts
@@ -13,11 +13,11 @@
 import { createInstanceBase } from "../src/forward/base";
 import { createParts } from "../src/forward/parts";
 import { answerPermit, PeerPermitTransport } from "../src/forward/limits";
-import { answerCharge, QuotaCharger } from "../src/forward/shared";
+import { answerCharge, PeerChargeTransport, QuotaCharger } from "../src/forward/shared";
 import type { ChargeTransport } from "../src/forward/shared/charges";
 import { type QuotaDecision, Quotas } from "../src/forward/shared/quota";
 import { Beat, PermitRequest, RelayReport } from "../src/peer/gen/fleet";
-import { checkReport } from "../src/peer/numbers";
+import { checkBeat, checkReport } from "../src/peer/numbers";
 import { createEntry, createSettings, testCodecs } from "./harness/forward";
 import { MemoryStore } from "./harness/memory";
 
@@ -125,6 +125,71 @@
   });
 });
 
+describe("a reply to a charge that cannot be true", () => {
+  for (const [odd, delay] of [...ODD, 2 ** 32].map((value) => [value, 60_000] as const)) {
+    it(`does not send callers away for days: ${odd}`, async () => {
+      const decision = { admitted: false, overRate: true, left: odd * 1e15, retryAfterMs: odd };
+      const members = { findAddress: () => "127.0.0.1:1" } as unknown as MemberList;
+      const charge = () => Promise.resolve({ decisions: [decision] });
+      const transport = { charge } as unknown as GrpcFleetTransport;
+      const charges = new PeerChargeTransport(base.self, members, transport);
+      const ask = { workspace: "w", totalCost: 0, costs: [1] };
+      const [read] = (await charges.charge("n2", ask, 100)) ?? [];
+      assert.deepEqual([read?.retryAfterMs, read?.levelBefore], [delay, 0]);
+    });
+  }
+});
+
+describe("load that cannot be true", () => {
+  const MAX_COUNT = 2 ** 32 - 1;
+  const work = { engine: "e", heldTokens: 10, promptTokens: 10, requests: 1 };
+  const sound = { works: [work], arrivingTokens: 1e6, waiting: 1000 };
+  const odd = {
+    works: [
+      work,
+      ...["heldTokens", "promptTokens", "requests"].map((field) => ({
+        ...work,
+        [field]: MAX_COUNT,
+      })),
+    ],
+    arrivingTokens: MAX_COUNT,
+    waiting: MAX_COUNT,
+  };
+  const read = ({ works, arrivingTokens, waiting }: typeof sound) => ({
+    works,
+    arrivingTokens,
+    waiting,
+  });
+
+  it("is not believed, of an instance and of a fleet; what is beside it is", () => {
+    const checks = [
+      (content: typeof sound) => checkBeat(Beat.fromPartial(content), () => undefined),
+      (content: typeof sound) => checkReport(RelayReport.fromPartial(content), () => undefined),
+    ];
+    for (const check of checks) {
+      assert.deepEqual(read(check(sound)), sound);
+      assert.deepEqual(read(check(odd)), { works: [work], arrivingTokens: 0, waiting: 0 });
+    }
+  });
+});
+
+describe("addresses that cannot be true", () => {
+  it("are not dialled, nor more than a fleet has", () => {
+    const made = Array.from(
+      { length: 50_000 },
+      (_, index) => `10.0.${index >> 8}.${index & 255}:1`,
+    );
+    const heardAddresses = ["", "x".repeat(100_000), ...made];
+    const beat = { instance: "n2", incarnation: "n2/1", address: "127.0.0.1:1", heardAddresses };
+    const { heartbeats, view, context } = createParts(base, () => false);
+    heartbeats.onBeat(Beat.fromPartial(beat));
+    const addresses = view.members.listAddresses();
+    void context.client.close();
+    assert.ok(addresses.includes("10.0.0.0:1") && addresses.length <= 10_001);
+    assert.ok(addresses.every(({ length }) => length > 0 && length <= 512));
+  });
+});
+
 describe("a limit that cannot be true", () => {
   const MAX_COUNT = 2 ** 32 - 1;
   const { sources } = parts.limitState;
