Tries: the load of one is taken off its engine once, whatever throws at its end

Seen: an error in the record of a try or in the queue after its end, with the run complete: +310, -310 and -310 tokens at its engine, which is then offered more than it holds. Cause: the end of a run stands in the try whose catch ends it again. Ruled out: a second end by the release of an unsent run; its reservation is the same object, so it is marked as well. Change: a reservation whose load is off its engine is remembered; ending its try again does nothing.

--- a/src/forward/generations/stream.ts
+++ b/src/forward/generations/stream.ts
@@ -47,6 +47,8 @@
 const MIN_REPLACEMENT_MS = 650;
 /** How long after its deadline a stream is cut off, in milliseconds. */
 const DEADLINE_GRACE_MS = 120;
+/** The result of a run that an unexpected error ended; its engine may have run it. */
+const FAULT_RESULT: TryResult = { end: TryEnd.broken, message: "an unexpected error ended it" };
 
 /** Dependencies that all generations of an instance share. */
 export interface StreamParts {
@@ -79,6 +81,8 @@
   private failedResponse: BufferedResponse | undefined;
   /** True once the final response is known. */
   private isEnded = false;
+  /** Reservations whose load is off their engines: a step that throws may have a try ended twice. */
+  private readonly unloaded = new WeakSet<Reservation>();
   private readonly request: ForwardRequest;
   /** True if the caller takes up a stream that began in an earlier request of its. */
   private readonly isTakenUp: boolean;
@@ -276,9 +280,16 @@
   }
 
   private releaseEngine(reservation: Reservation): void {
-    const { engineLoad, reservations } = this.parts;
-    engineLoad.addLocalWork(reservation.endpoint.id, -reservation.needTokens, 0, -1);
-    reservations.release(reservation);
+    if (this.removeLoad(reservation)) this.parts.reservations.release(reservation);
+  }
+
+  /** Takes the load of a reservation off its engine; returns false if that was done before. */
+  private removeLoad(reservation: Reservation): boolean {
+    if (this.unloaded.has(reservation)) return false;
+    this.unloaded.add(reservation);
+    const { endpoint, needTokens } = reservation;
+    this.parts.engineLoad.addLocalWork(endpoint.id, -needTokens, 0, -1);
+    return true;
   }
 
   /** Releases what a try holds of which no run was sent. */
@@ -336,7 +347,7 @@
       return result;
     } catch (error) {
       sent.abort();
-      this.finishTry(sent.start, { end: TryEnd.broken, message: "an unexpected error ended it" });
+      this.finishTry(sent.start, FAULT_RESULT);
       throw error;
     }
   }
@@ -346,12 +357,11 @@
     this.finishTry(start, result);
   }
 
+  /** Ends a try; does nothing if it has ended. */
   private finishTry(start: TryStart, result: TryResult): void {
-    const { engineLoad, reservations } = this.parts;
-    const { endpoint, needTokens } = start.engine.reservation;
     start.deadlineSignal.close();
-    engineLoad.addLocalWork(endpoint.id, -needTokens, 0, -1);
-    reservations.dispatchWaiting();
+    if (!this.removeLoad(start.engine.reservation)) return;
+    this.parts.reservations.dispatchWaiting();
     this.recorder.record(start, result, this.decoder);
   }
 
--- a/test/passedonfault.spec.ts
+++ b/test/passedonfault.spec.ts
@@ -32,7 +32,9 @@
 /** The parts of an instance that a test makes throw. */
 interface FaultyParts {
   readonly context: Record<string, Record<string, unknown>>;
-  readonly reservations: { readonly engineLoad: Record<string, unknown> };
+  readonly reservations: Record<string, unknown> & {
+    readonly engineLoad: Record<string, unknown>;
+  };
 }
 
 /** Makes a method of a part throw, or reject, at its next calls. */
@@ -125,6 +127,27 @@
     });
   }
 
+  for (const [what, find] of [
+    ["the record of its try", ({ context }) => [context["meter"], "recordSend"]],
+    ["the queue after its end", ({ reservations }) => [reservations, "dispatchWaiting"]],
+  ] as readonly [string, (parts: FaultyParts) => [Record<string, unknown>, string]][]) {
+    it(`in ${what} takes its load off its engine once`, async () => {
+      const parts = await startWithEngine();
+      const { engineLoad } = parts.reservations;
+      const addLocalWork = engineLoad["addLocalWork"] as (...all: unknown[]) => void;
+      const works: number[] = [];
+      engineLoad["addLocalWork"] = (id: string, tokens: number, ...more: unknown[]) => {
+        if (tokens < 0 && works.length === 1) breakMethod(...find(parts), 1);
+        works.push(tokens);
+        addLocalWork.call(engineLoad, id, tokens, ...more);
+      };
+      assert.ok((await send("/summary/1")) !== undefined, "an answer or a cut in time");
+      await pause(50);
+      assert.deepEqual(works, [310, -310]);
+      await checkOthers();
+    });
+  }
+
   it("amid a prefill leaves no load at the engine that was to read the prompt", async () => {
     await addEndpoint("p", () => undefined, { service: "models", stage: EngineStage.prefill });
     const { context, reservations } = await startWithEngine();
