Tries: an error at the end of one leaves no run, retry or memory behind

Seen: (1) where the result of a replacement rejects, its load, deadline and connection stay for good; (2) a send that throws keeps the retry that it was charged; (3) an error in the release of a prompt has the hold released twice; (4) the timer of a replacement whose record throws goes on. tryends: 0 of 4 before. Cause: each is the step after one that threw, or its repeat in the catch. Ruled out: that a refund gives back a send that was made: the client's send is asynchronous, so that what throws comes before it (by reading). Change: a replacement is ended in a finally, aborted, and counted as a run, as its engine may have run it; a send that throws is refunded; the hold is released after the prompt. Not mended: an error in the release of the hold itself has the prompt released twice.

--- a/src/forward/generations/replacement.ts
+++ b/src/forward/generations/replacement.ts
@@ -165,8 +165,11 @@
     const timer = new ReadFirstTimer(MAX_BESIDE_MS, () => {
       sent.abort();
     });
-    await this.host.finish(sent);
-    timer.close();
+    try {
+      await this.host.finish(sent);
+    } finally {
+      timer.close();
+    }
   }
 
   /**
--- a/src/forward/generations/stream.ts
+++ b/src/forward/generations/stream.ts
@@ -270,13 +270,20 @@
   private async recordBeside(sent: SentRun, ending: Promise<TryResult>): Promise<void> {
     this.tries += 1;
     this.runs += 1;
-    const result = await ending;
-    this.runs -= 1;
-    // The retry budget and the deadline bound those that did not run it.
-    if (!hasRun(result.end)) this.tries -= 1;
-    this.recordRun(result);
+    let result = FAULT_RESULT;
+    try {
+      result = await ending;
+    } catch (error) {
+      sent.abort();
+      throw error;
+    } finally {
+      this.runs -= 1;
+      // The retry budget and the deadline bound those that did not run it.
+      if (!hasRun(result.end)) this.tries -= 1;
+      this.recordRun(result);
+      this.finishRun(sent, result);
+    }
     this.recorder.recordRepeat(result);
-    this.finishRun(sent, result);
   }
 
   private releaseEngine(reservation: Reservation): void {
@@ -328,10 +335,14 @@
 
   /** Sends a run, or tells why none may be sent; if that throws, nothing is left at the engines. */
   private begin(start: TryStart): E.Either<TryResult, SentRun> {
+    let isCharged = false;
     try {
       const stopped = this.stopBeforeSend(start);
-      return stopped === undefined ? E.right(this.send(start, this.runs + 1)) : E.left(stopped);
+      if (stopped !== undefined) return E.left(stopped);
+      isCharged = true;
+      return E.right(this.send(start, this.runs + 1));
     } catch (error) {
+      if (isCharged) this.sendBudget.refund();
       this.discard(start);
       throw error;
     }
@@ -420,8 +431,8 @@
     }
     const stopped = barred ?? this.consumeSendBudget();
     if (stopped === undefined) return undefined;
-    reservations.release(reservation);
     this.prefiller.release(source);
+    reservations.release(reservation);
     return stopped;
   }
 
