Served tunnels: an error while one is ended or closed costs it alone, and it is closed

Seen: where its call throws as it is written to or ended, a tunnel stays counted towards the limit (1 of 1), and those after it are neither ended as idle nor closed with the server. tunnelfault: 4 of 7 before, the 3 new tests failed. Cause: the message to the peer and the end of the call came before the tunnel was taken from the server, and loops over all tunnels had no guard. Ruled out: an endless turn of guard and failure; a failure in the guard's own turn was logged and left. Change: a tunnel is taken from the server first; an error in its last message or the end of its call is logged.

--- a/src/forward/tunnels/tunnel.ts
+++ b/src/forward/tunnels/tunnel.ts
@@ -71,6 +71,8 @@
   private timer: ReadFirstTimer;
   /** An error in a handler costs this tunnel alone. */
   private readonly guard: EventGuard;
+  /** An error in a step of the closing is logged, and keeps no step after it from being done. */
+  private readonly closeGuard: EventGuard;
 
   constructor(
     private readonly call: TunnelServerCall,
@@ -79,6 +81,7 @@
     this.guard = new EventGuard("served tunnel", parts.logger, () => {
       this.failOrClose();
     });
+    this.closeGuard = new EventGuard("closing tunnel", parts.logger, () => undefined);
     this.timer = new ReadFirstTimer(TARGET_TIMEOUT_MS, () => {
       this.close();
     });
@@ -111,7 +114,7 @@
   /** Ends the connection as the endpoint would that closes it when idle. */
   end(): void {
     if (this.isClosed || this.socket === undefined) return;
-    if (!this.hasEndpointEnd) this.call.write(END_MESSAGE);
+    if (!this.hasEndpointEnd) this.writeLast(END_MESSAGE);
     this.close();
   }
 
@@ -119,11 +122,21 @@
   close(): void {
     if (this.isClosed) return;
     this.isClosed = true;
+    this.parts.onClose();
     this.timer.close();
     this.socket?.destroy();
-    this.call.resume();
-    this.call.end();
-    this.parts.onClose();
+    const endCall = () => {
+      this.call.resume();
+      this.call.end();
+    };
+    this.closeGuard.wrap(endCall)();
+  }
+
+  /** Writes a last message of this side to the peer, if the call takes it. */
+  private writeLast(message: TunnelData): void {
+    this.closeGuard.wrap(() => {
+      this.call.write(message);
+    })();
   }
 
   private receive({ target, data, end }: TunnelData): void {
@@ -233,7 +246,7 @@
   private receiveEndpointEnd(): void {
     if (this.isClosed) return;
     this.hasEndpointEnd = true;
-    this.call.write(END_MESSAGE);
+    this.writeLast(END_MESSAGE);
     this.startLinger();
   }
 
@@ -259,7 +272,7 @@
 
   private fail(failure: TunnelFailureKind): void {
     if (this.isClosed) return;
-    this.call.write(TunnelData.create({ failure }));
+    this.writeLast(TunnelData.create({ failure }));
     this.close();
   }
 }
--- a/test/tunnelfault.spec.ts
+++ b/test/tunnelfault.spec.ts
@@ -4,8 +4,14 @@
  */
 import assert from "node:assert/strict";
 import { once } from "node:events";
+import { PassThrough } from "node:stream";
 import { afterEach, beforeEach, describe, it } from "node:test";
-import { pause } from "../src/core/clock";
+import { MonotonicClock, pause } from "../src/core/clock";
+import { SILENT_LOGGER } from "../src/core/log";
+import { EndpointDirectory } from "../src/fleet/directory";
+import { TunnelServer } from "../src/forward/tunnels/server";
+import { TunnelData } from "../src/peer/gen/fleet";
+import { testCodecs } from "./harness/forward";
 import { type TunnelPair, TunnelScene } from "./harness/tunnels";
 
 const faults: unknown[] = [];
@@ -77,4 +83,54 @@
     assert.deepEqual([faults, pair.errors], [[], ["event failed"]]);
     assert.equal(pair.server.count, 1);
   });
+
+  /** Serves tunnels whose calls throw as they write or end. */
+  const serveFaulty = (count: number) => {
+    const errors: string[] = [];
+    const logger = { ...SILENT_LOGGER, error: (event: string) => void errors.push(event) };
+    const clock = new MonotonicClock();
+    const directory = new EndpointDirectory(testCodecs.decodeEndpoint);
+    const server = new TunnelServer(
+      directory,
+      clock,
+      { check: () => Promise.resolve(true) },
+      logger,
+    );
+    const calls = Array.from({ length: count }, () => {
+      const call = new PassThrough({ objectMode: true });
+      server.open(Object.assign(call, { sendMetadata: () => undefined }) as never);
+      return call;
+    });
+    return { errors, server, calls };
+  };
+
+  it("is closed, where the peer can't be told that it is not open", () => {
+    const { errors, server, calls } = serveFaulty(1);
+    for (const call of calls) {
+      call.write = () => assert.fail("a fault of this test");
+      call.emit("data", TunnelData.create({ target: { endpoint: "e1" } }));
+    }
+    assert.deepEqual([server.count, errors, faults], [0, ["event failed"], []]);
+  });
+
+  it("keeps none beside it from being closed with the server", () => {
+    const { errors, server, calls } = serveFaulty(3);
+    for (const call of calls.slice(0, 2)) failOnce(call, "end");
+    server.close();
+    assert.deepEqual([server.count, errors], [0, ["event failed", "event failed"]]);
+  });
+
+  it("keeps none beside it from being ended as idle, and is closed itself", async () => {
+    const pair = await scene.startPair();
+    const target = pair.list(await scene.listen(() => undefined));
+    for (const socket of [await pair.open(target), await pair.open(target)])
+      socket.on("error", () => undefined);
+    const { tunnels } = pair.server as unknown as { tunnels: Set<{ call: object }> };
+    for (const { call } of [...tunnels].slice(0, 1)) failOnce(call, "write");
+    await pause(550);
+    assert.doesNotThrow(() => {
+      pair.server.endIdle();
+    });
+    assert.deepEqual([pair.server.count, pair.errors], [0, ["event failed"]]);
+  });
 });
