--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -332,6 +332,8 @@
   );
   store.onRestored(() => {
     leases.onStoreRestored();
+  });
+  store.onRestored(() => {
     joiner.onStoreRestored();
   });
   return leases;
