Stop: the log names the part that failed to close

Seen: five parts that throw as they are closed give five lines "close a part". The changed test in stopfault failed; it asks for the names in addition to all that it asked for before. Cause: one name for all. Ruled out: names of classes; the server for peers has none. Change: the parts have their names, in the same order.

--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -309,15 +309,17 @@
   private async closeParts(): Promise<void> {
     const { view, heartbeats, network, joiner, rebalancer, reservations, context, originParts } =
       this.parts;
-    const servers = [this.callerServer, this.tunnelServer, this.statusServers, this.maintenance];
-    const own = [this.base.loopDelay, view.watcher, heartbeats, network, joiner, rebalancer];
-    const shared = [reservations, context.releaser, context.announcer, originParts.originWriter];
+    const { callerServer, tunnelServer, statusServers, maintenance, peerServer } = this;
+    const { loopDelay, adapter, logger } = this.base;
+    const { releaser, announcer, client } = context;
+    const servers = { callerServer, tunnelServer, statusServers, maintenance };
+    const own = { loopDelay, watcher: view.watcher, heartbeats, network, joiner, rebalancer };
+    const shared = { reservations, releaser, announcer, originWriter: originParts.originWriter };
+    const last = { transport: view.transport, peerServer, client, store: adapter.store };
     clearInterval(this.networkTimer);
-    const closers = [...servers, ...own, ...shared, view.transport, this.peerServer];
-    const stores = [context.client, this.base.adapter.store];
     await Promise.all(
-      [...closers, ...stores].map((part) =>
-        runTask("close a part", this.base.logger, () => part?.close()),
+      Object.entries({ ...servers, ...own, ...shared, ...last }).map(([name, part]) =>
+        runTask(`close ${name}`, logger, () => part?.close()),
       ),
     );
   }
--- a/test/stopfault.spec.ts
+++ b/test/stopfault.spec.ts
@@ -32,6 +32,7 @@
   readonly tunnelServer: Part;
   readonly maintenance: Part;
   readonly parts: Record<string, Part>;
+  readonly base: { readonly logger: Part };
 }
 
 /** Has methods of parts throw, if there are such methods. */
@@ -70,10 +71,12 @@
     await stopped;
   });
 
-  it("closes all other parts, though some of them throw", async () => {
+  it("closes all other parts, though some of them throw, and names these", async () => {
     await addEndpoint("a", () => undefined);
     await start();
-    const { tunnelServer, maintenance, parts } = instance as unknown as Inner;
+    const { tunnelServer, maintenance, parts, base } = instance as unknown as Inner;
+    const failed: unknown[] = [];
+    base.logger["error"] = (_event: string, { task }: Part) => void failed.push(task);
     breakMethods([
       [tunnelServer, "close"],
       [maintenance, "close"],
@@ -85,6 +88,8 @@
     store.close = () => Promise.resolve(void (closed += 1));
     await instance.close();
     assert.equal(closed, 1);
+    const names = ["tunnelServer", "maintenance", "heartbeats", "network", "reservations"];
+    assert.deepEqual(failed.sort(), names.map((name) => `close ${name}`).sort());
     for (const at of [port, readyPort]) {
       await assert.rejects(get(at, "/", {}, new Agent()), { code: "ECONNREFUSED" });
     }
