Queue: a generation whose dispatch throws leaves no entry behind

Seen: an error in the dispatch as a generation is queued: it is answered 502, and 1 entry of it stays in the queue, for which a hold is requested later that nobody takes. Cause: the error rejected the promise of the reservation alone. Ruled out: an entry that the next dispatch drops; its request has not expired. Change: the first dispatch is guarded as the others are: the entry leaves the queue, and the error is logged.

--- a/src/forward/engines/reservations.ts
+++ b/src/forward/engines/reservations.ts
@@ -94,7 +94,9 @@
         },
         { once: true },
       );
-      this.dispatchWaiting();
+      this.guard(waitingRequest, () => {
+        this.dispatchWaiting();
+      });
     });
   }
 
--- a/test/passedonfault.spec.ts
+++ b/test/passedonfault.spec.ts
@@ -148,6 +148,14 @@
     });
   }
 
+  it("as it is queued leaves no entry of it in the queue", async () => {
+    const { reservations } = await startWithEngine();
+    breakMethod(reservations, "dispatchWaiting", 1);
+    assert.equal((await send("/summary/1"))?.status, 502);
+    assert.deepEqual([reservations["size"], holds], [0, 0]);
+    await checkOthers();
+  });
+
   it("amid a prefill leaves no load at the engine that was to read the prompt", async () => {
     await addEndpoint("p", () => undefined, { service: "models", stage: EngineStage.prefill });
     const { context, reservations } = await startWithEngine();
