Queue: a granted hold is handed over before its line is logged

Seen: an error as the line "reserved" is prepared: the request is answered 502, and 310 tokens and the hold stay at the engine. Cause: the generation got its reservation after the line, and nothing gave it back. Change: the order of the two. Not mended: an error in the check whether the engine has left.

--- a/src/forward/engines/reservations.ts
+++ b/src/forward/engines/reservations.ts
@@ -300,6 +300,7 @@
     const answer = await this.holdCaller.request(endpoint, demand);
     const { granted } = answer;
     if (granted !== undefined && !caller.aborted && !directory.hasLeft(endpoint)) {
+      waitingRequest.resolve({ ...granted, needTokens });
       logger.info("reserved", {
         request: requestId,
         engine: id,
@@ -308,7 +309,6 @@
         waitedMs: Math.round(clock.now() - waitingRequest.arrivedAt),
         waiting: this.queue.size,
       });
-      waitingRequest.resolve({ ...granted, needTokens });
       this.dispatchWaiting();
       return;
     }
--- a/test/passedonfault.spec.ts
+++ b/test/passedonfault.spec.ts
@@ -156,6 +156,21 @@
     await checkOthers();
   });
 
+  it("after the grant of its hold leaves neither load nor hold unused", async () => {
+    const { reservations } = await startWithEngine();
+    const { engineLoad } = reservations;
+    const addLocalWork = engineLoad["addLocalWork"] as (...all: unknown[]) => void;
+    const works: number[] = [];
+    engineLoad["addLocalWork"] = (id: string, tokens: number, ...more: unknown[]) => {
+      works.push(tokens);
+      addLocalWork.call(engineLoad, id, tokens, ...more);
+    };
+    breakMethod(reservations, "describeSpeed", 1);
+    assert.equal((await send("/summary/1"))?.isComplete, true);
+    assert.deepEqual([works, holds, releases], [[310, -310], 1, 0]);
+    await checkOthers();
+  });
+
   it("amid a prefill leaves no load at the engine that was to read the prompt", async () => {
     await addEndpoint("p", () => undefined, { service: "models", stage: EngineStage.prefill });
     const { context, reservations } = await startWithEngine();
