--- a/review/lib/instances.mjs
+++ b/review/lib/instances.mjs
@@ -3,7 +3,7 @@
  * settings of a small deployment on loopback addresses.
  */
 import { spawn } from "node:child_process";
-import { mkdtempSync, openSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { closeSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { request } from "node:http";
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
@@ -40,6 +40,14 @@
   return folder;
 }
 
+/** Processes that run; none outlives this one. */
+const running = new Set();
+
+process.once("exit", () => {
+  for (const child of running) child.kill("SIGKILL");
+});
+for (const signal of ["SIGINT", "SIGTERM"]) process.once(signal, () => process.exit(2));
+
 /** One instance, over the lifetimes of its processes. */
 export class Instance {
   /** @param options - name, ip, zone, zones, seeds, store, folder, settings (overrides) */
@@ -68,9 +76,14 @@
       env: { PATH, HOME, LANG: "C", GORSEFOLD_BOOT: this.file },
       stdio: ["ignore", log, log],
     });
+    closeSync(log);
     const { child } = this;
+    running.add(child);
     this.exited = new Promise((resolve) => {
-      child.once("exit", (code, signal) => resolve({ code, signal }));
+      child.once("exit", (code, signal) => {
+        running.delete(child);
+        resolve({ code, signal });
+      });
     });
   }
 
