--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -10,11 +10,12 @@
   type EndpointEntry,
   EntryChange,
 } from "./entries";
+import { createSnapshotClaim, type ListClaim, ListCoverage, ListUse } from "./listed/coverage";
 import { createDeparture, type Departure, DepartureTracker } from "./listed/departures";
 import { createListed, createRemoved, type ListedEndpoint, readColdEnd } from "./listed/endpoint";
 import { MisdirectionTracker } from "./listed/misdirections";
 import { PlausibilityCheck } from "./listed/plausibility";
-import { chooseLater, isAfter, LOG_START, type LogPosition, OwnReads } from "./position";
+import { isAfter, type LogPosition, OwnReads } from "./position";
 import { ProcessHistory } from "./processhistory";
 import type { FeedPage, FeedRecord } from "./store";
 
@@ -24,17 +25,16 @@
  */
 export const OUTAGE_GRACE_MS = 2200;
 
-/** A position before that of any record. */
-const NO_POSITION: LogPosition = { ...LOG_START, offset: -1 };
-
 /**
  * How much longer than known an endpoint must stay cold for a change of the list, in milliseconds. The
  * remaining time is counted from when an entry is read, which varies with the store's delay.
  */
 const COLD_TOLERANCE_MS = 1000;
 
-/** Maximum number of keys that are remembered for entries that can't be read. */
-const MAX_UNREADABLE = 1024;
+/** Maximum number of keys that are remembered though none of their entries is listed. */
+const MAX_UNLISTED = 1024;
+/** Stands for the value of an entry that is not listed; no decoder accepts it. */
+const NO_VALUE = Buffer.alloc(0);
 
 /** The directory of endpoints. */
 export class EndpointDirectory {
@@ -43,12 +43,11 @@
   private readonly departures = new DepartureTracker();
   /** The processes that the endpoints have had. */
   readonly processes = new ProcessHistory();
-  /** Keys under which nothing but entries that can't be read was seen. */
-  private readonly unreadable = new Set<string>();
+  /** The newest records, without their values, of keys under which nothing but unusable entries was seen. */
+  private readonly unlisted = new Map<string, FeedRecord>();
+  private readonly coverage = new ListCoverage();
   /** The part of the feed that was read here. */
   readonly ownReads = new OwnReads();
-  private nextPosition = LOG_START;
-  private changedPosition = NO_POSITION;
   private outageEndedAt: Moment = Number.NEGATIVE_INFINITY;
   private usableCache: readonly EndpointEntry[] | undefined;
   private gapCount = 0;
@@ -65,15 +64,12 @@
 
   /** The position up to which the list is known. */
   get next(): LogPosition {
-    return this.nextPosition;
+    return this.coverage.claim.next;
   }
 
-  /**
-   * The position of the newest record that changed more than a sequence number; before the start of
-   * the log where there is none.
-   */
-  get lastChange(): LogPosition {
-    return this.changedPosition;
+  /** What the list stands for, as peers are told. */
+  get claim(): ListClaim {
+    return this.coverage.claim;
   }
 
   /** How often records may have been missed since the start. */
@@ -108,34 +104,69 @@
   }
 
   /**
-   * Applies records that follow those already applied; one that fails costs itself alone.
+   * Applies records that were read one after the other; one that fails costs itself alone. The position
+   * stays if the read began behind records that are missed.
    *
+   * @param from - where the read began
    * @returns the changes
    */
-  apply(page: FeedPage, now: Moment): readonly DirectoryChange[] {
-    const changes: DirectoryChange[] = [];
-    for (const record of page.records) {
-      const { change, error } = this.tryRecord(record, now);
-      if (change === undefined) continue;
-      const { key: endpoint, position } = record;
-      changes.push({ endpoint, change, offset: position.offset, ...(error ? { error } : {}) });
-      this.changedPosition = chooseLater(record.position, this.changedPosition);
-    }
-    this.nextPosition = chooseLater(page.next, this.nextPosition);
+  apply(page: FeedPage, now: Moment, from = this.next): readonly DirectoryChange[] {
+    const changes = this.applyRecords(page, now);
+    this.coverage.recordRead(from, page.next);
     return changes;
   }
 
   /** Applies a snapshot of the whole list: endpoints that it does not contain are removed. */
   applySnapshot(page: FeedPage, now: Moment): readonly DirectoryChange[] {
+    return this.replace(page, createSnapshotClaim(page.next), now);
+  }
+
+  /** Applies a peer's list, in the way that its claim allows. */
+  applyPeerList(
+    records: readonly FeedRecord[],
+    claim: ListClaim,
+    now: Moment,
+  ): { readonly use: ListUse; readonly changes: readonly DirectoryChange[] } {
+    const use = this.coverage.judge(claim);
+    if (use === ListUse.ignored) return { use, changes: [] };
+    const page = { records, next: claim.next };
+    if (use === ListUse.replaced) {
+      if (this.listed.size > 0) this.recordGap();
+      return { use, changes: this.replace(page, claim, now) };
+    }
+    const changes = this.applyRecords(page, now);
+    this.coverage.recordMerge(claim);
+    return { use, changes };
+  }
+
+  /** Applies a list after removing the endpoints that it does not contain. */
+  private replace(page: FeedPage, claim: ListClaim, now: Moment): readonly DirectoryChange[] {
     const listedIds = new Set(page.records.map((record) => record.key));
-    const lastPosition = { era: page.next.era, offset: page.next.offset - 1 };
+    const { lastChange: position } = claim;
     const removals: FeedRecord[] = [];
-    for (const [id, { record, entry }] of this.listed) {
-      if (listedIds.has(id) || entry === undefined || isAfter(record.position, lastPosition))
-        continue;
-      removals.push({ key: id, value: undefined, position: lastPosition });
+    for (const [key, { record, entry }] of this.listed) {
+      if (listedIds.has(key) || entry === undefined || isAfter(record.position, position)) continue;
+      removals.push({ key, value: undefined, position });
     }
-    return this.apply({ records: [...removals, ...page.records], next: page.next }, now);
+    for (const [key, record] of this.unlisted)
+      if (!listedIds.has(key) && !isAfter(record.position, position)) this.unlisted.delete(key);
+    const records = [...removals, ...page.records];
+    const changes = this.applyRecords({ records, next: page.next }, now);
+    this.coverage.recordReplacement(claim);
+    return changes;
+  }
+
+  private applyRecords(page: FeedPage, now: Moment): readonly DirectoryChange[] {
+    const isLate = isAfter(this.next, page.next);
+    const changes: DirectoryChange[] = [];
+    for (const record of page.records) {
+      const { change, error } = this.tryRecord(record, isLate, now);
+      if (change === undefined) continue;
+      const { key: endpoint, position } = record;
+      changes.push({ endpoint, change, offset: position.offset, ...(error ? { error } : {}) });
+      this.coverage.recordChange(position);
+    }
+    return changes;
   }
 
   /**
@@ -148,12 +179,23 @@
     this.usableCache = undefined;
   }
 
+  /** Checks whether a peer's list holds nothing that is missed here. */
+  isConfirmedBy(claim: ListClaim): boolean {
+    return this.coverage.isConfirmedBy(claim);
+  }
+
+  /** Checks whether a change of the list is not known here. */
+  isMissing(change: LogPosition): boolean {
+    return this.coverage.isMissing(change);
+  }
+
   /**
-   * Advances the position up to which the list is known, since a peer that knows it that far knows
-   * no further change.
+   * Advances the position up to which the list is known to that of a peer whose list confirms it.
+   *
+   * @returns true if it moved
    */
-  advance(next: LogPosition): void {
-    this.nextPosition = chooseLater(next, this.nextPosition);
+  confirm(claim: ListClaim): boolean {
+    return this.coverage.recordConfirmation(claim);
   }
 
   /**
@@ -202,9 +244,12 @@
     return this.isListedProcess(endpoint) && !this.hasLeft(endpoint);
   }
 
-  /** Lists the newest record of each endpoint, for a peer that cannot read the store. */
+  /**
+   * Lists the newest record of each key, for a peer that cannot read the store; without its value where
+   * no entry of the key could be listed.
+   */
   listRecords(): readonly FeedRecord[] {
-    return [...this.listed.values()].map(({ record }) => record);
+    return [...[...this.listed.values()].map(({ record }) => record), ...this.unlisted.values()];
   }
 
   /**
@@ -287,33 +332,43 @@
   }
 
   /** Applies a record; whatever is thrown by it costs this record alone. */
-  private tryRecord(record: FeedRecord, now: Moment): Partial<DirectoryChange> {
+  private tryRecord(record: FeedRecord, isLate: boolean, now: Moment): Partial<DirectoryChange> {
     try {
-      const change = this.applyRecord(record, now);
+      const change = this.applyRecord(record, isLate, now);
       return change === undefined ? {} : { change };
     } catch (error) {
       return { change: EntryChange.unreadable, error: String(error) };
     }
   }
 
-  private applyRecord(record: FeedRecord, now: Moment): EntryChange | undefined {
+  /** @param isLate - true if the list is known further than what the record was read with */
+  private applyRecord(record: FeedRecord, isLate: boolean, now: Moment): EntryChange | undefined {
     const before = this.listed.get(record.key);
     if (before !== undefined && !isAfter(record.position, before.record.position)) {
       this.recordEarlier(record, before, now);
       return undefined;
     }
+    const unlistedAt = this.unlisted.get(record.key)?.position;
+    if (before === undefined && unlistedAt !== undefined && !isAfter(record.position, unlistedAt))
+      return undefined;
+    if (isLate && before?.entry === undefined) {
+      this.recordEnded(record, now);
+      return undefined;
+    }
     this.usableCache = undefined;
     if (record.value === undefined) return this.applyRemoval(record, before, now);
     const entry = this.decode(record.key, record.value);
     if (entry === undefined) {
-      if (before === undefined) this.recordUnreadable(record.key);
+      if (before === undefined) this.recordUnusable(record);
       return EntryChange.unreadable;
     }
     const departure = this.departures.find(record.key);
     const latestKnown = [before?.latestEntry, departure].filter((known) => known !== undefined);
     const refusal = this.plausibility.judge(entry, latestKnown);
+    if (refusal !== undefined && before === undefined) this.recordUnusable(record);
     if (refusal === EntryChange.outOfDate) this.recordUnlisted(entry, now, before?.entry);
     if (refusal !== undefined) return refusal;
+    this.unlisted.delete(record.key);
     const isLeaving =
       entry.isLeaving ||
       latestKnown.some(
@@ -329,11 +384,20 @@
     return compareEntries(before?.entry, accepted) ?? (isColder ? EntryChange.cold : undefined);
   }
 
-  /** Remembers a key whose removal then says nothing of an endpoint that was missed. */
-  private recordUnreadable(key: string): void {
-    this.unreadable.add(key);
-    const [oldest = ""] = this.unreadable;
-    if (this.unreadable.size > MAX_UNREADABLE) this.unreadable.delete(oldest);
+  /**
+   * Remembers a key without a listed entry: peers may list an earlier one, which it does not remove, and
+   * its removal then says nothing of an endpoint that was missed.
+   */
+  private recordUnusable({ key, position }: FeedRecord): void {
+    this.unlisted.set(key, { key, position, value: NO_VALUE });
+    const [oldest = ""] = this.unlisted.keys();
+    if (this.unlisted.size > MAX_UNLISTED) this.unlisted.delete(oldest);
+  }
+
+  /** Remembers the process of a record that was removed since, as the list is known further. */
+  private recordEnded({ key, value }: FeedRecord, now: Moment): void {
+    const entry = value === undefined ? undefined : this.decode(key, value);
+    if (entry !== undefined) this.processes.record(entry, now);
   }
 
   /** Remembers the process of a record that comes after a later one of its endpoint. */
@@ -357,7 +421,8 @@
     before: ListedEndpoint | undefined,
     now: Moment,
   ): EntryChange | undefined {
-    if (before === undefined && this.unreadable.delete(record.key)) return undefined;
+    this.coverage.recordChange(record.position);
+    if (before === undefined && this.unlisted.delete(record.key)) return undefined;
     const entry = before?.entry;
     if (entry !== undefined) this.processes.record(entry, now);
     const mayReturn = entry?.isLeaving === false && now < this.outageEndedAt + OUTAGE_GRACE_MS;
@@ -369,7 +434,7 @@
     }
     this.listed.set(record.key, createRemoved(record, before));
     // It was listed in records that were not seen: a peer's list holds the newest one of each endpoint.
-    if (before === undefined && !isAfter(this.nextPosition, record.position)) this.recordGap();
+    if (before === undefined && !isAfter(this.next, record.position)) this.recordGap();
     if (entry === undefined) return undefined;
     this.departures.record(createDeparture(entry, entry.isLeaving), false, now);
     return EntryChange.gone;
--- a/src/fleet/watcher.ts
+++ b/src/fleet/watcher.ts
@@ -17,8 +17,9 @@
 import { type DirectoryChange, EntryChange } from "./entries";
 import { type EvacuationRecord, Evacuations } from "./evacuations";
 import { RecordFaults, RecordTopic } from "./feeds/faults";
+import { type ListClaim, ListUse } from "./listed/coverage";
 import { createFeedState, type FeedState, getMaxAgeMs, ReadRole } from "./feeds/state";
-import { FIRST_ERA, type LogPosition } from "./position";
+import { FIRST_ERA, isAfter, type LogPosition } from "./position";
 import { type Feed, type FeedPage, type FeedRecord, type Store, StoreFault } from "./store";
 
 /** Key of the configuration in its feed. */
@@ -75,6 +76,21 @@
 } as const;
 type FeedName = (typeof FeedName)[keyof typeof FeedName];
 
+/** What moved the position of the list, or left it, as it is logged and counted. */
+const ListMove = {
+  read: "read",
+  snapshot: "snapshot",
+  /** A peer's list whose records follow those held. */
+  peerList: "peer list",
+  /** A peer's list that may lack removals, so that it replaced the one held. */
+  peerSnapshot: "peer snapshot",
+  /** A peer that holds nothing that is missed here. */
+  confirmation: "confirmation",
+  /** A peer that may hold what is missed here, so the position stayed. */
+  unconfirmed: "unconfirmed",
+} as const;
+type ListMove = (typeof ListMove)[keyof typeof ListMove];
+
 /** Follows the store's configuration and endpoint feeds. */
 export class StoreWatcher {
   /** The evacuations of data centres, which the feed of the configuration has too. */
@@ -158,14 +174,22 @@
     this.configState.freshness.confirm(at);
   }
 
+  /** Confirms the endpoint list as of a moment, since it was read here up to its end then. */
+  confirmEndpointsRead(at: Moment): void {
+    this.endpointsState.freshness.confirm(at);
+  }
+
   /**
-   * Confirms the endpoint list as of a moment, since a peer that knew it then has nothing newer.
-   *
-   * @param next - the position up to which the peer knows the list
+   * Confirms the endpoint list as of a moment, if a peer's list of that moment holds nothing that is
+   * missed here.
    */
-  confirmEndpoints(next: LogPosition, at: Moment): void {
+  confirmEndpoints(claim: ListClaim, at: Moment): void {
+    if (!this.directory.isConfirmedBy(claim)) {
+      this.meter.listMoves.inc({ by: ListMove.unconfirmed });
+      return;
+    }
     this.endpointsState.freshness.confirm(at);
-    this.directory.advance(next);
+    if (this.directory.confirm(claim)) this.meter.listMoves.inc({ by: ListMove.confirmation });
   }
 
   /** Reports to peers how fresh the copies are, and whether the store is in reach. */
@@ -217,18 +241,58 @@
   }
 
   /**
-   * Applies endpoint records from the store or a peer.
+   * Applies endpoint records that were read from the store.
    *
+   * @param from - the offset that the read began at; undefined for a snapshot
    * @returns true if something changed
    */
-  applyEndpoints(page: FeedPage, isSnapshot: boolean, source: string): boolean {
+  applyEndpoints(page: FeedPage, from: number | undefined, source: string): boolean {
     const now = this.clock.now();
     const { directory } = this;
-    const changes = isSnapshot ? directory.applySnapshot(page, now) : directory.apply(page, now);
+    const before = directory.next;
+    const isSnapshot = from === undefined;
+    const changes = isSnapshot
+      ? directory.applySnapshot(page, now)
+      : directory.apply(page, now, { era: page.next.era, offset: from });
     for (const change of changes) this.logChange(change, source);
+    this.meter.listMoves.inc({ by: isSnapshot ? ListMove.snapshot : ListMove.read });
+    if (isSnapshot) this.logMove(before, ListMove.snapshot, source);
+    else if (!isAfter(directory.next, before) && isAfter(page.next, before))
+      this.logger.warn("list read behind its position", { from, ...before, source });
     return changes.length > 0;
   }
 
+  /**
+   * Applies the list of a peer, if it is newer.
+   *
+   * @returns true if something changed
+   */
+  applyPeerEndpoints(records: readonly FeedRecord[], claim: ListClaim, source: string): boolean {
+    const { directory } = this;
+    const before = directory.next;
+    const { use, changes } = directory.applyPeerList(records, claim, this.clock.now());
+    for (const change of changes) this.logChange(change, source);
+    if (use === ListUse.ignored) return false;
+    const by = use === ListUse.merged ? ListMove.peerList : ListMove.peerSnapshot;
+    this.meter.listMoves.inc({ by });
+    this.logMove(before, by, source);
+    return changes.length > 0;
+  }
+
+  /** Logs who moved the position of the list, and what the list stands for since. */
+  private logMove(before: LogPosition, by: ListMove, source: string): void {
+    const { next, lastChange, removalsFrom } = this.directory.claim;
+    this.logger.info("list position", {
+      by,
+      source,
+      from: before.offset,
+      offset: next.offset,
+      era: next.era,
+      lastChange: lastChange.offset,
+      removalsFrom: removalsFrom.offset,
+    });
+  }
+
   private logChange(change: DirectoryChange, source: string): void {
     if (change.change !== EntryChange.unreadable) {
       this.logger.info("endpoint", { ...change, source });
@@ -299,7 +363,7 @@
       this.recordSuccess(name, state, startedAt);
       const from = state.nextOffset;
       state.nextOffset = result.right.next.offset;
-      const isChanged = this.applyPage(name, result.right, isSnapshot);
+      const isChanged = this.applyPage(name, result.right, from);
       if (name === FeedName.endpoints) this.directory.ownReads.record(from, result.right.next);
       if (isChanged) this.onChange();
       await pause(computePauseMs() * (1 - Math.random() * POLL_JITTER));
@@ -357,11 +421,11 @@
     return this.bounds.endpointsMs * share;
   }
 
-  /** Skips what peers have passed on, if the list is known further than it was read here. */
+  /** Reads on where the list ends, which peers may have passed on further than it was read here. */
   private skipKnownEntries(state: FeedState): void {
     const { era, offset } = this.directory.next;
     if (state.nextOffset === undefined || era !== this.listEra) return;
-    state.nextOffset = Math.max(state.nextOffset, offset);
+    state.nextOffset = offset;
   }
 
   private readOnce(feed: Feed, next: number | undefined, waitMs: number) {
@@ -369,11 +433,12 @@
     return next === undefined ? feed.readNewest()() : feed.read(next, waitMs)();
   }
 
-  private applyPage(name: FeedName, page: FeedPage, isSnapshot: boolean): boolean {
+  private applyPage(name: FeedName, page: FeedPage, from: number | undefined): boolean {
     if (name === FeedName.endpoints) {
       this.listEra = page.next.era;
-      return this.applyEndpoints(page, isSnapshot, "store");
+      return this.applyEndpoints(page, from, "store");
     }
+    const isSnapshot = from === undefined;
     const isEvacuationNew = this.logEvacuations(this.evacuations.apply(page, isSnapshot), "store");
     const applied = page.records.map((record) => this.applyConfigRecord(record));
     return isEvacuationNew || applied.includes(true);
--- a/src/forward/originparts.ts
+++ b/src/forward/originparts.ts
@@ -58,14 +58,14 @@
     versionHistory,
     computeListAgeMs: () => watcher.computeEndpointsAgeMs(),
     isStoreLost: () => watcher.isStoreLost,
-    apply: (page) => {
-      watcher.applyEndpoints(page, false, "store, confirmed");
+    apply: (page, from) => {
+      watcher.applyEndpoints(page, from, "store, confirmed");
     },
     applySnapshot: (page) => {
-      watcher.applyEndpoints(page, true, "store, confirmed");
+      watcher.applyEndpoints(page, undefined, "store, confirmed");
     },
-    onConfirmed: (next, at) => {
-      watcher.confirmEndpoints(next, at);
+    onConfirmed: (at) => {
+      watcher.confirmEndpointsRead(at);
     },
     clock,
     meter,
--- a/src/forward/peerstate.ts
+++ b/src/forward/peerstate.ts
@@ -12,6 +12,7 @@
 import type { KindState } from "../fleet/relay/own";
 import { type OwnedRecord, RecordKind } from "../fleet/relay/records";
 import { encodeWork, type Load } from "../fleet/relay/sums";
+import { decodeClaim, encodeClaim } from "../fleet/listed/claimwire";
 import type { FeedRecord } from "../fleet/store";
 import type { StoreWatcher } from "../fleet/watcher";
 import { roundAge, roundCount } from "../peer/count";
@@ -58,8 +59,6 @@
  * milliseconds.
  */
 const LIST_STALE_MS = 2000;
-/** The offset of the last change if there was none. */
-const NO_OFFSET = -1;
 /** The version if no configuration is known. */
 const NO_VERSION = -1;
 
@@ -160,9 +159,7 @@
     const { directory, watcher } = this.parts;
     return {
       configVersion: this.readConfigVersion(),
-      endpointsNext: directory.next.offset,
-      endpointsEra: directory.next.era,
-      endpointsChange: this.readLastChangeOffset(),
+      ...encodeClaim(directory.claim),
       ...watcher.readReport(),
       tellsEvacuations: true,
     };
@@ -208,10 +205,11 @@
 
   shouldFetch(beat: Beat): boolean {
     const { next } = this.parts.directory;
-    if (beat.configVersion > this.readConfigVersion() || this.isMissingChanges(beat)) return true;
-    const era = beat.endpointsEra;
+    if (beat.configVersion > this.readConfigVersion()) return true;
+    const claim = decodeClaim(beat);
+    if (this.parts.directory.isMissing(claim.lastChange)) return true;
     const isStale = this.parts.watcher.computeEndpointsAgeMs() > LIST_STALE_MS;
-    return isStale && isAfter({ era, offset: beat.endpointsNext }, next);
+    return isStale && isAfter(claim.next, next);
   }
 
   createFetchRequest(): FetchRequest {
@@ -228,17 +226,15 @@
     const source = `peer ${from}`;
     this.applyEvacuations(reply, from);
     if (reply.config !== undefined) watcher.applyConfig(Buffer.from(reply.config), source);
-    const next = { era: reply.endpointsEra, offset: reply.endpointsNext };
     if (reply.sinceOutageMs !== undefined) {
       directory.recordStoreRecovery(this.parts.clock.now() - reply.sinceOutageMs);
     }
-    if (!isAfter(next, directory.next)) return;
     const records = reply.endpoints.map(({ key, value, offset, era }) => ({
       key,
       value: value === undefined ? undefined : Buffer.from(value),
       position: { era, offset },
     }));
-    watcher.applyEndpoints({ records, next }, false, source);
+    watcher.applyPeerEndpoints(records, decodeClaim(reply), source);
   }
 
   /**
@@ -255,8 +251,7 @@
     return {
       ...(value === undefined ? {} : { config: value }),
       endpoints: isListNewer ? directory.listRecords().map(encodeRecord) : [],
-      endpointsNext: next.offset,
-      endpointsEra: next.era,
+      ...encodeClaim(directory.claim),
       ...this.readOutageReport(),
       ...this.encodeEvacuations(),
     };
@@ -305,34 +300,23 @@
   /** Confirms the copies that hold all that a peer's copies hold, as of the peer's last knowledge. */
   private confirmCopies(beat: Beat, sentAt: Moment): void {
     const { watcher } = this.parts;
-    const { configAgeMs, endpointsAgeMs, endpointsEra: era, endpointsNext: offset } = beat;
+    const { configAgeMs, endpointsAgeMs } = beat;
     // The copy of an older build has no evacuations, so it cannot confirm that there are none.
     const hasConfig =
       beat.tellsEvacuations &&
       beat.configVersion >= 0 &&
       beat.configVersion <= this.readConfigVersion();
     if (hasConfig && configAgeMs !== undefined) watcher.confirmConfig(sentAt - configAgeMs);
-    if (endpointsAgeMs !== undefined && !this.isMissingChanges(beat)) {
-      watcher.confirmEndpoints({ era, offset }, sentAt - endpointsAgeMs);
+    if (endpointsAgeMs !== undefined) {
+      watcher.confirmEndpoints(decodeClaim(beat), sentAt - endpointsAgeMs);
     }
   }
 
-  /** Checks whether a peer knows a change of the list that is not known here. */
-  private isMissingChanges({ endpointsEra: era, endpointsChange: offset }: Beat): boolean {
-    return !isAfter(this.parts.directory.next, { era, offset });
-  }
-
   private readOutageReport(): Pick<FetchReply, "sinceOutageMs"> {
     const { directory, clock } = this.parts;
     return { sinceOutageMs: roundAge(directory.computeSinceOutageMs(clock.now())) };
   }
 
-  /** The offset of the last change within the era of the list; -1 where there is none in it. */
-  private readLastChangeOffset(): number {
-    const { next, lastChange } = this.parts.directory;
-    return lastChange.era === next.era ? lastChange.offset : NO_OFFSET;
-  }
-
   private applyDepartures({ departures }: Beat, now: Moment, peer: string): void {
     const { directory, logger } = this.parts;
     const learned = directory.applyDepartures(
--- a/src/forward/requests/meter.ts
+++ b/src/forward/requests/meter.ts
@@ -76,6 +76,11 @@
   );
   readonly storeCalls = this.createCounter("store_calls_total", "Calls to the store", []);
   readonly storeFailures = this.createCounter("store_failures_total", "Failed calls to it", []);
+  readonly listMoves = this.createCounter(
+    "list_moves_total",
+    "Reads, lists and heartbeats of peers that moved the position of the list of endpoints, or left it",
+    ["by"],
+  );
   readonly unusableRecords = this.createCounter(
     "unusable_records_total",
     "Records of the store or of peers that cannot be used",
--- a/src/forward/shared/listconfirmer.ts
+++ b/src/forward/shared/listconfirmer.ts
@@ -10,7 +10,7 @@
 import { runTask } from "../../core/tasks";
 import type { EndpointDirectory } from "../../fleet/directory";
 import type { EndpointDecoder, EndpointEntry } from "../../fleet/entries";
-import { chooseLater, type LogPosition, type ReadRange } from "../../fleet/position";
+import { chooseLater, isAfter, type LogPosition, type ReadRange } from "../../fleet/position";
 import { type Feed, type FeedPage, type FeedRecord, StoreFault } from "../../fleet/store";
 import type { VersionHistory } from "../../fleet/versionhistory";
 import type { Meter } from "../requests";
@@ -44,12 +44,12 @@
   readonly computeListAgeMs: () => number;
   /** Returns whether the last call to the store failed. */
   readonly isStoreLost: () => boolean;
-  /** Applies a page that was read. */
-  readonly apply: (page: FeedPage) => void;
+  /** Applies a page that was read from an offset on. */
+  readonly apply: (page: FeedPage, from: number) => void;
   /** Applies a page with the newest record of each endpoint. */
   readonly applySnapshot: (page: FeedPage) => void;
   /** Confirms the list as of a moment. */
-  readonly onConfirmed: (next: LogPosition, at: Moment) => void;
+  readonly onConfirmed: (at: Moment) => void;
   readonly clock: Clock;
   readonly meter: Meter;
   readonly logger: Logger;
@@ -130,8 +130,8 @@
   }
 
   private async readToEnd(readAt: Moment): Promise<ConfirmedList | undefined> {
-    const { feed, directory, versionHistory, meter } = this.parts;
-    const from = versionHistory.position ?? directory.next;
+    const { feed, meter } = this.parts;
+    const from = this.findStart();
     const entries: EndpointEntry[] = [];
     let next = from;
     for (let count = 0; count < MAX_PAGES; count += 1) {
@@ -147,7 +147,7 @@
         this.recordFailure(StoreFault.restored, "the store was restored");
         return undefined;
       }
-      this.parts.apply(page);
+      this.parts.apply(page, next.offset);
       entries.push(...this.decodeAll(page.records));
       next = chooseLater(page.next, next);
       if (isLastPage(page)) return this.recordEnd(entries, { from, next }, readAt);
@@ -158,6 +158,13 @@
     return undefined;
   }
 
+  /** A read begins with the first record that either is not counted or not in the list. */
+  private findStart(): LogPosition {
+    const { directory, versionHistory } = this.parts;
+    const counted = versionHistory.position ?? directory.next;
+    return isAfter(counted, directory.next) ? directory.next : counted;
+  }
+
   /** Reads the newest records, as the store no longer has those that were not counted. */
   private async readAnew(readAt: Moment): Promise<ConfirmedList | undefined> {
     const { feed, directory, meter, logger, applySnapshot } = this.parts;
@@ -182,7 +189,7 @@
     const { onConfirmed, clock, logger } = this.parts;
     const { from, next } = range;
     this.record(entries, range, readAt);
-    onConfirmed(next, readAt);
+    onConfirmed(readAt);
     const tookMs = Math.round(clock.now() - readAt);
     const offsets = { from: from.offset, offset: next.offset };
     logger.info("list confirmed", { records: entries.length, ...offsets, tookMs });
--- a/src/peer/gen/fleet.ts
+++ b/src/peer/gen/fleet.ts
@@ -146,6 +146,8 @@
    * find the others by them.
    */
   heardAddresses: string[];
+  /** Offset from which on the sender's list of endpoints holds removals; its snapshot began there. */
+  endpointsRemovalsFrom?: number | undefined;
 }
 
 /** The last that the sender knows of the evacuation of a data centre: a record of the store. */
@@ -195,6 +197,7 @@
   storeLost: boolean;
   /** As in Beat. */
   tellsEvacuations: boolean;
+  endpointsRemovalsFrom?: number | undefined;
 }
 
 /** What one instance says of one kind of state; replaces its earlier versions. */
@@ -357,6 +360,9 @@
   /** Time since the store was last found to answer again after an outage; absent where there was none. */
   sinceOutageMs?: number | undefined;
   evacuations: Evacuation[];
+  /** As in Beat. */
+  endpointsChange?: number | undefined;
+  endpointsRemovalsFrom?: number | undefined;
 }
 
 export interface ChargeRequest {
@@ -505,6 +511,7 @@
     pacedEndpoints: [],
     fleetSize: undefined,
     heardAddresses: [],
+    endpointsRemovalsFrom: undefined,
   };
 }
 
@@ -606,6 +613,9 @@
     for (const v of message.heardAddresses) {
       writer.uint32(330).string(v!);
     }
+    if (message.endpointsRemovalsFrom !== undefined) {
+      writer.uint32(336).int64(message.endpointsRemovalsFrom);
+    }
     return writer;
   },
 
@@ -878,6 +888,14 @@
             message.heardAddresses.push(reader.string());
             continue;
           }
+          case 42: {
+            if (tag !== 336) {
+              break;
+            }
+
+            message.endpointsRemovalsFrom = longToNumber(reader.int64());
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -1010,6 +1028,11 @@
         : globalThis.Array.isArray(object?.heard_addresses)
         ? object.heard_addresses.map((e: any) => globalThis.String(e))
         : [],
+      endpointsRemovalsFrom: isSet(object.endpointsRemovalsFrom)
+        ? globalThis.Number(object.endpointsRemovalsFrom)
+        : isSet(object.endpoints_removals_from)
+        ? globalThis.Number(object.endpoints_removals_from)
+        : undefined,
     };
   },
 
@@ -1111,6 +1134,9 @@
     if (message.heardAddresses?.length) {
       obj.heardAddresses = message.heardAddresses;
     }
+    if (message.endpointsRemovalsFrom !== undefined) {
+      obj.endpointsRemovalsFrom = Math.round(message.endpointsRemovalsFrom);
+    }
     return obj;
   },
 
@@ -1151,6 +1177,7 @@
     message.pacedEndpoints = object.pacedEndpoints?.map((e) => PacedEndpoint.fromPartial(e)) || [];
     message.fleetSize = object.fleetSize ?? undefined;
     message.heardAddresses = object.heardAddresses?.map((e) => e) || [];
+    message.endpointsRemovalsFrom = object.endpointsRemovalsFrom ?? undefined;
     return message;
   },
 };
@@ -1621,6 +1648,7 @@
     endpointsAgeMs: undefined,
     storeLost: false,
     tellsEvacuations: false,
+    endpointsRemovalsFrom: undefined,
   };
 }
 
@@ -1650,6 +1678,9 @@
     if (message.tellsEvacuations !== false) {
       writer.uint32(64).bool(message.tellsEvacuations);
     }
+    if (message.endpointsRemovalsFrom !== undefined) {
+      writer.uint32(72).int64(message.endpointsRemovalsFrom);
+    }
     return writer;
   },
 
@@ -1730,6 +1761,14 @@
             message.tellsEvacuations = reader.bool();
             continue;
           }
+          case 9: {
+            if (tag !== 72) {
+              break;
+            }
+
+            message.endpointsRemovalsFrom = longToNumber(reader.int64());
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -1784,6 +1823,11 @@
         : isSet(object.tells_evacuations)
         ? globalThis.Boolean(object.tells_evacuations)
         : false,
+      endpointsRemovalsFrom: isSet(object.endpointsRemovalsFrom)
+        ? globalThis.Number(object.endpointsRemovalsFrom)
+        : isSet(object.endpoints_removals_from)
+        ? globalThis.Number(object.endpoints_removals_from)
+        : undefined,
     };
   },
 
@@ -1813,6 +1857,9 @@
     if (message.tellsEvacuations !== false) {
       obj.tellsEvacuations = message.tellsEvacuations;
     }
+    if (message.endpointsRemovalsFrom !== undefined) {
+      obj.endpointsRemovalsFrom = Math.round(message.endpointsRemovalsFrom);
+    }
     return obj;
   },
 
@@ -1829,6 +1876,7 @@
     message.endpointsAgeMs = object.endpointsAgeMs ?? undefined;
     message.storeLost = object.storeLost ?? false;
     message.tellsEvacuations = object.tellsEvacuations ?? false;
+    message.endpointsRemovalsFrom = object.endpointsRemovalsFrom ?? undefined;
     return message;
   },
 };
@@ -3911,6 +3959,8 @@
     endpointsEra: 0,
     sinceOutageMs: undefined,
     evacuations: [],
+    endpointsChange: undefined,
+    endpointsRemovalsFrom: undefined,
   };
 }
 
@@ -3934,6 +3984,12 @@
     for (const v of message.evacuations) {
       Evacuation.encode(v!, writer.uint32(82).fork()).join();
     }
+    if (message.endpointsChange !== undefined) {
+      writer.uint32(88).int64(message.endpointsChange);
+    }
+    if (message.endpointsRemovalsFrom !== undefined) {
+      writer.uint32(96).int64(message.endpointsRemovalsFrom);
+    }
     return writer;
   },
 
@@ -3998,6 +4054,22 @@
             message.evacuations.push(Evacuation.decode(reader, reader.uint32()));
             continue;
           }
+          case 11: {
+            if (tag !== 88) {
+              break;
+            }
+
+            message.endpointsChange = longToNumber(reader.int64());
+            continue;
+          }
+          case 12: {
+            if (tag !== 96) {
+              break;
+            }
+
+            message.endpointsRemovalsFrom = longToNumber(reader.int64());
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -4034,6 +4106,16 @@
       evacuations: globalThis.Array.isArray(object?.evacuations)
         ? object.evacuations.map((e: any) => Evacuation.fromJSON(e))
         : [],
+      endpointsChange: isSet(object.endpointsChange)
+        ? globalThis.Number(object.endpointsChange)
+        : isSet(object.endpoints_change)
+        ? globalThis.Number(object.endpoints_change)
+        : undefined,
+      endpointsRemovalsFrom: isSet(object.endpointsRemovalsFrom)
+        ? globalThis.Number(object.endpointsRemovalsFrom)
+        : isSet(object.endpoints_removals_from)
+        ? globalThis.Number(object.endpoints_removals_from)
+        : undefined,
     };
   },
 
@@ -4057,6 +4139,12 @@
     if (message.evacuations?.length) {
       obj.evacuations = message.evacuations.map((e) => Evacuation.toJSON(e));
     }
+    if (message.endpointsChange !== undefined) {
+      obj.endpointsChange = Math.round(message.endpointsChange);
+    }
+    if (message.endpointsRemovalsFrom !== undefined) {
+      obj.endpointsRemovalsFrom = Math.round(message.endpointsRemovalsFrom);
+    }
     return obj;
   },
 
@@ -4071,6 +4159,8 @@
     message.endpointsEra = object.endpointsEra ?? 0;
     message.sinceOutageMs = object.sinceOutageMs ?? undefined;
     message.evacuations = object.evacuations?.map((e) => Evacuation.fromPartial(e)) || [];
+    message.endpointsChange = object.endpointsChange ?? undefined;
+    message.endpointsRemovalsFrom = object.endpointsRemovalsFrom ?? undefined;
     return message;
   },
 };
--- a/test/harness/watching.ts
+++ b/test/harness/watching.ts
@@ -87,9 +87,10 @@
         ...{ feed, decode, directory, versionHistory, clock, meter, logger },
         computeListAgeMs: () => clock.now() - this.lookedAt,
         isStoreLost: () => false,
-        apply: (page) => directory.apply(page, clock.now()),
+        apply: (page, from) =>
+          directory.apply(page, clock.now(), { era: page.next.era, offset: from }),
         applySnapshot: (page) => directory.applySnapshot(page, clock.now()),
-        onConfirmed: (_next, at) => {
+        onConfirmed: (at) => {
           this.lookedAt = at;
         },
       }),
--- a/test/oddages.spec.ts
+++ b/test/oddages.spec.ts
@@ -49,6 +49,7 @@
       watcher: {
         evacuations: { list: () => [] },
         applyEvacuations: () => false,
+        applyPeerEndpoints: () => false,
         readConfigIndex: () => undefined,
       },
     } as unknown as PeerStateParts);
--- a/test/oddnumbers.spec.ts
+++ b/test/oddnumbers.spec.ts
@@ -259,7 +259,7 @@
     });
     const value = Buffer.from(JSON.stringify(entry));
     const record = { key: entry.id, value, position: { era: 0, offset: 1 } };
-    parts.view.watcher.applyEndpoints({ records: [record], next: LOG_START }, false, "test");
+    parts.view.watcher.applyEndpoints({ records: [record], next: LOG_START }, 0, "test");
     const isFull = (now: number) => parts.reservations.listViews("models", now)[0]?.isFull;
     receive({ absences: [{ engine: entry.id, remainingMs: 2 ** 32 - 1 }] }, start);
     assert.equal(isFull(start), false);
