--- a/src/forward/base.ts
+++ b/src/forward/base.ts
@@ -1,6 +1,7 @@
 /**
  * What all parts of an instance are created from: its settings, adapter, clock, log and identity.
  */
+import { ByteBudget } from "../core/bytebudget";
 import { type Clock, MonotonicClock } from "../core/clock";
 import { createIncarnation } from "../core/ids";
 import { BoundedLineWriter, createByteWriter } from "../core/lines";
@@ -26,6 +27,8 @@
   /** Reports what peers sent and can't be used. */
   readonly faults: RecordFaults;
   readonly self: MemberIdentity;
+  /** The bytes that are held of answers. */
+  readonly heldBytes: ByteBudget;
 }
 
 /**
@@ -52,6 +55,10 @@
     lines,
     logger,
     faults: new RecordFaults(logger, meter, clock),
+    heldBytes: new ByteBudget(clock, settings.maxHeldBytes, (holder, bytes) => {
+      meter.noRoom.inc();
+      logger.warn("no room", { holder, bytes });
+    }),
     self: { instance, incarnation: createIncarnation(instance), address, dataCentre },
   };
 }
--- a/src/forward/callers/responses.ts
+++ b/src/forward/callers/responses.ts
@@ -2,6 +2,7 @@
  * Writes the responses to callers: refusals, those that are known whole, and streams.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { ByteBudget } from "../../core/bytebudget";
 import type { Logger } from "../../core/log";
 import { Reason, type Refusal } from "../../core/outcome";
 import type { StreamSink } from "../generations";
@@ -16,6 +17,8 @@
 
 /** Writes responses, and tells the connections which of them end theirs. */
 export class ResponseWriter {
+  private streamCount = 0;
+
   constructor(
     private readonly codec: CallerCodec,
     private readonly connections: CallerConnections,
@@ -23,6 +26,7 @@
     private readonly meter: Meter,
     /** Checks whether the response to a request is the last one on its connection. */
     private readonly isLast: (request: IncomingMessage) => boolean,
+    private readonly heldBytes: ByteBudget,
   ) {}
 
   /** Sends a response that is known whole. */
@@ -31,6 +35,12 @@
     const { head, body, isFramed } = buffered;
     const length = isFramed ? ["content-length", String(body.length)] : [];
     this.writeHead(response, head.status, [...head.headers, ...length], isFramed);
+    const lease = this.heldBytes.open("answers to callers");
+    // The answer is there, so it is delivered; what is read meanwhile finds less room.
+    lease.resize(body.length);
+    response.once("close", () => {
+      lease.close();
+    });
     response.end(body);
   }
 
@@ -55,6 +65,17 @@
   createSink(response: ServerResponse, stages: StageRecorder): StreamSink {
     let isUnframed = false;
     const isOver = () => response.destroyed || response.writableEnded;
+    this.streamCount += 1;
+    const lease = this.heldBytes.open(`stream ${this.streamCount}`);
+    response.once("close", () => {
+      lease.close();
+    });
+    const cut = () => {
+      if (isOver()) return;
+      // A proper close would end an unframed response as whole.
+      if (isUnframed) response.socket?.resetAndDestroy();
+      response.destroy();
+    };
     return {
       begin: (status, headers, isFramed) => {
         if (isOver()) return;
@@ -67,16 +88,14 @@
         if (isOver()) return;
         stages.enter(RequestStage.stream);
         response.write(bytes);
+        if (lease.tryResize(response.writableLength)) return;
+        this.logger.warn("stream cut", { unread: response.writableLength });
+        cut();
       },
       end: () => {
         response.end();
       },
-      cut: () => {
-        if (isOver()) return;
-        // A proper close would end an unframed response as whole.
-        if (isUnframed) response.socket?.resetAndDestroy();
-        response.destroy();
-      },
+      cut,
     };
   }
 
--- a/src/forward/callers/server.ts
+++ b/src/forward/callers/server.ts
@@ -10,6 +10,7 @@
 import { EventGuard } from "../../core/guard";
 import { formatStack, type Logger } from "../../core/log";
 import { runTask } from "../../core/tasks";
+import { ByteBudget } from "../../core/bytebudget";
 import { boundTimeoutMs, MAX_TIMEOUT_MS } from "../../core/timeouts";
 import { BadConnections } from "../../entry/badconnection";
 import { BodyFailure, createBodyRefusal, readCallerBody } from "../../entry/callerbody";
@@ -97,6 +98,7 @@
     private readonly meter: Meter,
     /** Called at each head of a request, before it is checked; may set the limits. */
     private readonly onHead: () => void = () => undefined,
+    heldBytes = new ByteBudget(clock),
   ) {
     this.overdue = new OverdueRequests(() => clock.now());
     this.responses = new ResponseWriter(
@@ -105,6 +107,7 @@
       logger,
       meter,
       (request) => this.isClosing && this.isLast(request),
+      heldBytes,
     );
     this.server = createServer(
       {
--- a/src/forward/endpoints/answer.ts
+++ b/src/forward/endpoints/answer.ts
@@ -2,12 +2,14 @@
  * An answer of an endpoint whose head has arrived and whose body is still to be read.
  */
 import type { Readable } from "node:stream";
+import type { ByteLease } from "../../core/bytebudget";
 import { type ResponseHead, Verdict } from "../requests";
 import type { Connection } from "./connection";
 import { containsOwnHead, isCutInHead } from "./copy";
 import type { ConnectionPool } from "./pool";
 
-const FRAMING_HEADERS: ReadonlySet<string> = new Set(["content-length", "transfer-encoding"]);
+const LENGTH_HEADER = "content-length";
+const FRAMING_HEADERS: ReadonlySet<string> = new Set([LENGTH_HEADER, "transfer-encoding"]);
 const NO_CONTENT = 204;
 const NOT_MODIFIED = 304;
 
@@ -25,6 +27,10 @@
   readonly containsCopy: (bytes: Buffer) => boolean;
   /** Returns true if the end of a body is the beginning of a copy, whose rest came behind it. */
   readonly isFilledUp: (body: Buffer) => Promise<boolean>;
+  /** Length of the body in bytes; undefined if the head doesn't tell it. */
+  readonly length: number | undefined;
+  /** Counts what is held of the body while it is collected. */
+  readonly lease: ByteLease;
 }
 
 /** What an open response is created from. */
@@ -36,17 +42,20 @@
   readonly connection: Connection;
   /** Checks whether the headers of a head within the body are those of a copy. */
   readonly isCopy: (headers: readonly string[]) => boolean;
+  readonly lease: ByteLease;
 }
 
 /**
  * Creates the response to a request from its head.
  *
  * @example
- * const response = createOpenResponse({ head, headers, body, connection, isCopy });
+ * const response = createOpenResponse({ head, headers, body, connection, isCopy, lease });
  */
 export function createOpenResponse(parts: ResponseParts): OpenResponse {
-  const { head, headers, body, connection, isCopy } = parts;
+  const { head, headers, body, connection, isCopy, lease } = parts;
   return {
+    lease,
+    length: readLength(headers),
     head,
     body,
     isFramed: hasFraming(head.status, headers),
@@ -84,6 +93,13 @@
   return verdict === Verdict.answered || verdict === Verdict.notRun;
 }
 
+function readLength(headers: readonly string[]): number | undefined {
+  const at = headers.findIndex(
+    (text, index) => index % 2 === 0 && text.toLowerCase() === LENGTH_HEADER,
+  );
+  return at < 0 ? undefined : Number(headers[at + 1]);
+}
+
 /** Checks for a length, chunks, or a status without a body. */
 function hasFraming(status: number, headers: readonly string[]): boolean {
   if (status === NO_CONTENT || status === NOT_MODIFIED) return true;
--- a/src/forward/endpoints/body.ts
+++ b/src/forward/endpoints/body.ts
@@ -32,27 +32,53 @@
   });
 }
 
+/** No room was left for what an endpoint answers. */
+export class NoRoomError extends Error {
+  override readonly name = "NoRoomError";
+}
+
 /**
- * Reads a body to its end.
+ * Reads a body to its end, as long as there is room for it.
  *
  * @returns the bytes, or the error that ended the body early
  */
-export async function readBody(body: Readable): Promise<E.Either<Error, Buffer>> {
+async function readBody({
+  body,
+  lease,
+  length = 0,
+}: OpenResponse): Promise<E.Either<Error, Buffer>> {
   const chunks: Buffer[] = [];
+  let bytesRead = 0;
   try {
-    for await (const chunk of body) chunks.push(chunk as Buffer);
+    if (!lease.tryResize(length, true)) {
+      body.destroy();
+      return E.left(createNoRoomError(length));
+    }
+    for await (const chunk of body as AsyncIterable<Buffer>) {
+      bytesRead += chunk.length;
+      // Leaving the loop destroys the body, and so its connection.
+      if (!lease.tryResize(Math.max(bytesRead, length), bytesRead <= length))
+        return E.left(createNoRoomError(bytesRead));
+      chunks.push(chunk);
+    }
     return E.right(Buffer.concat(chunks));
   } catch (error) {
     return E.left(error as Error);
+  } finally {
+    lease.close();
   }
 }
 
+function createNoRoomError(bytes: number): NoRoomError {
+  return new NoRoomError(`no room is left for an answer of ${bytes} bytes and more`);
+}
+
 /**
  * Reads the body of a response to its end; fails if the connection failed, even if the body seems
  * to have ended, or if a copy of the response has filled it up.
  */
 export async function readWholeBody(response: OpenResponse): Promise<E.Either<Error, Buffer>> {
-  const body = await readBody(response.body);
+  const body = await readBody(response);
   if (response.isBroken()) return E.left(new Error("the connection broke within the answer"));
   if (E.isLeft(body)) return body;
   const isCopied = response.containsCopy(body.right) || (await response.isFilledUp(body.right));
--- a/src/forward/endpoints/client.ts
+++ b/src/forward/endpoints/client.ts
@@ -4,6 +4,7 @@
  * brought an answer to another exchange is closed and never reused.
  */
 import * as E from "fp-ts/Either";
+import { ByteBudget } from "../../core/bytebudget";
 import type { Clock, Moment } from "../../core/clock";
 import type { Regions } from "../../fleet/regions";
 import { createTimeoutSignal } from "../../core/readfirst";
@@ -89,12 +90,15 @@
   computeCheckMs(endpoint: string): number;
   readonly logger: Logger;
   readonly regions?: Regions;
+  /** Bounds the answers that are collected; absent for a budget of its own. */
+  readonly heldBytes?: ByteBudget;
 }
 
 /** Sends to endpoints over HTTP/1.1. */
 export class HttpEndpointClient implements EndpointClient {
   private readonly pools = new Map<string, ConnectionPool>();
   private readonly timer: NodeJS.Timeout;
+  private readonly heldBytes: ByteBudget;
 
   constructor(
     private readonly codec: EndpointCodec,
@@ -103,6 +107,7 @@
     private readonly clock: Clock,
     private readonly host: ClientHost,
   ) {
+    this.heldBytes = host.heldBytes ?? new ByteBudget(clock);
     this.timer = setInterval(() => {
       void runTask("remove closed pools", this.host.logger, () => {
         this.removeClosed();
@@ -115,7 +120,7 @@
     send: EndpointRequest,
     signal: AbortSignal,
   ): Promise<E.Either<SendFailure, OpenResponse>> {
-    const { head, body } = send.request;
+    const { head, body: requestBody } = send.request;
     const { service } = send.endpoint;
     if (!(await this.canSend(send))) return E.left(createHeldFailure());
     if (signal.aborted) {
@@ -142,7 +147,7 @@
         method: head.method as "POST",
         path: head.target,
         headers: this.codec.listHeaders(send),
-        body: body.length === 0 ? null : body,
+        body: requestBody.length === 0 ? null : requestBody,
         signal,
         responseHeaders: "raw",
       });
@@ -185,7 +190,9 @@
         const named = this.codec.readAnsweredId(names);
         return named !== undefined && connection.hasCarried(named);
       };
-      const parts = { head: responseHead, headers, body: response.body, connection, isCopy };
+      const lease = this.heldBytes.open(`endpoint ${send.endpoint.id}`);
+      const { body } = response;
+      const parts = { head: responseHead, headers, body, connection, isCopy, lease };
       return E.right(createOpenResponse(parts));
     } catch (error) {
       const ending = signal.aborted ? SendEnding.aborted : SendEnding.failed;
--- a/src/forward/endpoints/index.ts
+++ b/src/forward/endpoints/index.ts
@@ -1,7 +1,7 @@
 /**
  * Sends requests and calls to endpoints, and tracks how they answer.
  */
-export { discardBody, readBody, readWholeBody } from "./body";
+export { discardBody, readWholeBody } from "./body";
 export {
   type EndpointClient,
   HttpEndpointClient,
--- a/src/forward/gauges.ts
+++ b/src/forward/gauges.ts
@@ -28,6 +28,7 @@
   countEvacuated(): number;
   countCold(): number;
   countPaced(): number;
+  countHeldBytes(): number;
 }
 
 /**
@@ -68,6 +69,7 @@
     source.countEvacuated(),
   );
   meter.addGauge("cold_endpoints", "Listed endpoints that are cold", () => source.countCold());
+  meter.addGauge("held_bytes", "Bytes held of answers of endpoints", () => source.countHeldBytes());
   meter.addGauge(
     "paced_endpoints",
     "Endpoints that started or recovered and get few requests",
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -87,6 +87,7 @@
       () => {
         this.maintenance.applyCallerLimits();
       },
+      this.base.heldBytes,
     );
     const { directory, watcher } = view;
     const isBarred = (id: string) => context.gate.isEvacuated(id);
@@ -299,6 +300,7 @@
       countEvacuated: () => watcher.evacuations.listEvacuated().length,
       countCold: () => sources.countCold(view.directory.listAll(), clock.now()),
       countPaced: () => sources.pacing?.size ?? 0,
+      countHeldBytes: () => this.base.heldBytes.held,
     });
   }
 
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -221,6 +221,7 @@
     computeCheckMs: (id) => Math.max(MIN_CHECK_MS, health.readLatencyMs(id) * CHECK_LATENCY_FACTOR),
     computeMaxConnections: (service) => computeMaxConnections(view, service),
     regions: view.regions,
+    heldBytes: base.heldBytes,
     onForeignAnswer: (answer) => {
       meter.foreignAnswers.inc({ service: answer.service });
       logger.warn("foreign answer", { ...answer, answeredId: answer.answeredId ?? "" });
--- a/src/forward/settings.ts
+++ b/src/forward/settings.ts
@@ -41,6 +41,8 @@
    * them, in milliseconds; it may not know yet whether the fleet is large. Default: 0.
    */
   readonly startHoldMs?: number;
+  /** Maximum number of bytes that are held of answers of all endpoints; absent for a default. */
+  readonly maxHeldBytes?: number;
   readonly logLevel: LogLevel;
   readonly quotaTolerance: QuotaTolerance;
   readonly retryLimit: RetryLimit;
--- a/test/standstill.spec.ts
+++ b/test/standstill.spec.ts
@@ -7,6 +7,7 @@
 import { setImmediate } from "node:timers/promises";
 import * as E from "fp-ts/Either";
 import { Client } from "undici";
+import { ByteBudget } from "../src/core/bytebudget";
 import { MonotonicClock, pause } from "../src/core/clock";
 import { SILENT_LOGGER } from "../src/core/log";
 import { AbortCause, DeadlineSignal } from "../src/forward/requests/abort";
@@ -67,6 +68,8 @@
     isBroken: () => false,
     containsCopy: () => false,
     isFilledUp: () => Promise.resolve(false),
+    length: undefined,
+    lease: new ByteBudget(clock).open("endpoint e"),
   };
   blockAfter(20, BLOCK_MS);
   const watch = new SilenceWatch({
