Streams: an answer is one only if it is what the caller's stream goes on with (ORDER, MIXED)

What others saw: a stream broke off, the next engine answered with an error, and callers found its text amid their stream, or the stream ended as if it were complete.

Cause: any status under 300 counted as the stream and any text up to a blank line as its next event.

Change: StreamForm is the one place that decides: status, type as the caller got it, rising ids, an id where a run goes on. All else is a failed run: retried where that may be, else the caller's stream is cut.

Ruled out: asking for ids without a gap.

--- a/src/forward/generations/decode.ts
+++ b/src/forward/generations/decode.ts
@@ -23,6 +23,7 @@
 import type { StreamStart } from "./resume";
 import type { RunSender, RunSenderParts } from "./runsender";
 import type { SentRun } from "./sentrun";
+import type { StreamForm } from "./streamform";
 
 /**
  * How long a resumable stream may be silent before another engine is looked for, in milliseconds.
@@ -72,6 +73,7 @@
     { request, origin }: StreamStart,
     private readonly times: RequestTimes,
     private readonly sink: StreamSink,
+    private readonly form: StreamForm,
   ) {
     this.request = request;
     this.originOfStream = origin;
@@ -104,6 +106,7 @@
     this.firstEventOfRunAt = undefined;
     this.pace = undefined;
     this.isRunAcquitted = false;
+    this.form.beginRun();
     const watch = this.sender.isResumable ? this.createWatch(sent, replacer) : undefined;
     try {
       const response = await this.sender.readHead(sent, () => watch?.signal.aborted === true);
@@ -159,6 +162,8 @@
       response,
       deadlineSignal,
       replaced: watch?.signal,
+      lastId: this.lastEvent,
+      follows: (event, lastId) => this.form.follows(event, lastId),
       onEvents: (events) => {
         watch?.onProgress(SILENCE_TIMEOUT_MS);
         this.recordProgress();
@@ -272,6 +277,7 @@
     const { route, priority } = this.request;
     meter.recordFirstEvent(route.name, priority, this.firstSentAt - this.times.arrivedAt);
     this.isFramed = response.isFramed;
+    this.form.begin(response.head);
     this.sink.begin(response.head.status, response.head.headers, response.isFramed);
   }
 }
--- a/src/forward/generations/relay.ts
+++ b/src/forward/generations/relay.ts
@@ -15,7 +15,7 @@
   broken: "broken",
   /** Another engine takes the place of the one that writes the stream. */
   replaced: "replaced",
-  /** An event exceeds the maximum size. */
+  /** An event exceeds the maximum size, or is not the next one. */
   malformed: "malformed",
   /** The caller left, or the deadline passed. */
   aborted: "aborted",
@@ -34,6 +34,10 @@
   readonly deadlineSignal: DeadlineSignal;
   /** Fires once another engine takes the place of this one; undefined if none can. */
   readonly replaced: AbortSignal | undefined;
+  /** Id of the last event that the caller got; undefined if it got none with one. */
+  readonly lastId: string | undefined;
+  /** Checks whether an event is the next one after the one of an id. */
+  readonly follows: (event: StreamEvent, lastId: string | undefined) => boolean;
   /** Receives whole events in order. */
   readonly onEvents: (events: readonly StreamEvent[]) => void;
 }
@@ -43,13 +47,19 @@
  * it runs in an event of the socket, where nobody else could catch the error.
  *
  * @example
- * const { end } = await relayEvents({ response, deadlineSignal, replaced: watch.signal, onEvents });
+ * const { end } = await relayEvents({ response, deadlineSignal, replaced, lastId, follows, onEvents });
  */
 export function relayEvents(options: RelayOptions): Promise<RelayResult> {
-  const { response, deadlineSignal, replaced, onEvents } = options;
+  const { response, deadlineSignal, replaced, follows, onEvents } = options;
   const { body } = response;
   const splitter = new EventSplitter();
+  let { lastId } = options;
   let hasEvents = false;
+  const isNext = (event: StreamEvent) => {
+    const isFollowing = follows(event, lastId);
+    if (isFollowing) lastId = event.id ?? lastId;
+    return isFollowing;
+  };
   return new Promise((resolve, reject) => {
     const close = () => {
       deadlineSignal.signal.removeEventListener("abort", onAbort);
@@ -79,12 +89,18 @@
     replaced?.addEventListener("abort", onReplaced, { once: true });
     const onData = (bytes: Buffer) => {
       const received = splitter.push(bytes);
-      const events = listEventsBeforeCopy(received, response);
+      const own = listEventsBeforeCopy(received, response);
+      const foreignAt = own.findIndex((event) => !isNext(event));
+      const events = foreignAt < 0 ? own : own.slice(0, foreignAt);
       if (events.length > 0) {
         hasEvents = true;
         onEvents(events);
       }
-      if (events.length < received.length) {
+      if (foreignAt >= 0) {
+        finish(RelayEnd.malformed, "an event is not the next one of the stream");
+        return;
+      }
+      if (own.length < received.length) {
         finish(RelayEnd.broken, "a copy of the stream came within it");
         return;
       }
--- a/src/forward/generations/runsender.ts
+++ b/src/forward/generations/runsender.ts
@@ -24,7 +24,8 @@
   probeEndpoint,
 } from "../endpoints";
 import type { EngineLoadTracker, ReservationQueue } from "../engines";
-import { isStream, SentRun, type TryStart } from "./sentrun";
+import { SentRun, type TryStart } from "./sentrun";
+import type { StreamForm } from "./streamform";
 
 /** Dependencies of a sender. */
 export interface RunSenderParts {
@@ -41,6 +42,7 @@
     private readonly parts: RunSenderParts,
     private readonly request: ForwardRequest,
     private readonly times: RequestTimes,
+    private readonly form: StreamForm,
   ) {}
 
   /**
@@ -90,7 +92,7 @@
     const controller = new AbortController();
     const signal = AbortSignal.any([start.deadlineSignal.signal, controller.signal]);
     const opened = client.send(send, signal).catch((error: unknown) => this.convertFault(error));
-    return new SentRun(start, controller, opened);
+    return new SentRun(start, this.form, controller, opened);
   }
 
   /** An unexpected error ends the send; the engine may have got the request. */
@@ -119,7 +121,7 @@
       response.body.destroy();
       return E.left(createReplacedResult());
     }
-    if (isStream(response.head)) return E.right(response);
+    if (this.form.accepts(response.head)) return E.right(response);
     return E.left(await this.readOtherResponse(response, sent));
   }
 
--- a/src/forward/generations/sentrun.ts
+++ b/src/forward/generations/sentrun.ts
@@ -5,12 +5,10 @@
 import type { Moment } from "../../core/clock";
 import { ReadFirstTimer } from "../../core/readfirst";
 import type { EndpointEntry } from "../../fleet/entries";
-import { type DeadlineSignal, type CacheSource, type ResponseHead, Verdict } from "../requests";
+import type { CacheSource, DeadlineSignal } from "../requests";
 import type { OpenResponse, SendFailure } from "../endpoints";
 import type { Reservation } from "../engines";
-
-/** Responses with this status or a higher one carry no stream. */
-const MIN_NON_STREAM_STATUS = 300;
+import type { StreamForm } from "./streamform";
 
 /** A decode engine that has reserved memory for a generation. */
 export interface PreparedEngine {
@@ -46,11 +44,13 @@
   hasHead = false;
 
   /**
+   * @param form - tells whether its response is one of the stream
    * @param controller - aborts the send, and the response after it
    * @param opened - resolves once the head of the response has arrived, or with the failure
    */
   constructor(
     readonly start: TryStart,
+    private readonly form: StreamForm,
     private readonly controller: AbortController,
     readonly opened: Promise<E.Either<SendFailure, OpenResponse>>,
   ) {
@@ -80,19 +80,9 @@
       });
       void this.opened.then((opened) => {
         timer.close();
-        const hasStream = E.isRight(opened) && isStream(opened.right.head);
+        const hasStream = E.isRight(opened) && this.form.accepts(opened.right.head);
         resolve(hasStream ? HeadState.stream : HeadState.failed);
       });
     });
   }
 }
-
-/**
- * Checks whether a response carries events, which may go on after the first-event deadline.
- *
- * @example
- * isStream({ verdict: Verdict.notRun, status: 200, headers: [], load: undefined }); // false
- */
-export function isStream({ verdict, status }: ResponseHead): boolean {
-  return verdict === Verdict.answered && status < MIN_NON_STREAM_STATUS;
-}
--- a/src/forward/generations/stream.ts
+++ b/src/forward/generations/stream.ts
@@ -29,7 +29,8 @@
 import type { StreamStart } from "./resume";
 import { type ReplacementSearch, RunReserver } from "./runreserver";
 import { RunSender } from "./runsender";
-import { isStream, type SentRun, type TryStart } from "./sentrun";
+import type { SentRun, TryStart } from "./sentrun";
+import { StreamForm } from "./streamform";
 import { createStreamRefusal } from "./streamrefusal";
 import { TryRecorder } from "./tryrecorder";
 
@@ -68,6 +69,7 @@
   private readonly sender: RunSender;
   private readonly decoder: Decoder;
   private readonly replacer: EngineReplacer;
+  private readonly form = new StreamForm();
   /** Number of tries, including those at engines that did not run the generation. */
   private tries = 0;
   /** The present or last run. */
@@ -109,8 +111,8 @@
     this.reserver = new RunReserver(parts, request, limits, times);
     this.recorder = new TryRecorder(context, request, times);
     const prefillParts = { context, engineLoad, engineModel, listViews };
-    this.sender = new RunSender(parts, request, times);
-    this.decoder = new Decoder(parts, this.sender, start, times, sink);
+    this.sender = new RunSender(parts, request, times, this.form);
+    this.decoder = new Decoder(parts, this.sender, start, times, sink, this.form);
     this.prefiller = new Prefiller(prefillParts, request, limits, times, this.sendBudget);
     this.replacer = this.createReplacer();
   }
@@ -230,7 +232,7 @@
   private tryKeepRetry(sent: SentRun): boolean {
     if (!this.sendBudget.tryKeep()) return false;
     void sent.opened.then((opened) => {
-      if (E.isRight(opened) && isStream(opened.right.head)) this.sendBudget.dropKept();
+      if (E.isRight(opened) && this.form.accepts(opened.right.head)) this.sendBudget.dropKept();
     });
     return true;
   }
--- a/test/standstill.spec.ts
+++ b/test/standstill.spec.ts
@@ -84,6 +84,8 @@
     response,
     deadlineSignal,
     replaced: watch.signal,
+    lastId: undefined,
+    follows: () => true,
     onEvents: (events) => {
       watch.onProgress();
       ids.push(...events.map(({ id }) => id ?? ""));
