--- a/src/forward/callers/dispatch.ts
+++ b/src/forward/callers/dispatch.ts
@@ -14,6 +14,7 @@
 import { ServiceRun } from "../calls";
 import { type ResumeResolver, type StreamStart, StreamRun } from "../generations";
 import type { CallerResponse, CallerRequest } from "./server";
+import type { StopAdmission } from "./stopadmission";
 
 /** The status recorded for a stream that was sent through the sink. */
 const STREAM_STATUS = 200;
@@ -29,6 +30,7 @@
 export interface DispatchParts {
   readonly context: ForwardContext;
   readonly admission: Admission;
+  readonly stopAdmission: StopAdmission;
   readonly resumeResolver: ResumeResolver;
   readonly reservations: ReservationQueue;
   readonly engineLoad: EngineLoadTracker;
@@ -67,6 +69,12 @@
     if (E.isLeft(admitted)) return admitted;
     const times = computeTimes(admitted.right, arrivedAt);
     request.watched.setDeadline(times.deadline);
+    const { route } = admitted.right;
+    const late = this.parts.stopAdmission.refuse(
+      { route, deadline: times.deadline },
+      context.clock.now(),
+    );
+    if (late !== undefined) return E.left(late);
     this.logAdmitted(admitted.right, times);
     request.watched.enter(RequestStage.resume);
     const start = await this.resolveStart(admitted.right);
@@ -135,6 +143,7 @@
     const ms = context.clock.now() - arrival.arrivedAt;
     const outcome = classifyRequestOutcome(end);
     context.meter.recordRequest(route.name, priority, outcome, ms);
+    if (outcome === RequestOutcome.answered) this.parts.stopAdmission.record(route.name, ms);
     const state = this.describeState(forwardRequest, end, arrival);
     if (response !== undefined && E.isLeft(response)) {
       context.logger.info("refused after", { request: head.id, route: route.name, ...state });
--- a/src/forward/callers/index.ts
+++ b/src/forward/callers/index.ts
@@ -3,4 +3,5 @@
  */
 export { Admission } from "./admission";
 export { Dispatcher } from "./dispatch";
+export { StopAdmission } from "./stopadmission";
 export { type CallerRequest, type CallerResponse, ForwardServer } from "./server";
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -165,6 +165,7 @@
     const { heartbeats, reservations } = this.parts;
     const stopAt = clock.now() + settings.graceMs - GRACE_MARGIN_MS;
     this.isStopping = true;
+    this.parts.stopAdmission.begin(stopAt);
     logger.info("stopping", { requests: this.callerServer.inFlightCount });
     void runSteps(logger, {
       "close kept connections": () => {
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -7,7 +7,7 @@
 import type { Beat } from "../peer/gen/fleet";
 import { Joiner } from "../fleet/joiner";
 import { OrderLeases } from "../fleet/orders";
-import { Admission, Dispatcher } from "./callers";
+import { Admission, Dispatcher, StopAdmission } from "./callers";
 import { Announcer, EndpointGate } from "./limits";
 import {
   createLimitState,
@@ -81,6 +81,7 @@
   readonly joiner: Joiner;
   readonly rebalancer: StageRebalancer;
   readonly dispatcher: Dispatcher;
+  readonly stopAdmission: StopAdmission;
 }
 
 /**
@@ -143,9 +144,11 @@
   const admission = createAdmission(base, view, quotas, context);
   const { watcher } = view;
   const resumeResolver = new ResumeResolver(context);
+  const stopAdmission = new StopAdmission();
   const dispatcher = new Dispatcher({
     context,
     admission,
+    stopAdmission,
     resumeResolver,
     ...engines,
     arrivals: peerState,
@@ -165,6 +168,7 @@
     joiner,
     rebalancer,
     dispatcher,
+    stopAdmission,
   };
 }
 
