List of endpoints: a read knows where it began, also where the store is restored meanwhile

The code before took the page as one that follows the list, and went on behind it in the new era, without the records between.

The test (test/listcoverage.spec.ts, "keeps its endpoints, and is read anew") fails without it.

--- a/src/core/bytebudget.ts
+++ b/src/core/bytebudget.ts
@@ -32,7 +32,7 @@
    */
   tryResize(bytes: number, isWhole?: boolean): boolean;
   /** Sets the number of bytes without asking for room, for what must be delivered. */
-  resize(bytes: number): void;
+  update(bytes: number): void;
   /** Gives the bytes back. */
   close(): void;
 }
@@ -82,7 +82,7 @@
         set(bytes);
         return true;
       },
-      resize: set,
+      update: set,
       close: () => {
         set(0);
         isClosed = true;
--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -127,7 +127,7 @@
     claim: ListClaim,
     now: Moment,
   ): { readonly use: ListUse; readonly changes: readonly DirectoryChange[] } {
-    const use = this.coverage.judge(claim);
+    const use = this.coverage.classify(claim);
     if (use === ListUse.ignored) return { use, changes: [] };
     const page = { records, next: claim.next };
     if (use === ListUse.replaced) {
--- a/src/fleet/listed/coverage.ts
+++ b/src/fleet/listed/coverage.ts
@@ -62,19 +62,19 @@
   }
 
   /** Checks whether all records before a position are accounted for. */
-  covers(position: LogPosition): boolean {
+  hasReached(position: LogPosition): boolean {
     return !isAfter(position, this.current.next);
   }
 
   /** Decides how to use a peer's list. */
-  judge({ next, removalsFrom }: ListClaim): ListUse {
-    if (this.covers(next)) return ListUse.ignored;
-    return this.holdsUpTo(removalsFrom) ? ListUse.merged : ListUse.replaced;
+  classify({ next, removalsFrom }: ListClaim): ListUse {
+    if (this.hasReached(next)) return ListUse.ignored;
+    return this.hasUpTo(removalsFrom) ? ListUse.merged : ListUse.replaced;
   }
 
   /** Checks whether a peer's list holds nothing that is missed here, and its removals show that. */
   isConfirmedBy({ lastChange, removalsFrom }: ListClaim): boolean {
-    return !this.isMissing(lastChange) && this.holdsUpTo(removalsFrom);
+    return !this.isMissing(lastChange) && this.hasUpTo(removalsFrom);
   }
 
   /** Checks whether a change at a position is not known here. */
@@ -93,7 +93,7 @@
    * @returns false if the position stays: nothing new was read, or records before it are missed
    */
   recordRead(from: LogPosition, next: LogPosition): boolean {
-    if (this.covers(next) || !this.holdsUpTo(from)) return false;
+    if (this.hasReached(next) || !this.hasUpTo(from)) return false;
     this.set({ next });
     return true;
   }
@@ -107,7 +107,7 @@
 
   /** Records that a list has replaced the one held; one that is older leaves the claim as it is. */
   recordReplacement({ next, lastChange, removalsFrom }: ListClaim): void {
-    if (this.covers(next)) return;
+    if (this.hasReached(next)) return;
     this.recordChange(lastChange);
     this.set({ next, removalsFrom });
   }
@@ -118,8 +118,8 @@
   }
 
   /** Checks whether this list reaches a position of its era. */
-  private holdsUpTo(position: LogPosition): boolean {
-    return position.era === this.current.next.era && this.covers(position);
+  private hasUpTo(position: LogPosition): boolean {
+    return position.era === this.current.next.era && this.hasReached(position);
   }
 
   private set(change: Partial<ListClaim>): void {
--- a/src/fleet/watcher.ts
+++ b/src/fleet/watcher.ts
@@ -350,21 +350,21 @@
     await this.waitUntilNeeded(name, state);
     const startedAt = this.clock.now();
     if (name === FeedName.endpoints) this.skipKnownEntries(state);
-    const isSnapshot = state.nextOffset === undefined;
+    // The store may be restored while it is read, which has the next read begin anew.
+    const from = state.nextOffset;
     const { min, jitter } = this.policy.isLargeFleet()
       ? LARGE_FLEET_CONFIG_WAIT_MS
       : CONFIG_WAIT_MS;
     const waitMs = isLongPoll ? min + Math.random() * jitter : 0;
-    state.isWaiting = isLongPoll && !isSnapshot;
-    const result = await this.readOnce(feed, state.nextOffset, Math.round(waitMs));
+    state.isWaiting = isLongPoll && from !== undefined;
+    const result = await this.readOnce(feed, from, Math.round(waitMs));
     state.isWaiting = false;
     if (this.isClosed) return;
     if (E.isRight(result)) {
       this.recordSuccess(name, state, startedAt);
-      const from = state.nextOffset;
       state.nextOffset = result.right.next.offset;
       const isChanged = this.applyPage(name, result.right, from);
-      if (name === FeedName.endpoints) this.directory.ownReads.record(from, result.right.next);
+      if (name === FeedName.endpoints) this.recordListRead(state, from, result.right.next);
       if (isChanged) this.onChange();
       await pause(computePauseMs() * (1 - Math.random() * POLL_JITTER));
       return;
@@ -428,6 +428,12 @@
     state.nextOffset = offset;
   }
 
+  /** Records a read of the list; one that left records out is followed by a snapshot. */
+  private recordListRead(state: FeedState, from: number | undefined, next: LogPosition): void {
+    this.directory.ownReads.record(from, next);
+    if (isAfter(next, this.directory.next)) state.nextOffset = undefined;
+  }
+
   private readOnce(feed: Feed, next: number | undefined, waitMs: number) {
     this.meter.storeCalls.inc();
     return next === undefined ? feed.readNewest()() : feed.read(next, waitMs)();
--- a/src/forward/callers/responses.ts
+++ b/src/forward/callers/responses.ts
@@ -37,7 +37,7 @@
     this.writeHead(response, head.status, [...head.headers, ...length], isFramed);
     const lease = this.heldBytes.open("answers to callers");
     // The answer is there, so it is delivered; what is read meanwhile finds less room.
-    lease.resize(body.length);
+    lease.update(body.length);
     response.once("close", () => {
       lease.close();
     });
--- a/src/forward/generations/decode.ts
+++ b/src/forward/generations/decode.ts
@@ -163,7 +163,7 @@
       deadlineSignal,
       replaced: watch?.signal,
       lastId: this.lastEvent,
-      follows: (event, lastId) => this.form.follows(event, lastId),
+      follows: (event, lastId) => this.form.isNext(event, lastId),
       onEvents: (events) => {
         watch?.onProgress(SILENCE_TIMEOUT_MS);
         this.recordProgress();
--- a/src/forward/generations/runsender.ts
+++ b/src/forward/generations/runsender.ts
@@ -121,7 +121,7 @@
       response.body.destroy();
       return E.left(createReplacedResult());
     }
-    if (this.form.accepts(response.head)) return E.right(response);
+    if (this.form.matches(response.head)) return E.right(response);
     return E.left(await this.readOtherResponse(response, sent));
   }
 
--- a/src/forward/generations/sentrun.ts
+++ b/src/forward/generations/sentrun.ts
@@ -80,7 +80,7 @@
       });
       void this.opened.then((opened) => {
         timer.close();
-        const hasStream = E.isRight(opened) && this.form.accepts(opened.right.head);
+        const hasStream = E.isRight(opened) && this.form.matches(opened.right.head);
         resolve(hasStream ? HeadState.stream : HeadState.failed);
       });
     });
--- a/src/forward/generations/stream.ts
+++ b/src/forward/generations/stream.ts
@@ -232,7 +232,7 @@
   private tryKeepRetry(sent: SentRun): boolean {
     if (!this.sendBudget.tryKeep()) return false;
     void sent.opened.then((opened) => {
-      if (E.isRight(opened) && this.form.accepts(opened.right.head)) this.sendBudget.dropKept();
+      if (E.isRight(opened) && this.form.matches(opened.right.head)) this.sendBudget.dropKept();
     });
     return true;
   }
--- a/src/forward/generations/streamform.ts
+++ b/src/forward/generations/streamform.ts
@@ -17,7 +17,7 @@
  *
  * @example
  * const form = new StreamForm();
- * if (form.accepts(head)) form.begin(head);
+ * if (form.matches(head)) form.begin(head);
  */
 export class StreamForm {
   private type: string | undefined;
@@ -28,7 +28,7 @@
   private isFirstOfRun = true;
 
   /** Checks whether the head of an answer is that of a stream, and of this one once it has begun. */
-  accepts({ verdict, status, headers }: ResponseHead): boolean {
+  matches({ verdict, status, headers }: ResponseHead): boolean {
     if (verdict !== Verdict.answered || status !== STREAM_STATUS) return false;
     const type = readType(headers);
     if (this.hasBegun) return type === this.type;
@@ -52,7 +52,7 @@
    *
    * @param lastId - id of the last event of the stream; undefined if it has none
    */
-  follows(event: StreamEvent, lastId: string | undefined): boolean {
+  isNext(event: StreamEvent, lastId: string | undefined): boolean {
     if (event.bytes[0] === COMMENT && event.id === undefined) return true;
     const mustFollow = this.isFirstOfRun && (this.hasEvents || lastId !== undefined);
     if (!isRising(event.id, lastId, mustFollow)) return false;
--- a/test/continuation.spec.ts
+++ b/test/continuation.spec.ts
@@ -138,12 +138,12 @@
           const headers = type === undefined ? [] : ["Content-Type", type];
           const head = { verdict: Verdict.answered, status, headers, load: undefined };
           form.beginRun();
-          if (!form.accepts(head)) continue;
+          if (!form.matches(head)) continue;
           assert.equal(status, 200);
           let isFirst = true;
           for (const next of new EventSplitter().push(Buffer.from(events.join("")))) {
             const isComment = next.bytes.toString().startsWith(":");
-            if (!form.follows(next, lastId)) break;
+            if (!form.isNext(next, lastId)) break;
             if (types.size === 0) form.begin(head);
             types.add(type?.split(";")[0]);
             if (isComment) continue;
--- a/test/listcoverage.spec.ts
+++ b/test/listcoverage.spec.ts
@@ -6,7 +6,13 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import fc from "fast-check";
-import { createConfig } from "./harness/forward";
+import { SILENT_LOGGER } from "../src/core/log";
+import { EndpointDirectory } from "../src/fleet/directory";
+import { ReadRole } from "../src/fleet/feeds/state";
+import type { Feed, Store } from "../src/fleet/store";
+import { StoreWatcher } from "../src/fleet/watcher";
+import { Meter } from "../src/forward/requests";
+import { createConfig, testCodecs, waitUntil } from "./harness/forward";
 import { ListModel, type Step } from "./harness/listmodel";
 
 const RUNS = 2000;
@@ -95,6 +101,49 @@
   });
 });
 
+describe("a list whose store is restored while it is read", () => {
+  // Guards against a page that is taken for a snapshot, so that all other endpoints are removed.
+  it("keeps its endpoints, and is read anew", async () => {
+    const model = new ListModel(1, 2);
+    for (const a of [0, 1]) model.play({ kind: "put", a, b: 0 });
+    const { feed, clock } = model;
+    const directory = new EndpointDirectory(testCodecs.decodeEndpoint);
+    let onRestored: (era: number) => void = () => undefined;
+    const read: Feed["read"] = (from, waitMs) => async () => {
+      if (feed.era === 0) {
+        feed.restore(1);
+        model.play({ kind: "put", a: 1, b: 0 });
+        onRestored(1);
+      }
+      return feed.read(from, waitMs)();
+    };
+    const endpoints = { readNewest: feed.readNewest, read };
+    const configuration = { readNewest: () => () => new Promise(() => undefined) };
+    const store = {
+      configuration,
+      endpoints,
+      onRestored: (on: typeof onRestored) => (onRestored = on),
+    };
+    const watcher = new StoreWatcher(
+      store as unknown as Store,
+      directory,
+      testCodecs.decodeConfig,
+      clock,
+      SILENT_LOGGER,
+      new Meter(),
+      { configMs: 100, endpointsMs: 100 },
+      { isLargeFleet: () => false, readRole: () => ReadRole.reader, holdUntil: 0 },
+      () => undefined,
+    );
+    watcher.start();
+    await waitUntil(() => directory.next.era === 1);
+    watcher.close();
+    const list = directory.listAll().map(({ id }) => id);
+    assert.deepEqual([list.sort(), directory.claim.removalsFrom.era], [["e0", "e1"], 1]);
+    assert.equal(directory.isInDoubt("e0"), false);
+  });
+});
+
 describe("a copy of the configuration that is told in a heartbeat", () => {
   const evacuate = (offset: number) => ({
     dataCentre: "nizwa",
