Soak: endpoints that write without end, and pages where a stream goes on

Not in the soak yet: endpoints that leave unannounced while instances are killed in numbers, requests that come late in a grace on purpose.

--- a/test/soak/endpoint.ts
+++ b/test/soak/endpoint.ts
@@ -24,6 +24,11 @@
 /** How long memory that nobody uses stays reserved, in milliseconds. */
 const HOLD_TTL_MS = 2000;
 
+/** Size of one write of an answer without end, in bytes. */
+const ENDLESS_BYTES = 16 * 1024;
+/** A page with blank lines, as a proxy writes it. */
+const PAGE = "<html>\n\n<p>Bad gateway</p>\n\n</html>";
+
 /** A request that an endpoint has read. */
 export interface ReceivedRun {
   readonly id: string;
@@ -43,6 +48,8 @@
 export class SoakEndpoint {
   /** True while it writes each answer a second time. */
   isCopying = false;
+  /** True while its answers never end, or are a page where a stream goes on. */
+  isSpoiling = false;
   private readonly stops = {
     [SilentStage.answer]: new Stop(),
     [SilentStage.hold]: new Stop(),
@@ -136,6 +143,10 @@
   private writeAnswer(head: string, socket: Socket, body: string): void {
     const count = (this.answerCounts.get(socket) ?? 0) + 1;
     this.answerCounts.set(socket, count);
+    if (this.isSpoiling) {
+      writeEndless(head, socket);
+      return;
+    }
     const isLast = count >= ANSWERS_PER_CONNECTION;
     const top = `200 OK\r\nx-id: ${readId(head)}${isLast ? "\r\nconnection: close" : ""}`;
     writePlain(socket, body, top);
@@ -147,6 +158,11 @@
     const hold = /x-hold: (\S+)/i.exec(head)?.[1] ?? "";
     clearTimeout(this.holds.get(hold));
     this.stops.head.pass(() => {
+      if (this.isSpoiling && head.toLowerCase().includes("x-after: ")) {
+        this.release(hold);
+        writePlain(socket, PAGE, `200 OK\r\nx-id: ${readId(head)}\r\ncontent-type: text/html`);
+        return;
+      }
       const type = "content-type: text/event-stream\r\ntransfer-encoding: chunked";
       if (!socket.destroyed)
         socket.write(`HTTP/1.1 200 OK\r\nx-id: ${readId(head)}\r\n${type}\r\n\r\n`);
@@ -200,6 +216,17 @@
   }
 }
 
+/** Writes a body without length, until the connection is closed. */
+function writeEndless(head: string, socket: Socket): void {
+  const bytes = Buffer.alloc(ENDLESS_BYTES, "a");
+  const write = () => {
+    while (!socket.destroyed && socket.write(bytes));
+  };
+  socket.on("drain", write);
+  socket.write(`HTTP/1.1 200 OK\r\nx-id: ${readId(head)}\r\n\r\n`);
+  write();
+}
+
 function readId(head: string): string {
   return /x-id: (\S+)/i.exec(head)?.[1] ?? "";
 }
--- a/test/soak/faults.ts
+++ b/test/soak/faults.ts
@@ -22,6 +22,8 @@
   crash: "crash",
   /** A plain service or a prefill engine writes each answer a second time, late, on the same connection. */
   copy: "copy",
+  /** An endpoint answers what is not an answer: a page amid a stream, or bytes without end. */
+  spoil: "spoil",
   /** Bytes that are no request reach a port of an instance. */
   malformed: "malformed",
   /** The store does not do what it is asked for. */
--- a/test/soak/player.ts
+++ b/test/soak/player.ts
@@ -72,6 +72,8 @@
         return this.crash(endpoint, ending);
       case FaultKind.copy:
         return this.copy(endpoint, ending);
+      case FaultKind.spoil:
+        return this.spoil(endpoint, ending);
       case FaultKind.malformed:
         return this.sendMalformed(instance, manner as InstancePort);
       case FaultKind.store:
@@ -142,6 +144,14 @@
     endpoint.isCopying = false;
   }
 
+  private async spoil(id: string, ending: Promise<void>): Promise<void> {
+    const endpoint = this.fleet.endpoints.get(id);
+    if (endpoint === undefined) return;
+    endpoint.isSpoiling = true;
+    await ending;
+    endpoint.isSpoiling = false;
+  }
+
   /** Sends bytes that are no request, and drops the connection once it has had time to read them. */
   private async sendMalformed(name: string, port: InstancePort): Promise<void> {
     const number = this.fleet.instances.get(name)?.getPort(port) ?? 0;
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -67,6 +67,7 @@
   silence: { min: 500, max: 3000 },
   crash: { min: 300, max: 3000 },
   copy: { min: 500, max: 3000 },
+  spoil: { min: 500, max: 3000 },
   malformed: { min: 0, max: 0 },
   store: { min: 500, max: 5000 },
 } as const satisfies Record<FaultKind, Range>;
@@ -117,6 +118,14 @@
       instances: [random.choose(plan.instances)],
     }),
   },
+  {
+    gapMs: { min: 1000, max: 5000 },
+    draw: ({ random, plan }) => ({
+      kind: FaultKind.spoil,
+      manner: "page or endless",
+      endpoints: [random.choose(plan.endpoints).id],
+    }),
+  },
 ];
 
 /**
