--- a/test/evacuation.spec.ts
+++ b/test/evacuation.spec.ts
@@ -60,8 +60,9 @@
     socket.write("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nh1");
     return;
   }
+  const next = Number(/x-after: (\d+)/i.exec(head)?.[1] ?? "0") + 1;
   writeStreamHead(socket, head);
-  socket.write(`${chunk("id: 1\ndata: t1\n\n")}0\r\n\r\n`);
+  socket.write(`${chunk(`id: ${next}\ndata: t${next}\n\n`)}0\r\n\r\n`);
 }
 
 /** Adds a decode engine whose answers to holds wait for the test. */
