SHORT: instances with the same view spread their choices of engines

Cause: all instances take the engine with the most room by reports that are up to 900 ms old. The random number of a choice was used only where engines differ in speed. Each rejection is a connection, a call and another turn of the queue. Change: an instance takes it that a random part of what the others place between two reports (their arriving tokens, which they report already, by the lag of counts) was placed before its choice, each at the engine that was best then. With nothing unseen the choice is as before. The arrivals moved from the state of peers into a module.

--- a/measure/load/router.ts
+++ b/measure/load/router.ts
@@ -135,7 +135,7 @@
       const chosen = chooseDecode(views, limits, {
         needTokens: queued.reservationTokens,
         dataCentre: this.parameters.dataCentre,
-        random: this.host.random,
+        unseen: { generations: 0, random: this.host.random },
       });
       if (chosen === undefined) return;
       this.queue.dequeue(queued.id);
@@ -193,7 +193,7 @@
       promptTokens,
       tokensPerMs: this.speeds.readTokensPerMs(SERVICE, now),
       leftMs: requestedAt + this.parameters.targetLatencyMs - now,
-      random: this.host.random,
+      unseen: { generations: 0, random: this.host.random },
     };
     const chosen = choosePrefill(this.listViews(now), new Set([decodeId]), prompt);
     const engine = this.engines.get(chosen?.endpoint.id ?? "");
--- a/src/forward/callers/dispatch.ts
+++ b/src/forward/callers/dispatch.ts
@@ -8,7 +8,7 @@
 import type { StoreWatcher } from "../../fleet/watcher";
 import type { Admission } from "./admission";
 import { computeTimes, type ForwardContext, type RequestTimes } from "../endpoints";
-import type { ReservationQueue, EngineModel, EngineLoadTracker } from "../engines";
+import type { Arrivals, ReservationQueue, EngineModel, EngineLoadTracker } from "../engines";
 import { type ForwardRequest, RequestOutcome, RequestStage } from "../requests";
 import type { RefusalTracker } from "../shared";
 import { ServiceRun } from "../calls";
@@ -21,11 +21,6 @@
 /** Responses with this status or a higher one count as failures of the endpoint. */
 const MIN_FAILURE_STATUS = 500;
 
-/** Counts the prompts that arrive at this instance. */
-export interface ArrivalRecorder {
-  recordArrival(promptTokens: number, now: Moment): void;
-}
-
 /** Dependencies of the dispatcher. */
 export interface DispatchParts {
   readonly context: ForwardContext;
@@ -36,7 +31,7 @@
   readonly engineLoad: EngineLoadTracker;
   readonly engineModel: EngineModel;
   readonly refusals: RefusalTracker;
-  readonly arrivals: ArrivalRecorder;
+  readonly arrivals: Arrivals;
   readonly watcher: StoreWatcher;
 }
 
@@ -108,8 +103,8 @@
       const response = await run.run();
       return { response, isCut: false, isCallerGone: caller.aborted, runs: run.runs };
     }
-    arrivals.recordArrival(head.size?.promptTokens ?? 0, arrivedAt);
-    const parts = { context, reservations, engineLoad, engineModel, refusals };
+    arrivals.recordLocal(head.size?.promptTokens ?? 0, arrivedAt);
+    const parts = { context, reservations, engineLoad, engineModel, arrivals, refusals };
     const run = new StreamRun(parts, start, engine, times, caller, sink, watched);
     const response = await run.run();
     return { response, isCut: run.isCut, isCallerGone: caller.aborted, runs: run.runs };
--- a/src/forward/engines/expected.ts
+++ b/src/forward/engines/expected.ts
@@ -6,6 +6,7 @@
 import type { EngineLimits } from "../../fleet/config";
 import { hasSpeedDifference, type SpeedEstimate } from "../endpoints";
 import type { DecodeDemand, EngineView, PromptToRead } from "./load";
+import type { UnseenWork } from "./spread";
 
 /** Expected time at an engine of another data centre, as a multiple: its streams cross a link. */
 const OTHER_DATA_CENTRE_FACTOR = 1.15;
@@ -50,14 +51,14 @@
 export function computeDecodeCost(
   view: EngineView,
   limits: EngineLimits,
-  { needTokens, dataCentre }: DecodeDemand,
+  { needTokens, dataCentre, unseen }: DecodeDemand,
 ): number {
   const requests = Math.max(view.requests, view.report?.requests ?? 0);
   const slotUsage = requests / computeSlots(view, limits);
   const memoryUsage = (view.heldTokens + needTokens / 2) / limits.capacityTokens;
   const usage = Math.min(MAX_USAGE, Math.max(slotUsage, memoryUsage));
   const distance = view.endpoint.dataCentre === dataCentre ? 1 : OTHER_DATA_CENTRE_FACTOR;
-  return (readRatio(view) * distance) / (1 - usage);
+  return (readRatio(view) * distance * drawJitter(unseen)) / (1 - usage);
 }
 
 /** Computes how many requests an engine runs: as many as it reports, at most the configured number. */
@@ -65,43 +66,19 @@
   return report === undefined || report.slots === 0 ? slots : Math.min(slots, report.slots);
 }
 
-/** Chooses the decode engine where a generation is expected to take the least time, with jitter. */
-export function chooseFastestDecode(
-  candidates: readonly EngineView[],
-  limits: EngineLimits,
-  demand: DecodeDemand,
-): EngineView | undefined {
-  return findLeast(candidates, demand.random, (view) => computeDecodeCost(view, limits, demand));
+/** Computes the expected time until a prefill engine has read a prompt, with jitter. */
+export function computePrefillCost(
+  view: EngineView,
+  { promptTokens, unseen }: PromptToRead,
+): number {
+  return (promptTokens + view.promptTokens) * readRatio(view) * drawJitter(unseen);
 }
 
-/** Chooses the prefill engine that is expected to have read a prompt first, with jitter. */
-export function chooseFastestPrefill(
-  candidates: readonly EngineView[],
-  { promptTokens, random }: PromptToRead,
-): EngineView | undefined {
-  return findLeast(
-    candidates,
-    random,
-    (view) => (promptTokens + view.promptTokens) * readRatio(view),
-  );
+/** Draws a factor, so that instances with the same view don't all choose the same engine. */
+function drawJitter(unseen: UnseenWork | undefined): number {
+  return 1 + JITTER * (unseen?.random() ?? 0);
 }
 
 function readRatio({ estimate }: EngineView): number {
   return estimate?.ratio ?? 1;
 }
-
-function findLeast(
-  views: readonly EngineView[],
-  random: (() => number) | undefined,
-  compute: (view: EngineView) => number,
-): EngineView | undefined {
-  let least: EngineView | undefined;
-  let leastCost = Infinity;
-  for (const view of views) {
-    const cost = compute(view) * (1 + JITTER * (random?.() ?? 0));
-    if (cost >= leastCost) continue;
-    least = view;
-    leastCost = cost;
-  }
-  return least;
-}
--- a/src/forward/engines/index.ts
+++ b/src/forward/engines/index.ts
@@ -1,6 +1,7 @@
 /**
  * Chooses decode engines and reserves memory there, and decides the stages of engines.
  */
+export { Arrivals } from "./arrivals";
 export { computeSlowdown } from "./expected";
 export { EngineLoadTracker, type EngineView, chooseDecode, choosePrefill } from "./load";
 export { EngineModel, computePrefillMs } from "./model";
--- a/src/forward/engines/load.ts
+++ b/src/forward/engines/load.ts
@@ -7,13 +7,14 @@
 import { type EndpointEntry, EngineStage } from "../../fleet/entries";
 import type { SpeedEstimate } from "../endpoints";
 import {
-  chooseFastestDecode,
-  chooseFastestPrefill,
+  computeDecodeCost,
+  computePrefillCost,
   computeSlots,
   computeSlowdown,
   usesExpectedTime,
 } from "./expected";
 import { computeDecodeReadMs, computePrefillMs } from "./model";
+import { chooseBeyondUnseen, type PlacementRule, type UnseenWork } from "./spread";
 
 /** Work in progress at an engine. */
 export interface EngineWork {
@@ -58,8 +59,8 @@
   readonly tokensPerMs: number;
   /** Time until its first event is late, in milliseconds; zero or less if it is late already. */
   readonly leftMs: number;
-  /** Returns a random number in [0, 1), so that instances with the same view spread their choices. */
-  readonly random?: () => number;
+  /** What others have placed meanwhile; nothing if undefined. */
+  readonly unseen?: UnseenWork;
 }
 
 interface LocalWork {
@@ -263,15 +264,19 @@
   readonly needTokens: number;
   /** The data centre of the instance that forwards its stream. */
   readonly dataCentre: string;
-  /** Returns a random number in [0, 1), so that instances with the same view spread their choices. */
-  readonly random?: () => number;
+  /** What others have placed meanwhile; nothing if undefined. */
+  readonly unseen?: UnseenWork;
 }
 
+/** Nothing was placed meanwhile. */
+const NOTHING_UNSEEN: UnseenWork = { generations: 0, random: () => 0 };
+
 /**
  * Chooses the decode engine with the most free memory that has room for a generation; an engine
  * without held memory has room for a generation of any size. An engine of the own data centre is
  * preferred unless it holds more than one such generation more: a cut between data centres breaks
- * the streams that cross it. Engines that differ in speed are chosen by expected time.
+ * the streams that cross it. Engines that differ in speed are chosen by expected time. What others have
+ * placed meanwhile is reckoned with.
  *
  * @returns undefined if none has room
  * @example
@@ -282,24 +287,41 @@
   limits: EngineLimits,
   demand: DecodeDemand,
 ): EngineView | undefined {
-  const { needTokens, dataCentre } = demand;
+  const { needTokens, dataCentre, unseen = NOTHING_UNSEEN } = demand;
+  const hasRoom = (view: EngineView) =>
+    view.requests < computeSlots(view, limits) &&
+    (view.heldTokens === 0 || view.heldTokens + needTokens <= limits.capacityTokens);
   const eligible = views.filter(
-    (view) =>
-      view.endpoint.stage === EngineStage.decode &&
-      !view.isFull &&
-      view.requests < computeSlots(view, limits) &&
-      (view.heldTokens === 0 || view.heldTokens + needTokens <= limits.capacityTokens),
+    (view) => view.endpoint.stage === EngineStage.decode && !view.isFull && hasRoom(view),
   );
   const available = preferWhere(eligible, (view) => !view.isUnavailable);
   const candidates = preferWhere(available, (view) => !view.isLimited);
-  if (usesExpectedTime(candidates)) return chooseFastestDecode(candidates, limits, demand);
-  const least = findMinimum(candidates, readHeldTokens);
+  const addOne = (view: EngineView) => {
+    const { heldTokens, requests } = view;
+    const more = { ...view, heldTokens: heldTokens + needTokens, requests: requests + 1 };
+    return hasRoom(more) ? more : undefined;
+  };
+  if (usesExpectedTime(candidates)) {
+    const computeCost = (view: EngineView) => computeDecodeCost(view, limits, demand);
+    return chooseBeyondUnseen(candidates, unseen, { computeCost, addOne });
+  }
+  const rule = { computeCost: readHeldTokens, addOne };
+  const least = chooseBeyondUnseen(candidates, unseen, rule);
   const near = candidates.filter(({ endpoint }) => endpoint.dataCentre === dataCentre);
-  const leastNear = findMinimum(near, readHeldTokens);
+  const leastNear = chooseBeyondUnseen(near, shareUnseen(unseen, near, candidates), rule);
   if (least === undefined || leastNear === undefined) return least;
   return leastNear.heldTokens <= least.heldTokens + needTokens ? leastNear : least;
 }
 
+/** Shares what is unseen among engines: those of each data centre get theirs. */
+function shareUnseen(
+  { generations, random }: UnseenWork,
+  part: readonly EngineView[],
+  all: readonly EngineView[],
+): UnseenWork {
+  return { generations: (generations * part.length) / Math.max(1, all.length), random };
+}
+
 /**
  * Chooses the prefill engine with the fewest prompt tokens waiting; of engines that differ in speed,
  * the one that is expected to be done first.
@@ -314,7 +336,7 @@
   excluded: ReadonlySet<string>,
   prompt: PromptToRead,
 ): EngineView | undefined {
-  const { promptTokens, tokensPerMs, leftMs } = prompt;
+  const { promptTokens, tokensPerMs, leftMs, unseen = NOTHING_UNSEEN } = prompt;
   const eligible = views.filter(
     (view) =>
       view.endpoint.stage === EngineStage.prefill &&
@@ -323,9 +345,13 @@
       !excluded.has(view.endpoint.id),
   );
   const preferred = preferWhere(eligible, (view) => !view.isLimited);
-  const least = usesExpectedTime(preferred)
-    ? chooseFastestPrefill(preferred, prompt)
-    : findMinimum(preferred, (view) => view.promptTokens);
+  const rule: PlacementRule = {
+    computeCost: usesExpectedTime(preferred)
+      ? (view) => computePrefillCost(view, prompt)
+      : (view) => view.promptTokens,
+    addOne: (view) => ({ ...view, promptTokens: view.promptTokens + promptTokens }),
+  };
+  const least = chooseBeyondUnseen(preferred, unseen, rule);
   if (least === undefined) return undefined;
   const slowdown = computeSlowdown(least, preferred);
   const prefillMs = computePrefillMs(promptTokens, least.promptTokens, tokensPerMs / slowdown);
@@ -344,17 +370,6 @@
   return preferred.length > 0 ? preferred : views;
 }
 
-function findMinimum(
-  views: readonly EngineView[],
-  compute: (view: EngineView) => number,
-): EngineView | undefined {
-  let least: EngineView | undefined;
-  for (const view of views) {
-    if (least === undefined || compute(view) < compute(least)) least = view;
-  }
-  return least;
-}
-
 function addWork(sum: LocalWork, work: LocalWork | EngineWork | undefined): void {
   if (work === undefined) return;
   sum.heldTokens += work.heldTokens;
--- a/src/forward/engines/reservations.ts
+++ b/src/forward/engines/reservations.ts
@@ -9,6 +9,7 @@
 import { type EndpointEntry, EngineStage } from "../../fleet/entries";
 import type { RegionRule } from "../../fleet/regions";
 import { createWorkKind, type ForwardContext, isInRegions } from "../endpoints";
+import { Arrivals } from "./arrivals";
 import { chooseDecode, type EngineLoadTracker, type EngineView } from "./load";
 import { type GrantedHold, HoldCaller, HoldEnd } from "./holdcalls";
 import { type StreamOrigin, canGoOn } from "../shared";
@@ -64,6 +65,7 @@
   constructor(
     private readonly context: ForwardContext,
     private readonly engineLoad: EngineLoadTracker,
+    private readonly arrivals: Pick<Arrivals, "estimateUnseen"> = new Arrivals(),
   ) {
     this.holdCaller = new HoldCaller(context);
   }
@@ -279,8 +281,9 @@
     const preferred = views.filter((view) => view.endpoint.id === waitingRequest.cachedEngineId);
     const limits = limitCapacity(waitingRequest.limits, waitingRequest.targetDeadline <= now);
     const { needTokens } = waitingRequest;
-    const { dataCentre, random } = this.context;
-    const demand = { needTokens, dataCentre, random };
+    const { dataCentre } = this.context;
+    const unseen = this.arrivals.estimateUnseen(needTokens, now);
+    const demand = { needTokens, dataCentre, unseen };
     return chooseDecode(preferred, limits, demand) ?? chooseDecode(views, limits, demand);
   }
 
--- a/src/forward/generations/prefill.ts
+++ b/src/forward/generations/prefill.ts
@@ -19,6 +19,7 @@
   resetDataCentreConnections,
 } from "../endpoints";
 import {
+  type Arrivals,
   computePrefillMs,
   computeSlowdown,
   type EngineModel,
@@ -41,6 +42,7 @@
   readonly context: ForwardContext;
   readonly engineLoad: EngineLoadTracker;
   readonly engineModel: EngineModel;
+  readonly arrivals: Pick<Arrivals, "estimateUnseen">;
   /** Lists the engines of the request's service. */
   readonly listViews: (now: Moment) => readonly EngineView[];
 }
@@ -85,12 +87,13 @@
   ): Promise<CacheSource | undefined> {
     const kept = this.takeKeptSource();
     if (kept !== undefined) return kept;
-    const { context, engineLoad, engineModel, listViews } = this.parts;
+    const { context, engineLoad, engineModel, arrivals, listViews } = this.parts;
     const now = context.clock.now();
     const promptTokens = this.request.head.size?.promptTokens ?? 0;
     const tokensPerMs = engineModel.readTokensPerMs(this.request.service, now);
     const leftMs = this.times.softDeadline - now;
-    const prompt = { promptTokens, tokensPerMs, leftMs, random: context.random };
+    const unseen = arrivals.estimateUnseen(promptTokens, now);
+    const prompt = { promptTokens, tokensPerMs, leftMs, unseen };
     const views = listViews(now);
     const view = choosePrefill(views, new Set([decodeEngine.id]), prompt);
     if (view === undefined) return undefined;
--- a/src/forward/generations/stream.ts
+++ b/src/forward/generations/stream.ts
@@ -22,7 +22,13 @@
 import { createUnsentAbortResult, hasRun, TryEnd, type TryResult } from "./tries";
 import { type ForwardContext, type RequestTimes, createSuspect, isInRegions } from "../endpoints";
 import { Decoder, type StreamSink } from "./decode";
-import type { ReservationQueue, Reservation, EngineModel, EngineLoadTracker } from "../engines";
+import type {
+  Arrivals,
+  EngineLoadTracker,
+  EngineModel,
+  Reservation,
+  ReservationQueue,
+} from "../engines";
 import { createCancelledRefusal } from "../../core/outcome";
 import { Prefiller } from "./prefill";
 import { EngineReplacer, readSilentRunState, SilentRunState } from "./replacement";
@@ -57,6 +63,7 @@
   readonly reservations: ReservationQueue;
   readonly engineLoad: EngineLoadTracker;
   readonly engineModel: EngineModel;
+  readonly arrivals: Arrivals;
   readonly refusals: RefusalTracker;
 }
 
@@ -98,7 +105,7 @@
     private readonly sink: StreamSink,
     private readonly stages: StageRecorder,
   ) {
-    const { context, reservations, engineLoad, engineModel } = parts;
+    const { context, reservations, engineLoad, engineModel, arrivals } = parts;
     const { request, origin } = start;
     const { service } = request;
     this.request = request;
@@ -110,7 +117,7 @@
     this.sendBudget = new SendBudget(context.retries, service, context.clock);
     this.reserver = new RunReserver(parts, request, limits, times);
     this.recorder = new TryRecorder(context, request, times);
-    const prefillParts = { context, engineLoad, engineModel, listViews };
+    const prefillParts = { context, engineLoad, engineModel, arrivals, listViews };
     this.sender = new RunSender(parts, request, times, this.form);
     this.decoder = new Decoder(parts, this.sender, start, times, sink, this.form);
     this.prefiller = new Prefiller(prefillParts, request, limits, times, this.sendBudget);
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -34,6 +34,7 @@
 } from "./endpoints";
 import { createDialer, createLinkChecker, createPeerWays } from "./dialing";
 import {
+  Arrivals,
   EngineModel,
   EngineLoadTracker,
   StageRebalancer,
@@ -61,6 +62,7 @@
 
 /** What an instance knows of engines and of the requests that run there. */
 interface EngineState {
+  readonly arrivals: Arrivals;
   readonly refusals: RefusalTracker;
   readonly engineLoad: EngineLoadTracker;
   readonly engineModel: EngineModel;
@@ -113,7 +115,7 @@
     originParts,
     sendHeartbeats,
   );
-  const engines = createEngineState(context);
+  const engines = createEngineState(context, createLagReader(view));
   const { sources } = limitState;
   const offerFetch = (beat: Beat) => {
     heartbeats.addOffer(beat);
@@ -151,7 +153,6 @@
     stopAdmission,
     resumeResolver,
     ...engines,
-    arrivals: peerState,
     watcher,
   });
   const { reservations } = engines;
@@ -172,12 +173,18 @@
   };
 }
 
-function createQuotas({ settings, clock }: InstanceBase, { members }: FleetView): Quotas {
+function createQuotas({ settings, clock }: InstanceBase, view: FleetView): Quotas {
+  const { members } = view;
   const readFleetSize = () => members.readFleetSize(clock.now());
-  const readLagMs = () => (members.usesRelays ? RELAYED_COUNT_LAG_MS : PEER_COUNT_LAG_MS);
+  const readLagMs = createLagReader(view);
   return new Quotas(settings.quotaTolerance, readFleetSize, clock.now(), readLagMs);
 }
 
+/** Creates a reader of how old the counts become that peers report, in milliseconds. */
+function createLagReader({ members }: FleetView): () => number {
+  return () => (members.usesRelays ? RELAYED_COUNT_LAG_MS : PEER_COUNT_LAG_MS);
+}
+
 function createContext(
   base: InstanceBase,
   view: FleetView,
@@ -271,7 +278,8 @@
   return Math.max(MIN_CONNECTIONS, share);
 }
 
-function createEngineState(context: ForwardContext): EngineState {
+function createEngineState(context: ForwardContext, readLagMs: () => number): EngineState {
+  const arrivals = new Arrivals(readLagMs, context.random);
   const engineLoad = new EngineLoadTracker((engine, forMs) => {
     context.logger.warn("engine passed over", { engine, forMs });
   });
@@ -279,7 +287,8 @@
     refusals: new RefusalTracker(),
     engineLoad,
     engineModel: new EngineModel(),
-    reservations: new ReservationQueue(context, engineLoad),
+    arrivals,
+    reservations: new ReservationQueue(context, engineLoad, arrivals),
   };
 }
 
--- a/src/forward/peerstate.ts
+++ b/src/forward/peerstate.ts
@@ -43,17 +43,14 @@
   RELAYED_PEERS,
 } from "./shared";
 import type { PathTracker } from "./tunnels";
-import type { ReservationQueue, EngineModel, EngineLoadTracker, StageLoad } from "./engines";
-import { SlidingWindowSum } from "../core/window";
+import type {
+  Arrivals,
+  EngineLoadTracker,
+  EngineModel,
+  ReservationQueue,
+  StageLoad,
+} from "./engines";
 
-/**
- * Window over which arriving prompt tokens are averaged, in milliseconds; longer than the gaps
- * between large prompts at one instance.
- */
-const ARRIVAL_WINDOW_MS = 4000;
-const MS_PER_SECOND = 1000;
-/** How long the arrivals that a peer last reported still count, in milliseconds. */
-const PEER_ARRIVALS_TTL_MS = 2000;
 /**
  * Age from which the list of endpoints is fetched from a peer that has a newer one, in
  * milliseconds.
@@ -62,13 +59,6 @@
 /** The version if no configuration is known. */
 const NO_VERSION = -1;
 
-/** Load that arrives at a peer, as it last reported it. */
-interface PeerArrivals {
-  readonly arrivingTokens: number;
-  readonly waiting: number;
-  readonly receivedAt: Moment;
-}
-
 /** Dependencies of the peer state. */
 export interface PeerStateParts {
   readonly clock: Clock;
@@ -81,6 +71,7 @@
   readonly crashes: CrashTracker;
   readonly paths: PathTracker;
   readonly refusals: RefusalTracker;
+  readonly arrivals: Arrivals;
   readonly engineLoad: EngineLoadTracker;
   readonly engineModel: EngineModel;
   readonly reservations: ReservationQueue;
@@ -96,16 +87,8 @@
  * requests.
  */
 export class PeerState implements HeartbeatHost, RelayHost {
-  private readonly arrivedTokens = new SlidingWindowSum(ARRIVAL_WINDOW_MS);
-  private readonly peerArrivals = new Map<string, PeerArrivals>();
-
   constructor(private readonly parts: PeerStateParts) {}
 
-  /** Records a prompt that arrived at this instance. */
-  recordArrival(promptTokens: number, now: Moment): void {
-    this.arrivedTokens.add(promptTokens, now);
-  }
-
   createBeatContent(): BeatContent {
     const { clock, directory, quotas, sources, crashes, engineLoad, reservations, isLeaving } =
       this.parts;
@@ -122,7 +105,7 @@
       lostEndpoints: [...this.parts.paths.listLost()],
       ...this.encodeEvacuations(),
       tellsEvacuations: true,
-      arrivingTokens: roundCount(this.computeArrivalRate(now)),
+      arrivingTokens: roundCount(this.parts.arrivals.computeLocalRate(now)),
       engineSpeeds: [...this.parts.engineModel.listLocalEstimates()],
       waiting: roundCount(reservations.size),
       refused: [...this.parts.refusals.listLocalRefusals(now)],
@@ -140,13 +123,13 @@
   }
 
   handleBeat(received: Beat, now: Moment, sentAt: Moment | undefined): void {
-    const { quotas, engineLoad, reservations, isRelayed, faults } = this.parts;
+    const { quotas, engineLoad, arrivals, reservations, isRelayed, faults } = this.parts;
     const beat = checkBeat(received, createNumberReport(faults, received.instance));
-    const { instance, incarnation, arrivingTokens, waiting } = beat;
+    const { instance, incarnation, arrivingTokens } = beat;
     if (!isRelayed(instance, now)) {
       quotas.applyPeerUsage(instance, incarnation, beat.usages);
       engineLoad.replacePeerWork(instance, beat.works, now);
-      this.peerArrivals.set(instance, { arrivingTokens, waiting, receivedAt: now });
+      arrivals.recordPeer(instance, arrivingTokens, now);
     }
     this.parts.paths.applyPeerLost(instance, beat.lostEndpoints, now);
     this.applyKinds(instance, beat, { limitsAt: sentAt ?? now, at: now }, now);
@@ -186,21 +169,21 @@
   }
 
   readLoad(now: Moment): Load {
-    const { engineLoad, quotas, reservations } = this.parts;
+    const { engineLoad, quotas, arrivals, reservations } = this.parts;
     return {
       works: new Map(engineLoad.listLocalWork().map((work) => [work.engine, work])),
       usages: new Map(quotas.listLocalUsage().map(({ workspace, cost }) => [workspace, cost])),
-      arrivingTokens: Math.round(this.computeArrivalRate(now)),
+      arrivingTokens: Math.round(arrivals.computeLocalRate(now)),
       waiting: reservations.size,
     };
   }
 
-  applyPeerLoad({ works, usages, arrivingTokens, waiting }: Load, now: Moment): void {
-    const { quotas, engineLoad, reservations } = this.parts;
+  applyPeerLoad({ works, usages, arrivingTokens }: Load, now: Moment): void {
+    const { quotas, engineLoad, arrivals, reservations } = this.parts;
     engineLoad.replacePeerWork(RELAYED_PEERS, [...works.values()], now);
     const counts = [...usages].map(([workspace, cost]) => ({ workspace, cost }));
     quotas.applyPeerUsage(RELAYED_PEERS, "", counts);
-    this.peerArrivals.set(RELAYED_PEERS, { arrivingTokens, waiting, receivedAt: now });
+    arrivals.recordPeer(RELAYED_PEERS, arrivingTokens, now);
     reservations.dispatchWaiting();
   }
 
@@ -263,23 +246,14 @@
    * arrive at all live instances.
    */
   readStageLoad(service: string): StageLoad {
-    const { clock, reservations } = this.parts;
+    const { clock, arrivals, reservations } = this.parts;
     const now = clock.now();
-    let promptTokensPerSecond = this.computeArrivalRate(now);
-    for (const [peer, arrivals] of this.peerArrivals) {
-      if (now - arrivals.receivedAt > PEER_ARRIVALS_TTL_MS) this.peerArrivals.delete(peer);
-      else promptTokensPerSecond += arrivals.arrivingTokens;
-    }
+    const promptTokensPerSecond = arrivals.computeLocalRate(now) + arrivals.computePeerRate(now);
     const engines = reservations.listViews(service, now).map((view) => view.endpoint);
     const tokensPerMs = this.parts.engineModel.readTokensPerMs(service, now);
     return { engines, promptTokensPerSecond, tokensPerMs };
   }
 
-  /** Computes the prompt tokens that arrive at this instance per second. */
-  private computeArrivalRate(now: Moment): number {
-    return (this.arrivedTokens.read(now) * MS_PER_SECOND) / ARRIVAL_WINDOW_MS;
-  }
-
   /** Applies the fields of a heartbeat that are merged with what is known. */
   private applyKinds(
     peer: string,
