SHORT: an idle instance wakes once for all of its periodic work

Cause: each part had an interval of its own, so that an idle instance woke 70 to 91 times a second: 50 of them to sample how late the event loop runs with no request under way, the rest for eight intervals side by side, and for pings of every connection between instances, which grow with the peers. Change: periodic work expires at multiples of its interval, together (core/aligned); overdue requests are checked only if there are any, and the event loop is sampled while a request is under way; no pings on connections between forwarding instances, whose calls have timeouts that replace their channel and whose relay streams have messages of their own. Tunnels and the product's own peers keep their pings.

--- a/src/core/tasks.ts
+++ b/src/core/tasks.ts
@@ -2,6 +2,7 @@
  * Runs tasks that nobody waits for, such as polls and heartbeats. An unexpected error ends one turn of
  * its task: not the process, with all requests that it has accepted, and not the turns that follow.
  */
+import { AlignedInterval } from "./aligned";
 import { formatStack, type Logger } from "./log";
 
 /**
@@ -34,7 +35,7 @@
  * sweep.start();
  */
 export class PeriodicTask {
-  private timer: NodeJS.Timeout | undefined;
+  private timer: AlignedInterval | undefined;
 
   /**
    * @param name - what the log calls the task
@@ -47,11 +48,11 @@
     private readonly turn: () => Promise<void> | void,
   ) {}
 
-  /** Starts the interval; the first turn is due at its end. */
+  /** Starts the interval; the first turn is due with the other periodic work of the process. */
   start(): void {
-    this.timer = setInterval(() => {
+    this.timer = new AlignedInterval(this.intervalMs, () => {
       this.run();
-    }, this.intervalMs);
+    });
   }
 
   /** Runs one turn now. */
@@ -60,7 +61,7 @@
   }
 
   close(): void {
-    clearInterval(this.timer);
+    this.timer?.close();
   }
 }
 
--- a/src/fleet/heartbeat.ts
+++ b/src/fleet/heartbeat.ts
@@ -2,6 +2,7 @@
  * Exchanges heartbeats with all peers several times a second. They carry load, usage, crashes, and
  * how recent the sender's configuration and endpoint list are; newer versions are then fetched.
  */
+import { AlignedInterval } from "../core/aligned";
 import type { Logger } from "../core/log";
 import { ReadFirstTimer } from "../core/readfirst";
 import { runTask } from "../core/tasks";
@@ -62,7 +63,7 @@
 
 /** Sends heartbeats to all peers and processes theirs. */
 export class HeartbeatExchanger {
-  private timer: NodeJS.Timeout | undefined;
+  private timer: AlignedInterval | undefined;
   private readonly pendingAddresses = new Set<string>();
   /** Peers to which news is sent once the pending exchange has ended. */
   private readonly overdueAddresses = new Set<string>();
@@ -83,18 +84,18 @@
   ) {}
 
   start(): void {
-    this.timer = setInterval(() => {
+    this.timer = new AlignedInterval(HEARTBEAT_INTERVAL_MS, () => {
       void runTask("heartbeat", this.logger, () => {
         this.sendRegular();
       });
-    }, HEARTBEAT_INTERVAL_MS);
+    });
     void runTask("heartbeat", this.logger, () => {
       this.sendRegular();
     });
   }
 
   close(): void {
-    clearInterval(this.timer);
+    this.timer?.close();
     this.isClosed = true;
   }
 
--- a/src/fleet/relay/grpc.ts
+++ b/src/fleet/relay/grpc.ts
@@ -10,7 +10,7 @@
   type ServerDuplexStream,
 } from "@grpc/grpc-js";
 import { FleetService, RelayMessage } from "../../peer/gen/fleet";
-import { CHANNEL_OPTIONS } from "../../peer/transport";
+import { QUIET_CHANNEL_OPTIONS } from "../../peer/transport";
 import type { RelayListener, RelayStream } from "./transport";
 
 /** A message that was received, with its size. */
@@ -48,7 +48,7 @@
  */
 export function openRelayStream(address: string, listener: RelayListener): RelayStream | undefined {
   try {
-    const client = new Client(address, credentials.createInsecure(), CHANNEL_OPTIONS);
+    const client = new Client(address, credentials.createInsecure(), QUIET_CHANNEL_OPTIONS);
     const call: ClientDuplexStream<Uint8Array, ReceivedMessage> = client.makeBidiStreamRequest(
       RELAY_DEFINITION.path,
       RELAY_DEFINITION.requestSerialize,
--- a/src/fleet/transport.ts
+++ b/src/fleet/transport.ts
@@ -28,7 +28,7 @@
   type RememberRequest,
   type TunnelData,
 } from "../peer/gen/fleet";
-import { CHANNEL_OPTIONS } from "../peer/transport";
+import { QUIET_CHANNEL_OPTIONS } from "../peer/transport";
 import type { FleetTransport } from "./heartbeat";
 import { openRelayStream, RELAY_DEFINITION, type RelayCall, serveRelayStream } from "./relay/grpc";
 import type { RelayListener, RelayStream, RelayTransport } from "./relay/transport";
@@ -150,7 +150,7 @@
     const known = this.clients.get(address);
     if (known !== undefined) return known;
     try {
-      const client = new FleetClient(address, credentials.createInsecure(), CHANNEL_OPTIONS);
+      const client = new FleetClient(address, credentials.createInsecure(), QUIET_CHANNEL_OPTIONS);
       this.clients.set(address, client);
       return client;
     } catch {
@@ -171,7 +171,7 @@
   address: string,
   handler: FleetHandler,
 ): Promise<FleetServer> {
-  const server = new Server(CHANNEL_OPTIONS);
+  const server = new Server(QUIET_CHANNEL_OPTIONS);
   server.addService(
     { ...FleetService, relay: RELAY_DEFINITION },
     {
--- a/src/fleet/watcher.ts
+++ b/src/fleet/watcher.ts
@@ -5,6 +5,7 @@
  * by a peer whose copy holds nothing more.
  */
 import * as E from "fp-ts/Either";
+import { pauseUntilTick, TICK_MS } from "../core/aligned";
 import { type Clock, type Moment, pause } from "../core/clock";
 import type { DecodeError } from "../core/codec";
 import type { Logger } from "../core/log";
@@ -40,7 +41,7 @@
 const LARGE_FLEET_CONFIG_WAIT_MS = { min: 2400, jitter: 400 } as const;
 const LARGE_FLEET_LIST_READ_SHARE = 0.45;
 /** Shortest and longest time until it is checked again whether to read, in milliseconds. */
-const CHECK_MS = { min: 60, max: 250 } as const;
+const CHECK_MS = { min: 60, max: TICK_MS } as const;
 /** Delay after a failed call, in milliseconds. */
 const RETRY_DELAY_MS = 200;
 /**
@@ -405,7 +406,8 @@
       if (!this.isKnown(name)) return;
       const leftMs = getMaxAgeMs(state, role) - state.freshness.computeAgeMs(now);
       if (leftMs <= 0) return;
-      await pause(Math.min(CHECK_MS.max, Math.max(CHECK_MS.min, leftMs)));
+      if (leftMs > CHECK_MS.max) await pauseUntilTick();
+      else await pause(Math.max(CHECK_MS.min, leftMs));
     }
   }
 
--- a/src/forward/base.ts
+++ b/src/forward/base.ts
@@ -44,14 +44,16 @@
   const clock = new MonotonicClock();
   const meter = new Meter();
   const logger = createLogger(instance, settings.logLevel, lines);
+  const loopDelay = new LoopDelaySampler(clock, (ms) => {
+    meter.recordLoopDelay(ms);
+  });
+  loopDelay.rest();
   return {
     settings,
     adapter,
     clock,
     meter,
-    loopDelay: new LoopDelaySampler(clock, (ms) => {
-      meter.recordLoopDelay(ms);
-    }),
+    loopDelay,
     lines,
     logger,
     faults: new RecordFaults(logger, meter, clock),
--- a/src/forward/callers/dispatch.ts
+++ b/src/forward/callers/dispatch.ts
@@ -57,6 +57,16 @@
 
   /** Runs a request until its final response. */
   async run(request: CallerRequest): Promise<CallerResponse> {
+    const { loopDelay } = this.parts.context;
+    loopDelay.beginRequest();
+    try {
+      return await this.handle(request);
+    } finally {
+      loopDelay.endRequest();
+    }
+  }
+
+  private async handle(request: CallerRequest): Promise<CallerResponse> {
     const { head, body, arrivedAt } = request;
     const { admission, context } = this.parts;
     const arrival = { arrivedAt, configVersion: this.readConfigVersion() };
--- a/src/forward/callers/server.ts
+++ b/src/forward/callers/server.ts
@@ -5,6 +5,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
 import * as E from "fp-ts/Either";
+import { AlignedInterval } from "../../core/aligned";
 import type { CallerLimits } from "../../fleet/config";
 import { type Clock, type Moment, MS_PER_SECOND } from "../../core/clock";
 import { EventGuard } from "../../core/guard";
@@ -82,7 +83,7 @@
   private readonly badConnections = new BadConnections();
   private readonly overdue: OverdueRequests;
   private readonly responses: ResponseWriter;
-  private overdueTimer: NodeJS.Timeout | undefined;
+  private overdueTimer: AlignedInterval | undefined;
   private limits = INITIAL_LIMITS;
   private openRequests = 0;
   /** Ends the work on each open request as if its caller had left. */
@@ -142,9 +143,9 @@
 
   /** Starts to listen; rejects if the address is not available. */
   listen(host: string, port: number): Promise<void> {
-    this.overdueTimer = setInterval(() => {
+    this.overdueTimer = new AlignedInterval(CHECK_INTERVAL_MS, () => {
       this.checkOverdue();
-    }, CHECK_INTERVAL_MS);
+    });
     return new Promise((resolve, reject) => {
       this.server.once("error", reject);
       this.server.listen({ host, port, backlog: LISTEN_BACKLOG }, resolve);
@@ -182,7 +183,7 @@
    * Stops accepting connections, and closes all connections, also those with requests in flight.
    */
   close(): void {
-    clearInterval(this.overdueTimer);
+    this.overdueTimer?.close();
     this.connections.closeAll();
     this.server.close();
   }
@@ -343,6 +344,7 @@
 
   /** Checks for overdue requests once sockets were read, which may bring what they wait for. */
   private checkOverdue(): void {
+    if (this.overdue.size === 0) return;
     setImmediate(() => {
       void runTask("check overdue requests", this.logger, () => {
         this.overdue.check();
--- a/src/forward/endpoints/client.ts
+++ b/src/forward/endpoints/client.ts
@@ -4,6 +4,7 @@
  * brought an answer to another exchange is closed and never reused.
  */
 import * as E from "fp-ts/Either";
+import { AlignedInterval } from "../../core/aligned";
 import { ByteBudget } from "../../core/bytebudget";
 import type { Clock, Moment } from "../../core/clock";
 import type { Regions } from "../../fleet/regions";
@@ -97,7 +98,7 @@
 /** Sends to endpoints over HTTP/1.1. */
 export class HttpEndpointClient implements EndpointClient {
   private readonly pools = new Map<string, ConnectionPool>();
-  private readonly timer: NodeJS.Timeout;
+  private readonly timer: AlignedInterval;
   private readonly heldBytes: ByteBudget;
 
   constructor(
@@ -108,11 +109,11 @@
     private readonly host: ClientHost,
   ) {
     this.heldBytes = host.heldBytes ?? new ByteBudget(clock);
-    this.timer = setInterval(() => {
+    this.timer = new AlignedInterval(SWEEP_INTERVAL_MS, () => {
       void runTask("remove closed pools", this.host.logger, () => {
         this.removeClosed();
       });
-    }, SWEEP_INTERVAL_MS);
+    });
     this.timer.unref();
   }
 
@@ -262,7 +263,7 @@
   }
 
   close(): Promise<void> {
-    clearInterval(this.timer);
+    this.timer.close();
     this.dialer.close();
     for (const pool of this.pools.values()) pool.close();
     this.pools.clear();
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -2,12 +2,12 @@
  * A forwarding instance: starts its parts, serves with them, and shuts them down.
  */
 import * as E from "fp-ts/Either";
+import { AlignedInterval, TICK_MS } from "../core/aligned";
 import { pause } from "../core/clock";
 import { pauseAndRead } from "../core/readfirst";
 import { runSteps, runTask } from "../core/tasks";
 import { createNotRunRefusal, Reason } from "../core/outcome";
 import { createNumberReport } from "../fleet/feeds/faults";
-import { TICK_INTERVAL_MS } from "../fleet/relay/network";
 import type { RelayListener, RelayStream } from "../fleet/relay/transport";
 import { type FleetHandler, type FleetServer, startFleetServer } from "../fleet/transport";
 import type {
@@ -65,7 +65,7 @@
   private readonly maintenance: Maintenance;
   private readonly tunnelServer: TunnelServer;
   private peerServer: FleetServer | undefined;
-  private networkTimer: NodeJS.Timeout | undefined;
+  private networkTimer: AlignedInterval | undefined;
   private isStopping = false;
   /** Resolves once the instance has stopped; undefined until it is told to. */
   private stopped: Promise<void> | undefined;
@@ -125,11 +125,11 @@
       this.listenPeers(),
     ]);
     heartbeats.start();
-    this.networkTimer = setInterval(() => {
+    this.networkTimer = new AlignedInterval(TICK_MS, () => {
       void runTask("relay network", logger, () => {
         this.parts.network.tick();
       });
-    }, TICK_INTERVAL_MS);
+    });
     rebalancer.start();
     joiner.start();
     this.maintenance.start();
@@ -319,7 +319,7 @@
     const own = { loopDelay, watcher: view.watcher, heartbeats, network, joiner, rebalancer };
     const shared = { reservations, releaser, announcer, originWriter: originParts.originWriter };
     const last = { transport: view.transport, peerServer, client, store: adapter.store };
-    clearInterval(this.networkTimer);
+    this.networkTimer?.close();
     await Promise.all(
       Object.entries({ ...servers, ...own, ...shared, ...last }).map(([name, part]) =>
         runTask(`close ${name}`, logger, () => part?.close()),
--- a/src/forward/maintenance.ts
+++ b/src/forward/maintenance.ts
@@ -3,6 +3,7 @@
  * the versions of endpoints, closes idle connections to evacuated data centres, and forgets endpoints
  * that left.
  */
+import { AlignedInterval } from "../core/aligned";
 import type { Moment } from "../core/clock";
 import { runSteps } from "../core/tasks";
 import type { ForwardContext } from "./endpoints";
@@ -17,7 +18,7 @@
 
 /** Maintains an instance. */
 export class Maintenance {
-  private timer: NodeJS.Timeout | undefined;
+  private timer: AlignedInterval | undefined;
   private appliedVersion = NO_VERSION;
   private versionsRecordedAt: Moment = Number.NEGATIVE_INFINITY;
   /** Number of live instances in the last log line on shares. */
@@ -35,13 +36,13 @@
   }
 
   start(): void {
-    this.timer = setInterval(() => {
+    this.timer = new AlignedInterval(MAINTENANCE_INTERVAL_MS, () => {
       this.maintain();
-    }, MAINTENANCE_INTERVAL_MS);
+    });
   }
 
   close(): void {
-    clearInterval(this.timer);
+    this.timer?.close();
   }
 
   /** Applies the limits for callers of a new configuration; called at each head of a request too. */
--- a/src/forward/requests/loopdelay.ts
+++ b/src/forward/requests/loopdelay.ts
@@ -1,6 +1,6 @@
 /**
  * Samples how late the event loop runs, so that the end of a request can say for how long the process
- * stood still meanwhile.
+ * stood still meanwhile. It takes samples while requests are under way.
  */
 import type { Clock, Moment } from "../../core/clock";
 
@@ -19,7 +19,9 @@
   /** In order of time; each is longer than all that follow, as no question is answered by others. */
   private longest: Delay[] = [];
   private sampledAt: Moment;
-  private readonly timer: NodeJS.Timeout;
+  private timer: NodeJS.Timeout | undefined;
+  private isResting = false;
+  private openRequests = 0;
 
   /** @param onSample - called with each delay, in milliseconds */
   constructor(
@@ -27,10 +29,28 @@
     private readonly onSample: (ms: number) => void = () => undefined,
   ) {
     this.sampledAt = clock.now();
-    this.timer = setInterval(() => {
-      this.sample();
-    }, SAMPLE_INTERVAL_MS);
-    this.timer.unref();
+    this.startTimer();
+  }
+
+  /** Takes no samples until a request begins: nobody asks for delays of an idle process. */
+  rest(): void {
+    clearInterval(this.timer);
+    this.isResting = true;
+  }
+
+  /** Takes samples while a request is under way. */
+  beginRequest(): void {
+    this.openRequests += 1;
+    if (!this.isResting) return;
+    this.isResting = false;
+    this.sampledAt = this.clock.now();
+    this.startTimer();
+  }
+
+  /** Rests again after the last request. */
+  endRequest(): void {
+    this.openRequests -= 1;
+    if (this.openRequests === 0) this.rest();
   }
 
   /** Computes the longest delay that ended after a moment, or goes on, in milliseconds. */
@@ -58,7 +78,15 @@
     clearInterval(this.timer);
   }
 
+  private startTimer(): void {
+    this.timer = setInterval(() => {
+      this.sample();
+    }, SAMPLE_INTERVAL_MS);
+    this.timer.unref();
+  }
+
   private computeDelayMs(now: Moment): number {
+    if (this.isResting) return 0;
     return Math.max(0, now - this.sampledAt - SAMPLE_INTERVAL_MS);
   }
 }
--- a/src/peer/transport.ts
+++ b/src/peer/transport.ts
@@ -32,23 +32,32 @@
 
 const MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
 
-/**
- * Options of every channel: no connections shared with other channels, no retries by the library,
- * and keep-alive pings that detect a silent connection.
- */
-export const CHANNEL_OPTIONS: ChannelOptions = {
+/** Options of every channel: no connections shared with other channels, no retries by the library. */
+const BASE_OPTIONS: ChannelOptions = {
   "grpc.use_local_subchannel_pool": 1,
   "grpc.enable_retries": 0,
   "grpc.service_config_disable_resolution": 1,
-  "grpc.keepalive_time_ms": 2000,
-  "grpc.keepalive_timeout_ms": 1000,
-  "grpc.keepalive_permit_without_calls": 1,
   "grpc.initial_reconnect_backoff_ms": 100,
   "grpc.max_reconnect_backoff_ms": 1000,
   "grpc.max_receive_message_length": MAX_MESSAGE_BYTES,
   "grpc.max_send_message_length": MAX_MESSAGE_BYTES,
 };
 
+/** Options with keep-alive pings, which detect a silent connection. */
+export const CHANNEL_OPTIONS: ChannelOptions = {
+  ...BASE_OPTIONS,
+  "grpc.keepalive_time_ms": 2000,
+  "grpc.keepalive_timeout_ms": 1000,
+  "grpc.keepalive_permit_without_calls": 1,
+};
+
+/**
+ * Options without pings, for connections whose users see silence themselves: every unary call between
+ * forwarding instances has a timeout, after which its channel is replaced, and relay streams have
+ * messages of their own. Pings of idle connections would wake each instance for each peer.
+ */
+export const QUIET_CHANNEL_OPTIONS: ChannelOptions = BASE_OPTIONS;
+
 /** A call to a peer that got no reply; the peer may still have executed it. */
 export class PeerError extends Error {
   override readonly name = "PeerError";
