SHORT: relays from 13 instances on

Cause: up to 16 instances exchanged unary heartbeats with all, 60 calls a second each at 16: 100 ms of processor time a second, more than a relay member needs at 78. Change: the fleet uses relays above 12 known instances; below, most instances would be relays themselves.

--- a/src/forward/settings.ts
+++ b/src/forward/settings.ts
@@ -8,9 +8,9 @@
 
 /**
  * Default of `maxDirectInstances`: the cost of heartbeats to all grows with the number of peers, and in
- * a small fleet relays only add a step.
+ * a small fleet, where most instances would be relays, these only add a step.
  */
-export const DEFAULT_MAX_DIRECT_INSTANCES = 16;
+export const DEFAULT_MAX_DIRECT_INSTANCES = 12;
 
 /** An IP address and a port to listen at. */
 export interface ListenAddress {
