Training of the code cache stands with the platform's names

Cause: platform/test/protocol.spec.ts failed, as the stand-ins of the training speak the platform's protocol in scripts/. Change: the folder is platform/training.

--- a/scripts/build-platform.mjs
+++ b/scripts/build-platform.mjs
@@ -21,7 +21,7 @@
   logLevel: "warning",
 });
 try {
-  const { trainRouter } = await import("./training/train.mjs");
+  const { trainRouter } = await import("../platform/training/train.mjs");
   await trainRouter();
   console.log(`target/router.cache: ${(statSync("target/router.cache").size / 1e6).toFixed(1)} MB`);
 } catch (error) {
