Callers' bodies: one budget from memory-mb, few read at once

Cause: a body was bounded, all of them were not; each piece was kept as a buffer of its own, some hundred bytes of heap each; what was given up lay outside the heap, where V8 sees no reason to collect it; and a body had a bound on its silence, none on the whole. Change: BodyIntake bounds the bodies of a process by its budget (a tenth of memory-mb, as for answers). The fingerprint is made of the bytes, not of a copy as a string. The product's own interface reads its bodies the same way.

--- a/src/core/ids.ts
+++ b/src/core/ids.ts
@@ -66,7 +66,7 @@
  * @example
  * computeFingerprint("drafter", "prompt text");
  */
-export function computeFingerprint(...parts: readonly string[]): string {
+export function computeFingerprint(...parts: readonly (string | Buffer)[]): string {
   const hash = createHash("sha256");
   for (const part of parts) {
     hash.update(`${part.length}:`);
--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -19,6 +19,7 @@
 import { countTokens } from "../core/tokens";
 import { Metric } from "../core/metrics";
 import { BadConnections, type BadRequestAnswer } from "./badconnection";
+import { BodyIntake } from "./bodyintake";
 import { BodyFailure, type BodyLimits, createBodyRefusal, readCallerBody } from "./callerbody";
 import { ResponseHeader, writeRefusal } from "./response";
 import { type Caller, containsKey, identifyCaller, readKey } from "./caller";
@@ -67,6 +68,7 @@
   private readonly sockets = new Set<Socket>();
   private readonly badConnections = new BadConnections();
   private readonly bodyLimits: BodyLimits;
+  private readonly intake: BodyIntake;
 
   constructor(
     private readonly parts: RunnerParts,
@@ -74,6 +76,7 @@
     private readonly limits: CallerLimits,
     private readonly isReady: () => boolean,
   ) {
+    this.intake = new BodyIntake(parts.clock);
     this.bodyLimits = { maxBytes: limits.maxBodyBytes, stallTimeoutMs: limits.bodyTimeoutMs };
     this.server = createServer(
       { requestTimeout: 0, connectionsCheckingInterval: HEADERS_CHECK_INTERVAL_MS },
@@ -106,6 +109,7 @@
 
   /** Stops accepting requests, waits until all have a response, then closes the connections. */
   async close(): Promise<void> {
+    this.intake.close();
     const closed = new Promise<void>((resolve) => {
       this.server.close(() => {
         resolve();
@@ -161,12 +165,22 @@
       this.refuse(response, checked.left, id, request);
       return;
     }
-    const body = await readCallerBody(request, this.bodyLimits);
+    const { bodyLimits: limits, intake } = this;
+    const body = await readCallerBody(request, { clock: this.parts.clock, intake, limits });
     if (E.isLeft(body)) {
-      this.refuse(response, createBodyRefusal(body.left, this.bodyLimits), id, request);
+      this.refuse(response, createBodyRefusal(body.left, limits), id, request);
       return;
     }
-    const exchange = { id, request, response, arrivedAt, ...checked.right, body: body.right };
+    const { bytes, release } = body.right;
+    try {
+      await this.run({ id, request, response, arrivedAt, ...checked.right, body: bytes });
+    } finally {
+      release();
+    }
+  }
+
+  private async run(exchange: Exchange): Promise<void> {
+    const { id, request, response } = exchange;
     const refusal = this.checkKeyLeak(exchange);
     if (refusal !== undefined) this.refuse(response, refusal, id, request);
     else if (exchange.matched.route.kind === RouteKind.completion)
--- a/src/forward/callers/admission.ts
+++ b/src/forward/callers/admission.ts
@@ -55,12 +55,7 @@
     if (E.isLeft(workspace)) return workspace;
     const service = chooseService(route.services, this.parts.random());
     if (service === undefined) return E.left(createNotReadyRefusal("the route has no service"));
-    const fingerprint = computeFingerprint(
-      head.method,
-      head.target,
-      head.key ?? "",
-      body.toString("latin1"),
-    );
+    const fingerprint = computeFingerprint(head.method, head.target, head.key ?? "", body);
     const suspect = { fingerprint, parts: head.promptParts };
     const ban = this.parts.crashes.findBan(suspect, now);
     if (ban !== undefined) return E.left(createPoisonRefusal());
--- a/src/forward/callers/server.ts
+++ b/src/forward/callers/server.ts
@@ -14,6 +14,7 @@
 import { ByteBudget } from "../../core/bytebudget";
 import { boundTimeoutMs, MAX_TIMEOUT_MS } from "../../core/timeouts";
 import { BadConnections } from "../../entry/badconnection";
+import { BodyIntake } from "../../entry/bodyintake";
 import { BodyFailure, createBodyRefusal, readCallerBody } from "../../entry/callerbody";
 import { endIfUnread } from "../../entry/unread";
 import {
@@ -83,6 +84,7 @@
   private readonly badConnections = new BadConnections();
   private readonly overdue: OverdueRequests;
   private readonly responses: ResponseWriter;
+  private readonly intake: BodyIntake;
   private overdueTimer: AlignedInterval | undefined;
   private limits = INITIAL_LIMITS;
   private openRequests = 0;
@@ -102,6 +104,10 @@
     heldBytes = new ByteBudget(clock),
   ) {
     this.overdue = new OverdueRequests(() => clock.now());
+    this.intake = new BodyIntake(clock, heldBytes.maxBytes, (reason) => {
+      meter.bodiesRefused.inc({ reason });
+      logger.warn("body refused", { reason, held: this.intake.held });
+    });
     this.responses = new ResponseWriter(
       codec,
       this.connections,
@@ -184,6 +190,7 @@
    */
   close(): void {
     this.overdueTimer?.close();
+    this.intake.close();
     this.connections.closeAll();
     this.server.close();
   }
@@ -288,22 +295,35 @@
       this.responses.refuse(response, undefined, head.left);
       return;
     }
-    const body = await readCallerBody(request, bodyLimits);
-    if (abort.signal.aborted) return;
+    const { clock, intake } = this;
+    const body = await readCallerBody(request, { clock, intake, limits: bodyLimits });
     if (E.isLeft(body)) {
-      if (body.left === BodyFailure.callerGone) return;
+      if (abort.signal.aborted || body.left === BodyFailure.callerGone) return;
       this.responses.refuse(response, head.right.id, createBodyRefusal(body.left, bodyLimits));
       return;
     }
-    const callerRequest = { head: head.right, body: body.right, arrivedAt, caller: abort.signal };
+    const { bytes, release } = body.right;
+    const callerRequest = { head: head.right, body: bytes, arrivedAt, caller: abort.signal };
+    try {
+      if (!abort.signal.aborted) await this.handle(callerRequest, response, abort);
+    } finally {
+      release();
+    }
+  }
+
+  private async handle(
+    request: Omit<CallerRequest, "sink" | "watched">,
+    response: ServerResponse,
+    abort: AbortController,
+  ): Promise<void> {
+    const { id } = request.head;
     try {
-      const result = await this.handleInTime(callerRequest, response, abort);
+      const result = await this.handleInTime(request, response, abort);
       if (result === undefined) return;
-      if (E.isLeft(result))
-        this.responses.refuse(response, head.right.id, this.convertCancelled(result.left));
+      if (E.isLeft(result)) this.responses.refuse(response, id, this.convertCancelled(result.left));
       else this.responses.send(response, result.right);
     } catch (error) {
-      this.failRequest(response, head.right.id, error);
+      this.failRequest(response, id, error);
     }
   }
 
--- a/src/forward/requests/meter.ts
+++ b/src/forward/requests/meter.ts
@@ -76,6 +76,11 @@
   );
   readonly storeCalls = this.createCounter("store_calls_total", "Calls to the store", []);
   readonly storeFailures = this.createCounter("store_failures_total", "Failed calls to it", []);
+  readonly bodiesRefused = this.createCounter(
+    "bodies_refused_total",
+    "Bodies of callers that were not read, as too many others are",
+    ["reason"],
+  );
   readonly noRoom = this.createCounter(
     "no_room_total",
     "Answers and streams that were ended, as no room was left for what was held of them",
