Requests behind each other: four of a connection are under way, a hundred wait

Change: of one connection four requests are under way; a hundred may wait, over all connections as many as a fifth of the budget holds at 8 KiB each. A connection with more is reset: pausing it does not stop Node.js, which reads on as soon as a response ends.

--- a/src/forward/callers/server.ts
+++ b/src/forward/callers/server.ts
@@ -33,6 +33,7 @@
   type WatchedRequest,
 } from "./overdue";
 import { ResponseWriter } from "./responses";
+import { ConnectionTurns, Turn } from "./turns";
 import type { BufferedResponse, CallerCodec, Meter, RequestHead } from "../requests";
 import type { StreamSink } from "../generations";
 
@@ -85,6 +86,7 @@
   private readonly overdue: OverdueRequests;
   private readonly responses: ResponseWriter;
   private readonly intake: BodyIntake;
+  private readonly turns: ConnectionTurns;
   private overdueTimer: AlignedInterval | undefined;
   private limits = INITIAL_LIMITS;
   private openRequests = 0;
@@ -104,6 +106,7 @@
     heldBytes = new ByteBudget(clock),
   ) {
     this.overdue = new OverdueRequests(() => clock.now());
+    this.turns = new ConnectionTurns(heldBytes.maxBytes);
     this.intake = new BodyIntake(clock, heldBytes.maxBytes, (reason) => {
       meter.bodiesRefused.inc({ reason });
       logger.warn("body refused", { reason, held: this.intake.held });
@@ -207,12 +210,35 @@
   }
 
   private async onRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (request.socket.destroyed) return;
     if (!this.canAnswer(request)) {
       this.dropRequest(request);
       return;
     }
     this.badConnections.record(request, response);
     const written = this.connections.track(request, response);
+    this.openRequests += 1;
+    try {
+      const turn = this.turns.begin(request.socket);
+      if (turn === Turn.refused) {
+        this.closeCrowded(request);
+        return;
+      }
+      if (turn !== Turn.now) await turn;
+      if (request.socket.destroyed) return;
+      await this.runRequest(request, response, written);
+      this.turns.end(request.socket);
+    } finally {
+      this.openRequests -= 1;
+    }
+  }
+
+  /** Runs a request that has its turn; resolves once its response is written out. */
+  private async runRequest(
+    request: IncomingMessage,
+    response: ServerResponse,
+    written: Promise<void>,
+  ): Promise<void> {
     this.keepAnnounced(request, response, this.server.keepAliveTimeout);
     const arrivedAt = this.clock.now();
     const callerAbort = new AbortController();
@@ -224,7 +250,6 @@
     request.socket.once("end", onCallerGone);
     // The response to a request behind another one is told nothing of it.
     request.socket.once("close", onCallerGone);
-    this.openRequests += 1;
     this.aborts.add(callerAbort);
     try {
       await this.respondOrFail(request, response, arrivedAt, callerAbort);
@@ -233,10 +258,16 @@
       await written;
     } finally {
       this.aborts.delete(callerAbort);
-      this.openRequests -= 1;
     }
   }
 
+  /** Closes a connection with too many requests behind each other: all that it sends would be kept. */
+  private closeCrowded({ socket }: IncomingMessage): void {
+    this.meter.crowdedConnections.inc();
+    this.logger.warn("connection crowded", { waiting: this.turns.waitingCount });
+    socket.resetAndDestroy();
+  }
+
   private async respondOrFail(
     request: IncomingMessage,
     response: ServerResponse,
--- a/src/forward/requests/meter.ts
+++ b/src/forward/requests/meter.ts
@@ -81,6 +81,11 @@
     "Bodies of callers that were not read, as too many others are",
     ["reason"],
   );
+  readonly crowdedConnections = this.createCounter(
+    "crowded_connections_total",
+    "Connections of callers that were closed for too many requests behind each other",
+    [],
+  );
   readonly noRoom = this.createCounter(
     "no_room_total",
     "Answers and streams that were ended, as no room was left for what was held of them",
