--- a/src/core/tasks.ts
+++ b/src/core/tasks.ts
@@ -2,7 +2,7 @@
  * Runs tasks that nobody waits for, such as polls and heartbeats. An unexpected error ends one turn of
  * its task: not the process, with all requests that it has accepted, and not the turns that follow.
  */
-import { AlignedInterval } from "./aligned";
+import { AlignedInterval, TICK_MS } from "./aligned";
 import { formatStack, type Logger } from "./log";
 
 /**
@@ -35,7 +35,8 @@
  * sweep.start();
  */
 export class PeriodicTask {
-  private timer: AlignedInterval | undefined;
+  private aligned: AlignedInterval | undefined;
+  private timer: NodeJS.Timeout | undefined;
 
   /**
    * @param name - what the log calls the task
@@ -48,11 +49,13 @@
     private readonly turn: () => Promise<void> | void,
   ) {}
 
-  /** Starts the interval; the first turn is due with the other periodic work of the process. */
+  /** Starts the interval; a multiple of the tick runs with the other periodic work of the process. */
   start(): void {
-    this.timer = new AlignedInterval(this.intervalMs, () => {
+    const run = () => {
       this.run();
-    });
+    };
+    if (this.intervalMs % TICK_MS === 0) this.aligned = new AlignedInterval(this.intervalMs, run);
+    else this.timer = setInterval(run, this.intervalMs);
   }
 
   /** Runs one turn now. */
@@ -61,7 +64,8 @@
   }
 
   close(): void {
-    this.timer?.close();
+    this.aligned?.close();
+    clearInterval(this.timer);
   }
 }
 
