--- a/src/core/tasks.ts
+++ b/src/core/tasks.ts
@@ -2,7 +2,7 @@
  * Runs tasks that nobody waits for, such as polls and heartbeats. An unexpected error ends one turn of
  * its task: not the process, with all requests that it has accepted, and not the turns that follow.
  */
-import { AlignedInterval, TICK_MS } from "./aligned";
+import { AlignedInterval } from "./aligned";
 import { formatStack, type Logger } from "./log";
 
 /**
@@ -35,8 +35,7 @@
  * sweep.start();
  */
 export class PeriodicTask {
-  private aligned: AlignedInterval | undefined;
-  private timer: NodeJS.Timeout | undefined;
+  private timer: AlignedInterval | undefined;
 
   /**
    * @param name - what the log calls the task
@@ -49,13 +48,11 @@
     private readonly turn: () => Promise<void> | void,
   ) {}
 
-  /** Starts the interval; a multiple of the tick runs with the other periodic work of the process. */
+  /** Starts the interval; the first turn is due with the other periodic work of the process. */
   start(): void {
-    const run = () => {
+    this.timer = new AlignedInterval(this.intervalMs, () => {
       this.run();
-    };
-    if (this.intervalMs % TICK_MS === 0) this.aligned = new AlignedInterval(this.intervalMs, run);
-    else this.timer = setInterval(run, this.intervalMs);
+    });
   }
 
   /** Runs one turn now. */
@@ -64,8 +61,7 @@
   }
 
   close(): void {
-    this.aligned?.close();
-    clearInterval(this.timer);
+    this.timer?.close();
   }
 }
 
