--- a/src/forward/endpoints/answer.ts
+++ b/src/forward/endpoints/answer.ts
@@ -20,7 +20,8 @@
   /** True if the response has a length, chunks or no body; one without ends with its connection. */
   readonly isFramed: boolean;
   /**
-   * Returns true if the connection failed, so that a body that seems to have ended is not whole.
+   * Returns true if the connection failed that alone delimits the body, so that one that seems to have
+   * ended is not whole.
    */
   readonly isBroken: () => boolean;
   /** Returns true if bytes of the body contain the head of a copy of this or an earlier response. */
@@ -53,13 +54,14 @@
  */
 export function createOpenResponse(parts: ResponseParts): OpenResponse {
   const { head, headers, body, connection, isCopy, lease } = parts;
+  const isFramed = hasFraming(head.status, headers);
   return {
     lease,
     length: readLength(headers),
     head,
     body,
-    isFramed: hasFraming(head.status, headers),
-    isBroken: () => connection.isBroken,
+    isFramed,
+    isBroken: () => !isFramed && connection.isBroken,
     containsCopy: (bytes) => containsOwnHead(bytes, isCopy),
     isFilledUp: async (whole) => isCutInHead(whole) && (await connection.waitForStrayBytes()),
   };
@@ -100,8 +102,14 @@
   return at < 0 ? undefined : Number(headers[at + 1]);
 }
 
-/** Checks for a length, chunks, or a status without a body. */
-function hasFraming(status: number, headers: readonly string[]): boolean {
+/**
+ * Checks for a length, chunks, or a status without a body.
+ *
+ * @param headers - names and values, alternating
+ * @example
+ * hasFraming(200, ["content-length", "7"]); // true
+ */
+export function hasFraming(status: number, headers: readonly string[]): boolean {
   if (status === NO_CONTENT || status === NOT_MODIFIED) return true;
   return headers.some((text, index) => index % 2 === 0 && FRAMING_HEADERS.has(text.toLowerCase()));
 }
--- a/src/forward/endpoints/client.ts
+++ b/src/forward/endpoints/client.ts
@@ -11,8 +11,15 @@
 import { createTimeoutSignal } from "../../core/readfirst";
 import type { Logger } from "../../core/log";
 import { runTask } from "../../core/tasks";
-import { createOpenResponse, isFromEndpoint, type OpenResponse, releaseAfter } from "./answer";
+import {
+  createOpenResponse,
+  hasFraming,
+  isFromEndpoint,
+  type OpenResponse,
+  releaseAfter,
+} from "./answer";
 import { MAX_SMALL_BODY_BYTES } from "./body";
+import { type AnswerFacts, type CutAnswer, describeCut } from "./brokenanswer";
 import { type Connection, MAX_FRAMED_BYTES, MAX_HEAD_BYTES } from "./connection";
 import type { EndpointDialer } from "../tunnels";
 import { isJoinedHead, isOwnAnswer, isRefusal } from "./exchange";
@@ -85,6 +92,8 @@
   /** Computes how many connections to one endpoint of a service this instance may open. */
   computeMaxConnections(service: string): number;
   onForeignAnswer(answer: ForeignAnswer): void;
+  /** Called with each answer that is not passed on since its connection was cut. */
+  onCutAnswer?(answer: CutAnswer): void;
   /** Called with the load that an endpoint tells in an answer of any kind. */
   onLoad?(endpoint: string, load: EndpointLoad): void;
   /** Computes after which silence the direct way to an endpoint is checked, in milliseconds. */
@@ -182,6 +191,12 @@
         send.task === SendTask.prefill ? MAX_SMALL_BODY_BYTES : MAX_FRAMED_BYTES,
       );
       releaseAfter(pool, connection, response.body);
+      const facts = { request: head.id, service, endpoint: send.endpoint.id };
+      const isFramed = hasFraming(response.statusCode, headers);
+      const answer = { ...facts, status: response.statusCode, isFramed };
+      response.body.once("error", (error: Error) => {
+        this.reportCut(answer, error);
+      });
       if (isFromEndpoint(responseHead)) {
         const canEndLimit = send.task === SendTask.run;
         this.gate.onLimitNotice(send.endpoint, notice, { sentAt, canEndLimit });
@@ -216,6 +231,7 @@
     const connection = pool.openForCall(call.isDirectOnly);
     const sentAt = this.clock.now();
     connection.limitBytes(MAX_HEAD_BYTES);
+    let answer: AnswerFacts | undefined;
     try {
       const response = await connection.client.request({
         method: call.method,
@@ -234,9 +250,13 @@
         this.reportLoad(target, notice);
       }
       connection.limitBytes(MAX_SMALL_BODY_BYTES);
+      const { id: endpoint, service = "" } = target;
+      const { statusCode: status } = response;
+      answer = { request: "", service, endpoint, status, isFramed: hasFraming(status, headers) };
       const body = Buffer.from(await response.body.arrayBuffer());
-      return E.right({ status: response.statusCode, body });
+      return E.right({ status, body });
     } catch (error) {
+      if (answer !== undefined) this.reportCut(answer, error);
       this.recordCallEnd(target, call, SendEnding.failed, sentAt, permits);
       return E.left(createFailure(error));
     } finally {
@@ -318,6 +338,11 @@
     }
   }
 
+  private reportCut(answer: AnswerFacts, error: unknown): void {
+    const cut = describeCut(answer, error);
+    if (cut !== undefined) this.host.onCutAnswer?.(cut);
+  }
+
   private reportForeign(
     { request, endpoint }: EndpointRequest,
     status: number,
--- a/src/forward/endpoints/connection.ts
+++ b/src/forward/endpoints/connection.ts
@@ -83,10 +83,7 @@
     });
   }
 
-  /**
-   * True if the operating system reported an error on the socket. After a connection reset, undici
-   * takes a response without a length as whole; this tells such a response from a complete one.
-   */
+  /** True if the socket failed, otherwise than by what undici does with one that it needs no more. */
   get isBroken(): boolean {
     return this.hasError;
   }
@@ -94,7 +91,8 @@
   /** True while the socket is connected and has not failed, so that a request can be sent on it. */
   get isAlive(): boolean {
     const { socket } = this;
-    return socket !== undefined && !socket.destroyed && socket.writable && !this.hasError;
+    if (socket === undefined || socket.destroyed || socket.isEnding === true) return false;
+    return socket.writable && !this.hasError;
   }
 
   /** The peer that opened it; undefined for a direct one. */
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -237,6 +237,10 @@
       meter.foreignAnswers.inc({ service: answer.service });
       logger.warn("foreign answer", { ...answer, answeredId: answer.answeredId ?? "" });
     },
+    onCutAnswer: (answer) => {
+      meter.cutAnswers.inc({ service: answer.service, end: answer.end });
+      logger.warn("cut answer", { ...answer });
+    },
     onLoad: (id, load) => {
       health.recordLoadOfAnswer(id, load, clock.now());
     },
--- a/src/forward/requests/meter.ts
+++ b/src/forward/requests/meter.ts
@@ -49,6 +49,11 @@
     "Answers that came where the answer to another exchange was due",
     ["service"],
   );
+  readonly cutAnswers = this.createCounter(
+    "cut_answers_total",
+    "Answers that were not passed on, as their connection ended without proof that they are whole",
+    ["service", "end"],
+  );
   readonly permits = this.createCounter(
     "permits_total",
     "Permits for endpoints with a limit, by whether this instance got them and what limits them",
--- a/src/forward/tunnels/openers.ts
+++ b/src/forward/tunnels/openers.ts
@@ -19,6 +19,8 @@
 /** A connection to an endpoint, as an HTTP client uses it: a TCP socket or a tunnel. */
 export interface EndpointSocket extends Duplex {
   readonly bytesRead: number;
+  /** True once the endpoint has ended the connection, also while it is checked what that end proves. */
+  readonly isEnding?: boolean;
 }
 
 /** Opens connections to endpoints through peers. */
--- a/src/forward/tunnels/server.ts
+++ b/src/forward/tunnels/server.ts
@@ -8,12 +8,8 @@
 import type { EndpointDirectory } from "../../fleet/directory";
 import type { TunnelTarget } from "../../peer/gen/fleet";
 import type { LinkChecker } from "./linkcheck";
-import {
-  type EndpointConnector,
-  openEndpointSocket,
-  ServedTunnel,
-  type TunnelServerCall,
-} from "./tunnel";
+import { openHalfOpenSocket } from "../../store/connector";
+import { type EndpointConnector, ServedTunnel, type TunnelServerCall } from "./tunnel";
 import { TunnelFailureKind } from "./openers";
 
 /** Maximum number of tunnels that are served at a time; bounds memory and open files. */
@@ -38,7 +34,7 @@
     private readonly clock: Clock,
     private readonly links: LinkChecker,
     private readonly logger: Logger,
-    private readonly connect: EndpointConnector = openEndpointSocket,
+    private readonly connect: EndpointConnector = openHalfOpenSocket,
     private readonly isBarred: (endpoint: string) => boolean = () => false,
   ) {}
 
--- a/src/forward/tunnels/tunnel.ts
+++ b/src/forward/tunnels/tunnel.ts
@@ -1,7 +1,7 @@
 /**
  * One connection to an endpoint that this instance opens for a peer.
  */
-import { connect, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import { Metadata, type ServerDuplexStream } from "@grpc/grpc-js";
 import * as E from "fp-ts/Either";
 import type { Clock, Moment } from "../../core/clock";
@@ -39,24 +39,6 @@
 const CONNECT_TIMEOUT_MS = 120;
 /** How long bytes may take to drain to the endpoint after both sides ended, in milliseconds. */
 const LINGER_MS = 1000;
-/** Time without traffic after which TCP keep-alive probes a connection, in milliseconds. */
-const KEEP_ALIVE_INITIAL_DELAY_MS = 1000;
-
-/**
- * Opens a connection to an endpoint.
- *
- * @example
- * const socket = openEndpointSocket("10.1.0.7", 8080);
- */
-export const openEndpointSocket: EndpointConnector = (host, port) =>
-  connect({
-    host,
-    port,
-    allowHalfOpen: true,
-    noDelay: true,
-    keepAlive: true,
-    keepAliveInitialDelay: KEEP_ALIVE_INITIAL_DELAY_MS,
-  });
 
 /** A tunnel served to a peer, from its first message to the end of its connection. */
 export class ServedTunnel {
--- a/src/store/connector.ts
+++ b/src/store/connector.ts
@@ -2,15 +2,18 @@
  * Opens connections for undici with a connect timeout accurate to the millisecond: undici's own is
  * rounded up to about a second, which is the whole deadline of some requests.
  */
-import { connect, type Socket } from "node:net";
+import type { Socket, SocketConstructorOpts } from "node:net";
 import * as E from "fp-ts/Either";
 import type { buildConnector } from "undici";
 import { ReadFirstTimer } from "../core/readfirst";
+import { CheckedSocket } from "./checkedsocket";
 
 /** Error code of a connect timeout; the same as undici's. */
 const CONNECT_TIMEOUT_CODE = "UND_ERR_CONNECT_TIMEOUT";
 /** Time without traffic after which TCP keep-alive probes an open connection. */
 const KEEP_ALIVE_INITIAL_DELAY_MS = 1000;
+/** The port of a URL that names none. */
+const HTTP_PORT = 80;
 
 /** A connection that was not established within the timeout. */
 export class ConnectTimeoutError extends Error {
@@ -22,19 +25,29 @@
 export type SocketOpener = (host: string, port: number) => Socket;
 
 /**
- * Opens a TCP socket without delays for small writes, and with probes of an idle connection.
+ * Opens a TCP socket without delays for small writes, with probes of an idle connection, whose end is
+ * checked.
  *
  * @example
  * openSocket("127.0.0.1", 80).once("connect", () => undefined);
  */
-export const openSocket: SocketOpener = (host, port) =>
-  connect({
-    host,
-    port,
-    noDelay: true,
-    keepAlive: true,
-    keepAliveInitialDelay: KEEP_ALIVE_INITIAL_DELAY_MS,
-  });
+export const openSocket: SocketOpener = (host, port) => openCheckedSocket(host, port, {});
+
+/**
+ * Opens a TCP socket as `openSocket` does, whose directions end separately.
+ *
+ * @example
+ * openHalfOpenSocket("127.0.0.1", 80).end("the last bytes of this side");
+ */
+export const openHalfOpenSocket: SocketOpener = (host, port) =>
+  openCheckedSocket(host, port, { allowHalfOpen: true });
+
+function openCheckedSocket(host: string, port: number, options: SocketConstructorOpts): Socket {
+  return new CheckedSocket(options)
+    .setNoDelay(true)
+    .setKeepAlive(true, KEEP_ALIVE_INITIAL_DELAY_MS)
+    .connect({ host, port });
+}
 
 /**
  * Opens a socket; one whose port or host cannot be connected to, for which Node.js throws, fails as a
@@ -66,7 +79,7 @@
   open: SocketOpener = openSocket,
 ): buildConnector.connector {
   return (options, callback) => {
-    const socket = open(options.hostname, Number(options.port));
+    const socket = open(parseHostname(options.hostname), Number(options.port) || HTTP_PORT);
     const timer = new ReadFirstTimer(timeoutMs, () => {
       socket.destroy(new ConnectTimeoutError(`no connection within ${timeoutMs} ms`));
     });
@@ -83,3 +96,8 @@
     });
   };
 }
+
+/** URLs have the addresses of IP version 6 in brackets. */
+function parseHostname(hostname: string): string {
+  return hostname.replace(/^\[(.*)\]$/, "$1");
+}
