--- a/src/forward/endpoints/connection.ts
+++ b/src/forward/endpoints/connection.ts
@@ -152,6 +152,7 @@
 
   private handOver({ socket, peer }: DialledSocket, callback: buildConnector.Callback): void {
     this.openedBy = peer;
+    socket.checkAnswers?.();
     this.trackSocket(socket);
     callback(null, socket as Socket);
   }
--- a/src/forward/tunnels/openers.ts
+++ b/src/forward/tunnels/openers.ts
@@ -21,6 +21,8 @@
   readonly bytesRead: number;
   /** True once the endpoint has ended the connection, also while it is checked what that end proves. */
   readonly isEnding?: boolean;
+  /** Has an end that does not prove that an answer is whole fail from now on, if it doesn't always. */
+  checkAnswers?(): void;
 }
 
 /** Opens connections to endpoints through peers. */
--- a/src/forward/tunnels/socket.ts
+++ b/src/forward/tunnels/socket.ts
@@ -5,7 +5,9 @@
 import { constants } from "node:os";
 import { Duplex } from "node:stream";
 import type { ClientDuplexStream } from "@grpc/grpc-js";
+import { BodyEnd, classifyBodyEnd } from "../../core/bodyend";
 import type { TunnelData } from "../../peer/gen/fleet";
+import { ConnectionCutError, LateCut } from "../../store/cut";
 import { encodeBytes, END_MESSAGE } from "./wire";
 import type { EndpointSocket } from "./openers";
 
@@ -32,6 +34,9 @@
 /** The client's side of a tunnel. Destroying it ends the call. */
 export class TunnelSocket extends Duplex implements EndpointSocket {
   private receivedBytes = 0;
+  private sentBytes = 0;
+  private isEndChecked = false;
+  private readonly lateCut = new LateCut(this);
   private hasEndpointEnd = false;
   private hasStatus = false;
 
@@ -61,6 +66,14 @@
     return this.receivedBytes;
   }
 
+  /**
+   * Has it fail from now on where it broke, or where the endpoint ended before it had taken what was
+   * sent: such an end does not prove that an answer is whole.
+   */
+  checkAnswers(): void {
+    this.isEndChecked = true;
+  }
+
   /** Has no effect; a TCP socket has it. */
   ref(): this {
     return this;
@@ -86,11 +99,19 @@
     return this;
   }
 
+  /** Reads; once all that came before a cut was read, the socket fails. */
+  override read(size?: number): unknown {
+    const chunk: unknown = super.read(size);
+    this.lateCut.check();
+    return chunk;
+  }
+
   override _read(): void {
     this.call.resume();
   }
 
   override _write(chunk: Buffer, _encoding: BufferEncoding, callback: WriteCallback): void {
+    this.sentBytes += chunk.length;
     const messages = encodeBytes(chunk);
     messages.forEach((message, index) => {
       if (index === messages.length - 1) this.call.write(message, callback);
@@ -133,15 +154,23 @@
     this.call.end();
   }
 
-  private receive({ data, end }: TunnelData): void {
+  private receive({ data, end, takenBytes }: TunnelData): void {
     if (this.destroyed || this.hasEndpointEnd) return;
     if (data.length > 0) {
       this.receivedBytes += data.length;
       if (!this.push(data)) this.call.pause();
     }
-    if (!end) return;
+    if (end) this.receiveEnd(takenBytes);
+  }
+
+  /** @param takenBytes - what the endpoint took before; undefined if the peer doesn't tell */
+  private receiveEnd(takenBytes = this.sentBytes): void {
     this.hasEndpointEnd = true;
-    this.push(null);
+    // The peer has asked its socket: of one that was reset it reports no end.
+    const untakenBytes = this.sentBytes - takenBytes;
+    const end = classifyBodyEnd({ hasPeer: true, isClosedHere: false, untakenBytes });
+    if (end === BodyEnd.whole || !this.isEndChecked) this.push(null);
+    else this.lateCut.set(this.createCut(end, untakenBytes));
   }
 
   private receiveCallEnd(): void {
@@ -149,6 +178,13 @@
   }
 
   private breakOff(cause: string): void {
-    if (!this.destroyed) this.destroy(new TunnelResetError(`tunnel broken: ${cause}`));
+    if (this.destroyed) return;
+    const error = new TunnelResetError(`tunnel broken: ${cause}`);
+    this.destroy(this.isEndChecked ? this.createCut(BodyEnd.reset, 0, error) : error);
+  }
+
+  private createCut(end: BodyEnd, untakenBytes: number, cause?: Error): ConnectionCutError {
+    const { receivedBytes, sentBytes: requestBytes } = this;
+    return new ConnectionCutError({ end, receivedBytes, requestBytes, untakenBytes }, cause);
   }
 }
--- a/src/forward/tunnels/tunnel.ts
+++ b/src/forward/tunnels/tunnel.ts
@@ -11,7 +11,7 @@
 import { tryOpenSocket } from "../../store/connector";
 import { TunnelData, type TunnelTarget } from "../../peer/gen/fleet";
 import type { LinkChecker } from "./linkcheck";
-import { encodeBytes, END_MESSAGE, OPENED_MESSAGE } from "./wire";
+import { createEndMessage, encodeBytes, OPENED_MESSAGE } from "./wire";
 import { TunnelFailureKind } from "./openers";
 
 /** The server's side of a call whose messages are the bytes of one connection. */
@@ -47,6 +47,8 @@
   private isClosed = false;
   private hasPeerEnd = false;
   private hasEndpointEnd = false;
+  /** Bytes of the peer's that were written to the endpoint. */
+  private takenBytes = 0;
   /** When it opened or the endpoint last sent bytes, unless the peer has sent some since. */
   private idleAt: Moment | undefined;
   /** Runs until the call has named its target, then until the endpoint has accepted. */
@@ -96,7 +98,7 @@
   /** Ends the connection as the endpoint would that closes it when idle. */
   end(): void {
     if (this.isClosed || this.socket === undefined) return;
-    if (!this.hasEndpointEnd) this.writeLast(END_MESSAGE);
+    if (!this.hasEndpointEnd) this.writeLast(createEndMessage(this.takenBytes));
     this.close();
   }
 
@@ -133,6 +135,7 @@
     }
     if (data.length > 0) {
       this.idleAt = undefined;
+      this.takenBytes += data.length;
       if (!this.socket.write(data)) this.call.pause();
     }
     if (end) this.receivePeerEnd();
@@ -228,7 +231,7 @@
   private receiveEndpointEnd(): void {
     if (this.isClosed) return;
     this.hasEndpointEnd = true;
-    this.writeLast(END_MESSAGE);
+    this.writeLast(createEndMessage(this.takenBytes));
     this.startLinger();
   }
 
--- a/src/forward/tunnels/wire.ts
+++ b/src/forward/tunnels/wire.ts
@@ -12,6 +12,16 @@
 
 /** The message that says that its sender sends no more bytes. */
 export const END_MESSAGE: TunnelData = TunnelData.create({ end: true });
+/**
+ * Creates the message that says that the endpoint sends no more bytes.
+ *
+ * @param takenBytes - how many bytes of the caller's the endpoint's connection has taken before
+ * @example
+ * call.write(createEndMessage(20_000));
+ */
+export function createEndMessage(takenBytes: number): TunnelData {
+  return TunnelData.create({ end: true, takenBytes });
+}
 /** The reply that says that the connection is open. */
 export const OPENED_MESSAGE: TunnelData = TunnelData.create({ opened: true });
 
--- a/src/peer/gen/fleet.ts
+++ b/src/peer/gen/fleet.ts
@@ -480,6 +480,8 @@
   opened: boolean;
   /** Why no connection was opened; empty where one was. */
   failure: string;
+  /** With the end of the endpoint's bytes: how many of the caller's it was sent before. */
+  takenBytes?: number | undefined;
 }
 
 function createBaseBeat(): Beat {
@@ -5509,7 +5511,7 @@
 };
 
 function createBaseTunnelData(): TunnelData {
-  return { target: undefined, data: new Uint8Array(0), end: false, opened: false, failure: "" };
+  return { target: undefined, data: new Uint8Array(0), end: false, opened: false, failure: "", takenBytes: undefined };
 }
 
 export const TunnelData: MessageFns<TunnelData> = {
@@ -5529,6 +5531,9 @@
     if (message.failure !== "") {
       writer.uint32(42).string(message.failure);
     }
+    if (message.takenBytes !== undefined) {
+      writer.uint32(48).int64(message.takenBytes);
+    }
     return writer;
   },
 
@@ -5585,6 +5590,14 @@
             message.failure = reader.string();
             continue;
           }
+          case 6: {
+            if (tag !== 48) {
+              break;
+            }
+
+            message.takenBytes = longToNumber(reader.int64());
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -5604,6 +5617,11 @@
       end: isSet(object.end) ? globalThis.Boolean(object.end) : false,
       opened: isSet(object.opened) ? globalThis.Boolean(object.opened) : false,
       failure: isSet(object.failure) ? globalThis.String(object.failure) : "",
+      takenBytes: isSet(object.takenBytes)
+        ? globalThis.Number(object.takenBytes)
+        : isSet(object.taken_bytes)
+        ? globalThis.Number(object.taken_bytes)
+        : undefined,
     };
   },
 
@@ -5624,6 +5642,9 @@
     if (message.failure !== "") {
       obj.failure = message.failure;
     }
+    if (message.takenBytes !== undefined) {
+      obj.takenBytes = Math.round(message.takenBytes);
+    }
     return obj;
   },
 
@@ -5639,6 +5660,7 @@
     message.end = object.end ?? false;
     message.opened = object.opened ?? false;
     message.failure = object.failure ?? "";
+    message.takenBytes = object.takenBytes ?? undefined;
     return message;
   },
 };
--- a/src/store/checkedsocket.ts
+++ b/src/store/checkedsocket.ts
@@ -6,7 +6,7 @@
 import { BodyEnd, classifyBodyEnd, findDecisionMoment } from "../core/bodyend";
 import type { Moment } from "../core/clock";
 import { ReadFirstTimer } from "../core/readfirst";
-import { ConnectionCutError } from "./cut";
+import { ConnectionCutError, LateCut } from "./cut";
 
 /** Writes of this size or more may take long, so that their end is tracked, in bytes. */
 const LARGE_WRITE_BYTES = 4 * 1024;
@@ -26,7 +26,7 @@
   private hasAnswer = false;
   private hasEnd = false;
   private timer: ReadFirstTimer | undefined;
-  private cut: ConnectionCutError | undefined;
+  private readonly lateCut = new LateCut(this);
 
   /** True once the other side has ended the connection, also while the end is being checked. */
   get isEnding(): boolean {
@@ -45,7 +45,7 @@
   /** Reads; once all that came before a cut was read, the socket fails. */
   override read(size?: number): unknown {
     const chunk: unknown = super.read(size);
-    if (this.cut !== undefined && this.readableLength === 0) this.failSoon(this.cut);
+    this.lateCut.check();
     return chunk;
   }
 
@@ -103,19 +103,8 @@
       isClosedHere: this.writableEnded,
       untakenBytes: this.writableLength,
     });
-    if (end === BodyEnd.whole) {
-      super.push(null);
-      return;
-    }
-    this.cut = this.createCut(end);
-    if (this.readableLength === 0) this.failSoon(this.cut);
-  }
-
-  /** Fails unless there is more to read: who reads may put back what it can't take yet. */
-  private failSoon(cut: ConnectionCutError): void {
-    process.nextTick(() => {
-      if (this.readableLength === 0) this.destroy(cut);
-    });
+    if (end === BodyEnd.whole) super.push(null);
+    else this.lateCut.set(this.createCut(end));
   }
 
   /** Has a reset of an open connection fail as a cut, which no reader takes for an end. */
--- a/src/store/cut.ts
+++ b/src/store/cut.ts
@@ -2,6 +2,7 @@
  * The error of a connection that ended without proof that the answer on it is whole.
  */
 import { constants } from "node:os";
+import type { Duplex } from "node:stream";
 import { BodyEnd } from "../core/bodyend";
 
 /** What was known of a connection that was cut, for the log. */
@@ -39,3 +40,25 @@
     super(cause?.message ?? MESSAGES[facts.end]);
   }
 }
+
+/** Fails a socket once all that came before its cut was read. */
+export class LateCut {
+  private error: ConnectionCutError | undefined;
+
+  constructor(private readonly socket: Duplex) {}
+
+  /** Has the socket fail, now or after its last read. */
+  set(error: ConnectionCutError): void {
+    this.error = error;
+    this.check();
+  }
+
+  /** Called after each read: who reads may put back what it can't take yet, but does so at once. */
+  check(): void {
+    const { error, socket } = this;
+    if (error === undefined || socket.readableLength > 0) return;
+    process.nextTick(() => {
+      if (socket.readableLength === 0) socket.destroy(error);
+    });
+  }
+}
