--- a/src/endpoint/engine.ts
+++ b/src/endpoint/engine.ts
@@ -7,6 +7,7 @@
 import * as t from "io-ts";
 import type { PrefixBlock } from "../core/tokens";
 import { decodeValue } from "../core/codec";
+import type { CutListener } from "../store/cut";
 import { createSender, type JsonResponse, type Sender, type SendError } from "../store/http";
 import { EngineError, EngineFault, isOfAnother, mapStatusToFault } from "./fault";
 import {
@@ -99,11 +100,17 @@
  * checked; a failure that names none is this call's because its connection carries no other.
  */
 export class HttpEngineClient implements EngineClient {
-  private readonly workSender: Sender = createSender();
+  private readonly workSender: Sender;
   /**
    * Separate limits on connections, so that stalled work cannot block reports, releases and orders.
    */
-  private readonly controlSender: Sender = createSender();
+  private readonly controlSender: Sender;
+
+  /** @param onCut - called with each answer whose connection was cut */
+  constructor(onCut?: CutListener) {
+    this.workSender = createSender(onCut);
+    this.controlSender = createSender(onCut);
+  }
 
   fetchReport(url: string, limits = DEFAULT_LIMITS): TE.TaskEither<EngineError, EngineReport> {
     return async () => {
--- a/src/endpoint/service.ts
+++ b/src/endpoint/service.ts
@@ -3,8 +3,10 @@
  */
 import * as E from "fp-ts/Either";
 import type * as TE from "fp-ts/TaskEither";
-import { Client } from "undici";
+import { Client, type Dispatcher } from "undici";
 import { createTimeoutSignal } from "../core/readfirst";
+import { createConnector } from "../store/connector";
+import { type CutListener, reportCut } from "../store/cut";
 import { isConnectError } from "../store/http";
 
 const CONNECT_TIMEOUT_MS = 1000;
@@ -54,17 +56,23 @@
  * by the service before it received the call could not be distinguished from one after it.
  */
 export class HttpServiceClient implements ServiceClient {
+  /** @param onCut - called with each answer whose connection was cut */
+  constructor(private readonly onCut?: CutListener) {}
+
   call(url: string, call: ServiceCall): TE.TaskEither<ServiceError, ServiceResponse> {
     return async () => {
-      const client = new Client(new URL(url).origin, {
-        connect: { timeout: CONNECT_TIMEOUT_MS },
+      const { origin } = new URL(url);
+      const client = new Client(origin, {
+        connect: createConnector(CONNECT_TIMEOUT_MS),
         pipelining: 1,
         headersTimeout: 0,
         bodyTimeout: 0,
         maxResponseSize: MAX_RESPONSE_BYTES,
       });
       try {
-        return await sendCall(client, call);
+        return await sendCall(client, call, (response) => {
+          reportCut(origin, response, this.onCut);
+        });
       } catch (error) {
         return E.left(new ServiceError((error as Error).message, !isConnectError(error)));
       } finally {
@@ -77,6 +85,7 @@
 async function sendCall(
   client: Client,
   call: ServiceCall,
+  onHead: (response: Dispatcher.ResponseData) => void,
 ): Promise<E.Either<ServiceError, ServiceResponse>> {
   const response = await client.request({
     path: call.path,
@@ -86,6 +95,7 @@
     signal: AbortSignal.any([createTimeoutSignal(call.timeoutMs), call.signal]),
     reset: true,
   });
+  onHead(response);
   if (response.headers["x-attempt-id"] !== call.attempt) {
     return E.left(new ServiceError("the response belongs to another attempt", true));
   }
--- a/src/forward/endpoints/answer.ts
+++ b/src/forward/endpoints/answer.ts
@@ -3,15 +3,13 @@
  */
 import type { Readable } from "node:stream";
 import type { ByteLease } from "../../core/bytebudget";
+import { hasFraming } from "../../store/framing";
 import { type ResponseHead, Verdict } from "../requests";
 import type { Connection } from "./connection";
 import { containsOwnHead, isCutInHead } from "./copy";
 import type { ConnectionPool } from "./pool";
 
 const LENGTH_HEADER = "content-length";
-const FRAMING_HEADERS: ReadonlySet<string> = new Set([LENGTH_HEADER, "transfer-encoding"]);
-const NO_CONTENT = 204;
-const NOT_MODIFIED = 304;
 
 /** A response whose body is still to be read. */
 export interface OpenResponse {
@@ -54,7 +52,7 @@
  */
 export function createOpenResponse(parts: ResponseParts): OpenResponse {
   const { head, headers, body, connection, isCopy, lease } = parts;
-  const isFramed = hasFraming(head.status, headers);
+  const isFramed = isFramedAnswer(head.status, headers);
   return {
     lease,
     length: readLength(headers),
@@ -103,13 +101,15 @@
 }
 
 /**
- * Checks for a length, chunks, or a status without a body.
+ * Checks whether an answer delimits its body by itself.
  *
  * @param headers - names and values, alternating
  * @example
- * hasFraming(200, ["content-length", "7"]); // true
+ * isFramedAnswer(200, ["content-length", "7"]); // true
  */
-export function hasFraming(status: number, headers: readonly string[]): boolean {
-  if (status === NO_CONTENT || status === NOT_MODIFIED) return true;
-  return headers.some((text, index) => index % 2 === 0 && FRAMING_HEADERS.has(text.toLowerCase()));
+export function isFramedAnswer(status: number, headers: readonly string[]): boolean {
+  return hasFraming(
+    status,
+    headers.filter((_text, index) => index % 2 === 0),
+  );
 }
--- a/src/forward/endpoints/brokenanswer.ts
+++ b/src/forward/endpoints/brokenanswer.ts
@@ -1,8 +1,7 @@
 /**
  * Answers that are not passed on since they are not known to be whole, for the log and the metrics.
  */
-import type { BodyEnd } from "../../core/bodyend";
-import { ConnectionCutError } from "../../store/cut";
+import type { Cut } from "../../store/cut";
 
 /** What is known of an answer whose head has arrived. */
 export interface AnswerFacts {
@@ -16,23 +15,4 @@
 }
 
 /** An answer whose connection was cut, with what showed it. */
-export interface CutAnswer extends AnswerFacts {
-  readonly end: BodyEnd;
-  /** Bytes that arrived on the connection, those of earlier answers included. */
-  readonly receivedBytes: number;
-  readonly requestBytes: number;
-  /** Bytes of the request that were not taken when the connection ended. */
-  readonly untakenBytes: number;
-  readonly error: string;
-}
-
-/**
- * Describes an answer whose body ended with an error; undefined unless its connection was cut.
- *
- * @example
- * body.once("error", (error) => report(describeCut(facts, error)));
- */
-export function describeCut(facts: AnswerFacts, error: unknown): CutAnswer | undefined {
-  if (!(error instanceof ConnectionCutError)) return undefined;
-  return { ...facts, ...error.facts, error: error.message };
-}
+export type CutAnswer = Cut<AnswerFacts>;
--- a/src/forward/endpoints/client.ts
+++ b/src/forward/endpoints/client.ts
@@ -13,13 +13,14 @@
 import { runTask } from "../../core/tasks";
 import {
   createOpenResponse,
-  hasFraming,
+  isFramedAnswer,
   isFromEndpoint,
   type OpenResponse,
   releaseAfter,
 } from "./answer";
 import { MAX_SMALL_BODY_BYTES } from "./body";
-import { type AnswerFacts, type CutAnswer, describeCut } from "./brokenanswer";
+import { describeCut } from "../../store/cut";
+import type { AnswerFacts, CutAnswer } from "./brokenanswer";
 import { type Connection, MAX_FRAMED_BYTES, MAX_HEAD_BYTES } from "./connection";
 import type { EndpointDialer } from "../tunnels";
 import { isJoinedHead, isOwnAnswer, isRefusal } from "./exchange";
@@ -192,7 +193,7 @@
       );
       releaseAfter(pool, connection, response.body);
       const facts = { request: head.id, service, endpoint: send.endpoint.id };
-      const isFramed = hasFraming(response.statusCode, headers);
+      const isFramed = isFramedAnswer(response.statusCode, headers);
       const answer = { ...facts, status: response.statusCode, isFramed };
       response.body.once("error", (error: Error) => {
         this.reportCut(answer, error);
@@ -252,7 +253,13 @@
       connection.limitBytes(MAX_SMALL_BODY_BYTES);
       const { id: endpoint, service = "" } = target;
       const { statusCode: status } = response;
-      answer = { request: "", service, endpoint, status, isFramed: hasFraming(status, headers) };
+      answer = {
+        request: "",
+        service,
+        endpoint,
+        status,
+        isFramed: isFramedAnswer(status, headers),
+      };
       const body = Buffer.from(await response.body.arrayBuffer());
       return E.right({ status, body });
     } catch (error) {
--- a/src/instance.ts
+++ b/src/instance.ts
@@ -44,6 +44,8 @@
   type PeerHandler,
   type PeerServer,
 } from "./peer/server";
+import type { EngineClient } from "./endpoint/engine";
+import type { CutListener } from "./store/cut";
 import { HttpInstanceList } from "./store/list";
 import { HttpLogClient } from "./store/log";
 
@@ -95,7 +97,7 @@
   private readonly logClient: HttpLogClient;
   private readonly instanceList: HttpInstanceList;
   private readonly transport = new GrpcPeerTransport();
-  private readonly engines = createEngineClient(this.board);
+  private readonly engines: EngineClient;
   private readonly listPoller: ListPoller;
   private readonly controlReader: ControlReader;
   private readonly membership: Membership;
@@ -120,18 +122,24 @@
 
   constructor(private readonly settings: Settings) {
     const { instance, dataCentre, platform } = settings;
-    const { board, clock, transport, engines } = this;
+    const { board, clock, transport } = this;
     const self = { instance, incarnation: createIncarnation(instance), dataCentre };
     const logger = createLogger(instance, settings.logLevel ?? DEFAULT_SETTINGS.logLevel);
     const metrics = createMetrics(instance, settings.metrics);
     const ids = new IdGenerator(self.incarnation);
-    const logClient = new HttpLogClient(platform.log);
+    const onCut: CutListener = (cut) => {
+      metrics.count(Metric.cutAnswer, 1, { end: cut.end });
+      logger.warn("cut answer", { ...cut });
+    };
+    const engines = createEngineClient(board, onCut);
+    const logClient = new HttpLogClient(platform.log, onCut);
     this.self = self;
     this.logger = logger;
     this.metrics = metrics;
     this.ids = ids;
+    this.engines = engines;
     this.logClient = logClient;
-    this.instanceList = new HttpInstanceList(platform.list);
+    this.instanceList = new HttpInstanceList(platform.list, onCut);
     this.listPoller = new ListPoller(board, this.instanceList, clock, logger);
     this.controlReader = new ControlReader(board, logClient, clock, ids, logger, () =>
       this.hasSnapshotDuty(),
@@ -182,7 +190,7 @@
     const serviceRouter = new ServiceRouter({
       ...shared,
       claimer: this.claimer,
-      services: createServiceClient(board),
+      services: createServiceClient(board, onCut),
     });
     this.callerServer = new CallerServer(
       {
--- a/src/store/connector.ts
+++ b/src/store/connector.ts
@@ -4,7 +4,7 @@
  */
 import type { Socket, SocketConstructorOpts } from "node:net";
 import * as E from "fp-ts/Either";
-import type { buildConnector } from "undici";
+import { buildConnector } from "undici";
 import { ReadFirstTimer } from "../core/readfirst";
 import { CheckedSocket } from "./checkedsocket";
 
@@ -78,7 +78,12 @@
   onSocket: (socket: Socket) => void = () => undefined,
   open: SocketOpener = openSocket,
 ): buildConnector.connector {
+  const connectByTls = buildConnector({ timeout: timeoutMs });
   return (options, callback) => {
+    if (options.protocol === "https:") {
+      connectByTls(options, callback);
+      return;
+    }
     const socket = open(parseHostname(options.hostname), Number(options.port) || HTTP_PORT);
     const timer = new ReadFirstTimer(timeoutMs, () => {
       socket.destroy(new ConnectTimeoutError(`no connection within ${timeoutMs} ms`));
--- a/src/store/http.ts
+++ b/src/store/http.ts
@@ -8,6 +8,8 @@
 import type * as TE from "fp-ts/TaskEither";
 import { type Dispatcher, Pool } from "undici";
 import { createTimeoutSignal } from "../core/readfirst";
+import { createConnector } from "./connector";
+import { type CutListener, reportCut } from "./cut";
 
 const CONNECT_TIMEOUT_MS = 1000;
 const MAX_CONNECTIONS_PER_ORIGIN = 256;
@@ -95,12 +97,13 @@
 /**
  * Creates a sender with its own limit on connections.
  *
+ * @param onCut - called with each answer whose connection was cut
  * @example
  * const sender = createSender();
  * await sender.sendJson({ method: "GET", url: "http://127.0.0.1:80/", timeoutMs: 500 })();
  */
-export function createSender(): Sender {
-  return new SingleCallSender();
+export function createSender(onCut?: CutListener): Sender {
+  return new SingleCallSender(onCut);
 }
 
 /**
@@ -132,8 +135,15 @@
 class SingleCallSender implements Sender {
   private readonly pools = new Map<string, Pool>();
 
-  request(origin: string, options: Dispatcher.RequestOptions): Promise<Dispatcher.ResponseData> {
-    return this.findOrCreatePool(origin).request(options);
+  constructor(private readonly onCut: CutListener | undefined) {}
+
+  async request(
+    origin: string,
+    options: Dispatcher.RequestOptions,
+  ): Promise<Dispatcher.ResponseData> {
+    const response = await this.findOrCreatePool(origin).request(options);
+    reportCut(origin, response, this.onCut);
+    return response;
   }
 
   sendJson(call: JsonCall): TE.TaskEither<SendError, JsonResponse> {
@@ -186,7 +196,7 @@
 
 function createPool(origin: string): Pool {
   return new Pool(origin, {
-    connect: { timeout: CONNECT_TIMEOUT_MS },
+    connect: createConnector(CONNECT_TIMEOUT_MS),
     connections: MAX_CONNECTIONS_PER_ORIGIN,
     maxResponseSize: MAX_RESPONSE_BYTES,
     ...SINGLE_CALL_OPTIONS,
--- a/src/store/list.ts
+++ b/src/store/list.ts
@@ -6,6 +6,7 @@
 import type * as TE from "fp-ts/TaskEither";
 import * as t from "io-ts";
 import { decodeValue } from "../core/codec";
+import type { CutListener } from "./cut";
 import { createSender, type Sender } from "./http";
 
 const CALL_TIMEOUT_MS = 2000;
@@ -37,9 +38,15 @@
 
 /** Client of the platform's list over HTTP. */
 export class HttpInstanceList implements InstanceList {
-  private readonly sender: Sender = createSender();
+  private readonly sender: Sender;
 
-  constructor(private readonly url: string) {}
+  /** @param onCut - called with each answer whose connection was cut */
+  constructor(
+    private readonly url: string,
+    onCut?: CutListener,
+  ) {
+    this.sender = createSender(onCut);
+  }
 
   read(): TE.TaskEither<ListError, readonly ListEntry[]> {
     return async () => {
--- a/src/store/log.ts
+++ b/src/store/log.ts
@@ -6,6 +6,7 @@
 import * as TE from "fp-ts/TaskEither";
 import * as t from "io-ts";
 import { decodeValue } from "../core/codec";
+import type { CutListener } from "./cut";
 import { createSender, type Sender } from "./http";
 
 /** Timeout of an append, or of a read that does not wait for records. */
@@ -77,8 +78,12 @@
 export class HttpLogClient implements LogClient {
   private readonly sender: Sender;
 
-  constructor(private readonly url: string) {
-    this.sender = createSender();
+  /** @param onCut - called with each answer whose connection was cut */
+  constructor(
+    private readonly url: string,
+    onCut?: CutListener,
+  ) {
+    this.sender = createSender(onCut);
   }
 
   append(stream: StreamName, records: readonly Appendable[]): TE.TaskEither<LogError, void> {
