Plain services of the product's own interface: a body that ends as its service dies is not whole

Same question there now: a service that refuses connections after an answer without a length has not given one; the call counts as sent, so it is repeated where it may be, else a 502, and counted as a broken answer (reason down). A sound unframed answer costs one connect. Engines, the list and the log answer in JSON objects or with an end event, and are not asked.

--- a/src/endpoint/service.ts
+++ b/src/endpoint/service.ts
@@ -7,9 +7,11 @@
 import { createTimeoutSignal } from "../core/readfirst";
 import { createConnector } from "../store/connector";
 import { type BrokenAnswerListener, acceptAnswer } from "../store/brokenanswer";
-import { isConnectError } from "../store/http";
+import { isConnectError, isConnectionRefused } from "../store/http";
 
 const CONNECT_TIMEOUT_MS = 1000;
+/** Timeout of the connect that shows whether a service still runs, in milliseconds. */
+const PROBE_TIMEOUT_MS = 250;
 const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
 
 /** A call to a plain service. */
@@ -70,9 +72,7 @@
         maxResponseSize: MAX_RESPONSE_BYTES,
       });
       try {
-        return await sendCall(client, call, (response) => {
-          acceptAnswer(origin, response, this.onBroken);
-        });
+        return await this.send(client, origin, call);
       } catch (error) {
         return E.left(new ServiceError((error as Error).message, !isConnectError(error)));
       } finally {
@@ -80,14 +80,34 @@
       }
     };
   }
+
+  private async send(
+    client: Client,
+    origin: string,
+    call: ServiceCall,
+  ): Promise<E.Either<ServiceError, ServiceResponse>> {
+    const response = await sendCall(client, call);
+    const answer = acceptAnswer(origin, response, this.onBroken);
+    if (response.headers["x-attempt-id"] !== call.attempt) {
+      return E.left(new ServiceError("the response belongs to another attempt", true));
+    }
+    const body = Buffer.from(await response.body.arrayBuffer());
+    // A process that dies ends its connections like one that has finished.
+    if (!answer.isFramed && (await isServiceDown(origin))) {
+      const error = "the service is down after the end of its connection";
+      this.onBroken?.({ ...answer, reason: "down", receivedBytes: body.length, error });
+      return E.left(new ServiceError(error, true));
+    }
+    const headers = Object.fromEntries(
+      Object.entries(response.headers).map(([name, value]) => [name, String(value)]),
+    );
+    return E.right({ status: response.statusCode, headers, body });
+  }
 }
 
-async function sendCall(
-  client: Client,
-  call: ServiceCall,
-  onHead: (response: Dispatcher.ResponseData) => void,
-): Promise<E.Either<ServiceError, ServiceResponse>> {
-  const response = await client.request({
+/** Sends a call; resolves once the head of the response has arrived. */
+function sendCall(client: Client, call: ServiceCall): Promise<Dispatcher.ResponseData> {
+  return client.request({
     path: call.path,
     method: call.method as "POST",
     headers: { ...call.headers, "x-attempt-id": call.attempt },
@@ -95,13 +115,15 @@
     signal: AbortSignal.any([createTimeoutSignal(call.timeoutMs), call.signal]),
     reset: true,
   });
-  onHead(response);
-  if (response.headers["x-attempt-id"] !== call.attempt) {
-    return E.left(new ServiceError("the response belongs to another attempt", true));
-  }
-  const body = Buffer.from(await response.body.arrayBuffer());
-  const headers = Object.fromEntries(
-    Object.entries(response.headers).map(([name, value]) => [name, String(value)]),
-  );
-  return E.right({ status: response.statusCode, headers, body });
+}
+
+/** Checks whether a service refuses connections; one that can't be reached is not known to. */
+function isServiceDown(origin: string): Promise<boolean> {
+  const { protocol, hostname, port } = new URL(origin);
+  return new Promise((resolve) => {
+    createConnector(PROBE_TIMEOUT_MS)({ protocol, hostname, port }, (error, socket) => {
+      socket?.destroy();
+      resolve(error !== null && isConnectionRefused(error));
+    });
+  });
 }
--- a/src/store/brokenanswer.ts
+++ b/src/store/brokenanswer.ts
@@ -20,7 +20,8 @@
 /** What is known of a broken answer: the facts of its head, and why it is none. */
 export type Broken<F> = F &
   Partial<Omit<CutFacts, "reason">> & {
-    readonly reason: BodyEnd | "status";
+    /** `status`: it has none of a final answer; `down`: its endpoint died as it ended. */
+    readonly reason: BodyEnd | "status" | "down";
     readonly error: string;
   };
 
@@ -66,6 +67,7 @@
 /**
  * Accepts an answer as `acceptStatus` does, and reports it if it is broken, also later in its body.
  *
+ * @returns what is known of its head
  * @example
  * acceptAnswer("http://127.0.0.1:80", await client.request(options), onBroken);
  */
@@ -73,7 +75,7 @@
   origin: string,
   response: Dispatcher.ResponseData,
   onBroken: BrokenAnswerListener | undefined,
-): void {
+): AnswerFacts {
   const { statusCode: status, headers, body } = response;
   const facts = { origin, status, isFramed: hasFraming(status, Object.keys(headers)) };
   const report = (error: unknown) => {
@@ -87,4 +89,5 @@
     report(error);
     throw error;
   }
+  return facts;
 }
--- a/test/harness/cutanswers.ts
+++ b/test/harness/cutanswers.ts
@@ -48,6 +48,11 @@
     return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
   }
 
+  /** Refuses new connections, as if the process had died; open ones are left to the answer. */
+  stopListening(): void {
+    this.server.close();
+  }
+
   close(): void {
     for (const socket of this.sockets) socket.destroy();
     this.server.close();
@@ -72,7 +77,7 @@
 export function readRest(head: string, socket: Socket, onRead: () => void): void {
   const length = Number(/content-length: (\d+)/i.exec(head)?.[1] ?? "0");
   // The head was read with the first bytes of the body, which are not counted again.
-  let left = length - (socket.bytesRead - head.length - 4);
+  let left = length - (socket.bytesRead - socket.readableLength - head.length - 4);
   if (left <= 0) onRead();
   socket.on("data", (bytes) => {
     if (left <= 0) return;
--- a/test/ownanswers.spec.ts
+++ b/test/ownanswers.spec.ts
@@ -160,6 +160,23 @@
   },
 ];
 
+describe("an answer of a plain service that died within it", () => {
+  it("is none if only its connection delimits it, though that ended properly", async () => {
+    const service = READERS[0] ?? assert.fail();
+    const endpoint = new HeadEndpoint((head, socket) => {
+      readRest(head, socket, () => {
+        socket.write(UNFRAMED_HEADS["no length"](NAME) + service.part);
+        endpoint.stopListening();
+        socket.end();
+      });
+    });
+    closers.push(() => {
+      endpoint.close();
+    });
+    assert.equal(await service.read(`http://${await endpoint.listen()}`, 0), false);
+  });
+});
+
 /** Has an endpoint answer a reader; resolves with whether the answer counts as one. */
 async function play(reader: Reader, answer: Answer, bytes: number): Promise<boolean> {
   const endpoint = new HeadEndpoint(answer);
