--- a/test/harness/oddheads.ts
+++ b/test/harness/oddheads.ts
@@ -103,6 +103,44 @@
   },
 ]);
 
+/** Answers that end within their head, their body or their framing. */
+const CUT_ANSWERS: readonly OddAnswer[] = [
+  { name: "after the version", format: () => "HTTP/1.1" },
+  { name: "after the status", format: () => "HTTP/1.1 200" },
+  { name: "after the first line", format: () => "HTTP/1.1 200 OK\r\n" },
+  { name: "within a name", format: () => "HTTP/1.1 200 OK\r\nx-i" },
+  { name: "after its lines", format: (more) => `HTTP/1.1 200 OK\r\n${more}` },
+  {
+    name: "within the last empty line",
+    format: (more) => `HTTP/1.1 200 OK\r\n${more}content-length: 0\r\n\r`,
+  },
+  { name: "after an interim head", format: () => "HTTP/1.1 103 Early Hints\r\n\r\n" },
+  {
+    name: "within a body of a length",
+    isBehind: true,
+    format: (more, body) =>
+      `HTTP/1.1 200 OK\r\n${more}content-length: ${Buffer.byteLength(body) + 1}\r\n\r\n${body}`,
+  },
+  {
+    name: "before the last chunk",
+    format: (more, body) =>
+      `HTTP/1.1 200 OK\r\n${more}transfer-encoding: chunked\r\n\r\n${formatChunk(body).slice(0, -5)}`,
+    isBehind: true,
+  },
+  {
+    name: "within a trailer",
+    format: (more, body) =>
+      `HTTP/1.1 200 OK\r\n${more}transfer-encoding: chunked\r\n\r\n${formatChunk(body)}x-t`,
+    isBehind: true,
+  },
+  { name: "before anything", format: () => "" },
+];
+
+/** Tables of readers that `cutheads.spec.ts` does not have. */
+export const CUT_TABLES: Readonly<Record<string, readonly OddAnswer[]>> = {
+  "that is cut": CUT_ANSWERS,
+};
+
 /** All of them, by what is wrong with them. */
 export const ODD_TABLES: Readonly<Record<string, readonly OddAnswer[]>> = {
   "whose status is none": ODD_STATUS_ANSWERS,
--- a/test/ownanswers.spec.ts
+++ b/test/ownanswers.spec.ts
@@ -11,7 +11,7 @@
 import { HttpInstanceList } from "../src/store/list";
 import { HttpLogClient, StreamName } from "../src/store/log";
 import { CUTS, HeadEndpoint, readRest, UNFRAMED_HEADS } from "./harness/cutanswers";
-import { ODD_TABLES } from "./harness/oddheads";
+import { CUT_TABLES, ODD_TABLES } from "./harness/oddheads";
 
 const ATTEMPT = "a1";
 const NAME = `x-attempt-id: ${ATTEMPT}\r\n`;
@@ -211,7 +211,7 @@
       });
     }
 
-    for (const [name, forms] of Object.entries(ODD_TABLES)) {
+    for (const [name, forms] of Object.entries({ ...ODD_TABLES, ...CUT_TABLES })) {
       it(`is none ${name}`, async () => {
         const wrong: string[] = [];
         // An event of its own ends a stream; what comes behind it is not read any more.
--- a/test/tunnelcuts.spec.ts
+++ b/test/tunnelcuts.spec.ts
@@ -20,7 +20,7 @@
 import { CUTS, HeadEndpoint, PART, readRest, UNFRAMED_HEADS } from "./harness/cutanswers";
 import { createEntry, testCodecs } from "./harness/forward";
 import { createGate } from "./harness/gate";
-import { ODD_TABLES } from "./harness/oddheads";
+import { CUT_TABLES, ODD_TABLES } from "./harness/oddheads";
 import { PEER, TunnelScene } from "./harness/tunnels";
 
 const UPLOADS = [0, 200_000, 1_000_000, 4_000_000];
@@ -114,7 +114,7 @@
     });
   }
 
-  for (const [name, forms] of Object.entries(ODD_TABLES)) {
+  for (const [name, forms] of Object.entries({ ...ODD_TABLES, ...CUT_TABLES })) {
     it(`is none ${name}`, async () => {
       let format = "";
       const { client, target } = await createClient((head, socket) => {
