Cut answers: a reset without a FIN before it, and mutations of what tells them

The tables have a third cut, a reset some milliseconds after the part, which the product's own interface took as whole (undici counts ECONNRESET as the end of an unframed body). A tunnel counts bytes that wait behind a write as not taken, and EPIPE is a reset as ECONNRESET is: both by reading, neither seen in a run.

--- a/scripts/mutations/index.mjs
+++ b/scripts/mutations/index.mjs
@@ -1,4 +1,5 @@
 // The mutations of npm run prove: each breaks the mechanism behind a guarantee and names the test that must then fail.
+import { answerMutations } from "./answers.mjs";
 import { entryMutations } from "./entry.mjs";
 import { expectedTimeMutations } from "./expected.mjs";
 import { fleetMutations } from "./fleet.mjs";
@@ -8,6 +9,7 @@
 import { wayMutations } from "./ways.mjs";
 
 export const mutations = [
+  ...answerMutations,
   ...entryMutations,
   ...forwardingMutations,
   ...fleetMutations,
--- a/src/core/bodyend.ts
+++ b/src/core/bodyend.ts
@@ -1,9 +1,9 @@
 /**
  * Decides whether the end of a connection proves that a body which nothing else delimits is whole. A
  * length or chunks prove the end of a body by themselves; without them only the end of the connection
- * can, and an end without an error is none: the operating system reports a reset as a proper end where
- * a write, or the last bytes before it, met the error first. So the socket is asked once more, and an
- * answer that ended before its request was taken is not known to be whole.
+ * can, and an end without an error is no proof: Node.js reports a reset that comes with the last bytes
+ * as a proper end. So the operating system is asked whether it still knows the other side, and an answer
+ * that ended before its request was taken is not known to be whole.
  */
 import type { Moment } from "./clock";
 
--- a/src/forward/tunnels/socket.ts
+++ b/src/forward/tunnels/socket.ts
@@ -35,6 +35,8 @@
 export class TunnelSocket extends Duplex implements EndpointSocket {
   private receivedBytes = 0;
   private sentBytes = 0;
+  /** Bytes of the write that is under way; more may wait behind it. */
+  private pendingBytes = 0;
   private isEndChecked = false;
   private readonly lateCut = new LateCut(this);
   private hasEndpointEnd = false;
@@ -112,9 +114,14 @@
 
   override _write(chunk: Buffer, _encoding: BufferEncoding, callback: WriteCallback): void {
     this.sentBytes += chunk.length;
+    this.pendingBytes = chunk.length;
+    const onWritten: WriteCallback = (error) => {
+      this.pendingBytes = 0;
+      callback(error);
+    };
     const messages = encodeBytes(chunk);
     messages.forEach((message, index) => {
-      if (index === messages.length - 1) this.call.write(message, callback);
+      if (index === messages.length - 1) this.call.write(message, onWritten);
       else this.call.write(message);
     });
   }
@@ -167,7 +174,8 @@
   private receiveEnd(takenBytes = this.sentBytes): void {
     this.hasEndpointEnd = true;
     // The peer has asked its socket: of one that was reset it reports no end.
-    const untakenBytes = this.sentBytes - takenBytes;
+    const waitingBytes = this.writableLength - this.pendingBytes;
+    const untakenBytes = this.sentBytes - takenBytes + waitingBytes;
     const end = classifyBodyEnd({ hasPeer: true, isClosedHere: false, untakenBytes });
     if (end === BodyEnd.whole || !this.isEndChecked) this.push(null);
     else this.lateCut.set(this.createCut(end, untakenBytes));
--- a/src/store/checkedsocket.ts
+++ b/src/store/checkedsocket.ts
@@ -10,6 +10,8 @@
 
 /** Writes of this size or more may take long, so that their end is tracked, in bytes. */
 const LARGE_WRITE_BYTES = 4 * 1024;
+/** Codes of the errors by which the operating system reports a reset. */
+const RESET_CODES: ReadonlySet<string | undefined> = new Set(["ECONNRESET", "EPIPE"]);
 
 type Callback = (error?: Error | null) => void;
 
@@ -110,7 +112,7 @@
   /** Has a reset of an open connection fail as a cut, which no reader takes for an end. */
   private convertReset(error: Error | null): Error | null {
     const { code, syscall } = (error ?? {}) as NodeJS.ErrnoException;
-    if (error === null || code !== "ECONNRESET" || syscall === "connect") return error;
+    if (error === null || !RESET_CODES.has(code) || syscall === "connect") return error;
     return this.createCut(BodyEnd.reset, error);
   }
 
--- a/test/checkedsocket.spec.ts
+++ b/test/checkedsocket.spec.ts
@@ -66,6 +66,7 @@
     await pause(20);
     for (let chunk = socket.read(1000) as Buffer | null; chunk !== null;) {
       bytes += chunk.length;
+      assert.equal(socket.destroyed, false);
       await pause(2);
       chunk = (socket.read(1000) ?? socket.read()) as Buffer | null;
     }
--- a/test/cutbodies.spec.ts
+++ b/test/cutbodies.spec.ts
@@ -7,7 +7,7 @@
 import type { Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
 import { EngineStage } from "../src/fleet/entries";
-import { CUTS, HeadEndpoint, PART, readRest, UNFRAMED_HEADS } from "./harness/cutanswers";
+import { CUTS, HeadEndpoint, isShown, PART, readRest, UNFRAMED_HEADS } from "./harness/cutanswers";
 import { port, prepareEach, type ReceivedResponse, start, store } from "./harness/fixture";
 import { createConfig, createEntry } from "./harness/forward";
 
@@ -97,15 +97,14 @@
   });
 }
 
-/** The uploads at which a cut can be told from a proper end: one that comes late only while one is under way. */
-function listUploads(cutName: string): readonly number[] {
-  return cutName === "reset in the same moment" ? UPLOADS : UPLOADS.filter((bytes) => bytes > 0);
-}
-
 for (const [cutName, cut] of Object.entries(CUTS)) {
   describe(`an answer that only its connection delimits, ${cutName}`, () => {
     const plays = Object.entries(UNFRAMED_HEADS).flatMap(([headName, openHead]) =>
-      listUploads(cutName).map((bytes) => ({ headName, openHead, bytes })),
+      UPLOADS.filter((bytes) => isShown(cutName, bytes)).map((bytes) => ({
+        headName,
+        openHead,
+        bytes,
+      })),
     );
 
     it("is a 502 if the request may run once, which it does", async () => {
@@ -137,7 +136,7 @@
       };
       const both = [await add("a", [inTurn]), await add("b", [inTurn])];
       await startWithUploads();
-      const uploads = listUploads(cutName);
+      const uploads = UPLOADS.filter((bytes) => isShown(cutName, bytes));
       for (const bytes of uploads) {
         const { status, body } = await send("/any/1", bytes);
         assert.deepEqual([status, body], [200, WHOLE]);
--- a/test/harness/cutanswers.ts
+++ b/test/harness/cutanswers.ts
@@ -12,12 +12,23 @@
   "reset in the same moment": (socket) => {
     socket.resetAndDestroy();
   },
+  "reset moments later": (socket) => {
+    setTimeout(() => socket.resetAndDestroy(), 5);
+  },
   "closed, and reset moments later": (socket) => {
     socket.end();
     setTimeout(() => socket.resetAndDestroy(), 3);
   },
 } as const satisfies Readonly<Record<string, (socket: Socket) => void>>;
 
+/**
+ * Checks whether a cut can be told from a proper end: a reset behind one is seen only while an upload is under way, or
+ * just was.
+ */
+export function isShown(cutName: string, uploadBytes: number): boolean {
+  return cutName !== "closed, and reset moments later" || uploadBytes > 0;
+}
+
 /** Heads after which the body ends with its connection. */
 export const UNFRAMED_HEADS = {
   "no length": (more) => `HTTP/1.1 200 OK\r\n${more}\r\n`,
--- a/test/ownanswers.spec.ts
+++ b/test/ownanswers.spec.ts
@@ -10,7 +10,7 @@
 import { HttpServiceClient } from "../src/endpoint/service";
 import { HttpInstanceList } from "../src/store/list";
 import { HttpLogClient, StreamName } from "../src/store/log";
-import { CUTS, HeadEndpoint, readRest, UNFRAMED_HEADS } from "./harness/cutanswers";
+import { CUTS, HeadEndpoint, isShown, readRest, UNFRAMED_HEADS } from "./harness/cutanswers";
 import { CUT_TABLES, ODD_TABLES } from "./harness/oddheads";
 
 const ATTEMPT = "a1";
@@ -189,9 +189,7 @@
 for (const reader of READERS) {
   describe(`an answer to ${reader.name}`, () => {
     for (const [name, cut] of Object.entries(CUTS)) {
-      // Without an upload, nothing tells a reset after a proper end from the end.
-      const isLate = cut !== CUTS["reset in the same moment"];
-      const uploads = reader.uploads.filter((bytes) => bytes > 0 || !isLate);
+      const uploads = reader.uploads.filter((bytes) => isShown(name, bytes));
       if (uploads.length === 0) continue;
       it(`is none if only its connection delimits it, ${name}`, async () => {
         const wrong: string[] = [];
--- a/test/tunnelcuts.spec.ts
+++ b/test/tunnelcuts.spec.ts
@@ -17,7 +17,7 @@
 import type { EndpointDialer } from "../src/forward/tunnels/dialer";
 import { type TunnelCall, TunnelSocket } from "../src/forward/tunnels/socket";
 import { TunnelData } from "../src/peer/gen/fleet";
-import { CUTS, HeadEndpoint, PART, readRest, UNFRAMED_HEADS } from "./harness/cutanswers";
+import { CUTS, HeadEndpoint, isShown, PART, readRest, UNFRAMED_HEADS } from "./harness/cutanswers";
 import { createEntry, testCodecs } from "./harness/forward";
 import { createGate } from "./harness/gate";
 import { CUT_TABLES, ODD_TABLES } from "./harness/oddheads";
@@ -103,7 +103,7 @@
         cut(socket);
       });
       const wrong: string[] = [];
-      const uploads = name === "reset in the same moment" ? UPLOADS : UPLOADS.slice(1);
+      const uploads = UPLOADS.filter((bytes) => isShown(name, bytes));
       for (const bytes of uploads) {
         for (let play = 0; play < PLAYS; play += 1) {
           const end = await send(client, target, bytes);
