List of instances: an answer of another status than 200 is no list

Seen as the readers of answers were gone through: test/ownanswers.spec.ts, 'of another status than 200', failed before, as the list took a sound body of a 503 (1 of 1); all other readers compared the status. A failed read keeps the list as it was.

--- a/src/store/list.ts
+++ b/src/store/list.ts
@@ -57,6 +57,8 @@
         timeoutMs: CALL_TIMEOUT_MS,
       })();
       if (E.isLeft(result)) return E.left(new ListError(result.left.message));
+      const { status } = result.right;
+      if (status !== 200) return E.left(new ListError(`the list answered ${status}`));
       const decoded = decodeValue(listCodec, result.right.body, "instance list");
       if (E.isLeft(decoded)) return E.left(new ListError(decoded.left.message));
       return E.right(decoded.right.entries);
--- a/test/ownanswers.spec.ts
+++ b/test/ownanswers.spec.ts
@@ -177,6 +177,20 @@
   });
 });
 
+describe("an answer of another status than 200", () => {
+  it("counts only where the caller of a service gets it", async () => {
+    const taken: string[] = [];
+    for (const reader of READERS) {
+      const answer: Answer = (_head, socket) => {
+        const length = `content-length: ${Buffer.byteLength(reader.body)}\r\n`;
+        socket.end(`HTTP/1.1 503 Full\r\n${NAME}${length}\r\n${reader.body}`);
+      };
+      if (await play(reader, answer, 0)) taken.push(reader.name);
+    }
+    assert.deepEqual(taken, ["a plain service"]);
+  });
+});
+
 /** Has an endpoint answer a reader; resolves with whether the answer counts as one. */
 async function play(reader: Reader, answer: Answer, bytes: number): Promise<boolean> {
   const endpoint = new HeadEndpoint(answer);
