--- a/test/cutbodies.spec.ts
+++ b/test/cutbodies.spec.ts
@@ -7,8 +7,16 @@
 import type { Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
 import { EngineStage } from "../src/fleet/entries";
+import type { Meter } from "../src/forward/requests/meter";
 import { CUTS, HeadEndpoint, isShown, PART, readRest, UNFRAMED_HEADS } from "./harness/cutanswers";
-import { port, prepareEach, type ReceivedResponse, start, store } from "./harness/fixture";
+import {
+  instance,
+  port,
+  prepareEach,
+  type ReceivedResponse,
+  start,
+  store,
+} from "./harness/fixture";
 import { createConfig, createEntry } from "./harness/forward";
 
 prepareEach();
@@ -26,6 +34,10 @@
 /** How long a whole answer to an upload may take, in milliseconds. */
 const MOMENT_MS = 250;
 
+interface InstanceParts {
+  readonly parts: { readonly context: { readonly meter: Meter } };
+}
+
 const endpoints: HeadEndpoint[] = [];
 afterEach(() => {
   for (const endpoint of endpoints.splice(0)) endpoint.close();
@@ -126,6 +138,10 @@
         }
       }
       assert.deepEqual([wrong, endpoint.heads.length], [[], plays.length * PLAYS]);
+      const { meter } = (instance as unknown as InstanceParts).parts.context;
+      const counted =
+        /gorsefold_broken_answers_total{service="sheets",reason="(reset|untaken)"} \d+/;
+      assert.match(await meter.renderMetrics(), counted);
     });
 
     it("is asked for again if the request may be repeated", async () => {
--- a/test/tunnelcuts.spec.ts
+++ b/test/tunnelcuts.spec.ts
@@ -7,6 +7,7 @@
 import { Duplex } from "node:stream";
 import { afterEach, describe, it } from "node:test";
 import * as E from "fp-ts/Either";
+import { BodyEnd } from "../src/core/bodyend";
 import { MonotonicClock } from "../src/core/clock";
 import { SILENT_LOGGER } from "../src/core/log";
 import { readWholeBody } from "../src/forward/endpoints/body";
@@ -102,6 +103,7 @@
         socket.write(UNFRAMED_HEADS["no length"](readIds(head)) + PART);
         cut(socket);
       });
+      broken.length = 0;
       const wrong: string[] = [];
       const uploads = UPLOADS.filter((bytes) => isShown(name, bytes));
       for (const bytes of uploads) {
@@ -111,6 +113,11 @@
         }
       }
       assert.deepEqual([wrong, endpoint.heads.length], [[], uploads.length * PLAYS]);
+      assert.ok(broken.length > 0);
+      for (const { reason, isFramed, service } of broken) {
+        assert.ok(reason === BodyEnd.reset || reason === BodyEnd.untaken, reason);
+        assert.deepEqual([isFramed, service], [false, "sheets"]);
+      }
     });
   }
 
@@ -141,7 +148,7 @@
     }
   });
 
-  it("is whole if the request was taken, and says why another is not", async () => {
+  it("is whole if the request was taken, and is not reported then", async () => {
     const { client, target } = await createClient((head, socket) => {
       readRest(head, socket, () => {
         socket.end(UNFRAMED_HEADS["no length"](readIds(head)) + WHOLE);
