Log and metrics: the process, version and age of the list at each run, and what proved each end

Change: `joined`, a line for the first event of each run that goes on with a stream; process, version and age of the list in `decode` and `reserved`; `proof` in `try`; `unframed answer`; counters answer_ends, caller_answers and joined_runs. No decision reads any of it.

--- a/src/forward/callers/responses.ts
+++ b/src/forward/callers/responses.ts
@@ -15,6 +15,10 @@
 } from "../requests";
 import type { CallerConnections } from "./connections";
 
+/** What shows the end of a response to its caller. */
+const CallerFraming = { length: "length", chunks: "chunks", connection: "connection" } as const;
+type CallerFraming = (typeof CallerFraming)[keyof typeof CallerFraming];
+
 /** Writes responses, and tells the connections which of them end theirs. */
 export class ResponseWriter {
   private streamCount = 0;
@@ -115,6 +119,7 @@
     if (isLast || !isFramed) response.shouldKeepAlive = false;
     if (!response.shouldKeepAlive) this.connections.markEnding(response.req.socket);
     if (!isFramed) this.connections.markUnframed(response);
+    this.meter.callerAnswers.inc({ framing: readFraming(headers, isFramed) });
     response.writeHead(status, [...headers]);
   }
 }
@@ -123,3 +128,12 @@
 function hasChunks({ httpVersionMajor, httpVersionMinor }: IncomingMessage): boolean {
   return httpVersionMajor > 1 || httpVersionMinor > 0;
 }
+
+/** Reads what shows the end of a response to its caller. */
+function readFraming(headers: readonly string[], isFramed: boolean): CallerFraming {
+  if (!isFramed) return CallerFraming.connection;
+  const hasLength = headers.some(
+    (text, index) => index % 2 === 0 && text.toLowerCase() === "content-length",
+  );
+  return hasLength ? CallerFraming.length : CallerFraming.chunks;
+}
--- a/src/forward/calls/send.ts
+++ b/src/forward/calls/send.ts
@@ -23,7 +23,10 @@
   resetDataCentreConnections,
   CallOutcome,
   canBeWhole,
+  createProcessId,
   createSuspect,
+  EndProof,
+  findEndProof,
   findNotRunEvidence,
   type NotRunEvidence,
   createWorkKind,
@@ -202,10 +205,28 @@
       return createFailedResult(SendEnd.unknown, message);
     }
     if (isFramed && head.status < MIN_FAILURE_STATUS) this.recordCompletion();
+    this.recordProof(response, whole.right);
     const answer = { head, body: whole.right, isFramed };
     return { end: SendEnd.answered, response: answer, message: "answered" };
   }
 
+  /** Records what shows that an answer is whole; one without a length or chunks has a line of its own. */
+  private recordProof(response: OpenResponse, body: Buffer): void {
+    const { context, request } = this.parts;
+    const { meter, logger } = context;
+    const proof = findEndProof(response);
+    meter.answerEnds.inc({ service: request.service, proof });
+    if (proof === EndProof.framing) return;
+    const process = createProcessId(this.endpoint);
+    logger.info("unframed answer", {
+      request: request.head.id,
+      endpoint: this.endpoint.id,
+      process,
+      proof,
+      bytes: body.length,
+    });
+  }
+
   private recordCompletion(): void {
     const { context, request } = this.parts;
     context.crashes.recordCompletion(createSuspect(request), context.clock.now());
--- a/src/forward/endpoints/index.ts
+++ b/src/forward/endpoints/index.ts
@@ -15,6 +15,7 @@
   computeTimes,
   resetDataCentreConnections,
 } from "./context";
+export { EndProof, findEndProof } from "./endproof";
 export { CallOutcome, HealthTracker, type HealthView } from "./health";
 export { findNotRunEvidence, type NotRunEvidence } from "./notrun";
 export { ConnectionWay } from "./pool";
@@ -24,7 +25,7 @@
   type SlownessReport,
   type SpeedEstimate,
 } from "./speeds";
-export { EndpointState, canBeWhole, createSuspect, probeEndpoint } from "./probe";
+export { EndpointState, canBeWhole, createProcessId, createSuspect, probeEndpoint } from "./probe";
 export { EndpointSubsets } from "./subset";
 export { isInRegions } from "./restriction";
 export { Releaser } from "./releaser";
--- a/src/forward/engines/reservations.ts
+++ b/src/forward/engines/reservations.ts
@@ -8,7 +8,7 @@
 import type { EngineLimits } from "../../fleet/config";
 import { type EndpointEntry, EngineStage } from "../../fleet/entries";
 import type { RegionRule } from "../../fleet/regions";
-import { createWorkKind, type ForwardContext, isInRegions } from "../endpoints";
+import { createProcessId, createWorkKind, type ForwardContext, isInRegions } from "../endpoints";
 import { Arrivals } from "./arrivals";
 import { chooseDecode, type EngineLoadTracker, type EngineView } from "./load";
 import { type GrantedHold, HoldCaller, HoldEnd } from "./holdcalls";
@@ -295,7 +295,7 @@
     waitingRequest: WaitingRequest,
     endpoint: EndpointEntry,
   ): Promise<void> {
-    const { clock, logger, directory } = this.context;
+    const { clock, logger, directory, listConfirmer } = this.context;
     const { id } = endpoint;
     const { requestId, needTokens, limits, caller } = waitingRequest;
     this.engineLoad.addLocalWork(id, needTokens, 0, 1);
@@ -307,6 +307,8 @@
       logger.info("reserved", {
         request: requestId,
         engine: id,
+        process: createProcessId(endpoint),
+        listAgeMs: Math.round(listConfirmer.computeAgeMs()),
         ...this.describeSpeed(endpoint),
         needTokens,
         waitedMs: Math.round(clock.now() - waitingRequest.arrivedAt),
--- a/src/forward/generations/decode.ts
+++ b/src/forward/generations/decode.ts
@@ -12,10 +12,12 @@
   canBeWhole,
   createSuspect,
   createWorkKind,
+  findEndProof,
 } from "../endpoints";
 import { RelayEnd, relayEvents, type RelayResult } from "./relay";
 import { SilenceWatch } from "../../core/silence";
 import type { StreamEvent } from "./events";
+import { recordJoin } from "./joinedrun";
 import type { ForwardRequest } from "../requests";
 import { createAbortResult, TryEnd, type TryResult } from "./tries";
 import { type StreamOrigin, confirmOrigin } from "../shared";
@@ -166,6 +168,7 @@
       follows: (event, lastId) => this.form.isNext(event, lastId),
       onEvents: (events) => {
         watch?.onProgress(SILENCE_TIMEOUT_MS);
+        this.recordJoin(endpoint, events[0]);
         this.recordProgress();
         this.recordPace(endpoint, events.length);
         this.recordOrigin(endpoint);
@@ -177,7 +180,9 @@
       this.forwardEvents(response, []);
       if (this.isProof(response)) this.recordCompletion();
       this.sink.end();
-      return { end: TryEnd.complete, message };
+      const proof = findEndProof(response);
+      this.parts.context.meter.answerEnds.inc({ service: endpoint.service, proof });
+      return { end: TryEnd.complete, message, proof };
     }
     const aborted = createAbortResult(deadlineSignal);
     if (aborted !== undefined) return aborted;
@@ -216,6 +221,14 @@
     sharedOrigins.record({ stream, origin: this.originOfStream });
   }
 
+  /** Records that a run goes on with a stream, at the first of its events. */
+  private recordJoin(endpoint: EndpointEntry, firstEvent: StreamEvent | undefined): void {
+    const { origin, lastEvent: lastId } = this;
+    const isJoined = lastId !== undefined || this.firstSentAt !== undefined;
+    if (this.firstEventOfRunAt !== undefined || !isJoined) return;
+    recordJoin(this.parts.context, this.request, { endpoint, origin, lastId, firstEvent });
+  }
+
   /** Records how long the engine took for the events since the last record. */
   private recordPace({ id, service }: EndpointEntry, events: number): void {
     const { clock, health } = this.parts.context;
--- a/src/forward/generations/runsender.ts
+++ b/src/forward/generations/runsender.ts
@@ -20,6 +20,7 @@
   type RequestTimes,
   resetDataCentreConnections,
   EndpointState,
+  createProcessId,
   findNotRunEvidence,
   probeEndpoint,
 } from "../endpoints";
@@ -65,7 +66,7 @@
    * @param lastEventId - the last event that the caller got; undefined if it got none
    */
   send(start: TryStart, run: number, lastEventId: string | undefined): SentRun {
-    const { clock, client, logger } = this.parts.context;
+    const { clock, client, logger, listConfirmer } = this.parts.context;
     const { request } = this;
     const { reservation, source } = start.engine;
     const { endpoint, hold } = reservation;
@@ -73,6 +74,9 @@
     logger.info("decode", {
       request: request.head.id,
       engine: endpoint.id,
+      process: createProcessId(endpoint),
+      version: endpoint.version,
+      listAgeMs: Math.round(listConfirmer.computeAgeMs()),
       source: source?.endpoint.address ?? "none",
       run,
       lastEvent: lastEventId ?? "",
--- a/src/forward/generations/tryrecorder.ts
+++ b/src/forward/generations/tryrecorder.ts
@@ -24,9 +24,10 @@
   ) {}
 
   /** Records the end of a try. */
-  record(start: TryStart, { end, message, evidence }: TryResult, progress: StreamProgress): void {
+  record(start: TryStart, result: TryResult, progress: StreamProgress): void {
     const { clock, logger, meter } = this.context;
     const { service, head } = this.request;
+    const { end, message, evidence, proof } = result;
     const { engine, startedAt, prefilledAt } = start;
     const { endpoint, needTokens } = engine.reservation;
     const ms = clock.now() - prefilledAt;
@@ -37,6 +38,7 @@
       prefill: engine.source?.endpoint.address ?? "none",
       end,
       evidence,
+      proof,
       message,
       lastEvent: progress.lastEventId ?? "",
       needTokens,
--- a/src/forward/requests/meter.ts
+++ b/src/forward/requests/meter.ts
@@ -54,6 +54,21 @@
     "Answers that were not passed on, as they are not known to be whole, or their status is none",
     ["service", "reason"],
   );
+  readonly answerEnds = this.createCounter(
+    "answer_ends_total",
+    "Answers of endpoints that were taken for whole, by what shows it",
+    ["service", "proof"],
+  );
+  readonly callerAnswers = this.createCounter(
+    "caller_answers_total",
+    "Answers to callers that began, by what shows their end: a length, chunks or their connection",
+    ["framing"],
+  );
+  readonly joinedRuns = this.createCounter(
+    "joined_runs_total",
+    "Runs that went on with a stream, by the version of the process that is listed, against the first run's",
+    ["service", "version"],
+  );
   readonly permits = this.createCounter(
     "permits_total",
     "Permits for endpoints with a limit, by whether this instance got them and what limits them",
--- a/src/forward/shared/listconfirmer.ts
+++ b/src/forward/shared/listconfirmer.ts
@@ -97,6 +97,11 @@
     await waitAtMost(this.confirm(asOf), REFRESH_TIMEOUT_MS);
   }
 
+  /** Computes the time since the list was last confirmed, in milliseconds, for the log. */
+  computeAgeMs(): number {
+    return this.parts.computeListAgeMs();
+  }
+
   /** Confirms the list unless it was confirmed of late; used before a stream goes on at another engine. */
   refreshBeforeSend(): Promise<void> {
     return this.refresh(this.parts.clock.now() - MAX_AGE_BEFORE_SEND_MS);
