ORDER: a stream goes on only at an engine that says which process it is

Callers saw events of two software versions in one stream. Cause: the hold, the check of the version and the send went by the entry of a process that was dead; another one had started under the id, and its entry was not read, or not written. Change: an engine is asked by its report before such a run is sent and once the head of its response is there, before the first event is passed on; the latter proves the writer. One that does not tell is judged by reads of the list that begin at these moments. A listed process that another has taken the place of counts as gone.

--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -208,6 +208,16 @@
     return this.recordDeparture(createDeparture(endpoint, true), true, now);
   }
 
+  /**
+   * Marks a process as gone, as another one answered for its endpoint; the entry of that one may still
+   * be on its way. Peers are told.
+   *
+   * @returns false if it was known already
+   */
+  markReplaced(endpoint: EndpointEntry, now: Moment): boolean {
+    return this.recordDeparture(createDeparture(endpoint, false), true, now);
+  }
+
   /** Applies what a peer knows of endpoints that left; returns those that it did not know. */
   applyDepartures(departures: readonly Departure[], now: Moment): readonly string[] {
     return departures
--- a/src/forward/endpoints/index.ts
+++ b/src/forward/endpoints/index.ts
@@ -26,6 +26,7 @@
   type SpeedEstimate,
 } from "./speeds";
 export { EndpointState, canBeWhole, createProcessId, createSuspect, probeEndpoint } from "./probe";
+export { CheckMoment, checkProcess, ProcessState } from "./processcheck";
 export { EndpointSubsets } from "./subset";
 export { isInRegions } from "./restriction";
 export { Releaser } from "./releaser";
--- a/src/forward/generations/runsender.ts
+++ b/src/forward/generations/runsender.ts
@@ -20,11 +20,16 @@
   type RequestTimes,
   resetDataCentreConnections,
   EndpointState,
+  CheckMoment,
+  checkProcess,
   createProcessId,
+  type ProcessState,
   findNotRunEvidence,
   probeEndpoint,
 } from "../endpoints";
 import type { EngineLoadTracker, ReservationQueue } from "../engines";
+import type { StreamOrigin } from "../shared";
+import { isOtherProcess, mayJoin, needsList } from "./joinguard";
 import { SentRun, type TryStart } from "./sentrun";
 import type { StreamForm } from "./streamform";
 
@@ -125,8 +130,46 @@
       response.body.destroy();
       return E.left(createReplacedResult());
     }
-    if (this.form.matches(response.head)) return E.right(response);
-    return E.left(await this.readOtherResponse(response, sent));
+    if (!this.form.matches(response.head)) {
+      return E.left(await this.readOtherResponse(response, sent));
+    }
+    if (await this.mayJoin(sent)) return E.right(response);
+    response.body.destroy();
+    return E.left({ end: TryEnd.broken, message: "another process of the engine answered" });
+  }
+
+  /**
+   * Asks an engine at which a stream is to go on which process it is; where it does not tell, the list is
+   * read again.
+   *
+   * @param grantedAt - when the engine granted memory for the run
+   * @param origin - the engine that began the stream; undefined for a new one
+   * @returns undefined for a new stream
+   */
+  async checkBeforeSend(
+    endpoint: EndpointEntry,
+    grantedAt: Moment,
+    origin: StreamOrigin | undefined,
+  ): Promise<ProcessState | undefined> {
+    if (origin === undefined) return undefined;
+    const { context } = this.parts;
+    const asked = { request: this.request.head.id, moment: CheckMoment.beforeSend };
+    const state = await checkProcess(context, endpoint, asked);
+    if (needsList(state)) await context.listConfirmer.refresh(grantedAt);
+    return state;
+  }
+
+  /** Checks whether the events of a run may go on with the stream that began before it. */
+  private async mayJoin({ endpoint, start }: SentRun): Promise<boolean> {
+    const { processState: beforeSend } = start;
+    if (beforeSend === undefined) return true;
+    const asked = { request: this.request.head.id, moment: CheckMoment.beforeJoin };
+    const { context } = this.parts;
+    const answeredAt = context.clock.now();
+    const beforeJoin = await checkProcess(context, endpoint, asked);
+    if (needsList(beforeJoin)) await context.listConfirmer.refresh(answeredAt);
+    const listed = context.directory.find(endpoint.id);
+    return mayJoin({ beforeSend, beforeJoin, isOtherListed: isOtherProcess(endpoint, listed) });
   }
 
   /** Reads the result of a run that brought no stream, while another run goes on. */
--- a/src/forward/generations/sentrun.ts
+++ b/src/forward/generations/sentrun.ts
@@ -6,7 +6,7 @@
 import { ReadFirstTimer } from "../../core/readfirst";
 import type { EndpointEntry } from "../../fleet/entries";
 import type { CacheSource, DeadlineSignal } from "../requests";
-import type { OpenResponse, SendFailure } from "../endpoints";
+import type { OpenResponse, ProcessState, SendFailure } from "../endpoints";
 import type { Reservation } from "../engines";
 import type { StreamForm } from "./streamform";
 
@@ -26,6 +26,8 @@
   readonly prefilledAt: Moment;
   /** Fires when the caller leaves or the deadline passes; closed with the try. */
   readonly deadlineSignal: DeadlineSignal;
+  /** What the engine said of its process; undefined for a run that goes on with no stream. */
+  readonly processState: ProcessState | undefined;
 }
 
 /** What has come of a run after some time. */
--- a/src/forward/generations/stream.ts
+++ b/src/forward/generations/stream.ts
@@ -386,21 +386,26 @@
   }
 
   /**
-   * Has the prompt read for a decode engine. Before a stream goes on there the list is read again: the
-   * engine may be another process by then, of another version.
+   * Has the prompt read for a decode engine. Before a stream goes on there the engine is asked which
+   * process it is: it may be another one by then, of another version.
    *
    * @param search - aborted when the silent run that the engine would replace goes on or ends
    */
   private async prepare(reservation: Reservation, search?: AbortSignal): Promise<TryStart> {
-    const { clock, listConfirmer } = this.parts.context;
+    const { clock } = this.parts.context;
     const startedAt = clock.now();
     const deadlineSignal = this.createDeadlineSignal(this.caller);
     const searchSignal = search && this.createDeadlineSignal(search);
     try {
       const source = await this.prefill(reservation.endpoint, searchSignal ?? deadlineSignal);
       const prefilledAt = clock.now();
-      if (this.decoder.origin !== undefined) await listConfirmer.refreshBeforeSend();
-      return { engine: { reservation, source }, startedAt, prefilledAt, deadlineSignal };
+      const processState = await this.sender.checkBeforeSend(
+        reservation.endpoint,
+        startedAt,
+        this.decoder.origin,
+      );
+      const engine = { reservation, source };
+      return { engine, startedAt, prefilledAt, deadlineSignal, processState };
     } catch (error) {
       deadlineSignal.close();
       this.releaseEngine(reservation);
--- a/src/forward/requests/messages.ts
+++ b/src/forward/requests/messages.ts
@@ -234,4 +234,11 @@
   createReleaseHandleCall(endpoint: EndpointEntry, handle: string): EndpointCall;
   createStageCall(endpoint: EndpointEntry, order: StageOrder): EndpointCall;
   readOrderResult(status: number): OrderResult;
+  /** Creates the call by which an endpoint tells which process it is; undefined if it has none. */
+  createReportCall(endpoint: EndpointEntry): EndpointCall | undefined;
+  /**
+   * Reads when the process started that answers a report call, in milliseconds of its own wall clock;
+   * undefined if it does not tell.
+   */
+  readProcessStart(status: number, body: Buffer): number | undefined;
 }
--- a/src/forward/requests/meter.ts
+++ b/src/forward/requests/meter.ts
@@ -69,6 +69,11 @@
     "Runs that went on with a stream, by the version of the process that is listed, against the first run's",
     ["service", "version"],
   );
+  readonly processChecks = this.createCounter(
+    "process_checks_total",
+    "Engines that were asked which process they are, as a stream was to go on there",
+    ["service", "moment", "state"],
+  );
   readonly permits = this.createCounter(
     "permits_total",
     "Permits for endpoints with a limit, by whether this instance got them and what limits them",
--- a/src/forward/shared/listconfirmer.ts
+++ b/src/forward/shared/listconfirmer.ts
@@ -19,8 +19,6 @@
 const MIN_READ_INTERVAL_MS = 50;
 /** How long no read begins after one that failed, in milliseconds; callers are told to wait for as long. */
 export const FAILED_READ_PAUSE_MS = 300;
-/** Age of the list from which it is read again before a stream goes on at another engine, in milliseconds. */
-const MAX_AGE_BEFORE_SEND_MS = 250;
 /** How long a read of a list that is too old may hold up its use, in milliseconds. */
 const REFRESH_TIMEOUT_MS = 150;
 /** Maximum number of pages in one read: a few seconds of 5,000 endpoints. */
@@ -102,11 +100,6 @@
     return this.parts.computeListAgeMs();
   }
 
-  /** Confirms the list unless it was confirmed of late; used before a stream goes on at another engine. */
-  refreshBeforeSend(): Promise<void> {
-    return this.refresh(this.parts.clock.now() - MAX_AGE_BEFORE_SEND_MS);
-  }
-
   private async readNext(before: StartedRead | undefined): Promise<ConfirmedList | undefined> {
     // Those who ask in the same turn share the read, too.
     await Promise.resolve();
--- a/test/harness/forward.ts
+++ b/test/harness/forward.ts
@@ -141,6 +141,15 @@
     return { method: "DELETE", path: `/handle/${handle}`, headers, body: undefined };
   }
 
+  /** Endpoints of tests tell nothing of their process unless a test has them do so. */
+  createReportCall(): EndpointCall | undefined {
+    return undefined;
+  }
+
+  readProcessStart(): number | undefined {
+    return undefined;
+  }
+
   createStageCall(endpoint: EndpointEntry, order: { stage: string; fence: number }): EndpointCall {
     const body = Buffer.from(JSON.stringify(order));
     return { method: "POST", path: "/stage", headers: ["x-expect", endpoint.id], body };
