--- a/measure/slopes.ts
+++ b/measure/slopes.ts
@@ -63,7 +63,7 @@
       }));
       return (
         BookRequest.encode({ wants: range(size).map(createWant), done }).finish().length +
-        BookReply.encode({ grants, refusals: [] }).finish().length
+        BookReply.encode(BookReply.fromPartial({ grants })).finish().length
       );
     }),
     measureBytes(
--- a/src/control/scheduler.ts
+++ b/src/control/scheduler.ts
@@ -14,10 +14,18 @@
 import { PeriodicTask, runTask } from "../core/tasks";
 import type { EngineReport } from "../endpoint/engine";
 import { EngineFault } from "../endpoint/fault";
-import type { BookReply, BookRequest, Done, Grant, Refusal, Want } from "../peer/gen/peer";
-import { GrantTable, hasCandidates, type WaitingRequest } from "./grants";
+import {
+  BookReply,
+  type BookRequest,
+  type Done,
+  type Grant,
+  type Refusal,
+  type Want,
+} from "../peer/gen/peer";
+import { type GrantedRequest, GrantTable, hasCandidates, type WaitingRequest } from "./grants";
 import type { SchedulerPolicy } from "./policy";
 import { UNREACHABLE_COOLDOWN_MS } from "./prober";
+import { type SchedulerSession, SessionList } from "./sessions";
 import { createWaitingRequest } from "./waiting";
 
 const TICK_INTERVAL_MS = 25;
@@ -64,17 +72,11 @@
   readonly session: string;
 }
 
-/** A connection to an instance that requests grants, and the way to reply to it. */
-export interface SchedulerSession {
-  readonly name: string;
-  send(reply: BookReply): void;
-}
-
 /** Schedules the pools for which instances request grants here. */
 export class PoolScheduler {
   private readonly pools = new Map<string, ScheduledPool>();
   private readonly requests = new Map<string, KnownRequest>();
-  private readonly sessions = new Map<string, SchedulerSession>();
+  private readonly sessions = new SessionList();
   private readonly task: PeriodicTask;
 
   constructor(
@@ -105,12 +107,12 @@
   }
 
   openSession(session: SchedulerSession): void {
-    this.sessions.set(session.name, session);
+    this.sessions.open(session);
   }
 
   /** Removes the requests and grants of a session; the engines' reports still show what runs. */
   closeSession(name: string): void {
-    this.sessions.delete(name);
+    this.sessions.close(name);
     for (const pool of this.pools.values()) {
       for (const [id, request] of this.requests) {
         if (request.pool !== pool.name || request.session !== name) continue;
@@ -124,7 +126,7 @@
   onBookRequest(session: string, request: BookRequest): void {
     for (const done of request.done) {
       void runTask("handle the end of a grant", this.logger, () => {
-        this.handleDone(done);
+        this.handleDone(session, done);
       });
     }
     for (const want of request.wants) void this.handleWantOrRefuse(session, want);
@@ -167,9 +169,12 @@
   }
 
   private handleWant(session: string, want: Want): void {
-    // It waits or runs already; granted twice, its end would be reported once.
-    if (this.requests.get(want.id)?.session === session) return;
     const now = this.clock.now();
+    const known = this.requests.get(want.id);
+    // It waits or runs already; granted twice, its end would be reported once.
+    if (known?.session === session) return;
+    if (known !== undefined && this.isLate(session, known, want.id, "request")) return;
+    if (known !== undefined) this.forget(want.id, known, now);
     const pool = listPools(this.board.config.read().configuration).get(want.pool);
     if (pool === undefined || !hasCandidates(this.board, pool, want)) {
       this.refuse(session, want, Reason.noEndpoint, MIN_RETRY_AFTER_MS);
@@ -187,10 +192,28 @@
     scheduledPool.queue.push(createWaitingRequest(session, want, this.findClassWeight(want), now));
   }
 
-  private handleDone(done: Done): void {
+  /** Checks whether a message on a request is of a session that its instance had given up by then. */
+  private isLate(session: string, known: KnownRequest, id: string, message: string): boolean {
+    if (!this.sessions.isSuperseded(session, known.session)) return false;
+    this.metrics.count(Metric.lateMessage);
+    this.logger.info("late message", { request: id, session, message, sentOn: known.session });
+    return true;
+  }
+
+  /** Ends the wait or the grant of a request. */
+  private forget(id: string, known: KnownRequest, now: Moment): GrantedRequest | undefined {
+    this.requests.delete(id);
+    const pool = this.pools.get(known.pool);
+    pool?.queue.remove(id);
+    return pool?.grants.end(id, now);
+  }
+
+  private handleDone(session: string, done: Done): void {
     const now = this.clock.now();
-    const pool = this.pools.get(this.requests.get(done.id)?.pool ?? "");
-    if (pool === undefined) return;
+    const known = this.requests.get(done.id);
+    const pool = this.pools.get(known?.pool ?? "");
+    if (known === undefined || pool === undefined) return;
+    if (this.isLate(session, known, done.id, done.stage)) return;
     if (done.stage === GrantStage.decoding) {
       pool.grants.markDecoding(done.id, now);
       return;
@@ -202,10 +225,8 @@
     if (COOLDOWN_FAULTS.has(done.fault)) {
       this.board.unreachable.set(done.engine, { deadline: now + UNREACHABLE_COOLDOWN_MS });
     }
-    const grant = pool.grants.end(done.id, now);
+    const grant = this.forget(done.id, known, now);
     if (done.fault === "" && grant !== undefined) this.board.poison.clear(grant.want.fingerprint);
-    pool.queue.remove(done.id);
-    this.requests.delete(done.id);
   }
 
   /**
@@ -327,7 +348,7 @@
       reason,
       waitedMs: Math.round(now - item.arrivedAt),
     });
-    this.sessions.get(session)?.send({ grants: [grant], refusals: [] });
+    this.sessions.send(session, BookReply.fromPartial({ grants: [grant] }));
   }
 
   private refuse(session: string, want: Want, reason: Reason, retryAfterMs: number): void {
@@ -341,7 +362,7 @@
       chosen: "none",
       reason,
     });
-    this.sessions.get(session)?.send({ grants: [], refusals: [refusal] });
+    this.sessions.send(session, BookReply.fromPartial({ refusals: [refusal] }));
   }
 
   private findOrCreatePool(name: string, now: Moment): ScheduledPool {
--- a/src/control/schedulerclient.ts
+++ b/src/control/schedulerclient.ts
@@ -6,6 +6,7 @@
 import type { Blackboard } from "../board/board";
 import type { Clock, Moment } from "../core/clock";
 import type { Logger } from "../core/log";
+import { type Metrics, Metric } from "../core/metrics";
 import { ReadFirstTimer } from "../core/readfirst";
 import { runTask } from "../core/tasks";
 import type { BookReply, BookRequest, Done, Grant, Refusal, Want } from "../peer/gen/peer";
@@ -13,6 +14,7 @@
 import { chooseScheduler } from "./ownership";
 import type { PoolScheduler } from "./scheduler";
 import { findInstanceAddress, type InstanceIdentity } from "./membership";
+import { SentRequests } from "./sentrequests";
 
 const CHECK_INTERVAL_MS = 100;
 /**
@@ -22,6 +24,21 @@
 const SILENCE_TIMEOUT_MS = 1000;
 /** How long a scheduler whose connection was lost is skipped. */
 const SCHEDULER_COOLDOWN_MS = 1500;
+/** Number of checks after which a request that was not acknowledged is overdue: as long as silence. */
+const MAX_UNACKNOWLEDGED_CHECKS = SILENCE_TIMEOUT_MS / CHECK_INTERVAL_MS;
+
+/** Why a connection to a scheduler was given up. */
+const DropCause = { ended: "ended", silent: "silent", unacknowledged: "unacknowledged" } as const;
+type DropCause = (typeof DropCause)[keyof typeof DropCause];
+
+/** Why a request was sent again. */
+const ResendCause = {
+  /** Another scheduler is responsible for it. */
+  moved: "moved",
+  /** It was not sent on the connection that its scheduler has now. */
+  lost: "lost",
+} as const;
+type ResendCause = (typeof ResendCause)[keyof typeof ResendCause];
 
 /** A request that is waiting for its grant. */
 interface PendingRequest {
@@ -33,8 +50,12 @@
 
 /** A connection to one scheduler, which may be this instance itself. */
 interface SchedulerConnection {
+  /** Its place in the order of openings. */
+  readonly number: number;
   send(request: BookRequest): void;
   readonly readLastReplyAt: () => Moment;
+  /** Tells whether its scheduler acknowledges requests; older builds do not. */
+  readonly readIsAcknowledging: () => boolean;
   close(): void;
 }
 
@@ -46,7 +67,11 @@
   private readonly schedulerByRequest = new Map<string, string>();
   /** Until when a scheduler whose connection was lost is skipped, by instance. */
   private readonly skippedUntil = new Map<string, Moment>();
+  /** Until when the address of a scheduler is waited for that the list does not name, by instance. */
+  private readonly addressDeadlines = new Map<string, Moment>();
   private readonly outgoingMessages = new Map<string, BookRequest>();
+  private readonly sentRequests = new SentRequests(MAX_UNACKNOWLEDGED_CHECKS);
+  private openedCount = 0;
   private timer: ReadFirstTimer | undefined;
 
   constructor(
@@ -56,6 +81,7 @@
     private readonly transport: PeerTransport,
     private readonly clock: Clock,
     private readonly logger: Logger,
+    private readonly metrics: Metrics,
   ) {}
 
   /** Checks connections at intervals, each time after sockets were read. */
@@ -99,6 +125,7 @@
   /** Cancels a request; a grant that arrives later is returned at once. */
   cancel(id: string): void {
     this.pendingRequests.delete(id);
+    this.sentRequests.forget(id);
     this.reportProgress({ id, stage: "ended", fault: "cancelled", engine: "" });
   }
 
@@ -112,6 +139,7 @@
 
   private sendWant(want: Want, scheduler: string): void {
     this.schedulerByRequest.set(want.id, scheduler);
+    this.sentRequests.recordQueued(want.id);
     this.queueMessage(scheduler, { wants: [want], done: [] });
   }
 
@@ -129,12 +157,44 @@
 
   /** Sends what is queued for a scheduler; one that can't be sent anything is skipped. */
   private async sendQueued(scheduler: string): Promise<void> {
-    const isSent = await runTask("send to a scheduler", this.logger, () => {
-      const message = this.outgoingMessages.get(scheduler);
-      this.outgoingMessages.delete(scheduler);
-      if (message !== undefined) this.findOrOpenConnection(scheduler)?.send(message);
+    const message = this.outgoingMessages.get(scheduler);
+    this.outgoingMessages.delete(scheduler);
+    if (message === undefined) return;
+    // Recorded as not sent until it is.
+    for (const want of message.wants) this.sentRequests.recordSent(want.id, undefined);
+    const isDone = await runTask("send to a scheduler", this.logger, () => {
+      const connection = this.findOrOpenConnection(scheduler);
+      if (connection === undefined) {
+        this.awaitAddress(scheduler);
+        return;
+      }
+      for (const want of message.wants) this.sentRequests.recordSent(want.id, connection.number);
+      connection.send(message);
     });
-    if (!isSent) this.skippedUntil.set(scheduler, this.clock.now() + SCHEDULER_COOLDOWN_MS);
+    if (!isDone) this.skip(scheduler);
+  }
+
+  /**
+   * Waits for an address as long as for a silent scheduler. A peer may be heard before the list is read
+   * that names it; another scheduler for the same pool would know nothing of its crashes.
+   */
+  private awaitAddress(scheduler: string): void {
+    if (this.addressDeadlines.has(scheduler)) return;
+    this.addressDeadlines.set(scheduler, this.clock.now() + SILENCE_TIMEOUT_MS);
+  }
+
+  /** Ends the waits for addresses that are known now, or not in time. */
+  private checkAddresses(now: Moment): void {
+    for (const [scheduler, deadline] of this.addressDeadlines) {
+      const isKnown = findInstanceAddress(this.board, scheduler) !== undefined;
+      if (!isKnown && deadline > now) continue;
+      this.addressDeadlines.delete(scheduler);
+      if (!isKnown) this.skip(scheduler);
+    }
+  }
+
+  private skip(scheduler: string): void {
+    this.skippedUntil.set(scheduler, this.clock.now() + SCHEDULER_COOLDOWN_MS);
   }
 
   private findOrOpenConnection(scheduler: string): SchedulerConnection | undefined {
@@ -150,6 +210,7 @@
 
   private openLocalConnection(): SchedulerConnection {
     const name = this.self.incarnation;
+    this.openedCount += 1;
     this.scheduler.openSession({
       name,
       send: (reply) => {
@@ -157,10 +218,12 @@
       },
     });
     return {
+      number: this.openedCount,
       send: (request) => {
         this.scheduler.onBookRequest(name, request);
       },
       readLastReplyAt: () => this.clock.now(),
+      readIsAcknowledging: () => false,
       close: () => {
         this.scheduler.closeSession(name);
       },
@@ -171,24 +234,34 @@
     const address = findInstanceAddress(this.board, scheduler);
     if (address === undefined) return undefined;
     const stream: BookClientStream = this.transport.openBookStream(address);
+    this.openedCount += 1;
+    const number = this.openedCount;
+    const isOpen = () => this.connections.get(scheduler)?.number === number;
     let lastReplyAt = this.clock.now();
+    let isAcknowledging = false;
     stream.on("data", (reply: BookReply) => {
+      // What comes on a connection that was given up is of a session that its scheduler closes.
+      if (!isOpen()) return;
       lastReplyAt = this.clock.now();
+      isAcknowledging ||= reply.acknowledges;
+      for (const id of reply.received) this.sentRequests.acknowledge(id, number);
       void runTask("handle a scheduler's reply", this.logger, () => {
         this.handleReply(reply);
       });
     });
-    stream.on("error", () => {
-      this.dropConnection(scheduler);
-    });
-    stream.on("end", () => {
-      this.dropConnection(scheduler);
-    });
+    // A connection that was given up ends later, when another one may be open.
+    const onEnd = () => {
+      if (isOpen()) this.dropConnection(scheduler, DropCause.ended);
+    };
+    stream.on("error", onEnd);
+    stream.on("end", onEnd);
     return {
+      number,
       send: (request) => {
         stream.write(request);
       },
       readLastReplyAt: () => lastReplyAt,
+      readIsAcknowledging: () => isAcknowledging,
       close: () => {
         stream.cancel();
       },
@@ -211,16 +284,18 @@
     const pending = this.pendingRequests.get(id);
     if (pending === undefined) return false;
     this.pendingRequests.delete(id);
+    this.sentRequests.forget(id);
     pending.resolve(result);
     return true;
   }
 
-  private dropConnection(scheduler: string): void {
+  private dropConnection(scheduler: string, cause: DropCause): void {
     const connection = this.connections.get(scheduler);
     if (connection === undefined) return;
     this.connections.delete(scheduler);
     connection.close();
-    this.skippedUntil.set(scheduler, this.clock.now() + SCHEDULER_COOLDOWN_MS);
+    this.skip(scheduler);
+    this.logger.info("scheduler lost", { scheduler, cause, waiting: this.pendingRequests.size });
     this.reassignPendingRequests();
   }
 
@@ -229,13 +304,22 @@
    * responsible now.
    */
   private check(): void {
-    const now = this.clock.now();
     for (const [scheduler, connection] of this.connections) {
-      if (now - connection.readLastReplyAt() > SILENCE_TIMEOUT_MS) this.dropConnection(scheduler);
+      const cause = this.findDropCause(connection);
+      if (cause !== undefined) this.dropConnection(scheduler, cause);
     }
+    this.checkAddresses(this.clock.now());
     this.reassignPendingRequests();
   }
 
+  private findDropCause(connection: SchedulerConnection): DropCause | undefined {
+    const overdue = this.sentRequests.checkOverdue(connection.number);
+    if (this.clock.now() - connection.readLastReplyAt() > SILENCE_TIMEOUT_MS)
+      return DropCause.silent;
+    if (overdue.length === 0 || !connection.readIsAcknowledging()) return undefined;
+    return DropCause.unacknowledged;
+  }
+
   /** Unlike a check, may run before sockets are read: it takes no silence for a fault. */
   private reassignPendingRequests(): void {
     const now = this.clock.now();
@@ -244,23 +328,33 @@
     for (const pending of this.pendingRequests.values()) this.reassignPending(pending, now);
   }
 
-  /** Checks whether nothing that was sent to a scheduler can be answered any more. */
-  private isLost(scheduler: string): boolean {
-    if (scheduler === this.self.instance) return false;
-    // A message that is queued opens the connection at the end of this turn.
-    return !this.connections.has(scheduler) && !this.outgoingMessages.has(scheduler);
+  /** Finds why a pending request has to be sent again; undefined if it need not be. */
+  private findResendCause(pending: PendingRequest, scheduler: string): ResendCause | undefined {
+    if (scheduler !== pending.scheduler) return ResendCause.moved;
+    if (this.addressDeadlines.has(scheduler)) return undefined;
+    const connection = this.connections.get(scheduler)?.number;
+    return this.sentRequests.isLost(pending.want.id, connection) ? ResendCause.lost : undefined;
   }
 
   /**
-   * Sends a pending request to its present scheduler where that has changed, with its targets
-   * reduced by the time waited.
+   * Sends a pending request to its present scheduler where that has changed or has not got it, with its
+   * targets reduced by the time waited.
    */
   private reassignPending(pending: PendingRequest, now: Moment): void {
     const scheduler = this.chooseSchedulerOf(pending.want.pool);
-    if (scheduler === pending.scheduler && !this.isLost(scheduler)) return;
+    const cause = this.findResendCause(pending, scheduler);
+    if (cause === undefined) return;
+    const waitedMs = Math.round(now - pending.requestedAt);
+    this.metrics.count(Metric.resentWant, 1, { cause });
+    this.logger.info("request sent again", {
+      request: pending.want.id,
+      cause,
+      before: pending.scheduler,
+      scheduler,
+      waitedMs,
+    });
     this.reportProgress({ id: pending.want.id, stage: "ended", fault: "cancelled", engine: "" });
     pending.scheduler = scheduler;
-    const waitedMs = Math.round(now - pending.requestedAt);
     this.sendWant(
       {
         ...pending.want,
--- a/src/core/bodyend.ts
+++ b/src/core/bodyend.ts
@@ -6,6 +6,7 @@
  * that ended before its request was taken is not known to be whole.
  */
 import type { Moment } from "./clock";
+import { ConnectionEnder } from "./connectionender";
 
 /** What the end of a connection says of a body that it delimits. */
 export const BodyEnd = {
@@ -14,6 +15,8 @@
   reset: "reset",
   /** The connection ended before the request was taken. */
   untaken: "untaken",
+  /** Not the endpoint has ended the connection, or nobody said that it did. */
+  unasserted: "unasserted",
 } as const;
 export type BodyEnd = (typeof BodyEnd)[keyof typeof BodyEnd];
 
@@ -58,15 +61,18 @@
   /** True if this side ended first: the other side is then forgotten after a proper end too. */
   readonly isClosedHere: boolean;
   readonly untakenBytes: number;
+  readonly endedBy: ConnectionEnder;
 }
 
 /**
  * Classifies what the end of a connection says of a body that it delimits.
  *
  * @example
- * classifyBodyEnd({ hasPeer: false, isClosedHere: false, untakenBytes: 0 }); // "reset"
+ * classifyBodyEnd({ hasPeer: false, isClosedHere: false, untakenBytes: 0, endedBy: "endpoint" }); // "reset"
  */
-export function classifyBodyEnd({ hasPeer, isClosedHere, untakenBytes }: EndEvidence): BodyEnd {
+export function classifyBodyEnd(evidence: EndEvidence): BodyEnd {
+  const { hasPeer, isClosedHere, untakenBytes, endedBy } = evidence;
+  if (endedBy !== ConnectionEnder.endpoint) return BodyEnd.unasserted;
   if (!hasPeer && !isClosedHere) return BodyEnd.reset;
   return untakenBytes > 0 ? BodyEnd.untaken : BodyEnd.whole;
 }
--- a/src/core/metrics.ts
+++ b/src/core/metrics.ts
@@ -15,6 +15,8 @@
   refusal: "refusal",
   holdsOpen: "holds_open",
   queueLength: "queue_length",
+  lateMessage: "late_message",
+  resentWant: "resent_want",
   eventLoopDelayMs: "event_loop_delay_p99_ms",
   configVersion: "config_version",
   configAgeMs: "config_age_ms",
--- a/src/endpoint/service.ts
+++ b/src/endpoint/service.ts
@@ -4,14 +4,16 @@
 import * as E from "fp-ts/Either";
 import type * as TE from "fp-ts/TaskEither";
 import { Client, type Dispatcher } from "undici";
+import { findEndProof, WriterState } from "../core/assertedend";
+import { BodyEnd } from "../core/bodyend";
+import { ConnectionEnder } from "../core/connectionender";
 import { createTimeoutSignal } from "../core/readfirst";
 import { createConnector } from "../store/connector";
-import { type BrokenAnswerListener, acceptAnswer } from "../store/brokenanswer";
-import { isConnectError, isConnectionRefused } from "../store/http";
+import { type AnswerFacts, type BrokenAnswerListener, acceptAnswer } from "../store/brokenanswer";
+import { isConnectError } from "../store/http";
+import { findServiceWriter, Witness } from "./witness";
 
 const CONNECT_TIMEOUT_MS = 1000;
-/** Timeout of the connect that shows whether a service still runs, in milliseconds. */
-const PROBE_TIMEOUT_MS = 250;
 const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
 
 /** A call to a plain service. */
@@ -91,17 +93,30 @@
     if (response.headers["x-attempt-id"] !== call.attempt) {
       return E.left(new ServiceError("the response belongs to another attempt", true));
     }
-    const body = Buffer.from(await response.body.arrayBuffer());
-    // A process that dies ends its connections like one that has finished.
-    if (!answer.isFramed && (await isServiceDown(origin))) {
-      const error = "the service is down after the end of its connection";
-      this.onBroken?.({ ...answer, reason: "down", receivedBytes: body.length, error });
-      return E.left(new ServiceError(error, true));
-    }
+    const witness = answer.isFramed ? undefined : new Witness(origin);
+    const read = await this.readBody(response, answer, witness).finally(() => witness?.close());
+    if (E.isLeft(read)) return read;
     const headers = Object.fromEntries(
       Object.entries(response.headers).map(([name, value]) => [name, String(value)]),
     );
-    return E.right({ status: response.statusCode, headers, body });
+    return E.right({ status: response.statusCode, headers, body: read.right });
+  }
+
+  /** Reads a body; a process that dies ends its connections like one that has finished. */
+  private async readBody(
+    { body }: Dispatcher.ResponseData,
+    answer: AnswerFacts,
+    witness: Witness | undefined,
+  ): Promise<E.Either<ServiceError, Buffer>> {
+    const bytes = Buffer.from(await body.arrayBuffer());
+    const writer = await findWriter(answer, witness);
+    const endedBy = ConnectionEnder.endpoint;
+    const { isFramed } = answer;
+    if (findEndProof({ isFramed, endedBy, writer }) !== undefined) return E.right(bytes);
+    const error = `nobody asserted the end of the answer: its writer is ${writer}`;
+    const reason = writer === WriterState.gone ? "down" : BodyEnd.unasserted;
+    this.onBroken?.({ ...answer, reason, receivedBytes: bytes.length, error });
+    return E.left(new ServiceError(error, true));
   }
 }
 
@@ -117,13 +132,11 @@
   });
 }
 
-/** Checks whether a service refuses connections; one that can't be reached is not known to. */
-function isServiceDown(origin: string): Promise<boolean> {
-  const { protocol, hostname, port } = new URL(origin);
-  return new Promise((resolve) => {
-    createConnector(PROBE_TIMEOUT_MS)({ protocol, hostname, port }, (error, socket) => {
-      socket?.destroy();
-      resolve(error !== null && isConnectionRefused(error));
-    });
-  });
+/** Finds what is known of the process that wrote an answer which has just ended. */
+async function findWriter(
+  { origin }: AnswerFacts,
+  witness: Witness | undefined,
+): Promise<WriterState> {
+  if (witness === undefined) return WriterState.unasked;
+  return findServiceWriter(origin, witness, performance.now());
 }
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -33,8 +33,10 @@
 export interface Progress {
   /** Texts of the tokens that were passed on to the caller. */
   readonly texts: string[];
-  /** True once an engine may have run a part of the completion. */
+  /** True once an engine may have run a part of the completion, as far as calls that have ended show. */
   mayHaveRun: boolean;
+  /** Number of prefills that are under way: what their engines run is not known yet. */
+  openPrefills: number;
   promptTokens: number;
 }
 
@@ -224,9 +226,10 @@
       priority: priorityClass.weight,
       timeoutMs: this.computeCallMs(),
     };
+    progress.openPrefills += 1;
     const result = await this.call(grant.prefill, PREFILL_TIMEOUT_MS, finder, (signal) =>
       this.parts.engines.prefill(url, { ...request, signal })(),
-    );
+    ).finally(() => (progress.openPrefills -= 1));
     const hasNotStarted = E.isLeft(result) && NOT_STARTED_FAULTS.has(result.left.fault);
     progress.mayHaveRun = progress.mayHaveRun || !hasNotStarted;
     if (E.isRight(result)) {
--- a/src/entry/operator.ts
+++ b/src/entry/operator.ts
@@ -46,10 +46,12 @@
           : path === "/livez" || path === "/status"
             ? 200
             : 404;
-      response.writeHead(statusCode, { "content-type": "application/json" });
-      response.end(
-        path === "/status" ? JSON.stringify(status) : JSON.stringify({ ready: isReady }),
-      );
+      const body = JSON.stringify(path === "/status" ? status : { ready: isReady });
+      response.writeHead(statusCode, {
+        "content-type": "application/json",
+        "content-length": Buffer.byteLength(body),
+      });
+      response.end(body);
     });
   }
 
--- a/src/entry/response.ts
+++ b/src/entry/response.ts
@@ -47,8 +47,10 @@
   isClosing: boolean,
 ): void {
   if (response.headersSent || response.destroyed) return;
+  const body = createRefusalBody(refusal, requestId);
   response.writeHead(refusal.status, {
     "content-type": "application/json",
+    "content-length": Buffer.byteLength(body),
     [ResponseHeader.request]: requestId,
     [ResponseHeader.ran]: refusal.ran,
     ...(refusal.retryAfterMs === undefined
@@ -56,5 +58,5 @@
       : { "retry-after": String(Math.ceil(refusal.retryAfterMs / MS_PER_SECOND)) }),
     ...(isClosing ? { connection: "close" } : {}),
   });
-  response.end(createRefusalBody(refusal, requestId));
+  response.end(body);
 }
--- a/src/entry/runner.ts
+++ b/src/entry/runner.ts
@@ -83,7 +83,8 @@
     private readonly request: RunRequest,
     private readonly sink: TokenSink,
   ) {
-    this.progress = { texts: [], mayHaveRun: false, promptTokens: request.completion.promptTokens };
+    const { promptTokens } = request.completion;
+    this.progress = { texts: [], mayHaveRun: false, openPrefills: 0, promptTokens };
     this.grants = new GrantRequester(parts, request, this.progress);
   }
 
@@ -311,7 +312,8 @@
   /** Creates a refusal, which says "not run" only where no engine can have run any part. */
   private createRefusal(reason: Reason, message: string, retryAfterMs?: number): Refusal {
     const status = STATUS_BY_REASON[reason] ?? 503;
-    if (!this.progress.mayHaveRun)
+    const { mayHaveRun, openPrefills } = this.progress;
+    if (!mayHaveRun && openPrefills === 0)
       return createNotRunRefusal(status, reason, message, retryAfterMs);
     return new Refusal(status, reason, ExecutionStatus.unknown, message, retryAfterMs);
   }
--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -18,6 +18,8 @@
 import type { Address } from "../core/settings";
 import { countTokens } from "../core/tokens";
 import { Metric } from "../core/metrics";
+import { pauseAndRead } from "../core/readfirst";
+import { acceptWaiting } from "../core/waiting";
 import { BadConnections, type BadRequestAnswer } from "./badconnection";
 import { BodyIntake } from "./bodyintake";
 import { BodyFailure, type BodyLimits, createBodyRefusal, readCallerBody } from "./callerbody";
@@ -36,6 +38,11 @@
 /** How often connections are checked against the timeout of the request headers. */
 const HEADERS_CHECK_INTERVAL_MS = 500;
 
+/** How long connections that wait at the listener are accepted before it closes, in milliseconds. */
+const LAST_CONNECTIONS_MS = 1000;
+/** How long such a connection may still bring its first request, in milliseconds. */
+const FRESH_MS = 200;
+
 /** Limits on what a caller may send. */
 export interface CallerLimits {
   readonly maxBodyBytes: number;
@@ -109,6 +116,7 @@
 
   /** Stops accepting requests, waits until all have a response, then closes the connections. */
   async close(): Promise<void> {
+    await this.acceptLast();
     this.intake.close();
     const closed = new Promise<void>((resolve) => {
       this.server.close(() => {
@@ -123,6 +131,13 @@
     this.server.closeAllConnections();
   }
 
+  /** Accepts what waits at the listener, and reads the requests of callers that have just connected. */
+  private async acceptLast(): Promise<void> {
+    const { clock } = this.parts;
+    const { accepted } = await acceptWaiting(this.server, clock, clock.now() + LAST_CONNECTIONS_MS);
+    if (accepted > 0) await pauseAndRead(FRESH_MS);
+  }
+
   private rejectBadConnection(error: Error & { code?: string }, socket: Socket): void {
     if (error.code === "ECONNRESET" || !socket.writable) socket.destroy();
     else this.badConnections.answer(socket, createBadRequestAnswer(error));
--- a/src/entry/sink.ts
+++ b/src/entry/sink.ts
@@ -132,6 +132,7 @@
     });
     this.response.writeHead(200, {
       "content-type": "application/json",
+      "content-length": Buffer.byteLength(body),
       [ResponseHeader.request]: requestId,
       [ResponseHeader.ran]: ExecutionStatus.answered,
       ...(isClosing ? { connection: "close" } : {}),
--- a/src/fleet/members.ts
+++ b/src/fleet/members.ts
@@ -322,6 +322,13 @@
     return this.listLiveMembers(now).map(({ instance }) => instance);
   }
 
+  /** Lists the instances that are live and leaving. */
+  listLeavingMembers(now: Moment): readonly ReplicaCandidate[] {
+    return [...this.members.values()].filter(
+      (member) => now - member.lastHeartbeatAt <= LIVENESS_TIMEOUT_MS && member.isLeaving,
+    );
+  }
+
   /** Lists the instances that are live and not leaving, this one included. */
   listLiveMembers(now: Moment): readonly ReplicaCandidate[] {
     const live = [...this.members.values()].filter(
--- a/src/fleet/orders.ts
+++ b/src/fleet/orders.ts
@@ -24,6 +24,8 @@
 const ORDER_MARGIN_MS = 2500;
 /** Maximum size of a record, in bytes; those of instances have some hundreds. */
 const MAX_RECORD_BYTES = 16 * 1024;
+/** Maximum number of pages that are read for one order. */
+const MAX_PAGES = 16;
 /** Fencing tokens of one era; the log never has as many records. */
 const FENCES_PER_ERA = 2 ** 32;
 
@@ -99,17 +101,25 @@
     return { fence, isFresh };
   }
 
+  /** Reads to the end of the log; a page may end before it. */
   private async readNewRecords(): Promise<boolean> {
-    const page = await this.log.read(this.nextOffset)();
-    if (E.isLeft(page)) {
-      if (page.left.fault === StoreFault.trimmed)
-        this.nextOffset = page.left.first ?? this.nextOffset;
-      this.logger.info("orders not read", { error: page.left.message });
-      return false;
+    for (let pages = 0; pages < MAX_PAGES; pages += 1) {
+      const page = await this.log.read(this.nextOffset)();
+      if (E.isLeft(page)) {
+        if (page.left.fault === StoreFault.trimmed)
+          this.nextOffset = page.left.first ?? this.nextOffset;
+        this.logger.info("orders not read", { error: page.left.message });
+        return false;
+      }
+      const { records, end } = page.right;
+      for (const record of records) this.trackHolder(record);
+      const next = (records.at(-1)?.offset ?? this.nextOffset - 1) + 1;
+      this.nextOffset = Math.min(next, end);
+      if (next >= end) return true;
+      if (records.length === 0) break;
     }
-    for (const record of page.right.records) this.trackHolder(record);
-    this.nextOffset = page.right.end;
-    return true;
+    this.logger.info("orders not read", { error: "the log goes on behind the last page" });
+    return false;
   }
 
   /**
--- a/src/fleet/relay/grpc.ts
+++ b/src/fleet/relay/grpc.ts
@@ -1,6 +1,9 @@
 /**
  * Relay streams over gRPC. Messages are encoded by their senders, so that one that goes to several
  * neighbours is encoded once.
+ *
+ * Each side ends a stream by a word of its own: the serving side by the status of the call, the opener by a goodbye,
+ * since the end of its direction alone also comes from the machine of a process that died.
  */
 import {
   Client,
@@ -25,6 +28,9 @@
   bytes: bytes.length,
 });
 
+/** The word by which an opener ends its stream; builds that don't know it find an empty message. */
+const GOODBYE = RelayMessage.encode(RelayMessage.fromPartial({ goodbye: true })).finish();
+
 /** The call of relay streams, with encoded messages. */
 export const RELAY_DEFINITION: MethodDefinition<Uint8Array, ReceivedMessage> = {
   path: FleetService.relay.path,
@@ -54,7 +60,7 @@
       RELAY_DEFINITION.requestSerialize,
       RELAY_DEFINITION.responseDeserialize,
     );
-    const stream = new GrpcRelayStream(call, () => {
+    const stream = new OpenedStream(call, () => {
       client.close();
     });
     stream.listen(listener);
@@ -74,20 +80,27 @@
   call: RelayCall,
   accept: (stream: RelayStream) => RelayListener,
 ): void {
-  const stream = new GrpcRelayStream(call, () => undefined);
+  const stream = new ServedStream(call, () => undefined);
   stream.listen(accept(stream));
 }
 
 /** One side of a stream. */
-class GrpcRelayStream implements RelayStream {
+abstract class GrpcRelayStream implements RelayStream {
   private isBlocked = false;
   private isOver = false;
+  private hasGoodbye = false;
 
   constructor(
     private readonly call: ClientDuplexStream<Uint8Array, ReceivedMessage> | RelayCall,
     private readonly release: () => void,
   ) {}
 
+  /** Says that this side ends the stream. */
+  protected abstract sayGoodbye(): void;
+
+  /** Checks whether the end of the call, without an error, is the peer's own word. */
+  protected abstract isEndedByPeer(hasGoodbye: boolean): boolean;
+
   listen(listener: RelayListener): void {
     const { call } = this;
     const finish = (isGraceful: boolean) => {
@@ -95,24 +108,20 @@
       this.end();
       listener.onClosed(isGraceful);
     };
+    const breakOff = () => {
+      finish(this.hasGoodbye);
+    };
     call.on("data", ({ message, bytes }: ReceivedMessage) => {
-      if (!this.isOver) listener.onMessage(message, bytes);
+      if (message.goodbye) this.hasGoodbye = true;
+      else if (!this.isOver) listener.onMessage(message, bytes);
     });
     call.on("drain", () => {
       this.isBlocked = false;
     });
     call.on("end", () => {
-      finish(true);
-    });
-    call.on("error", () => {
-      finish(false);
-    });
-    call.on("cancelled", () => {
-      finish(false);
-    });
-    call.on("close", () => {
-      finish(false);
+      finish(this.isEndedByPeer(this.hasGoodbye));
     });
+    for (const event of ["error", "cancelled", "close"]) call.on(event, breakOff);
   }
 
   send(message: Uint8Array): void {
@@ -125,6 +134,8 @@
   }
 
   close(): void {
+    if (this.isOver) return;
+    this.sayGoodbye();
     this.end();
   }
 
@@ -135,3 +146,28 @@
     this.release();
   }
 }
+
+/** The side that opened the stream. */
+class OpenedStream extends GrpcRelayStream {
+  protected sayGoodbye(): void {
+    this.send(GOODBYE);
+  }
+
+  /** Without an error the call ends only by a status, which the serving process writes itself. */
+  protected isEndedByPeer(): boolean {
+    return true;
+  }
+}
+
+/** The side that serves the stream. */
+class ServedStream extends GrpcRelayStream {
+  /** The end of the call carries its status. */
+  protected sayGoodbye(): void {
+    return undefined;
+  }
+
+  /** An opener of a build without a goodbye counts as lost, which a stream of its that follows takes back. */
+  protected isEndedByPeer(hasGoodbye: boolean): boolean {
+    return hasGoodbye;
+  }
+}
--- a/src/fleet/relay/link.ts
+++ b/src/fleet/relay/link.ts
@@ -113,6 +113,7 @@
       head: undefined,
       report: undefined,
       wanted: isWantChanged ? this.wanted : undefined,
+      goodbye: false,
     }).finish();
     const message = Buffer.concat([header, ...parts]);
     this.unacknowledged.push({ sequence, sentAt: now, ownLoad });
--- a/src/forward/callers/connections.ts
+++ b/src/forward/callers/connections.ts
@@ -4,8 +4,13 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import type { Moment } from "../../core/clock";
+
+/** How long a new connection may still bring its first request, in milliseconds. */
+const FRESH_MS = 200;
 
 interface CallerConnection {
+  readonly acceptedAt: Moment;
   /** Responses of which a part is not handed to the operating system yet. */
   readonly open: Set<ServerResponse>;
   /** True once a response on it says that it is the last one. */
@@ -24,12 +29,11 @@
  */
 export class CallerConnections {
   private readonly connections = new Map<Socket, CallerConnection>();
-  /** Responses that only the end of their connection tells to be whole. */
-  private readonly unframed = new WeakSet<ServerResponse>();
 
   /** Adds a connection until it is closed. */
-  add(socket: Socket): void {
-    this.connections.set(socket, { open: new Set(), isEnding: false, bytesAtLastEnd: undefined });
+  add(socket: Socket, acceptedAt: Moment): void {
+    const connection = { acceptedAt, open: new Set<ServerResponse>(), isEnding: false };
+    this.connections.set(socket, { ...connection, bytesAtLastEnd: undefined });
     socket.once("close", () => this.connections.delete(socket));
   }
 
@@ -62,9 +66,13 @@
     return !socket.writable || this.connections.get(socket)?.isEnding === true;
   }
 
-  /** Records that a response has neither a length nor chunks. */
-  markUnframed(response: ServerResponse): void {
-    this.unframed.add(response);
+  /** Checks whether a connection was accepted so recently that the rest of its first request may be on the way. */
+  hasFresh(now: Moment): boolean {
+    for (const { acceptedAt, open, bytesAtLastEnd } of this.connections.values()) {
+      const isUnread = open.size === 0 && bytesAtLastEnd === undefined;
+      if (isUnread && now - acceptedAt < FRESH_MS) return true;
+    }
+    return false;
   }
 
   /** Closes the connections on which nothing came after a response that is written out. */
@@ -74,12 +82,8 @@
     }
   }
 
-  /** Closes all connections, so that no response looks whole that is not. */
+  /** Closes all connections; none of the responses on them looks whole that is not, as all are framed. */
   closeAll(): void {
-    for (const [socket, { open }] of this.connections) {
-      const isUnframed = [...open].some((response) => this.unframed.has(response));
-      if (isUnframed) socket.resetAndDestroy();
-      else socket.destroy();
-    }
+    for (const socket of this.connections.keys()) socket.destroy();
   }
 }
--- a/src/forward/callers/server.ts
+++ b/src/forward/callers/server.ts
@@ -23,6 +23,8 @@
   Reason,
   type Refusal,
 } from "../../core/outcome";
+import { acceptWaiting } from "../../core/waiting";
+import { CallerAnswerLog } from "./answerlog";
 import { CallerConnections } from "./connections";
 import { closeUnlessRead, cutResponse, endAfter, endOverdue } from "./endings";
 import {
@@ -84,6 +86,7 @@
   private readonly connections = new CallerConnections();
   private readonly badConnections = new BadConnections();
   private readonly overdue: OverdueRequests;
+  private readonly answers: CallerAnswerLog;
   private readonly responses: ResponseWriter;
   private readonly intake: BodyIntake;
   private readonly turns: ConnectionTurns;
@@ -111,11 +114,13 @@
       meter.bodiesRefused.inc({ reason });
       logger.warn("body refused", { reason, held: this.intake.held });
     });
+    this.answers = new CallerAnswerLog(logger, meter);
     this.responses = new ResponseWriter(
       codec,
       this.connections,
       logger,
       meter,
+      this.answers,
       (request) => this.isClosing && this.isLast(request),
       heldBytes,
     );
@@ -132,7 +137,7 @@
     );
     this.server.on("connection", (socket) => {
       this.guard(socket, () => {
-        this.connections.add(socket);
+        this.connections.add(socket, clock.now());
       });
     });
     this.server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
@@ -150,6 +155,11 @@
     return this.openRequests;
   }
 
+  /** Checks whether a caller that has just connected may still send its request. */
+  get hasFreshConnections(): boolean {
+    return this.connections.hasFresh(this.clock.now());
+  }
+
   /** Starts to listen; rejects if the address is not available. */
   listen(host: string, port: number): Promise<void> {
     this.overdueTimer = new AlignedInterval(CHECK_INTERVAL_MS, () => {
@@ -175,6 +185,17 @@
     this.isClosing = true;
   }
 
+  /** Accepts the connections that wait at the listener, until none does or a deadline has passed. */
+  async acceptWaiting(deadline: Moment): Promise<void> {
+    const { clock, logger, meter } = this;
+    const startedAt = clock.now();
+    const { accepted, isEmpty } = await acceptWaiting(this.server, clock, deadline);
+    meter.lastConnections.inc(accepted);
+    const fields = { accepted, isEmpty, tookMs: Math.round(clock.now() - startedAt) };
+    if (isEmpty) logger.info("listener closes", fields);
+    else logger.warn("listener closes", fields);
+  }
+
   /** Stops accepting connections, and closes those without a request in flight. */
   closeIdle(): void {
     // An HTTP server's own close cuts responses that are handed over whole and not written out.
@@ -194,6 +215,7 @@
   close(): void {
     this.overdueTimer?.close();
     this.intake.close();
+    this.answers.recordStop();
     this.connections.closeAll();
     this.server.close();
   }
@@ -352,7 +374,7 @@
       const result = await this.handleInTime(request, response, abort);
       if (result === undefined) return;
       if (E.isLeft(result)) this.responses.refuse(response, id, this.convertCancelled(result.left));
-      else this.responses.send(response, result.right);
+      else this.responses.send(response, id, result.right);
     } catch (error) {
       this.failRequest(response, id, error);
     }
@@ -374,8 +396,10 @@
         resolve(giveUp(report));
         abort.abort();
       });
-      const handle = async () =>
-        this.handler({ ...request, sink: this.responses.createSink(response, watched), watched });
+      const handle = async () => {
+        const sink = this.responses.createSink(response, id, watched);
+        return this.handler({ ...request, sink, watched });
+      };
       const end = () => {
         if (!this.overdue.end(watched)) this.logger.info("overdue request ended", { request: id });
       };
--- a/src/forward/calls/send.ts
+++ b/src/forward/calls/send.ts
@@ -22,11 +22,9 @@
   type RequestTimes,
   resetDataCentreConnections,
   CallOutcome,
-  canBeWhole,
-  createProcessId,
+  confirmEnd,
   createSuspect,
-  EndProof,
-  findEndProof,
+  describeUnasserted,
   findNotRunEvidence,
   type NotRunEvidence,
   createWorkKind,
@@ -129,7 +127,7 @@
     call.end(outcome, clock.now());
     if (outcome === CallOutcome.success) {
       const kind = createWorkKind(request.route.name, request.service);
-      const sample = { ms: clock.now() - startedAt, units };
+      const sample = { ms: clock.now() - startedAt, units, mayHoldConnect: true };
       health.recordWork(kind, endpoint.id, sample, clock.now());
     }
     if (outcome === CallOutcome.unreachable) {
@@ -199,34 +197,20 @@
       const message = "the answer does not come from the endpoint itself";
       return createFailedResult(SendEnd.unknown, message);
     }
-    const state = isFramed ? undefined : await this.probeAfterBreak(deadlineSignal);
-    if (state !== undefined && !canBeWhole(state)) {
-      const message = `the endpoint is ${state} after the end of its connection`;
-      return createFailedResult(SendEnd.unknown, message);
+    const answerEnd = await confirmEnd(this.parts.context, {
+      request: this.parts.request,
+      endpoint,
+      response,
+      isSuspect: true,
+    });
+    if (answerEnd.proof === undefined) {
+      return createFailedResult(SendEnd.unknown, describeUnasserted(answerEnd));
     }
     if (isFramed && head.status < MIN_FAILURE_STATUS) this.recordCompletion();
-    this.recordProof(response, whole.right);
     const answer = { head, body: whole.right, isFramed };
     return { end: SendEnd.answered, response: answer, message: "answered" };
   }
 
-  /** Records what shows that an answer is whole; one without a length or chunks has a line of its own. */
-  private recordProof(response: OpenResponse, body: Buffer): void {
-    const { context, request } = this.parts;
-    const { meter, logger } = context;
-    const proof = findEndProof(response);
-    meter.answerEnds.inc({ service: request.service, proof });
-    if (proof === EndProof.framing) return;
-    const process = createProcessId(this.endpoint);
-    logger.info("unframed answer", {
-      request: request.head.id,
-      endpoint: this.endpoint.id,
-      process,
-      proof,
-      bytes: body.length,
-    });
-  }
-
   private recordCompletion(): void {
     const { context, request } = this.parts;
     context.crashes.recordCompletion(createSuspect(request), context.clock.now());
--- a/src/forward/dialing.ts
+++ b/src/forward/dialing.ts
@@ -23,6 +23,8 @@
   readonly tunnels: TunnelOpener;
   /** Lists the live peers that are not leaving, without this instance. */
   readonly listPeers: () => readonly ReplicaCandidate[];
+  /** Lists the live peers that are leaving. */
+  readonly listLeavingPeers: () => readonly ReplicaCandidate[];
 }
 
 /**
@@ -35,7 +37,8 @@
   const tunnels = new PeerTunnelOpener((peer) => members.findAddress(peer));
   const listPeers = () =>
     members.listLiveMembers(clock.now()).filter(({ instance }) => instance !== self.instance);
-  return { tunnels, listPeers };
+  const listLeavingPeers = () => members.listLeavingMembers(clock.now());
+  return { tunnels, listPeers, listLeavingPeers };
 }
 
 /** Told when a direct way is lost or back. */
--- a/src/forward/endpoints/answer.ts
+++ b/src/forward/endpoints/answer.ts
@@ -2,7 +2,9 @@
  * An answer of an endpoint whose head has arrived and whose body is still to be read.
  */
 import type { Readable } from "node:stream";
+import type { Moment } from "../../core/clock";
 import type { ByteLease } from "../../core/bytebudget";
+import type { ConnectionEnder } from "../../core/connectionender";
 import { hasFraming } from "../../store/framing";
 import { type ResponseHead, Verdict } from "../requests";
 import type { Connection } from "./connection";
@@ -17,6 +19,12 @@
   readonly body: Readable;
   /** True if the response has a length, chunks or no body; one without ends with its connection. */
   readonly isFramed: boolean;
+  /** When its connection was open. */
+  readonly openedAt: Moment;
+  /** The peer over which it came; undefined for a direct connection. */
+  readonly peer: string | undefined;
+  /** Returns who has ended its connection. */
+  readonly findEnder: () => ConnectionEnder;
   /**
    * Returns true if the connection failed that alone delimits the body, so that one that seems to have
    * ended is not whole.
@@ -59,6 +67,9 @@
     head,
     body,
     isFramed,
+    openedAt: connection.openedAt,
+    peer: connection.peer,
+    findEnder: () => connection.endedBy,
     isBroken: () => !isFramed && connection.isBroken,
     containsCopy: (bytes) => containsOwnHead(bytes, isCopy),
     isFilledUp: async (whole) => isCutInHead(whole) && (await connection.waitForStrayBytes()),
@@ -108,8 +119,8 @@
  * isFramedAnswer(200, ["content-length", "7"]); // true
  */
 export function isFramedAnswer(status: number, headers: readonly string[]): boolean {
-  return hasFraming(
-    status,
-    headers.filter((_text, index) => index % 2 === 0),
+  const fields = headers.flatMap((name, index) =>
+    index % 2 === 0 ? { name, value: headers[index + 1] ?? "" } : [],
   );
+  return hasFraming(status, fields);
 }
--- a/src/forward/endpoints/client.ts
+++ b/src/forward/endpoints/client.ts
@@ -228,9 +228,12 @@
     timeoutMs: number,
     permits = 1,
   ): Promise<E.Either<SendFailure, CallResponse>> {
-    if (!(await this.canCall(target, permits))) return E.left(createHeldFailure());
+    if (!(await this.canCall(target, call, permits))) return E.left(createHeldFailure());
     const pool = this.getOrCreatePool(target);
-    const connection = pool.openForCall(call.isDirectOnly);
+    const connection = pool.openForCall({
+      isDirectOnly: call.isDirectOnly === true,
+      isQuestion: call.isEndCheck,
+    });
     const sentAt = this.clock.now();
     connection.limitBytes(MAX_HEAD_BYTES);
     let answer: AnswerFacts | undefined;
@@ -305,7 +308,13 @@
   }
 
   /** Checks that the endpoint takes a call, and acquires its permits where it has a limit. */
-  private async canCall(target: EndpointTarget, permits: number): Promise<boolean> {
+  private async canCall(
+    target: EndpointTarget,
+    { isEndCheck }: EndpointCall,
+    permits: number,
+  ): Promise<boolean> {
+    // It belongs to a run that is under way.
+    if (isEndCheck === true) return true;
     if (this.gate.isPaused(target.id)) return false;
     if ((await this.gate.acquirePermits(target, permits)) !== true) return false;
     return !this.gate.isPaused(target.id);
--- a/src/forward/endpoints/connection.ts
+++ b/src/forward/endpoints/connection.ts
@@ -7,9 +7,16 @@
 import type { Socket } from "node:net";
 import * as E from "fp-ts/Either";
 import { type buildConnector, Client } from "undici";
-import { type Moment, pause } from "../../core/clock";
+import { type Clock, type Moment, pause } from "../../core/clock";
+import { ConnectionEnder } from "../../core/connectionender";
 import { ByteLimit } from "../../store/bytelimit";
-import type { DialOptions, EndpointDialer, DialledSocket, EndpointSocket } from "../tunnels";
+import {
+  type DialOptions,
+  type DialledSocket,
+  type EndpointDialer,
+  type EndpointSocket,
+  LEAVING_EVENT,
+} from "../tunnels";
 import type { EndpointTarget } from "../limits";
 
 /**
@@ -48,18 +55,23 @@
   readonly client: Client;
   /** When it was last returned to its pool. */
   idleSince: Moment = 0;
+  /** When its socket was open. */
+  openedAt: Moment = 0;
   private readonly requestIds = new Set<string>();
   private socket: EndpointSocket | undefined;
   private openedBy: string | undefined;
   private byteLimit: ByteLimit | undefined;
   private hasError = false;
   private hasStrayBytes = false;
+  /** Called once its peer is told to stop. */
+  onLeaving: () => void = () => undefined;
 
   /** @param options - those of its first request; each request brings its own */
   constructor(
     target: EndpointTarget,
     dialer: EndpointDialer,
     private options: DialOptions,
+    private readonly clock: Clock,
   ) {
     this.client = new Client(`http://${target.address}`, {
       connect: (_, callback) => {
@@ -100,9 +112,15 @@
     return this.openedBy;
   }
 
+  /** Who ended it; nobody while it is open or where it broke. */
+  get endedBy(): ConnectionEnder {
+    return this.socket?.endedBy ?? ConnectionEnder.nobody;
+  }
+
   /** True if another request may be sent on it. */
   get isReusable(): boolean {
-    return this.isAlive && this.requestIds.size < MAX_REQUESTS;
+    const isLeaving = this.socket?.isLeaving === true;
+    return this.isAlive && !isLeaving && this.requestIds.size < MAX_REQUESTS;
   }
 
   /** True if it has carried no request before the present one, whose answer could arrive late. */
@@ -159,8 +177,12 @@
 
   private trackSocket(socket: EndpointSocket): void {
     this.socket = socket;
+    this.openedAt = this.clock.now();
     this.resetToPresent();
     this.byteLimit = new ByteLimit(socket, MAX_HEAD_BYTES);
+    socket.once(LEAVING_EVENT, () => {
+      if (this.socket === socket) this.onLeaving();
+    });
     socket.prependOnceListener("error", (error: NodeJS.ErrnoException) => {
       if (this.socket !== socket) return;
       // undici destroys sockets it no longer needs with errors of its own, which have no errno.
--- a/src/forward/endpoints/context.ts
+++ b/src/forward/endpoints/context.ts
@@ -11,6 +11,7 @@
 import type { VersionHistory } from "../../fleet/versionhistory";
 import type { EndpointClient } from "./client";
 import type { Dialer, LinkChecker, PathTracker } from "../tunnels";
+import type { ConfirmedProcesses } from "./confirmedprocesses";
 import type { Releaser } from "./releaser";
 import type { CrashTracker } from "../../core/crashes/tracker";
 import type { EndpointCodec, ForwardRequest, LoopDelaySampler, Meter } from "../requests";
@@ -34,6 +35,7 @@
   readonly paths: PathTracker;
   readonly links: LinkChecker;
   readonly releaser: Releaser;
+  readonly confirmedProcesses: ConfirmedProcesses;
   readonly codec: EndpointCodec;
   readonly retries: RetryBudget;
   readonly crashes: CrashTracker;
--- a/src/forward/endpoints/index.ts
+++ b/src/forward/endpoints/index.ts
@@ -15,7 +15,8 @@
   computeTimes,
   resetDataCentreConnections,
 } from "./context";
-export { EndProof, findEndProof } from "./endproof";
+export { ConfirmedProcesses } from "./confirmedprocesses";
+export { type AnswerEnd, confirmEnd, describeUnasserted } from "./endcheck";
 export { CallOutcome, HealthTracker, type HealthView } from "./health";
 export { findNotRunEvidence, type NotRunEvidence } from "./notrun";
 export { ConnectionWay } from "./pool";
@@ -25,8 +26,9 @@
   type SlownessReport,
   type SpeedEstimate,
 } from "./speeds";
-export { EndpointState, canBeWhole, createProcessId, createSuspect, probeEndpoint } from "./probe";
-export { CheckMoment, checkProcess, ProcessState } from "./processcheck";
+export { EndpointState, createProcessId, createSuspect, probeEndpoint } from "./probe";
+export { CheckMoment, checkProcess, isOtherProcess, ProcessState } from "./processcheck";
 export { EndpointSubsets } from "./subset";
+export { askWriter, type WriterQuestion } from "./writerquestion";
 export { isInRegions } from "./restriction";
 export { Releaser } from "./releaser";
--- a/src/forward/endpoints/pool.ts
+++ b/src/forward/endpoints/pool.ts
@@ -77,10 +77,10 @@
   /**
    * Opens a connection of its own for a call of the router's own; it is discarded after it.
    *
-   * @param isDirectOnly - true if no peer may open it
+   * @param options - which ways it may take
    */
-  openForCall(isDirectOnly = false): Connection {
-    const connection = this.open({ isDirectOnly });
+  openForCall(options: DialOptions = { isDirectOnly: false }): Connection {
+    const connection = this.open(options);
     this.calls.add(connection);
     this.closeSurplus();
     return connection;
@@ -131,7 +131,13 @@
   }
 
   private open(options: DialOptions): Connection {
-    return new Connection(this.target, this.dialer, options);
+    const connection = new Connection(this.target, this.dialer, options, this.clock);
+    connection.onLeaving = () => {
+      if (!this.idle.includes(connection)) return;
+      this.idle = this.idle.filter((other) => other !== connection);
+      connection.close();
+    };
+    return connection;
   }
 
   private canReuse({ peer }: Connection): boolean {
--- a/src/forward/endpoints/probe.ts
+++ b/src/forward/endpoints/probe.ts
@@ -28,19 +28,8 @@
   [ConnectState.unreachable]: EndpointState.silent,
 } as const;
 
-/**
- * Checks whether a response without a length or chunks may be whole, by the state of its endpoint
- * after the end of its connection: a crash ends it in the same way.
- *
- * @example
- * canBeWhole(await probeEndpoint(context, request, endpoint, true));
- */
-export function canBeWhole(state: EndpointState): boolean {
-  return state !== EndpointState.down && state !== EndpointState.unconfirmed;
-}
-
 /** Creates the id of an endpoint's process; a restarted endpoint gets another one. */
-export function createProcessId(endpoint: EndpointEntry): string {
+export function createProcessId(endpoint: Pick<EndpointEntry, "id" | "processStartedAt">): string {
   return `${endpoint.id}@${endpoint.processStartedAt}`;
 }
 
@@ -57,7 +46,7 @@
 /**
  * Probes an endpoint whose connection broke during a request; if it is down and the request is a
  * suspect, the request is recorded as one that may have crashed it. An endpoint that asked for a
- * pause is not probed.
+ * pause is not probed, unless it is to be known whether its answer has ended.
  *
  * @example
  * await probeEndpoint(context, request, endpoint, true); // "up"
@@ -67,8 +56,9 @@
   request: ForwardRequest,
   endpoint: EndpointEntry,
   isSuspect: boolean,
+  isEndCheck = false,
 ): Promise<EndpointState> {
-  if (context.gate.isPaused(endpoint.id)) return EndpointState.silent;
+  if (!isEndCheck && context.gate.isPaused(endpoint.id)) return EndpointState.silent;
   const state = STATES[await context.dialer.probe(endpoint)];
   if (state === EndpointState.down) recordCrash(context, request, endpoint, isSuspect);
   if (state === EndpointState.unconfirmed) {
--- a/src/forward/endpoints/speeds.ts
+++ b/src/forward/endpoints/speeds.ts
@@ -54,6 +54,8 @@
   readonly ms: number;
   /** Amount of work, such as prompt tokens; with the work that was ahead of it. */
   readonly units: number;
+  /** True if the time may hold the opening of a connection; the first such time does not count. */
+  readonly mayHoldConnect?: boolean;
 }
 
 interface Learnt {
@@ -65,6 +67,8 @@
   error: number;
   normalError: number;
   samples: number;
+  /** True while the one sample may be the time of a new connection rather than the endpoint's. */
+  isProvisional: boolean;
   at: Moment;
 }
 
@@ -79,46 +83,59 @@
   readonly byEndpoint = new Map<string, Learnt>();
   private meanSum = 0;
   private normalMeanSum = 0;
+  /** Number of endpoints of which the averages are in the sums. */
+  private count = 0;
 
   /**
    * The averages of what is learnt of each endpoint now. One that was not measured counts as typical:
    * against an average over time, it would lose to all others whenever times have become shorter.
    */
   readTypical(): Typical | undefined {
-    const count = this.byEndpoint.size;
-    if (count === 0) return undefined;
+    const { count } = this;
+    if (count === 0) return this.readProvisional();
     return { mean: this.meanSum / count, normalMean: this.normalMeanSum / count };
   }
 
   add(endpoint: string, learnt: Learnt): void {
     this.byEndpoint.set(endpoint, learnt);
-    this.addToSums(learnt.mean, learnt.normalMean);
+    if (!learnt.isProvisional) this.addToSums(learnt, 1);
   }
 
   remove(endpoint: string): void {
     const learnt = this.byEndpoint.get(endpoint);
     if (learnt === undefined) return;
     this.byEndpoint.delete(endpoint);
-    this.addToSums(-learnt.mean, -learnt.normalMean);
+    if (!learnt.isProvisional) this.addToSums(learnt, -1);
   }
 
   /** Records a time at an endpoint that was measured before. */
   record(learnt: Learnt, time: number, normalTime: number, now: Moment): void {
+    if (learnt.isProvisional) {
+      Object.assign(learnt, { mean: time, normalMean: normalTime, isProvisional: false, at: now });
+      this.addToSums(learnt, 1);
+      return;
+    }
+    this.addToSums(learnt, -1);
     learnt.error += ((time - learnt.mean) ** 2 - learnt.error) * SAMPLE_WEIGHT;
     learnt.normalError +=
       ((normalTime - learnt.normalMean) ** 2 - learnt.normalError) * SAMPLE_WEIGHT;
-    const meanChange = (time - learnt.mean) * SAMPLE_WEIGHT;
-    const normalMeanChange = (normalTime - learnt.normalMean) * SAMPLE_WEIGHT;
-    learnt.mean += meanChange;
-    learnt.normalMean += normalMeanChange;
+    learnt.mean += (time - learnt.mean) * SAMPLE_WEIGHT;
+    learnt.normalMean += (normalTime - learnt.normalMean) * SAMPLE_WEIGHT;
     learnt.samples += 1;
     learnt.at = now;
-    this.addToSums(meanChange, normalMeanChange);
+    this.addToSums(learnt, 1);
+  }
+
+  /** What is typical while all that was measured is provisional; undefined if nothing was. */
+  private readProvisional(): Typical | undefined {
+    const [first] = this.byEndpoint.values();
+    return first && { mean: first.mean, normalMean: first.normalMean };
   }
 
-  private addToSums(mean: number, normalMean: number): void {
-    this.meanSum += mean;
-    this.normalMeanSum += normalMean;
+  private addToSums({ mean, normalMean }: Typical, sign: 1 | -1): void {
+    this.count += sign;
+    this.meanSum += sign * mean;
+    this.normalMeanSum += sign * normalMean;
   }
 }
 
@@ -146,7 +163,7 @@
   recordSample(
     kind: string,
     endpoint: string,
-    { ms, units }: SpeedSample,
+    { ms, units, mayHoldConnect = false }: SpeedSample,
     report: SlownessReport | undefined,
     now: Moment,
   ): void {
@@ -161,7 +178,7 @@
       return;
     }
     const fresh = { mean: time, normalMean: normalTime, error: 0, normalError: 0 };
-    learntKind.add(endpoint, { ...fresh, samples: 1, at: now });
+    learntKind.add(endpoint, { ...fresh, samples: 1, isProvisional: mayHoldConnect, at: now });
   }
 
   /** Estimates the speed of an endpoint for a kind of work. */
@@ -173,7 +190,8 @@
   ): SpeedEstimate {
     const learntKind = this.kinds.get(kind);
     const typical = learntKind?.readTypical();
-    const learnt = learntKind?.byEndpoint.get(endpoint);
+    const known = learntKind?.byEndpoint.get(endpoint);
+    const learnt = known?.isProvisional === true ? undefined : known;
     const freshness = learnt === undefined ? 0 : 2 ** (-(now - learnt.at) / LEARNT_HALF_LIFE_MS);
     const learntLog = learnt && typical ? (learnt.mean - typical.mean) * freshness : 0;
     const isReported = report !== undefined && report.ageMs < REPORT_TTL_MS;
--- /dev/null
+++ b/src/forward/endpoints/writerquestion.ts
@@ -0,0 +1,36 @@
+/**
+ * Asks an engine whether its listed process wrote something, unless that is known. Each asks on its own: a question that
+ * is lost must not speak for others.
+ */
+import type { Moment } from "../../core/clock";
+import type { EndpointEntry } from "../../fleet/entries";
+import type { ForwardContext } from "./context";
+import { type CheckMoment, checkProcess, ProcessState } from "./processcheck";
+
+/** What a writer is asked for. */
+export interface WriterQuestion {
+  /** When the connection was open, or the stream had begun. */
+  readonly wroteBy: Moment;
+  /** Id of the request for which it is asked, for the log. */
+  readonly request: string;
+  readonly moment: CheckMoment;
+  /** How long the answer is waited for, in milliseconds. */
+  readonly timeoutMs: number;
+}
+
+/**
+ * Finds out whether an engine's listed process wrote something.
+ *
+ * @example
+ * const state = await askWriter(context, engine, { wroteBy: openedAt, request: head.id, moment, timeoutMs: 150 });
+ */
+export async function askWriter(
+  context: ForwardContext,
+  engine: EndpointEntry,
+  { wroteBy, request, moment, timeoutMs }: WriterQuestion,
+): Promise<ProcessState> {
+  const { confirmedProcesses } = context;
+  if (confirmedProcesses.covers(engine, wroteBy)) return ProcessState.same;
+  if (confirmedProcesses.isUntold(engine)) return ProcessState.untold;
+  return await checkProcess(context, engine, { request, moment }, timeoutMs);
+}
--- a/src/forward/generations/decode.ts
+++ b/src/forward/generations/decode.ts
@@ -3,24 +3,27 @@
  * produce it.
  */
 import * as E from "fp-ts/Either";
-import type { Moment } from "../../core/clock";
-import { isAcquitted } from "../../core/crashes/suspects";
+import { computeRemainingMs, type Moment } from "../../core/clock";
+import { EndProof } from "../../core/assertedend";
+import { isAcquitted, isSuspect } from "../../core/crashes/suspects";
 import { type EndpointEntry, EngineStage } from "../../fleet/entries";
 import {
   type OpenResponse,
   type RequestTimes,
-  canBeWhole,
+  type AnswerEnd,
+  confirmEnd,
   createSuspect,
   createWorkKind,
-  findEndProof,
+  describeUnasserted,
 } from "../endpoints";
 import { RelayEnd, relayEvents, type RelayResult } from "./relay";
 import { SilenceWatch } from "../../core/silence";
 import type { StreamEvent } from "./events";
-import { recordJoin } from "./joinedrun";
+import { recordJoin, recordLeftOut } from "./joinedrun";
 import type { ForwardRequest } from "../requests";
 import { createAbortResult, TryEnd, type TryResult } from "./tries";
-import { type StreamOrigin, confirmOrigin } from "../shared";
+import { canGoOn, type StreamName, type StreamOrigin, confirmOrigin } from "../shared";
+import { FirstWriter } from "./firstwriter";
 import type { RunReplacer } from "./replacement";
 import type { StreamStart } from "./resume";
 import type { RunSender, RunSenderParts } from "./runsender";
@@ -39,12 +42,15 @@
 /** Fewer events say more of the network than of the engine. */
 const MIN_PACE_EVENTS = 8;
 
+/** Why a run is not joined whose stream has a first engine of unknown version. */
+const UNKNOWN_ORIGIN = "it is not known any more which version began the stream";
+
 /** Receives the response stream and writes it to the caller. */
 export interface StreamSink {
   /**
    * Sends the response head.
    *
-   * @param isFramed - false if the response has no length or chunks and ends with its connection
+   * @param isFramed - false if the engine's response has no length or chunks and ends with its connection
    */
   begin(status: number, headers: readonly string[], isFramed: boolean): void;
   write(bytes: Buffer): void;
@@ -66,7 +72,10 @@
   private pace: { readonly startedAt: Moment; events: number } | undefined;
   /** True once the current run has shown that the request crashes no engine. */
   private isRunAcquitted = false;
-  /** Whether the response to the caller is framed, so that the caller can tell if it is whole. */
+  /** True once it turned out amid a stream that no engine can go on with it. */
+  private hasUnknownOrigin = false;
+  private readonly firstWriter: FirstWriter;
+  /** Whether the first engine's response was framed. */
   private isFramed = true;
 
   constructor(
@@ -80,6 +89,9 @@
     this.request = request;
     this.originOfStream = origin;
     this.lastEvent = request.head.lastEventId;
+    this.firstWriter = new FirstWriter(parts.context, request.head.id, () => {
+      this.dropVersion();
+    });
   }
 
   /** The engine that wrote the first event of the stream; undefined before there is one. */
@@ -89,6 +101,12 @@
     return origin && confirmOrigin(origin, directory.processes.list(origin.endpoint));
   }
 
+  /** Resolves once the engine that began the stream was asked whether it is the listed process, or soon. */
+  waitForOrigin(): Promise<void> {
+    const { clock } = this.parts.context;
+    return this.firstWriter.wait(computeRemainingMs(this.times.deadline, clock.now()));
+  }
+
   /** The id of the last event that was sent to the caller, as its engine assigned it. */
   get lastEventId(): string | undefined {
     return this.lastEvent;
@@ -165,60 +183,101 @@
       deadlineSignal,
       replaced: watch?.signal,
       lastId: this.lastEvent,
-      follows: (event, lastId) => this.form.isNext(event, lastId),
+      follows: (event, lastId) => this.follows(endpoint, event, lastId),
       onEvents: (events) => {
         watch?.onProgress(SILENCE_TIMEOUT_MS);
         this.recordJoin(endpoint, events[0]);
         this.recordProgress();
         this.recordPace(endpoint, events.length);
-        this.recordOrigin(endpoint);
+        this.recordOrigin(endpoint, response);
         this.forwardEvents(response, events);
       },
     });
-    const { end, message } = await this.confirmEnd(relayed, response, endpoint);
-    if (end === RelayEnd.complete && this.canEndWith(response)) {
+    const { end, message, answerEnd } = await this.confirmEnd(relayed, response, endpoint);
+    if (answerEnd?.proof !== undefined && this.canEndWith(answerEnd.proof)) {
       this.forwardEvents(response, []);
       if (this.isProof(response)) this.recordCompletion();
       this.sink.end();
-      const proof = findEndProof(response);
-      this.parts.context.meter.answerEnds.inc({ service: endpoint.service, proof });
-      return { end: TryEnd.complete, message, proof };
+      return { end: TryEnd.complete, message, answerEnd, peer: response.peer };
     }
     const aborted = createAbortResult(deadlineSignal);
     if (aborted !== undefined) return aborted;
+    if (this.hasUnknownOrigin) return { end: TryEnd.broken, message: UNKNOWN_ORIGIN };
     const isEngineFault = end === RelayEnd.replaced || end === RelayEnd.malformed;
     if (!isEngineFault) {
-      return this.sender.handleBreak(endpoint, this.firstEventOfRunAt, message);
+      const broken = await this.sender.handleBreak(endpoint, this.firstEventOfRunAt, message);
+      return { ...broken, peer: response.peer };
     }
     this.sender.markUnavailable(endpoint);
-    return { end: TryEnd.broken, message };
+    return { end: TryEnd.broken, message, peer: response.peer };
   }
 
-  /** An unframed response ends in the same way if its engine has just crashed. */
+  /** Checks whether an event is the next one; records a run that leaves events out. */
+  private follows(
+    endpoint: EndpointEntry,
+    event: StreamEvent,
+    lastId: string | undefined,
+  ): boolean {
+    if (!this.isOfVersion(endpoint)) return false;
+    if (this.form.isNext(event, lastId)) return true;
+    if (this.form.leavesOut(event, lastId))
+      recordLeftOut(this.parts.context, this.request, { endpoint, event, lastId });
+    return false;
+  }
+
+  /** Checks before a run's first event whether the run is still known to be of the stream's version. */
+  private isOfVersion(endpoint: EndpointEntry): boolean {
+    if (this.firstEventOfRunAt !== undefined || canGoOn(this.origin, endpoint)) return true;
+    this.hasUnknownOrigin = true;
+    return false;
+  }
+
+  /** Asks who asserted the end of a stream that seems complete; one that nobody did is broken. */
   private async confirmEnd(
     relayed: RelayResult,
     response: OpenResponse,
     endpoint: EndpointEntry,
-  ): Promise<RelayResult> {
-    if (relayed.end !== RelayEnd.complete || response.isFramed) return relayed;
-    const state = await this.sender.probeAfterBreak(endpoint, this.firstEventOfRunAt);
-    if (canBeWhole(state)) return relayed;
-    const message = `the engine is ${state} after the end of its connection`;
-    return { end: RelayEnd.broken, message };
+  ): Promise<RelayResult & { readonly answerEnd?: AnswerEnd }> {
+    if (relayed.end !== RelayEnd.complete) return relayed;
+    const { context } = this.parts;
+    const broken = { firstEventAt: this.firstEventOfRunAt, brokeAt: context.clock.now() };
+    const answerEnd = await confirmEnd(context, {
+      request: this.request,
+      endpoint,
+      response,
+      isSuspect: isSuspect(broken),
+    });
+    if (answerEnd.proof !== undefined) return { ...relayed, answerEnd };
+    return { end: RelayEnd.broken, message: describeUnasserted(answerEnd) };
   }
 
   /**
    * Records which engine began the stream, before the caller can come back for it; also under the id
    * of a request that takes it up.
    */
-  private recordOrigin({ id, service, version, processStartedAt }: EndpointEntry): void {
+  private recordOrigin(engine: EndpointEntry, response: OpenResponse): void {
     if (this.firstSentAt !== undefined || !this.sender.isResumable) return;
-    const { sharedOrigins, readWallClock } = this.parts.context;
-    const beganAt = readWallClock();
-    this.originOfStream ??= { service, version, endpoint: id, processStartedAt, beganAt };
+    if (this.originOfStream === undefined) this.firstWriter.ask(engine, response);
+    const { id: endpoint, service, version, processStartedAt } = engine;
+    const beganAt = this.parts.context.readWallClock();
+    this.originOfStream ??= { service, version, endpoint, processStartedAt, beganAt };
+    const { sharedOrigins } = this.parts.context;
+    // What the list here says of its engine by now may not reach an instance that starts later.
+    const origin = this.origin ?? this.originOfStream;
+    sharedOrigins.record({ stream: this.streamName, origin });
+  }
+
+  /** Has nobody go on with the stream: a process that is not listed began it. */
+  private dropVersion(): void {
+    if (this.originOfStream === undefined) return;
+    this.originOfStream = { ...this.originOfStream, version: undefined };
+    const { sharedOrigins } = this.parts.context;
+    sharedOrigins.withdraw({ stream: this.streamName, origin: this.originOfStream });
+  }
+
+  private get streamName(): StreamName {
     const { head, workspace } = this.request;
-    const stream = { workspace: workspace?.name ?? "", request: head.id };
-    sharedOrigins.record({ stream, origin: this.originOfStream });
+    return { workspace: workspace?.name ?? "", request: head.id };
   }
 
   /** Records that a run goes on with a stream, at the first of its events. */
@@ -265,10 +324,10 @@
     crashes.recordCompletion(createSuspect(this.request), clock.now());
   }
 
-  /** An unframed response may have ended early, so it must not complete a framed one. */
-  private canEndWith(response: OpenResponse): boolean {
+  /** An end of a writer that does not tell its process must not complete what its first engine framed. */
+  private canEndWith(proof: EndProof): boolean {
     const hasStarted = this.firstSentAt !== undefined;
-    return response.isFramed || !hasStarted || !this.isFramed;
+    return proof !== EndProof.untold || !hasStarted || !this.isFramed;
   }
 
   private forwardEvents(response: OpenResponse, events: readonly StreamEvent[]): void {
--- a/src/forward/generations/index.ts
+++ b/src/forward/generations/index.ts
@@ -4,3 +4,4 @@
 export type { StreamSink } from "./decode";
 export { MAX_RETURN_MS, ResumeResolver, type StreamStart } from "./resume";
 export { StreamRun } from "./stream";
+export { createTakeUpCheck } from "./takeupcheck";
--- a/src/forward/generations/joinedrun.ts
+++ b/src/forward/generations/joinedrun.ts
@@ -70,3 +70,33 @@
     listAgeMs: Math.round(listConfirmer.computeAgeMs()),
   });
 }
+
+/** A run that was to go on with a stream, and leaves events out. */
+export interface LeftOut {
+  readonly endpoint: EndpointEntry;
+  /** Its first event. */
+  readonly event: StreamEvent;
+  /** Id of the last event before the run. */
+  readonly lastId: string | undefined;
+}
+
+/**
+ * Records a run of which no event is passed on, as its first one is not the next of the stream.
+ *
+ * @example
+ * recordLeftOut(context, request, { endpoint, event, lastId: "39" });
+ */
+export function recordLeftOut(
+  { logger, meter }: ForwardContext,
+  { head, service }: ForwardRequest,
+  { endpoint, event, lastId }: LeftOut,
+): void {
+  meter.leftOutRuns.inc({ service });
+  logger.warn("run leaves events out", {
+    request: head.id,
+    engine: endpoint.id,
+    process: createProcessId(endpoint),
+    after: lastId ?? "",
+    first: event.id ?? "",
+  });
+}
--- a/src/forward/generations/joinguard.ts
+++ b/src/forward/generations/joinguard.ts
@@ -3,9 +3,15 @@
  * answers after the head of a run's response came, and that was listed before the run was sent, has written that
  * response: a later process has another start, and an earlier one does not come back.
  */
-import type { EndpointEntry } from "../../fleet/entries";
 import { ProcessState } from "../endpoints";
 
+/** How long an engine that said before what it is has to say it again, in milliseconds. */
+const REPEATED_CHECK_MS = 150;
+/** How long one has that did not say so in time: its run is lost without an answer, in milliseconds. */
+const FIRST_CHECK_MS = 1000;
+/** The part of the time that is left for which a run may wait for an answer. */
+const MAX_CHECK_SHARE = 0.5;
+
 /** What is known of an engine's process at a run that goes on with a stream. */
 export interface JoinEvidence {
   /** What the engine said before the run was sent. */
@@ -27,15 +33,16 @@
 }
 
 /**
- * Checks whether an engine is listed as another process than the one that a run was sent to. One that
- * is listed no more has left, and may still be the same.
+ * Computes how long an engine may take to say which process it is once the head of its run has come.
  *
+ * @param beforeSend - what it said before the run was sent
+ * @param leftMs - time left until the deadline of the request
  * @example
- * isOtherProcess(engine, directory.find(engine.id));
+ * computeJoinCheckMs("silent", 5000); // 1000
  */
-export function isOtherProcess(sent: EndpointEntry, listed: EndpointEntry | undefined): boolean {
-  if (listed === undefined) return false;
-  return listed.processStartedAt !== sent.processStartedAt || listed.version !== sent.version;
+export function computeJoinCheckMs(beforeSend: ProcessState, leftMs: number): number {
+  if (beforeSend !== ProcessState.silent) return REPEATED_CHECK_MS;
+  return Math.min(FIRST_CHECK_MS, Math.max(REPEATED_CHECK_MS, leftMs * MAX_CHECK_SHARE));
 }
 
 /**
--- a/src/forward/generations/resume.ts
+++ b/src/forward/generations/resume.ts
@@ -24,6 +24,7 @@
   type StreamName,
   confirmOrigin,
 } from "../shared";
+import { type TakeUpCheck, WriterState } from "./takeupcheck";
 
 /**
  * How long after the end of a caller's request it may take up the stream again, in milliseconds:
@@ -53,6 +54,7 @@
   readonly versionHistory: VersionHistory;
   readonly historyReader: HistoryReader;
   readonly listConfirmer: ListConfirmer;
+  readonly takeUpCheck: TakeUpCheck;
   readonly clock: Clock;
   readonly readWallClock: () => number;
   readonly meter: Meter;
@@ -69,15 +71,39 @@
     const { directory, clock } = this.parts;
     const found = await this.find(request, clock.now());
     if (found.origin !== undefined) await this.refreshList(found.origin);
-    const origin =
+    const listed =
       found.origin && confirmOrigin(found.origin, directory.processes.list(found.origin.endpoint));
-    this.report(request, found, origin);
+    const writer = await this.findWriter(request, listed);
+    const origin =
+      listed && writer === WriterState.other ? this.dropVersion(request, listed) : listed;
+    this.report(request, found, { origin, writer });
     if (origin?.version === undefined) return E.left(createUnknownOriginRefusal(found.source));
+    if (writer === WriterState.unsettled) {
+      const settledInMs = this.parts.takeUpCheck.computeSettledInMs(origin);
+      return E.left(createUnknownOriginRefusal(OriginSource.unclear, settledInMs));
+    }
     const isServed = request.route.services.some(({ service }) => service === origin.service);
     if (!isServed) return E.left(createUnknownOriginRefusal(OriginSource.nowhere));
     return E.right({ request: { ...request, service: origin.service }, origin });
   }
 
+  /** Finds out whether the engine that an origin names as listed began the stream. */
+  private async findWriter(
+    { head }: ForwardRequest,
+    origin: StreamOrigin | undefined,
+  ): Promise<WriterState> {
+    if (origin?.version === undefined || origin.endpoint === "") return WriterState.settled;
+    return await this.parts.takeUpCheck.check(origin, head.id);
+  }
+
+  /** Has nobody go on with a stream that a process of unknown version began. */
+  private dropVersion(request: ForwardRequest, origin: StreamOrigin): StreamOrigin {
+    const dropped = { ...origin, version: undefined };
+    const stream = getStreamName(request);
+    if (stream !== undefined) this.parts.sharedOrigins.withdraw({ stream, origin: dropped });
+    return dropped;
+  }
+
   /** Asks memory and peers, then the own watch and the store. */
   private async find(request: ForwardRequest, arrivedAt: Moment): Promise<FoundOrigin> {
     const stream = getStreamName(request);
@@ -169,7 +195,7 @@
   private report(
     { head, service }: ForwardRequest,
     { source, confirmed }: FoundOrigin,
-    origin: StreamOrigin | undefined,
+    { origin, writer }: { readonly origin: StreamOrigin | undefined; readonly writer: WriterState },
   ): void {
     const { meter, logger, versionHistory, directory, clock } = this.parts;
     const now = clock.now();
@@ -183,6 +209,8 @@
       source,
       version: origin?.version,
       engine: origin?.endpoint,
+      writer,
+      streamAgeMs: origin && Math.round(this.parts.readWallClock() - origin.beganAt),
       watchedMs: Math.round(versionHistory.computeWatchedMs(now)),
       observedAgeMs: Math.round(versionHistory.computeAgeMs(now)),
       listOffset: directory.next.offset,
@@ -202,8 +230,11 @@
   return resumedId !== undefined || lastEventId !== undefined;
 }
 
-function createUnknownOriginRefusal(source: OriginSource): Refusal {
+function createUnknownOriginRefusal(
+  source: OriginSource,
+  unclearForMs = UNCLEAR_RETRY_MS,
+): Refusal {
   const message = "it is not known which version began the stream";
-  const retryAfterMs = source === OriginSource.unclear ? UNCLEAR_RETRY_MS : undefined;
+  const retryAfterMs = source === OriginSource.unclear ? unclearForMs : undefined;
   return createNotRunRefusal(503, Reason.unknownStream, message, retryAfterMs);
 }
--- a/src/forward/generations/runsender.ts
+++ b/src/forward/generations/runsender.ts
@@ -19,17 +19,20 @@
   type ForwardContext,
   type RequestTimes,
   resetDataCentreConnections,
+  confirmEnd,
+  describeUnasserted,
   EndpointState,
   CheckMoment,
   checkProcess,
   createProcessId,
+  isOtherProcess,
   type ProcessState,
   findNotRunEvidence,
   probeEndpoint,
 } from "../endpoints";
 import type { EngineLoadTracker, ReservationQueue } from "../engines";
 import type { StreamOrigin } from "../shared";
-import { isOtherProcess, mayJoin, needsList } from "./joinguard";
+import { computeJoinCheckMs, mayJoin, needsList } from "./joinguard";
 import { SentRun, type TryStart } from "./sentrun";
 import type { StreamForm } from "./streamform";
 
@@ -166,7 +169,9 @@
     const asked = { request: this.request.head.id, moment: CheckMoment.beforeJoin };
     const { context } = this.parts;
     const answeredAt = context.clock.now();
-    const beforeJoin = await checkProcess(context, endpoint, asked);
+    const leftMs = computeRemainingMs(this.times.deadline, answeredAt);
+    const checkMs = computeJoinCheckMs(beforeSend, leftMs);
+    const beforeJoin = await checkProcess(context, endpoint, asked, checkMs);
     if (needsList(beforeJoin)) await context.listConfirmer.refresh(answeredAt);
     const listed = context.directory.find(endpoint.id);
     return mayJoin({ beforeSend, beforeJoin, isOtherListed: isOtherProcess(endpoint, listed) });
@@ -267,22 +272,31 @@
       resetDataCentreConnections(context, endpoint);
       return { end: TryEnd.broken, message: "the answer does not come from the endpoint itself" };
     }
-    return readFailureResponse(response, start.deadlineSignal);
+    return this.readFailureResponse(response, endpoint, start.deadlineSignal);
   }
-}
 
-async function readFailureResponse(
-  response: OpenResponse,
-  deadlineSignal: DeadlineSignal,
-): Promise<TryResult> {
-  const message = `the engine answered ${response.head.status}`;
-  const whole = await readWholeBody(response);
-  if (E.isLeft(whole)) {
-    const broken = { end: TryEnd.broken, message: whole.left.message };
-    return createAbortResult(deadlineSignal) ?? broken;
+  /** Reads an answer that is passed on as it is; one whose end nobody asserted may be cut. */
+  private async readFailureResponse(
+    response: OpenResponse,
+    endpoint: EndpointEntry,
+    deadlineSignal: DeadlineSignal,
+  ): Promise<TryResult> {
+    const { context } = this.parts;
+    const { request } = this;
+    const message = `the engine answered ${response.head.status}`;
+    const whole = await readWholeBody(response);
+    if (E.isLeft(whole)) {
+      const broken = { end: TryEnd.broken, message: whole.left.message };
+      return createAbortResult(deadlineSignal) ?? broken;
+    }
+    const answerEnd = await confirmEnd(context, { request, endpoint, response, isSuspect: true });
+    if (answerEnd.proof === undefined) {
+      const aborted = createAbortResult(deadlineSignal);
+      return aborted ?? this.handleBreak(endpoint, undefined, describeUnasserted(answerEnd));
+    }
+    const { head, isFramed } = response;
+    return { end: TryEnd.failed, message, response: { head, body: whole.right, isFramed } };
   }
-  const { head, isFramed } = response;
-  return { end: TryEnd.failed, message, response: { head, body: whole.right, isFramed } };
 }
 
 function createReplacedResult(): TryResult {
--- a/src/forward/generations/stream.ts
+++ b/src/forward/generations/stream.ts
@@ -397,6 +397,7 @@
     const deadlineSignal = this.createDeadlineSignal(this.caller);
     const searchSignal = search && this.createDeadlineSignal(search);
     try {
+      await this.decoder.waitForOrigin();
       const source = await this.prefill(reservation.endpoint, searchSignal ?? deadlineSignal);
       const prefilledAt = clock.now();
       const processState = await this.sender.checkBeforeSend(
--- a/src/forward/generations/streamform.ts
+++ b/src/forward/generations/streamform.ts
@@ -12,6 +12,16 @@
 /** What a line of an event begins with that says nothing to its reader. */
 const COMMENT = 58;
 
+/** How the ids of a stream have risen so far. */
+const Steps = {
+  /** Fewer than two are known. */
+  unknown: "unknown",
+  /** Each was the one before it plus one. */
+  ones: "ones",
+  others: "others",
+} as const;
+type Steps = (typeof Steps)[keyof typeof Steps];
+
 /**
  * The form of one stream.
  *
@@ -26,6 +36,7 @@
   private hasEvents = false;
   /** True until the run that goes on with the stream has written an event. */
   private isFirstOfRun = true;
+  private steps: Steps = Steps.unknown;
 
   /** Checks whether the head of an answer is that of a stream, and of this one once it has begun. */
   matches({ verdict, status, headers }: ResponseHead): boolean {
@@ -48,7 +59,7 @@
 
   /**
    * Checks whether an event is the next one: ids rise, and the first event of a run that goes on with a
-   * stream has one.
+   * stream has one. Where all ids before it rose by ones, that one leaves none out.
    *
    * @param lastId - id of the last event of the stream; undefined if it has none
    */
@@ -56,10 +67,28 @@
     if (event.bytes[0] === COMMENT && event.id === undefined) return true;
     const mustFollow = this.isFirstOfRun && (this.hasEvents || lastId !== undefined);
     if (!isRising(event.id, lastId, mustFollow)) return false;
+    if (this.leavesOut(event, lastId)) return false;
+    this.recordStep(event.id, lastId);
     this.isFirstOfRun = false;
     this.hasEvents = true;
     return true;
   }
+
+  /**
+   * Checks whether an event is the first of a run that goes on with a stream, and leaves ids out before it: those of
+   * the stream rose by ones. Of a stream that a caller takes up, its last id alone says nothing of the steps.
+   *
+   * @param lastId - id of the last event of the stream; undefined if it has none
+   */
+  leavesOut({ id }: StreamEvent, lastId: string | undefined): boolean {
+    if (!this.isFirstOfRun || this.steps !== Steps.ones) return false;
+    return id !== undefined && lastId !== undefined && Number(id) > Number(lastId) + 1;
+  }
+
+  private recordStep(id: string | undefined, lastId: string | undefined): void {
+    if (id === undefined || lastId === undefined || this.steps === Steps.others) return;
+    this.steps = Number(id) === Number(lastId) + 1 ? Steps.ones : Steps.others;
+  }
 }
 
 function isRising(id: string | undefined, lastId: string | undefined, isNeeded: boolean): boolean {
--- a/src/forward/generations/tries.ts
+++ b/src/forward/generations/tries.ts
@@ -1,7 +1,7 @@
 /**
  * How tries of a generation at engines end.
  */
-import type { EndProof, NotRunEvidence } from "../endpoints";
+import type { AnswerEnd, NotRunEvidence } from "../endpoints";
 import { AbortCause, type DeadlineSignal, type BufferedResponse } from "../requests";
 
 /** How a try at an engine ended. */
@@ -32,8 +32,10 @@
   readonly response?: BufferedResponse;
   /** What shows that it was not run; absent if nothing does, or nothing was sent to an engine. */
   readonly evidence?: NotRunEvidence;
-  /** What shows that the stream is whole; absent unless it was taken for it. */
-  readonly proof?: EndProof;
+  /** How the stream ended; absent unless it was taken for whole. */
+  readonly answerEnd?: AnswerEnd;
+  /** The peer over which the stream came; undefined for a direct connection. */
+  readonly peer?: string | undefined;
 }
 
 /**
--- a/src/forward/generations/tryrecorder.ts
+++ b/src/forward/generations/tryrecorder.ts
@@ -27,7 +27,7 @@
   record(start: TryStart, result: TryResult, progress: StreamProgress): void {
     const { clock, logger, meter } = this.context;
     const { service, head } = this.request;
-    const { end, message, evidence, proof } = result;
+    const { end, message, evidence, answerEnd, peer } = result;
     const { engine, startedAt, prefilledAt } = start;
     const { endpoint, needTokens } = engine.reservation;
     const ms = clock.now() - prefilledAt;
@@ -38,7 +38,9 @@
       prefill: engine.source?.endpoint.address ?? "none",
       end,
       evidence,
-      proof,
+      proof: answerEnd?.proof,
+      endedBy: answerEnd?.by,
+      peer,
       message,
       lastEvent: progress.lastEventId ?? "",
       needTokens,
--- a/src/forward/instance.ts
+++ b/src/forward/instance.ts
@@ -41,6 +41,8 @@
  * milliseconds.
  */
 const SHUTDOWN_NOTICE_MS = 2600;
+/** How long connections that wait at the listener are accepted after that, in milliseconds. */
+const LAST_CONNECTIONS_MS = 1000;
 /** How long before the platform kills the process a stopping instance exits, in milliseconds. */
 const GRACE_MARGIN_MS = 700;
 /** How long the answers to requests that are ended may take, in milliseconds. */
@@ -98,6 +100,10 @@
       logger,
       undefined,
       isBarred,
+      ({ reason, endedBy, isQuestion }) => {
+        const use = isQuestion ? "question" : "requests";
+        meter.servedTunnelEnds.inc({ reason, by: endedBy, use });
+      },
     );
     this.statusServers = new StatusServers({
       clock,
@@ -180,19 +186,18 @@
     });
     await pauseAndRead(SHUTDOWN_NOTICE_MS);
     this.isRefusing = true;
-    void runSteps(logger, {
-      "stop queueing": () => {
-        reservations.stop();
-      },
-      "close idle connections": () => {
-        this.callerServer.closeIdle();
-      },
+    void runTask("stop queueing", logger, () => {
+      reservations.stop();
+    });
+    const acceptBy = Math.min(stopAt, clock.now() + LAST_CONNECTIONS_MS);
+    await runTask("accept waiting connections", logger, () =>
+      this.callerServer.acceptWaiting(acceptBy),
+    );
+    void runTask("close idle connections", logger, () => {
+      this.callerServer.closeIdle();
     });
     while (this.isServing() && clock.now() < stopAt) {
       await pause(DRAIN_CHECK_INTERVAL_MS);
-      void runTask("end idle tunnels", logger, () => {
-        this.tunnelServer.endIdle();
-      });
     }
     logger.info("stopped", {
       requests: this.callerServer.inFlightCount,
@@ -264,9 +269,11 @@
     this.tunnelServer.open(call);
   }
 
-  /** Checks whether requests of callers, or connections of peers, are under way. */
+  /** Checks whether requests of callers are under way, or peers need this instance. */
   private isServing(): boolean {
-    return this.callerServer.inFlightCount > 0 || this.tunnelServer.count > 0;
+    const { callerServer, tunnelServer } = this;
+    if (callerServer.inFlightCount > 0 || callerServer.hasFreshConnections) return true;
+    return tunnelServer.isNeeded;
   }
 
   private serve(request: CallerRequest): Promise<CallerResponse> {
--- a/src/forward/originparts.ts
+++ b/src/forward/originparts.ts
@@ -82,6 +82,9 @@
     publish: (named) => {
       originPublisher.publish(named);
     },
+    publishUnknown: (named) => {
+      originPublisher.publishUnknown(named);
+    },
     clock,
     logger,
   });
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -30,6 +30,7 @@
   HttpEndpointClient,
   type ForwardContext,
   HealthTracker,
+  ConfirmedProcesses,
   Releaser,
 } from "./endpoints";
 import { createDialer, createLinkChecker, createPeerWays } from "./dialing";
@@ -47,7 +48,7 @@
 import { PeerState, type PeerStateParts } from "./peerstate";
 import { createRelayNetwork } from "./relaying";
 import { DEFAULT_MAX_DIRECT_INSTANCES } from "./settings";
-import { ResumeResolver } from "./generations";
+import { createTakeUpCheck, ResumeResolver } from "./generations";
 
 /**
  * The share of an endpoint's maximum of connections that the fleet uses, so that the endpoint never
@@ -145,7 +146,8 @@
   });
   const admission = createAdmission(base, view, quotas, context);
   const { watcher } = view;
-  const resumeResolver = new ResumeResolver(context);
+  const takeUpCheck = createTakeUpCheck(context);
+  const resumeResolver = new ResumeResolver({ ...context, takeUpCheck });
   const stopAdmission = new StopAdmission();
   const dispatcher = new Dispatcher({
     context,
@@ -258,6 +260,7 @@
     paths,
     links,
     releaser: new Releaser({ client, gate, directory, clock, logger }),
+    confirmedProcesses: new ConfirmedProcesses(),
     codec: adapter.endpointCodec,
     retries: new RetryBudget(settings.retryLimit, view.countLive, clock.now()),
     crashes: createCrashTracker(settings.instance, listLive, logger),
--- a/src/forward/requests/messages.ts
+++ b/src/forward/requests/messages.ts
@@ -194,6 +194,8 @@
   readonly body: Buffer | undefined;
   /** True if it must not go over a peer. */
   readonly isDirectOnly?: boolean;
+  /** True if it only asks how a run has ended, so that a pause that the endpoint asks for doesn't hold it. */
+  readonly isEndCheck?: boolean;
 }
 
 /** How an engine answered a stage order. */
--- a/src/forward/requests/meter.ts
+++ b/src/forward/requests/meter.ts
@@ -56,19 +56,34 @@
   );
   readonly answerEnds = this.createCounter(
     "answer_ends_total",
-    "Answers of endpoints that were taken for whole, by what shows it",
-    ["service", "proof"],
+    "Answers of endpoints whose bytes ended without an error, by what shows that they are whole, who ended their connection, its way, and what was found of their writer",
+    ["service", "proof", "by", "way", "writer"],
+  );
+  readonly servedTunnelEnds = this.createCounter(
+    "served_tunnel_ends_total",
+    "Connections to endpoints that this instance kept for peers, by why they ended, who is said to have ended them, and whether they only asked the endpoint about itself",
+    ["reason", "by", "use"],
   );
   readonly callerAnswers = this.createCounter(
     "caller_answers_total",
     "Answers to callers that began, by what shows their end: a length, chunks or their connection",
     ["framing"],
   );
+  readonly callerAnswerEnds = this.createCounter(
+    "caller_answer_ends_total",
+    "Answers to callers that ended, by what shows their end, and whether all was written, they were cut or this process closed",
+    ["framing", "end"],
+  );
   readonly joinedRuns = this.createCounter(
     "joined_runs_total",
     "Runs that went on with a stream, by the version of the process that is listed, against the first run's",
     ["service", "version"],
   );
+  readonly leftOutRuns = this.createCounter(
+    "left_out_runs_total",
+    "Runs that were to go on with a stream and left events out, so that none of theirs was passed on",
+    ["service"],
+  );
   readonly processChecks = this.createCounter(
     "process_checks_total",
     "Engines that were asked which process they are, as a stream was to go on there",
@@ -106,6 +121,11 @@
     "Bodies of callers that were not read, as too many others are",
     ["reason"],
   );
+  readonly lastConnections = this.createCounter(
+    "last_connections_total",
+    "Connections that waited at the listener of a stopping instance, and were accepted before it closed",
+    [],
+  );
   readonly crowdedConnections = this.createCounter(
     "crowded_connections_total",
     "Connections of callers that were closed for too many requests behind each other",
--- a/src/forward/shared/originpublisher.ts
+++ b/src/forward/shared/originpublisher.ts
@@ -40,6 +40,13 @@
     if (this.recent.length > MAX_RECENT) this.recent.shift();
   }
 
+  /** Publishes that the version of an origin is not known; one that was sent for it may be stored already. */
+  publishUnknown(named: NamedOrigin): void {
+    if (this.trySend(named)) return;
+    this.recent.push({ named, at: this.parts.clock.now() });
+    if (this.recent.length > MAX_RECENT) this.recent.shift();
+  }
+
   /** Publishes the origins of streams that began before another version appeared; called every second. */
   maintain(): void {
     const { clock, computeStreamMs } = this.parts;
--- a/src/forward/shared/sharedorigins.ts
+++ b/src/forward/shared/sharedorigins.ts
@@ -85,6 +85,8 @@
   readonly listMembers: () => readonly ReplicaCandidate[];
   /** Has an origin written to the store where that is needed. */
   readonly publish: (named: NamedOrigin) => void;
+  /** Has it written that the version of an origin is not known after all. */
+  readonly publishUnknown: (named: NamedOrigin) => void;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -99,12 +101,22 @@
 
   /** Records an origin here, at the instances that keep it, and in the store where that is needed. */
   record(named: NamedOrigin): void {
+    this.keep(named);
+    this.parts.publish(named);
+  }
+
+  /** Records, wherever it was recorded, that the version of an origin is not known after all. */
+  withdraw(named: NamedOrigin): void {
+    this.keep(named);
+    this.parts.publishUnknown(named);
+  }
+
+  private keep(named: NamedOrigin): void {
     const { instance: self, origins, clock } = this.parts;
     origins.record(named, clock.now());
     for (const instance of this.chooseKeepers(named.stream, 0)) {
       if (instance !== self) this.queueFor(instance, named);
     }
-    this.parts.publish(named);
   }
 
   /** Sends an origin to an instance that writes it to the store. */
--- a/src/forward/tunnels/dialer.ts
+++ b/src/forward/tunnels/dialer.ts
@@ -39,6 +39,8 @@
 export interface DialOptions {
   /** True if no peer may be asked. */
   readonly isDirectOnly: boolean;
+  /** True if it only carries a question about the endpoint itself, which peers that are leaving open it for too. */
+  readonly isQuestion?: boolean | undefined;
   /** Checks whether a peer may be asked; all may if undefined. */
   readonly mayUsePeer?: ((peer: string) => boolean) | undefined;
 }
@@ -79,6 +81,8 @@
   readonly listener: WayListener;
   /** Lists the live peers that are not leaving, without this instance. */
   readonly listPeers: () => readonly ReplicaCandidate[];
+  /** Lists the live peers that are leaving; none if undefined. */
+  readonly listLeavingPeers?: () => readonly ReplicaCandidate[];
   readonly findDataCentre: (endpoint: string) => string | undefined;
   /** True for an endpoint whose way is not checked; none if undefined. */
   readonly isBarred?: (endpoint: string) => boolean;
@@ -109,9 +113,11 @@
 
   async dial(
     target: EndpointTarget,
-    { isDirectOnly, mayUsePeer }: DialOptions,
+    { isDirectOnly, isQuestion = false, mayUsePeer }: DialOptions,
   ): Promise<E.Either<DialFailure, DialledSocket>> {
-    const plan = isDirectOnly ? DIRECT_PLAN : this.createPlan(target, false, mayUsePeer);
+    const plan = isDirectOnly
+      ? DIRECT_PLAN
+      : { ...this.createPlan(target, false, this.listAskable(isQuestion), mayUsePeer), isQuestion };
     const result = await this.run(target, plan);
     if (E.isRight(result)) this.parts.onConnection(result.right);
     return result;
@@ -119,7 +125,7 @@
 
   /** Connects to an endpoint only to learn whether it is up. */
   async probe(target: EndpointTarget): Promise<ConnectState> {
-    const result = await this.run(target, this.createPlan(target, true));
+    const result = await this.run(target, this.createPlan(target, true, this.listAskable(true)));
     if (E.isRight(result)) {
       discardSocket(result.right.socket);
       return ConnectState.up;
@@ -195,13 +201,20 @@
     return result;
   }
 
+  /** Lists the peers that may be asked: those that are leaving only with a question, and where no other is there. */
+  private listAskable(isQuestion: boolean): readonly ReplicaCandidate[] {
+    const { listPeers, listLeavingPeers } = this.parts;
+    const staying = listPeers();
+    return isQuestion && staying.length === 0 ? (listLeavingPeers?.() ?? []) : staying;
+  }
+
   private createPlan(
     target: EndpointTarget,
     isProbe: boolean,
+    all: readonly ReplicaCandidate[],
     mayUsePeer?: (peer: string) => boolean,
   ): DialPlan {
     const { paths, clock, listPeers, findDataCentre } = this.parts;
-    const all = listPeers();
     const live = all.filter(({ instance }) => mayUsePeer?.(instance) !== false);
     const dataCentre = findDataCentre(target.id);
     const query = { target, dataCentre, live, isThorough: isProbe };
@@ -211,7 +224,7 @@
       isDirectFirst: !paths.isDirectLost(target),
       peers,
       peerStaggerMs: this.answerTimes.computeStaggerMs(),
-      hasPeers: all.length > 0,
+      hasPeers: listPeers().length > 0,
       isRefusedByPeer: isRefused,
       isProbe,
       isRestricted: live.length < all.length,
@@ -221,7 +234,7 @@
   /** Asks peers whether they reach an endpoint whose direct way failed. */
   private async probePeers(target: EndpointTarget): Promise<void> {
     const plan = {
-      ...this.createPlan(target, false),
+      ...this.createPlan(target, false, this.listAskable(false)),
       canDialDirectly: false,
       isDirectFirst: false,
     };
--- a/src/forward/tunnels/dialrun.ts
+++ b/src/forward/tunnels/dialrun.ts
@@ -79,6 +79,8 @@
   readonly isRefusedByPeer: boolean;
   /** True to learn whether the endpoint is up: a direct connection must last for a moment. */
   readonly isProbe: boolean;
+  /** True if the connection only carries a question about the endpoint itself. */
+  readonly isQuestion?: boolean | undefined;
   /** True if some peers may not be asked, so that a failure says nothing of their ways. */
   readonly isRestricted?: boolean;
 }
@@ -263,7 +265,8 @@
     this.openCount += 1;
     // The next way is tried beside it, so that it may take the time of the whole dial.
     const timeoutMs = computeRemainingMs(this.deadline, askedAt);
-    const opened = await tunnels.open(peer, this.target, timeoutMs);
+    const isProbe = this.plan.isProbe || this.plan.isQuestion === true;
+    const opened = await tunnels.open(peer, this.target, timeoutMs, isProbe);
     this.openCount -= 1;
     if (E.isRight(opened)) {
       observer.onPeerSuccess(this.target, { peer, askedAt, asked: this.askedCount });
--- a/src/forward/tunnels/index.ts
+++ b/src/forward/tunnels/index.ts
@@ -11,7 +11,7 @@
 export type { DialledSocket } from "./dialrun";
 export { TcpOpener } from "./directopener";
 export { DirectLinkChecker, type LinkChecker } from "./linkcheck";
-export type { EndpointSocket, TunnelOpener } from "./openers";
+export { type EndpointSocket, LEAVING_EVENT, type TunnelOpener } from "./openers";
 export { PathTracker, isSameProcess } from "./paths";
 export { PeerTunnelOpener } from "./peer";
 export { TunnelServer } from "./server";
--- a/src/forward/tunnels/peer.ts
+++ b/src/forward/tunnels/peer.ts
@@ -5,7 +5,7 @@
 import * as E from "fp-ts/Either";
 import { type Clock, MonotonicClock } from "../../core/clock";
 import { ReadFirstTimer } from "../../core/readfirst";
-import { TunnelData } from "../../peer/gen/fleet";
+import { TunnelData, type TunnelTarget } from "../../peer/gen/fleet";
 import type { EndpointTarget } from "../limits";
 import { TunnelChannel } from "./channel";
 import { type TunnelCall, TunnelSocket } from "./socket";
@@ -25,12 +25,22 @@
     private readonly clock: Clock = new MonotonicClock(),
   ) {}
 
-  async open(peer: string, target: EndpointTarget, timeoutMs: number): Promise<Opened> {
+  async open(
+    peer: string,
+    target: EndpointTarget,
+    timeoutMs: number,
+    isProbe = false,
+  ): Promise<Opened> {
     const address = this.findAddress(peer);
     if (address === undefined) return E.left(TunnelFailureKind.silent);
     const channel = this.findOrCreateChannel(address);
     const startedAt = this.clock.now();
-    const opening = new TunnelOpening(channel.begin(), target, () => {
+    const asked = {
+      endpoint: target.id,
+      processStartedAt: target.processStartedAt,
+      probe: isProbe,
+    };
+    const opening = new TunnelOpening(channel.begin(), asked, () => {
       channel.recordAnswer();
       this.preferChannel(address, channel);
     });
@@ -95,7 +105,7 @@
   /** @param onAnswer - called when the first word comes from the peer */
   constructor(
     private readonly call: TunnelCall,
-    private readonly target: EndpointTarget,
+    private readonly target: TunnelTarget,
     private readonly onAnswer: () => void,
   ) {}
 
@@ -160,7 +170,6 @@
   }
 
   private sendTarget(): void {
-    const { id: endpoint, processStartedAt } = this.target;
-    this.call.write(TunnelData.create({ target: { endpoint, processStartedAt } }));
+    this.call.write(TunnelData.create({ target: this.target }));
   }
 }
--- a/src/forward/tunnels/socket.ts
+++ b/src/forward/tunnels/socket.ts
@@ -6,10 +6,11 @@
 import { Duplex } from "node:stream";
 import type { ClientDuplexStream } from "@grpc/grpc-js";
 import { BodyEnd, classifyBodyEnd } from "../../core/bodyend";
+import { ConnectionEnder, readConnectionEnder } from "../../core/connectionender";
 import type { TunnelData } from "../../peer/gen/fleet";
 import { ConnectionCutError, LateCut } from "../../store/cut";
 import { encodeBytes, END_MESSAGE } from "./wire";
-import type { EndpointSocket } from "./openers";
+import { type EndpointSocket, LEAVING_EVENT } from "./openers";
 
 /** A call whose messages are the bytes of one connection. */
 export type TunnelCall = ClientDuplexStream<TunnelData, TunnelData>;
@@ -41,6 +42,9 @@
   private readonly lateCut = new LateCut(this);
   private hasEndpointEnd = false;
   private hasStatus = false;
+  private ender: ConnectionEnder | undefined;
+  /** True once the peer is told to stop. */
+  isLeaving = false;
 
   /** @param call - a call on which the peer has said that the connection is open */
   constructor(private readonly call: TunnelCall) {
@@ -68,6 +72,11 @@
     return this.receivedBytes;
   }
 
+  /** Who ended the connection, as the peer says; undefined before its end. */
+  get endedBy(): ConnectionEnder | undefined {
+    return this.ender;
+  }
+
   /**
    * Has it fail from now on where it broke, or where the endpoint ended before it had taken what was
    * sent: such an end does not prove that an answer is whole.
@@ -161,13 +170,19 @@
     this.call.end();
   }
 
-  private receive({ data, end, takenBytes }: TunnelData): void {
+  private receive({ data, end, takenBytes, endedBy, leaving }: TunnelData): void {
     if (this.destroyed || this.hasEndpointEnd) return;
+    if (leaving) {
+      this.isLeaving = true;
+      this.emit(LEAVING_EVENT);
+    }
     if (data.length > 0) {
       this.receivedBytes += data.length;
       if (!this.push(data)) this.call.pause();
     }
+    if (end || endedBy !== "") this.ender = readConnectionEnder(endedBy);
     if (end) this.receiveEnd(takenBytes);
+    else if (this.ender === ConnectionEnder.relay) this.breakOff("the peer has stopped");
   }
 
   /** @param takenBytes - what the endpoint took before; undefined if the peer doesn't tell */
@@ -176,7 +191,8 @@
     // The peer has asked its socket: of one that was reset it reports no end.
     const waitingBytes = this.writableLength - this.pendingBytes;
     const untakenBytes = this.sentBytes - takenBytes + waitingBytes;
-    const end = classifyBodyEnd({ hasPeer: true, isClosedHere: false, untakenBytes });
+    const { ender: endedBy = ConnectionEnder.nobody } = this;
+    const end = classifyBodyEnd({ hasPeer: true, isClosedHere: false, untakenBytes, endedBy });
     if (end === BodyEnd.whole || !this.isEndChecked) this.push(null);
     else this.lateCut.set(this.createCut(end, untakenBytes));
   }
--- a/src/forward/tunnels/tunnel.ts
+++ b/src/forward/tunnels/tunnel.ts
@@ -5,13 +5,20 @@
 import { Metadata, type ServerDuplexStream } from "@grpc/grpc-js";
 import * as E from "fp-ts/Either";
 import type { Clock, Moment } from "../../core/clock";
+import { ConnectionEnder } from "../../core/connectionender";
 import { EventGuard } from "../../core/guard";
 import { formatStack, type Logger } from "../../core/log";
 import { ReadFirstTimer } from "../../core/readfirst";
 import { tryOpenSocket } from "../../store/connector";
 import { TunnelData, type TunnelTarget } from "../../peer/gen/fleet";
 import type { LinkChecker } from "./linkcheck";
-import { createEndMessage, encodeBytes, OPENED_MESSAGE } from "./wire";
+import {
+  createEndMessage,
+  encodeBytes,
+  LEAVING_MESSAGE,
+  OPENED_MESSAGE,
+  STOPPED_MESSAGE,
+} from "./wire";
 import { TunnelFailureKind } from "./openers";
 
 /** The server's side of a call whose messages are the bytes of one connection. */
@@ -20,6 +27,35 @@
 /** Opens a connection to an IP address and port; its directions end separately. */
 export type EndpointConnector = (host: string, port: number) => Socket;
 
+/** Why a tunnel that was open has ended. */
+export const TunnelEndReason = {
+  /** The endpoint ended its connection. */
+  endpointEnd: "endpoint end",
+  /** The connection to the endpoint broke. */
+  broken: "broken",
+  /** The peer left, or the call to it broke. */
+  peerGone: "peer gone",
+  /** This instance has stopped. */
+  stopped: "stopped",
+} as const;
+export type TunnelEndReason = (typeof TunnelEndReason)[keyof typeof TunnelEndReason];
+
+/** What is known of a tunnel that has ended. */
+export interface EndedTunnel {
+  readonly endpoint: string;
+  readonly reason: TunnelEndReason;
+  /** True if it only asked the endpoint about itself. */
+  readonly isQuestion: boolean;
+  /** Who the peer was told to have ended the connection. */
+  readonly endedBy: ConnectionEnder;
+  /** Bytes that the endpoint was sent. */
+  readonly takenBytes: number;
+  /** Bytes that the peer was sent. */
+  readonly relayedBytes: number;
+  /** How long the endpoint had written nothing, in milliseconds. */
+  readonly silentMs: number;
+}
+
 /** What a served tunnel needs. */
 export interface ServedTunnelParts {
   readonly clock: Clock;
@@ -29,8 +65,8 @@
   readonly findAddress: (target: TunnelTarget) => E.Either<TunnelFailureKind, string>;
   /** Checks the link of this instance after an endpoint refused a connection. */
   readonly links: LinkChecker;
-  /** Called once, when the tunnel is closed. */
-  readonly onClose: () => void;
+  /** Called once, when the tunnel is closed; of one that was open with what is known of its end. */
+  readonly onClose: (ended: EndedTunnel | undefined) => void;
 }
 
 /** How long a call may take to name its target, in milliseconds. */
@@ -47,10 +83,15 @@
   private isClosed = false;
   private hasPeerEnd = false;
   private hasEndpointEnd = false;
+  private endpoint = "";
+  private isQuestion = false;
+  private endedBy: ConnectionEnder = ConnectionEnder.nobody;
+  private relayedBytes = 0;
+  /** When it opened or the endpoint last sent bytes. */
+  private heardAt: Moment = 0;
   /** Bytes of the peer's that were written to the endpoint. */
   private takenBytes = 0;
-  /** When it opened or the endpoint last sent bytes, unless the peer has sent some since. */
-  private idleAt: Moment | undefined;
+  private isLeaving = false;
   /** Runs until the call has named its target, then until the endpoint has accepted. */
   private timer: ReadFirstTimer;
   /** An error in a handler costs this tunnel alone. */
@@ -70,11 +111,11 @@
       this.close();
     });
     call.on("error", () => {
-      this.close();
+      this.close(TunnelEndReason.peerGone);
     });
     // gRPC says so of every call that is over, whatever ended it.
     call.on("cancelled", () => {
-      this.close();
+      this.close(TunnelEndReason.peerGone);
     });
     call.on(
       "data",
@@ -84,29 +125,35 @@
     );
     // The peer has left; of the end of its bytes it sends a message.
     call.on("end", () => {
-      this.close();
+      this.close(TunnelEndReason.peerGone);
     });
     // The peer learns at once that this instance is there.
     call.sendMetadata(new Metadata());
   }
 
-  /** Checks whether no request has been under way on it since a moment. */
-  isIdleSince(moment: Moment): boolean {
-    return this.isOpen && this.idleAt !== undefined && this.idleAt <= moment;
+  /**
+   * Tells the peer that this instance is told to stop. Only the peer knows whether a request is under way, so
+   * it closes the connection, and not this side.
+   */
+  announceStop(): void {
+    if (this.isLeaving) return;
+    this.isLeaving = true;
+    if (this.isOpen && !this.isClosed) this.writeControl(LEAVING_MESSAGE);
   }
 
-  /** Ends the connection as the endpoint would that closes it when idle. */
-  end(): void {
-    if (this.isClosed || this.socket === undefined) return;
-    if (!this.hasEndpointEnd) this.writeLast(createEndMessage(this.takenBytes));
-    this.close();
+  /** Breaks the connection as this instance has stopped, in words of its own: of the endpoint it is no end. */
+  stop(): void {
+    if (this.isOpen && !this.isClosed && !this.hasEndpointEnd) {
+      this.endedBy = ConnectionEnder.relay;
+      this.writeControl(STOPPED_MESSAGE);
+    }
+    this.close(TunnelEndReason.stopped);
   }
 
   /** Closes the connection to the endpoint at once, and the call. */
-  close(): void {
+  close(reason: TunnelEndReason = TunnelEndReason.broken): void {
     if (this.isClosed) return;
     this.isClosed = true;
-    this.parts.onClose();
     this.timer.close();
     this.socket?.destroy();
     const endCall = () => {
@@ -114,10 +161,29 @@
       this.call.end();
     };
     this.closeGuard.wrap(endCall)();
+    this.report(reason);
+  }
+
+  /** Says that it is closed, and of one that was open what is known of its end. */
+  private report(reason: TunnelEndReason): void {
+    let ended: EndedTunnel | undefined;
+    this.closeGuard.wrap(() => {
+      if (this.isOpen) ended = this.describeEnd(reason);
+    })();
+    this.closeGuard.wrap(() => {
+      this.parts.onClose(ended);
+    })();
+  }
+
+  private describeEnd(reason: TunnelEndReason): EndedTunnel {
+    const { endpoint, isQuestion, endedBy, takenBytes, relayedBytes } = this;
+    const silentMs = this.parts.clock.now() - this.heardAt;
+    const known = this.hasEndpointEnd ? TunnelEndReason.endpointEnd : reason;
+    return { endpoint, reason: known, isQuestion, endedBy, takenBytes, relayedBytes, silentMs };
   }
 
-  /** Writes a last message of this side to the peer, if the call takes it. */
-  private writeLast(message: TunnelData): void {
+  /** Writes a message that does not carry bytes to the peer, if the call takes it. */
+  private writeControl(message: TunnelData): void {
     this.closeGuard.wrap(() => {
       this.call.write(message);
     })();
@@ -134,7 +200,6 @@
       return;
     }
     if (data.length > 0) {
-      this.idleAt = undefined;
       this.takenBytes += data.length;
       if (!this.socket.write(data)) this.call.pause();
     }
@@ -146,12 +211,14 @@
       this.close();
       return;
     }
+    this.isQuestion = target.probe;
     const address = this.parts.findAddress(target);
     if (E.isLeft(address)) this.fail(address.left);
     else this.connect(address.right, target.endpoint);
   }
 
   private connect(address: string, endpoint: string): void {
+    this.endpoint = endpoint;
     const separator = address.lastIndexOf(":");
     const port = Number(address.slice(separator + 1));
     const opened = tryOpenSocket(this.parts.connect, address.slice(0, separator), port);
@@ -197,9 +264,10 @@
   private confirm(socket: Socket): void {
     if (this.isClosed) return;
     this.timer.close();
-    this.idleAt = this.parts.clock.now();
+    this.heardAt = this.parts.clock.now();
     this.isOpen = true;
     this.call.write(OPENED_MESSAGE);
+    if (this.isLeaving) this.writeControl(LEAVING_MESSAGE);
     socket.on(
       "data",
       this.guard.wrap((bytes: Buffer) => {
@@ -222,7 +290,8 @@
 
   private relay(bytes: Buffer, socket: Socket): void {
     if (this.isClosed) return;
-    this.idleAt = this.parts.clock.now();
+    this.heardAt = this.parts.clock.now();
+    this.relayedBytes += bytes.length;
     for (const message of encodeBytes(bytes)) {
       if (!this.call.write(message)) socket.pause();
     }
@@ -231,7 +300,8 @@
   private receiveEndpointEnd(): void {
     if (this.isClosed) return;
     this.hasEndpointEnd = true;
-    this.writeLast(createEndMessage(this.takenBytes));
+    this.endedBy = ConnectionEnder.endpoint;
+    this.writeControl(createEndMessage(this.takenBytes));
     this.startLinger();
   }
 
@@ -257,7 +327,7 @@
 
   private fail(failure: TunnelFailureKind): void {
     if (this.isClosed) return;
-    this.writeLast(TunnelData.create({ failure }));
+    this.writeControl(TunnelData.create({ failure }));
     this.close();
   }
 }
--- a/src/forward/tunnels/wire.ts
+++ b/src/forward/tunnels/wire.ts
@@ -1,6 +1,7 @@
 /**
  * Messages that carry the bytes of a connection between two instances.
  */
+import { ConnectionEnder } from "../../core/connectionender";
 import { TunnelData } from "../../peer/gen/fleet";
 import { TunnelFailureKind } from "./openers";
 
@@ -20,8 +21,12 @@
  * call.write(createEndMessage(20_000));
  */
 export function createEndMessage(takenBytes: number): TunnelData {
-  return TunnelData.create({ end: true, takenBytes });
+  return TunnelData.create({ end: true, takenBytes, endedBy: ConnectionEnder.endpoint });
 }
+/** The message that says that the peer is told to stop. */
+export const LEAVING_MESSAGE: TunnelData = TunnelData.create({ leaving: true });
+/** The message that says that the peer has stopped: whatever is under way breaks. */
+export const STOPPED_MESSAGE: TunnelData = TunnelData.create({ endedBy: ConnectionEnder.relay });
 /** The reply that says that the connection is open. */
 export const OPENED_MESSAGE: TunnelData = TunnelData.create({ opened: true });
 
--- a/src/instance.ts
+++ b/src/instance.ts
@@ -5,6 +5,7 @@
 import { type Blackboard, createBlackboard } from "./board/board";
 import { SchedulerClient } from "./control/schedulerclient";
 import { RateLimitClient } from "./control/ratelimitclient";
+import { serveBookStream } from "./control/bookstream";
 import { Claimer } from "./control/claimer";
 import { ControlReader } from "./control/controlreader";
 import { EndpointController } from "./control/endpointcontroller";
@@ -49,7 +50,6 @@
 import { HttpInstanceList } from "./store/list";
 import { HttpLogClient } from "./store/log";
 
-const SCHEDULER_HEARTBEAT_INTERVAL_MS = 300;
 const METRICS_INTERVAL_MS = 5000;
 const HAND_OVER_TIMEOUT_MS = 1000;
 /** How long the hand-over of the rate limiter waits for open loans of tokens to expire. */
@@ -170,6 +170,7 @@
       transport,
       clock,
       logger,
+      metrics,
     );
     this.holdTracker = new HoldTracker(engines, clock, metrics, logger);
     this.sweeper = new Sweeper(board, self, engines, clock, ownedEndpoints, logger);
@@ -280,30 +281,10 @@
     return { json: JSON.stringify(this.readStatus()) };
   }
 
-  /** Opens a scheduler session on a stream; empty replies at intervals let the client detect a lost scheduler. */
+  /** Opens a scheduler session on a stream. */
   onBook(stream: BookServerStream): void {
     this.sessionCount += 1;
-    const name = `session-${this.sessionCount}`;
-    this.scheduler.openSession({ name, send: (reply) => stream.write(reply) });
-    const heartbeatTimer = setInterval(
-      () => stream.write({ grants: [], refusals: [] }),
-      SCHEDULER_HEARTBEAT_INTERVAL_MS,
-    );
-    const close = () => {
-      clearInterval(heartbeatTimer);
-      this.scheduler.closeSession(name);
-    };
-    stream.on("data", (request: Parameters<PoolScheduler["onBookRequest"]>[1]) => {
-      void runTask("handle a request for engines", this.logger, () => {
-        this.scheduler.onBookRequest(name, request);
-      });
-    });
-    stream.on("end", () => {
-      close();
-      stream.end();
-    });
-    stream.on("cancelled", close);
-    stream.on("error", close);
+    serveBookStream(`session-${this.sessionCount}`, stream, this.scheduler, this.logger);
   }
 
   private listComponents(): readonly { start(): void; close(): void }[] {
--- a/src/peer/gen/fleet.ts
+++ b/src/peer/gen/fleet.ts
@@ -178,7 +178,14 @@
     | RelayReport
     | undefined;
   /** The report that the sender wants from now on; absent where that is unchanged. */
-  wanted?: RelayScope | undefined;
+  wanted?:
+    | RelayScope
+    | undefined;
+  /**
+   * The sender ends the stream with this message, which has no other field; where the end comes without it, the
+   * sender may have died.
+   */
+  goodbye: boolean;
 }
 
 export interface RelayHello {
@@ -465,6 +472,11 @@
   endpoint: string;
   /** Milliseconds of the endpoint's wall clock. */
   processStartedAt: number;
+  /**
+   * The asker only learns by it whether the endpoint is up, or which process it is: a peer that is told to
+   * stop opens it too.
+   */
+  probe: boolean;
 }
 
 /**
@@ -481,7 +493,19 @@
   /** Why no connection was opened; empty where one was. */
   failure: string;
   /** With the end of the endpoint's bytes: how many of the caller's it was sent before. */
-  takenBytes?: number | undefined;
+  takenBytes?:
+    | number
+    | undefined;
+  /**
+   * Who ended the connection: "endpoint" with the end of its bytes, "relay" without it, where the peer that
+   * relays has stopped. Empty where the sender does not tell; an end without it proves nothing.
+   */
+  endedBy: string;
+  /**
+   * The peer that relays is told to stop: no further request should begin on the connection. Those that
+   * have begun go on until its grace is over.
+   */
+  leaving: boolean;
 }
 
 function createBaseBeat(): Beat {
@@ -1339,6 +1363,7 @@
     records: [],
     report: undefined,
     wanted: undefined,
+    goodbye: false,
   };
 }
 
@@ -1368,6 +1393,9 @@
     if (message.wanted !== undefined) {
       writer.uint32(64).int32(message.wanted);
     }
+    if (message.goodbye !== false) {
+      writer.uint32(72).bool(message.goodbye);
+    }
     return writer;
   },
 
@@ -1448,6 +1476,14 @@
             message.wanted = reader.int32() as any;
             continue;
           }
+          case 9: {
+            if (tag !== 72) {
+              break;
+            }
+
+            message.goodbye = reader.bool();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -1474,6 +1510,7 @@
       records: globalThis.Array.isArray(object?.records) ? object.records.map((e: any) => RelayRecord.fromJSON(e)) : [],
       report: isSet(object.report) ? RelayReport.fromJSON(object.report) : undefined,
       wanted: isSet(object.wanted) ? relayScopeFromJSON(object.wanted) : undefined,
+      goodbye: isSet(object.goodbye) ? globalThis.Boolean(object.goodbye) : false,
     };
   },
 
@@ -1503,6 +1540,9 @@
     if (message.wanted !== undefined) {
       obj.wanted = relayScopeToJSON(message.wanted);
     }
+    if (message.goodbye !== false) {
+      obj.goodbye = message.goodbye;
+    }
     return obj;
   },
 
@@ -1523,6 +1563,7 @@
       ? RelayReport.fromPartial(object.report)
       : undefined;
     message.wanted = object.wanted ?? undefined;
+    message.goodbye = object.goodbye ?? false;
     return message;
   },
 };
@@ -5422,7 +5463,7 @@
 };
 
 function createBaseTunnelTarget(): TunnelTarget {
-  return { endpoint: "", processStartedAt: 0 };
+  return { endpoint: "", processStartedAt: 0, probe: false };
 }
 
 export const TunnelTarget: MessageFns<TunnelTarget> = {
@@ -5433,6 +5474,9 @@
     if (message.processStartedAt !== 0) {
       writer.uint32(16).int64(message.processStartedAt);
     }
+    if (message.probe !== false) {
+      writer.uint32(24).bool(message.probe);
+    }
     return writer;
   },
 
@@ -5465,6 +5509,14 @@
             message.processStartedAt = longToNumber(reader.int64());
             continue;
           }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.probe = reader.bool();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -5485,6 +5537,7 @@
         : isSet(object.process_started_at)
         ? globalThis.Number(object.process_started_at)
         : 0,
+      probe: isSet(object.probe) ? globalThis.Boolean(object.probe) : false,
     };
   },
 
@@ -5496,6 +5549,9 @@
     if (message.processStartedAt !== 0) {
       obj.processStartedAt = Math.round(message.processStartedAt);
     }
+    if (message.probe !== false) {
+      obj.probe = message.probe;
+    }
     return obj;
   },
 
@@ -5506,12 +5562,22 @@
     const message = createBaseTunnelTarget();
     message.endpoint = object.endpoint ?? "";
     message.processStartedAt = object.processStartedAt ?? 0;
+    message.probe = object.probe ?? false;
     return message;
   },
 };
 
 function createBaseTunnelData(): TunnelData {
-  return { target: undefined, data: new Uint8Array(0), end: false, opened: false, failure: "", takenBytes: undefined };
+  return {
+    target: undefined,
+    data: new Uint8Array(0),
+    end: false,
+    opened: false,
+    failure: "",
+    takenBytes: undefined,
+    endedBy: "",
+    leaving: false,
+  };
 }
 
 export const TunnelData: MessageFns<TunnelData> = {
@@ -5534,6 +5600,12 @@
     if (message.takenBytes !== undefined) {
       writer.uint32(48).int64(message.takenBytes);
     }
+    if (message.endedBy !== "") {
+      writer.uint32(58).string(message.endedBy);
+    }
+    if (message.leaving !== false) {
+      writer.uint32(64).bool(message.leaving);
+    }
     return writer;
   },
 
@@ -5598,6 +5670,22 @@
             message.takenBytes = longToNumber(reader.int64());
             continue;
           }
+          case 7: {
+            if (tag !== 58) {
+              break;
+            }
+
+            message.endedBy = reader.string();
+            continue;
+          }
+          case 8: {
+            if (tag !== 64) {
+              break;
+            }
+
+            message.leaving = reader.bool();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -5622,6 +5710,12 @@
         : isSet(object.taken_bytes)
         ? globalThis.Number(object.taken_bytes)
         : undefined,
+      endedBy: isSet(object.endedBy)
+        ? globalThis.String(object.endedBy)
+        : isSet(object.ended_by)
+        ? globalThis.String(object.ended_by)
+        : "",
+      leaving: isSet(object.leaving) ? globalThis.Boolean(object.leaving) : false,
     };
   },
 
@@ -5645,6 +5739,12 @@
     if (message.takenBytes !== undefined) {
       obj.takenBytes = Math.round(message.takenBytes);
     }
+    if (message.endedBy !== "") {
+      obj.endedBy = message.endedBy;
+    }
+    if (message.leaving !== false) {
+      obj.leaving = message.leaving;
+    }
     return obj;
   },
 
@@ -5661,6 +5761,8 @@
     message.opened = object.opened ?? false;
     message.failure = object.failure ?? "";
     message.takenBytes = object.takenBytes ?? undefined;
+    message.endedBy = object.endedBy ?? "";
+    message.leaving = object.leaving ?? false;
     return message;
   },
 };
--- a/src/peer/gen/peer.ts
+++ b/src/peer/gen/peer.ts
@@ -189,6 +189,10 @@
 export interface BookReply {
   grants: Grant[];
   refusals: Refusal[];
+  /** Ids of requests that were received on this stream and not named in a reply before. */
+  received: string[];
+  /** Set by schedulers that name what they received. */
+  acknowledges: boolean;
 }
 
 function createBaseMember(): Member {
@@ -2811,7 +2815,7 @@
 };
 
 function createBaseBookReply(): BookReply {
-  return { grants: [], refusals: [] };
+  return { grants: [], refusals: [], received: [], acknowledges: false };
 }
 
 export const BookReply: MessageFns<BookReply> = {
@@ -2822,6 +2826,12 @@
     for (const v of message.refusals) {
       Refusal.encode(v!, writer.uint32(18).fork()).join();
     }
+    for (const v of message.received) {
+      writer.uint32(26).string(v!);
+    }
+    if (message.acknowledges !== false) {
+      writer.uint32(32).bool(message.acknowledges);
+    }
     return writer;
   },
 
@@ -2854,6 +2864,22 @@
             message.refusals.push(Refusal.decode(reader, reader.uint32()));
             continue;
           }
+          case 3: {
+            if (tag !== 26) {
+              break;
+            }
+
+            message.received.push(reader.string());
+            continue;
+          }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.acknowledges = reader.bool();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -2870,6 +2896,8 @@
     return {
       grants: globalThis.Array.isArray(object?.grants) ? object.grants.map((e: any) => Grant.fromJSON(e)) : [],
       refusals: globalThis.Array.isArray(object?.refusals) ? object.refusals.map((e: any) => Refusal.fromJSON(e)) : [],
+      received: globalThis.Array.isArray(object?.received) ? object.received.map((e: any) => globalThis.String(e)) : [],
+      acknowledges: isSet(object.acknowledges) ? globalThis.Boolean(object.acknowledges) : false,
     };
   },
 
@@ -2881,6 +2909,12 @@
     if (message.refusals?.length) {
       obj.refusals = message.refusals.map((e) => Refusal.toJSON(e));
     }
+    if (message.received?.length) {
+      obj.received = message.received;
+    }
+    if (message.acknowledges !== false) {
+      obj.acknowledges = message.acknowledges;
+    }
     return obj;
   },
 
@@ -2891,6 +2925,8 @@
     const message = createBaseBookReply();
     message.grants = object.grants?.map((e) => Grant.fromPartial(e)) || [];
     message.refusals = object.refusals?.map((e) => Refusal.fromPartial(e)) || [];
+    message.received = object.received?.map((e) => e) || [];
+    message.acknowledges = object.acknowledges ?? false;
     return message;
   },
 };
--- a/src/store/brokenanswer.ts
+++ b/src/store/brokenanswer.ts
@@ -6,7 +6,7 @@
 import type { BodyEnd } from "../core/bodyend";
 import { isFinalStatus } from "../core/finalstatus";
 import { ConnectionCutError, type CutFacts } from "./cut";
-import { hasFraming } from "./framing";
+import { hasFraming, type HeaderField } from "./framing";
 
 /** An answer whose status is none that HTTP has for a final answer. */
 export class OddStatusError extends Error {
@@ -77,7 +77,7 @@
   onBroken: BrokenAnswerListener | undefined,
 ): AnswerFacts {
   const { statusCode: status, headers, body } = response;
-  const facts = { origin, status, isFramed: hasFraming(status, Object.keys(headers)) };
+  const facts = { origin, status, isFramed: hasFraming(status, listFields(headers)) };
   const report = (error: unknown) => {
     const broken = describeBroken(facts, error);
     if (broken !== undefined) onBroken?.(broken);
@@ -91,3 +91,9 @@
   }
   return facts;
 }
+
+function listFields(headers: Dispatcher.ResponseData["headers"]): readonly HeaderField[] {
+  return Object.entries(headers).flatMap(([name, value]) =>
+    value === undefined ? [] : { name, value: String(value) },
+  );
+}
--- a/src/store/checkedsocket.ts
+++ b/src/store/checkedsocket.ts
@@ -5,6 +5,7 @@
 import { Socket } from "node:net";
 import { BodyEnd, classifyBodyEnd, findDecisionMoment } from "../core/bodyend";
 import type { Moment } from "../core/clock";
+import { ConnectionEnder } from "../core/connectionender";
 import { ReadFirstTimer } from "../core/readfirst";
 import { ConnectionCutError, LateCut } from "./cut";
 
@@ -35,6 +36,11 @@
     return this.hasEnd;
   }
 
+  /** Who ended the connection; undefined before its end. */
+  get endedBy(): ConnectionEnder | undefined {
+    return this.hasEnd ? ConnectionEnder.endpoint : undefined;
+  }
+
   override push(chunk: unknown, encoding?: BufferEncoding): boolean {
     if (chunk === null) {
       this.handleEnd();
@@ -104,6 +110,7 @@
       hasPeer: this.remoteAddress !== undefined,
       isClosedHere: this.writableEnded,
       untakenBytes: this.writableLength,
+      endedBy: ConnectionEnder.endpoint,
     });
     if (end === BodyEnd.whole) super.push(null);
     else this.lateCut.set(this.createCut(end));
--- a/src/store/cut.ts
+++ b/src/store/cut.ts
@@ -19,6 +19,7 @@
 const MESSAGES = {
   [BodyEnd.reset]: "the connection was reset, without an error",
   [BodyEnd.untaken]: "the connection ended before the request was taken",
+  [BodyEnd.unasserted]: "the connection ended, and the endpoint is not known to have ended it",
   [BodyEnd.whole]: "the connection ended",
 } as const satisfies Readonly<Record<BodyEnd, string>>;
 
--- a/test/cutproxy.spec.ts
+++ b/test/cutproxy.spec.ts
@@ -11,6 +11,8 @@
 
 /** How long a connect or an answer is waited for, in milliseconds. */
 const WAIT_MS = 400;
+/** Time that a turn of a late loop takes, in milliseconds. */
+const LATE_TURN_MS = 5;
 const REQUEST = "GET / HTTP/1.1\r\nx-id: r1\r\n\r\n";
 
 const keeper = new ListenerKeeper();
@@ -76,6 +78,22 @@
     assert.deepEqual([end, await exchange(socket)], ["connected", "answered"]);
   });
 
+  it("opens nothing to the endpoint for connections of its own once a cut has ended, also if each turn is late", async () => {
+    await proxy.cut(CutMode.hang);
+    let opened = 0;
+    endpoint.onAccept = () => (opened += 1);
+    const endAt = performance.now() + WAIT_MS;
+    const delayTurn = () => {
+      const until = performance.now() + LATE_TURN_MS;
+      while (performance.now() < until);
+      if (until < endAt) setImmediate(delayTurn);
+    };
+    delayTurn();
+    await proxy.heal();
+    await pause(WAIT_MS);
+    assert.equal(opened, 0);
+  });
+
   it("delays what it carries, both ways and in order", async () => {
     const { socket } = await open();
     await exchange(socket);
--- a/test/dialer.spec.ts
+++ b/test/dialer.spec.ts
@@ -49,6 +49,40 @@
   });
 });
 
+describe("a dial over peers that are leaving", () => {
+  it("is made only with a question about the endpoint itself, and where no other peer is there", async () => {
+    const [leaving, ...others] = createPeers(3);
+    if (leaving === undefined) assert.fail();
+    for (const peers of [[], others]) {
+      const alone = new Ways(peers);
+      alone.leaving = [leaving];
+      alone.cut(SELF, "a", WayState.reset);
+      const question = { isDirectOnly: false, isQuestion: true };
+      await alone.dial(target);
+      const afterRequest = alone.asked.length;
+      await alone.wait(alone.dialer.dial(target, question));
+      const state = await alone.wait(alone.dialer.probe(target));
+      const asked = new Set(alone.asked.map(({ peer }) => peer));
+      assert.equal(state, ConnectState.up);
+      assert.equal(asked.has(leaving.instance), peers.length === 0);
+      assert.equal(afterRequest === 0, peers.length === 0);
+      alone.dialer.close();
+    }
+  });
+
+  it("leaves an endpoint down that refuses, where the one that is leaving is gone", async () => {
+    const [leaving] = createPeers(1);
+    if (leaving === undefined) assert.fail();
+    const alone = new Ways([]);
+    alone.leaving = [leaving];
+    alone.silentPeers.add(leaving.instance);
+    alone.endpoints.set("a", WayState.refuse);
+    const state = await alone.wait(alone.dialer.probe(target));
+    assert.equal(state, ConnectState.refused);
+    alone.dialer.close();
+  });
+});
+
 describe("a dial over a cut way", () => {
   for (const state of CUTS) {
     it(`goes over a peer at once if connects ${state}, and then without trying directly`, async () => {
--- a/test/expectedtime.spec.ts
+++ b/test/expectedtime.spec.ts
@@ -71,6 +71,34 @@
     assert.ok(ratio > 0.95, `a new endpoint must be tried beside one at ${ratio}`);
   });
 
+  it("is not told by a first time that may hold the opening of a connection", () => {
+    const speeds = new SpeedTracker();
+    const record = (id: string, ms: number, factor: number, now: number) => {
+      speeds.recordSample(
+        KIND,
+        id,
+        { ms, units: 1, mayHoldConnect: true },
+        createReport(factor),
+        now,
+      );
+    };
+    const ratio = (id: string, factor: number, ageMs: number) =>
+      speeds.estimate(KIND, id, createReport(factor, ageMs), 60).ratio;
+    // Whatever the random share of the expected time is, a quarter of it at most.
+    const assertChosen = () => {
+      const [free, slow] = [ratio("free", 1, 0), ratio("slow", 2.5, 0)];
+      assert.ok(free * 1.25 < slow, `${free} and ${slow}`);
+    };
+    for (let turn = 0; turn < 60; turn += 1) record("slow", 37, 2.5, turn);
+    record("free", 300, 1, 60);
+    assertChosen();
+    assert.ok(ratio("free", 1, 2000) <= 1, `${ratio("free", 1, 2000)} once its report is old`);
+    record("free", 15, 1, 60);
+    assertChosen();
+    record("free", 60, 1, 60);
+    assertChosen();
+  });
+
   it("combines the machine's own speed with the slowness that it reports", () => {
     const speeds = new SpeedTracker();
     for (let turn = 0; turn < 60; turn += 1) {
--- a/test/harness/originfleet.ts
+++ b/test/harness/originfleet.ts
@@ -102,6 +102,7 @@
       origins,
       transport: this.createTransport(name),
       publish: () => undefined,
+      publishUnknown: () => undefined,
       listMembers: () => members.listLiveMembers(this.now),
       clock: this.events.clock,
       logger: SILENT_LOGGER,
--- a/test/harness/watching.ts
+++ b/test/harness/watching.ts
@@ -8,6 +8,8 @@
 import { HistoryReader } from "../../src/fleet/historyreader";
 import { type FeedPage, StoreError, StoreFault } from "../../src/fleet/store";
 import { VersionHistory } from "../../src/fleet/versionhistory";
+import { ProcessState } from "../../src/forward/endpoints";
+import { TakeUpCheck } from "../../src/forward/generations/takeupcheck";
 import { ResumeResolver } from "../../src/forward/generations/resume";
 import { type ForwardRequest, Meter } from "../../src/forward/requests";
 import { ListConfirmer } from "../../src/forward/shared/listconfirmer";
@@ -55,6 +57,8 @@
   readonly versionHistory = new VersionHistory(500);
   readonly meter = new Meter();
   recalled: RecalledOrigin | undefined;
+  /** What engines answer to the question which of their processes they are. */
+  told: ProcessState = ProcessState.same;
   private readonly resolver: ResumeResolver;
   private sequence = 0;
   private lookedAt = 0;
@@ -76,6 +80,7 @@
         },
         listMembers: () => ["n1", "n2"].map((instance) => ({ instance, dataCentre: "nizwa" })),
         publish: () => undefined,
+        publishUnknown: () => undefined,
         clock,
         logger,
       }),
@@ -94,6 +99,10 @@
           this.lookedAt = at;
         },
       }),
+      takeUpCheck: new TakeUpCheck({
+        ...{ directory, clock, readWallClock: () => clock.now() },
+        askWriter: () => Promise.resolve(this.told),
+      }),
       clock,
       readWallClock: () => clock.now(),
       meter,
--- a/test/harness/ways.ts
+++ b/test/harness/ways.ts
@@ -69,6 +69,8 @@
   /** When the instance connected directly, and to what. */
   readonly directAt: { readonly id: string; readonly at: number }[] = [];
   readonly asked: { readonly peer: string; readonly id: string }[] = [];
+  /** The peers that are leaving, beside the others. */
+  leaving: readonly ReplicaCandidate[] = [];
   readonly events: string[] = [];
   readonly openSockets = new Set<EndpointSocket>();
   /** The endpoints that instances may check their links by. */
@@ -99,6 +101,7 @@
         },
       },
       listPeers: () => this.peers,
+      listLeavingPeers: () => this.leaving,
       findDataCentre: () => "nizwa",
       onConnection: ({ peer }) => {
         this.events.push(`connected ${peer ?? "directly"}`);
--- a/test/joinguard.spec.ts
+++ b/test/joinguard.spec.ts
@@ -5,8 +5,12 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import fc from "fast-check";
-import { compareProcess, ProcessState } from "../src/forward/endpoints/processcheck";
-import { isOtherProcess, mayJoin, needsList } from "../src/forward/generations/joinguard";
+import {
+  compareProcess,
+  isOtherProcess,
+  ProcessState,
+} from "../src/forward/endpoints/processcheck";
+import { mayJoin, needsList } from "../src/forward/generations/joinguard";
 import { createEntry } from "./harness/forward";
 
 const ORIGIN_VERSION = "v1";
--- a/test/soak/faults.ts
+++ b/test/soak/faults.ts
@@ -20,6 +20,8 @@
   silence: "silence",
   /** The process of an endpoint dies, and another one takes its place. */
   crash: "crash",
+  /** The process of an engine dies amid its streams, and is back at its address and under its id, maybe at another version. */
+  restart: "restart",
   /** A plain service or a prefill engine writes each answer a second time, late, on the same connection. */
   copy: "copy",
   /** An endpoint answers what is not an answer: a page amid a stream, or bytes without end. */
