--- a/test/soak/host.ts
+++ b/test/soak/host.ts
@@ -5,6 +5,7 @@
 import { ForwardInstance } from "../../src/forward/instance";
 import type { ForwardSettings } from "../../src/forward/settings";
 import { testCodecs } from "../harness/forward";
+import { ReportCodec } from "./codec";
 import { ChannelStore, type StoreAnswer } from "./storechannel";
 
 /** What an instance is started with. */
@@ -20,6 +21,7 @@
   const instance = new ForwardInstance(settings, {
     ...testCodecs,
     store,
+    endpointCodec: new ReportCodec(),
     decodeEndpoint: (id, value) => {
       const entry = testCodecs.decodeEndpoint(id, value);
       return entry && { ...entry, address: ways[id] ?? entry.address };
--- a/test/soak/report.ts
+++ b/test/soak/report.ts
@@ -3,7 +3,7 @@
  */
 import { describeRequest } from "./checks";
 import { describeFault } from "./faults";
-import { type Breach, type History, readRefusal } from "./history";
+import { type Breach, type History, readRefusal, STREAM_KINDS, type Try } from "./history";
 import type { SoakPlan, SoakResult } from "./soak";
 
 /** Number of requests of a breach whose history is printed. */
@@ -21,6 +21,7 @@
   return [
     `seed ${seed}, ${lengthMs / 1000} s, ${instances} instances: ${breaches.length} breaches`,
     ...countOutcomes(history).map((line) => `  ${line}`),
+    `  ${describeStreams(history)}`,
     `  schedule of ${schedule.length} faults, ${history.faults.length} played:`,
     ...history.faults.map((fault) => `    ${describeFault(fault)}`),
     ...breaches.flatMap((breach) => formatBreach(history, breach)),
@@ -33,6 +34,20 @@
   return [`  ${rule}: ${message}`, ...described.map((line) => `    ${line}`)];
 }
 
+/** Says what was seen of streams, so that a soak that met none of what it is for shows it. */
+function describeStreams({ tries, runs }: History): string {
+  const streams = tries.filter(({ kind }) => STREAM_KINDS.has(kind));
+  const takeUps = streams.filter(({ takenUp }) => takenUp !== undefined);
+  const isWhole = ({ status, isComplete }: Try) => status === 200 && isComplete;
+  const runCount = runs.filter(({ id }) => streams.some((item) => item.id === id)).length;
+  return [
+    `streams: ${streams.length - takeUps.length}`,
+    `${streams.filter(({ isOldCaller }) => isOldCaller).length} requests over HTTP/1.0`,
+    `${takeUps.length} take-ups, ${takeUps.filter(isWhole).length} of them whole`,
+    `${runCount} runs`,
+  ].join(", ");
+}
+
 /** Counts how the requests of each kind ended. */
 function countOutcomes({ tries }: History): readonly string[] {
   const counts = new Map<string, number>();
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -10,6 +10,7 @@
 import { FaultPlayer } from "./player";
 import { Random } from "./random";
 import { createSchedule } from "./schedule";
+import { drawStreamPlan } from "./streamplan";
 
 /** Traffic before the first fault, in milliseconds. */
 const WARM_UP_MS = 2000;
@@ -48,6 +49,10 @@
     onRun: (run) => record.runs.push({ ...run, at: readTime() }),
     onEnd: (end) => record.ends.push({ ...end, at: readTime() }),
   });
+  for (const endpoint of fleet.endpoints.values()) {
+    endpoint.isNamed = true;
+    endpoint.planStream = (id) => drawStreamPlan(plan.seed, id);
+  }
   let isKept = true;
   try {
     const schedule = createFleetSchedule(plan, fleet);
--- a/test/taskfault.spec.ts
+++ b/test/taskfault.spec.ts
@@ -270,6 +270,7 @@
         recall: () => Promise.resolve(undefined),
       },
       publish: () => undefined,
+      publishUnknown: () => undefined,
       listMembers: () => ["n1", "n2"].map((instance) => ({ instance, dataCentre: "nizwa" })),
       clock: CLOCK,
       logger,
--- a/test/unframed.spec.ts
+++ b/test/unframed.spec.ts
@@ -70,7 +70,7 @@
     const response = await get(port, "/draft/1", TOKENS);
     assert.deepEqual([response.status, response.body], [200, event(1) + event(2)]);
     assert.equal(response.headers["content-length"], undefined);
-    assert.equal(response.headers["transfer-encoding"], undefined);
+    assert.equal(response.headers["transfer-encoding"], "chunked");
     assert.deepEqual([response.isComplete, heads.length], [true, 1]);
   });
 
@@ -142,6 +142,16 @@
 });
 
 describe("a service answer with neither a length nor chunks", () => {
+  it("is passed on with its length once its end was asserted", async () => {
+    const heads = await addInTurn(["a", "b"], [end("all of it")]);
+    await start();
+    const response = await get(port, "/once/1");
+    assert.deepEqual([response.status, response.body], [200, "all of it"]);
+    assert.equal(response.headers["content-length"], "9");
+    assert.equal(response.headers["transfer-encoding"], undefined);
+    assert.deepEqual([response.isComplete, heads.length], [true, 1]);
+  });
+
   it("is asked for again if its endpoint died and the request may be repeated", async () => {
     const heads = await addInTurn(["a", "b"], [die("half of"), end("all of it")]);
     await start();
--- /dev/null
+++ b/test/witness.spec.ts
@@ -0,0 +1,83 @@
+/**
+ * What a second connection to a service says of the process that wrote an answer. Guards against a process that died by the
+ * end of its answer and counts as alive, and against one that ends unused connections and counts as dead, over random lives.
+ */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import fc from "fast-check";
+import { WriterState } from "../src/core/assertedend";
+import {
+  judgeWitness,
+  WITNESS_TIMEOUT_MS,
+  type Witnessed,
+  WitnessState,
+} from "../src/core/witness";
+
+const RUNS = 5000;
+const ENDED_AT = 1000;
+const LONG_AGO = ENDED_AT - WITNESS_TIMEOUT_MS - 1;
+
+/** The reference: when a process wrote the end, died, and ended the witness for its own reasons, on one clock. */
+interface Life {
+  readonly openedAt: number;
+  /** Undefined if the process lives on. */
+  readonly diedAfterMs: number | undefined;
+  /** When it ended the witness though it lived, before the end; undefined if it did not. */
+  readonly droppedBeforeMs: number | undefined;
+  /** How much later than the end of the answer that of the witness arrives where the process dies. */
+  readonly spreadMs: number;
+}
+
+/** What this side sees when it decides. */
+function observe({ openedAt, diedAfterMs, droppedBeforeMs, spreadMs }: Life): Witnessed {
+  const droppedAt = ENDED_AT - (droppedBeforeMs ?? -Infinity);
+  const dropAt = droppedAt > openedAt ? droppedAt : Infinity;
+  const dieAt = diedAfterMs === undefined ? Infinity : ENDED_AT + spreadMs;
+  const since = Math.min(dropAt, dieAt);
+  if (dieAt <= openedAt) {
+    return { state: WitnessState.refused, since: openedAt };
+  }
+  const isOver = since > openedAt && since <= ENDED_AT + WITNESS_TIMEOUT_MS;
+  return isOver
+    ? { state: WitnessState.ended, since }
+    : { state: WitnessState.open, since: openedAt };
+}
+
+const lives: fc.Arbitrary<Life> = fc.record({
+  openedAt: fc.integer({ min: ENDED_AT - 500, max: ENDED_AT + 200 }),
+  diedAfterMs: fc.option(fc.constant(0), { nil: undefined }),
+  droppedBeforeMs: fc.option(fc.integer({ min: WITNESS_TIMEOUT_MS + 1, max: 500 }), {
+    nil: undefined,
+  }),
+  spreadMs: fc.integer({ min: -WITNESS_TIMEOUT_MS, max: WITNESS_TIMEOUT_MS }),
+});
+
+describe("the witness of an answer", () => {
+  it("is never alive for a process that died by the end, and never gone for one that lives", () => {
+    fc.assert(
+      fc.property(lives, (life) => {
+        const told = judgeWitness(observe(life), ENDED_AT);
+        const isDead = life.diedAfterMs !== undefined;
+        if (isDead) assert.notEqual(told, WriterState.alive);
+        else assert.notEqual(told, WriterState.gone);
+      }),
+      { numRuns: RUNS },
+    );
+  });
+
+  const CASES: readonly (readonly [string, Witnessed, WriterState | undefined])[] = [
+    ["open since before the end", { state: "open", since: ENDED_AT }, WriterState.alive],
+    ["opened after the end", { state: "open", since: ENDED_AT + 1 }, WriterState.untold],
+    ["ended with the answer", { state: "ended", since: ENDED_AT + 3 }, WriterState.gone],
+    ["refused at the end", { state: "refused", since: ENDED_AT + 1 }, WriterState.gone],
+    ["not established", { state: "unreachable", since: ENDED_AT + 200 }, WriterState.silent],
+    ["ended long before", { state: "ended", since: LONG_AGO }, undefined],
+    ["refused long before", { state: "refused", since: LONG_AGO }, undefined],
+    ["not established long before", { state: "unreachable", since: LONG_AGO }, undefined],
+  ];
+  for (const [name, witnessed, told] of CASES) {
+    it(`says ${told ?? "nothing"} if it was ${name}`, () => {
+      assert.equal(judgeWitness(witnessed, ENDED_AT), told);
+    });
+  }
+});
