Soak: callers ask for streams just before a relay stops

A burst of three drafts at each instance 150 to 400 ms before each SIGTERM beside a cut. Ruled out: more silences, as most engines fall silent then.

--- a/test/soak/callers.ts
+++ b/test/soak/callers.ts
@@ -45,6 +45,8 @@
 /** How often a caller takes up a stream that broke off, and how long it waits before, in milliseconds. */
 const TAKE_UPS = 3;
 const TAKE_UP_PAUSE_MS = { min: 50, max: 900 };
+/** Number of streams that each instance is asked for in a burst. */
+const BURST_SIZE = 3;
 /** Parts that the prompts share. */
 const SHARED_PARTS = ["walls", "roofs", "doors"];
 
@@ -98,6 +100,7 @@
   private readonly open = new Set<Promise<void>>();
   private readonly callees: Callee[] = [];
   private isStopped = false;
+  private bursts = 0;
 
   /** @param startedAt - when the traffic starts, on the monotonic clock */
   constructor(
@@ -112,6 +115,17 @@
     for (const kind of Object.values(CallKind)) void this.drive(callee, kind);
   }
 
+  /** Asks each instance that can be called for several streams at once. */
+  burst(): void {
+    this.bursts += 1;
+    for (const callee of this.callees.filter((one) => one.isCallable())) {
+      for (let turn = 1; turn <= BURST_SIZE; turn += 1) {
+        const id = `${callee.instance.name}-burst-${this.bursts}-${turn}`;
+        this.send(callee, CallKind.draft, id);
+      }
+    }
+  }
+
   /** Sends no more requests, and waits until all that were sent are answered or given up. */
   async stop(): Promise<void> {
     this.isStopped = true;
--- a/test/soak/faults.ts
+++ b/test/soak/faults.ts
@@ -30,6 +30,8 @@
   malformed: "malformed",
   /** The store does not do what it is asked for. */
   store: "store",
+  /** Callers of all instances ask for several streams at once. */
+  burst: "burst",
 } as const;
 export type FaultKind = (typeof FaultKind)[keyof typeof FaultKind];
 
--- a/test/soak/player.ts
+++ b/test/soak/player.ts
@@ -6,6 +6,7 @@
 import { CutMode } from "../harness/cutproxy";
 import { CHANGES, createSoakConfig } from "./changes";
 import { type Fault, FaultKind, type InstancePort, StoreFailure } from "./faults";
+import type { SoakCallers } from "./callers";
 import type { SoakEndpoint } from "./endpoint";
 import { DeathBy, type EngineDeath, readDeath } from "./deaths";
 import type { SoakFleet } from "./fleet";
@@ -37,6 +38,7 @@
   /** @param startedAt - when the traffic starts, on the monotonic clock */
   constructor(
     private readonly fleet: SoakFleet,
+    private readonly callers: SoakCallers,
     private readonly startedAt: number,
   ) {}
 
@@ -84,6 +86,9 @@
         return this.sendMalformed(instance, manner as InstancePort);
       case FaultKind.store:
         return this.disturbStore(manner as StoreFailure, ending);
+      case FaultKind.burst:
+        this.callers.burst();
+        return ending;
     }
   }
 
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -74,6 +74,7 @@
   spoil: { min: 500, max: 3000 },
   malformed: { min: 0, max: 0 },
   store: { min: 500, max: 5000 },
+  burst: { min: 0, max: 0 },
 } as const satisfies Record<FaultKind, Range>;
 /** The share of all instances that may be disturbed at a time. */
 const DISTURBED_SHARE = 2 / 3;
@@ -81,6 +82,8 @@
 const AFTERMATH_MS = 3000;
 /** When engines fall silent after a SIGTERM, in milliseconds: the notice to callers and peers lasts 2600. */
 const SILENCE_AFTER_STOP_MS = { min: 2000, max: 2700 };
+/** How long before a SIGTERM of a relay callers ask for streams, in milliseconds: these last beyond its notice. */
+const BURST_BEFORE_STOP_MS = { min: 150, max: 400 };
 const CUT_MODES = [CutMode.hang, CutMode.hangAnswers, CutMode.reset, CutMode.refuseNew] as const;
 const PROCESS_KINDS = [FaultKind.terminate, FaultKind.kill, FaultKind.freeze] as const;
 type ProcessKind = (typeof PROCESS_KINDS)[number];
@@ -138,6 +141,7 @@
   { gapMs: { min: 400, max: 2500 }, draw: drawRestart },
   { gapMs: { min: 1000, max: 4000 }, draw: drawRelayFault },
   { gapMs: { min: 80, max: 200 }, draw: drawSilenceAfterStop, isOverlapping: true },
+  { gapMs: { min: 150, max: 250 }, draw: drawBurst, isOverlapping: true },
 ];
 
 /**
@@ -219,6 +223,18 @@
   return { kind: FaultKind.silence, manner: SilentStage.event, endpoints };
 }
 
+/** Draws a burst of streams just before an instance stops by which others, which are cut off, reach their engines. */
+function drawBurst({ at, before }: Draw): Drawn | undefined {
+  const isDue = before.some(
+    ({ kind, at: stopAt }) =>
+      kind === FaultKind.terminate &&
+      at >= stopAt - BURST_BEFORE_STOP_MS.max &&
+      at <= stopAt - BURST_BEFORE_STOP_MS.min &&
+      before.some((cut) => cut.kind === FaultKind.cut && cut.at <= at && cut.until > stopAt),
+  );
+  return isDue ? { kind: FaultKind.burst, manner: "drafts" } : undefined;
+}
+
 function drawCopy({ random, plan: { endpoints } }: Draw): Drawn {
   const copying = endpoints.filter(({ stages }) => stages.includes(SilentStage.answer));
   return { kind: FaultKind.copy, manner: "late", endpoints: [random.choose(copying).id] };
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -92,7 +92,7 @@
   record.startedAt = performance.now();
   const callers = new SoakCallers(new Random(seed), record.startedAt);
   for (const instance of fleet.instances.values()) callers.start(instance);
-  const player = new FaultPlayer(fleet, record.startedAt);
+  const player = new FaultPlayer(fleet, callers, record.startedAt);
   await player.run(schedule);
   const calmAt = performance.now() - record.startedAt;
   await pause(CALM_MS);
--- a/test/soakschedule.spec.ts
+++ b/test/soakschedule.spec.ts
@@ -89,6 +89,22 @@
     );
   });
 
+  it("asks for streams in a burst just before a relay is stopped, and at no other time", () => {
+    const faults = Array.from({ length: 10 }, (_, seed) => createSchedule({ ...PLAN, seed }));
+    for (const schedule of faults) {
+      const bursts = schedule.filter(({ kind }) => kind === FaultKind.burst);
+      const isDue = ({ at }: Fault) =>
+        schedule.some(
+          ({ kind, at: stopAt }) =>
+            kind === FaultKind.terminate && stopAt > at && stopAt < at + 500,
+        ) &&
+        schedule.some(
+          ({ kind, at: from, until }) => kind === FaultKind.cut && from <= at && until > at,
+        );
+      assert.ok(bursts.length > 0 && bursts.every(isDue));
+    }
+  });
+
   it("plays every kind of fault, and kinds that overlap", () => {
     const faults = Array.from({ length: 10 }, (_, seed) => createSchedule({ ...PLAN, seed }));
     const kinds = new Set(faults.flat().map(({ kind }) => kind));
