A grant counts only from the scheduler that its request is at now

Cause: a request that moves to another scheduler while the connection to the one before stays open (its instance leaves the list of the heard, or a preferred one comes back) could still be granted by the one before: the grant and the cancel cross. The client took it without asking whose it is. The scheduler then handled the cancel and freed the engines of the run; the grant of the present one was cancelled, which also forgot the request's scheduler, so that "decoding", "ended" and "crashed" were told to nobody.

Ruled out: late replies on connections that were given up (they are ignored already).

Change: a grant is taken only from the present scheduler of a request; any other one is returned to the scheduler that gave it, and the record of the present one stays.

Not covered: a request that moves away and comes back to the same scheduler on the same connection before its cancel has arrived there. It needs a mark in the protocol.

--- a/src/control/schedulerclient.ts
+++ b/src/control/schedulerclient.ts
@@ -126,7 +126,7 @@
   cancel(id: string): void {
     this.pendingRequests.delete(id);
     this.sentRequests.forget(id);
-    this.reportProgress({ id, stage: "ended", fault: "cancelled", engine: "" });
+    this.reportProgress(createCancel(id));
   }
 
   private chooseSchedulerOf(pool: string): string {
@@ -201,19 +201,19 @@
     if (known !== undefined) return known;
     const connection =
       scheduler === this.self.instance
-        ? this.openLocalConnection()
+        ? this.openLocalConnection(scheduler)
         : this.openRemoteConnection(scheduler);
     if (connection !== undefined) this.connections.set(scheduler, connection);
     return connection;
   }
 
-  private openLocalConnection(): SchedulerConnection {
+  private openLocalConnection(scheduler: string): SchedulerConnection {
     const name = this.self.incarnation;
     this.openedCount += 1;
     this.scheduler.openSession({
       name,
       send: (reply) => {
-        this.handleReply(reply);
+        this.handleReply(scheduler, reply);
       },
     });
     return {
@@ -245,7 +245,7 @@
       isAcknowledging ||= reply.acknowledges;
       for (const id of reply.received) this.sentRequests.acknowledge(id, number);
       void runTask("handle a scheduler's reply", this.logger, () => {
-        this.handleReply(reply);
+        this.handleReply(scheduler, reply);
       });
     });
     // A connection that was given up ends later, when another one may be open.
@@ -267,18 +267,22 @@
     };
   }
 
-  private handleReply(reply: BookReply): void {
-    for (const grant of reply.grants) {
-      if (!this.resolvePending(grant.id, E.right(grant))) {
-        this.reportProgress({ id: grant.id, stage: "ended", fault: "cancelled", engine: "" });
-      }
-    }
+  private handleReply(scheduler: string, reply: BookReply): void {
+    for (const grant of reply.grants) this.handleGrant(scheduler, grant);
     for (const refusal of reply.refusals) {
       this.schedulerByRequest.delete(refusal.id);
       this.resolvePending(refusal.id, E.left(refusal));
     }
   }
 
+  /** Takes a grant if its scheduler is the one that the request is at now; returns it there else. */
+  private handleGrant(scheduler: string, grant: Grant): void {
+    const isPresent = this.schedulerByRequest.get(grant.id) === scheduler;
+    if (isPresent && this.resolvePending(grant.id, E.right(grant))) return;
+    this.logger.info("grant returned", { request: grant.id, scheduler });
+    this.queueMessage(scheduler, { wants: [], done: [createCancel(grant.id)] });
+  }
+
   private resolvePending(id: string, result: E.Either<Refusal, Grant>): boolean {
     const pending = this.pendingRequests.get(id);
     if (pending === undefined) return false;
@@ -352,7 +356,7 @@
       scheduler,
       waitedMs,
     });
-    this.reportProgress({ id: pending.want.id, stage: "ended", fault: "cancelled", engine: "" });
+    this.reportProgress(createCancel(pending.want.id));
     pending.scheduler = scheduler;
     this.sendWant(
       {
@@ -365,6 +369,10 @@
   }
 }
 
+function createCancel(id: string): Done {
+  return { id, stage: "ended", fault: "cancelled", engine: "" };
+}
+
 /**
  * Merges a message into one that is queued. A scheduler handles the ends of a message before its requests, so a
  * request that ends before it was sent is taken out.
--- a/test/harness/grantplay.ts
+++ b/test/harness/grantplay.ts
@@ -3,6 +3,7 @@
  * what each session brought.
  */
 import { EventEmitter } from "node:events";
+import * as E from "fp-ts/Either";
 import { createBlackboard } from "../../src/board/board";
 import { SchedulerClient } from "../../src/control/schedulerclient";
 import type { PoolScheduler } from "../../src/control/scheduler";
@@ -15,6 +16,8 @@
 const METRICS = { count: () => undefined } as unknown as Metrics;
 const SELF = { instance: "n1", incarnation: "n1/1", dataCentre: "nizwa" };
 const PEERS = ["n2", "n3"];
+/** Of the peers, and of all where the client's own scheduler may be chosen. */
+const PREFERRED_PEER = "n3";
 const CHECK_MS = 100;
 const STANDSTILL_MS = 2000;
 /** Silence or a missing acknowledgement takes a second to count, for each of two connections in turn, and a rest. */
@@ -40,15 +43,34 @@
 } as const;
 export type Step = (typeof Step)[keyof typeof Step];
 
+/** What moves requests between schedulers whose connections stay open, and what these answer meanwhile. */
+export const Move = {
+  /** The peer that is preferred, or both, are heard no more; their connections stay. */
+  leaveOne: "leave: one",
+  leaveAll: "leave: all",
+  join: "join",
+  /** Each peer grants all that waits there; the client reads it before its next check. */
+  grant: "grant",
+} as const;
+export type Move = (typeof Move)[keyof typeof Move];
+export type AnyStep = Step | Move;
+
 /** A connection to a peer: what it wrote is on the way until it is delivered. */
 export class Connection extends EventEmitter {
   readonly underWay: BookRequest[] = [];
   readonly kept = new Set<string>();
+  /** Granted requests whose end has not arrived. */
+  readonly running = new Set<string>();
+  private granted: string[] = [];
   received: string[] = [];
   isClogged = false;
   isOpen = true;
 
-  constructor(readonly peer: string) {
+  constructor(
+    readonly peer: string,
+    /** Unlike that of any other connection. */
+    readonly name: string,
+  ) {
     super();
   }
 
@@ -65,6 +87,7 @@
   close(): void {
     this.isOpen = false;
     this.kept.clear();
+    this.running.clear();
   }
 
   deliver(times: number): void {
@@ -73,18 +96,31 @@
     for (const { wants, done } of messages.flatMap(
       (message) => Array(times).fill(message) as BookRequest[],
     )) {
-      for (const { id } of done) this.kept.delete(id);
-      for (const { id } of wants) this.kept.add(id);
+      for (const { id, stage } of done) this.handleDone(id, stage);
+      for (const { id } of wants) if (!this.running.has(id)) this.kept.add(id);
       this.received.push(...wants.map(({ id }) => id));
     }
   }
 
+  grant(): void {
+    for (const id of this.kept) this.running.add(id);
+    this.granted.push(...this.kept);
+    this.kept.clear();
+  }
+
   reply(acknowledges: boolean): void {
     const { received } = this;
+    const grants = this.granted.map((id) => ({ id, prefill: this.name }));
     this.received = [];
-    const reply = acknowledges ? { received, acknowledges } : {};
+    this.granted = [];
+    const reply = acknowledges ? { received, acknowledges, grants } : { grants };
     if (this.isOpen) this.emit("data", BookReply.fromPartial(reply));
   }
+
+  private handleDone(id: string, stage: string): void {
+    this.kept.delete(id);
+    if (stage !== "decoding") this.running.delete(id);
+  }
 }
 
 /** One client, its own scheduler and two peers. */
@@ -92,25 +128,24 @@
   readonly connections: Connection[] = [];
   readonly keptAtSelf = new Set<string>();
   readonly ids: string[] = [];
+  /** The connections whose grants were taken, by request. */
+  readonly takenFrom = new Map<string, string>();
   private isRefusing = false;
   private readonly clock = new ManualClock(10_000);
   private readonly board = createBlackboard();
   private readonly client: SchedulerClient;
 
-  /** @param isDraining - whether the client's own scheduler is used only if no peer can be */
+  /**
+   * @param isDraining - whether the client's own scheduler is used only if no peer can be
+   * @param isPrompt - whether what the client writes at one check arrives before the next one
+   */
   constructor(
     private readonly acknowledges: boolean,
     isDraining = false,
+    private readonly isPrompt = false,
   ) {
     this.board.draining.write(isDraining);
-    for (const instance of PEERS)
-      this.board.members.set(instance, {
-        instance,
-        incarnation: `${instance}/1`,
-        dataCentre: "nizwa",
-        deadline: Infinity,
-        isDraining: false,
-      });
+    this.join();
     this.list(PEERS);
     this.client = new SchedulerClient(
       this.board,
@@ -123,7 +158,7 @@
     );
   }
 
-  async take(step: Step): Promise<void> {
+  async take(step: AnyStep): Promise<void> {
     const open = this.connections.filter(({ isOpen }) => isOpen);
     if (step === Step.request) this.request();
     if (step === Step.deliver) for (const connection of open) connection.deliver(1);
@@ -133,6 +168,10 @@
     if (step === Step.hide) this.list([]);
     if (step === Step.refuse) this.isRefusing = true;
     if (step === Step.heal) this.heal();
+    if (step === Move.leaveOne) this.board.members.delete(PREFERRED_PEER);
+    if (step === Move.leaveAll) this.board.members.clear();
+    if (step === Move.join) this.join();
+    if (step === Move.grant) for (const connection of open) connection.grant();
     if (step === Step.standStill) this.clock.advance(STANDSTILL_MS);
     if (step === Step.check) await this.check();
     await settle();
@@ -160,9 +199,35 @@
     return this.ids.map((id) => places.filter((place) => place.has(id)).length);
   }
 
+  /**
+   * Lists the requests whose grant was taken and is not the one that runs at their scheduler, unless the connection
+   * has closed, which ends its grants.
+   */
+  listUntracked(): readonly string[] {
+    const open = this.connections.filter(({ isOpen }) => isOpen);
+    return [...this.takenFrom].flatMap(([id, taken]) => {
+      const running = open.filter((connection) => connection.running.has(id));
+      const expected = open.filter(({ name }) => name === taken);
+      const [found, wanted] = [running, expected].map((list) =>
+        list.map(({ name }) => name).join(),
+      );
+      return found === wanted ? [] : [`${id}: runs at ${wanted}, tracked at ${found}`];
+    });
+  }
+
+  /** Tells the schedulers that all runs have ended; returns how many they take as running still. */
+  async endRuns(): Promise<number> {
+    for (const id of this.takenFrom.keys())
+      this.client.reportProgress({ id, stage: "ended", fault: "", engine: "" });
+    await settle();
+    for (const connection of this.connections) connection.deliver(1);
+    return this.connections.reduce((sum, { running }) => sum + running.size, 0);
+  }
+
   private async check(): Promise<void> {
     this.clock.advance(CHECK_MS);
     for (const connection of this.connections) connection.reply(this.acknowledges);
+    if (this.isPrompt) for (const connection of this.connections) connection.deliver(1);
     this.client["check"]();
     await settle();
   }
@@ -170,7 +235,21 @@
   private request(): void {
     const id = `r${this.ids.length}`;
     this.ids.push(id);
-    void this.client.requestGrant(Want.fromPartial({ id, pool: "drafter", patienceMs: 60_000 }));
+    const want = Want.fromPartial({ id, pool: "drafter", patienceMs: 60_000 });
+    void this.client.requestGrant(want).then((reply) => {
+      if (E.isRight(reply)) this.takenFrom.set(id, reply.right.prefill);
+    });
+  }
+
+  private join(): void {
+    for (const instance of PEERS)
+      this.board.members.set(instance, {
+        instance,
+        incarnation: `${instance}/1`,
+        dataCentre: "nizwa",
+        deadline: Infinity,
+        isDraining: false,
+      });
   }
 
   /** Ends connections by a reset, or silently as the peers are gone. */
@@ -182,6 +261,7 @@
   }
 
   private heal(): void {
+    this.join();
     this.list(PEERS);
     this.isRefusing = false;
   }
@@ -197,7 +277,7 @@
 
   private open(peer: string): Connection {
     if (this.isRefusing) throw new Error("refused");
-    const connection = new Connection(peer);
+    const connection = new Connection(peer, `${peer}#${this.connections.length}`);
     this.connections.push(connection);
     return connection;
   }
--- /dev/null
+++ b/test/movedwants.spec.ts
@@ -0,0 +1,57 @@
+/**
+ * Requests for grants that move between schedulers whose connections stay open, against schedulers that are plain lists
+ * of what waits and runs. Guards against a run whose scheduler has ended its grant, and against a grant that nobody
+ * returns.
+ */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import fc from "fast-check";
+import { type AnyStep, Move, Play, Step } from "./harness/grantplay";
+
+/**
+ * Plays moves between peers, and asserts that each run is tracked by the scheduler that granted it. What is written
+ * arrives before the next check, so that no request comes back to a scheduler before its cancel has arrived there.
+ */
+async function assertRunsTracked(steps: readonly AnyStep[]): Promise<Play> {
+  const run = new Play(true, true, true);
+  for (const step of steps) await run.take(step);
+  await run.finish();
+  assert.deepEqual(run.listUntracked(), []);
+  const expected = run.ids.map((id) => (run.takenFrom.has(id) ? 0 : 1));
+  assert.deepEqual(run.countKept(), expected);
+  assert.equal(await run.endRuns(), 0);
+  return run;
+}
+
+describe("requests for grants that move between schedulers whose connections stay open", () => {
+  it("run only under a grant that the scheduler which gave it still has", async () => {
+    const { request, check, deliver, heal } = Step;
+    const { join, ...moves } = Move;
+    const faults = Object.values(Step).filter((name) => name !== Step.clog);
+    const usual = [request, check, check, deliver, heal, join, ...Object.values(moves)];
+    const step = fc.oneof(
+      { weight: 4, arbitrary: fc.constantFrom<AnyStep>(...usual) },
+      { weight: 1, arbitrary: fc.constantFrom<AnyStep>(...faults) },
+    );
+    const steps = fc.array(step, { minLength: 12, maxLength: 40 });
+    const property = fc.asyncProperty(steps, async (taken) => {
+      await assertRunsTracked(taken);
+    });
+    await fc.assert(property, { numRuns: 800, seed: 20261207 });
+  });
+
+  it("return a grant that comes from the one before, and take that of the present one", async () => {
+    const { request, deliver, check } = Step;
+    const { leaveOne, grant } = Move;
+    const moved = [request, deliver, leaveOne, check];
+    const run = await assertRunsTracked([...moved, grant, check, deliver, grant, check]);
+    assert.deepEqual([...run.takenFrom], [["r0", "n2#1"]]);
+  });
+
+  it("take none of the one before though the present one has not granted", async () => {
+    const { request, deliver, check } = Step;
+    const { leaveOne, grant } = Move;
+    const run = await assertRunsTracked([request, deliver, leaveOne, check, grant, check]);
+    assert.deepEqual([...run.takenFrom], []);
+  });
+});
