--- a/src/control/schedulerclient.ts
+++ b/src/control/schedulerclient.ts
@@ -126,7 +126,7 @@
   cancel(id: string): void {
     this.pendingRequests.delete(id);
     this.sentRequests.forget(id);
-    this.reportProgress({ id, stage: "ended", fault: "cancelled", engine: "" });
+    this.reportProgress(createCancel(id));
   }
 
   private chooseSchedulerOf(pool: string): string {
@@ -147,8 +147,7 @@
   private queueMessage(scheduler: string, request: BookRequest): void {
     const queued = this.outgoingMessages.get(scheduler);
     if (queued !== undefined) {
-      queued.wants.push(...request.wants);
-      queued.done.push(...request.done);
+      mergeMessage(queued, request);
       return;
     }
     this.outgoingMessages.set(scheduler, { wants: [...request.wants], done: [...request.done] });
@@ -202,19 +201,19 @@
     if (known !== undefined) return known;
     const connection =
       scheduler === this.self.instance
-        ? this.openLocalConnection()
+        ? this.openLocalConnection(scheduler)
         : this.openRemoteConnection(scheduler);
     if (connection !== undefined) this.connections.set(scheduler, connection);
     return connection;
   }
 
-  private openLocalConnection(): SchedulerConnection {
+  private openLocalConnection(scheduler: string): SchedulerConnection {
     const name = this.self.incarnation;
     this.openedCount += 1;
     this.scheduler.openSession({
       name,
       send: (reply) => {
-        this.handleReply(reply);
+        this.handleReply(scheduler, reply);
       },
     });
     return {
@@ -246,7 +245,7 @@
       isAcknowledging ||= reply.acknowledges;
       for (const id of reply.received) this.sentRequests.acknowledge(id, number);
       void runTask("handle a scheduler's reply", this.logger, () => {
-        this.handleReply(reply);
+        this.handleReply(scheduler, reply);
       });
     });
     // A connection that was given up ends later, when another one may be open.
@@ -268,16 +267,31 @@
     };
   }
 
-  private handleReply(reply: BookReply): void {
-    for (const grant of reply.grants) {
-      if (!this.resolvePending(grant.id, E.right(grant))) {
-        this.reportProgress({ id: grant.id, stage: "ended", fault: "cancelled", engine: "" });
-      }
-    }
-    for (const refusal of reply.refusals) {
-      this.schedulerByRequest.delete(refusal.id);
-      this.resolvePending(refusal.id, E.left(refusal));
+  private handleReply(scheduler: string, reply: BookReply): void {
+    for (const grant of reply.grants) this.handleGrant(scheduler, grant);
+    for (const refusal of reply.refusals) this.handleRefusal(scheduler, refusal);
+  }
+
+  /** Takes a grant if its scheduler is the one that the request is at now; returns it there else. */
+  private handleGrant(scheduler: string, grant: Grant): void {
+    if (this.isPresent(scheduler, grant.id) && this.resolvePending(grant.id, E.right(grant)))
+      return;
+    this.logger.info("grant returned", { request: grant.id, scheduler });
+    this.queueMessage(scheduler, { wants: [], done: [createCancel(grant.id)] });
+  }
+
+  /** Believes a refusal only of the scheduler that the request is at now. */
+  private handleRefusal(scheduler: string, refusal: Refusal): void {
+    if (!this.isPresent(scheduler, refusal.id)) {
+      this.logger.info("refusal ignored", { request: refusal.id, scheduler });
+      return;
     }
+    this.schedulerByRequest.delete(refusal.id);
+    this.resolvePending(refusal.id, E.left(refusal));
+  }
+
+  private isPresent(scheduler: string, id: string): boolean {
+    return this.schedulerByRequest.get(id) === scheduler;
   }
 
   private resolvePending(id: string, result: E.Either<Refusal, Grant>): boolean {
@@ -353,7 +367,7 @@
       scheduler,
       waitedMs,
     });
-    this.reportProgress({ id: pending.want.id, stage: "ended", fault: "cancelled", engine: "" });
+    this.reportProgress(createCancel(pending.want.id));
     pending.scheduler = scheduler;
     this.sendWant(
       {
@@ -365,3 +379,17 @@
     );
   }
 }
+
+function createCancel(id: string): Done {
+  return { id, stage: "ended", fault: "cancelled", engine: "" };
+}
+
+/**
+ * Merges a message into one that is queued. A scheduler handles the ends of a message before its requests, so a
+ * request that ends before it was sent is taken out.
+ */
+function mergeMessage(queued: BookRequest, next: BookRequest): void {
+  const ended = new Set(next.done.map(({ id }) => id));
+  queued.wants = queued.wants.filter(({ id }) => !ended.has(id)).concat(next.wants);
+  queued.done.push(...next.done);
+}
