--- a/test/bookstream.spec.ts
+++ b/test/bookstream.spec.ts
@@ -3,6 +3,7 @@
  * Guards against a request that its scheduler never gets while its replies go on.
  */
 import assert from "node:assert/strict";
+import { EventEmitter } from "node:events";
 import { createServer } from "node:net";
 import { describe, it } from "node:test";
 import { Server, ServerCredentials } from "@grpc/grpc-js";
@@ -13,7 +14,7 @@
 import { MonotonicClock, pause } from "../src/core/clock";
 import { SILENT_LOGGER } from "../src/core/log";
 import type { Metrics } from "../src/core/metrics";
-import { type BookRequest, PeerService, Want } from "../src/peer/gen/peer";
+import { type BookReply, BookRequest, PeerService, Want } from "../src/peer/gen/peer";
 import type { BookServerStream } from "../src/peer/server";
 import { GrpcPeerTransport } from "../src/peer/transport";
 
@@ -146,3 +147,19 @@
     assert.deepEqual(atSelf.ids, IDS);
   });
 });
+
+describe("the replies on a stream of requests for grants", () => {
+  it("name each request once, in the one after it came", async () => {
+    const replies: BookReply[] = [];
+    const write = (reply: BookReply) => replies.push(reply);
+    const stream = Object.assign(new EventEmitter(), { write, end: () => undefined });
+    const { scheduler } = new Received();
+    serveBookStream("session-1", stream as unknown as BookServerStream, scheduler, SILENT_LOGGER);
+    stream.emit("data", BookRequest.fromPartial({ wants: [{ id: "w1" }, { id: "w2" }] }));
+    await pause(2.5 * HEARTBEAT_MS);
+    stream.emit("end");
+    const received = replies.map((reply) => reply.received);
+    assert.deepEqual(received, [["w1", "w2"], []]);
+    assert.ok(replies.every(({ acknowledges }) => acknowledges));
+  });
+});
--- a/test/movedwants.spec.ts
+++ b/test/movedwants.spec.ts
@@ -71,4 +71,15 @@
     assert.deepEqual([...run.declinedBy], [["r0", "n2#1"]]);
     assert.deepEqual([...run.takenFrom], []);
   });
+
+  it("return a grant of the one before though their cancel was lost on the way there", async () => {
+    const { request, deliver, check } = Step;
+    const { leaveOne, grant } = Move;
+    const run = new Play(true, true);
+    for (const step of [request, deliver, leaveOne, check]) await run.take(step);
+    const [before] = run.connections;
+    before?.underWay.splice(0);
+    for (const step of [grant, check, deliver]) await run.take(step);
+    assert.deepEqual([before?.peer, before?.isOpen, before?.running.size], ["n3", true, 0]);
+  });
 });
--- a/test/sentrequests.spec.ts
+++ b/test/sentrequests.spec.ts
@@ -6,8 +6,12 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import fc from "fast-check";
+import { BookReply } from "../src/peer/gen/peer";
+import { SentRequests } from "../src/control/sentrequests";
 import { Play, Step } from "./harness/grantplay";
 
+const MAX_CHECKS = 10;
+
 async function assertEachKeptOnce(
   steps: readonly Step[],
   acknowledges: boolean,
@@ -80,4 +84,32 @@
     before.emit("end");
     assert.equal(after?.isOpen, true);
   });
+
+  it("go to another scheduler at the next check where no connection can be opened", async () => {
+    const run = new Play(true);
+    for (const step of [Step.refuse, Step.request, Step.check]) await run.take(step);
+    assert.deepEqual(run.countKept(), [1]);
+  });
+
+  it("take no grant that comes late on a connection that was given up for a newer one", async () => {
+    const run = new Play(true);
+    for (const step of [Step.request, Step.deliver, Step.restart]) await run.take(step);
+    await run.finish();
+    const [before, after] = run.connections;
+    assert.deepEqual([before?.peer, after?.isOpen], [after?.peer, true]);
+    before?.emit("data", BookReply.fromPartial({ grants: [{ id: "r0" }] }));
+    await run.finish();
+    assert.deepEqual([run.takenFrom.size, ...run.countKept()], [0, 1]);
+  });
+});
+
+describe("a request that one connection acknowledges", () => {
+  it("is overdue if it was sent on another one", () => {
+    const sent = new SentRequests(MAX_CHECKS);
+    sent.recordQueued("r1");
+    sent.recordSent("r1", 7);
+    sent.acknowledge("r1", 8);
+    for (let check = 0; check < MAX_CHECKS; check += 1) assert.deepEqual(sent.checkOverdue(7), []);
+    assert.deepEqual(sent.checkOverdue(7), ["r1"]);
+  });
 });
