--- a/test/bookstream.spec.ts
+++ b/test/bookstream.spec.ts
@@ -156,7 +156,7 @@
     const { scheduler } = new Received();
     serveBookStream("session-1", stream as unknown as BookServerStream, scheduler, SILENT_LOGGER);
     stream.emit("data", BookRequest.fromPartial({ wants: [{ id: "w1" }, { id: "w2" }] }));
-    await pause(2.5 * HEARTBEAT_MS);
+    while (replies.length < 2) await pause(HEARTBEAT_MS / 10);
     stream.emit("end");
     const received = replies.map((reply) => reply.received);
     assert.deepEqual(received, [["w1", "w2"], []]);
