--- a/test/movedwants.spec.ts
+++ b/test/movedwants.spec.ts
@@ -12,8 +12,8 @@
  * Plays moves between peers, and asserts that each run is tracked by the scheduler that granted it. What is written
  * arrives before the next check, so that no request comes back to a scheduler before its cancel has arrived there.
  */
-async function assertRunsTracked(steps: readonly AnyStep[]): Promise<Play> {
-  const run = new Play(true, true, true);
+async function assertRunsTracked(steps: readonly AnyStep[], isPrompt = true): Promise<Play> {
+  const run = new Play(true, true, isPrompt);
   for (const step of steps) await run.take(step);
   await run.finish();
   assert.deepEqual(run.listUntracked(), []);
@@ -82,4 +82,11 @@
     for (const step of [grant, check, deliver]) await run.take(step);
     assert.deepEqual([before?.peer, before?.isOpen, before?.running.size], ["n3", true, 0]);
   });
+
+  it("run under the grant of their second sending to a scheduler that they came back to", async () => {
+    const { request, deliver, check } = Step;
+    const { leaveOne, join, grant } = Move;
+    const back = [request, deliver, leaveOne, check, join, check];
+    await assertRunsTracked([...back, grant, check, deliver, grant, check], false);
+  });
 });
