ORDER: a caller that names its last event alone gets no version where one is unknown

Cause: who takes a stream up by its last event alone (or by a name that nobody knows) gets the service's only listed version. That a process that is not listed began a stream of the service was recorded with that stream's name only, at the three instances that keep it; and nobody waited for the question that was still under way.

Ruled out: the withdrawal comes late (the answer is there 300 ms before the take-up in one of the tests); the list is old (it is confirmed before).

Change: an origin that is recorded without its version is recorded with the service, too (UnknownOrigins, UnknownVersions in VersionHistory), so that findOnly gives none for a period that covers it; it is kept over gaps of the watch and forgotten after the service's longest stream and the time to return. A withdrawn origin goes to all instances, not only to its keepers. The time counted is that of the report: the process was there until it answered, and no wall clock has a part in it. While questions after first writers are under way at the instance (OpenQuestions), a take-up that would go by the only version waits for them for 150 ms and is then refused as unclear, with the time that they have left as its delay. Withdrawn origins of such a service go to the store at once, as it has no only version any more. Log line "unknown version", field unclearForMs of "resume", counter unknown_origins_total.

Left: another instance while the first one asks or before its message comes; one that was cut off as it was told; one that has started since.

--- a/src/fleet/versionhistory.ts
+++ b/src/fleet/versionhistory.ts
@@ -6,6 +6,7 @@
 import type { EndpointEntry } from "./entries";
 import type { HistoryProof } from "./historyproof";
 import { advanceCounted, type LogPosition, type ReadRange } from "./position";
+import { UnknownVersions } from "./unknownversions";
 
 /**
  * Longest time between two observations, in milliseconds. After a longer one, such as a freeze or a
@@ -38,6 +39,8 @@
 /** The versions that services have had, as far as this instance has seen. */
 export class VersionHistory {
   private readonly services = new Map<string, ServiceVersions>();
+  /** Stays over gaps: what was there was there. */
+  private readonly unknown = new UnknownVersions();
   private watchedSince: Moment = Number.POSITIVE_INFINITY;
   private observedAt: Moment = Number.NEGATIVE_INFINITY;
   private watchCount = 0;
@@ -58,6 +61,7 @@
   record(endpoints: readonly EndpointEntry[], now: Moment, seen?: SeenList): void {
     if (seen !== undefined) this.recordSeen(seen, now);
     this.observe(now);
+    this.unknown.removeOld(now);
     for (const { service, version } of endpoints) this.recordVersion(service, version, now, now);
     for (const [service, { lastSeen }] of this.services) {
       for (const [version, at] of lastSeen) if (now - at > MEMORY_MS) lastSeen.delete(version);
@@ -82,6 +86,21 @@
     }
   }
 
+  /**
+   * Records that a process that is not listed, so of unknown version, began a stream of a service.
+   *
+   * @param seenAt - until when it is known to have been there
+   * @param forgetAt - from when on no stream that began by then can be taken up
+   */
+  recordUnknown(service: string, seenAt: Moment, forgetAt: Moment): void {
+    this.unknown.record(service, seenAt, forgetAt);
+  }
+
+  /** Checks whether a process of unknown version was at a service within a time, in milliseconds. */
+  hasUnknown(service: string, forMs: number, now: Moment): boolean {
+    return this.unknown.hasSeen(service, forMs, now);
+  }
+
   /**
    * The position up to which each record since the watch began is counted; only reads of the feed that
    * begin at or before it move it. Undefined before the first observation.
@@ -107,20 +126,22 @@
 
   /**
    * Finds the version of a service that was the only one for a time; undefined if there were others,
-   * or the service was not watched for so long.
+   * a process of unknown version, or the service was not watched for so long.
    */
   findOnly(service: string, forMs: number, now: Moment): string | undefined {
     const known = this.services.get(service);
     if (known === undefined || now - known.since < forMs) return undefined;
-    if (this.isWatchOver(now)) return undefined;
+    if (this.isWatchOver(now) || this.hasUnknown(service, forMs, now)) return undefined;
     const recent = this.listVersions(service, forMs, now);
     const [only] = recent;
     return recent.length === 1 && only !== UNNAMED ? only : undefined;
   }
 
-  /** Checks whether a service is known to have had several versions of late. */
+  /** Checks whether a service is known to have had several versions of late, or one that is not known. */
   hasSeveral(service: string, forMs: number, now: Moment): boolean {
-    return this.listVersions(service, forMs, now).length > 1;
+    return (
+      this.hasUnknown(service, forMs, now) || this.listVersions(service, forMs, now).length > 1
+    );
   }
 
   private listVersions(service: string, forMs: number, now: Moment): readonly string[] {
--- a/src/forward/endpoints/context.ts
+++ b/src/forward/endpoints/context.ts
@@ -18,7 +18,13 @@
 import type { HealthTracker } from "./health";
 import type { RetryBudget } from "../../core/retrybudget";
 import type { EndpointSubsets } from "./subset";
-import type { ListConfirmer, OriginPublisher, SharedOrigins, StoredOrigins } from "../shared";
+import type {
+  ListConfirmer,
+  OpenQuestions,
+  OriginPublisher,
+  SharedOrigins,
+  StoredOrigins,
+} from "../shared";
 
 /** Dependencies that all requests share. */
 export interface ForwardContext {
@@ -43,6 +49,8 @@
   readonly sharedOrigins: SharedOrigins;
   readonly storedOrigins: StoredOrigins;
   readonly originPublisher: OriginPublisher;
+  /** The questions after first writers of streams that are under way. */
+  readonly openQuestions: OpenQuestions;
   readonly versionHistory: VersionHistory;
   readonly historyReader: HistoryReader;
   readonly listConfirmer: ListConfirmer;
--- a/src/forward/generations/firstwriter.ts
+++ b/src/forward/generations/firstwriter.ts
@@ -41,11 +41,13 @@
 
   /** Asks the engine which process it is, unless that is known of the connection already. */
   ask(engine: EndpointEntry, { openedAt }: OpenResponse): void {
-    const { confirmedProcesses, logger } = this.context;
+    const { confirmedProcesses, openQuestions, clock, logger } = this.context;
     if (confirmedProcesses.covers(engine, openedAt) || confirmedProcesses.isUntold(engine)) return;
+    const deadline = clock.now() + QUESTION_TIME_MS;
     this.asking = runTask("ask after the first writer", logger, () =>
-      this.askUntilTold(engine, openedAt),
+      this.askUntilTold(engine, openedAt, deadline),
     );
+    openQuestions.add(engine.service, this.asking, deadline);
   }
 
   /**
@@ -58,9 +60,12 @@
     await waitAtMost(this.asking, waitMs);
   }
 
-  private async askUntilTold(engine: EndpointEntry, wroteBy: Moment): Promise<void> {
+  private async askUntilTold(
+    engine: EndpointEntry,
+    wroteBy: Moment,
+    deadline: Moment,
+  ): Promise<void> {
     const { clock } = this.context;
-    const deadline = clock.now() + QUESTION_TIME_MS;
     await pause(GATHER_MS);
     const question = { wroteBy, request: this.request, moment: CheckMoment.afterBegin };
     for (;;) {
--- a/src/forward/generations/resume.ts
+++ b/src/forward/generations/resume.ts
@@ -17,6 +17,7 @@
   type FoundOrigin,
   CLOCK_TOLERANCE_MS,
   FAILED_READ_PAUSE_MS,
+  type OpenQuestions,
   type ListConfirmer,
   OriginSource,
   type SharedOrigins,
@@ -55,6 +56,7 @@
   readonly historyReader: HistoryReader;
   readonly listConfirmer: ListConfirmer;
   readonly takeUpCheck: TakeUpCheck;
+  readonly openQuestions: OpenQuestions;
   readonly clock: Clock;
   readonly readWallClock: () => number;
   readonly meter: Meter;
@@ -77,7 +79,9 @@
     const origin =
       listed && writer === WriterState.other ? this.dropVersion(request, listed) : listed;
     this.report(request, found, { origin, writer });
-    if (origin?.version === undefined) return E.left(createUnknownOriginRefusal(found.source));
+    if (origin?.version === undefined) {
+      return E.left(createUnknownOriginRefusal(found.source, found.unclearForMs));
+    }
     if (writer === WriterState.unsettled) {
       const settledInMs = this.parts.takeUpCheck.computeSettledInMs(origin);
       return E.left(createUnknownOriginRefusal(OriginSource.unclear, settledInMs));
@@ -111,13 +115,11 @@
     if (shared?.origin !== undefined) return shared;
     const { listConfirmer } = this.parts;
     const confirming = waitAtMost(listConfirmer.confirm(arrivedAt), STORE_TIMEOUT_MS);
-    if (this.findOnlyVersion(request, arrivedAt) !== undefined) {
-      const watched = this.findByOnlyVersion(request, arrivedAt, await confirming);
-      if (watched !== undefined) return watched;
-    }
+    const watched = await this.findByOnlyVersion(request, arrivedAt, confirming);
+    if (watched !== undefined) return watched;
     const stored = await this.findInStore(stream, confirming);
     if (stored.origin !== undefined) return stored;
-    const proven = this.findByOnlyVersion(request, arrivedAt, await confirming);
+    const proven = await this.findByOnlyVersion(request, arrivedAt, confirming);
     if (proven !== undefined) return proven;
     const source = shared?.source ?? stored.source;
     return stored.source === OriginSource.unclear ? stored : { ...stored, source };
@@ -169,16 +171,23 @@
 
   /**
    * Assumes the only version that the service has had while any stream of the route may have begun, up
-   * to the arrival of the request; only a read of the list that began later shows that.
+   * to the arrival of the request; only a read of the list that began later shows that. While it is asked
+   * here who began a stream of the service, it is unclear.
    */
-  private findByOnlyVersion(
+  private async findByOnlyVersion(
     request: ForwardRequest,
     arrivedAt: Moment,
-    confirmed: ConfirmedList | undefined,
-  ): FoundOrigin | undefined {
+    confirming: Promise<ConfirmedList | undefined>,
+  ): Promise<FoundOrigin | undefined> {
+    if (this.findOnlyVersion(request, arrivedAt) === undefined) return undefined;
+    const { service } = request;
+    const unclearForMs = await this.parts.openQuestions.wait(service);
+    const confirmed = await confirming;
     const version = this.findOnlyVersion(request, arrivedAt);
     if (version === undefined || confirmed === undefined) return undefined;
-    const { service } = request;
+    if (unclearForMs > 0) {
+      return { origin: undefined, source: OriginSource.unclear, confirmed, unclearForMs };
+    }
     const origin = { service, version, endpoint: "", processStartedAt: 0, beganAt: 0 };
     return { origin, source: OriginSource.onlyVersion, confirmed };
   }
@@ -194,7 +203,7 @@
 
   private report(
     { head, service }: ForwardRequest,
-    { source, confirmed }: FoundOrigin,
+    { source, confirmed, unclearForMs }: FoundOrigin,
     { origin, writer }: { readonly origin: StreamOrigin | undefined; readonly writer: WriterState },
   ): void {
     const { meter, logger, versionHistory, directory, clock } = this.parts;
@@ -210,6 +219,7 @@
       version: origin?.version,
       engine: origin?.endpoint,
       writer,
+      unclearForMs,
       streamAgeMs: origin && Math.round(this.parts.readWallClock() - origin.beganAt),
       watchedMs: Math.round(versionHistory.computeWatchedMs(now)),
       observedAgeMs: Math.round(versionHistory.computeAgeMs(now)),
--- a/src/forward/originparts.ts
+++ b/src/forward/originparts.ts
@@ -9,12 +9,14 @@
 import {
   ListConfirmer,
   type NamedOrigin,
+  OpenQuestions,
   OriginPublisher,
   OriginWriter,
   PeerOriginTransport,
   SharedOrigins,
   StoredOrigins,
   StreamOrigins,
+  UnknownOrigins,
 } from "./shared";
 
 /** The parts that know which version began a stream. */
@@ -24,6 +26,7 @@
   readonly storedOrigins: StoredOrigins;
   readonly originWriter: OriginWriter;
   readonly originPublisher: OriginPublisher;
+  readonly openQuestions: OpenQuestions;
   readonly versionHistory: VersionHistory;
   readonly historyReader: HistoryReader;
   readonly listConfirmer: ListConfirmer;
@@ -40,8 +43,12 @@
   const { members, transport, readerRole, directory, watcher } = view;
   const { instance } = settings;
   const log = adapter.store.origins;
-  const origins = new StreamOrigins();
+  const computeStreamMs = (service: string) => findLongestMs(view, service) + MAX_RETURN_MS;
   const versionHistory = new VersionHistory(settings.drainMs);
+  const unknown = new UnknownOrigins({ versionHistory, computeStreamMs, clock, meter, logger });
+  const origins = new StreamOrigins((origin) => {
+    unknown.record(origin);
+  });
   const historyReader = new HistoryReader({
     feed: adapter.store.endpoints,
     decode: adapter.decodeEndpoint,
@@ -71,7 +78,6 @@
     meter,
     logger,
   });
-  const computeStreamMs = (service: string) => findLongestMs(view, service) + MAX_RETURN_MS;
   const written = { log, versionHistory, historyReader, computeStreamMs, clock, meter, logger };
   const originWriter = new OriginWriter(written);
   const sharedOrigins: SharedOrigins = new SharedOrigins({
@@ -108,6 +114,7 @@
     storedOrigins,
     originWriter,
     originPublisher,
+    openQuestions: new OpenQuestions(clock),
     versionHistory,
     historyReader,
     listConfirmer,
--- a/src/forward/requests/meter.ts
+++ b/src/forward/requests/meter.ts
@@ -109,6 +109,11 @@
     "Streams that callers could not take up as the list of endpoints was not confirmed in time",
     ["service"],
   );
+  readonly unknownOrigins = this.createCounter(
+    "unknown_origins_total",
+    "Origins of streams, begun here or at peers, whose version is not known",
+    ["service"],
+  );
   readonly originsStored = this.createCounter(
     "origins_stored_total",
     "Origins of streams that this instance wrote to the store",
--- a/src/forward/shared/index.ts
+++ b/src/forward/shared/index.ts
@@ -6,6 +6,7 @@
 export { createCrashTracker } from "./crashtracking";
 export { decodeKnowledge, encodeKnowledge } from "./crashwire";
 export { type ConfirmedList, FAILED_READ_PAUSE_MS, ListConfirmer } from "./listconfirmer";
+export { OpenQuestions } from "./openquestions";
 export { OriginPublisher } from "./originpublisher";
 export { OriginWriter } from "./originwriter";
 export { StoredOrigins } from "./storedorigins";
@@ -20,4 +21,5 @@
 } from "./quota";
 export { RefusalTracker } from "./refusals";
 export { type FoundOrigin, OriginSource, SharedOrigins } from "./sharedorigins";
+export { UnknownOrigins } from "./unknownorigins";
 export { CLOCK_TOLERANCE_MS, canGoOn, confirmOrigin } from "./versions";
--- a/src/forward/shared/origins.ts
+++ b/src/forward/shared/origins.ts
@@ -48,11 +48,15 @@
   /** In the order in which they were recorded. */
   private readonly origins = new Map<string, RememberedOrigin>();
 
+  /** @param onUnknown - called for each recorded origin whose version is not known */
+  constructor(private readonly onUnknown: (origin: StreamOrigin) => void = () => undefined) {}
+
   /**
    * Records an origin. Where a name is used twice, for streams of different versions, nobody can tell
    * which of them goes on.
    */
   record({ stream, origin }: NamedOrigin, now: Moment): void {
+    if (origin.version === undefined) this.onUnknown(origin);
     if (stream.request.length > MAX_ID_LENGTH) return;
     const key = createKey(stream);
     const known = this.find(stream, now);
--- a/src/forward/shared/sharedorigins.ts
+++ b/src/forward/shared/sharedorigins.ts
@@ -74,6 +74,8 @@
   readonly source: OriginSource;
   /** The read of the list that proves that the service had one version. */
   readonly confirmed?: ConfirmedList;
+  /** For how long it stays unclear, in milliseconds, where that is known. */
+  readonly unclearForMs?: number;
 }
 
 /** Dependencies of shared origins. */
@@ -101,20 +103,25 @@
 
   /** Records an origin here, at the instances that keep it, and in the store where that is needed. */
   record(named: NamedOrigin): void {
-    this.keep(named);
+    this.keep(named, this.chooseKeepers(named.stream, 0));
     this.parts.publish(named);
   }
 
-  /** Records, wherever it was recorded, that the version of an origin is not known after all. */
+  /**
+   * Records that the version of an origin is not known after all: in the store, and at all instances, as none may go on
+   * by the only version that the list names.
+   */
   withdraw(named: NamedOrigin): void {
-    this.keep(named);
-    this.parts.publishUnknown(named);
+    const { listMembers, publishUnknown } = this.parts;
+    const members = listMembers().map(({ instance }) => instance);
+    this.keep(named, members);
+    publishUnknown(named);
   }
 
-  private keep(named: NamedOrigin): void {
+  private keep(named: NamedOrigin, keepers: readonly string[]): void {
     const { instance: self, origins, clock } = this.parts;
     origins.record(named, clock.now());
-    for (const instance of this.chooseKeepers(named.stream, 0)) {
+    for (const instance of keepers) {
       if (instance !== self) this.queueFor(instance, named);
     }
   }
--- a/test/harness/originfleet.ts
+++ b/test/harness/originfleet.ts
@@ -3,7 +3,12 @@
  */
 import { SILENT_LOGGER } from "../../src/core/log";
 import { answerRecall, keepOrigins } from "../../src/forward/shared/originpeer";
-import { type NamedOrigin, type StreamName, StreamOrigins } from "../../src/forward/shared/origins";
+import {
+  type NamedOrigin,
+  type StreamName,
+  type StreamOrigin,
+  StreamOrigins,
+} from "../../src/forward/shared/origins";
 import {
   type FoundOrigin,
   type OriginTransport,
@@ -16,6 +21,8 @@
 interface OriginParts {
   readonly origins: StreamOrigins;
   readonly shared: SharedOrigins;
+  /** Origins of unknown version that the instance was told of. */
+  readonly unknown: StreamOrigin[];
 }
 
 type OriginNode = VirtualNode<OriginParts>;
@@ -59,19 +66,34 @@
   begin(index: number, version: string, name = this.createName()): StreamName {
     const node = this.nodes[index];
     if (node === undefined || node.isDown) return name;
-    const origin = {
-      service: "models",
-      version,
-      endpoint: "d1",
-      processStartedAt: 1,
-      beganAt: this.now,
-    };
+    const origin = this.createOrigin(version);
     this.act(node, () => {
       node.parts.shared.record({ stream: name, origin });
     });
     return name;
   }
 
+  /** An instance finds out that a process of unknown version began a stream. */
+  withdraw(index: number, name: StreamName): void {
+    const node = this.nodes[index];
+    if (node === undefined || node.isDown) return;
+    const origin = this.createOrigin(undefined);
+    this.act(node, () => {
+      node.parts.shared.withdraw({ stream: name, origin });
+    });
+  }
+
+  /** Counts the instances that were told that a process of unknown version was at a service. */
+  countTold(service: string): number {
+    const isTold = ({ parts }: OriginNode) => parts.unknown.some((one) => one.service === service);
+    return this.nodes.filter(isTold).length;
+  }
+
+  private createOrigin(version: string | undefined): StreamOrigin {
+    const service = "models";
+    return { service, version, endpoint: "d1", processStartedAt: 1, beganAt: this.now };
+  }
+
   /** Has a caller take up a stream at an instance. */
   takeUp(index: number, name: StreamName, version: string): void {
     const node = this.nodes[index];
@@ -96,7 +118,8 @@
   }
 
   protected createParts({ name, members }: OriginNode): OriginParts {
-    const origins = new StreamOrigins();
+    const unknown: StreamOrigin[] = [];
+    const origins = new StreamOrigins((origin) => unknown.push(origin));
     const shared = new SharedOrigins({
       instance: name,
       origins,
@@ -107,7 +130,7 @@
       clock: this.events.clock,
       logger: SILENT_LOGGER,
     });
-    return { origins, shared };
+    return { origins, shared, unknown };
   }
 
   protected createBeat(): () => void {
--- a/test/harness/watching.ts
+++ b/test/harness/watching.ts
@@ -13,6 +13,7 @@
 import { ResumeResolver } from "../../src/forward/generations/resume";
 import { type ForwardRequest, Meter } from "../../src/forward/requests";
 import { ListConfirmer } from "../../src/forward/shared/listconfirmer";
+import { OpenQuestions } from "../../src/forward/shared/openquestions";
 import { type NamedOrigin, StreamOrigins } from "../../src/forward/shared/origins";
 import { type RecalledOrigin, SharedOrigins } from "../../src/forward/shared/sharedorigins";
 import { StoredOrigins } from "../../src/forward/shared/storedorigins";
@@ -56,6 +57,7 @@
   readonly directory = new EndpointDirectory(testCodecs.decodeEndpoint);
   readonly versionHistory = new VersionHistory(500);
   readonly meter = new Meter();
+  readonly openQuestions = new OpenQuestions(this.clock);
   recalled: RecalledOrigin | undefined;
   /** What engines answer to the question which of their processes they are. */
   told: ProcessState = ProcessState.same;
@@ -103,6 +105,7 @@
         ...{ directory, clock, readWallClock: () => clock.now() },
         askWriter: () => Promise.resolve(this.told),
       }),
+      openQuestions: this.openQuestions,
       clock,
       readWallClock: () => clock.now(),
       meter,
--- a/test/origins.spec.ts
+++ b/test/origins.spec.ts
@@ -121,6 +121,19 @@
     }
   });
 
+  it("is withdrawn at all instances, as a caller may not tell its name", async () => {
+    for (const size of [3, 9, 60]) {
+      const fleet = new OriginFleet(size, size);
+      await fleet.events.runUntil(fleet.now + 1500);
+      const name = fleet.begin(0, "v1");
+      await fleet.events.runUntil(fleet.now + 500);
+      assert.equal(fleet.countTold("models"), 0);
+      fleet.withdraw(0, name);
+      await fleet.events.runUntil(fleet.now + 500);
+      assert.equal(fleet.countTold("models"), size);
+    }
+  });
+
   it("says whether somebody who may know it did not answer", async () => {
     const fleet = new OriginFleet(9, 4);
     await fleet.events.runUntil(fleet.now + 1500);
--- a/test/reviewedtakeups.spec.ts
+++ b/test/reviewedtakeups.spec.ts
@@ -14,6 +14,7 @@
 import { addEndpoint, get, port, prepareEach, start, store } from "./harness/fixture";
 import { createConfig, createEntry, testCodecs } from "./harness/forward";
 import { createEvent, encodeChunk, writeStreamHead } from "./harness/handover";
+import { startInstances } from "./harness/instances";
 import { MemoryFeed } from "./harness/memory";
 import { writeAnswer } from "./harness/raw";
 import { ReportCodec } from "./soak/codec";
@@ -34,8 +35,14 @@
 const CLOCKS_APART_MS = 400;
 /** Timeout of the routes where the list must have been watched for as long as a stream lasts, in milliseconds. */
 const ROUTE_MS = 1500;
+/** How long after the end of its request a caller may take its stream up, in milliseconds. */
+const RETURN_MS = 2000;
 /** How long it must have been watched then, in milliseconds: also while its caller may come back. */
-const WATCHED_MS = ROUTE_MS + 2000 + 1500;
+const WATCHED_MS = ROUTE_MS + RETURN_MS + 1500;
+/** More than keep the origin of a stream. */
+const INSTANCES = 5;
+/** How long an engine is asked whether its listed process began a stream, in milliseconds. */
+const QUESTION_MS = 1000;
 const HEADERS = { "x-tokens": "30", "x-patience": "5000" };
 
 const { endpointCodec } = testCodecs;
@@ -122,11 +129,11 @@
 }
 
 /** Leaves a stream after its first two events. */
-function readAndLeave(id: string): Promise<void> {
+function readAndLeave(id: string, at = port): Promise<void> {
   return new Promise((resolve, reject) => {
     const headers = { ...HEADERS, "x-id": id };
     const request = httpRequest(
-      { host: "127.0.0.1", port, path: "/summary/1", headers },
+      { host: "127.0.0.1", port: at, path: "/summary/1", headers },
       (response) => {
         response.on("error", () => undefined);
         response.on("data", (bytes: Buffer) => {
@@ -144,18 +151,23 @@
 let takeUps = 0;
 
 /** Takes the stream "begun" up after its second event; by its id unless told otherwise. */
-function takeUp(of: Record<string, string> = { "x-of": "begun" }) {
+function takeUp(of: Record<string, string> = { "x-of": "begun" }, at = port) {
   const id = `taken-up-${(takeUps += 1)}`;
-  return get(port, "/summary/1", { ...HEADERS, ...of, "x-id": id, "x-after": "2" });
+  return get(at, "/summary/1", { ...HEADERS, ...of, "x-id": id, "x-after": "2" });
 }
 
 /** Starts the instance, and waits until it knows which version the service had while any stream may have begun. */
 async function startWatched(): Promise<void> {
+  putShortRoutes();
+  await start();
+  await pause(WATCHED_MS);
+}
+
+/** Gives the routes a timeout of which the list is soon watched for as long. */
+function putShortRoutes(): void {
   const config = createConfig(2);
   const routes = config.routes.map((route) => ({ ...route, timeoutMs: ROUTE_MS }));
   store.putConfig({ ...config, routes });
-  await start();
-  await pause(WATCHED_MS);
 }
 
 /** Takes the stream "begun" up, and again after the delay that the caller was told; it must be served by then. */
@@ -206,6 +218,23 @@
     assert.deepEqual({ status, hasRest: body.includes("t3"), joins: countJoins() }, REFUSED);
   });
 
+  it("is not taken up at the listed version at any instance by a caller that names its last event alone, once the question is answered", async () => {
+    const { countJoins } = await addEngines(createReport(NEXT));
+    putShortRoutes();
+    const instances = await startInstances(store, INSTANCES);
+    try {
+      await pause(WATCHED_MS);
+      await readAndLeave("begun", instances.ports[0]);
+      await pause(300);
+      const tries = instances.ports.map((at) => takeUp({}, at));
+      const statuses = (await Promise.all(tries)).map(({ status }) => status);
+      const refused = instances.ports.map(() => 503);
+      assert.deepEqual({ statuses, joins: countJoins() }, { statuses: refused, joins: 0 });
+    } finally {
+      await instances.close();
+    }
+  });
+
   it("is cut where the question of an earlier stream is lost and a second one would be answered", async () => {
     const { countJoins, countReports } = await addEngines(createReportAfterLost(NEXT), {
       streams: 2,
@@ -230,6 +259,37 @@
     assert.equal(status, 200, `after ${countReports()} questions`);
   });
 
+  it("goes on for a caller that names its last event alone, at once", async () => {
+    await addEngines(createReport(LISTED));
+    await startWatched();
+    await readAndLeave("begun");
+    assert.equal((await takeUp({})).status, 200);
+  });
+
+  it("goes on for a caller that names its last event alone and comes back after the delay that it was told", async () => {
+    await addEngines(createReport(LISTED, TELL_MS));
+    await startWatched();
+    await readAndLeave("begun");
+    const { status, headers } = await takeUp({});
+    assert.equal(status, 503);
+    const toldMs = Number(headers["x-retry-ms"] ?? "0");
+    assert.ok(toldMs > 0 && toldMs <= QUESTION_MS, `told ${toldMs} ms`);
+    await pause(toldMs);
+    assert.equal((await takeUp({})).status, 200);
+  });
+
+  it("goes on for a caller that names its last event alone once no stream of another process can be taken up", async () => {
+    await addEngines(createReport(NEXT));
+    await startWatched();
+    await readAndLeave("begun");
+    await pause(ROUTE_MS);
+    await readAndLeave("sound");
+    assert.equal((await takeUp({})).status, 503, "the other process's stream may be meant");
+    await pause(RETURN_MS + 300);
+    await readAndLeave("later");
+    assert.equal((await takeUp({})).status, 200);
+  });
+
   it("goes on at once where its engine asks for a pause, and tells", async () => {
     await addEngines(createReport(LISTED), { fullStatus: "503 Full\r\nx-pause-ms: 3000" });
     await start();
