Tests of pauses: the request that learns of one has a patience near the pause, not 300 ms

Cause: the second request is to be refused as its engine asks for a pause of 2000 ms, and had 300 ms (420 with the grace) for its hold and its run in a busy process; after them the right answer is a 504. Ruled out: the product's own times; a standstill of 320 ms once passes, as sockets are read first. Change: its patience is 1500 ms, still shorter than the pause. What is asked for stays the same, as the refusal comes at once.

--- a/test/pausedends.spec.ts
+++ b/test/pausedends.spec.ts
@@ -12,6 +12,9 @@
 
 const DECODE = { service: "models", stage: EngineStage.decode };
 const TOKENS = { "x-tokens": "30" };
+/** Shorter than the pause that the endpoint asks for, so that the request which learns of it is refused at once. */
+const SHORT_PATIENCE = { "x-patience": "1500" };
+const PAUSE_MS = 2000;
 
 const event = (id: number) => `id: ${id}\ndata: t${id}\n\n`;
 const readId = (head: string) => /x-id: (\S+)/i.exec(head)?.[1] ?? "";
@@ -26,7 +29,7 @@
 
 describe("an answer without framing that ends well while its endpoint asks for a pause", () => {
   const refuse = (head: string) =>
-    `HTTP/1.1 503 Busy\r\nx-id: ${readId(head)}\r\nx-not-run: 1\r\nx-pause-ms: 2000\r\ncontent-length: 0\r\n\r\n`;
+    `HTTP/1.1 503 Busy\r\nx-id: ${readId(head)}\r\nx-not-run: 1\r\nx-pause-ms: ${PAUSE_MS}\r\ncontent-length: 0\r\n\r\n`;
 
   it("reaches its caller whole: a stream", async () => {
     let runs = 0;
@@ -44,7 +47,7 @@
     await start();
     const first = get(port, "/draft/1", TOKENS);
     await pause(200);
-    const second = get(port, "/draft/2", { ...TOKENS, "x-patience": "300" });
+    const second = get(port, "/draft/2", { ...TOKENS, ...SHORT_PATIENCE });
     const { status, body, isComplete } = await first;
     assert.equal((await second).status, 503);
     assert.equal(runs, 2);
@@ -66,7 +69,7 @@
     await start();
     const first = get(port, "/once/1");
     await pause(200);
-    const second = get(port, "/once/2", { "x-patience": "300" });
+    const second = get(port, "/once/2", SHORT_PATIENCE);
     const { status, body, isComplete } = await first;
     assert.equal((await second).status, 503);
     assert.equal(runs, 2);
