Tests of stops: callers connect by a timer of their own thread, not one of the process that stops

Cause: callers were to connect 80 ms before the listener closes, at a timer of the process whose notice ends 80 ms later. Where it stands still over both, the notice ends first: all callers are refused, which is right, and the test is red. Change: the callers' own thread connects them, so that they wait at the listener if the process stands still.

--- a/test/reviewedstops.spec.ts
+++ b/test/reviewedstops.spec.ts
@@ -21,6 +21,8 @@
 /** How long before that moment callers connect, and how long after it they send the rest, in milliseconds. */
 const EARLY_MS = 80;
 const LATER_MS = EARLY_MS + 50;
+/** From the stop until they connect, by a timer of their own thread, in milliseconds. */
+const CONNECT_AFTER_MS = NOTICE_MS - EARLY_MS;
 const CALLERS = 30;
 
 const REQUEST = "GET /any/1 HTTP/1.1\r\nhost: test\r\nx-id: r1\r\n\r\n";
@@ -106,9 +108,8 @@
   ] as const) {
     it(`answers callers that connected before it closes its listener, and ${kind}`, async () => {
       await startAnswering();
-      const run = await prepareCallers({ at: port, texts, everyMs });
+      const run = await prepareCallers({ at: port, texts, everyMs, afterMs: CONNECT_AFTER_MS });
       const closed = instance.close();
-      await pause(NOTICE_MS - EARLY_MS);
       const endings = await run();
       await closed;
       assert.deepEqual(endings, ALL_ANSWERED);
@@ -117,10 +118,11 @@
 
   it("answers callers that connected before it closes its listener, and send all of it as it stands still", async () => {
     await startAnswering();
-    const run = await prepareCallers({ at: port, texts: ["", REQUEST], everyMs: LATER_MS });
+    const texts = ["", REQUEST];
+    const times = { everyMs: LATER_MS, afterMs: CONNECT_AFTER_MS };
+    const run = await prepareCallers({ at: port, texts, ...times });
     const closed = instance.close();
     blockAfter(NOTICE_MS + 20, STILL_MS);
-    await pause(NOTICE_MS - EARLY_MS);
     const endings = await run();
     await closed;
     assert.deepEqual(endings, ALL_ANSWERED);
