--- a/test/dyingservices.spec.ts
+++ b/test/dyingservices.spec.ts
@@ -6,17 +6,19 @@
 import assert from "node:assert/strict";
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
-import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
-import * as E from "fp-ts/Either";
 import { pause } from "../src/core/clock";
-import { HttpServiceClient } from "../src/endpoint/service";
-import type { AnswerFacts, Broken } from "../src/store/brokenanswer";
+import {
+  callService,
+  closeAll,
+  closeLater,
+  HEAD,
+  PART,
+  ServiceProcess,
+  WHOLE,
+} from "./harness/ownservices";
 
-const ATTEMPT = "a1";
-const WHOLE = "all of it";
-const PART = WHOLE.slice(0, 4);
-const HEAD = `HTTP/1.1 200 OK\r\nx-attempt-id: ${ATTEMPT}\r\nconnection: close\r\n\r\n`;
 /** How long after its first bytes a service ends its answer, in milliseconds. */
 const AMID_MS = 60;
 /** Longer than an unused connection that its service ends tells of the end of an answer, in milliseconds. */
@@ -26,60 +28,7 @@
 /** How long the connections of an answer may take to be accepted, in milliseconds. */
 const ACCEPT_MS = 100;
 
-const closers: (() => void)[] = [];
-afterEach(() => {
-  for (const close of closers.splice(0)) close();
-});
-
-/** A process of a service, and all its connections, which end with it. */
-class ServiceProcess {
-  readonly sockets: Socket[] = [];
-  private readonly server: Server;
-
-  constructor(answer: (socket: Socket, self: ServiceProcess) => void) {
-    this.server = createServer((socket) => {
-      this.sockets.push(socket);
-      socket.on("error", () => undefined);
-      socket.once("data", () => {
-        answer(socket, this);
-      });
-    });
-    closers.push(() => {
-      this.server.close();
-      for (const socket of this.sockets) socket.destroy();
-    });
-  }
-
-  async listen(port = 0): Promise<number> {
-    this.server.listen(port, "127.0.0.1");
-    await once(this.server, "listening");
-    return (this.server.address() as AddressInfo).port;
-  }
-
-  /** Ends as the operating system ends a process that dies: it listens no more, and all connections get a FIN. */
-  die(): void {
-    this.server.close();
-    for (const socket of this.sockets) socket.end();
-  }
-}
-
-/** Calls a service; resolves with its answer, or what was told of a broken one. */
-async function call(port: number) {
-  const broken: Broken<AnswerFacts>[] = [];
-  const client = new HttpServiceClient((answer) => broken.push(answer));
-  const answer = await client.call(`http://127.0.0.1:${port}`, {
-    attempt: ATTEMPT,
-    method: "POST",
-    path: "/",
-    headers: {},
-    body: Buffer.alloc(0),
-    timeoutMs: 5000,
-    signal: new AbortController().signal,
-  })();
-  const body = E.isRight(answer) ? answer.right.body.toString() : undefined;
-  const isSent = E.isLeft(answer) ? answer.left.isSent : undefined;
-  return { body, isSent, reasons: broken.map(({ reason }) => reason) };
-}
+afterEach(closeAll);
 
 const endWhole = (socket: Socket) => {
   socket.write(HEAD + PART);
@@ -111,7 +60,7 @@
   };
   for (const [name, then] of Object.entries(BACK)) {
     it(`is none if it ${name}`, async () => {
-      const answer = await call(await startDying(then));
+      const answer = await callService(await startDying(then));
       assert.deepEqual(answer, { body: undefined, isSent: true, reasons: ["down"] });
     });
   }
@@ -130,7 +79,7 @@
   const child = spawn(process.execPath, ["-e", REAL_SERVICE], {
     stdio: ["ignore", "pipe", "inherit"],
   });
-  closers.push(() => child.kill("SIGKILL"));
+  closeLater(() => child.kill("SIGKILL"));
   const [told] = (await once(child.stdout, "data")) as [Buffer];
   return { child, port: Number(told.toString()) };
 }
@@ -153,7 +102,7 @@
     const bodies: unknown[] = [];
     for (let played = 0; played < PLAYS; played += 1) {
       const { child, port } = await startReal();
-      const answer = call(port);
+      const answer = callService(port);
       await pause(AMID_MS);
       child.kill("SIGKILL");
       await followAtOnce(port);
@@ -174,7 +123,7 @@
   for (const [name, answer] of Object.entries(FORMS)) {
     it(`is whole if it ${name}, with one connection beside its own`, async () => {
       const service = new ServiceProcess(answer);
-      const { body, reasons } = await call(await service.listen());
+      const { body, reasons } = await callService(await service.listen());
       await pause(ACCEPT_MS);
       assert.deepEqual([body, reasons, service.sockets.length], [WHOLE, [], 2]);
     });
@@ -188,7 +137,7 @@
       }, AMID_MS);
       setTimeout(() => socket.end(WHOLE.slice(PART.length)), AMID_MS + LONG_MS);
     });
-    const { body, reasons } = await call(await service.listen());
+    const { body, reasons } = await callService(await service.listen());
     assert.deepEqual([body, reasons], [WHOLE, []]);
   });
 
@@ -197,7 +146,7 @@
       const head = HEAD.replace("connection: close", `content-length: ${WHOLE.length}`);
       socket.end(head + WHOLE);
     });
-    const { body } = await call(await service.listen());
+    const { body } = await callService(await service.listen());
     await pause(ACCEPT_MS);
     assert.deepEqual([body, service.sockets.length], [WHOLE, 1]);
   });
