Ends behind uploads: the witness is compared with the moment at which the end was read

Where 16 KB or more were just sent, an end is decided on 50 ms after it was read (a late reset may follow), while the witness's end is seen at once. The decision compared the two with the moment of the decision, so that a process that died by its end and was back at once had always ended its witness "long before", was asked once more, and its part counted as whole.

Ruled out: a longer window (it would refuse sound answers of services that end unused connections up to 50 ms before), and a decision at once behind uploads (the late reset is what it waits for). The connection of a call is a TimedSocket now, which remembers when its end was read; over TLS the moment of the decision stays. A witness that is only established after the end and ended tells nothing, and the service is asked once more: with the earlier moment it would count as gone.

--- a/src/core/witness.ts
+++ b/src/core/witness.ts
@@ -26,21 +26,25 @@
   readonly state: WitnessState;
   /** Since when it is in this state. */
   readonly since: Moment;
+  /** When it was established; undefined if it never was, or not for certain. */
+  readonly openedAt?: Moment;
 }
 
 /**
  * Finds what is known of the process that wrote an answer.
  *
- * @param endedAt - when the answer ended
- * @returns undefined if the connection failed or ended long before the answer, which has gone on since
+ * @param endedAt - when the end of the answer was read; it may be decided on later
+ * @returns undefined if the connection failed or ended long before the answer, which has gone on since, or was only
+ *   established after it and has ended, of which it tells nothing
  * @example
- * judgeWitness({ state: "ended", since: 1004 }, 1000); // "gone"
+ * judgeWitness({ state: "ended", since: 1004, openedAt: 900 }, 1000); // "gone"
  */
 export function judgeWitness(
-  { state, since }: Witnessed,
+  { state, since, openedAt = -Infinity }: Witnessed,
   endedAt: Moment,
 ): WriterState | undefined {
   if (state === WitnessState.open) return since <= endedAt ? WriterState.alive : WriterState.untold;
+  if (openedAt > endedAt) return undefined;
   if (since < endedAt - WITNESS_TIMEOUT_MS) return undefined;
   return state === WitnessState.unreachable ? WriterState.silent : WriterState.gone;
 }
--- a/src/endpoint/service.ts
+++ b/src/endpoint/service.ts
@@ -1,16 +1,19 @@
 /**
  * Client of plain services: sends each call at most once and never retries it.
  */
+import type { Socket } from "node:net";
 import * as E from "fp-ts/Either";
 import type * as TE from "fp-ts/TaskEither";
 import { Client, type Dispatcher } from "undici";
 import { findEndProof, WriterState } from "../core/assertedend";
 import { BodyEnd } from "../core/bodyend";
+import type { Moment } from "../core/clock";
 import { ConnectionEnder } from "../core/connectionender";
 import { createTimeoutSignal } from "../core/readfirst";
 import { createConnector } from "../store/connector";
 import { type AnswerFacts, type BrokenAnswerListener, acceptAnswer } from "../store/brokenanswer";
 import { isConnectError } from "../store/http";
+import { openTimedSocket, TimedSocket } from "./timedsocket";
 import { findServiceWriter, Witness } from "./witness";
 
 const CONNECT_TIMEOUT_MS = 1000;
@@ -66,15 +69,16 @@
   call(url: string, call: ServiceCall): TE.TaskEither<ServiceError, ServiceResponse> {
     return async () => {
       const { origin } = new URL(url);
+      const connection = new CallConnection();
       const client = new Client(origin, {
-        connect: createConnector(CONNECT_TIMEOUT_MS),
+        connect: connection.connect,
         pipelining: 1,
         headersTimeout: 0,
         bodyTimeout: 0,
         maxResponseSize: MAX_RESPONSE_BYTES,
       });
       try {
-        return await this.send(client, origin, call);
+        return await this.send(client, connection, origin, call);
       } catch (error) {
         return E.left(new ServiceError((error as Error).message, !isConnectError(error)));
       } finally {
@@ -85,6 +89,7 @@
 
   private async send(
     client: Client,
+    connection: CallConnection,
     origin: string,
     call: ServiceCall,
   ): Promise<E.Either<ServiceError, ServiceResponse>> {
@@ -94,7 +99,8 @@
       return E.left(new ServiceError("the response belongs to another attempt", true));
     }
     const witness = answer.isFramed ? undefined : new Witness(origin);
-    const read = await this.readBody(response, answer, witness).finally(() => witness?.close());
+    const reading = this.readBody(response, answer, connection, witness);
+    const read = await reading.finally(() => witness?.close());
     if (E.isLeft(read)) return read;
     const headers = Object.fromEntries(
       Object.entries(response.headers).map(([name, value]) => [name, String(value)]),
@@ -106,10 +112,11 @@
   private async readBody(
     { body }: Dispatcher.ResponseData,
     answer: AnswerFacts,
+    connection: CallConnection,
     witness: Witness | undefined,
   ): Promise<E.Either<ServiceError, Buffer>> {
     const bytes = Buffer.from(await body.arrayBuffer());
-    const writer = await findWriter(answer, witness);
+    const writer = await findWriter(answer, witness, connection.endedAt ?? performance.now());
     const endedBy = ConnectionEnder.endpoint;
     const { isFramed } = answer;
     if (findEndProof({ isFramed, endedBy, writer }) !== undefined) return E.right(bytes);
@@ -120,6 +127,23 @@
   }
 }
 
+/** The connection of one call. */
+class CallConnection {
+  readonly connect = createConnector(
+    CONNECT_TIMEOUT_MS,
+    (socket) => {
+      this.socket = socket;
+    },
+    openTimedSocket,
+  );
+  private socket: Socket | undefined;
+
+  /** When its end was read; undefined before it, and where TLS hides it. */
+  get endedAt(): Moment | undefined {
+    return this.socket instanceof TimedSocket ? this.socket.endedAt : undefined;
+  }
+}
+
 /** Sends a call; resolves once the head of the response has arrived. */
 function sendCall(client: Client, call: ServiceCall): Promise<Dispatcher.ResponseData> {
   return client.request({
@@ -136,7 +160,8 @@
 async function findWriter(
   { origin }: AnswerFacts,
   witness: Witness | undefined,
+  endedAt: Moment,
 ): Promise<WriterState> {
   if (witness === undefined) return WriterState.unasked;
-  return findServiceWriter(origin, witness, performance.now());
+  return findServiceWriter(origin, witness, endedAt);
 }
--- a/src/endpoint/witness.ts
+++ b/src/endpoint/witness.ts
@@ -34,7 +34,7 @@
   /**
    * Observes the connection until it has failed or ended, or has outlived the answer.
    *
-   * @param endedAt - when the answer ended
+   * @param endedAt - when the end of the answer was read
    */
   async observe(endedAt: Moment): Promise<Witnessed> {
     const opened = this.seen ?? (await this.waitForChange());
@@ -59,7 +59,9 @@
 
   private record(state: WitnessState): void {
     if (this.seen?.state === WitnessState.ended) return;
-    this.seen = { state, since: performance.now() };
+    const since = performance.now();
+    const openedAt = state === WitnessState.open ? since : this.seen?.openedAt;
+    this.seen = { state, since, ...(openedAt !== undefined && { openedAt }) };
     for (const listener of this.listeners) listener();
   }
 
@@ -86,9 +88,9 @@
 
 /**
  * Finds what is known of the process that wrote an answer; asks once more where the witness failed or ended long before,
- * as services end connections that are not used.
+ * as services end connections that are not used, or was only established after the end and has ended.
  *
- * @param endedAt - when the answer ended
+ * @param endedAt - when the end of the answer was read
  * @example
  * await findServiceWriter("http://127.0.0.1:80", witness, performance.now());
  */
--- a/test/witness.spec.ts
+++ b/test/witness.spec.ts
@@ -15,6 +15,8 @@
 
 const RUNS = 5000;
 const ENDED_AT = 1000;
+/** How much later than it was read an end behind an upload is decided on, in milliseconds. */
+const LATE_RESET_MS = 50;
 const LONG_AGO = ENDED_AT - WITNESS_TIMEOUT_MS - 1;
 
 /** The reference: when a process wrote the end, died, and ended the witness for its own reasons, on one clock. */
@@ -26,10 +28,13 @@
   readonly droppedBeforeMs: number | undefined;
   /** How much later than the end of the answer that of the witness arrives where the process dies. */
   readonly spreadMs: number;
+  /** How long after the end of the answer was read it is decided on: a moment behind an upload. */
+  readonly decidedAfterMs: number;
 }
 
 /** What this side sees when it decides. */
-function observe({ openedAt, diedAfterMs, droppedBeforeMs, spreadMs }: Life): Witnessed {
+function observe(life: Life): Witnessed {
+  const { openedAt, diedAfterMs, droppedBeforeMs, spreadMs, decidedAfterMs } = life;
   const droppedAt = ENDED_AT - (droppedBeforeMs ?? -Infinity);
   const dropAt = droppedAt > openedAt ? droppedAt : Infinity;
   const dieAt = diedAfterMs === undefined ? Infinity : ENDED_AT + spreadMs;
@@ -37,9 +42,10 @@
   if (dieAt <= openedAt) {
     return { state: WitnessState.refused, since: openedAt };
   }
-  const isOver = since > openedAt && since <= ENDED_AT + WITNESS_TIMEOUT_MS;
+  const observedUntil = ENDED_AT + Math.max(WITNESS_TIMEOUT_MS, decidedAfterMs);
+  const isOver = since > openedAt && since <= observedUntil;
   return isOver
-    ? { state: WitnessState.ended, since }
+    ? { state: WitnessState.ended, since, openedAt }
     : { state: WitnessState.open, since: openedAt };
 }
 
@@ -50,8 +56,14 @@
     nil: undefined,
   }),
   spreadMs: fc.integer({ min: -WITNESS_TIMEOUT_MS, max: WITNESS_TIMEOUT_MS }),
+  decidedAfterMs: fc.constantFrom(0, LATE_RESET_MS),
 });
 
+/** Lives of processes that die by the end of their answer and keep the witness until then. */
+const deaths = lives
+  .map((life): Life => ({ ...life, diedAfterMs: 0, droppedBeforeMs: undefined }))
+  .filter(({ openedAt, spreadMs }) => openedAt < ENDED_AT + Math.min(0, spreadMs));
+
 describe("the witness of an answer", () => {
   it("is never alive for a process that died by the end, and never gone for one that lives", () => {
     fc.assert(
@@ -65,10 +77,24 @@
     );
   });
 
+  it("is gone for a process that died by the end and kept it until then, however late that is decided on", () => {
+    fc.assert(
+      fc.property(deaths, (life) => {
+        assert.equal(judgeWitness(observe(life), ENDED_AT), WriterState.gone);
+      }),
+      { numRuns: RUNS },
+    );
+  });
+
   const CASES: readonly (readonly [string, Witnessed, WriterState | undefined])[] = [
     ["open since before the end", { state: "open", since: ENDED_AT }, WriterState.alive],
     ["opened after the end", { state: "open", since: ENDED_AT + 1 }, WriterState.untold],
     ["ended with the answer", { state: "ended", since: ENDED_AT + 3 }, WriterState.gone],
+    [
+      "established after the end and ended at once",
+      { state: "ended", since: ENDED_AT + 4, openedAt: ENDED_AT + 2 },
+      undefined,
+    ],
     ["refused at the end", { state: "refused", since: ENDED_AT + 1 }, WriterState.gone],
     ["not established", { state: "unreachable", since: ENDED_AT + 200 }, WriterState.silent],
     ["ended long before", { state: "ended", since: LONG_AGO }, undefined],
