Processes whose connections end one after another: a second connection as soon as the witness has ended

A killed process ends its connections newest first, and its listener last (traced on 6.18, 15 of 15 kills with 1,000 and 4,000 connections): with 4,000 the witness ends some 50 ms before the answer. That counted as "long before", and a connect right after the end was asked: the dying process still took it, in the moment before its listener was closed, and a part counted as whole. Where the next process was there already, it took it.

Now a second connection is opened as soon as the witness has ended. A process that was dying takes it without accepting it and resets it by its end: gone. Only a reset counts; an end in the service's own words tells nothing, as before, so that services that end unused connections lose no more answers.

--- a/src/endpoint/service.ts
+++ b/src/endpoint/service.ts
@@ -14,7 +14,7 @@
 import { type AnswerFacts, type BrokenAnswerListener, acceptAnswer } from "../store/brokenanswer";
 import { isConnectError } from "../store/http";
 import { openTimedSocket, TimedSocket } from "./timedsocket";
-import { findServiceWriter, Witness } from "./witness";
+import { Witness } from "./witness";
 
 const CONNECT_TIMEOUT_MS = 1000;
 const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
@@ -116,7 +116,8 @@
     witness: Witness | undefined,
   ): Promise<E.Either<ServiceError, Buffer>> {
     const bytes = Buffer.from(await body.arrayBuffer());
-    const writer = await findWriter(answer, witness, connection.endedAt ?? performance.now());
+    const endedAt = connection.endedAt ?? performance.now();
+    const writer = (await witness?.findWriter(endedAt)) ?? WriterState.unasked;
     const endedBy = ConnectionEnder.endpoint;
     const { isFramed } = answer;
     if (findEndProof({ isFramed, endedBy, writer }) !== undefined) return E.right(bytes);
@@ -155,13 +156,3 @@
     reset: true,
   });
 }
-
-/** Finds what is known of the process that wrote an answer which has just ended. */
-async function findWriter(
-  { origin }: AnswerFacts,
-  witness: Witness | undefined,
-  endedAt: Moment,
-): Promise<WriterState> {
-  if (witness === undefined) return WriterState.unasked;
-  return findServiceWriter(origin, witness, endedAt);
-}
--- a/src/endpoint/witness.ts
+++ b/src/endpoint/witness.ts
@@ -5,7 +5,14 @@
 import { WriterState } from "../core/assertedend";
 import type { Moment } from "../core/clock";
 import { ReadFirstTimer } from "../core/readfirst";
-import { judgeWitness, WITNESS_TIMEOUT_MS, type Witnessed, WitnessState } from "../core/witness";
+import {
+  judgeReopened,
+  judgeWitness,
+  UNACCEPTED_TIMEOUT_MS,
+  WITNESS_TIMEOUT_MS,
+  type Witnessed,
+  WitnessState,
+} from "../core/witness";
 import { createConnector } from "../store/connector";
 import { isConnectionRefused } from "../store/http";
 
@@ -15,15 +22,26 @@
 /** Code of the error of a connection that was established and reset before it was used. */
 const RESET_CODE = "ECONNRESET";
 
+const FINAL_STATES: ReadonlySet<WitnessState | undefined> = new Set([
+  WitnessState.ended,
+  WitnessState.reset,
+]);
+
 /** A connection on which nothing is sent. */
-export class Witness {
+class Connection {
   private seen: Witnessed | undefined;
   private socket: Socket | undefined;
   private isClosed = false;
   private readonly listeners = new Set<() => void>();
 
-  /** @param origin - the service, as a URL without a path */
-  constructor(origin: string) {
+  /**
+   * @param origin - the service, as a URL without a path
+   * @param onOver - called once it was open and has ended
+   */
+  constructor(
+    origin: string,
+    private readonly onOver: () => void = () => undefined,
+  ) {
     const { protocol, hostname, port } = new URL(origin);
     createConnector(CONNECT_TIMEOUT_MS)({ protocol, hostname, port }, (error, socket) => {
       if (error === null) this.onOpen(socket);
@@ -35,11 +53,12 @@
    * Observes the connection until it has failed or ended, or has outlived the answer.
    *
    * @param endedAt - when the end of the answer was read
+   * @param timeoutMs - for how long it has to, in milliseconds
    */
-  async observe(endedAt: Moment): Promise<Witnessed> {
+  async observe(endedAt: Moment, timeoutMs = WITNESS_TIMEOUT_MS): Promise<Witnessed> {
     const opened = this.seen ?? (await this.waitForChange());
     if (opened.state !== WitnessState.open || opened.since > endedAt) return opened;
-    return this.waitForChange(endedAt + WITNESS_TIMEOUT_MS - performance.now());
+    return this.waitForChange(endedAt + timeoutMs - performance.now());
   }
 
   close(): void {
@@ -49,20 +68,24 @@
 
   private onOpen(socket: Socket): void {
     this.socket = socket;
-    const onEnd = () => {
+    const recordEnd = () => {
       this.record(WitnessState.ended);
     };
-    socket.on("end", onEnd).on("error", onEnd).on("close", onEnd).resume();
+    const recordReset = () => {
+      this.record(WitnessState.reset);
+    };
+    socket.on("end", recordEnd).on("error", recordReset).on("close", recordEnd).resume();
     if (this.isClosed) socket.destroy();
     this.record(WitnessState.open);
   }
 
   private record(state: WitnessState): void {
-    if (this.seen?.state === WitnessState.ended) return;
+    if (FINAL_STATES.has(this.seen?.state)) return;
     const since = performance.now();
     const openedAt = state === WitnessState.open ? since : this.seen?.openedAt;
     this.seen = { state, since, ...(openedAt !== undefined && { openedAt }) };
     for (const listener of this.listeners) listener();
+    if (FINAL_STATES.has(state) && !this.isClosed) this.onOver();
   }
 
   /** Waits for the next state, at most so many milliseconds; for the first one as long as a connect takes. */
@@ -87,24 +110,51 @@
 }
 
 /**
- * Finds what is known of the process that wrote an answer; asks once more where the witness failed or ended long before,
- * as services end connections that are not used, or was only established after the end and has ended.
+ * Witnesses an answer by a connection that is opened with it, and by a second one as soon as that one has ended.
  *
- * @param endedAt - when the end of the answer was read
  * @example
- * await findServiceWriter("http://127.0.0.1:80", witness, performance.now());
+ * const witness = new Witness("http://127.0.0.1:80");
  */
-export async function findServiceWriter(
-  origin: string,
-  witness: Witness,
-  endedAt: Moment,
-): Promise<WriterState> {
-  const told = judgeWitness(await witness.observe(endedAt), endedAt);
-  if (told !== undefined) return told;
-  const later = new Witness(origin);
-  try {
-    return judgeWitness(await later.observe(endedAt), endedAt) ?? WriterState.silent;
-  } finally {
-    later.close();
+export class Witness {
+  private readonly first: Connection;
+  private second: Connection | undefined;
+
+  /** @param origin - the service, as a URL without a path */
+  constructor(private readonly origin: string) {
+    this.first = new Connection(origin, () => {
+      this.second = new Connection(origin);
+    });
+  }
+
+  /**
+   * Finds what is known of the process that wrote the answer; asks once more where both connections tell nothing, as
+   * services end connections that are not used.
+   *
+   * @param endedAt - when the end of the answer was read
+   * @example
+   * await witness.findWriter(performance.now()); // "alive"
+   */
+  async findWriter(endedAt: Moment): Promise<WriterState> {
+    const told = judgeWitness(await this.first.observe(endedAt), endedAt);
+    return told ?? (await this.askSecond(endedAt)) ?? this.askAgain(endedAt);
+  }
+
+  close(): void {
+    this.first.close();
+    this.second?.close();
+  }
+
+  private async askSecond(endedAt: Moment): Promise<WriterState | undefined> {
+    const seen = await this.second?.observe(endedAt, UNACCEPTED_TIMEOUT_MS);
+    return seen && judgeReopened(seen, endedAt);
+  }
+
+  private async askAgain(endedAt: Moment): Promise<WriterState> {
+    const later = new Connection(this.origin);
+    try {
+      return judgeWitness(await later.observe(endedAt), endedAt) ?? WriterState.silent;
+    } finally {
+      later.close();
+    }
   }
 }
--- a/test/reviewedownwitness.spec.ts
+++ b/test/reviewedownwitness.spec.ts
@@ -92,6 +92,27 @@
   });
 });
 
+describe("a part of an unframed answer to the product's own interface, of a process whose connections end one after another", () => {
+  for (const isBack of [true, false]) {
+    it(`is not whole if the witness ends 40 ms before it and the process ${isBack ? "is back at once" : "stays dead"}`, async () => {
+      const service = new ServiceProcess(
+        answerPart((socket, self) => {
+          self.endOthers(socket);
+          const ended = new Set(self.sockets);
+          setTimeout(() => {
+            self.stopListening();
+            socket.end();
+            for (const other of self.sockets) if (!ended.has(other)) other.resetAndDestroy();
+            if (isBack) follow(port);
+          }, APART_MS);
+        }),
+      );
+      const port = await service.listen();
+      assert.deepEqual(await callService(port), CUT);
+    });
+  }
+});
+
 describe("a sound unframed answer to the product's own interface, of a service that stays up", () => {
   it(`is whole if ${LARGE_BYTES} bytes were uploaded just before it`, async () => {
     const service = new ServiceProcess(endWhole);
--- a/test/witness.spec.ts
+++ b/test/witness.spec.ts
@@ -7,7 +7,9 @@
 import fc from "fast-check";
 import { WriterState } from "../src/core/assertedend";
 import {
+  judgeReopened,
   judgeWitness,
+  UNACCEPTED_TIMEOUT_MS,
   WITNESS_TIMEOUT_MS,
   type Witnessed,
   WitnessState,
@@ -107,3 +109,55 @@
     });
   }
 });
+
+/** The reference for a second connection, opened when the first one had ended: who took it, and what became of it. */
+interface SecondLife {
+  readonly openedAt: number;
+  /** True if the process was dying since the first one's end, and takes connections until it has ended all others. */
+  readonly isDying: boolean;
+  /** How much later than the end of the answer those are reset that it has not accepted. */
+  readonly resetAfterMs: number;
+  /** When a process that lives ends it, as it is not used; undefined if it keeps it. */
+  readonly droppedAt: number | undefined;
+}
+
+function observeSecond({ openedAt, isDying, resetAfterMs, droppedAt }: SecondLife): Witnessed {
+  if (isDying) return { state: WitnessState.reset, since: ENDED_AT + resetAfterMs, openedAt };
+  return droppedAt !== undefined && droppedAt > openedAt
+    ? { state: WitnessState.ended, since: droppedAt, openedAt }
+    : { state: WitnessState.open, since: openedAt, openedAt };
+}
+
+describe("the second connection beside an answer, opened as its witness has ended", () => {
+  const secondLives: fc.Arbitrary<SecondLife> = fc.record({
+    openedAt: fc.integer({ min: ENDED_AT - 500, max: ENDED_AT }),
+    isDying: fc.boolean(),
+    resetAfterMs: fc.integer({ min: 0, max: UNACCEPTED_TIMEOUT_MS }),
+    droppedAt: fc.option(
+      fc.integer({ min: ENDED_AT - 500, max: ENDED_AT + UNACCEPTED_TIMEOUT_MS }),
+      { nil: undefined },
+    ),
+  });
+
+  it("is gone for a process that was dying, and never gone nor alive for one that ends unused ones", () => {
+    fc.assert(
+      fc.property(secondLives, (life) => {
+        const told = judgeReopened(observeSecond(life), ENDED_AT);
+        if (life.isDying) assert.equal(told, WriterState.gone);
+        else assert.ok(told === undefined || told === WriterState.untold, told);
+      }),
+      { numRuns: RUNS },
+    );
+  });
+
+  const CASES: readonly (readonly [string, Witnessed, WriterState | undefined])[] = [
+    ["refused with the answer", { state: "refused", since: ENDED_AT }, WriterState.gone],
+    ["refused long before", { state: "refused", since: LONG_AGO }, undefined],
+    ["reset long before", { state: "reset", since: LONG_AGO, openedAt: LONG_AGO }, undefined],
+  ];
+  for (const [name, witnessed, told] of CASES) {
+    it(`says ${told ?? "nothing"} if it was ${name}`, () => {
+      assert.equal(judgeReopened(witnessed, ENDED_AT), told);
+    });
+  }
+});
