--- a/test/reviewedownwitness.spec.ts
+++ b/test/reviewedownwitness.spec.ts
@@ -119,6 +119,16 @@
     assert.deepEqual(await callService(await service.listen(), LARGE_BYTES), SOUND);
   });
 
+  it("is whole if the service was told to stop amid it: it listens no more, and ends what is under way", async () => {
+    const service = new ServiceProcess(
+      answerPart((socket, self) => {
+        self.stopListening();
+        setTimeout(() => socket.end(REST), AMID_MS);
+      }),
+    );
+    assert.deepEqual(await callService(await service.listen()), SOUND);
+  });
+
   it("is whole if the service ends its unused connections right behind it", async () => {
     const service = new ServiceProcess(
       answerPart((socket, self) => {
