ORDER: an instance that has just started reads which versions were unknown before it goes by the only one

Cause: that a process of unknown version was at a service is told to the instances that run; one that starts later knows from the store's history of the list alone that the service had one version, and gives it to a caller that names its last event alone. The origin without its version is in the store by then, as such origins are sent there at once, but only callers that name their stream had it read.

Change: an origin without a version that is read from the store is recorded with the service as of its begin and 1.5 s (the question, and the clocks). Before an instance goes by the only version it has read the store's origins once, unless it has run for as long as the stream may be taken up and 2 s more, in which the others come to know it. If they can't be read, the take-up is unclear: 503 with 300 ms as its delay.

Left: an instance that starts within the second before the origin is stored.

--- a/src/forward/generations/resume.ts
+++ b/src/forward/generations/resume.ts
@@ -172,7 +172,8 @@
   /**
    * Assumes the only version that the service has had while any stream of the route may have begun, up
    * to the arrival of the request; only a read of the list that began later shows that. While it is asked
-   * here who began a stream of the service, it is unclear.
+   * here who began a stream of the service, or it is not read what was known before this instance started,
+   * it is unclear.
    */
   private async findByOnlyVersion(
     request: ForwardRequest,
@@ -181,13 +182,17 @@
   ): Promise<FoundOrigin | undefined> {
     if (this.findOnlyVersion(request, arrivedAt) === undefined) return undefined;
     const { service } = request;
-    const unclearForMs = await this.parts.openQuestions.wait(service);
-    const confirmed = await confirming;
+    const { openQuestions, storedOrigins } = this.parts;
+    const [unclearForMs, isKnown, confirmed] = await Promise.all([
+      openQuestions.wait(service),
+      waitAtMost(storedOrigins.readBefore(computeTakeUpMs(request)), STORE_TIMEOUT_MS),
+      confirming,
+    ]);
     const version = this.findOnlyVersion(request, arrivedAt);
     if (version === undefined || confirmed === undefined) return undefined;
-    if (unclearForMs > 0) {
-      return { origin: undefined, source: OriginSource.unclear, confirmed, unclearForMs };
-    }
+    const unclear = { origin: undefined, source: OriginSource.unclear, confirmed };
+    if (unclearForMs > 0) return { ...unclear, unclearForMs };
+    if (isKnown !== true) return unclear;
     const origin = { service, version, endpoint: "", processStartedAt: 0, beganAt: 0 };
     return { origin, source: OriginSource.onlyVersion, confirmed };
   }
@@ -197,8 +202,7 @@
     arrivedAt: Moment,
   ): string | undefined {
     if (route.services.length > 1) return undefined;
-    const forMs = route.timeoutMs + MAX_RETURN_MS;
-    return this.parts.versionHistory.findOnly(service, forMs, arrivedAt);
+    return this.parts.versionHistory.findOnly(service, computeTakeUpMs({ route }), arrivedAt);
   }
 
   private report(
@@ -235,6 +239,11 @@
   return { workspace: workspace?.name ?? "", request: head.resumedId };
 }
 
+/** Computes for how long after its first event a stream of a route may be taken up, in milliseconds. */
+function computeTakeUpMs({ route }: Pick<ForwardRequest, "route">): number {
+  return route.timeoutMs + MAX_RETURN_MS;
+}
+
 /** Checks whether a request takes up a stream; either header alone says so. */
 function isResume({ resumedId, lastEventId }: RequestHead): boolean {
   return resumedId !== undefined || lastEventId !== undefined;
--- a/src/forward/originparts.ts
+++ b/src/forward/originparts.ts
@@ -45,7 +45,10 @@
   const log = adapter.store.origins;
   const computeStreamMs = (service: string) => findLongestMs(view, service) + MAX_RETURN_MS;
   const versionHistory = new VersionHistory(settings.drainMs);
-  const unknown = new UnknownOrigins({ versionHistory, computeStreamMs, clock, meter, logger });
+  const unknown = new UnknownOrigins({
+    ...{ versionHistory, computeStreamMs, clock, meter, logger },
+    readWallClock: Date.now,
+  });
   const origins = new StreamOrigins((origin) => {
     unknown.record(origin);
   });
@@ -104,7 +107,7 @@
     },
     clock,
   });
-  const storedOrigins = new StoredOrigins({ log, clock, meter, logger });
+  const storedOrigins = new StoredOrigins({ log, unknown, clock, meter, logger });
   adapter.store.onRestored(() => {
     storedOrigins.onStoreRestored();
   });
--- a/src/forward/shared/storedorigins.ts
+++ b/src/forward/shared/storedorigins.ts
@@ -9,6 +9,7 @@
 import type { Meter } from "../requests";
 import { decodeOrigins } from "./originpeer";
 import { type StreamName, type StreamOrigin, StreamOrigins } from "./origins";
+import type { UnknownOrigins } from "./unknownorigins";
 
 /** Shortest time between two reads, in milliseconds. */
 const MIN_READ_INTERVAL_MS = 1000;
@@ -17,9 +18,14 @@
 /** Maximum number of pages in one read. */
 const MAX_PAGES = 40;
 
+/** Within which time of its start the others know an instance, in milliseconds. */
+const KNOWN_TO_PEERS_MS = 2000;
+
 /** Dependencies of stored origins. */
 export interface StoredOriginParts {
   readonly log: AppendLog;
+  /** Is told of each origin whose version is not known. */
+  readonly unknown: Pick<UnknownOrigins, "recordStored">;
   readonly clock: Clock;
   readonly meter: Meter;
   readonly logger: Logger;
@@ -34,12 +40,19 @@
 
 /** Reads the origins in the store, and keeps them. */
 export class StoredOrigins {
-  private readonly origins = new StreamOrigins();
+  private readonly origins: StreamOrigins;
+  private readonly startedAt: Moment;
+  private hasRead = false;
   private nextOffset = 0;
   private readAt: Moment = Number.NEGATIVE_INFINITY;
   private reading: Promise<boolean> | undefined;
 
-  constructor(private readonly parts: StoredOriginParts) {}
+  constructor(private readonly parts: StoredOriginParts) {
+    this.startedAt = parts.clock.now();
+    this.origins = new StreamOrigins((origin) => {
+      parts.unknown.recordStored(origin);
+    });
+  }
 
   /** Reads from the start again: the store was restored. What was read stays true. */
   onStoreRestored(): void {
@@ -59,6 +72,20 @@
     return { origin: this.origins.find(stream, clock.now()), isRead };
   }
 
+  /**
+   * Finds out whether this instance knows of the processes of unknown version that were at services within a time: peers
+   * have told it as long as it runs, and the store says what was before.
+   *
+   * @param forMs - the time up to now, in milliseconds
+   */
+  async readBefore(forMs: number): Promise<boolean> {
+    const now = this.parts.clock.now();
+    if (this.hasRead || now - this.startedAt >= forMs + KNOWN_TO_PEERS_MS) return true;
+    if (this.reading === undefined && now - this.readAt < MIN_READ_INTERVAL_MS) return false;
+    this.reading ??= this.read();
+    return this.reading;
+  }
+
   private async read(): Promise<boolean> {
     const { clock, logger } = this.parts;
     this.readAt = clock.now();
@@ -67,6 +94,7 @@
       isRead = await this.readPages();
     });
     this.reading = undefined;
+    this.hasRead ||= isRead;
     return isRead;
   }
 
--- a/src/forward/shared/unknownorigins.ts
+++ b/src/forward/shared/unknownorigins.ts
@@ -2,18 +2,25 @@
  * Records with a service that a process of unknown version began a stream of it, so that nobody takes the only version
  * that the list names for that of a stream whose name its caller does not tell.
  */
-import type { Clock } from "../../core/clock";
+import type { Clock, Moment } from "../../core/clock";
 import type { Logger } from "../../core/log";
 import type { VersionHistory } from "../../fleet/versionhistory";
 import type { Meter } from "../requests";
 import type { StreamOrigin } from "./origins";
 
+/**
+ * Within which time after a stream's first event its engine has said which process it is, by the wall clock of another
+ * instance, in milliseconds: the second of the question, and the clocks.
+ */
+const ANSWERED_WITHIN_MS = 1500;
+
 /** Dependencies of the recorder. */
 export interface UnknownOriginParts {
   readonly versionHistory: VersionHistory;
   /** Computes how long callers may take up a stream of a service after it began, in milliseconds. */
   readonly computeStreamMs: (service: string) => number;
   readonly clock: Clock;
+  readonly readWallClock: () => number;
   readonly meter: Meter;
   readonly logger: Logger;
 }
@@ -26,19 +33,26 @@
    * Records an origin whose version turned out here or at a peer not to be known. The process was there up to now: it
    * answered just before, and the wall clocks of instances have no part in it.
    */
-  record({ service, endpoint, processStartedAt }: StreamOrigin): void {
+  record(origin: StreamOrigin): void {
+    this.recordSeen(origin, this.parts.clock.now());
+  }
+
+  /** Records an origin without a version that was read from the store, unless nobody can take its stream up any more. */
+  recordStored(origin: StreamOrigin): void {
+    const { computeStreamMs, clock, readWallClock } = this.parts;
+    const agoMs = Math.max(0, readWallClock() - origin.beganAt - ANSWERED_WITHIN_MS);
+    if (agoMs <= computeStreamMs(origin.service)) this.recordSeen(origin, clock.now() - agoMs);
+  }
+
+  private recordSeen({ service, endpoint, processStartedAt }: StreamOrigin, seenAt: Moment): void {
     const { versionHistory, computeStreamMs, clock, meter, logger } = this.parts;
-    const now = clock.now();
     const streamMs = computeStreamMs(service);
-    const isNew = !versionHistory.hasUnknown(service, streamMs, now);
-    versionHistory.recordUnknown(service, now, now + streamMs);
+    const isNew = !versionHistory.hasUnknown(service, streamMs, clock.now());
+    versionHistory.recordUnknown(service, seenAt, seenAt + streamMs);
     meter.unknownOrigins.inc({ service });
     if (!isNew) return;
-    logger.warn("unknown version", {
-      service,
-      engine: endpoint,
-      processStartedAt,
-      forMs: streamMs,
-    });
+    const agoMs = Math.round(clock.now() - seenAt);
+    const process = { engine: endpoint, processStartedAt };
+    logger.warn("unknown version", { service, ...process, agoMs, forMs: streamMs });
   }
 }
--- a/test/harness/watching.ts
+++ b/test/harness/watching.ts
@@ -17,6 +17,7 @@
 import { type NamedOrigin, StreamOrigins } from "../../src/forward/shared/origins";
 import { type RecalledOrigin, SharedOrigins } from "../../src/forward/shared/sharedorigins";
 import { StoredOrigins } from "../../src/forward/shared/storedorigins";
+import { UnknownOrigins } from "../../src/forward/shared/unknownorigins";
 import { createEntry, testCodecs } from "./forward";
 import { MemoryFeed, MemoryLog } from "./memory";
 
@@ -70,7 +71,12 @@
     const logger = SILENT_LOGGER;
     const decode = testCodecs.decodeEndpoint;
     const { processes } = directory;
-    const storedOrigins = new StoredOrigins({ log, clock, meter, logger });
+    const unknown = new UnknownOrigins({
+      ...{ versionHistory, clock, meter, logger },
+      computeStreamMs: () => TIMEOUT_MS + 2000,
+      readWallClock: () => clock.now(),
+    });
+    const storedOrigins = new StoredOrigins({ log, unknown, clock, meter, logger });
     const history = { feed, decode, versionHistory, processes, clock, meter, logger };
     this.resolver = new ResumeResolver({
       sharedOrigins: new SharedOrigins({
@@ -166,9 +172,14 @@
     this.lookedAt = clock.now();
   }
 
-  /** A caller takes up a stream; tells the version, or the status and the pause of the refusal. */
-  async takeUp(): Promise<string | (number | undefined)[]> {
-    const head = { id: "again", resumedId: "s1", lastEventId: "2" };
+  /**
+   * A caller takes up a stream; tells the version, or the status and the pause of the refusal.
+   *
+   * @param isNamed - false if the caller names its last event alone
+   */
+  async takeUp(isNamed = true): Promise<string | (number | undefined)[]> {
+    const named = isNamed ? { resumedId: "s1" } : {};
+    const head = { id: "again", ...named, lastEventId: "2" };
     const route = { timeoutMs: TIMEOUT_MS, services: [{ service: SERVICE }] };
     const request = { head, route, service: SERVICE } as unknown as ForwardRequest;
     const start = await this.resolver.resolve(request);
--- a/test/storedorigins.spec.ts
+++ b/test/storedorigins.spec.ts
@@ -106,6 +106,16 @@
     assert.deepEqual(listStored(), ["r1", "r2"]);
   });
 
+  it("writes those of a service with one version where a process of unknown version was", async () => {
+    record("v1");
+    writer.add([createOrigin("r1")]);
+    await pause(700);
+    assert.deepEqual(listStored(), []);
+    versionHistory.recordUnknown("sheets", performance.now(), performance.now() + STREAM_MS);
+    writer.add([createOrigin("r2")]);
+    await waitUntil(() => listStored().length === 2);
+  });
+
   it("writes the first one at once, and batches at most twice a second", async () => {
     record("v1", "v2");
     const startedAt = performance.now();
@@ -176,7 +186,8 @@
 
   beforeEach(() => {
     clock.advance(10_000);
-    stored = new StoredOrigins({ log, clock, meter: new Meter(), logger: SILENT_LOGGER });
+    const unknown = { recordStored: () => undefined };
+    stored = new StoredOrigins({ log, unknown, clock, meter: new Meter(), logger: SILENT_LOGGER });
   });
 
   const put = (...origins: NamedOrigin[]) => log.values.push(encodeOrigins(origins));
--- a/test/unknownversions.spec.ts
+++ b/test/unknownversions.spec.ts
@@ -67,7 +67,10 @@
       meter: new Meter(),
       logger: SILENT_LOGGER,
     };
-    const unknown = new UnknownOrigins({ ...parts, computeStreamMs: () => STREAM_MS });
+    const unknown = new UnknownOrigins({
+      ...{ ...parts, readWallClock: () => clock.now() },
+      computeStreamMs: () => STREAM_MS,
+    });
     this.questions = new OpenQuestions(clock);
     this.origins = new StreamOrigins((origin) => {
       unknown.record(origin);
