Unknown versions: a process that answers after it followed the stream's own is no proof that the listed one wrote it

And a process listed for another service gave the first one its only version back (the third).

Change: the stream's own version is dropped again whenever another process answers; only the record for the service, which concerns callers that nobody remembers, is left out where that process started after the stream.

--- a/src/fleet/unknownversions.ts
+++ b/src/fleet/unknownversions.ts
@@ -50,12 +50,14 @@
     if (this.processes.size > MAX_PROCESSES && oldest !== undefined) this.processes.delete(oldest);
   }
 
-  /** Forgets the processes that the list names: their versions are known. */
+  /** Forgets the processes that the list names at their services: their versions are known. */
   removeListed(entries: readonly EndpointEntry[]): void {
-    for (const [key, { process }] of this.processes) {
+    for (const [key, unknown] of this.processes) {
       const isListed = entries.some(
-        ({ id, processStartedAt }) =>
-          id === process?.endpoint && processStartedAt === process.startedAt,
+        ({ service, id, processStartedAt }) =>
+          service === unknown.service &&
+          id === unknown.process?.endpoint &&
+          processStartedAt === unknown.process.startedAt,
       );
       if (isListed) this.processes.delete(key);
     }
--- a/src/forward/endpoints/index.ts
+++ b/src/forward/endpoints/index.ts
@@ -35,6 +35,6 @@
   ProcessState,
 } from "./processcheck";
 export { EndpointSubsets } from "./subset";
-export { askWriter, decideBegun, type WriterQuestion } from "./writerquestion";
+export { askWriter, type WriterQuestion } from "./writerquestion";
 export { isInRegions } from "./restriction";
 export { Releaser } from "./releaser";
--- a/src/forward/endpoints/writerquestion.ts
+++ b/src/forward/endpoints/writerquestion.ts
@@ -4,7 +4,6 @@
  */
 import type { Moment } from "../../core/clock";
 import type { EndpointEntry } from "../../fleet/entries";
-import { canHaveBegun } from "../shared";
 import type { ForwardContext } from "./context";
 import {
   type CheckMoment,
@@ -17,8 +16,6 @@
 export interface WriterQuestion {
   /** When the connection was open, or the stream had begun. */
   readonly wroteBy: Moment;
-  /** When the stream began, in milliseconds of the wall clock of the instance at which it did. */
-  readonly beganAt: number;
   /** Id of the request for which it is asked, for the log. */
   readonly request: string;
   readonly moment: CheckMoment;
@@ -26,34 +23,20 @@
   readonly timeoutMs: number;
 }
 
-/**
- * Decides what an answer says of who began a stream: nothing, if the process that answers started after it.
- *
- * @param beganAt - when the stream began, by the wall clock of its instance
- * @example
- * decideBegun({ state: "other", startedAt: 9000 }, 5000).state; // "untold"
- */
-export function decideBegun(answer: ProcessAnswer, beganAt: number): ProcessAnswer {
-  const { state, startedAt } = answer;
-  if (state !== ProcessState.other || startedAt === undefined) return answer;
-  return canHaveBegun(startedAt, beganAt) ? answer : { state: ProcessState.untold };
-}
-
 /**
  * Finds out whether an engine's listed process wrote something.
  *
  * @example
- * const question = { wroteBy: openedAt, beganAt, request: head.id, moment, timeoutMs: 150 };
+ * const question = { wroteBy: openedAt, request: head.id, moment, timeoutMs: 150 };
  * const { state } = await askWriter(context, engine, question);
  */
 export async function askWriter(
   context: ForwardContext,
   engine: EndpointEntry,
-  { wroteBy, beganAt, request, moment, timeoutMs }: WriterQuestion,
+  { wroteBy, request, moment, timeoutMs }: WriterQuestion,
 ): Promise<ProcessAnswer> {
   const { confirmedProcesses } = context;
   if (confirmedProcesses.covers(engine, wroteBy)) return { state: ProcessState.same };
   if (confirmedProcesses.isUntold(engine)) return { state: ProcessState.untold };
-  const answer = await questionProcess(context, engine, { request, moment }, timeoutMs);
-  return decideBegun(answer, beganAt);
+  return await questionProcess(context, engine, { request, moment }, timeoutMs);
 }
--- a/src/forward/generations/firstwriter.ts
+++ b/src/forward/generations/firstwriter.ts
@@ -12,7 +12,6 @@
   type ForwardContext,
   type OpenResponse,
   ProcessState,
-  type WriterQuestion,
 } from "../endpoints";
 
 /** How long the engine is asked, in milliseconds; the stream goes on meanwhile. */
@@ -42,11 +41,11 @@
 
   /** Asks the engine which process it is, unless that is known of the connection already. */
   ask(engine: EndpointEntry, { openedAt }: OpenResponse): void {
-    const { confirmedProcesses, openQuestions, clock, readWallClock, logger } = this.context;
+    const { confirmedProcesses, openQuestions, clock, logger } = this.context;
     if (confirmedProcesses.covers(engine, openedAt) || confirmedProcesses.isUntold(engine)) return;
     const deadline = clock.now() + QUESTION_TIME_MS;
     this.asking = runTask("ask after the first writer", logger, () =>
-      this.askUntilTold(engine, { wroteBy: openedAt, beganAt: readWallClock() }, deadline),
+      this.askUntilTold(engine, openedAt, deadline),
     );
     openQuestions.add(engine.service, this.asking, deadline, this.request);
   }
@@ -63,12 +62,12 @@
 
   private async askUntilTold(
     engine: EndpointEntry,
-    began: Pick<WriterQuestion, "wroteBy" | "beganAt">,
+    wroteBy: Moment,
     deadline: Moment,
   ): Promise<void> {
     const { clock } = this.context;
     await pause(GATHER_MS);
-    const question = { ...began, request: this.request, moment: CheckMoment.afterBegin };
+    const question = { wroteBy, request: this.request, moment: CheckMoment.afterBegin };
     for (;;) {
       const timeoutMs = computeRemainingMs(deadline, clock.now());
       const { state, startedAt } = await askWriter(this.context, engine, {
--- a/src/forward/generations/takeupcheck.ts
+++ b/src/forward/generations/takeupcheck.ts
@@ -48,7 +48,6 @@
     engine: EndpointEntry,
     wroteBy: Moment,
     request: string,
-    beganAt: number,
   ) => Promise<ProcessAnswer>;
 }
 
@@ -99,7 +98,7 @@
     // The list names another process by now, and says when that started.
     if (engine === undefined) return { writer: WriterState.settled };
     const beganBy = clock.now() - Math.max(0, ageMs - INSTANCE_CLOCK_TOLERANCE_MS);
-    const { state, startedAt } = await askWriter(engine, beganBy, request, origin.beganAt);
+    const { state, startedAt } = await askWriter(engine, beganBy, request);
     return { writer: decideWriter(state), startedAt };
   }
 
@@ -121,7 +120,7 @@
   const question = { moment: CheckMoment.beforeTakeUp, timeoutMs: QUESTION_TIMEOUT_MS };
   return new TakeUpCheck({
     ...context,
-    askWriter: (engine, wroteBy, request, beganAt) =>
-      askWriter(context, engine, { ...question, wroteBy, request, beganAt }),
+    askWriter: (engine, wroteBy, request) =>
+      askWriter(context, engine, { ...question, wroteBy, request }),
   });
 }
--- a/src/forward/shared/unknownorigins.ts
+++ b/src/forward/shared/unknownorigins.ts
@@ -7,6 +7,7 @@
 import type { VersionHistory } from "../../fleet/versionhistory";
 import type { Meter } from "../requests";
 import type { StreamOrigin } from "./origins";
+import { canHaveBegun } from "./versions";
 
 /**
  * Within which time after a stream's first event its engine has said which process it is, by the wall clock of another
@@ -44,7 +45,10 @@
     if (agoMs <= computeStreamMs(origin.service)) this.recordSeen(origin, clock.now() - agoMs);
   }
 
-  private recordSeen({ service, endpoint, processStartedAt }: StreamOrigin, seenAt: Moment): void {
+  /** A process that started after the stream did not begin it, so it tells nothing of the service's versions. */
+  private recordSeen(origin: StreamOrigin, seenAt: Moment): void {
+    const { service, endpoint, processStartedAt, beganAt } = origin;
+    if (!canHaveBegun(processStartedAt, beganAt)) return;
     const { versionHistory, computeStreamMs, clock, meter, logger } = this.parts;
     const streamMs = computeStreamMs(service);
     const isNew = !versionHistory.hasUnknown(service, streamMs, clock.now());
