--- a/test/startedlater.spec.ts
+++ b/test/startedlater.spec.ts
@@ -21,12 +21,11 @@
   for (let entry = 0; entry < ENTRIES; entry += 1) instance.put("d1", "v1");
 });
 
-/** Stores that a process of unknown version began a stream some time ago. */
-function storeUnknown(agoMs: number): void {
+/** Stores that a process of unknown version began a stream some time ago; builds before name the listed one for it. */
+function storeUnknown(agoMs: number, isListedNamed = false): void {
   const { stream, origin } = instance.createOrigin("d1", "v1");
   const beganAt = instance.clock.now() - agoMs;
-  // The process that answered, which is not listed.
-  const processStartedAt = beganAt - 1;
+  const processStartedAt = isListedNamed ? origin.processStartedAt : beganAt - 1;
   const unknown = { ...origin, service: SERVICE, version: undefined, processStartedAt, beganAt };
   instance.log.values.push(
     encodeOrigins([{ stream: { ...stream, request: "x" }, origin: unknown }]),
@@ -44,6 +43,11 @@
     assert.equal((await instance.takeUp(false))[0], 503, "also at the next try");
   });
 
+  it("is refused where a build before stored that, and named the listed process for it", async () => {
+    storeUnknown(5000, true);
+    assert.equal((await instance.takeUp(false))[0], 503);
+  });
+
   it("goes on where that stream can be taken up no more", async () => {
     storeUnknown(18_000);
     assert.equal(await instance.takeUp(false), "v1");
