--- a/test/reviewedunknown.spec.ts
+++ b/test/reviewedunknown.spec.ts
@@ -3,15 +3,15 @@
  * take-ups that are refused because of another stream's first writer, or of one whose version is known by now.
  */
 import assert from "node:assert/strict";
-import { request as httpRequest } from "node:http";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { pause } from "../src/core/clock";
 import { EngineStage } from "../src/fleet/entries";
 import { VersionHistory } from "../src/fleet/versionhistory";
-import { addEndpoint, get, port, prepareEach, start, store } from "./harness/fixture";
-import { createConfig, createEntry, testCodecs } from "./harness/forward";
+import { addEndpoint, prepareEach, store } from "./harness/fixture";
+import { createEntry, testCodecs } from "./harness/forward";
 import { createEvent, encodeChunk, writeStreamHead } from "./harness/handover";
 import { writeAnswer } from "./harness/raw";
+import { readAndLeave, startWatched, takeUp } from "./harness/takeups";
 import { ReportCodec } from "./soak/codec";
 
 prepareEach();
@@ -24,10 +24,6 @@
 const DEAD = 0;
 /** How long a slow question takes, in milliseconds. */
 const SLOW_MS = 400;
-const ROUTE_MS = 1500;
-/** How long the list must have been watched, in milliseconds: a stream, its caller's return, and a margin. */
-const WATCHED_MS = ROUTE_MS + 3500;
-const HEADERS = { "x-tokens": "30", "x-patience": "5000" };
 /** Longer than the ids of streams that are remembered. */
 const LONG_ID = "a".repeat(129);
 
@@ -87,37 +83,6 @@
   return { first, countReports: () => reports };
 }
 
-/** Starts the instance, and waits until it knows which version the service had while any stream may have begun. */
-async function startWatched(): Promise<void> {
-  const config = createConfig(2);
-  const routes = config.routes.map((route) => ({ ...route, timeoutMs: ROUTE_MS }));
-  store.putConfig({ ...config, routes });
-  await start();
-  await pause(WATCHED_MS);
-}
-
-/** Leaves a stream after its first two events. */
-function readAndLeave(id: string): Promise<void> {
-  return new Promise((resolve, reject) => {
-    const headers = { ...HEADERS, "x-id": id };
-    const to = { host: "127.0.0.1", port, path: "/summary/1", headers };
-    const request = httpRequest(to, (response) => {
-      response.on("error", () => undefined);
-      response.on("data", (bytes: Buffer) => {
-        if (!bytes.includes("t2")) return;
-        request.destroy();
-        resolve();
-      });
-    });
-    request.on("error", reject);
-    request.end();
-  });
-}
-
-function takeUp(of: Record<string, string>) {
-  return get(port, "/summary/1", { ...HEADERS, ...of, "x-after": "2" });
-}
-
 describe("a stream of the listed version whose origin is not in memory", () => {
   it("goes on for a caller that names its last event alone once the next process of an engine is listed at the same version", async () => {
     const { first } = await addEngines(1, () => [NEXT, 0]);
--- a/test/reviewedunknown2.spec.ts
+++ b/test/reviewedunknown2.spec.ts
@@ -3,14 +3,14 @@
  * the listed version because of what a later process answers, or of what the list names the process for.
  */
 import assert from "node:assert/strict";
-import { request as httpRequest } from "node:http";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { pause } from "../src/core/clock";
 import { EngineStage } from "../src/fleet/entries";
-import { addEndpoint, get, port, prepareEach, start, store } from "./harness/fixture";
-import { createConfig, createEntry, testCodecs } from "./harness/forward";
+import { addEndpoint, get, port, prepareEach, store } from "./harness/fixture";
+import { createEntry, testCodecs } from "./harness/forward";
 import { createEvent, encodeChunk, writeStreamHead } from "./harness/handover";
 import { writeAnswer } from "./harness/raw";
+import { readAndLeave, startWatched, takeUp } from "./harness/takeups";
 import { ReportCodec } from "./soak/codec";
 
 prepareEach();
@@ -21,9 +21,6 @@
 const NEXT = 2;
 /** Nobody answers: the process has died, and the next one is not up yet. */
 const DEAD = 0;
-const ROUTE_MS = 1500;
-/** How long the list must have been watched, in milliseconds: a stream, its caller's return, and a margin. */
-const WATCHED_MS = ROUTE_MS + 3500;
 const HEADERS = { "x-tokens": "30", "x-patience": "5000" };
 
 const { endpointCodec } = testCodecs;
@@ -79,37 +76,6 @@
   return first;
 }
 
-/** Starts the instance, and waits until it knows which version the service had while any stream may have begun. */
-async function startWatched(): Promise<void> {
-  const config = createConfig(2);
-  const routes = config.routes.map((route) => ({ ...route, timeoutMs: ROUTE_MS }));
-  store.putConfig({ ...config, routes });
-  await start();
-  await pause(WATCHED_MS);
-}
-
-/** Leaves a stream after its first two events. */
-function readAndLeave(id: string): Promise<void> {
-  return new Promise((resolve, reject) => {
-    const headers = { ...HEADERS, "x-id": id };
-    const to = { host: "127.0.0.1", port, path: "/summary/1", headers };
-    const request = httpRequest(to, (response) => {
-      response.on("error", () => undefined);
-      response.on("data", (bytes: Buffer) => {
-        if (!bytes.includes("t2")) return;
-        request.destroy();
-        resolve();
-      });
-    });
-    request.on("error", reject);
-    request.end();
-  });
-}
-
-function takeUp(of: Record<string, string>) {
-  return get(port, "/summary/1", { ...HEADERS, ...of, "x-after": "2" });
-}
-
 describe("a stream that a process of another version began, which was not listed", () => {
   it("is not taken up at the listed version by its name where that process has died and the next one answers", async () => {
     let diedAt = 0;
